--- /dev/null
+++ b/timeline/event.go
@@ -0,0 +1,59 @@
+// Package timeline records typed events as JSON lines, one file or stream per process, and merges them
+// into one time line over all processes.
+//
+// Clocks of VMs differ. Each event carries a hybrid logical time: the larger of the process's clock
+// and the highest time it has seen in messages, so that an effect never sorts before its cause.
+package timeline
+
+// Kind is the type of an event.
+type Kind string
+
+// The kinds of events. Fields that are set beside Kind are named in brackets.
+const (
+	EntryStarted      Kind = "entry-started"      // Entry, Detail: incarnation
+	EntryLeaving      Kind = "entry-leaving"      // Entry
+	EntryStopped      Kind = "entry-stopped"      // Entry
+	PeerSuspected     Kind = "peer-suspected"     // Peer
+	PeerDead          Kind = "peer-dead"          // Peer
+	PeerAlive         Kind = "peer-alive"         // Peer
+	ClockPaused       Kind = "process-paused"     // Millis
+	SettingsInForce   Kind = "settings-in-force"  // Version
+	SettingsAccepted  Kind = "settings-accepted"  // Version, Detail: change id
+	DomainTaken       Kind = "domain-taken"       // Domain, Version
+	PlacementWritten  Kind = "placement-written"  // Domain, Version
+	GroupState        Kind = "group-state"        // Group, Service, Detail: state
+	GroupWhole        Kind = "group-whole"        // Group, Service
+	GroupNotWhole     Kind = "group-not-whole"    // Group, Service, VM, Detail: why
+	OrderSent         Kind = "order-sent"         // VM, Group, Version: fence
+	OrderRefused      Kind = "order-refused"      // VM, Group, Version: fence, Detail
+	RequestAccepted   Kind = "request-accepted"   // Request, Team, Service
+	RequestDispatched Kind = "request-dispatched" // Request, Group: front to home
+	RequestQueued     Kind = "request-queued"     // Request, Group
+	RequestClaimed    Kind = "request-claimed"    // Request
+	RequestSealed     Kind = "request-sealed"     // Request
+	RequestSent       Kind = "request-sent"       // Request, Group, VM: home to engine
+	RequestOutcome    Kind = "request-outcome"    // Request, Detail: outcome and code
+	RequestQuarantine Kind = "request-quarantine" // Request, Service, Detail: fingerprint
+)
+
+// Event is one line of the time line.
+type Event struct {
+	// Time is the hybrid logical time: Unix nanoseconds, never below an earlier event of the process or a
+	// message it has received.
+	Time int64 `json:"time"`
+	// Process names the writer, and Seq counts its events from 1.
+	Process string `json:"process"`
+	Seq     uint64 `json:"seq"`
+	Kind    Kind   `json:"kind"`
+	Entry   string `json:"entry,omitempty"`
+	Peer    string `json:"peer,omitempty"`
+	Request string `json:"request,omitempty"`
+	Team    string `json:"team,omitempty"`
+	Service string `json:"service,omitempty"`
+	Group   string `json:"group,omitempty"`
+	VM      string `json:"vm,omitempty"`
+	Domain  string `json:"domain,omitempty"`
+	Version uint64 `json:"version,omitempty"`
+	Millis  int64  `json:"millis,omitempty"`
+	Detail  string `json:"detail,omitempty"`
+}
