Table of groups: placements, homes and what homes say of them

Cause: fronts, homes and operators need one view of the groups; loads ride on dispatch frames, because statuses of 630 groups spread among 330 entries every half second would need some 600 KB/s a node (worked out: 630 x 2 x 60 B x 8).

--- a/contract/dispatch.go
+++ b/contract/dispatch.go
@@ -101,4 +101,17 @@
 	// AttemptVersion is the platform version of the claim (FrameClaimed) or of Attempt (FrameFound).
 	AttemptVersion uint64 `cbor:"15,keyasint,omitempty"`
 	Time           int64  `cbor:"16,keyasint,omitempty"`
+	// Load is the group's load at the home, sent with the first and the last frame of a dispatch. It costs
+	// no message of its own, so it scales with the traffic and not with fronts times groups.
+	Load *GroupLoad `cbor:"17,keyasint,omitempty"`
+}
+
+// GroupLoad is the load of one group as its home sees it.
+type GroupLoad struct {
+	InFlight int `cbor:"1,keyasint"`
+	Queued   int `cbor:"2,keyasint"`
+	Limit    int `cbor:"3,keyasint"`
+	// FirstToken and TokenGap are moving averages; 0 if nothing was measured yet.
+	FirstToken time.Duration `cbor:"4,keyasint,omitempty"`
+	TokenGap   time.Duration `cbor:"5,keyasint,omitempty"`
 }
--- /dev/null
+++ b/entry/fleet/fleet.go
@@ -0,0 +1,214 @@
+// Package fleet is an entry's table of groups: which exist (from the mirrored placements), which entry is
+// home to each (computed from the live entries), and what their homes last said of them.
+//
+// The flow: placements change -> ApplyPlacement; a home's rumour or a frame of a dispatch brings a Status
+// -> Report; fronts ask Candidates of a service and HomeOf a group; the own home role asks Homed.
+package fleet
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/skylarkpond/skylarkpond/contract"
+	"github.com/skylarkpond/skylarkpond/domain"
+	"github.com/skylarkpond/skylarkpond/link/platform"
+	"github.com/skylarkpond/skylarkpond/vm"
+)
+
+// Status is what a home says of a group. It travels as a rumour when Whole or Draining change, and now and
+// then for the load.
+type Status struct {
+	Group vm.GroupID `cbor:"1,keyasint"`
+	Home  string     `cbor:"2,keyasint"`
+	// Epoch is the group's epoch that the home probed for.
+	Epoch uint64 `cbor:"3,keyasint"`
+	// Whole says that every member was present when this was sent.
+	Whole bool               `cbor:"4,keyasint"`
+	Load  contract.GroupLoad `cbor:"5,keyasint"`
+	// At orders statuses of one group: the sender's hybrid logical time.
+	At int64 `cbor:"6,keyasint"`
+	// Reason says why the group is not whole.
+	Reason string `cbor:"7,keyasint,omitempty"`
+}
+
+// Candidate is a group that a front may choose.
+type Candidate struct {
+	Group    vm.Group
+	Position domain.Position
+	Home     string
+	Status   Status
+	// Heard is when the status was taken in, by the own monotonic clock; zero if never.
+	Heard time.Time
+	// ServingSince is when this entry first saw the group whole.
+	ServingSince time.Time
+}
+
+type row struct {
+	group        vm.Group
+	fabric       domain.FabricDomain
+	position     domain.Position
+	status       Status
+	heard        time.Time
+	servingSince time.Time
+}
+
+// Table is the table. It is safe for concurrent use; mu is a leaf lock.
+type Table struct {
+	live func() []string
+	now  func() time.Time
+
+	mu       sync.RWMutex // guards what follows
+	rows     map[vm.GroupID]*row
+	versions map[domain.FabricDomain]platform.Version
+}
+
+// New returns an empty table. live names the live entries; it is called without a lock held.
+func New(live func() []string, now func() time.Time) *Table {
+	return &Table{
+		live:     live,
+		now:      now,
+		rows:     make(map[vm.GroupID]*row),
+		versions: make(map[domain.FabricDomain]platform.Version),
+	}
+}
+
+// ApplyPlacement takes in a placement object. An older version than the one applied changes nothing, so
+// that changes which cross each other do not bring a dissolved group back.
+func (t *Table) ApplyPlacement(object platform.Object) error {
+	placement := vm.Placement{}
+	if !object.Deleted {
+		if err := json.Unmarshal(object.Value, &placement); err != nil {
+			return err
+		}
+	}
+	fabric := domain.FabricDomain(object.Name)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if object.Version <= t.versions[fabric] {
+		return nil
+	}
+	t.versions[fabric] = object.Version
+	t.replace(fabric, &placement)
+	return nil
+}
+
+// replace must be called with mu held.
+func (t *Table) replace(fabric domain.FabricDomain, placement *vm.Placement) {
+	for id, r := range t.rows {
+		if r.fabric == fabric && placement.Group(id) == nil {
+			delete(t.rows, id)
+		}
+	}
+	for _, group := range placement.Groups {
+		r := t.rows[group.ID]
+		if r == nil {
+			r = &row{fabric: fabric}
+			t.rows[group.ID] = r
+		}
+		r.group = group
+		r.position = placement.Position
+	}
+}
+
+// Report takes in a status, from a rumour or from the own home role.
+func (t *Table) Report(status Status) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.rows[status.Group]
+	if r == nil || status.At <= r.status.At {
+		return
+	}
+	r.status = status
+	r.heard = t.now()
+	if !status.Whole {
+		r.servingSince = time.Time{}
+	} else if r.servingSince.IsZero() {
+		r.servingSince = r.heard
+	}
+}
+
+// ReportLoad takes in the load that came with a frame of a dispatch.
+func (t *Table) ReportLoad(group vm.GroupID, load contract.GroupLoad) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.rows[group]
+	if r == nil {
+		return
+	}
+	r.status.Load = load
+	r.heard = t.now()
+}
+
+// Group returns a group and the version of the placement it was read from.
+func (t *Table) Group(id vm.GroupID) (vm.Group, platform.Version, bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	r := t.rows[id]
+	if r == nil {
+		return vm.Group{}, 0, false
+	}
+	return r.group, t.versions[r.fabric], true
+}
+
+// Candidates returns the serving groups of a service, sorted by id. Whether the home calls them whole is
+// in the status; the home checks it again at each dispatch, so a stale status costs a try, never safety.
+func (t *Table) Candidates(service string) []Candidate {
+	live := t.live()
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	var found []Candidate
+	for _, r := range t.rows {
+		if r.group.Service == service && r.group.State == vm.Serving {
+			found = append(found, r.candidate(live))
+		}
+	}
+	sortCandidates(found)
+	return found
+}
+
+// All returns every group, sorted by id.
+func (t *Table) All() []Candidate {
+	live := t.live()
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	found := make([]Candidate, 0, len(t.rows))
+	for _, r := range t.rows {
+		found = append(found, r.candidate(live))
+	}
+	sortCandidates(found)
+	return found
+}
+
+func (r *row) candidate(live []string) Candidate {
+	return Candidate{
+		Group: r.group, Position: r.position, Home: homeOf(r.group.ID, live),
+		Status: r.status, Heard: r.heard, ServingSince: r.servingSince,
+	}
+}
+
+// HomeOf names the home of a group, "" without live entries.
+func (t *Table) HomeOf(id vm.GroupID) string { return homeOf(id, t.live()) }
+
+func homeOf(id vm.GroupID, live []string) string {
+	return domain.Owner("home/"+string(id), live)
+}
+
+// Homed returns the groups to which the named entry is home.
+func (t *Table) Homed(entry string) []vm.Group {
+	var homed []vm.Group
+	for _, c := range t.All() {
+		if c.Home == entry {
+			homed = append(homed, c.Group)
+		}
+	}
+	return homed
+}
+
+func sortCandidates(candidates []Candidate) {
+	slices.SortFunc(candidates, func(a, b Candidate) int {
+		return strings.Compare(string(a.Group.ID), string(b.Group.ID))
+	})
+}
