Presence table of a home: a group is whole only on fresh, matching answers of every member

Cause: a replica is dead as soon as one member is, and nothing said so. Age is counted from the sending of a probe and checked at each dispatch; a timer was ruled out, because after a pause of the home it fires later than the requests that wait.

--- /dev/null
+++ b/vm/presence_test.go
@@ -0,0 +1,103 @@
+package vm_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/skylarkpond/skylarkpond/vm"
+)
+
+// A replica runs on several VMs and is dead as soon as one of them is. A caller whose request goes to it
+// then waits for an answer that never comes. So a group counts as whole only on recent answers of every
+// member, each of the boot and the epoch that was ordered.
+var _ = Describe("Presence", func() {
+	start := time.Now()
+	group := &vm.Group{
+		ID: "g1", Epoch: 7, State: vm.Serving,
+		Members: []vm.Member{{VM: "a", BootID: "boot-a"}, {VM: "b", BootID: "boot-b"}},
+	}
+	good := func(name vm.Name) vm.Answer {
+		return vm.Answer{Sent: start, BootID: vm.BootID("boot-" + name), Group: "g1", Epoch: 7, Ready: true}
+	}
+	fresh := start.Add(vm.FreshnessBound - time.Nanosecond)
+
+	DescribeTable("one member's answer decides for the whole group",
+		func(change func(a *vm.Answer), now time.Time, why vm.Why) {
+			p := vm.NewPresence()
+			p.Record("g1", "a", good("a"))
+			answer := good("b")
+			change(&answer)
+			p.Record("g1", "b", answer)
+			whole, gap := p.Whole(group, now)
+			Expect(whole).To(Equal(why == vm.WhyPresent))
+			Expect(gap.Why).To(Equal(why))
+			if !whole {
+				Expect(gap.VM).To(Equal(vm.Name("b")))
+			}
+		},
+		Entry("all present", func(*vm.Answer) {}, fresh, vm.WhyPresent),
+		Entry("restarted under the same address", func(a *vm.Answer) { a.BootID = "boot-b2" }, start, vm.WhyOtherBoot),
+		Entry("back as if nothing happened, without orders", func(a *vm.Answer) { a.Group, a.Epoch = "", 0 }, start, vm.WhyOtherGroup),
+		Entry("ordered by an older controller", func(a *vm.Answer) { a.Epoch = 6 }, start, vm.WhyOtherEpoch),
+		Entry("ordered by a newer controller", func(a *vm.Answer) { a.Epoch = 8 }, start, vm.WhyOtherEpoch),
+		Entry("still loading", func(a *vm.Answer) { a.Ready = false }, start, vm.WhyNotReady),
+		Entry("told to leave", func(a *vm.Answer) { a.Leaving = true }, start, vm.WhyLeaving),
+		Entry("silent for too long", func(a *vm.Answer) { a.Sent = start.Add(-time.Nanosecond) }, fresh, vm.WhyStale),
+	)
+
+	It("is not whole while a member never answered, was forgotten, or has no boot id yet", func() {
+		p := vm.NewPresence()
+		p.Record("g1", "a", good("a"))
+		_, gap := p.Whole(group, start)
+		Expect(gap).To(Equal(vm.Gap{VM: "b", Why: vm.WhySilent}))
+
+		p.Record("g1", "b", good("b"))
+		p.Forget("g1")
+		_, gap = p.Whole(group, start)
+		Expect(gap).To(Equal(vm.Gap{VM: "a", Why: vm.WhySilent}))
+
+		forming := &vm.Group{ID: "g1", Epoch: 7, Members: []vm.Member{{VM: "a"}}}
+		p.Record("g1", "a", vm.Answer{Sent: start, Group: "g1", Epoch: 7, Ready: true})
+		_, gap = p.Whole(forming, start)
+		Expect(gap.Why).To(Equal(vm.WhyOtherBoot))
+
+		whole, gap := p.Whole(&vm.Group{ID: "g2"}, start)
+		Expect(whole).To(BeFalse())
+		Expect(gap.String()).To(Equal("group has no members"))
+	})
+
+	// The VM of a home is paused for a minute, in which a member dies. When the home wakes, none of its
+	// timers has fired yet, and a request waits in its queue. Sent now, it would hang on a dead replica.
+	It("finds its knowledge stale after the home slept", func() {
+		p := vm.NewPresence()
+		p.Record("g1", "a", good("a"))
+		p.Record("g1", "b", good("b"))
+		whole, _ := p.Whole(group, start)
+		Expect(whole).To(BeTrue())
+		whole, gap := p.Whole(group, start.Add(time.Minute))
+		Expect(whole).To(BeFalse())
+		Expect(gap.Why).To(Equal(vm.WhyStale))
+	})
+
+	// The home sleeps between sending a probe and reading its answer. The answer is from before the pause,
+	// so it must not count as news of now.
+	It("counts age from the sending of a probe, and drops answers that cross", func() {
+		p := vm.NewPresence()
+		p.Record("g1", "a", good("a"))
+		late := good("b")
+		late.Sent = start.Add(-vm.FreshnessBound)
+		p.Record("g1", "b", late)
+		_, gap := p.Whole(group, start)
+		Expect(gap.Why).To(Equal(vm.WhyStale))
+
+		p.Record("g1", "b", good("b"))
+		p.Record("g1", "b", late)
+		whole, _ := p.Whole(group, start)
+		Expect(whole).To(BeTrue())
+		last, ok := p.Last("g1", "b")
+		Expect(ok).To(BeTrue())
+		Expect(last.Sent).To(Equal(start))
+	})
+})
