--- /dev/null
+++ b/internal/standin/platform/controls.go
@@ -0,0 +1,103 @@
+package platform
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"reflect"
+	"slices"
+
+	"github.com/emicklei/go-restful/v3"
+	"github.com/rotisserie/eris"
+
+	"github.com/skylarkpond/skylarkpond/link/platform"
+	"github.com/skylarkpond/skylarkpond/vm"
+)
+
+// maxControlBytes bounds the body of a control call.
+const maxControlBytes = 16 << 20
+
+// controls returns the calls of tests.
+func (p *Platform) controls() *restful.WebService {
+	service := new(restful.WebService).Path("/standin")
+	service.Route(service.GET("/history").To(func(_ *restful.Request, response *restful.Response) {
+		encoder := json.NewEncoder(response)
+		for _, change := range p.History() {
+			_ = encoder.Encode(change)
+		}
+	}))
+	service.Route(service.GET("/calls").To(func(_ *restful.Request, response *restful.Response) {
+		write(response, p.Calls(), nil)
+	}))
+	service.Route(service.POST("/switches").To(control(p.Switch)))
+	service.Route(service.POST("/vms").To(control(p.SetVMs)))
+	return service
+}
+
+// control decodes a body strictly and hands it on.
+func control[T any](apply func(T) error) restful.RouteFunction {
+	return func(request *restful.Request, response *restful.Response) {
+		var body T
+		decoder := json.NewDecoder(io.LimitReader(request.Request.Body, maxControlBytes))
+		decoder.DisallowUnknownFields()
+		if err := decoder.Decode(&body); err != nil {
+			http.Error(response, err.Error(), http.StatusBadRequest)
+			return
+		}
+		write(response, struct{}{}, apply(body))
+	}
+}
+
+var errUnknownOutage = eris.New("outage: want none, refuse, drop or hang")
+
+// Switch changes the faults.
+func (p *Platform) Switch(s Switches) error {
+	known := []Outage{OutageNone, OutageRefuse, OutageDrop, OutageHang}
+	if s.Outage != nil && !slices.Contains(known, *s.Outage) {
+		return errUnknownOutage
+	}
+	p.faults.set(s)
+	if s.Compact {
+		p.table.compact()
+	}
+	return nil
+}
+
+// History returns every change so far, the first first.
+func (p *Platform) History() []Change { return p.table.past() }
+
+// Calls returns the calls so far.
+func (p *Platform) Calls() []CallCount { return p.calls.list() }
+
+// SetVMs replaces the list of VMs: one object per fabric domain. A domain that is left without VMs keeps
+// an empty one; a domain whose VMs did not change keeps its version.
+func (p *Platform) SetVMs(vms []vm.VM) error {
+	domains := make(map[string][]vm.VM)
+	for _, object := range p.table.list(platform.KindVMs).Objects {
+		domains[object.Name] = []vm.VM{}
+	}
+	for _, v := range vms {
+		name := string(v.Position.FabricDomain)
+		domains[name] = append(domains[name], v)
+	}
+	for name, list := range domains {
+		if err := p.setDomain(name, vm.List{VMs: list}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (p *Platform) setDomain(name string, list vm.List) error {
+	current, err := p.table.get(platform.KindVMs, name)
+	var before vm.List
+	if err == nil && json.Unmarshal(current.Value, &before) == nil && reflect.DeepEqual(before, list) {
+		return nil
+	}
+	value, err := json.Marshal(list)
+	if err != nil {
+		return eris.Wrap(err, "VM list")
+	}
+	_, err = p.table.put(platform.KindVMs, name, current.Version, value)
+	return err
+}
