Engine: client over HTTP, and stand-ins of backend servers

Requests go out on a connection of their own: a fresh connection is never retried by net/http, a failure to make it proves that nothing was sent, and a restarted backend server is not mistaken for one that broke off. An answer that refuses without running carries a header that says so, because a plain service's own 409 or 503 is an answer.

The tests fail, as they should, when connections are reused, when the end of a stream is taken for the end of an answer, when Close stops the iterator during a read (it hangs), when Idempotency-Key is forwarded, and when a path may change the host.

--- /dev/null
+++ b/internal/standin/engine/orders.go
@@ -0,0 +1,105 @@
+package engine
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/skylarkpond/skylarkpond/link/engine"
+)
+
+// refusal is an answer that says that nothing was done.
+type refusal struct {
+	status int
+	reason string
+}
+
+func (r *refusal) write(response http.ResponseWriter) {
+	response.Header().Set(engine.HeaderRefused, r.reason)
+	http.Error(response, r.reason, r.status)
+}
+
+func (m *machine) state(b *boot) engine.State {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return engine.State{
+		VM:           m.spec.Name,
+		BootID:       b.id,
+		Group:        b.order.Group,
+		Epoch:        b.order.Epoch,
+		Fence:        b.fence,
+		Service:      b.order.Service,
+		Model:        b.order.Model,
+		ModelVersion: b.order.ModelVersion,
+		Ready:        ready(b),
+		Leaving:      m.faults.leaving,
+		Load:         b.batch.load(m.faults.loadLag),
+	}
+}
+
+// ready must be called with the machine's mu held.
+func ready(b *boot) bool {
+	return b.order.Kind == engine.OrderLoad && !time.Now().Before(b.readyAt)
+}
+
+func (m *machine) serveOrder(b *boot, body []byte, arrived time.Time, response http.ResponseWriter) {
+	var order engine.Order
+	if err := json.Unmarshal(body, &order); err != nil {
+		http.Error(response, err.Error(), http.StatusBadRequest)
+		return
+	}
+	refused := m.take(b, order, arrived)
+	record := OrderRecord{VM: m.spec.Name, BootID: b.id, Order: order}
+	if refused != nil {
+		record.Refused = refused.reason
+		m.host.orders.add(record)
+		refused.write(response)
+		return
+	}
+	m.host.orders.add(record)
+	writeJSON(response, m.state(b))
+}
+
+// take carries an order out, or refuses it.
+func (m *machine) take(b *boot, order engine.Order, arrived time.Time) *refusal {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	deadline := time.Duration(order.DeadlineMillis) * time.Millisecond
+	switch {
+	case deadline > 0 && time.Since(arrived) > deadline:
+		return &refusal{http.StatusRequestTimeout, "deadline passed"}
+	case order.BootID != "" && order.BootID != b.id:
+		return &refusal{http.StatusPreconditionFailed, "this is boot " + string(b.id)}
+	case order.Fence < b.fence && m.faults.checksFence:
+		return &refusal{http.StatusConflict, "old fencing number"}
+	case order.Kind != engine.OrderLoad && order.Kind != engine.OrderRelease:
+		return &refusal{http.StatusBadRequest, "unknown order"}
+	}
+	if !keepsModel(b.order, order) {
+		b.readyAt = time.Now().Add(m.faults.loading)
+		m.breakRuns(b)
+	}
+	b.order = order
+	// An engine that ignores fencing numbers reports that of its last order, so that reading back shows it.
+	b.fence = order.Fence
+	return nil
+}
+
+// keepsModel says whether an order leaves what is loaded, and in which group, as it is.
+func keepsModel(before, after engine.Order) bool {
+	return before.Kind == engine.OrderLoad && after.Kind == engine.OrderLoad &&
+		before.Group == after.Group && before.Rank == after.Rank &&
+		before.Service == after.Service && before.Model == after.Model &&
+		before.ModelVersion == after.ModelVersion && slices.Equal(before.Members, after.Members)
+}
+
+// breakRuns ends all runs, since what they use is unloaded. It must be called with mu held.
+func (m *machine) breakRuns(b *boot) {
+	for id, running := range b.cancels {
+		delete(b.cancels, id)
+		for _, cancelled := range running {
+			close(cancelled)
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/engine/serve.go
@@ -0,0 +1,150 @@
+package engine
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/emicklei/go-restful/v3"
+
+	"github.com/skylarkpond/skylarkpond/link/engine"
+	"github.com/skylarkpond/skylarkpond/vm"
+)
+
+// maxBodyBytes bounds a request's body.
+const maxBodyBytes = 16 << 20
+
+// handler returns what one boot of a VM serves.
+func (m *machine) handler(b *boot) http.Handler {
+	container := restful.NewContainer()
+	container.Add(m.controlService(b))
+	container.Add(m.completionService(b))
+	return http.HandlerFunc(func(response http.ResponseWriter, request *http.Request) {
+		path := request.URL.Path
+		if strings.HasPrefix(path, "/engine/") || m.spec.Service == "" {
+			container.Dispatch(response, request)
+			return
+		}
+		body, ok := m.admit(b, request)
+		if !ok {
+			abort()
+		}
+		m.call(b, body, request, response)
+	})
+}
+
+func (m *machine) controlService(b *boot) *restful.WebService {
+	service := new(restful.WebService).Path("/engine/v1")
+	service.Route(service.GET("/state").To(m.gated(b, func(_ []byte, _ *restful.Request, response http.ResponseWriter) {
+		writeJSON(response, m.state(b))
+	})))
+	service.Route(service.POST("/orders").To(func(request *restful.Request, response *restful.Response) {
+		arrived := time.Now()
+		body, ok := m.admit(b, request.Request)
+		if !ok {
+			abort()
+		}
+		m.serveOrder(b, body, arrived, response)
+	}))
+	service.Route(service.POST("/cancel/{request}").To(m.gated(b, func(_ []byte, request *restful.Request, response http.ResponseWriter) {
+		if !m.cancel(b, request.PathParameter("request")) {
+			http.Error(response, "no such request", http.StatusNotFound)
+			return
+		}
+		writeJSON(response, struct{}{})
+	})))
+	return service
+}
+
+func (m *machine) completionService(b *boot) *restful.WebService {
+	service := new(restful.WebService).Path("/v1").Produces("text/event-stream", restful.MIME_JSON)
+	service.Route(service.POST("/chat/completions").To(m.gated(b, func(body []byte, request *restful.Request, response http.ResponseWriter) {
+		m.complete(b, body, request.Request, response)
+	})))
+	return service
+}
+
+// gated admits a request before it handles it.
+func (m *machine) gated(b *boot, handle func([]byte, *restful.Request, http.ResponseWriter)) restful.RouteFunction {
+	return func(request *restful.Request, response *restful.Response) {
+		body, ok := m.admit(b, request.Request)
+		if !ok {
+			abort()
+		}
+		handle(body, request, response)
+	}
+}
+
+// admit reads a request's body and holds the request while the VM is frozen.
+func (m *machine) admit(b *boot, request *http.Request) ([]byte, bool) {
+	body, err := io.ReadAll(io.LimitReader(request.Body, maxBodyBytes))
+	return body, err == nil && m.gate(b)
+}
+
+// abort breaks the connection without a further word.
+func abort() { panic(http.ErrAbortHandler) }
+
+// asked is what the headers of a request say.
+type asked struct {
+	requestID  string
+	service    string
+	group      vm.GroupID
+	epoch      uint64
+	priority   int
+	resumeFrom uint64
+}
+
+func parseHeader(header http.Header) asked {
+	epoch, _ := strconv.ParseUint(header.Get(engine.HeaderEpoch), 10, 64)
+	priority, _ := strconv.Atoi(header.Get(engine.HeaderPriority))
+	resumeFrom, _ := strconv.ParseUint(header.Get(engine.HeaderResumeFrom), 10, 64)
+	return asked{
+		requestID:  header.Get(engine.HeaderRequest),
+		service:    header.Get(engine.HeaderService),
+		group:      vm.GroupID(header.Get(engine.HeaderGroup)),
+		epoch:      epoch,
+		priority:   priority,
+		resumeFrom: resumeFrom,
+	}
+}
+
+// refuses says why a request can't run here, or nil, and by which order it runs.
+func (m *machine) refuses(b *boot, a asked) (engine.Order, *refusal) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	order := b.order
+	switch {
+	case m.faults.checksEpoch && (a.group != order.Group || a.epoch != order.Epoch):
+		return order, &refusal{http.StatusConflict, "another group or epoch"}
+	case a.service != "" && order.Service != "" && a.service != order.Service:
+		return order, &refusal{http.StatusConflict, "another service"}
+	case !ready(b):
+		return order, &refusal{http.StatusServiceUnavailable, "not loaded"}
+	case order.Rank != 0:
+		return order, &refusal{http.StatusServiceUnavailable, "not the head of its group"}
+	case a.resumeFrom > 0 && !m.faults.canResume:
+		return order, &refusal{http.StatusConflict, "can't resume"}
+	}
+	return order, nil
+}
+
+func (m *machine) newRun(b *boot, a asked, order engine.Order, body []byte) Run {
+	return Run{
+		VM:         m.spec.Name,
+		BootID:     b.id,
+		RequestID:  a.requestID,
+		Group:      order.Group,
+		Epoch:      order.Epoch,
+		Service:    order.Service,
+		ResumeFrom: a.resumeFrom,
+		BodyHash:   hash(body),
+	}
+}
+
+// crashes says whether a request is one that kills the VM.
+func (m *machine) crashes(body []byte) bool {
+	marker := m.settings().crashMarker
+	return marker != "" && strings.Contains(string(body), marker)
+}
--- a/link/engine/engine.go
+++ b/link/engine/engine.go
@@ -2,7 +2,8 @@
 // services beside them. The wire is HTTP/1.1 with JSON and server-sent events.
 //
 //	GET  /engine/v1/state                 State: the probe
-//	POST /engine/v1/orders                Order -> State, 409 for a fencing number below one seen
+//	POST /engine/v1/orders                Order -> State, 409 for a fencing number below one seen,
+//	                                      412 for an order to another boot id
 //	POST /engine/v1/cancel/{request}      cancels a request
 //	POST /v1/chat/completions             a completion; the answer is a stream of Event
 //	any  /{path}                          a call of a plain service
@@ -29,6 +30,9 @@
 	HeaderPriority   = "Priority"
 	HeaderResumeFrom = "Skylarkpond-Resume-From"
 	HeaderService    = "Skylarkpond-Service"
+	// HeaderRefused is set on an answer that says that the request was not run and will not be; its value is
+	// the reason. It tells a plain service's own 409 or 503, which is an answer, from a refusal.
+	HeaderRefused = "Skylarkpond-Refused"
 )
 
 // State is what a backend server says of itself when probed.
--- /dev/null
+++ b/link/engine/engine_test.go
@@ -0,0 +1,289 @@
+package engine_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	standin "github.com/skylarkpond/skylarkpond/internal/standin/engine"
+	"github.com/skylarkpond/skylarkpond/link/engine"
+	"github.com/skylarkpond/skylarkpond/vm"
+)
+
+func TestEngine(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "engine client")
+}
+
+var (
+	ctx        = context.Background()
+	prompt     = `{"model":"m","messages":[{"role":"user","content":"cream"}],"max_tokens":8}`
+	messages   = []engine.Message{{Role: "user", Content: "cream"}}
+	eventually = time.Minute
+)
+
+// load orders a VM into a group of one and waits until it is ready.
+func load(client engine.Client, host *standin.Host, v vm.VM) engine.Send {
+	var state engine.State
+	Eventually(func() (err error) {
+		state, err = client.Probe(ctx, v.Address)
+		return err
+	}, eventually).Should(Succeed())
+	order := engine.Order{
+		ID: "o", Kind: engine.OrderLoad, Fence: 5, BootID: state.BootID, Group: "g", Epoch: 2,
+		Service: "s", Model: "m", Members: []vm.Name{v.Name},
+	}
+	_, err := client.Order(ctx, v.Address, order)
+	Expect(err).NotTo(HaveOccurred())
+	Eventually(func() bool {
+		state, err = client.Probe(ctx, v.Address)
+		return err == nil && state.Ready
+	}, eventually).Should(BeTrue())
+	return engine.Send{Address: v.Address, RequestID: "r1", Group: "g", Epoch: 2, Service: "s"}
+}
+
+func start(service string) (*standin.Host, vm.VM) {
+	host := standin.NewHost(standin.DefaultOptions)
+	DeferCleanup(host.Stop)
+	v, err := host.Add(vm.VM{Name: "vm1", Address: "127.0.0.1:0", Service: service})
+	Expect(err).NotTo(HaveOccurred())
+	return host, v
+}
+
+// read returns the events of a stream and the error that ended it.
+func read(stream engine.Stream) ([]engine.Event, error) {
+	var events []engine.Event
+	for {
+		event, err := stream.Next()
+		if err != nil {
+			return events, err
+		}
+		events = append(events, event)
+	}
+}
+
+var _ = Describe("HTTPClient", func() {
+	var client *engine.HTTPClient
+	BeforeEach(func() { client = engine.NewHTTPClient() })
+
+	It("streams a whole answer", func() {
+		host, v := start("")
+		to := load(client, host, v)
+		stream, err := client.Complete(ctx, to, []byte(prompt))
+		Expect(err).NotTo(HaveOccurred())
+		defer stream.Close()
+		events, err := read(stream)
+		Expect(err).To(Equal(io.EOF))
+		var text strings.Builder
+		for seq, event := range events {
+			Expect(event.RequestID).To(Equal("r1"))
+			Expect(event.Seq).To(BeEquivalentTo(seq))
+			text.WriteString(event.Text)
+		}
+		Expect(text.String()).To(Equal(standin.Answer("r1", messages, 8)))
+
+		to.ResumeFrom = 6
+		stream, err = client.Complete(ctx, to, []byte(prompt))
+		Expect(err).NotTo(HaveOccurred())
+		defer stream.Close()
+		rest, err := read(stream)
+		Expect(err).To(Equal(io.EOF))
+		Expect(rest).To(Equal(events[6:]))
+	})
+
+	// The engine's connection breaks in the middle of an answer. A reader that took the end of the stream for
+	// the end of the answer would hand a clerk half a quote as if it were whole.
+	It("tells a broken stream from a whole one", func() {
+		host, v := start("")
+		to := load(client, host, v)
+		Expect(host.Switch("vm1", standin.Switches{Cut: &standin.Cut{After: 3, Count: 1}})).To(Succeed())
+		stream, err := client.Complete(ctx, to, []byte(prompt))
+		Expect(err).NotTo(HaveOccurred())
+		defer stream.Close()
+		events, err := read(stream)
+		Expect(events).To(HaveLen(3))
+		Expect(err).To(MatchError(engine.ErrBroken))
+		_, err = stream.Next()
+		Expect(err).To(MatchError(engine.ErrBroken))
+	})
+
+	It("ends a read by Close, and the engine then cancels the request", func() {
+		host, v := start("")
+		to := load(client, host, v)
+		gap := time.Hour.Milliseconds()
+		Expect(host.Switch("vm1", standin.Switches{TokenGapMillis: &gap})).To(Succeed())
+		for _, end := range []func(engine.Stream) error{
+			engine.Stream.Close,
+			func(engine.Stream) error { return client.Cancel(ctx, v.Address, "r1") },
+		} {
+			stream, err := client.Complete(ctx, to, []byte(prompt))
+			Expect(err).NotTo(HaveOccurred())
+			_, err = stream.Next()
+			Expect(err).NotTo(HaveOccurred())
+			ended := make(chan error, 1)
+			go func() {
+				_, err := stream.Next()
+				ended <- err
+			}()
+			Expect(end(stream)).To(Succeed())
+			Eventually(ended, eventually).Should(Receive(MatchError(engine.ErrBroken)))
+			Eventually(host.Runs, eventually).Should(ContainElement(HaveField("Phase", standin.Cancelled)))
+			Expect(stream.Close()).To(Succeed())
+		}
+		Eventually(func() int { return len(host.Runs()) }, eventually).Should(Equal(4))
+		Expect(client.Cancel(ctx, v.Address, "over")).To(Succeed())
+	})
+
+	It("names what an engine refuses", func() {
+		host, v := start("")
+		to := load(client, host, v)
+		other := to
+		other.Epoch = 1
+		_, err := client.Complete(ctx, other, []byte(prompt))
+		Expect(err).To(MatchError(engine.ErrRefused))
+		_, err = client.Complete(ctx, to, []byte("{"))
+		Expect(err).To(MatchError(engine.ErrRefused))
+		_, err = client.Order(ctx, v.Address, engine.Order{ID: "old", Kind: engine.OrderRelease, Fence: 4})
+		Expect(err).To(MatchError(engine.ErrStaleFence))
+		_, err = client.Order(ctx, v.Address, engine.Order{ID: "x", Kind: engine.OrderRelease, Fence: 9, BootID: "other"})
+		Expect(err).To(MatchError(engine.ErrOtherBoot))
+		Expect(host.Orders()).To(HaveLen(3))
+
+		ignores := false
+		Expect(host.Switch("vm1", standin.Switches{ChecksFence: &ignores, ChecksEpoch: &ignores})).To(Succeed())
+		stream, err := client.Complete(ctx, other, []byte(prompt))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(stream.Close()).To(Succeed())
+		state, err := client.Order(ctx, v.Address, engine.Order{ID: "old", Kind: engine.OrderRelease, Fence: 4})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(state.Fence).To(BeEquivalentTo(4), "read-back shows that the old order was carried out")
+	})
+
+	It("passes on whatever a plain service answers, but a refusal", func() {
+		host, v := start("s")
+		to := load(client, host, v)
+		response, err := client.Call(ctx, to, http.MethodPost, "/lots/a%2Fb?n=1", nil, strings.NewReader("{}"))
+		Expect(err).NotTo(HaveOccurred())
+		defer response.Body.Close()
+		answer, err := io.ReadAll(response.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer).To(MatchJSON(`{"service":"s","method":"POST","path":"/lots/a%2Fb?n=1","request":"r1","runs":1}`))
+
+		to.Epoch = 1
+		_, err = client.Call(ctx, to, http.MethodPost, "/lots", nil, nil)
+		Expect(err).To(MatchError(engine.ErrRefused))
+
+		elsewhere, seen := neverAnswersTwice()
+		_, err = client.Call(ctx, to, http.MethodPost, "@"+elsewhere+"/first", nil, nil)
+		Expect(err).To(MatchError(engine.ErrNotSent))
+		Expect(seen.requests.Load()).To(BeZero(), "a path must not change the host")
+	})
+
+	// A backend server is restarted between two bookings. If the second went out on the first one's
+	// connection it would fail after it may have been sent, and a booking that never ran would be called unknown.
+	It("reaches a restarted backend server, and proves that a dead one was not reached", func() {
+		host, v := start("s")
+		for range 3 {
+			to := load(client, host, v)
+			response, err := client.Call(ctx, to, http.MethodPost, "/lots", nil, nil)
+			Expect(err).NotTo(HaveOccurred())
+			finish(response)
+			Expect(host.Switch("vm1", standin.Switches{Restart: true})).To(Succeed())
+		}
+		to := load(client, host, v)
+		Expect(host.Switch("vm1", standin.Switches{Die: true})).To(Succeed())
+		_, err := client.Call(ctx, to, http.MethodPost, "/lots", nil, nil)
+		Expect(err).To(MatchError(engine.ErrNotSent))
+		_, err = client.Complete(ctx, to, []byte(prompt))
+		Expect(err).To(MatchError(engine.ErrNotSent))
+	})
+
+	// The backend server takes a booking and its connection breaks before the answer. net/http, given the
+	// caller's Idempotency-Key or a GET, would send it again on its own, and the lot is booked twice.
+	It("sends a request once on the wire", func() {
+		address, seen := neverAnswersTwice()
+		to := engine.Send{Address: address, RequestID: "r1"}
+		header := http.Header{"Idempotency-Key": {"k"}, "X-Idempotency-Key": {"k"}, "Connection": {"X-Hop"}, "X-Hop": {"1"}}
+		for _, method := range []string{http.MethodGet, http.MethodPut, http.MethodPost} {
+			response, err := client.Call(ctx, to, method, "/first", header, nil)
+			Expect(err).NotTo(HaveOccurred())
+			finish(response)
+			before := seen.requests.Load()
+			_, err = client.Call(ctx, to, method, "/breaks", header, nil)
+			Expect(err).To(MatchError(engine.ErrBroken))
+			Expect(seen.requests.Load() - before).To(BeEquivalentTo(1))
+		}
+		Expect(seen.keys.Load()).To(BeZero(), "these headers are not forwarded")
+
+		// A plain http.Client sends it twice: this shows that the test would notice.
+		plain := &http.Client{Transport: &http.Transport{}}
+		for _, path := range []string{"/first", "/breaks"} {
+			before := seen.requests.Load()
+			response, err := plain.Get("http://" + address + path)
+			if path == "/breaks" {
+				Expect(err).To(HaveOccurred())
+				Expect(seen.requests.Load() - before).To(BeEquivalentTo(2))
+				continue
+			}
+			Expect(err).NotTo(HaveOccurred())
+			finish(response)
+		}
+	})
+})
+
+// finish reads an answer to its end, so that its connection could be used again.
+func finish(response *http.Response) {
+	_, _ = io.Copy(io.Discard, response.Body)
+	response.Body.Close()
+}
+
+// sightings counts what a raw server saw.
+type sightings struct{ requests, keys atomic.Int64 }
+
+// neverAnswersTwice starts a server that answers "/first" and closes the connection at any other request
+// once that was read whole.
+func neverAnswersTwice() (string, *sightings) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	seen := new(sightings)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go seen.serve(conn)
+		}
+	}()
+	return listener.Addr().String(), seen
+}
+
+func (s *sightings) serve(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		s.requests.Add(1)
+		for _, name := range []string{"Idempotency-Key", "X-Idempotency-Key", "X-Hop"} {
+			s.keys.Add(int64(len(request.Header.Values(name))))
+		}
+		if request.URL.Path != "/first" {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+	}
+}
