Decide which groups of a fabric domain to form, load, serve with, drain and dissolve

Cause: nothing said yet what becomes of VMs and groups. First form of the decision: a deterministic split of replicas over domains, patience by kind of fault, repair from survivors, paced loads, rolls, stragglers and spares by the weights of the settings.

--- /dev/null
+++ b/policy/forming/account.go
@@ -0,0 +1,28 @@
+package forming
+
+// account works out the two measures for the domain: wanted groups that do not serve, and accelerators
+// that are live but in no serving group.
+func (p *planner) account() {
+	serving := make(map[string]int)
+	busy := make(map[string]bool)
+	for i := range p.view.Groups {
+		g := &p.view.Groups[i]
+		if !p.serves(g) {
+			continue
+		}
+		serving[g.Service]++
+		for _, m := range g.Members {
+			busy[m.VM] = true
+		}
+	}
+	for name, target := range p.plan.Targets {
+		if down := target - serving[name]; down > 0 {
+			p.plan.DownGroups[name] += down
+		}
+	}
+	for _, vm := range p.view.VMs {
+		if vm.Listed && vm.Present && !vm.Leaving && !busy[vm.Name] {
+			p.plan.Stranded += vm.Accelerators
+		}
+	}
+}
--- /dev/null
+++ b/policy/forming/condition.go
@@ -0,0 +1,142 @@
+package forming
+
+import (
+	"fmt"
+	"time"
+)
+
+// This file answers the fault pattern of members that die, pause, restart under the same address or
+// obey an order of an older controller. A silence alone does not tell a pause of seconds from a death;
+// everything else is certain at once, since the member says it itself.
+
+// Bounds of patience.
+const (
+	// Grace is how long a silent member is waited for before it is replaced. Pauses of a VM (live
+	// migration, a stop-the-world collection) last up to some seconds, while replacing costs a load of a
+	// minute or more: ten seconds more downtime on a death, against a whole load saved on a pause.
+	Grace = 10 * time.Second
+	// CommonGrace is the patience when many VMs of the domain are silent at once. VMs do not die by the
+	// dozen independently: it is the network or the power, the members keep their state if it is the
+	// network, and loading all of them anew under the pace of loads takes far longer than this.
+	CommonGrace = 60 * time.Second
+	// CommonShare is the share of silent VMs that counts as many. With OutShare, one in a thousand is away
+	// at a time, so that a third at once has a common cause even in a domain of six VMs.
+	CommonShare = 1.0 / 3
+	// UnlistedGrace is how long a member may be missing from the list, which lags, while it still answers.
+	UnlistedGrace = 30 * time.Second
+	// LoadTimeout is when a load counts as failed. The largest weights load in a few minutes at the
+	// store's rate; orders that were lost are repeated long before.
+	LoadTimeout = 15 * time.Minute
+	// ReleaseGrace is how long a member may take to confirm that it left a drained group.
+	ReleaseGrace = 5 * time.Second
+	// RemovedDrainTimeout bounds the drain of a group whose service is no longer in the settings.
+	RemovedDrainTimeout = 10 * time.Minute
+)
+
+// fault says what is wrong with a member.
+type fault int
+
+const (
+	faultNone fault = iota
+	// faultPause: silent, but not for long enough to act.
+	faultPause
+	// faultSilent: silent beyond the grace; it may come back with its state.
+	faultSilent
+	// faultGone: silent and no longer listed.
+	faultGone
+	// faultLost: it answers, and has not the state that it was ordered to have.
+	faultLost
+	// faultLeaving: announced to leave.
+	faultLeaving
+)
+
+func (f fault) String() string {
+	return [...]string{"present", "silent for a moment", "silent", "gone", "lost its state", "leaving"}[f]
+}
+
+// condition is the worst fault among a group's members.
+type condition struct {
+	worst fault
+	vm    string
+}
+
+func (c condition) reason() string { return fmt.Sprintf("%s %s", c.vm, c.worst) }
+
+// broken says that the group can't serve and should be repaired.
+func (c condition) broken() bool {
+	return c.worst == faultSilent || c.worst == faultGone || c.worst == faultLost
+}
+
+func (p *planner) condition(g *Group) condition {
+	worst := condition{}
+	for _, m := range g.Members {
+		f := p.memberFault(g, m)
+		if rank(f) > rank(worst.worst) {
+			worst = condition{worst: f, vm: m.VM}
+		}
+	}
+	if g.HomeWhole && (worst.worst == faultPause || worst.worst == faultSilent) {
+		return condition{}
+	}
+	return worst
+}
+
+// rank orders faults by how much they decide: a member that is lost for good outweighs one that leaves,
+// since there is nothing left to drain.
+func rank(f fault) int {
+	return [...]int{faultNone: 0, faultPause: 1, faultLeaving: 2, faultSilent: 3, faultGone: 4, faultLost: 5}[f]
+}
+
+func (p *planner) memberFault(g *Group, m Member) fault {
+	v, ok := p.vms[m.VM]
+	switch {
+	case !ok:
+		return faultGone
+	case !v.Present && !v.Listed && v.SilentFor >= Grace:
+		return faultGone
+	case !v.Present && v.SilentFor >= p.grace:
+		return faultSilent
+	case !v.Present:
+		return faultPause
+	case g.State != Forming && v.Boot != m.Boot:
+		return faultLost
+	case g.State == Serving && (v.Group != g.ID || v.Epoch != g.Epoch || !v.Ready):
+		return faultLost
+	case v.Leaving || v.UnlistedFor >= UnlistedGrace:
+		return faultLeaving
+	}
+	return faultNone
+}
+
+// whole says that every member has joined the group and is ready.
+func (p *planner) whole(g *Group) bool {
+	for _, m := range g.Members {
+		v := p.vms[m.VM]
+		if !v.Present || v.Boot != m.Boot || v.Group != g.ID || v.Epoch != g.Epoch || !v.Ready {
+			return false
+		}
+	}
+	return true
+}
+
+// serves says that the group does a replica's work, as far as is known.
+func (p *planner) serves(g *Group) bool {
+	return g.State == Serving && (g.HomeWhole || p.whole(g))
+}
+
+func graceFor(v *View) time.Duration {
+	listed, silent := 0, 0
+	for _, vm := range v.VMs {
+		if !vm.Listed {
+			continue
+		}
+		listed++
+		if !vm.Present {
+			silent++
+		}
+	}
+	if silent > 1 && float64(silent) >= CommonShare*float64(listed) {
+		return CommonGrace
+	}
+	return Grace
+}
--- /dev/null
+++ b/policy/forming/decide.go
@@ -0,0 +1,254 @@
+package forming
+
+import (
+	"sort"
+	"time"
+)
+
+// planner works out one plan.
+type planner struct {
+	view     *View
+	services map[string]Service
+	vms      map[string]VM
+	grace    time.Duration
+	plan     Plan
+	// touched holds the groups that a step of this plan already changes.
+	touched map[string]bool
+	// broken holds the groups that are to be repaired.
+	broken map[string]condition
+	// pool holds the VMs that are free, or become so by this plan.
+	pool []VM
+	// formed counts the groups formed by this plan, by service.
+	formed map[string]int
+}
+
+// Decide returns the plan for a view whose durations a Tracker has filled in.
+func Decide(view View) Plan {
+	p := newPlanner(&view)
+	p.advance()
+	p.repair()
+	p.trim()
+	p.roll()
+	p.setAsideStraggler()
+	p.formExtra()
+	p.mark()
+	p.load()
+	p.account()
+	return p.plan
+}
+
+func newPlanner(v *View) *planner {
+	p := &planner{
+		view:     v,
+		services: make(map[string]Service, len(v.Services)),
+		vms:      make(map[string]VM, len(v.VMs)),
+		grace:    graceFor(v),
+		touched:  make(map[string]bool),
+		broken:   make(map[string]condition),
+		formed:   make(map[string]int),
+	}
+	for _, s := range v.Services {
+		p.services[s.Name] = s
+	}
+	inGroup := make(map[string]bool)
+	for _, g := range v.Groups {
+		for _, m := range g.Members {
+			inGroup[m.VM] = true
+		}
+	}
+	for _, vm := range v.VMs {
+		p.vms[vm.Name] = vm
+		if vm.usable() && !inGroup[vm.Name] {
+			p.pool = append(p.pool, vm)
+		}
+	}
+	p.plan.Held = make(map[string]string)
+	targets, unplaced := Split(v.Services, p.domains())
+	p.plan.Targets = targets[v.Domain]
+	p.plan.DownGroups = make(map[string]int)
+	if p.firstDomain() {
+		for name, count := range unplaced {
+			p.plan.DownGroups[name] += count
+		}
+	}
+	return p
+}
+
+// domains returns all fabric domains of the place, as their controllers should see them.
+func (p *planner) domains() []Domain {
+	own := Domain{Name: p.view.Domain, Live: map[string]int{}, Groups: p.view.Groups}
+	for _, vm := range p.view.VMs {
+		if vm.usable() {
+			own.Live[vm.Service]++
+		}
+	}
+	return append([]Domain{own}, p.view.Others...)
+}
+
+// firstDomain says that this domain is the one that accounts for what no domain can hold.
+func (p *planner) firstDomain() bool {
+	for _, d := range p.view.Others {
+		if d.Name < p.view.Domain {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *planner) step(s Step) {
+	p.plan.Steps = append(p.plan.Steps, s)
+	if s.Group != "" {
+		p.touched[s.Group] = true
+	}
+}
+
+// advance takes each group as far as its own members allow.
+func (p *planner) advance() {
+	for i := range p.view.Groups {
+		g := &p.view.Groups[i]
+		c := p.condition(g)
+		if g.State == Draining {
+			p.advanceDraining(g)
+			continue
+		}
+		if c.broken() {
+			p.broken[g.ID] = c
+			continue
+		}
+		s, wanted := p.services[g.Service]
+		switch {
+		case g.State != Serving && (c.worst == faultLeaving || !wanted || s.Version != g.Version):
+			p.dissolve(g, "superseded before it served")
+		case c.worst == faultLeaving:
+			p.drain(g, "", c.reason())
+		case !wanted:
+			p.drain(g, "", "service no longer wanted")
+		case g.State == Loading && p.whole(g):
+			p.step(Step{Kind: StepServe, Group: g.ID, Service: g.Service, Reason: "every member is ready"})
+		case g.State == Loading && g.InState >= LoadTimeout:
+			p.dissolve(g, "not loaded in time")
+		}
+	}
+}
+
+// advanceDraining frees the members of a group once nothing is in progress on it. The home's count is
+// checked against the head's own: a home that has just changed may not know of the requests that the one
+// before it still has at work.
+func (p *planner) advanceDraining(g *Group) {
+	drained := g.Known && g.InProgress == 0 && p.running(g) == 0
+	if !drained && g.InState < p.drainTimeout(g) {
+		return
+	}
+	if p.released(g) || g.InState >= p.drainTimeout(g)+ReleaseGrace {
+		p.dissolve(g, "drained")
+		return
+	}
+	p.step(Step{Kind: StepRelease, Group: g.ID, Service: g.Service, Reason: "drained"})
+}
+
+// running is how many requests the group's head says it runs.
+func (p *planner) running(g *Group) int {
+	head := p.vms[g.Members[0].VM]
+	if !head.Present || head.Group != g.ID {
+		return 0
+	}
+	return head.Running
+}
+
+func (p *planner) drainTimeout(g *Group) time.Duration {
+	if s, ok := p.services[g.Service]; ok {
+		return s.DrainTimeout
+	}
+	return RemovedDrainTimeout
+}
+
+// released says that no member that answers still has the group's state.
+func (p *planner) released(g *Group) bool {
+	for _, m := range g.Members {
+		v := p.vms[m.VM]
+		if v.Present && v.Boot == m.Boot && v.Group == g.ID {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *planner) drain(g *Group, aside, reason string) {
+	p.step(Step{Kind: StepDrain, Group: g.ID, Service: g.Service, VM: aside, Reason: reason})
+}
+
+// dissolve frees the group's members for the rest of this plan.
+func (p *planner) dissolve(g *Group, reason string) {
+	p.step(Step{Kind: StepDissolve, Group: g.ID, Service: g.Service, Reason: reason})
+	for _, m := range g.Members {
+		if vm, ok := p.vms[m.VM]; ok && vm.usable() {
+			p.pool = append(p.pool, vm)
+		}
+	}
+}
+
+// form takes VMs for one group of s from the pool, if it holds enough.
+func (p *planner) form(s Service, reason string) bool {
+	chosen := p.choose(s)
+	if chosen == nil {
+		return false
+	}
+	members := make([]string, 0, len(chosen))
+	taken := make(map[string]bool, len(chosen))
+	for _, vm := range chosen {
+		members = append(members, vm.Name)
+		taken[vm.Name] = true
+	}
+	kept := p.pool[:0]
+	for _, vm := range p.pool {
+		if !taken[vm.Name] {
+			kept = append(kept, vm)
+		}
+	}
+	p.pool = kept
+	p.formed[s.Name]++
+	p.step(Step{Kind: StepForm, Service: s.Name, Version: s.Version, Members: members, Reason: reason})
+	return true
+}
+
+// choose picks the VMs for a group: dedicated ones first, then those that restarted least, since a VM in
+// a restart loop would take its new group down again within minutes.
+func (p *planner) choose(s Service) []VM {
+	fitting := make([]VM, 0, len(p.pool))
+	for _, vm := range p.pool {
+		if fits(vm, s) {
+			fitting = append(fitting, vm)
+		}
+	}
+	if len(fitting) < s.GroupSize || s.GroupSize == 0 {
+		return nil
+	}
+	sort.Slice(fitting, func(i, j int) bool {
+		a, b := fitting[i], fitting[j]
+		if (a.Service == "") != (b.Service == "") {
+			return a.Service != ""
+		}
+		if a.Restarts != b.Restarts {
+			return a.Restarts < b.Restarts
+		}
+		return a.Name < b.Name
+	})
+	return fitting[:s.GroupSize]
+}
+
+func fits(vm VM, s Service) bool {
+	return vm.Service == s.Name || (vm.Service == "" && !s.Dedicated)
+}
+
+// load starts the most urgent load that waits, at the pace that the settings give.
+func (p *planner) load() {
+	g := p.nextLoad()
+	if g == nil {
+		return
+	}
+	if !p.view.LoadAllowed {
+		p.plan.Held[g.Service] = "loads are paced"
+		return
+	}
+	p.step(Step{Kind: StepLoad, Group: g.ID, Service: g.Service, Reason: "members are free"})
+}
--- /dev/null
+++ b/policy/forming/decide_test.go
@@ -0,0 +1,142 @@
+package forming_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/skylarkpond/skylarkpond/policy/forming"
+)
+
+func service(name string, size, replicas int) forming.Service {
+	return forming.Service{
+		Name: name, Version: "m:1", GroupSize: size, Replicas: replicas,
+		DowntimeWeight: 10, StrandedWeight: 0, DrainTimeout: time.Minute,
+	}
+}
+
+// vms returns present, free VMs named v1, v2 and so on.
+func vms(count int) []forming.VM {
+	list := make([]forming.VM, 0, count)
+	for i := range count {
+		name := fmt.Sprintf("v%d", i+1)
+		list = append(list, forming.VM{Name: name, Accelerators: 8, Listed: true, Present: true, Boot: "b-" + name})
+	}
+	return list
+}
+
+// serving puts the VMs from..from+size-1 of the view into a group that serves.
+func serving(v *forming.View, id string, s forming.Service, from int) {
+	g := forming.Group{ID: id, Service: s.Name, Version: s.Version, State: forming.Serving, Epoch: 1, Known: true}
+	for i := from; i < from+s.GroupSize; i++ {
+		vm := &v.VMs[i]
+		vm.Group, vm.Epoch, vm.Ready = id, 1, true
+		g.Members = append(g.Members, forming.Member{VM: vm.Name, Boot: vm.Boot})
+	}
+	v.Groups = append(v.Groups, g)
+}
+
+// shape writes steps as "kind group members" to compare them.
+func shape(steps []forming.Step) []string {
+	lines := make([]string, 0, len(steps))
+	for _, s := range steps {
+		line := string(s.Kind)
+		if s.Group != "" {
+			line += " " + s.Group
+		}
+		for _, m := range s.Members {
+			line += " " + m
+		}
+		if s.VM != "" {
+			line += " aside " + s.VM
+		}
+		lines = append(lines, line)
+	}
+	return lines
+}
+
+var _ = Describe("Decide", func() {
+	// Each case starts from one serving group g1 of v1 and v2, with v3 free, and changes one thing.
+	DescribeTable("one fault at a serving group",
+		func(change func(v *forming.View), want ...string) {
+			s := service("chat", 2, 1)
+			v := forming.View{Domain: "d1", Services: []forming.Service{s}, VMs: vms(3), LoadAllowed: true}
+			serving(&v, "g1", s, 0)
+			change(&v)
+			Expect(shape(forming.Decide(v).Steps)).To(Equal(append([]string{}, want...)))
+		},
+		Entry("nothing", func(*forming.View) {}),
+		Entry("a pause is waited out", func(v *forming.View) {
+			v.VMs[1].Present, v.VMs[1].SilentFor = false, forming.Grace-1
+		}),
+		Entry("a dead member is replaced", func(v *forming.View) {
+			v.VMs[1].Present, v.VMs[1].SilentFor = false, forming.Grace
+		}, "dissolve g1", "form v1 v3"),
+		Entry("silent for the controller only", func(v *forming.View) {
+			v.VMs[1].Present, v.VMs[1].SilentFor = false, forming.Grace
+			v.Groups[0].HomeWhole = true
+		}),
+		Entry("dead, and no VM free: its return is waited for", func(v *forming.View) {
+			v.VMs[1].Present, v.VMs[1].SilentFor = false, forming.Grace
+			v.VMs[2].Leaving = true
+		}, "mark g1"),
+		Entry("restarted under the same address: ordered again at once", func(v *forming.View) {
+			v.VMs[1].Boot, v.VMs[1].Group, v.VMs[1].Ready = "b2", "", false
+		}, "dissolve g1", "form v1 v2"),
+		Entry("obeyed an order of an older controller", func(v *forming.View) { v.VMs[1].Group = "g0" },
+			"dissolve g1", "form v1 v2"),
+		Entry("a leaving member drains its group", func(v *forming.View) { v.VMs[1].Leaving = true }, "drain g1"),
+		Entry("the list lags: a member not listed for a moment", func(v *forming.View) {
+			v.VMs[1].Listed, v.VMs[1].UnlistedFor = false, forming.UnlistedGrace-1
+		}),
+		Entry("service removed", func(v *forming.View) { v.Services = nil }, "drain g1"),
+		Entry("new version, no room beside the only replica", func(v *forming.View) { v.Services[0].Version = "m:2" }),
+		Entry("new version with room", func(v *forming.View) {
+			v.Services[0].Version = "m:2"
+			v.VMs = append(v.VMs, forming.VM{Name: "v4", Listed: true, Present: true})
+		}, "form v3 v4"),
+	)
+
+	DescribeTable("the life of a group",
+		func(change func(v *forming.View), want ...string) {
+			s := service("chat", 2, 1)
+			v := forming.View{Domain: "d1", Services: []forming.Service{s}, VMs: vms(2), LoadAllowed: true}
+			serving(&v, "g1", s, 0)
+			change(&v)
+			Expect(shape(forming.Decide(v).Steps)).To(Equal(append([]string{}, want...)))
+		},
+		Entry("none yet", func(v *forming.View) { v.Groups = nil }, "form v1 v2"),
+		Entry("formed", func(v *forming.View) { v.Groups[0].State = forming.Forming }, "load g1"),
+		Entry("formed, but the pace says wait", func(v *forming.View) {
+			v.Groups[0].State = forming.Forming
+			v.LoadAllowed = false
+		}),
+		Entry("loading", func(v *forming.View) {
+			v.Groups[0].State = forming.Loading
+			v.VMs[0].Ready = false
+		}),
+		Entry("loaded", func(v *forming.View) { v.Groups[0].State = forming.Loading }, "serve g1"),
+		Entry("drains, requests in progress", func(v *forming.View) {
+			v.Groups[0].State = forming.Draining
+			v.Groups[0].InProgress = 1
+		}),
+		Entry("drains, home silent", func(v *forming.View) {
+			v.Groups[0].State = forming.Draining
+			v.Groups[0].Known = false
+		}),
+		Entry("drains, head still busy for an earlier home", func(v *forming.View) {
+			v.Groups[0].State = forming.Draining
+			v.VMs[0].Running = 1
+		}),
+		Entry("drained", func(v *forming.View) { v.Groups[0].State = forming.Draining }, "release g1"),
+		Entry("drain timeout", func(v *forming.View) {
+			v.Groups[0].State, v.Groups[0].InProgress, v.Groups[0].InState = forming.Draining, 1, time.Minute
+		}, "release g1"),
+		Entry("released", func(v *forming.View) {
+			v.Groups[0].State = forming.Draining
+			v.VMs[0].Group, v.VMs[1].Group = "", ""
+		}, "dissolve g1", "form v1 v2"),
+	)
+})
--- /dev/null
+++ b/policy/forming/repair.go
@@ -0,0 +1,272 @@
+package forming
+
+import (
+	"sort"
+	"time"
+)
+
+// This file answers the fault pattern of groups that lost a member for good, or for long. The plain
+// answer, to dissolve each broken group and form new ones from whatever is free, throws away the state
+// of replicas that would have come back whole, and in a domain that went dark and returned it makes
+// every replica load anew. Here a broken group is taken apart only when its survivors make another
+// group whole: with a free VM its own successor, or with the survivors of other broken groups. Until
+// then it stays listed, and is whole again the moment its member returns with its state.
+
+// ExcessHold is how long a group above the target stands before it is drained: the views of two
+// controllers differ for some seconds after each change, and a drain can't be undone.
+const ExcessHold = 10 * time.Second
+
+// active counts the groups of a service here that are or will be a replica, after this plan.
+func (p *planner) active(service string) int {
+	count := p.formed[service]
+	for i := range p.view.Groups {
+		g := &p.view.Groups[i]
+		if g.Service == service && p.lasts(g) {
+			count++
+		}
+	}
+	return count
+}
+
+// lasts says that the group is or will be a replica after this plan.
+func (p *planner) lasts(g *Group) bool {
+	if g.State == Draining {
+		return false
+	}
+	if _, ok := p.broken[g.ID]; ok {
+		return false
+	}
+	return !p.ends(g.ID)
+}
+
+func (p *planner) ends(id string) bool {
+	for _, s := range p.plan.Steps {
+		if s.Group == id && (s.Kind == StepDrain || s.Kind == StepDissolve) {
+			return true
+		}
+	}
+	return false
+}
+
+// repair forms what the target wants, for the service in greatest need first.
+func (p *planner) repair() {
+	for _, s := range p.byNeed() {
+		for p.active(s.Name) < p.plan.Targets[s.Name] {
+			if p.form(s, "a replica is missing") {
+				continue
+			}
+			if !p.takeApart(s) {
+				p.makeRoom(s)
+				break
+			}
+		}
+	}
+	p.clearHopeless()
+}
+
+func (p *planner) byNeed() []Service {
+	ordered := orderedServices(p.view.Services)
+	sort.SliceStable(ordered, func(i, j int) bool {
+		return p.need(ordered[i].Name) > p.need(ordered[j].Name)
+	})
+	return ordered
+}
+
+// takeApart dissolves the broken group with the most survivors that s can use, if the survivors of all
+// broken groups and the pool together make a group of s.
+func (p *planner) takeApart(s Service) bool {
+	have := 0
+	for _, vm := range p.pool {
+		if fits(vm, s) {
+			have++
+		}
+	}
+	var best *Group
+	most := 0
+	for i := range p.view.Groups {
+		g := &p.view.Groups[i]
+		if _, ok := p.broken[g.ID]; !ok || p.touched[g.ID] {
+			continue
+		}
+		survivors := p.survivors(g, s)
+		have += survivors
+		if survivors > most {
+			best, most = g, survivors
+		}
+	}
+	if best == nil || have < s.GroupSize {
+		return false
+	}
+	p.dissolve(best, p.broken[best.ID].reason())
+	return true
+}
+
+func (p *planner) survivors(g *Group, s Service) int {
+	count := 0
+	for _, m := range g.Members {
+		if vm := p.vms[m.VM]; vm.usable() && fits(vm, s) {
+			count++
+		}
+	}
+	return count
+}
+
+// clearHopeless dissolves broken groups that can't come back as they were, and that nothing has used.
+func (p *planner) clearHopeless() {
+	for i := range p.view.Groups {
+		g := &p.view.Groups[i]
+		c, ok := p.broken[g.ID]
+		if !ok || p.touched[g.ID] {
+			continue
+		}
+		if c.worst == faultLost || c.worst == faultGone {
+			p.dissolve(g, c.reason())
+		}
+	}
+}
+
+// makeRoom ends one group that is above the target of its service, for a service that misses one, unless
+// VMs are on their way already.
+func (p *planner) makeRoom(s Service) {
+	p.plan.Held[s.Name] = "too few free VMs in the fabric domain"
+	coming := len(p.pool)
+	for i := range p.view.Groups {
+		g := &p.view.Groups[i]
+		if g.State == Draining || p.ends(g.ID) {
+			coming += p.survivors(g, s)
+		}
+	}
+	if coming >= s.GroupSize {
+		return
+	}
+	for _, other := range p.byNeed() {
+		if other.Name == s.Name || p.active(other.Name) <= p.plan.Targets[other.Name] {
+			continue
+		}
+		if g := p.leastUseful(other.Name); g != nil && p.survivors(g, s) > 0 {
+			p.end(g, "makes room for "+s.Name)
+			return
+		}
+	}
+}
+
+// trim ends groups above the target, where idle VMs cost nothing: elsewhere an extra group is worth more
+// than idle VMs, and makes room once its VMs are wanted.
+func (p *planner) trim() {
+	for _, s := range p.byNeed() {
+		if s.StrandedWeight > 0 || p.rolling(s) {
+			continue
+		}
+		for p.active(s.Name) > p.plan.Targets[s.Name] {
+			g := p.leastUseful(s.Name)
+			if g == nil || g.InState < ExcessHold {
+				break
+			}
+			p.end(g, "more than the wanted replicas")
+		}
+	}
+}
+
+// leastUseful returns the group of a service that is furthest from serving, or has the least in progress.
+func (p *planner) leastUseful(service string) *Group {
+	var worst *Group
+	for i := range p.view.Groups {
+		g := &p.view.Groups[i]
+		if g.Service != service || !p.lasts(g) || p.touched[g.ID] {
+			continue
+		}
+		if worst == nil || usefulness(g) < usefulness(worst) {
+			worst = g
+		}
+	}
+	return worst
+}
+
+func usefulness(g *Group) int {
+	switch g.State {
+	case Forming:
+		return -2
+	case Loading:
+		return -1
+	}
+	return g.InProgress
+}
+
+// end drains a group that serves, and dissolves one that never did.
+func (p *planner) end(g *Group, reason string) {
+	if g.State == Serving {
+		p.drain(g, "", reason)
+		return
+	}
+	p.dissolve(g, reason)
+}
+
+// mark tells the controllers of other fabric domains which groups are not whole.
+func (p *planner) mark() {
+	for i := range p.view.Groups {
+		g := &p.view.Groups[i]
+		c, broken := p.broken[g.ID]
+		if p.touched[g.ID] || g.State == Draining || broken == g.NotWhole {
+			continue
+		}
+		if !broken && c.worst != faultNone {
+			continue
+		}
+		step := Step{Kind: StepMark, Group: g.ID, Service: g.Service, NotWhole: broken, Reason: "whole again"}
+		if broken {
+			step.Reason = c.reason()
+		}
+		p.step(step)
+	}
+}
+
+// formExtra turns free VMs into a group beyond the wanted ones, where that is worth more than keeping
+// them as spares. One at a time, and not while anything else is in need of VMs.
+func (p *planner) formExtra() {
+	if len(p.plan.Held) > 0 {
+		return
+	}
+	for _, s := range p.byShare() {
+		if p.rolling(s) {
+			return
+		}
+	}
+	for _, s := range p.byShare() {
+		free, accelerators := p.free(s)
+		if s.StrandedWeight <= 0 || free-s.GroupSize < sparesWorth(s, len(p.view.VMs), accelerators) {
+			continue
+		}
+		if p.form(s, "free VMs beyond the spares") {
+			return
+		}
+	}
+}
+
+// free counts the pool's VMs that fit s, and the accelerators of the largest.
+func (p *planner) free(s Service) (count, accelerators int) {
+	for _, vm := range p.pool {
+		if fits(vm, s) {
+			count++
+			accelerators = max(accelerators, vm.Accelerators)
+		}
+	}
+	return count, accelerators
+}
+
+// byShare orders services by how many groups they have for their wish, fewest first.
+func (p *planner) byShare() []Service {
+	ordered := orderedServices(p.view.Services)
+	share := func(s Service) float64 {
+		count := p.active(s.Name)
+		for _, d := range p.view.Others {
+			for _, g := range d.Groups {
+				if g.Service == s.Name && g.counts() {
+					count++
+				}
+			}
+		}
+		return float64(count) / float64(max(1, s.Replicas))
+	}
+	sort.SliceStable(ordered, func(i, j int) bool { return share(ordered[i]) < share(ordered[j]) })
+	return ordered
+}
--- /dev/null
+++ b/policy/forming/straggler.go
@@ -0,0 +1,114 @@
+package forming
+
+import (
+	"slices"
+	"time"
+)
+
+// This file answers the fault pattern of a VM that works, but slowly: a throttled accelerator, a bad
+// link. Every step of its group waits for it, so that one slow VM makes a whole replica slow, and probes
+// see nothing wrong. Callers that land there miss their deadlines. The group is drained and formed anew
+// without its slowest member, but only where that costs no replica: a slow one is better than none.
+
+// Bounds for stragglers.
+const (
+	// SlowFactor times the median time between tokens of its service is where a group counts as slow.
+	// Groups of a service differ by load by some tens of percent; a factor of two is far outside.
+	SlowFactor = 2
+	// SlowHold is how long it must stay slow: long prompts and cold caches make a group slow for seconds.
+	SlowHold = 60 * time.Second
+	// SlowQuorum is the least number of groups whose median says anything.
+	SlowQuorum = 3
+	// MemberFactor times the median step time within the group is where a member stands out.
+	MemberFactor = 1.5
+)
+
+// slowGroups returns the ids of the view's serving groups that are slow for their service.
+func slowGroups(v *View) map[string]bool {
+	gaps := make(map[string][]time.Duration)
+	collect := func(groups []Group) {
+		for _, g := range groups {
+			if g.State == Serving && g.TokenGap > 0 {
+				gaps[g.Service] = append(gaps[g.Service], g.TokenGap)
+			}
+		}
+	}
+	collect(v.Groups)
+	for _, d := range v.Others {
+		collect(d.Groups)
+	}
+	slow := make(map[string]bool)
+	for _, g := range v.Groups {
+		known := gaps[g.Service]
+		if g.State != Serving || len(known) < SlowQuorum {
+			continue
+		}
+		if g.TokenGap > SlowFactor*median(known) {
+			slow[g.ID] = true
+		}
+	}
+	return slow
+}
+
+// median returns the lower median. It may reorder values.
+func median(values []time.Duration) time.Duration {
+	slices.Sort(values)
+	return values[(len(values)-1)/2]
+}
+
+// setAsideStraggler drains at most one slow group of the domain at a time.
+func (p *planner) setAsideStraggler() {
+	for _, g := range p.view.Groups {
+		if g.State == Draining {
+			return
+		}
+	}
+	for i := range p.view.Groups {
+		g := &p.view.Groups[i]
+		if g.SlowFor < SlowHold || p.touched[g.ID] || !p.serves(g) {
+			continue
+		}
+		if p.drainSlow(g) {
+			return
+		}
+	}
+}
+
+func (p *planner) drainSlow(g *Group) bool {
+	s, ok := p.services[g.Service]
+	if !ok || p.servingEverywhere(s.Name) < s.Replicas {
+		return false
+	}
+	if free, _ := p.free(s); free == 0 && p.active(s.Name) <= p.plan.Targets[s.Name] {
+		p.plan.Held[s.Name] = "a group is slow, and no VM is free to take its slowest member's place"
+		return false
+	}
+	member := p.slowest(g)
+	if member == "" {
+		p.plan.Held[s.Name] = "a group is slow, and no member of it stands out"
+		return false
+	}
+	p.drain(g, member, member+" is slow")
+	return true
+}
+
+// slowest returns the member that stands out in step time, or "".
+func (p *planner) slowest(g *Group) string {
+	times := make([]time.Duration, 0, len(g.Members))
+	name := ""
+	longest := time.Duration(0)
+	for _, m := range g.Members {
+		step := p.vms[m.VM].StepTime
+		if step == 0 {
+			return ""
+		}
+		times = append(times, step)
+		if step > longest {
+			name, longest = m.VM, step
+		}
+	}
+	if len(times) > 1 && float64(longest) < MemberFactor*float64(median(times)) {
+		return ""
+	}
+	return name
+}
