--- /dev/null
+++ b/entry/prober/prober.go
@@ -0,0 +1,231 @@
+// Package prober is the part of a home that asks the members of its groups how they are.
+//
+// The flow: every vm.ProbeInterval each member of each homed group is handed to a pool of workers; answers go
+// to the vm.Presence table, which the home asks at each dispatch; when a group becomes whole, or no
+// longer is, the change is told to the other entries.
+package prober
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/skylarkpond/skylarkpond/contract"
+	"github.com/skylarkpond/skylarkpond/entry/fleet"
+	"github.com/skylarkpond/skylarkpond/link/engine"
+	"github.com/skylarkpond/skylarkpond/timeline"
+	"github.com/skylarkpond/skylarkpond/vm"
+)
+
+const (
+	// workers bounds the probes under way. A member that does not answer holds a worker for
+	// engine.ProbeTimeout, so sixteen carry 20 silent members at two probes a second.
+	workers = 16
+	// refreshInterval is how often an unchanged status is told again, so that entries which started later
+	// learn it.
+	refreshInterval = 4 * time.Second
+)
+
+// Groups is the table of groups.
+type Groups interface {
+	Homed(entry string) []vm.Group
+	Report(status fleet.Status)
+}
+
+// Prober probes. Run makes it work.
+type Prober struct {
+	self     string
+	groups   Groups
+	client   engine.Client
+	presence *vm.Presence
+	recorder *timeline.Recorder
+	// loadOf gives the load of a group at this home; tell spreads a status among the entries.
+	loadOf func(vm.GroupID) contract.GroupLoad
+	tell   func(fleet.Status)
+	paused func() bool
+
+	jobs chan job
+
+	mu    sync.Mutex // guards told; a leaf lock
+	told  map[vm.GroupID]told
+	loads map[vm.GroupID]engine.Load
+}
+
+type job struct {
+	group  vm.Group
+	member vm.Member
+}
+
+type told struct {
+	whole bool
+	epoch uint64
+	gap   vm.Gap
+	at    time.Time
+}
+
+// Deps are what a Prober works with.
+type Deps struct {
+	Self     string
+	Groups   Groups
+	Client   engine.Client
+	Presence *vm.Presence
+	Recorder *timeline.Recorder
+	LoadOf   func(vm.GroupID) contract.GroupLoad
+	Tell     func(fleet.Status)
+	// Paused says that this process was stopped for a while and has not yet heard from others since.
+	Paused func() bool
+}
+
+// New returns a prober.
+func New(d Deps) *Prober {
+	return &Prober{
+		self: d.Self, groups: d.Groups, client: d.Client, presence: d.Presence, recorder: d.Recorder,
+		loadOf: d.LoadOf, tell: d.Tell, paused: d.Paused,
+		jobs:  make(chan job, 4*workers),
+		told:  make(map[vm.GroupID]told),
+		loads: make(map[vm.GroupID]engine.Load),
+	}
+}
+
+// Run probes until ctx ends.
+func (p *Prober) Run(ctx context.Context) {
+	var pool sync.WaitGroup
+	for range workers {
+		pool.Go(func() { p.work(ctx) })
+	}
+	defer pool.Wait()
+	ticker := time.NewTicker(vm.ProbeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			p.round()
+		}
+	}
+}
+
+// round hands out the probes of one interval and tells what changed since the last. A full queue drops
+// probes: answers then grow stale and groups count as not whole, which is the safe side.
+func (p *Prober) round() {
+	homed := p.groups.Homed(p.self)
+	for _, group := range homed {
+		p.tellChange(group)
+		for _, member := range group.Members {
+			select {
+			case p.jobs <- job{group: group, member: member}:
+			default:
+			}
+		}
+	}
+	p.forgetOthers(homed)
+}
+
+func (p *Prober) work(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case j := <-p.jobs:
+			p.probe(ctx, j)
+		}
+	}
+}
+
+func (p *Prober) probe(ctx context.Context, j job) {
+	ctx, cancel := context.WithTimeout(ctx, engine.ProbeTimeout)
+	defer cancel()
+	sent := time.Now()
+	state, err := p.client.Probe(ctx, j.member.Address)
+	if err != nil || state.VM != j.member.VM {
+		return
+	}
+	p.presence.Record(j.group.ID, j.member.VM, vm.Answer{
+		Sent: sent, BootID: state.BootID, Group: state.Group, Epoch: state.Epoch,
+		Ready: state.Ready, Leaving: state.Leaving,
+	})
+	if j.member.VM == j.group.Head().VM {
+		p.keepLoad(j.group.ID, state.Load)
+	}
+	p.tellChange(j.group)
+}
+
+func (p *Prober) keepLoad(id vm.GroupID, load engine.Load) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.loads[id] = load
+}
+
+// EngineLoad returns the load that the head of a group last reported.
+func (p *Prober) EngineLoad(id vm.GroupID) engine.Load {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.loads[id]
+}
+
+// tellChange tells the others if the group became whole or no longer is, or if it was not told for a while.
+func (p *Prober) tellChange(group vm.Group) {
+	if group.State == vm.Forming || p.paused() {
+		return
+	}
+	now := time.Now()
+	whole, gap := p.presence.Whole(&group, now)
+	before, due := p.noteTold(group, told{whole: whole, epoch: group.Epoch, gap: gap, at: now})
+	if !due {
+		return
+	}
+	status := fleet.Status{
+		Group: group.ID, Home: p.self, Epoch: group.Epoch, Whole: whole, Load: p.loadOf(group.ID),
+		At: p.recorder.Now(), Reason: gap.String(),
+	}
+	p.groups.Report(status)
+	p.tell(status)
+	if before.whole != whole || before.epoch != group.Epoch || before.at.IsZero() {
+		p.recordChange(group, whole, gap)
+	}
+}
+
+// noteTold says whether next differs from what was told, or is due again, and keeps it if so.
+func (p *Prober) noteTold(group vm.Group, next told) (before told, due bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	before = p.told[group.ID]
+	same := before.whole == next.whole && before.epoch == next.epoch
+	if same && next.at.Sub(before.at) < refreshInterval {
+		return before, false
+	}
+	p.told[group.ID] = next
+	return before, true
+}
+
+func (p *Prober) recordChange(group vm.Group, whole bool, gap vm.Gap) {
+	event := timeline.Event{Kind: timeline.GroupWhole, Group: string(group.ID), Service: group.Service, Version: group.Epoch}
+	if !whole {
+		event.Kind = timeline.GroupNotWhole
+		event.VM = string(gap.VM)
+		event.Detail = string(gap.Why)
+	}
+	p.recorder.Record(event)
+}
+
+// forgetOthers drops what is known of groups that have another home now or are gone.
+func (p *Prober) forgetOthers(homed []vm.Group) {
+	keep := make(map[vm.GroupID]bool, len(homed))
+	for _, group := range homed {
+		keep[group.ID] = true
+	}
+	p.mu.Lock()
+	var gone []vm.GroupID
+	for id := range p.told {
+		if !keep[id] {
+			gone = append(gone, id)
+			delete(p.told, id)
+			delete(p.loads, id)
+		}
+	}
+	p.mu.Unlock()
+	for _, id := range gone {
+		p.presence.Forget(id)
+	}
+}
