--- /dev/null
+++ b/entry/config.go
@@ -0,0 +1,90 @@
+package entry
+
+import (
+	"encoding/hex"
+	"net/netip"
+	"net/url"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/skylarkpond/skylarkpond/domain"
+)
+
+// Config is what one entry is told at its start, by flag or environment variable. Everything else is in
+// the tree of settings.
+type Config struct {
+	Name          string `arg:"--name,env:POND_NAME,required" help:"name of this entry, unique and stable over restarts"`
+	Place         string `arg:"--place,env:POND_PLACE,required" help:"place (region) this entry is in"`
+	FailureDomain string `arg:"--failure-domain,env:POND_FAILURE_DOMAIN,required" help:"failure domain this entry is in"`
+	Public        string `arg:"--public-address,env:POND_PUBLIC_ADDRESS,required" help:"IP:port for callers (HTTP)"`
+	Peer          string `arg:"--peer-address,env:POND_PEER_ADDRESS,required" help:"IP:port for other entries (HTTP/3 over UDP)"`
+	Admin         string `arg:"--admin-address,env:POND_ADMIN_ADDRESS,required" help:"IP:port for operators (HTTP)"`
+	Platform      string `arg:"--platform,env:POND_PLATFORM,required" help:"URL of the platform's object API, by IP number"`
+	// PlatformRate bounds the calls of one entry. The platform takes several hundred writes and about two
+	// thousand reads a second from all entries together.
+	PlatformRate float64 `arg:"--platform-rate,env:POND_PLATFORM_RATE" default:"100" help:"calls a second this entry may make to the platform"`
+	Timeline     string  `arg:"--timeline,env:POND_TIMELINE" help:"file to append time line events to; - for standard output; empty: only the recent ones are kept, in memory"`
+	LogLevel     string  `arg:"--log-level,env:POND_LOG_LEVEL" default:"info" help:"panic, fatal, error, warn, info, debug or trace"`
+	// BootstrapKeyHash lets an operator in as long as no tree of settings exists.
+	BootstrapKeyHash string `arg:"--bootstrap-key-hash,env:POND_BOOTSTRAP_KEY_HASH" help:"SHA-256, in hex, of the operator key accepted while the tree of settings does not exist"`
+	// DrainMargin is added to the time that callers may keep an address, before a stopping entry closes.
+	DrainMargin time.Duration `arg:"--drain-margin,env:POND_DRAIN_MARGIN" default:"2s" help:"how much longer than callers may keep its address a stopping entry keeps serving"`
+}
+
+// ErrConfig is wrapped by every fault of a Config.
+var ErrConfig = eris.New("invalid setting")
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$`)
+
+// Check returns all faults of the settings, each with the setting's name and what would be right.
+func (c *Config) Check() error {
+	var faults []string
+	check := func(ok bool, setting, right string) {
+		if !ok {
+			faults = append(faults, setting+": "+right)
+		}
+	}
+	check(namePattern.MatchString(c.Name), "--name", "must be 1 to 63 of a-z, 0-9, '-' and '.'")
+	check(namePattern.MatchString(c.Place), "--place", "must be 1 to 63 of a-z, 0-9, '-' and '.'")
+	check(namePattern.MatchString(c.FailureDomain), "--failure-domain", "must be 1 to 63 of a-z, 0-9, '-' and '.'")
+	for _, address := range []struct{ setting, value string }{
+		{"--public-address", c.Public},
+		{"--peer-address", c.Peer},
+		{"--admin-address", c.Admin},
+	} {
+		_, err := netip.ParseAddrPort(address.value)
+		check(err == nil, address.setting, "must be IP:port by number, such as 10.0.0.7:8080, not "+quoted(address.value))
+	}
+	check(validPlatform(c.Platform), "--platform", "must be http://IP:port or https://IP:port by number, not "+quoted(c.Platform))
+	check(c.PlatformRate >= 1 && c.PlatformRate <= 10_000, "--platform-rate", "must be between 1 and 10000 calls a second")
+	check(c.BootstrapKeyHash == "" || validHash(c.BootstrapKeyHash), "--bootstrap-key-hash", "must be 64 hex digits (pondctl hash-key makes one)")
+	check(c.DrainMargin >= 0 && c.DrainMargin <= 10*time.Minute, "--drain-margin", "must be between 0s and 10m")
+	if len(faults) == 0 {
+		return nil
+	}
+	return eris.Wrap(ErrConfig, strings.Join(faults, "; "))
+}
+
+// Position says where this entry stands.
+func (c *Config) Position() domain.Position {
+	return domain.Position{Place: domain.Place(c.Place), FailureDomain: domain.FailureDomain(c.FailureDomain)}
+}
+
+func quoted(s string) string { return `"` + s + `"` }
+
+func validPlatform(raw string) bool {
+	u, err := url.Parse(raw)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") {
+		return false
+	}
+	_, err = netip.ParseAddrPort(u.Host)
+	return err == nil
+}
+
+func validHash(s string) bool {
+	raw, err := hex.DecodeString(s)
+	return err == nil && len(raw) == 32
+}
