Settings: the stored tree, its strict checks, inheritance, and YAML declarations

The tree is one JSON value: nodes by path, each with a revision and typed values. One table (keys.go) knows every key's type, range, default and levels; the YAML loader and the stored form are both checked by it. All faults are told at once with file, line, node, key and what would be right.

Ruled out: decoding into structs with strict YAML decoding, because it stops at the first fault and loses which keys a node sets itself.

--- /dev/null
+++ b/contract/settings/load.go
@@ -0,0 +1,228 @@
+package settings
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"os"
+	"path"
+	"path/filepath"
+	"strings"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// MaxFileBytes bounds one file of declarations: a node is a few hundred bytes.
+const MaxFileBytes = 256 << 10
+
+const fileForm = RootFile + ", places/P.yaml, places/P/services/S.yaml or places/P/teams/T.yaml, each name " + nodeNameForm
+
+// Declarations are the nodes declared by a directory of YAML files, one node a file: root.yaml,
+// places/P.yaml, places/P/services/S.yaml, places/P/teams/T.yaml.
+type Declarations struct {
+	Nodes map[Path]Values
+
+	// lines and files say where each key stands, for faults; line 1 stands for the whole file.
+	lines map[Path]map[string]int
+	files map[Path]string
+}
+
+// LoadDir reads and checks the declarations below dir. The error is Faults, with every fault found, or
+// wraps that of the file system.
+func LoadDir(dir string) (*Declarations, error) {
+	return LoadFS(os.DirFS(dir), dir)
+}
+
+// LoadFS is LoadDir for any file system; shown is put before file names in faults.
+func LoadFS(fsys fs.FS, shown string) (*Declarations, error) {
+	l := loader{fsys: fsys, shown: shown, declared: &Declarations{
+		Nodes: make(map[Path]Values), lines: make(map[Path]map[string]int), files: make(map[Path]string),
+	}}
+	if err := fs.WalkDir(fsys, ".", l.visit); err != nil {
+		return nil, fmt.Errorf("read declarations in %s: %w", shown, err)
+	}
+	if len(l.faults) == 0 && len(l.declared.Nodes) == 0 {
+		l.faults = Faults{{File: shown, Problem: "no declarations here", Want: RootFile + " and places/P.yaml"}}
+	}
+	// Cross checks over nodes that could not be read whole would name faults that aren't there.
+	if len(l.faults) == 0 {
+		l.faults = l.declared.crossCheck()
+	}
+	if err := l.faults.err(); err != nil {
+		return nil, err
+	}
+	return l.declared, nil
+}
+
+// Tree returns the declarations as a tree that nobody has changed yet: what the first apply would store.
+func (d *Declarations) Tree(nonce string) *Tree {
+	tree := &Tree{Nonce: nonce, Revision: 1, Nodes: make(map[Path]Node, len(d.Nodes))}
+	for path, values := range d.Nodes {
+		tree.Nodes[path] = Node{Revision: 1, Values: values}
+	}
+	return tree
+}
+
+func (d *Declarations) crossCheck() Faults {
+	var faults Faults
+	if !errors.As(d.Tree("").Check(), &faults) {
+		return nil
+	}
+	for i := range faults {
+		faults[i] = d.Locate(faults[i])
+	}
+	return faults
+}
+
+// Locate adds file and line to a fault that names a node, if the node is declared here.
+func (d *Declarations) Locate(fault Fault) Fault {
+	file, ok := d.files[fault.Node]
+	if !ok {
+		return fault
+	}
+	fault.File = file
+	fault.Line = max(d.lines[fault.Node][fault.Key], 1)
+	return fault
+}
+
+type loader struct {
+	fsys     fs.FS
+	shown    string
+	declared *Declarations
+	faults   Faults
+}
+
+// visit takes in files named .yaml. Hidden files and folders and files of other kinds (the lock file, a
+// page) are passed over; a .yaml or .yml file that would be passed over by mistake is a fault.
+func (l *loader) visit(name string, entry fs.DirEntry, err error) error {
+	if err != nil {
+		return err
+	}
+	if name != "." && strings.HasPrefix(entry.Name(), ".") {
+		if entry.IsDir() {
+			return fs.SkipDir
+		}
+		return nil
+	}
+	extension := path.Ext(name)
+	if entry.IsDir() || (extension != fileSuffix && extension != ".yml") {
+		return nil
+	}
+	node := pathOfFile(name)
+	if extension != fileSuffix || node.Level() == NoLevel || node.File() != name {
+		l.faults = append(l.faults, Fault{
+			File: l.file(name), Line: 1, Problem: "no node has its declaration here", Want: fileForm,
+		})
+		return nil
+	}
+	return l.load(name, node)
+}
+
+func (l *loader) file(name string) string { return filepath.Join(l.shown, name) }
+
+func (l *loader) load(name string, node Path) error {
+	file, err := l.fsys.Open(name)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = file.Close() }()
+	data, err := io.ReadAll(io.LimitReader(file, MaxFileBytes+1))
+	if err != nil {
+		return err
+	}
+	l.declared.files[node] = l.file(name)
+	if len(data) > MaxFileBytes {
+		l.fault(node, 1, Fault{Problem: "file too large", Want: fmt.Sprintf("at most %d bytes", MaxFileBytes)})
+		return nil
+	}
+	l.parse(node, data)
+	return nil
+}
+
+func (l *loader) fault(node Path, line int, fault Fault) {
+	fault.File = l.declared.files[node]
+	fault.Line = line
+	fault.Node = node
+	l.faults = append(l.faults, fault)
+}
+
+// parse reads one file as a mapping of keys to values. An empty file declares a node without values.
+func (l *loader) parse(node Path, data []byte) {
+	l.declared.Nodes[node] = make(Values)
+	l.declared.lines[node] = make(map[string]int)
+	decoder := yaml.NewDecoder(bytes.NewReader(data))
+	var document yaml.Node
+	err := decoder.Decode(&document)
+	if errors.Is(err, io.EOF) {
+		return
+	}
+	if err != nil {
+		l.fault(node, 1, Fault{Problem: "not YAML: " + err.Error(), Want: "lines of the form key: value"})
+		return
+	}
+	if decoder.Decode(new(yaml.Node)) != io.EOF {
+		l.fault(node, 1, Fault{Problem: "more than one document", Want: "one node a file"})
+		return
+	}
+	if len(document.Content) != 1 {
+		return
+	}
+	l.mapping(node, document.Content[0])
+}
+
+func (l *loader) mapping(node Path, content *yaml.Node) {
+	if content.Kind == yaml.ScalarNode && content.Tag == "!!null" {
+		return
+	}
+	if content.Kind != yaml.MappingNode {
+		l.fault(node, content.Line, Fault{Problem: "not a mapping", Want: "lines of the form key: value"})
+		return
+	}
+	for i := 0; i+1 < len(content.Content); i += 2 {
+		l.pair(node, content.Content[i], content.Content[i+1])
+	}
+}
+
+func (l *loader) pair(node Path, key, item *yaml.Node) {
+	name := key.Value
+	if key.Kind != yaml.ScalarNode {
+		l.fault(node, key.Line, Fault{Problem: "a key that is not text", Want: "one of " + keysOf(node.Level())})
+		return
+	}
+	if line, ok := l.declared.lines[node][name]; ok {
+		l.fault(node, key.Line, Fault{
+			Key: name, Problem: fmt.Sprintf("set already on line %d", line), Want: "each key once",
+		})
+		return
+	}
+	l.declared.lines[node][name] = key.Line
+	if usesAlias(item) {
+		l.fault(node, item.Line, Fault{Key: name, Problem: "YAML aliases are not taken", Want: "the value itself"})
+		return
+	}
+	var raw any
+	if err := item.Decode(&raw); err != nil {
+		l.fault(node, item.Line, Fault{Key: name, Problem: "not YAML: " + err.Error(), Want: "a value"})
+		return
+	}
+	value, fault := parseValue(node.Level(), name, raw)
+	if fault != nil {
+		l.fault(node, item.Line, *fault)
+		return
+	}
+	l.declared.Nodes[node][name] = value
+}
+
+func usesAlias(node *yaml.Node) bool {
+	if node.Kind == yaml.AliasNode {
+		return true
+	}
+	for _, child := range node.Content {
+		if usesAlias(child) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/contract/settings/resolve.go
@@ -0,0 +1,98 @@
+package settings
+
+// Explained is one value in force at a node, and where it comes from.
+type Explained struct {
+	Key   string `json:"key"`
+	Value Value  `json:"value"`
+	// From is the node that sets the value; empty if it is the built-in default.
+	From Path   `json:"from,omitempty"`
+	Doc  string `json:"doc,omitempty"`
+}
+
+// Explain returns the values in force at a node, in the order of the table, each with the node that it
+// comes from: the nearest of the node and those above it that sets the key. ok is false if
+// the tree has no such node.
+func (t *Tree) Explain(path Path) (explained []Explained, ok bool) {
+	if _, ok := t.Nodes[path]; !ok && path != Root {
+		return nil, false
+	}
+	for _, key := range keys {
+		if key.Levels&path.Level() == 0 {
+			continue
+		}
+		value, from := t.lookUp(key, path)
+		explained = append(explained, Explained{Key: key.Name, Value: value, From: from, Doc: key.Doc})
+	}
+	return explained, true
+}
+
+// lookUp walks from path to the root; the nearest node that sets the key wins, else its default.
+func (t *Tree) lookUp(key *Key, path Path) (Value, Path) {
+	for {
+		if value, ok := t.Nodes[path].Values[key.Name]; ok {
+			return value, path
+		}
+		if path == Root {
+			return key.Default, ""
+		}
+		path = path.Parent()
+	}
+}
+
+// Resolve checks the tree as a whole and returns it as a snapshot of the given platform version. The
+// error is Faults.
+func (t *Tree) Resolve(version uint64) (*Snapshot, error) {
+	if err := t.Check(); err != nil {
+		return nil, err
+	}
+	snapshot := t.snapshot()
+	snapshot.Version = version
+	snapshot.Index()
+	return snapshot, nil
+}
+
+// snapshot resolves every service and team.
+func (t *Tree) snapshot() *Snapshot {
+	snapshot := &Snapshot{Services: make(map[string]Service), Teams: make(map[string]Team)}
+	t.resolveRoot(snapshot)
+	for path := range t.Nodes {
+		switch path.Level() {
+		case ServiceLevel:
+			snapshot.Services[path.Name()] = t.service(path)
+		case TeamLevel:
+			snapshot.Teams[path.Name()] = t.team(path)
+		}
+	}
+	return snapshot
+}
+
+func (t *Tree) resolveRoot(snapshot *Snapshot) {
+	for _, key := range keys {
+		if key.setRoot != nil {
+			value, _ := t.lookUp(key, Root)
+			key.setRoot(snapshot, value)
+		}
+	}
+}
+
+func (t *Tree) service(path Path) Service {
+	service := Service{Name: path.Name(), Place: path.Place()}
+	for _, key := range keys {
+		if key.setService != nil {
+			value, _ := t.lookUp(key, path)
+			key.setService(&service, value)
+		}
+	}
+	return service
+}
+
+func (t *Tree) team(path Path) Team {
+	team := Team{Name: path.Name()}
+	for _, key := range keys {
+		if key.setTeam != nil {
+			value, _ := t.lookUp(key, path)
+			key.setTeam(&team, value)
+		}
+	}
+	return team
+}
