Controller of a fabric domain: looks, decides, writes, and orders once the write is confirmed

Cause: the decision on groups needs a role that carries it out, safe when two entries think they own a domain. A replaced or re-ordered group gets a new id, so that no late answer or order of the old one fits it. The placement gains live_by_service, aside and not_whole for the controllers of other domains; an engine's load gains step_us for finding a straggler's slowest member.

--- /dev/null
+++ b/entry/controller/controller_test.go
@@ -0,0 +1,151 @@
+package controller_test
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/skylarkpond/skylarkpond/domain"
+	"github.com/skylarkpond/skylarkpond/entry/controller"
+	"github.com/skylarkpond/skylarkpond/policy/forming"
+	"github.com/skylarkpond/skylarkpond/vm"
+)
+
+func TestController(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "controller")
+}
+
+// rounds lets c do rounds, a second apart.
+func rounds(w *world, c *controller.Controller, count int) {
+	for range count {
+		_ = c.Reconcile(context.Background(), fabric)
+		w.advance(controller.Interval)
+	}
+}
+
+// groups writes each group as "state: members".
+func groups(w *world) []string {
+	p := w.placement()
+	lines := make([]string, 0, len(p.Groups))
+	for _, g := range p.Groups {
+		line := string(g.State) + ":"
+		for _, m := range g.Members {
+			line += " " + string(m.VM)
+		}
+		lines = append(lines, line)
+	}
+	return lines
+}
+
+var _ = Describe("Controller", func() {
+	It("takes a domain, forms a group, loads it, and lets it serve", func() {
+		w := newWorld(3)
+		c := w.entry("a")
+		rounds(w, c, 1)
+		Expect(groups(w)).To(Equal([]string{"forming: v1 v2"}))
+		Expect(w.orders).To(BeEmpty())
+		rounds(w, c, 1)
+		Expect(groups(w)).To(Equal([]string{"loading: v1 v2"}))
+		Expect(w.orders).To(HaveLen(2))
+		rounds(w, c, 1)
+		Expect(groups(w)).To(Equal([]string{"serving: v1 v2"}))
+		p := w.placement()
+		Expect(p.Controller).To(Equal("a"))
+		Expect(p.Epoch).To(Equal(uint64(1)))
+		Expect(p.LiveVMs).To(Equal(3))
+		Expect(p.Groups[0].Epoch).To(Equal(p.Epoch))
+		Expect(p.Groups[0].Members[1].BootID).To(Equal(vm.BootID("boot-v2")))
+	})
+
+	It("writes nothing while nothing changes", func() {
+		w := newWorld(3)
+		c := w.entry("a")
+		rounds(w, c, 3)
+		written := w.version
+		rounds(w, c, 20)
+		Expect(w.version).To(Equal(written))
+	})
+
+	// A VM dies. Its group answers no request any more; the free VM beside it can make it whole.
+	It("replaces a dead member by a free VM", func() {
+		w := newWorld(3)
+		c := w.entry("a")
+		rounds(w, c, 3)
+		w.engine("v1").silent = true
+		rounds(w, c, int(forming.Grace/controller.Interval)+4)
+		Expect(groups(w)).To(Equal([]string{"serving: v2 v3"}))
+	})
+
+	// A member is killed and started under the same address within a probe interval. It answers as if
+	// nothing had happened, but has nothing loaded.
+	It("orders a group anew whose member restarted", func() {
+		w := newWorld(2)
+		c := w.entry("a")
+		rounds(w, c, 3)
+		first := w.placement().Groups[0].ID
+		e := w.engine("v2")
+		e.state.BootID, e.state.Group, e.state.Epoch, e.state.Fence, e.state.Ready = "again", "", 0, 0, false
+		rounds(w, c, 4)
+		Expect(groups(w)).To(Equal([]string{"serving: v1 v2"}))
+		Expect(w.placement().Groups[0].ID).NotTo(Equal(first))
+	})
+
+	// The platform announces that it takes a VM away, while requests are in progress on its group. They
+	// must finish; then the VM is let go.
+	It("drains the group of a leaving member and frees it only once nothing is in progress", func() {
+		w := newWorld(4)
+		c := w.entry("a")
+		rounds(w, c, 3)
+		id := w.placement().Groups[0].ID
+		w.busy[id] = 1
+		w.list(func(v *vm.VM) { v.Leaving = v.Name == "v1" })
+		rounds(w, c, 5)
+		Expect(groups(w)[0]).To(Equal("draining: v1 v2"))
+		Expect(w.engine("v1").state.Group).To(Equal(id))
+		w.busy[id] = 0
+		rounds(w, c, 5)
+		Expect(groups(w)).To(Equal([]string{"serving: v3 v4"}))
+		Expect(w.engine("v1").state.Group).To(BeEmpty())
+	})
+
+	// A controller writes that a group loads and freezes before it sends the orders. Another entry takes the
+	// domain over and gives the VMs to another group. When the first wakes, it must look before it sends.
+	It("sends no order on old knowledge after it slept", func() {
+		w := newWorld(2)
+		old := w.entry("a")
+		rounds(w, old, 1)
+		w.before = func(call string) {
+			if call != "answered" {
+				return
+			}
+			w.before = nil
+			w.advance(time.Hour)
+			rounds(w, w.entry("b"), 1)
+			w.orders = nil
+		}
+		Expect(old.Reconcile(context.Background(), fabric)).To(MatchError(controller.ErrOutdated))
+		Expect(w.placement().Controller).To(Equal("b"))
+		Expect(w.orders).To(BeEmpty())
+	})
+
+	// Two entries disagree on which entries are live, and both think they own the domain. Each take-over is a
+	// write, and the groups that load wait for whoever holds the domain.
+	It("does not take a domain back at once from another live entry", func() {
+		w := newWorld(2)
+		names := []string{"a", "b"}
+		first := domain.Owner("controller/"+fabric, names)
+		second := names[1-slices.Index(names, first)]
+		c, rival := w.entry(first, second), w.entry(second)
+		rounds(w, c, 1)
+		rounds(w, rival, 1)
+		Expect(c.Reconcile(context.Background(), fabric)).To(MatchError(controller.ErrRival))
+		Expect(w.placement().Controller).To(Equal(second))
+		rounds(w, c, int(controller.RivalPause/controller.Interval)+1)
+		Expect(w.placement().Controller).To(Equal(first))
+	})
+})
--- /dev/null
+++ b/entry/controller/discover.go
@@ -0,0 +1,71 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/skylarkpond/skylarkpond/domain"
+	"github.com/skylarkpond/skylarkpond/link/platform"
+	"github.com/skylarkpond/skylarkpond/vm"
+)
+
+// DiscoverEvery is how many rounds pass between two looks for new fabric domains. They come with new
+// racks, so half a minute is soon enough; the list of all VMs is the largest read there is.
+const DiscoverEvery = 30
+
+// Discover looks for fabric domains that have no placement yet, and creates an empty one for each. One
+// entry does it for all, so that the list of all VMs is read once, not by every entry; the placement
+// objects, which all entries mirror, then name the domains.
+func (c *Controller) Discover(ctx context.Context) {
+	if domain.Owner("controller/discover", c.Owners.Live()) != c.Owners.Self() || !c.discoverNow() {
+		return
+	}
+	changes, err := c.Store.List(ctx, platform.KindVMs)
+	if err != nil {
+		c.discoverAgain()
+		c.Log.WithError(err).Warn("can't list the VMs to look for new fabric domains")
+		return
+	}
+	known := make(map[string]bool)
+	for _, object := range c.Placements.Placements() {
+		known[object.Name] = true
+	}
+	for _, object := range changes.Objects {
+		if !known[object.Name] {
+			c.create(ctx, object.Name)
+		}
+	}
+}
+
+func (c *Controller) discoverNow() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	due := c.rounds%DiscoverEvery == 0
+	c.rounds++
+	return due
+}
+
+func (c *Controller) discoverAgain() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.rounds = 0
+}
+
+// create writes an empty placement that nobody holds. It exists already if another entry was faster.
+func (c *Controller) create(ctx context.Context, name string) {
+	value, err := json.Marshal(vm.Placement{Nonce: c.NewID()})
+	if err != nil {
+		return
+	}
+	version, err := c.Store.Put(ctx, platform.KindPlacement, name, 0, value)
+	if err == nil {
+		c.Took(platform.Object{Kind: platform.KindPlacement, Name: name, Version: version, Value: value})
+		return
+	}
+	if !eris.Is(err, platform.ErrConflict) {
+		c.discoverAgain()
+		c.Log.WithError(err).WithField("domain", name).Warn("can't create the placement of a new fabric domain")
+	}
+}
--- /dev/null
+++ b/entry/controller/fakes_test.go
@@ -0,0 +1,329 @@
+package controller_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/skylarkpond/skylarkpond/contract/settings"
+	"github.com/skylarkpond/skylarkpond/domain"
+	"github.com/skylarkpond/skylarkpond/entry/controller"
+	"github.com/skylarkpond/skylarkpond/link/engine"
+	"github.com/skylarkpond/skylarkpond/link/platform"
+	"github.com/skylarkpond/skylarkpond/timeline"
+	"github.com/skylarkpond/skylarkpond/vm"
+)
+
+const fabric = "fab-1"
+
+// world is one fabric domain with its platform, engines and clock. Its mutex guards everything.
+type world struct {
+	mu       sync.Mutex
+	time     time.Time
+	ids      int
+	version  platform.Version
+	objects  map[string]platform.Object
+	history  []platform.Object
+	engines  map[string]*fakeEngine
+	orders   []sentOrder
+	services map[string]settings.Service
+	whole    map[vm.GroupID]bool
+	busy     map[vm.GroupID]int
+	// before, if set, is called without the lock before each call of the platform or an engine.
+	before func(call string)
+	// putFault decides what befalls the next Put.
+	putFault func() fault
+	// pending are the writes that take effect late.
+	pending []platform.Object
+}
+
+type fault int
+
+const (
+	none     fault = iota
+	lost           // takes effect, the answer is lost
+	late           // takes effect at the next call of land, the answer is lost
+	vanished       // takes no effect, and the answer is lost
+	refused        // takes no effect, and says so
+)
+
+type sentOrder struct {
+	order engine.Order
+	to    vm.Name
+	// platformAt is the platform's version when the order left.
+	platformAt platform.Version
+}
+
+type fakeEngine struct {
+	state  engine.State
+	silent bool
+	checks bool
+	// loads says that a load is done at once.
+	loads bool
+	taken []engine.Order
+}
+
+func newWorld(vms int) *world {
+	w := &world{
+		time: time.Unix(1_700_000_000, 0), objects: map[string]platform.Object{}, engines: map[string]*fakeEngine{},
+		services: map[string]settings.Service{}, whole: map[vm.GroupID]bool{}, busy: map[vm.GroupID]int{},
+	}
+	list := vm.List{}
+	for i := range vms {
+		name := vm.Name(fmt.Sprintf("v%d", i+1))
+		list.VMs = append(list.VMs, vm.VM{
+			Name: name, Address: "addr-" + string(name), Accelerators: 8,
+			Position: domain.Position{Place: "pampa", FailureDomain: "fd-1", FabricDomain: fabric},
+		})
+		w.engines["addr-"+string(name)] = &fakeEngine{
+			state: engine.State{VM: name, BootID: vm.BootID("boot-" + name)}, checks: true, loads: true,
+		}
+	}
+	w.set(platform.KindVMs, list)
+	w.set(platform.KindPlacement, vm.Placement{})
+	w.services["chat"] = settings.Service{
+		Name: "chat", Place: "pampa", Kind: settings.Language, Model: "m", ModelVersion: "1", GroupSize: 2, Replicas: 1,
+		DowntimeWeight: 10, DrainTimeout: time.Minute, ChecksFence: true,
+	}
+	return w
+}
+
+// set writes an object of the fabric domain unconditionally.
+func (w *world) set(kind platform.Kind, value any) {
+	raw, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	w.version++
+	w.store(platform.Object{Kind: kind, Name: fabric, Version: w.version, Value: raw})
+}
+
+// store must be called with mu held, or before the world is shared.
+func (w *world) store(object platform.Object) {
+	w.objects[string(object.Kind)+"/"+object.Name] = object
+	w.history = append(w.history, object)
+}
+
+func (w *world) list(change func(v *vm.VM)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	list := decode[vm.List](w.objects["vms/"+fabric])
+	for i := range list.VMs {
+		change(&list.VMs[i])
+	}
+	w.set(platform.KindVMs, list)
+}
+
+func (w *world) placement() vm.Placement {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return decode[vm.Placement](w.objects["placement/"+fabric])
+}
+
+func (w *world) engine(name string) *fakeEngine { return w.engines["addr-"+name] }
+
+func (w *world) now() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.time
+}
+
+func (w *world) advance(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.time = w.time.Add(d)
+}
+
+func (w *world) newID() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ids++
+	return fmt.Sprintf("id%d", w.ids)
+}
+
+func decode[T any](object platform.Object) T {
+	var value T
+	if err := json.Unmarshal(object.Value, &value); err != nil {
+		panic(err)
+	}
+	return value
+}
+
+func (w *world) called(name string) {
+	if w.before != nil {
+		w.before(name)
+	}
+}
+
+// Get returns an object of the in-memory platform.
+func (w *world) Get(_ context.Context, kind platform.Kind, name string) (platform.Object, error) {
+	w.called("get")
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	object, ok := w.objects[string(kind)+"/"+name]
+	if !ok {
+		return platform.Object{}, platform.ErrNotFound
+	}
+	return object, nil
+}
+
+// Put makes a conditional write, or what putFault says.
+func (w *world) Put(_ context.Context, kind platform.Kind, name string, version platform.Version, value json.RawMessage) (platform.Version, error) {
+	w.called("put")
+	defer w.called("answered")
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f := none
+	if w.putFault != nil {
+		f = w.putFault()
+	}
+	object := platform.Object{Kind: kind, Name: name, Version: version, Value: value}
+	switch f {
+	case refused:
+		return 0, platform.ErrUnavailable
+	case vanished:
+		return 0, platform.ErrUnconfirmed
+	case lost:
+		_, _ = w.apply(object)
+		return 0, platform.ErrUnconfirmed
+	case late:
+		w.pending = append(w.pending, object)
+		return 0, platform.ErrUnconfirmed
+	}
+	return w.apply(object)
+}
+
+// apply must be called with mu held. The object's version is the one that it replaces.
+func (w *world) apply(object platform.Object) (platform.Version, error) {
+	if w.objects[string(object.Kind)+"/"+object.Name].Version != object.Version {
+		return 0, platform.ErrConflict
+	}
+	w.version++
+	object.Version = w.version
+	w.store(object)
+	return w.version, nil
+}
+
+// List is not used with faults.
+func (w *world) List(_ context.Context, kind platform.Kind) (platform.Changes, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	changes := platform.Changes{Revision: w.version, Complete: true}
+	for _, key := range slices.Sorted(maps.Keys(w.objects)) {
+		if object := w.objects[key]; object.Kind == kind {
+			changes.Objects = append(changes.Objects, object)
+		}
+	}
+	return changes, nil
+}
+
+// Delete is not used.
+func (w *world) Delete(context.Context, platform.Kind, string, platform.Version) error { return nil }
+
+// Watch is not used.
+func (w *world) Watch(context.Context, platform.Kind, platform.Version) (platform.Changes, error) {
+	return platform.Changes{}, nil
+}
+
+// Placements is a mirror without lag.
+func (w *world) Placements() []platform.Object {
+	changes, _ := w.List(context.Background(), platform.KindPlacement)
+	return changes.Objects
+}
+
+// InProgress and its kin are the reports of a home that knows all.
+func (w *world) InProgress(group vm.GroupID) (int, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.busy[group], true
+}
+
+func (w *world) Whole(group vm.GroupID) (bool, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.whole[group], true
+}
+
+func (w *world) TokenGap(vm.GroupID) time.Duration { return 0 }
+
+// Probe asks an engine.
+func (w *world) Probe(_ context.Context, address string) (engine.State, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	e := w.engines[address]
+	if e == nil || e.silent {
+		return engine.State{}, engine.ErrNotSent
+	}
+	return e.state, nil
+}
+
+// Order gives an order to an engine.
+func (w *world) Order(_ context.Context, address string, order engine.Order) (engine.State, error) {
+	w.mu.Lock()
+	e := w.engines[address]
+	w.orders = append(w.orders, sentOrder{order: order, to: e.state.VM, platformAt: w.version})
+	w.mu.Unlock()
+	w.called("order")
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return e.take(order)
+}
+
+func (e *fakeEngine) take(order engine.Order) (engine.State, error) {
+	switch {
+	case e.silent:
+		return engine.State{}, engine.ErrBroken
+	case order.BootID != e.state.BootID:
+		return e.state, engine.ErrOtherBoot
+	case e.checks && order.Fence < e.state.Fence:
+		return e.state, engine.ErrStaleFence
+	}
+	e.taken = append(e.taken, order)
+	e.state.Group, e.state.Epoch, e.state.Fence = order.Group, order.Epoch, order.Fence
+	e.state.Ready = order.Kind == engine.OrderLoad && e.loads
+	return e.state, nil
+}
+
+func (w *world) Complete(context.Context, engine.Send, []byte) (engine.Stream, error) {
+	panic("a controller completes nothing")
+}
+
+func (w *world) Call(context.Context, engine.Send, string, string, http.Header, io.Reader) (*http.Response, error) {
+	panic("a controller calls nothing")
+}
+
+func (w *world) Cancel(context.Context, string, string) error { panic("a controller cancels nothing") }
+
+// owners is one entry's view of who is live.
+type owners struct {
+	self string
+	live []string
+}
+
+func (o *owners) Self() string   { return o.self }
+func (o *owners) Live() []string { return o.live }
+
+// entry returns a controller in an entry that sees only itself as live unless others are named.
+func (w *world) entry(name string, others ...string) *controller.Controller {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return controller.New(controller.Deps{
+		Store: w, Engines: w, Owners: &owners{self: name, live: append(others, name)}, Placements: w, Loads: w,
+		Settings: func() *settings.Snapshot {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			return &settings.Snapshot{Version: 1, Services: maps.Clone(w.services)}
+		},
+		Incarnation: name + "-1", Recorder: timeline.NewRecorder(name, nil, w.now), Metrics: metrics.NewRegistry(),
+		Log: log, Now: w.now, NewID: w.newID,
+	})
+}
--- /dev/null
+++ b/entry/controller/measure.go
@@ -0,0 +1,84 @@
+package controller
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/skylarkpond/skylarkpond/timeline"
+)
+
+// Names of the metrics. Those of services end in the service's name.
+const (
+	// MetricDowntime counts milliseconds in which a wanted group did not serve.
+	MetricDowntime = "controller.group_downtime_ms."
+	// MetricDown is how many wanted groups do not serve now.
+	MetricDown = "controller.groups_down."
+	// MetricStranded counts accelerator-milliseconds live but in no serving group.
+	MetricStranded = "controller.stranded_accelerator_ms"
+	// MetricStrandedNow is how many accelerators that are, now, by fabric domain.
+	MetricStrandedNow = "controller.stranded_accelerators."
+)
+
+// maxMeasured bounds the time that one measurement accounts for: over a longer gap (a pause, a takeover)
+// nothing was seen, and the controller in between accounts for it.
+const maxMeasured = 5 * Interval
+
+// measure books the two measures since the last round.
+func (w *work) measure() {
+	now := w.c.Now()
+	since := min(now.Sub(w.measured), maxMeasured)
+	if w.measured.IsZero() {
+		since = 0
+	}
+	w.measured = now
+	for name, down := range w.plan.DownGroups {
+		w.count(MetricDowntime+name, since*time.Duration(down))
+	}
+	for name := range w.plan.Targets {
+		w.gauge(MetricDown+name+"."+string(w.fabric), w.plan.DownGroups[name])
+	}
+	w.count(MetricStranded, since*time.Duration(w.plan.Stranded))
+	w.gauge(MetricStrandedNow+string(w.fabric), w.plan.Stranded)
+	w.recordMeasures()
+}
+
+func (w *work) count(name string, d time.Duration) {
+	metrics.GetOrRegisterCounter(name, w.c.Metrics).Inc(d.Milliseconds())
+}
+
+func (w *work) gauge(name string, value int) {
+	metrics.GetOrRegisterGauge(name, w.c.Metrics).Update(int64(value))
+}
+
+// recordMeasures tells the time line when a measure changes.
+func (w *work) recordMeasures() {
+	parts := make([]string, 0, len(w.plan.DownGroups)+1)
+	for _, name := range slices.Sorted(maps.Keys(w.plan.DownGroups)) {
+		parts = append(parts, fmt.Sprintf("%s down %d", name, w.plan.DownGroups[name]))
+	}
+	parts = append(parts, fmt.Sprintf("stranded accelerators %d", w.plan.Stranded))
+	detail := strings.Join(parts, ", ")
+	if detail != w.lastMeasured {
+		w.record(timeline.Event{Kind: timeline.DomainMeasured, Detail: detail})
+		w.lastMeasured = detail
+	}
+}
+
+// newStatus is what Status shows of the round that ended.
+func (w *work) newStatus() Status {
+	status := Status{
+		Domain: w.fabric, Targets: w.plan.Targets, Down: w.plan.DownGroups, Stranded: w.plan.Stranded, Held: w.plan.Held,
+	}
+	if w.placement != nil {
+		status.Epoch = w.placement.Epoch
+	}
+	if w.problem != nil {
+		status.Problem = w.problem.Error()
+	}
+	return status
+}
--- a/link/engine/engine.go
+++ b/link/engine/engine.go
@@ -57,6 +57,8 @@
 	// CacheUsed is the used share of the KV cache, 0 to 1.
 	CacheUsed float64 `json:"cache_used"`
 	AgeMillis int64   `json:"age_ms"`
+	// StepMicros is how long this VM's own share of a decoding step takes lately; 0: not known.
+	StepMicros int64 `json:"step_us,omitempty"`
 }
 
 // OrderKind says what an order asks for.
--- a/policy/forming/decide.go
+++ b/policy/forming/decide.go
@@ -63,6 +63,7 @@
 		}
 	}
 	p.plan.Held = make(map[string]string)
+	p.plan.Live = p.live()
 	targets, unplaced := Split(v.Services, p.domains())
 	p.plan.Targets = targets[v.Domain]
 	p.plan.DownGroups = make(map[string]int)
@@ -76,13 +77,20 @@
 
 // domains returns all fabric domains of the place, as their controllers should see them.
 func (p *planner) domains() []Domain {
-	own := Domain{Name: p.view.Domain, Live: map[string]int{}, Groups: p.view.Groups}
+	own := Domain{Name: p.view.Domain, Live: p.plan.Live, Groups: p.view.Groups}
+	return append([]Domain{own}, p.view.Others...)
+}
+
+// live counts the VMs that a replica can be planned on. One that is silent for a moment counts, or each
+// pause would move a replica to another domain.
+func (p *planner) live() map[string]int {
+	live := make(map[string]int)
 	for _, vm := range p.view.VMs {
-		if vm.usable() {
-			own.Live[vm.Service]++
+		if vm.Listed && !vm.Leaving && !vm.Aside && vm.SilentFor < p.grace {
+			live[vm.Service]++
 		}
 	}
-	return append([]Domain{own}, p.view.Others...)
+	return live
 }
 
 // firstDomain says that this domain is the one that accounts for what no domain can hold.
--- a/policy/forming/view.go
+++ b/policy/forming/view.go
@@ -176,6 +176,8 @@
 	// that are live but in no serving group.
 	DownGroups map[string]int
 	Stranded   int
+	// Live counts, by dedication, the VMs that the domain reports to the others.
+	Live map[string]int
 	// Held says, by service, why something wanted is not done.
 	Held map[string]string
 }
--- a/timeline/event.go
+++ b/timeline/event.go
@@ -24,6 +24,7 @@
 	GroupState        Kind = "group-state"        // Group, Service, Detail: state
 	GroupWhole        Kind = "group-whole"        // Group, Service
 	GroupNotWhole     Kind = "group-not-whole"    // Group, Service, VM, Detail: why
+	DomainMeasured    Kind = "domain-measured"    // Domain, Detail: down groups by service, stranded accelerators
 	OrderSent         Kind = "order-sent"         // VM, Group, Version: fence
 	OrderRefused      Kind = "order-refused"      // VM, Group, Version: fence, Detail
 	RequestAccepted   Kind = "request-accepted"   // Request, Team, Service
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -7,6 +7,7 @@
 package vm
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/rotisserie/eris"
@@ -87,6 +88,9 @@
 	Reason string `json:"reason,omitempty"`
 	// Since is the wall clock time of entering the state, in Unix milliseconds; for display only.
 	Since int64 `json:"since_ms,omitempty"`
+	// NotWhole says that the controller found a member missing for long, so that the controllers of other
+	// fabric domains may fill in. Homes don't read it: they look for themselves.
+	NotWhole bool `json:"not_whole,omitempty"`
 }
 
 // Head is the member that takes the requests.
@@ -115,9 +119,22 @@
 	Position domain.Position `json:"position"`
 	// LiveVMs and LiveAccelerators count what the controller could use, so that the controllers of other
 	// fabric domains can tell how much each can take.
-	LiveVMs          int     `json:"live_vms"`
-	LiveAccelerators int     `json:"live_accelerators"`
-	Groups           []Group `json:"groups"`
+	LiveVMs          int `json:"live_vms"`
+	LiveAccelerators int `json:"live_accelerators"`
+	// LiveByService splits LiveVMs by the service that a VM is dedicated to ("": none).
+	LiveByService map[string]int `json:"live_by_service,omitempty"`
+	Groups        []Group        `json:"groups"`
+	// Aside lists VMs that were set aside as stragglers. No group is formed with them.
+	Aside []Aside `json:"aside,omitempty"`
+}
+
+// Aside is a VM that is set aside until it has another boot id, or until the time is over.
+type Aside struct {
+	VM     Name   `json:"vm"`
+	BootID BootID `json:"boot_id"`
+	Reason string `json:"reason,omitempty"`
+	// Until is a wall clock time in Unix milliseconds. A wrong clock costs a slow replica, no more.
+	Until int64 `json:"until_ms"`
 }
 
 // ErrVMInTwoGroups and its kin name broken invariants of a placement.
@@ -169,5 +186,7 @@
 	for i := range copied.Groups {
 		copied.Groups[i].Members = slices.Clone(copied.Groups[i].Members)
 	}
+	copied.LiveByService = maps.Clone(copied.LiveByService)
+	copied.Aside = slices.Clone(copied.Aside)
 	return &copied
 }
