--- a/contract/settings/path.go
+++ b/contract/settings/path.go
@@ -36,7 +36,8 @@
 	ServiceLevel
 	TeamLevel
 	// NoLevel is that of a path which no node can have.
-	NoLevel Level = 0
+	NoLevel  Level = 0
+	anyLevel       = RootLevel | PlaceLevel | ServiceLevel | TeamLevel
 )
 
 // String lists the levels in words.
--- a/contract/settings/resolve.go
+++ b/contract/settings/resolve.go
@@ -9,6 +9,29 @@
 	Doc  string `json:"doc,omitempty"`
 }
 
+// UnmarshalJSON reads the value by the type of its key.
+func (e *Explained) UnmarshalJSON(data []byte) error {
+	var raw struct {
+		Key   string `json:"key"`
+		Value any    `json:"value"`
+		From  Path   `json:"from"`
+		Doc   string `json:"doc"`
+	}
+	if err := decodeStrict(data, &raw); err != nil {
+		return err
+	}
+	*e = Explained{Key: raw.Key, From: raw.From, Doc: raw.Doc}
+	key, ok := KeyNamed(raw.Key)
+	if !ok {
+		return Faults{{Key: raw.Key, Problem: "unknown key"}}
+	}
+	var problem string
+	if e.Value, problem = key.typed(raw.Value); problem != "" {
+		return Faults{{Key: raw.Key, Problem: problem, Want: key.Want()}}
+	}
+	return nil
+}
+
 // Explain returns the values in force at a node, in the order of the table, each with the node that it
 // comes from: the nearest of the node and those above it that sets the key. ok is false if
 // the tree has no such node.
--- a/contract/settings/tree.go
+++ b/contract/settings/tree.go
@@ -18,7 +18,10 @@
 
 // Applied is the record of an accepted change.
 type Applied struct {
-	ID       string `json:"id"`
+	ID string `json:"id"`
+	// Digest is that of the change, to tell a repeated change from another one under the same id; empty
+	// if it is the id.
+	Digest   string `json:"digest,omitempty"`
 	Revision uint64 `json:"revision"`
 	// Author is who applied it, as that operator's tool said; it is not proof of anything.
 	Author string `json:"author,omitempty"`
@@ -30,10 +33,10 @@
 }
 
 // MaxRecentChanges bounds the change ids that the tree keeps, and MaxRecordedNodes the nodes that each
-// names: together some 50 KB at most. A lost answer is followed up within minutes; a change repeated
+// names: together some 60 KB at most. A lost answer is followed up within minutes; a change repeated
 // after its id was dropped is still recognised, because its nodes say already what it wants.
 const (
-	MaxRecentChanges = 200
+	MaxRecentChanges = 100
 	MaxRecordedNodes = 8
 )
 
--- a/contract/settings/value.go
+++ b/contract/settings/value.go
@@ -92,6 +92,25 @@
 // MarshalJSON writes the value plainly; its key tells the type to the reader.
 func (v Value) MarshalJSON() ([]byte, error) { return json.Marshal(v.Plain()) }
 
+// UnmarshalJSON reads values by the types of their keys; at which level they may stand it doesn't check.
+func (v *Values) UnmarshalJSON(data []byte) error {
+	var raw map[string]any
+	if err := decodeStrict(data, &raw); err != nil {
+		return err
+	}
+	values := make(Values, len(raw))
+	var faults Faults
+	for name, item := range raw {
+		value, fault := parseValue(anyLevel, name, item)
+		if fault != nil {
+			faults = append(faults, *fault)
+		}
+		values[name] = value
+	}
+	*v = values
+	return faults.err()
+}
+
 // decode reads raw, as a YAML or JSON decoder returns it, as a value of the key's type and range. The
 // fault has Problem and Want set.
 func (k *Key) decode(raw any) (Value, *Fault) {
