Requests: first thin form of attempt records, outcome machine, front and home

Dispatch gains Renounced: a home that refuses after its claim gives the claim up, so that another home may claim or the front may seal over it.

--- a/contract/attempt.go
+++ b/contract/attempt.go
@@ -4,7 +4,8 @@
 	"net/http"
 )
 
-// AttemptState is the state of the record of a request that may not be repeated.
+// AttemptState is the state of the record of a request that may not be repeated. Package attempt reads
+// and writes the records.
 type AttemptState string
 
 // The states. Claimed and Sealed are created; Done replaces Claimed.
--- /dev/null
+++ b/contract/attempt/records.go
@@ -0,0 +1,170 @@
+// Package attempt reads and writes the records of requests that may not be repeated, over the platform.
+//
+// One record stands for one team and key. Its conditional creation decides between "a home sends" and
+// "it never runs": a home claims right before it sends, a front seals before it says not-run, and the
+// platform lets only one of the two through. What each write may replace:
+//
+//	claim N   nothing, a seal of a lower number, a renounced claim
+//	seal N    nothing, a seal of a lower number, a renounced claim
+//	done      the claim of the same holder
+//
+// A claim is renounced when its holder told the front that it will never send under it. Nothing else ever
+// replaces a claim: its holder may be frozen between the claim and the send.
+package attempt
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/skylarkpond/skylarkpond/contract"
+	"github.com/skylarkpond/skylarkpond/link/platform"
+)
+
+// ID names a record.
+type ID struct {
+	Team string
+	Key  string
+}
+
+// Name is the name of the platform object.
+func (id ID) Name() string { return id.Team + "/" + id.Key }
+
+// Verdict says what came of a call.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Confirmed: the write took effect; the platform answered so, or the record bears the writer's nonce.
+	Confirmed Verdict = iota + 1
+	// Found: another record stands and may not be replaced. The write did not and can't take effect.
+	Found
+	// Reused: the standing record is of a request with another fingerprint.
+	Reused
+	// Untouched: the platform took no write, and none is on its way.
+	Untouched
+	// Unsure: the write may have taken effect, or may yet.
+	Unsure
+	// Absent: there is no record (only from Find).
+	Absent
+)
+
+// Result is what came of a call.
+type Result struct {
+	Verdict Verdict
+	// Attempt is the record that stands (Confirmed, Found, Reused) or that may come to stand (Unsure).
+	Attempt contract.Attempt
+	// Version is that of the record that stands; 0 otherwise.
+	Version platform.Version
+}
+
+// Wish is the part of a claim or a seal that the request gives.
+type Wish struct {
+	ID ID
+	// Number is the caller's attempt number.
+	Number      int
+	Fingerprint string
+	RequestID   string
+	// Retention is how long the record is kept.
+	Retention time.Duration
+	// Renounced lists the nonces of claims that may be replaced.
+	Renounced []string
+}
+
+// Records reads and writes attempt records. It is safe for concurrent use.
+type Records struct {
+	store platform.Store
+	clock func() time.Time
+	nonce func() string
+	pause func(ctx context.Context, d time.Duration)
+}
+
+// New returns records kept in store. The clock is the wall clock; it only stamps the expiry.
+func New(store platform.Store, clock func() time.Time) *Records {
+	return &Records{store: store, clock: clock, nonce: uuid.NewString, pause: sleep}
+}
+
+// Claim takes the right to send, once, for this home and incarnation. Only Confirmed gives it.
+func (r *Records) Claim(ctx context.Context, w Wish, home, incarnation string) Result {
+	record := r.record(w, contract.AttemptClaimed)
+	record.Home = home
+	record.Incarnation = incarnation
+	return r.write(ctx, w, record)
+}
+
+// Seal makes sure that attempts up to w.Number never run. Only Confirmed, or a seal of at least that
+// number Found, says that they didn't and can't.
+func (r *Records) Seal(ctx context.Context, w Wish) Result {
+	return r.write(ctx, w, r.record(w, contract.AttemptSealed))
+}
+
+// Done replaces a confirmed claim by the answer.
+func (r *Records) Done(ctx context.Context, id ID, claim Result, answer contract.StoredAnswer, retention time.Duration) Result {
+	record := claim.Attempt
+	record.State = contract.AttemptDone
+	record.Answer = &answer
+	record.Nonce = r.nonce()
+	record.ExpiresAt = r.clock().Add(retention).Unix()
+	w := Wish{ID: id, Number: record.Number, Fingerprint: record.Fingerprint, Renounced: []string{claim.Attempt.Nonce}}
+	return r.writeFrom(ctx, w, record, claim.Version)
+}
+
+// Find reads the record: Found, Reused, Absent, or Untouched if the platform can't be asked.
+func (r *Records) Find(ctx context.Context, id ID, fingerprint string) Result {
+	standing, err := r.read(ctx, id)
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		return Result{Verdict: Absent}
+	case err != nil:
+		return Result{Verdict: Untouched}
+	case standing.Attempt.Fingerprint != fingerprint:
+		standing.Verdict = Reused
+	default:
+		standing.Verdict = Found
+	}
+	return standing
+}
+
+func (r *Records) record(w Wish, state contract.AttemptState) contract.Attempt {
+	return contract.Attempt{
+		State: state, Number: w.Number, Fingerprint: w.Fingerprint, RequestID: w.RequestID,
+		Nonce: r.nonce(), ExpiresAt: r.clock().Add(w.Retention).Unix(),
+	}
+}
+
+func (r *Records) read(ctx context.Context, id ID) (Result, error) {
+	object, err := r.store.Get(ctx, platform.KindAttempt, id.Name())
+	if err != nil {
+		return Result{}, err
+	}
+	standing := Result{Version: object.Version}
+	if err := json.Unmarshal(object.Value, &standing.Attempt); err != nil {
+		return Result{}, err
+	}
+	return standing, nil
+}
+
+// mayReplace says whether record may be written over standing.
+func mayReplace(standing, record contract.Attempt, renounced []string) bool {
+	switch standing.State {
+	case contract.AttemptSealed:
+		return standing.Number < record.Number
+	case contract.AttemptClaimed:
+		return slices.Contains(renounced, standing.Nonce)
+	default:
+		return false
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/contract/dispatch.go
+++ b/contract/dispatch.go
@@ -40,6 +40,9 @@
 	Body  []byte     `cbor:"18,keyasint"`
 	// Time is the sender's hybrid logical time, for the time line.
 	Time int64 `cbor:"19,keyasint"`
+	// Renounced lists the nonces of claims on Key whose holders told this front, by FrameRefused, that they
+	// will never send. Such a claim may be replaced by another claim or by a seal.
+	Renounced []string `cbor:"20,keyasint,omitempty"`
 }
 
 // PlainCall is the part of a Dispatch that only a plain service needs.
@@ -57,7 +60,9 @@
 const (
 	// FrameQueued: the home took the request into its queue.
 	FrameQueued FrameKind = iota + 1
-	// FrameRefused: the home gave the request up without sending it, and never will. Problem says why.
+	// FrameRefused: the home gave the request up and will never send it again. It did not send it, or the
+	// backend server was surely not reached, or said that it does not run it. Problem says why. If the home
+	// had claimed, or tried to and can't tell, Attempt holds that claim: it is renounced hereby.
 	FrameRefused
 	// FrameClaimed: the attempt record was created; the request may be sent from now on.
 	FrameClaimed
--- /dev/null
+++ b/contract/outcome/problem.go
@@ -0,0 +1,98 @@
+package outcome
+
+import (
+	"net/http"
+
+	"github.com/skylarkpond/skylarkpond/contract"
+)
+
+// elsewhere says that a refusal for this reason is a matter of that home or group, so that another
+// group may take the request.
+func elsewhere(code contract.Code) bool {
+	switch code {
+	case contract.CodeOverloaded, contract.CodeNoGroup, contract.CodeNotHome, contract.CodeLeaving,
+		contract.CodeBackendRefused, contract.CodeHomeLost:
+		return true
+	default:
+		return false
+	}
+}
+
+func orInternal(p *contract.Problem) *contract.Problem {
+	if p != nil {
+		return p
+	}
+	return &contract.Problem{
+		Code: contract.CodeInternal, Status: http.StatusInternalServerError, Outcome: contract.Unknown,
+		Message: "no reason was given",
+	}
+}
+
+func nextUnknown(r Request) string {
+	if r.Unrepeatable {
+		return "ask again with the same Idempotency-Key and Skylarkpond-Attempt: it will not run twice"
+	}
+	return "the request may be repeated: send it again"
+}
+
+func problemGap() *contract.Problem {
+	return &contract.Problem{
+		Code: contract.CodeTruncated, Status: http.StatusBadGateway, Message: "a part of the answer was lost on its way",
+	}
+}
+
+func problemTruncated() *contract.Problem {
+	return &contract.Problem{
+		Code: contract.CodeTruncated, Status: http.StatusBadGateway, Message: "the answer broke off after its beginning was delivered",
+	}
+}
+
+func problemHomeLost() *contract.Problem {
+	return contract.Later(contract.CodeHomeLost, "the entry that handles the group can't be heard", RetrySoon)
+}
+
+func problemDeadline() *contract.Problem {
+	return &contract.Problem{
+		Code: contract.CodeDeadline, Status: http.StatusGatewayTimeout, Message: "the request's time is over",
+		Next: "send it again with a longer Request-Timeout", RetryAfter: RetrySoon,
+	}
+}
+
+func problemPlatform() *contract.Problem {
+	return &contract.Problem{
+		Code: contract.CodePlatformOut, Status: http.StatusServiceUnavailable, RetryAfter: RetryOutage,
+		Message: "the platform could not confirm that the request can't run",
+	}
+}
+
+func problemInProgress() *contract.Problem {
+	return &contract.Problem{
+		Code: contract.CodeInProgress, Status: http.StatusConflict, Outcome: contract.InProgress, RetryAfter: RetrySoon,
+		Message: "an earlier copy with this key is still at work",
+		Next:    "ask again with the same Idempotency-Key after Retry-After",
+	}
+}
+
+func problemClaimed() *contract.Problem {
+	return &contract.Problem{
+		Code: contract.CodeUnknownOutcome, Status: http.StatusBadGateway,
+		Message: "a copy with this key was or may have been sent, and its answer is lost",
+	}
+}
+
+func problemReused() *contract.Problem {
+	return contract.Refuse(http.StatusUnprocessableEntity, contract.CodeKeyReused,
+		"this Idempotency-Key was used for another request", "use a new key")
+}
+
+func problemSealed() *contract.Problem {
+	return contract.Refuse(http.StatusConflict, contract.CodeSealed,
+		"this attempt was given up earlier, and did not run", "try again with a higher Skylarkpond-Attempt")
+}
+
+func problemTooLarge() *contract.Problem {
+	return &contract.Problem{
+		Code: contract.CodeAnswerTooLarge, Status: http.StatusOK, Outcome: contract.Answered,
+		Message: "the request ran, and its answer was too large to be kept",
+	}
+}
--- /dev/null
+++ b/entry/front/drive.go
@@ -0,0 +1,226 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/skylarkpond/skylarkpond/contract"
+	"github.com/skylarkpond/skylarkpond/contract/attempt"
+	"github.com/skylarkpond/skylarkpond/contract/outcome"
+	"github.com/skylarkpond/skylarkpond/timeline"
+	"github.com/skylarkpond/skylarkpond/vm"
+)
+
+// recordTimeout bounds a seal, a look-up or a question to a claim's holder. The caller waits for it with
+// nothing else left to wait for, so it is short.
+const recordTimeout = time.Second
+
+// drive does what the machine of one request asks for. Only the goroutine of the request uses it.
+type drive struct {
+	front   *Front
+	q       *request
+	machine *outcome.Machine
+	out     writer
+	until   time.Time
+	tried   []vm.GroupID
+
+	choice Choice
+	cancel context.CancelFunc
+	next   chan received
+}
+
+// received is what a dispatch's reader got.
+type received struct {
+	frame contract.Frame
+	err   error
+}
+
+// serve answers one request. p, if set, is why it is refused before any dispatch.
+func (f *Front) serve(q *request, p *contract.Problem, r *http.Request, w http.ResponseWriter) {
+	if q.unrepeatable && q.key == "" {
+		q.key = f.newID()
+	}
+	f.deps.Recorder.Record(timeline.Event{
+		Kind: timeline.RequestAccepted, Request: q.id, Team: q.team.Name, Service: q.service.Name,
+	})
+	d := &drive{
+		front: f, q: q, out: newWriter(q, w), until: time.Now().Add(q.timeout),
+		machine: outcome.New(outcome.Request{
+			ID: q.id, Unrepeatable: q.unrepeatable, KeyChosen: q.chosen, Attempt: q.attempt,
+			Fingerprint: q.fingerprint, Resumable: q.service.CanResume, Plain: q.plain != nil,
+		}),
+	}
+	defer d.close()
+	d.run(r.Context(), p)
+}
+
+func (d *drive) run(ctx context.Context, p *contract.Problem) {
+	action := outcome.Action{}
+	if p != nil {
+		action = d.machine.Refuse(p)
+	} else {
+		d.front.deps.Retries.First(d.q.service.Name)
+		action = d.machine.Start()
+	}
+	for {
+		switch action.Do {
+		case outcome.Dispatch:
+			action = d.dispatch(ctx, action)
+		case outcome.Seal:
+			action = d.machine.Sealed(d.seal(ctx, action))
+		case outcome.Find:
+			action = d.machine.Found(d.find(ctx))
+		case outcome.AskHolder:
+			action = d.machine.Holder(d.working(ctx, action.Attempt))
+		case outcome.Tell:
+			d.tell(action)
+			return
+		default:
+			var over bool
+			if action, over = d.wait(ctx); over {
+				return
+			}
+		}
+	}
+}
+
+// wait takes the next thing that happens to the dispatch under way. over: the caller is gone.
+func (d *drive) wait(ctx context.Context) (action outcome.Action, over bool) {
+	timer := time.NewTimer(time.Until(d.until))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return action, true
+	case <-timer.C:
+		return d.machine.Deadline(), false
+	case got := <-d.next:
+		if got.err != nil {
+			return d.machine.Lost(errors.Is(got.err, ErrNotSent)), false
+		}
+		return d.take(got.frame)
+	}
+}
+
+func (d *drive) take(f contract.Frame) (action outcome.Action, over bool) {
+	d.front.deps.Recorder.Observe(f.Time)
+	action = d.machine.Frame(f)
+	if action.Do != outcome.Deliver {
+		return action, false
+	}
+	began, err := d.out.deliver(f)
+	if began {
+		d.machine.Delivered()
+	}
+	return outcome.Action{Do: outcome.Wait}, err != nil
+}
+
+func (d *drive) dispatch(ctx context.Context, action outcome.Action) outcome.Action {
+	d.close()
+	if action.Restart {
+		d.out.restart()
+	}
+	left := time.Until(d.until)
+	if left <= 0 {
+		return d.machine.Deadline()
+	}
+	service := d.q.service
+	if len(d.tried) > 0 && !d.front.deps.Retries.Retry(service.Name) {
+		return d.machine.NoDispatch(contract.Later(contract.CodeOverloaded, "too many retries are under way", outcome.RetrySoon))
+	}
+	choice, p := d.front.deps.Chooser.Choose(Ask{Service: service, Prefix: d.q.prefix, Work: d.q.work, Tried: d.tried})
+	if p != nil {
+		return d.machine.NoDispatch(p)
+	}
+	d.choice = choice
+	d.tried = append(d.tried, choice.Group)
+	order := d.q.dispatch(d.front, left)
+	order.Group = choice.Group
+	order.ResumeFrom = action.ResumeFrom
+	order.Renounced = action.Renounced
+	d.front.deps.Recorder.Record(timeline.Event{
+		Kind: timeline.RequestDispatched, Request: d.q.id, Team: d.q.team.Name, Service: service.Name, Group: string(choice.Group),
+	})
+	d.open(ctx, order)
+	return outcome.Action{Do: outcome.Wait}
+}
+
+// open starts the reader of a dispatch. It holds one frame at a time: what a slow caller does not take
+// stays with the home, within the window of its stream.
+func (d *drive) open(ctx context.Context, order contract.Dispatch) {
+	ctx, d.cancel = context.WithCancel(ctx)
+	next := make(chan received)
+	d.next = next
+	dispatcher := d.front.deps.Dispatcher
+	go func() {
+		frames, err := dispatcher.Dispatch(ctx, order)
+		if err != nil {
+			pass(ctx, next, received{err: err})
+			return
+		}
+		defer frames.Close()
+		for err == nil {
+			var frame contract.Frame
+			frame, err = frames.Next()
+			if !pass(ctx, next, received{frame: frame, err: err}) {
+				return
+			}
+		}
+	}()
+}
+
+func pass(ctx context.Context, next chan<- received, got received) bool {
+	select {
+	case next <- got:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// close ends the dispatch under way, if any.
+func (d *drive) close() {
+	if d.cancel == nil {
+		return
+	}
+	d.cancel()
+	d.cancel = nil
+	if d.choice.Done != nil {
+		d.choice.Done(false)
+	}
+}
+
+func (d *drive) seal(ctx context.Context, action outcome.Action) attempt.Result {
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	return d.front.deps.Attempts.Seal(ctx, attempt.Wish{
+		ID: d.id(), Number: d.q.attempt, Fingerprint: d.q.fingerprint, RequestID: d.q.id,
+		Retention: d.q.retention(), Renounced: action.Renounced,
+	})
+}
+
+func (d *drive) find(ctx context.Context) attempt.Result {
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	return d.front.deps.Attempts.Find(ctx, d.id(), d.q.fingerprint)
+}
+
+func (d *drive) id() attempt.ID { return attempt.ID{Team: d.q.team.Name, Key: d.q.key} }
+
+func (d *drive) working(ctx context.Context, a contract.Attempt) bool {
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	return d.front.deps.Holders.Working(ctx, a.Home, a.Incarnation, a.RequestID)
+}
+
+func (d *drive) tell(action outcome.Action) {
+	detail := string(action.Outcome)
+	if action.Problem != nil {
+		detail += " " + string(action.Problem.Code)
+	}
+	d.front.deps.Recorder.Record(timeline.Event{
+		Kind: timeline.RequestOutcome, Request: d.q.id, Team: d.q.team.Name, Service: d.q.service.Name, Detail: detail,
+	})
+	d.out.tell(action)
+}
--- /dev/null
+++ b/entry/front/writer.go
@@ -0,0 +1,89 @@
+package front
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/skylarkpond/skylarkpond/contract"
+	"github.com/skylarkpond/skylarkpond/contract/outcome"
+)
+
+// writeTimeout bounds one write to the caller. A caller that takes nothing for so long is cut: until then
+// its answer waits in the stream's window between home and front, not in memory that grows.
+const writeTimeout = 10 * time.Second
+
+// writer gives an answer to the caller.
+type writer interface {
+	// deliver takes a frame of the answer; began: a byte of it was given to the caller, so that the answer
+	// can't be begun anew. After an error the caller is gone.
+	deliver(f contract.Frame) (began bool, err error)
+	// restart forgets what was taken; it is called only before the answer began.
+	restart()
+	// tell ends the response.
+	tell(a outcome.Action)
+}
+
+func newWriter(q *request, w http.ResponseWriter) writer {
+	caller := &caller{q: q, w: w, control: http.NewResponseController(w)}
+	if q.plain != nil {
+		return &plainWriter{caller: caller}
+	}
+	if q.stream {
+		return &streamWriter{caller: caller}
+	}
+	return &wholeWriter{caller: caller}
+}
+
+// caller is the connection of one caller.
+type caller struct {
+	q       *request
+	w       http.ResponseWriter
+	control *http.ResponseController
+}
+
+func (c *caller) write(data []byte) error {
+	// An error here means that the connection has no deadlines, as in a test's recorder.
+	_ = c.control.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_, err := c.w.Write(data)
+	return err
+}
+
+func (c *caller) flush() { _ = c.control.Flush() }
+
+// outcomeHeaders sets what every answer that is not yet begun carries.
+func (c *caller) outcomeHeaders(a outcome.Action) {
+	header := c.w.Header()
+	header.Set(contract.HeaderRequestID, c.q.id)
+	header.Set(contract.HeaderOutcome, string(a.Outcome))
+	if c.q.unrepeatable && a.Outcome != contract.NotRun {
+		header.Set(contract.HeaderIdempotencyKey, c.q.key)
+	}
+	if a.Attempts > 0 {
+		header.Set(contract.HeaderAttempt, strconv.Itoa(a.Attempts))
+	}
+	if a.Problem != nil && a.Problem.RetryAfter > 0 {
+		seconds := math.Ceil(a.Problem.RetryAfter.Seconds())
+		header.Set(contract.HeaderRetryAfter, strconv.Itoa(int(seconds)))
+	}
+}
+
+// problem answers with a Problem as JSON.
+func (c *caller) problem(a outcome.Action) {
+	c.outcomeHeaders(a)
+	c.w.Header().Set("Content-Type", "application/problem+json")
+	c.w.WriteHeader(a.Problem.Status)
+	_ = c.write(c.problemBody(a))
+}
+
+func (c *caller) problemBody(a outcome.Action) []byte {
+	told := *a.Problem
+	told.RequestID = c.q.id
+	body, err := json.Marshal(told)
+	if err != nil {
+		return nil
+	}
+	return body
+}
--- /dev/null
+++ b/entry/home/home.go
@@ -0,0 +1,95 @@
+// Package home is the part of an entry that owns groups: it takes the dispatches of fronts, queues them,
+// claims those that may not be repeated, and sends each to the head of its group, once.
+//
+// Two entries may believe for a while that they own the same group. Nothing here depends on there being
+// one: the claim is decided by the platform, the group's members by the placement and the probes.
+package home
+
+import (
+	"context"
+	"time"
+
+	"github.com/skylarkpond/skylarkpond/contract"
+	"github.com/skylarkpond/skylarkpond/contract/attempt"
+	"github.com/skylarkpond/skylarkpond/contract/settings"
+	"github.com/skylarkpond/skylarkpond/link/engine"
+	"github.com/skylarkpond/skylarkpond/timeline"
+	"github.com/skylarkpond/skylarkpond/vm"
+)
+
+// Groups knows the placements, and which groups are this entry's.
+type Groups interface {
+	// Lookup returns the group as last placed, and whether this entry is its home.
+	Lookup(id vm.GroupID) (group vm.Group, home bool, ok bool)
+}
+
+// Presence knows whether a group is whole: every member answered a probe lately, with the right boot id,
+// group and epoch.
+type Presence interface {
+	Whole(id vm.GroupID) (ok bool, reason string)
+}
+
+// Item is a request in front of the queue.
+type Item struct {
+	Service settings.Service
+	Team    settings.Team
+	Group   vm.GroupID
+	// Timeout is how long the request may take in all, from now.
+	Timeout  time.Duration
+	Priority int
+	// Work is the estimated work in tokens.
+	Work int
+}
+
+// Turn is a request's place at work. Its owner reports what it sees, and calls Done once.
+type Turn interface {
+	// FirstToken and Token report the arrival of the first and of each later event, for the limit.
+	FirstToken()
+	Token(count int)
+	Done()
+}
+
+// Admission decides what is let in, what waits, and for how long.
+type Admission interface {
+	// Enter waits for a turn, or says at once why there is none.
+	Enter(ctx context.Context, item Item) (Turn, *contract.Problem)
+}
+
+// Deps is what a home needs.
+type Deps struct {
+	// Self and Incarnation name this life of this entry in claims.
+	Self        string
+	Incarnation string
+	Groups      Groups
+	Presence    Presence
+	Admission   Admission
+	Attempts    *attempt.Records
+	Engines     engine.Client
+	Settings    func() *settings.Snapshot
+	Recorder    *timeline.Recorder
+}
+
+// Home takes dispatches. It is safe for concurrent use.
+type Home struct {
+	deps Deps
+	work *table
+}
+
+// New returns a home.
+func New(deps Deps) *Home {
+	return &Home{deps: deps, work: newTable()}
+}
+
+// Working says whether this home is still at work on a request that it claimed.
+func (h *Home) Working(requestID string) bool { return h.work.has(requestID) }
+
+// Dispatch handles one dispatch and sends its frames. It returns when the answer is over, or when ctx is:
+// then the front is gone, and what it asked for is cancelled. An error of send counts as that too.
+func (h *Home) Dispatch(ctx context.Context, d contract.Dispatch, send func(contract.Frame) error) error {
+	ctx, cancel := context.WithTimeout(ctx, d.Timeout)
+	defer cancel()
+	h.deps.Recorder.Observe(d.Time)
+	run := newRun(h, d, send)
+	run.do(ctx)
+	return run.sendErr
+}
