--- /dev/null
+++ b/contract/attempt/records_test.go
@@ -0,0 +1,181 @@
+package attempt
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/skylarkpond/skylarkpond/contract"
+	"github.com/skylarkpond/skylarkpond/link/platform"
+)
+
+var _ = Describe("Records", func() {
+	var (
+		ctx   = context.Background()
+		store *fakeStore
+		now   time.Time
+	)
+
+	records := func() *Records {
+		r := New(store, func() time.Time { return now })
+		r.pause = func(context.Context, time.Duration) {}
+		return r
+	}
+	wish := func(number int, renounced ...string) Wish {
+		return Wish{
+			ID: ID{"dairy", "lot-7"}, Number: number, Fingerprint: "f", RequestID: "r",
+			Retention: time.Hour, Renounced: renounced,
+		}
+	}
+	stand := func(a contract.Attempt) {
+		value, err := json.Marshal(a)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = store.apply("dairy/lot-7", store.objects["dairy/lot-7"].Version, value)
+		Expect(err).NotTo(HaveOccurred())
+	}
+	standing := func() contract.Attempt {
+		var a contract.Attempt
+		if object, ok := store.objects["dairy/lot-7"]; ok {
+			Expect(json.Unmarshal(object.Value, &a)).To(Succeed())
+		}
+		return a
+	}
+
+	BeforeEach(func() {
+		store = newFakeStore()
+		now = time.Unix(1000, 0)
+	})
+
+	// A booking's claim meets what stands already: nothing, an earlier try given up, another home's claim, an
+	// answer. If a claim went through over more than a lower seal, the lot would be booked twice.
+	DescribeTable("claims and seals over what stands",
+		func(before contract.Attempt, number int, claim, seal Verdict) {
+			for _, c := range []struct {
+				want Verdict
+				call func() Result
+			}{
+				{claim, func() Result { return records().Claim(ctx, wish(number, "gone"), "e1", "i1") }},
+				{seal, func() Result { return records().Seal(ctx, wish(number, "gone")) }},
+			} {
+				store = newFakeStore()
+				if before.State != "" {
+					stand(before)
+				}
+				result := c.call()
+				Expect(result.Verdict).To(Equal(c.want))
+				Expect(standing()).To(Equal(result.Attempt))
+			}
+		},
+		Entry("nothing", contract.Attempt{}, 1, Confirmed, Confirmed),
+		Entry("a lower seal", contract.Attempt{State: contract.AttemptSealed, Number: 1, Fingerprint: "f"}, 2, Confirmed, Confirmed),
+		Entry("the same seal", contract.Attempt{State: contract.AttemptSealed, Number: 2, Fingerprint: "f"}, 2, Found, Found),
+		Entry("a higher seal", contract.Attempt{State: contract.AttemptSealed, Number: 3, Fingerprint: "f"}, 2, Found, Found),
+		Entry("a lower claim", contract.Attempt{State: contract.AttemptClaimed, Number: 1, Fingerprint: "f", Nonce: "x"}, 2, Found, Found),
+		Entry("a renounced claim", contract.Attempt{State: contract.AttemptClaimed, Number: 1, Fingerprint: "f", Nonce: "gone"}, 1, Confirmed, Confirmed),
+		Entry("an answer", contract.Attempt{State: contract.AttemptDone, Number: 1, Fingerprint: "f", Nonce: "gone"}, 2, Found, Found),
+		Entry("another request's seal", contract.Attempt{State: contract.AttemptSealed, Number: 1, Fingerprint: "g"}, 2, Reused, Reused),
+		Entry("another request's claim", contract.Attempt{State: contract.AttemptClaimed, Number: 1, Fingerprint: "g"}, 1, Reused, Reused),
+	)
+
+	// The platform takes the write and its answer is lost, or loses the write, or is out for a while. Read the
+	// wrong way, a request runs that was told not-run, or a seal is told that never came about.
+	DescribeTable("a write whose answer is lost",
+		func(want Verdict, written bool, faults ...fault) {
+			for _, claim := range []bool{true, false} {
+				store = newFakeStore(faults...)
+				var result Result
+				if claim {
+					result = records().Claim(ctx, wish(1), "e1", "i1")
+				} else {
+					result = records().Seal(ctx, wish(1))
+				}
+				Expect(result.Verdict).To(Equal(want))
+				Expect(standing().Nonce != "").To(Equal(written))
+				if want == Confirmed {
+					Expect(standing()).To(Equal(result.Attempt))
+					Expect(store.objects["dairy/lot-7"].Version).To(Equal(result.Version))
+				}
+			}
+		},
+		Entry("taken, answer lost, read back", Confirmed, true, lost),
+		Entry("taken, answer lost, first read lost", Confirmed, true, lost, lost),
+		Entry("lost on its way, sent again", Confirmed, true, void),
+		Entry("late, behind the read, sent again", Confirmed, true, late),
+		Entry("throttled, then taken", Confirmed, true, limit),
+		Entry("out all the time", Untouched, false, out, out, out, out),
+		Entry("taken, answer lost, then out", Unsure, true, lost, out, out, out, out),
+		Entry("lost, then out", Unsure, false, void, out, out, out, out),
+	)
+
+	// A late seal and a claim of the same number are under way together, each with its answer lost. Whatever
+	// lands first, at most one of the two may be confirmed.
+	DescribeTable("a claim against a seal that is on its way",
+		func(sealFault fault, claimFirst bool) {
+			store.faults = []fault{sealFault, out, out, out, out, out, out, out, out}
+			r := records()
+			seal := r.Seal(ctx, wish(1))
+			Expect(seal.Verdict).To(Equal(Unsure))
+			store.faults = nil
+			if !claimFirst {
+				store.land()
+			}
+			claim := r.Claim(ctx, wish(1), "e1", "i1")
+			store.land()
+			Expect(claim.Verdict == Confirmed).To(Equal(standing().State == contract.AttemptClaimed))
+		},
+		Entry("taken before", lost, false),
+		Entry("lands before", late, false),
+		Entry("lands behind", late, true),
+		Entry("never lands", void, true),
+	)
+
+	It("keeps the answer in place of the claim, and finds it", func() {
+		r := records()
+		claim := r.Claim(ctx, wish(1), "e1", "i1")
+		store.faults = []fault{lost}
+		answer := contract.StoredAnswer{Status: 201, Body: []byte("lot 7")}
+		Expect(r.Done(ctx, wish(1).ID, claim, answer, time.Hour).Verdict).To(Equal(Confirmed))
+		found := r.Find(ctx, wish(1).ID, "f")
+		Expect(found.Verdict).To(Equal(Found))
+		Expect(found.Attempt.Answer).To(Equal(&answer))
+		Expect(r.Find(ctx, wish(1).ID, "g").Verdict).To(Equal(Reused))
+		Expect(r.Find(ctx, ID{"dairy", "other"}, "f").Verdict).To(Equal(Absent))
+		store.faults = []fault{out}
+		Expect(r.Find(ctx, wish(1).ID, "f").Verdict).To(Equal(Untouched))
+	})
+
+	It("spends two calls on a claim and its answer", func() {
+		r := records()
+		claim := r.Claim(ctx, wish(1), "e1", "i1")
+		r.Done(ctx, wish(1).ID, claim, contract.StoredAnswer{Status: 200}, time.Hour)
+		Expect(store.puts + store.gets).To(Equal(2))
+	})
+
+	// Nobody deletes records for a night; then thousands are due at once. The purge keeps to its rate, spares
+	// what is not due, and stops when the platform is out.
+	It("purges what expired, and nothing else", func() {
+		r := records()
+		for i := range 5 {
+			w := wish(1)
+			w.ID.Key = fmt.Sprint(i)
+			if i >= 3 {
+				w.Retention = 24 * time.Hour
+			}
+			Expect(r.Seal(ctx, w).Verdict).To(Equal(Confirmed))
+		}
+		now = now.Add(2 * time.Hour)
+		purger := NewPurger(store, func() time.Time { return now }, 1000)
+		store.faults = []fault{fine, out}
+		deleted, err := purger.Purge(ctx)
+		Expect(deleted).To(Equal(1))
+		Expect(err).To(MatchError(platform.ErrUnavailable))
+		deleted, err = purger.Purge(ctx)
+		Expect(deleted).To(Equal(2))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(store.objects).To(HaveLen(2))
+	})
+})
