--- /dev/null
+++ b/entry/dispatch.go
@@ -0,0 +1,179 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+
+	"github.com/skylarkpond/skylarkpond/contract"
+	"github.com/skylarkpond/skylarkpond/entry/fleet"
+	"github.com/skylarkpond/skylarkpond/entry/front"
+	"github.com/skylarkpond/skylarkpond/entry/home"
+	"github.com/skylarkpond/skylarkpond/link/peer"
+	"github.com/skylarkpond/skylarkpond/timeline"
+)
+
+// Paths of the calls between entries.
+const (
+	pathDispatch = "/peer/v1/dispatch"
+	pathWorking  = "/peer/v1/working"
+)
+
+// dispatcher carries dispatches from the own front to the home of a group: by a function call if this
+// entry is the home, else over the peer link.
+type dispatcher struct {
+	self     string
+	table    *fleet.Table
+	home     *home.Home
+	book     *addressBook
+	client   *peer.Client
+	recorder *timeline.Recorder
+}
+
+// Dispatch implements front.Dispatcher.
+func (d *dispatcher) Dispatch(ctx context.Context, request contract.Dispatch) (front.Frames, error) {
+	owner := d.table.HomeOf(request.Group)
+	request.Time = d.recorder.Now()
+	d.recorder.Record(timeline.Event{
+		Kind: timeline.RequestDispatched, Request: request.RequestID, Group: string(request.Group), Peer: owner,
+	})
+	if owner == d.self {
+		return d.observed(request, d.local(ctx, request)), nil
+	}
+	address, ok := d.book.peerAddress(owner)
+	if !ok {
+		return nil, front.ErrNotSent
+	}
+	receiver, err := d.client.Stream(ctx, address, pathDispatch, request)
+	if errors.Is(err, peer.ErrNotSent) {
+		return nil, front.ErrNotSent
+	}
+	if err != nil {
+		return nil, err
+	}
+	return d.observed(request, &remoteFrames{receiver: receiver}), nil
+}
+
+func (d *dispatcher) observed(request contract.Dispatch, frames front.Frames) front.Frames {
+	return &observedFrames{Frames: frames, request: request, table: d.table, recorder: d.recorder}
+}
+
+// observedFrames takes what frames tell beside the answer: the group's load and the sender's time.
+type observedFrames struct {
+	front.Frames
+	request  contract.Dispatch
+	table    *fleet.Table
+	recorder *timeline.Recorder
+}
+
+// Next implements front.Frames.
+func (o *observedFrames) Next() (contract.Frame, error) {
+	frame, err := o.Frames.Next()
+	if err != nil {
+		return frame, err
+	}
+	if frame.Load != nil {
+		o.table.ReportLoad(o.request.Group, *frame.Load)
+	}
+	if frame.Time != 0 {
+		o.recorder.Observe(frame.Time)
+	}
+	return frame, nil
+}
+
+// remoteFrames are the frames of a home in another process.
+type remoteFrames struct{ receiver *peer.Receiver }
+
+// Next implements front.Frames.
+func (r *remoteFrames) Next() (contract.Frame, error) {
+	var frame contract.Frame
+	err := r.receiver.Next(&frame)
+	return frame, err
+}
+
+// Close implements front.Frames.
+func (r *remoteFrames) Close() { r.receiver.Close() }
+
+// localFrames are the frames of the own home role. A slow caller holds the home up after localBacklog
+// frames, as a full stream window does between processes.
+type localFrames struct {
+	ctx    context.Context
+	cancel context.CancelFunc
+	frames chan contract.Frame
+}
+
+const localBacklog = 64
+
+func (d *dispatcher) local(ctx context.Context, request contract.Dispatch) front.Frames {
+	ctx, cancel := context.WithCancel(ctx)
+	l := &localFrames{ctx: ctx, cancel: cancel, frames: make(chan contract.Frame, localBacklog)}
+	go func() {
+		defer close(l.frames)
+		_ = d.home.Dispatch(ctx, request, l.send)
+	}()
+	return l
+}
+
+func (l *localFrames) send(frame contract.Frame) error {
+	select {
+	case l.frames <- frame:
+		return nil
+	case <-l.ctx.Done():
+		return l.ctx.Err()
+	}
+}
+
+// Next implements front.Frames.
+func (l *localFrames) Next() (contract.Frame, error) {
+	select {
+	case frame, ok := <-l.frames:
+		if !ok {
+			return frame, io.EOF
+		}
+		return frame, nil
+	case <-l.ctx.Done():
+		return contract.Frame{}, l.ctx.Err()
+	}
+}
+
+// Close implements front.Frames.
+func (l *localFrames) Close() { l.cancel() }
+
+// working is asked of the holder of a claim.
+type working struct {
+	Incarnation string `cbor:"1,keyasint"`
+	RequestID   string `cbor:"2,keyasint"`
+}
+
+// Working implements front.Holders. No answer counts as not working: the caller is then told unknown,
+// which is true whatever the holder does.
+func (d *dispatcher) Working(ctx context.Context, holder, incarnation, requestID string) bool {
+	question := working{Incarnation: incarnation, RequestID: requestID}
+	if holder == d.self {
+		return d.atWork(question)
+	}
+	address, ok := d.book.peerAddress(holder)
+	if !ok {
+		return false
+	}
+	var answer bool
+	err := d.client.Call(ctx, address, pathWorking, question, &answer)
+	return err == nil && answer
+}
+
+func (d *dispatcher) atWork(question working) bool {
+	return question.Incarnation == d.book.incarnation && d.home.Working(question.RequestID)
+}
+
+// register makes the calls that other entries' fronts make.
+func (d *dispatcher) register(server *peer.Server) {
+	peer.HandleStream(server, pathDispatch, func(ctx context.Context, _ string, request contract.Dispatch, send func(v any) error) error {
+		return d.home.Dispatch(ctx, request, func(frame contract.Frame) error {
+			frame.Time = d.recorder.Now()
+			return send(frame)
+		})
+	})
+	peer.Handle(server, pathWorking, func(_ context.Context, _ string, question working) (bool, error) {
+		return d.atWork(question), nil
+	})
+}
