--- a/entry/controller/controller.go
+++ b/entry/controller/controller.go
@@ -37,6 +37,8 @@
 	// ActWithin is how long a confirmed read or write of the placement allows to act. It bounds how long a
 	// controller that was replaced without noticing goes on; a round takes far less.
 	ActWithin = 2 * time.Second
+	// WriteTimeout bounds how long a write whose answer was lost is settled; then the next round reads.
+	WriteTimeout = 2 * time.Second
 	// OrderDeadline is how long after its sending an order may still be carried out.
 	OrderDeadline = 2 * time.Second
 	// OrderTimeout bounds the wait for the answer to an order.
--- a/entry/controller/work.go
+++ b/entry/controller/work.go
@@ -227,7 +227,9 @@
 		return eris.Wrap(err, "placement")
 	}
 	begun := w.c.Now()
-	version, err := putConfirmed(ctx, w.c.Store, platform.KindPlacement, string(w.fabric), w.version, value, next.Nonce)
+	ctx, cancel := context.WithTimeout(ctx, WriteTimeout)
+	defer cancel()
+	version, err := platform.PutConfirmed(ctx, w.c.Store, platform.KindPlacement, string(w.fabric), w.version, value, next.Nonce)
 	if err != nil {
 		w.placement = nil
 		return err
