Settings: an empty list is stored as a list, not as null

Fuzzing the stored form found it within 6 s and about 100,000 inputs: a node that sets a list to [] was stored as null, because slices.Concat of nothing is nil, and the strict parser then refused the whole tree. One accepted change would have kept every entry from reading the settings. The input stands in the corpus; plain go test failed on it before the change and passes after it.

--- a/contract/settings/value.go
+++ b/contract/settings/value.go
@@ -84,7 +84,7 @@
 	case FlagValue:
 		return v.Flag
 	case ListValue:
-		return slices.Concat([]string{}, v.List)
+		return append([]string{}, v.List...) // never nil: null would be read back as a missing value
 	}
 	return v.String()
 }
