--- a/internal/standin/engine/host.go
+++ b/internal/standin/engine/host.go
@@ -10,6 +10,7 @@
 package engine
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -104,10 +105,18 @@
 	}
 }
 
-// VMs returns the VMs, by name, as a platform would list them: also the dead ones.
-func (h *Host) VMs() []vm.VM {
+// VMs returns all VMs, by name.
+func (h *Host) VMs() []vm.VM { return h.list(func(*machine) bool { return true }) }
+
+// LiveVMs returns those that are not dead.
+func (h *Host) LiveVMs() []vm.VM { return h.list((*machine).lives) }
+
+func (h *Host) list(wanted func(*machine) bool) []vm.VM {
 	list := make([]vm.VM, 0)
 	for _, m := range h.all() {
+		if !wanted(m) {
+			continue
+		}
 		spec := m.spec
 		spec.Leaving = m.settings().leaving
 		list = append(list, spec)
@@ -122,12 +131,7 @@
 	for _, m := range h.machines {
 		list = append(list, m)
 	}
-	slices.SortFunc(list, func(a, b *machine) int {
-		if a.spec.Name < b.spec.Name {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(list, func(a, b *machine) int { return cmp.Compare(a.spec.Name, b.spec.Name) })
 	return list
 }
 
--- a/internal/standin/platform/table.go
+++ b/internal/standin/platform/table.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"cmp"
 	"encoding/json"
 	"slices"
 	"sync"
@@ -118,7 +119,7 @@
 // since must be called with mu held.
 func (t *table) since(revision platform.Version) []Change {
 	first, _ := slices.BinarySearchFunc(t.history, revision+1, func(c Change, v platform.Version) int {
-		return compareVersions(c.Version, v)
+		return cmp.Compare(c.Version, v)
 	})
 	return t.history[first:]
 }
@@ -171,15 +172,5 @@
 }
 
 func sortByVersion(objects []platform.Object) {
-	slices.SortFunc(objects, func(a, b platform.Object) int { return compareVersions(a.Version, b.Version) })
-}
-
-func compareVersions(a, b platform.Version) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
+	slices.SortFunc(objects, func(a, b platform.Object) int { return cmp.Compare(a.Version, b.Version) })
 }
