--- a/internal/standin/engine/machine.go
+++ b/internal/standin/engine/machine.go
@@ -209,6 +209,18 @@
 	return worst
 }
 
+// slowest returns the largest factor among the members of an order: a decoding step ends with its last
+// member.
+func (h *Host) slowest(order engine.Order) float64 {
+	factor := 0.0
+	for _, name := range order.Members {
+		if m := h.machine(name); m != nil {
+			factor = max(factor, m.settings().slow)
+		}
+	}
+	return factor
+}
+
 // addCancel returns a channel that closes when the request is cancelled by its id.
 func (m *machine) addCancel(b *boot, requestID string) chan struct{} {
 	m.mu.Lock()
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -34,10 +34,19 @@
 		ModelVersion: b.order.ModelVersion,
 		Ready:        ready(b),
 		Leaving:      m.faults.leaving,
-		Load:         b.batch.load(m.faults.loadLag),
+		Load:         m.load(b),
 	}
 }
 
+// load must be called with mu held.
+func (m *machine) load(b *boot) engine.Load {
+	load := b.batch.load(m.faults.loadLag)
+	if ready(b) && m.spec.Service == "" {
+		load.StepMicros = scale(m.faults.tokenGap, m.faults.slow).Microseconds()
+	}
+	return load
+}
+
 // ready must be called with the machine's mu held.
 func ready(b *boot) bool {
 	return b.order.Kind == engine.OrderLoad && !time.Now().Before(b.readyAt)
--- a/internal/standin/engine/switches.go
+++ b/internal/standin/engine/switches.go
@@ -41,7 +41,8 @@
 	// Freeze accepts connections but answers nothing; false thaws, and what was held goes on, whether or not
 	// its caller is still there.
 	Freeze *bool `json:"freeze,omitempty"`
-	// Slow is a factor on all token times; 1 is the usual speed.
+	// Slow is a factor on all token times of the VM's group, and on the step time that the VM itself reports;
+	// 1 is the usual speed.
 	Slow *float64 `json:"slow,omitempty"`
 	// CrashMarker kills the VM when it begins a request whose body holds this text; "" for none.
 	CrashMarker *string `json:"crash_marker,omitempty"`
