The whole path: entries before stand-ins, and skylarkpond dev

A front sends to the home of a group over HTTP/3; the home claims what may not be repeated and sends to the engine of the head VM; controllers form the groups. The mirror's own pulls are gone: rumours already carry objects and heal.

--- /dev/null
+++ b/cmd/skylarkpond/main.go
@@ -0,0 +1,76 @@
+// Command skylarkpond is the process of an entry VM.
+//
+//	skylarkpond serve   serves as one entry
+//	skylarkpond check   checks the flags and the platform, and starts nothing
+//	skylarkpond dev     serves on loopback, with stand-ins for the platform and the backend servers
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/skylarkpond/skylarkpond/dev"
+	"github.com/skylarkpond/skylarkpond/entry"
+)
+
+// arguments are the subcommands.
+type arguments struct {
+	Serve *entry.Config `arg:"subcommand:serve" help:"serve as one entry"`
+	Check *entry.Config `arg:"subcommand:check" help:"check the settings of this process and whether the platform answers"`
+	Dev   *dev.Config   `arg:"subcommand:dev" help:"serve on loopback with stand-ins for the platform and the backend servers"`
+}
+
+// Description is shown by --help.
+func (arguments) Description() string {
+	return "skylarkpond serves models whose replicas span several VMs."
+}
+
+// Epilogue is shown by --help.
+func (arguments) Epilogue() string {
+	return "Exit codes: 0 stopped in order, 1 failed, 2 wrong settings."
+}
+
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+func main() {
+	var args arguments
+	parser := arg.MustParse(&args)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	switch {
+	case args.Serve != nil:
+		check(args.Serve.Check())
+		exit(entry.Serve(ctx, *args.Serve))
+	case args.Check != nil:
+		check(args.Check.Check())
+		exit(entry.CheckPlatform(ctx, *args.Check, os.Stdout))
+	case args.Dev != nil:
+		check(args.Dev.Check())
+		exit(dev.Run(ctx, *args.Dev, os.Stdout))
+	default:
+		parser.WriteHelp(os.Stdout)
+		os.Exit(exitUsage)
+	}
+}
+
+func check(err error) {
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "skylarkpond:", err)
+		os.Exit(exitUsage)
+	}
+}
+
+func exit(err error) {
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "skylarkpond:", err)
+		os.Exit(exitFailed)
+	}
+}
--- a/contract/admin/admin.go
+++ b/contract/admin/admin.go
@@ -17,6 +17,7 @@
 	StatusPath     = Prefix + "/status"
 	TimelinePath   = Prefix + "/timeline"
 	QuarantinePath = Prefix + "/quarantine"
+	MetricsPath    = Prefix + "/metrics"
 )
 
 // MaxChangeBytes bounds the body of an apply; a tree as a whole has to fit the platform's megabyte.
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"io"
+	"sync/atomic"
 
 	"github.com/skylarkpond/skylarkpond/contract"
 	"github.com/skylarkpond/skylarkpond/entry/fleet"
 	"github.com/skylarkpond/skylarkpond/entry/front"
 	"github.com/skylarkpond/skylarkpond/entry/home"
+	"github.com/skylarkpond/skylarkpond/entry/member"
 	"github.com/skylarkpond/skylarkpond/link/peer"
 	"github.com/skylarkpond/skylarkpond/timeline"
 )
@@ -25,9 +27,12 @@
 	self     string
 	table    *fleet.Table
 	home     *home.Home
-	book     *addressBook
+	members  *member.Members
+	life     string // the own incarnation
 	client   *peer.Client
 	recorder *timeline.Recorder
+	// serving counts the dispatches of other entries' fronts under way here.
+	serving atomic.Int64
 }
 
 // Dispatch implements front.Dispatcher.
@@ -40,7 +45,7 @@
 	if owner == d.self {
 		return d.observed(request, d.local(ctx, request)), nil
 	}
-	address, ok := d.book.peerAddress(owner)
+	address, ok := d.liveAddress(owner)
 	if !ok {
 		return nil, front.ErrNotSent
 	}
@@ -152,7 +157,7 @@
 	if holder == d.self {
 		return d.atWork(question)
 	}
-	address, ok := d.book.peerAddress(holder)
+	address, ok := d.liveAddress(holder)
 	if !ok {
 		return false
 	}
@@ -162,12 +167,24 @@
 }
 
 func (d *dispatcher) atWork(question working) bool {
-	return question.Incarnation == d.book.incarnation && d.home.Working(question.RequestID)
+	return question.Incarnation == d.life && d.home.Working(question.RequestID)
+}
+
+// liveAddress returns where a live entry takes calls from other entries.
+func (d *dispatcher) liveAddress(name string) (string, bool) {
+	for _, p := range d.members.Live() {
+		if p.Name == name {
+			return p.PeerAddress, true
+		}
+	}
+	return "", false
 }
 
 // register makes the calls that other entries' fronts make.
 func (d *dispatcher) register(server *peer.Server) {
 	peer.HandleStream(server, pathDispatch, func(ctx context.Context, _ string, request contract.Dispatch, send func(v any) error) error {
+		d.serving.Add(1)
+		defer d.serving.Add(-1)
 		return d.home.Dispatch(ctx, request, func(frame contract.Frame) error {
 			frame.Time = d.recorder.Now()
 			return send(frame)
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -32,6 +32,10 @@
 	At int64 `cbor:"6,keyasint"`
 	// Reason says why the group is not whole.
 	Reason string `cbor:"7,keyasint,omitempty"`
+	// Drained is set when the group drains, takes no more, and Remaining is sure.
+	Drained bool `cbor:"8,keyasint,omitempty"`
+	// Remaining counts the requests still at work on a draining group, those of earlier homes included.
+	Remaining int `cbor:"9,keyasint,omitempty"`
 }
 
 // Candidate is a group that a front may choose.
@@ -153,6 +157,18 @@
 	return r.group, t.versions[r.fabric], true
 }
 
+// Candidate returns what is known of one group.
+func (t *Table) Candidate(id vm.GroupID) (Candidate, bool) {
+	live := t.live()
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	r := t.rows[id]
+	if r == nil {
+		return Candidate{}, false
+	}
+	return r.candidate(live), true
+}
+
 // Candidates returns the serving groups of a service, sorted by id. Whether the home calls them whole is
 // in the status; the home checks it again at each dispatch, so a stale status costs a try, never safety.
 func (t *Table) Candidates(service string) []Candidate {
--- a/entry/mirror/mirror.go
+++ b/entry/mirror/mirror.go
@@ -1,10 +1,9 @@
 // Package mirror keeps an entry's copy of the platform's objects.
 //
 // The flow: a few entries, chosen by rendezvous hashing for each kind, hold a waiting watch on the
-// platform. What they learn they announce among the entries; an entry that hears of a higher version
-// pulls the object from the entry that announced it, and announces it in turn. So the platform's calls
-// depend on the number of kinds and of changes, not on the number of entries, and an entry that is cut off
-// from the platform, or all of them during an outage, still follow.
+// platform. What they learn they spread as rumours among the entries. So the platform's calls depend on
+// the number of kinds and of changes, not on the number of entries; and an entry that is cut off from the
+// platform still follows.
 //
 // Invariant: the version of an object never goes down, whichever way a copy arrives: watches repeat,
 // peers lag, and reads of a partitioned replica are stale.
@@ -17,13 +16,6 @@
 	"github.com/skylarkpond/skylarkpond/link/platform"
 )
 
-// Ref names an object at a version.
-type Ref struct {
-	Kind    platform.Kind    `cbor:"1,keyasint"`
-	Name    string           `cbor:"2,keyasint"`
-	Version platform.Version `cbor:"3,keyasint"`
-}
-
 type key struct {
 	kind platform.Kind
 	name string
@@ -142,47 +134,6 @@
 	}
 }
 
-// Pick returns the copies of the refs that are known at their version or above.
-func (m *Mirror) Pick(refs []Ref) []platform.Object {
-	m.mu.RLock()
-	defer m.mu.RUnlock()
-	var found []platform.Object
-	for _, ref := range refs {
-		object, ok := m.objects[key{ref.Kind, ref.Name}]
-		if ok && object.Version >= ref.Version {
-			found = append(found, object)
-		}
-	}
-	return found
-}
-
-// Refs returns what is known of a kind, deletions included, sorted by name.
-func (m *Mirror) Refs(kind platform.Kind) []Ref {
-	m.mu.RLock()
-	defer m.mu.RUnlock()
-	var refs []Ref
-	for k, object := range m.objects {
-		if k.kind == kind {
-			refs = append(refs, Ref{Kind: kind, Name: k.name, Version: object.Version})
-		}
-	}
-	slices.SortFunc(refs, func(a, b Ref) int { return compareNames(a.Name, b.Name) })
-	return refs
-}
-
-// Newer returns those refs that are above what is known.
-func (m *Mirror) Newer(refs []Ref) []Ref {
-	m.mu.RLock()
-	defer m.mu.RUnlock()
-	var newer []Ref
-	for _, ref := range refs {
-		if ref.Version > m.objects[key{ref.Kind, ref.Name}].Version {
-			newer = append(newer, ref)
-		}
-	}
-	return newer
-}
-
 func compareNames(a, b string) int {
 	switch {
 	case a < b:
--- a/entry/operator/deps.go
+++ b/entry/operator/deps.go
@@ -10,6 +10,7 @@
 	"context"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
 	"github.com/skylarkpond/skylarkpond/contract/admin"
@@ -78,8 +79,10 @@
 	Quarantine QuarantineSource
 	VMs        VMLists
 	Recorder   Recorder
-	Log        logrus.FieldLogger
-	Clock      func() time.Time
+	// Metrics are the process's metrics, shown as JSON.
+	Metrics metrics.Registry
+	Log     logrus.FieldLogger
+	Clock   func() time.Time
 	// Nonce makes the writer's mark of each write; no two may be equal.
 	Nonce func() string
 	// BootstrapKeyHash is the hash of the token accepted while the platform holds no tree; empty: none.
--- a/entry/operator/server.go
+++ b/entry/operator/server.go
@@ -9,6 +9,7 @@
 	"strconv"
 
 	"github.com/emicklei/go-restful/v3"
+	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
 	"github.com/skylarkpond/skylarkpond/contract"
@@ -40,6 +41,7 @@
 	get(admin.StatusPath, s.getStatus)
 	get(admin.TimelinePath, s.getTimeline)
 	get(admin.QuarantinePath, s.getQuarantine)
+	get(admin.MetricsPath, s.getMetrics)
 	service.Route(service.POST(admin.ApplyPath[len(admin.Prefix):]).Consumes(restful.MIME_JSON).To(s.postChange))
 	service.Route(service.DELETE(admin.QuarantinePath[len(admin.Prefix):] + "/{service}/{fingerprint}").To(s.liftQuarantine))
 	container := restful.NewContainer()
@@ -47,6 +49,11 @@
 	return container
 }
 
+func (s *Server) getMetrics(_ *restful.Request, resp *restful.Response) {
+	resp.AddHeader(restful.HEADER_ContentType, restful.MIME_JSON)
+	metrics.WriteJSONOnce(s.deps.Metrics, resp)
+}
+
 func (s *Server) postChange(req *restful.Request, resp *restful.Response) {
 	body, err := io.ReadAll(http.MaxBytesReader(resp.ResponseWriter, req.Request.Body, admin.MaxChangeBytes))
 	if err != nil {
--- a/entry/prober/prober.go
+++ b/entry/prober/prober.go
@@ -24,6 +24,9 @@
 	// refreshInterval is how often an unchanged status is told again, so that entries which started later
 	// learn it.
 	refreshInterval = 4 * time.Second
+	// spreadTime is how long the news that a group drains may take to all entries; three seconds is what the
+	// users are promised for a leaving backend server.
+	spreadTime = 3 * time.Second
 )
 
 // Groups is the table of groups.
@@ -46,9 +49,16 @@
 
 	jobs chan job
 
-	mu    sync.Mutex // guards told; a leaf lock
-	told  map[vm.GroupID]told
-	loads map[vm.GroupID]engine.Load
+	mu       sync.Mutex // guards what follows; a leaf lock
+	told     map[vm.GroupID]told
+	loads    map[vm.GroupID]headLoad
+	draining map[vm.GroupID]time.Time // when this home first saw the group draining
+}
+
+// headLoad is what the head of a group reported, and the time for which it is true.
+type headLoad struct {
+	load engine.Load
+	asOf time.Time
 }
 
 type job struct {
@@ -60,9 +70,16 @@
 	whole bool
 	epoch uint64
 	gap   vm.Gap
+	drain drain
 	at    time.Time
 }
 
+// drain says how far a draining group is.
+type drain struct {
+	sure      bool
+	remaining int
+}
+
 // Deps are what a Prober works with.
 type Deps struct {
 	Self     string
@@ -81,9 +98,10 @@
 	return &Prober{
 		self: d.Self, groups: d.Groups, client: d.Client, presence: d.Presence, recorder: d.Recorder,
 		loadOf: d.LoadOf, tell: d.Tell, paused: d.Paused,
-		jobs:  make(chan job, 4*workers),
-		told:  make(map[vm.GroupID]told),
-		loads: make(map[vm.GroupID]engine.Load),
+		jobs:     make(chan job, 4*workers),
+		told:     make(map[vm.GroupID]told),
+		loads:    make(map[vm.GroupID]headLoad),
+		draining: make(map[vm.GroupID]time.Time),
 	}
 }
 
@@ -146,22 +164,40 @@
 		Ready: state.Ready, Leaving: state.Leaving,
 	})
 	if j.member.VM == j.group.Head().VM {
-		p.keepLoad(j.group.ID, state.Load)
+		p.keepLoad(j.group.ID, state.Load, sent)
 	}
 	p.tellChange(j.group)
 }
 
-func (p *Prober) keepLoad(id vm.GroupID, load engine.Load) {
+func (p *Prober) keepLoad(id vm.GroupID, load engine.Load, probed time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.loads[id] = load
+	asOf := probed.Add(-time.Duration(load.AgeMillis) * time.Millisecond)
+	p.loads[id] = headLoad{load: load, asOf: asOf}
 }
 
-// EngineLoad returns the load that the head of a group last reported.
-func (p *Prober) EngineLoad(id vm.GroupID) engine.Load {
+// drainOf says how many requests are at work on a draining group. The own count is not enough: a home
+// that had the group before may still be streaming an answer from it, and freeing the VMs would cut that
+// request. The head knows of all, but reports late; so its report counts only if it is true for a time at
+// which every entry had heard that the group drains.
+func (p *Prober) drainOf(group vm.Group, now time.Time) drain {
+	own := p.loadOf(group.ID)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.loads[id]
+	if group.State != vm.Draining {
+		delete(p.draining, group.ID)
+		return drain{}
+	}
+	since, seen := p.draining[group.ID]
+	if !seen {
+		since = now
+		p.draining[group.ID] = now
+	}
+	head := p.loads[group.ID]
+	if head.asOf.Before(since.Add(spreadTime)) {
+		return drain{}
+	}
+	return drain{sure: true, remaining: own.InFlight + own.Queued + head.load.Running + head.load.Waiting}
 }
 
 // tellChange tells the others if the group became whole or no longer is, or if it was not told for a while.
@@ -171,13 +207,14 @@
 	}
 	now := time.Now()
 	whole, gap := p.presence.Whole(&group, now)
-	before, due := p.noteTold(group, told{whole: whole, epoch: group.Epoch, gap: gap, at: now})
+	drained := p.drainOf(group, now)
+	before, due := p.noteTold(group, told{whole: whole, epoch: group.Epoch, gap: gap, drain: drained, at: now})
 	if !due {
 		return
 	}
 	status := fleet.Status{
 		Group: group.ID, Home: p.self, Epoch: group.Epoch, Whole: whole, Load: p.loadOf(group.ID),
-		At: p.recorder.Now(), Reason: gap.String(),
+		At: p.recorder.Now(), Reason: gap.String(), Drained: drained.sure, Remaining: drained.remaining,
 	}
 	p.groups.Report(status)
 	p.tell(status)
@@ -191,7 +228,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	before = p.told[group.ID]
-	same := before.whole == next.whole && before.epoch == next.epoch
+	same := before.whole == next.whole && before.epoch == next.epoch && before.drain == next.drain
 	if same && next.at.Sub(before.at) < refreshInterval {
 		return before, false
 	}
@@ -222,6 +259,7 @@
 			gone = append(gone, id)
 			delete(p.told, id)
 			delete(p.loads, id)
+			delete(p.draining, id)
 		}
 	}
 	p.mu.Unlock()
--- /dev/null
+++ b/entry/providers.go
@@ -0,0 +1,191 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+
+	"github.com/skylarkpond/skylarkpond/contract"
+	"github.com/skylarkpond/skylarkpond/contract/attempt"
+	"github.com/skylarkpond/skylarkpond/entry/controller"
+	"github.com/skylarkpond/skylarkpond/entry/fleet"
+	"github.com/skylarkpond/skylarkpond/entry/front"
+	"github.com/skylarkpond/skylarkpond/entry/home"
+	"github.com/skylarkpond/skylarkpond/entry/member"
+	"github.com/skylarkpond/skylarkpond/entry/mirror"
+	"github.com/skylarkpond/skylarkpond/entry/operator"
+	"github.com/skylarkpond/skylarkpond/entry/prober"
+	"github.com/skylarkpond/skylarkpond/link/engine"
+	"github.com/skylarkpond/skylarkpond/link/peer"
+	"github.com/skylarkpond/skylarkpond/link/platform"
+	"github.com/skylarkpond/skylarkpond/timeline"
+	"github.com/skylarkpond/skylarkpond/vm"
+)
+
+// registered is what the start made before the roles: the entry as it was published, and the platform's
+// version of that.
+type registered struct {
+	identity   *peer.Identity
+	entry      platform.Entry
+	generation platform.Version
+}
+
+// reservedShare is the part of the platform rate that only writes may use.
+const reservedShare = 0.2
+
+func provideStore(config Config, measures *measures) platform.Store {
+	return platform.NewClient(config.Platform, platform.WithMetrics(measures.registry), platform.WithRates(platform.Rates{
+		Shared:   config.PlatformRate * (1 - reservedShare),
+		Reserved: config.PlatformRate * reservedShare,
+	}))
+}
+
+func provideMembers(self registered, recorder *timeline.Recorder) *member.Members {
+	return member.New(member.Config{
+		Self:       self.entry,
+		Generation: uint64(self.generation),
+		Rand:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Events:     recorder,
+	})
+}
+
+func provideOwners(members *member.Members) owners { return owners{members} }
+
+func providePeerClient(self registered, members *member.Members) *peer.Client {
+	return peer.NewClient(self.identity, members)
+}
+
+func providePeerServer(self registered, members *member.Members) *peer.Server {
+	return peer.NewServer(self.identity, members)
+}
+
+func providePinger(client *peer.Client) member.Pinger { return member.NewPinger(client) }
+
+func provideFollower(m *mirror.Mirror, store platform.Store, owners owners, members *member.Members) *mirror.Follower {
+	return mirror.NewFollower(m, store, owners, members)
+}
+
+func provideTable(owners owners) *fleet.Table { return fleet.New(owners.Live, time.Now) }
+
+func providePlaced(config Config, table *fleet.Table, presence *vm.Presence) placed {
+	return placed{self: config.Name, table: table, presence: presence}
+}
+
+func provideAttempts(store platform.Store) *attempt.Records { return attempt.New(store, time.Now) }
+
+// The plain queue's bounds; the fair queue takes its place.
+const (
+	plainConcurrency = 64
+	plainQueue       = 256
+)
+
+func provideHome(
+	self registered, placed placed, attempts *attempt.Records, engines engine.Client, inForce *settingsInForce,
+	recorder *timeline.Recorder,
+) *home.Home {
+	return home.New(home.Deps{
+		Self: self.entry.Name, Incarnation: self.entry.Incarnation, Groups: placed, Presence: placed,
+		Admission: home.NewFIFO(plainConcurrency, plainQueue), Attempts: attempts, Engines: engines,
+		Settings: inForce.Snapshot, Recorder: recorder,
+	})
+}
+
+func provideDispatcher(
+	self registered, table *fleet.Table, home *home.Home, members *member.Members, client *peer.Client,
+	recorder *timeline.Recorder,
+) *dispatcher {
+	return &dispatcher{
+		self: self.entry.Name, life: self.entry.Incarnation, table: table, home: home, members: members, client: client,
+		recorder: recorder,
+	}
+}
+
+func provideFront(
+	config Config, inForce *settingsInForce, dispatcher *dispatcher, table *fleet.Table, attempts *attempt.Records,
+	recorder *timeline.Recorder,
+) *front.Front {
+	return front.New(front.Deps{
+		Self: config.Name, Settings: inForce.Snapshot, Dispatcher: dispatcher, Holders: dispatcher,
+		Chooser: front.RandomChooser{Groups: wholeGroups(table)}, Retries: front.NewShareBudget(),
+		Attempts: attempts, Recorder: recorder,
+	})
+}
+
+func wholeGroups(table *fleet.Table) func(service string) []vm.GroupID {
+	return func(service string) []vm.GroupID {
+		var ids []vm.GroupID
+		for _, c := range table.Candidates(service) {
+			if c.Status.Whole {
+				ids = append(ids, c.Group.ID)
+			}
+		}
+		return ids
+	}
+}
+
+// statusTopic is that of the rumours that carry a fleet.Status.
+const statusTopic = "group"
+
+// statusTTL is how long a status is of use; homes repeat it every four seconds.
+const statusTTL = 12 * time.Second
+
+func provideProber(
+	config Config, table *fleet.Table, engines engine.Client, presence *vm.Presence, recorder *timeline.Recorder,
+	members *member.Members,
+) *prober.Prober {
+	return prober.New(prober.Deps{
+		Self: config.Name, Groups: table, Client: engines, Presence: presence, Recorder: recorder,
+		LoadOf: func(vm.GroupID) contract.GroupLoad { return contract.GroupLoad{} },
+		Tell:   func(status fleet.Status) { tellStatus(members, status) },
+		Paused: members.Paused,
+	})
+}
+
+func tellStatus(members *member.Members, status fleet.Status) {
+	body, err := cbor.Marshal(status)
+	if err != nil {
+		return
+	}
+	members.Broadcast(member.Rumour{
+		Topic: statusTopic, Name: string(status.Group), Version: uint64(status.At), Body: body, TTL: statusTTL,
+	})
+}
+
+func provideController(
+	self registered, store platform.Store, engines engine.Client, owners owners, m *mirror.Mirror, table *fleet.Table,
+	inForce *settingsInForce, recorder *timeline.Recorder, measures *measures, log *logrus.Entry, follower *mirror.Follower,
+) *controller.Controller {
+	return controller.New(controller.Deps{
+		Store: store, Engines: engines, Owners: owners, Placements: placements{m}, Loads: reports{table},
+		Settings: snapshots{inForce}.Snapshot, Incarnation: self.entry.Incarnation, Recorder: recorder,
+		Metrics: measures.registry, Log: log, Took: follower.Took,
+	})
+}
+
+func provideOverview(
+	config Config, members *member.Members, table *fleet.Table, inForce *settingsInForce, client *peer.Client,
+	recorder *timeline.Recorder,
+) *overview {
+	return &overview{
+		self: config.Name, members: members, table: table, inForce: inForce, client: client, recorder: recorder,
+	}
+}
+
+func provideOperator(
+	config Config, store platform.Store, inForce *settingsInForce, m *mirror.Mirror, follower *mirror.Follower,
+	overview *overview, recorder *timeline.Recorder, measures *measures, log *logrus.Entry,
+) *operator.Server {
+	return operator.New(operator.Deps{
+		Entry: config.Name, Store: store, Snapshots: snapshots{inForce}, Copies: m, Taker: follower, Status: overview,
+		Timeline: overview, Quarantine: noQuarantine{}, VMs: vmLists{store}, Recorder: recorder,
+		Metrics: measures.registry, Log: log, Clock: time.Now, Nonce: uuid.NewString,
+		BootstrapKeyHash: config.BootstrapKeyHash,
+	})
+}
+
+func provideRegistration(self registered, store platform.Store, follower *mirror.Follower) *registration {
+	return &registration{store: store, took: follower.Took, self: self.entry}
+}
--- /dev/null
+++ b/entry/serve.go
@@ -0,0 +1,231 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/emicklei/go-restful/v3"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/skylarkpond/skylarkpond/contract"
+	"github.com/skylarkpond/skylarkpond/entry/fleet"
+	"github.com/skylarkpond/skylarkpond/entry/member"
+	"github.com/skylarkpond/skylarkpond/link/peer"
+	"github.com/skylarkpond/skylarkpond/link/platform"
+	"github.com/skylarkpond/skylarkpond/timeline"
+)
+
+// sockets are opened first, so that a wrong address fails the start before anything was published.
+type sockets struct {
+	public net.Listener
+	admin  net.Listener
+	peer   net.PacketConn
+}
+
+func listen(config Config) (*sockets, error) {
+	public, err := net.Listen("tcp", config.Public)
+	if err != nil {
+		return nil, eris.Wrap(err, "--public-address")
+	}
+	admin, err := net.Listen("tcp", config.Admin)
+	if err != nil {
+		return nil, eris.Wrap(err, "--admin-address")
+	}
+	peer, err := net.ListenPacket("udp", config.Peer)
+	if err != nil {
+		return nil, eris.Wrap(err, "--peer-address")
+	}
+	return &sockets{public: public, admin: admin, peer: peer}, nil
+}
+
+// Serve runs one entry until ctx ends and it has drained. A start waits for the platform.
+func Serve(ctx context.Context, config Config) error {
+	log, err := newLog(config)
+	if err != nil {
+		return err
+	}
+	out, err := openTimeline(config.Timeline)
+	if err != nil {
+		return err
+	}
+	sockets, err := listen(config)
+	if err != nil {
+		return err
+	}
+	measures := newMeasures()
+	self, err := register(ctx, config, provideStore(config, measures), log)
+	if err != nil {
+		return err
+	}
+	recorder := timeline.NewRecorder(config.Name, out, time.Now)
+	e := assemble(config, self, recorder, measures, log)
+	e.connect()
+	if err := e.load(ctx); err != nil {
+		return err
+	}
+	return e.Run(ctx, sockets)
+}
+
+func newLog(config Config) (*logrus.Entry, error) {
+	level, err := logrus.ParseLevel(config.LogLevel)
+	if err != nil {
+		return nil, eris.Wrap(ErrConfig, "--log-level: "+err.Error())
+	}
+	log := logrus.New()
+	log.SetFormatter(&logrus.JSONFormatter{})
+	log.SetLevel(level)
+	return log.WithField("entry", config.Name), nil
+}
+
+func openTimeline(path string) (io.Writer, error) {
+	switch path {
+	case "":
+		return nil, nil
+	case "-":
+		return os.Stdout, nil
+	}
+	file, err := os.OpenFile(path, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+	return file, eris.Wrap(err, "--timeline")
+}
+
+// register makes this life's identity and publishes it. Peers accept no other.
+func register(ctx context.Context, config Config, store platform.Store, log *logrus.Entry) (registered, error) {
+	identity, err := peer.NewIdentity(config.Name)
+	if err != nil {
+		return registered{}, err
+	}
+	self := platform.Entry{
+		Name: config.Name, PublicAddress: config.Public, PeerAddress: config.Peer, AdminAddress: config.Admin,
+		Place: config.Place, FailureDomain: config.FailureDomain,
+		Incarnation: uuid.NewString(), Fingerprint: identity.Fingerprint(),
+	}
+	log.Info("publishing this entry in the platform")
+	var written platform.Version
+	r := &registration{store: store, self: self, took: func(o platform.Object) { written = o.Version }}
+	if err := r.publish(ctx, false); err != nil {
+		return registered{}, eris.Wrap(err, "publishing this entry")
+	}
+	return registered{identity: identity, entry: self, generation: written}, nil
+}
+
+// connect ties the parts together that tell each other of changes.
+func (e *Entry) connect() {
+	e.mirror.OnChange(platform.KindSettings, e.inForce.take)
+	e.mirror.OnChange(platform.KindEntry, e.takeEntry)
+	e.mirror.OnChange(platform.KindPlacement, e.takePlacement)
+	e.members.Handle(statusTopic, e.takeStatus)
+	e.members.Register(e.peerServer, e.pinger)
+	e.dispatcher.register(e.peerServer)
+	e.overview.register(e.peerServer)
+	counted(e.metrics.registry, "home.dispatches.serving", &e.dispatcher.serving)
+	gauge(e.metrics.registry, "settings.version", func() int64 { return int64(e.inForce.Snapshot().Version) })
+	gauge(e.metrics.registry, "members.live", func() int64 { return int64(len(e.members.Live())) })
+}
+
+func (e *Entry) takeEntry(object platform.Object) {
+	var entry platform.Entry
+	if object.Deleted || json.Unmarshal(object.Value, &entry) != nil {
+		return
+	}
+	e.members.Know(entry, uint64(object.Version))
+}
+
+func (e *Entry) takePlacement(object platform.Object) {
+	if err := e.dispatcher.table.ApplyPlacement(object); err != nil {
+		e.log.WithError(err).WithField("domain", object.Name).Error("placement can't be read")
+	}
+}
+
+func (e *Entry) takeStatus(rumour member.Rumour) {
+	var status fleet.Status
+	if cbor.Unmarshal(rumour.Body, &status) != nil {
+		return
+	}
+	e.dispatcher.table.Report(status)
+}
+
+// load fills the mirror; it waits out an outage.
+func (e *Entry) load(ctx context.Context) error {
+	for {
+		err := e.follower.Load(ctx)
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+		e.log.WithError(err).Warn("the platform can't be read; trying again")
+		pause(ctx, registerPause)
+	}
+}
+
+// publicHandler serves callers.
+func (e *Entry) publicHandler() http.Handler {
+	service := new(restful.WebService)
+	service.Path("/v1").Produces("*/*").Consumes("*/*")
+	service.Route(service.GET("/entries").To(e.directory))
+	e.front.Register(service)
+	container := restful.NewContainer()
+	container.Add(service)
+	container.ServiceErrorHandler(unknownPath)
+	return container
+}
+
+// unknownPath answers what no route takes, in the same form as every other refusal.
+func unknownPath(fault restful.ServiceError, _ *restful.Request, response *restful.Response) {
+	problem := contract.Refuse(fault.Code, contract.CodeUnknownPath, fault.Message,
+		"see docs/INTERFACE.md for the paths and methods there are")
+	if fault.Code == http.StatusMethodNotAllowed {
+		problem.Code = contract.CodeMethodNotAllowed
+	}
+	response.AddHeader(contract.HeaderOutcome, string(problem.Outcome))
+	_ = response.WriteHeaderAndJson(fault.Code, problem, restful.MIME_JSON)
+}
+
+// adminHandler serves operators.
+func (e *Entry) adminHandler() http.Handler { return e.operator.Handler() }
+
+// directoryAnswer is the answer to GET /v1/entries.
+type directoryAnswer struct {
+	Entries []directoryEntry `json:"entries"`
+	// KeepSeconds is how long the answer may be kept.
+	KeepSeconds int `json:"keep_seconds"`
+}
+
+type directoryEntry struct {
+	Address       string `json:"address"`
+	Place         string `json:"place"`
+	FailureDomain string `json:"failure_domain"`
+}
+
+func (e *Entry) directory(_ *restful.Request, response *restful.Response) {
+	keep := int(e.inForce.Snapshot().AddressTTL.Seconds())
+	answer := directoryAnswer{KeepSeconds: keep}
+	for _, p := range e.members.Live() {
+		answer.Entries = append(answer.Entries, directoryEntry{
+			Address: p.PublicAddress, Place: p.Place, FailureDomain: p.FailureDomain,
+		})
+	}
+	response.AddHeader("Cache-Control", fmt.Sprintf("max-age=%d", keep))
+	_ = response.WriteHeaderAndJson(http.StatusOK, answer, restful.MIME_JSON)
+}
+
+// CheckPlatform reports whether the platform answers and holds settings. It starts and writes nothing.
+func CheckPlatform(ctx context.Context, config Config, out io.Writer) error {
+	store := provideStore(config, newMeasures())
+	changes, err := store.List(ctx, platform.KindSettings)
+	if err != nil {
+		return eris.Wrap(err, "platform "+config.Platform)
+	}
+	has := slices.ContainsFunc(changes.Objects, func(o platform.Object) bool { return o.Name == platform.SettingsName })
+	fmt.Fprintf(out, "settings of this process: right\nplatform: answers at revision %d\ntree of settings: %s\n",
+		changes.Revision, map[bool]string{true: "there", false: "none yet; pondctl apply makes one"}[has])
+	return nil
+}
--- /dev/null
+++ b/entry/status.go
@@ -0,0 +1,200 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/skylarkpond/skylarkpond/contract/admin"
+	"github.com/skylarkpond/skylarkpond/entry/fleet"
+	"github.com/skylarkpond/skylarkpond/entry/member"
+	"github.com/skylarkpond/skylarkpond/link/peer"
+	"github.com/skylarkpond/skylarkpond/timeline"
+)
+
+// Paths of the calls that gather for an operator.
+const (
+	pathInForce = "/peer/v1/in-force"
+	pathEvents  = "/peer/v1/events"
+)
+
+const (
+	// gatherTimeout bounds one question to one entry.
+	gatherTimeout = 2 * time.Second
+	// gatherers bounds the questions under way.
+	gatherers = 16
+)
+
+// inForce is what an entry says of its settings.
+type inForceAnswer struct {
+	Version uint64 `cbor:"1,keyasint"`
+	// Since is in Unix milliseconds, by the answering entry's clock.
+	Since int64 `cbor:"2,keyasint"`
+}
+
+// overview gathers status and time lines over all entries, when an operator asks. Between questions it
+// costs nothing.
+type overview struct {
+	self     string
+	members  *member.Members
+	table    *fleet.Table
+	inForce  *settingsInForce
+	client   *peer.Client
+	recorder *timeline.Recorder
+}
+
+func (o *overview) register(server *peer.Server) {
+	peer.Handle(server, pathInForce, func(context.Context, string, struct{}) (inForceAnswer, error) {
+		return o.ownInForce(), nil
+	})
+	peer.Handle(server, pathEvents, func(_ context.Context, _ string, query admin.TimelineQuery) ([]timeline.Event, error) {
+		return o.ownEvents(query), nil
+	})
+}
+
+func (o *overview) ownInForce() inForceAnswer {
+	return inForceAnswer{Version: o.inForce.Snapshot().Version, Since: o.inForce.Since().UnixMilli()}
+}
+
+// Status implements operator.StatusSource.
+func (o *overview) Status(ctx context.Context) (admin.Status, error) {
+	status := admin.Status{Reporter: o.self, At: time.Now().UnixMilli(), Groups: o.groups()}
+	peers := append(o.members.Peers(), o.members.Self())
+	status.Entries = make([]admin.EntryStatus, len(peers))
+	live := o.liveNames()
+	o.gather(len(peers), func(i int) {
+		status.Entries[i] = o.entryStatus(ctx, peers[i], live[peers[i].Name])
+	})
+	slices.SortFunc(status.Entries, func(a, b admin.EntryStatus) int { return strings.Compare(a.Name, b.Name) })
+	return status, nil
+}
+
+func (o *overview) liveNames() map[string]bool {
+	live := make(map[string]bool)
+	for _, p := range o.members.Live() {
+		live[p.Name] = true
+	}
+	return live
+}
+
+// gather calls do for 0 to n-1 by a bounded number of workers.
+func (o *overview) gather(n int, do func(i int)) {
+	var pool sync.WaitGroup
+	next := make(chan int, n)
+	for i := range n {
+		next <- i
+	}
+	close(next)
+	for range min(n, gatherers) {
+		pool.Go(func() {
+			for i := range next {
+				do(i)
+			}
+		})
+	}
+	pool.Wait()
+}
+
+func (o *overview) entryStatus(ctx context.Context, p member.Peer, live bool) admin.EntryStatus {
+	status := admin.EntryStatus{
+		Name: p.Name, Place: p.Place, FailureDomain: p.FailureDomain, AdminAddress: p.AdminAddress,
+		Incarnation: p.Incarnation, Live: live, Leaving: p.Leaving,
+	}
+	answer, err := o.askInForce(ctx, p, live)
+	if err != nil {
+		status.Problem = err.Error()
+		return status
+	}
+	status.SettingsVersion = answer.Version
+	status.SettingsSince = answer.Since
+	return status
+}
+
+func (o *overview) askInForce(ctx context.Context, p member.Peer, live bool) (inForceAnswer, error) {
+	if p.Self {
+		return o.ownInForce(), nil
+	}
+	if !live && p.State == member.Dead {
+		return inForceAnswer{}, errNotLive
+	}
+	ctx, cancel := context.WithTimeout(ctx, gatherTimeout)
+	defer cancel()
+	var answer inForceAnswer
+	err := o.client.Call(ctx, p.PeerAddress, pathInForce, struct{}{}, &answer)
+	return answer, err
+}
+
+func (o *overview) groups() []admin.GroupStatus {
+	var groups []admin.GroupStatus
+	for _, c := range o.table.All() {
+		groups = append(groups, admin.GroupStatus{
+			Group: c.Group, FabricDomain: string(c.Position.FabricDomain), Home: c.Home,
+			Whole: c.Status.Whole && c.Status.Epoch == c.Group.Epoch, Problem: c.Status.Reason,
+		})
+	}
+	return groups
+}
+
+// Timeline implements operator.TimelineSource.
+func (o *overview) Timeline(ctx context.Context, query admin.TimelineQuery) (admin.Timeline, error) {
+	peers := o.members.Live()
+	answers := make([][]timeline.Event, len(peers))
+	missing := make([]bool, len(peers))
+	o.gather(len(peers), func(i int) {
+		events, err := o.askEvents(ctx, peers[i], query)
+		answers[i] = events
+		missing[i] = err != nil
+	})
+	var merged admin.Timeline
+	for i, events := range answers {
+		merged.Events = append(merged.Events, events...)
+		if missing[i] {
+			merged.Missing = append(merged.Missing, peers[i].Name)
+		}
+	}
+	sortEvents(merged.Events)
+	merged.Events = latest(merged.Events, query.Limit)
+	return merged, nil
+}
+
+func (o *overview) askEvents(ctx context.Context, p member.Peer, query admin.TimelineQuery) ([]timeline.Event, error) {
+	if p.Self {
+		return o.ownEvents(query), nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, gatherTimeout)
+	defer cancel()
+	var events []timeline.Event
+	err := o.client.Call(ctx, p.PeerAddress, pathEvents, query, &events)
+	return events, err
+}
+
+func (o *overview) ownEvents(query admin.TimelineQuery) []timeline.Event {
+	var events []timeline.Event
+	for _, event := range o.recorder.Recent() {
+		if query.Matches(event) {
+			events = append(events, event)
+		}
+	}
+	return latest(events, query.Limit)
+}
+
+func latest(events []timeline.Event, limit int) []timeline.Event {
+	if limit <= 0 {
+		limit = admin.DefaultTimelineLimit
+	}
+	return events[max(0, len(events)-limit):]
+}
+
+func sortEvents(events []timeline.Event) {
+	slices.SortStableFunc(events, func(a, b timeline.Event) int {
+		switch {
+		case a.Time < b.Time:
+			return -1
+		case a.Time > b.Time:
+			return 1
+		}
+		return strings.Compare(a.Process, b.Process)
+	})
+}
--- /dev/null
+++ b/entry/wire.go
@@ -0,0 +1,28 @@
+//go:build wireinject
+
+package entry
+
+import (
+	"github.com/google/wire"
+	"github.com/sirupsen/logrus"
+
+	"github.com/skylarkpond/skylarkpond/entry/mirror"
+	"github.com/skylarkpond/skylarkpond/link/engine"
+	"github.com/skylarkpond/skylarkpond/timeline"
+	"github.com/skylarkpond/skylarkpond/vm"
+)
+
+//go:generate ../.bin/wire
+
+// assemble builds an entry from its settings and its registration.
+func assemble(config Config, self registered, recorder *timeline.Recorder, measures *measures, log *logrus.Entry) *Entry {
+	wire.Build(
+		provideStore, provideMembers, provideOwners, providePeerClient, providePeerServer,
+		providePinger, provideFollower, provideTable, providePlaced, provideAttempts, provideHome, provideDispatcher,
+		provideFront, provideProber, provideController, provideOverview, provideOperator, provideRegistration,
+		newSettingsInForce, mirror.New, vm.NewPresence,
+		engine.NewHTTPClient, wire.Bind(new(engine.Client), new(*engine.HTTPClient)),
+		wire.Struct(new(Entry), "*"),
+	)
+	return nil
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -84,9 +84,9 @@
 		PlatformAddress: "127.0.0.1:0",
 		EnginesAddress:  "127.0.0.1:0",
 		FirstIP:         netip.MustParseAddr(loopback),
-		Places: []Place{{Name: "pampa", FailureDomains: []FailureDomain{
-			{Name: "pampa-a", FabricDomains: fabric("pampa-a1")},
-			{Name: "pampa-b", FabricDomains: fabric("pampa-b1")},
+		Places: []Place{{Name: "local", FailureDomains: []FailureDomain{
+			{Name: "local-a", FabricDomains: fabric("local-a1")},
+			{Name: "local-b", FabricDomains: fabric("local-b1")},
 		}}},
 	}
 }
