pondctl: the operators' command line

A lock file beside the declarations holds the revision and a hash of each node as last pulled or applied: an apply sends only what was edited since, on those revisions, and its change id is the hash of what it sends, so that sending it again is the same apply.

--- /dev/null
+++ b/pondctl/diff.go
@@ -0,0 +1,172 @@
+package pondctl
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/skylarkpond/skylarkpond/contract/admin"
+	"github.com/skylarkpond/skylarkpond/contract/settings"
+)
+
+// Difference is the answer of diff.
+type Difference struct {
+	Version uint64           `json:"version"`
+	Nodes   []NodeDifference `json:"nodes"`
+	// Behind lists nodes that others changed and that were not edited here: pull brings them.
+	Behind []settings.Path `json:"behind,omitempty"`
+}
+
+// NodeDifference is what apply would do to a node.
+type NodeDifference struct {
+	Node settings.Path `json:"node"`
+	// Action is "add", "change", "remove" or "none" (the settings say it already).
+	Action string `json:"action"`
+	// Conflict says that somebody else changed the node since it was pulled: apply would refuse.
+	Conflict bool            `json:"conflict,omitempty"`
+	Keys     []KeyDifference `json:"keys,omitempty"`
+}
+
+// KeyDifference is one key; a side that does not set it is nil, and then the node inherits.
+type KeyDifference struct {
+	Key    string          `json:"key"`
+	Theirs *settings.Value `json:"theirs"`
+	Ours   *settings.Value `json:"ours"`
+}
+
+func (c *command) diff(ctx context.Context, dir string) error {
+	declared, locked, err := load(dir)
+	if err != nil {
+		return err
+	}
+	current, err := get[admin.Settings](ctx, c.client, admin.SettingsPath, nil)
+	if err != nil {
+		return err
+	}
+	if current.Copy {
+		c.progress("warning: the platform can't be asked; this is compared with the entry's own copy, which may be old")
+	}
+	difference := compare(locked, locked.change(declared, ""), current)
+	return c.print(difference, func(w io.Writer) { writeDifference(w, difference) })
+}
+
+func compare(locked *lock, change *settings.Change, current admin.Settings) Difference {
+	difference := Difference{Version: current.Version}
+	touched := make(map[settings.Path]bool)
+	for _, node := range change.Nodes {
+		touched[node.Node] = true
+		difference.Nodes = append(difference.Nodes, compareNode(node, current.Tree))
+	}
+	for _, path := range current.Tree.Paths() {
+		if !touched[path] && current.Tree.Nodes[path].Revision != locked.Nodes[path].Revision {
+			difference.Behind = append(difference.Behind, path)
+		}
+	}
+	for _, path := range sortedPaths(locked.Nodes) {
+		if _, exists := current.Tree.Nodes[path]; !exists && !touched[path] {
+			difference.Behind = append(difference.Behind, path)
+		}
+	}
+	return difference
+}
+
+func compareNode(node settings.NodeChange, tree *settings.Tree) NodeDifference {
+	theirs, exists := tree.Nodes[node.Node]
+	result := NodeDifference{Node: node.Node, Keys: compareValues(theirs.Values, node.Values)}
+	switch {
+	case node.Remove && exists:
+		result.Action = "remove"
+	case !node.Remove && !exists:
+		result.Action = "add"
+	case len(result.Keys) > 0:
+		result.Action = "change"
+	default:
+		result.Action = "none"
+	}
+	result.Conflict = result.Action != "none" && theirs.Revision != node.Base
+	return result
+}
+
+func compareValues(theirs, ours settings.Values) []KeyDifference {
+	var keys []KeyDifference
+	for _, key := range settings.Keys() {
+		their, inTheirs := theirs[key.Name]
+		our, inOurs := ours[key.Name]
+		if inTheirs == inOurs && (!inOurs || their.Equal(our)) {
+			continue
+		}
+		difference := KeyDifference{Key: key.Name}
+		if inTheirs {
+			difference.Theirs = &their
+		}
+		if inOurs {
+			difference.Ours = &our
+		}
+		keys = append(keys, difference)
+	}
+	return keys
+}
+
+var actionSigns = map[string]string{"add": "+", "change": "~", "remove": "-", "none": "="}
+
+func writeDifference(w io.Writer, difference Difference) {
+	if len(difference.Nodes) == 0 {
+		fmt.Fprintln(w, "nothing to apply")
+	}
+	for _, node := range difference.Nodes {
+		fmt.Fprintf(w, "%s %s", actionSigns[node.Action], node.Node)
+		if node.Conflict {
+			fmt.Fprint(w, "  (conflict: somebody else changed it since it was pulled)")
+		}
+		fmt.Fprintln(w)
+		writeKeys(w, node.Keys)
+	}
+	for _, path := range difference.Behind {
+		fmt.Fprintf(w, "< %s was changed by somebody else; pondctl pull brings it\n", path)
+	}
+}
+
+func writeKeys(w io.Writer, keys []KeyDifference) {
+	for _, key := range keys {
+		fmt.Fprintf(w, "    %s: %s -> %s\n", key.Key, side(key.Theirs), side(key.Ours))
+	}
+}
+
+func side(value *settings.Value) string {
+	if value == nil {
+		return "(inherited)"
+	}
+	return value.String()
+}
+
+// writeConflict shows both sides of a node that somebody else changed.
+func writeConflict(w io.Writer, conflict settings.Conflict) {
+	fmt.Fprintf(w, "conflict on %s: based on revision %d", conflict.Node, conflict.Base)
+	var theirs, ours settings.Values
+	if conflict.Theirs == nil {
+		fmt.Fprintln(w, ", and removed meanwhile")
+	} else {
+		theirs = conflict.Theirs.Values
+		fmt.Fprintf(w, ", now at revision %d%s\n", conflict.Theirs.Revision, by(conflict.By))
+	}
+	if conflict.Ours == nil {
+		fmt.Fprintln(w, "    this change removes it")
+	} else {
+		ours = *conflict.Ours
+	}
+	keys := compareValues(theirs, ours)
+	for _, key := range keys {
+		fmt.Fprintf(w, "    %s: theirs %s, ours %s\n", key.Key, side(key.Theirs), side(key.Ours))
+	}
+}
+
+func by(applied *settings.Applied) string {
+	if applied == nil {
+		return ""
+	}
+	text := " by change " + short(applied.ID)
+	if applied.Author != "" {
+		text += " of " + applied.Author
+	}
+	return text + " at " + clock(applied.At)
+}
--- /dev/null
+++ b/pondctl/lock.go
@@ -0,0 +1,116 @@
+package pondctl
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/skylarkpond/skylarkpond/contract/settings"
+)
+
+// LockFile stands beside the declarations and in version control with them. It says which revision of each
+// node the declarations were made from: without it, an apply from an old checkout would put old values
+// back over newer ones that somebody else had accepted.
+const LockFile = "pond.lock.json"
+
+// lock is the content of LockFile.
+type lock struct {
+	// Version is the platform version last pulled or applied; for reading only.
+	Version uint64                       `json:"version"`
+	Nodes   map[settings.Path]lockedNode `json:"nodes"`
+}
+
+// lockedNode is a node as it was pulled or applied last.
+type lockedNode struct {
+	Revision uint64 `json:"revision"`
+	// Digest is a hash of the values, to tell which files were edited since.
+	Digest string `json:"digest"`
+}
+
+func readLock(dir string) (*lock, error) {
+	l := &lock{Nodes: make(map[settings.Path]lockedNode)}
+	data, err := os.ReadFile(filepath.Join(dir, LockFile))
+	if errors.Is(err, fs.ErrNotExist) {
+		return l, nil
+	}
+	if err != nil {
+		return nil, eris.Wrap(err, "read the lock file")
+	}
+	if err := json.Unmarshal(data, l); err != nil {
+		return nil, eris.Wrapf(err, "%s can't be read (after a merge of branches, take either side and run pondctl pull)", LockFile)
+	}
+	if l.Nodes == nil {
+		l.Nodes = make(map[settings.Path]lockedNode)
+	}
+	return l, nil
+}
+
+// write replaces the file in one step, so that a run which is cut off leaves the old one whole.
+func (l *lock) write(dir string) error {
+	data, err := json.MarshalIndent(l, "", "  ")
+	if err != nil {
+		return eris.Wrap(err, "encode the lock file")
+	}
+	return replaceFile(filepath.Join(dir, LockFile), append(data, '\n'))
+}
+
+func replaceFile(name string, data []byte) error {
+	if err := os.MkdirAll(filepath.Dir(name), 0o755); err != nil {
+		return eris.Wrap(err, "make the directory")
+	}
+	temporary, err := os.CreateTemp(filepath.Dir(name), ".pondctl-*")
+	if err != nil {
+		return eris.Wrap(err, "write a file")
+	}
+	defer func() { _ = os.Remove(temporary.Name()) }()
+	_, err = temporary.Write(data)
+	err = errors.Join(err, temporary.Chmod(0o644), temporary.Sync(), temporary.Close())
+	if err != nil {
+		return eris.Wrap(err, "write a file")
+	}
+	return eris.Wrap(os.Rename(temporary.Name(), name), "replace a file")
+}
+
+func digest(values settings.Values) string {
+	data, err := json.Marshal(values)
+	if err != nil {
+		panic("pondctl: checked values can't be encoded: " + err.Error())
+	}
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:8])
+}
+
+// edited says whether the declared values differ from those last pulled or applied.
+func (l *lock) edited(path settings.Path, values settings.Values) bool {
+	locked, ok := l.Nodes[path]
+	return !ok || locked.Digest != digest(values)
+}
+
+func (l *lock) take(path settings.Path, node settings.Node) {
+	l.Nodes[path] = lockedNode{Revision: node.Revision, Digest: digest(node.Values)}
+}
+
+// change is what apply sends: the nodes that were edited, added or deleted since the lock. Nodes that were
+// not touched are left out, so that an old checkout does not touch what others changed meanwhile.
+func (l *lock) change(declared *settings.Declarations, author string) *settings.Change {
+	change := &settings.Change{Author: author}
+	for _, path := range declared.Tree("").Paths() {
+		values := declared.Nodes[path]
+		if l.edited(path, values) {
+			change.Nodes = append(change.Nodes, settings.NodeChange{Node: path, Base: l.Nodes[path].Revision, Values: values})
+		}
+	}
+	for _, path := range sortedPaths(l.Nodes) {
+		if _, ok := declared.Nodes[path]; !ok {
+			change.Nodes = append(change.Nodes, settings.NodeChange{Node: path, Base: l.Nodes[path].Revision, Remove: true})
+		}
+	}
+	change.ID = change.Digest()
+	return change
+}
--- /dev/null
+++ b/pondctl/yaml.go
@@ -0,0 +1,99 @@
+package pondctl
+
+import (
+	"bytes"
+
+	"github.com/rotisserie/eris"
+	"go.yaml.in/yaml/v3"
+
+	"github.com/skylarkpond/skylarkpond/contract/settings"
+)
+
+// declaration writes values as a file of declarations. Comments and the order of the old file are kept;
+// keys that are new come behind, in the order of the table.
+func declaration(old []byte, values settings.Values) ([]byte, error) {
+	var document yaml.Node
+	if err := yaml.Unmarshal(old, &document); err != nil || len(document.Content) != 1 || document.Content[0].Kind != yaml.MappingNode {
+		// Nothing in it, or nothing that could be kept.
+		document = yaml.Node{Kind: yaml.DocumentNode, HeadComment: document.HeadComment, Content: []*yaml.Node{{Kind: yaml.MappingNode}}}
+	}
+	mapping := document.Content[0]
+	set, err := keepKeys(mapping, values)
+	if err != nil {
+		return nil, err
+	}
+	for _, key := range settings.Keys() {
+		value, ok := values[key.Name]
+		if !ok || set[key.Name] {
+			continue
+		}
+		node, err := valueNode(value)
+		if err != nil {
+			return nil, err
+		}
+		mapping.Content = append(mapping.Content, &yaml.Node{Kind: yaml.ScalarNode, Value: key.Name}, node)
+	}
+	return encode(&document, mapping)
+}
+
+func encode(document, mapping *yaml.Node) ([]byte, error) {
+	if len(mapping.Content) == 0 {
+		return []byte("# Sets nothing of its own.\n"), nil
+	}
+	var out bytes.Buffer
+	encoder := yaml.NewEncoder(&out)
+	encoder.SetIndent(2)
+	if err := encoder.Encode(document); err != nil {
+		return nil, eris.Wrap(err, "encode a declaration")
+	}
+	return out.Bytes(), nil
+}
+
+// keepKeys drops the keys that values don't set, replaces the values that differ, and returns the keys
+// that are there.
+func keepKeys(mapping *yaml.Node, values settings.Values) (map[string]bool, error) {
+	set := make(map[string]bool)
+	kept := make([]*yaml.Node, 0, len(mapping.Content))
+	for i := 0; i+1 < len(mapping.Content); i += 2 {
+		key, item := mapping.Content[i], mapping.Content[i+1]
+		value, ok := values[key.Value]
+		if !ok || set[key.Value] {
+			continue
+		}
+		set[key.Value] = true
+		node, err := valueNode(value)
+		if err != nil {
+			return nil, err
+		}
+		if !sameYAML(item, node) {
+			node.LineComment = item.LineComment
+			item = node
+		}
+		kept = append(kept, key, item)
+	}
+	mapping.Content = kept
+	return set, nil
+}
+
+func valueNode(value settings.Value) (*yaml.Node, error) {
+	node := new(yaml.Node)
+	if err := node.Encode(value.Plain()); err != nil {
+		return nil, eris.Wrap(err, "encode a value")
+	}
+	if node.Kind == yaml.SequenceNode {
+		node.Style = yaml.FlowStyle
+	}
+	return node, nil
+}
+
+func sameYAML(a, b *yaml.Node) bool {
+	if a.Kind != b.Kind || a.ShortTag() != b.ShortTag() || a.Value != b.Value || len(a.Content) != len(b.Content) {
+		return false
+	}
+	for i := range a.Content {
+		if !sameYAML(a.Content[i], b.Content[i]) {
+			return false
+		}
+	}
+	return true
+}
