--- /dev/null
+++ b/policy/internal/playback/engine.go
@@ -0,0 +1,230 @@
+package playback
+
+import (
+	"container/heap"
+	"time"
+)
+
+// EngineConfig describes a batching engine. One step gives each decoding request one token and prefills
+// up to Chunk tokens of prompts; it takes Base + PerSequence x decoding + PerPromptToken x prefilled.
+type EngineConfig struct {
+	Base           time.Duration
+	PerSequence    time.Duration
+	PerPromptToken time.Duration
+	// Chunk bounds the prompt tokens prefilled in one step.
+	Chunk int
+	// MaxBatch bounds the requests in the batch, KVTokens their tokens in the KV cache; what does not fit
+	// waits in the engine, higher priority first.
+	MaxBatch int
+	KVTokens int
+}
+
+// DefaultEngine is an engine that carries about 19 requests and 4,400 tokens a second with a gap of
+// 70 ms between tokens: the load of one of 630 replicas at 12,000 requests and 2.8 million tokens a second.
+func DefaultEngine() EngineConfig {
+	return EngineConfig{
+		Base:           20 * time.Millisecond,
+		PerSequence:    120 * time.Microsecond,
+		PerPromptToken: 20 * time.Microsecond,
+		Chunk:          1024,
+		MaxBatch:       768,
+		KVTokens:       1_000_000,
+	}
+}
+
+// Capacity returns how many requests a second the engine carries when a step takes gap, for requests of
+// the given mean lengths, and how many are then at work on it.
+func (c EngineConfig) Capacity(gap time.Duration, prompt, output float64) (perSecond, atWork float64) {
+	step := gap.Seconds()
+	perRequest := c.PerSequence.Seconds()*output + c.PerPromptToken.Seconds()*prompt
+	perSecond = (step - c.Base.Seconds()) / (step * perRequest)
+	return perSecond, perSecond * output * step
+}
+
+// Engine is a batching engine in virtual time. It does not model preemption: a request in the batch
+// keeps its place until it ends or is cancelled.
+type Engine struct {
+	loop  *Loop
+	cfg   EngineConfig
+	speed float64
+
+	waiting    waitHeap
+	submitted  uint64
+	prefilling []*Request
+	decoding   int
+	usedKV     int
+	finishing  map[int64][]*Request
+	steps      int64
+	stepping   bool
+
+	// OnStep, if set, hears of each step: its length, which is the gap between tokens, and how many requests
+	// got a token.
+	OnStep func(gap time.Duration, decoding int)
+	// Worked counts the tokens generated and the prompt tokens prefilled, in units of work.
+	Worked float64
+}
+
+// NewEngine returns an idle engine.
+func NewEngine(loop *Loop, cfg EngineConfig) *Engine {
+	return &Engine{loop: loop, cfg: cfg, speed: 1, finishing: make(map[int64][]*Request)}
+}
+
+// SetSpeed makes the engine run at the given share of its full speed from the next step on.
+func (e *Engine) SetSpeed(speed float64) { e.speed = speed }
+
+// Running returns how many requests are in the engine, those that wait in it included.
+func (e *Engine) Running() int { return len(e.waiting) + len(e.prefilling) + e.decoding }
+
+// Submit hands a request to the engine. onFirst runs with its first token, onFinish with its last.
+func (e *Engine) Submit(r *Request, onFirst, onFinish func(*Request)) {
+	e.submitted++
+	r.submitted = e.submitted
+	r.onFirst, r.onFinish = onFirst, onFinish
+	r.phase = waiting
+	r.left = r.Prompt
+	heap.Push(&e.waiting, r)
+	if !e.stepping {
+		e.step()
+	}
+}
+
+// Cancel takes a request out of the engine.
+func (e *Engine) Cancel(r *Request) {
+	switch r.phase {
+	case waiting:
+		e.waiting.remove(r)
+	case prefilling:
+		e.prefilling = without(e.prefilling, r)
+		e.usedKV -= r.heldKV
+	case decoding:
+		e.leave(r)
+		e.finishing[r.joined+int64(r.Output-1)] = without(e.finishing[r.joined+int64(r.Output-1)], r)
+	}
+	r.phase = outside
+}
+
+func (e *Engine) step() {
+	e.admit()
+	if len(e.prefilling)+e.decoding == 0 {
+		e.stepping = false
+		return
+	}
+	e.stepping = true
+	done, prefilled := e.prefill()
+	length := e.cfg.Base + time.Duration(e.decoding)*e.cfg.PerSequence + time.Duration(prefilled)*e.cfg.PerPromptToken
+	length = time.Duration(float64(length) / e.speed)
+	e.loop.After(length, func() { e.endStep(length, done, prefilled) })
+}
+
+func (e *Engine) admit() {
+	for len(e.waiting) > 0 && len(e.prefilling)+e.decoding < e.cfg.MaxBatch {
+		r := e.waiting[0]
+		if e.usedKV+r.Prompt > e.cfg.KVTokens {
+			return
+		}
+		heap.Pop(&e.waiting)
+		r.phase = prefilling
+		r.heldKV = r.Prompt
+		e.usedKV += r.Prompt
+		e.prefilling = append(e.prefilling, r)
+	}
+}
+
+// prefill spends the step's chunk, oldest request first, and returns the requests whose prompt is done.
+func (e *Engine) prefill() (done []*Request, prefilled int) {
+	for _, r := range e.prefilling {
+		part := min(r.left, e.cfg.Chunk-prefilled)
+		r.left -= part
+		prefilled += part
+		if r.left > 0 {
+			break
+		}
+		done = append(done, r)
+	}
+	return done, prefilled
+}
+
+func (e *Engine) endStep(length time.Duration, prompted []*Request, prefilled int) {
+	e.steps++
+	e.Worked += float64(e.decoding) + float64(prefilled)/promptTokensPerWork
+	e.usedKV += e.decoding
+	if e.OnStep != nil && e.decoding > 0 {
+		e.OnStep(length, e.decoding)
+	}
+	finished := e.finishing[e.steps]
+	delete(e.finishing, e.steps)
+	for _, r := range prompted {
+		finished = e.join(r, finished)
+	}
+	for _, r := range finished {
+		if r.phase != decoding {
+			continue
+		}
+		e.leave(r)
+		r.phase = outside
+		r.onFinish(r)
+	}
+	e.step()
+}
+
+// join moves a request whose prompt is done into the decoding batch; its first token comes with this step.
+func (e *Engine) join(r *Request, finished []*Request) []*Request {
+	if r.phase != prefilling {
+		return finished
+	}
+	e.prefilling = without(e.prefilling, r)
+	r.phase = decoding
+	r.joined = e.steps
+	e.decoding++
+	r.FirstToken = e.loop.Now()
+	r.onFirst(r)
+	if r.Output <= 1 {
+		return append(finished, r)
+	}
+	last := r.joined + int64(r.Output-1)
+	e.finishing[last] = append(e.finishing[last], r)
+	return finished
+}
+
+// leave gives back what a decoding request holds.
+func (e *Engine) leave(r *Request) {
+	e.decoding--
+	e.usedKV -= r.heldKV + int(e.steps-r.joined)
+}
+
+func without(list []*Request, r *Request) []*Request {
+	for i, other := range list {
+		if other == r {
+			return append(list[:i:i], list[i+1:]...)
+		}
+	}
+	return list
+}
+
+// waitHeap holds what waits in the engine: higher priority first, then first in first out.
+type waitHeap []*Request
+
+func (h waitHeap) Len() int      { return len(h) }
+func (h waitHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h waitHeap) Less(i, j int) bool {
+	if h[i].Team.Priority != h[j].Team.Priority {
+		return h[i].Team.Priority > h[j].Team.Priority
+	}
+	return h[i].submitted < h[j].submitted
+}
+func (h *waitHeap) Push(x any) { *h = append(*h, x.(*Request)) }
+func (h *waitHeap) Pop() any {
+	last := len(*h) - 1
+	x := (*h)[last]
+	*h = (*h)[:last]
+	return x
+}
+
+func (h *waitHeap) remove(r *Request) {
+	for i, other := range *h {
+		if other == r {
+			heap.Remove(h, i)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/policy/internal/playback/fair.go
@@ -0,0 +1,74 @@
+package playback
+
+import (
+	"time"
+
+	"github.com/skylarkpond/skylarkpond/policy/fairqueue"
+)
+
+// Fair drives a fairqueue.Queue as a Queue.
+type Fair struct {
+	queue    *fairqueue.Queue
+	requests map[string]*Request
+}
+
+// NewFair returns a Fair over a new queue.
+func NewFair(config fairqueue.Config) *Fair {
+	return &Fair{queue: fairqueue.New(config), requests: make(map[string]*Request)}
+}
+
+func item(r *Request) fairqueue.Item {
+	return fairqueue.Item{
+		ID: r.ID, Team: r.Team.Name, Share: r.Team.Share, Priority: r.Team.Priority,
+		Work: r.Estimate, Deadline: r.Deadline(), Spread: r.Spread,
+	}
+}
+
+// Offer implements Queue.
+func (f *Fair) Offer(now time.Duration, r *Request) (Decision, time.Duration) {
+	verdict := f.queue.Offer(now, item(r))
+	switch verdict.Decision {
+	case fairqueue.Admitted:
+		return Admit, 0
+	case fairqueue.Queued:
+		f.requests[r.ID] = r
+		return Enqueue, 0
+	default:
+		return Refuse, verdict.RetryAfter
+	}
+}
+
+// Next implements Queue.
+func (f *Fair) Next(now time.Duration) *Request {
+	next, ok := f.queue.Next(now)
+	if !ok {
+		return nil
+	}
+	return f.take(next)
+}
+
+// Expire implements Queue.
+func (f *Fair) Expire(now time.Duration) []*Request {
+	var expired []*Request
+	for _, late := range f.queue.Expire(now) {
+		expired = append(expired, f.take(late))
+	}
+	return expired
+}
+
+func (f *Fair) take(item fairqueue.Item) *Request {
+	r := f.requests[item.ID]
+	delete(f.requests, item.ID)
+	return r
+}
+
+// RetryAfter implements Queue.
+func (f *Fair) RetryAfter(now time.Duration, r *Request) time.Duration {
+	return f.queue.RetryAfter(now, item(r))
+}
+
+// Done implements Queue.
+func (f *Fair) Done(now time.Duration, r *Request, work int) { f.queue.Done(now, r.ID, work) }
+
+// SetLimit implements Queue.
+func (f *Fair) SetLimit(limit int) { f.queue.SetLimit(limit) }
--- /dev/null
+++ b/policy/internal/playback/figures.go
@@ -0,0 +1,162 @@
+package playback
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// Figures is what callers got of a run.
+type Figures struct {
+	Offered, Answered, Refused, Late int
+	// Work is the work of the answered requests in tokens, WorkOf that of each team.
+	Work   float64
+	WorkOf map[*Team]float64
+	// OfferedOf is the work that each team asked for.
+	OfferedOf map[*Team]float64
+	// Wait is from a try's arrival to its being sent, First to its first token, Refusal to its refusal.
+	Wait, First, Refusal Quantiles
+	WaitOf               map[*Team]Quantiles
+	AnsweredOf           map[*Team]float64
+	// Tries is the mean number of tries of a request.
+	Tries float64
+}
+
+// Quantiles are the quantiles that the tables show.
+type Quantiles struct{ P50, P95 time.Duration }
+
+// Summarize returns the figures of the requests that first arrived from from up to until.
+func Summarize(requests []*Request, from, until time.Duration) Figures {
+	f := Figures{
+		WorkOf:     make(map[*Team]float64),
+		OfferedOf:  make(map[*Team]float64),
+		WaitOf:     make(map[*Team]Quantiles),
+		AnsweredOf: make(map[*Team]float64),
+	}
+	var wait, first, refusal []time.Duration
+	waitOf := make(map[*Team][]time.Duration)
+	countOf := make(map[*Team]float64)
+	tries := 0
+	for _, r := range requests {
+		if r.FirstArrived < from || r.FirstArrived >= until {
+			continue
+		}
+		f.Offered++
+		tries += r.Tries
+		countOf[r.Team]++
+		f.OfferedOf[r.Team] += float64(r.Work())
+		switch r.Outcome {
+		case Refused:
+			f.Refused++
+			refusal = append(refusal, r.Ended-r.Arrived)
+			continue
+		case Answered:
+			f.Answered++
+			f.AnsweredOf[r.Team]++
+			f.Work += float64(r.Work())
+			f.WorkOf[r.Team] += float64(r.Work())
+		case Late:
+			f.Late++
+		case Pending:
+			continue
+		}
+		wait = append(wait, r.Started-r.Arrived)
+		waitOf[r.Team] = append(waitOf[r.Team], r.Started-r.Arrived)
+		if r.FirstToken > 0 {
+			first = append(first, r.FirstToken-r.Arrived)
+		}
+	}
+	for team, count := range countOf {
+		f.AnsweredOf[team] /= count
+		f.WaitOf[team] = quantiles(waitOf[team])
+	}
+	f.Wait, f.First, f.Refusal = quantiles(wait), quantiles(first), quantiles(refusal)
+	f.Tries = float64(tries) / math.Max(1, float64(f.Offered))
+	return f
+}
+
+func quantiles(values []time.Duration) Quantiles {
+	if len(values) == 0 {
+		return Quantiles{}
+	}
+	slices.Sort(values)
+	return Quantiles{P50: values[len(values)/2], P95: values[len(values)*95/100]}
+}
+
+// FairShares returns what each team may get when capacity is divided by share: a team that asks for less
+// than its share gets all it asks for, and the rest is divided among the others (max-min fairness).
+func FairShares(offered map[*Team]float64, capacity float64) map[*Team]float64 {
+	fair := make(map[*Team]float64, len(offered))
+	open := make(map[*Team]bool, len(offered))
+	for team := range offered {
+		open[team] = true
+	}
+	for len(open) > 0 {
+		shares := 0.0
+		for team := range open {
+			shares += team.Share
+		}
+		part := capacity / shares
+		settled := false
+		for team := range open {
+			if offered[team] <= part*team.Share {
+				fair[team] = offered[team]
+				capacity -= offered[team]
+				delete(open, team)
+				settled = true
+			}
+		}
+		if settled {
+			continue
+		}
+		for team := range open {
+			fair[team] = part * team.Share
+		}
+		return fair
+	}
+	return fair
+}
+
+// WorstShare returns the smallest ratio of what a team got to its fair share of all that was done, which
+// is 1 when the division was fair.
+func (f Figures) WorstShare() float64 {
+	fair := FairShares(f.OfferedOf, f.Work)
+	worst := math.Inf(1)
+	for team, part := range fair {
+		worst = min(worst, f.WorkOf[team]/part)
+	}
+	return worst
+}
+
+// Histogram counts durations in buckets that are 2% wide.
+type Histogram struct {
+	counts [1024]float64
+	total  float64
+}
+
+const (
+	histogramFrom = 100 * time.Microsecond
+	histogramStep = 1.02
+)
+
+// Add counts d count times.
+func (h *Histogram) Add(d time.Duration, count int) {
+	bucket := 0
+	if d > histogramFrom {
+		bucket = int(math.Log(float64(d)/float64(histogramFrom)) / math.Log(histogramStep))
+	}
+	h.counts[min(bucket, len(h.counts)-1)] += float64(count)
+	h.total += float64(count)
+}
+
+// Quantile returns the upper end of the bucket that holds the quantile q.
+func (h *Histogram) Quantile(q float64) time.Duration {
+	left := q * h.total
+	for i, count := range h.counts {
+		left -= count
+		if left <= 0 {
+			return time.Duration(float64(histogramFrom) * math.Pow(histogramStep, float64(i+1)))
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/policy/internal/playback/traffic.go
@@ -0,0 +1,106 @@
+package playback
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// Team is one team of callers.
+type Team struct {
+	Name     string
+	Share    float64
+	Priority int
+	// Load is the team's part of the requests; the parts need not add up to 1.
+	Load float64
+	// Claims scales the work that is estimated for its requests: below 1 it understates.
+	Claims float64
+}
+
+// Teams returns count equal teams with share 1.
+func Teams(count int) []*Team {
+	teams := make([]*Team, count)
+	for i := range teams {
+		teams[i] = &Team{Name: fmt.Sprintf("team-%02d", i), Share: 1, Load: 1, Claims: 1}
+	}
+	return teams
+}
+
+// Traffic describes the requests that arrive.
+type Traffic struct {
+	Teams []*Team
+	// Rate returns the requests a second at a time; it is below MaxRate.
+	Rate    func(at time.Duration) float64
+	MaxRate float64
+	// Prompt and Output are mean lengths in tokens; lengths are exponentially distributed.
+	Prompt, Output float64
+	// LongPart of the requests generate LongTimes as many tokens as Output.
+	LongPart  float64
+	LongTimes float64
+	// EstimateError is the standard deviation of the logarithm of estimated over true work.
+	EstimateError float64
+	// Patience is how long a caller waits beyond PatiencePerToken x the tokens it asked for.
+	Patience         time.Duration
+	PatiencePerToken time.Duration
+	Seed             uint64
+}
+
+// MeanOutput returns the mean length of an answer in tokens.
+func (t *Traffic) MeanOutput() float64 {
+	return t.Output * (1 - t.LongPart + t.LongPart*t.LongTimes)
+}
+
+// MeanWork returns the mean work of a request in tokens.
+func (t *Traffic) MeanWork() float64 { return t.MeanOutput() + t.Prompt/promptTokensPerWork }
+
+// Requests returns the requests up to the time until, in order of arrival.
+func (t *Traffic) Requests(until time.Duration) []*Request {
+	random := rand.New(rand.NewPCG(t.Seed, 0x5eed))
+	total := 0.0
+	for _, team := range t.Teams {
+		total += team.Load
+	}
+	var requests []*Request
+	at := time.Duration(0)
+	for {
+		at += time.Duration(random.ExpFloat64() / t.MaxRate * float64(time.Second))
+		if at > until {
+			return requests
+		}
+		if random.Float64()*t.MaxRate > t.Rate(at) {
+			continue
+		}
+		r := t.request(random, t.pick(random.Float64()*total))
+		r.ID = fmt.Sprintf("r%d", len(requests))
+		r.Arrived = at
+		requests = append(requests, r)
+	}
+}
+
+func (t *Traffic) pick(point float64) *Team {
+	for _, team := range t.Teams {
+		point -= team.Load
+		if point < 0 {
+			return team
+		}
+	}
+	return t.Teams[len(t.Teams)-1]
+}
+
+func (t *Traffic) request(random *rand.Rand, team *Team) *Request {
+	output := t.Output
+	if random.Float64() < t.LongPart {
+		output *= t.LongTimes
+	}
+	r := &Request{
+		Team:   team,
+		Prompt: 1 + int(random.ExpFloat64()*t.Prompt),
+		Output: 1 + int(random.ExpFloat64()*output),
+		Spread: random.Float64(),
+	}
+	r.Patience = t.Patience + time.Duration(r.Output)*t.PatiencePerToken
+	guess := float64(r.Work()) * team.Claims * math.Exp(random.NormFloat64()*t.EstimateError)
+	r.Estimate = 1 + int(guess)
+	return r
+}
