--- a/policy/fairqueue/config.go
+++ b/policy/fairqueue/config.go
@@ -43,7 +43,6 @@
 	// ReturnShare is the part of the drain rate that is planned for those who were told to come back; the
 	// rest is left for new requests. 0.05 to 1; default 0.5.
 	ReturnShare float64
-	Instalment int
 }
 
 // RangeError says which value is out of its range.
--- a/policy/fairqueue/queue.go
+++ b/policy/fairqueue/queue.go
@@ -43,7 +43,6 @@
 	// latest is when it has to be sent; afterwards Expire returns it.
 	latest     time.Duration
 	prev, next int32
-	charged    float64
 }
 
 const none int32 = -1
@@ -200,7 +199,7 @@
 	}
 	e := &q.entries[i]
 	q.slots.running[e.class]--
-	q.correct(e.team, float64(work)-e.charged)
+	q.correct(e.team, float64(work-e.item.Work))
 	if work > 0 {
 		q.pace.add(now, now-e.sent, float64(e.item.Work))
 	}
@@ -248,8 +247,7 @@
 	e.running = true
 	e.sent = now
 	q.slots.running[e.class]++
-	e.charged = q.instalment(e.item.Work)
-	q.charge(e.team, e.charged)
+	q.charge(e.team, float64(e.item.Work))
 }
 
 // add stores an item; it is neither queued nor running yet.
@@ -288,7 +286,7 @@
 	e := &q.entries[i]
 	l := &e.team.queued[e.class]
 	q.items++
-	l.work += q.instalment(e.item.Work)
+	l.work += float64(e.item.Work)
 	l.items++
 	if l.items > 1 {
 		e.prev = l.tail
@@ -322,7 +320,7 @@
 	}
 	e.prev, e.next = none, none
 	q.items--
-	l.work -= q.instalment(e.item.Work)
+	l.work -= float64(e.item.Work)
 	l.items--
 	if l.items > 0 {
 		heap.Fix(&q.heaps[e.class], e.team.index[e.class])
@@ -334,21 +332,3 @@
 		q.pressures[e.class].set(now, q.cfg.StandingAfter, false)
 	}
 }
-
-// Used charges what a running item has used so far.
-func (q *Queue) Used(now time.Duration, id string, work int) {
-	i, ok := q.index[id]
-	if !ok || !q.entries[i].running {
-		return
-	}
-	e := &q.entries[i]
-	if more := float64(work) - e.charged; more > 0 {
-		e.charged += more
-		q.correct(e.team, more)
-	}
-}
-
-func (q *Queue) instalment(work int) float64 {
-	if q.cfg.Instalment == 0 { return float64(work) }
-	return float64(min(work, q.cfg.Instalment))
-}
--- a/policy/fairqueue/trial_test.go
+++ b/policy/fairqueue/trial_test.go
@@ -13,14 +13,14 @@
 
 var _ = It("trial", func() {
 	fmt.Println()
-	for _, s := range []playback.Scenario{playback.Steady(), playback.Burst(), playback.FewTeams(), playback.SlowServer(), playback.LongAmongShort(0.9), playback.LongAmongShort(1.3),oneLong(), playback.Saturation()} {
+	for _, s := range []playback.Scenario{playback.Steady(), playback.Burst(), playback.FewTeams(), playback.SlowServer(), playback.LongAmongShort(0.9), playback.LongAmongShort(1.3), playback.Saturation()} {
 		fmt.Println(s.Name, "limit", s.SteadyLimit(), "capacity", s.CapacityWork())
-		for _, k := range []string{"fifo", "fair", "inst128", "inst512"} {
+		for _, k := range []string{"fifo", "fair"} {
 			var q playback.Queue
 			if k == "fifo" {
 				q = &playback.FIFO{MaxItems: 2048, MaxWait: 2 * time.Second, Retry: time.Second}
 			} else {
-				q = playback.NewFair(fairqueue.Config{Instalment: map[string]int{"inst128":128, "inst512": 512}[k]})
+				q = playback.NewFair(fairqueue.Config{})
 			}
 			r := s.Play(q, playback.FixedLimit(s.SteadyLimit()))
 			f := r.Figures()
@@ -50,10 +50,4 @@
 	}
 })
 
-func oneLong() playback.Scenario {
-	s := playback.LongAmongShort(1.3)
-	s.Name = "one team sends long"
-	s.Traffic.Teams[0].Load = 3
-	return s
-}
 func slicesSort(w []time.Duration) { slices.Sort(w) }
--- a/policy/internal/playback/fair.go
+++ b/policy/internal/playback/fair.go
@@ -72,6 +72,3 @@
 
 // SetLimit implements Queue.
 func (f *Fair) SetLimit(limit int) { f.queue.SetLimit(limit) }
-
-// Used implements Queue.
-func (f *Fair) Used(now time.Duration, r *Request, work int) { f.queue.Used(now, r.ID, work) }
--- a/policy/internal/playback/home.go
+++ b/policy/internal/playback/home.go
@@ -125,21 +125,6 @@
 	h.running++
 	h.engine.Submit(r, h.observeFirstToken, h.finish)
 	h.loop.At(r.Deadline(), func() { h.giveUp(r) })
-	h.loop.After(2*time.Second, func() { h.use(r) })
-}
-
-func (h *Home) use(r *Request) {
-	if r.Outcome != Pending {
-		return
-	}
-	if r.phase == decoding {
-		if u, ok := h.queue.(interface {
-			Used(time.Duration, *Request, int)
-		}); ok {
-			u.Used(h.loop.Now(), r, Work(r.Prompt, int(h.engine.steps-r.joined)+1))
-		}
-	}
-	h.loop.After(2*time.Second, func() { h.use(r) })
 }
 
 func (h *Home) finish(r *Request) { h.end(r, Answered, r.Work()) }
