--- a/policy/fairqueue/config.go
+++ b/policy/fairqueue/config.go
@@ -13,7 +13,7 @@
 	MaxWait time.Duration
 	// StandingWait bounds the wait that a new request of a team is expected to have once the team has been
 	// backlogged for StandingAfter. A queue that never empties makes all wait and carries no more; a
-	// fraction of the first token objective of 640 ms keeps the group busy. 0 to MaxWait; default 300 ms.
+	// fraction of the first token objective of 640 ms keeps the group busy. 1 ms to MaxWait; default 300 ms.
 	StandingWait time.Duration
 	// StandingAfter tells a burst, which the queue should absorb, from saturation, which it cannot.
 	// 100 ms to 10 min; default 5 s.
@@ -25,13 +25,13 @@
 	// 1,024, which 98 in 100 requests of the usual mean of 233 tokens stay below.
 	ShortWork int
 	// ShortReserve is the part of the slots that long requests leave free while short ones come.
-	// 0 to 0.9; default 0.25.
+	// 0.01 to 0.9; default 0.5. See slots.go for what it costs.
 	ShortReserve float64
 	// LongAge is the wait after which a long request goes before the short ones of its team, so that it
 	// never starves behind them. 1 ms to 10 min; default 500 ms.
 	LongAge time.Duration
 	// HeadStart is the work, in tokens for a share of 1, by which each level of priority lets a team run
-	// ahead of its share before it has to wait its turn. 0 to 10,000; default 64.
+	// ahead of its share before it has to wait its turn. 1 to 10,000; default 64.
 	HeadStart float64
 	// Pace is the time that a request is expected to take for a token of work until it is measured.
 	// 1 µs to 10 s; default 79 ms, the objective for the gap between tokens.
@@ -66,7 +66,7 @@
 	fill(&c.StandingAfter, 5*time.Second)
 	fill(&c.MaxItems, 2048)
 	fill(&c.ShortWork, 1024)
-	fill(&c.ShortReserve, 0.25)
+	fill(&c.ShortReserve, 0.5)
 	fill(&c.LongAge, 500*time.Millisecond)
 	fill(&c.HeadStart, 64)
 	fill(&c.Pace, 79*time.Millisecond)
@@ -81,13 +81,13 @@
 	c = c.WithDefaults()
 	checks := []error{
 		within("MaxWait", c.MaxWait, 10*time.Millisecond, longest),
-		within("StandingWait", c.StandingWait, 0, c.MaxWait),
+		within("StandingWait", c.StandingWait, time.Millisecond, c.MaxWait),
 		within("StandingAfter", c.StandingAfter, 100*time.Millisecond, longest),
 		within("MaxItems", c.MaxItems, 1, 100_000),
 		within("ShortWork", c.ShortWork, 1, 1_000_000),
-		within("ShortReserve", c.ShortReserve, 0, 0.9),
+		within("ShortReserve", c.ShortReserve, 0.01, 0.9),
 		within("LongAge", c.LongAge, time.Millisecond, longest),
-		within("HeadStart", c.HeadStart, 0, 10_000),
+		within("HeadStart", c.HeadStart, 1, 10_000),
 		within("Pace", c.Pace, time.Microsecond, 10*time.Second),
 		within("MinRetryAfter", c.MinRetryAfter, time.Millisecond, time.Hour),
 		within("MaxRetryAfter", c.MaxRetryAfter, c.MinRetryAfter, time.Hour),
--- a/policy/fairqueue/queue.go
+++ b/policy/fairqueue/queue.go
@@ -6,7 +6,7 @@
 )
 
 // Queue is admission and the fair queue before one group. After each Offer that queued, and after
-// SetLimit, Done, Remove and Expire, its owner calls Next until it reports false.
+// SetLimit, Started, Done, Remove and Expire, its owner calls Next until it reports false.
 type Queue struct {
 	cfg   Config
 	slots slots
@@ -37,9 +37,11 @@
 	team    *team
 	class   class
 	running bool
-	seq     uint64
-	arrived time.Duration
-	sent    time.Duration
+	// starting says that it is running and its first token has not come.
+	starting bool
+	seq      uint64
+	arrived  time.Duration
+	sent     time.Duration
 	// latest is when it has to be sent; afterwards Expire returns it.
 	latest     time.Duration
 	prev, next int32
@@ -67,6 +69,24 @@
 // SetLimit sets how many items may be at work at once. Those already at work go on.
 func (q *Queue) SetLimit(limit int) { q.slots.limit = max(0, limit) }
 
+// SetStartLimit sets how many items may be at work without a first token; 0 is no bound. An owner that
+// sets it calls Started.
+func (q *Queue) SetStartLimit(limit int) { q.slots.startLimit = max(0, limit) }
+
+// Started says that the first token of an item came.
+func (q *Queue) Started(id string) {
+	if i, ok := q.index[id]; ok {
+		q.started(&q.entries[i])
+	}
+}
+
+func (q *Queue) started(e *entry) {
+	if e.starting {
+		e.starting = false
+		q.slots.starting--
+	}
+}
+
 // Len returns how many items are queued.
 func (q *Queue) Len() int { return q.items }
 
@@ -125,16 +145,17 @@
 	if slack := item.Deadline - service - now; wait > slack {
 		return CodeDeadline, wait - slack
 	}
-	if allowed := q.allowed(now, c); wait > allowed {
+	if allowed := q.allowed(now, t, c); wait > allowed {
 		return CodeOverloaded, wait - allowed
 	}
 	return "", 0
 }
 
-// allowed returns how long a new item may be expected to wait: MaxWait in a burst, and StandingWait once
-// the class has been backlogged for about StandingAfter.
-func (q *Queue) allowed(now time.Duration, c class) time.Duration {
-	if q.pressures[c].high(now, q.cfg.StandingAfter) {
+// allowed returns how long a new item of the team may be expected to wait: MaxWait in a burst, and
+// StandingWait once the class has been backlogged for about StandingAfter. A team that has nothing queued
+// is not what makes the queue stand.
+func (q *Queue) allowed(now time.Duration, t *team, c class) time.Duration {
+	if t.queued[c].items > 0 && q.pressures[c].high(now, q.cfg.StandingAfter) {
 		return q.cfg.StandingWait
 	}
 	return q.cfg.MaxWait
@@ -199,6 +220,7 @@
 	}
 	e := &q.entries[i]
 	q.slots.running[e.class]--
+	q.started(e)
 	q.correct(e.team, float64(work-e.item.Work))
 	if work > 0 {
 		q.pace.add(now, now-e.sent, float64(e.item.Work))
@@ -245,6 +267,8 @@
 func (q *Queue) send(now time.Duration, i int32) {
 	e := &q.entries[i]
 	e.running = true
+	e.starting = true
+	q.slots.starting++
 	e.sent = now
 	q.slots.running[e.class]++
 	q.charge(e.team, float64(e.item.Work))
--- a/policy/fairqueue/retry.go
+++ b/policy/fairqueue/retry.go
@@ -18,7 +18,7 @@
 func (q *Queue) RetryAfter(now time.Duration, item Item) time.Duration {
 	t := q.team(&item)
 	c := q.cfg.classOf(item.Work)
-	excess := q.expect(now, t, c) - q.allowed(now, c)
+	excess := q.expect(now, t, c) - q.allowed(now, t, c)
 	return q.retryAfter(now, t, c, &item, excess)
 }
 
--- a/policy/internal/playback/fair.go
+++ b/policy/internal/playback/fair.go
@@ -72,3 +72,9 @@
 
 // SetLimit implements Queue.
 func (f *Fair) SetLimit(limit int) { f.queue.SetLimit(limit) }
+
+// SetStartLimit implements Queue.
+func (f *Fair) SetStartLimit(limit int) { f.queue.SetStartLimit(limit) }
+
+// Started implements Queue.
+func (f *Fair) Started(r *Request) { f.queue.Started(r.ID) }
--- a/policy/internal/playback/fifo.go
+++ b/policy/internal/playback/fifo.go
@@ -61,3 +61,9 @@
 
 // SetLimit implements Queue.
 func (f *FIFO) SetLimit(limit int) { f.limit = limit }
+
+// SetStartLimit implements Queue: the baseline has none.
+func (f *FIFO) SetStartLimit(int) {}
+
+// Started implements Queue.
+func (f *FIFO) Started(*Request) {}
--- a/policy/internal/playback/figures.go
+++ b/policy/internal/playback/figures.go
@@ -9,6 +9,8 @@
 // Figures is what callers got of a run.
 type Figures struct {
 	Offered, Answered, Refused, Late int
+	// AtOnce counts the refusals that came without any wait.
+	AtOnce int
 	// Work is the work of the answered requests in tokens, WorkOf that of each team.
 	Work   float64
 	WorkOf map[*Team]float64
@@ -48,6 +50,9 @@
 		switch r.Outcome {
 		case Refused:
 			f.Refused++
+			if r.Ended == r.Arrived {
+				f.AtOnce++
+			}
 			refusal = append(refusal, r.Ended-r.Arrived)
 			continue
 		case Answered:
--- a/policy/internal/playback/home.go
+++ b/policy/internal/playback/home.go
@@ -25,11 +25,17 @@
 	// Done says that a request which was sent is over, and the work that it took.
 	Done(now time.Duration, r *Request, work int)
 	SetLimit(limit int)
+	// SetStartLimit bounds the requests that are sent and have no first token, 0 does not; Started says
+	// that a first token came.
+	SetStartLimit(limit int)
+	Started(r *Request)
 }
 
 // Limiter decides how many requests may be at work on the engine.
 type Limiter interface {
 	Current() int
+	// Starting bounds the requests without a first token; 0 does not.
+	Starting() int
 	FirstToken(now, taken, wait time.Duration, running int)
 	Gap(now, taken, gap time.Duration, count, running int)
 }
@@ -40,6 +46,9 @@
 // Current returns the limit.
 func (f FixedLimit) Current() int { return int(f) }
 
+// Starting returns 0.
+func (f FixedLimit) Starting() int { return 0 }
+
 // FirstToken does nothing.
 func (f FixedLimit) FirstToken(_, _, _ time.Duration, _ int) {}
 
@@ -69,7 +78,7 @@
 // NewHome returns a home; it measures gaps from the time from on.
 func NewHome(loop *Loop, engine *Engine, queue Queue, limit Limiter, lag time.Duration, tries int, from time.Duration) *Home {
 	h := &Home{loop: loop, engine: engine, queue: queue, limit: limit, lag: lag, tries: tries, from: from}
-	queue.SetLimit(limit.Current())
+	h.applyLimit()
 	engine.OnStep = h.observeGap
 	loop.Every(expireEvery, h.expire)
 	loop.Every(time.Second, func() { h.Limits = append(h.Limits, limit.Current()) })
@@ -95,6 +104,11 @@
 	}
 }
 
+func (h *Home) applyLimit() {
+	h.queue.SetLimit(h.limit.Current())
+	h.queue.SetStartLimit(h.limit.Starting())
+}
+
 func (h *Home) refuse(r *Request, retryAfter time.Duration) {
 	now := h.loop.Now()
 	r.Ended = now
@@ -116,7 +130,7 @@
 	for _, r := range h.queue.Expire(now) {
 		h.refuse(r, h.queue.RetryAfter(now, r))
 	}
-	h.queue.SetLimit(h.limit.Current())
+	h.applyLimit()
 	h.drain()
 }
 
@@ -148,13 +162,15 @@
 	r.Ended = now
 	h.running--
 	h.queue.Done(now, r, work)
-	h.queue.SetLimit(h.limit.Current())
+	h.applyLimit()
 	h.drain()
 }
 
 func (h *Home) observeFirstToken(r *Request) {
 	taken, wait, running := h.loop.Now(), r.FirstToken-r.Started, h.running
 	h.report(func() { h.limit.FirstToken(h.loop.Now(), taken, wait, running) })
+	h.queue.Started(r)
+	h.drain()
 }
 
 func (h *Home) observeGap(gap time.Duration, count int) {
--- a/policy/internal/playback/scenario.go
+++ b/policy/internal/playback/scenario.go
@@ -1,6 +1,9 @@
 package playback
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Scenario is a pattern of load on one engine.
 type Scenario struct {
@@ -102,7 +105,7 @@
 // LongAmongShort is a load of the given multiple of the capacity in which 5% of the requests generate 40
 // times as many tokens, two thirds of all.
 func LongAmongShort(load float64) Scenario {
-	s := plain("5% are 40x as long", load)
+	s := plain(fmt.Sprintf("5%% are 40x as long, %.1fx", load), load)
 	s.Traffic.Output = 80
 	s.Traffic.LongPart, s.Traffic.LongTimes = 0.05, 40
 	s.Length, s.From, s.Until = 12*time.Minute, 3*time.Minute, 9*time.Minute
