--- /dev/null
+++ b/test/cluster_test.go
@@ -0,0 +1,186 @@
+package test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/skylarkpond/skylarkpond/contract/settings"
+	"github.com/skylarkpond/skylarkpond/examples"
+	standinengine "github.com/skylarkpond/skylarkpond/internal/standin/engine"
+	standinplatform "github.com/skylarkpond/skylarkpond/internal/standin/platform"
+)
+
+// generous bounds every wait on a condition. Nothing is asserted of how long things take.
+const generous = 90 * time.Second
+
+// clusters gives each cluster loopback addresses of its own.
+var clusters atomic.Int32
+
+// cluster is a system of separate processes.
+type cluster struct {
+	subnet   int
+	dir      string
+	standins *process
+	platform string
+	engines  string
+	entries  []*entryProcess
+}
+
+// startCluster starts stand-ins, applies the dev declarations, and starts n entries.
+func startCluster(n int) *cluster {
+	GinkgoHelper()
+	c := &cluster{subnet: int(clusters.Add(1)), dir: GinkgoT().TempDir()}
+	DeferCleanup(c.stop)
+	c.startStandins()
+	c.applyTree()
+	for i := range n {
+		c.startEntry(fmt.Sprintf("entry-%d", i+1))
+	}
+	c.waitServing(c.entries[0])
+	return c
+}
+
+func (c *cluster) startStandins() {
+	c.platform = fmt.Sprintf("http://127.1.%d.1:9000", c.subnet)
+	c.engines = fmt.Sprintf("http://127.1.%d.1:9001", c.subnet)
+	world := filepath.Join(c.dir, "world.json")
+	Expect(os.WriteFile(world, fmt.Appendf(nil, devWorld, c.subnet), 0o600)).To(Succeed())
+	c.standins = start(c.dir, "standins", "dev", "--role", "standins", "--world", world,
+		"--platform-address", c.platform[len("http://"):], "--engines-address", c.engines[len("http://"):])
+	Eventually(func() error {
+		_, err := http.Get(c.engines + "/standin/vms")
+		return err
+	}, generous).Should(Succeed())
+}
+
+// devWorld has two failure domains with a fabric domain each: room for a replica of four VMs, a spare, and
+// a VM of the plain service in each.
+const devWorld = `{"FirstIP":"127.2.%d.1","VMPort":9000,"Places":[{"Name":"local","FailureDomains":[
+ {"Name":"local-a","FabricDomains":[{"Name":"local-a1","VMs":5,"Accelerators":2,"Plain":[{"Service":"desk","VMs":1}]}]},
+ {"Name":"local-b","FabricDomains":[{"Name":"local-b1","VMs":5,"Accelerators":2,"Plain":[{"Service":"desk","VMs":1}]}]}]}]}`
+
+// applyTree writes the dev declarations straight to the platform, as the first apply does.
+func (c *cluster) applyTree() {
+	declarations, err := settings.LoadFS(examples.Dev(), "examples/dev")
+	Expect(err).NotTo(HaveOccurred())
+	value, err := json.Marshal(declarations.Tree("test"))
+	Expect(err).NotTo(HaveOccurred())
+	request, err := http.NewRequest(http.MethodPut, c.platform+"/v1/objects/settings/tree?version=0", bytes.NewReader(value))
+	Expect(err).NotTo(HaveOccurred())
+	response, err := http.DefaultClient.Do(request)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(response.Body.Close()).To(Succeed())
+	Expect(response.StatusCode).To(Equal(http.StatusOK))
+}
+
+// startEntry starts one more entry, at the next address.
+func (c *cluster) startEntry(name string) *entryProcess {
+	host := 10 + len(c.entries)
+	address := func(port int) string { return fmt.Sprintf("127.1.%d.%d:%d", c.subnet, host, port) }
+	e := &entryProcess{name: name, public: "http://" + address(8080), admin: "http://" + address(8081)}
+	e.process = start(c.dir, name, "serve", "--name", name, "--place", "local",
+		"--failure-domain", []string{"local-a", "local-b"}[host%2],
+		"--public-address", address(8080), "--admin-address", address(8081), "--peer-address", address(8082),
+		"--platform", c.platform, "--timeline", filepath.Join(c.dir, name+".timeline"), "--drain-margin", "1s")
+	c.entries = append(c.entries, e)
+	return e
+}
+
+// stop ends everything, and shows the logs of a spec that failed.
+func (c *cluster) stop() {
+	for _, e := range c.entries {
+		e.kill()
+	}
+	c.standins.kill()
+	if !CurrentSpecReport().Failed() {
+		return
+	}
+	logs, _ := filepath.Glob(filepath.Join(c.dir, "*.log"))
+	for _, path := range logs {
+		text, _ := os.ReadFile(path)
+		AddReportEntry(filepath.Base(path), string(text[max(0, len(text)-4000):]))
+	}
+}
+
+// waitServing waits until an entry sees every service with all the groups that are wanted.
+func (c *cluster) waitServing(e *entryProcess) {
+	GinkgoHelper()
+	Eventually(func(g Gomega) {
+		status, err := e.status()
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(status.Services).NotTo(BeEmpty())
+		for _, service := range status.Services {
+			g.Expect(service.Serving).To(BeNumerically(">=", service.Wanted), service.Name)
+		}
+	}, generous, "200ms").Should(Succeed())
+}
+
+// waitLive waits until an entry sees just the given ones live.
+func (c *cluster) waitLive(e *entryProcess, live ...*entryProcess) {
+	GinkgoHelper()
+	var names []string
+	for _, other := range live {
+		names = append(names, other.name)
+	}
+	Eventually(e.live, generous, "200ms").Should(ConsistOf(names))
+}
+
+func (c *cluster) switchPlatform(s standinplatform.Switches) {
+	GinkgoHelper()
+	post(c.platform+"/standin/switches", s)
+}
+
+func (c *cluster) outage(o standinplatform.Outage) {
+	GinkgoHelper()
+	c.switchPlatform(standinplatform.Switches{Outage: &o})
+}
+
+func (c *cluster) switchVM(vm string, s standinengine.Switches) {
+	GinkgoHelper()
+	post(c.engines+"/standin/vms/"+vm+"/switches", s)
+}
+
+func post(url string, body any) {
+	GinkgoHelper()
+	encoded, err := json.Marshal(body)
+	Expect(err).NotTo(HaveOccurred())
+	response, err := http.Post(url, "application/json", bytes.NewReader(encoded))
+	Expect(err).NotTo(HaveOccurred())
+	Expect(response.Body.Close()).To(Succeed())
+	Expect(response.StatusCode).To(Equal(http.StatusOK))
+}
+
+// lines reads JSON lines from a stand-in.
+func lines[T any](url string) []T {
+	GinkgoHelper()
+	response, err := http.Get(url)
+	Expect(err).NotTo(HaveOccurred())
+	defer response.Body.Close()
+	var all []T
+	decoder := json.NewDecoder(response.Body)
+	for decoder.More() {
+		var line T
+		Expect(decoder.Decode(&line)).To(Succeed())
+		all = append(all, line)
+	}
+	return all
+}
+
+func (c *cluster) runs() []standinengine.Run {
+	GinkgoHelper()
+	return lines[standinengine.Run](c.engines + "/standin/runs")
+}
+
+func (c *cluster) history() []standinplatform.Change {
+	GinkgoHelper()
+	return lines[standinplatform.Change](c.platform + "/standin/history")
+}
--- /dev/null
+++ b/test/process_test.go
@@ -0,0 +1,107 @@
+package test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/skylarkpond/skylarkpond/contract/admin"
+	"github.com/skylarkpond/skylarkpond/examples"
+)
+
+// process is a process that the test started, and ends by its id.
+type process struct {
+	cmd  *exec.Cmd
+	done chan struct{}
+}
+
+// entryProcess is an entry. Its name is that of its address's place in the cluster.
+type entryProcess struct {
+	*process
+	name   string
+	public string
+	admin  string
+}
+
+func start(dir, name string, args ...string) *process {
+	GinkgoHelper()
+	log, err := os.OpenFile(filepath.Join(dir, name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	Expect(err).NotTo(HaveOccurred())
+	cmd := exec.Command(skylarkpond, args...)
+	cmd.Stdout = log
+	cmd.Stderr = log
+	Expect(cmd.Start()).To(Succeed())
+	p := &process{cmd: cmd, done: make(chan struct{})}
+	go func() {
+		_ = cmd.Wait()
+		_ = log.Close()
+		close(p.done)
+	}()
+	return p
+}
+
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
+func (p *process) freeze() { p.signal(syscall.SIGSTOP) }
+
+func (p *process) wake() { p.signal(syscall.SIGCONT) }
+
+func (p *process) terminate() { p.signal(syscall.SIGTERM) }
+
+// status asks the entry for all that it knows of the others.
+func (e *entryProcess) status() (admin.Status, error) {
+	var status admin.Status
+	request, err := http.NewRequest(http.MethodGet, e.admin+admin.StatusPath, nil)
+	if err != nil {
+		return status, err
+	}
+	request.Header.Set("Authorization", "Bearer "+examples.DevOperatorKey)
+	response, err := (&http.Client{Timeout: 10 * time.Second}).Do(request)
+	if err != nil {
+		return status, err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return status, fmt.Errorf("status %d", response.StatusCode)
+	}
+	return status, json.NewDecoder(response.Body).Decode(&status)
+}
+
+// live returns the names of the entries that this one holds live.
+func (e *entryProcess) live() ([]string, error) {
+	status, err := e.status()
+	var live []string
+	for _, other := range status.Entries {
+		if other.Live {
+			live = append(live, other.Name)
+		}
+	}
+	return live, err
+}
+
+// homeOf returns the homes of a service's groups, by group.
+func (e *entryProcess) homesOf(service string) map[string]string {
+	GinkgoHelper()
+	status, err := e.status()
+	Expect(err).NotTo(HaveOccurred())
+	homes := make(map[string]string)
+	for _, group := range status.Groups {
+		if group.Service == service {
+			homes[string(group.ID)] = group.Home
+		}
+	}
+	return homes
+}
