Membership of entries and rumours among them

Pings go along a ring at distances 1, 2, 4, ..., three a second. Plain ring successors were ruled out: news would move a few places a second, most of a minute around 330 entries; random targets would cost a QUIC handshake (some 5 KB) each second. Profiles are not pushed: a first version that did so had not joined 32 entries within 10 s of virtual time (400 bytes a message hold two profiles). Who lacks one asks once.

--- /dev/null
+++ b/entry/member/answer.go
@@ -0,0 +1,68 @@
+package member
+
+import (
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Errors that a peer is answered with.
+var (
+	ErrOtherName    = eris.New("the caller's name is not that of its certificate")
+	ErrWrongTarget  = eris.New("another entry has this address")
+	ErrUnknownEntry = eris.New("entry not known")
+
+	errBusy = eris.New("too many calls wait")
+)
+
+// receivePing answers a Ping of the entry from.
+func (m *Members) receivePing(now time.Time, from string, ping Ping) (Ack, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.checkPause(now)
+	if ping.Self.Name != from {
+		return Ack{}, ErrOtherName
+	}
+	if ping.Target != m.self.Name {
+		return Ack{}, ErrWrongTarget
+	}
+	m.observe(ping.Time)
+	m.heardFrom(now, ping.Self)
+	m.applyItems(now, from, ping.Gossip, true)
+	ack := Ack{Time: m.stamp(), Self: m.self}
+	if p := m.peers[from]; p != nil {
+		gossip, keys := m.gossipFor(p)
+		m.queue.tell(from, keys)
+		ack.Gossip = gossip
+	}
+	return ack, nil
+}
+
+// relayPing returns the ping to make for a Relay.
+func (m *Members) relayPing(now time.Time, ask Relay) (call, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.checkPause(now)
+	if m.peers[ask.Target] == nil {
+		return call{}, ErrUnknownEntry
+	}
+	c := m.pingCall(ask.Target)
+	c.sentAt = now
+	c.epoch = m.epoch
+	return c, nil
+}
+
+// relayed answers a Relay after the ping was made. A failed one is no reason for a suspicion here: the
+// entry that asked raises it.
+func (m *Members) relayed(now time.Time, c call, r result) Relayed {
+	if r.err == nil {
+		m.finish(now, c, r)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	answer := Relayed{Reached: r.err == nil}
+	if p := m.peers[c.to]; p != nil {
+		answer.Status = p.status
+	}
+	return answer
+}
--- /dev/null
+++ b/entry/member/apply.go
@@ -0,0 +1,183 @@
+package member
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/skylarkpond/skylarkpond/timeline"
+)
+
+// applyItems takes in gossip of the entry from. Called with mu held.
+func (m *Members) applyItems(now time.Time, from string, items []item, spread bool) {
+	for _, it := range items {
+		switch {
+		case it.Status != nil:
+			if m.applyStatus(now, from, *it.Status, spread) {
+				m.queue.tell(from, []string{statusKey(it.Status.Name)})
+			}
+		case it.Profile != nil:
+			m.applyProfile(now, it.Profile, spread)
+		case it.Rumour != nil:
+			m.hearRumour(now, from, *it.Rumour, spread)
+		}
+	}
+}
+
+// applyStatus takes in what from says of an entry and reports whether it was news. Called with mu held.
+func (m *Members) applyStatus(now time.Time, from string, s Status, spread bool) bool {
+	if s.Name == m.self.Name {
+		m.applySelf(now, s)
+		return false
+	}
+	p := m.peers[s.Name]
+	if p == nil || (p.status.Incarnation != s.Incarnation && s.Generation > p.status.Generation) {
+		if s.State != Dead {
+			m.syncSoon(from) // its profile is missing: ask for it
+		}
+		return false
+	}
+	if p.status.Incarnation == s.Incarnation {
+		p.status.Generation = max(p.status.Generation, s.Generation)
+	}
+	if !supersedes(s, p.status) {
+		return false
+	}
+	m.setStatus(now, p, s, spread)
+	return true
+}
+
+// applyProfile takes in an entry with all that is needed to reach it. Called with mu held.
+func (m *Members) applyProfile(now time.Time, pr *profile, spread bool) {
+	s := pr.Status
+	if s.Name == m.self.Name {
+		m.applySelf(now, s)
+		return
+	}
+	p := m.peers[s.Name]
+	if p != nil && p.status.Incarnation == s.Incarnation {
+		m.applyStatus(now, "", s, spread)
+		return
+	}
+	if p != nil && !supersedes(s, p.status) {
+		return
+	}
+	if p != nil {
+		m.replaced(p, pr)
+	}
+	p = &peerState{entry: pr.entry(), diedAt: now}
+	p.status = Status{Name: s.Name, Incarnation: s.Incarnation, Generation: s.Generation, State: Dead, Leaving: s.Leaving}
+	m.peers[s.Name] = p
+	m.trusted[pr.Fingerprint] = s.Name
+	m.rebuild()
+	if supersedes(s, p.status) {
+		m.setStatus(now, p, s, spread)
+	}
+}
+
+// applySelf answers what others hold of this entry. Called with mu held.
+func (m *Members) applySelf(now time.Time, s Status) {
+	if s.Incarnation != m.self.Incarnation {
+		if s.Generation > m.self.Generation && !m.superseded {
+			m.superseded = true
+			m.rebuild()
+		}
+		return
+	}
+	m.self.Generation = max(m.self.Generation, s.Generation)
+	if s.Counter < m.self.Counter || (s.State == Alive && s.Counter == m.self.Counter) {
+		return
+	}
+	m.self.Counter = s.Counter + 1
+	m.announceSelf()
+	if s.State == Dead {
+		// Others have taken over what this entry owned: it was silent for them longer than it knows,
+		// as when its VM was stopped together with its clock.
+		m.goStale(now)
+	}
+}
+
+// setStatus replaces what is held of p. Called with mu held.
+func (m *Members) setStatus(now time.Time, p *peerState, s Status, spread bool) {
+	before := p.status
+	p.status = s
+	switch s.State {
+	case Alive:
+		p.strikes = 0
+		if before.State != Alive {
+			m.record(timeline.Event{Kind: timeline.PeerAlive, Peer: s.Name})
+		}
+	case Suspect:
+		p.suspectUntil = now.Add(suspicionTimeout)
+		m.record(timeline.Event{Kind: timeline.PeerSuspected, Peer: s.Name})
+	case Dead:
+		p.diedAt = now
+		if before.State != Dead {
+			m.record(timeline.Event{Kind: timeline.PeerDead, Peer: s.Name})
+			m.disconnect(now, p)
+		}
+	}
+	if spread {
+		m.queue.put(statusKey(s.Name), item{Status: &s}, true)
+	}
+	if before.State != s.State || before.Leaving != s.Leaving {
+		m.rebuild()
+	}
+}
+
+// disconnect asks for the end of calls in progress to a dead peer, unless it spoke to this very entry a
+// moment ago: others may be cut off from it while answers still flow here. Called with mu held.
+func (m *Members) disconnect(now time.Time, p *peerState) {
+	if now.Sub(p.heard) >= suspicionTimeout {
+		m.cuts = append(m.cuts, p.entry.PeerAddress)
+	}
+}
+
+// replaced ends the trust in the earlier process of a name. Called with mu held.
+func (m *Members) replaced(p *peerState, by *profile) {
+	delete(m.trusted, p.entry.Fingerprint)
+	if p.entry.PeerAddress != by.PeerAddress {
+		m.cuts = append(m.cuts, p.entry.PeerAddress)
+	}
+}
+
+// remove drops all that is known of p. Called with mu held.
+func (m *Members) remove(p *peerState) {
+	delete(m.peers, p.status.Name)
+	m.sorted = nil
+	delete(m.trusted, p.entry.Fingerprint)
+	m.queue.drop(statusKey(p.status.Name))
+	m.rebuild()
+}
+
+// rebuild computes ring and live anew and tells the watchers. Called with mu held.
+func (m *Members) rebuild() {
+	m.ring = m.ring[:0]
+	m.ring = append(m.ring, m.self.Name)
+	live := make([]Peer, 0, len(m.peers)+1)
+	for name, p := range m.peers {
+		if p.status.State == Dead {
+			continue
+		}
+		m.ring = append(m.ring, name)
+		if !p.status.Leaving {
+			live = append(live, p.peer())
+		}
+	}
+	if m.owns() {
+		live = append(live, m.selfPeer())
+	}
+	slices.SortFunc(live, byName)
+	slices.SortFunc(m.ring, func(a, b string) int {
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
+	})
+	if slices.Equal(live, m.live) {
+		return
+	}
+	m.live = live
+	for _, watcher := range m.watchers {
+		signal(watcher)
+	}
+}
--- /dev/null
+++ b/entry/member/finish.go
@@ -0,0 +1,136 @@
+package member
+
+import (
+	"slices"
+	"time"
+)
+
+// finish takes in what came of a call and returns the calls that follow from it.
+func (m *Members) finish(now time.Time, c call, r result) []call {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.checkPause(now)
+	var next []call
+	switch c.kind {
+	case callPing:
+		next = m.finishPing(now, c, r)
+	case callRelay:
+		m.finishRelay(now, c, r)
+	case callDigest:
+		next = m.finishDigest(now, c, r)
+	case callExchange:
+		m.finishExchange(now, c, r)
+	}
+	for i := range next {
+		next[i].sentAt = now
+		next[i].epoch = m.epoch
+	}
+	return next
+}
+
+func (m *Members) finishPing(now time.Time, c call, r result) []call {
+	p := m.peers[c.to]
+	if r.err == nil {
+		m.observe(r.ack.Time)
+		m.queue.tell(c.to, c.keys)
+		m.heardFrom(now, r.ack.Self)
+		if p != nil && p.unreachable {
+			p.unreachable = false
+			m.rebuild()
+		}
+		m.applyItems(now, c.to, r.ack.Gossip, true)
+		if m.exchanged(now, c.sentAt) {
+			m.syncSoon(c.to)
+		}
+		return nil
+	}
+	if p == nil || c.epoch != m.epoch || p.status.State != Alive || p.heard.After(c.sentAt) {
+		return nil
+	}
+	return m.askHelpers(now, p)
+}
+
+// heardFrom notes that the entry itself spoke. Called with mu held.
+func (m *Members) heardFrom(now time.Time, s Status) {
+	m.applyStatus(now, s.Name, s, true)
+	p := m.peers[s.Name]
+	if p != nil && p.status.Incarnation == s.Incarnation {
+		p.heard = now
+		p.strikes = 0
+	}
+}
+
+// askHelpers asks others to ping p, since only the path from here may be cut.
+func (m *Members) askHelpers(now time.Time, p *peerState) []call {
+	name := p.status.Name
+	chosen := m.chooseHelpers(name)
+	t := &tally{target: name, before: p.status, waiting: len(chosen)}
+	if len(chosen) == 0 {
+		m.strike(now, p, t)
+		return nil
+	}
+	var calls []call
+	for _, helper := range chosen {
+		calls = append(calls, call{
+			kind: callRelay, to: helper, address: m.peers[helper].entry.PeerAddress,
+			relay: Relay{Target: name}, tally: t,
+		})
+	}
+	return calls
+}
+
+// chooseHelpers prefers the fingers, to which connections are open.
+func (m *Members) chooseHelpers(target string) []string {
+	usable := func(name string) bool {
+		p := m.peers[name]
+		return p != nil && name != target && p.status.State == Alive && !p.unreachable
+	}
+	pool := slices.DeleteFunc(m.fingers(), func(name string) bool { return !usable(name) })
+	if len(pool) < helpers {
+		pool = slices.DeleteFunc(slices.Clone(m.ring), func(name string) bool { return !usable(name) })
+	}
+	m.rand.Shuffle(len(pool), func(i, j int) { pool[i], pool[j] = pool[j], pool[i] })
+	return pool[:min(helpers, len(pool))]
+}
+
+func (m *Members) finishRelay(now time.Time, c call, r result) {
+	t := c.tally
+	t.waiting--
+	if r.err == nil {
+		t.answered = true
+		t.reached = t.reached || r.relayed.Reached
+		if r.relayed.Status.Name == t.target {
+			m.applyStatus(now, c.to, r.relayed.Status, true)
+		}
+	}
+	p := m.peers[t.target]
+	if p == nil || c.epoch != m.epoch {
+		return
+	}
+	if t.reached {
+		if !p.unreachable && p.status == t.before {
+			p.unreachable = true
+			m.rebuild()
+		}
+		p.strikes = 0
+		return
+	}
+	if t.waiting == 0 {
+		m.strike(now, p, t)
+	}
+}
+
+// strike counts a ping that failed on every way. One failure suffices when a helper says so too; when no
+// helper answered, this entry itself may be the one that is cut off, and it tries once more.
+func (m *Members) strike(now time.Time, p *peerState, t *tally) {
+	if p.status != t.before || p.status.State != Alive {
+		return
+	}
+	p.strikes++
+	if !t.answered && p.strikes < maxStrikes {
+		return
+	}
+	suspect := p.status
+	suspect.State = Suspect
+	m.setStatus(now, p, suspect, true)
+}
--- /dev/null
+++ b/entry/member/member.go
@@ -0,0 +1,236 @@
+// Package member is what the entries know of each other: which live, and rumours, kept among themselves
+// without the platform.
+//
+// Each entry pings a few others a second, along a ring at distances 1, 2, 4, ...: every entry is watched
+// by several, the connections stay the same and few, and what the pings carry reaches all in a
+// logarithmic number of rounds. An entry that does not answer is pinged through two others, then
+// suspected, then, if it does not refute that by a higher counter, dead.
+//
+// All of Members runs on times that are passed in; Run is the thin shell that adds the clock and the
+// network. A process that was paused can't trust what it knew: it notices by the clock and counts itself
+// as no owner until it has spoken with a peer.
+package member
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/skylarkpond/skylarkpond/link/platform"
+	"github.com/skylarkpond/skylarkpond/timeline"
+)
+
+// Config is what a Members needs.
+type Config struct {
+	// Self is this entry, as it announced itself to the platform.
+	Self platform.Entry
+	// Generation is the platform's version of that object.
+	Generation uint64
+	Rand       *rand.Rand
+	// Events may be nil.
+	Events *timeline.Recorder
+	// Clock is time.Now unless a test says otherwise.
+	Clock func() time.Time
+}
+
+// Members is the table of entries, and the rumours among them. It is safe for concurrent use.
+type Members struct {
+	clock  func() time.Time
+	events *timeline.Recorder
+
+	mu        sync.Mutex // guards what follows; a leaf lock but for the recorder's
+	rand      *rand.Rand
+	self      Status
+	selfEntry platform.Entry
+	peers     map[string]*peerState
+	sorted    []string          // the keys of peers, nil after one was removed
+	trusted   map[string]string // fingerprint to name
+	live      []Peer            // what Live returns; replaced, never changed
+	ring      []string          // self and all who are not dead, in ring order
+	queue     *queue
+	rumours   map[rumourKey]held
+	wants     map[rumourKey]*want
+	handlers  map[string]func(Rumour)
+	inbox     map[rumourKey]Rumour
+	watchers  []chan struct{}
+
+	schedule
+	freshness
+
+	inboxReady chan struct{}
+}
+
+// peerState is what this entry holds of another.
+type peerState struct {
+	status Status
+	entry  platform.Entry
+	// suspectUntil is when a suspicion becomes a death, diedAt when it did.
+	suspectUntil time.Time
+	diedAt       time.Time
+	// heard is the last time the peer itself answered or called.
+	heard time.Time
+	// strikes counts failed pings in a row for which no helper answered either.
+	strikes     int
+	unreachable bool
+}
+
+// New returns a Members that knows only itself.
+func New(cfg Config) *Members {
+	if cfg.Clock == nil {
+		cfg.Clock = time.Now
+	}
+	if cfg.Rand == nil {
+		cfg.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	m := &Members{
+		clock:     cfg.Clock,
+		events:    cfg.Events,
+		rand:      cfg.Rand,
+		selfEntry: cfg.Self,
+		self: Status{
+			Name: cfg.Self.Name, Incarnation: cfg.Self.Incarnation, Generation: cfg.Generation,
+			Counter: 1, State: Alive, Leaving: cfg.Self.Leaving,
+		},
+		peers:      make(map[string]*peerState),
+		trusted:    map[string]string{cfg.Self.Fingerprint: cfg.Self.Name},
+		queue:      newQueue(),
+		rumours:    make(map[rumourKey]held),
+		wants:      make(map[rumourKey]*want),
+		handlers:   make(map[string]func(Rumour)),
+		inbox:      make(map[rumourKey]Rumour),
+		inboxReady: make(chan struct{}, 1),
+	}
+	m.startFreshness(m.clock())
+	m.announceSelf()
+	m.rebuild()
+	return m
+}
+
+// Self returns this entry.
+func (m *Members) Self() Peer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.selfPeer()
+}
+
+func (m *Members) selfPeer() Peer {
+	entry := m.selfEntry
+	entry.Leaving = m.self.Leaving
+	return Peer{Entry: entry, State: m.self.State, Self: true}
+}
+
+// Live returns the entries that can be given to callers and can own things: alive or only suspected,
+// and not leaving; by name. This entry is among them unless it is leaving, or was paused and has not
+// spoken with a peer since. The slice must not be changed.
+func (m *Members) Live() []Peer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.checkPause(m.clock())
+	return m.live
+}
+
+// Peers returns all other entries that are known, the dead and the leaving too, by name.
+func (m *Members) Peers() []Peer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	all := make([]Peer, 0, len(m.peers))
+	for _, p := range m.peers {
+		all = append(all, p.peer())
+	}
+	slices.SortFunc(all, byName)
+	return all
+}
+
+func byName(a, b Peer) int {
+	switch {
+	case a.Name < b.Name:
+		return -1
+	case a.Name > b.Name:
+		return 1
+	default:
+		return 0
+	}
+}
+
+func (p *peerState) peer() Peer {
+	entry := p.entry
+	entry.Leaving = p.status.Leaving
+	return Peer{Entry: entry, State: p.status.State, Unreachable: p.unreachable}
+}
+
+// Trusted tells whose certificate has the fingerprint. It makes Members the trust of link/peer.
+func (m *Members) Trusted(fingerprint string) (string, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	name, ok := m.trusted[fingerprint]
+	return name, ok
+}
+
+// Subscribe returns a channel that is signalled after Live has changed. Signals that are not read are
+// merged into one.
+func (m *Members) Subscribe() <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	watcher := make(chan struct{}, 1)
+	m.watchers = append(m.watchers, watcher)
+	return watcher
+}
+
+// Know takes in an entry as the platform names it, and the version of its object. It is a reason to
+// trust it and to try it, not to hold it alive.
+func (m *Members) Know(e platform.Entry, generation uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock()
+	if e.Name == m.self.Name {
+		m.applySelf(now, Status{Name: e.Name, Incarnation: e.Incarnation, Generation: generation})
+		return
+	}
+	status := Status{Name: e.Name, Incarnation: e.Incarnation, Generation: generation, State: Dead, Leaving: e.Leaving}
+	m.applyProfile(now, profileOf(status, e), false)
+}
+
+// Join is Know for several, at the start.
+func (m *Members) Join(seeds []platform.Entry, generations []uint64) {
+	for i, seed := range seeds {
+		m.Know(seed, generations[i])
+	}
+}
+
+// Forget drops an entry whose object was deleted, unless it lives.
+func (m *Members) Forget(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if p := m.peers[name]; p != nil && p.status.State == Dead {
+		m.remove(p)
+	}
+}
+
+// Leave tells the others that this entry takes no new work. It goes on answering.
+func (m *Members) Leave() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.self.Leaving {
+		return
+	}
+	m.self.Leaving = true
+	m.self.Counter++
+	m.announceSelf()
+	m.rebuild()
+}
+
+// announceSelf queues the own status. Called with mu held. Who lacks the profile asks for it once: pushed
+// along, it would be sent eleven times by each of 330 entries.
+func (m *Members) announceSelf() {
+	status := m.self
+	m.queue.put(statusKey(status.Name), item{Status: &status}, true)
+}
+
+func statusKey(name string) string { return "s/" + name }
+
+func (m *Members) record(e timeline.Event) {
+	if m.events != nil {
+		m.events.Record(e)
+	}
+}
--- /dev/null
+++ b/entry/member/message.go
@@ -0,0 +1,102 @@
+package member
+
+import (
+	"context"
+	"time"
+)
+
+// Rumour is a fact that is carried on to every entry. A higher Version of a Topic and Name replaces a
+// lower one everywhere.
+type Rumour struct {
+	Topic   string `cbor:"1,keyasint"`
+	Name    string `cbor:"2,keyasint"`
+	Version uint64 `cbor:"3,keyasint"`
+	// Body may be large: over inlineBytes it is not pushed, but announced and fetched once by each entry.
+	Body []byte `cbor:"4,keyasint,omitempty"`
+	// TTL, if set, is how long the rumour is still of use; it counts down on the way. Such rumours are
+	// not healed when lost, since the next one replaces them.
+	TTL time.Duration `cbor:"5,keyasint,omitempty"`
+	// Announced is the size of a body that was left out.
+	Announced int `cbor:"6,keyasint,omitempty"`
+}
+
+// item is one piece of gossip: exactly one field is set.
+type item struct {
+	Status  *Status  `cbor:"1,keyasint,omitempty"`
+	Profile *profile `cbor:"2,keyasint,omitempty"`
+	Rumour  *Rumour  `cbor:"3,keyasint,omitempty"`
+}
+
+// Ping asks whether Target lives, and carries gossip.
+type Ping struct {
+	// Time is the sender's hybrid logical time.
+	Time   int64  `cbor:"1,keyasint"`
+	Self   Status `cbor:"2,keyasint"`
+	Target string `cbor:"3,keyasint"`
+	Gossip []item `cbor:"4,keyasint,omitempty"`
+}
+
+// Ack answers a Ping.
+type Ack struct {
+	Time   int64  `cbor:"1,keyasint"`
+	Self   Status `cbor:"2,keyasint"`
+	Gossip []item `cbor:"3,keyasint,omitempty"`
+}
+
+// Relay asks another entry to ping Target in the sender's place.
+type Relay struct {
+	Target string `cbor:"1,keyasint"`
+}
+
+// Relayed answers a Relay.
+type Relayed struct {
+	Reached bool `cbor:"1,keyasint"`
+	// Status is what the helper now holds of the target; its counter may refute a suspicion.
+	Status Status `cbor:"2,keyasint"`
+}
+
+// Digest sums up what the sender knows, so that equal knowledge costs a few hundred bytes to compare.
+type Digest struct {
+	Time    int64    `cbor:"1,keyasint"`
+	Self    Status   `cbor:"2,keyasint"`
+	Buckets []uint64 `cbor:"3,keyasint"`
+}
+
+// Listing answers a Digest: what the answerer holds in the buckets that differ.
+type Listing struct {
+	Time     int64     `cbor:"1,keyasint"`
+	Self     Status    `cbor:"2,keyasint"`
+	Buckets  []int     `cbor:"3,keyasint,omitempty"`
+	Statuses []Status  `cbor:"4,keyasint,omitempty"`
+	Versions []version `cbor:"5,keyasint,omitempty"`
+}
+
+// version names a rumour without its body.
+type version struct {
+	Topic   string `cbor:"1,keyasint"`
+	Name    string `cbor:"2,keyasint"`
+	Version uint64 `cbor:"3,keyasint"`
+}
+
+// Exchange hands over what the answerer of a Digest lacks and asks for what the sender lacks.
+type Exchange struct {
+	Give         []item    `cbor:"1,keyasint,omitempty"`
+	WantProfiles []string  `cbor:"2,keyasint,omitempty"`
+	WantRumours  []version `cbor:"3,keyasint,omitempty"`
+}
+
+// Exchanged answers an Exchange. More says that not all that was wanted fitted.
+type Exchanged struct {
+	Items []item `cbor:"1,keyasint,omitempty"`
+	More  bool   `cbor:"2,keyasint,omitempty"`
+}
+
+// Pinger carries the messages to the entry at address.
+type Pinger interface {
+	Ping(ctx context.Context, address string, m Ping) (Ack, error)
+	Relay(ctx context.Context, address string, m Relay) (Relayed, error)
+	Digest(ctx context.Context, address string, m Digest) (Listing, error)
+	Exchange(ctx context.Context, address string, m Exchange) (Exchanged, error)
+	// Disconnect ends calls in progress to a dead entry.
+	Disconnect(address string)
+}
--- /dev/null
+++ b/entry/member/rumours.go
@@ -0,0 +1,179 @@
+package member
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// inlineBytes is the largest body that is pushed with pings. A larger one would be sent many times over
+// by each entry; it is announced instead, and each entry fetches it once.
+const inlineBytes = 200
+
+// held is a rumour in the store.
+type held struct {
+	rumour  Rumour
+	expires time.Time // zero: never
+}
+
+type rumourKey struct{ topic, name string }
+
+func (k rumourKey) String() string { return "r/" + k.topic + "/" + k.name }
+
+func keyOf(r Rumour) rumourKey { return rumourKey{r.Topic, r.Name} }
+
+// want is a rumour whose body is to be fetched.
+type want struct {
+	version uint64
+	sources []string
+	asked   bool
+}
+
+const maxSources = 3
+
+// Broadcast hands a rumour to all entries, in time. One that is not newer than what is known of its
+// Topic and Name is ignored.
+func (m *Members) Broadcast(r Rumour) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock()
+	r.Announced = 0
+	m.keepRumour(now, r, true)
+}
+
+// Handle registers the handler of a topic, before Run. It is called for each rumour of other entries
+// that is newer than what was known, one at a time, without a lock held.
+func (m *Members) Handle(topic string, handler func(Rumour)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.handlers[topic] = handler
+}
+
+// keepRumour stores r if it is newer and reports whether it was. Called with mu held.
+func (m *Members) keepRumour(now time.Time, r Rumour, spread bool) bool {
+	key := keyOf(r)
+	if old, ok := m.rumours[key]; ok && old.rumour.Version >= r.Version {
+		return false
+	}
+	kept := held{rumour: r}
+	if r.TTL > 0 {
+		kept.expires = now.Add(r.TTL)
+	}
+	m.rumours[key] = kept
+	if w := m.wants[key]; w != nil && w.version <= r.Version {
+		delete(m.wants, key)
+	}
+	if spread {
+		m.queue.put(key.String(), item{Rumour: announced(r)}, false)
+	}
+	return true
+}
+
+// announced returns r as it is pushed: without its body if that is large.
+func announced(r Rumour) *Rumour {
+	if len(r.Body) > inlineBytes {
+		r.Announced = len(r.Body)
+		r.Body = nil
+	}
+	return &r
+}
+
+// hearRumour takes in a rumour from another entry. Called with mu held.
+func (m *Members) hearRumour(now time.Time, from string, r Rumour, spread bool) {
+	if r.Announced > 0 {
+		m.noteWant(from, r)
+		return
+	}
+	if m.keepRumour(now, r, spread) {
+		m.deliver(r)
+		m.queue.tell(from, []string{keyOf(r).String()})
+	}
+}
+
+// noteWant remembers who can give the body of an announced rumour. Called with mu held.
+func (m *Members) noteWant(from string, r Rumour) {
+	key := keyOf(r)
+	if m.rumours[key].rumour.Version >= r.Version {
+		return
+	}
+	w := m.wants[key]
+	if w == nil || w.version < r.Version {
+		w = &want{version: r.Version}
+		m.wants[key] = w
+	}
+	if len(w.sources) < maxSources {
+		w.sources = append(w.sources, from)
+	}
+}
+
+// fetches returns the calls that fetch wanted bodies, one for each. Called with mu held.
+func (m *Members) fetches() []call {
+	var calls []call
+	for _, key := range sortedKeys(m.wants) {
+		w := m.wants[key]
+		if w.asked {
+			continue
+		}
+		if len(w.sources) == 0 {
+			delete(m.wants, key) // the exchange of digests will find it again
+			continue
+		}
+		source := w.sources[0]
+		w.sources = w.sources[1:]
+		p := m.peers[source]
+		if p == nil {
+			continue
+		}
+		w.asked = true
+		ask := Exchange{WantRumours: []version{{Topic: key.topic, Name: key.name, Version: w.version}}}
+		calls = append(calls, call{kind: callExchange, to: source, address: p.entry.PeerAddress, exchange: ask, fetch: key})
+	}
+	return calls
+}
+
+// expireRumours drops what is past its time. Called with mu held.
+func (m *Members) expireRumours(now time.Time) {
+	for key, h := range m.rumours {
+		if !h.expires.IsZero() && !now.Before(h.expires) {
+			delete(m.rumours, key)
+			m.queue.drop(key.String())
+		}
+	}
+}
+
+// sortedKeys gives maps an order, so that a run can be played again.
+func sortedKeys[V any](table map[rumourKey]V) []rumourKey {
+	return slices.SortedFunc(maps.Keys(table), func(a, b rumourKey) int {
+		return cmp.Or(cmp.Compare(a.topic, b.topic), cmp.Compare(a.name, b.name))
+	})
+}
+
+// deliver queues r for its handler; only the newest of a topic and name waits. Called with mu held.
+func (m *Members) deliver(r Rumour) {
+	if m.handlers[r.Topic] == nil {
+		return
+	}
+	m.inbox[keyOf(r)] = r
+	signal(m.inboxReady)
+}
+
+// dispatch calls the handlers of all rumours that wait.
+func (m *Members) dispatch() {
+	m.mu.Lock()
+	waiting := m.inbox
+	handlers := maps.Clone(m.handlers)
+	m.inbox = make(map[rumourKey]Rumour)
+	m.mu.Unlock()
+	for _, key := range sortedKeys(waiting) {
+		handlers[key.topic](waiting[key])
+	}
+}
+
+// signal wakes whoever waits on a channel of capacity 1, without waiting itself.
+func signal(ready chan struct{}) {
+	select {
+	case ready <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/entry/member/run.go
@@ -0,0 +1,171 @@
+package member
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/skylarkpond/skylarkpond/link/peer"
+)
+
+// Paths between entries.
+const (
+	pathPing     = "/member/ping"
+	pathRelay    = "/member/relay"
+	pathDigest   = "/member/digest"
+	pathExchange = "/member/exchange"
+)
+
+const (
+	// workers make the calls. Three pings a second of at most 1.2 s each, with their relays, and a sync
+	// need fewer.
+	workers = 16
+	// maxPending bounds the calls that wait for a worker; more than that are given up as failed.
+	maxPending = 256
+)
+
+// NewPinger returns the Pinger over client.
+func NewPinger(client *peer.Client) Pinger { return &peerPinger{client} }
+
+type peerPinger struct{ client *peer.Client }
+
+func (p *peerPinger) Ping(ctx context.Context, address string, m Ping) (Ack, error) {
+	var ack Ack
+	err := p.client.Call(ctx, address, pathPing, m, &ack)
+	return ack, err
+}
+
+func (p *peerPinger) Relay(ctx context.Context, address string, m Relay) (Relayed, error) {
+	var answer Relayed
+	err := p.client.Call(ctx, address, pathRelay, m, &answer)
+	return answer, err
+}
+
+func (p *peerPinger) Digest(ctx context.Context, address string, m Digest) (Listing, error) {
+	var listing Listing
+	err := p.client.Call(ctx, address, pathDigest, m, &listing)
+	return listing, err
+}
+
+func (p *peerPinger) Exchange(ctx context.Context, address string, m Exchange) (Exchanged, error) {
+	var answer Exchanged
+	err := p.client.Call(ctx, address, pathExchange, m, &answer)
+	return answer, err
+}
+
+func (p *peerPinger) Disconnect(address string) { p.client.Disconnect(address) }
+
+// Register adds the handlers of m to a server, before it serves. pinger makes the pings that others ask
+// for.
+func (m *Members) Register(s *peer.Server, pinger Pinger) {
+	peer.Handle(s, pathPing, func(_ context.Context, from string, ping Ping) (Ack, error) {
+		return m.receivePing(m.clock(), from, ping)
+	})
+	peer.Handle(s, pathDigest, func(_ context.Context, from string, d Digest) (Listing, error) {
+		return m.receiveDigest(m.clock(), from, d)
+	})
+	peer.Handle(s, pathExchange, func(_ context.Context, from string, e Exchange) (Exchanged, error) {
+		return m.receiveExchange(m.clock(), from, e)
+	})
+	peer.Handle(s, pathRelay, func(ctx context.Context, _ string, ask Relay) (Relayed, error) {
+		c, err := m.relayPing(m.clock(), ask)
+		if err != nil {
+			return Relayed{}, err
+		}
+		ctx, cancel := context.WithTimeout(ctx, relayedPingTimeout)
+		defer cancel()
+		r := perform(ctx, pinger, c)
+		return m.relayed(m.clock(), c, r), nil
+	})
+}
+
+// perform makes one call.
+func perform(ctx context.Context, pinger Pinger, c call) result {
+	var r result
+	switch c.kind {
+	case callPing:
+		r.ack, r.err = pinger.Ping(ctx, c.address, c.ping)
+	case callRelay:
+		r.relayed, r.err = pinger.Relay(ctx, c.address, c.relay)
+	case callDigest:
+		r.listing, r.err = pinger.Digest(ctx, c.address, c.digest)
+	case callExchange:
+		r.exchanged, r.err = pinger.Exchange(ctx, c.address, c.exchange)
+	case callDisconnect:
+		pinger.Disconnect(c.address)
+	}
+	return r
+}
+
+func timeoutOf(kind callKind) time.Duration {
+	switch kind {
+	case callPing:
+		return pingTimeout
+	case callRelay:
+		return relayTimeout
+	default:
+		return syncTimeout
+	}
+}
+
+// Run keeps the table until ctx ends. It returns after all of its calls have ended.
+func (m *Members) Run(ctx context.Context, pinger Pinger) error {
+	pending := make(chan call, maxPending)
+	var wait sync.WaitGroup
+	for range workers {
+		wait.Go(func() { m.work(ctx, pinger, pending) })
+	}
+	wait.Go(func() { m.dispatchUntil(ctx) })
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			wait.Wait()
+			return nil
+		case <-ticker.C:
+			m.enqueue(pending, m.tick(m.clock()))
+		}
+	}
+}
+
+func (m *Members) enqueue(pending chan<- call, calls []call) {
+	for _, c := range calls {
+		select {
+		case pending <- c:
+		default:
+			m.finish(m.clock(), c, result{err: errBusy})
+		}
+	}
+}
+
+func (m *Members) work(ctx context.Context, pinger Pinger, pending chan call) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case c := <-pending:
+			r := performBounded(ctx, pinger, c)
+			if ctx.Err() == nil {
+				m.enqueue(pending, m.finish(m.clock(), c, r))
+			}
+		}
+	}
+}
+
+func performBounded(ctx context.Context, pinger Pinger, c call) result {
+	ctx, cancel := context.WithTimeout(ctx, timeoutOf(c.kind))
+	defer cancel()
+	return perform(ctx, pinger, c)
+}
+
+func (m *Members) dispatchUntil(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.inboxReady:
+			m.dispatch()
+		}
+	}
+}
--- /dev/null
+++ b/entry/member/run_test.go
@@ -0,0 +1,92 @@
+package member
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/skylarkpond/skylarkpond/link/peer"
+	"github.com/skylarkpond/skylarkpond/link/platform"
+)
+
+const patience = 60 * time.Second
+
+// process is one entry on loopback, over the real link.
+type process struct {
+	*Members
+	entry platform.Entry
+	stop  func()
+}
+
+func startProcess(name string, generation uint64) *process {
+	id, err := peer.NewIdentity(name)
+	Expect(err).NotTo(HaveOccurred())
+	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	p := &process{entry: platform.Entry{
+		Name: name, Incarnation: name + "-1", Fingerprint: id.Fingerprint(), PeerAddress: socket.LocalAddr().String(),
+	}}
+	p.Members = New(Config{Self: p.entry, Generation: generation})
+	client := peer.NewClient(id, p)
+	pinger := NewPinger(client)
+	server := peer.NewServer(id, p)
+	p.Register(server, pinger)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wait sync.WaitGroup
+	wait.Go(func() { _ = server.Serve(ctx, socket) })
+	wait.Go(func() { _ = p.Run(ctx, pinger) })
+	p.stop = sync.OnceFunc(func() {
+		cancel()
+		client.Close()
+		_ = socket.Close()
+		wait.Wait()
+	})
+	DeferCleanup(p.stop)
+	return p
+}
+
+var _ = Describe("membership over the network", func() {
+	It("joins, carries small and large rumours, and drops an entry that stopped", func() {
+		a, b, c := startProcess("a", 1), startProcess("b", 2), startProcess("c", 3)
+		got := make(chan Rumour, 10)
+		c.Handle("settings", func(r Rumour) { got <- r })
+		// Only a and b know each other from the start; c is known to b, and knows b.
+		a.Know(b.entry, 2)
+		b.Know(a.entry, 1)
+		b.Know(c.entry, 3)
+		c.Know(b.entry, 2)
+		for _, p := range []*process{a, b, c} {
+			Eventually(func() int { return len(p.Live()) }, patience).Should(Equal(3))
+		}
+		changed := a.Subscribe()
+		a.Broadcast(Rumour{Topic: "settings", Name: "tree", Version: 7, Body: make([]byte, 300_000)})
+		Eventually(got, patience).Should(Receive(HaveField("Body", HaveLen(300_000))))
+		a.Broadcast(Rumour{Topic: "settings", Name: "tree", Version: 8, Body: []byte("small")})
+		Eventually(got, patience).Should(Receive(HaveField("Version", uint64(8))))
+		a.Broadcast(Rumour{Topic: "settings", Name: "tree", Version: 7, Body: []byte("old")})
+		c.stop()
+		Eventually(changed, patience).Should(Receive())
+		Eventually(func() []string { return names(a.Live()) }, patience).Should(Equal([]string{"a", "b"}))
+		b.Leave()
+		Eventually(func() []string { return names(a.Live()) }, patience).Should(Equal([]string{"a"}))
+		Expect(got).To(BeEmpty())
+	})
+
+	It("works alone when nobody else is known", func() {
+		a := startProcess("a", 1)
+		Eventually(func() []string { return names(a.Live()) }, patience).Should(Equal([]string{"a"}))
+		Expect(a.Paused()).To(BeFalse())
+	})
+})
+
+func names(peers []Peer) []string {
+	var all []string
+	for _, p := range peers {
+		all = append(all, p.Name)
+	}
+	return all
+}
