--- a/entry/member/apply.go
+++ b/entry/member/apply.go
@@ -146,6 +146,7 @@
 // remove drops all that is known of p. Called with mu held.
 func (m *Members) remove(p *peerState) {
 	delete(m.peers, p.status.Name)
+	m.sorted = nil
 	delete(m.trusted, p.entry.Fingerprint)
 	m.queue.drop(statusKey(p.status.Name))
 	m.rebuild()
--- a/entry/member/member.go
+++ b/entry/member/member.go
@@ -44,6 +44,7 @@
 	self      Status
 	selfEntry platform.Entry
 	peers     map[string]*peerState
+	sorted    []string          // the keys of peers, nil after one was removed
 	trusted   map[string]string // fingerprint to name
 	live      []Peer            // what Live returns; replaced, never changed
 	ring      []string          // self and all who are not dead, in ring order
--- a/entry/member/probe.go
+++ b/entry/member/probe.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -147,14 +148,12 @@
 	}
 }
 
-// names returns the names of all peers in order.
+// names returns the names of all peers in order. The slice is kept: it must not be changed.
 func (m *Members) names() []string {
-	names := make([]string, 0, len(m.peers))
-	for name := range m.peers {
-		names = append(names, name)
+	if len(m.sorted) != len(m.peers) {
+		m.sorted = slices.Sorted(maps.Keys(m.peers))
 	}
-	slices.Sort(names)
-	return names
+	return m.sorted
 }
 
 func (m *Members) probes(now time.Time) []call {
@@ -262,7 +261,7 @@
 
 // deadNames returns the dead that pass, shuffled.
 func (m *Members) deadNames(pass func(*peerState) bool) []string {
-	names := slices.DeleteFunc(m.names(), func(name string) bool {
+	names := slices.DeleteFunc(slices.Clone(m.names()), func(name string) bool {
 		p := m.peers[name]
 		return p.status.State != Dead || !pass(p)
 	})
