pondctl: tests against the operators' API

Tried on the tests by breaking the code, one at a time: all nodes sent instead of the edited ones, lock taken although the node moved on, pull written in spite of a conflict, moved nodes not seen, lag not seen, values not replaced.

--- a/entry/operator/auth.go
+++ b/entry/operator/auth.go
@@ -45,7 +45,7 @@
 // bootstrap token while the platform holds no tree.
 func (s *Server) authorize(req *restful.Request, resp *restful.Response, chain *restful.FilterChain) {
 	hash := tokenHash(req.Request)
-	if snapshot := s.deps.Snapshots.Snapshot(); snapshot != nil {
+	if snapshot := s.deps.Snapshots.Snapshot(); snapshot != nil && snapshot.Version > 0 {
 		if accepted(hash, snapshot.OperatorKeyHashes) {
 			chain.ProcessFilter(req, resp)
 			return
--- a/entry/operator/deps.go
+++ b/entry/operator/deps.go
@@ -21,7 +21,7 @@
 
 // Snapshots gives the settings in force at this entry.
 type Snapshots interface {
-	// Snapshot returns nil before the first.
+	// Snapshot returns nil, or one of version 0, before the first.
 	Snapshot() *settings.Snapshot
 }
 
--- a/entry/operator/operator_test.go
+++ b/entry/operator/operator_test.go
@@ -290,6 +290,7 @@
 			change.Nodes = append(change.Nodes, settings.NodeChange{Node: path, Values: values})
 		}
 		r := newRig(&fakeStore{})
+		r.entry.snapshot = &settings.Snapshot{}
 		Expect(r.call(http.MethodPost, admin.ApplyPath, change, nil)).To(Equal(http.StatusUnauthorized), "dev token")
 		r.token = "bootstrap"
 		status, answer := r.apply(change)
--- /dev/null
+++ b/pondctl/pondctl_test.go
@@ -0,0 +1,199 @@
+package pondctl_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"os"
+	"path/filepath"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/skylarkpond/skylarkpond/contract/admin"
+	"github.com/skylarkpond/skylarkpond/contract/settings"
+	"github.com/skylarkpond/skylarkpond/pondctl"
+)
+
+const (
+	chat = settings.Path("/places/local/services/chat")
+	desk = settings.Path("/places/local/services/desk")
+	team = settings.Path("/places/local/teams/dev")
+)
+
+var _ = Describe("pondctl", func() {
+	It("applies a checkout, sends nothing twice, and undoes by applying the old state", func() {
+		newRig()
+		dir := checkout()
+		Expect(expectOK("apply", dir)).To(Equal("accepted at revision 1, version 10\n"))
+		Expect(expectOK("apply", dir)).To(HavePrefix("unchanged"))
+		edit(dir, chat, "replicas: 2", "replicas: 3")
+		Expect(expectOK("diff", dir)).To(Equal("~ " + string(chat) + "\n    replicas: 2 -> 3\n"))
+		Expect(expectOK("apply", dir)).To(Equal("accepted at revision 2, version 20\n"))
+		edit(dir, chat, "replicas: 3", "replicas: 2")
+		Expect(expectOK("apply", dir)).To(Equal("accepted at revision 3, version 30\n"))
+		Expect(expectOK("history")).To(MatchRegexp(`(?s)REVISION.*\n3 .*chat\n2 .*chat\n1 .*and \d+ more|1 .*dev`))
+	})
+
+	// Two operators start from the same checkout. The late one has to see the other's side and must not
+	// undo it, neither by applying nor by pulling.
+	It("shows a conflict, changes nothing, and settles it as told", func() {
+		newRig()
+		mine := checkout()
+		expectOK("apply", mine)
+		theirs := copyOf(mine)
+		edit(theirs, chat, "replicas: 2", "replicas: 7")
+		expectOK("apply", "--author", "ana", theirs)
+
+		edit(mine, chat, "replicas: 2", "replicas: 5")
+		code, out, _ := run("apply", mine)
+		Expect(code).To(Equal(pondctl.ExitConflict))
+		Expect(out).To(SatisfyAll(ContainSubstring("of ana"), ContainSubstring("replicas: theirs 7, ours 5")))
+		code, out, _ = run("pull", mine)
+		Expect(code).To(Equal(pondctl.ExitConflict))
+		Expect(out).To(ContainSubstring("replicas: 7 -> 5"))
+		Expect(read(mine, chat)).To(ContainSubstring("replicas: 5"))
+		code, _, _ = run("apply", mine)
+		Expect(code).To(Equal(pondctl.ExitConflict), "the failed pull must not have moved the base")
+
+		kept := copyOf(mine)
+		expectOK("pull", "--take", "theirs", mine)
+		Expect(read(mine, chat)).To(SatisfyAll(ContainSubstring("replicas: 7"), ContainSubstring("# One replica spans 4 VMs.")))
+		expectOK("pull", "--take", "ours", kept)
+		Expect(expectOK("apply", kept)).To(HavePrefix("accepted"))
+		Expect(expectOK("explain", string(chat))).To(MatchRegexp(`replicas +5 +` + string(chat)))
+	})
+
+	It("merges changes to different nodes, and pulls what others changed without losing own edits", func() {
+		newRig()
+		mine := checkout()
+		expectOK("apply", mine)
+		theirs := copyOf(mine)
+		edit(theirs, chat, "replicas: 2", "replicas: 7")
+		Expect(os.Remove(filepath.Join(theirs, team.File()))).To(Succeed())
+		expectOK("apply", theirs)
+
+		edit(mine, desk, "replicas: 2", "replicas: 4")
+		Expect(expectOK("diff", mine)).To(SatisfyAll(ContainSubstring("~ "+string(desk)), ContainSubstring("< "+string(chat)), ContainSubstring("< "+string(team))))
+		Expect(expectOK("apply", mine)).To(HavePrefix("accepted"))
+		edit(mine, desk, "replicas: 4", "replicas: 6")
+		out := expectOK("pull", mine)
+		Expect(out).To(SatisfyAll(ContainSubstring("written "+string(chat)), ContainSubstring("removed "+string(team)), ContainSubstring("kept    "+string(desk))))
+		Expect(read(mine, chat)).To(ContainSubstring("replicas: 7"))
+		Expect(read(mine, desk)).To(ContainSubstring("replicas: 6"))
+		Expect(filepath.Join(mine, team.File())).NotTo(BeAnExistingFile())
+		Expect(expectOK("apply", mine)).To(HavePrefix("accepted"))
+	})
+
+	// The entry takes the change and its answer is lost on the way. The operator runs the same command
+	// again, from the same checkout, and must be told that it is accepted, once.
+	It("takes an apply that is run again after a lost answer for the same apply", func() {
+		r := newRig()
+		dir := checkout()
+		expectOK("apply", dir)
+		edit(dir, chat, "replicas: 2", "replicas: 3")
+		r.answered = func(req *http.Request) bool { return req.URL.Path != admin.ApplyPath }
+		code, _, progress := run("apply", dir)
+		Expect(code).To(Equal(pondctl.ExitFailure))
+		Expect(progress).To(ContainSubstring("running it again is safe"))
+		r.answered = nil
+		late := copyOf(dir)
+		Expect(expectOK("apply", dir)).To(Equal("already applied at revision 2\n"))
+		Expect(expectOK("apply", dir)).To(HavePrefix("unchanged"))
+
+		edit(dir, chat, "replicas: 3", "replicas: 9")
+		expectOK("apply", dir)
+		code, out, _ := run("apply", late)
+		Expect(code).To(Equal(pondctl.ExitConflict), "its change is no longer what is in force")
+		Expect(out).To(ContainSubstring("changed again since"))
+		Expect(expectOK("explain", string(chat))).To(MatchRegexp(`replicas +9 `))
+	})
+
+	It("waits until every live entry has the version, and names those that lag", func() {
+		r := newRig()
+		dir := checkout()
+		_, _, progress := run("apply", "--wait", dir)
+		Expect(progress).To(SatisfyAll(
+			ContainSubstring("in force on 1 of 2 live entries; waiting for e2 (version 0"),
+			ContainSubstring("in force on 2 of 2 live entries")))
+		r.side.lagging = true
+		edit(dir, chat, "replicas: 2", "replicas: 3")
+		code, out, progress := run("apply", "--wait", "--wait-for", "100ms", dir)
+		Expect(code).To(Equal(pondctl.ExitNotInForce))
+		Expect(out).To(HavePrefix("accepted"))
+		Expect(progress).To(ContainSubstring("waiting for e2"))
+		Expect(expectOK("status")).To(MatchRegexp(`e2 .*live +10 .*lags\n(.*\n)*e3 .*dead`))
+	})
+
+	DescribeTable("tells by its exit code what became of a command",
+		func(want int, prepare func(r *rig, dir string), args ...string) {
+			r := newRig()
+			dir := checkout()
+			expectOK("apply", dir)
+			prepare(r, dir)
+			for i, word := range args {
+				if word == "DIR" {
+					args[i] = dir
+				}
+			}
+			code, _, progress := run(args...)
+			Expect(code).To(Equal(want), progress)
+			Expect(progress).NotTo(BeEmpty())
+		},
+		Entry("faults", pondctl.ExitRefused, func(_ *rig, dir string) { edit(dir, chat, "replicas: 2", "replicas: x") }, "validate", "DIR"),
+		Entry("faults, before anything is sent", pondctl.ExitRefused, func(_ *rig, dir string) { edit(dir, chat, "replicas: 2", "replicas: x") }, "apply", "DIR"),
+		Entry("faults that only the entry checks", pondctl.ExitRefused, func(_ *rig, dir string) { edit(dir, settings.Root, "operator_key_hashes", "#") }, "apply", "DIR"),
+		Entry("platform out", pondctl.ExitFailure, func(r *rig, dir string) { r.side.down = true; edit(dir, chat, "replicas: 2", "replicas: 3") }, "apply", "DIR"),
+		Entry("wrong token", pondctl.ExitFailure, func(*rig, string) {}, "--token", "x", "status"),
+		Entry("no entry answers", pondctl.ExitFailure, func(r *rig, _ string) { r.answered = func(*http.Request) bool { return false } }, "status"),
+		Entry("no address", pondctl.ExitUsage, func(*rig, string) {}, "--entries", "", "status"),
+		Entry("no command", pondctl.ExitUsage, func(*rig, string) {}),
+		Entry("unknown flag", pondctl.ExitUsage, func(*rig, string) {}, "status", "--colour"),
+		Entry("unknown side", pondctl.ExitUsage, func(*rig, string) {}, "pull", "--take", "mine", "DIR"),
+		Entry("unknown node", pondctl.ExitFailure, func(*rig, string) {}, "explain", "/places/x"),
+		Entry("not in quarantine", pondctl.ExitFailure, func(*rig, string) {}, "quarantine", "lift", "desk", "f2"),
+	)
+
+	It("asks the next entry if the first does not answer", func() {
+		r := newRig()
+		Expect(expectOK("--entries", "127.0.0.1:1,"+r.address, "quarantine", "list")).To(ContainSubstring("f1"))
+		code, _, progress := run("quarantine", "lift", "desk", "f1")
+		Expect(code).To(Equal(pondctl.ExitOK))
+		Expect(progress).To(ContainSubstring("may run again"))
+	})
+
+	It("prints JSON that scripts and the contract's types can read", func() {
+		newRig()
+		dir := checkout()
+		into := func(v any, args ...string) {
+			GinkgoHelper()
+			Expect(json.Unmarshal([]byte(expectOK(append(args, "--json")...)), v)).To(Succeed())
+		}
+		var applied admin.Applied
+		into(&applied, "apply", dir)
+		Expect(applied.Status).To(Equal(settings.Accepted))
+		var explained admin.Explanation
+		into(&explained, "explain", string(desk))
+		Expect(explained.Values).To(ContainElement(SatisfyAll(HaveField("Key", "unrepeatable"), HaveField("Value.List", []string{"/bookings"}))))
+		var status admin.Status
+		into(&status, "status")
+		Expect(status.Services).To(ContainElement(HaveField("Serving", 1)))
+		var events admin.Timeline
+		into(&events, "timeline", "--kind", "settings-in-force")
+		Expect(events.Events[0].Kind).To(BeEquivalentTo("settings-in-force"))
+		var hash struct{ Hash string }
+		into(&hash, "hash-key")
+		Expect(read(dir, team)).To(ContainSubstring(hash.Hash))
+		var fresh struct{ Key, Hash string }
+		into(&fresh, "hash-key", "--new")
+		Expect(len(fresh.Key)).To(BeNumerically(">=", 26))
+	})
+
+	It("fills an empty directory by pull, as declarations that pass their checks and change nothing", func() {
+		newRig()
+		expectOK("apply", checkout())
+		fresh := GinkgoT().TempDir()
+		expectOK("pull", fresh)
+		expectOK("validate", fresh)
+		Expect(expectOK("diff", fresh)).To(Equal("nothing to apply\n"))
+	})
+})
--- /dev/null
+++ b/pondctl/rig_test.go
@@ -0,0 +1,212 @@
+package pondctl_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	"github.com/skylarkpond/skylarkpond/contract/admin"
+	"github.com/skylarkpond/skylarkpond/contract/settings"
+	"github.com/skylarkpond/skylarkpond/entry/operator"
+	"github.com/skylarkpond/skylarkpond/examples"
+	"github.com/skylarkpond/skylarkpond/link/platform"
+	"github.com/skylarkpond/skylarkpond/pondctl"
+	"github.com/skylarkpond/skylarkpond/timeline"
+	"github.com/skylarkpond/skylarkpond/vm"
+)
+
+func TestPondctl(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "pondctl")
+}
+
+// fakeSide is a platform with one object and the rest of one entry.
+type fakeSide struct {
+	platform.Store
+
+	mu       sync.Mutex
+	object   platform.Object
+	down     bool
+	lagging  bool
+	asked    int
+	snapshot *settings.Snapshot
+}
+
+func (f *fakeSide) Get(context.Context, platform.Kind, string) (platform.Object, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return platform.Object{}, platform.ErrUnavailable
+	}
+	if f.object.Version == 0 {
+		return platform.Object{}, platform.ErrNotFound
+	}
+	return f.object, nil
+}
+
+func (f *fakeSide) Put(_ context.Context, _ platform.Kind, _ string, version platform.Version, value json.RawMessage) (platform.Version, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if version != f.object.Version {
+		return 0, platform.ErrConflict
+	}
+	f.object = platform.Object{Version: version + 10, Value: value}
+	return f.object.Version, nil
+}
+
+func (f *fakeSide) Snapshot() *settings.Snapshot {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.snapshot
+}
+
+func (f *fakeSide) Took(object platform.Object) {
+	tree, err := settings.ParseTree(object.Value)
+	if err != nil {
+		panic(err)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.snapshot, _ = tree.Resolve(uint64(object.Version))
+}
+
+// Status has a second entry that lags for the first two looks, or for ever if lagging is set.
+func (f *fakeSide) Status(context.Context) (admin.Status, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.asked++
+	slow := uint64(f.object.Version)
+	if f.lagging || f.asked < 3 {
+		slow -= 10
+	}
+	return admin.Status{
+		Entries: []admin.EntryStatus{
+			{Name: "e1", Live: true, SettingsVersion: uint64(f.object.Version), SettingsSince: 1000},
+			{Name: "e2", Live: true, SettingsVersion: slow, SettingsSince: 500},
+			{Name: "e3", SettingsVersion: 1},
+		},
+		Groups: []admin.GroupStatus{{Group: vm.Group{ID: "g1", Service: "desk", State: vm.Serving}, Whole: true}},
+	}, nil
+}
+
+func (f *fakeSide) Timeline(_ context.Context, query admin.TimelineQuery) (admin.Timeline, error) {
+	return admin.Timeline{
+		Events:  []timeline.Event{{Time: 1e18, Process: "e1", Kind: query.Kind, Version: 7, Detail: "why"}},
+		Missing: []string{"e9"},
+	}, nil
+}
+
+func (f *fakeSide) Quarantined(context.Context) ([]admin.Quarantined, error) {
+	return []admin.Quarantined{{Service: "desk", Fingerprint: "f1", Crashes: 2}}, nil
+}
+
+func (f *fakeSide) Lift(_ context.Context, _, fingerprint string) error {
+	if fingerprint != "f1" {
+		return operator.ErrNotQuarantined
+	}
+	return nil
+}
+
+func (f *fakeSide) VMLists(context.Context) ([]vm.List, error) { return nil, platform.ErrUnavailable }
+func (f *fakeSide) Record(timeline.Event)                      {}
+
+// noCopies is an entry that has mirrored nothing.
+type noCopies struct{}
+
+func (noCopies) Get(platform.Kind, string) (platform.Object, bool) { return platform.Object{}, false }
+func (noCopies) Version(platform.Kind, string) platform.Version    { return 0 }
+
+// rig is a checkout of the dev declarations and an entry to apply them to.
+type rig struct {
+	side *fakeSide
+	// answered, if set, is called before an answer is sent; false drops the connection instead.
+	answered func(r *http.Request) bool
+	address  string
+}
+
+func newRig() *rig {
+	r := &rig{side: &fakeSide{}}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	var nonce int
+	api := operator.New(operator.Deps{
+		Entry: "e1", Store: r.side, Snapshots: r.side, Copies: noCopies{}, Taker: r.side, Status: r.side, Timeline: r.side,
+		Quarantine: r.side, VMs: r.side, Recorder: r.side, Log: log, Clock: time.Now,
+		Nonce:            func() string { nonce++; return fmt.Sprint(nonce) },
+		BootstrapKeyHash: operator.HashKey(examples.DevOperatorKey),
+	}).Handler()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		recorder := httptest.NewRecorder()
+		api.ServeHTTP(recorder, req)
+		if r.answered != nil && !r.answered(req) {
+			panic(http.ErrAbortHandler)
+		}
+		w.WriteHeader(recorder.Code)
+		_, _ = w.Write(recorder.Body.Bytes())
+	}))
+	DeferCleanup(server.Close)
+	r.address = strings.TrimPrefix(server.URL, "http://")
+	GinkgoT().Setenv("POND_ENTRIES", r.address)
+	GinkgoT().Setenv("POND_TOKEN", examples.DevOperatorKey)
+	return r
+}
+
+// checkout is a fresh copy of the dev declarations, without a lock file.
+func checkout() string {
+	GinkgoHelper()
+	dir := GinkgoT().TempDir()
+	Expect(os.CopyFS(dir, examples.Dev())).To(Succeed())
+	return dir
+}
+
+// copyOf is another operator's checkout of what one has.
+func copyOf(dir string) string {
+	GinkgoHelper()
+	other := GinkgoT().TempDir()
+	Expect(os.CopyFS(other, os.DirFS(dir))).To(Succeed())
+	return other
+}
+
+func edit(dir string, path settings.Path, old, fresh string) {
+	GinkgoHelper()
+	name := filepath.Join(dir, path.File())
+	data, err := os.ReadFile(name)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(string(data)).To(ContainSubstring(old))
+	Expect(os.WriteFile(name, bytes.Replace(data, []byte(old), []byte(fresh), 1), 0o644)).To(Succeed())
+}
+
+func read(dir string, path settings.Path) string {
+	GinkgoHelper()
+	data, err := os.ReadFile(filepath.Join(dir, path.File()))
+	Expect(err).NotTo(HaveOccurred())
+	return string(data)
+}
+
+// run runs pondctl and returns its exit code and both outputs.
+func run(args ...string) (code int, out, progress string) {
+	var stdout, stderr bytes.Buffer
+	code = pondctl.Run(context.Background(), args, pondctl.Streams{In: strings.NewReader("dev-team-key\n"), Out: &stdout, Err: &stderr})
+	return code, stdout.String(), stderr.String()
+}
+
+func expectOK(args ...string) (out string) {
+	GinkgoHelper()
+	code, out, progress := run(args...)
+	Expect(code).To(Equal(pondctl.ExitOK), "%s\n%s", out, progress)
+	return out
+}
