--- a/pondctl/pondctl_test.go
+++ b/pondctl/pondctl_test.go
@@ -91,11 +91,11 @@
 		dir := checkout()
 		expectOK("apply", dir)
 		edit(dir, chat, "replicas: 2", "replicas: 3")
-		r.answered = func(req *http.Request) bool { return req.URL.Path != admin.ApplyPath }
+		r.onAnswer(func(req *http.Request) bool { return req.URL.Path != admin.ApplyPath })
 		code, _, progress := run("apply", dir)
 		Expect(code).To(Equal(pondctl.ExitFailure))
 		Expect(progress).To(ContainSubstring("running it again is safe"))
-		r.answered = nil
+		r.onAnswer(nil)
 		late := copyOf(dir)
 		Expect(expectOK("apply", dir)).To(Equal("already applied at revision 2\n"))
 		Expect(expectOK("apply", dir)).To(HavePrefix("unchanged"))
@@ -108,6 +108,27 @@
 		Expect(expectOK("explain", string(chat))).To(MatchRegexp(`replicas +9 `))
 	})
 
+	// Between the answer of the apply and the reading of the new revisions somebody else changes the same
+	// node. Were that revision taken for the base, the next apply would undo a change nobody here has seen.
+	It("does not take a revision for its base that it has not seen", func() {
+		r := newRig()
+		dir := checkout()
+		expectOK("apply", dir)
+		edit(dir, chat, "replicas: 2", "replicas: 3")
+		r.onAnswer(func(req *http.Request) bool {
+			if req.URL.Path == admin.ApplyPath {
+				r.side.changeReplicas(chat, 9)
+			}
+			return true
+		})
+		Expect(expectOK("apply", dir)).To(HavePrefix("accepted"))
+		r.onAnswer(nil)
+		edit(dir, chat, "replicas: 3", "replicas: 4")
+		code, out, _ := run("apply", dir)
+		Expect(code).To(Equal(pondctl.ExitConflict))
+		Expect(out).To(ContainSubstring("theirs 9, ours 4"))
+	})
+
 	It("waits until every live entry has the version, and names those that lag", func() {
 		r := newRig()
 		dir := checkout()
@@ -115,7 +136,7 @@
 		Expect(progress).To(SatisfyAll(
 			ContainSubstring("in force on 1 of 2 live entries; waiting for e2 (version 0"),
 			ContainSubstring("in force on 2 of 2 live entries")))
-		r.side.lagging = true
+		r.side.set(func() { r.side.lagging = true })
 		edit(dir, chat, "replicas: 2", "replicas: 3")
 		code, out, progress := run("apply", "--wait", "--wait-for", "100ms", dir)
 		Expect(code).To(Equal(pondctl.ExitNotInForce))
@@ -142,9 +163,12 @@
 		Entry("faults", pondctl.ExitRefused, func(_ *rig, dir string) { edit(dir, chat, "replicas: 2", "replicas: x") }, "validate", "DIR"),
 		Entry("faults, before anything is sent", pondctl.ExitRefused, func(_ *rig, dir string) { edit(dir, chat, "replicas: 2", "replicas: x") }, "apply", "DIR"),
 		Entry("faults that only the entry checks", pondctl.ExitRefused, func(_ *rig, dir string) { edit(dir, settings.Root, "operator_key_hashes", "#") }, "apply", "DIR"),
-		Entry("platform out", pondctl.ExitFailure, func(r *rig, dir string) { r.side.down = true; edit(dir, chat, "replicas: 2", "replicas: 3") }, "apply", "DIR"),
+		Entry("platform out", pondctl.ExitFailure, func(r *rig, dir string) {
+			r.side.set(func() { r.side.down = true })
+			edit(dir, chat, "replicas: 2", "replicas: 3")
+		}, "apply", "DIR"),
 		Entry("wrong token", pondctl.ExitFailure, func(*rig, string) {}, "--token", "x", "status"),
-		Entry("no entry answers", pondctl.ExitFailure, func(r *rig, _ string) { r.answered = func(*http.Request) bool { return false } }, "status"),
+		Entry("no entry answers", pondctl.ExitFailure, func(r *rig, _ string) { r.onAnswer(func(*http.Request) bool { return false }) }, "status"),
 		Entry("no address", pondctl.ExitUsage, func(*rig, string) {}, "--entries", "", "status"),
 		Entry("no command", pondctl.ExitUsage, func(*rig, string) {}),
 		Entry("unknown flag", pondctl.ExitUsage, func(*rig, string) {}, "status", "--colour"),
--- a/pondctl/rig_test.go
+++ b/pondctl/rig_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -68,6 +69,31 @@
 	return f.object.Version, nil
 }
 
+// set changes the fake under its lock.
+func (f *fakeSide) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+// changeReplicas is another operator's change, made on what the platform holds.
+func (f *fakeSide) changeReplicas(path settings.Path, count int64) {
+	tree, err := settings.ParseTree(f.object.Value)
+	if err != nil {
+		panic(err)
+	}
+	values := maps.Clone(tree.Nodes[path].Values)
+	values["replicas"] = settings.Value{Kind: settings.IntegerValue, Integer: count}
+	next, result := settings.Merge(tree, &settings.Change{ID: fmt.Sprint("other", count), Nodes: []settings.NodeChange{
+		{Node: path, Base: tree.Nodes[path].Revision, Values: values},
+	}})
+	if result.Status != settings.Accepted {
+		panic(result)
+	}
+	value, _ := json.Marshal(next)
+	_, _ = f.Put(context.Background(), platform.KindSettings, platform.SettingsName, f.object.Version, value)
+}
+
 func (f *fakeSide) Snapshot() *settings.Snapshot {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -132,10 +158,25 @@
 
 // rig is a checkout of the dev declarations and an entry to apply them to.
 type rig struct {
-	side *fakeSide
-	// answered, if set, is called before an answer is sent; false drops the connection instead.
+	side    *fakeSide
+	address string
+
+	mu       sync.Mutex // guards answered
 	answered func(r *http.Request) bool
-	address  string
+}
+
+// onAnswer has f called before each answer is sent; if it returns false the connection is dropped instead.
+func (r *rig) onAnswer(f func(r *http.Request) bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.answered = f
+}
+
+func (r *rig) answers(req *http.Request) bool {
+	r.mu.Lock()
+	f := r.answered
+	r.mu.Unlock()
+	return f == nil || f(req)
 }
 
 func newRig() *rig {
@@ -152,7 +193,7 @@
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		recorder := httptest.NewRecorder()
 		api.ServeHTTP(recorder, req)
-		if r.answered != nil && !r.answered(req) {
+		if !r.answers(req) {
 			panic(http.ErrAbortHandler)
 		}
 		w.WriteHeader(recorder.Code)
