--- a/policy/internal/playback/home.go
+++ b/policy/internal/playback/home.go
@@ -1,6 +1,10 @@
 package playback
 
-import "time"
+import (
+	"time"
+
+	"github.com/skylarkpond/skylarkpond/policy/limit"
+)
 
 // Decision is what a Queue says to an offered request.
 type Decision int
@@ -31,13 +35,12 @@
 	Started(r *Request)
 }
 
-// Limiter decides how many requests may be at work on the engine.
+// Limiter decides how many requests may be at work on the engine, as limit.Limit does.
 type Limiter interface {
 	Current() int
 	// Starting bounds the requests without a first token; 0 does not.
 	Starting() int
-	FirstToken(now, taken, wait time.Duration, running int)
-	Gap(now, taken, gap time.Duration, count, running int)
+	Observe(now time.Duration, s limit.Sample)
 }
 
 // FixedLimit is the plain baseline of a Limiter.
@@ -49,11 +52,8 @@
 // Starting returns 0.
 func (f FixedLimit) Starting() int { return 0 }
 
-// FirstToken does nothing.
-func (f FixedLimit) FirstToken(_, _, _ time.Duration, _ int) {}
-
-// Gap does nothing.
-func (f FixedLimit) Gap(_, _, _ time.Duration, _, _ int) {}
+// Observe does nothing.
+func (f FixedLimit) Observe(time.Duration, limit.Sample) {}
 
 // expireEvery is how often a home looks for requests that have waited too long.
 const expireEvery = 50 * time.Millisecond
@@ -63,12 +63,13 @@
 	loop   *Loop
 	engine *Engine
 	queue  Queue
-	limit  Limiter
-	// lag is how late the limit hears of what was measured.
+	limits Limiter
+	// lag is how late limits hears of what was measured.
 	lag time.Duration
 	// tries is how often a caller asks before it gives up; it obeys Retry-After.
-	tries   int
-	running int
+	tries int
+	// running counts what is at work, starting what of it has no first token.
+	running, starting int
 	// Gaps collects the gaps between tokens, Limits the limit, once a second.
 	Gaps   Histogram
 	Limits []int
@@ -76,12 +77,12 @@
 }
 
 // NewHome returns a home; it measures gaps from the time from on.
-func NewHome(loop *Loop, engine *Engine, queue Queue, limit Limiter, lag time.Duration, tries int, from time.Duration) *Home {
-	h := &Home{loop: loop, engine: engine, queue: queue, limit: limit, lag: lag, tries: tries, from: from}
+func NewHome(loop *Loop, engine *Engine, queue Queue, limits Limiter, lag time.Duration, tries int, from time.Duration) *Home {
+	h := &Home{loop: loop, engine: engine, queue: queue, limits: limits, lag: lag, tries: tries, from: from}
 	h.applyLimit()
 	engine.OnStep = h.observeGap
 	loop.Every(expireEvery, h.expire)
-	loop.Every(time.Second, func() { h.Limits = append(h.Limits, limit.Current()) })
+	loop.Every(time.Second, func() { h.Limits = append(h.Limits, limits.Current()) })
 	return h
 }
 
@@ -105,8 +106,8 @@
 }
 
 func (h *Home) applyLimit() {
-	h.queue.SetLimit(h.limit.Current())
-	h.queue.SetStartLimit(h.limit.Starting())
+	h.queue.SetLimit(h.limits.Current())
+	h.queue.SetStartLimit(h.limits.Starting())
 }
 
 func (h *Home) refuse(r *Request, retryAfter time.Duration) {
@@ -137,6 +138,7 @@
 func (h *Home) send(r *Request) {
 	r.Started = h.loop.Now()
 	h.running++
+	h.starting++
 	h.engine.Submit(r, h.observeFirstToken, h.finish)
 	h.loop.At(r.Deadline(), func() { h.giveUp(r) })
 }
@@ -161,30 +163,34 @@
 	r.Outcome = outcome
 	r.Ended = now
 	h.running--
+	if r.FirstToken == 0 {
+		h.starting--
+	}
 	h.queue.Done(now, r, work)
 	h.applyLimit()
 	h.drain()
 }
 
 func (h *Home) observeFirstToken(r *Request) {
-	taken, wait, running := h.loop.Now(), r.FirstToken-r.Started, h.running
-	h.report(func() { h.limit.FirstToken(h.loop.Now(), taken, wait, running) })
+	h.report(limit.Sample{FirstToken: r.FirstToken - r.Started, Starting: h.starting})
+	h.starting--
 	h.queue.Started(r)
 	h.drain()
 }
 
 func (h *Home) observeGap(gap time.Duration, count int) {
-	taken, running := h.loop.Now(), h.running
-	if taken >= h.from {
+	if h.loop.Now() >= h.from {
 		h.Gaps.Add(gap, count)
 	}
-	h.report(func() { h.limit.Gap(h.loop.Now(), taken, gap, count, running) })
+	h.report(limit.Sample{Gap: gap, Gaps: count})
 }
 
-func (h *Home) report(f func()) {
+// report hands a measurement to the limit, late by the lag.
+func (h *Home) report(s limit.Sample) {
+	s.Taken, s.Running = h.loop.Now(), h.running
 	if h.lag == 0 {
-		f()
+		h.limits.Observe(s.Taken, s)
 		return
 	}
-	h.loop.After(h.lag, f)
+	h.loop.After(h.lag, func() { h.limits.Observe(h.loop.Now(), s) })
 }
--- a/policy/internal/playback/scenario.go
+++ b/policy/internal/playback/scenario.go
@@ -138,10 +138,10 @@
 const drainFor = 3 * time.Minute
 
 // Play plays the scenario against a queue and a limit.
-func (s Scenario) Play(queue Queue, limit Limiter) *Run {
+func (s Scenario) Play(queue Queue, limits Limiter) *Run {
 	loop := &Loop{}
 	engine := NewEngine(loop, s.Engine)
-	home := NewHome(loop, engine, queue, limit, s.Lag, s.Tries, s.From)
+	home := NewHome(loop, engine, queue, limits, s.Lag, s.Tries, s.From)
 	requests := s.Traffic.Requests(s.Length)
 	for _, r := range requests {
 		loop.At(r.Arrived, func() { home.Arrive(r) })
