--- a/policy/internal/playback/home.go
+++ b/policy/internal/playback/home.go
@@ -187,9 +187,9 @@
 
 // report hands a measurement to the limit, late by the lag.
 func (h *Home) report(s limit.Sample) {
-	s.Taken, s.Running = h.loop.Now(), h.running
+	s.Running = h.running
 	if h.lag == 0 {
-		h.limits.Observe(s.Taken, s)
+		h.limits.Observe(h.loop.Now(), s)
 		return
 	}
 	h.loop.After(h.lag, func() { h.limits.Observe(h.loop.Now(), s) })
--- a/policy/limit/bound.go
+++ b/policy/limit/bound.go
@@ -1,15 +1,21 @@
 package limit
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
-// The bound moves once a window: up by a small part near the objective and by more the further the mean is
-// below it, so that a new group and one that is fast again get to work within seconds; down by a
-// factor, at most by half, that follows how far the mean is over the objective.
+// A window of samples says: with so many at work, 95 in 100 took at most so long. So the right bound is near
+// what was at work, times objective over measured: the gradient. Near the objective the bound goes a part
+// of the way, far over it the whole way. The alternative that was weighed, additive increase and
+// multiplicative decrease, has to go over the objective time and again to find it (docs/measurements/
+// concurrency-limit.md).
 //
-// Between a decrease and its effect lie the requests that are still at work. A controller that keeps lowering
-// the bound meanwhile ends far too low, and an operator notices a saw-tooth: full, empty, full. So late
-// samples count only if they were taken under the bound; and a window of good samples raises it at once
-// to what was at work then.
+// Between a change and its effect lie the requests that are still at work, and measurements may come late.
+// A controller that changes its present value by what an earlier one caused does the same thing again and
+// again, and an operator notices a saw-tooth: full, empty, full. Here a window leads to the same bound
+// however late it comes and however often it repeats, because it is held against what was at work when
+// it was taken and not against the present bound.
 //
 // A group that became slow may miss the objective with a single request. Lowering the bound to the floor
 // then throws its work away and makes no answer faster: an operator notices a slow group that does
@@ -19,29 +25,31 @@
 	// window is the time over which samples are judged: at 100 requests at work some thousand gaps, and
 	// with one still a dozen.
 	window = time.Second
-	// fewest is the number of samples that a window needs; below it goes on.
-	fewest = 10
-	// latePart is the part of samples that may be over the objective: it is set for 95 in 100.
-	latePart = 0.05
-	// easyPart is the part of late samples below which the bound may grow.
-	easyPart = 0.02
-	// usedPart is the part of the bound that must be in use for it to grow: an unused bound proves nothing.
-	usedPart = 0.8
-	// step is the part of the bound by which it grows in a window, at least 1.
-	step = 0.02
-	// nearPart is the part of the objective from which on the bound grows by step only; below it the bound
-	// grows by half of the headroom, and at most doubles.
-	nearPart = 0.7
-	// mildest and hardest bound the factor of a decrease.
-	mildest = 0.95
+	// fewest is the number of samples that a window needs; below it goes on. A quantile of 95 in 100 needs
+	// about 20.
+	fewest = 20
+	// quantile is the quantile that the objectives are set for.
+	quantile = 0.95
+	// smoothing is the part of the way that the bound goes in a window while it is near the objective or
+	// below it.
+	smoothing = 0.4
+	// easiest bounds objective over measured, so that a new group, which is far below the objective, grows
+	// by 0.6 of what is at work in a window; hardest bounds it the other way.
+	easiest = 2.5
 	hardest = 0.5
-	// settle is the longest time that is waited for the requests at work to get down to the bound.
-	settle = 10 * time.Second
-	// paysPart is how much less the mean must get, as a part of how much less is at work, for a decrease
-	// to pay. With a batch that costs nothing it would be 0, with one that is all cost 1.
+	// far is objective over measured below which the bound goes the whole way. Its cost is partly fixed, so
+	// that the whole way is not too far.
+	far = 0.9
+	// tried is the part of what was at work below which a decrease is judged.
+	tried = 0.75
+	// slower is the growth of the measured time, with less at work, from which the group itself got slower,
+	// so that the decrease can't be judged.
+	slower = 1.05
+	// paysPart is how much shorter the measured time must get, as a part of how much less is at work, for a
+	// decrease to pay. With a batch that costs nothing it would be 0, with one that is all cost 1.
 	paysPart = 0.25
-	// worsePart is how much the mean must grow over that of a held bound before it is lowered again.
-	worsePart = 1.2
+	// worse is how much the measured time must grow over that of a held bound before it is lowered again.
+	worse = 1.2
 )
 
 // bound is one adaptive bound.
@@ -50,142 +58,133 @@
 	value     float64
 	least     float64
 	most      float64
-	// triedUsed and triedMean are what was at work and the mean before the last decrease, 0 after a good
-	// window. heldMean is the mean above which a bound that is held is lowered again, 0 if it is not held.
-	triedUsed, triedMean float64
-	heldMean             float64
-	// lowered is when the bound was last lowered.
-	lowered time.Duration
-
-	// The window since opened: samples, the late ones, the sum of all, and the range of what was in use.
-	opened      time.Duration
-	count, late float64
-	sum         float64
-	lowestUsed  int
-	highestUsed int
+	// takesBack says that a decrease which did not pay is taken back.
+	takesBack bool
+	// anchor is the late window that decreases are judged by; held is the measured time up to
+	// which the bound is not lowered. Both are zero unless the bound is strained.
+	anchor point
+	held   float64
+
+	// The window since opened: its samples, and the sum of what was at work over them.
+	opened  time.Duration
+	samples histogram
+	used    float64
 }
 
-// evidence is a sample as a bound sees it: count samples of took, which show the effect of what was in use
-// at from.
+// point is what a window showed: with used at work, the quantile was took times the objective.
+type point struct{ used, took float64 }
+
+// evidence is a sample as a bound sees it: count samples of took while used were at work.
 type evidence struct {
 	took  time.Duration
 	count int
-	from  time.Duration
 	used  int
 }
 
 func newBound(objective time.Duration, value, least, most int) bound {
-	return bound{
-		objective: objective, value: float64(value), least: float64(least), most: float64(most),
-	}
+	return bound{objective: objective, value: float64(value), least: float64(least), most: float64(most)}
 }
 
 func (b *bound) current() int { return int(b.value) }
 
-func (b *bound) atFloor() bool { return b.value <= b.least }
+// strained reports whether the last window was late.
+func (b *bound) strained() bool { return b.anchor.used > 0 }
 
-// verdict is what a window showed.
-type verdict int
-
-const (
-	open verdict = iota // the window goes on
-	easy
-	fair
-	late
-)
+func (b *bound) atFloor() bool { return b.value <= b.least }
 
-func (b *bound) observe(now time.Duration, e evidence) verdict {
-	if b.stale(now, e) {
-		return open
-	}
-	if b.count == 0 {
+// observe takes evidence in. When that closes a window, it moves the bound and returns the measured
+// quantile as a multiple of the objective, else 0.
+func (b *bound) observe(now time.Duration, e evidence) float64 {
+	if b.samples.count == 0 {
 		b.opened = now
-		b.lowestUsed, b.highestUsed = e.used, e.used
 	}
-	b.count += float64(e.count)
-	b.sum += float64(e.count) * e.took.Seconds()
-	if e.took > b.objective {
-		b.late += float64(e.count)
+	b.samples.add(e.took.Seconds()/b.objective.Seconds(), e.count)
+	b.used += float64(e.used) * float64(e.count)
+	if now-b.opened < window || b.samples.count < fewest {
+		return 0
 	}
-	b.lowestUsed = min(b.lowestUsed, e.used)
-	b.highestUsed = max(b.highestUsed, e.used)
-	if now-b.opened < window || b.count < fewest {
-		return open
+	seen := point{used: b.used / b.samples.count, took: b.samples.quantile(quantile)}
+	b.samples, b.used = histogram{}, 0
+	if seen.took > 1 {
+		b.strain(seen)
+	} else {
+		b.ease(seen)
 	}
-	return b.judge(now)
+	return seen.took
 }
 
-// stale reports whether the evidence says nothing about the bound: it was taken before the bound was
-// lowered, or it is late while more is at work than the bound allows.
-func (b *bound) stale(now time.Duration, e evidence) bool {
-	if e.from < b.lowered {
-		return true
+// strain lowers the bound, unless that did not pay.
+func (b *bound) strain(seen point) {
+	if b.held > 0 && seen.took <= b.held {
+		return
+	}
+	b.held = 0
+	if b.anchor.used == 0 || seen.took > slower*b.anchor.took {
+		b.anchor = seen
+	}
+	if seen.used <= tried*b.anchor.used {
+		if b.takesBack && !paid(b.anchor, seen) {
+			b.value = max(b.value, min(b.most, b.anchor.used))
+			b.held = worse * b.anchor.took
+			return
+		}
+		b.anchor = seen
+	}
+	factor := max(hardest, 1/seen.took)
+	if factor > far {
+		factor = 1 - smoothing*(1-factor)
 	}
-	return e.took > b.objective && b.draining(now, e.used)
+	b.lower(seen.used * factor)
 }
 
-// draining reports whether more is in use than the bound allows because it was lowered a while ago.
-func (b *bound) draining(now time.Duration, used int) bool {
-	return float64(used) > b.value+1 && now-b.lowered < settle
+// paid reports whether the way from one point to the other made the time shorter by enough for what it cost.
+func paid(from, to point) bool {
+	cut := (from.used - to.used) / from.used
+	gain := (from.took - to.took) / from.took
+	return gain >= paysPart*cut
 }
 
-// judge moves the bound by what the window showed.
-func (b *bound) judge(now time.Duration) verdict {
-	part := b.late / b.count
-	mean := b.sum / b.count
-	v := fair
-	switch {
-	case part > latePart:
-		b.strain(now, mean)
-		v = late
-	case part <= easyPart:
-		b.triedUsed, b.triedMean, b.heldMean = 0, 0, 0
-		b.raise(mean)
-		v = easy
-	}
-	b.reset()
-	return v
-}
+func (b *bound) lower(value float64) { b.value = max(b.least, min(b.value, value)) }
 
-// strain lowers the bound, unless that did not pay the last time.
-func (b *bound) strain(now time.Duration, mean float64) {
-	used := float64(b.highestUsed)
-	switch {
-	case b.heldMean > 0 && mean <= b.heldMean:
-		return
-	case b.heldMean == 0 && b.triedMean > 0 && !b.paid(used, mean):
-		b.value = max(b.value, b.triedUsed)
-		b.heldMean = worsePart * b.triedMean
-		return
-	}
-	b.heldMean = 0
-	b.triedUsed, b.triedMean = used, mean
-	b.lower(now, b.objective.Seconds()/mean)
+// ease raises the bound to what the window is evidence for. A bound that is not in use stays: what was at work
+// proves nothing about more.
+func (b *bound) ease(seen point) {
+	b.anchor, b.held = point{}, 0
+	factor := min(easiest, 1/seen.took)
+	target := max(seen.used+1, seen.used*(1+smoothing*(factor-1)))
+	b.value = max(b.value, min(b.most, target))
 }
 
-// paid reports whether the last decrease made the mean better by enough for what it cost.
-func (b *bound) paid(used, mean float64) bool {
-	cut := (b.triedUsed - used) / b.triedUsed
-	gain := (b.triedMean - mean) / b.triedMean
-	return cut <= 0 || gain >= paysPart*cut
+// histogram counts ratios in buckets that are a fortieth wide, from a tenth to ten.
+type histogram struct {
+	buckets [buckets]float32
+	count   float64
 }
 
-func (b *bound) lower(now time.Duration, factor float64) {
-	b.value = max(b.least, b.value*min(mildest, max(hardest, factor)))
-	b.lowered = now
-	b.reset()
-}
+const (
+	buckets     = 188
+	bucketsFrom = 0.1
+)
 
-func (b *bound) raise(mean float64) {
-	b.value = max(b.value, min(b.most, float64(b.lowestUsed)))
-	if float64(b.highestUsed) < usedPart*b.value {
-		return
-	}
-	growth := step
-	if near := nearPart * b.objective.Seconds(); mean < near {
-		growth = min(1, max(step, (b.objective.Seconds()/mean-1)/2))
+var bucketWidth = math.Log(10/bucketsFrom) / buckets
+
+func (h *histogram) add(ratio float64, count int) {
+	i := 0
+	if ratio > bucketsFrom {
+		i = min(buckets-1, int(math.Log(ratio/bucketsFrom)/bucketWidth))
 	}
-	b.value = min(b.most, b.value+max(1, growth*b.value))
+	h.buckets[i] += float32(count)
+	h.count += float64(count)
 }
 
-func (b *bound) reset() { b.count, b.late, b.sum = 0, 0, 0 }
+// quantile returns the ratio below which the part q of the samples lies.
+func (h *histogram) quantile(q float64) float64 {
+	left := q * h.count
+	for i, count := range h.buckets {
+		if left <= float64(count) && count > 0 {
+			return bucketsFrom * math.Exp(bucketWidth*(float64(i)+left/float64(count)))
+		}
+		left -= float64(count)
+	}
+	return 1 / bucketsFrom
+}
--- a/policy/limit/doc.go
+++ b/policy/limit/doc.go
@@ -12,8 +12,8 @@
 // A Limit follows what callers of the group get, the gap between tokens and the time to the first token,
 // measured at the home itself, against the objectives of the service. It does not use the load that
 // engines report, which lags. What was measured may still reach it late, and a change shows its
-// effect only once the requests at work have ended: each sample says when it was taken and how many
-// requests were then at work, and a sample counts only for what it can be evidence of.
+// effect only once the requests at work have ended: each sample says how many requests were at work when
+// it was taken, and counts as evidence for that number, not for the present limit.
 //
 // A Limit is not safe for concurrent use: the home locks.
 package limit
--- a/policy/limit/figures_test.go
+++ b/policy/limit/figures_test.go
@@ -65,7 +65,8 @@
 				{"fixed 100", playback.FixedLimit(100)},
 				{best, playback.FixedLimit(313)},
 				{"fixed 600", playback.FixedLimit(600)},
-				{"gradient", newGradient()},
+				{"AIMD", newAIMD()},
+				{"plain gradient", newGradient()},
 				{"adaptive, one bound", oneBound{limit.New(limit.Config{})}},
 				{ours, adaptive()},
 			} {
@@ -118,7 +119,7 @@
 			for _, rival := range []struct {
 				name   string
 				limits playback.Limiter
-			}{{"gradient", newGradient()}, {ours, adaptive()}} {
+			}{{"AIMD", newAIMD()}, {"plain gradient", newGradient()}, {ours, adaptive()}} {
 				s := playback.Saturation()
 				s.Lag = lag
 				p := play(s, rival.limits)
@@ -127,7 +128,9 @@
 					milliseconds(p.gap), playback.Seconds(p.First.P95), fmt.Sprintf("%d to %d", low, high))
 				if rival.name == ours && lag <= 3*time.Second {
 					Expect(p.Useful(p.Figures)).To(BeNumerically(">", 0.9), lag.String())
-					Expect(p.gap).To(BeNumerically("<", objective*115/100), lag.String())
+					Expect(p.gap).To(BeNumerically("<", objective*105/100), lag.String())
+					Expect(low).To(BeNumerically(">", 270), lag.String())
+					Expect(high).To(BeNumerically("<", 350), lag.String())
 				}
 			}
 		}
--- a/policy/limit/limit.go
+++ b/policy/limit/limit.go
@@ -12,9 +12,6 @@
 // So there are two bounds, each moved by its own objective: Current and Starting.
 
 const (
-	// aim is the part of the gap's objective that the limit aims at: it finds the edge by going over it now
-	// and then, and what callers get should still meet the objective in 95 of 100.
-	aim = 0.97
 	// startPart is the part of the first token objective that the engine may use; the rest is for the
 	// queue at the home and the way between the processes.
 	startPart = 0.6
@@ -27,9 +24,8 @@
 
 // Sample is one measurement at the home.
 type Sample struct {
-	// Taken is when it was measured, which may be long before it is observed.
-	Taken time.Duration
-	// Running is how many requests were at work on the group then.
+	// Running is how many requests were at work on the group when it was measured, which may be long before
+	// it is observed.
 	Running int
 	// Gap is a time between two tokens, the mean of Gaps of them (0 counts as 1); 0 if this is not about gaps.
 	Gap  time.Duration
@@ -46,17 +42,21 @@
 	cfg     Config
 	running bound
 	start   bound
+	// heldBack is when the limit was last lowered by holdBack, if hold says that it was.
+	heldBack time.Duration
+	hold     bool
 }
 
 // New returns a Limit in slow start. Config must have passed Check.
 func New(config Config) *Limit {
 	config = config.WithDefaults()
 	l := &Limit{cfg: config}
-	objective := time.Duration(aim * float64(config.TokenGap))
+	objective := config.TokenGap
 	if config.Whole {
 		objective = config.FirstToken
 	}
 	l.running = newBound(objective, config.Start, config.Min, config.Max)
+	l.running.takesBack = true
 	floor := min(startFloor, config.Max)
 	target := time.Duration(startPart * float64(config.FirstToken))
 	l.start = newBound(target, min(startFirst, config.Max), floor, config.Max)
@@ -76,31 +76,43 @@
 
 // Observe takes a sample in.
 func (l *Limit) Observe(now time.Duration, s Sample) {
-	if s.Gap > 0 && !l.cfg.Whole {
-		l.running.observe(now, evidence{took: s.Gap, count: max(1, s.Gaps), from: s.Taken, used: s.Running})
+	if s.Gap > 0 && !l.cfg.Whole && !l.holding(now) {
+		l.running.observe(now, evidence{took: s.Gap, count: max(1, s.Gaps), used: s.Running})
 	}
 	if s.FirstToken <= 0 {
 		return
 	}
-	e := evidence{took: s.FirstToken, count: 1, from: s.Taken - s.FirstToken, used: s.Starting}
+	e := evidence{took: s.FirstToken, count: 1, used: s.Starting}
 	if l.cfg.Whole {
 		e.used = s.Running
 		l.running.observe(now, e)
 		return
 	}
-	if l.start.observe(now, e) == late && l.start.atFloor() {
+	if l.start.observe(now, e) > noRoom && l.start.atFloor() && !l.running.strained() {
 		l.holdBack(now, s.Running)
 	}
 }
 
-// holdBack lowers the limit when first tokens stay late with the fewest starting requests: then the
+// holdBack lowers the limit when first tokens stay very late with the fewest starting requests: then the
 // engine has no room for the requests that it was sent, as when its cache is full, and the gap does not
-// show it. It waits for the effect of the last time.
+// show it: on a group that is slow as a whole the gap is late as well. It waits until the requests at work are down to the limit.
 func (l *Limit) holdBack(now time.Duration, running int) {
-	if !l.running.draining(now, running) {
-		l.running.lower(now, holdBackFactor)
+	if l.holding(now) && running > l.Current() {
+		return
 	}
+	l.running.lower(holdBackFactor * min(l.running.value, float64(running)))
+	l.heldBack, l.hold = now, true
 }
 
-// holdBackFactor is the factor by which holdBack lowers the limit.
-const holdBackFactor = 0.9
+// holding reports whether the limit was held back lately, so that a good gap must not raise it.
+func (l *Limit) holding(now time.Duration) bool { return l.hold && now-l.heldBack < holdFor }
+
+const (
+	// noRoom is the measured first token time, as a multiple of what the engine may use, from which a line
+	// of a few prompts does not explain it: more than the whole objective.
+	noRoom = 2
+	// holdBackFactor is the factor by which holdBack lowers the limit.
+	holdBackFactor = 0.9
+	// holdFor is how long it then stays: requests take some ten seconds, and leave room one by one.
+	holdFor = 10 * time.Second
+)
--- a/policy/limit/rival_test.go
+++ b/policy/limit/rival_test.go
@@ -7,9 +7,44 @@
 	"github.com/skylarkpond/skylarkpond/policy/limit"
 )
 
-// gradient is the rival that was weighed: each second the limit moves by a part of the way to itself times
-// objective over measured quantile; upwards only while it is in use. First tokens are bounded as in
-// limit.Limit.
+// aimd is a rival that was weighed: each second the limit grows by four while it is in use and fewer than 5% of
+// the gaps are over the objective, and else shrinks by a tenth. First tokens are bounded as in limit.Limit.
+type aimd struct {
+	*limit.Limit
+	value       float64
+	opened      time.Duration
+	count, late int
+	used        int
+}
+
+func newAIMD() *aimd { return &aimd{Limit: limit.New(limit.Config{}), value: 16} }
+
+func (a *aimd) Current() int { return int(a.value) }
+
+func (a *aimd) Observe(now time.Duration, s limit.Sample) {
+	a.Limit.Observe(now, s)
+	if s.Gap == 0 {
+		return
+	}
+	a.count += s.Gaps
+	if s.Gap > objective {
+		a.late += s.Gaps
+	}
+	a.used = max(a.used, s.Running)
+	if now-a.opened < time.Second {
+		return
+	}
+	const increase, decrease = 4, 0.9
+	if a.late*20 > a.count {
+		a.value = max(4, a.value*decrease)
+	} else if float64(a.used) >= 0.8*a.value {
+		a.value = min(1024, a.value+increase)
+	}
+	a.opened, a.count, a.late, a.used = now, 0, 0, 0
+}
+
+// gradient is the other rival: each second the limit moves by a part of the way to itself times objective over
+// measured quantile; upwards only while it is in use. First tokens are bounded as in limit.Limit.
 type gradient struct {
 	*limit.Limit
 	value  float64
@@ -32,7 +67,7 @@
 	if now-g.opened < time.Second {
 		return
 	}
-	const objective, smoothing, hardest, easiest = 79 * time.Millisecond, 0.4, 0.5, 2.0
+	const smoothing, hardest, easiest = 0.4, 0.5, 2.0
 	factor := float64(objective) / float64(g.gaps.Quantile(0.95))
 	factor = min(easiest, max(hardest, factor))
 	if factor < 1 || float64(g.used) >= 0.8*g.value {
