--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -13,6 +13,7 @@
 	"github.com/skylarkpond/skylarkpond/entry/member"
 	"github.com/skylarkpond/skylarkpond/link/peer"
 	"github.com/skylarkpond/skylarkpond/timeline"
+	"github.com/skylarkpond/skylarkpond/vm"
 )
 
 // Paths of the calls between entries.
@@ -33,6 +34,8 @@
 	recorder *timeline.Recorder
 	// serving counts the dispatches of other entries' fronts under way here.
 	serving atomic.Int64
+	// loadOf gives the load of a group at the own home role.
+	loadOf func(vm.GroupID) contract.GroupLoad
 }
 
 // Dispatch implements front.Dispatcher.
@@ -114,7 +117,7 @@
 	l := &localFrames{ctx: ctx, cancel: cancel, frames: make(chan contract.Frame, localBacklog)}
 	go func() {
 		defer close(l.frames)
-		_ = d.home.Dispatch(ctx, request, l.send)
+		_ = d.home.Dispatch(ctx, request, func(frame contract.Frame) error { return l.send(d.stamped(request, frame)) })
 	}()
 	return l
 }
@@ -144,6 +147,18 @@
 // Close implements front.Frames.
 func (l *localFrames) Close() { l.cancel() }
 
+// stamped adds to a frame what it tells beside the answer. Every first and last frame carries the load;
+// those between would only repeat it.
+func (d *dispatcher) stamped(request contract.Dispatch, frame contract.Frame) contract.Frame {
+	frame.Time = d.recorder.Now()
+	switch frame.Kind {
+	case contract.FrameQueued, contract.FrameRefused, contract.FrameEnd, contract.FrameBroken:
+		load := d.loadOf(request.Group)
+		frame.Load = &load
+	}
+	return frame
+}
+
 // working is asked of the holder of a claim.
 type working struct {
 	Incarnation string `cbor:"1,keyasint"`
@@ -186,8 +201,7 @@
 		d.serving.Add(1)
 		defer d.serving.Add(-1)
 		return d.home.Dispatch(ctx, request, func(frame contract.Frame) error {
-			frame.Time = d.recorder.Now()
-			return send(frame)
+			return send(d.stamped(request, frame))
 		})
 	})
 	peer.Handle(server, pathWorking, func(_ context.Context, _ string, question working) (bool, error) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"github.com/skylarkpond/skylarkpond/entry/admission"
 	"github.com/skylarkpond/skylarkpond/entry/controller"
 	"github.com/skylarkpond/skylarkpond/entry/front"
 	"github.com/skylarkpond/skylarkpond/entry/member"
@@ -44,6 +45,7 @@
 	mirror       *mirror.Mirror
 	follower     *mirror.Follower
 	prober       *prober.Prober
+	admission    *admission.Admission
 	controller   *controller.Controller
 	front        *front.Front
 	operator     *operator.Server
@@ -81,6 +83,7 @@
 	start(func(ctx context.Context) error { return e.members.Run(ctx, e.pinger) })
 	start(func(ctx context.Context) error { e.follower.Run(ctx); return nil })
 	start(func(ctx context.Context) error { e.prober.Run(ctx); return nil })
+	start(func(ctx context.Context) error { e.admission.Run(ctx); return nil })
 	start(func(ctx context.Context) error { e.controller.Run(ctx); return nil })
 	start(func(ctx context.Context) error { return e.watchSuperseded(ctx) })
 	start(func(context.Context) error { return serveHTTP(public, sockets.public) })
--- a/entry/providers.go
+++ b/entry/providers.go
@@ -8,8 +8,8 @@
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 
-	"github.com/skylarkpond/skylarkpond/contract"
 	"github.com/skylarkpond/skylarkpond/contract/attempt"
+	"github.com/skylarkpond/skylarkpond/entry/admission"
 	"github.com/skylarkpond/skylarkpond/entry/controller"
 	"github.com/skylarkpond/skylarkpond/entry/fleet"
 	"github.com/skylarkpond/skylarkpond/entry/front"
@@ -76,30 +76,24 @@
 
 func provideAttempts(store platform.Store) *attempt.Records { return attempt.New(store, time.Now) }
 
-// The plain queue's bounds; the fair queue takes its place.
-const (
-	plainConcurrency = 64
-	plainQueue       = 256
-)
-
 func provideHome(
-	self registered, placed placed, attempts *attempt.Records, engines engine.Client, inForce *settingsInForce,
-	recorder *timeline.Recorder,
+	self registered, placed placed, admission *admission.Admission, attempts *attempt.Records, engines engine.Client,
+	inForce *settingsInForce, recorder *timeline.Recorder,
 ) *home.Home {
 	return home.New(home.Deps{
 		Self: self.entry.Name, Incarnation: self.entry.Incarnation, Groups: placed, Presence: placed,
-		Admission: home.NewFIFO(plainConcurrency, plainQueue), Attempts: attempts, Engines: engines,
+		Admission: admission, Attempts: attempts, Engines: engines,
 		Settings: inForce.Snapshot, Recorder: recorder,
 	})
 }
 
 func provideDispatcher(
 	self registered, table *fleet.Table, home *home.Home, members *member.Members, client *peer.Client,
-	recorder *timeline.Recorder,
+	recorder *timeline.Recorder, admission *admission.Admission,
 ) *dispatcher {
 	return &dispatcher{
 		self: self.entry.Name, life: self.entry.Incarnation, table: table, home: home, members: members, client: client,
-		recorder: recorder,
+		recorder: recorder, loadOf: admission.Load,
 	}
 }
 
@@ -134,11 +128,11 @@
 
 func provideProber(
 	config Config, table *fleet.Table, engines engine.Client, presence *vm.Presence, recorder *timeline.Recorder,
-	members *member.Members,
+	members *member.Members, admission *admission.Admission,
 ) *prober.Prober {
 	return prober.New(prober.Deps{
 		Self: config.Name, Groups: table, Client: engines, Presence: presence, Recorder: recorder,
-		LoadOf: func(vm.GroupID) contract.GroupLoad { return contract.GroupLoad{} },
+		LoadOf: admission.Load,
 		Tell:   func(status fleet.Status) { tellStatus(members, status) },
 		Paused: members.Paused,
 	})
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -6,6 +6,7 @@
 	"github.com/google/wire"
 	"github.com/sirupsen/logrus"
 
+	"github.com/skylarkpond/skylarkpond/entry/admission"
 	"github.com/skylarkpond/skylarkpond/entry/mirror"
 	"github.com/skylarkpond/skylarkpond/link/engine"
 	"github.com/skylarkpond/skylarkpond/timeline"
@@ -20,7 +21,7 @@
 		provideStore, provideMembers, provideOwners, providePeerClient, providePeerServer,
 		providePinger, provideFollower, provideTable, providePlaced, provideAttempts, provideHome, provideDispatcher,
 		provideFront, provideProber, provideController, provideOverview, provideOperator, provideRegistration,
-		newSettingsInForce, mirror.New, vm.NewPresence,
+		newSettingsInForce, mirror.New, admission.New, vm.NewPresence,
 		engine.NewHTTPClient, wire.Bind(new(engine.Client), new(*engine.HTTPClient)),
 		wire.Struct(new(Entry), "*"),
 	)
--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -8,6 +8,7 @@
 
 import (
 	"github.com/sirupsen/logrus"
+	"github.com/skylarkpond/skylarkpond/entry/admission"
 	"github.com/skylarkpond/skylarkpond/entry/mirror"
 	"github.com/skylarkpond/skylarkpond/link/engine"
 	"github.com/skylarkpond/skylarkpond/timeline"
@@ -29,13 +30,14 @@
 	table := provideTable(entryOwners)
 	httpClient := engine.NewHTTPClient()
 	presence := vm.NewPresence()
-	prober := provideProber(config, table, httpClient, presence, recorder, members)
+	admissionAdmission := admission.New()
+	prober := provideProber(config, table, httpClient, presence, recorder, members, admissionAdmission)
 	entrySettingsInForce := newSettingsInForce(recorder, log)
 	controller := provideController(self, store, httpClient, entryOwners, mirrorMirror, table, entrySettingsInForce, recorder, measures2, log, follower)
 	entryPlaced := providePlaced(config, table, presence)
 	records := provideAttempts(store)
-	home := provideHome(self, entryPlaced, records, httpClient, entrySettingsInForce, recorder)
-	entryDispatcher := provideDispatcher(self, table, home, members, client, recorder)
+	home := provideHome(self, entryPlaced, admissionAdmission, records, httpClient, entrySettingsInForce, recorder)
+	entryDispatcher := provideDispatcher(self, table, home, members, client, recorder, admissionAdmission)
 	front := provideFront(config, entrySettingsInForce, entryDispatcher, table, records, recorder)
 	entryOverview := provideOverview(config, members, table, entrySettingsInForce, client, recorder)
 	server := provideOperator(config, store, entrySettingsInForce, mirrorMirror, follower, entryOverview, recorder, measures2, log)
@@ -50,6 +52,7 @@
 		mirror:       mirrorMirror,
 		follower:     follower,
 		prober:       prober,
+		admission:    admissionAdmission,
 		controller:   controller,
 		front:        front,
 		operator:     server,
--- a/policy/fairqueue/queue.go
+++ b/policy/fairqueue/queue.go
@@ -93,6 +93,9 @@
 // Running returns how many items are at work.
 func (q *Queue) Running() int { return q.slots.running[short] + q.slots.running[long] }
 
+// Starting returns how many items hold a slot and have no first token yet.
+func (q *Queue) Starting() int { return q.slots.starting }
+
 // Offer decides on an item.
 func (q *Queue) Offer(now time.Duration, item Item) Verdict {
 	item.Work = max(1, item.Work)
