Settings: accepted is recorded before the change is spread

In a trial of skylarkpond dev the time line showed settings-in-force before settings-accepted on the accepting entry, because the tree was handed to the mirror first. The order of the two lines is swapped. pondctl says 'unchanged' without naming revision 0, and an entry without settings shows no date from 1969.

--- a/entry/operator/apply.go
+++ b/entry/operator/apply.go
@@ -137,8 +137,8 @@
 	if err != nil {
 		return admin.Applied{}, writeError(err)
 	}
-	s.deps.Taker.Took(platform.Object{Kind: platform.KindSettings, Name: platform.SettingsName, Version: written, Value: value})
 	s.deps.Recorder.Record(timeline.Event{Kind: timeline.SettingsAccepted, Entry: s.deps.Entry, Version: uint64(written), Detail: change.ID})
+	s.deps.Taker.Took(platform.Object{Kind: platform.KindSettings, Name: platform.SettingsName, Version: written, Value: value})
 	return admin.Applied{Result: result, Version: uint64(written)}, nil
 }
 
--- a/pondctl/apply.go
+++ b/pondctl/apply.go
@@ -106,6 +106,8 @@
 		for _, path := range answer.Superseded {
 			fmt.Fprintf(w, "  %s was changed again since\n", path)
 		}
+	case settings.Unchanged:
+		fmt.Fprintf(w, "unchanged: the settings say this already, version %d\n", answer.Version)
 	default:
 		fmt.Fprintf(w, "%s at revision %d, version %d\n", answer.Status, answer.Revision, answer.Version)
 	}
--- a/pondctl/show.go
+++ b/pondctl/show.go
@@ -27,7 +27,7 @@
 
 // clock shows a time in Unix milliseconds.
 func clock(ms int64) string {
-	if ms == 0 {
+	if ms <= 0 {
 		return "-"
 	}
 	return time.UnixMilli(ms).UTC().Format("2006-01-02 15:04:05Z")
