--- a/dev/show.go
+++ b/dev/show.go
@@ -70,7 +70,7 @@
        -H 'Idempotency-Key: my-first-booking' -d '{"lot":"cream"}'     # twice: it runs once
 
   curl http://%[1]s/v1/entries
-  go run ./cmd/pondctl status --admin http://%[2]s --token %[4]s
+  go run ./cmd/pondctl status --entries %[2]s --token %[4]s
 
 Ctrl-C drains and stops.
 `, c.address(0, 0), c.address(0, adminOffset), examples.DevTeamKey, examples.DevOperatorKey)
