--- a/pondctl/apply.go
+++ b/pondctl/apply.go
@@ -65,13 +65,17 @@
 	if err != nil {
 		return err
 	}
-	change := locked.change(declared, cmp.Or(args.Author, os.Getenv("USER")))
-	answer := admin.Applied{Result: settings.Result{Status: settings.Unchanged}, Version: locked.Version}
-	if len(change.Nodes) > 0 {
-		c.progress("applying %d nodes as change %s", len(change.Nodes), change.ID[:12])
-		if err := c.client.call(ctx, http.MethodPost, admin.ApplyPath, change, &answer); err != nil {
-			return eris.Wrap(err, "apply; running it again is safe, a change is taken once")
-		}
+	change, err := c.plan(ctx, declared, locked, args.Exact)
+	if err != nil {
+		return err
+	}
+	if len(change.Nodes) == 0 {
+		return c.nothingToApply(ctx, args, declared, locked)
+	}
+	change.Author = cmp.Or(args.Author, os.Getenv("USER"))
+	answer, err := c.send(ctx, change)
+	if err != nil {
+		return err
 	}
 	for i, fault := range answer.Faults {
 		answer.Faults[i] = declared.Locate(fault)
@@ -82,13 +86,62 @@
 	if err := outcome(answer); err != nil {
 		return err
 	}
-	if len(change.Nodes) > 0 {
-		c.relock(ctx, args.Dir, locked, change)
+	c.relock(ctx, args.Dir, locked, declared)
+	return c.waitIfAsked(ctx, args, answer.Version)
+}
+
+// plan is the change from the lock's state to the declarations, or, if exact, from the settings as they are.
+func (c *command) plan(ctx context.Context, declared *settings.Declarations, locked *lock, exact bool) (*settings.Change, error) {
+	if !exact {
+		return locked.change(declared), nil
+	}
+	current, err := get[admin.Settings](ctx, c.client, admin.SettingsPath, nil)
+	if err != nil {
+		return nil, err
 	}
-	if args.Wait {
-		return c.wait(ctx, answer.Version, args.WaitFor)
+	now := &lock{Nodes: make(map[settings.Path]lockedNode)}
+	for path, node := range current.Tree.Nodes {
+		now.take(path, node)
 	}
-	return nil
+	return now.change(declared), nil
+}
+
+func (c *command) send(ctx context.Context, change *settings.Change) (admin.Applied, error) {
+	c.progress("applying %d nodes as change %s", len(change.Nodes), short(change.ID))
+	var answer admin.Applied
+	err := c.client.call(ctx, http.MethodPost, admin.ApplyPath, change, &answer)
+	return answer, eris.Wrap(err, "apply; running it again is safe, a change is taken once")
+}
+
+func (c *command) waitIfAsked(ctx context.Context, args *ApplyArgs, version uint64) error {
+	if !args.Wait {
+		return nil
+	}
+	return c.wait(ctx, version, args.WaitFor)
+}
+
+// nothingToApply: no file was edited since the lock. That is not yet to say that the settings are as
+// declared: in an old checkout, or after a revert that took the lock file back too, they are not, and
+// "unchanged" would let an operator believe that the undo is in force.
+func (c *command) nothingToApply(ctx context.Context, args *ApplyArgs, declared *settings.Declarations, locked *lock) error {
+	current, err := get[admin.Settings](ctx, c.client, admin.SettingsPath, nil)
+	if err != nil {
+		return err
+	}
+	difference := compare(locked, &settings.Change{}, current)
+	if len(difference.Behind) > 0 && !args.Exact {
+		if err := c.print(difference, func(w io.Writer) { writeDifference(w, difference) }); err != nil {
+			return err
+		}
+		return eris.Wrapf(ErrConflict, "no file was edited since the last pull, and %d nodes were changed by others since; nothing was changed. "+
+			"pondctl pull brings their side, pondctl apply --exact puts this directory's state in force", len(difference.Behind))
+	}
+	answer := admin.Applied{Result: settings.Result{Status: settings.Unchanged, Revision: current.Tree.Revision}, Version: current.Version}
+	if err := c.print(answer, func(w io.Writer) { writeApplied(w, answer) }); err != nil {
+		return err
+	}
+	c.relock(ctx, args.Dir, locked, declared)
+	return c.waitIfAsked(ctx, args, answer.Version)
 }
 
 func writeApplied(w io.Writer, answer admin.Applied) {
@@ -126,15 +179,13 @@
 	return nil
 }
 
-// relock notes the revisions that the applied nodes have now. If that fails, the next apply finds the same
+// relock notes the revisions that the declared nodes have now. If that fails, the next apply finds the same
 // change id and mends it.
-func (c *command) relock(ctx context.Context, dir string, locked *lock, change *settings.Change) {
+func (c *command) relock(ctx context.Context, dir string, locked *lock, declared *settings.Declarations) {
 	current, err := get[admin.Settings](ctx, c.client, admin.SettingsPath, nil)
 	if err == nil {
 		locked.Version = current.Version
-		for _, node := range change.Nodes {
-			locked.takeApplied(node, current.Tree)
-		}
+		locked.takeEqual(declared, current.Tree)
 		err = locked.write(dir)
 	}
 	if err != nil {
@@ -142,13 +193,18 @@
 	}
 }
 
-// takeApplied leaves nodes alone that somebody has changed again already.
-func (l *lock) takeApplied(node settings.NodeChange, tree *settings.Tree) {
-	current, exists := tree.Nodes[node.Node]
-	if node.Remove && !exists {
-		delete(l.Nodes, node.Node)
+// takeEqual takes the revisions of the nodes that are as declared. Others are left alone: somebody has
+// changed them, and to take their revision for a base would undo that unseen.
+func (l *lock) takeEqual(declared *settings.Declarations, tree *settings.Tree) {
+	for path, values := range declared.Nodes {
+		if current, exists := tree.Nodes[path]; exists && current.Values.Equal(values) {
+			l.take(path, current)
+		}
 	}
-	if !node.Remove && exists && current.Values.Equal(node.Values) {
-		l.take(node.Node, current)
+	for path := range l.Nodes {
+		_, here := declared.Nodes[path]
+		if _, there := tree.Nodes[path]; !here && !there {
+			delete(l.Nodes, path)
+		}
 	}
 }
--- a/pondctl/args.go
+++ b/pondctl/args.go
@@ -20,7 +20,7 @@
 // Args are the command line. Each flag is also an environment variable.
 type Args struct {
 	Validate   *DirArgs        `arg:"subcommand:validate" help:"check declarations without asking any entry"`
-	Diff       *DirArgs        `arg:"subcommand:diff" help:"show what apply would change"`
+	Diff       *DiffArgs       `arg:"subcommand:diff" help:"show what apply would change"`
 	Apply      *ApplyArgs      `arg:"subcommand:apply" help:"make declarations the settings"`
 	Pull       *PullArgs       `arg:"subcommand:pull" help:"bring declarations up to the settings"`
 	Explain    *ExplainArgs    `arg:"subcommand:explain" help:"show each value in force at a node and the node it comes from"`
@@ -41,9 +41,16 @@
 	Dir string `arg:"positional,env:POND_DIR" default:"." help:"directory of declarations"`
 }
 
+// DiffArgs are those of diff.
+type DiffArgs struct {
+	DirArgs
+	Exact bool `arg:"--exact,env:POND_EXACT" help:"show what apply --exact would change"`
+}
+
 // ApplyArgs are those of apply.
 type ApplyArgs struct {
 	DirArgs
+	Exact   bool          `arg:"--exact,env:POND_EXACT" help:"make the settings just what the directory says, also where others changed them since the last pull: for going back to an older state"`
 	Wait    bool          `arg:"--wait,env:POND_WAIT" help:"wait until the change is in force on every live entry"`
 	WaitFor time.Duration `arg:"--wait-for,env:POND_WAIT_FOR" default:"60s" help:"longest wait of --wait; exit code 5 when it is over"`
 	Author  string        `arg:"--author,env:POND_AUTHOR" help:"who applies, for the history [default: $USER]"`
@@ -109,6 +116,8 @@
   pondctl validate settings/              check before a commit
   pondctl diff settings/                  what would change, and who changed the same meanwhile
   pondctl apply --wait settings/          make it so, and wait until it is in force everywhere
+  git revert HEAD && pondctl apply --exact settings/
+                                          go back to the state before
   pondctl pull settings/                  take in what others applied
   pondctl explain /places/pampa           each value, and the node that it comes from
   pondctl status --json | jq .services    how far the groups of each service are
--- a/pondctl/diff.go
+++ b/pondctl/diff.go
@@ -13,7 +13,7 @@
 type Difference struct {
 	Version uint64           `json:"version"`
 	Nodes   []NodeDifference `json:"nodes"`
-	// Behind lists nodes that others changed and that were not edited here: pull brings them.
+	// Behind lists nodes whose values others changed and that were not edited here: pull brings them.
 	Behind []settings.Path `json:"behind,omitempty"`
 }
 
@@ -34,8 +34,12 @@
 	Ours   *settings.Value `json:"ours"`
 }
 
-func (c *command) diff(ctx context.Context, dir string) error {
-	declared, locked, err := load(dir)
+func (c *command) diff(ctx context.Context, args *DiffArgs) error {
+	declared, locked, err := load(args.Dir)
+	if err != nil {
+		return err
+	}
+	change, err := c.plan(ctx, declared, locked, args.Exact)
 	if err != nil {
 		return err
 	}
@@ -46,7 +50,7 @@
 	if current.Copy {
 		c.progress("warning: the platform can't be asked; this is compared with the entry's own copy, which may be old")
 	}
-	difference := compare(locked, locked.change(declared, ""), current)
+	difference := compare(locked, change, current)
 	return c.print(difference, func(w io.Writer) { writeDifference(w, difference) })
 }
 
@@ -58,7 +62,7 @@
 		difference.Nodes = append(difference.Nodes, compareNode(node, current.Tree))
 	}
 	for _, path := range current.Tree.Paths() {
-		if !touched[path] && current.Tree.Nodes[path].Revision != locked.Nodes[path].Revision {
+		if !touched[path] && locked.edited(path, current.Tree.Nodes[path].Values) {
 			difference.Behind = append(difference.Behind, path)
 		}
 	}
--- a/pondctl/lock.go
+++ b/pondctl/lock.go
@@ -98,8 +98,8 @@
 
 // change is what apply sends: the nodes that were edited, added or deleted since the lock. Nodes that were
 // not touched are left out, so that an old checkout does not touch what others changed meanwhile.
-func (l *lock) change(declared *settings.Declarations, author string) *settings.Change {
-	change := &settings.Change{Author: author}
+func (l *lock) change(declared *settings.Declarations) *settings.Change {
+	change := &settings.Change{}
 	for _, path := range declared.Tree("").Paths() {
 		values := declared.Nodes[path]
 		if l.edited(path, values) {
--- a/pondctl/pondctl_test.go
+++ b/pondctl/pondctl_test.go
@@ -108,6 +108,33 @@
 		Expect(expectOK("explain", string(chat))).To(MatchRegexp(`replicas +9 `))
 	})
 
+	// The commit that made a change holds the files and the lock file, and reverting it takes both back. The
+	// directory then looks like an old checkout without edits: an apply that said "unchanged" would let the
+	// operator believe that the undo is in force.
+	It("does not call a reverted checkout unchanged, and goes back to its state if told so", func() {
+		newRig()
+		dir := checkout()
+		expectOK("apply", dir)
+		before := copyOf(dir)
+		edit(dir, chat, "replicas: 2", "replicas: 3")
+		Expect(os.Remove(filepath.Join(dir, team.File()))).To(Succeed())
+		expectOK("apply", dir)
+
+		code, out, progress := run("apply", "--wait", before)
+		Expect(code).To(Equal(pondctl.ExitConflict))
+		Expect(out).To(SatisfyAll(ContainSubstring("< "+string(chat)), ContainSubstring("< "+string(team))))
+		Expect(progress).To(ContainSubstring("apply --exact"))
+		Expect(expectOK("explain", string(chat))).To(MatchRegexp(`replicas +3 `))
+
+		Expect(expectOK("diff", "--exact", before)).To(SatisfyAll(ContainSubstring("replicas: 3 -> 2"), ContainSubstring("+ "+string(team))))
+		Expect(expectOK("apply", "--exact", before)).To(HavePrefix("accepted"))
+		Expect(expectOK("explain", string(chat))).To(MatchRegexp(`replicas +2 `))
+		Expect(expectOK("apply", before)).To(HavePrefix("unchanged"))
+		Expect(expectOK("apply", "--exact", before)).To(HavePrefix("unchanged"))
+		edit(before, chat, "replicas: 2", "replicas: 4")
+		Expect(expectOK("apply", before)).To(HavePrefix("accepted"), "the lock file is up to date again")
+	})
+
 	// Between the answer of the apply and the reading of the new revisions somebody else changes the same
 	// node. Were that revision taken for the base, the next apply would undo a change nobody here has seen.
 	It("does not take a revision for its base that it has not seen", func() {
--- a/pondctl/run.go
+++ b/pondctl/run.go
@@ -66,7 +66,7 @@
 	case a.Validate != nil:
 		return c.validate(a.Validate.Dir)
 	case a.Diff != nil:
-		return c.diff(ctx, a.Diff.Dir)
+		return c.diff(ctx, a.Diff)
 	case a.Apply != nil:
 		return c.apply(ctx, a.Apply)
 	case a.Pull != nil:
