Harness: relays that can be cut between entries and before the platform; membership specs

Cause: cuts need something in between; entries may now be told their source address and the address that peers reach them at. A fresh entry refused every caller until it had heard of each group: it now sends where it has not heard that a group is not whole, and the home checks. Seen in the spec 'starts an entry'.

--- a/entry/config.go
+++ b/entry/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/hex"
+	"net"
 	"net/netip"
 	"net/url"
 	"regexp"
@@ -9,8 +10,6 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-
-	"github.com/skylarkpond/skylarkpond/domain"
 )
 
 // Config is what one entry is told at its start, by flag or environment variable. Everything else is in
@@ -21,8 +20,11 @@
 	FailureDomain string `arg:"--failure-domain,env:POND_FAILURE_DOMAIN,required" help:"failure domain this entry is in"`
 	Public        string `arg:"--public-address,env:POND_PUBLIC_ADDRESS,required" help:"IP:port for callers (HTTP)"`
 	Peer          string `arg:"--peer-address,env:POND_PEER_ADDRESS,required" help:"IP:port for other entries (HTTP/3 over UDP)"`
-	Admin         string `arg:"--admin-address,env:POND_ADMIN_ADDRESS,required" help:"IP:port for operators (HTTP)"`
-	Platform      string `arg:"--platform,env:POND_PLATFORM,required" help:"URL of the platform's object API, by IP number"`
+	// AdvertisedPeer differs from Peer where packets reach this VM at an address that is not its own.
+	AdvertisedPeer string `arg:"--advertised-peer-address,env:POND_ADVERTISED_PEER_ADDRESS" help:"IP:port at which other entries reach --peer-address, if it is another"`
+	Source         string `arg:"--source-address,env:POND_SOURCE_ADDRESS" help:"IP from which connections to other entries, backend servers and the platform are made; empty: the system chooses"`
+	Admin          string `arg:"--admin-address,env:POND_ADMIN_ADDRESS,required" help:"IP:port for operators (HTTP)"`
+	Platform       string `arg:"--platform,env:POND_PLATFORM,required" help:"URL of the platform's object API, by IP number"`
 	// PlatformRate bounds the calls of one entry. The platform takes several hundred writes and about two
 	// thousand reads a second from all entries together.
 	PlatformRate float64 `arg:"--platform-rate,env:POND_PLATFORM_RATE" default:"100" help:"calls a second this entry may make to the platform"`
@@ -58,6 +60,14 @@
 		_, err := netip.ParseAddrPort(address.value)
 		check(err == nil, address.setting, "must be IP:port by number, such as 10.0.0.7:8080, not "+quoted(address.value))
 	}
+	if c.AdvertisedPeer != "" {
+		_, err := netip.ParseAddrPort(c.AdvertisedPeer)
+		check(err == nil, "--advertised-peer-address", "must be IP:port by number, not "+quoted(c.AdvertisedPeer))
+	}
+	if c.Source != "" {
+		_, err := netip.ParseAddr(c.Source)
+		check(err == nil, "--source-address", "must be an IP by number, not "+quoted(c.Source))
+	}
 	check(validPlatform(c.Platform), "--platform", "must be http://IP:port or https://IP:port by number, not "+quoted(c.Platform))
 	check(c.PlatformRate >= 1 && c.PlatformRate <= 10_000, "--platform-rate", "must be between 1 and 10000 calls a second")
 	check(c.BootstrapKeyHash == "" || validHash(c.BootstrapKeyHash), "--bootstrap-key-hash", "must be 64 hex digits (pondctl hash-key makes one)")
@@ -68,9 +78,15 @@
 	return eris.Wrap(ErrConfig, strings.Join(faults, "; "))
 }
 
-// Position says where this entry stands.
-func (c *Config) Position() domain.Position {
-	return domain.Position{Place: domain.Place(c.Place), FailureDomain: domain.FailureDomain(c.FailureDomain)}
+// source is the local address of outgoing connections, or nil.
+func (c *Config) source() net.IP { return net.ParseIP(c.Source) }
+
+// reachablePeer is the address that other entries are told.
+func (c *Config) reachablePeer() string {
+	if c.AdvertisedPeer != "" {
+		return c.AdvertisedPeer
+	}
+	return c.Peer
 }
 
 func quoted(s string) string { return `"` + s + `"` }
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -50,6 +50,14 @@
 	ServingSince time.Time
 }
 
+// MayServe says whether a front may send here: the home called the group whole, or has not been heard yet.
+// An entry that has just started hears of each group within some seconds; until then it would refuse
+// every caller, although the home checks anyway.
+func (c *Candidate) MayServe() bool {
+	unheard := c.Heard.IsZero() || c.Status.Epoch != c.Group.Epoch
+	return unheard || c.Status.Whole
+}
+
 type row struct {
 	group        vm.Group
 	fabric       domain.FabricDomain
--- a/entry/member/run_test.go
+++ b/entry/member/run_test.go
@@ -31,7 +31,7 @@
 		Name: name, Incarnation: name + "-1", Fingerprint: id.Fingerprint(), PeerAddress: socket.LocalAddr().String(),
 	}}
 	p.Members = New(Config{Self: p.entry, Generation: generation})
-	client := peer.NewClient(id, p)
+	client := peer.NewClient(id, p, nil)
 	pinger := NewPinger(client)
 	server := peer.NewServer(id, p)
 	p.Register(server, pinger)
--- a/entry/providers.go
+++ b/entry/providers.go
@@ -37,7 +37,7 @@
 const reservedShare = 0.2
 
 func provideStore(config Config, measures *measures) platform.Store {
-	return platform.NewClient(config.Platform, platform.WithMetrics(measures.registry), platform.WithRates(platform.Rates{
+	return platform.NewClient(config.Platform, platform.WithSource(config.source()), platform.WithMetrics(measures.registry), platform.WithRates(platform.Rates{
 		Shared:   config.PlatformRate * (1 - reservedShare),
 		Reserved: config.PlatformRate * reservedShare,
 	}))
@@ -54,10 +54,12 @@
 
 func provideOwners(members *member.Members) owners { return owners{members} }
 
-func providePeerClient(self registered, members *member.Members) *peer.Client {
-	return peer.NewClient(self.identity, members)
+func providePeerClient(config Config, self registered, members *member.Members) *peer.Client {
+	return peer.NewClient(self.identity, members, config.source())
 }
 
+func provideEngines(config Config) engine.Client { return engine.NewHTTPClient(config.source()) }
+
 func providePeerServer(self registered, members *member.Members) *peer.Server {
 	return peer.NewServer(self.identity, members)
 }
@@ -112,7 +114,7 @@
 	return func(service string) []vm.GroupID {
 		var ids []vm.GroupID
 		for _, c := range table.Candidates(service) {
-			if c.Status.Whole {
+			if c.MayServe() {
 				ids = append(ids, c.Group.ID)
 			}
 		}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -105,7 +105,7 @@
 		return registered{}, err
 	}
 	self := platform.Entry{
-		Name: config.Name, PublicAddress: config.Public, PeerAddress: config.Peer, AdminAddress: config.Admin,
+		Name: config.Name, PublicAddress: config.Public, PeerAddress: config.reachablePeer(), AdminAddress: config.Admin,
 		Place: config.Place, FailureDomain: config.FailureDomain,
 		Incarnation: uuid.NewString(), Fingerprint: identity.Fingerprint(),
 	}
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -8,7 +8,6 @@
 
 	"github.com/skylarkpond/skylarkpond/entry/admission"
 	"github.com/skylarkpond/skylarkpond/entry/mirror"
-	"github.com/skylarkpond/skylarkpond/link/engine"
 	"github.com/skylarkpond/skylarkpond/timeline"
 	"github.com/skylarkpond/skylarkpond/vm"
 )
@@ -22,7 +21,7 @@
 		providePinger, provideFollower, provideTable, providePlaced, provideAttempts, provideHome, provideDispatcher,
 		provideFront, provideProber, provideController, provideOverview, provideOperator, provideRegistration,
 		newSettingsInForce, mirror.New, admission.New, vm.NewPresence,
-		engine.NewHTTPClient, wire.Bind(new(engine.Client), new(*engine.HTTPClient)),
+		provideEngines,
 		wire.Struct(new(Entry), "*"),
 	)
 	return nil
--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -10,7 +10,6 @@
 	"github.com/sirupsen/logrus"
 	"github.com/skylarkpond/skylarkpond/entry/admission"
 	"github.com/skylarkpond/skylarkpond/entry/mirror"
-	"github.com/skylarkpond/skylarkpond/link/engine"
 	"github.com/skylarkpond/skylarkpond/timeline"
 	"github.com/skylarkpond/skylarkpond/vm"
 )
@@ -25,18 +24,18 @@
 	entryOwners := provideOwners(members)
 	follower := provideFollower(mirrorMirror, store, entryOwners, members)
 	entryRegistration := provideRegistration(self, store, follower)
-	client := providePeerClient(self, members)
+	client := providePeerClient(config, self, members)
 	pinger := providePinger(client)
 	table := provideTable(entryOwners)
-	httpClient := engine.NewHTTPClient()
+	engineClient := provideEngines(config)
 	presence := vm.NewPresence()
 	admissionAdmission := admission.New()
-	prober := provideProber(config, table, httpClient, presence, recorder, members, admissionAdmission)
+	prober := provideProber(config, table, engineClient, presence, recorder, members, admissionAdmission)
 	entrySettingsInForce := newSettingsInForce(recorder, log)
-	controller := provideController(self, store, httpClient, entryOwners, mirrorMirror, table, entrySettingsInForce, recorder, measures2, log, follower)
+	controller := provideController(self, store, engineClient, entryOwners, mirrorMirror, table, entrySettingsInForce, recorder, measures2, log, follower)
 	entryPlaced := providePlaced(config, table, presence)
 	records := provideAttempts(store)
-	home := provideHome(self, entryPlaced, admissionAdmission, records, httpClient, entrySettingsInForce, recorder)
+	home := provideHome(self, entryPlaced, admissionAdmission, records, engineClient, entrySettingsInForce, recorder)
 	entryDispatcher := provideDispatcher(self, table, home, members, client, recorder, admissionAdmission)
 	front := provideFront(config, entrySettingsInForce, entryDispatcher, table, records, recorder)
 	entryOverview := provideOverview(config, members, table, entrySettingsInForce, client, recorder)
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -29,7 +29,7 @@
 
 var (
 	ctx    = context.Background()
-	client = link.NewHTTPClient()
+	client = link.NewHTTPClient(nil)
 	prompt = []byte(`{"model":"m","messages":[{"role":"user","content":"cream"}],"max_tokens":6}`)
 	yes    = true
 	no     = false
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -62,7 +62,7 @@
 			Expect(live).To(HaveLen(12))
 			Expect(leaving).To(BeEmpty())
 			for _, v := range running.VMs {
-				state, err := linkengine.NewHTTPClient().Probe(ctx, v.Address)
+				state, err := linkengine.NewHTTPClient(nil).Probe(ctx, v.Address)
 				Expect(err).NotTo(HaveOccurred())
 				Expect(state.VM).To(Equal(v.Name))
 			}
--- a/link/engine/client.go
+++ b/link/engine/client.go
@@ -45,9 +45,13 @@
 	maxReasonBytes = 512
 )
 
-// NewHTTPClient returns a client.
-func NewHTTPClient() *HTTPClient {
+// NewHTTPClient returns a client whose connections come from source, or from an address that the system
+// chooses if source is nil.
+func NewHTTPClient(source net.IP) *HTTPClient {
 	dialer := &net.Dialer{Timeout: dialTimeout}
+	if source != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: source}
+	}
 	return &HTTPClient{
 		control: newClient(&http.Transport{
 			DialContext:         dialer.DialContext,
--- a/link/engine/engine_test.go
+++ b/link/engine/engine_test.go
@@ -73,7 +73,7 @@
 
 var _ = Describe("HTTPClient", func() {
 	var client *engine.HTTPClient
-	BeforeEach(func() { client = engine.NewHTTPClient() })
+	BeforeEach(func() { client = engine.NewHTTPClient(nil) })
 
 	It("streams a whole answer", func() {
 		host, v := start("")
--- a/link/peer/client.go
+++ b/link/peer/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"sync"
@@ -17,9 +18,10 @@
 	pool *pool
 }
 
-// NewClient returns a client that shows id to peers and accepts those that trust knows.
-func NewClient(id *Identity, trust Trust) *Client {
-	return &Client{pool: newPool(tlsConfig(id, trust))}
+// NewClient returns a client that shows id to peers and accepts those that trust knows. Its connections
+// come from source, or from an address that the system chooses if source is nil.
+func NewClient(id *Identity, trust Trust, source net.IP) *Client {
+	return &Client{pool: newPool(tlsConfig(id, trust), source)}
 }
 
 // Call sends request to path at address (IP:port) and decodes the answer into reply, which may be nil.
--- a/link/peer/peer_test.go
+++ b/link/peer/peer_test.go
@@ -101,7 +101,7 @@
 	f.srvID = identity("entry-2")
 	f.trust.add(f.clientID)
 	f.trust.add(f.srvID)
-	f.client = NewClient(f.clientID, f.trust)
+	f.client = NewClient(f.clientID, f.trust, nil)
 	f.server = NewServer(f.srvID, f.trust)
 	register(f.server)
 	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
--- a/link/peer/pool.go
+++ b/link/peer/pool.go
@@ -20,6 +20,8 @@
 type pool struct {
 	tls  *tls.Config
 	http http3.Transport
+	// source is the local address of all connections; nil lets the system choose.
+	source net.IP
 
 	mu        sync.Mutex // guards what follows; a leaf lock, not held while dialling
 	conns     map[string]*connection
@@ -42,13 +44,14 @@
 	answered bool
 }
 
-func newPool(config *tls.Config) *pool {
+func newPool(config *tls.Config, source net.IP) *pool {
 	config = config.Clone()
 	config.NextProtos = []string{http3.NextProtoH3}
 	return &pool{
-		tls:   config,
-		http:  http3.Transport{DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes},
-		conns: make(map[string]*connection),
+		tls:    config,
+		source: source,
+		http:   http3.Transport{DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes},
+		conns:  make(map[string]*connection),
 	}
 }
 
@@ -157,7 +160,7 @@
 	if p.transport != nil {
 		return p.transport, nil
 	}
-	conn, err := net.ListenUDP("udp", nil)
+	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: p.source})
 	if err != nil {
 		return nil, err
 	}
--- a/link/platform/client.go
+++ b/link/platform/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -25,6 +26,7 @@
 // have a body that can't be rewound and no such header. Reads may be repeated.
 type Client struct {
 	base         string
+	transport    *http.Transport
 	http         *http.Client
 	callTimeout  time.Duration
 	watchTimeout time.Duration
@@ -62,6 +64,17 @@
 // WithMetrics counts the calls in registry, under "platform.calls.<kind>.<verb>".
 func WithMetrics(registry metrics.Registry) Option { return func(c *Client) { c.registry = registry } }
 
+// WithSource lets all connections come from a local address; nil: the system chooses.
+func WithSource(source net.IP) Option {
+	return func(c *Client) {
+		if source == nil {
+			return
+		}
+		dialer := &net.Dialer{LocalAddr: &net.TCPAddr{IP: source}}
+		c.transport.DialContext = dialer.DialContext
+	}
+}
+
 // NewClient returns a client of the platform at baseURL, such as "http://10.0.0.1:8000".
 func NewClient(baseURL string, opts ...Option) *Client {
 	c := &Client{
@@ -70,15 +83,16 @@
 		watchTimeout: DefaultWatchTimeout,
 		limiter:      newLimiter(DefaultRates),
 		registry:     metrics.NewRegistry(),
-		http: &http.Client{
-			Transport: &http.Transport{
-				MaxIdleConns:        maxIdleConns,
-				MaxIdleConnsPerHost: maxIdleConns,
-				IdleConnTimeout:     idleConnTimeout,
-			},
-			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		transport: &http.Transport{
+			MaxIdleConns:        maxIdleConns,
+			MaxIdleConnsPerHost: maxIdleConns,
+			IdleConnTimeout:     idleConnTimeout,
 		},
 	}
+	c.http = &http.Client{
+		Transport:     c.transport,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
 	for _, opt := range opts {
 		opt(c)
 	}
--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -22,8 +22,15 @@
 // generous bounds every wait on a condition. Nothing is asserted of how long things take.
 const generous = 90 * time.Second
 
-// clusters gives each cluster loopback addresses of its own.
-var clusters atomic.Int32
+// clusters gives each cluster loopback addresses of its own, and network those of a run of the tests, so
+// that two runs on one machine don't meet.
+var (
+	clusters atomic.Int32
+	network  = 10 + os.Getpid()%240
+)
+
+// vmSubnets is added to a cluster's number for the addresses of its VMs.
+const vmSubnets = 100
 
 // cluster is a system of separate processes.
 type cluster struct {
@@ -33,27 +40,28 @@
 	platform string
 	engines  string
 	entries  []*entryProcess
+	cuts     *cuts
 }
 
 // startCluster starts stand-ins, applies the dev declarations, and starts n entries.
 func startCluster(n int) *cluster {
 	GinkgoHelper()
-	c := &cluster{subnet: int(clusters.Add(1)), dir: GinkgoT().TempDir()}
+	c := &cluster{subnet: int(clusters.Add(1)), dir: GinkgoT().TempDir(), cuts: &cuts{cut: make(map[link]bool)}}
 	DeferCleanup(c.stop)
 	c.startStandins()
 	c.applyTree()
-	for i := range n {
-		c.startEntry(fmt.Sprintf("entry-%d", i+1))
+	for range n {
+		c.startEntry()
 	}
 	c.waitServing(c.entries[0])
 	return c
 }
 
 func (c *cluster) startStandins() {
-	c.platform = fmt.Sprintf("http://127.1.%d.1:9000", c.subnet)
-	c.engines = fmt.Sprintf("http://127.1.%d.1:9001", c.subnet)
+	c.platform = fmt.Sprintf("http://127.%d.%d.1:9000", network, c.subnet)
+	c.engines = fmt.Sprintf("http://127.%d.%d.1:9001", network, c.subnet)
 	world := filepath.Join(c.dir, "world.json")
-	Expect(os.WriteFile(world, fmt.Appendf(nil, devWorld, c.subnet), 0o600)).To(Succeed())
+	Expect(os.WriteFile(world, fmt.Appendf(nil, devWorld, network, vmSubnets+c.subnet), 0o600)).To(Succeed())
 	c.standins = start(c.dir, "standins", "dev", "--role", "standins", "--world", world,
 		"--platform-address", c.platform[len("http://"):], "--engines-address", c.engines[len("http://"):])
 	Eventually(func() error {
@@ -64,7 +72,7 @@
 
 // devWorld has two failure domains with a fabric domain each: room for a replica of four VMs, a spare, and
 // a VM of the plain service in each.
-const devWorld = `{"FirstIP":"127.2.%d.1","VMPort":9000,"Places":[{"Name":"local","FailureDomains":[
+const devWorld = `{"FirstIP":"127.%d.%d.1","VMPort":9000,"Places":[{"Name":"local","FailureDomains":[
  {"Name":"local-a","FabricDomains":[{"Name":"local-a1","VMs":5,"Accelerators":2,"Plain":[{"Service":"desk","VMs":1}]}]},
  {"Name":"local-b","FabricDomains":[{"Name":"local-b1","VMs":5,"Accelerators":2,"Plain":[{"Service":"desk","VMs":1}]}]}]}]}`
 
@@ -82,19 +90,50 @@
 	Expect(response.StatusCode).To(Equal(http.StatusOK))
 }
 
-// startEntry starts one more entry, at the next address.
-func (c *cluster) startEntry(name string) *entryProcess {
-	host := 10 + len(c.entries)
-	address := func(port int) string { return fmt.Sprintf("127.1.%d.%d:%d", c.subnet, host, port) }
+// startEntry starts one more entry, at the next address, behind relays which can be cut.
+func (c *cluster) startEntry() *entryProcess {
+	name := fmt.Sprintf("entry-%d", len(c.entries)+1)
+	host := firstHost + len(c.entries)
+	ip := fmt.Sprintf("127.%d.%d.%d", network, c.subnet, host)
+	address := func(port int) string { return fmt.Sprintf("%s:%d", ip, port) }
 	e := &entryProcess{name: name, public: "http://" + address(8080), admin: "http://" + address(8081)}
+	startUDPRelay(c.cuts, name, address(8083), address(8082), c.nameOf)
+	e.toPlatform = startTCPRelay(address(8084), c.platform[len("http://"):])
 	e.process = start(c.dir, name, "serve", "--name", name, "--place", "local",
 		"--failure-domain", []string{"local-a", "local-b"}[host%2],
 		"--public-address", address(8080), "--admin-address", address(8081), "--peer-address", address(8082),
-		"--platform", c.platform, "--timeline", filepath.Join(c.dir, name+".timeline"), "--drain-margin", "1s")
+		"--advertised-peer-address", address(8083), "--source-address", ip, "--platform", "http://"+address(8084), "--timeline", filepath.Join(c.dir, name+".timeline"), "--drain-margin", "1s")
 	c.entries = append(c.entries, e)
 	return e
 }
 
+// firstHost is the last number of the first entry's address.
+const firstHost = 10
+
+// nameOf returns the entry at an address.
+func (c *cluster) nameOf(ip string) string {
+	var network, subnet, host int
+	if _, err := fmt.Sscanf(ip, "127.%d.%d.%d", &network, &subnet, &host); err != nil {
+		return ""
+	}
+	return fmt.Sprintf("entry-%d", host-firstHost+1)
+}
+
+// cut cuts or mends the links between two entries, both ways.
+func (c *cluster) cut(a, b *entryProcess, cut bool) {
+	c.cuts.set(a.name, b.name, cut)
+	c.cuts.set(b.name, a.name, cut)
+}
+
+// isolate cuts an entry off from all others, or mends it.
+func (c *cluster) isolate(e *entryProcess, cut bool) {
+	for _, other := range c.entries {
+		if other != e {
+			c.cut(e, other, cut)
+		}
+	}
+}
+
 // stop ends everything, and shows the logs of a spec that failed.
 func (c *cluster) stop() {
 	for _, e := range c.entries {
@@ -149,6 +188,11 @@
 	post(c.engines+"/standin/vms/"+vm+"/switches", s)
 }
 
+func (c *cluster) switchDomain(fabric string, s standinengine.Switches) {
+	GinkgoHelper()
+	post(c.engines+"/standin/domains/"+fabric+"/switches", s)
+}
+
 func post(url string, body any) {
 	GinkgoHelper()
 	encoded, err := json.Marshal(body)
--- /dev/null
+++ b/test/membership_test.go
@@ -0,0 +1,64 @@
+package test
+
+import (
+	"net/http"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	standinengine "github.com/skylarkpond/skylarkpond/internal/standin/engine"
+)
+
+var _ = Describe("Membership", func() {
+	// The links between one entry and all others are cut, then mended; then the one entry is cut off from the
+	// platform alone. A caller that was told of the cut-off entry would wait on homes that it can't reach.
+	It("drops an entry that the others can't reach, takes it back, and doesn't need the platform for it", func() {
+		c := startCluster(4)
+		load := c.startLoad(c.entries[:1])
+		lost := c.entries[3]
+		c.isolate(lost, true)
+		c.waitLive(c.entries[0], c.entries[:3]...)
+		load.expectProgress()
+		c.isolate(lost, false)
+		c.waitLive(c.entries[0], c.entries...)
+		c.waitLive(lost, c.entries...)
+
+		lost.toPlatform.setCut(true)
+		load.expectProgress()
+		Consistently(c.entries[0].live, "3s", "500ms").Should(HaveLen(4))
+		streamed := caller{lost}.stream("cut off from the platform", 5)
+		Expect(streamed.isWhole("cut off from the platform", 5)).To(BeTrue(), streamed.body)
+		lost.toPlatform.setCut(false)
+
+		load.stop()
+		c.judgeBookings()
+		c.judgePlacements()
+	})
+
+	It("starts an entry that is given to callers and takes homes, and stops one whose requests all end whole", func() {
+		c := startCluster(3)
+		fresh := c.startEntry()
+		c.waitLive(c.entries[0], c.entries...)
+		Eventually(func() int {
+			return caller{fresh}.send(http.MethodGet, "/v1/entries", nil, "").status
+		}, generous).Should(Equal(http.StatusOK))
+
+		const long = 200 // tokens, at a gap that makes them last some seconds: the stop comes while they stream
+		gap := int64(30)
+		c.switchDomain("local-a1", standinengine.Switches{TokenGapMillis: &gap})
+		c.switchDomain("local-b1", standinengine.Switches{TokenGapMillis: &gap})
+		answers := make(chan answer, 8)
+		for range cap(answers) {
+			go func() { answers <- caller{fresh}.stream("stop me", long) }()
+		}
+		Eventually(func() int { return len(c.runs()) }, generous).Should(BeNumerically(">=", cap(answers)))
+		fresh.terminate()
+		for range cap(answers) {
+			var got answer
+			Eventually(answers, generous).Should(Receive(&got))
+			Expect(got.isWhole("stop me", long)).To(BeTrue(), got.body[max(0, len(got.body)-300):])
+		}
+		Eventually(fresh.done, generous).Should(BeClosed())
+		c.waitLive(c.entries[0], c.entries[:3]...)
+	})
+})
--- a/test/process_test.go
+++ b/test/process_test.go
@@ -23,12 +23,14 @@
 	done chan struct{}
 }
 
-// entryProcess is an entry. Its name is that of its address's place in the cluster.
+// entryProcess is an entry.
 type entryProcess struct {
 	*process
 	name   string
 	public string
 	admin  string
+	// toPlatform is the entry's way to the platform.
+	toPlatform *tcpRelay
 }
 
 func start(dir, name string, args ...string) *process {
