Outcome machine: property test over fronts, homes, an engine and a faulty platform

Cause: what a caller is told must hold whatever freezes, dies, cuts, doubles or lands late around it. The test plays the machine and the attempt records themselves, one step at a time, in drawn schedules: several fronts and homes that freeze, die and wake late, links that cut, drop, double and cross frames, a platform that is out, loses answers and lets writes land late, callers that send one key through several fronts with rising and late attempt numbers. The engine's log is the judge: at most one run per key, no run of what was told not-run, answered only with the answer of one run in whole, and every front ends.

Ruled out as unsafe, since the claim still decides: an unrepeatable request tried again though it may have run (it finds the claim).

A lost home costs no seal of its own when another group is tried: the claim decides between the two homes. The seal is written only where not-run is told. That saves a write and leaves the caller's attempt number to the caller; a front that seals and goes on under a higher number of its own could let another front tell not-run of a key that then runs."

--- a/contract/attempt/records.go
+++ b/contract/attempt/records.go
@@ -80,12 +80,14 @@
 	store platform.Store
 	clock func() time.Time
 	nonce func() string
-	pause func(ctx context.Context, d time.Duration)
+	// Pause waits between the tries of a write, or until ctx is over. Tests in virtual time replace it
+	// before the first call.
+	Pause func(ctx context.Context, d time.Duration)
 }
 
 // New returns records kept in store. The clock is the wall clock; it only stamps the expiry.
 func New(store platform.Store, clock func() time.Time) *Records {
-	return &Records{store: store, clock: clock, nonce: uuid.NewString, pause: sleep}
+	return &Records{store: store, clock: clock, nonce: uuid.NewString, Pause: sleep}
 }
 
 // Claim takes the right to send, once, for this home and incarnation. Only Confirmed gives it.
--- a/contract/attempt/records_test.go
+++ b/contract/attempt/records_test.go
@@ -22,7 +22,7 @@
 
 	records := func() *Records {
 		r := New(store, func() time.Time { return now })
-		r.pause = func(context.Context, time.Duration) {}
+		r.Pause = func(context.Context, time.Duration) {}
 		return r
 	}
 	wish := func(number int, renounced ...string) Wish {
--- a/contract/attempt/write.go
+++ b/contract/attempt/write.go
@@ -37,7 +37,7 @@
 	onItsWay := false
 	for try := range writeTries {
 		if try > 0 {
-			r.pause(ctx, firstPause<<(try-1))
+			r.Pause(ctx, firstPause<<(try-1))
 		}
 		written, err := r.store.Put(ctx, platform.KindAttempt, w.ID.Name(), version, value)
 		if err == nil {
--- /dev/null
+++ b/contract/outcome/actors_test.go
@@ -0,0 +1,241 @@
+package outcome
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/skylarkpond/skylarkpond/contract"
+	"github.com/skylarkpond/skylarkpond/contract/attempt"
+)
+
+const (
+	groups       = 3
+	answerEvents = 3
+)
+
+// teller is one caller's connection: what was asked for, and what was told.
+type teller struct {
+	request Request
+	key     string
+	outcome contract.Outcome
+	code    contract.Code
+	// events are what the caller got of the answer.
+	events []string
+}
+
+func records(w *world, y yielder) *attempt.Records {
+	r := attempt.New(store{w: w, y: y}, func() time.Time { return time.Unix(0, 0) })
+	r.Pause = func(context.Context, time.Duration) {}
+	return r
+}
+
+func wish(r Request, key string, renounced []string) attempt.Wish {
+	return attempt.Wish{
+		ID: attempt.ID{Team: "t", Key: key}, Number: r.Attempt, Fingerprint: r.Fingerprint, RequestID: r.ID, Renounced: renounced,
+	}
+}
+
+// events is the whole answer of one run. Two runs of a request differ, but on engines that resume.
+func events(r Request, run string) []string {
+	if r.Resumable {
+		run = "any"
+	}
+	all := make([]string, answerEvents)
+	for i := range all {
+		all[i] = fmt.Sprintf("%s-%s-%d", r.Fingerprint, run, i)
+	}
+	return all
+}
+
+// front serves one connection with the machine under test.
+func (w *world) front(t *teller) {
+	w.tellers = append(w.tellers, t)
+	w.spawn("front "+t.request.ID, func(y yielder) {
+		m := New(t.request)
+		r := records(w, y)
+		var l *link
+		tried := 0
+		action := m.Start()
+		for {
+			switch action.Do {
+			case Dispatch:
+				action = w.dispatch(t, m, action, y, &l, &tried)
+			case Seal:
+				action = m.Sealed(r.Seal(context.Background(), wish(t.request, t.key, action.Renounced)))
+			case Find:
+				action = m.Found(r.Find(context.Background(), attempt.ID{Team: "t", Key: t.key}, t.request.Fingerprint))
+			case AskHolder:
+				holder := action.Attempt
+				y(step{do: func() { action = m.Holder(w.working(holder)) }})
+			case Tell:
+				t.tell(action)
+				return
+			default:
+				action = w.wait(t, m, l, y)
+			}
+		}
+	})
+}
+
+func (t *teller) tell(a Action) {
+	t.outcome = a.Outcome
+	if a.Problem != nil {
+		t.code = a.Problem.Code
+	}
+	if a.Stored != nil {
+		t.events = strings.Fields(string(a.Stored.Body))
+	}
+}
+
+func (w *world) dispatch(t *teller, m *Machine, a Action, y yielder, l **link, tried *int) (next Action) {
+	if a.Restart {
+		t.events = nil
+	}
+	if *l != nil {
+		(*l).closed = true
+	}
+	y(step{do: func() {
+		if *tried == groups || w.chance(15, "no group") {
+			next = m.NoDispatch(contract.Later(contract.CodeNoGroup, "none", RetrySoon))
+			return
+		}
+		*tried++
+		*l = &link{}
+		next = Action{Do: Wait}
+		w.home(t, *l, a)
+	}})
+	return next
+}
+
+func (w *world) wait(t *teller, m *Machine, l *link, y yielder) (next Action) {
+	ready := func() bool { return !w.calm || len(l.frames) > 0 || l.home.over }
+	y(step{ready: ready, do: func() {
+		next = Action{Do: Wait}
+		if w.chance(4, "deadline") {
+			next = m.Deadline()
+			return
+		}
+		if len(l.frames) == 0 && !l.home.over && !w.chance(10, "lost") {
+			return
+		}
+		if !l.taken && w.chance(10, "not sent") {
+			w.kill(l.home)
+			next = m.Lost(true)
+			return
+		}
+		f, lost := w.receive(l)
+		if lost {
+			next = m.Lost(false)
+			return
+		}
+		next = m.Frame(f)
+		if next.Do == Deliver {
+			t.events = append(t.events, f.Text)
+			if w.chance(50, "delivered") {
+				m.Delivered()
+			}
+			next = Action{Do: Wait}
+		}
+	}})
+	return next
+}
+
+// working is the holder's own answer; a dead or frozen one gives none.
+func (w *world) working(holder contract.Attempt) bool {
+	i := slices.IndexFunc(w.actors, func(a *actor) bool { return a.name == holder.Home })
+	return i >= 0 && !w.actors[i].over && !w.actors[i].frozen
+}
+
+// home handles one dispatch: queue, claim, one send, events, answer kept, end.
+func (w *world) home(t *teller, l *link, a Action) {
+	q := t.request
+	name := w.newID("home")
+	l.home = w.spawn(name, func(y yielder) {
+		seq := uint64(0)
+		var claim attempt.Result
+		send := func(f contract.Frame) {
+			f.RequestID = q.ID
+			f.Seq = seq
+			seq++
+			if !l.closed {
+				l.frames = append(l.frames, f)
+			}
+		}
+		refuse := func(code contract.Code) {
+			f := contract.Frame{Kind: contract.FrameRefused, Problem: contract.Later(code, "", RetrySoon)}
+			if claim.Verdict != 0 {
+				f.Attempt = &claim.Attempt
+			}
+			send(f)
+		}
+		r := records(w, y)
+		refused := false
+		y(step{do: func() { l.taken = true; refused = w.chance(20, "queue full") }})
+		if refused {
+			refuse(contract.CodeOverloaded)
+			return
+		}
+		if q.Unrepeatable {
+			result := r.Claim(context.Background(), wish(q, t.key, a.Renounced), name, "1")
+			switch result.Verdict {
+			case attempt.Confirmed:
+				claim = result
+				send(contract.Frame{Kind: contract.FrameClaimed})
+			case attempt.Found, attempt.Reused:
+				send(contract.Frame{Kind: contract.FrameFound, Attempt: &result.Attempt})
+				return
+			case attempt.Unsure:
+				claim = result
+				refuse(contract.CodePlatformOut)
+				return
+			default:
+				refuse(contract.CodePlatformOut)
+				return
+			}
+		}
+		y(step{do: func() { refused = w.chance(10, "not whole") }})
+		if refused {
+			refuse(contract.CodeNoGroup)
+			return
+		}
+		send(contract.Frame{Kind: contract.FrameSent})
+		w.engine(t, a, y, r, claim, send, refuse)
+	})
+}
+
+func (w *world) engine(
+	t *teller, a Action, y yielder, r *attempt.Records, claim attempt.Result, send func(contract.Frame), refuse func(contract.Code),
+) {
+	q := t.request
+	refused, broke := false, false
+	all := events(q, w.newID("run"))
+	y(step{do: func() {
+		if refused = w.chance(10, "engine refuses"); !refused {
+			w.runs = append(w.runs, runLog{q.ID, t.key, q.Fingerprint, q.Attempt, all})
+		}
+	}})
+	if refused {
+		refuse(contract.CodeBackendRefused)
+		return
+	}
+	from := a.ResumeFrom
+	if !q.Resumable {
+		from = 0
+	}
+	for i := from; i < uint64(len(all)); i++ {
+		y(step{do: func() { broke = w.chance(7, "engine breaks") }})
+		if broke {
+			send(contract.Frame{Kind: contract.FrameBroken, Problem: problemTruncated()})
+			return
+		}
+		last := i == uint64(len(all))-1
+		if last && q.Unrepeatable {
+			r.Done(context.Background(), attempt.ID{Team: "t", Key: t.key}, claim, contract.StoredAnswer{Body: []byte(strings.Join(all, " "))}, 0)
+		}
+		send(contract.Frame{Kind: contract.FrameEvent, EventSeq: i, Text: all[i], Final: last})
+	}
+	send(contract.Frame{Kind: contract.FrameEnd})
+}
--- /dev/null
+++ b/contract/outcome/machine_test.go
@@ -0,0 +1,213 @@
+package outcome
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/skylarkpond/skylarkpond/contract"
+	"github.com/skylarkpond/skylarkpond/contract/attempt"
+)
+
+// Inputs of the table below, each with the action that it must lead to.
+type input struct {
+	want Do
+	give func(m *Machine) Action
+}
+
+var (
+	fp         = "f"
+	overloaded = contract.Later(contract.CodeOverloaded, "", 3*time.Second)
+	keyed      = Request{ID: "r", Unrepeatable: true, KeyChosen: true, Attempt: 2, Fingerprint: fp}
+	made       = Request{ID: "r", Unrepeatable: true, Attempt: 1, Fingerprint: fp}
+	free       = Request{ID: "r", Attempt: 1, Fingerprint: fp}
+	resumable  = Request{ID: "r", Attempt: 1, Fingerprint: fp, Resumable: true}
+	sealedAt   = func(n int) contract.Attempt { return contract.Attempt{State: contract.AttemptSealed, Number: n} }
+	claimed    = contract.Attempt{State: contract.AttemptClaimed, Number: 1, Fingerprint: fp, RequestID: "other"}
+	answer     = contract.StoredAnswer{Status: 201}
+	done       = contract.Attempt{State: contract.AttemptDone, Answer: &answer}
+	doneTooBig = contract.Attempt{State: contract.AttemptDone, Answer: &contract.StoredAnswer{TooLarge: true}}
+	found      = func(a contract.Attempt) attempt.Result { return attempt.Result{Verdict: attempt.Found, Attempt: a} }
+	confirmed  = attempt.Result{Verdict: attempt.Confirmed}
+	verdict    = func(v attempt.Verdict) attempt.Result { return attempt.Result{Verdict: v} }
+	start      = func(want Do) input { return input{want, (*Machine).Start} }
+	lost       = func(want Do) input { return input{want, func(m *Machine) Action { return m.Lost(false) }} }
+	notSent    = func(want Do) input { return input{want, func(m *Machine) Action { return m.Lost(true) }} }
+	deadline   = func(want Do) input { return input{want, (*Machine).Deadline} }
+	seal       = func(want Do, r attempt.Result) input {
+		return input{want, func(m *Machine) Action { return m.Sealed(r) }}
+	}
+	find = func(want Do, r attempt.Result) input {
+		return input{want, func(m *Machine) Action { return m.Found(r) }}
+	}
+	holder      = func(working bool) input { return input{Tell, func(m *Machine) Action { return m.Holder(working) }} }
+	noGroup     = func(want Do) input { return input{want, func(m *Machine) Action { return m.NoDispatch(overloaded) }} }
+	beforeStart = func(want Do) input { return input{want, func(m *Machine) Action { return m.Refuse(overloaded) }} }
+	delivered   = input{Wait, func(m *Machine) Action { m.Delivered(); return Action{Do: Wait} }}
+)
+
+// frame gives the next frame of the dispatch.
+func frame(want Do, f contract.Frame) input {
+	return input{want, func(m *Machine) Action {
+		f.RequestID = "r"
+		f.Seq = m.answer.frame
+		f.EventSeq += m.answer.event
+		return m.Frame(f)
+	}}
+}
+
+func kind(k contract.FrameKind) input { return frame(Wait, contract.Frame{Kind: k}) }
+
+func event(final bool) input {
+	return frame(Deliver, contract.Frame{Kind: contract.FrameEvent, Final: final})
+}
+
+func refused(want Do, code contract.Code, claim *contract.Attempt) input {
+	return frame(want, contract.Frame{Kind: contract.FrameRefused, Problem: contract.Later(code, "", time.Second), Attempt: claim})
+}
+
+func broken(want Do) input { return frame(want, contract.Frame{Kind: contract.FrameBroken}) }
+
+func homeFound(want Do, a contract.Attempt) input {
+	return frame(want, contract.Frame{Kind: contract.FrameFound, Attempt: &a})
+}
+
+func end(want Do) input { return frame(want, contract.Frame{Kind: contract.FrameEnd}) }
+
+var (
+	queued  = kind(contract.FrameQueued)
+	claim   = kind(contract.FrameClaimed)
+	sent    = kind(contract.FrameSent)
+	lookup  = find(Dispatch, verdict(attempt.Absent))
+	begun   = []input{start(Dispatch), queued, sent}
+	keyedAt = []input{start(Find), lookup, queued, claim, sent}
+)
+
+func after(first []input, rest ...input) []input {
+	return append(append([]input(nil), first...), rest...)
+}
+
+// Each row is one way in which a request can go, and what its caller is told at the end. Where a row says
+// not-run, a clerk will book again; where it says unknown, the clerk will ask by the same key first.
+var _ = DescribeTable("what a caller is told",
+	func(r Request, inputs []input, told contract.Outcome, code contract.Code, attempts int) {
+		m := New(r)
+		var action Action
+		for i, in := range inputs {
+			action = in.give(m)
+			Expect(action.Do).To(Equal(in.want), "input %d", i)
+		}
+		Expect(action.Do).To(Equal(Tell))
+		Expect(action.Outcome).To(Equal(told))
+		Expect(action.Attempts).To(Equal(attempts))
+		if code == "" {
+			Expect(action.Problem).To(BeNil())
+			return
+		}
+		Expect(action.Problem.Code).To(Equal(code))
+		Expect(action.Problem.Outcome).To(Equal(told))
+		if told == contract.Unknown || told == contract.InProgress || code == contract.CodeOverloaded {
+			Expect(action.Problem.RetryAfter).To(BeNumerically(">=", time.Second))
+		}
+	},
+	Entry("answered", free, after(begun, event(false), event(true), end(Tell)), contract.Answered, contract.Code(""), 0),
+	Entry("cut behind the final event", free, after(begun, event(true), lost(Tell)), contract.Answered, contract.Code(""), 0),
+	Entry("refused everywhere", free, []input{start(Dispatch), refused(Dispatch, contract.CodeOverloaded, nil), noGroup(Tell)}, contract.NotRun, contract.CodeOverloaded, 0),
+	Entry("refused for good", free, []input{start(Dispatch), refused(Tell, contract.CodeQuarantined, nil)}, contract.NotRun, contract.CodeQuarantined, 0),
+	Entry("no home reached", free, []input{start(Dispatch), notSent(Dispatch), noGroup(Tell)}, contract.NotRun, contract.CodeHomeLost, 0),
+	Entry("repeatable, home lost, tried again, answered", free, []input{start(Dispatch), lost(Dispatch), sent, event(true), end(Tell)}, contract.Answered, contract.Code(""), 0),
+	Entry("repeatable, home lost, no other", free, []input{start(Dispatch), lost(Dispatch), noGroup(Tell)}, contract.Unknown, contract.CodeHomeLost, 0),
+	Entry("repeatable, broken behind a delivered part", free, after(begun, event(false), delivered, broken(Tell)), contract.Unknown, contract.CodeInternal, 0),
+	Entry("resumed behind a delivered part", resumable, after(begun, event(false), delivered, broken(Dispatch), sent, event(true), end(Tell)), contract.Answered, contract.Code(""), 0),
+	Entry("end without the final event", free, after(begun, event(false), delivered, end(Tell)), contract.Unknown, contract.CodeTruncated, 0),
+	Entry("deadline in the queue", free, []input{start(Dispatch), queued, deadline(Tell)}, contract.Unknown, contract.CodeDeadline, 0),
+
+	Entry("made key, refused unsent: no platform call", made, []input{start(Dispatch), refused(Tell, contract.CodePlatformOut, nil)}, contract.NotRun, contract.CodePlatformOut, 0),
+	Entry("made key, home lost, sealed", made, []input{start(Dispatch), lost(Dispatch), noGroup(Seal), seal(Tell, confirmed)}, contract.NotRun, contract.CodeHomeLost, 1),
+	Entry("made key, home lost, platform out", made, []input{start(Dispatch), lost(Dispatch), noGroup(Seal), seal(Tell, verdict(attempt.Untouched))}, contract.Unknown, contract.CodePlatformOut, 0),
+	Entry("made key, home lost behind its claim, done meanwhile", made, []input{start(Dispatch), queued, claim, lost(Find), find(Tell, found(done))}, contract.Answered, contract.Code(""), 0),
+	Entry("made key, home lost behind its claim, at work", made, []input{start(Dispatch), queued, claim, lost(Find), find(AskHolder, found(claimed)), holder(true)}, contract.InProgress, contract.CodeInProgress, 0),
+	Entry("made key, home lost behind its claim, dead", made, []input{start(Dispatch), queued, claim, lost(Find), find(AskHolder, found(claimed)), holder(false)}, contract.Unknown, contract.CodeHomeLost, 0),
+
+	Entry("chosen key, refused, sealed", keyed, []input{start(Find), lookup, refused(Dispatch, contract.CodeOverloaded, nil), noGroup(Seal), seal(Tell, confirmed)}, contract.NotRun, contract.CodeOverloaded, 2),
+	Entry("chosen key, refused, platform out", keyed, []input{start(Find), lookup, refused(Dispatch, contract.CodeOverloaded, nil), noGroup(Seal), seal(Tell, verdict(attempt.Untouched))}, contract.Unknown, contract.CodePlatformOut, 0),
+	Entry("chosen key, refused, seal unsure", keyed, []input{start(Find), lookup, refused(Dispatch, contract.CodeOverloaded, nil), noGroup(Seal), seal(Tell, verdict(attempt.Unsure))}, contract.Unknown, contract.CodePlatformOut, 0),
+	Entry("chosen key, refused before any dispatch", keyed, []input{beforeStart(Seal), seal(Tell, confirmed)}, contract.NotRun, contract.CodeOverloaded, 2),
+	Entry("chosen key, refused, but a copy ran", keyed, []input{beforeStart(Seal), seal(Tell, found(done))}, contract.Answered, contract.Code(""), 0),
+	Entry("chosen key, answered before", keyed, []input{start(Find), find(Tell, found(done))}, contract.Answered, contract.Code(""), 0),
+	Entry("chosen key, answered before, too large to keep", keyed, []input{start(Find), find(Tell, found(doneTooBig))}, contract.Answered, contract.CodeAnswerTooLarge, 0),
+	Entry("chosen key, at work elsewhere", keyed, []input{start(Find), find(AskHolder, found(claimed)), holder(true)}, contract.InProgress, contract.CodeInProgress, 0),
+	Entry("chosen key, claimed by the dead", keyed, []input{start(Find), find(AskHolder, found(claimed)), holder(false)}, contract.Unknown, contract.CodeUnknownOutcome, 0),
+	Entry("chosen key, this attempt sealed", keyed, []input{start(Find), find(Tell, found(sealedAt(2)))}, contract.NotRun, contract.CodeSealed, 2),
+	Entry("chosen key, a higher attempt sealed", keyed, []input{start(Find), find(Tell, found(sealedAt(7)))}, contract.NotRun, contract.CodeSealed, 7),
+	Entry("chosen key, a lower attempt sealed", keyed, after(keyedAt, event(true), end(Tell)), contract.Answered, contract.Code(""), 0),
+	Entry("chosen key of another request", keyed, []input{start(Find), find(Tell, verdict(attempt.Reused))}, contract.NotRun, contract.CodeKeyReused, 0),
+	Entry("chosen key of another request, found by the home", keyed, []input{start(Find), lookup, homeFound(Tell, contract.Attempt{Fingerprint: "g"})}, contract.NotRun, contract.CodeKeyReused, 0),
+	Entry("chosen key, looked up in an outage, claimed by a copy meanwhile", keyed, []input{start(Find), find(Dispatch, verdict(attempt.Untouched)), homeFound(AskHolder, claimed), holder(false)}, contract.Unknown, contract.CodeUnknownOutcome, 0),
+	Entry("chosen key, backend server broke", keyed, after(keyedAt, broken(Find), find(AskHolder, found(claimed)), holder(false)), contract.Unknown, contract.CodeInternal, 0),
+	Entry("chosen key, deadline at work", keyed, after(keyedAt, deadline(Find), find(AskHolder, found(claimed)), holder(true)), contract.InProgress, contract.CodeInProgress, 0),
+)
+
+var _ = Describe("Machine", func() {
+	// A home claims, finds its group not whole, and gives up. Had the next home not been told, it would
+	// meet a claim that nobody will ever use, and the booking would end as unknown.
+	It("hands renounced claims on", func() {
+		m := New(made)
+		m.Start()
+		mine := claimed
+		mine.Nonce = "n1"
+		action := refused(Dispatch, contract.CodeNoGroup, &mine).give(m)
+		Expect(action.Renounced).To(ConsistOf("n1"))
+		Expect(noGroup(Tell).give(m).Outcome).To(Equal(contract.NotRun))
+	})
+
+	It("asks to resume behind what it has, or to begin anew", func() {
+		for _, r := range []Request{free, resumable} {
+			m := New(r)
+			for _, in := range after(begun, event(false), event(false)) {
+				in.give(m)
+			}
+			action := broken(Dispatch).give(m)
+			Expect(action.Restart).To(Equal(!r.Resumable))
+			Expect(action.ResumeFrom == 2).To(Equal(r.Resumable))
+		}
+	})
+})
+
+// Frames arrive late, twice, crossed with another request's, or one is lost. A caller that was handed them as
+// they come would read another's answer, or an answer with a hole.
+var _ = DescribeTable("the check of frames",
+	func(plain bool, frames []contract.Frame, want ...Taken) {
+		a := NewAnswer("r", plain)
+		for i, f := range frames {
+			if f.RequestID == "" {
+				f.RequestID = "r"
+			}
+			Expect(a.Take(f)).To(Equal(want[i]), "frame %d", i)
+		}
+	},
+	Entry("whole", false, []contract.Frame{ev(0, 0, false), ev(1, 1, true), fr(contract.FrameEnd, 2)}, Next, Next, Next),
+	Entry("another's", false, []contract.Frame{{Kind: contract.FrameEvent, RequestID: "other"}, ev(0, 0, false)}, Stray, Next),
+	Entry("doubled", false, []contract.Frame{ev(0, 0, false), ev(0, 0, false), ev(1, 0, false), ev(2, 1, false)}, Next, Stray, Stray, Next),
+	Entry("a frame lost", false, []contract.Frame{ev(0, 0, false), ev(2, 2, false)}, Next, Gap),
+	Entry("an event lost", false, []contract.Frame{ev(0, 0, false), ev(1, 2, false)}, Next, Gap),
+	Entry("an event behind the final one", false, []contract.Frame{ev(0, 0, true), ev(1, 1, false)}, Next, Gap),
+	Entry("end too early", false, []contract.Frame{ev(0, 0, false), fr(contract.FrameEnd, 1)}, Next, Gap),
+	Entry("plain, whole", true, []contract.Frame{fr(contract.FrameHead, 0), ch(1, "ab"), {Kind: contract.FrameEnd, Seq: 2, Bytes: 2}}, Next, Next, Next),
+	Entry("plain, too short", true, []contract.Frame{fr(contract.FrameHead, 0), ch(1, "ab"), {Kind: contract.FrameEnd, Seq: 2, Bytes: 3}}, Next, Next, Gap),
+	Entry("plain, two heads", true, []contract.Frame{fr(contract.FrameHead, 0), fr(contract.FrameHead, 1)}, Next, Gap),
+	Entry("plain, no head", true, []contract.Frame{ch(0, "ab")}, Gap),
+)
+
+func ev(seq, event uint64, final bool) contract.Frame {
+	return contract.Frame{Kind: contract.FrameEvent, Seq: seq, EventSeq: event, Final: final}
+}
+
+func fr(kind contract.FrameKind, seq uint64) contract.Frame {
+	return contract.Frame{Kind: kind, Seq: seq}
+}
+
+func ch(seq uint64, data string) contract.Frame {
+	return contract.Frame{Kind: contract.FrameChunk, Seq: seq, Data: []byte(data)}
+}
--- /dev/null
+++ b/contract/outcome/tell.go
@@ -0,0 +1,91 @@
+package outcome
+
+import (
+	"net/http"
+
+	"github.com/skylarkpond/skylarkpond/contract"
+	"github.com/skylarkpond/skylarkpond/contract/attempt"
+)
+
+// giveUp says the outcome, or finds out what may be said.
+func (m *Machine) giveUp() Action {
+	if !m.request.Unrepeatable {
+		if m.ran || m.loose {
+			return m.unknown(m.problem)
+		}
+		return m.notRun(m.problem, 0)
+	}
+	if m.ran {
+		m.phase = finding
+		return Action{Do: Find}
+	}
+	if m.request.KeyChosen || m.loose {
+		m.phase = sealing
+		return Action{Do: Seal, Renounced: m.renounced}
+	}
+	return m.notRun(m.problem, 0)
+}
+
+// standing: a record stands that this request can't replace. It decides.
+func (m *Machine) standing(r attempt.Result) Action {
+	if r.Verdict == attempt.Reused {
+		return m.notRun(problemReused(), 0)
+	}
+	switch r.Attempt.State {
+	case contract.AttemptDone:
+		return m.stored(r.Attempt.Answer)
+	case contract.AttemptSealed:
+		if r.Attempt.Number >= m.request.Attempt && !m.ran {
+			return m.notRun(m.sealedProblem(), r.Attempt.Number)
+		}
+	case contract.AttemptClaimed:
+		m.phase = asking
+		if !m.ran {
+			m.problem = problemClaimed()
+		}
+		return Action{Do: AskHolder, Attempt: r.Attempt}
+	}
+	return m.unknown(problemClaimed())
+}
+
+func (m *Machine) stored(answer *contract.StoredAnswer) Action {
+	switch {
+	case m.delivered:
+		// The caller holds the beginning of a stream; the stored answer can't be put behind it.
+		return m.unknown(problemTruncated())
+	case answer == nil || answer.TooLarge:
+		return m.tell(Action{Outcome: contract.Answered, Problem: problemTooLarge()})
+	}
+	return m.tell(Action{Outcome: contract.Answered, Stored: answer})
+}
+
+// sealedProblem keeps the own reason if there is one: the seal found may well be this front's own.
+func (m *Machine) sealedProblem() *contract.Problem {
+	if m.problem != nil {
+		return m.problem
+	}
+	return problemSealed()
+}
+
+func (m *Machine) notRun(p *contract.Problem, attempts int) Action {
+	told := *orInternal(p)
+	told.Outcome = contract.NotRun
+	return m.tell(Action{Outcome: contract.NotRun, Problem: &told, Attempts: attempts})
+}
+
+func (m *Machine) unknown(p *contract.Problem) Action {
+	told := *orInternal(p)
+	told.Outcome = contract.Unknown
+	if told.Status < http.StatusInternalServerError {
+		told.Status = http.StatusBadGateway
+	}
+	told.RetryAfter = max(told.RetryAfter, RetrySoon)
+	told.Next = nextUnknown(m.request)
+	return m.tell(Action{Outcome: contract.Unknown, Problem: &told})
+}
+
+func (m *Machine) tell(a Action) Action {
+	m.phase = told
+	a.Do = Tell
+	return a
+}
