--- a/contract/dispatch.go
+++ b/contract/dispatch.go
@@ -40,6 +40,9 @@
 	Body  []byte     `cbor:"18,keyasint"`
 	// Time is the sender's hybrid logical time, for the time line.
 	Time int64 `cbor:"19,keyasint"`
+	// Renounced lists the nonces of claims on Key whose holders told this front, by FrameRefused, that they
+	// will never send. Such a claim may be replaced by another claim or by a seal.
+	Renounced []string `cbor:"20,keyasint,omitempty"`
 }
 
 // PlainCall is the part of a Dispatch that only a plain service needs.
@@ -57,7 +60,9 @@
 const (
 	// FrameQueued: the home took the request into its queue.
 	FrameQueued FrameKind = iota + 1
-	// FrameRefused: the home gave the request up without sending it, and never will. Problem says why.
+	// FrameRefused: the home gave the request up and will never send it again. It did not send it, or the
+	// backend server was surely not reached, or said that it does not run it. Problem says why. If the home
+	// had claimed, or tried to and can't tell, Attempt holds that claim: it is renounced hereby.
 	FrameRefused
 	// FrameClaimed: the attempt record was created; the request may be sent from now on.
 	FrameClaimed
@@ -101,4 +106,17 @@
 	// AttemptVersion is the platform version of the claim (FrameClaimed) or of Attempt (FrameFound).
 	AttemptVersion uint64 `cbor:"15,keyasint,omitempty"`
 	Time           int64  `cbor:"16,keyasint,omitempty"`
+	// Load is the group's load at the home, sent with the first and the last frame of a dispatch. It costs
+	// no message of its own, so it scales with the traffic and not with fronts times groups.
+	Load *GroupLoad `cbor:"17,keyasint,omitempty"`
+}
+
+// GroupLoad is the load of one group as its home sees it.
+type GroupLoad struct {
+	InFlight int `cbor:"1,keyasint"`
+	Queued   int `cbor:"2,keyasint"`
+	Limit    int `cbor:"3,keyasint"`
+	// FirstToken and TokenGap are moving averages; 0 if nothing was measured yet.
+	FirstToken time.Duration `cbor:"4,keyasint,omitempty"`
+	TokenGap   time.Duration `cbor:"5,keyasint,omitempty"`
 }
