Failure tests: each run takes loopback subnets of its own

Cause: two runs of the suite on one machine took the same addresses; the second failed at its start with 'address already in use' (seen once, with another run on the machine).

--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -4,10 +4,10 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
-	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -22,8 +22,24 @@
 // generous bounds every wait on a condition. Nothing is asserted of how long things take.
 const generous = 90 * time.Second
 
-// clusters gives each cluster loopback addresses of its own.
-var clusters atomic.Int32
+// lockPort is bound on the last address of a subnet by the test process that uses it.
+const lockPort = 7
+
+// takeSubnet gives the cluster loopback addresses of its own, until the end of the spec. What goes wrong
+// without the lock: two runs of this suite on one machine take the same addresses, and the entries of one
+// speak to the platform of the other.
+func takeSubnet() int {
+	GinkgoHelper()
+	for subnet := 1; subnet < 255; subnet++ {
+		lock, err := net.Listen("tcp", fmt.Sprintf("127.1.%d.254:%d", subnet, lockPort))
+		if err == nil {
+			DeferCleanup(lock.Close)
+			return subnet
+		}
+	}
+	Fail("no free loopback subnet")
+	return 0
+}
 
 // cluster is a system of separate processes.
 type cluster struct {
@@ -38,7 +54,7 @@
 // startCluster starts stand-ins, applies the dev declarations, and starts n entries.
 func startCluster(n int) *cluster {
 	GinkgoHelper()
-	c := &cluster{subnet: int(clusters.Add(1)), dir: GinkgoT().TempDir()}
+	c := &cluster{subnet: takeSubnet(), dir: GinkgoT().TempDir()}
 	DeferCleanup(c.stop)
 	c.startStandins()
 	c.applyTree()
@@ -144,11 +160,6 @@
 	c.switchPlatform(standinplatform.Switches{Outage: &o})
 }
 
-func (c *cluster) switchVM(vm string, s standinengine.Switches) {
-	GinkgoHelper()
-	post(c.engines+"/standin/vms/"+vm+"/switches", s)
-}
-
 func post(url string, body any) {
 	GinkgoHelper()
 	encoded, err := json.Marshal(body)
