Stand-in platform: calls can be held in front of their effect or behind it

Cause: the steps of a request between a claim, its effect and its answer last microseconds; a test that kills or freezes a process there has to hold the call until it did, and sleeps would hit it now and then only. A held call goes on when it is released, also if its caller is gone (a late effect), and then meets the outage that there is.

--- a/internal/standin/platform/controls.go
+++ b/internal/standin/platform/controls.go
@@ -29,6 +29,12 @@
 	service.Route(service.GET("/calls").To(func(_ *restful.Request, response *restful.Response) {
 		write(response, p.Calls(), nil)
 	}))
+	service.Route(service.GET("/held").To(func(_ *restful.Request, response *restful.Response) {
+		encoder := json.NewEncoder(response)
+		for _, call := range p.Held() {
+			_ = encoder.Encode(call)
+		}
+	}))
 	service.Route(service.POST("/switches").To(control(p.Switch)))
 	service.Route(service.POST("/vms").To(control(p.SetVMs)))
 	return service
@@ -57,6 +63,12 @@
 		return errUnknownOutage
 	}
 	p.faults.set(s)
+	if s.Hold != nil {
+		p.holds.add(*s.Hold)
+	}
+	if s.Release != nil {
+		p.holds.release(*s.Release)
+	}
 	if s.Compact {
 		p.table.compact()
 	}
@@ -69,6 +81,9 @@
 // Calls returns the calls so far.
 func (p *Platform) Calls() []CallCount { return p.calls.list() }
 
+// Held returns the calls that wait at a Hold.
+func (p *Platform) Held() []Held { return p.holds.list() }
+
 // SetVMs replaces the list of VMs: one object per fabric domain. A domain that is left without VMs keeps
 // an empty one; a domain whose VMs did not change keeps its version.
 func (p *Platform) SetVMs(vms []vm.VM) error {
--- a/internal/standin/platform/faults.go
+++ b/internal/standin/platform/faults.go
@@ -60,6 +60,9 @@
 	RepeatChanges *int `json:"repeat_changes,omitempty"`
 	// VMsLagMillis is by how much reads of kind vms lag.
 	VMsLagMillis *int64 `json:"vms_lag_ms,omitempty"`
+	// Hold adds a hold; Release ends those of a kind and a beginning of names.
+	Hold    *Hold   `json:"hold,omitempty"`
+	Release *Prefix `json:"release,omitempty"`
 	// Compact forgets the history, so that each watch from before starts with the whole kind.
 	Compact bool `json:"compact,omitempty"`
 }
@@ -135,6 +138,12 @@
 	}
 }
 
+func (f *faults) outageNow() Outage {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.outage
+}
+
 // losesAnswer says whether the answer of a write is lost, and counts it.
 func (f *faults) losesAnswer(kind platform.Kind, name string) bool {
 	f.mu.Lock()
--- /dev/null
+++ b/internal/standin/platform/hold_test.go
@@ -0,0 +1,98 @@
+package platform_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/skylarkpond/skylarkpond/internal/standin/platform"
+	link "github.com/skylarkpond/skylarkpond/link/platform"
+)
+
+var _ = Describe("Hold", func() {
+	ctx := context.Background()
+	var standin *platform.Platform
+	var client *link.Client
+	var base string
+	var results chan error
+
+	put := func(name string) {
+		go func() {
+			_, err := client.Put(ctx, link.KindEntry, name, 0, value)
+			results <- err
+		}()
+	}
+	hold := func(after bool, skip int) {
+		prefix := platform.Prefix{Kind: link.KindEntry, Name: "h"}
+		Expect(standin.Switch(platform.Switches{Hold: &platform.Hold{Prefix: prefix, Verb: platform.VerbPut, After: after, Skip: skip}})).To(Succeed())
+	}
+	release := func(outage platform.Outage) {
+		Expect(standin.Switch(platform.Switches{Outage: &outage, Release: &platform.Prefix{Kind: link.KindEntry}})).To(Succeed())
+	}
+	// written names the objects in the order in which they were written.
+	written := func() string {
+		var names []string
+		for _, change := range standin.History() {
+			names = append(names, change.Name)
+		}
+		return strings.Join(names, " ")
+	}
+
+	BeforeEach(func() {
+		standin = platform.New()
+		results = make(chan error, 10)
+		server := httptest.NewServer(standin.Handler())
+		DeferCleanup(server.Close)
+		base = server.URL
+		client = link.NewClient(base, link.WithCallTimeout(patience))
+	})
+
+	It("keeps a write in front of its effect, or behind it, until it is released", func() {
+		hold(false, 1)
+		put("h1")
+		Eventually(results, eventually).Should(Receive(BeNil()), "the first is skipped")
+		put("h2")
+		Eventually(standin.Held, eventually).Should(ConsistOf(HaveField("Name", "h2")))
+		Expect(written()).To(Equal("h1"))
+		release(platform.OutageNone)
+		Eventually(results, eventually).Should(Receive(BeNil()))
+
+		hold(true, 0)
+		put("h3")
+		Eventually(standin.Held, eventually).Should(ConsistOf(HaveField("Name", "h3")))
+		Expect(written()).To(Equal("h1 h2 h3"))
+		Expect(results).NotTo(Receive())
+		release(platform.OutageNone)
+		Eventually(results, eventually).Should(Receive(BeNil()))
+		Expect(standin.Held()).To(BeEmpty())
+	})
+
+	It("lets a released write meet the outage: refused before its effect, unanswered behind it", func() {
+		hold(false, 0)
+		put("h1")
+		Eventually(standin.Held, eventually).Should(HaveLen(1))
+		release(platform.OutageRefuse)
+		Eventually(results, eventually).Should(Receive(MatchError(link.ErrUnavailable)))
+		release(platform.OutageNone)
+
+		hold(true, 0)
+		put("h2")
+		Eventually(standin.Held, eventually).Should(HaveLen(1))
+		release(platform.OutageRefuse)
+		Eventually(results, eventually).Should(Receive(MatchError(link.ErrUnconfirmed)))
+		Expect(written()).To(Equal("h2"))
+	})
+
+	It("lets a held write take effect although its caller gave it up", func() {
+		hold(false, 0)
+		client = link.NewClient(base, link.WithCallTimeout(haste))
+		put("h1")
+		Eventually(results, eventually).Should(Receive(MatchError(link.ErrUnconfirmed)))
+		Expect(written()).To(BeEmpty())
+		release(platform.OutageNone)
+		Eventually(written, eventually).Should(Equal("h1"))
+	})
+})
--- a/internal/standin/platform/objects.go
+++ b/internal/standin/platform/objects.go
@@ -43,8 +43,11 @@
 func (p *Platform) counted(verb Verb, answer answer) restful.RouteFunction {
 	return func(request *restful.Request, response *restful.Response) {
 		kind := platform.Kind(unescape(request.PathParameter("kind")))
-		p.calls.count(Call{Kind: kind, Verb: verb})
+		name := unescape(request.PathParameter("name"))
+		call := Call{Kind: kind, Verb: verb}
+		p.calls.count(call)
 		takeBody(request.Request)
+		p.holds.wait(Held{Call: call, Name: name})
 		arrival := p.faults.arrive()
 		pause(request.Request, arrival.delay)
 		switch {
@@ -58,7 +61,7 @@
 		case arrival.throttled:
 			http.Error(response, "too many calls", http.StatusTooManyRequests)
 		default:
-			reply, err := answer(request.Request, kind, unescape(request.PathParameter("name")))
+			reply, err := answer(request.Request, kind, name)
 			write(response, reply, err)
 		}
 	}
@@ -170,7 +173,8 @@
 	if !json.Valid(value) {
 		return nil, errBadValue
 	}
-	return p.effect(request, kind, name, func() (platform.Version, error) {
+	call := Held{Call: Call{Kind: kind, Verb: VerbPut}, Name: name, After: true}
+	return p.effect(request, call, func() (platform.Version, error) {
 		return p.table.put(kind, name, version, value)
 	})
 }
@@ -180,18 +184,19 @@
 	if err != nil {
 		return nil, err
 	}
-	return p.effect(request, kind, name, func() (platform.Version, error) {
+	call := Held{Call: Call{Kind: kind, Verb: VerbDelete}, Name: name, After: true}
+	return p.effect(request, call, func() (platform.Version, error) {
 		return p.table.delete(kind, name, version)
 	})
 }
 
 // effect lets a write take effect, now or late, and answers it unless the answer is to be lost.
-func (p *Platform) effect(request *http.Request, kind platform.Kind, name string, apply func() (platform.Version, error)) (any, error) {
-	if kind == platform.KindVMs {
+func (p *Platform) effect(request *http.Request, call Held, apply func() (platform.Version, error)) (any, error) {
+	if call.Kind == platform.KindVMs {
 		return nil, errReadOnly
 	}
-	loses := p.faults.losesAnswer(kind, name)
-	if late := p.faults.lateness(kind, name); late > 0 {
+	loses := p.faults.losesAnswer(call.Kind, call.Name)
+	if late := p.faults.lateness(call.Kind, call.Name); late > 0 {
 		done := make(chan struct{})
 		now := apply
 		time.AfterFunc(late, func() { defer close(done); _, _ = now() })
@@ -202,6 +207,9 @@
 		dropConnection()
 	}
 	version, err := apply()
+	if p.holds.wait(call) && p.faults.outageNow() != OutageNone {
+		loses = true // a refusal now would deny the effect
+	}
 	if loses {
 		dropConnection()
 	}
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -9,6 +9,7 @@
 //
 //	GET    /standin/history    every change, as JSON lines
 //	GET    /standin/calls      calls by kind and verb
+//	GET    /standin/held       Held, as JSON lines: the calls that wait at a Hold
 //	POST   /standin/switches   Switches
 //	POST   /standin/vms        the VMs, as a list of vm.VM
 package platform
@@ -30,6 +31,7 @@
 	watchWait time.Duration
 	table     *table
 	faults    *faults
+	holds     *holds
 	calls     *calls
 }
 
@@ -45,7 +47,7 @@
 
 // New returns an empty platform.
 func New(opts ...Option) *Platform {
-	p := &Platform{watchWait: DefaultWatchWait, table: newTable(), faults: newFaults(), calls: newCalls()}
+	p := &Platform{watchWait: DefaultWatchWait, table: newTable(), faults: newFaults(), holds: &holds{}, calls: newCalls()}
 	for _, opt := range opts {
 		opt(p)
 	}
