--- a/internal/standin/platform/hold.go
+++ b/internal/standin/platform/hold.go
@@ -14,8 +14,11 @@
 	Verb Verb `json:"verb"`
 	// After holds a write behind its effect, in front of its answer; else a call is held before all.
 	After bool `json:"after,omitempty"`
-	// Skip lets this many calls pass first.
-	Skip int `json:"skip,omitempty"`
+	// Skip lets this many calls pass first; Count is how many are held then, 0: all.
+	Skip  int `json:"skip,omitempty"`
+	Count int `json:"count,omitempty"`
+	// Drop drops the connection of a released call, behind the effect if After is set.
+	Drop bool `json:"drop,omitempty"`
 }
 
 // Held is a call that waits.
@@ -56,17 +59,18 @@
 	})
 }
 
-// wait returns once no hold keeps the call, and says whether one did.
-func (h *holds) wait(call Held) bool {
-	released := h.join(call)
-	if released == nil {
-		return false
+// wait returns once no hold keeps the call, and says whether one did, and whether its connection is to be
+// dropped.
+func (h *holds) wait(call Held) (held, drop bool) {
+	at := h.join(call)
+	if at == nil {
+		return false, false
 	}
-	<-released
-	return true
+	<-at.released
+	return true, at.Drop
 }
 
-func (h *holds) join(call Held) <-chan struct{} {
+func (h *holds) join(call Held) *hold {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, held := range h.all {
@@ -77,8 +81,11 @@
 			held.Skip--
 			continue
 		}
+		if held.Count > 0 && len(held.waiting) == held.Count {
+			continue
+		}
 		held.waiting = append(held.waiting, call)
-		return held.released
+		return held
 	}
 	return nil
 }
--- a/internal/standin/platform/hold_test.go
+++ b/internal/standin/platform/hold_test.go
@@ -25,9 +25,11 @@
 			results <- err
 		}()
 	}
-	hold := func(after bool, skip int) {
+	hold := func(after bool, skip int, drop ...bool) {
 		prefix := platform.Prefix{Kind: link.KindEntry, Name: "h"}
-		Expect(standin.Switch(platform.Switches{Hold: &platform.Hold{Prefix: prefix, Verb: platform.VerbPut, After: after, Skip: skip}})).To(Succeed())
+		Expect(standin.Switch(platform.Switches{Hold: &platform.Hold{
+			Prefix: prefix, Verb: platform.VerbPut, After: after, Skip: skip, Count: 1, Drop: len(drop) > 0,
+		}})).To(Succeed())
 	}
 	release := func(outage platform.Outage) {
 		Expect(standin.Switch(platform.Switches{Outage: &outage, Release: &platform.Prefix{Kind: link.KindEntry}})).To(Succeed())
@@ -84,6 +86,15 @@
 		release(platform.OutageRefuse)
 		Eventually(results, eventually).Should(Receive(MatchError(link.ErrUnconfirmed)))
 		Expect(written()).To(Equal("h2"))
+		release(platform.OutageNone)
+
+		hold(true, 0, true)
+		put("h3")
+		Eventually(standin.Held, eventually).Should(HaveLen(1))
+		put("h4")
+		Eventually(results, eventually).Should(Receive(BeNil()), "one is held")
+		release(platform.OutageNone)
+		Eventually(results, eventually).Should(Receive(MatchError(link.ErrUnconfirmed)), "and dropped")
 	})
 
 	It("lets a held write take effect although its caller gave it up", func() {
--- a/internal/standin/platform/objects.go
+++ b/internal/standin/platform/objects.go
@@ -47,7 +47,9 @@
 		call := Call{Kind: kind, Verb: verb}
 		p.calls.count(call)
 		takeBody(request.Request)
-		p.holds.wait(Held{Call: call, Name: name})
+		if _, drop := p.holds.wait(Held{Call: call, Name: name}); drop {
+			dropConnection()
+		}
 		arrival := p.faults.arrive()
 		pause(request.Request, arrival.delay)
 		switch {
@@ -207,10 +209,9 @@
 		dropConnection()
 	}
 	version, err := apply()
-	if p.holds.wait(call) && p.faults.outageNow() != OutageNone {
-		loses = true // a refusal now would deny the effect
-	}
-	if loses {
+	held, drop := p.holds.wait(call)
+	// Behind the effect an outage can only lose the answer: a refusal would deny the effect.
+	if loses || drop || held && p.faults.outageNow() != OutageNone {
 		dropConnection()
 	}
 	return platform.Written{Version: version}, err
