--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -4,10 +4,10 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
-	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -22,15 +22,24 @@
 // generous bounds every wait on a condition. Nothing is asserted of how long things take.
 const generous = 90 * time.Second
 
-// clusters gives each cluster loopback addresses of its own, and network those of a run of the tests, so
-// that two runs on one machine don't meet.
-var (
-	clusters atomic.Int32
-	network  = 10 + os.Getpid()%240
-)
+// lockPort is bound on the last address of a subnet by the test process that uses it.
+const lockPort = 7
 
-// vmSubnets is added to a cluster's number for the addresses of its VMs.
-const vmSubnets = 100
+// takeSubnet gives the cluster loopback addresses of its own, until the end of the spec. What goes wrong
+// without the lock: two runs of this suite on one machine take the same addresses, and the entries of one
+// speak to the platform of the other.
+func takeSubnet() int {
+	GinkgoHelper()
+	for subnet := 1; subnet < 255; subnet++ {
+		lock, err := net.Listen("tcp", fmt.Sprintf("127.1.%d.254:%d", subnet, lockPort))
+		if err == nil {
+			DeferCleanup(lock.Close)
+			return subnet
+		}
+	}
+	Fail("no free loopback subnet")
+	return 0
+}
 
 // cluster is a system of separate processes.
 type cluster struct {
@@ -46,7 +55,7 @@
 // startCluster starts stand-ins, applies the dev declarations, and starts n entries.
 func startCluster(n int) *cluster {
 	GinkgoHelper()
-	c := &cluster{subnet: int(clusters.Add(1)), dir: GinkgoT().TempDir(), cuts: &cuts{cut: make(map[link]bool)}}
+	c := &cluster{subnet: takeSubnet(), dir: GinkgoT().TempDir(), cuts: &cuts{cut: make(map[link]bool)}}
 	DeferCleanup(c.stop)
 	c.startStandins()
 	c.applyTree()
@@ -58,10 +67,10 @@
 }
 
 func (c *cluster) startStandins() {
-	c.platform = fmt.Sprintf("http://127.%d.%d.1:9000", network, c.subnet)
-	c.engines = fmt.Sprintf("http://127.%d.%d.1:9001", network, c.subnet)
+	c.platform = fmt.Sprintf("http://127.1.%d.1:9000", c.subnet)
+	c.engines = fmt.Sprintf("http://127.1.%d.1:9001", c.subnet)
 	world := filepath.Join(c.dir, "world.json")
-	Expect(os.WriteFile(world, fmt.Appendf(nil, devWorld, network, vmSubnets+c.subnet), 0o600)).To(Succeed())
+	Expect(os.WriteFile(world, fmt.Appendf(nil, devWorld, c.subnet), 0o600)).To(Succeed())
 	c.standins = start(c.dir, "standins", "dev", "--role", "standins", "--world", world,
 		"--platform-address", c.platform[len("http://"):], "--engines-address", c.engines[len("http://"):])
 	Eventually(func() error {
@@ -72,7 +81,7 @@
 
 // devWorld has two failure domains with a fabric domain each: room for a replica of four VMs, a spare, and
 // a VM of the plain service in each.
-const devWorld = `{"FirstIP":"127.%d.%d.1","VMPort":9000,"Places":[{"Name":"local","FailureDomains":[
+const devWorld = `{"FirstIP":"127.2.%d.1","VMPort":9000,"Places":[{"Name":"local","FailureDomains":[
  {"Name":"local-a","FabricDomains":[{"Name":"local-a1","VMs":5,"Accelerators":2,"Plain":[{"Service":"desk","VMs":1}]}]},
  {"Name":"local-b","FabricDomains":[{"Name":"local-b1","VMs":5,"Accelerators":2,"Plain":[{"Service":"desk","VMs":1}]}]}]}]}`
 
@@ -94,7 +103,7 @@
 func (c *cluster) startEntry() *entryProcess {
 	name := fmt.Sprintf("entry-%d", len(c.entries)+1)
 	host := firstHost + len(c.entries)
-	ip := fmt.Sprintf("127.%d.%d.%d", network, c.subnet, host)
+	ip := fmt.Sprintf("127.1.%d.%d", c.subnet, host)
 	address := func(port int) string { return fmt.Sprintf("%s:%d", ip, port) }
 	e := &entryProcess{name: name, public: "http://" + address(8080), admin: "http://" + address(8081)}
 	startUDPRelay(c.cuts, name, address(8083), address(8082), c.nameOf)
@@ -112,8 +121,8 @@
 
 // nameOf returns the entry at an address.
 func (c *cluster) nameOf(ip string) string {
-	var network, subnet, host int
-	if _, err := fmt.Sscanf(ip, "127.%d.%d.%d", &network, &subnet, &host); err != nil {
+	var subnet, host int
+	if _, err := fmt.Sscanf(ip, "127.1.%d.%d", &subnet, &host); err != nil {
 		return ""
 	}
 	return fmt.Sprintf("entry-%d", host-firstHost+1)
@@ -183,11 +192,6 @@
 	c.switchPlatform(standinplatform.Switches{Outage: &o})
 }
 
-func (c *cluster) switchVM(vm string, s standinengine.Switches) {
-	GinkgoHelper()
-	post(c.engines+"/standin/vms/"+vm+"/switches", s)
-}
-
 func (c *cluster) switchDomain(fabric string, s standinengine.Switches) {
 	GinkgoHelper()
 	post(c.engines+"/standin/domains/"+fabric+"/switches", s)
