Settings over separate processes: races, lost answers, late writes, cuts, outages, judged from outside

Thirteen specs over one cluster of five entries, with pondctl as a process of its own. The judge reads the entries' time line files, the platform's history and what operators were told: no version goes down within a process, no process begins below what any entry had in force when it was started, each tree differs from the one before by the nodes of one change, and each "accepted" and "nothing was changed" is true.

--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -50,6 +50,7 @@
 	engines  string
 	entries  []*entryProcess
 	cuts     *cuts
+	desk     desk
 }
 
 // startCluster starts stand-ins, applies the dev declarations, and starts n entries.
@@ -108,14 +109,25 @@
 	e := &entryProcess{name: name, public: "http://" + address(8080), admin: "http://" + address(8081)}
 	startUDPRelay(c.cuts, name, address(8083), address(8082), c.nameOf)
 	e.toPlatform = startTCPRelay(address(8084), c.platform[len("http://"):])
-	e.process = start(c.dir, name, "serve", "--name", name, "--place", "local",
+	e.args = []string{
+		"serve", "--name", name, "--place", "local",
 		"--failure-domain", []string{"local-a", "local-b"}[host%2],
 		"--public-address", address(8080), "--admin-address", address(8081), "--peer-address", address(8082),
-		"--advertised-peer-address", address(8083), "--source-address", ip, "--platform", "http://"+address(8084), "--timeline", filepath.Join(c.dir, name+".timeline"), "--drain-margin", "1s")
+		"--advertised-peer-address", address(8083), "--source-address", ip, "--platform", "http://" + address(8084),
+		"--timeline", filepath.Join(c.dir, name+".timeline"), "--drain-margin", "1s",
+	}
+	c.run(e)
 	c.entries = append(c.entries, e)
 	return e
 }
 
+// run starts a process of the entry, whose earlier one has ended.
+func (c *cluster) run(e *entryProcess) {
+	GinkgoHelper()
+	e.started = append(e.started, time.Now())
+	e.process = start(c.dir, e.name, e.args...)
+}
+
 // firstHost is the last number of the first entry's address.
 const firstHost = 10
 
--- a/test/process_test.go
+++ b/test/process_test.go
@@ -31,6 +31,9 @@
 	admin  string
 	// toPlatform is the entry's way to the platform.
 	toPlatform *tcpRelay
+	// args are those of its process, started is when each of its processes was started.
+	args    []string
+	started []time.Time
 }
 
 func start(dir, name string, args ...string) *process {
--- /dev/null
+++ b/test/settings_test.go
@@ -0,0 +1,289 @@
+package test
+
+import (
+	"net/http"
+	"sync"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/skylarkpond/skylarkpond/contract/settings"
+	standinplatform "github.com/skylarkpond/skylarkpond/internal/standin/platform"
+	"github.com/skylarkpond/skylarkpond/link/platform"
+	"github.com/skylarkpond/skylarkpond/pondctl"
+)
+
+// theTree is what selects the calls of the platform that carry settings.
+var theTree = standinplatform.Prefix{Kind: platform.KindSettings}
+
+// The specs share one cluster, since none may leave it in another state than it found it: after each, all
+// entries live, all links are whole, the platform answers, and the judge looks at all that was so far.
+var _ = Describe("Settings that were accepted", Ordered, func() {
+	var c *cluster
+	var e []*entryProcess
+
+	BeforeAll(func() {
+		c = startCluster(5)
+		e = c.entries
+		for _, each := range e {
+			c.waitLive(each, e...)
+		}
+	})
+
+	AfterEach(func() {
+		if !CurrentSpecReport().Failed() {
+			c.judgeSettings()
+		}
+	})
+
+	// Four operators change the same node at the same time, each through another entry. One change is in force
+	// afterwards; whoever made another one must be told so, or would believe in a value that nobody works by.
+	It("are those of one of the operators who race for a node, and the others are told", func() {
+		operators := c.operators(e[0], e[1], e[2], e[3])
+		results := race(operators, func(int) settings.Path { return chatNode })
+		byCode := make(map[int]int)
+		for _, t := range results {
+			byCode[t.code]++
+		}
+		Expect(byCode).To(Equal(map[int]int{pondctl.ExitOK: 1, pondctl.ExitConflict: 3}))
+	})
+
+	It("are those of all operators who race on different nodes", func() {
+		nodes := []settings.Path{rootNode, placeNode, chatNode, deskNode}
+		operators := c.operators(e[0], e[1], e[2], e[3])
+		for _, t := range race(operators, func(i int) settings.Path { return nodes[i] }) {
+			accepted(t)
+		}
+		trees := c.trees()
+		for i, o := range operators {
+			Expect(trees[len(trees)-1].sets(nodes[i], o.value(nodes[i]))).To(BeTrue(), "%s lost its change", o.name)
+		}
+	})
+
+	// Somebody comes back from a holiday to a checkout of weeks ago. Applied as it is, it would put old values
+	// back over those that others had accepted since.
+	It("stay when somebody applies an old checkout, edited or not", func() {
+		old := c.operator("old", e[1])
+		older := old.colleague("older", e[2])
+		t := c.operator("new", e[0]).change(chatNode)
+		old.edit(chatNode)
+		Expect(old.apply(chatNode).code).To(Equal(pondctl.ExitConflict))
+		Expect(older.apply(chatNode).code).To(Equal(pondctl.ExitConflict))
+		older.change(deskNode)
+		trees := c.trees()
+		Expect(trees[len(trees)-1].sets(chatNode, t.value)).To(BeTrue())
+	})
+
+	// The platform takes the write and its answer is lost; the entry has to find out by itself.
+	It("are told as accepted when the answer of the write is lost", func() {
+		c.switchPlatform(standinplatform.Switches{LoseAnswers: &standinplatform.LoseAnswers{Prefix: theTree, Count: 1}})
+		t := c.operator("ana", e[0]).change(chatNode)
+		Expect(t.applied.Status).To(Equal(settings.Accepted))
+	})
+
+	// The write takes effect, and the entry dies before it has the answer. The operator knows nothing and
+	// applies again, and so does a colleague; meanwhile somebody changes the node anew. Taken for another
+	// change, the repeated one would undo the new one, or be told as if it had never been accepted.
+	It("are the same change when applied again, by anyone, after the entry died with the answer", func() {
+		ana := c.operator("ana", e[4])
+		ana.edit(chatNode)
+		carl := ana.colleague("carl", e[2])
+		c.holdWrite(standinplatform.Hold{After: true, Drop: true})
+		first := c.inBackground(ana, chatNode)
+		c.waitHeld()
+		e[4].kill()
+		expectCode(first, pondctl.ExitFailure)
+		c.release()
+
+		again := accepted(ana.colleague("ana", e[0]).apply(chatNode))
+		Expect(again.applied.Status).To(Equal(settings.AlreadyApplied))
+		accepted(ana.colleague("bob", e[1]).apply(chatNode))
+		c.operator("dora", e[3]).change(chatNode)
+		late := carl.apply(chatNode)
+		Expect(late.code).To(Equal(pondctl.ExitConflict))
+		Expect(late.applied.Status).To(Equal(settings.AlreadyApplied), late.String())
+		Expect(late.applied.Superseded).To(ConsistOf(chatNode))
+		c.run(e[4])
+		c.waitLive(e[0], e...)
+	})
+
+	// A write lies somewhere on the way and takes effect after others have changed the settings, when its entry
+	// has asked anew or is about to. Taken then, it would bring back the tree that it was made from.
+	DescribeTable("stay when an earlier write takes effect late",
+		func(millis int64) {
+			ana := c.operator("ana", e[0])
+			ana.edit(chatNode)
+			before := c.treeWrites()
+			late := standinplatform.LateEffects{Prefix: theTree, Count: 1, DelayMillis: millis}
+			c.switchPlatform(standinplatform.Switches{LateEffects: &late})
+			first := c.inBackground(ana, chatNode)
+			Eventually(c.treeWrites, generous, "5ms").Should(BeNumerically(">", before))
+			c.operator("bob", e[1]).change(deskNode)
+			expectCode(first, pondctl.ExitOK)
+		},
+		Entry("before the entry has stopped waiting for it", int64(300)),
+		Entry("after the entry has sent the next one", int64(2500)),
+	)
+
+	// The entry that takes a change in is frozen with its write under way, as when its VM is moved. Another
+	// operator changes the same node through another entry. The old write comes after that and must not
+	// undo it, and its operator must not be told that it was accepted.
+	It("stay when the write of an entry that froze comes after them", func() {
+		ana := c.operator("ana", e[4])
+		ana.edit(chatNode)
+		bob := ana.colleague("bob", e[0])
+		c.holdWrite(standinplatform.Hold{Count: 1})
+		first := c.inBackground(ana, chatNode)
+		c.waitHeld()
+		e[4].freeze()
+		t := bob.change(chatNode)
+		c.release()
+		c.expectInForce(t.applied.Version, e[:4]...)
+		e[4].wake()
+		expectCode(first, pondctl.ExitConflict)
+		c.waitLive(e[0], e...)
+	})
+
+	// Connections to the platform break again and again, and each new watch repeats what was long before.
+	It("come into force once, and stay, while watches drop and repeat old changes", func() {
+		ana := c.operator("ana", e[0])
+		for range 5 {
+			repeats := 6
+			c.switchPlatform(standinplatform.Switches{DropWatches: true, RepeatChanges: &repeats})
+			c.expectInForce(ana.change(chatNode).applied.Version, e...)
+		}
+		c.switchPlatform(standinplatform.Switches{RepeatChanges: new(int)})
+	})
+
+	// The platform accepts a change and goes out before any other entry could ask it.
+	It("come into force everywhere when the platform goes out right after", func() {
+		c.switchPlatform(standinplatform.Switches{Hold: &standinplatform.Hold{Prefix: theTree, Verb: standinplatform.VerbWatch}})
+		c.switchPlatform(standinplatform.Switches{Hold: &standinplatform.Hold{Prefix: theTree, Verb: standinplatform.VerbList}})
+		c.switchPlatform(standinplatform.Switches{DropWatches: true})
+		bob := c.operator("bob", e[1])
+		bob.edit(chatNode)
+		t := c.operator("ana", e[0]).change(chatNode)
+		c.outage(standinplatform.OutageDrop)
+		c.expectInForce(t.applied.Version, e...)
+		Expect(bob.apply(chatNode).code).To(Equal(pondctl.ExitFailure))
+		c.outage(standinplatform.OutageNone)
+		c.release()
+	})
+
+	It("come into force at entries that are cut off from the platform, not from each other", func() {
+		for _, each := range e[1:] {
+			each.toPlatform.setCut(true)
+		}
+		t := c.operator("ana", e[0]).change(chatNode)
+		c.expectInForce(t.applied.Version, e...)
+		for _, each := range e[1:] {
+			each.toPlatform.setCut(false)
+		}
+	})
+
+	// Two entries are cut off from all others, and reach the platform. An operator changes settings on either
+	// side of the cut, and each side has to work by both changes before the cut is mended.
+	It("come into force at entries that are cut off from each other, not from the platform", func() {
+		c.isolate(e[3], true)
+		c.isolate(e[4], true)
+		c.waitLive(e[3], e[3])
+		c.waitLive(e[4], e[4])
+		c.operator("ana", e[0]).change(chatNode)
+		t := c.operator("bob", e[4]).change(chatNode)
+		c.expectInForce(t.applied.Version, e...)
+		c.isolate(e[3], false)
+		c.isolate(e[4], false)
+		c.waitLive(e[0], e...)
+	})
+
+	// One entry is killed and one frozen while two changes are made. The one starts anew and the other wakes
+	// with what it knew before; neither may work by the old version once it has had the new one, and both
+	// must come to the newest.
+	It("come into force at entries that were dead or frozen meanwhile", func() {
+		ana := c.operator("ana", e[0])
+		e[3].kill()
+		e[4].freeze()
+		ana.change(chatNode)
+		c.run(e[3])
+		t := ana.change(chatNode)
+		c.expectInForce(t.applied.Version, e[:4]...)
+		e[4].wake()
+		c.expectInForce(t.applied.Version, e[4])
+		c.waitLive(e[0], e...)
+		Expect(caller{e[4]}.send(http.MethodGet, "/v1/entries", nil, "").status).To(Equal(http.StatusOK))
+	})
+})
+
+// operators are as many operators as entries, each with a fresh checkout and an entry of their own.
+func (c *cluster) operators(entries ...*entryProcess) []*operator {
+	GinkgoHelper()
+	names := []string{"ana", "bob", "carl", "dora"}
+	var found []*operator
+	for i, each := range entries {
+		found = append(found, c.operator(names[i], each))
+	}
+	return found
+}
+
+// race lets operators edit and apply at the same time.
+func race(operators []*operator, node func(i int) settings.Path) []told {
+	GinkgoHelper()
+	results := make([]told, len(operators))
+	for i, o := range operators {
+		o.edit(node(i))
+	}
+	var running sync.WaitGroup
+	for i, o := range operators {
+		running.Go(func() { results[i] = o.apply(node(i)) })
+	}
+	running.Wait()
+	return results
+}
+
+// inBackground applies what an operator has edited.
+func (c *cluster) inBackground(o *operator, node settings.Path) <-chan told {
+	result := make(chan told, 1)
+	go func() { result <- o.apply(node) }()
+	return result
+}
+
+// expectCode waits for the end of an apply.
+func expectCode(result <-chan told, code int) {
+	GinkgoHelper()
+	var t told
+	Eventually(result, generous).Should(Receive(&t))
+	Expect(t.code).To(Equal(code), t.String())
+}
+
+// holdWrite holds writes of the tree.
+func (c *cluster) holdWrite(hold standinplatform.Hold) {
+	GinkgoHelper()
+	hold.Prefix = theTree
+	hold.Verb = standinplatform.VerbPut
+	c.switchPlatform(standinplatform.Switches{Hold: &hold})
+}
+
+// waitHeld waits until a write of the tree is held.
+func (c *cluster) waitHeld() {
+	GinkgoHelper()
+	Eventually(func() []standinplatform.Held {
+		return lines[standinplatform.Held](c.platform + "/standin/held")
+	}, generous, "20ms").ShouldNot(BeEmpty())
+}
+
+// treeWrites is how often the platform was asked to write the tree.
+func (c *cluster) treeWrites() int {
+	GinkgoHelper()
+	for _, counted := range lines[[]standinplatform.CallCount](c.platform + "/standin/calls")[0] {
+		if counted.Kind == platform.KindSettings && counted.Verb == standinplatform.VerbPut {
+			return counted.Count
+		}
+	}
+	return 0
+}
+
+// release ends all holds on the tree.
+func (c *cluster) release() {
+	GinkgoHelper()
+	c.switchPlatform(standinplatform.Switches{Release: &theTree})
+}
--- a/test/suite_test.go
+++ b/test/suite_test.go
@@ -12,7 +12,8 @@
 	"github.com/onsi/gomega/gexec"
 )
 
-var skylarkpond string
+// The paths of the binaries, which the suite builds.
+var skylarkpond, pondctlBinary string
 
 func TestFailures(t *testing.T) {
 	RegisterFailHandler(Fail)
@@ -23,5 +24,7 @@
 	var err error
 	skylarkpond, err = gexec.Build("github.com/skylarkpond/skylarkpond/cmd/skylarkpond")
 	Expect(err).NotTo(HaveOccurred())
+	pondctlBinary, err = gexec.Build("github.com/skylarkpond/skylarkpond/cmd/pondctl")
+	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(gexec.CleanupBuildArtifacts)
 })
