--- a/entry/front/fakes_test.go
+++ b/entry/front/fakes_test.go
@@ -90,8 +90,15 @@
 	return &stream{ctx: ctx, b: b, h: h, id: send.RequestID}, nil
 }
 
+// others is the id of another request, whose texts differ.
+const others = "other"
+
 func event(id string, seq uint64) engine.Event {
-	return engine.Event{RequestID: id, Seq: seq, Text: fmt.Sprint("w", seq, " "), Tokens: 1, Final: seq == answerEvents-1}
+	text := fmt.Sprint("w", seq, " ")
+	if id == others {
+		text = "another's "
+	}
+	return engine.Event{RequestID: id, Seq: seq, Text: text, Tokens: 1, Final: seq == answerEvents-1}
 }
 
 type stream struct {
--- a/entry/front/front_test.go
+++ b/entry/front/front_test.go
@@ -250,7 +250,7 @@
 	Entry("broken in the middle, resumed", true, []behaviour{{breaks: 2}}, contract.FrameKind(0), none, true),
 	Entry("broken in the middle, not to be resumed", false, []behaviour{{breaks: 2}}, contract.FrameKind(0), none, false),
 	Entry("doubled and crossed events", true, []behaviour{{events: []engine.Event{
-		event("", 0), event("", 0), event("other", 1), event("", 1), event("", 2), event("", 1), event("", 3),
+		event("", 0), event("", 0), event(others, 1), event("", 1), event("", 2), event("", 1), event("", 3),
 	}}}, contract.FrameKind(0), none, true),
 	Entry("an event lost, resumed", true, []behaviour{{events: []engine.Event{event("", 0), event("", 2), event("", 3)}}}, contract.FrameKind(0), none, true),
 	Entry("an event lost, not to be resumed", false, []behaviour{{events: []engine.Event{event("", 0), event("", 2)}}}, contract.FrameKind(0), none, false),
