Fronts choose by policy/balance and retry by its budget

Cause: the plain chooser (any group) and budget stood in for the decisions that were measured. The table of groups now tells of changes, so that a choice costs no scan of the table of groups.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -24,6 +24,7 @@
 	"github.com/skylarkpond/skylarkpond/entry/mirror"
 	"github.com/skylarkpond/skylarkpond/entry/operator"
 	"github.com/skylarkpond/skylarkpond/entry/prober"
+	"github.com/skylarkpond/skylarkpond/entry/routing"
 	"github.com/skylarkpond/skylarkpond/link/peer"
 	"github.com/skylarkpond/skylarkpond/timeline"
 )
@@ -51,6 +52,7 @@
 	operator     *operator.Server
 	overview     *overview
 	dispatcher   *dispatcher
+	router       *routing.Router
 	peerClient   *peer.Client
 	peerServer   *peer.Server
 	inForce      *settingsInForce
@@ -85,7 +87,7 @@
 	start(func(ctx context.Context) error { e.prober.Run(ctx); return nil })
 	start(func(ctx context.Context) error { e.admission.Run(ctx); return nil })
 	start(func(ctx context.Context) error { e.controller.Run(ctx); return nil })
-	start(func(ctx context.Context) error { return e.watchSuperseded(ctx) })
+	start(func(ctx context.Context) error { return e.watchMembers(ctx) })
 	start(func(context.Context) error { return serveHTTP(public, sockets.public) })
 	start(func(context.Context) error { return serveHTTP(admin, sockets.admin) })
 	e.recorder.Record(timeline.Event{Kind: timeline.EntryStarted, Entry: e.config.Name, Detail: e.registration.self.Incarnation})
@@ -136,12 +138,14 @@
 	}
 }
 
-const supersededCheck = time.Second
+const membersCheck = time.Second
 
-// watchSuperseded stops an old process whose name was given to a new one.
-func (e *Entry) watchSuperseded(ctx context.Context) error {
+// watchMembers stops an old process whose name was given to a new one, and tells the router how many
+// fronts share the load.
+func (e *Entry) watchMembers(ctx context.Context) error {
 	for ctx.Err() == nil {
-		pause(ctx, supersededCheck)
+		pause(ctx, membersCheck)
+		e.router.SetFronts(len(e.members.Live()))
 		if e.members.Superseded() {
 			return ErrSuperseded
 		}
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -71,6 +71,9 @@
 type Table struct {
 	live func() []string
 	now  func() time.Time
+	// changed and removed are told of each change, without a lock held; set before use.
+	changed func(Candidate)
+	removed func(vm.GroupID)
 
 	mu       sync.RWMutex // guards what follows
 	rows     map[vm.GroupID]*row
@@ -82,11 +85,21 @@
 	return &Table{
 		live:     live,
 		now:      now,
+		changed:  func(Candidate) {},
+		removed:  func(vm.GroupID) {},
 		rows:     make(map[vm.GroupID]*row),
 		versions: make(map[domain.FabricDomain]platform.Version),
 	}
 }
 
+// OnChange has changed called with each group that changes, and removed with each that is gone. Two
+// changes may arrive out of order; the later one is made good by the next report, some seconds after.
+// Call it before the table is used.
+func (t *Table) OnChange(changed func(Candidate), removed func(vm.GroupID)) {
+	t.changed = changed
+	t.removed = removed
+}
+
 // ApplyPlacement takes in a placement object. An older version than the one applied changes nothing, so
 // that changes which cross each other do not bring a dissolved group back.
 func (t *Table) ApplyPlacement(object platform.Object) error {
@@ -97,21 +110,39 @@
 		}
 	}
 	fabric := domain.FabricDomain(object.Name)
+	gone := t.applyVersion(fabric, object.Version, &placement)
+	for _, id := range gone {
+		t.removed(id)
+	}
+	for _, group := range placement.Groups {
+		t.tell(group.ID)
+	}
+	return nil
+}
+
+func (t *Table) applyVersion(fabric domain.FabricDomain, version platform.Version, placement *vm.Placement) []vm.GroupID {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if object.Version <= t.versions[fabric] {
+	if version <= t.versions[fabric] {
 		return nil
 	}
-	t.versions[fabric] = object.Version
-	t.replace(fabric, &placement)
-	return nil
+	t.versions[fabric] = version
+	return t.replace(fabric, placement)
+}
+
+// tell hands a group as it is now to whoever listens.
+func (t *Table) tell(id vm.GroupID) {
+	if candidate, ok := t.Candidate(id); ok {
+		t.changed(candidate)
+	}
 }
 
-// replace must be called with mu held.
-func (t *Table) replace(fabric domain.FabricDomain, placement *vm.Placement) {
+// replace must be called with mu held. It returns the groups that are gone.
+func (t *Table) replace(fabric domain.FabricDomain, placement *vm.Placement) (gone []vm.GroupID) {
 	for id, r := range t.rows {
 		if r.fabric == fabric && placement.Group(id) == nil {
 			delete(t.rows, id)
+			gone = append(gone, id)
 		}
 	}
 	for _, group := range placement.Groups {
@@ -123,15 +154,22 @@
 		r.group = group
 		r.position = placement.Position
 	}
+	return gone
 }
 
 // Report takes in a status, from a rumour or from the own home role.
 func (t *Table) Report(status Status) {
+	if t.keep(status) {
+		t.tell(status.Group)
+	}
+}
+
+func (t *Table) keep(status Status) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.rows[status.Group]
 	if r == nil || status.At <= r.status.At {
-		return
+		return false
 	}
 	r.status = status
 	r.heard = t.now()
@@ -140,18 +178,21 @@
 	} else if r.servingSince.IsZero() {
 		r.servingSince = r.heard
 	}
+	return true
 }
 
 // ReportLoad takes in the load that came with a frame of a dispatch.
 func (t *Table) ReportLoad(group vm.GroupID, load contract.GroupLoad) {
+	t.keepLoad(group, load)
+	t.tell(group)
+}
+
+func (t *Table) keepLoad(group vm.GroupID, load contract.GroupLoad) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := t.rows[group]
-	if r == nil {
-		return
+	if r := t.rows[group]; r != nil {
+		r.status.Load = load
 	}
-	r.status.Load = load
-	r.heard = t.now()
 }
 
 // Group returns a group and the version of the placement it was read from.
@@ -177,22 +218,6 @@
 	return r.candidate(live), true
 }
 
-// Candidates returns the serving groups of a service, sorted by id. Whether the home calls them whole is
-// in the status; the home checks it again at each dispatch, so a stale status costs a try, never safety.
-func (t *Table) Candidates(service string) []Candidate {
-	live := t.live()
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-	var found []Candidate
-	for _, r := range t.rows {
-		if r.group.Service == service && r.group.State == vm.Serving {
-			found = append(found, r.candidate(live))
-		}
-	}
-	sortCandidates(found)
-	return found
-}
-
 // All returns every group, sorted by id.
 func (t *Table) All() []Candidate {
 	live := t.live()
--- a/entry/front/drive.go
+++ b/entry/front/drive.go
@@ -132,7 +132,7 @@
 		return d.machine.Deadline()
 	}
 	service := d.q.service
-	if len(d.tried) > 0 && !d.front.deps.Retries.Retry(service.Name) {
+	if !d.mayTry(ctx, left) {
 		return d.machine.NoDispatch(contract.Later(contract.CodeOverloaded, "too many retries are under way", outcome.RetrySoon))
 	}
 	choice, p := d.front.deps.Chooser.Choose(Ask{Service: service, Prefix: d.q.prefix, Work: d.q.work, Tried: d.tried})
@@ -149,6 +149,24 @@
 	return outcome.Action{Do: outcome.Wait}
 }
 
+// mayTry says whether another try may be made, after the pause that it has to keep. A first one always may.
+func (d *drive) mayTry(ctx context.Context, left time.Duration) bool {
+	if len(d.tried) == 0 {
+		return true
+	}
+	wait, ok := d.front.deps.Retries.Retry(d.q.service, len(d.tried), left)
+	if !ok {
+		return false
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return true
+}
+
 // homeTimeout leaves the home a little less than the caller's time. What waits in a queue until the end is
 // then refused by the home, which can say that it did not run, before this front has to give it up
 // without knowing.
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/emicklei/go-restful/v3"
 	"github.com/google/uuid"
@@ -67,9 +68,11 @@
 
 // RetryBudget bounds tries after the first to a share of first tries.
 type RetryBudget interface {
-	// First counts a first try, Retry takes one retry out of the budget if there is one.
+	// First counts a first try.
 	First(service string)
-	Retry(service string) bool
+	// Retry says whether a request may be tried once more after tries so far, and how long to wait before,
+	// with left of its time.
+	Retry(service settings.Service, tries int, left time.Duration) (wait time.Duration, ok bool)
 }
 
 // Deps is what a front needs.
--- a/entry/providers.go
+++ b/entry/providers.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/skylarkpond/skylarkpond/contract/attempt"
+	"github.com/skylarkpond/skylarkpond/domain"
 	"github.com/skylarkpond/skylarkpond/entry/admission"
 	"github.com/skylarkpond/skylarkpond/entry/controller"
 	"github.com/skylarkpond/skylarkpond/entry/fleet"
@@ -18,6 +19,7 @@
 	"github.com/skylarkpond/skylarkpond/entry/mirror"
 	"github.com/skylarkpond/skylarkpond/entry/operator"
 	"github.com/skylarkpond/skylarkpond/entry/prober"
+	"github.com/skylarkpond/skylarkpond/entry/routing"
 	"github.com/skylarkpond/skylarkpond/link/engine"
 	"github.com/skylarkpond/skylarkpond/link/peer"
 	"github.com/skylarkpond/skylarkpond/link/platform"
@@ -100,26 +102,18 @@
 }
 
 func provideFront(
-	config Config, inForce *settingsInForce, dispatcher *dispatcher, table *fleet.Table, attempts *attempt.Records,
+	config Config, inForce *settingsInForce, dispatcher *dispatcher, router *routing.Router, attempts *attempt.Records,
 	recorder *timeline.Recorder,
 ) *front.Front {
 	return front.New(front.Deps{
 		Self: config.Name, Settings: inForce.Snapshot, Dispatcher: dispatcher, Holders: dispatcher,
-		Chooser: front.RandomChooser{Groups: wholeGroups(table)}, Retries: front.NewShareBudget(),
+		Chooser: router, Retries: router,
 		Attempts: attempts, Recorder: recorder,
 	})
 }
 
-func wholeGroups(table *fleet.Table) func(service string) []vm.GroupID {
-	return func(service string) []vm.GroupID {
-		var ids []vm.GroupID
-		for _, c := range table.Candidates(service) {
-			if c.MayServe() {
-				ids = append(ids, c.Group.ID)
-			}
-		}
-		return ids
-	}
+func provideRouter(config Config, measures *measures) *routing.Router {
+	return routing.New(domain.FailureDomain(config.FailureDomain), measures.registry)
 }
 
 // statusTopic is that of the rumours that carry a fleet.Status.
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -123,6 +123,8 @@
 	e.mirror.OnChange(platform.KindSettings, e.inForce.take)
 	e.mirror.OnChange(platform.KindEntry, e.takeEntry)
 	e.mirror.OnChange(platform.KindPlacement, e.takePlacement)
+	e.mirror.OnChange(platform.KindSettings, func(platform.Object) { e.router.ApplySettings(e.inForce.Snapshot()) })
+	e.dispatcher.table.OnChange(e.router.Put, e.router.Remove)
 	e.members.Handle(statusTopic, e.takeStatus)
 	e.members.Register(e.peerServer, e.pinger)
 	e.dispatcher.register(e.peerServer)
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -19,7 +19,7 @@
 	wire.Build(
 		provideStore, provideMembers, provideOwners, providePeerClient, providePeerServer,
 		providePinger, provideFollower, provideTable, providePlaced, provideAttempts, provideHome, provideDispatcher,
-		provideFront, provideProber, provideController, provideOverview, provideOperator, provideRegistration,
+		provideFront, provideRouter, provideProber, provideController, provideOverview, provideOperator, provideRegistration,
 		newSettingsInForce, mirror.New, admission.New, vm.NewPresence,
 		provideEngines,
 		wire.Struct(new(Entry), "*"),
--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -37,7 +37,8 @@
 	records := provideAttempts(store)
 	home := provideHome(self, entryPlaced, admissionAdmission, records, engineClient, entrySettingsInForce, recorder)
 	entryDispatcher := provideDispatcher(self, table, home, members, client, recorder, admissionAdmission)
-	front := provideFront(config, entrySettingsInForce, entryDispatcher, table, records, recorder)
+	router := provideRouter(config, measures2)
+	front := provideFront(config, entrySettingsInForce, entryDispatcher, router, records, recorder)
 	entryOverview := provideOverview(config, members, table, entrySettingsInForce, client, recorder)
 	server := provideOperator(config, store, entrySettingsInForce, mirrorMirror, follower, entryOverview, recorder, measures2, log)
 	peerServer := providePeerServer(self, members)
@@ -57,6 +58,7 @@
 		operator:     server,
 		overview:     entryOverview,
 		dispatcher:   entryDispatcher,
+		router:       router,
 		peerClient:   client,
 		peerServer:   peerServer,
 		inForce:      entrySettingsInForce,
