--- a/entry/front/fakes_test.go
+++ b/entry/front/fakes_test.go
@@ -429,7 +429,9 @@
 // openDoor is an Admission that lets everything in.
 type openDoor struct{}
 
-func (openDoor) Enter(context.Context, home.Item) (home.Turn, *contract.Problem) { return openTurn{}, nil }
+func (openDoor) Enter(context.Context, home.Item) (home.Turn, *contract.Problem) {
+	return openTurn{}, nil
+}
 
 type openTurn struct{}
 
