Fair queue: idle teams are forgotten also where nothing is ever queued

A test with a hundred thousand names of teams that come and go kept all of them (it failed with '100000 teams kept'): the queue's virtual time stands still while teams send one request each, so that every team stayed ahead of it. Teams are now forgotten by when they last offered something.

--- a/policy/fairqueue/team.go
+++ b/policy/fairqueue/team.go
@@ -31,6 +31,8 @@
 	// items counts what is queued or at work.
 	items int
 	index [classes]int
+	// seen is when the team last offered something.
+	seen time.Duration
 	// returning is the work told to come back that is not expected back yet, as of returningAt.
 	returning   float64
 	returningAt time.Duration
@@ -38,13 +40,6 @@
 
 func (t *team) key() float64 { return t.virtual - t.headed }
 
-// list is a doubly linked list of entries, by arrival.
-type list struct {
-	head, tail int32
-	items      int
-	work       float64
-}
-
 // teamHeap orders the teams that have queued items of a class by their virtual time; ties go to the team
 // whose oldest item came first.
 type teamHeap struct {
@@ -147,14 +142,15 @@
 	}
 }
 
-// forgetIdle drops the state of teams that say nothing a new team would not: it bounds the memory when
-// names of teams come and go.
+// forgetIdle drops the state of teams that have sent nothing for a while: it bounds the memory when names of
+// teams come and go. What such a team was ahead of its share is forgotten too, as is what it was told
+// of coming back.
 func (q *Queue) forgetIdle(now time.Duration) {
 	if len(q.teams) < q.forgetAt {
 		return
 	}
 	for name, t := range q.teams {
-		if t.items == 0 && t.virtual <= q.virtual && now-t.returningAt > q.cfg.MaxRetryAfter {
+		if t.items == 0 && now-t.seen > q.cfg.MaxRetryAfter {
 			delete(q.teams, name)
 		}
 	}
