Fair queue: calls of plain services have a work and a pace of their own

With the pace of a model service, 79 ms a token, a plain call with a deadline of a second was refused until some calls had been measured; the test shows both.

--- a/policy/fairqueue/config.go
+++ b/policy/fairqueue/config.go
@@ -76,6 +76,18 @@
 	return c
 }
 
+// PlainWork is the work to state for a call of a plain service, whose work nobody estimates: that of a usual
+// request, so that thresholds in tokens mean the same.
+const PlainWork = 256
+
+// ForPlain returns the configuration for a plain service whose calls should take up to objective and are
+// offered with PlainWork. With the pace of a model service, calls with short deadlines would be refused until
+// some have been measured.
+func (c Config) ForPlain(objective time.Duration) Config {
+	c.Pace = objective / PlainWork
+	return c
+}
+
 // Check returns a *RangeError for the first value, defaults filled in, that is out of its range, or nil.
 func (c Config) Check() error {
 	c = c.WithDefaults()
--- a/policy/fairqueue/item.go
+++ b/policy/fairqueue/item.go
@@ -11,7 +11,7 @@
 	// Share is the team's weight; at most 0 counts as MinShare. Priority is the team's, 0 (lowest) to 9.
 	Share    float64
 	Priority int
-	// Work is the estimated work in tokens; at least 1.
+	// Work is the estimated work in tokens; at least 1. Calls of a plain service have PlainWork.
 	Work int
 	// Deadline is when the caller stops waiting for the whole answer.
 	Deadline time.Duration
--- a/policy/fairqueue/queue_test.go
+++ b/policy/fairqueue/queue_test.go
@@ -196,6 +196,19 @@
 		Expect(q.Len()).To(BeZero())
 	}, Entry("while no slot is free", false), Entry("when a slot gets free too late", true))
 
+	It("takes a plain call whose deadline is short", func() {
+		call := item("a", "1", fairqueue.PlainWork)
+		call.Deadline = second
+		for config, decision := range map[fairqueue.Config]fairqueue.Decision{
+			{}: fairqueue.Refused,
+			fairqueue.Config{}.ForPlain(200 * time.Millisecond): fairqueue.Admitted,
+		} {
+			q := fairqueue.New(config)
+			q.SetLimit(1)
+			Expect(q.Offer(0, call).Decision).To(Equal(decision))
+		}
+	})
+
 	It("leaves room in the queue for others than the team that fills it", func() {
 		q := fairqueue.New(fairqueue.Config{MaxItems: 10, MaxWait: 10 * time.Minute, StandingWait: 10 * time.Minute, Pace: time.Microsecond})
 		decisions := make(map[fairqueue.Decision]int)
