--- a/entry/providers.go
+++ b/entry/providers.go
@@ -8,8 +8,8 @@
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 
-	"github.com/skylarkpond/skylarkpond/contract"
 	"github.com/skylarkpond/skylarkpond/contract/attempt"
+	"github.com/skylarkpond/skylarkpond/entry/admission"
 	"github.com/skylarkpond/skylarkpond/entry/controller"
 	"github.com/skylarkpond/skylarkpond/entry/fleet"
 	"github.com/skylarkpond/skylarkpond/entry/front"
@@ -37,7 +37,7 @@
 const reservedShare = 0.2
 
 func provideStore(config Config, measures *measures) platform.Store {
-	return platform.NewClient(config.Platform, platform.WithMetrics(measures.registry), platform.WithRates(platform.Rates{
+	return platform.NewClient(config.Platform, platform.WithSource(config.source()), platform.WithMetrics(measures.registry), platform.WithRates(platform.Rates{
 		Shared:   config.PlatformRate * (1 - reservedShare),
 		Reserved: config.PlatformRate * reservedShare,
 	}))
@@ -54,10 +54,12 @@
 
 func provideOwners(members *member.Members) owners { return owners{members} }
 
-func providePeerClient(self registered, members *member.Members) *peer.Client {
-	return peer.NewClient(self.identity, members)
+func providePeerClient(config Config, self registered, members *member.Members) *peer.Client {
+	return peer.NewClient(self.identity, members, config.source())
 }
 
+func provideEngines(config Config) engine.Client { return engine.NewHTTPClient(config.source()) }
+
 func providePeerServer(self registered, members *member.Members) *peer.Server {
 	return peer.NewServer(self.identity, members)
 }
@@ -76,30 +78,24 @@
 
 func provideAttempts(store platform.Store) *attempt.Records { return attempt.New(store, time.Now) }
 
-// The plain queue's bounds; the fair queue takes its place.
-const (
-	plainConcurrency = 64
-	plainQueue       = 256
-)
-
 func provideHome(
-	self registered, placed placed, attempts *attempt.Records, engines engine.Client, inForce *settingsInForce,
-	recorder *timeline.Recorder,
+	self registered, placed placed, admission *admission.Admission, attempts *attempt.Records, engines engine.Client,
+	inForce *settingsInForce, recorder *timeline.Recorder,
 ) *home.Home {
 	return home.New(home.Deps{
 		Self: self.entry.Name, Incarnation: self.entry.Incarnation, Groups: placed, Presence: placed,
-		Admission: home.NewFIFO(plainConcurrency, plainQueue), Attempts: attempts, Engines: engines,
+		Admission: admission, Attempts: attempts, Engines: engines,
 		Settings: inForce.Snapshot, Recorder: recorder,
 	})
 }
 
 func provideDispatcher(
 	self registered, table *fleet.Table, home *home.Home, members *member.Members, client *peer.Client,
-	recorder *timeline.Recorder,
+	recorder *timeline.Recorder, admission *admission.Admission,
 ) *dispatcher {
 	return &dispatcher{
 		self: self.entry.Name, life: self.entry.Incarnation, table: table, home: home, members: members, client: client,
-		recorder: recorder,
+		recorder: recorder, loadOf: admission.Load,
 	}
 }
 
@@ -118,7 +114,7 @@
 	return func(service string) []vm.GroupID {
 		var ids []vm.GroupID
 		for _, c := range table.Candidates(service) {
-			if c.Status.Whole {
+			if c.MayServe() {
 				ids = append(ids, c.Group.ID)
 			}
 		}
@@ -134,11 +130,11 @@
 
 func provideProber(
 	config Config, table *fleet.Table, engines engine.Client, presence *vm.Presence, recorder *timeline.Recorder,
-	members *member.Members,
+	members *member.Members, admission *admission.Admission,
 ) *prober.Prober {
 	return prober.New(prober.Deps{
 		Self: config.Name, Groups: table, Client: engines, Presence: presence, Recorder: recorder,
-		LoadOf: func(vm.GroupID) contract.GroupLoad { return contract.GroupLoad{} },
+		LoadOf: admission.Load,
 		Tell:   func(status fleet.Status) { tellStatus(members, status) },
 		Paused: members.Paused,
 	})
--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -4,10 +4,10 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
-	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -22,8 +22,24 @@
 // generous bounds every wait on a condition. Nothing is asserted of how long things take.
 const generous = 90 * time.Second
 
-// clusters gives each cluster loopback addresses of its own.
-var clusters atomic.Int32
+// lockPort is bound on the last address of a subnet by the test process that uses it.
+const lockPort = 7
+
+// takeSubnet gives the cluster loopback addresses of its own, until the end of the spec. What goes wrong
+// without the lock: two runs of this suite on one machine take the same addresses, and the entries of one
+// speak to the platform of the other.
+func takeSubnet() int {
+	GinkgoHelper()
+	for subnet := 1; subnet < 255; subnet++ {
+		lock, err := net.Listen("tcp", fmt.Sprintf("127.1.%d.254:%d", subnet, lockPort))
+		if err == nil {
+			DeferCleanup(lock.Close)
+			return subnet
+		}
+	}
+	Fail("no free loopback subnet")
+	return 0
+}
 
 // cluster is a system of separate processes.
 type cluster struct {
@@ -33,17 +49,18 @@
 	platform string
 	engines  string
 	entries  []*entryProcess
+	cuts     *cuts
 }
 
 // startCluster starts stand-ins, applies the dev declarations, and starts n entries.
 func startCluster(n int) *cluster {
 	GinkgoHelper()
-	c := &cluster{subnet: int(clusters.Add(1)), dir: GinkgoT().TempDir()}
+	c := &cluster{subnet: takeSubnet(), dir: GinkgoT().TempDir(), cuts: &cuts{cut: make(map[link]bool)}}
 	DeferCleanup(c.stop)
 	c.startStandins()
 	c.applyTree()
-	for i := range n {
-		c.startEntry(fmt.Sprintf("entry-%d", i+1))
+	for range n {
+		c.startEntry()
 	}
 	c.waitServing(c.entries[0])
 	return c
@@ -82,19 +99,50 @@
 	Expect(response.StatusCode).To(Equal(http.StatusOK))
 }
 
-// startEntry starts one more entry, at the next address.
-func (c *cluster) startEntry(name string) *entryProcess {
-	host := 10 + len(c.entries)
-	address := func(port int) string { return fmt.Sprintf("127.1.%d.%d:%d", c.subnet, host, port) }
+// startEntry starts one more entry, at the next address, behind relays which can be cut.
+func (c *cluster) startEntry() *entryProcess {
+	name := fmt.Sprintf("entry-%d", len(c.entries)+1)
+	host := firstHost + len(c.entries)
+	ip := fmt.Sprintf("127.1.%d.%d", c.subnet, host)
+	address := func(port int) string { return fmt.Sprintf("%s:%d", ip, port) }
 	e := &entryProcess{name: name, public: "http://" + address(8080), admin: "http://" + address(8081)}
+	startUDPRelay(c.cuts, name, address(8083), address(8082), c.nameOf)
+	e.toPlatform = startTCPRelay(address(8084), c.platform[len("http://"):])
 	e.process = start(c.dir, name, "serve", "--name", name, "--place", "local",
 		"--failure-domain", []string{"local-a", "local-b"}[host%2],
 		"--public-address", address(8080), "--admin-address", address(8081), "--peer-address", address(8082),
-		"--platform", c.platform, "--timeline", filepath.Join(c.dir, name+".timeline"), "--drain-margin", "1s")
+		"--advertised-peer-address", address(8083), "--source-address", ip, "--platform", "http://"+address(8084), "--timeline", filepath.Join(c.dir, name+".timeline"), "--drain-margin", "1s")
 	c.entries = append(c.entries, e)
 	return e
 }
 
+// firstHost is the last number of the first entry's address.
+const firstHost = 10
+
+// nameOf returns the entry at an address.
+func (c *cluster) nameOf(ip string) string {
+	var subnet, host int
+	if _, err := fmt.Sscanf(ip, "127.1.%d.%d", &subnet, &host); err != nil {
+		return ""
+	}
+	return fmt.Sprintf("entry-%d", host-firstHost+1)
+}
+
+// cut cuts or mends the links between two entries, both ways.
+func (c *cluster) cut(a, b *entryProcess, cut bool) {
+	c.cuts.set(a.name, b.name, cut)
+	c.cuts.set(b.name, a.name, cut)
+}
+
+// isolate cuts an entry off from all others, or mends it.
+func (c *cluster) isolate(e *entryProcess, cut bool) {
+	for _, other := range c.entries {
+		if other != e {
+			c.cut(e, other, cut)
+		}
+	}
+}
+
 // stop ends everything, and shows the logs of a spec that failed.
 func (c *cluster) stop() {
 	for _, e := range c.entries {
@@ -144,9 +192,9 @@
 	c.switchPlatform(standinplatform.Switches{Outage: &o})
 }
 
-func (c *cluster) switchVM(vm string, s standinengine.Switches) {
+func (c *cluster) switchDomain(fabric string, s standinengine.Switches) {
 	GinkgoHelper()
-	post(c.engines+"/standin/vms/"+vm+"/switches", s)
+	post(c.engines+"/standin/domains/"+fabric+"/switches", s)
 }
 
 func post(url string, body any) {
