A caller's bound on the answer's length no longer makes its deadline too near

Cause: with 79 ms a token until measured, max_tokens 4096 and 60 s were refused at once (0.5 x 4096 x 79 ms = 162 s); a service whose callers all name such a bound refused everyone, and since none ran, nothing was ever measured. Seen as 8 of 8 streams of 1500 tokens refused in a membership spec. Change: Item.Least, the work that it takes at least, is held against the deadline; the bound is still what the team is charged until the request is done.

--- a/entry/admission/admission.go
+++ b/entry/admission/admission.go
@@ -190,7 +190,7 @@
 
 func queued(now time.Duration, item home.Item, id string) fairqueue.Item {
 	return fairqueue.Item{
-		ID: id, Team: item.Team.Name, Share: item.Team.Share, Priority: item.Priority, Work: item.Work,
+		ID: id, Team: item.Team.Name, Share: item.Team.Share, Priority: item.Priority, Work: item.Work, Least: item.Least,
 		Deadline: now + item.Timeout, Spread: rand.Float64(),
 	}
 }
--- a/entry/front/request.go
+++ b/entry/front/request.go
@@ -34,6 +34,7 @@
 	stream bool
 	model  string
 	work   int
+	least  int
 	prefix uint64
 }
 
--- a/policy/fairqueue/queue.go
+++ b/policy/fairqueue/queue.go
@@ -90,7 +90,7 @@
 	}
 	q.slots.advance(now)
 	q.activate(t)
-	service := q.service(now, item.Work)
+	service := q.service(now, item.least())
 	if now+service > item.Deadline {
 		return q.tooLong(now, t, c, &item)
 	}
