--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -50,6 +51,8 @@
 	engines  string
 	entries  []*entryProcess
 	cuts     *cuts
+	// peerBytes counts what passed between entries.
+	peerBytes atomic.Int64
 }
 
 // startCluster starts stand-ins, applies the dev declarations, and starts n entries.
@@ -106,7 +109,7 @@
 	ip := fmt.Sprintf("127.1.%d.%d", c.subnet, host)
 	address := func(port int) string { return fmt.Sprintf("%s:%d", ip, port) }
 	e := &entryProcess{name: name, public: "http://" + address(8080), admin: "http://" + address(8081)}
-	startUDPRelay(c.cuts, name, address(8083), address(8082), c.nameOf)
+	startUDPRelay(c.cuts, name, address(8083), address(8082), c.nameOf, &c.peerBytes)
 	e.toPlatform = startTCPRelay(address(8084), c.platform[len("http://"):])
 	e.process = start(c.dir, name, "serve", "--name", name, "--place", "local",
 		"--failure-domain", []string{"local-a", "local-b"}[host%2],
--- a/test/relay_test.go
+++ b/test/relay_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -39,10 +40,11 @@
 	outer  *net.UDPConn
 	target *net.UDPAddr
 	flows  map[netip.AddrPort]*net.UDPConn // used by forward alone
+	bytes  *atomic.Int64                   // all that passed, both ways
 }
 
 // startUDPRelay relays from outer to target for the entry name; names gives the entry of a source IP.
-func startUDPRelay(cuts *cuts, name, outer, target string, names func(ip string) string) {
+func startUDPRelay(cuts *cuts, name, outer, target string, names func(ip string) string, bytes *atomic.Int64) {
 	GinkgoHelper()
 	outerAddress, err := net.ResolveUDPAddr("udp", outer)
 	Expect(err).NotTo(HaveOccurred())
@@ -50,7 +52,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	conn, err := net.ListenUDP("udp", outerAddress)
 	Expect(err).NotTo(HaveOccurred())
-	r := &udpRelay{name: name, cuts: cuts, outer: conn, target: targetAddress, flows: make(map[netip.AddrPort]*net.UDPConn)}
+	r := &udpRelay{name: name, cuts: cuts, outer: conn, target: targetAddress, flows: make(map[netip.AddrPort]*net.UDPConn), bytes: bytes}
 	DeferCleanup(conn.Close)
 	go r.forward(names)
 }
@@ -72,6 +74,7 @@
 		if err != nil {
 			continue
 		}
+		r.bytes.Add(int64(n))
 		_, _ = flow.Write(buffer[:n])
 	}
 }
@@ -100,6 +103,7 @@
 		if r.cuts.isCut(r.name, peer) {
 			continue
 		}
+		r.bytes.Add(int64(n))
 		if _, err := r.outer.WriteToUDPAddrPort(buffer[:n], to); err != nil {
 			return
 		}
