--- /dev/null
+++ b/entry/fleet/fleet.go
@@ -0,0 +1,263 @@
+// Package fleet is an entry's table of groups: which exist (from the mirrored placements), which entry is
+// home to each (computed from the live entries), and what their homes last said of them.
+//
+// The flow: placements change -> ApplyPlacement; a home's rumour or a frame of a dispatch brings a Status
+// -> Report; fronts ask Candidates of a service and HomeOf a group; the own home role asks Homed.
+package fleet
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/skylarkpond/skylarkpond/contract"
+	"github.com/skylarkpond/skylarkpond/domain"
+	"github.com/skylarkpond/skylarkpond/link/platform"
+	"github.com/skylarkpond/skylarkpond/vm"
+)
+
+// Status is what a home says of a group. It travels as a rumour when Whole or Draining change, and now and
+// then for the load.
+type Status struct {
+	Group vm.GroupID `cbor:"1,keyasint"`
+	Home  string     `cbor:"2,keyasint"`
+	// Epoch is the group's epoch that the home probed for.
+	Epoch uint64 `cbor:"3,keyasint"`
+	// Whole says that every member was present when this was sent.
+	Whole bool               `cbor:"4,keyasint"`
+	Load  contract.GroupLoad `cbor:"5,keyasint"`
+	// At orders statuses of one group: the sender's hybrid logical time.
+	At int64 `cbor:"6,keyasint"`
+	// Reason says why the group is not whole.
+	Reason string `cbor:"7,keyasint,omitempty"`
+	// Drained is set when the group drains, takes no more, and Remaining is sure.
+	Drained bool `cbor:"8,keyasint,omitempty"`
+	// Remaining counts the requests still at work on a draining group, those of earlier homes included.
+	Remaining int `cbor:"9,keyasint,omitempty"`
+}
+
+// Candidate is a group that a front may choose.
+type Candidate struct {
+	Group    vm.Group
+	Position domain.Position
+	Home     string
+	Status   Status
+	// Heard is when the status was taken in, by the own monotonic clock; zero if never.
+	Heard time.Time
+	// ServingSince is when this entry first saw the group whole.
+	ServingSince time.Time
+}
+
+// MayServe says whether a front may send here: the home called the group whole, or has not been heard yet.
+// An entry that has just started hears of each group within some seconds; until then it would refuse
+// every caller, although the home checks anyway.
+func (c *Candidate) MayServe() bool {
+	unheard := c.Heard.IsZero() || c.Status.Epoch != c.Group.Epoch
+	return unheard || c.Status.Whole
+}
+
+type row struct {
+	group        vm.Group
+	fabric       domain.FabricDomain
+	position     domain.Position
+	status       Status
+	heard        time.Time
+	servingSince time.Time
+}
+
+// Table is the table. It is safe for concurrent use; mu is a leaf lock.
+type Table struct {
+	live func() []string
+	now  func() time.Time
+	// changed and removed are told of each change, without a lock held; set before use.
+	changed func(Candidate)
+	removed func(vm.GroupID)
+
+	mu       sync.RWMutex // guards what follows
+	rows     map[vm.GroupID]*row
+	versions map[domain.FabricDomain]platform.Version
+}
+
+// New returns an empty table. live names the live entries; it is called without a lock held.
+func New(live func() []string, now func() time.Time) *Table {
+	return &Table{
+		live:     live,
+		now:      now,
+		changed:  func(Candidate) {},
+		removed:  func(vm.GroupID) {},
+		rows:     make(map[vm.GroupID]*row),
+		versions: make(map[domain.FabricDomain]platform.Version),
+	}
+}
+
+// OnChange has changed called with each group that changes, and removed with each that is gone. Two
+// changes may arrive out of order; the later one is made good by the next report, some seconds after.
+// Call it before the table is used.
+func (t *Table) OnChange(changed func(Candidate), removed func(vm.GroupID)) {
+	t.changed = changed
+	t.removed = removed
+}
+
+// ApplyPlacement takes in a placement object. An older version than the one applied changes nothing, so
+// that changes which cross each other do not bring a dissolved group back.
+func (t *Table) ApplyPlacement(object platform.Object) error {
+	placement := vm.Placement{}
+	if !object.Deleted {
+		if err := json.Unmarshal(object.Value, &placement); err != nil {
+			return err
+		}
+	}
+	fabric := domain.FabricDomain(object.Name)
+	gone := t.applyVersion(fabric, object.Version, &placement)
+	for _, id := range gone {
+		t.removed(id)
+	}
+	for _, group := range placement.Groups {
+		t.tell(group.ID)
+	}
+	return nil
+}
+
+func (t *Table) applyVersion(fabric domain.FabricDomain, version platform.Version, placement *vm.Placement) []vm.GroupID {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if version <= t.versions[fabric] {
+		return nil
+	}
+	t.versions[fabric] = version
+	return t.replace(fabric, placement)
+}
+
+// tell hands a group as it is now to whoever listens.
+func (t *Table) tell(id vm.GroupID) {
+	if candidate, ok := t.Candidate(id); ok {
+		t.changed(candidate)
+	}
+}
+
+// replace must be called with mu held. It returns the groups that are gone.
+func (t *Table) replace(fabric domain.FabricDomain, placement *vm.Placement) (gone []vm.GroupID) {
+	for id, r := range t.rows {
+		if r.fabric == fabric && placement.Group(id) == nil {
+			delete(t.rows, id)
+			gone = append(gone, id)
+		}
+	}
+	for _, group := range placement.Groups {
+		r := t.rows[group.ID]
+		if r == nil {
+			r = &row{fabric: fabric}
+			t.rows[group.ID] = r
+		}
+		r.group = group
+		r.position = placement.Position
+	}
+	return gone
+}
+
+// Report takes in a status, from a rumour or from the own home role.
+func (t *Table) Report(status Status) {
+	if t.keep(status) {
+		t.tell(status.Group)
+	}
+}
+
+func (t *Table) keep(status Status) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.rows[status.Group]
+	if r == nil || status.At <= r.status.At {
+		return false
+	}
+	r.status = status
+	r.heard = t.now()
+	if !status.Whole {
+		r.servingSince = time.Time{}
+	} else if r.servingSince.IsZero() {
+		r.servingSince = r.heard
+	}
+	return true
+}
+
+// ReportLoad takes in the load that came with a frame of a dispatch.
+func (t *Table) ReportLoad(group vm.GroupID, load contract.GroupLoad) {
+	t.keepLoad(group, load)
+	t.tell(group)
+}
+
+func (t *Table) keepLoad(group vm.GroupID, load contract.GroupLoad) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.rows[group]; r != nil {
+		r.status.Load = load
+	}
+}
+
+// Group returns a group and the version of the placement it was read from.
+func (t *Table) Group(id vm.GroupID) (vm.Group, platform.Version, bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	r := t.rows[id]
+	if r == nil {
+		return vm.Group{}, 0, false
+	}
+	return r.group, t.versions[r.fabric], true
+}
+
+// Candidate returns what is known of one group.
+func (t *Table) Candidate(id vm.GroupID) (Candidate, bool) {
+	live := t.live()
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	r := t.rows[id]
+	if r == nil {
+		return Candidate{}, false
+	}
+	return r.candidate(live), true
+}
+
+// All returns every group, sorted by id.
+func (t *Table) All() []Candidate {
+	live := t.live()
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	found := make([]Candidate, 0, len(t.rows))
+	for _, r := range t.rows {
+		found = append(found, r.candidate(live))
+	}
+	sortCandidates(found)
+	return found
+}
+
+func (r *row) candidate(live []string) Candidate {
+	return Candidate{
+		Group: r.group, Position: r.position, Home: homeOf(r.group.ID, live),
+		Status: r.status, Heard: r.heard, ServingSince: r.servingSince,
+	}
+}
+
+// HomeOf names the home of a group, "" without live entries.
+func (t *Table) HomeOf(id vm.GroupID) string { return homeOf(id, t.live()) }
+
+func homeOf(id vm.GroupID, live []string) string {
+	return domain.Owner("home/"+string(id), live)
+}
+
+// Homed returns the groups to which the named entry is home.
+func (t *Table) Homed(entry string) []vm.Group {
+	var homed []vm.Group
+	for _, c := range t.All() {
+		if c.Home == entry {
+			homed = append(homed, c.Group)
+		}
+	}
+	return homed
+}
+
+func sortCandidates(candidates []Candidate) {
+	slices.SortFunc(candidates, func(a, b Candidate) int {
+		return strings.Compare(string(a.Group.ID), string(b.Group.ID))
+	})
+}
--- /dev/null
+++ b/entry/home/run.go
@@ -0,0 +1,232 @@
+package home
+
+import (
+	"context"
+	"time"
+
+	"github.com/skylarkpond/skylarkpond/contract"
+	"github.com/skylarkpond/skylarkpond/contract/attempt"
+	"github.com/skylarkpond/skylarkpond/contract/settings"
+	"github.com/skylarkpond/skylarkpond/timeline"
+	"github.com/skylarkpond/skylarkpond/vm"
+)
+
+// run is one dispatch under way. Only the goroutine of its Dispatch uses it.
+type run struct {
+	home    *Home
+	d       contract.Dispatch
+	service settings.Service
+	group   vm.Group
+	turn    Turn
+	claim   attempt.Result
+	seq     uint64
+	send    func(contract.Frame) error
+	sendErr error
+	kept    keeper
+	// front ends when the front closes the dispatch, or can't be heard any more.
+	front context.Context
+}
+
+func newRun(front context.Context, h *Home, d contract.Dispatch, send func(contract.Frame) error) *run {
+	return &run{home: h, d: d, send: send, front: front}
+}
+
+// do takes the dispatch through its steps. Each step that fails tells the front and ends it.
+func (r *run) do(ctx context.Context) {
+	if p := r.check(); p != nil {
+		r.refuse(p)
+		return
+	}
+	if !r.frame(contract.Frame{Kind: contract.FrameQueued}) {
+		return
+	}
+	r.record(timeline.RequestQueued, "")
+	turn, p := r.home.deps.Admission.Enter(ctx, r.item(ctx))
+	if p != nil {
+		r.refuse(p)
+		return
+	}
+	defer turn.Done()
+	r.turn = turn
+	// Right before the claim: what waited too long, or lost its group meanwhile, should cost no claim.
+	if ctx.Err() != nil {
+		r.refuse(gone())
+		return
+	}
+	if p := r.check(); p != nil {
+		r.refuse(p)
+		return
+	}
+	if r.d.Unrepeatable {
+		r.home.work.add(r.d.RequestID)
+		defer r.home.work.remove(r.d.RequestID)
+		if !r.claimRight(ctx) {
+			return
+		}
+		var cancel context.CancelFunc
+		ctx, cancel = r.detach(ctx)
+		defer cancel()
+	}
+	// The claim took time. Between this check and the send lies no wait.
+	if p := r.check(); p != nil {
+		r.refuse(p)
+		return
+	}
+	if !r.frame(contract.Frame{Kind: contract.FrameSent}) && !r.d.Unrepeatable {
+		return
+	}
+	r.record(timeline.RequestSent, "")
+	if r.d.Plain != nil {
+		r.call(ctx)
+		return
+	}
+	r.complete(ctx)
+}
+
+// detach makes the work of a claimed request the key's, no longer that of the front which asked: a
+// booking that was begun is finished, and its answer kept, though its front died or its caller left, so
+// that a repeated key finds it.
+func (r *run) detach(ctx context.Context) (context.Context, context.CancelFunc) {
+	timeout := max(r.left(ctx), r.service.MaxRequestTimeout)
+	return context.WithTimeout(context.WithoutCancel(ctx), timeout)
+}
+
+// check says why the dispatch can't go to its group now, or nil.
+func (r *run) check() *contract.Problem {
+	group, home, ok := r.home.deps.Groups.Lookup(r.d.Group)
+	switch {
+	case !ok || group.Service != r.d.Service:
+		return contract.Later(contract.CodeNoGroup, "the group is not placed", noGroupRetryAfter)
+	case !home:
+		return contract.Later(contract.CodeNotHome, "this entry is not the home of the group", noGroupRetryAfter)
+	case group.State != vm.Serving:
+		return contract.Later(contract.CodeNoGroup, "the group is "+string(group.State), noGroupRetryAfter)
+	}
+	if ok, reason := r.home.deps.Presence.Whole(group.ID); !ok {
+		return contract.Later(contract.CodeNoGroup, "the group is not whole: "+reason, noGroupRetryAfter)
+	}
+	service, ok := r.home.deps.Settings().Services[r.d.Service]
+	if !ok {
+		return contract.Refuse(404, contract.CodeUnknownService, "the service is not declared", "check the service's name")
+	}
+	r.group = group
+	r.service = service
+	return nil
+}
+
+// noGroupRetryAfter is about the time in which a home takes over or a group is found whole again.
+const noGroupRetryAfter = time.Second
+
+func (r *run) item(ctx context.Context) Item {
+	team, ok := r.home.deps.Settings().Teams[r.d.Team]
+	if !ok {
+		team = settings.Team{Name: r.d.Team, Share: 1}
+	}
+	return Item{
+		Service: r.service, Team: team, Group: r.d.Group, Timeout: r.left(ctx),
+		Priority: r.d.Priority, Work: r.d.Work, Least: r.d.Least,
+	}
+}
+
+func (r *run) left(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return r.d.Timeout
+	}
+	return time.Until(deadline)
+}
+
+// claimTimeout bounds the wait of a claim for the platform, which answers in milliseconds or is out. The
+// request holds a place at the group meanwhile.
+const claimTimeout = time.Second
+
+func (r *run) wish() attempt.Wish {
+	return attempt.Wish{
+		ID: attempt.ID{Team: r.d.Team, Key: r.d.Key}, Number: r.d.Attempt, Fingerprint: r.d.Fingerprint,
+		RequestID: r.d.RequestID, Retention: r.service.AttemptRetention,
+	}
+}
+
+// claimRight takes the right to send. Without it the front is told what stands instead.
+func (r *run) claimRight(ctx context.Context) bool {
+	w := r.wish()
+	w.Renounced = r.d.Renounced
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	result := r.home.deps.Attempts.Claim(ctx, w, r.home.deps.Self, r.home.deps.Incarnation)
+	switch result.Verdict {
+	case attempt.Confirmed:
+		r.claim = result
+		r.record(timeline.RequestClaimed, "")
+		r.frame(contract.Frame{Kind: contract.FrameClaimed, AttemptVersion: uint64(result.Version)})
+		return true
+	case attempt.Found, attempt.Reused:
+		r.frame(contract.Frame{Kind: contract.FrameFound, Attempt: &result.Attempt, AttemptVersion: uint64(result.Version)})
+	case attempt.Unsure:
+		r.claim = result
+		r.refuse(platformOut())
+	default:
+		r.refuse(platformOut())
+	}
+	return false
+}
+
+func platformOut() *contract.Problem {
+	return contract.Later(contract.CodePlatformOut, "the platform could not confirm the right to run the request", platformRetryAfter)
+}
+
+// platformRetryAfter keeps callers from adding to an outage.
+const platformRetryAfter = 5 * time.Second
+
+func gone() *contract.Problem {
+	return contract.Later(contract.CodeDeadline, "the request's time was over, or its caller gone, before it was sent", time.Second)
+}
+
+// refuse gives the request up unsent, and renounces a claim that was or may have been made.
+//
+// The claim is left to the front, which may replace it by that of another home. If the front is gone, as
+// when this process was frozen behind its claim, nobody would ever replace it, and the caller could only be
+// told unknown: then the home itself puts a seal in its place, as well as it can.
+func (r *run) refuse(p *contract.Problem) {
+	frontGone := r.front.Err() != nil
+	f := contract.Frame{Kind: contract.FrameRefused, Problem: p}
+	if r.claim.Verdict != 0 {
+		claim := r.claim.Attempt
+		f.Attempt = &claim
+	}
+	r.frame(f)
+	if r.claim.Verdict == 0 || !frontGone && r.sendErr == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.front), claimTimeout)
+	defer cancel()
+	w := r.wish()
+	w.Renounced = []string{r.claim.Attempt.Nonce}
+	if r.home.deps.Attempts.Seal(ctx, w).Verdict == attempt.Confirmed {
+		r.record(timeline.RequestSealed, "by the home")
+	}
+}
+
+func (r *run) broken(p *contract.Problem) {
+	r.frame(contract.Frame{Kind: contract.FrameBroken, Problem: p})
+}
+
+// frame sends one frame; false: the front is gone. Once a frame could not be sent, none is: the front
+// must not see what came behind a gap as if it were whole.
+func (r *run) frame(f contract.Frame) bool {
+	if r.sendErr != nil {
+		return false
+	}
+	f.RequestID = r.d.RequestID
+	f.Seq = r.seq
+	f.Time = r.home.deps.Recorder.Now()
+	r.seq++
+	r.sendErr = r.send(f)
+	return r.sendErr == nil
+}
+
+func (r *run) record(kind timeline.Kind, detail string) {
+	r.home.deps.Recorder.Record(timeline.Event{
+		Kind: kind, Request: r.d.RequestID, Team: r.d.Team, Service: r.d.Service, Group: string(r.d.Group), Detail: detail,
+	})
+}
--- /dev/null
+++ b/pondctl/apply.go
@@ -0,0 +1,210 @@
+package pondctl
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"os"
+	"slices"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/skylarkpond/skylarkpond/contract/admin"
+	"github.com/skylarkpond/skylarkpond/contract/settings"
+)
+
+func sortedPaths[V any](nodes map[settings.Path]V) []settings.Path {
+	return slices.Sorted(maps.Keys(nodes))
+}
+
+// checked is the answer of validate.
+type checked struct {
+	Nodes  int             `json:"nodes"`
+	Faults settings.Faults `json:"faults,omitempty"`
+}
+
+func (c *command) validate(dir string) error {
+	declared, err := settings.LoadDir(dir)
+	faults, _ := err.(settings.Faults)
+	if err != nil && faults == nil {
+		return eris.Wrap(err, "read the declarations")
+	}
+	result := checked{Faults: faults}
+	if declared != nil {
+		result.Nodes = len(declared.Nodes)
+	}
+	printErr := c.print(result, func(w io.Writer) {
+		for _, fault := range faults {
+			fmt.Fprintln(w, fault)
+		}
+		if faults == nil {
+			fmt.Fprintf(w, "%d nodes, no faults\n", result.Nodes)
+		}
+	})
+	if faults != nil {
+		return eris.Wrapf(ErrRefused, "%d faults", len(faults))
+	}
+	return printErr
+}
+
+// load reads the declarations and their lock.
+func load(dir string) (*settings.Declarations, *lock, error) {
+	declared, err := settings.LoadDir(dir)
+	if err != nil {
+		return nil, nil, err
+	}
+	locked, err := readLock(dir)
+	return declared, locked, err
+}
+
+func (c *command) apply(ctx context.Context, args *ApplyArgs) error {
+	declared, locked, err := load(args.Dir)
+	if err != nil {
+		return err
+	}
+	change, err := c.plan(ctx, declared, locked, args.Exact)
+	if err != nil {
+		return err
+	}
+	if len(change.Nodes) == 0 {
+		return c.nothingToApply(ctx, args, declared, locked)
+	}
+	change.Author = cmp.Or(args.Author, os.Getenv("USER"))
+	answer, err := c.send(ctx, change)
+	if err != nil {
+		return err
+	}
+	for i, fault := range answer.Faults {
+		answer.Faults[i] = declared.Locate(fault)
+	}
+	if err := c.print(answer, func(w io.Writer) { writeApplied(w, answer) }); err != nil {
+		return err
+	}
+	if err := outcome(answer); err != nil {
+		return err
+	}
+	c.relock(ctx, args.Dir, locked, declared)
+	return c.waitIfAsked(ctx, args, answer.Version)
+}
+
+// plan is the change from the lock's state to the declarations, or, if exact, from the settings as they are.
+func (c *command) plan(ctx context.Context, declared *settings.Declarations, locked *lock, exact bool) (*settings.Change, error) {
+	if !exact {
+		return locked.change(declared), nil
+	}
+	current, err := get[admin.Settings](ctx, c.client, admin.SettingsPath, nil)
+	if err != nil {
+		return nil, err
+	}
+	now := &lock{Nodes: make(map[settings.Path]lockedNode)}
+	for path, node := range current.Tree.Nodes {
+		now.take(path, node)
+	}
+	return now.change(declared), nil
+}
+
+func (c *command) send(ctx context.Context, change *settings.Change) (admin.Applied, error) {
+	c.progress("applying %d nodes as change %s", len(change.Nodes), short(change.ID))
+	var answer admin.Applied
+	err := c.client.call(ctx, http.MethodPost, admin.ApplyPath, change, &answer)
+	return answer, eris.Wrap(err, "apply; running it again is safe, a change is taken once")
+}
+
+func (c *command) waitIfAsked(ctx context.Context, args *ApplyArgs, version uint64) error {
+	if !args.Wait {
+		return nil
+	}
+	return c.wait(ctx, version, args.WaitFor)
+}
+
+// nothingToApply: no file was edited since the lock. That is not yet to say that the settings are as
+// declared: in an old checkout, or after a revert that took the lock file back too, they are not, and
+// "unchanged" would let an operator believe that the undo is in force.
+func (c *command) nothingToApply(ctx context.Context, args *ApplyArgs, declared *settings.Declarations, locked *lock) error {
+	current, err := get[admin.Settings](ctx, c.client, admin.SettingsPath, nil)
+	if err != nil {
+		return err
+	}
+	difference := compare(locked, &settings.Change{}, current)
+	if len(difference.Behind) > 0 && !args.Exact {
+		if err := c.print(difference, func(w io.Writer) { writeDifference(w, difference) }); err != nil {
+			return err
+		}
+		return eris.Wrapf(ErrConflict, "no file was edited since the last pull, and %d nodes were changed by others since; nothing was changed. "+
+			"pondctl pull brings their side, pondctl apply --exact puts this directory's state in force", len(difference.Behind))
+	}
+	answer := admin.Applied{Result: settings.Result{Status: settings.Unchanged, Revision: current.Tree.Revision}, Version: current.Version}
+	if err := c.print(answer, func(w io.Writer) { writeApplied(w, answer) }); err != nil {
+		return err
+	}
+	c.relock(ctx, args.Dir, locked, declared)
+	return c.waitIfAsked(ctx, args, answer.Version)
+}
+
+func writeApplied(w io.Writer, answer admin.Applied) {
+	switch answer.Status {
+	case settings.Conflicted:
+		for _, conflict := range answer.Conflicts {
+			writeConflict(w, conflict)
+		}
+	case settings.Refused:
+		for _, fault := range answer.Faults {
+			fmt.Fprintln(w, fault)
+		}
+	case settings.AlreadyApplied:
+		fmt.Fprintf(w, "already applied at revision %d\n", answer.Revision)
+		for _, path := range answer.Superseded {
+			fmt.Fprintf(w, "  %s was changed again since\n", path)
+		}
+	case settings.Unchanged:
+		fmt.Fprintf(w, "unchanged: the settings say this already, version %d\n", answer.Version)
+	default:
+		fmt.Fprintf(w, "%s at revision %d, version %d\n", answer.Status, answer.Revision, answer.Version)
+	}
+}
+
+// outcome turns an answer into the error that gives the exit code.
+func outcome(answer admin.Applied) error {
+	switch {
+	case answer.Status == settings.Conflicted:
+		return eris.Wrapf(ErrConflict, "%d nodes were changed by somebody else; nothing was changed. pondctl pull brings their side", len(answer.Conflicts))
+	case answer.Status == settings.Refused:
+		return eris.Wrapf(ErrRefused, "%d faults; nothing was changed", len(answer.Faults))
+	case len(answer.Superseded) > 0:
+		return eris.Wrapf(ErrConflict, "this change was accepted before, and %d of its nodes were changed again since; nothing was changed. pondctl pull brings the newer side", len(answer.Superseded))
+	}
+	return nil
+}
+
+// relock notes the revisions that the declared nodes have now. If that fails, the next apply finds the same
+// change id and mends it.
+func (c *command) relock(ctx context.Context, dir string, locked *lock, declared *settings.Declarations) {
+	current, err := get[admin.Settings](ctx, c.client, admin.SettingsPath, nil)
+	if err == nil {
+		locked.Version = current.Version
+		locked.takeEqual(declared, current.Tree)
+		err = locked.write(dir)
+	}
+	if err != nil {
+		c.progress("warning: accepted, but %s was not brought up to date (%v); run the same command again", LockFile, err)
+	}
+}
+
+// takeEqual takes the revisions of the nodes that are as declared. Others are left alone: somebody has
+// changed them, and to take their revision for a base would undo that unseen.
+func (l *lock) takeEqual(declared *settings.Declarations, tree *settings.Tree) {
+	for path, values := range declared.Nodes {
+		if current, exists := tree.Nodes[path]; exists && current.Values.Equal(values) {
+			l.take(path, current)
+		}
+	}
+	for path := range l.Nodes {
+		_, here := declared.Nodes[path]
+		if _, there := tree.Nodes[path]; !here && !there {
+			delete(l.Nodes, path)
+		}
+	}
+}
