Directory's handler, and the planned stop as a state machine

An overloaded entry tells the others by its status (a counter and a flag), which callers' answers leave out. The directory remembers the longest time that it told a caller, since settings may shorten it before a stop.

--- /dev/null
+++ b/entry/directory/directory_test.go
@@ -0,0 +1,149 @@
+package directory
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/emicklei/go-restful/v3"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/skylarkpond/skylarkpond/contract"
+	"github.com/skylarkpond/skylarkpond/entry/member"
+	"github.com/skylarkpond/skylarkpond/link/platform"
+	policy "github.com/skylarkpond/skylarkpond/policy/directory"
+)
+
+func TestDirectory(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "entry/directory")
+}
+
+type fakeMembers struct {
+	live       []member.Peer
+	self       member.Peer
+	overloaded bool
+}
+
+func (f *fakeMembers) Live() []member.Peer     { return f.live }
+func (f *fakeMembers) Self() member.Peer       { return f.self }
+func (f *fakeMembers) SetOverloaded(over bool) { f.overloaded = over }
+
+func peerAt(name, place, domain string) member.Peer {
+	return member.Peer{Entry: platform.Entry{Name: name, PublicAddress: name + ":8080", Place: place, FailureDomain: domain}}
+}
+
+type bench struct {
+	*Directory
+	members    *fakeMembers
+	ttl        time.Duration
+	now        time.Time
+	inProgress int
+}
+
+func newBench() *bench {
+	b := &bench{ttl: time.Minute, now: time.Unix(1_700_000_000, 0), members: &fakeMembers{
+		self: peerAt("a1", "pampa", "a"),
+		live: []member.Peer{
+			peerAt("a1", "pampa", "a"), peerAt("a2", "pampa", "a"), peerAt("b1", "pampa", "b"), peerAt("c1", "aotearoa", "c"),
+		},
+	}}
+	b.Directory = New(Deps{
+		Members: b.members, Rand: rand.New(rand.NewPCG(1, 1)), Choice: policy.DefaultConfig(),
+		TTL: func() time.Duration { return b.ttl }, Clock: func() time.Time { return b.now },
+		InProgress: func() int { return b.inProgress },
+		Overload:   policy.OverloadConfig{High: 10, Low: 5, After: time.Second, Calm: time.Second},
+	})
+	return b
+}
+
+func (b *bench) get(query string) *httptest.ResponseRecorder {
+	service := new(restful.WebService)
+	service.Path("/v1")
+	b.Register(service)
+	container := restful.NewContainer()
+	container.Add(service)
+	answer := httptest.NewRecorder()
+	container.ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/v1/entries"+query, nil))
+	return answer
+}
+
+func (b *bench) entries(query string) Answer {
+	got := b.get(query)
+	Expect(got.Code).To(Equal(http.StatusOK), got.Body.String())
+	var answer Answer
+	Expect(json.Unmarshal(got.Body.Bytes(), &answer)).To(Succeed())
+	return answer
+}
+
+var _ = Describe("GET /v1/entries", func() {
+	It("names live entries of the caller's place first, and how long to keep them", func() {
+		b := newBench()
+		got := b.get("")
+		var answer Answer
+		Expect(json.Unmarshal(got.Body.Bytes(), &answer)).To(Succeed())
+		Expect(answer.Entries).To(HaveLen(4))
+		Expect(answer.Entries[3].Place).To(Equal("aotearoa"))
+		Expect(answer.KeepSeconds).To(And(BeNumerically("<=", 60), BeNumerically(">=", 47)))
+		Expect(got.Header().Get("Cache-Control")).To(Equal("private, max-age=" + strconv.Itoa(answer.KeepSeconds)))
+		Expect(b.entries("?place=aotearoa").Entries[0].Address).To(Equal("c1:8080"))
+		Expect(b.entries("?failure_domain=b&count=1").Entries).To(ConsistOf(HaveField("FailureDomain", "b")))
+	})
+
+	It("refuses parameters that make no sense", func() {
+		b := newBench()
+		for _, query := range []string{"?count=0", "?count=33", "?count=x", "?place=A%20B", "?failure_domain=-"} {
+			got := b.get(query)
+			Expect(got.Code).To(Equal(http.StatusBadRequest), query)
+			var problem contract.Problem
+			Expect(json.Unmarshal(got.Body.Bytes(), &problem)).To(Succeed())
+			Expect(problem.Code).To(Equal(contract.CodeBadRequest))
+			Expect(problem.Next).NotTo(BeEmpty())
+		}
+	})
+
+	// An entry that has just started has not spoken with a peer yet and owns nothing. A caller that is sent
+	// away by it would have nowhere to go, while it could well be served.
+	It("names itself while it knows nobody, unless it is leaving", func() {
+		b := newBench()
+		b.members.live = nil
+		Expect(b.entries("").Entries).To(ConsistOf(HaveField("Address", "a1:8080")))
+		b.members.self.Leaving = true
+		got := b.get("")
+		Expect(got.Code).To(Equal(http.StatusServiceUnavailable))
+		Expect(got.Header().Get("Retry-After")).To(Equal("1"))
+	})
+
+	It("leaves out an overloaded entry, and says so of itself", func() {
+		b := newBench()
+		b.members.live[2].Overloaded = true
+		for range 20 {
+			Expect(b.entries("").Entries).NotTo(ContainElement(HaveField("Address", "b1:8080")))
+		}
+		b.inProgress = 10
+		b.observe(0)
+		Expect(b.members.overloaded).To(BeFalse())
+		b.observe(time.Second)
+		Expect(b.members.overloaded).To(BeTrue())
+		b.inProgress = 0
+		b.observe(2 * time.Second)
+		b.observe(3 * time.Second)
+		Expect(b.members.overloaded).To(BeFalse())
+	})
+
+	// Operators shorten the time to live right before an entry is stopped. Callers that were told the
+	// longer one still come.
+	It("remembers the longest time that it told a caller", func() {
+		b := newBench()
+		b.entries("")
+		b.ttl = time.Second
+		Expect(b.KeptUntil()).To(Equal(b.now.Add(time.Minute)))
+		b.now = b.now.Add(2 * time.Minute)
+		Expect(b.KeptUntil()).To(Equal(b.now.Add(time.Second)))
+	})
+})
--- /dev/null
+++ b/entry/drain/drain_test.go
@@ -0,0 +1,115 @@
+package drain
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rotisserie/eris"
+)
+
+func TestDrain(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "entry/drain")
+}
+
+// fakeClock jumps ahead when somebody sleeps.
+type fakeClock struct {
+	now     time.Time
+	onSleep func()
+}
+
+func (c *fakeClock) Now() time.Time { return c.now }
+
+func (c *fakeClock) Sleep(_ context.Context, d time.Duration) {
+	c.now = c.now.Add(d)
+	if c.onSleep != nil {
+		c.onSleep()
+	}
+}
+
+// stop is a Drain whose steps are written down with the time since the start.
+type stop struct {
+	*Drain
+	clock      *fakeClock
+	log        []string
+	inProgress int
+	publish    func(ctx context.Context) error
+}
+
+const ttl = time.Minute
+
+func newStop() *stop {
+	start := time.Unix(1_700_000_000, 0)
+	s := &stop{clock: &fakeClock{now: start}, publish: func(context.Context) error { return nil }}
+	note := func(what string) {
+		s.log = append(s.log, what+" "+s.clock.now.Sub(start).Truncate(time.Second).String())
+	}
+	s.Drain = New(Config{Margin: 5 * time.Second, FinishTimeout: 10 * time.Minute}, Steps{
+		Leave:       func() { note("leave") },
+		Publish:     func(ctx context.Context) error { return s.publish(ctx) },
+		KeptUntil:   func() time.Time { return s.clock.now.Add(ttl) },
+		GiveUpHomes: func() { note("give up homes") },
+		Close:       func() { note("close") },
+		InProgress:  func() int { return s.inProgress },
+		Entered:     func(p Phase) { note(p.String()) },
+	}, s.clock)
+	return s
+}
+
+var _ = Describe("a planned stop", func() {
+	It("leaves first, closes only when no caller may hold the address, then finishes", func() {
+		s := newStop()
+		Expect(s.Phase()).To(Equal(Serving))
+		Expect(s.Run(context.Background())).To(Succeed())
+		Expect(s.log).To(Equal([]string{
+			"leaving 0s", "leave 0s",
+			"closing 1m5s", "give up homes 1m5s", "close 1m5s",
+			"finishing 1m5s", "stopped 1m5s",
+		}))
+		Expect(s.Phase()).To(Equal(Stopped))
+	})
+
+	// A long answer is still streaming when the time to hold the address is over.
+	It("waits for requests in progress, and says so when some were cut", func() {
+		s := newStop()
+		s.inProgress = 3
+		s.clock.onSleep = func() {
+			if s.clock.now.Sub(time.Unix(1_700_000_000, 0)) > 3*time.Minute {
+				s.inProgress = 0
+			}
+		}
+		Expect(s.Run(context.Background())).To(Succeed())
+		Expect(s.log).To(ContainElement("stopped 3m0s"))
+
+		s = newStop()
+		s.inProgress = 1
+		Expect(s.Run(context.Background())).To(MatchError(ErrCut))
+		Expect(s.log).To(ContainElement("stopped 11m5s"))
+	})
+
+	// The platform is out while the entry is stopped, so that nothing can be written. The others know by
+	// rumour; a stop that waited for the platform would last as long as the outage.
+	It("does not wait for the platform", func() {
+		s := newStop()
+		ended := make(chan struct{})
+		s.publish = func(ctx context.Context) error {
+			<-ctx.Done()
+			close(ended)
+			return eris.New("platform out")
+		}
+		Expect(s.Run(context.Background())).To(Succeed())
+		Expect(ended).To(BeClosed())
+	})
+
+	It("is over at once when it is called off", func() {
+		s := newStop()
+		s.inProgress = 2
+		ctx, cancel := context.WithCancel(context.Background())
+		s.clock.onSleep = cancel
+		Expect(s.Run(ctx)).To(MatchError(ErrCut))
+		Expect(s.Phase()).To(Equal(Stopped))
+	})
+})
--- a/entry/member/apply.go
+++ b/entry/member/apply.go
@@ -120,7 +120,7 @@
 	if spread {
 		m.queue.put(statusKey(s.Name), item{Status: &s}, true)
 	}
-	if before.State != s.State || before.Leaving != s.Leaving {
+	if before.State != s.State || before.Leaving != s.Leaving || before.Overloaded != s.Overloaded {
 		m.changed()
 	}
 }
--- a/entry/member/fault_test.go
+++ b/entry/member/fault_test.go
@@ -50,6 +50,17 @@
 		})
 	})
 
+	It("tells all of an entry that is overloaded, and when it no longer is", func() {
+		s := startedSim(1, 16)
+		for _, overloaded := range []bool{true, false} {
+			s.nodes[3].SetOverloaded(overloaded)
+			s.until(deadBound, func() bool { return s.nodes[9].peers[s.nodes[3].entry.Name].status.Overloaded == overloaded })
+			for _, p := range s.nodes[9].Live() {
+				Expect(p.Overloaded).To(Equal(overloaded && p.Name == s.nodes[3].entry.Name))
+			}
+		}
+	})
+
 	// A lossy network drops one message in twenty, without the retransmission that QUIC would add. An
 	// entry that is declared dead by mistake loses its homes for a moment.
 	It("rarely mistakes a live entry for a dead one at 5% loss, and loses no rumour", func() {
--- a/entry/member/member.go
+++ b/entry/member/member.go
@@ -101,7 +101,7 @@
 func (m *Members) selfPeer() Peer {
 	entry := m.selfEntry
 	entry.Leaving = m.self.Leaving
-	return Peer{Entry: entry, State: m.self.State, Self: true}
+	return Peer{Entry: entry, State: m.self.State, Self: true, Overloaded: m.self.Overloaded}
 }
 
 // Live returns the entries that can be given to callers and can own things: alive or only suspected,
@@ -187,6 +187,20 @@
 	m.changed()
 }
 
+// SetOverloaded tells the others whether callers should be sent elsewhere. Each change is a rumour to all:
+// whoever calls it sees to it that it changes seldom.
+func (m *Members) SetOverloaded(overloaded bool) {
+	m.mu.Lock()
+	defer m.unlock()
+	if m.self.Overloaded == overloaded {
+		return
+	}
+	m.self.Overloaded = overloaded
+	m.self.Counter++
+	m.announceSelf()
+	m.changed()
+}
+
 // announceSelf queues the own status. Called with mu held. Who lacks the profile asks for it once: pushed
 // along, it would be sent eleven times by each of 330 entries.
 func (m *Members) announceSelf() {
--- a/entry/member/status.go
+++ b/entry/member/status.go
@@ -40,6 +40,8 @@
 	State   State  `cbor:"5,keyasint"`
 	// Leaving is set by the entry itself and stays set for the life of the process.
 	Leaving bool `cbor:"6,keyasint,omitempty"`
+	// Overloaded is set and unset by the entry itself.
+	Overloaded bool `cbor:"7,keyasint,omitempty"`
 }
 
 // supersedes reports whether a replaces b, both of one name. It is a strict order within a process, and
@@ -100,4 +102,6 @@
 	// Unreachable says that this entry's own pings fail although others reach the peer: a one-way or
 	// partial cut.
 	Unreachable bool
+	// Overloaded says that the entry asks to be left out of what callers are told.
+	Overloaded bool
 }
