Directory: a short answer still begins with the nearest

With one address asked for, the answer was the one meant for its end, in another failure domain. The property now draws the length of the answer.

--- a/policy/directory/choose.go
+++ b/policy/directory/choose.go
@@ -41,7 +41,7 @@
 	// the chance that all of them fail within the time that an answer is kept is that of a lost place.
 	Count int
 	// Elsewhere is how many of them stand in other failure domains than the first, since a domain
-	// fails as a whole.
+	// fails as a whole. Never all of them: the first is the nearest.
 	Elsewhere int
 	// CalmShare is the least share of usable entries that must not be overloaded for the others to be
 	// left out. When more than half of all say so, the load is too high everywhere, and leaving
@@ -137,7 +137,7 @@
 		}
 	}
 	elsewhere := append(fresh, other...)
-	elsewhere = elsewhere[:min(cfg.Elsewhere, len(elsewhere))]
+	elsewhere = elsewhere[:min(cfg.Elsewhere, cfg.Count-1, len(elsewhere))]
 	taken := make(map[int]bool, len(elsewhere))
 	for _, i := range elsewhere {
 		taken[i] = true
--- a/policy/directory/choose_test.go
+++ b/policy/directory/choose_test.go
@@ -138,6 +138,26 @@
 	return callers
 }
 
+// nearest returns the first of the answer that is as near as any candidate.
+func (cfg Config) nearest(entries []Candidate, caller Caller, answer []Candidate) Candidate {
+	candidates := cfg.calm(usable(entries))
+	inPlace := filter(candidates, func(c Candidate) bool { return c.Place == caller.Place })
+	best := 0
+	rank := func(c Candidate) int {
+		switch {
+		case caller.Place != "" && c.Place != caller.Place:
+			return 0
+		case cfg.carries(inPlace, caller.FailureDomain) && c.FailureDomain == caller.FailureDomain:
+			return 2
+		}
+		return 1
+	}
+	for _, c := range candidates {
+		best = max(best, rank(c))
+	}
+	return answer[slices.IndexFunc(answer, func(c Candidate) bool { return rank(c) == best })]
+}
+
 func show(what string, o outcome) { fmt.Fprintf(GinkgoWriter, "%s: %v\n", what, o) }
 
 var _ = Describe("which entries callers are told", func() {
@@ -209,9 +229,11 @@
 				Place:         rapid.SampledFrom([]string{"", "pampa", "aotearoa"}).Draw(t, "place"),
 				FailureDomain: rapid.SampledFrom([]string{"", "fd-0", "fd-9"}).Draw(t, "domain"),
 			}
-			got := Choose(DefaultConfig(), entries, caller, seeded(rapid.Uint64().Draw(t, "seed")))
+			cfg := DefaultConfig()
+			cfg.Count = rapid.IntRange(1, 8).Draw(t, "count")
+			got := Choose(cfg, entries, caller, seeded(rapid.Uint64().Draw(t, "seed")))
 			could := usable(entries)
-			if (len(got) == 0) != (len(could) == 0) || len(got) > DefaultConfig().Count {
+			if (len(got) == 0) != (len(could) == 0) || len(got) > cfg.Count {
 				t.Fatalf("%d of %d", len(got), len(could))
 			}
 			seen := map[string]bool{}
@@ -227,7 +249,10 @@
 			for _, e := range DefaultConfig().calm(could) {
 				candidates[e.FailureDomain] = true
 			}
-			if len(candidates) > 1 && len(domains) < 2 {
+			if len(got) > 0 && got[0] != cfg.nearest(entries, caller, got) {
+				t.Fatalf("the first is not the nearest: %+v", got)
+			}
+			if len(candidates) > 1 && len(domains) < 2 && cfg.Count > 1 {
 				t.Fatalf("all in one failure domain of %d", len(candidates))
 			}
 		})
