Link: a server that stops lets the last bytes of its answers out

Closing at once dropped what was on its way: a stream whose handler had ended well was seen as broken off by its caller (the new test failed so, with the old close put back). It now sends GOAWAY and waits up to two seconds.

--- a/link/peer/peer_test.go
+++ b/link/peer/peer_test.go
@@ -312,6 +312,34 @@
 		Eventually(ended, patience).Should(Receive())
 	})
 
+	// An entry stops while the last part of an answer is on its way. Closed at once, the connection drops
+	// it, and the caller of a whole answer is told that it broke off.
+	It("ends whole when the server stops, and refuses what comes after as not taken", func() {
+		for range 3 {
+			release := make(chan struct{})
+			f := newFixture(func(s *Server) {
+				HandleStream(s, "/release", func(_ context.Context, _ string, _ echo, send func(any) error) error {
+					if err := send(echo{}); err != nil {
+						return err
+					}
+					<-release
+					return send(make([]byte, 100_000))
+				})
+			})
+			r, err := f.client.Stream(testContext(), f.address(), "/release", echo{})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(r.Next(new(echo))).To(Succeed())
+			f.stop()
+			close(release)
+			var last []byte
+			Expect(r.Next(&last)).To(Succeed())
+			Expect(last).To(HaveLen(100_000))
+			Expect(r.Next(new(echo))).To(MatchError(io.EOF))
+			r.Close()
+			Expect(f.client.Call(testContext(), f.address(), "/release", echo{}, nil)).To(MatchError(ErrNotSent))
+		}
+	})
+
 	It("carries many at once on one connection", func() {
 		f := newFixture(registerEcho)
 		var wait sync.WaitGroup
--- a/link/peer/server.go
+++ b/link/peer/server.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/quic-go/quic-go/http3"
@@ -34,16 +35,31 @@
 	}
 }
 
-// Serve answers on conn until ctx ends; requests in progress are then cut. Whoever stops gracefully
-// waits for them before.
+// shutdownGrace bounds the time for requests in progress after the end of Serve's context. Whoever stops
+// gracefully has waited for them before; what remains is that the last bytes of their answers are on the
+// way. A connection closed at once would drop them, and a whole answer would look broken off.
+const shutdownGrace = 2 * time.Second
+
+// Serve answers on conn until ctx ends. Then it refuses new requests as not taken, and returns after
+// those in progress, or shutdownGrace.
 func (s *Server) Serve(ctx context.Context, conn net.PacketConn) error {
-	stop := context.AfterFunc(ctx, func() { _ = s.http.Close() })
-	defer stop()
+	closed := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(closed)
+		s.shutdown()
+	})
 	err := s.http.Serve(conn)
-	if errors.Is(err, http.ErrServerClosed) && ctx.Err() != nil {
-		return nil
+	if stop() {
+		return eris.Wrap(err, "serving peers")
 	}
-	return eris.Wrap(err, "serving peers")
+	<-closed
+	return nil
+}
+
+func (s *Server) shutdown() {
+	grace, cancel := context.WithTimeout(context.Background(), shutdownGrace)
+	defer cancel()
+	_ = s.http.Shutdown(grace)
 }
 
 // Handle registers the handler of path, before Serve. The handler gets the name of the calling entry;
