--- a/entry/drain/drain.go
+++ b/entry/drain/drain.go
@@ -23,7 +23,7 @@
 	// Leaving: the others are told, by rumour and by the platform; requests are still taken in, since
 	// callers may keep the address.
 	Leaving
-	// Closing: nobody may hold the address any more; homes are given up and no request is taken in.
+	// Closing: nobody may hold the address any more; no request is taken in.
 	Closing
 	// Finishing: requests in progress are waited for.
 	Finishing
@@ -41,14 +41,13 @@
 
 // Steps is what a stop does. Each step returns without waiting for its effect, but for Publish.
 type Steps struct {
-	// Leave takes the entry out of what callers are told, by rumour. Homes move with it.
+	// Leave takes the entry out of what callers are told, by rumour. Its homes move as the news spread,
+	// and from now on it refuses dispatches to them as not run: so none is left to give up at the end.
 	Leave func()
 	// Publish writes the same into the platform. It waits out an outage; the stop does not wait for it.
 	Publish func(ctx context.Context) error
 	// KeptUntil returns until when a caller that asked by now may keep the address.
 	KeptUntil func() time.Time
-	// GiveUpHomes refuses dispatches that come from now on, with a promise that they did not run.
-	GiveUpHomes func()
 	// Close stops taking in connections and requests of callers; those in progress go on.
 	Close func()
 	// InProgress counts the requests in progress, of callers and of other entries' fronts.
@@ -106,7 +105,6 @@
 	d.leave(publishing, published)
 	d.linger(ctx)
 	d.enter(Closing)
-	d.steps.GiveUpHomes()
 	d.steps.Close()
 	d.enter(Finishing)
 	cut := d.finish(ctx)
