--- a/policy/quarantine/config.go
+++ b/policy/quarantine/config.go
@@ -9,10 +9,13 @@
 // The rules, per service, on the fingerprint of a request's content:
 //
 //   - When a group crashes, every request then in progress on it is a suspect.
+//
 //   - A suspect runs again only on trial: as the only suspect on its group, and on one group at a time. The
 //     trial is claimed by a conditional write of the service's object before the request is sent.
+//
 //   - A crash during the trial quarantines the request; so does a second crash of copies that were sent
 //     before anything was known. A quarantined request is refused by all entries.
+//
 //   - A suspect that finishes anywhere is cleared. A quarantine from a trial stands all the same, since a
 //     request that crashes engines only sometimes also finishes sometimes.
 //
