--- a/entry/controller/view.go
+++ b/entry/controller/view.go
@@ -177,7 +177,7 @@
 func (w *work) viewGroup(g vm.Group) forming.Group {
 	group := forming.Group{
 		ID: string(g.ID), Service: g.Service, Version: versionOf(g.Model, g.ModelVersion),
-		State: forming.State(g.State), Epoch: g.Epoch, NotWhole: g.NotWhole,
+		Size: len(g.Members), State: forming.State(g.State), Epoch: g.Epoch, NotWhole: g.NotWhole,
 		TokenGap: w.c.Loads.TokenGap(g.ID),
 	}
 	whole, known := w.c.Loads.Whole(g.ID)
--- a/policy/forming/decide.go
+++ b/policy/forming/decide.go
@@ -125,7 +125,7 @@
 		}
 		s, wanted := p.services[g.Service]
 		switch {
-		case g.State != Serving && (c.worst == faultLeaving || !wanted || s.Version != g.Version):
+		case g.State != Serving && (c.worst == faultLeaving || !wanted || g.outdated(s)):
 			p.dissolve(g, "superseded before it served")
 		case c.worst == faultLeaving:
 			p.drain(g, "", c.reason())
--- a/policy/forming/view.go
+++ b/policy/forming/view.go
@@ -90,7 +90,9 @@
 	Version string
 	State   State
 	Members []Member
-	Epoch   uint64
+	// Size is how many members it has, for groups of other domains, which are without Members; 0: not known.
+	Size  int
+	Epoch uint64
 	// NotWhole is what the placement says of a group whose member is missing for long. It is how the
 	// controllers of other fabric domains learn of it.
 	NotWhole bool
@@ -111,12 +113,20 @@
 // counts says that the group is, or is on the way to be, a replica.
 func (g Group) counts() bool { return g.State != Draining && !g.NotWhole }
 
+// size returns the number of members, or 0 if it is not known.
+func (g Group) size() int { return max(g.Size, len(g.Members)) }
+
+// outdated says that the group is another than s wants now, and is to be replaced.
+func (g Group) outdated(s Service) bool {
+	return g.Version != s.Version || g.size() != 0 && g.size() != s.GroupSize
+}
+
 // Domain is what another fabric domain reports through its placement.
 type Domain struct {
 	Name string
 	// Live counts the usable VMs by the service that they are dedicated to (empty: any).
 	Live map[string]int
-	// Groups are without members.
+	// Groups are without Members.
 	Groups []Group
 }
 
