A round over a domain no longer reads its error back from what the next round owns

Cause: Reconcile kept its error in work.problem, gave the work back, and then read the field to return it, while another worker may already be in the next round and write it. Seen under -race in dev, at work.go:75 and 77. The new test failed in 3 runs of 3 with that race before, and passes in 3 of 3 after.

--- a/entry/controller/work.go
+++ b/entry/controller/work.go
@@ -72,9 +72,10 @@
 	if w == nil {
 		return nil
 	}
-	w.problem = w.round(ctx)
-	c.end(w, !eris.Is(w.problem, ErrNotOwner))
-	return w.problem
+	err := w.round(ctx)
+	w.problem = err
+	c.end(w, !eris.Is(err, ErrNotOwner))
+	return err // not w.problem: from end on, w is the next round's
 }
 
 func (w *work) round(ctx context.Context) error {
