--- a/internal/standin/engine/controls.go
+++ b/internal/standin/engine/controls.go
@@ -23,6 +23,12 @@
 	service.Route(service.GET("/orders").To(func(_ *restful.Request, response *restful.Response) {
 		writeLines(response, h.Orders())
 	}))
+	service.Route(service.GET("/arrivals").To(func(_ *restful.Request, response *restful.Response) {
+		writeLines(response, h.Arrivals())
+	}))
+	service.Route(service.GET("/lives").To(func(_ *restful.Request, response *restful.Response) {
+		writeLines(response, h.Lives())
+	}))
 	service.Route(service.POST("/vms/{vm}/switches").To(switching(func(name string, s Switches) error {
 		return h.Switch(vm.Name(name), s)
 	}, "vm")))
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -5,8 +5,10 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -219,6 +221,30 @@
 		}
 	})
 
+	// The way from one caller to a VM is cut. The caller can't tell that from a dead VM; others still reach it.
+	It("does not hear those it is cut from, and logs who arrived and how it lived", func() {
+		r := form(engine.DefaultOptions, "", 1)
+		r.set("vm1", engine.Switches{CutFrom: &[]netip.Addr{netip.MustParseAddr("127.0.0.1")}})
+		_, err := client.Probe(ctx, r.vms[0].Address)
+		Expect(err).To(MatchError(link.ErrBroken))
+		other := link.NewHTTPClient(net.IPv4(127, 0, 0, 2))
+		_, err = other.Probe(ctx, r.vms[0].Address)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r.host.Arrivals()).To(BeEmpty())
+
+		r.set("vm1", engine.Switches{CutFrom: &[]netip.Addr{}, Freeze: &yes})
+		go func() { _, _ = r.complete("r1", 0) }()
+		Eventually(r.host.Arrivals, eventually).Should(HaveLen(1))
+		Expect(r.host.Runs()).To(BeEmpty())
+		Expect(r.host.Arrivals()[0]).To(And(HaveField("RequestID", "r1"), HaveField("Group", vm.GroupID("g"))))
+		r.set("vm1", engine.Switches{Freeze: &no, Restart: true})
+		var turns []engine.Turn
+		for _, life := range r.host.Lives() {
+			turns = append(turns, life.Turn)
+		}
+		Expect(turns).To(Equal([]engine.Turn{engine.Booted, engine.Frozen, engine.Thawed, engine.Died, engine.Booted}))
+	})
+
 	It("obeys over HTTP and shows its logs", func() {
 		r := form(engine.DefaultOptions, "s", 1)
 		server := httptest.NewServer(r.host.Handler())
--- a/internal/standin/engine/host.go
+++ b/internal/standin/engine/host.go
@@ -5,6 +5,8 @@
 //	GET  /standin/vms                          the VMs, as a list of vm.VM
 //	GET  /standin/runs                         Run, as JSON lines: what ran, where, and how it ended
 //	GET  /standin/orders                       OrderRecord, as JSON lines
+//	GET  /standin/arrivals                     Arrival, as JSON lines: each request of a caller
+//	GET  /standin/lives                        LifeRecord, as JSON lines: boots, deaths, freezes
 //	POST /standin/vms/{vm}/switches            Switches for one VM
 //	POST /standin/domains/{domain}/switches    Switches for each VM of a fabric domain
 package engine
@@ -63,10 +65,12 @@
 // Host runs the VMs of one process. It is safe for concurrent use. Lock order: mu before any machine's
 // lock; never two machines' locks at once.
 type Host struct {
-	options Options
-	runs    *runLog
-	orders  *orderLog
-	stopped atomic.Bool // no VM starts any more
+	options  Options
+	runs     *runLog
+	orders   lines[OrderRecord]
+	arrivals lines[Arrival]
+	lives    lines[LifeRecord]
+	stopped  atomic.Bool // no VM starts any more
 
 	mu       sync.RWMutex // guards machines
 	machines map[vm.Name]*machine
@@ -74,7 +78,7 @@
 
 // NewHost returns a host without VMs.
 func NewHost(options Options) *Host {
-	return &Host{options: options, runs: newRunLog(), orders: &orderLog{}, machines: make(map[vm.Name]*machine)}
+	return &Host{options: options, runs: newRunLog(), machines: make(map[vm.Name]*machine)}
 }
 
 var errVMTwice = eris.New("stand-in has this VM already")
@@ -147,6 +151,12 @@
 // Orders returns the orders that came so far.
 func (h *Host) Orders() []OrderRecord { return h.orders.list() }
 
+// Arrivals returns the requests of callers that reached a VM so far.
+func (h *Host) Arrivals() []Arrival { return h.arrivals.list() }
+
+// Lives returns the turns in the lives of the VMs so far.
+func (h *Host) Lives() []LifeRecord { return h.lives.list() }
+
 var errUnknownVM = eris.New("stand-in has no such VM")
 
 // Switch changes the faults of one VM.
--- a/internal/standin/engine/log.go
+++ b/internal/standin/engine/log.go
@@ -66,31 +66,62 @@
 	return slices.Clone(l.lines)
 }
 
-// OrderRecord is one order and what became of it.
-type OrderRecord struct {
-	Time    time.Time    `json:"time"`
-	VM      vm.Name      `json:"vm"`
-	BootID  vm.BootID    `json:"boot_id"`
-	Order   engine.Order `json:"order"`
-	Refused string       `json:"refused,omitempty"`
+// Arrival is one request of a caller as it reached a VM, before anything else: whether the VM then ran,
+// refused or held it. Group and Epoch are those that the request asked for.
+type Arrival struct {
+	Time      time.Time  `json:"time"`
+	VM        vm.Name    `json:"vm"`
+	BootID    vm.BootID  `json:"boot_id"`
+	RequestID string     `json:"request_id"`
+	Group     vm.GroupID `json:"group"`
+	Epoch     uint64     `json:"epoch"`
 }
 
-type orderLog struct {
-	mu    sync.Mutex // guards lines; a leaf lock
-	lines []OrderRecord
+// Turn is a step in the life of a VM.
+type Turn string
+
+// The turns.
+const (
+	Booted Turn = "booted"
+	Died   Turn = "died"
+	Frozen Turn = "frozen"
+	Thawed Turn = "thawed"
+)
+
+// LifeRecord is one turn in the life of a VM. BootID is empty for a VM that is dead.
+type LifeRecord struct {
+	Time   time.Time `json:"time"`
+	VM     vm.Name   `json:"vm"`
+	BootID vm.BootID `json:"boot_id,omitempty"`
+	Turn   Turn      `json:"turn"`
 }
 
-func (l *orderLog) add(record OrderRecord) {
+// lines is a log that grows in the order of time. The zero value is empty.
+type lines[T any] struct {
+	mu  sync.Mutex // guards all; a leaf lock
+	all []T
+}
+
+// add appends what stamp makes of the time.
+func (l *lines[T]) add(stamp func(time.Time) T) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	record.Time = time.Now()
-	l.lines = append(l.lines, record)
+	l.all = append(l.all, stamp(time.Now()))
 }
 
-func (l *orderLog) list() []OrderRecord {
+func (l *lines[T]) list() []T {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return slices.Clone(l.lines)
+	return slices.Clone(l.all)
+}
+
+// OrderRecord is one order and what became of it.
+type OrderRecord struct {
+	Time    time.Time    `json:"time"`
+	VM      vm.Name      `json:"vm"`
+	BootID  vm.BootID    `json:"boot_id"`
+	Order   engine.Order `json:"order"`
+	Refused string       `json:"refused,omitempty"`
 }
 
 func hash(body []byte) string {
--- a/internal/standin/engine/machine.go
+++ b/internal/standin/engine/machine.go
@@ -56,6 +56,7 @@
 	b.server = &http.Server{Handler: m.handler(b), ReadHeaderTimeout: readHeaderTimeout}
 	m.mu.Lock()
 	m.boot = b
+	m.note(Booted)
 	m.mu.Unlock()
 	go func() { _ = b.server.Serve(listener) }()
 }
@@ -67,6 +68,7 @@
 	m.boot = nil
 	if b != nil {
 		close(b.dead)
+		m.note(Died)
 	}
 	m.mu.Unlock()
 	if b != nil {
@@ -138,9 +140,20 @@
 	m.frozen = on
 	if on {
 		m.thawed = make(chan struct{})
+		m.note(Frozen)
 		return
 	}
 	close(m.thawed)
+	m.note(Thawed)
+}
+
+// note logs a turn of the VM's life. It must be called with mu held.
+func (m *machine) note(turn Turn) {
+	record := LifeRecord{VM: m.spec.Name, Turn: turn}
+	if m.boot != nil {
+		record.BootID = m.boot.id
+	}
+	m.host.lives.add(func(now time.Time) LifeRecord { record.Time = now; return record })
 }
 
 // gate waits until the VM isn't frozen, and returns whether this life still goes on. It doesn't look at
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -62,11 +62,12 @@
 	record := OrderRecord{VM: m.spec.Name, BootID: b.id, Order: order}
 	if refused != nil {
 		record.Refused = refused.reason
-		m.host.orders.add(record)
+	}
+	m.host.orders.add(func(now time.Time) OrderRecord { record.Time = now; return record })
+	if refused != nil {
 		refused.write(response)
 		return
 	}
-	m.host.orders.add(record)
 	writeJSON(response, m.state(b))
 }
 
--- a/internal/standin/engine/serve.go
+++ b/internal/standin/engine/serve.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"net/http"
+	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -23,6 +25,12 @@
 	container.Add(m.completionService(b))
 	return http.HandlerFunc(func(response http.ResponseWriter, request *http.Request) {
 		path := request.URL.Path
+		if m.isCutFrom(request.RemoteAddr) {
+			unheard(request)
+		}
+		if !strings.HasPrefix(path, "/engine/") {
+			m.noteArrival(b, request.Header)
+		}
 		if strings.HasPrefix(path, "/engine/") || m.spec.Service == "" {
 			container.Dispatch(response, request)
 			return
@@ -83,6 +91,26 @@
 	return body, err == nil && m.gate(b)
 }
 
+func (m *machine) isCutFrom(remote string) bool {
+	from, err := netip.ParseAddrPort(remote)
+	return err == nil && slices.Contains(m.settings().cutFrom, from.Addr().Unmap())
+}
+
+// unheard holds a request until its caller gives up. The body is read first, for only then does net/http
+// notice that the caller is gone.
+func unheard(request *http.Request) {
+	_, _ = io.Copy(io.Discard, request.Body)
+	<-request.Context().Done()
+	abort()
+}
+
+func (m *machine) noteArrival(b *boot, header http.Header) {
+	a := parseHeader(header)
+	m.host.arrivals.add(func(now time.Time) Arrival {
+		return Arrival{Time: now, VM: m.spec.Name, BootID: b.id, RequestID: a.requestID, Group: a.group, Epoch: a.epoch}
+	})
+}
+
 // abort breaks the connection without a further word.
 func abort() { panic(http.ErrAbortHandler) }
 
--- a/internal/standin/engine/switches.go
+++ b/internal/standin/engine/switches.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"net/netip"
 	"time"
 )
 
@@ -59,6 +60,8 @@
 	LoadingMillis  *int64 `json:"loading_ms,omitempty"`
 	PlainMillis    *int64 `json:"plain_ms,omitempty"`
 	TokenGapMillis *int64 `json:"token_gap_ms,omitempty"`
+	// CutFrom lets the VM not hear what these source IPs ask, as if the way from there were cut.
+	CutFrom *[]netip.Addr `json:"cut_from,omitempty"`
 	// PlainBytes pads the answers of a plain service to at least this size.
 	PlainBytes *int `json:"plain_bytes,omitempty"`
 }
@@ -78,6 +81,7 @@
 	plainTime   time.Duration
 	plainBytes  int
 	tokenGap    time.Duration
+	cutFrom     []netip.Addr
 }
 
 func newSettings(o Options, plain bool) settings {
@@ -107,6 +111,7 @@
 	set(&s.cut, c.Cut)
 	set(&s.mangle, c.Mangle)
 	set(&s.plainBytes, c.PlainBytes)
+	set(&s.cutFrom, c.CutFrom)
 	setMillis(&s.loadLag, c.LoadLagMillis)
 	setMillis(&s.loading, c.LoadingMillis)
 	setMillis(&s.plainTime, c.PlainMillis)
