--- a/entry/providers.go
+++ b/entry/providers.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/skylarkpond/skylarkpond/contract/attempt"
+	"github.com/skylarkpond/skylarkpond/domain"
 	"github.com/skylarkpond/skylarkpond/entry/admission"
 	"github.com/skylarkpond/skylarkpond/entry/controller"
 	"github.com/skylarkpond/skylarkpond/entry/fleet"
@@ -18,6 +19,7 @@
 	"github.com/skylarkpond/skylarkpond/entry/mirror"
 	"github.com/skylarkpond/skylarkpond/entry/operator"
 	"github.com/skylarkpond/skylarkpond/entry/prober"
+	"github.com/skylarkpond/skylarkpond/entry/routing"
 	"github.com/skylarkpond/skylarkpond/link/engine"
 	"github.com/skylarkpond/skylarkpond/link/peer"
 	"github.com/skylarkpond/skylarkpond/link/platform"
@@ -37,7 +39,7 @@
 const reservedShare = 0.2
 
 func provideStore(config Config, measures *measures) platform.Store {
-	return platform.NewClient(config.Platform, platform.WithMetrics(measures.registry), platform.WithRates(platform.Rates{
+	return platform.NewClient(config.Platform, platform.WithSource(config.source()), platform.WithMetrics(measures.registry), platform.WithRates(platform.Rates{
 		Shared:   config.PlatformRate * (1 - reservedShare),
 		Reserved: config.PlatformRate * reservedShare,
 	}))
@@ -54,10 +56,12 @@
 
 func provideOwners(members *member.Members) owners { return owners{members} }
 
-func providePeerClient(self registered, members *member.Members) *peer.Client {
-	return peer.NewClient(self.identity, members)
+func providePeerClient(config Config, self registered, members *member.Members) *peer.Client {
+	return peer.NewClient(self.identity, members, config.source())
 }
 
+func provideEngines(config Config) engine.Client { return engine.NewHTTPClient(config.source()) }
+
 func providePeerServer(self registered, members *member.Members) *peer.Server {
 	return peer.NewServer(self.identity, members)
 }
@@ -98,26 +102,18 @@
 }
 
 func provideFront(
-	config Config, inForce *settingsInForce, dispatcher *dispatcher, table *fleet.Table, attempts *attempt.Records,
+	config Config, inForce *settingsInForce, dispatcher *dispatcher, router *routing.Router, attempts *attempt.Records,
 	recorder *timeline.Recorder,
 ) *front.Front {
 	return front.New(front.Deps{
 		Self: config.Name, Settings: inForce.Snapshot, Dispatcher: dispatcher, Holders: dispatcher,
-		Chooser: front.RandomChooser{Groups: wholeGroups(table)}, Retries: front.NewShareBudget(),
+		Chooser: router, Retries: router,
 		Attempts: attempts, Recorder: recorder,
 	})
 }
 
-func wholeGroups(table *fleet.Table) func(service string) []vm.GroupID {
-	return func(service string) []vm.GroupID {
-		var ids []vm.GroupID
-		for _, c := range table.Candidates(service) {
-			if c.Status.Whole {
-				ids = append(ids, c.Group.ID)
-			}
-		}
-		return ids
-	}
+func provideRouter(config Config, measures *measures) *routing.Router {
+	return routing.New(domain.FailureDomain(config.FailureDomain), measures.registry)
 }
 
 // statusTopic is that of the rumours that carry a fleet.Status.
