Homes hold back requests that crash backend servers, for all entries

Whether a break is a crash is found out by a probe of the members (a process that is gone, or another boot) before the front hears of it, so that no retry outruns the news; trials and crashes are written to quarantine/<service>. Found on the way: two fields of contract.Dispatch had the same CBOR number, so that neither arrived (Least and Renounced). contract's TestNoFieldIsLostOnTheWay failed on it, and passes with numbers of their own.

--- a/contract/dispatch.go
+++ b/contract/dispatch.go
@@ -24,7 +24,7 @@
 	// Work is the estimated work in tokens.
 	Work int `cbor:"9,keyasint"`
 	// Least is the work in tokens that it takes at least, where Work is a bound that the caller named.
-	Least int `cbor:"20,keyasint,omitempty"`
+	Least int `cbor:"21,keyasint,omitempty"`
 	// Prefix is the hash of the prompt's prefix, for affinity.
 	Prefix uint64 `cbor:"10,keyasint"`
 	// Unrepeatable requests are claimed before they are sent, under Key and Attempt.
@@ -40,6 +40,8 @@
 	// Plain is set for a call of a plain service, nil for a completion.
 	Plain *PlainCall `cbor:"17,keyasint"`
 	Body  []byte     `cbor:"18,keyasint"`
+	// Crash names the crash of a backend server that an earlier try of this request ended in.
+	Crash string `cbor:"22,keyasint,omitempty"`
 	// Time is the sender's hybrid logical time, for the time line.
 	Time int64 `cbor:"19,keyasint"`
 	// Renounced lists the nonces of claims on Key whose holders told this front, by FrameRefused, that they
@@ -111,6 +113,8 @@
 	// Load is the group's load at the home, sent with the first and the last frame of a dispatch. It costs
 	// no message of its own, so it scales with the traffic and not with fronts times groups.
 	Load *GroupLoad `cbor:"17,keyasint,omitempty"`
+	// Crash is set in FrameBroken if a backend server crashed: the request is a suspect from now on.
+	Crash string `cbor:"18,keyasint,omitempty"`
 }
 
 // GroupLoad is the load of one group as its home sees it.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -19,7 +19,10 @@
 
 	"github.com/skylarkpond/skylarkpond/entry/admission"
 	"github.com/skylarkpond/skylarkpond/entry/controller"
+	"github.com/skylarkpond/skylarkpond/entry/directory"
+	"github.com/skylarkpond/skylarkpond/entry/drain"
 	"github.com/skylarkpond/skylarkpond/entry/front"
+	"github.com/skylarkpond/skylarkpond/entry/guard"
 	"github.com/skylarkpond/skylarkpond/entry/member"
 	"github.com/skylarkpond/skylarkpond/entry/mirror"
 	"github.com/skylarkpond/skylarkpond/entry/operator"
@@ -47,8 +50,11 @@
 	follower     *mirror.Follower
 	prober       *prober.Prober
 	admission    *admission.Admission
+	guard        *guard.Guard
 	controller   *controller.Controller
 	front        *front.Front
+	directory    *directory.Directory
+	gate         *drain.Gate
 	operator     *operator.Server
 	overview     *overview
 	dispatcher   *dispatcher
@@ -59,8 +65,9 @@
 	metrics      *measures
 }
 
-// shutdownTimeout bounds the wait for requests in progress after the listeners are closed.
-const shutdownTimeout = 5 * time.Minute
+// finishTimeout bounds the wait of a planned stop for requests in progress. It is above every request
+// timeout that settings allow to be useful; a longer answer is cut, and the stop says so.
+const finishTimeout = 10 * time.Minute
 
 // Run serves until ctx ends, then drains: it leaves the directory, keeps serving for longer than callers
 // may keep its address, finishes the requests in progress, and returns.
@@ -86,6 +93,8 @@
 	start(func(ctx context.Context) error { e.follower.Run(ctx); return nil })
 	start(func(ctx context.Context) error { e.prober.Run(ctx); return nil })
 	start(func(ctx context.Context) error { e.admission.Run(ctx); return nil })
+	start(func(ctx context.Context) error { e.directory.Run(ctx); return nil })
+	start(func(ctx context.Context) error { e.guard.Run(ctx); return nil })
 	start(func(ctx context.Context) error { e.controller.Run(ctx); return nil })
 	start(func(ctx context.Context) error { return e.watchMembers(ctx) })
 	start(func(context.Context) error { return serveHTTP(public, sockets.public) })
@@ -100,10 +109,9 @@
 		return err
 	case <-ctx.Done():
 	}
-	e.drain(public)
+	err := e.drain(public)
 	_ = admin.Close()
-	e.recorder.Record(timeline.Event{Kind: timeline.EntryStopped, Entry: e.config.Name})
-	return nil
+	return err
 }
 
 func serveHTTP(server *http.Server, listener net.Listener) error {
@@ -114,27 +122,29 @@
 	return err
 }
 
-// drain is the planned stop. No request is cut: callers that keep the address go on being served until
-// none may, homes move as soon as the others hear that this entry leaves, and both listeners wait for
-// what is in progress.
-func (e *Entry) drain(public *http.Server) {
+// drain is the planned stop. Closing waits for callers' requests in progress by itself; those of other
+// entries' fronts are counted with them.
+func (e *Entry) drain(public *http.Server) error {
 	e.log.Info("leaving")
-	e.recorder.Record(timeline.Event{Kind: timeline.EntryLeaving, Entry: e.config.Name})
-	e.members.Leave()
-	published, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer cancel()
-	go func() { _ = e.registration.publish(published, true) }()
-	time.Sleep(e.inForce.Snapshot().AddressTTL + e.config.DrainMargin)
-	stopping, cancelStop := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer cancelStop()
-	_ = public.Shutdown(stopping)
-	e.waitForDispatches(stopping)
+	steps := drain.Steps{
+		Leave: func() {
+			e.members.Leave()
+			e.gate.Leave()
+		},
+		Publish:    func(ctx context.Context) error { return e.registration.publish(ctx, true) },
+		KeptUntil:  e.directory.KeptUntil,
+		Close:      func() { go func() { _ = public.Shutdown(context.Background()) }() },
+		InProgress: func() int { return e.gate.InProgress() + int(e.dispatcher.serving.Load()) },
+		Entered:    e.recordPhase,
+	}
+	config := drain.Config{Margin: e.config.DrainMargin, FinishTimeout: finishTimeout}
+	return drain.New(config, steps, drain.SystemClock{}).Run(context.Background())
 }
 
-// waitForDispatches waits until the homes' work for other fronts is over too.
-func (e *Entry) waitForDispatches(ctx context.Context) {
-	for ctx.Err() == nil && e.dispatcher.serving.Load() > 0 {
-		pause(ctx, 50*time.Millisecond)
+func (e *Entry) recordPhase(phase drain.Phase) {
+	kinds := map[drain.Phase]timeline.Kind{drain.Leaving: timeline.EntryLeaving, drain.Stopped: timeline.EntryStopped}
+	if kind, ok := kinds[phase]; ok {
+		e.recorder.Record(timeline.Event{Kind: kind, Entry: e.config.Name})
 	}
 }
 
--- a/entry/front/drive.go
+++ b/entry/front/drive.go
@@ -25,6 +25,8 @@
 	out     writer
 	until   time.Time
 	tried   []vm.GroupID
+	// crash names the crash of a backend server that the last try ended in.
+	crash string
 
 	choice Choice
 	cancel context.CancelFunc
@@ -107,6 +109,9 @@
 
 func (d *drive) take(f contract.Frame) (action outcome.Action, over bool) {
 	d.front.deps.Recorder.Observe(f.Time)
+	if f.Crash != "" {
+		d.crash = f.Crash
+	}
 	action = d.machine.Frame(f)
 	if action.Do != outcome.Deliver {
 		d.well = f.Kind == contract.FrameEnd || f.Kind == contract.FrameRefused || f.Kind == contract.FrameFound
@@ -145,6 +150,7 @@
 	order.Group = choice.Group
 	order.ResumeFrom = action.ResumeFrom
 	order.Renounced = action.Renounced
+	order.Crash = d.crash
 	d.open(ctx, order)
 	return outcome.Action{Do: outcome.Wait}
 }
--- a/entry/front/fakes_test.go
+++ b/entry/front/fakes_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -19,11 +20,13 @@
 	"github.com/emicklei/go-restful/v3"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/skylarkpond/skylarkpond/contract"
 	"github.com/skylarkpond/skylarkpond/contract/attempt"
 	"github.com/skylarkpond/skylarkpond/contract/settings"
 	"github.com/skylarkpond/skylarkpond/entry/front"
+	"github.com/skylarkpond/skylarkpond/entry/guard"
 	"github.com/skylarkpond/skylarkpond/entry/home"
 	standin "github.com/skylarkpond/skylarkpond/internal/standin/platform"
 	"github.com/skylarkpond/skylarkpond/link/engine"
@@ -206,7 +209,7 @@
 	DeferCleanup(f.server.Close)
 	for _, id := range groups {
 		f.homes[id] = home.New(home.Deps{
-			Self: "home-" + string(id), Incarnation: "1", Groups: f, Presence: f, Admission: openDoor{},
+			Self: "home-" + string(id), Incarnation: "1", Groups: f, Presence: f, Admission: openDoor{}, Guard: f.guard(),
 			Attempts: f.attempts(), Engines: f.backend, Settings: func() *settings.Snapshot { return f.settings },
 			Recorder: timeline.NewRecorder(string(id), nil, time.Now),
 		})
@@ -217,6 +220,17 @@
 	return f
 }
 
+func (f *fleet) guard() *guard.Guard {
+	return guard.New(guard.Deps{
+		Store: platform.NewClient(f.server.URL), Taker: noTaker{}, Engines: f.backend, Metrics: metrics.NewRegistry(),
+		Recorder: timeline.NewRecorder("guard", nil, time.Now), Clock: time.Now, Nonce: rand.Text,
+	})
+}
+
+type noTaker struct{}
+
+func (noTaker) Took(platform.Object) {}
+
 func (f *fleet) attempts() *attempt.Records {
 	return attempt.New(platform.NewClient(f.server.URL, platform.WithCallTimeout(200*time.Millisecond)), time.Now)
 }
@@ -438,3 +452,6 @@
 func (openTurn) FirstToken() {}
 func (openTurn) Token(int)   {}
 func (openTurn) Done()       {}
+
+// Probe says that the backend server is alive: what breaks off here is no crash.
+func (b *backend) Probe(context.Context, string) (engine.State, error) { return engine.State{}, nil }
--- /dev/null
+++ b/entry/guard/pass.go
@@ -0,0 +1,170 @@
+package guard
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/skylarkpond/skylarkpond/link/engine"
+	"github.com/skylarkpond/skylarkpond/policy/quarantine"
+	"github.com/skylarkpond/skylarkpond/timeline"
+	"github.com/skylarkpond/skylarkpond/vm"
+)
+
+// Pass is a request's leave to run on a group. Only the request's own goroutine uses it.
+type Pass struct {
+	guard   *Guard
+	subject Subject
+	onTrial bool
+	// over says that the request finished or crashed, so that Done need not release a trial.
+	over bool
+}
+
+// Finished says that the request ran to its end: if it was a suspect, that clears it.
+func (p *Pass) Finished(ctx context.Context) {
+	p.over = true
+	s := p.subject
+	if !p.guard.known(s) {
+		return
+	}
+	_ = p.guard.update(context.WithoutCancel(ctx), s.Service, func(r *quarantine.Register) bool {
+		return r.Finish(p.guard.deps.Clock(), s.Fingerprint, string(s.Group.ID))
+	})
+}
+
+// known says whether anything is held against the request here; most have nothing, and cost no call.
+func (g *Guard) known(s Subject) bool {
+	now := g.deps.Clock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r := g.register(s.Service)
+	return r.Len() > 0 && r.Clone().Finish(now, s.Fingerprint, string(s.Group.ID))
+}
+
+// Broke says that the answer broke off. If a member's process is gone, every request at work on the group is
+// a suspect from now on, and the crash's name is returned; it goes with the request to its next try. A
+// member that does not answer at all may be cut off or frozen: nobody is suspected for that.
+func (p *Pass) Broke(ctx context.Context) (crash string) {
+	s := p.subject
+	boot := p.guard.goneBoot(ctx, s.Group)
+	if boot == "" {
+		return ""
+	}
+	p.over = true
+	crash = string(s.Group.ID) + "/" + string(boot)
+	p.guard.crashed(ctx, s, crash)
+	return crash
+}
+
+// Done ends the pass.
+func (p *Pass) Done(ctx context.Context) {
+	p.leave()
+	if !p.onTrial || p.over {
+		return
+	}
+	s := p.subject
+	_ = p.guard.update(context.WithoutCancel(ctx), s.Service, func(r *quarantine.Register) bool {
+		r.Release(s.Fingerprint, p.guard.deps.Self)
+		return true
+	})
+}
+
+func (p *Pass) leave() {
+	g := p.guard
+	s := p.subject
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.running[s.Group.ID], s.RequestID)
+	if len(g.running[s.Group.ID]) == 0 {
+		delete(g.running, s.Group.ID)
+	}
+}
+
+// crashed keeps the crash here at once, then writes it, so that other entries hold the suspects back too.
+func (g *Guard) crashed(ctx context.Context, s Subject, crash string) {
+	running := append(g.fingerprints(s.Group.ID), s.Fingerprint)
+	now := g.deps.Clock()
+	g.mu.Lock()
+	caught := g.register(s.Service).Crash(now, crash, string(s.Group.ID), running)
+	g.mu.Unlock()
+	for _, fingerprint := range caught {
+		g.count("caught")
+		g.deps.Recorder.Record(timeline.Event{
+			Kind: timeline.RequestQuarantine, Request: s.RequestID, Service: s.Service, Group: string(s.Group.ID), Detail: fingerprint,
+		})
+	}
+	// The register in update has the crash already, by the merge with this entry's own.
+	_ = g.update(context.WithoutCancel(ctx), s.Service, func(*quarantine.Register) bool { return true })
+}
+
+// goneBoot probes the members and returns the boot id that is gone, or "". The answers take milliseconds;
+// a member that gives none is waited for as long as any probe.
+func (g *Guard) goneBoot(ctx context.Context, group vm.Group) vm.BootID {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), engine.ProbeTimeout)
+	defer cancel()
+	gone := make([]bool, len(group.Members))
+	var probes sync.WaitGroup
+	for i, member := range group.Members {
+		probes.Go(func() {
+			state, err := g.deps.Engines.Probe(ctx, member.Address)
+			gone[i] = errors.Is(err, engine.ErrNoProcess) || err == nil && state.BootID != member.BootID
+		})
+	}
+	probes.Wait()
+	for i, member := range group.Members {
+		if gone[i] {
+			return member.BootID
+		}
+	}
+	return ""
+}
+
+// Held lists what is held back, by service.
+func (g *Guard) Held() map[string][]quarantine.Held {
+	now := g.deps.Clock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	held := make(map[string][]quarantine.Held)
+	for service, r := range g.services {
+		if list := r.Held(now); len(list) > 0 {
+			held[service] = list
+		}
+	}
+	return held
+}
+
+// Lift lets a request run again, by an operator's word. It says whether the request was held.
+func (g *Guard) Lift(ctx context.Context, service, fingerprint string) (lifted bool, err error) {
+	err = g.update(ctx, service, func(r *quarantine.Register) bool {
+		lifted = r.Lift(g.deps.Clock(), fingerprint)
+		return lifted
+	})
+	return lifted, err
+}
+
+// expireInterval is how often what no longer matters is forgotten.
+const expireInterval = time.Minute
+
+// Run forgets what no longer matters until ctx ends.
+func (g *Guard) Run(ctx context.Context) {
+	ticker := time.NewTicker(expireInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			g.expire()
+		}
+	}
+}
+
+func (g *Guard) expire() {
+	now := g.deps.Clock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, r := range g.services {
+		r.Expire(now)
+	}
+}
--- a/entry/home/home.go
+++ b/entry/home/home.go
@@ -12,6 +12,7 @@
 	"github.com/skylarkpond/skylarkpond/contract"
 	"github.com/skylarkpond/skylarkpond/contract/attempt"
 	"github.com/skylarkpond/skylarkpond/contract/settings"
+	"github.com/skylarkpond/skylarkpond/entry/guard"
 	"github.com/skylarkpond/skylarkpond/link/engine"
 	"github.com/skylarkpond/skylarkpond/timeline"
 	"github.com/skylarkpond/skylarkpond/vm"
@@ -58,6 +59,12 @@
 	Enter(ctx context.Context, item Item) (Turn, *contract.Problem)
 }
 
+// Guard holds requests back that crash backend servers.
+type Guard interface {
+	// Enter says whether the request may go to the group now. It is called right before the claim.
+	Enter(ctx context.Context, s guard.Subject) (*guard.Pass, *contract.Problem)
+}
+
 // Deps is what a home needs.
 type Deps struct {
 	// Self and Incarnation name this life of this entry in claims.
@@ -66,6 +73,7 @@
 	Groups      Groups
 	Presence    Presence
 	Admission   Admission
+	Guard       Guard
 	Attempts    *attempt.Records
 	Engines     engine.Client
 	Settings    func() *settings.Snapshot
--- a/entry/home/keep.go
+++ b/entry/home/keep.go
@@ -34,6 +34,7 @@
 		r.frame(f)
 	}
 	r.turn.Done()
+	r.pass.Finished(ctx)
 	if !kept && r.home.work.wait() {
 		defer r.home.work.waited()
 		r.keepAgain(ctx)
--- a/entry/home/run.go
+++ b/entry/home/run.go
@@ -7,6 +7,7 @@
 	"github.com/skylarkpond/skylarkpond/contract"
 	"github.com/skylarkpond/skylarkpond/contract/attempt"
 	"github.com/skylarkpond/skylarkpond/contract/settings"
+	"github.com/skylarkpond/skylarkpond/entry/guard"
 	"github.com/skylarkpond/skylarkpond/timeline"
 	"github.com/skylarkpond/skylarkpond/vm"
 )
@@ -18,6 +19,7 @@
 	service settings.Service
 	group   vm.Group
 	turn    Turn
+	pass    *guard.Pass
 	claim   attempt.Result
 	seq     uint64
 	send    func(contract.Frame) error
@@ -57,6 +59,13 @@
 		r.refuse(p)
 		return
 	}
+	pass, p := r.home.deps.Guard.Enter(ctx, r.subject(ctx))
+	if p != nil {
+		r.refuse(p)
+		return
+	}
+	defer pass.Done(ctx)
+	r.pass = pass
 	if r.d.Unrepeatable {
 		r.home.work.add(r.d.RequestID)
 		defer r.home.work.remove(r.d.RequestID)
@@ -83,6 +92,13 @@
 	r.complete(ctx)
 }
 
+func (r *run) subject(ctx context.Context) guard.Subject {
+	return guard.Subject{
+		RequestID: r.d.RequestID, Service: r.d.Service, Group: r.group, Fingerprint: r.d.Fingerprint,
+		Timeout: r.left(ctx), Crash: r.d.Crash,
+	}
+}
+
 // detach makes the work of a claimed request the key's, no longer that of the front which asked: a
 // booking that was begun is finished, and its answer kept, though its front died or its caller left, so
 // that a repeated key finds it.
@@ -207,8 +223,11 @@
 	}
 }
 
-func (r *run) broken(p *contract.Problem) {
-	r.frame(contract.Frame{Kind: contract.FrameBroken, Problem: p})
+// broken tells the front that the answer broke off. Whether a backend server crashed is found out first: a
+// retry must not outrun the news.
+func (r *run) broken(ctx context.Context, p *contract.Problem) {
+	crash := r.pass.Broke(ctx)
+	r.frame(contract.Frame{Kind: contract.FrameBroken, Problem: p, Crash: crash})
 }
 
 // frame sends one frame; false: the front is gone. Once a frame could not be sent, none is: the front
--- a/entry/home/send.go
+++ b/entry/home/send.go
@@ -26,7 +26,7 @@
 func (r *run) complete(ctx context.Context) {
 	stream, err := r.home.deps.Engines.Complete(ctx, r.target(), r.d.Body)
 	if err != nil {
-		r.notAnswered(err)
+		r.notAnswered(ctx, err)
 		return
 	}
 	defer func() { _ = stream.Close() }()
@@ -35,18 +35,18 @@
 	for {
 		event, err := stream.Next()
 		if errors.Is(err, io.EOF) {
-			r.broken(broke("the backend server's stream ended without its final event"))
+			r.broken(ctx, broke("the backend server's stream ended without its final event"))
 			return
 		}
 		if err != nil {
-			r.broken(broke("the backend server broke off"))
+			r.broken(ctx, broke("the backend server broke off"))
 			return
 		}
 		if event.RequestID != r.d.RequestID || event.Seq < next {
 			continue // another request's, or a late copy
 		}
 		if event.Seq > next {
-			r.broken(broke("the backend server's stream has a gap"))
+			r.broken(ctx, broke("the backend server's stream has a gap"))
 			return
 		}
 		next++
@@ -77,7 +77,7 @@
 	plain := r.d.Plain
 	response, err := r.home.deps.Engines.Call(ctx, r.target(), plain.Method, plain.Path, plain.Header, bytes.NewReader(r.d.Body))
 	if err != nil {
-		r.notAnswered(err)
+		r.notAnswered(ctx, err)
 		return
 	}
 	defer func() { _ = response.Body.Close() }()
@@ -87,7 +87,7 @@
 		return
 	}
 	if !delimited(response) {
-		r.broken(broke("the backend server's answer has no length: whether it is whole can't be told"))
+		r.broken(ctx, broke("the backend server's answer has no length: whether it is whole can't be told"))
 		return
 	}
 	total := int64(0)
@@ -106,7 +106,7 @@
 			break
 		}
 		if err != nil {
-			r.broken(broke("the backend server broke off"))
+			r.broken(ctx, broke("the backend server broke off"))
 			return
 		}
 	}
@@ -119,7 +119,7 @@
 	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Body == http.NoBody
 }
 
-func (r *run) notAnswered(err error) {
+func (r *run) notAnswered(ctx context.Context, err error) {
 	var refusal *engine.Refusal
 	switch {
 	case errors.Is(err, engine.ErrNotSent):
@@ -129,7 +129,7 @@
 	case errors.Is(err, engine.ErrRefused):
 		r.refuse(contract.Later(contract.CodeBackendRefused, "the backend server refused the request", time.Second))
 	default:
-		r.broken(broke("the backend server broke off"))
+		r.broken(ctx, broke("the backend server broke off"))
 	}
 }
 
--- a/entry/providers.go
+++ b/entry/providers.go
@@ -12,8 +12,11 @@
 	"github.com/skylarkpond/skylarkpond/domain"
 	"github.com/skylarkpond/skylarkpond/entry/admission"
 	"github.com/skylarkpond/skylarkpond/entry/controller"
+	"github.com/skylarkpond/skylarkpond/entry/directory"
+	"github.com/skylarkpond/skylarkpond/entry/drain"
 	"github.com/skylarkpond/skylarkpond/entry/fleet"
 	"github.com/skylarkpond/skylarkpond/entry/front"
+	"github.com/skylarkpond/skylarkpond/entry/guard"
 	"github.com/skylarkpond/skylarkpond/entry/home"
 	"github.com/skylarkpond/skylarkpond/entry/member"
 	"github.com/skylarkpond/skylarkpond/entry/mirror"
@@ -23,6 +26,7 @@
 	"github.com/skylarkpond/skylarkpond/link/engine"
 	"github.com/skylarkpond/skylarkpond/link/peer"
 	"github.com/skylarkpond/skylarkpond/link/platform"
+	directorypolicy "github.com/skylarkpond/skylarkpond/policy/directory"
 	"github.com/skylarkpond/skylarkpond/timeline"
 	"github.com/skylarkpond/skylarkpond/vm"
 )
@@ -80,13 +84,23 @@
 
 func provideAttempts(store platform.Store) *attempt.Records { return attempt.New(store, time.Now) }
 
+func provideGuard(
+	config Config, store platform.Store, follower *mirror.Follower, engines engine.Client, recorder *timeline.Recorder,
+	measures *measures,
+) *guard.Guard {
+	return guard.New(guard.Deps{
+		Self: config.Name, Store: store, Taker: follower, Engines: engines, Recorder: recorder,
+		Metrics: measures.registry, Clock: time.Now, Nonce: uuid.NewString,
+	})
+}
+
 func provideHome(
 	self registered, placed placed, admission *admission.Admission, attempts *attempt.Records, engines engine.Client,
-	inForce *settingsInForce, recorder *timeline.Recorder,
+	inForce *settingsInForce, recorder *timeline.Recorder, guard *guard.Guard,
 ) *home.Home {
 	return home.New(home.Deps{
 		Self: self.entry.Name, Incarnation: self.entry.Incarnation, Groups: placed, Presence: placed,
-		Admission: admission, Attempts: attempts, Engines: engines,
+		Admission: admission, Guard: guard, Attempts: attempts, Engines: engines,
 		Settings: inForce.Snapshot, Recorder: recorder,
 	})
 }
@@ -155,6 +169,18 @@
 	})
 }
 
+func provideDirectory(members *member.Members, inForce *settingsInForce, gate *drain.Gate, dispatcher *dispatcher) *directory.Directory {
+	return directory.New(directory.Deps{
+		Members:    members,
+		TTL:        func() time.Duration { return inForce.Snapshot().AddressTTL },
+		InProgress: func() int { return gate.InProgress() + int(dispatcher.serving.Load()) },
+		Rand:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Choice:     directorypolicy.DefaultConfig(),
+		Overload:   directorypolicy.DefaultOverloadConfig(),
+		Clock:      time.Now,
+	})
+}
+
 func provideOverview(
 	config Config, members *member.Members, table *fleet.Table, inForce *settingsInForce, client *peer.Client,
 	recorder *timeline.Recorder,
@@ -166,11 +192,11 @@
 
 func provideOperator(
 	config Config, store platform.Store, inForce *settingsInForce, m *mirror.Mirror, follower *mirror.Follower,
-	overview *overview, recorder *timeline.Recorder, measures *measures, log *logrus.Entry,
+	overview *overview, recorder *timeline.Recorder, measures *measures, log *logrus.Entry, guard *guard.Guard,
 ) *operator.Server {
 	return operator.New(operator.Deps{
 		Entry: config.Name, Store: store, Snapshots: snapshots{inForce}, Copies: m, Taker: follower, Status: overview,
-		Timeline: overview, Quarantine: noQuarantine{}, VMs: vmLists{store}, Recorder: recorder,
+		Timeline: overview, Quarantine: heldRequests{guard}, VMs: vmLists{store}, Recorder: recorder,
 		Metrics: measures.registry, Log: log, Clock: time.Now, Nonce: uuid.NewString,
 		BootstrapKeyHash: config.BootstrapKeyHash,
 	})
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -2,16 +2,45 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 
 	"github.com/skylarkpond/skylarkpond/contract/admin"
+	"github.com/skylarkpond/skylarkpond/entry/guard"
 	"github.com/skylarkpond/skylarkpond/entry/operator"
+	"github.com/skylarkpond/skylarkpond/policy/quarantine"
 )
 
-// noQuarantine stands in until homes quarantine.
-type noQuarantine struct{}
+// heldRequests shows operators what the guard holds back.
+type heldRequests struct{ guard *guard.Guard }
 
-// Quarantined implements operator.QuarantineSource.
-func (noQuarantine) Quarantined(context.Context) ([]admin.Quarantined, error) { return nil, nil }
+// Quarantined implements operator.QuarantineSource. Suspects are listed too, as such.
+func (h heldRequests) Quarantined(context.Context) ([]admin.Quarantined, error) {
+	var all []admin.Quarantined
+	for service, held := range h.guard.Held() {
+		for _, request := range held {
+			all = append(all, admin.Quarantined{
+				Service: service, Fingerprint: request.Fingerprint, Since: request.Latest.UnixMilli(),
+				Crashes: request.Crashes, Reason: reasonOf(request.Verdict),
+			})
+		}
+	}
+	slices.SortStableFunc(all, func(a, b admin.Quarantined) int { return strings.Compare(a.Service, b.Service) })
+	return all, nil
+}
+
+func reasonOf(verdict quarantine.Verdict) string {
+	if verdict == quarantine.Quarantined {
+		return "crashed backend servers; it is refused"
+	}
+	return "was in progress when a backend server crashed; it runs alone"
+}
 
 // Lift implements operator.QuarantineSource.
-func (noQuarantine) Lift(context.Context, string, string) error { return operator.ErrNotQuarantined }
+func (h heldRequests) Lift(ctx context.Context, service, fingerprint string) error {
+	lifted, err := h.guard.Lift(ctx, service, fingerprint)
+	if err == nil && !lifted {
+		return operator.ErrNotQuarantined
+	}
+	return err
+}
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/skylarkpond/skylarkpond/entry/admission"
+	"github.com/skylarkpond/skylarkpond/entry/drain"
 	"github.com/skylarkpond/skylarkpond/entry/mirror"
 	"github.com/skylarkpond/skylarkpond/timeline"
 	"github.com/skylarkpond/skylarkpond/vm"
@@ -18,9 +19,9 @@
 func assemble(config Config, self registered, recorder *timeline.Recorder, measures *measures, log *logrus.Entry) *Entry {
 	wire.Build(
 		provideStore, provideMembers, provideOwners, providePeerClient, providePeerServer,
-		providePinger, provideFollower, provideTable, providePlaced, provideAttempts, provideHome, provideDispatcher,
-		provideFront, provideRouter, provideProber, provideController, provideOverview, provideOperator, provideRegistration,
-		newSettingsInForce, mirror.New, admission.New, vm.NewPresence,
+		providePinger, provideFollower, provideTable, providePlaced, provideAttempts, provideHome, provideGuard, provideDispatcher,
+		provideFront, provideRouter, provideProber, provideController, provideOverview, provideDirectory, provideOperator, provideRegistration,
+		newSettingsInForce, wire.Struct(new(drain.Gate)), mirror.New, admission.New, vm.NewPresence,
 		provideEngines,
 		wire.Struct(new(Entry), "*"),
 	)
--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -9,6 +9,7 @@
 import (
 	"github.com/sirupsen/logrus"
 	"github.com/skylarkpond/skylarkpond/entry/admission"
+	"github.com/skylarkpond/skylarkpond/entry/drain"
 	"github.com/skylarkpond/skylarkpond/entry/mirror"
 	"github.com/skylarkpond/skylarkpond/timeline"
 	"github.com/skylarkpond/skylarkpond/vm"
@@ -31,16 +32,19 @@
 	presence := vm.NewPresence()
 	admissionAdmission := admission.New()
 	prober := provideProber(config, table, engineClient, presence, recorder, members, admissionAdmission)
+	guard := provideGuard(config, store, follower, engineClient, recorder, measures2)
 	entrySettingsInForce := newSettingsInForce(recorder, log)
 	controller := provideController(self, store, engineClient, entryOwners, mirrorMirror, table, entrySettingsInForce, recorder, measures2, log, follower)
 	entryPlaced := providePlaced(config, table, presence)
 	records := provideAttempts(store)
-	home := provideHome(self, entryPlaced, admissionAdmission, records, engineClient, entrySettingsInForce, recorder)
+	home := provideHome(self, entryPlaced, admissionAdmission, records, engineClient, entrySettingsInForce, recorder, guard)
 	entryDispatcher := provideDispatcher(self, table, home, members, client, recorder, admissionAdmission)
 	router := provideRouter(config, measures2)
 	front := provideFront(config, entrySettingsInForce, entryDispatcher, router, records, recorder)
+	gate := &drain.Gate{}
+	directory := provideDirectory(members, entrySettingsInForce, gate, entryDispatcher)
 	entryOverview := provideOverview(config, members, table, entrySettingsInForce, client, recorder)
-	server := provideOperator(config, store, entrySettingsInForce, mirrorMirror, follower, entryOverview, recorder, measures2, log)
+	server := provideOperator(config, store, entrySettingsInForce, mirrorMirror, follower, entryOverview, recorder, measures2, log, guard)
 	peerServer := providePeerServer(self, members)
 	entry := &Entry{
 		config:       config,
@@ -53,8 +57,11 @@
 		follower:     follower,
 		prober:       prober,
 		admission:    admissionAdmission,
+		guard:        guard,
 		controller:   controller,
 		front:        front,
+		directory:    directory,
+		gate:         gate,
 		operator:     server,
 		overview:     entryOverview,
 		dispatcher:   entryDispatcher,
--- a/link/engine/client.go
+++ b/link/engine/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -13,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -260,6 +262,8 @@
 		return response, nil
 	case connected.Load():
 		return nil, eris.Wrap(ErrBroken, err.Error())
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return nil, fmt.Errorf("%w: %w: %w", ErrNotSent, ErrNoProcess, err)
 	default:
 		return nil, eris.Wrap(ErrNotSent, err.Error())
 	}
--- a/link/engine/engine.go
+++ b/link/engine/engine.go
@@ -135,6 +135,9 @@
 var (
 	// ErrNotSent: no byte of the request can have reached the backend server (the connection failed).
 	ErrNotSent = eris.New("backend server not reached")
+	// ErrNoProcess: the VM answers, and nothing listens at the address: the process there is gone. It comes
+	// with ErrNotSent.
+	ErrNoProcess = eris.New("no process at the backend server's address")
 	// ErrBroken: the request was or may have been sent, and the answer ended early.
 	ErrBroken = eris.New("backend server broke off")
 	// ErrRefused: the backend server answered that it will not run the request (503, 409, 429): not run.
