--- a/policy/internal/playback/home.go
+++ b/policy/internal/playback/home.go
@@ -74,8 +74,17 @@
 	Gaps   Histogram
 	Limits []int
 	from   time.Duration
+	// Refused, if set, hears of refusals in place of the caller.
+	Refused func(r *Request)
+	waiting int
 }
 
+// Load returns how many requests are at work and queued.
+func (h *Home) Load() int { return h.running + h.waiting }
+
+// Running returns how many requests are at work.
+func (h *Home) Running() int { return h.running }
+
 // NewHome returns a home; it measures gaps from the time from on.
 func NewHome(loop *Loop, engine *Engine, queue Queue, limits Limiter, lag time.Duration, tries int, from time.Duration) *Home {
 	h := &Home{loop: loop, engine: engine, queue: queue, limits: limits, lag: lag, tries: tries, from: from}
@@ -94,11 +103,17 @@
 	}
 	r.Tries++
 	r.Arrived = now
-	decision, retryAfter := h.queue.Offer(now, r)
+	h.Offer(r)
+}
+
+// Offer offers a request that has arrived before.
+func (h *Home) Offer(r *Request) {
+	decision, retryAfter := h.queue.Offer(h.loop.Now(), r)
 	switch decision {
 	case Admit:
 		h.send(r)
 	case Enqueue:
+		h.waiting++
 		h.drain()
 	case Refuse:
 		h.refuse(r, retryAfter)
@@ -111,8 +126,11 @@
 }
 
 func (h *Home) refuse(r *Request, retryAfter time.Duration) {
-	now := h.loop.Now()
-	r.Ended = now
+	r.Ended = h.loop.Now()
+	if h.Refused != nil {
+		h.Refused(r)
+		return
+	}
 	if r.Tries >= h.tries || retryAfter <= 0 {
 		r.Outcome = Refused
 		return
@@ -122,6 +140,7 @@
 
 func (h *Home) drain() {
 	for r := h.queue.Next(h.loop.Now()); r != nil; r = h.queue.Next(h.loop.Now()) {
+		h.waiting--
 		h.send(r)
 	}
 }
@@ -129,6 +148,7 @@
 func (h *Home) expire() {
 	now := h.loop.Now()
 	for _, r := range h.queue.Expire(now) {
+		h.waiting--
 		h.refuse(r, h.queue.RetryAfter(now, r))
 	}
 	h.applyLimit()
--- a/policy/internal/playback/request.go
+++ b/policy/internal/playback/request.go
@@ -28,6 +28,8 @@
 	Patience time.Duration
 	// Spread is the random number that spreads Retry-After.
 	Spread float64
+	// Front is the front that took it in, where there are several.
+	Front int
 
 	Outcome Outcome
 	// FirstArrived is the time of the caller's first try, Arrived that of this one.
