A home that was paused past its caller's time sends nothing, whatever became of the attempt's record

A seal keeps its promise only while it stands. Records are now kept for at least twice the longest time that a caller may wait, and a home looks at both clocks right before the claim and before the send, so that a dispatch can't outlive a seal that was purged.

--- a/contract/attempt/records.go
+++ b/contract/attempt/records.go
@@ -22,6 +22,7 @@
 	"github.com/google/uuid"
 
 	"github.com/skylarkpond/skylarkpond/contract"
+	"github.com/skylarkpond/skylarkpond/contract/settings"
 	"github.com/skylarkpond/skylarkpond/link/platform"
 )
 
@@ -75,6 +76,18 @@
 	Renounced []string
 }
 
+// unknownRetention is that of a seal whose service this entry does not know.
+const unknownRetention = 24 * time.Hour
+
+// Retention is how long the records of a service are kept: as declared, and in any case for longer than a
+// dispatch may lie in a home that sleeps, since a record that is gone decides nothing.
+func Retention(s settings.Service) time.Duration {
+	if s.AttemptRetention <= 0 {
+		return unknownRetention
+	}
+	return max(s.AttemptRetention, 2*s.MaxRequestTimeout)
+}
+
 // Records reads and writes attempt records. It is safe for concurrent use.
 type Records struct {
 	store platform.Store
--- a/entry/front/drive.go
+++ b/entry/front/drive.go
@@ -234,7 +234,7 @@
 	defer cancel()
 	return d.front.deps.Attempts.Seal(ctx, attempt.Wish{
 		ID: d.id(), Number: d.q.attempt, Fingerprint: d.q.fingerprint, RequestID: d.q.id,
-		Retention: d.q.retention(), Renounced: action.Renounced,
+		Retention: attempt.Retention(d.q.service), Renounced: action.Renounced,
 	})
 }
 
--- a/entry/front/request.go
+++ b/entry/front/request.go
@@ -38,16 +38,6 @@
 	prefix uint64
 }
 
-// fallbackRetention is that of a seal whose service is not known.
-const fallbackRetention = 24 * time.Hour
-
-func (q *request) retention() time.Duration {
-	if q.service.AttemptRetention > 0 {
-		return q.service.AttemptRetention
-	}
-	return fallbackRetention
-}
-
 // maxAttempt bounds Skylarkpond-Attempt.
 const maxAttempt = 1_000_000
 
--- a/entry/home/home.go
+++ b/entry/home/home.go
@@ -78,6 +78,8 @@
 	Engines     engine.Client
 	Settings    func() *settings.Snapshot
 	Recorder    *timeline.Recorder
+	// Clock is time.Now if nil.
+	Clock func() time.Time
 }
 
 // Home takes dispatches. It is safe for concurrent use.
@@ -88,6 +90,9 @@
 
 // New returns a home.
 func New(deps Deps) *Home {
+	if deps.Clock == nil {
+		deps.Clock = time.Now
+	}
 	return &Home{deps: deps, work: newTable()}
 }
 
--- a/entry/home/run.go
+++ b/entry/home/run.go
@@ -25,12 +25,13 @@
 	send    func(contract.Frame) error
 	sendErr error
 	kept    keeper
+	arrived time.Time
 	// front ends when the front closes the dispatch, or can't be heard any more.
 	front context.Context
 }
 
 func newRun(front context.Context, h *Home, d contract.Dispatch, send func(contract.Frame) error) *run {
-	return &run{home: h, d: d, send: send, front: front}
+	return &run{home: h, d: d, send: send, front: front, arrived: h.deps.Clock()}
 }
 
 // do takes the dispatch through its steps. Each step that fails tells the front and ends it.
@@ -107,8 +108,23 @@
 	return context.WithTimeout(context.WithoutCancel(ctx), timeout)
 }
 
+// late says that the caller's time is over.
+//
+// What goes wrong without it: this process, or its whole VM, is paused for longer than attempt records are
+// kept. The seal that made its front tell not-run has been purged when it wakes; its claim would go
+// through. Records are kept for longer than any caller's time (attempt.Retention), so a request that is
+// dropped here can't be sealed and purged unnoticed. Both clocks are asked: a paused VM's monotonic clock
+// stands still, and its wall clock is set right when it wakes.
+func (r *run) late() bool {
+	now := r.home.deps.Clock()
+	return now.Sub(r.arrived) >= r.d.Timeout || now.Round(0).Sub(r.arrived.Round(0)) >= r.d.Timeout
+}
+
 // check says why the dispatch can't go to its group now, or nil.
 func (r *run) check() *contract.Problem {
+	if r.late() {
+		return gone()
+	}
 	group, home, ok := r.home.deps.Groups.Lookup(r.d.Group)
 	switch {
 	case !ok || group.Service != r.d.Service:
@@ -159,7 +175,7 @@
 func (r *run) wish() attempt.Wish {
 	return attempt.Wish{
 		ID: attempt.ID{Team: r.d.Team, Key: r.d.Key}, Number: r.d.Attempt, Fingerprint: r.d.Fingerprint,
-		RequestID: r.d.RequestID, Retention: r.service.AttemptRetention,
+		RequestID: r.d.RequestID, Retention: attempt.Retention(r.service),
 	}
 }
 
