A planned stop also waits for bookings of the own front whose callers left

Only the dispatches of other entries' fronts were counted. A claimed request goes on when its caller is gone, so on the entry that is front and home at once nothing waited for it.

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -32,7 +32,8 @@
 	life     string // the own incarnation
 	client   *peer.Client
 	recorder *timeline.Recorder
-	// serving counts the dispatches of other entries' fronts under way here.
+	// serving counts the dispatches under way at the own home role, of any front. A claimed one goes on when
+	// its caller left, so a planned stop waits for it here, not at the caller's connection.
 	serving atomic.Int64
 	// loadOf gives the load of a group at the own home role.
 	loadOf func(vm.GroupID) contract.GroupLoad
@@ -115,7 +116,9 @@
 func (d *dispatcher) local(ctx context.Context, request contract.Dispatch) front.Frames {
 	ctx, cancel := context.WithCancel(ctx)
 	l := &localFrames{ctx: ctx, cancel: cancel, frames: make(chan contract.Frame, localBacklog)}
+	d.serving.Add(1)
 	go func() {
+		defer d.serving.Add(-1)
 		defer close(l.frames)
 		_ = d.home.Dispatch(ctx, request, func(frame contract.Frame) error { return l.send(d.stamped(request, frame)) })
 	}()
