Attempt records are purged by one entry, at 20 deletes a second at most

The owner of the kind by rendezvous hashing lists the records every ten minutes; a failed purge is logged.

--- a/contract/attempt/purge.go
+++ b/contract/attempt/purge.go
@@ -31,8 +31,9 @@
 }
 
 // Run purges every interval, as long as mine says that this entry is the one to do it. Two entries that
-// both think so only waste calls: a record is deleted at its version or not at all.
-func (p *Purger) Run(ctx context.Context, interval time.Duration, mine func() bool) {
+// both think so only waste calls: a record is deleted at its version or not at all. Each purge is
+// reported: one that fails again and again lets the records pile up until no list of them fits into a call.
+func (p *Purger) Run(ctx context.Context, interval time.Duration, mine func() bool, report func(deleted int, err error)) {
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
@@ -42,7 +43,7 @@
 		case <-ticker.C:
 		}
 		if mine() {
-			_, _ = p.Purge(ctx)
+			report(p.Purge(ctx))
 		}
 	}
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -17,6 +17,8 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"github.com/skylarkpond/skylarkpond/contract/attempt"
+	"github.com/skylarkpond/skylarkpond/domain"
 	"github.com/skylarkpond/skylarkpond/entry/admission"
 	"github.com/skylarkpond/skylarkpond/entry/controller"
 	"github.com/skylarkpond/skylarkpond/entry/directory"
@@ -29,6 +31,7 @@
 	"github.com/skylarkpond/skylarkpond/entry/prober"
 	"github.com/skylarkpond/skylarkpond/entry/routing"
 	"github.com/skylarkpond/skylarkpond/link/peer"
+	"github.com/skylarkpond/skylarkpond/link/platform"
 	"github.com/skylarkpond/skylarkpond/timeline"
 )
 
@@ -50,6 +53,8 @@
 	follower     *mirror.Follower
 	prober       *prober.Prober
 	admission    *admission.Admission
+	purger       *attempt.Purger
+	owners       owners
 	guard        *guard.Guard
 	controller   *controller.Controller
 	front        *front.Front
@@ -93,6 +98,7 @@
 	start(func(ctx context.Context) error { e.follower.Run(ctx); return nil })
 	start(func(ctx context.Context) error { e.prober.Run(ctx); return nil })
 	start(func(ctx context.Context) error { e.admission.Run(ctx); return nil })
+	start(func(ctx context.Context) error { e.purger.Run(ctx, purgeInterval, e.purges, e.purged); return nil })
 	start(func(ctx context.Context) error { e.directory.Run(ctx); return nil })
 	start(func(ctx context.Context) error { e.guard.Run(ctx); return nil })
 	start(func(ctx context.Context) error { e.controller.Run(ctx); return nil })
@@ -148,6 +154,23 @@
 	}
 }
 
+// purgeInterval is how often expired attempt records are looked for: one list of the kind, by one entry.
+const purgeInterval = 10 * time.Minute
+
+// purges says whether this entry is the one that purges attempt records.
+func (e *Entry) purges() bool {
+	return domain.Owner(string(platform.KindAttempt), e.owners.Live()) == e.config.Name
+}
+
+func (e *Entry) purged(deleted int, err error) {
+	log := e.log.WithField("deleted", deleted)
+	if err != nil {
+		log.WithError(err).Warn("attempt records could not all be purged")
+		return
+	}
+	log.Debug("attempt records purged")
+}
+
 const membersCheck = time.Second
 
 // watchMembers stops an old process whose name was given to a new one, and tells the router how many
--- a/entry/providers.go
+++ b/entry/providers.go
@@ -82,6 +82,14 @@
 	return placed{self: config.Name, table: table, presence: presence}
 }
 
+// purgesPerSecond leaves the platform's several hundred writes a second to claims and answers. It purges
+// 1.7 million records a day.
+const purgesPerSecond = 20
+
+func providePurger(store platform.Store) *attempt.Purger {
+	return attempt.NewPurger(store, time.Now, purgesPerSecond)
+}
+
 func provideAttempts(store platform.Store) *attempt.Records { return attempt.New(store, time.Now) }
 
 func provideGuard(
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -19,7 +19,7 @@
 func assemble(config Config, self registered, recorder *timeline.Recorder, measures *measures, log *logrus.Entry) *Entry {
 	wire.Build(
 		provideStore, provideMembers, provideOwners, providePeerClient, providePeerServer,
-		providePinger, provideFollower, provideTable, providePlaced, provideAttempts, provideHome, provideGuard, provideDispatcher,
+		providePinger, provideFollower, provideTable, providePlaced, provideAttempts, providePurger, provideHome, provideGuard, provideDispatcher,
 		provideFront, provideRouter, provideProber, provideController, provideOverview, provideDirectory, provideOperator, provideRegistration,
 		newSettingsInForce, wire.Struct(new(drain.Gate)), mirror.New, admission.New, vm.NewPresence,
 		provideEngines,
--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -32,6 +32,7 @@
 	presence := vm.NewPresence()
 	admissionAdmission := admission.New()
 	prober := provideProber(config, table, engineClient, presence, recorder, members, admissionAdmission)
+	purger := providePurger(store)
 	guard := provideGuard(config, store, follower, engineClient, recorder, measures2)
 	entrySettingsInForce := newSettingsInForce(recorder, log)
 	controller := provideController(self, store, engineClient, entryOwners, mirrorMirror, table, entrySettingsInForce, recorder, measures2, log, follower)
@@ -57,6 +58,8 @@
 		follower:     follower,
 		prober:       prober,
 		admission:    admissionAdmission,
+		purger:       purger,
+		owners:       entryOwners,
 		guard:        guard,
 		controller:   controller,
 		front:        front,
