Admission: late ones are refused at once, freed places used at once, work charged whole

Cause: read by the queue's author in entry/admission: Expire was never called, so that items found too late piled up and their callers waited for timers; a freed starting place waited up to 50 ms; the prompt's part of the work was refunded; plain services were queued with the pace of a model. Not measured over processes yet.

--- a/contract/dispatch.go
+++ b/contract/dispatch.go
@@ -23,8 +23,8 @@
 	Priority int           `cbor:"8,keyasint"`
 	// Work is the estimated work in tokens.
 	Work int `cbor:"9,keyasint"`
-	// Least is the work in tokens that it takes at least, where Work is a bound that the caller named.
-	Least int `cbor:"21,keyasint,omitempty"`
+	// Prompt is the part of Work that the prompt is; the rest is a bound on the answer.
+	Prompt int `cbor:"21,keyasint,omitempty"`
 	// Prefix is the hash of the prompt's prefix, for affinity.
 	Prefix uint64 `cbor:"10,keyasint"`
 	// Unrepeatable requests are claimed before they are sent, under Key and Attempt.
--- a/entry/admission/admission.go
+++ b/entry/admission/admission.go
@@ -100,7 +100,10 @@
 // Enter implements home.Admission.
 func (a *Admission) Enter(ctx context.Context, item home.Item) (home.Turn, *contract.Problem) {
 	g := a.gate(item)
-	t := &turn{admission: a, gate: g, id: strconv.FormatUint(a.ids.Add(1), 10)}
+	t := &turn{
+		admission: a, gate: g, id: strconv.FormatUint(a.ids.Add(1), 10),
+		plain: item.Service.Kind == settings.Plain, prompt: item.Prompt,
+	}
 	verdict := g.offer(a.now(), item, t)
 	switch verdict.Decision {
 	case fairqueue.Admitted:
@@ -118,14 +121,17 @@
 	defer timer.Stop()
 	select {
 	case <-t.called:
+		if t.late {
+			return nil, t.gate.overloaded(a.now(), item, t.id)
+		}
 		return t, nil
 	case <-ctx.Done():
 	case <-timer.C:
 	}
-	if !t.gate.remove(a.now(), t) {
+	if !t.gate.remove(a.now(), t) && !t.late {
 		return t, nil
 	}
-	return nil, refusal(fairqueue.Verdict{Code: fairqueue.CodeOverloaded, RetryAfter: t.gate.retryAfter(a.now(), item, t.id)})
+	return nil, t.gate.overloaded(a.now(), item, t.id)
 }
 
 func refusal(verdict fairqueue.Verdict) *contract.Problem {
@@ -153,7 +159,11 @@
 
 func newGate(service settings.Service) *gate {
 	g := &gate{waiting: make(map[string]*turn)}
-	g.queue = fairqueue.New(fairqueue.Config{MaxWait: service.QueueTimeout})
+	config := fairqueue.Config{MaxWait: service.QueueTimeout}
+	if service.Kind == settings.Plain {
+		config = config.ForPlain(service.FirstToken)
+	}
+	g.queue = fairqueue.New(config)
 	g.setConfig(service)
 	return g
 }
@@ -188,11 +198,21 @@
 	return verdict
 }
 
+// leastAnswer is the length of an answer, in tokens, by which a deadline is judged. The bound that a caller
+// names is mostly a ceiling: held against its deadline, a service whose callers all name a high one would
+// refuse every request, and never learn how long they take.
+const leastAnswer = 16
+
 func queued(now time.Duration, item home.Item, id string) fairqueue.Item {
-	return fairqueue.Item{
-		ID: id, Team: item.Team.Name, Share: item.Team.Share, Priority: item.Priority, Work: item.Work, Least: item.Least,
+	q := fairqueue.Item{
+		ID: id, Team: item.Team.Name, Share: item.Team.Share, Priority: item.Priority, Work: fairqueue.PlainWork,
 		Deadline: now + item.Timeout, Spread: rand.Float64(),
 	}
+	if item.Service.Kind == settings.Language {
+		q.Work = item.Work
+		q.Least = item.Prompt + min(leastAnswer, item.Work-item.Prompt)
+	}
+	return q
 }
 
 // applyLimit must be called with mu held.
@@ -201,8 +221,8 @@
 	g.queue.SetStartLimit(g.limit.Starting())
 }
 
-// pump calls those whose turn it is, and reports whether the gate is empty. Requests whose wait is over
-// are dropped by their own timers.
+// pump calls those whose turn it is, refuses those that have become too late, and reports whether the gate
+// is empty.
 func (g *gate) pump(now time.Duration) (empty bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -217,17 +237,32 @@
 		t.begin(now, g.queue.Running())
 		close(t.called)
 	}
+	g.refuseLate(now)
 	return g.queue.Len() == 0 && g.queue.Running() == 0
 }
 
+// refuseLate ends the wait of requests that could no longer be answered in time. It must be called with mu
+// held. Left alone, they would hold places in the queue until their own timers, and their callers would
+// learn late what is certain now.
+func (g *gate) refuseLate(now time.Duration) {
+	for _, item := range g.queue.Expire(now) {
+		t := g.waiting[item.ID]
+		if t == nil {
+			continue
+		}
+		delete(g.waiting, item.ID)
+		t.late = true
+		close(t.called)
+	}
+}
+
 func (g *gate) lastUse() time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.used
 }
 
-// remove takes a waiting request out; false: it was called meanwhile. The queue itself drops a request
-// that waited too long when its turn comes; that one is waiting here still, and is taken out too.
+// remove takes a waiting request out; false: it was called, or refused as too late, meanwhile.
 func (g *gate) remove(now time.Duration, t *turn) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -239,10 +274,11 @@
 	return true
 }
 
-func (g *gate) retryAfter(now time.Duration, item home.Item, id string) time.Duration {
+func (g *gate) overloaded(now time.Duration, item home.Item, id string) *contract.Problem {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.queue.RetryAfter(now, queued(now, item, id))
+	retry := g.queue.RetryAfter(now, queued(now, item, id))
+	return refusal(fairqueue.Verdict{Code: fairqueue.CodeOverloaded, RetryAfter: retry})
 }
 
 func (g *gate) load() contract.GroupLoad {
--- a/entry/admission/turn.go
+++ b/entry/admission/turn.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/skylarkpond/skylarkpond/policy/fairqueue"
 	"github.com/skylarkpond/skylarkpond/policy/limit"
 )
 
@@ -11,10 +12,14 @@
 	admission *Admission
 	gate      *gate
 	id        string
-	// called is closed when the turn comes; nil if it came at once.
+	// plain says that answers come whole; prompt is the work of reading the prompt.
+	plain  bool
+	prompt int
+	// called is closed when the turn comes, or when it is too late for one; nil if it came at once.
 	called chan struct{}
 
-	// begun, running and starting are set by begin, with the gate's lock held, before called is closed.
+	// These are set with the gate's lock held, before called is closed.
+	late    bool
 	begun   time.Duration
 	running int
 	// last is when the last token came; tokens counts them.
@@ -30,12 +35,16 @@
 	t.running = running
 }
 
-// FirstToken implements home.Turn.
+// FirstToken implements home.Turn. The place that it frees for another request to start in is used at once.
 func (t *turn) FirstToken() {
 	now := t.admission.now()
 	t.last = now
 	t.started = true
+	if t.plain {
+		return
+	}
 	t.gate.observeFirst(now, now-t.begun, t)
+	t.gate.pump(now)
 }
 
 // Token implements home.Turn.
@@ -56,6 +65,9 @@
 	}
 	t.done = true
 	now := t.admission.now()
+	if t.plain && t.started {
+		t.gate.observeFirst(now, now-t.begun, t)
+	}
 	t.gate.end(now, t)
 	t.gate.pump(now)
 }
@@ -75,14 +87,17 @@
 	g.limit.Observe(now, limit.Sample{Running: g.queue.Running(), Gap: gap, Gaps: count})
 }
 
-// end frees the place. A request that never had a token was charged its estimate; it is charged nothing
-// if it was not sent, which shows by its having neither started nor run for any time worth the name.
+// end frees the place. The team is charged what was done: nothing for a request without any answer, which
+// was not sent or was refused.
 func (g *gate) end(now time.Duration, t *turn) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	work := t.tokens
-	if t.started {
-		work = max(1, work)
+	work := 0
+	switch {
+	case t.started && t.plain:
+		work = fairqueue.PlainWork
+	case t.started:
+		work = t.prompt + max(1, t.tokens)
 	}
 	g.queue.Done(now, t.id, work)
 	g.used = now
--- a/entry/front/handlers.go
+++ b/entry/front/handlers.go
@@ -72,7 +72,7 @@
 	q.service = service
 	q.model = completion.Model
 	q.stream = completion.Stream
-	q.work, q.least = estimateWork(completion)
+	q.work, q.prompt = estimateWork(completion)
 	q.prefix = prefixHash(completion)
 	q.unrepeatable = !repeatable(service, http.MethodPost, "/v1"+completionsPath)
 	if int64(len(q.body)) > service.MaxBodyBytes {
@@ -148,22 +148,18 @@
 const (
 	bytesPerToken = 4
 	defaultTokens = 256
-	leastTokens   = 16
 )
 
-// estimateWork returns the work that a completion is charged, and that which it takes at least. The bound
-// on the answer's length that a caller names is mostly a ceiling: held against its deadline, a service
-// whose callers all name a high one would refuse every request, and never learn how long they take.
-func estimateWork(c engine.Completion) (work, least int) {
+// estimateWork returns the work that a completion is charged until it is done, and the prompt's part of it.
+func estimateWork(c engine.Completion) (work, prompt int) {
 	answer := c.MaxTokens
 	if answer <= 0 {
 		answer = defaultTokens
 	}
-	prompt := 0
 	for _, m := range c.Messages {
 		prompt += len(m.Content) / bytesPerToken
 	}
-	return prompt + answer, prompt + min(answer, leastTokens)
+	return prompt + answer, prompt
 }
 
 // prefixHash is the hash of the first message, which is what conversations of one kind share.
@@ -196,7 +192,7 @@
 func (q *request) dispatch(f *Front, left time.Duration) contract.Dispatch {
 	return contract.Dispatch{
 		RequestID: q.id, Team: q.team.Name, Service: q.service.Name, Front: f.deps.Self,
-		SettingsVersion: q.snapshot.Version, Timeout: left, Priority: q.team.Priority, Work: q.work, Least: q.least, Prefix: q.prefix,
+		SettingsVersion: q.snapshot.Version, Timeout: left, Priority: q.team.Priority, Work: q.work, Prompt: q.prompt, Prefix: q.prefix,
 		Unrepeatable: q.unrepeatable, Key: q.key, KeyChosen: q.chosen, Attempt: q.attempt, Fingerprint: q.fingerprint,
 		Plain: q.plain, Body: q.body, Time: f.deps.Recorder.Now(),
 	}
--- a/entry/front/request.go
+++ b/entry/front/request.go
@@ -34,7 +34,7 @@
 	stream bool
 	model  string
 	work   int
-	least  int
+	prompt int
 	prefix uint64
 }
 
--- a/entry/home/home.go
+++ b/entry/home/home.go
@@ -40,8 +40,8 @@
 	Priority int
 	// Work is the estimated work in tokens.
 	Work int
-	// Least is the work that it takes at least; 0: Work.
-	Least int
+	// Prompt is the part of Work that the prompt is; the rest is a bound on the answer.
+	Prompt int
 }
 
 // Turn is a request's place at work. Its owner reports what it sees, and calls Done at the end; more calls
--- a/entry/home/run.go
+++ b/entry/home/run.go
@@ -140,7 +140,7 @@
 	}
 	return Item{
 		Service: r.service, Team: team, Group: r.d.Group, Timeout: r.left(ctx),
-		Priority: r.d.Priority, Work: r.d.Work, Least: r.d.Least,
+		Priority: r.d.Priority, Work: r.d.Work, Prompt: r.d.Prompt,
 	}
 }
 
