Entries answer callers by policy/directory and stop by entry/drain

The stop waits as long as any request may last by the settings; it used to cut at five minutes, while a caller may name ten by default.

--- a/entry/config.go
+++ b/entry/config.go
@@ -33,7 +33,7 @@
 	// BootstrapKeyHash lets an operator in as long as no tree of settings exists.
 	BootstrapKeyHash string `arg:"--bootstrap-key-hash,env:POND_BOOTSTRAP_KEY_HASH" help:"SHA-256, in hex, of the operator key accepted while the tree of settings does not exist"`
 	// DrainMargin is added to the time that callers may keep an address, before a stopping entry closes.
-	DrainMargin time.Duration `arg:"--drain-margin,env:POND_DRAIN_MARGIN" default:"2s" help:"how much longer than callers may keep its address a stopping entry keeps serving"`
+	DrainMargin time.Duration `arg:"--drain-margin,env:POND_DRAIN_MARGIN" default:"5s" help:"how much longer than callers may keep its address a stopping entry keeps serving; the news that it leaves take some 3s to 330 entries"`
 }
 
 // ErrConfig is wrapped by every fault of a Config.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -19,6 +19,8 @@
 
 	"github.com/skylarkpond/skylarkpond/entry/admission"
 	"github.com/skylarkpond/skylarkpond/entry/controller"
+	"github.com/skylarkpond/skylarkpond/entry/directory"
+	"github.com/skylarkpond/skylarkpond/entry/drain"
 	"github.com/skylarkpond/skylarkpond/entry/front"
 	"github.com/skylarkpond/skylarkpond/entry/member"
 	"github.com/skylarkpond/skylarkpond/entry/mirror"
@@ -49,6 +51,8 @@
 	admission    *admission.Admission
 	controller   *controller.Controller
 	front        *front.Front
+	directory    *directory.Directory
+	gate         *drain.Gate
 	operator     *operator.Server
 	overview     *overview
 	dispatcher   *dispatcher
@@ -59,8 +63,8 @@
 	metrics      *measures
 }
 
-// shutdownTimeout bounds the wait for requests in progress after the listeners are closed.
-const shutdownTimeout = 5 * time.Minute
+// finishMargin is what a stop waits beyond the longest time that a request may last.
+const finishMargin = 30 * time.Second
 
 // Run serves until ctx ends, then drains: it leaves the directory, keeps serving for longer than callers
 // may keep its address, finishes the requests in progress, and returns.
@@ -87,6 +91,7 @@
 	start(func(ctx context.Context) error { e.prober.Run(ctx); return nil })
 	start(func(ctx context.Context) error { e.admission.Run(ctx); return nil })
 	start(func(ctx context.Context) error { e.controller.Run(ctx); return nil })
+	start(func(ctx context.Context) error { e.directory.Run(ctx); return nil })
 	start(func(ctx context.Context) error { return e.watchMembers(ctx) })
 	start(func(context.Context) error { return serveHTTP(public, sockets.public) })
 	start(func(context.Context) error { return serveHTTP(admin, sockets.admin) })
@@ -100,10 +105,10 @@
 		return err
 	case <-ctx.Done():
 	}
-	e.drain(public)
+	err := e.drain(public)
 	_ = admin.Close()
 	e.recorder.Record(timeline.Event{Kind: timeline.EntryStopped, Entry: e.config.Name})
-	return nil
+	return err
 }
 
 func serveHTTP(server *http.Server, listener net.Listener) error {
@@ -114,27 +119,52 @@
 	return err
 }
 
-// drain is the planned stop. No request is cut: callers that keep the address go on being served until
-// none may, homes move as soon as the others hear that this entry leaves, and both listeners wait for
-// what is in progress.
-func (e *Entry) drain(public *http.Server) {
-	e.log.Info("leaving")
-	e.recorder.Record(timeline.Event{Kind: timeline.EntryLeaving, Entry: e.config.Name})
-	e.members.Leave()
-	published, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer cancel()
-	go func() { _ = e.registration.publish(published, true) }()
-	time.Sleep(e.inForce.Snapshot().AddressTTL + e.config.DrainMargin)
-	stopping, cancelStop := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer cancelStop()
-	_ = public.Shutdown(stopping)
-	e.waitForDispatches(stopping)
+// drain is the planned stop.
+func (e *Entry) drain(public *http.Server) error {
+	closed := make(chan struct{})
+	steps := drain.Steps{
+		Leave: func() {
+			e.members.Leave()
+			e.gate.Leave()
+		},
+		Publish:   func(ctx context.Context) error { return e.registration.publish(ctx, true) },
+		KeptUntil: e.directory.KeptUntil,
+		Close: func() {
+			go func() {
+				defer close(closed)
+				_ = public.Shutdown(context.Background())
+			}()
+		},
+		InProgress: func() int { return int(e.dispatcher.serving.Load()) + unfinished(closed) },
+		Entered:    e.entered,
+	}
+	config := drain.Config{Margin: e.config.DrainMargin, FinishTimeout: e.longestRequest() + finishMargin}
+	return drain.New(config, steps, drain.SystemClock{}).Run(context.Background())
+}
+
+// longestRequest is the longest deadline that a caller may name.
+func (e *Entry) longestRequest() time.Duration {
+	longest := time.Duration(0)
+	for _, service := range e.inForce.Snapshot().Services {
+		longest = max(longest, service.MaxRequestTimeout)
+	}
+	return longest
+}
+
+// unfinished is 1 until the callers' connections are closed, which is after the last byte of their answers.
+func unfinished(closed <-chan struct{}) int {
+	select {
+	case <-closed:
+		return 0
+	default:
+		return 1
+	}
 }
 
-// waitForDispatches waits until the homes' work for other fronts is over too.
-func (e *Entry) waitForDispatches(ctx context.Context) {
-	for ctx.Err() == nil && e.dispatcher.serving.Load() > 0 {
-		pause(ctx, 50*time.Millisecond)
+func (e *Entry) entered(phase drain.Phase) {
+	e.log.WithField("phase", phase.String()).Info("stopping")
+	if phase == drain.Leaving {
+		e.recorder.Record(timeline.Event{Kind: timeline.EntryLeaving, Entry: e.config.Name})
 	}
 }
 
--- a/entry/providers.go
+++ b/entry/providers.go
@@ -12,6 +12,8 @@
 	"github.com/skylarkpond/skylarkpond/domain"
 	"github.com/skylarkpond/skylarkpond/entry/admission"
 	"github.com/skylarkpond/skylarkpond/entry/controller"
+	"github.com/skylarkpond/skylarkpond/entry/directory"
+	"github.com/skylarkpond/skylarkpond/entry/drain"
 	"github.com/skylarkpond/skylarkpond/entry/fleet"
 	"github.com/skylarkpond/skylarkpond/entry/front"
 	"github.com/skylarkpond/skylarkpond/entry/home"
@@ -23,6 +25,7 @@
 	"github.com/skylarkpond/skylarkpond/link/engine"
 	"github.com/skylarkpond/skylarkpond/link/peer"
 	"github.com/skylarkpond/skylarkpond/link/platform"
+	policy "github.com/skylarkpond/skylarkpond/policy/directory"
 	"github.com/skylarkpond/skylarkpond/timeline"
 	"github.com/skylarkpond/skylarkpond/vm"
 )
@@ -66,6 +69,18 @@
 	return peer.NewServer(self.identity, members)
 }
 
+func provideDirectory(members *member.Members, inForce *settingsInForce, gate *drain.Gate) *directory.Directory {
+	return directory.New(directory.Deps{
+		Members:    members,
+		TTL:        func() time.Duration { return inForce.Snapshot().AddressTTL },
+		InProgress: gate.InProgress,
+		Rand:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Choice:     policy.DefaultConfig(),
+		Overload:   policy.DefaultOverloadConfig(),
+		Clock:      time.Now,
+	})
+}
+
 func providePinger(client *peer.Client) member.Pinger { return member.NewPinger(client) }
 
 func provideFollower(m *mirror.Mirror, store platform.Store, owners owners, members *member.Members) *mirror.Follower {
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -172,12 +172,12 @@
 func (e *Entry) publicHandler() http.Handler {
 	service := new(restful.WebService)
 	service.Path("/v1").Produces("*/*").Consumes("*/*")
-	service.Route(service.GET("/entries").To(e.directory))
+	e.directory.Register(service)
 	e.front.Register(service)
 	container := restful.NewContainer()
 	container.Add(service)
 	container.ServiceErrorHandler(unknownPath)
-	return container
+	return e.gate.Wrap(container)
 }
 
 // unknownPath answers what no route takes, in the same form as every other refusal.
@@ -194,31 +194,6 @@
 // adminHandler serves operators.
 func (e *Entry) adminHandler() http.Handler { return e.operator.Handler() }
 
-// directoryAnswer is the answer to GET /v1/entries.
-type directoryAnswer struct {
-	Entries []directoryEntry `json:"entries"`
-	// KeepSeconds is how long the answer may be kept.
-	KeepSeconds int `json:"keep_seconds"`
-}
-
-type directoryEntry struct {
-	Address       string `json:"address"`
-	Place         string `json:"place"`
-	FailureDomain string `json:"failure_domain"`
-}
-
-func (e *Entry) directory(_ *restful.Request, response *restful.Response) {
-	keep := int(e.inForce.Snapshot().AddressTTL.Seconds())
-	answer := directoryAnswer{KeepSeconds: keep}
-	for _, p := range e.members.Live() {
-		answer.Entries = append(answer.Entries, directoryEntry{
-			Address: p.PublicAddress, Place: p.Place, FailureDomain: p.FailureDomain,
-		})
-	}
-	response.AddHeader("Cache-Control", fmt.Sprintf("max-age=%d", keep))
-	_ = response.WriteHeaderAndJson(http.StatusOK, answer, restful.MIME_JSON)
-}
-
 // CheckPlatform reports whether the platform answers and holds settings. It starts and writes nothing.
 func CheckPlatform(ctx context.Context, config Config, out io.Writer) error {
 	store := provideStore(config, newMeasures())
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/skylarkpond/skylarkpond/entry/admission"
+	"github.com/skylarkpond/skylarkpond/entry/drain"
 	"github.com/skylarkpond/skylarkpond/entry/mirror"
 	"github.com/skylarkpond/skylarkpond/timeline"
 	"github.com/skylarkpond/skylarkpond/vm"
@@ -20,6 +21,7 @@
 		provideStore, provideMembers, provideOwners, providePeerClient, providePeerServer,
 		providePinger, provideFollower, provideTable, providePlaced, provideAttempts, provideHome, provideDispatcher,
 		provideFront, provideRouter, provideProber, provideController, provideOverview, provideOperator, provideRegistration,
+		provideDirectory, wire.Struct(new(drain.Gate)),
 		newSettingsInForce, mirror.New, admission.New, vm.NewPresence,
 		provideEngines,
 		wire.Struct(new(Entry), "*"),
--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -9,6 +9,7 @@
 import (
 	"github.com/sirupsen/logrus"
 	"github.com/skylarkpond/skylarkpond/entry/admission"
+	"github.com/skylarkpond/skylarkpond/entry/drain"
 	"github.com/skylarkpond/skylarkpond/entry/mirror"
 	"github.com/skylarkpond/skylarkpond/timeline"
 	"github.com/skylarkpond/skylarkpond/vm"
@@ -39,6 +40,8 @@
 	entryDispatcher := provideDispatcher(self, table, home, members, client, recorder, admissionAdmission)
 	router := provideRouter(config, measures2)
 	front := provideFront(config, entrySettingsInForce, entryDispatcher, router, records, recorder)
+	gate := &drain.Gate{}
+	directory := provideDirectory(members, entrySettingsInForce, gate)
 	entryOverview := provideOverview(config, members, table, entrySettingsInForce, client, recorder)
 	server := provideOperator(config, store, entrySettingsInForce, mirrorMirror, follower, entryOverview, recorder, measures2, log)
 	peerServer := providePeerServer(self, members)
@@ -55,6 +58,8 @@
 		admission:    admissionAdmission,
 		controller:   controller,
 		front:        front,
+		directory:    directory,
+		gate:         gate,
 		operator:     server,
 		overview:     entryOverview,
 		dispatcher:   entryDispatcher,
