Time line: merge, filter and read; slow clocks follow the fastest heard

A hybrid time alone sorts only what messages with a time connect. A cause that travels through the platform carries none: with clocks ten seconds apart its effect sorted first (the new test failed so). Recorders now also take over what the fastest clock they hear is ahead, for a minute after they heard it.

--- a/timeline/recorder.go
+++ b/timeline/recorder.go
@@ -16,9 +16,12 @@
 	process string
 	clock   func() time.Time
 
-	mu     sync.Mutex // guards what follows; a leaf lock: nothing is locked while it is held
-	out    io.Writer
-	last   int64
+	mu   sync.Mutex // guards what follows; a leaf lock: nothing is locked while it is held
+	out  io.Writer
+	last int64
+	// lead is how far the fastest clock heard of is ahead of the own one, and leadAt when it was heard.
+	lead   time.Duration
+	leadAt time.Time
 	seq    uint64
 	recent []Event
 	next   int
@@ -59,16 +62,31 @@
 
 // Observe takes in the time of a received message, so that later events sort after it. A time more
 // than maxSkew ahead of the own clock is ignored: one wrong clock must not drag all others along.
+//
+// It also sets the own clock on by what the sender's is ahead. Causes travel on ways that carry no time
+// too, as by an object in the platform; without this a process with a slow clock would stamp their effects
+// seconds too early, until the next message.
 func (r *Recorder) Observe(at int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if at > r.clock().Add(maxSkew).UnixNano() {
+	now := r.clock()
+	ahead := time.Duration(at - now.UnixNano())
+	if ahead > maxSkew {
 		return
 	}
 	r.last = max(r.last, at)
+	if ahead >= r.lead || now.Sub(r.leadAt) > leadLifetime {
+		r.lead = max(ahead, 0)
+		r.leadAt = now
+	}
 }
 
-const maxSkew = time.Minute
+const (
+	maxSkew = time.Minute
+	// leadLifetime is how long a clock that is ahead is followed after it was last heard: it may have
+	// been set right, or its process have gone.
+	leadLifetime = time.Minute
+)
 
 // Recent returns the kept events, oldest first.
 func (r *Recorder) Recent() []Event {
@@ -81,7 +99,7 @@
 
 // advance must be called with mu held.
 func (r *Recorder) advance() int64 {
-	r.last = max(r.last+1, r.clock().UnixNano())
+	r.last = max(r.last+1, r.clock().Add(r.lead).UnixNano())
 	return r.last
 }
 
