Time line: filters by VM and end, and files of entries that are gone

The filter moves from the operators' API to package timeline, which both sides and the files use; the operator's test names the embedded field, its check is the same.

--- a/contract/admin/admin.go
+++ b/contract/admin/admin.go
@@ -107,12 +107,7 @@
 
 // TimelineQuery narrows a time line; zero fields don't.
 type TimelineQuery struct {
-	// Since leaves out events before it, in Unix nanoseconds.
-	Since   int64
-	Kind    timeline.Kind
-	Request string
-	Group   string
-	Entry   string
+	timeline.Filter
 	// Limit keeps only the latest events; 0: DefaultTimelineLimit.
 	Limit int
 }
@@ -123,15 +118,6 @@
 	MaxTimelineLimit     = 10_000
 )
 
-// Matches says whether the query wants the event.
-func (q TimelineQuery) Matches(e timeline.Event) bool {
-	return e.Time >= q.Since &&
-		(q.Kind == "" || q.Kind == e.Kind) &&
-		(q.Request == "" || q.Request == e.Request) &&
-		(q.Group == "" || q.Group == e.Group) &&
-		(q.Entry == "" || q.Entry == e.Process || q.Entry == e.Entry)
-}
-
 // Timeline answers GET TimelinePath, oldest event first.
 type Timeline struct {
 	Events []timeline.Event `json:"events"`
--- a/entry/operator/operator_test.go
+++ b/entry/operator/operator_test.go
@@ -366,7 +366,7 @@
 	It("passes the time line's query on, and lifts a quarantine", func() {
 		r := devRig()
 		Expect(r.call(http.MethodGet, admin.TimelinePath+"?since=5&kind=group-state&limit=7", nil, nil)).To(Equal(http.StatusOK))
-		Expect(r.entry.query).To(Equal(admin.TimelineQuery{Since: 5, Kind: timeline.GroupState, Limit: 7}))
+		Expect(r.entry.query).To(Equal(admin.TimelineQuery{Filter: timeline.Filter{Since: 5, Kind: timeline.GroupState}, Limit: 7}))
 		Expect(r.call(http.MethodGet, admin.TimelinePath+"?limit=0", nil, nil)).To(Equal(http.StatusBadRequest))
 		Expect(r.call(http.MethodDelete, admin.QuarantinePath+"/desk/f1", nil, nil)).To(Equal(http.StatusNoContent))
 		Expect(r.call(http.MethodDelete, admin.QuarantinePath+"/desk/f2", nil, nil)).To(Equal(http.StatusNotFound))
--- a/entry/operator/server.go
+++ b/entry/operator/server.go
@@ -170,16 +170,20 @@
 }
 
 func parseQuery(req *restful.Request) (admin.TimelineQuery, *contract.Problem) {
-	query := admin.TimelineQuery{
+	query := admin.TimelineQuery{Limit: admin.DefaultTimelineLimit, Filter: timeline.Filter{
 		Kind: timeline.Kind(req.QueryParameter("kind")), Request: req.QueryParameter("request"),
-		Group: req.QueryParameter("group"), Entry: req.QueryParameter("entry"), Limit: admin.DefaultTimelineLimit,
-	}
-	if text := req.QueryParameter("since"); text != "" {
-		since, err := strconv.ParseInt(text, 10, 64)
+		Group: req.QueryParameter("group"), VM: req.QueryParameter("vm"), Entry: req.QueryParameter("entry"),
+	}}
+	for name, bound := range map[string]*int64{"since": &query.Since, "until": &query.Until} {
+		text := req.QueryParameter(name)
+		if text == "" {
+			continue
+		}
+		at, err := strconv.ParseInt(text, 10, 64)
 		if err != nil {
-			return query, badParameter("since", "Unix nanoseconds")
+			return query, badParameter(name, "Unix nanoseconds")
 		}
-		query.Since = since
+		*bound = at
 	}
 	if text := req.QueryParameter("limit"); text != "" {
 		limit, err := strconv.Atoi(text)
--- a/entry/status.go
+++ b/entry/status.go
@@ -147,15 +147,12 @@
 		answers[i] = events
 		missing[i] = err != nil
 	})
-	var merged admin.Timeline
-	for i, events := range answers {
-		merged.Events = append(merged.Events, events...)
+	merged := admin.Timeline{Events: latest(timeline.Merge(answers...), query.Limit)}
+	for i, p := range peers {
 		if missing[i] {
-			merged.Missing = append(merged.Missing, peers[i].Name)
+			merged.Missing = append(merged.Missing, p.Name)
 		}
 	}
-	sortEvents(merged.Events)
-	merged.Events = latest(merged.Events, query.Limit)
 	return merged, nil
 }
 
@@ -171,13 +168,7 @@
 }
 
 func (o *overview) ownEvents(query admin.TimelineQuery) []timeline.Event {
-	var events []timeline.Event
-	for _, event := range o.recorder.Recent() {
-		if query.Matches(event) {
-			events = append(events, event)
-		}
-	}
-	return latest(events, query.Limit)
+	return latest(timeline.Select(o.recorder.Recent(), query.Filter), query.Limit)
 }
 
 func latest(events []timeline.Event, limit int) []timeline.Event {
@@ -186,15 +177,3 @@
 	}
 	return events[max(0, len(events)-limit):]
 }
-
-func sortEvents(events []timeline.Event) {
-	slices.SortStableFunc(events, func(a, b timeline.Event) int {
-		switch {
-		case a.Time < b.Time:
-			return -1
-		case a.Time > b.Time:
-			return 1
-		}
-		return strings.Compare(a.Process, b.Process)
-	})
-}
--- a/pondctl/args.go
+++ b/pondctl/args.go
@@ -83,6 +83,9 @@
 	Kind    string        `arg:"--kind,env:POND_KIND" help:"only events of this kind, such as settings-in-force"`
 	Request string        `arg:"--request,env:POND_REQUEST" help:"only events of this request id"`
 	Group   string        `arg:"--group,env:POND_GROUP" help:"only events of this group"`
+	VM      string        `arg:"--vm,env:POND_VM" help:"only events about this VM"`
+	Until   time.Duration `arg:"--until,env:POND_UNTIL" help:"leave out events newer than this long ago"`
+	Files   []string      `arg:"--file,separate,env:POND_FILE" help:"read events from this file, which an entry wrote, in place of asking entries; may be given more than once"`
 	From    string        `arg:"--from,env:POND_FROM" help:"only events of or about this entry"`
 	Limit   int           `arg:"--limit,env:POND_LIMIT" default:"200" help:"at most so many events, the latest"`
 }
--- a/pondctl/pondctl_test.go
+++ b/pondctl/pondctl_test.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -12,6 +14,7 @@
 	"github.com/skylarkpond/skylarkpond/contract/admin"
 	"github.com/skylarkpond/skylarkpond/contract/settings"
 	"github.com/skylarkpond/skylarkpond/pondctl"
+	"github.com/skylarkpond/skylarkpond/timeline"
 )
 
 const (
@@ -239,6 +242,33 @@
 		Expect(len(fresh.Key)).To(BeNumerically(">=", 26))
 	})
 
+	// The entries that wrote the events are gone, one of them in the middle of a line; their clocks were
+	// seconds apart.
+	It("merges the files of entries that are gone, in order, by VM and time", func() {
+		dir := GinkgoT().TempDir()
+		write := func(name string, skew time.Duration) (*timeline.Recorder, string) {
+			path := filepath.Join(dir, name)
+			file, err := os.Create(path)
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(file.Close)
+			return timeline.NewRecorder(name, file, func() time.Time { return time.Now().Add(skew) }), path
+		}
+		fast, fastFile := write("fast", 3*time.Second)
+		slow, slowFile := write("slow", -3*time.Second)
+		fast.Record(timeline.Event{Kind: timeline.OrderSent, VM: "vm1", Detail: "cause"})
+		fast.Record(timeline.Event{Kind: timeline.OrderSent, VM: "vm2"})
+		slow.Observe(fast.Now())
+		slow.Record(timeline.Event{Kind: timeline.OrderRefused, VM: "vm1", Detail: "effect"})
+		text, err := os.ReadFile(slowFile)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(os.WriteFile(slowFile, append(text, text[:20]...), 0o600)).To(Succeed())
+		out := expectOK("timeline", "--file", slowFile, "--file", fastFile, "--vm", "vm1")
+		Expect(strings.Count(out, "\n")).To(Equal(2))
+		Expect(strings.Index(out, "cause")).To(BeNumerically("<", strings.Index(out, "effect")))
+		Expect(expectOK("timeline", "--file", fastFile, "--until", "1m")).To(BeEmpty())
+		Expect(expectOK("timeline", "--file", fastFile, "--limit", "1")).To(ContainSubstring("vm2"))
+	})
+
 	It("fills an empty directory by pull, as declarations that pass their checks and change nothing", func() {
 		newRig()
 		expectOK("apply", checkout())
--- a/pondctl/show.go
+++ b/pondctl/show.go
@@ -6,11 +6,14 @@
 	"fmt"
 	"io"
 	"net/url"
+	"os"
 	"strconv"
 	"strings"
 	"text/tabwriter"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/skylarkpond/skylarkpond/contract/admin"
 	"github.com/skylarkpond/skylarkpond/contract/settings"
 	"github.com/skylarkpond/skylarkpond/timeline"
@@ -153,14 +156,14 @@
 }
 
 func (c *command) timeline(ctx context.Context, args *TimelineArgs) error {
-	query := url.Values{"limit": {strconv.Itoa(args.Limit)}}
-	query.Set("since", strconv.FormatInt(time.Now().Add(-args.Since).UnixNano(), 10))
-	for name, value := range map[string]string{"kind": args.Kind, "request": args.Request, "group": args.Group, "entry": args.From} {
-		if value != "" {
-			query.Set(name, value)
-		}
+	filter := args.filter(time.Now())
+	read := func() (admin.Timeline, error) {
+		return get[admin.Timeline](ctx, c.client, admin.TimelinePath, timelineValues(filter, args.Limit))
 	}
-	answer, err := get[admin.Timeline](ctx, c.client, admin.TimelinePath, query)
+	if len(args.Files) > 0 {
+		read = func() (admin.Timeline, error) { return c.readFiles(args.Files, filter, args.Limit) }
+	}
+	answer, err := read()
 	if err != nil {
 		return err
 	}
@@ -174,6 +177,58 @@
 	})
 }
 
+func (a *TimelineArgs) filter(now time.Time) timeline.Filter {
+	f := timeline.Filter{
+		Since: now.Add(-a.Since).UnixNano(), Kind: timeline.Kind(a.Kind),
+		Request: a.Request, VM: a.VM, Group: a.Group, Entry: a.From,
+	}
+	if a.Until > 0 {
+		f.Until = now.Add(-a.Until).UnixNano()
+	}
+	return f
+}
+
+func timelineValues(f timeline.Filter, limit int) url.Values {
+	values := url.Values{"limit": {strconv.Itoa(limit)}, "since": {strconv.FormatInt(f.Since, 10)}}
+	if f.Until > 0 {
+		values.Set("until", strconv.FormatInt(f.Until, 10))
+	}
+	for name, value := range map[string]string{
+		"kind": string(f.Kind), "request": f.Request, "vm": f.VM, "group": f.Group, "entry": f.Entry,
+	} {
+		if value != "" {
+			values.Set(name, value)
+		}
+	}
+	return values
+}
+
+// readFiles merges the files that entries wrote. It needs no entry: the files outlive those that died.
+func (c *command) readFiles(paths []string, f timeline.Filter, limit int) (admin.Timeline, error) {
+	var streams [][]timeline.Event
+	for _, path := range paths {
+		events, torn, err := readEvents(path)
+		if err != nil {
+			return admin.Timeline{}, err
+		}
+		if torn > 0 {
+			c.progress("warning: %d lines of %s are no events and are left out", torn, path)
+		}
+		streams = append(streams, events)
+	}
+	events := timeline.Select(timeline.Merge(streams...), f)
+	return admin.Timeline{Events: events[max(0, len(events)-max(0, limit)):]}, nil
+}
+
+func readEvents(path string) ([]timeline.Event, int, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, 0, eris.Wrap(err, "--file")
+	}
+	defer file.Close()
+	return timeline.Read(file)
+}
+
 // eventLine is one event in words: time, process, kind, and the fields that are set.
 func eventLine(e timeline.Event) string {
 	var b strings.Builder
--- a/timeline/timeline_test.go
+++ b/timeline/timeline_test.go
@@ -81,6 +81,15 @@
 		Expect(w.merged()).To(Equal([]string{"placement written", "group whole"}))
 	})
 
+	It("sorts an effect after its cause although the own clock was set back in between", func() {
+		w := newWorld(0, 0)
+		w.record(0, "asks")
+		w.message(0, 1, time.Millisecond)
+		w.recorders[1].clock = func() time.Time { return w.now.Add(-30 * time.Second) }
+		w.record(1, "answers")
+		Expect(w.merged()).To(Equal([]string{"asks", "answers"}))
+	})
+
 	It("does not follow a clock that is wrong by more than a minute, nor one that was set right", func() {
 		w := newWorld(time.Hour, 0, 10*time.Second, 0)
 		w.message(0, 1, 0)
