--- a/policy/balance/table_test.go
+++ b/policy/balance/table_test.go
@@ -198,7 +198,9 @@
 			b.Run(fmt.Sprintf("%s/%d", kind, size), func(b *testing.B) {
 				t := filled(size)
 				r := seeded()
+				t.refresh(0)
 				b.ReportAllocs()
+				b.ResetTimer()
 				for i := range b.N {
 					request := Request{Prefix: uint64(1 + i%600)}
 					switch kind {
@@ -234,7 +236,9 @@
 	for _, size := range sizes {
 		b.Run(fmt.Sprint(size), func(b *testing.B) {
 			t := filled(size)
+			t.refresh(0)
 			b.ReportAllocs()
+			b.ResetTimer()
 			for i := range b.N {
 				t.refresh(time.Duration(i) * RefreshEvery)
 			}
--- a/policy/shift/homes.go
+++ b/policy/shift/homes.go
@@ -71,6 +71,7 @@
 	steady time.Duration // when it counts as steady, if it stays live
 	gone   int           // how often it went
 	wentAt time.Duration
+	round  uint64 // the last Observe that named it
 }
 
 // Homes says which of the live entries may be homes. It is not safe for concurrent use.
@@ -79,6 +80,7 @@
 	entries map[string]*presence
 	self    string
 	started bool
+	round   uint64 // counts Observe
 }
 
 // NewHomes returns a Homes of the entry self, which knows no entry. The configuration has passed Check.
@@ -89,19 +91,20 @@
 // Observe takes in the names of the live entries. Those of the first call are steady at once, but for the
 // own one, which has just started. If most come back together, it was the own one that was away.
 func (h *Homes) Observe(now time.Duration, live []string) {
-	for name, p := range h.entries {
-		if p.live && !slices.Contains(live, name) {
-			p.live = false
-			p.gone++
-			p.wentAt = now
-		}
-	}
+	h.round++
 	back := 0
 	for _, name := range live {
 		if h.seen(now, name, h.started || name == h.self) {
 			back++
 		}
 	}
+	for _, p := range h.entries {
+		if p.live && p.round != h.round {
+			p.live = false
+			p.gone++
+			p.wentAt = now
+		}
+	}
 	if h.started && 2*back > len(live) {
 		h.Returned(now, h.self)
 	}
@@ -128,6 +131,7 @@
 		p = &presence{}
 		h.entries[name] = p
 	}
+	p.round = h.round
 	if p.live {
 		return false
 	}
--- a/policy/shift/shift_test.go
+++ b/policy/shift/shift_test.go
@@ -340,3 +340,20 @@
 		}
 	}
 }
+
+func BenchmarkSteady(b *testing.B) {
+	for _, count := range []int{21, 330} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			var live []string
+			for e := range count {
+				live = append(live, fmt.Sprint("entry-", e))
+			}
+			h := NewHomes(DefaultHoldConfig(), live[0])
+			b.ReportAllocs()
+			for i := range b.N {
+				h.Observe(time.Duration(i)*sec, live)
+				h.Steady(time.Duration(i) * sec)
+			}
+		})
+	}
+}
