--- a/entry/entry.go
+++ b/entry/entry.go
@@ -70,9 +70,8 @@
 	metrics      *measures
 }
 
-// finishTimeout bounds the wait of a planned stop for requests in progress. It is above every request
-// timeout that settings allow to be useful; a longer answer is cut, and the stop says so.
-const finishTimeout = 10 * time.Minute
+// finishMargin is what a stop waits beyond the longest time that a request may last.
+const finishMargin = 30 * time.Second
 
 // Run serves until ctx ends, then drains: it leaves the directory, keeps serving for longer than callers
 // may keep its address, finishes the requests in progress, and returns.
@@ -99,9 +98,9 @@
 	start(func(ctx context.Context) error { e.prober.Run(ctx); return nil })
 	start(func(ctx context.Context) error { e.admission.Run(ctx); return nil })
 	start(func(ctx context.Context) error { e.purger.Run(ctx, purgeInterval, e.purges, e.purged); return nil })
+	start(func(ctx context.Context) error { e.controller.Run(ctx); return nil })
 	start(func(ctx context.Context) error { e.directory.Run(ctx); return nil })
 	start(func(ctx context.Context) error { e.guard.Run(ctx); return nil })
-	start(func(ctx context.Context) error { e.controller.Run(ctx); return nil })
 	start(func(ctx context.Context) error { return e.watchMembers(ctx) })
 	start(func(context.Context) error { return serveHTTP(public, sockets.public) })
 	start(func(context.Context) error { return serveHTTP(admin, sockets.admin) })
@@ -117,6 +116,7 @@
 	}
 	err := e.drain(public)
 	_ = admin.Close()
+	e.recorder.Record(timeline.Event{Kind: timeline.EntryStopped, Entry: e.config.Name})
 	return err
 }
 
@@ -128,29 +128,52 @@
 	return err
 }
 
-// drain is the planned stop. Closing waits for callers' requests in progress by itself; those of other
-// entries' fronts are counted with them.
+// drain is the planned stop.
 func (e *Entry) drain(public *http.Server) error {
-	e.log.Info("leaving")
+	closed := make(chan struct{})
 	steps := drain.Steps{
 		Leave: func() {
 			e.members.Leave()
 			e.gate.Leave()
 		},
-		Publish:    func(ctx context.Context) error { return e.registration.publish(ctx, true) },
-		KeptUntil:  e.directory.KeptUntil,
-		Close:      func() { go func() { _ = public.Shutdown(context.Background()) }() },
-		InProgress: func() int { return e.gate.InProgress() + int(e.dispatcher.serving.Load()) },
-		Entered:    e.recordPhase,
+		Publish:   func(ctx context.Context) error { return e.registration.publish(ctx, true) },
+		KeptUntil: e.directory.KeptUntil,
+		Close: func() {
+			go func() {
+				defer close(closed)
+				_ = public.Shutdown(context.Background())
+			}()
+		},
+		InProgress: func() int { return int(e.dispatcher.serving.Load()) + unfinished(closed) },
+		Entered:    e.entered,
 	}
-	config := drain.Config{Margin: e.config.DrainMargin, FinishTimeout: finishTimeout}
+	config := drain.Config{Margin: e.config.DrainMargin, FinishTimeout: e.longestRequest() + finishMargin}
 	return drain.New(config, steps, drain.SystemClock{}).Run(context.Background())
 }
 
-func (e *Entry) recordPhase(phase drain.Phase) {
-	kinds := map[drain.Phase]timeline.Kind{drain.Leaving: timeline.EntryLeaving, drain.Stopped: timeline.EntryStopped}
-	if kind, ok := kinds[phase]; ok {
-		e.recorder.Record(timeline.Event{Kind: kind, Entry: e.config.Name})
+// longestRequest is the longest deadline that a caller may name.
+func (e *Entry) longestRequest() time.Duration {
+	longest := time.Duration(0)
+	for _, service := range e.inForce.Snapshot().Services {
+		longest = max(longest, service.MaxRequestTimeout)
+	}
+	return longest
+}
+
+// unfinished is 1 until the callers' connections are closed, which is after the last byte of their answers.
+func unfinished(closed <-chan struct{}) int {
+	select {
+	case <-closed:
+		return 0
+	default:
+		return 1
+	}
+}
+
+func (e *Entry) entered(phase drain.Phase) {
+	e.log.WithField("phase", phase.String()).Info("stopping")
+	if phase == drain.Leaving {
+		e.recorder.Record(timeline.Event{Kind: timeline.EntryLeaving, Entry: e.config.Name})
 	}
 }
 
