--- a/entry/home/home.go
+++ b/entry/home/home.go
@@ -40,8 +40,8 @@
 	Priority int
 	// Work is the estimated work in tokens.
 	Work int
-	// Least is the work that it takes at least; 0: Work.
-	Least int
+	// Prompt is the part of Work that the prompt is; the rest is a bound on the answer.
+	Prompt int
 }
 
 // Turn is a request's place at work. Its owner reports what it sees, and calls Done at the end; more calls
@@ -78,6 +78,8 @@
 	Engines     engine.Client
 	Settings    func() *settings.Snapshot
 	Recorder    *timeline.Recorder
+	// Clock is time.Now if nil.
+	Clock func() time.Time
 }
 
 // Home takes dispatches. It is safe for concurrent use.
@@ -88,6 +90,9 @@
 
 // New returns a home.
 func New(deps Deps) *Home {
+	if deps.Clock == nil {
+		deps.Clock = time.Now
+	}
 	return &Home{deps: deps, work: newTable()}
 }
 
