--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -32,18 +32,19 @@
 	presence := vm.NewPresence()
 	admissionAdmission := admission.New()
 	prober := provideProber(config, table, engineClient, presence, recorder, members, admissionAdmission)
+	guard := provideGuard(config, store, follower, engineClient, recorder, measures2)
 	entrySettingsInForce := newSettingsInForce(recorder, log)
 	controller := provideController(self, store, engineClient, entryOwners, mirrorMirror, table, entrySettingsInForce, recorder, measures2, log, follower)
 	entryPlaced := providePlaced(config, table, presence)
 	records := provideAttempts(store)
-	home := provideHome(self, entryPlaced, admissionAdmission, records, engineClient, entrySettingsInForce, recorder)
+	home := provideHome(self, entryPlaced, admissionAdmission, records, engineClient, entrySettingsInForce, recorder, guard)
 	entryDispatcher := provideDispatcher(self, table, home, members, client, recorder, admissionAdmission)
 	router := provideRouter(config, measures2)
 	front := provideFront(config, entrySettingsInForce, entryDispatcher, router, records, recorder)
 	gate := &drain.Gate{}
-	directory := provideDirectory(members, entrySettingsInForce, gate)
+	directory := provideDirectory(members, entrySettingsInForce, gate, entryDispatcher)
 	entryOverview := provideOverview(config, members, table, entrySettingsInForce, client, recorder)
-	server := provideOperator(config, store, entrySettingsInForce, mirrorMirror, follower, entryOverview, recorder, measures2, log)
+	server := provideOperator(config, store, entrySettingsInForce, mirrorMirror, follower, entryOverview, recorder, measures2, log, guard)
 	peerServer := providePeerServer(self, members)
 	entry := &Entry{
 		config:       config,
@@ -56,6 +57,7 @@
 		follower:     follower,
 		prober:       prober,
 		admission:    admissionAdmission,
+		guard:        guard,
 		controller:   controller,
 		front:        front,
 		directory:    directory,
