--- a/entry/entry.go
+++ b/entry/entry.go
@@ -70,7 +70,7 @@
 	metrics      *measures
 }
 
-// finishMargin is what a stop waits beyond the longest time that a request may last.
+// finishMargin is what a planned stop waits beyond the longest time that a request may last.
 const finishMargin = 30 * time.Second
 
 // Run serves until ctx ends, then drains: it leaves the directory, keeps serving for longer than callers
@@ -116,7 +116,6 @@
 	}
 	err := e.drain(public)
 	_ = admin.Close()
-	e.recorder.Record(timeline.Event{Kind: timeline.EntryStopped, Entry: e.config.Name})
 	return err
 }
 
@@ -128,8 +127,10 @@
 	return err
 }
 
-// drain is the planned stop.
+// drain is the planned stop. Callers' requests are over when their connections are closed, which is after
+// the last byte of each answer; those of other entries' fronts are counted with them.
 func (e *Entry) drain(public *http.Server) error {
+	e.log.Info("leaving")
 	closed := make(chan struct{})
 	steps := drain.Steps{
 		Leave: func() {
@@ -144,8 +145,8 @@
 				_ = public.Shutdown(context.Background())
 			}()
 		},
-		InProgress: func() int { return int(e.dispatcher.serving.Load()) + unfinished(closed) },
-		Entered:    e.entered,
+		InProgress: func() int { return int(e.dispatcher.serving.Load()) + max(e.gate.InProgress(), unfinished(closed)) },
+		Entered:    e.recordPhase,
 	}
 	config := drain.Config{Margin: e.config.DrainMargin, FinishTimeout: e.longestRequest() + finishMargin}
 	return drain.New(config, steps, drain.SystemClock{}).Run(context.Background())
@@ -160,7 +161,7 @@
 	return longest
 }
 
-// unfinished is 1 until the callers' connections are closed, which is after the last byte of their answers.
+// unfinished is 1 until closed is.
 func unfinished(closed <-chan struct{}) int {
 	select {
 	case <-closed:
@@ -170,10 +171,10 @@
 	}
 }
 
-func (e *Entry) entered(phase drain.Phase) {
-	e.log.WithField("phase", phase.String()).Info("stopping")
-	if phase == drain.Leaving {
-		e.recorder.Record(timeline.Event{Kind: timeline.EntryLeaving, Entry: e.config.Name})
+func (e *Entry) recordPhase(phase drain.Phase) {
+	kinds := map[drain.Phase]timeline.Kind{drain.Leaving: timeline.EntryLeaving, drain.Stopped: timeline.EntryStopped}
+	if kind, ok := kinds[phase]; ok {
+		e.recorder.Record(timeline.Event{Kind: kind, Entry: e.config.Name})
 	}
 }
 
