Two controllers that hold each other dead take turns that are long enough to mend a group

Cause: an entry waited before it took a domain back only from a rival that it held live. With the network between two halves of the entries cut, each half holds the other dead, and each took every domain at each write of the other: a write a second for each domain, and since whoever takes over watches anew, no silent member was ever silent for the grace of ten seconds.

Seen over separate processes: a member that died during the cut was not replaced in 90 s.

--- a/entry/controller/controller.go
+++ b/entry/controller/controller.go
@@ -25,6 +25,7 @@
 	"github.com/skylarkpond/skylarkpond/domain"
 	"github.com/skylarkpond/skylarkpond/link/engine"
 	"github.com/skylarkpond/skylarkpond/link/platform"
+	"github.com/skylarkpond/skylarkpond/policy/forming"
 	"github.com/skylarkpond/skylarkpond/timeline"
 	"github.com/skylarkpond/skylarkpond/vm"
 )
@@ -45,9 +46,11 @@
 	OrderTimeout = time.Second
 	// AsideFor is how long a straggler is kept out of groups, unless it restarts.
 	AsideFor = time.Hour
-	// RivalPause is how long an entry waits before it takes a domain back from another live entry. Two
-	// entries with different views of who is live would otherwise take it from each other each round.
-	RivalPause = 10 * time.Second
+	// RivalPause is how long an entry waits before it takes a domain back. Two entries with different views of
+	// who is live, as when the network between them is cut, would otherwise take it from each other each
+	// round, which is a write a second for each domain; and since whoever takes over watches anew, neither
+	// would ever replace a silent member. It is twice forming.Grace, so that each turn is long enough for that.
+	RivalPause = 2 * forming.Grace
 )
 
 // workers bounds the domains worked on at a time, and probers the probes and orders under way per domain.
--- a/entry/controller/work.go
+++ b/entry/controller/work.go
@@ -18,7 +18,7 @@
 // ErrNotOwner and its kin say why a round ended early.
 var (
 	ErrNotOwner = eris.New("fabric domain is owned by another entry")
-	ErrRival    = eris.New("another live entry took the fabric domain over")
+	ErrRival    = eris.New("another entry took the fabric domain over")
 	ErrOutdated = eris.New("placement changed since it was read")
 	// ErrNoSettings: without settings nothing is known to be wanted, and nothing to be unwanted either.
 	ErrNoSettings = eris.New("no settings known yet")
@@ -48,7 +48,7 @@
 	version   platform.Version
 	// confirmed is when the last read or write of the placement that was confirmed was begun.
 	confirmed time.Time
-	// rivalSeen is when another live entry was last seen to have taken the domain.
+	// rivalSeen is when another entry was seen to have taken the domain.
 	rivalSeen time.Time
 
 	measured     time.Time
@@ -114,7 +114,7 @@
 	if w.isOurs() {
 		return nil
 	}
-	if w.rivalIsLive() {
+	if w.wasOurs() {
 		if w.rivalSeen.IsZero() {
 			w.rivalSeen = w.c.Now()
 		}
@@ -130,19 +130,10 @@
 	return w.placement.Controller == w.c.Owners.Self() && w.placement.Incarnation == w.c.Incarnation
 }
 
-// rivalIsLive says that another entry that holds the domain is thought to be at work. A domain that this
-// entry never held is taken at once: its holder lost it by the same rule.
-func (w *work) rivalIsLive() bool {
-	if w.plan.Targets == nil {
-		return false
-	}
-	for _, name := range w.c.Owners.Live() {
-		if name == w.placement.Controller && name != w.c.Owners.Self() {
-			return true
-		}
-	}
-	return false
-}
+// wasOurs says that this entry held the domain, and has thought without a break that it owns it. Whoever
+// took it since thinks the same of itself, whether or not it is held dead here. A domain that this entry
+// did not hold is taken at once.
+func (w *work) wasOurs() bool { return w.plan.Targets != nil }
 
 func (w *work) takeOver(ctx context.Context) error {
 	next := w.placement.Clone()
