--- a/entry/entry.go
+++ b/entry/entry.go
@@ -17,15 +17,21 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"github.com/skylarkpond/skylarkpond/contract/attempt"
+	"github.com/skylarkpond/skylarkpond/domain"
 	"github.com/skylarkpond/skylarkpond/entry/admission"
 	"github.com/skylarkpond/skylarkpond/entry/controller"
+	"github.com/skylarkpond/skylarkpond/entry/directory"
+	"github.com/skylarkpond/skylarkpond/entry/drain"
 	"github.com/skylarkpond/skylarkpond/entry/front"
+	"github.com/skylarkpond/skylarkpond/entry/guard"
 	"github.com/skylarkpond/skylarkpond/entry/member"
 	"github.com/skylarkpond/skylarkpond/entry/mirror"
 	"github.com/skylarkpond/skylarkpond/entry/operator"
 	"github.com/skylarkpond/skylarkpond/entry/prober"
 	"github.com/skylarkpond/skylarkpond/entry/routing"
 	"github.com/skylarkpond/skylarkpond/link/peer"
+	"github.com/skylarkpond/skylarkpond/link/platform"
 	"github.com/skylarkpond/skylarkpond/timeline"
 )
 
@@ -47,8 +53,13 @@
 	follower     *mirror.Follower
 	prober       *prober.Prober
 	admission    *admission.Admission
+	purger       *attempt.Purger
+	owners       owners
+	guard        *guard.Guard
 	controller   *controller.Controller
 	front        *front.Front
+	directory    *directory.Directory
+	gate         *drain.Gate
 	operator     *operator.Server
 	overview     *overview
 	dispatcher   *dispatcher
@@ -59,8 +70,8 @@
 	metrics      *measures
 }
 
-// shutdownTimeout bounds the wait for requests in progress after the listeners are closed.
-const shutdownTimeout = 5 * time.Minute
+// finishMargin is what a planned stop waits beyond the longest time that a request may last.
+const finishMargin = 30 * time.Second
 
 // Run serves until ctx ends, then drains: it leaves the directory, keeps serving for longer than callers
 // may keep its address, finishes the requests in progress, and returns.
@@ -86,7 +97,10 @@
 	start(func(ctx context.Context) error { e.follower.Run(ctx); return nil })
 	start(func(ctx context.Context) error { e.prober.Run(ctx); return nil })
 	start(func(ctx context.Context) error { e.admission.Run(ctx); return nil })
+	start(func(ctx context.Context) error { e.purger.Run(ctx, purgeInterval, e.purges, e.purged); return nil })
 	start(func(ctx context.Context) error { e.controller.Run(ctx); return nil })
+	start(func(ctx context.Context) error { e.directory.Run(ctx); return nil })
+	start(func(ctx context.Context) error { e.guard.Run(ctx); return nil })
 	start(func(ctx context.Context) error { return e.watchMembers(ctx) })
 	start(func(context.Context) error { return serveHTTP(public, sockets.public) })
 	start(func(context.Context) error { return serveHTTP(admin, sockets.admin) })
@@ -100,10 +114,9 @@
 		return err
 	case <-ctx.Done():
 	}
-	e.drain(public)
+	err := e.drain(public)
 	_ = admin.Close()
-	e.recorder.Record(timeline.Event{Kind: timeline.EntryStopped, Entry: e.config.Name})
-	return nil
+	return err
 }
 
 func serveHTTP(server *http.Server, listener net.Listener) error {
@@ -114,28 +127,72 @@
 	return err
 }
 
-// drain is the planned stop. No request is cut: callers that keep the address go on being served until
-// none may, homes move as soon as the others hear that this entry leaves, and both listeners wait for
-// what is in progress.
-func (e *Entry) drain(public *http.Server) {
+// drain is the planned stop. Callers' requests are over when their connections are closed, which is after
+// the last byte of each answer; those of other entries' fronts are counted with them.
+func (e *Entry) drain(public *http.Server) error {
 	e.log.Info("leaving")
-	e.recorder.Record(timeline.Event{Kind: timeline.EntryLeaving, Entry: e.config.Name})
-	e.members.Leave()
-	published, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer cancel()
-	go func() { _ = e.registration.publish(published, true) }()
-	time.Sleep(e.inForce.Snapshot().AddressTTL + e.config.DrainMargin)
-	stopping, cancelStop := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer cancelStop()
-	_ = public.Shutdown(stopping)
-	e.waitForDispatches(stopping)
+	closed := make(chan struct{})
+	steps := drain.Steps{
+		Leave: func() {
+			e.members.Leave()
+			e.gate.Leave()
+		},
+		Publish:   func(ctx context.Context) error { return e.registration.publish(ctx, true) },
+		KeptUntil: e.directory.KeptUntil,
+		Close: func() {
+			go func() {
+				defer close(closed)
+				_ = public.Shutdown(context.Background())
+			}()
+		},
+		InProgress: func() int { return int(e.dispatcher.serving.Load()) + max(e.gate.InProgress(), unfinished(closed)) },
+		Entered:    e.recordPhase,
+	}
+	config := drain.Config{Margin: e.config.DrainMargin, FinishTimeout: e.longestRequest() + finishMargin}
+	return drain.New(config, steps, drain.SystemClock{}).Run(context.Background())
+}
+
+// longestRequest is the longest deadline that a caller may name.
+func (e *Entry) longestRequest() time.Duration {
+	longest := time.Duration(0)
+	for _, service := range e.inForce.Snapshot().Services {
+		longest = max(longest, service.MaxRequestTimeout)
+	}
+	return longest
+}
+
+// unfinished is 1 until closed is.
+func unfinished(closed <-chan struct{}) int {
+	select {
+	case <-closed:
+		return 0
+	default:
+		return 1
+	}
+}
+
+func (e *Entry) recordPhase(phase drain.Phase) {
+	kinds := map[drain.Phase]timeline.Kind{drain.Leaving: timeline.EntryLeaving, drain.Stopped: timeline.EntryStopped}
+	if kind, ok := kinds[phase]; ok {
+		e.recorder.Record(timeline.Event{Kind: kind, Entry: e.config.Name})
+	}
+}
+
+// purgeInterval is how often expired attempt records are looked for: one list of the kind, by one entry.
+const purgeInterval = 10 * time.Minute
+
+// purges says whether this entry is the one that purges attempt records.
+func (e *Entry) purges() bool {
+	return domain.Owner(string(platform.KindAttempt), e.owners.Live()) == e.config.Name
 }
 
-// waitForDispatches waits until the homes' work for other fronts is over too.
-func (e *Entry) waitForDispatches(ctx context.Context) {
-	for ctx.Err() == nil && e.dispatcher.serving.Load() > 0 {
-		pause(ctx, 50*time.Millisecond)
+func (e *Entry) purged(deleted int, err error) {
+	log := e.log.WithField("deleted", deleted)
+	if err != nil {
+		log.WithError(err).Warn("attempt records could not all be purged")
+		return
 	}
+	log.Debug("attempt records purged")
 }
 
 const membersCheck = time.Second
--- a/entry/home/keep.go
+++ b/entry/home/keep.go
@@ -34,6 +34,7 @@
 		r.frame(f)
 	}
 	r.turn.Done()
+	r.pass.Finished(ctx)
 	if !kept && r.home.work.wait() {
 		defer r.home.work.waited()
 		r.keepAgain(ctx)
@@ -62,7 +63,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), keepTimeout)
 	defer cancel()
 	answer := r.kept.stored(r.d.Plain != nil)
-	result := r.home.deps.Attempts.Done(ctx, r.wish().ID, r.claim, answer, r.service.AttemptRetention)
+	result := r.home.deps.Attempts.Done(ctx, r.wish().ID, r.claim, answer, attempt.Retention(r.service))
 	return result.Verdict == attempt.Confirmed || result.Verdict == attempt.Found
 }
 
--- a/policy/balance/table.go
+++ b/policy/balance/table.go
@@ -40,6 +40,9 @@
 	FailureDomain string
 	// SinceServing is how long the group has served, as of the report.
 	SinceServing time.Duration
+	// Report tells one report of the group from another: if a Put brings the one that is known, with
+	// something else changed, the load is as old as it was. 0: each Put is a new report.
+	Report uint64
 }
 
 // group is a candidate and what the front adds to it.
@@ -112,9 +115,11 @@
 	g := &t.groups[i]
 	moved := !known || g.Ready != c.Ready || g.FailureDomain != c.FailureDomain
 	before := g.work(t.correction)
+	if c.Report == 0 || c.Report != g.Report {
+		g.ownReported = g.own
+	}
 	g.Candidate = c
 	g.servingSince = now - c.SinceServing
-	g.ownReported = g.own
 	if moved {
 		t.stale = true
 		return
@@ -192,18 +197,29 @@
 	}
 }
 
-// measure works out the capacity of each group, and sums up the ready ones.
+// measure works out the capacity of each group, and sums up the ready ones. The ramp of new groups is taken
+// relative to the oldest: where all are new, as in a service or a front that just started, no older ones
+// could carry what they do not get.
 func (t *Table) measure(now time.Duration) {
 	t.ready, t.work, t.capacity = 0, 0, 0
+	oldest := 0.0
 	for i := range t.groups {
 		g := &t.groups[i]
 		limit := g.Limit
 		if limit <= 0 {
 			limit = DefaultLimit
 		}
-		g.capacity = float64(limit) * t.config.SlowStart.Share(now-g.servingSince)
+		share := t.config.SlowStart.Share(now - g.servingSince)
+		g.capacity = float64(limit) * share
+		if g.Ready {
+			oldest = max(oldest, share)
+		}
+	}
+	for i := range t.groups {
+		g := &t.groups[i]
 		if g.Ready {
 			t.ready++
+			g.capacity /= oldest
 			t.work += g.work(t.correction)
 			t.capacity += g.capacity
 		}
@@ -234,6 +250,6 @@
 // correction returns by how much the front's own change since a report is multiplied. The other fronts
 // did about the same, which calls for their number; but one front's change is a small sample, and its
 // chance would be multiplied as well. The square root is between: with 13 fronts, the number itself costs
-// 3 to 10 in 100 hits, while 1 lets first tokens at 99 in 100 grow from 43 to 110 ms without prefixes,
+// 2 to 10 in 100 hits, while 1 lets first tokens at 99 in 100 grow from 43 to 110 ms without prefixes,
 // and loses requests when a prefix becomes popular (docs/measurements/group-choice.md).
 func correction(fronts int) float64 { return math.Sqrt(float64(max(1, fronts))) }
--- a/policy/balance/table_test.go
+++ b/policy/balance/table_test.go
@@ -56,7 +56,15 @@
 			t.Begin(first.ID)
 		}
 		Expect(t.Choose(0, Request{Prefix: 7}, r).Reason).To(Equal(Spilled))
+		again := t.groups[t.index[first.ID]].Candidate
+		again.Report = 1
+		t.Put(0, again)
 		for range 15 {
+			t.Begin(first.ID)
+		}
+		t.Put(0, again)
+		Expect(t.Choose(0, Request{Prefix: 7}, r).Reason).To(Equal(Spilled))
+		for range 30 {
 			t.End(first.ID)
 		}
 		Expect(t.Choose(0, Request{Prefix: 7}, r)).To(Equal(first))
@@ -198,7 +206,9 @@
 			b.Run(fmt.Sprintf("%s/%d", kind, size), func(b *testing.B) {
 				t := filled(size)
 				r := seeded()
+				t.refresh(0)
 				b.ReportAllocs()
+				b.ResetTimer()
 				for i := range b.N {
 					request := Request{Prefix: uint64(1 + i%600)}
 					switch kind {
@@ -234,7 +244,9 @@
 	for _, size := range sizes {
 		b.Run(fmt.Sprint(size), func(b *testing.B) {
 			t := filled(size)
+			t.refresh(0)
 			b.ReportAllocs()
+			b.ResetTimer()
 			for i := range b.N {
 				t.refresh(time.Duration(i) * RefreshEvery)
 			}
