--- a/entry/entry.go
+++ b/entry/entry.go
@@ -48,6 +48,7 @@
 	recorder     *timeline.Recorder
 	registration *registration
 	members      *member.Members
+	homes        *homes
 	pinger       member.Pinger
 	mirror       *mirror.Mirror
 	follower     *mirror.Follower
@@ -73,50 +74,68 @@
 // finishMargin is what a planned stop waits beyond the longest time that a request may last.
 const finishMargin = 30 * time.Second
 
+// role is a part of the entry that runs for as long as the entry does. One that returns an error ends it.
+type role func(ctx context.Context) error
+
+// always makes a role of what runs until its context ends.
+func always(run func(ctx context.Context)) role {
+	return func(ctx context.Context) error {
+		run(ctx)
+		return nil
+	}
+}
+
+func (e *Entry) roles(sockets *sockets, public, admin *http.Server) []role {
+	return []role{
+		func(ctx context.Context) error { return e.peerServer.Serve(ctx, sockets.peer) },
+		func(ctx context.Context) error { return e.members.Run(ctx, e.pinger) },
+		always(e.homes.Run),
+		always(e.follower.Run),
+		always(e.prober.Run),
+		always(e.admission.Run),
+		always(e.guard.Run),
+		always(e.controller.Run),
+		always(e.directory.Run),
+		always(func(ctx context.Context) { e.purger.Run(ctx, purgeInterval, e.purges, e.purged) }),
+		e.watchMembers,
+		func(context.Context) error { return serveHTTP(public, sockets.public) },
+		func(context.Context) error { return serveHTTP(admin, sockets.admin) },
+	}
+}
+
+// readHeaderTimeout bounds how long a client may take to send a request's header.
+const readHeaderTimeout = 10 * time.Second
+
 // Run serves until ctx ends, then drains: it leaves the directory, keeps serving for longer than callers
-// may keep its address, finishes the requests in progress, and returns.
+// may keep its address, finishes the requests in progress, and returns. The roles go on until then.
 func (e *Entry) Run(ctx context.Context, sockets *sockets) error {
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
-	defer stopWork()
 	var running sync.WaitGroup
 	defer running.Wait()
 	defer stopWork()
-	failed := make(chan error, 4)
-	start := func(f func(ctx context.Context) error) {
+	public := &http.Server{Handler: e.publicHandler(), ReadHeaderTimeout: readHeaderTimeout}
+	admin := &http.Server{Handler: e.adminHandler(), ReadHeaderTimeout: readHeaderTimeout}
+	defer func() { _ = admin.Close() }()
+	defer func() { _ = public.Close() }()
+	failed := make(chan error, 1)
+	for _, run := range e.roles(sockets, public, admin) {
 		running.Go(func() {
-			if err := f(work); err != nil {
-				failed <- err
+			if err := run(work); err != nil {
+				select {
+				case failed <- err:
+				default:
+				}
 			}
 		})
 	}
-	public := &http.Server{Handler: e.publicHandler(), ReadHeaderTimeout: 10 * time.Second}
-	admin := &http.Server{Handler: e.adminHandler(), ReadHeaderTimeout: 10 * time.Second}
-
-	start(func(ctx context.Context) error { return e.peerServer.Serve(ctx, sockets.peer) })
-	start(func(ctx context.Context) error { return e.members.Run(ctx, e.pinger) })
-	start(func(ctx context.Context) error { e.follower.Run(ctx); return nil })
-	start(func(ctx context.Context) error { e.prober.Run(ctx); return nil })
-	start(func(ctx context.Context) error { e.admission.Run(ctx); return nil })
-	start(func(ctx context.Context) error { e.purger.Run(ctx, purgeInterval, e.purges, e.purged); return nil })
-	start(func(ctx context.Context) error { e.controller.Run(ctx); return nil })
-	start(func(ctx context.Context) error { e.directory.Run(ctx); return nil })
-	start(func(ctx context.Context) error { e.guard.Run(ctx); return nil })
-	start(func(ctx context.Context) error { return e.watchMembers(ctx) })
-	start(func(context.Context) error { return serveHTTP(public, sockets.public) })
-	start(func(context.Context) error { return serveHTTP(admin, sockets.admin) })
 	e.recorder.Record(timeline.Event{Kind: timeline.EntryStarted, Entry: e.config.Name, Detail: e.registration.self.Incarnation})
 	e.log.WithField("public", sockets.public.Addr().String()).Info("serving")
-
 	select {
 	case err := <-failed:
-		_ = public.Close()
-		_ = admin.Close()
 		return err
 	case <-ctx.Done():
+		return e.drain(public)
 	}
-	err := e.drain(public)
-	_ = admin.Close()
-	return err
 }
 
 func serveHTTP(server *http.Server, listener net.Listener) error {
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -46,6 +46,8 @@
 	Status   Status
 	// Heard is when the status was taken in, by the own monotonic clock; zero if never.
 	Heard time.Time
+	// Report counts the loads heard of the group, so that one that is told again is not taken for a new one.
+	Report uint64
 	// ServingSince is when this entry first saw the group whole.
 	ServingSince time.Time
 }
@@ -64,6 +66,7 @@
 	position     domain.Position
 	status       Status
 	heard        time.Time
+	reports      uint64
 	servingSince time.Time
 }
 
@@ -80,7 +83,7 @@
 	versions map[domain.FabricDomain]platform.Version
 }
 
-// New returns an empty table. live names the live entries; it is called without a lock held.
+// New returns an empty table. live names the entries that may be homes; it is called without a lock held.
 func New(live func() []string, now func() time.Time) *Table {
 	return &Table{
 		live:     live,
@@ -173,6 +176,7 @@
 	}
 	r.status = status
 	r.heard = t.now()
+	r.reports++
 	if !status.Whole {
 		r.servingSince = time.Time{}
 	} else if r.servingSince.IsZero() {
@@ -192,6 +196,7 @@
 	defer t.mu.Unlock()
 	if r := t.rows[group]; r != nil {
 		r.status.Load = load
+		r.reports++
 	}
 }
 
@@ -234,7 +239,7 @@
 func (r *row) candidate(live []string) Candidate {
 	return Candidate{
 		Group: r.group, Position: r.position, Home: homeOf(r.group.ID, live),
-		Status: r.status, Heard: r.heard, ServingSince: r.servingSince,
+		Status: r.status, Heard: r.heard, Report: r.reports, ServingSince: r.servingSince,
 	}
 }
 
--- a/entry/guard/guard.go
+++ b/entry/guard/guard.go
@@ -226,7 +226,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	own := g.register(service)
-	own.Merge(g.deps.Clock(), read)
+	now := g.deps.Clock()
+	own.Merge(now, read)
+	own.Expire(now)
 	return own.Clone(), nil
 }
 
--- a/entry/providers.go
+++ b/entry/providers.go
@@ -76,7 +76,7 @@
 	return mirror.NewFollower(m, store, owners, members)
 }
 
-func provideTable(owners owners) *fleet.Table { return fleet.New(owners.Live, time.Now) }
+func provideTable(homes *homes) *fleet.Table { return fleet.New(homes.Steady, time.Now) }
 
 func providePlaced(config Config, table *fleet.Table, presence *vm.Presence) placed {
 	return placed{self: config.Name, table: table, presence: presence}
--- a/entry/routing/routing.go
+++ b/entry/routing/routing.go
@@ -26,6 +26,9 @@
 // over or a group is found whole again.
 const noGroupRetryAfter = time.Second
 
+// unheardSince is above every ramp of a new group.
+const unheardSince = time.Hour
+
 // Router implements front.Chooser and front.RetryBudget. It is safe for concurrent use.
 type Router struct {
 	start         time.Time
@@ -101,7 +104,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.serviceOf[c.Group.ID] = c.Group.Service
-	since := time.Duration(0)
+	// A group of which no home was heard yet was most likely there before this entry: it gets no ramp.
+	since := unheardSince
 	if !c.ServingSince.IsZero() {
 		since = time.Since(c.ServingSince)
 	}
@@ -109,7 +113,7 @@
 		ID: string(c.Group.ID), Ready: c.Group.State == vm.Serving && c.MayServe(),
 		InFlight: c.Status.Load.InFlight, Queued: c.Status.Load.Queued, Limit: c.Status.Load.Limit,
 		FirstToken: c.Status.Load.FirstToken, Gap: c.Status.Load.TokenGap,
-		FailureDomain: string(c.Position.FailureDomain), SinceServing: since,
+		FailureDomain: string(c.Position.FailureDomain), SinceServing: since, Report: c.Report,
 	})
 }
 
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -21,7 +21,7 @@
 		provideStore, provideMembers, provideOwners, providePeerClient, providePeerServer,
 		providePinger, provideFollower, provideTable, providePlaced, provideAttempts, providePurger, provideHome, provideGuard, provideDispatcher,
 		provideFront, provideRouter, provideProber, provideController, provideOverview, provideDirectory, provideOperator, provideRegistration,
-		newSettingsInForce, wire.Struct(new(drain.Gate)), mirror.New, admission.New, vm.NewPresence,
+		newSettingsInForce, newHomes, wire.Struct(new(drain.Gate)), mirror.New, admission.New, vm.NewPresence,
 		provideEngines,
 		wire.Struct(new(Entry), "*"),
 	)
--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -25,9 +25,10 @@
 	entryOwners := provideOwners(members)
 	follower := provideFollower(mirrorMirror, store, entryOwners, members)
 	entryRegistration := provideRegistration(self, store, follower)
+	entryHomes := newHomes(members)
 	client := providePeerClient(config, self, members)
 	pinger := providePinger(client)
-	table := provideTable(entryOwners)
+	table := provideTable(entryHomes)
 	engineClient := provideEngines(config)
 	presence := vm.NewPresence()
 	admissionAdmission := admission.New()
@@ -53,6 +54,7 @@
 		recorder:     recorder,
 		registration: entryRegistration,
 		members:      members,
+		homes:        entryHomes,
 		pinger:       pinger,
 		mirror:       mirrorMirror,
 		follower:     follower,
