--- a/contract/outcome/actors_test.go
+++ b/contract/outcome/actors_test.go
@@ -24,6 +24,8 @@
 	code    contract.Code
 	// events are what the caller got of the answer.
 	events []string
+	// called and returned are in steps.
+	called, returned int64
 }
 
 func records(w *world, y yielder) *attempt.Records {
@@ -52,6 +54,7 @@
 
 // front serves one connection with the machine under test.
 func (w *world) front(t *teller) {
+	t.called = w.clock
 	w.tellers = append(w.tellers, t)
 	w.spawn("front "+t.request.ID, func(y yielder) {
 		m := New(t.request)
@@ -72,6 +75,7 @@
 				y(step{do: func() { action = m.Holder(w.working(holder)) }})
 			case Tell:
 				t.tell(action)
+				t.returned = w.clock
 				return
 			default:
 				action = w.wait(t, m, l, y)
@@ -214,7 +218,7 @@
 	all := events(q, w.newID("run"))
 	y(step{do: func() {
 		if refused = w.chance(10, "engine refuses"); !refused {
-			w.runs = append(w.runs, runLog{q.ID, t.key, q.Fingerprint, q.Attempt, all})
+			w.runs = append(w.runs, runLog{q.ID, t.key, q.Fingerprint, q.Attempt, all, w.clock})
 		}
 	}})
 	if refused {
--- a/contract/outcome/property_test.go
+++ b/contract/outcome/property_test.go
@@ -97,6 +97,7 @@
 			highest := make(map[string]int)
 			w.run(scheduleLen, func() { w.arrive(highest) })
 			w.check()
+			w.checkHistory()
 			for _, a := range w.actors {
 				if !a.over {
 					t.Fatalf("%s never ended", a.name)
--- a/contract/outcome/world_test.go
+++ b/contract/outcome/world_test.go
@@ -29,6 +29,8 @@
 	runs    []runLog
 	tellers []*teller
 	serial  int
+	// clock counts steps.
+	clock int64
 }
 
 // runLog is one line of the engine's log: the judge of all outcomes.
@@ -36,6 +38,7 @@
 	requestID, key, fingerprint string
 	attempt                     int
 	answer                      []string
+	at                          int64
 }
 
 // actor is one front's or home's work on one request.
@@ -138,6 +141,7 @@
 }
 
 func (w *world) go1(a *actor) {
+	w.clock++
 	a.step.do()
 	w.advance(a)
 }
