Front: counts of what callers are told, times to the first part and to the end, and the seal in the time line

Also: a request whose time ran out between two tries was treated as if a dispatch were under way, and told unknown (or sealed) though every home had refused it. The time that is left is taken after the pause of a retry.

--- a/contract/outcome/problem.go
+++ b/contract/outcome/problem.go
@@ -51,6 +51,9 @@
 	return contract.Later(contract.CodeHomeLost, "the entry that handles the group can't be heard", RetrySoon)
 }
 
+// TooLate is why there is no further try when the caller's time is over between two.
+func TooLate() *contract.Problem { return problemDeadline() }
+
 func problemDeadline() *contract.Problem {
 	return &contract.Problem{
 		Code: contract.CodeDeadline, Status: http.StatusGatewayTimeout, Message: "the request's time is over",
--- a/entry/front/drive.go
+++ b/entry/front/drive.go
@@ -23,8 +23,11 @@
 	q       *request
 	machine *outcome.Machine
 	out     writer
+	began   time.Time
 	until   time.Time
 	tried   []vm.GroupID
+	// delivered: the caller was given a part of the answer.
+	delivered bool
 	// crash names the crash of a backend server that the last try ended in.
 	crash string
 
@@ -46,17 +49,16 @@
 	if q.unrepeatable && q.key == "" {
 		q.key = f.newID()
 	}
-	f.deps.Recorder.Record(timeline.Event{
-		Kind: timeline.RequestAccepted, Request: q.id, Team: q.team.Name, Service: q.service.Name,
-	})
+	now := time.Now()
 	d := &drive{
-		front: f, q: q, out: newWriter(q, w), until: time.Now().Add(q.timeout),
+		front: f, q: q, out: newWriter(q, w), began: now, until: now.Add(q.timeout),
 		machine: outcome.New(outcome.Request{
 			ID: q.id, Unrepeatable: q.unrepeatable, KeyChosen: q.chosen, Attempt: q.attempt,
 			Fingerprint: q.fingerprint, Resumable: q.service.CanResume, Plain: q.plain != nil,
 		}),
 	}
 	defer d.close()
+	d.record(timeline.RequestAccepted, "")
 	d.run(r.Context(), p)
 }
 
@@ -120,6 +122,7 @@
 	began, err := d.out.deliver(f)
 	if began {
 		d.machine.Delivered()
+		d.front.counts.delivered(d)
 	}
 	if errors.Is(err, errAnswerTooLarge) {
 		return d.machine.Abandon(problemAnswerTooLarge()), false
@@ -132,14 +135,14 @@
 	if action.Restart {
 		d.out.restart()
 	}
-	left := time.Until(d.until)
-	if left <= 0 {
-		return d.machine.Deadline()
-	}
 	service := d.q.service
-	if !d.mayTry(ctx, left) {
+	if !d.mayTry(ctx, time.Until(d.until)) {
 		return d.machine.NoDispatch(contract.Later(contract.CodeOverloaded, "too many retries are under way", outcome.RetrySoon))
 	}
+	left := time.Until(d.until)
+	if left <= 0 {
+		return d.machine.NoDispatch(outcome.TooLate())
+	}
 	choice, p := d.front.deps.Chooser.Choose(Ask{Service: service, Prefix: d.q.prefix, Work: d.q.work, Tried: d.tried})
 	if p != nil {
 		return d.machine.NoDispatch(p)
@@ -232,10 +235,14 @@
 func (d *drive) seal(ctx context.Context, action outcome.Action) attempt.Result {
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
-	return d.front.deps.Attempts.Seal(ctx, attempt.Wish{
+	result := d.front.deps.Attempts.Seal(ctx, attempt.Wish{
 		ID: d.id(), Number: d.q.attempt, Fingerprint: d.q.fingerprint, RequestID: d.q.id,
 		Retention: attempt.Retention(d.q.service), Renounced: action.Renounced,
 	})
+	if result.Verdict == attempt.Confirmed {
+		d.record(timeline.RequestSealed, "")
+	}
+	return result
 }
 
 func (d *drive) find(ctx context.Context) attempt.Result {
@@ -257,8 +264,13 @@
 	if action.Problem != nil {
 		detail += " " + string(action.Problem.Code)
 	}
+	d.record(timeline.RequestOutcome, detail)
+	d.front.counts.told(action, time.Since(d.began))
+	d.out.tell(action)
+}
+
+func (d *drive) record(kind timeline.Kind, detail string) {
 	d.front.deps.Recorder.Record(timeline.Event{
-		Kind: timeline.RequestOutcome, Request: d.q.id, Team: d.q.team.Name, Service: d.q.service.Name, Detail: detail,
+		Kind: kind, Request: d.q.id, Team: d.q.team.Name, Service: d.q.service.Name, Detail: detail,
 	})
-	d.out.tell(action)
 }
--- a/entry/front/fakes_test.go
+++ b/entry/front/fakes_test.go
@@ -247,7 +247,7 @@
 	service := new(restful.WebService).Path("/v1").Consumes("*/*").Produces("*/*")
 	front.New(front.Deps{
 		Self: "front", Settings: func() *settings.Snapshot { return f.settings }, Dispatcher: f, Holders: f, Chooser: f,
-		Retries: &tenRetries{}, Attempts: f.attempts(), Recorder: timeline.NewRecorder("front", nil, time.Now),
+		Retries: &tenRetries{}, Attempts: f.attempts(), Recorder: timeline.NewRecorder("front", nil, time.Now), Metrics: metrics.NewRegistry(),
 	}).Register(service)
 	container.Add(service)
 	server := httptest.NewServer(container)
@@ -434,8 +434,17 @@
 
 func complete(server *httptest.Server, stream bool) answer {
 	GinkgoHelper()
+	return completeAs(server, "", stream)
+}
+
+func completeAs(server *httptest.Server, key string, stream bool) answer {
+	GinkgoHelper()
+	var header map[string]string
+	if key != "" {
+		header = map[string]string{contract.HeaderIdempotencyKey: key}
+	}
 	body := fmt.Sprintf(`{"model":"small","stream":%t,"messages":[{"role":"user","content":"x"}]}`, stream)
-	return ask(server, http.MethodPost, "/v1/chat/completions", nil, body)
+	return ask(server, http.MethodPost, "/v1/chat/completions", header, body)
 }
 
 // tenRetries is a RetryBudget of ten retries without a pause.
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -11,6 +11,7 @@
 
 	"github.com/emicklei/go-restful/v3"
 	"github.com/google/uuid"
+	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 
 	"github.com/skylarkpond/skylarkpond/contract"
@@ -86,17 +87,19 @@
 	Retries    RetryBudget
 	Attempts   *attempt.Records
 	Recorder   *timeline.Recorder
+	Metrics    metrics.Registry
 }
 
 // Front serves callers. It is safe for concurrent use.
 type Front struct {
-	deps  Deps
-	newID func() string
+	deps   Deps
+	newID  func() string
+	counts *counts
 }
 
 // New returns a front.
 func New(deps Deps) *Front {
-	return &Front{deps: deps, newID: uuid.NewString}
+	return &Front{deps: deps, newID: uuid.NewString, counts: newCounts(deps.Metrics)}
 }
 
 // methods are those that a plain service may be called with.
--- a/entry/front/front_test.go
+++ b/entry/front/front_test.go
@@ -292,6 +292,29 @@
 		}, eventually).Should(Equal(1))
 	})
 
+	// An operator declares completions unrepeatable: their tokens are paid for. The key finds the whole text again,
+	// as it was asked for.
+	It("gets the stored text under its key, where completions may not be repeated", func() {
+		for _, stream := range []bool{true, false} {
+			f := newFleet("chat1")
+			chat := f.settings.Services["chat"]
+			chat.Unrepeatable = []string{"/v1/chat"}
+			f.settings.Services["chat"] = chat
+			for range 2 {
+				got := completeAs(f.fronts[0], "k", stream)
+				Expect(got.outcome).To(Equal(answered))
+				Expect(got.key).To(Equal("k"))
+				if stream {
+					Expect(streamed(got.body)).To(Equal(whole))
+					Expect(got.body).To(HaveSuffix("data: [DONE]\n\n"))
+					continue
+				}
+				Expect(got.body).To(ContainSubstring(fmt.Sprintf("%q", whole)))
+			}
+			Expect(f.backend.sent).To(HaveLen(1))
+		}
+	})
+
 	It("is told at once when its time is over, and that it may send it again", func() {
 		f := newFleet("chat1")
 		f.backend.how = []behaviour{{hold: make(chan struct{})}}
--- a/entry/front/writer.go
+++ b/entry/front/writer.go
@@ -77,7 +77,7 @@
 	if c.q.unrepeatable && a.Outcome != contract.NotRun {
 		header.Set(contract.HeaderIdempotencyKey, c.q.key)
 	}
-	if a.Attempts > 0 {
+	if a.Attempts > 0 && c.q.chosen {
 		header.Set(contract.HeaderAttempt, strconv.Itoa(a.Attempts))
 	}
 	if a.Problem != nil && a.Problem.RetryAfter > 0 {
--- a/entry/providers.go
+++ b/entry/providers.go
@@ -125,12 +125,12 @@
 
 func provideFront(
 	config Config, inForce *settingsInForce, dispatcher *dispatcher, router *routing.Router, attempts *attempt.Records,
-	recorder *timeline.Recorder,
+	recorder *timeline.Recorder, measures *measures,
 ) *front.Front {
 	return front.New(front.Deps{
 		Self: config.Name, Settings: inForce.Snapshot, Dispatcher: dispatcher, Holders: dispatcher,
 		Chooser: router, Retries: router,
-		Attempts: attempts, Recorder: recorder,
+		Attempts: attempts, Recorder: recorder, Metrics: measures.registry,
 	})
 }
 
--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -41,7 +41,7 @@
 	home := provideHome(self, entryPlaced, admissionAdmission, records, engineClient, entrySettingsInForce, recorder, guard)
 	entryDispatcher := provideDispatcher(self, table, home, members, client, recorder, admissionAdmission)
 	router := provideRouter(config, measures2)
-	front := provideFront(config, entrySettingsInForce, entryDispatcher, router, records, recorder)
+	front := provideFront(config, entrySettingsInForce, entryDispatcher, router, records, recorder, measures2)
 	gate := &drain.Gate{}
 	directory := provideDirectory(members, entrySettingsInForce, gate, entryDispatcher)
 	entryOverview := provideOverview(config, members, table, entrySettingsInForce, client, recorder)
