A draining group that lost a member for good is freed at once, not at its drain timeout

Cause: whether a group is drained needs the head's own report from after everybody heard of the drain. A head that died never gives it, so that the group's VMs stood idle up to drain_timeout, ten minutes by default; and nothing is left to drain there, for a replica without a member has broken off all of its requests. A member that is only silent is still waited for. Two new cases of the decision failed before (no step in place of release).

--- a/policy/forming/condition.go
+++ b/policy/forming/condition.go
@@ -64,9 +64,12 @@
 
 // broken says that the group can't serve and should be repaired.
 func (c condition) broken() bool {
-	return c.worst == faultSilent || c.worst == faultGone || c.worst == faultLost
+	return c.worst == faultSilent || c.lost()
 }
 
+// lost says that a member will not come back with the state that the group needs.
+func (c condition) lost() bool { return c.worst == faultGone || c.worst == faultLost }
+
 func (p *planner) condition(g *Group) condition {
 	worst := condition{}
 	for _, m := range g.Members {
--- a/policy/forming/decide.go
+++ b/policy/forming/decide.go
@@ -141,9 +141,10 @@
 
 // advanceDraining frees the members of a group once nothing is in progress on it. The home's count is
 // checked against the head's own: a home that has just changed may not know of the requests that the one
-// before it still has at work.
+// before it still has at work. A group with a member lost for good has nothing left to drain: its
+// requests broke off, and if it is the head that is gone, nobody will ever say so.
 func (p *planner) advanceDraining(g *Group) {
-	drained := g.Known && g.InProgress == 0 && p.running(g) == 0
+	drained := p.condition(g).lost() || g.Known && g.InProgress == 0 && p.running(g) == 0
 	if !drained && g.InState < p.drainTimeout(g) {
 		return
 	}
--- a/policy/forming/decide_test.go
+++ b/policy/forming/decide_test.go
@@ -130,6 +130,18 @@
 			v.Groups[0].State = forming.Draining
 			v.VMs[0].Running = 1
 		}),
+		Entry("drains, head gone, so that it can't say what it runs", func(v *forming.View) {
+			v.Groups[0].State, v.Groups[0].Known = forming.Draining, false
+			v.VMs[0].Present, v.VMs[0].Listed, v.VMs[0].SilentFor = false, false, forming.Grace
+		}, "release g1"),
+		Entry("drains, a member restarted: nothing is left to drain", func(v *forming.View) {
+			v.Groups[0].State, v.Groups[0].InProgress = forming.Draining, 1
+			v.VMs[1].Boot, v.VMs[1].Group, v.VMs[1].Ready = "b2", "", false
+		}, "release g1"),
+		Entry("drains, a member silent: it may go on", func(v *forming.View) {
+			v.Groups[0].State, v.Groups[0].InProgress = forming.Draining, 1
+			v.VMs[1].Present, v.VMs[1].SilentFor = false, forming.Grace
+		}),
 		Entry("drained", func(v *forming.View) { v.Groups[0].State = forming.Draining }, "release g1"),
 		Entry("drain timeout", func(v *forming.View) {
 			v.Groups[0].State, v.Groups[0].InProgress, v.Groups[0].InState = forming.Draining, 1, time.Minute
--- a/policy/forming/repair.go
+++ b/policy/forming/repair.go
@@ -119,7 +119,7 @@
 		if !ok || p.touched[g.ID] {
 			continue
 		}
-		if c.worst == faultLost || c.worst == faultGone {
+		if c.lost() {
 			p.dissolve(g, c.reason())
 		}
 	}
