Controllers are taken over from an entry that is cut off from the platform while it lives for its peers

Cause: ownership follows the live entries, and an entry whose way to the platform alone is cut goes on answering its peers. Its fabric domains had no controller for as long as the cut lasted: over separate processes, no other entry took any of four such domains in 90 s. Package reach: an entry whose calls have failed for three seconds says so in a rumour, and others that are themselves answered steadily leave it out of the owners of domains. In an outage of the platform nobody is left out, nor after it, so that nobody takes over from anybody. It costs no call while nothing is wrong.

--- a/entry/adapters.go
+++ b/entry/adapters.go
@@ -9,6 +9,7 @@
 	"github.com/skylarkpond/skylarkpond/entry/fleet"
 	"github.com/skylarkpond/skylarkpond/entry/member"
 	"github.com/skylarkpond/skylarkpond/entry/mirror"
+	"github.com/skylarkpond/skylarkpond/entry/reach"
 	"github.com/skylarkpond/skylarkpond/link/platform"
 	"github.com/skylarkpond/skylarkpond/vm"
 )
@@ -30,6 +31,15 @@
 	return names
 }
 
+// reaching names the live entries that reach the platform.
+type reaching struct {
+	owners
+	reach *reach.Reach
+}
+
+// Live returns the names of the live entries, without those that are known to be cut off from the platform.
+func (r reaching) Live() []string { return r.reach.Usable(r.owners.Live()) }
+
 // placed is the home's view of the groups: placements, and the members' last answers.
 type placed struct {
 	self     string
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -29,6 +29,7 @@
 	"github.com/skylarkpond/skylarkpond/entry/mirror"
 	"github.com/skylarkpond/skylarkpond/entry/operator"
 	"github.com/skylarkpond/skylarkpond/entry/prober"
+	"github.com/skylarkpond/skylarkpond/entry/reach"
 	"github.com/skylarkpond/skylarkpond/entry/routing"
 	"github.com/skylarkpond/skylarkpond/link/peer"
 	"github.com/skylarkpond/skylarkpond/link/platform"
@@ -55,6 +56,7 @@
 	admission    *admission.Admission
 	purger       *attempt.Purger
 	owners       owners
+	reach        *reach.Reach
 	guard        *guard.Guard
 	controller   *controller.Controller
 	front        *front.Front
@@ -98,6 +100,7 @@
 	start(func(ctx context.Context) error { e.prober.Run(ctx); return nil })
 	start(func(ctx context.Context) error { e.admission.Run(ctx); return nil })
 	start(func(ctx context.Context) error { e.purger.Run(ctx, purgeInterval, e.purges, e.purged); return nil })
+	start(func(ctx context.Context) error { e.reach.Run(ctx); return nil })
 	start(func(ctx context.Context) error { e.controller.Run(ctx); return nil })
 	start(func(ctx context.Context) error { e.directory.Run(ctx); return nil })
 	start(func(ctx context.Context) error { e.guard.Run(ctx); return nil })
--- a/entry/providers.go
+++ b/entry/providers.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"math/rand/v2"
 	"time"
 
@@ -22,6 +23,7 @@
 	"github.com/skylarkpond/skylarkpond/entry/mirror"
 	"github.com/skylarkpond/skylarkpond/entry/operator"
 	"github.com/skylarkpond/skylarkpond/entry/prober"
+	"github.com/skylarkpond/skylarkpond/entry/reach"
 	"github.com/skylarkpond/skylarkpond/entry/routing"
 	"github.com/skylarkpond/skylarkpond/link/engine"
 	"github.com/skylarkpond/skylarkpond/link/peer"
@@ -166,12 +168,32 @@
 	})
 }
 
+// reachTopic is that of the rumours that carry a reach.Claim.
+const reachTopic = "reach"
+
+func provideReach(config Config, store platform.Store, members *member.Members, recorder *timeline.Recorder) *reach.Reach {
+	tell := func(claim reach.Claim) {
+		body, err := cbor.Marshal(claim)
+		if err != nil {
+			return
+		}
+		members.Broadcast(member.Rumour{
+			Topic: reachTopic, Name: claim.Entry, Version: uint64(recorder.Now()), Body: body, TTL: reach.ClaimTTL,
+		})
+	}
+	ask := func(ctx context.Context) error {
+		_, err := store.Get(ctx, platform.KindEntry, config.Name)
+		return err
+	}
+	return reach.New(config.Name, time.Now, tell, ask)
+}
+
 func provideController(
-	self registered, store platform.Store, engines engine.Client, owners owners, m *mirror.Mirror, table *fleet.Table,
+	self registered, reach *reach.Reach, store platform.Store, engines engine.Client, owners owners, m *mirror.Mirror, table *fleet.Table,
 	inForce *settingsInForce, recorder *timeline.Recorder, measures *measures, log *logrus.Entry, follower *mirror.Follower,
 ) *controller.Controller {
 	return controller.New(controller.Deps{
-		Store: store, Engines: engines, Owners: owners, Placements: placements{m}, Loads: reports{table},
+		Store: reach.Watched(store), Engines: engines, Owners: reaching{owners, reach}, Placements: placements{m}, Loads: reports{table},
 		Settings: snapshots{inForce}.Snapshot, Incarnation: self.entry.Incarnation, Recorder: recorder,
 		Metrics: measures.registry, Log: log, Took: follower.Took,
 	})
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -20,6 +20,7 @@
 	"github.com/skylarkpond/skylarkpond/contract"
 	"github.com/skylarkpond/skylarkpond/entry/fleet"
 	"github.com/skylarkpond/skylarkpond/entry/member"
+	"github.com/skylarkpond/skylarkpond/entry/reach"
 	"github.com/skylarkpond/skylarkpond/link/peer"
 	"github.com/skylarkpond/skylarkpond/link/platform"
 	"github.com/skylarkpond/skylarkpond/timeline"
@@ -127,6 +128,7 @@
 	e.mirror.OnChange(platform.KindSettings, func(platform.Object) { e.router.ApplySettings(e.inForce.Snapshot()) })
 	e.dispatcher.table.OnChange(e.router.Put, e.router.Remove)
 	e.members.Handle(statusTopic, e.takeStatus)
+	e.members.Handle(reachTopic, e.takeClaim)
 	e.members.Register(e.peerServer, e.pinger)
 	e.dispatcher.register(e.peerServer)
 	e.overview.register(e.peerServer)
@@ -149,6 +151,13 @@
 	}
 }
 
+func (e *Entry) takeClaim(rumour member.Rumour) {
+	var claim reach.Claim
+	if cbor.Unmarshal(rumour.Body, &claim) == nil {
+		e.reach.Heard(claim)
+	}
+}
+
 func (e *Entry) takeStatus(rumour member.Rumour) {
 	var status fleet.Status
 	if cbor.Unmarshal(rumour.Body, &status) != nil {
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -18,7 +18,7 @@
 // assemble builds an entry from its settings and its registration.
 func assemble(config Config, self registered, recorder *timeline.Recorder, measures *measures, log *logrus.Entry) *Entry {
 	wire.Build(
-		provideStore, provideMembers, provideOwners, providePeerClient, providePeerServer,
+		provideStore, provideReach, provideMembers, provideOwners, providePeerClient, providePeerServer,
 		providePinger, provideFollower, provideTable, providePlaced, provideAttempts, providePurger, provideHome, provideGuard, provideDispatcher,
 		provideFront, provideRouter, provideProber, provideController, provideOverview, provideDirectory, provideOperator, provideRegistration,
 		newSettingsInForce, wire.Struct(new(drain.Gate)), mirror.New, admission.New, vm.NewPresence,
--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -33,9 +33,10 @@
 	admissionAdmission := admission.New()
 	prober := provideProber(config, table, engineClient, presence, recorder, members, admissionAdmission)
 	purger := providePurger(store)
+	reach := provideReach(config, store, members, recorder)
 	guard := provideGuard(config, store, follower, engineClient, recorder, measures2)
 	entrySettingsInForce := newSettingsInForce(recorder, log)
-	controller := provideController(self, store, engineClient, entryOwners, mirrorMirror, table, entrySettingsInForce, recorder, measures2, log, follower)
+	controller := provideController(self, reach, store, engineClient, entryOwners, mirrorMirror, table, entrySettingsInForce, recorder, measures2, log, follower)
 	entryPlaced := providePlaced(config, table, presence)
 	records := provideAttempts(store)
 	home := provideHome(self, entryPlaced, admissionAdmission, records, engineClient, entrySettingsInForce, recorder, guard)
@@ -60,6 +61,7 @@
 		admission:    admissionAdmission,
 		purger:       purger,
 		owners:       entryOwners,
+		reach:        reach,
 		guard:        guard,
 		controller:   controller,
 		front:        front,
