--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -178,6 +178,9 @@
 	if !CurrentSpecReport().Failed() {
 		return
 	}
+	if kept := os.Getenv("POND_KEEP"); kept != "" { // a directory for what the processes of a failed spec wrote
+		_ = os.CopyFS(filepath.Join(kept, fmt.Sprint(c.subnet)), os.DirFS(c.dir))
+	}
 	logs, _ := filepath.Glob(filepath.Join(c.dir, "*.log"))
 	for _, path := range logs {
 		text, _ := os.ReadFile(path)
--- a/test/groups_test.go
+++ b/test/groups_test.go
@@ -67,7 +67,7 @@
 	// The entry that controls four fabric domains, and the homes of the groups of four others, stop for so
 	// long that others take over, and then go on as if no time had passed: with requests that waited in
 	// them, and with orders that they were about to send. Then the same entries are killed.
-	It("lose the controller and the homes in each state: frozen and woken, killed", func() {
+	It("lose the controller and the homes in each state: frozen and woken, cut off, killed", func() {
 		names := numbered("entry", 9)[1:]
 		slices.Reverse(names)
 		controlled, homed := ownedBy(4, names, names[0], names[1]), numbered("homed", 4)
@@ -96,6 +96,15 @@
 		x.end()
 		y.end()
 
+		By("cutting the controller off from the platform")
+		x = c.stage(controlled)
+		before = x.epochs()
+		owner.toPlatform.setCut(true)
+		x.awaitTaken(before)
+		x.end()
+		owner.toPlatform.setCut(false)
+		x.awaitServing()
+
 		By("killing them")
 		x, y = c.stageBoth(controlled, homed)
 		before = x.epochs()
