--- a/entry/entry.go
+++ b/entry/entry.go
@@ -29,6 +29,7 @@
 	"github.com/skylarkpond/skylarkpond/entry/mirror"
 	"github.com/skylarkpond/skylarkpond/entry/operator"
 	"github.com/skylarkpond/skylarkpond/entry/prober"
+	"github.com/skylarkpond/skylarkpond/entry/reach"
 	"github.com/skylarkpond/skylarkpond/entry/routing"
 	"github.com/skylarkpond/skylarkpond/link/peer"
 	"github.com/skylarkpond/skylarkpond/link/platform"
@@ -56,6 +57,7 @@
 	admission    *admission.Admission
 	purger       *attempt.Purger
 	owners       owners
+	reach        *reach.Reach
 	guard        *guard.Guard
 	controller   *controller.Controller
 	front        *front.Front
@@ -94,6 +96,7 @@
 		always(e.prober.Run),
 		always(e.admission.Run),
 		always(e.guard.Run),
+		always(e.reach.Run),
 		always(e.controller.Run),
 		always(e.directory.Run),
 		always(func(ctx context.Context) { e.purger.Run(ctx, purgeInterval, e.purges, e.purged) }),
