--- a/entry/adapters.go
+++ b/entry/adapters.go
@@ -66,9 +66,6 @@
 // reports is the controller's view of what homes say of groups.
 type reports struct{ table *fleet.Table }
 
-// reportFresh is how old a home's status may be to count; homes repeat it every four seconds.
-const reportFresh = 10 * time.Second
-
 // InProgress implements controller.GroupLoad.
 func (r reports) InProgress(id vm.GroupID) (int, bool) {
 	status, ok := r.status(id)
@@ -89,8 +86,8 @@
 
 func (r reports) status(id vm.GroupID) (fleet.Status, bool) {
 	candidate, ok := r.table.Candidate(id)
-	known := ok && !candidate.Heard.IsZero() && time.Since(candidate.Heard) < reportFresh &&
-		candidate.Status.Epoch == candidate.Group.Epoch
+	// What an earlier home said no longer counts: its word came before the present one's look.
+	known := ok && candidate.Status.Home == candidate.Home && candidate.Status.Epoch == candidate.Group.Epoch
 	return candidate.Status, known
 }
 
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -18,18 +18,27 @@
 	"github.com/skylarkpond/skylarkpond/vm"
 )
 
-// Status is what a home says of a group. It travels as a rumour when Whole or Draining change, and now and
-// then for the load.
+// Report is what a home says of all its groups. It travels as one rumour, named after the home, when
+// something in it changes. A status of each group in a rumour of its own would leave one behind for each
+// group that ever was.
+type Report struct {
+	Home string `cbor:"1,keyasint"`
+	// At orders the reports about a group: the sender's hybrid logical time.
+	At       int64    `cbor:"2,keyasint"`
+	Statuses []Status `cbor:"3,keyasint"`
+}
+
+// Status is what a home says of a group.
 type Status struct {
 	Group vm.GroupID `cbor:"1,keyasint"`
-	Home  string     `cbor:"2,keyasint"`
+	// Home and At are those of the report.
+	Home string `cbor:"-"`
+	At   int64  `cbor:"-"`
 	// Epoch is the group's epoch that the home probed for.
 	Epoch uint64 `cbor:"3,keyasint"`
 	// Whole says that every member was present when this was sent.
 	Whole bool               `cbor:"4,keyasint"`
 	Load  contract.GroupLoad `cbor:"5,keyasint"`
-	// At orders statuses of one group: the sender's hybrid logical time.
-	At int64 `cbor:"6,keyasint"`
 	// Reason says why the group is not whole.
 	Reason string `cbor:"7,keyasint,omitempty"`
 	// Drained is set when the group drains, takes no more, and Remaining is sure.
@@ -80,6 +89,7 @@
 
 	mu       sync.RWMutex // guards what follows
 	rows     map[vm.GroupID]*row
+	reports  map[string]Report // the latest of each home, for groups that are placed only later
 	versions map[domain.FabricDomain]platform.Version
 }
 
@@ -91,6 +101,7 @@
 		changed:  func(Candidate) {},
 		removed:  func(vm.GroupID) {},
 		rows:     make(map[vm.GroupID]*row),
+		reports:  make(map[string]Report),
 		versions: make(map[domain.FabricDomain]platform.Version),
 	}
 }
@@ -157,19 +168,43 @@
 		r.group = group
 		r.position = placement.Position
 	}
+	for _, report := range t.reports {
+		t.keepAll(report)
+	}
 	return gone
 }
 
-// Report takes in a status, from a rumour or from the own home role.
-func (t *Table) Report(status Status) {
-	if t.keep(status) {
-		t.tell(status.Group)
+// Report takes in what a home says, from a rumour or from the own home role.
+func (t *Table) Report(report Report) {
+	for _, id := range t.take(report) {
+		t.tell(id)
 	}
 }
 
-func (t *Table) keep(status Status) bool {
+func (t *Table) take(report Report) []vm.GroupID {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if report.At <= t.reports[report.Home].At {
+		return nil
+	}
+	t.reports[report.Home] = report
+	return t.keepAll(report)
+}
+
+// keepAll must be called with mu held. It returns the groups whose status is new.
+func (t *Table) keepAll(report Report) (changed []vm.GroupID) {
+	for _, status := range report.Statuses {
+		status.Home = report.Home
+		status.At = report.At
+		if t.keep(status) {
+			changed = append(changed, status.Group)
+		}
+	}
+	return changed
+}
+
+// keep must be called with mu held.
+func (t *Table) keep(status Status) bool {
 	r := t.rows[status.Group]
 	if r == nil || status.At <= r.status.At {
 		return false
@@ -243,6 +278,13 @@
 	}
 }
 
+// Len counts the groups.
+func (t *Table) Len() int {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return len(t.rows)
+}
+
 // HomeOf names the home of a group, "" without live entries.
 func (t *Table) HomeOf(id vm.GroupID) string { return homeOf(id, t.live()) }
 
--- a/entry/prober/prober.go
+++ b/entry/prober/prober.go
@@ -21,9 +21,6 @@
 	// workers bounds the probes under way. A member that does not answer holds a worker for
 	// engine.ProbeTimeout, so sixteen carry 20 silent members at two probes a second.
 	workers = 16
-	// refreshInterval is how often an unchanged status is told again, so that entries which started later
-	// learn it.
-	refreshInterval = 4 * time.Second
 	// spreadTime is how long the news that a group drains may take to all entries; three seconds is what the
 	// users are promised for a leaving backend server.
 	spreadTime = 3 * time.Second
@@ -32,7 +29,7 @@
 // Groups is the table of groups.
 type Groups interface {
 	Homed(entry string) []vm.Group
-	Report(status fleet.Status)
+	Report(report fleet.Report)
 }
 
 // Prober probes. Run makes it work.
@@ -42,15 +39,17 @@
 	client   engine.Client
 	presence *vm.Presence
 	recorder *timeline.Recorder
-	// loadOf gives the load of a group at this home; tell spreads a status among the entries.
-	loadOf func(vm.GroupID) contract.GroupLoad
-	tell   func(fleet.Status)
-	paused func() bool
+	// loadOf gives the load of a group at this home; tell spreads a report among the entries.
+	loadOf   func(vm.GroupID) contract.GroupLoad
+	tell     func(fleet.Report)
+	paused   func() bool
+	interval func() time.Duration
 
 	jobs chan job
 
 	mu       sync.Mutex // guards what follows; a leaf lock
 	told     map[vm.GroupID]told
+	reported time.Time
 	loads    map[vm.GroupID]headLoad
 	draining map[vm.GroupID]time.Time // when this home first saw the group draining
 }
@@ -71,7 +70,6 @@
 	epoch uint64
 	gap   vm.Gap
 	drain drain
-	at    time.Time
 }
 
 // drain says how far a draining group is.
@@ -88,7 +86,9 @@
 	Presence *vm.Presence
 	Recorder *timeline.Recorder
 	LoadOf   func(vm.GroupID) contract.GroupLoad
-	Tell     func(fleet.Status)
+	Tell     func(fleet.Report)
+	// Interval is how often an unchanged report is told again, for the loads in it.
+	Interval func() time.Duration
 	// Paused says that this process was stopped for a while and has not yet heard from others since.
 	Paused func() bool
 }
@@ -97,7 +97,7 @@
 func New(d Deps) *Prober {
 	return &Prober{
 		self: d.Self, groups: d.Groups, client: d.Client, presence: d.Presence, recorder: d.Recorder,
-		loadOf: d.LoadOf, tell: d.Tell, paused: d.Paused,
+		loadOf: d.LoadOf, tell: d.Tell, paused: d.Paused, interval: d.Interval,
 		jobs:     make(chan job, 4*workers),
 		told:     make(map[vm.GroupID]told),
 		loads:    make(map[vm.GroupID]headLoad),
@@ -138,6 +138,7 @@
 		}
 	}
 	p.forgetOthers(homed)
+	p.refresh()
 }
 
 func (p *Prober) work(ctx context.Context) {
@@ -200,40 +201,69 @@
 	return drain{sure: true, remaining: own.InFlight + own.Queued + head.load.Running + head.load.Waiting}
 }
 
-// tellChange tells the others if the group became whole or no longer is, or if it was not told for a while.
+// tellChange tells the others if the group became whole or no longer is, or drained further.
 func (p *Prober) tellChange(group vm.Group) {
 	if group.State == vm.Forming || p.paused() {
 		return
 	}
 	now := time.Now()
 	whole, gap := p.presence.Whole(&group, now)
-	drained := p.drainOf(group, now)
-	before, due := p.noteTold(group, told{whole: whole, epoch: group.Epoch, gap: gap, drain: drained, at: now})
-	if !due {
+	next := told{whole: whole, epoch: group.Epoch, gap: gap, drain: p.drainOf(group, now)}
+	before, known := p.note(group.ID, next)
+	if known && before.same(next) {
 		return
 	}
-	status := fleet.Status{
-		Group: group.ID, Home: p.self, Epoch: group.Epoch, Whole: whole, Load: p.loadOf(group.ID),
-		At: p.recorder.Now(), Reason: gap.String(), Drained: drained.sure, Remaining: drained.remaining,
-	}
-	p.groups.Report(status)
-	p.tell(status)
-	if before.whole != whole || before.epoch != group.Epoch || before.at.IsZero() {
+	p.report(now)
+	if !known || before.whole != whole || before.epoch != group.Epoch {
 		p.recordChange(group, whole, gap)
 	}
 }
 
-// noteTold says whether next differs from what was told, or is due again, and keeps it if so.
-func (p *Prober) noteTold(group vm.Group, next told) (before told, due bool) {
+// same says whether nothing changed that others go by.
+func (t told) same(next told) bool {
+	return t.whole == next.whole && t.epoch == next.epoch && t.drain == next.drain
+}
+
+func (p *Prober) note(id vm.GroupID, next told) (before told, known bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	before = p.told[group.ID]
-	same := before.whole == next.whole && before.epoch == next.epoch && before.drain == next.drain
-	if same && next.at.Sub(before.at) < refreshInterval {
-		return before, false
+	before, known = p.told[id]
+	p.told[id] = next
+	return before, known
+}
+
+// report tells the others of all homed groups.
+func (p *Prober) report(now time.Time) {
+	report := fleet.Report{Home: p.self, At: p.recorder.Now(), Statuses: p.statuses(now)}
+	p.groups.Report(report)
+	p.tell(report)
+}
+
+func (p *Prober) statuses(now time.Time) []fleet.Status {
+	p.mu.Lock()
+	p.reported = now
+	var statuses []fleet.Status
+	for id, t := range p.told {
+		statuses = append(statuses, fleet.Status{
+			Group: id, Epoch: t.epoch, Whole: t.whole, Reason: t.gap.String(), Drained: t.drain.sure, Remaining: t.drain.remaining,
+		})
+	}
+	p.mu.Unlock()
+	for i := range statuses {
+		statuses[i].Load = p.loadOf(statuses[i].Group)
+	}
+	return statuses
+}
+
+// refresh reports again if nothing changed for a while, for the loads in it.
+func (p *Prober) refresh() {
+	now := time.Now()
+	p.mu.Lock()
+	due := len(p.told) > 0 && now.Sub(p.reported) >= p.interval()
+	p.mu.Unlock()
+	if due && !p.paused() {
+		p.report(now)
 	}
-	p.told[group.ID] = next
-	return before, true
 }
 
 func (p *Prober) recordChange(group vm.Group, whole bool, gap vm.Gap) {
--- a/entry/providers.go
+++ b/entry/providers.go
@@ -140,11 +140,23 @@
 	return routing.New(domain.FailureDomain(config.FailureDomain), measures.registry)
 }
 
-// statusTopic is that of the rumours that carry a fleet.Status.
-const statusTopic = "group"
+// reportTopic is that of the rumours that carry a fleet.Report.
+const reportTopic = "home"
+
+const (
+	// reportBudget bounds what loads in reports cost each entry, in bytes a second: a fifth of what control
+	// may cost in all. Loads ride on the frames of dispatches as well, at no cost.
+	reportBudget = 2000
+	// statusCost is what one status costs each entry: about 80 bytes, sent on to some five others.
+	statusCost = 400
+	// reportInterval is the shortest interval of reports without a change.
+	reportInterval = 4 * time.Second
+)
 
-// statusTTL is how long a status is of use; homes repeat it every four seconds.
-const statusTTL = 12 * time.Second
+// reportEvery keeps the cost of reports the same whatever the number of groups.
+func reportEvery(groups int) time.Duration {
+	return max(reportInterval, time.Duration(groups)*time.Second*statusCost/reportBudget)
+}
 
 func provideProber(
 	config Config, table *fleet.Table, engines engine.Client, presence *vm.Presence, recorder *timeline.Recorder,
@@ -152,20 +164,19 @@
 ) *prober.Prober {
 	return prober.New(prober.Deps{
 		Self: config.Name, Groups: table, Client: engines, Presence: presence, Recorder: recorder,
-		LoadOf: admission.Load,
-		Tell:   func(status fleet.Status) { tellStatus(members, status) },
-		Paused: members.Paused,
+		LoadOf:   admission.Load,
+		Tell:     func(report fleet.Report) { tellReport(members, report) },
+		Interval: func() time.Duration { return reportEvery(table.Len()) },
+		Paused:   members.Paused,
 	})
 }
 
-func tellStatus(members *member.Members, status fleet.Status) {
-	body, err := cbor.Marshal(status)
+func tellReport(members *member.Members, report fleet.Report) {
+	body, err := cbor.Marshal(report)
 	if err != nil {
 		return
 	}
-	members.Broadcast(member.Rumour{
-		Topic: statusTopic, Name: string(status.Group), Version: uint64(status.At), Body: body, TTL: statusTTL,
-	})
+	members.Broadcast(member.Rumour{Topic: reportTopic, Name: report.Home, Version: uint64(report.At), Body: body})
 }
 
 // reachTopic is that of the rumours that carry a reach.Claim.
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -127,7 +127,7 @@
 	e.mirror.OnChange(platform.KindQuarantine, e.guard.Take)
 	e.mirror.OnChange(platform.KindSettings, func(platform.Object) { e.router.ApplySettings(e.inForce.Snapshot()) })
 	e.dispatcher.table.OnChange(e.router.Put, e.router.Remove)
-	e.members.Handle(statusTopic, e.takeStatus)
+	e.members.Handle(reportTopic, e.takeReport)
 	e.members.Handle(reachTopic, e.takeClaim)
 	e.members.Register(e.peerServer, e.pinger)
 	e.dispatcher.register(e.peerServer)
@@ -158,12 +158,12 @@
 	}
 }
 
-func (e *Entry) takeStatus(rumour member.Rumour) {
-	var status fleet.Status
-	if cbor.Unmarshal(rumour.Body, &status) != nil {
+func (e *Entry) takeReport(rumour member.Rumour) {
+	var report fleet.Report
+	if cbor.Unmarshal(rumour.Body, &report) != nil {
 		return
 	}
-	e.dispatcher.table.Report(status)
+	e.dispatcher.table.Report(report)
 }
 
 // load fills the mirror; it waits out an outage.
