--- /dev/null
+++ b/entry/member/wire_test.go
@@ -0,0 +1,93 @@
+package member
+
+import (
+	"fmt"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// udpHeader is the size of the headers of IP and UDP.
+const udpHeader = 28
+
+// countedSocket counts what passes a server's socket. Each packet between two entries passes exactly one.
+type countedSocket struct {
+	net.PacketConn
+	packets, bytes *atomic.Int64
+}
+
+func (c *countedSocket) ReadFrom(p []byte) (int, net.Addr, error) {
+	n, from, err := c.PacketConn.ReadFrom(p)
+	c.packets.Add(1)
+	c.bytes.Add(int64(n + udpHeader))
+	return n, from, err
+}
+
+func (c *countedSocket) WriteTo(p []byte, to net.Addr) (int, error) {
+	c.packets.Add(1)
+	c.bytes.Add(int64(len(p) + udpHeader))
+	return c.PacketConn.WriteTo(p, to)
+}
+
+// BenchmarkWire measures what membership costs over the real link on loopback, per entry and second: bytes
+// and packets sent (as many are received), headers of IP and UDP included, and processor time. Nothing
+// happens meanwhile but one small rumour a second.
+func BenchmarkWire(b *testing.B) {
+	RegisterTestingT(b)
+	for _, n := range []int{4, 8, 16, 32} {
+		b.Run(fmt.Sprintf("entries=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				measureWire(b, n)
+			}
+		})
+	}
+}
+
+const wireTime = 20 * time.Second
+
+func measureWire(b *testing.B, n int) {
+	var packets, bytes atomic.Int64
+	var all []*process
+	for i := range n {
+		p := newProcess(fmt.Sprintf("entry-%03d", i), uint64(i+1), func(s net.PacketConn) net.PacketConn {
+			return &countedSocket{s, &packets, &bytes}
+		})
+		for j, other := range all {
+			p.Know(other.entry, uint64(j+1))
+			other.Know(p.entry, uint64(i+1))
+		}
+		all = append(all, p)
+		defer p.stop()
+	}
+	for _, p := range all {
+		p.start()
+	}
+	for _, p := range all {
+		Eventually(func() int { return len(p.Live()) }, patience).Should(Equal(n))
+	}
+	time.Sleep(learningTime)
+	packets.Store(0)
+	bytes.Store(0)
+	cpu, start := cpuTime(), time.Now()
+	for second := uint64(1); time.Since(start) < wireTime; second++ {
+		all[int(second)%n].Broadcast(Rumour{Topic: "load", Name: "x", Version: second, Body: make([]byte, 100)})
+		time.Sleep(time.Second)
+	}
+	per := float64(n) * time.Since(start).Seconds()
+	b.ReportMetric(float64(bytes.Load())/per, "B/s")
+	b.ReportMetric(float64(packets.Load())/per, "packets/s")
+	b.ReportMetric((cpuTime()-cpu).Seconds()*100/per, "%core")
+}
+
+// cpuTime is the processor time of the process so far.
+func cpuTime() time.Duration {
+	var usage syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
