--- a/entry/providers.go
+++ b/entry/providers.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"math/rand/v2"
 	"time"
 
@@ -22,6 +23,7 @@
 	"github.com/skylarkpond/skylarkpond/entry/mirror"
 	"github.com/skylarkpond/skylarkpond/entry/operator"
 	"github.com/skylarkpond/skylarkpond/entry/prober"
+	"github.com/skylarkpond/skylarkpond/entry/reach"
 	"github.com/skylarkpond/skylarkpond/entry/routing"
 	"github.com/skylarkpond/skylarkpond/link/engine"
 	"github.com/skylarkpond/skylarkpond/link/peer"
@@ -76,12 +78,20 @@
 	return mirror.NewFollower(m, store, owners, members)
 }
 
-func provideTable(owners owners) *fleet.Table { return fleet.New(owners.Live, time.Now) }
+func provideTable(homes *homes) *fleet.Table { return fleet.New(homes.Steady, time.Now) }
 
 func providePlaced(config Config, table *fleet.Table, presence *vm.Presence) placed {
 	return placed{self: config.Name, table: table, presence: presence}
 }
 
+// purgesPerSecond leaves the platform's several hundred writes a second to claims and answers. It purges
+// 1.7 million records a day.
+const purgesPerSecond = 20
+
+func providePurger(store platform.Store) *attempt.Purger {
+	return attempt.NewPurger(store, time.Now, purgesPerSecond)
+}
+
 func provideAttempts(store platform.Store) *attempt.Records { return attempt.New(store, time.Now) }
 
 func provideGuard(
@@ -117,12 +127,12 @@
 
 func provideFront(
 	config Config, inForce *settingsInForce, dispatcher *dispatcher, router *routing.Router, attempts *attempt.Records,
-	recorder *timeline.Recorder,
+	recorder *timeline.Recorder, measures *measures,
 ) *front.Front {
 	return front.New(front.Deps{
 		Self: config.Name, Settings: inForce.Snapshot, Dispatcher: dispatcher, Holders: dispatcher,
 		Chooser: router, Retries: router,
-		Attempts: attempts, Recorder: recorder,
+		Attempts: attempts, Recorder: recorder, Metrics: measures.registry,
 	})
 }
 
@@ -158,12 +168,32 @@
 	})
 }
 
+// reachTopic is that of the rumours that carry a reach.Claim.
+const reachTopic = "reach"
+
+func provideReach(config Config, store platform.Store, members *member.Members, recorder *timeline.Recorder) *reach.Reach {
+	tell := func(claim reach.Claim) {
+		body, err := cbor.Marshal(claim)
+		if err != nil {
+			return
+		}
+		members.Broadcast(member.Rumour{
+			Topic: reachTopic, Name: claim.Entry, Version: uint64(recorder.Now()), Body: body, TTL: reach.ClaimTTL,
+		})
+	}
+	ask := func(ctx context.Context) error {
+		_, err := store.Get(ctx, platform.KindEntry, config.Name)
+		return err
+	}
+	return reach.New(config.Name, time.Now, tell, ask)
+}
+
 func provideController(
-	self registered, store platform.Store, engines engine.Client, owners owners, m *mirror.Mirror, table *fleet.Table,
+	self registered, reach *reach.Reach, store platform.Store, engines engine.Client, owners owners, m *mirror.Mirror, table *fleet.Table,
 	inForce *settingsInForce, recorder *timeline.Recorder, measures *measures, log *logrus.Entry, follower *mirror.Follower,
 ) *controller.Controller {
 	return controller.New(controller.Deps{
-		Store: store, Engines: engines, Owners: owners, Placements: placements{m}, Loads: reports{table},
+		Store: reach.Watched(store), Engines: engines, Owners: reaching{owners, reach}, Placements: placements{m}, Loads: reports{table},
 		Settings: snapshots{inForce}.Snapshot, Incarnation: self.entry.Incarnation, Recorder: recorder,
 		Metrics: measures.registry, Log: log, Took: follower.Took,
 	})
