--- a/entry/member/budget_test.go
+++ b/entry/member/budget_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -106,3 +107,55 @@
 	per := float64(len(s.nodes)) * d.Seconds()
 	return rate{float64(s.messages-messages) / per, float64(s.bytes-bytes) / per}
 }
+
+// BenchmarkRumourRate measures how fast rumours of 110 bytes reach all when more and more of them are told
+// a second: how old, on average and at 95 in 100, what an entry knows of a name is, beyond the time for
+// which its teller itself had nothing newer. Each name is told anew every 20 s.
+func BenchmarkRumourRate(b *testing.B) {
+	RegisterTestingT(b)
+	for _, n := range []int{21, 330} {
+		for _, perSecond := range []int{1, 3, 10, 30} {
+			b.Run(fmt.Sprintf("entries=%d/per-second=%d", n, perSecond), func(b *testing.B) {
+				for b.Loop() {
+					s := convergedSim(1, n)
+					delays := s.tellSteadily(perSecond, 30*time.Second, 20*time.Second)
+					slices.Sort(delays)
+					b.ReportMetric(delays[len(delays)/2].Seconds(), "delay-50-s")
+					b.ReportMetric(delays[len(delays)*95/100].Seconds(), "delay-95-s")
+					b.ReportMetric(float64(s.bytes)/float64(n)/50, "B/s")
+				}
+			})
+		}
+	}
+}
+
+// tellSteadily tells rumours at a rate and then returns, for each pair of entry and name at some moments,
+// how long ago the newest version that the entry does not know was told.
+func (s *sim) tellSteadily(perSecond int, warmup, measured time.Duration) []time.Duration {
+	const period = 20
+	told := make(map[string][]time.Time) // by name: when version i+1 was told
+	var delays []time.Duration
+	start := s.now
+	for step := 0; s.now.Sub(start) < warmup+measured; step++ {
+		name := fmt.Sprint("group-", step%(period*perSecond))
+		told[name] = append(told[name], s.now)
+		s.nodes[step%(period*perSecond)%len(s.nodes)].Broadcast(Rumour{
+			Topic: "test", Name: name, Version: uint64(len(told[name])), Body: make([]byte, 80), TTL: time.Minute,
+		})
+		s.run(time.Second / time.Duration(perSecond))
+		if s.now.Sub(start) < warmup || step%(5*perSecond) != 0 {
+			continue
+		}
+		for _, n := range s.nodes {
+			for name, times := range told {
+				known := n.rumours[rumourKey{"test", name}].rumour.Version
+				delay := time.Duration(0)
+				if int(known) < len(times) {
+					delay = s.now.Sub(times[known])
+				}
+				delays = append(delays, delay)
+			}
+		}
+	}
+	return delays
+}
