Virtual time for groups: fabric domains, faults, a weight store, and the plain baseline

Cause: what the decision is worth was not measured. The world of the test accounts for downtime and stranded accelerators by itself, not from what a plan claims. Found by it: a controller that was paused counted the pause as silence of every VM whose first probe after it failed, and replaced them at once (a pause of a VM of 5 s then cost 92 s). The tracker now counts only what it saw. loads_per_minute is taken as members, as the settings say. Spares of a service are spread over its domains.

--- a/policy/forming/decide.go
+++ b/policy/forming/decide.go
@@ -16,6 +16,8 @@
 	touched map[string]bool
 	// broken holds the groups that are to be repaired.
 	broken map[string]condition
+	// targets holds the split, by domain and service.
+	targets map[string]map[string]int
 	// pool holds the VMs that are free, or become so by this plan.
 	pool []VM
 	// formed counts the groups formed by this plan, by service.
@@ -65,6 +67,7 @@
 	p.plan.Held = make(map[string]string)
 	p.plan.Live = p.live()
 	targets, unplaced := Split(v.Services, p.domains())
+	p.targets = targets
 	p.plan.Targets = targets[v.Domain]
 	p.plan.DownGroups = make(map[string]int)
 	if p.firstDomain() {
--- /dev/null
+++ b/policy/forming/measure_test.go
@@ -0,0 +1,154 @@
+package forming_test
+
+import (
+	"flag"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/skylarkpond/skylarkpond/policy/forming"
+)
+
+var measureHours = flag.Int("hours", 8, "virtual hours that TestMeasureForming plays")
+
+// deployment is one of the two that the settings are made for.
+type deployment struct {
+	name               string
+	downtime, stranded float64
+}
+
+var (
+	cooperative = deployment{name: "cooperative", downtime: 10, stranded: 1}
+	studio      = deployment{name: "studio", downtime: 1, stranded: 10}
+)
+
+// variant is a way to decide. Its change is made to the service first.
+type variant struct {
+	name   string
+	decide func(forming.View) forming.Plan
+	change func(s *forming.Service)
+	// asDeployed says that the decision knows the weights that the cost is worked out by.
+	asDeployed bool
+}
+
+var variants = []variant{
+	{"baseline", baseline, func(*forming.Service) {}, false},
+	{"decision, stranded weighs nothing", forming.Decide, func(s *forming.Service) { s.StrandedWeight = 0 }, false},
+	{"decision, 4 spares", forming.Decide, func(s *forming.Service) { s.Spares = 4 }, true},
+	{"decision, no spares", forming.Decide, func(s *forming.Service) { s.Spares = 0 }, true},
+}
+
+// measured is what a run came to, after the first loads: group-hours, accelerator-hours and loads a day.
+type measured struct {
+	down, stranded, loads float64
+}
+
+func (d deployment) cost(m measured) float64 { return d.downtime*m.down + d.stranded*m.stranded }
+
+func (d deployment) play(v variant, hours int, more func(s *sim, from time.Duration)) measured {
+	service := forming.Service{
+		Name: "language", Version: "m:1", GroupSize: 4, Replicas: 50, DowntimeWeight: d.downtime,
+		StrandedWeight: d.stranded, LoadsPerMinute: 16, DrainTimeout: 5 * time.Minute,
+	}
+	v.change(&service)
+	s := newSim(v.decide, []forming.Service{service}, 36, 36, 36, 36, 36, 36)
+	settle := time.Hour
+	s.wake()
+	until := settle + time.Duration(hours)*time.Hour
+	s.faults(rand.New(rand.NewPCG(1, 2)), settle, until)
+	more(s, settle)
+	s.run(settle)
+	s.down, s.stranded, s.loads = 0, 0, 0
+	s.run(until)
+	days := float64(hours) / 24
+	return measured{down: s.down / 3600 / days, stranded: s.stranded / 3600 / days, loads: float64(s.loads) / days}
+}
+
+// ordinary adds nothing to the ordinary days.
+func ordinary(*sim, time.Duration) {}
+
+// commonCauses are the faults that take many VMs at once: a network cut of a domain for five minutes, which
+// leaves the VMs' state alone, and a rack of twelve VMs that is without power for half an hour.
+func commonCauses(s *sim, from time.Duration) {
+	for _, v := range s.domains[0].vms {
+		s.pause(v, from+2*time.Hour, 5*time.Minute)
+	}
+	for _, v := range s.domains[1].vms[:12] {
+		s.lose(v, from+4*time.Hour, 30*time.Minute)
+	}
+}
+
+// TestMeasureForming prints the figures of docs/measurements/forming.md. What it asserts is that the
+// decision costs less than the baseline, by the weights of each deployment, and leaves less downtime.
+func TestMeasureForming(t *testing.T) {
+	RegisterTestingT(t)
+	worlds := []struct {
+		name string
+		more func(*sim, time.Duration)
+	}{{"ordinary", ordinary}, {"common causes", commonCauses}}
+	for _, d := range []deployment{cooperative, studio} {
+		for _, world := range worlds {
+			base := measured{}
+			for i, v := range variants {
+				m := d.play(v, *measureHours, world.more)
+				t.Logf("| %s | %s | %s | %.2f | %.0f | %.0f | %.0f |", d.name, world.name, v.name, m.down, m.stranded, m.loads, d.cost(m))
+				if i == 0 {
+					base = m
+					continue
+				}
+				if v.asDeployed {
+					Expect(d.cost(m)).To(BeNumerically("<", d.cost(base)), d.name+", "+world.name+", "+v.name)
+				}
+				Expect(m.down).To(BeNumerically("<", base.down), d.name+", "+world.name+", "+v.name)
+			}
+		}
+	}
+}
+
+var _ = Describe("One fault in virtual time", func() {
+	// after returns the group downtime, in seconds, that follows from a fault at a settled service of ten groups.
+	after := func(decide func(forming.View) forming.Plan, free int, fault func(s *sim, v *simVM, at time.Duration)) float64 {
+		s := newSim(decide, []forming.Service{{
+			Name: "language", Version: "m:1", GroupSize: 4, Replicas: 10, DowntimeWeight: 10, DrainTimeout: 5 * time.Minute,
+		}}, 40+free)
+		s.wake()
+		s.run(time.Hour)
+		s.down = 0
+		fault(s, s.domains[0].vm(s.domains[0].groups[0].Members[0].VM), time.Hour+10*time.Second)
+		s.run(4 * time.Hour)
+		return s.down
+	}
+	death := func(s *sim, v *simVM, at time.Duration) { s.lose(v, at, 2*time.Hour) }
+
+	It("has a free VM cut the downtime after a death to a load and the patience before it", func() {
+		with := after(forming.Decide, 1, death)
+		without := after(forming.Decide, 0, death)
+		GinkgoWriter.Printf("downtime after a death: %.0f s with a free VM, %.0f s without\n", with, without)
+		Expect(with).To(BeNumerically("<=", (forming.Grace + simLoad + 10*time.Second).Seconds()))
+		Expect(without).To(BeNumerically(">", 2*time.Hour.Seconds()))
+	})
+
+	// A VM is migrated by its host and stands still for five seconds. Its group must not load anew for that.
+	It("lets a pause cost no more than the pause", func() {
+		pause := func(s *sim, v *simVM, at time.Duration) { s.pause(v, at, 5*time.Second) }
+		Expect(after(forming.Decide, 1, pause)).To(BeNumerically("<=", 6))
+		Expect(after(baseline, 1, pause)).To(BeNumerically(">", simLoad.Seconds()))
+	})
+
+	// A switch fails, and all VMs of a domain are silent for five minutes. They keep their state. Loading ten
+	// groups anew would take far longer than the fault itself.
+	It("takes a domain that was cut off back as it was", func() {
+		cut := func(s *sim, _ *simVM, at time.Duration) {
+			for _, v := range s.domains[0].vms {
+				s.pause(v, at, 5*time.Minute)
+			}
+		}
+		decided, plain := after(forming.Decide, 0, cut), after(baseline, 0, cut)
+		GinkgoWriter.Printf("downtime after a cut of 5 minutes of 10 groups: %.0f group-seconds, baseline %.0f\n", decided, plain)
+		Expect(decided).To(BeNumerically("<=", 10*(5*time.Minute).Seconds()+10))
+		Expect(plain).To(BeNumerically(">", 10*(5*time.Minute+simLoad).Seconds()))
+	})
+})
--- a/policy/forming/pace.go
+++ b/policy/forming/pace.go
@@ -25,7 +25,8 @@
 	if s.LoadsPerMinute <= 0 {
 		return
 	}
-	p.next = now + time.Minute*time.Duration(max(1, waiting))/time.Duration(s.LoadsPerMinute)
+	members := s.GroupSize * max(1, waiting)
+	p.next = now + time.Minute*time.Duration(members)/time.Duration(s.LoadsPerMinute)
 }
 
 // WaitingDomains counts the fabric domains with groups that wait to load, the view's own included.
--- a/policy/forming/repair.go
+++ b/policy/forming/repair.go
@@ -129,14 +129,7 @@
 // VMs are on their way already.
 func (p *planner) makeRoom(s Service) {
 	p.plan.Held[s.Name] = "too few free VMs in the fabric domain"
-	coming := len(p.pool)
-	for i := range p.view.Groups {
-		g := &p.view.Groups[i]
-		if g.State == Draining || p.ends(g.ID) {
-			coming += p.survivors(g, s)
-		}
-	}
-	if coming >= s.GroupSize {
+	if p.comingFree(s) >= s.GroupSize {
 		return
 	}
 	for _, other := range p.byNeed() {
@@ -150,14 +143,11 @@
 	}
 }
 
-// trim ends groups above the target, where idle VMs cost nothing: elsewhere an extra group is worth more
-// than idle VMs, and makes room once its VMs are wanted.
+// trim ends groups above the target, where idle VMs cost nothing or where the settings ask for spares that
+// are missing. Elsewhere an extra group is worth more than idle VMs, and makes room once its VMs are wanted.
 func (p *planner) trim() {
 	for _, s := range p.byNeed() {
-		if s.StrandedWeight > 0 || p.rolling(s) {
-			continue
-		}
-		for p.active(s.Name) > p.plan.Targets[s.Name] {
+		for p.active(s.Name) > p.plan.Targets[s.Name] && p.extraUnwanted(s) {
 			g := p.leastUseful(s.Name)
 			if g == nil || g.InState < ExcessHold {
 				break
@@ -167,6 +157,34 @@
 	}
 }
 
+func (p *planner) extraUnwanted(s Service) bool {
+	if p.rolling(s) || len(p.plan.Held) > 0 {
+		return false
+	}
+	return s.StrandedWeight == 0 || p.comingFree(s) < p.sparesAsked(s)
+}
+
+// comingFree counts the VMs that s can use and that are free, or will be once what drains is drained.
+func (p *planner) comingFree(s Service) int {
+	count, _ := p.free(s)
+	for i := range p.view.Groups {
+		g := &p.view.Groups[i]
+		if g.State == Draining || p.drains(g.ID) {
+			count += p.survivors(g, s)
+		}
+	}
+	return count
+}
+
+func (p *planner) drains(id string) bool {
+	for _, s := range p.plan.Steps {
+		if s.Group == id && s.Kind == StepDrain {
+			return true
+		}
+	}
+	return false
+}
+
 // leastUseful returns the group of a service that is furthest from serving, or has the least in progress.
 func (p *planner) leastUseful(service string) *Group {
 	var worst *Group
@@ -233,7 +251,7 @@
 	}
 	for _, s := range p.byShare() {
 		free, accelerators := p.free(s)
-		if s.StrandedWeight <= 0 || free-s.GroupSize < sparesWorth(s, len(p.view.VMs), accelerators) {
+		if s.StrandedWeight <= 0 || free-s.GroupSize < p.sparesWanted(s, accelerators) {
 			continue
 		}
 		if p.form(s, "free VMs beyond the spares") {
--- /dev/null
+++ b/policy/forming/sim_test.go
@@ -0,0 +1,380 @@
+package forming_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/skylarkpond/skylarkpond/policy/forming"
+)
+
+// sim plays fabric domains in virtual time, a second a tick: VMs that fail, controllers that decide, and a
+// weight store whose rate the loads share. Each controller sees its own domain as it is, and the other
+// placements as they were a tick ago.
+type sim struct {
+	now      time.Duration
+	decide   func(forming.View) forming.Plan
+	services []forming.Service
+	domains  []*simDomain
+	events   map[time.Duration][]func()
+	ids      int
+	// active is until when the world is looked at each tick.
+	active time.Duration
+	// down sums up the seconds of wanted groups that did not serve, stranded the accelerator-seconds of VMs
+	// that were up but in no serving group.
+	down, stranded       float64
+	downNow, strandedNow float64
+	loads                int
+}
+
+type simDomain struct {
+	name    string
+	vms     []*simVM
+	groups  []forming.Group
+	drained map[string]time.Duration
+	tracker *forming.Tracker
+	pacer   forming.Pacer
+	report  forming.Domain
+	next    forming.Domain
+	byName  map[string]*simVM
+}
+
+type simVM struct {
+	forming.VM
+	down, paused bool
+	boots        int
+	loaded       float64 // share of the weights that it has
+}
+
+// Rates and durations of the world.
+const (
+	simAccelerators = 8
+	simLoad         = 90 * time.Second
+	simDrain        = 20 * time.Second
+	// simStore is how many members can load at once at full speed.
+	simStore = 24
+)
+
+func newSim(decide func(forming.View) forming.Plan, services []forming.Service, sizes ...int) *sim {
+	s := &sim{decide: decide, services: services, events: map[time.Duration][]func(){}}
+	for i, size := range sizes {
+		d := &simDomain{name: fmt.Sprintf("fab-%d", i+1), drained: map[string]time.Duration{}, tracker: forming.NewTracker(), byName: map[string]*simVM{}}
+		for j := range size {
+			v := &simVM{VM: forming.VM{Name: fmt.Sprintf("%s-%02d", d.name, j+1), Accelerators: simAccelerators, Listed: true}}
+			v.restart()
+			d.vms = append(d.vms, v)
+			d.byName[v.Name] = v
+		}
+		s.domains = append(s.domains, d)
+	}
+	return s
+}
+
+func (v *simVM) restart() {
+	v.boots++
+	v.Boot = fmt.Sprintf("%s-boot%d", v.Name, v.boots)
+	v.Group, v.Epoch, v.Ready, v.loaded, v.Leaving = "", 0, false, 0, false
+}
+
+func (s *sim) at(when time.Duration, f func()) {
+	when = when.Truncate(time.Second)
+	s.events[when] = append(s.events[when], f)
+}
+
+// lose takes a VM away for a while; it comes back empty.
+func (s *sim) lose(v *simVM, at, away time.Duration) {
+	s.at(at, func() { v.down = true; v.restart() })
+	s.at(at+away, func() { v.down = false })
+}
+
+// pause silences a VM, which keeps what it has.
+func (s *sim) pause(v *simVM, at, away time.Duration) {
+	s.at(at, func() { v.paused = true })
+	s.at(at+away, func() { v.paused = false })
+}
+
+// leave announces that a VM will be taken away, takes it, and brings it back empty.
+func (s *sim) leave(v *simVM, at, notice, away time.Duration) {
+	s.at(at, func() { v.Leaving = true })
+	s.lose(v, at+notice, away)
+}
+
+// faults draws the ordinary days of a fleet of 2,520 VMs (14 fail, 360 are restarted or replaced, of which
+// half are announced) scaled to this one, and pauses.
+func (s *sim) faults(random *rand.Rand, from, until time.Duration) {
+	day := 24 * time.Hour
+	for _, d := range s.domains {
+		for _, v := range d.vms {
+			s.poisson(random, from, until, day*2520/14, func(at time.Duration) { s.lose(v, at, 2*time.Hour) })
+			s.poisson(random, from, until, day*2520/180, func(at time.Duration) { s.lose(v, at, 5*time.Minute) })
+			s.poisson(random, from, until, day*2520/180, func(at time.Duration) { s.leave(v, at, 2*time.Minute, 5*time.Minute) })
+			s.poisson(random, from, until, 2*day, func(at time.Duration) {
+				s.pause(v, at, time.Duration(2+random.IntN(7))*time.Second)
+			})
+		}
+	}
+}
+
+func (s *sim) poisson(random *rand.Rand, from, until, mean time.Duration, f func(at time.Duration)) {
+	for at := from; ; {
+		at += time.Duration(random.ExpFloat64() * float64(mean))
+		if at >= until {
+			return
+		}
+		f(at)
+	}
+}
+
+// run plays until the given time.
+func (s *sim) run(until time.Duration) {
+	for ; s.now < until; s.now += time.Second {
+		if due, ok := s.events[s.now]; ok {
+			for _, f := range due {
+				f()
+			}
+			delete(s.events, s.now)
+			s.wake()
+		}
+		if s.now <= s.active {
+			s.load()
+			for _, d := range s.domains {
+				s.round(d)
+			}
+			for _, d := range s.domains {
+				d.report = d.next
+			}
+			s.account()
+		}
+		s.down += s.downNow
+		s.stranded += s.strandedNow
+	}
+}
+
+// wake has every domain looked at until the longest patience is over. Beyond it nothing can change by
+// itself, so that quiet hours cost nothing.
+func (s *sim) wake() { s.active = s.now + forming.CommonGrace + 15*time.Second }
+
+func (s *sim) round(d *simDomain) {
+	view := forming.View{Domain: d.name, Services: s.services, Groups: d.groups, LoadAllowed: d.pacer.Allowed(s.now)}
+	for _, v := range d.vms {
+		vm := v.VM
+		vm.Present = !v.down && !v.paused
+		view.VMs = append(view.VMs, vm)
+	}
+	for i := range view.Groups {
+		g := &view.Groups[i]
+		since, draining := d.drained[g.ID]
+		g.Known, g.InProgress = true, 0
+		if draining && s.now-since < simDrain {
+			g.InProgress = 1
+		}
+	}
+	for _, other := range s.domains {
+		if other != d && other.report.Name != "" {
+			view.Others = append(view.Others, other.report)
+		}
+	}
+	d.tracker.Observe(s.now, &view)
+	plan := s.decide(view)
+	for _, step := range plan.Steps {
+		s.apply(d, &view, step)
+		s.wake()
+	}
+	d.next = forming.Domain{Name: d.name, Live: plan.Live, Groups: slices.Clone(d.groups)}
+}
+
+func (s *sim) apply(d *simDomain, view *forming.View, step forming.Step) {
+	i := slices.IndexFunc(d.groups, func(g forming.Group) bool { return g.ID == step.Group })
+	switch step.Kind {
+	case forming.StepForm:
+		s.ids++
+		g := forming.Group{
+			ID: fmt.Sprintf("g%06d", s.ids), Service: step.Service, Version: step.Version,
+			State: forming.Forming, Size: len(step.Members),
+		}
+		for _, name := range step.Members {
+			g.Members = append(g.Members, forming.Member{VM: name})
+		}
+		d.groups = append(d.groups, g)
+	case forming.StepLoad:
+		s.startLoad(d, view, &d.groups[i])
+	case forming.StepServe:
+		d.groups[i].State = forming.Serving
+	case forming.StepDrain:
+		d.groups[i].State = forming.Draining
+		d.drained[step.Group] = s.now
+	case forming.StepMark:
+		d.groups[i].NotWhole = step.NotWhole
+	case forming.StepRelease, forming.StepDissolve:
+		for _, m := range d.groups[i].Members {
+			if v := d.vm(m.VM); v.Group == step.Group {
+				v.Group, v.Epoch, v.Ready, v.loaded = "", 0, false, 0
+			}
+		}
+		if step.Kind == forming.StepDissolve {
+			d.groups = slices.Delete(d.groups, i, i+1)
+		}
+	}
+}
+
+func (s *sim) startLoad(d *simDomain, view *forming.View, g *forming.Group) {
+	g.State = forming.Loading
+	g.Epoch = 1
+	s.loads++
+	for i := range g.Members {
+		v := d.vm(g.Members[i].VM)
+		g.Members[i].Boot = v.Boot
+		v.Group, v.Epoch, v.Ready, v.loaded = g.ID, 1, false, 0
+	}
+	for _, service := range s.services {
+		if service.Name == g.Service {
+			d.pacer.Started(s.now, service, view.WaitingDomains())
+		}
+	}
+}
+
+func (d *simDomain) vm(name string) *simVM { return d.byName[name] }
+
+// load shares the weight store's rate among all members that load.
+func (s *sim) load() {
+	var loading []*simVM
+	for _, d := range s.domains {
+		for _, v := range d.vms {
+			if v.Group != "" && !v.Ready && !v.down && !v.paused {
+				loading = append(loading, v)
+			}
+		}
+	}
+	share := min(1, simStore/float64(max(1, len(loading)))) / simLoad.Seconds()
+	for _, v := range loading {
+		v.loaded += share
+		v.Ready = v.loaded >= 1
+		s.wake()
+	}
+}
+
+// serving counts the groups of a service that are whole and may be given work.
+func (s *sim) serving(service string) int {
+	count := 0
+	for _, d := range s.domains {
+		for _, g := range d.groups {
+			if g.Service == service && d.whole(g) {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+func (d *simDomain) whole(g forming.Group) bool {
+	if g.State != forming.Serving {
+		return false
+	}
+	return !slices.ContainsFunc(g.Members, func(m forming.Member) bool {
+		v := d.vm(m.VM)
+		return v.down || v.paused || v.Boot != m.Boot || v.Group != g.ID || !v.Ready
+	})
+}
+
+// account works out the measures of this second, from the world and not from what a plan claims.
+func (s *sim) account() {
+	s.downNow, s.strandedNow = 0, 0
+	for _, service := range s.services {
+		s.downNow += float64(max(0, service.Replicas-s.serving(service.Name)))
+	}
+	for _, d := range s.domains {
+		up, busy := 0, 0
+		for _, v := range d.vms {
+			if !v.down {
+				up++
+			}
+		}
+		for _, g := range d.groups {
+			if d.whole(g) {
+				busy += len(g.Members)
+			}
+		}
+		s.strandedNow += float64((up - busy) * simAccelerators)
+	}
+}
+
+// baseline replaces at once with any VM: a silent member, like a restarted one, ends its group, and a new
+// one is formed and loaded from whatever answers. It keeps no spares, paces no loads, and shares no view
+// with other domains beyond the number of groups.
+func baseline(v forming.View) forming.Plan {
+	plan := forming.Plan{Live: map[string]int{}}
+	vms := make(map[string]forming.VM)
+	for _, vm := range v.VMs {
+		vms[vm.Name] = vm
+	}
+	taken := make(map[string]bool)
+	total := make(map[string]int)
+	for _, d := range v.Others {
+		for _, g := range d.Groups {
+			total[g.Service]++
+		}
+	}
+	for _, g := range v.Groups {
+		step := baselineStep(v, g, vms)
+		if step.Kind == forming.StepDissolve {
+			plan.Steps = append(plan.Steps, step)
+			continue
+		}
+		total[g.Service]++
+		for _, m := range g.Members {
+			taken[m.VM] = true
+		}
+		if step.Kind != "" {
+			plan.Steps = append(plan.Steps, step)
+		}
+	}
+	for _, s := range v.Services {
+		plan.Steps = append(plan.Steps, baselineForm(v, s, total[s.Name], taken)...)
+	}
+	return plan
+}
+
+func baselineStep(v forming.View, g forming.Group, vms map[string]forming.VM) forming.Step {
+	ready := true
+	for _, m := range g.Members {
+		vm := vms[m.VM]
+		if !vm.Present || (g.State != forming.Forming && vm.Boot != m.Boot) {
+			return forming.Step{Kind: forming.StepDissolve, Group: g.ID}
+		}
+		if vm.Leaving && g.State == forming.Serving {
+			return forming.Step{Kind: forming.StepDrain, Group: g.ID}
+		}
+		ready = ready && vm.Ready && vm.Group == g.ID
+	}
+	switch {
+	case g.State == forming.Forming:
+		return forming.Step{Kind: forming.StepLoad, Group: g.ID}
+	case g.State == forming.Loading && ready:
+		return forming.Step{Kind: forming.StepServe, Group: g.ID}
+	case g.State == forming.Draining && g.InProgress == 0:
+		return forming.Step{Kind: forming.StepDissolve, Group: g.ID}
+	}
+	return forming.Step{}
+}
+
+func baselineForm(v forming.View, s forming.Service, total int, taken map[string]bool) []forming.Step {
+	var steps []forming.Step
+	var members []string
+	for _, vm := range v.VMs {
+		if total >= s.Replicas {
+			break
+		}
+		if !vm.Present || taken[vm.Name] {
+			continue
+		}
+		members = append(members, vm.Name)
+		taken[vm.Name] = true
+		if len(members) == s.GroupSize {
+			steps = append(steps, forming.Step{Kind: forming.StepForm, Service: s.Name, Version: s.Version, Members: members})
+			members = nil
+			total++
+		}
+	}
+	return steps
+}
--- a/policy/forming/spares.go
+++ b/policy/forming/spares.go
@@ -1,6 +1,9 @@
 package forming
 
-import "math"
+import (
+	"math"
+	"slices"
+)
 
 // This file answers the fault pattern of single VMs that go for a while. With a free VM beside it, a
 // group that lost a member is whole again after one load; without, its survivors wait for the member to
@@ -34,5 +37,46 @@
 			break
 		}
 	}
-	return max(spares, s.Spares)
+	return spares
+}
+
+// sparesWanted returns how many VMs that fit s the domain should keep free: what the weights say, or what the
+// settings ask for if that is more.
+func (p *planner) sparesWanted(s Service, accelerators int) int {
+	return max(p.sparesAsked(s), sparesWorth(s, len(p.view.VMs), accelerators))
+}
+
+// sparesAsked is what the settings of all services that use the same VMs ask for in this domain.
+func (p *planner) sparesAsked(s Service) int {
+	asked := 0
+	for _, other := range p.view.Services {
+		if other.Name == s.Name || (!other.Dedicated && !s.Dedicated) {
+			asked += p.spareShare(other)
+		}
+	}
+	return asked
+}
+
+// spareShare is this domain's part of the spares of s: a spare helps only groups of its own domain, so they
+// are spread like the groups are. Every controller works out the same parts, which add up to the whole.
+func (p *planner) spareShare(s Service) int {
+	names := make([]string, 0, len(p.targets))
+	total := 0
+	for name, held := range p.targets {
+		names = append(names, name)
+		total += held[s.Name]
+	}
+	if total == 0 {
+		return 0
+	}
+	slices.Sort(names)
+	before := 0
+	for _, name := range names {
+		after := before + p.targets[name][s.Name]
+		if name == p.view.Domain {
+			return s.Spares*after/total - s.Spares*before/total
+		}
+		before = after
+	}
+	return 0
 }
--- a/policy/forming/tracker.go
+++ b/policy/forming/tracker.go
@@ -11,25 +11,31 @@
 // comes back within minutes, and an hour without one shows that it is over.
 const RestartMemory = time.Hour
 
+// MaxGap is the longest time between two views that counts as seen. A controller that was paused for a
+// minute has not seen a minute of silence: the first probes after it may well fail because of the pause.
+const MaxGap = 3 * time.Second
+
 // Tracker fills in how long what a View shows has been so. It is not safe for concurrent use.
 type Tracker struct {
 	vms    map[string]*vmTrack
 	groups map[string]*groupTrack
+	last   time.Duration
+	begun  bool
 }
 
 type vmTrack struct {
-	answered time.Duration
-	listed   time.Duration
+	silent   time.Duration
+	unlisted time.Duration
 	boot     string
 	restarts []time.Duration
 	seen     bool
 }
 
 type groupTrack struct {
-	state State
-	since time.Duration
-	fast  time.Duration
-	seen  bool
+	state   State
+	inState time.Duration
+	slow    time.Duration
+	seen    bool
 }
 
 // NewTracker returns a tracker that has seen nothing.
@@ -39,36 +45,47 @@
 
 // Observe takes in a view of now and fills in its durations. What is no longer in the view is forgotten.
 func (t *Tracker) Observe(now time.Duration, v *View) {
+	gap := time.Duration(0)
+	if t.begun {
+		gap = min(now-t.last, MaxGap)
+	}
+	t.last, t.begun = now, true
 	for i := range v.VMs {
-		t.observeVM(now, &v.VMs[i])
+		t.observeVM(now, gap, &v.VMs[i])
 	}
 	slow := slowGroups(v)
 	for i := range v.Groups {
-		t.observeGroup(now, &v.Groups[i], slow[v.Groups[i].ID])
+		t.observeGroup(gap, &v.Groups[i], slow[v.Groups[i].ID])
 	}
 	t.forget()
 }
 
-func (t *Tracker) observeVM(now time.Duration, v *VM) {
+func (t *Tracker) observeVM(now, gap time.Duration, v *VM) {
 	track := t.vms[v.Name]
 	if track == nil {
-		track = &vmTrack{answered: now, listed: now}
+		track = &vmTrack{}
 		t.vms[v.Name] = track
 	}
 	track.seen = true
-	if v.Listed {
-		track.listed = now
-	}
+	track.silent = grown(track.silent, gap, !v.Present)
+	track.unlisted = grown(track.unlisted, gap, !v.Listed)
 	if v.Present {
-		track.answered = now
 		track.noteBoot(now, v.Boot)
 	}
 	track.dropOld(now)
-	v.SilentFor = now - track.answered
-	v.UnlistedFor = now - track.listed
+	v.SilentFor = track.silent
+	v.UnlistedFor = track.unlisted
 	v.Restarts = len(track.restarts)
 }
 
+// grown returns for how long something has been so, now that it still is, or no longer.
+func grown(lasted, gap time.Duration, still bool) time.Duration {
+	if !still {
+		return 0
+	}
+	return lasted + gap
+}
+
 func (t *vmTrack) noteBoot(now time.Duration, boot string) {
 	if t.boot != "" && boot != t.boot {
 		t.restarts = append(t.restarts, now)
@@ -82,22 +99,19 @@
 	}
 }
 
-func (t *Tracker) observeGroup(now time.Duration, g *Group, slow bool) {
+func (t *Tracker) observeGroup(gap time.Duration, g *Group, slow bool) {
 	track := t.groups[g.ID]
 	if track == nil {
-		track = &groupTrack{state: g.State, since: now, fast: now}
+		track = &groupTrack{state: g.State}
 		t.groups[g.ID] = track
+		gap = 0
 	}
 	track.seen = true
-	if track.state != g.State {
-		track.state = g.State
-		track.since = now
-	}
-	if !slow {
-		track.fast = now
-	}
-	g.InState = now - track.since
-	g.SlowFor = now - track.fast
+	track.inState = grown(track.inState, gap, track.state == g.State)
+	track.state = g.State
+	track.slow = grown(track.slow, gap, slow)
+	g.InState = track.inState
+	g.SlowFor = track.slow
 }
 
 func (t *Tracker) forget() {
--- a/policy/forming/view.go
+++ b/policy/forming/view.go
@@ -32,7 +32,7 @@
 	Version   string
 	GroupSize int
 	Replicas  int
-	// Spares is the least number of free VMs kept in each fabric domain, rather than extra groups.
+	// Spares is the least number of VMs kept free over all fabric domains, rather than formed into extra groups.
 	Spares int
 	// Dedicated services run only on VMs that are dedicated to them.
 	Dedicated bool
@@ -40,7 +40,7 @@
 	// accelerator-second outside any serving group.
 	DowntimeWeight float64
 	StrandedWeight float64
-	// LoadsPerMinute bounds how many groups start to load; 0: no bound.
+	// LoadsPerMinute bounds how many members start to load; 0: no bound.
 	LoadsPerMinute int
 	DrainTimeout   time.Duration
 }
