--- a/contract/attempt/records.go
+++ b/contract/attempt/records.go
@@ -22,6 +22,7 @@
 	"github.com/google/uuid"
 
 	"github.com/skylarkpond/skylarkpond/contract"
+	"github.com/skylarkpond/skylarkpond/contract/settings"
 	"github.com/skylarkpond/skylarkpond/link/platform"
 )
 
@@ -75,17 +76,31 @@
 	Renounced []string
 }
 
+// unknownRetention is that of a seal whose service this entry does not know.
+const unknownRetention = 24 * time.Hour
+
+// Retention is how long the records of a service are kept: as declared, and in any case for longer than a
+// dispatch may lie in a home that sleeps, since a record that is gone decides nothing.
+func Retention(s settings.Service) time.Duration {
+	if s.AttemptRetention <= 0 {
+		return unknownRetention
+	}
+	return max(s.AttemptRetention, 2*s.MaxRequestTimeout)
+}
+
 // Records reads and writes attempt records. It is safe for concurrent use.
 type Records struct {
 	store platform.Store
 	clock func() time.Time
 	nonce func() string
-	pause func(ctx context.Context, d time.Duration)
+	// Pause waits between the tries of a write, or until ctx is over. Tests in virtual time replace it
+	// before the first call.
+	Pause func(ctx context.Context, d time.Duration)
 }
 
 // New returns records kept in store. The clock is the wall clock; it only stamps the expiry.
 func New(store platform.Store, clock func() time.Time) *Records {
-	return &Records{store: store, clock: clock, nonce: uuid.NewString, pause: sleep}
+	return &Records{store: store, clock: clock, nonce: uuid.NewString, Pause: sleep}
 }
 
 // Claim takes the right to send, once, for this home and incarnation. Only Confirmed gives it.
--- a/contract/outcome/machine.go
+++ b/contract/outcome/machine.go
@@ -1,7 +1,6 @@
 package outcome
 
 import (
-	"net/http"
 	"time"
 
 	"github.com/skylarkpond/skylarkpond/contract"
@@ -57,6 +56,8 @@
 	// delivered: the caller was given a part of the answer already.
 	delivered bool
 	renounced []string
+	// asked: the holder of the claim was asked, and is not at work.
+	asked bool
 	// problem is why the request is given up.
 	problem *contract.Problem
 }
@@ -140,12 +141,15 @@
 }
 
 // Deadline says that the caller's time is over.
-func (m *Machine) Deadline() Action {
+func (m *Machine) Deadline() Action { return m.Abandon(problemDeadline()) }
+
+// Abandon leaves the dispatch under way and tries no other.
+func (m *Machine) Abandon(p *contract.Problem) Action {
 	if m.phase != atHome {
 		return Action{Do: Wait}
 	}
 	m.leaveHome()
-	m.problem = problemDeadline()
+	m.problem = p
 	return m.giveUp()
 }
 
@@ -196,6 +200,12 @@
 	if working && !m.delivered {
 		return m.tell(Action{Outcome: contract.InProgress, Problem: problemInProgress()})
 	}
+	if !working && !m.asked {
+		// It may have ended between the look at the record and the question: then the answer is there now.
+		m.asked = true
+		m.phase = finding
+		return Action{Do: Find}
+	}
 	return m.unknown(m.problem)
 }
 
@@ -265,86 +275,3 @@
 	}
 	return m.dispatch(true)
 }
-
-// giveUp says the outcome, or finds out what may be said.
-func (m *Machine) giveUp() Action {
-	if !m.request.Unrepeatable {
-		if m.ran || m.loose {
-			return m.unknown(m.problem)
-		}
-		return m.notRun(m.problem, 0)
-	}
-	if m.ran {
-		m.phase = finding
-		return Action{Do: Find}
-	}
-	if m.request.KeyChosen || m.loose {
-		m.phase = sealing
-		return Action{Do: Seal, Renounced: m.renounced}
-	}
-	return m.notRun(m.problem, 0)
-}
-
-// standing: a record stands that this request can't replace. It decides.
-func (m *Machine) standing(r attempt.Result) Action {
-	if r.Verdict == attempt.Reused {
-		return m.notRun(problemReused(), 0)
-	}
-	switch r.Attempt.State {
-	case contract.AttemptDone:
-		return m.stored(r.Attempt.Answer)
-	case contract.AttemptSealed:
-		if r.Attempt.Number >= m.request.Attempt && !m.ran {
-			return m.notRun(m.sealedProblem(), r.Attempt.Number)
-		}
-	case contract.AttemptClaimed:
-		m.phase = asking
-		if !m.ran {
-			m.problem = problemClaimed()
-		}
-		return Action{Do: AskHolder, Attempt: r.Attempt}
-	}
-	return m.unknown(problemClaimed())
-}
-
-func (m *Machine) stored(answer *contract.StoredAnswer) Action {
-	switch {
-	case m.delivered:
-		// The caller holds the beginning of a stream; the stored answer can't be put behind it.
-		return m.unknown(problemTruncated())
-	case answer == nil || answer.TooLarge:
-		return m.tell(Action{Outcome: contract.Answered, Problem: problemTooLarge()})
-	}
-	return m.tell(Action{Outcome: contract.Answered, Stored: answer})
-}
-
-// sealedProblem keeps the own reason if there is one: the seal found may well be this front's own.
-func (m *Machine) sealedProblem() *contract.Problem {
-	if m.problem != nil {
-		return m.problem
-	}
-	return problemSealed()
-}
-
-func (m *Machine) notRun(p *contract.Problem, attempts int) Action {
-	told := *orInternal(p)
-	told.Outcome = contract.NotRun
-	return m.tell(Action{Outcome: contract.NotRun, Problem: &told, Attempts: attempts})
-}
-
-func (m *Machine) unknown(p *contract.Problem) Action {
-	told := *orInternal(p)
-	told.Outcome = contract.Unknown
-	if told.Status < http.StatusInternalServerError {
-		told.Status = http.StatusBadGateway
-	}
-	told.RetryAfter = max(told.RetryAfter, RetrySoon)
-	told.Next = nextUnknown(m.request)
-	return m.tell(Action{Outcome: contract.Unknown, Problem: &told})
-}
-
-func (m *Machine) tell(a Action) Action {
-	m.phase = told
-	a.Do = Tell
-	return a
-}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -17,14 +17,22 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"github.com/skylarkpond/skylarkpond/contract/attempt"
+	"github.com/skylarkpond/skylarkpond/domain"
 	"github.com/skylarkpond/skylarkpond/entry/admission"
 	"github.com/skylarkpond/skylarkpond/entry/controller"
+	"github.com/skylarkpond/skylarkpond/entry/directory"
+	"github.com/skylarkpond/skylarkpond/entry/drain"
 	"github.com/skylarkpond/skylarkpond/entry/front"
+	"github.com/skylarkpond/skylarkpond/entry/guard"
 	"github.com/skylarkpond/skylarkpond/entry/member"
 	"github.com/skylarkpond/skylarkpond/entry/mirror"
 	"github.com/skylarkpond/skylarkpond/entry/operator"
 	"github.com/skylarkpond/skylarkpond/entry/prober"
+	"github.com/skylarkpond/skylarkpond/entry/reach"
+	"github.com/skylarkpond/skylarkpond/entry/routing"
 	"github.com/skylarkpond/skylarkpond/link/peer"
+	"github.com/skylarkpond/skylarkpond/link/platform"
 	"github.com/skylarkpond/skylarkpond/timeline"
 )
 
@@ -41,67 +49,96 @@
 	recorder     *timeline.Recorder
 	registration *registration
 	members      *member.Members
+	homes        *homes
 	pinger       member.Pinger
 	mirror       *mirror.Mirror
 	follower     *mirror.Follower
 	prober       *prober.Prober
 	admission    *admission.Admission
+	purger       *attempt.Purger
+	owners       owners
+	reach        *reach.Reach
+	guard        *guard.Guard
 	controller   *controller.Controller
 	front        *front.Front
+	directory    *directory.Directory
+	gate         *drain.Gate
 	operator     *operator.Server
 	overview     *overview
 	dispatcher   *dispatcher
+	router       *routing.Router
 	peerClient   *peer.Client
 	peerServer   *peer.Server
 	inForce      *settingsInForce
 	metrics      *measures
 }
 
-// shutdownTimeout bounds the wait for requests in progress after the listeners are closed.
-const shutdownTimeout = 5 * time.Minute
+// finishMargin is what a planned stop waits beyond the longest time that a request may last.
+const finishMargin = 30 * time.Second
+
+// role is a part of the entry that runs for as long as the entry does. One that returns an error ends it.
+type role func(ctx context.Context) error
+
+// always makes a role of what runs until its context ends.
+func always(run func(ctx context.Context)) role {
+	return func(ctx context.Context) error {
+		run(ctx)
+		return nil
+	}
+}
+
+func (e *Entry) roles(sockets *sockets, public, admin *http.Server) []role {
+	return []role{
+		func(ctx context.Context) error { return e.peerServer.Serve(ctx, sockets.peer) },
+		func(ctx context.Context) error { return e.members.Run(ctx, e.pinger) },
+		always(e.homes.Run),
+		always(e.follower.Run),
+		always(e.prober.Run),
+		always(e.admission.Run),
+		always(e.guard.Run),
+		always(e.reach.Run),
+		always(e.controller.Run),
+		always(e.directory.Run),
+		always(func(ctx context.Context) { e.purger.Run(ctx, purgeInterval, e.purges, e.purged) }),
+		e.watchMembers,
+		func(context.Context) error { return serveHTTP(public, sockets.public) },
+		func(context.Context) error { return serveHTTP(admin, sockets.admin) },
+	}
+}
+
+// readHeaderTimeout bounds how long a client may take to send a request's header.
+const readHeaderTimeout = 10 * time.Second
 
 // Run serves until ctx ends, then drains: it leaves the directory, keeps serving for longer than callers
-// may keep its address, finishes the requests in progress, and returns.
+// may keep its address, finishes the requests in progress, and returns. The roles go on until then.
 func (e *Entry) Run(ctx context.Context, sockets *sockets) error {
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
-	defer stopWork()
 	var running sync.WaitGroup
 	defer running.Wait()
 	defer stopWork()
-	failed := make(chan error, 4)
-	start := func(f func(ctx context.Context) error) {
+	public := &http.Server{Handler: e.publicHandler(), ReadHeaderTimeout: readHeaderTimeout}
+	admin := &http.Server{Handler: e.adminHandler(), ReadHeaderTimeout: readHeaderTimeout}
+	defer func() { _ = admin.Close() }()
+	defer func() { _ = public.Close() }()
+	failed := make(chan error, 1)
+	for _, run := range e.roles(sockets, public, admin) {
 		running.Go(func() {
-			if err := f(work); err != nil {
-				failed <- err
+			if err := run(work); err != nil {
+				select {
+				case failed <- err:
+				default:
+				}
 			}
 		})
 	}
-	public := &http.Server{Handler: e.publicHandler(), ReadHeaderTimeout: 10 * time.Second}
-	admin := &http.Server{Handler: e.adminHandler(), ReadHeaderTimeout: 10 * time.Second}
-
-	start(func(ctx context.Context) error { return e.peerServer.Serve(ctx, sockets.peer) })
-	start(func(ctx context.Context) error { return e.members.Run(ctx, e.pinger) })
-	start(func(ctx context.Context) error { e.follower.Run(ctx); return nil })
-	start(func(ctx context.Context) error { e.prober.Run(ctx); return nil })
-	start(func(ctx context.Context) error { e.admission.Run(ctx); return nil })
-	start(func(ctx context.Context) error { e.controller.Run(ctx); return nil })
-	start(func(ctx context.Context) error { return e.watchSuperseded(ctx) })
-	start(func(context.Context) error { return serveHTTP(public, sockets.public) })
-	start(func(context.Context) error { return serveHTTP(admin, sockets.admin) })
 	e.recorder.Record(timeline.Event{Kind: timeline.EntryStarted, Entry: e.config.Name, Detail: e.registration.self.Incarnation})
 	e.log.WithField("public", sockets.public.Addr().String()).Info("serving")
-
 	select {
 	case err := <-failed:
-		_ = public.Close()
-		_ = admin.Close()
 		return err
 	case <-ctx.Done():
+		return e.drain(public)
 	}
-	e.drain(public)
-	_ = admin.Close()
-	e.recorder.Record(timeline.Event{Kind: timeline.EntryStopped, Entry: e.config.Name})
-	return nil
 }
 
 func serveHTTP(server *http.Server, listener net.Listener) error {
@@ -112,36 +149,82 @@
 	return err
 }
 
-// drain is the planned stop. No request is cut: callers that keep the address go on being served until
-// none may, homes move as soon as the others hear that this entry leaves, and both listeners wait for
-// what is in progress.
-func (e *Entry) drain(public *http.Server) {
+// drain is the planned stop. Callers' requests are over when their connections are closed, which is after
+// the last byte of each answer; those of other entries' fronts are counted with them.
+func (e *Entry) drain(public *http.Server) error {
 	e.log.Info("leaving")
-	e.recorder.Record(timeline.Event{Kind: timeline.EntryLeaving, Entry: e.config.Name})
-	e.members.Leave()
-	published, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer cancel()
-	go func() { _ = e.registration.publish(published, true) }()
-	time.Sleep(e.inForce.Snapshot().AddressTTL + e.config.DrainMargin)
-	stopping, cancelStop := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer cancelStop()
-	_ = public.Shutdown(stopping)
-	e.waitForDispatches(stopping)
+	closed := make(chan struct{})
+	steps := drain.Steps{
+		Leave: func() {
+			e.members.Leave()
+			e.gate.Leave()
+		},
+		Publish:   func(ctx context.Context) error { return e.registration.publish(ctx, true) },
+		KeptUntil: e.directory.KeptUntil,
+		Close: func() {
+			go func() {
+				defer close(closed)
+				_ = public.Shutdown(context.Background())
+			}()
+		},
+		InProgress: func() int { return int(e.dispatcher.serving.Load()) + max(e.gate.InProgress(), unfinished(closed)) },
+		Entered:    e.recordPhase,
+	}
+	config := drain.Config{Margin: e.config.DrainMargin, FinishTimeout: e.longestRequest() + finishMargin}
+	return drain.New(config, steps, drain.SystemClock{}).Run(context.Background())
+}
+
+// longestRequest is the longest deadline that a caller may name.
+func (e *Entry) longestRequest() time.Duration {
+	longest := time.Duration(0)
+	for _, service := range e.inForce.Snapshot().Services {
+		longest = max(longest, service.MaxRequestTimeout)
+	}
+	return longest
+}
+
+// unfinished is 1 until closed is.
+func unfinished(closed <-chan struct{}) int {
+	select {
+	case <-closed:
+		return 0
+	default:
+		return 1
+	}
+}
+
+func (e *Entry) recordPhase(phase drain.Phase) {
+	kinds := map[drain.Phase]timeline.Kind{drain.Leaving: timeline.EntryLeaving, drain.Stopped: timeline.EntryStopped}
+	if kind, ok := kinds[phase]; ok {
+		e.recorder.Record(timeline.Event{Kind: kind, Entry: e.config.Name})
+	}
+}
+
+// purgeInterval is how often expired attempt records are looked for: one list of the kind, by one entry.
+const purgeInterval = 10 * time.Minute
+
+// purges says whether this entry is the one that purges attempt records.
+func (e *Entry) purges() bool {
+	return domain.Owner(string(platform.KindAttempt), e.owners.Live()) == e.config.Name
 }
 
-// waitForDispatches waits until the homes' work for other fronts is over too.
-func (e *Entry) waitForDispatches(ctx context.Context) {
-	for ctx.Err() == nil && e.dispatcher.serving.Load() > 0 {
-		pause(ctx, 50*time.Millisecond)
+func (e *Entry) purged(deleted int, err error) {
+	log := e.log.WithField("deleted", deleted)
+	if err != nil {
+		log.WithError(err).Warn("attempt records could not all be purged")
+		return
 	}
+	log.Debug("attempt records purged")
 }
 
-const supersededCheck = time.Second
+const membersCheck = time.Second
 
-// watchSuperseded stops an old process whose name was given to a new one.
-func (e *Entry) watchSuperseded(ctx context.Context) error {
+// watchMembers stops an old process whose name was given to a new one, and tells the router how many
+// fronts share the load.
+func (e *Entry) watchMembers(ctx context.Context) error {
 	for ctx.Err() == nil {
-		pause(ctx, supersededCheck)
+		pause(ctx, membersCheck)
+		e.router.SetFronts(len(e.members.Live()))
 		if e.members.Superseded() {
 			return ErrSuperseded
 		}
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -7,9 +7,11 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/emicklei/go-restful/v3"
 	"github.com/google/uuid"
+	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 
 	"github.com/skylarkpond/skylarkpond/contract"
@@ -53,10 +55,11 @@
 	Tried []vm.GroupID
 }
 
-// Choice is a group to send to. Done, if set, is called once when the dispatch is over.
+// Choice is a group to send to. Done, if set, is called once when the dispatch is over; well: it ended by
+// the home's word, an answer or a refusal.
 type Choice struct {
 	Group vm.GroupID
-	Done  func(ok bool)
+	Done  func(well bool)
 }
 
 // Chooser chooses the group of a dispatch, or says why there is none.
@@ -66,9 +69,11 @@
 
 // RetryBudget bounds tries after the first to a share of first tries.
 type RetryBudget interface {
-	// First counts a first try, Retry takes one retry out of the budget if there is one.
+	// First counts a first try.
 	First(service string)
-	Retry(service string) bool
+	// Retry says whether a request may be tried once more after tries so far, and how long to wait before,
+	// with left of its time.
+	Retry(service settings.Service, tries int, left time.Duration) (wait time.Duration, ok bool)
 }
 
 // Deps is what a front needs.
@@ -82,17 +87,19 @@
 	Retries    RetryBudget
 	Attempts   *attempt.Records
 	Recorder   *timeline.Recorder
+	Metrics    metrics.Registry
 }
 
 // Front serves callers. It is safe for concurrent use.
 type Front struct {
-	deps  Deps
-	newID func() string
+	deps   Deps
+	newID  func() string
+	counts *counts
 }
 
 // New returns a front.
 func New(deps Deps) *Front {
-	return &Front{deps: deps, newID: uuid.NewString}
+	return &Front{deps: deps, newID: uuid.NewString, counts: newCounts(deps.Metrics)}
 }
 
 // methods are those that a plain service may be called with.
--- a/entry/front/handlers.go
+++ b/entry/front/handlers.go
@@ -53,11 +53,12 @@
 	return q, nil
 }
 
-// maxAnyBody bounds a body whose service is not known.
-const maxAnyBody = 16 << 20
+// maxBody bounds any body, whatever its service allows: a dispatch must fit into one message between
+// entries, of 8 MB.
+const maxBody = 7 << 20
 
 func (q *request) parseCompletion(r *http.Request, w http.ResponseWriter) *contract.Problem {
-	if p := q.readBody(r, w, maxAnyBody); p != nil {
+	if p := q.readBody(r, w, maxBody); p != nil {
 		return p
 	}
 	var completion engine.Completion
@@ -71,7 +72,7 @@
 	q.service = service
 	q.model = completion.Model
 	q.stream = completion.Stream
-	q.work = estimateWork(completion)
+	q.work, q.prompt = estimateWork(completion)
 	q.prefix = prefixHash(completion)
 	q.unrepeatable = !repeatable(service, http.MethodPost, "/v1"+completionsPath)
 	if int64(len(q.body)) > service.MaxBodyBytes {
@@ -83,9 +84,9 @@
 func (q *request) parseCall(r *http.Request, w http.ResponseWriter, name string) *contract.Problem {
 	service, ok := q.snapshot.Services[name]
 	ok = ok && service.Kind == settings.Plain
-	limit := int64(maxAnyBody)
+	limit := int64(maxBody)
 	if ok {
-		limit = service.MaxBodyBytes
+		limit = min(limit, service.MaxBodyBytes)
 	}
 	if p := q.readBody(r, w, limit); p != nil {
 		return p
@@ -149,15 +150,16 @@
 	defaultTokens = 256
 )
 
-func estimateWork(c engine.Completion) int {
-	tokens := c.MaxTokens
-	if tokens <= 0 {
-		tokens = defaultTokens
+// estimateWork returns the work that a completion is charged until it is done, and the prompt's part of it.
+func estimateWork(c engine.Completion) (work, prompt int) {
+	answer := c.MaxTokens
+	if answer <= 0 {
+		answer = defaultTokens
 	}
 	for _, m := range c.Messages {
-		tokens += len(m.Content) / bytesPerToken
+		prompt += len(m.Content) / bytesPerToken
 	}
-	return tokens
+	return prompt + answer, prompt
 }
 
 // prefixHash is the hash of the first message, which is what conversations of one kind share.
@@ -190,7 +192,7 @@
 func (q *request) dispatch(f *Front, left time.Duration) contract.Dispatch {
 	return contract.Dispatch{
 		RequestID: q.id, Team: q.team.Name, Service: q.service.Name, Front: f.deps.Self,
-		SettingsVersion: q.snapshot.Version, Timeout: left, Priority: q.team.Priority, Work: q.work, Prefix: q.prefix,
+		SettingsVersion: q.snapshot.Version, Timeout: left, Priority: q.team.Priority, Work: q.work, Prompt: q.prompt, Prefix: q.prefix,
 		Unrepeatable: q.unrepeatable, Key: q.key, KeyChosen: q.chosen, Attempt: q.attempt, Fingerprint: q.fingerprint,
 		Plain: q.plain, Body: q.body, Time: f.deps.Recorder.Now(),
 	}
--- a/entry/providers.go
+++ b/entry/providers.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"math/rand/v2"
 	"time"
 
@@ -9,18 +10,25 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/skylarkpond/skylarkpond/contract/attempt"
+	"github.com/skylarkpond/skylarkpond/domain"
 	"github.com/skylarkpond/skylarkpond/entry/admission"
 	"github.com/skylarkpond/skylarkpond/entry/controller"
+	"github.com/skylarkpond/skylarkpond/entry/directory"
+	"github.com/skylarkpond/skylarkpond/entry/drain"
 	"github.com/skylarkpond/skylarkpond/entry/fleet"
 	"github.com/skylarkpond/skylarkpond/entry/front"
+	"github.com/skylarkpond/skylarkpond/entry/guard"
 	"github.com/skylarkpond/skylarkpond/entry/home"
 	"github.com/skylarkpond/skylarkpond/entry/member"
 	"github.com/skylarkpond/skylarkpond/entry/mirror"
 	"github.com/skylarkpond/skylarkpond/entry/operator"
 	"github.com/skylarkpond/skylarkpond/entry/prober"
+	"github.com/skylarkpond/skylarkpond/entry/reach"
+	"github.com/skylarkpond/skylarkpond/entry/routing"
 	"github.com/skylarkpond/skylarkpond/link/engine"
 	"github.com/skylarkpond/skylarkpond/link/peer"
 	"github.com/skylarkpond/skylarkpond/link/platform"
+	directorypolicy "github.com/skylarkpond/skylarkpond/policy/directory"
 	"github.com/skylarkpond/skylarkpond/timeline"
 	"github.com/skylarkpond/skylarkpond/vm"
 )
@@ -37,7 +45,7 @@
 const reservedShare = 0.2
 
 func provideStore(config Config, measures *measures) platform.Store {
-	return platform.NewClient(config.Platform, platform.WithMetrics(measures.registry), platform.WithRates(platform.Rates{
+	return platform.NewClient(config.Platform, platform.WithSource(config.source()), platform.WithMetrics(measures.registry), platform.WithRates(platform.Rates{
 		Shared:   config.PlatformRate * (1 - reservedShare),
 		Reserved: config.PlatformRate * reservedShare,
 	}))
@@ -54,10 +62,12 @@
 
 func provideOwners(members *member.Members) owners { return owners{members} }
 
-func providePeerClient(self registered, members *member.Members) *peer.Client {
-	return peer.NewClient(self.identity, members)
+func providePeerClient(config Config, self registered, members *member.Members) *peer.Client {
+	return peer.NewClient(self.identity, members, config.source())
 }
 
+func provideEngines(config Config) engine.Client { return engine.NewHTTPClient(config.source()) }
+
 func providePeerServer(self registered, members *member.Members) *peer.Server {
 	return peer.NewServer(self.identity, members)
 }
@@ -68,21 +78,39 @@
 	return mirror.NewFollower(m, store, owners, members)
 }
 
-func provideTable(owners owners) *fleet.Table { return fleet.New(owners.Live, time.Now) }
+func provideTable(homes *homes) *fleet.Table { return fleet.New(homes.Steady, time.Now) }
 
 func providePlaced(config Config, table *fleet.Table, presence *vm.Presence) placed {
 	return placed{self: config.Name, table: table, presence: presence}
 }
 
+// purgesPerSecond leaves the platform's several hundred writes a second to claims and answers. It purges
+// 1.7 million records a day.
+const purgesPerSecond = 20
+
+func providePurger(store platform.Store) *attempt.Purger {
+	return attempt.NewPurger(store, time.Now, purgesPerSecond)
+}
+
 func provideAttempts(store platform.Store) *attempt.Records { return attempt.New(store, time.Now) }
 
+func provideGuard(
+	config Config, store platform.Store, follower *mirror.Follower, engines engine.Client, recorder *timeline.Recorder,
+	measures *measures,
+) *guard.Guard {
+	return guard.New(guard.Deps{
+		Self: config.Name, Store: store, Taker: follower, Engines: engines, Recorder: recorder,
+		Metrics: measures.registry, Clock: time.Now, Nonce: uuid.NewString,
+	})
+}
+
 func provideHome(
 	self registered, placed placed, admission *admission.Admission, attempts *attempt.Records, engines engine.Client,
-	inForce *settingsInForce, recorder *timeline.Recorder,
+	inForce *settingsInForce, recorder *timeline.Recorder, guard *guard.Guard,
 ) *home.Home {
 	return home.New(home.Deps{
 		Self: self.entry.Name, Incarnation: self.entry.Incarnation, Groups: placed, Presence: placed,
-		Admission: admission, Attempts: attempts, Engines: engines,
+		Admission: admission, Guard: guard, Attempts: attempts, Engines: engines,
 		Settings: inForce.Snapshot, Recorder: recorder,
 	})
 }
@@ -98,26 +126,18 @@
 }
 
 func provideFront(
-	config Config, inForce *settingsInForce, dispatcher *dispatcher, table *fleet.Table, attempts *attempt.Records,
-	recorder *timeline.Recorder,
+	config Config, inForce *settingsInForce, dispatcher *dispatcher, router *routing.Router, attempts *attempt.Records,
+	recorder *timeline.Recorder, measures *measures,
 ) *front.Front {
 	return front.New(front.Deps{
 		Self: config.Name, Settings: inForce.Snapshot, Dispatcher: dispatcher, Holders: dispatcher,
-		Chooser: front.RandomChooser{Groups: wholeGroups(table)}, Retries: front.NewShareBudget(),
-		Attempts: attempts, Recorder: recorder,
+		Chooser: router, Retries: router,
+		Attempts: attempts, Recorder: recorder, Metrics: measures.registry,
 	})
 }
 
-func wholeGroups(table *fleet.Table) func(service string) []vm.GroupID {
-	return func(service string) []vm.GroupID {
-		var ids []vm.GroupID
-		for _, c := range table.Candidates(service) {
-			if c.Status.Whole {
-				ids = append(ids, c.Group.ID)
-			}
-		}
-		return ids
-	}
+func provideRouter(config Config, measures *measures) *routing.Router {
+	return routing.New(domain.FailureDomain(config.FailureDomain), measures.registry)
 }
 
 // statusTopic is that of the rumours that carry a fleet.Status.
@@ -148,17 +168,49 @@
 	})
 }
 
+// reachTopic is that of the rumours that carry a reach.Claim.
+const reachTopic = "reach"
+
+func provideReach(config Config, store platform.Store, members *member.Members, recorder *timeline.Recorder) *reach.Reach {
+	tell := func(claim reach.Claim) {
+		body, err := cbor.Marshal(claim)
+		if err != nil {
+			return
+		}
+		members.Broadcast(member.Rumour{
+			Topic: reachTopic, Name: claim.Entry, Version: uint64(recorder.Now()), Body: body, TTL: reach.ClaimTTL,
+		})
+	}
+	ask := func(ctx context.Context) error {
+		_, err := store.Get(ctx, platform.KindEntry, config.Name)
+		return err
+	}
+	return reach.New(config.Name, time.Now, tell, ask)
+}
+
 func provideController(
-	self registered, store platform.Store, engines engine.Client, owners owners, m *mirror.Mirror, table *fleet.Table,
+	self registered, reach *reach.Reach, store platform.Store, engines engine.Client, owners owners, m *mirror.Mirror, table *fleet.Table,
 	inForce *settingsInForce, recorder *timeline.Recorder, measures *measures, log *logrus.Entry, follower *mirror.Follower,
 ) *controller.Controller {
 	return controller.New(controller.Deps{
-		Store: store, Engines: engines, Owners: owners, Placements: placements{m}, Loads: reports{table},
+		Store: reach.Watched(store), Engines: engines, Owners: reaching{owners, reach}, Placements: placements{m}, Loads: reports{table},
 		Settings: snapshots{inForce}.Snapshot, Incarnation: self.entry.Incarnation, Recorder: recorder,
 		Metrics: measures.registry, Log: log, Took: follower.Took,
 	})
 }
 
+func provideDirectory(members *member.Members, inForce *settingsInForce, gate *drain.Gate, dispatcher *dispatcher) *directory.Directory {
+	return directory.New(directory.Deps{
+		Members:    members,
+		TTL:        func() time.Duration { return inForce.Snapshot().AddressTTL },
+		InProgress: func() int { return gate.InProgress() + int(dispatcher.serving.Load()) },
+		Rand:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Choice:     directorypolicy.DefaultConfig(),
+		Overload:   directorypolicy.DefaultOverloadConfig(),
+		Clock:      time.Now,
+	})
+}
+
 func provideOverview(
 	config Config, members *member.Members, table *fleet.Table, inForce *settingsInForce, client *peer.Client,
 	recorder *timeline.Recorder,
@@ -170,11 +222,11 @@
 
 func provideOperator(
 	config Config, store platform.Store, inForce *settingsInForce, m *mirror.Mirror, follower *mirror.Follower,
-	overview *overview, recorder *timeline.Recorder, measures *measures, log *logrus.Entry,
+	overview *overview, recorder *timeline.Recorder, measures *measures, log *logrus.Entry, guard *guard.Guard,
 ) *operator.Server {
 	return operator.New(operator.Deps{
 		Entry: config.Name, Store: store, Snapshots: snapshots{inForce}, Copies: m, Taker: follower, Status: overview,
-		Timeline: overview, Quarantine: noQuarantine{}, VMs: vmLists{store}, Recorder: recorder,
+		Timeline: overview, Quarantine: heldRequests{guard}, VMs: vmLists{store}, Recorder: recorder,
 		Metrics: measures.registry, Log: log, Clock: time.Now, Nonce: uuid.NewString,
 		BootstrapKeyHash: config.BootstrapKeyHash,
 	})
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -20,6 +20,7 @@
 	"github.com/skylarkpond/skylarkpond/contract"
 	"github.com/skylarkpond/skylarkpond/entry/fleet"
 	"github.com/skylarkpond/skylarkpond/entry/member"
+	"github.com/skylarkpond/skylarkpond/entry/reach"
 	"github.com/skylarkpond/skylarkpond/link/peer"
 	"github.com/skylarkpond/skylarkpond/link/platform"
 	"github.com/skylarkpond/skylarkpond/timeline"
@@ -105,7 +106,7 @@
 		return registered{}, err
 	}
 	self := platform.Entry{
-		Name: config.Name, PublicAddress: config.Public, PeerAddress: config.Peer, AdminAddress: config.Admin,
+		Name: config.Name, PublicAddress: config.Public, PeerAddress: config.reachablePeer(), AdminAddress: config.Admin,
 		Place: config.Place, FailureDomain: config.FailureDomain,
 		Incarnation: uuid.NewString(), Fingerprint: identity.Fingerprint(),
 	}
@@ -123,7 +124,11 @@
 	e.mirror.OnChange(platform.KindSettings, e.inForce.take)
 	e.mirror.OnChange(platform.KindEntry, e.takeEntry)
 	e.mirror.OnChange(platform.KindPlacement, e.takePlacement)
+	e.mirror.OnChange(platform.KindQuarantine, e.guard.Take)
+	e.mirror.OnChange(platform.KindSettings, func(platform.Object) { e.router.ApplySettings(e.inForce.Snapshot()) })
+	e.dispatcher.table.OnChange(e.router.Put, e.router.Remove)
 	e.members.Handle(statusTopic, e.takeStatus)
+	e.members.Handle(reachTopic, e.takeClaim)
 	e.members.Register(e.peerServer, e.pinger)
 	e.dispatcher.register(e.peerServer)
 	e.overview.register(e.peerServer)
@@ -146,6 +151,13 @@
 	}
 }
 
+func (e *Entry) takeClaim(rumour member.Rumour) {
+	var claim reach.Claim
+	if cbor.Unmarshal(rumour.Body, &claim) == nil {
+		e.reach.Heard(claim)
+	}
+}
+
 func (e *Entry) takeStatus(rumour member.Rumour) {
 	var status fleet.Status
 	if cbor.Unmarshal(rumour.Body, &status) != nil {
@@ -170,12 +182,12 @@
 func (e *Entry) publicHandler() http.Handler {
 	service := new(restful.WebService)
 	service.Path("/v1").Produces("*/*").Consumes("*/*")
-	service.Route(service.GET("/entries").To(e.directory))
+	e.directory.Register(service)
 	e.front.Register(service)
 	container := restful.NewContainer()
 	container.Add(service)
 	container.ServiceErrorHandler(unknownPath)
-	return container
+	return e.gate.Wrap(container)
 }
 
 // unknownPath answers what no route takes, in the same form as every other refusal.
@@ -192,31 +204,6 @@
 // adminHandler serves operators.
 func (e *Entry) adminHandler() http.Handler { return e.operator.Handler() }
 
-// directoryAnswer is the answer to GET /v1/entries.
-type directoryAnswer struct {
-	Entries []directoryEntry `json:"entries"`
-	// KeepSeconds is how long the answer may be kept.
-	KeepSeconds int `json:"keep_seconds"`
-}
-
-type directoryEntry struct {
-	Address       string `json:"address"`
-	Place         string `json:"place"`
-	FailureDomain string `json:"failure_domain"`
-}
-
-func (e *Entry) directory(_ *restful.Request, response *restful.Response) {
-	keep := int(e.inForce.Snapshot().AddressTTL.Seconds())
-	answer := directoryAnswer{KeepSeconds: keep}
-	for _, p := range e.members.Live() {
-		answer.Entries = append(answer.Entries, directoryEntry{
-			Address: p.PublicAddress, Place: p.Place, FailureDomain: p.FailureDomain,
-		})
-	}
-	response.AddHeader("Cache-Control", fmt.Sprintf("max-age=%d", keep))
-	_ = response.WriteHeaderAndJson(http.StatusOK, answer, restful.MIME_JSON)
-}
-
 // CheckPlatform reports whether the platform answers and holds settings. It starts and writes nothing.
 func CheckPlatform(ctx context.Context, config Config, out io.Writer) error {
 	store := provideStore(config, newMeasures())
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -7,8 +7,8 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/skylarkpond/skylarkpond/entry/admission"
+	"github.com/skylarkpond/skylarkpond/entry/drain"
 	"github.com/skylarkpond/skylarkpond/entry/mirror"
-	"github.com/skylarkpond/skylarkpond/link/engine"
 	"github.com/skylarkpond/skylarkpond/timeline"
 	"github.com/skylarkpond/skylarkpond/vm"
 )
@@ -18,11 +18,11 @@
 // assemble builds an entry from its settings and its registration.
 func assemble(config Config, self registered, recorder *timeline.Recorder, measures *measures, log *logrus.Entry) *Entry {
 	wire.Build(
-		provideStore, provideMembers, provideOwners, providePeerClient, providePeerServer,
-		providePinger, provideFollower, provideTable, providePlaced, provideAttempts, provideHome, provideDispatcher,
-		provideFront, provideProber, provideController, provideOverview, provideOperator, provideRegistration,
-		newSettingsInForce, mirror.New, admission.New, vm.NewPresence,
-		engine.NewHTTPClient, wire.Bind(new(engine.Client), new(*engine.HTTPClient)),
+		provideStore, provideReach, provideMembers, provideOwners, providePeerClient, providePeerServer,
+		providePinger, provideFollower, provideTable, providePlaced, provideAttempts, providePurger, provideHome, provideGuard, provideDispatcher,
+		provideFront, provideRouter, provideProber, provideController, provideOverview, provideDirectory, provideOperator, provideRegistration,
+		newSettingsInForce, newHomes, wire.Struct(new(drain.Gate)), mirror.New, admission.New, vm.NewPresence,
+		provideEngines,
 		wire.Struct(new(Entry), "*"),
 	)
 	return nil
--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -9,8 +9,8 @@
 import (
 	"github.com/sirupsen/logrus"
 	"github.com/skylarkpond/skylarkpond/entry/admission"
+	"github.com/skylarkpond/skylarkpond/entry/drain"
 	"github.com/skylarkpond/skylarkpond/entry/mirror"
-	"github.com/skylarkpond/skylarkpond/link/engine"
 	"github.com/skylarkpond/skylarkpond/timeline"
 	"github.com/skylarkpond/skylarkpond/vm"
 )
@@ -25,22 +25,29 @@
 	entryOwners := provideOwners(members)
 	follower := provideFollower(mirrorMirror, store, entryOwners, members)
 	entryRegistration := provideRegistration(self, store, follower)
-	client := providePeerClient(self, members)
+	entryHomes := newHomes(members)
+	client := providePeerClient(config, self, members)
 	pinger := providePinger(client)
-	table := provideTable(entryOwners)
-	httpClient := engine.NewHTTPClient()
+	table := provideTable(entryHomes)
+	engineClient := provideEngines(config)
 	presence := vm.NewPresence()
 	admissionAdmission := admission.New()
-	prober := provideProber(config, table, httpClient, presence, recorder, members, admissionAdmission)
+	prober := provideProber(config, table, engineClient, presence, recorder, members, admissionAdmission)
+	purger := providePurger(store)
+	reach := provideReach(config, store, members, recorder)
+	guard := provideGuard(config, store, follower, engineClient, recorder, measures2)
 	entrySettingsInForce := newSettingsInForce(recorder, log)
-	controller := provideController(self, store, httpClient, entryOwners, mirrorMirror, table, entrySettingsInForce, recorder, measures2, log, follower)
+	controller := provideController(self, reach, store, engineClient, entryOwners, mirrorMirror, table, entrySettingsInForce, recorder, measures2, log, follower)
 	entryPlaced := providePlaced(config, table, presence)
 	records := provideAttempts(store)
-	home := provideHome(self, entryPlaced, admissionAdmission, records, httpClient, entrySettingsInForce, recorder)
+	home := provideHome(self, entryPlaced, admissionAdmission, records, engineClient, entrySettingsInForce, recorder, guard)
 	entryDispatcher := provideDispatcher(self, table, home, members, client, recorder, admissionAdmission)
-	front := provideFront(config, entrySettingsInForce, entryDispatcher, table, records, recorder)
+	router := provideRouter(config, measures2)
+	front := provideFront(config, entrySettingsInForce, entryDispatcher, router, records, recorder, measures2)
+	gate := &drain.Gate{}
+	directory := provideDirectory(members, entrySettingsInForce, gate, entryDispatcher)
 	entryOverview := provideOverview(config, members, table, entrySettingsInForce, client, recorder)
-	server := provideOperator(config, store, entrySettingsInForce, mirrorMirror, follower, entryOverview, recorder, measures2, log)
+	server := provideOperator(config, store, entrySettingsInForce, mirrorMirror, follower, entryOverview, recorder, measures2, log, guard)
 	peerServer := providePeerServer(self, members)
 	entry := &Entry{
 		config:       config,
@@ -48,16 +55,24 @@
 		recorder:     recorder,
 		registration: entryRegistration,
 		members:      members,
+		homes:        entryHomes,
 		pinger:       pinger,
 		mirror:       mirrorMirror,
 		follower:     follower,
 		prober:       prober,
 		admission:    admissionAdmission,
+		purger:       purger,
+		owners:       entryOwners,
+		reach:        reach,
+		guard:        guard,
 		controller:   controller,
 		front:        front,
+		directory:    directory,
+		gate:         gate,
 		operator:     server,
 		overview:     entryOverview,
 		dispatcher:   entryDispatcher,
+		router:       router,
 		peerClient:   client,
 		peerServer:   peerServer,
 		inForce:      entrySettingsInForce,
--- a/link/engine/client.go
+++ b/link/engine/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -13,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -45,9 +47,13 @@
 	maxReasonBytes = 512
 )
 
-// NewHTTPClient returns a client.
-func NewHTTPClient() *HTTPClient {
+// NewHTTPClient returns a client whose connections come from source, or from an address that the system
+// chooses if source is nil.
+func NewHTTPClient(source net.IP) *HTTPClient {
 	dialer := &net.Dialer{Timeout: dialTimeout}
+	if source != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: source}
+	}
 	return &HTTPClient{
 		control: newClient(&http.Transport{
 			DialContext:         dialer.DialContext,
@@ -256,6 +262,8 @@
 		return response, nil
 	case connected.Load():
 		return nil, eris.Wrap(ErrBroken, err.Error())
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return nil, fmt.Errorf("%w: %w: %w", ErrNotSent, ErrNoProcess, err)
 	default:
 		return nil, eris.Wrap(ErrNotSent, err.Error())
 	}
--- a/pondctl/pondctl_test.go
+++ b/pondctl/pondctl_test.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -12,6 +14,7 @@
 	"github.com/skylarkpond/skylarkpond/contract/admin"
 	"github.com/skylarkpond/skylarkpond/contract/settings"
 	"github.com/skylarkpond/skylarkpond/pondctl"
+	"github.com/skylarkpond/skylarkpond/timeline"
 )
 
 const (
@@ -108,6 +111,33 @@
 		Expect(expectOK("explain", string(chat))).To(MatchRegexp(`replicas +9 `))
 	})
 
+	// The commit that made a change holds the files and the lock file, and reverting it takes both back. The
+	// directory then looks like an old checkout without edits: an apply that said "unchanged" would let the
+	// operator believe that the undo is in force.
+	It("does not call a reverted checkout unchanged, and goes back to its state if told so", func() {
+		newRig()
+		dir := checkout()
+		expectOK("apply", dir)
+		before := copyOf(dir)
+		edit(dir, chat, "replicas: 2", "replicas: 3")
+		Expect(os.Remove(filepath.Join(dir, team.File()))).To(Succeed())
+		expectOK("apply", dir)
+
+		code, out, progress := run("apply", "--wait", before)
+		Expect(code).To(Equal(pondctl.ExitConflict))
+		Expect(out).To(SatisfyAll(ContainSubstring("< "+string(chat)), ContainSubstring("< "+string(team))))
+		Expect(progress).To(ContainSubstring("apply --exact"))
+		Expect(expectOK("explain", string(chat))).To(MatchRegexp(`replicas +3 `))
+
+		Expect(expectOK("diff", "--exact", before)).To(SatisfyAll(ContainSubstring("replicas: 3 -> 2"), ContainSubstring("+ "+string(team))))
+		Expect(expectOK("apply", "--exact", before)).To(HavePrefix("accepted"))
+		Expect(expectOK("explain", string(chat))).To(MatchRegexp(`replicas +2 `))
+		Expect(expectOK("apply", before)).To(HavePrefix("unchanged"))
+		Expect(expectOK("apply", "--exact", before)).To(HavePrefix("unchanged"))
+		edit(before, chat, "replicas: 2", "replicas: 4")
+		Expect(expectOK("apply", before)).To(HavePrefix("accepted"), "the lock file is up to date again")
+	})
+
 	// Between the answer of the apply and the reading of the new revisions somebody else changes the same
 	// node. Were that revision taken for the base, the next apply would undo a change nobody here has seen.
 	It("does not take a revision for its base that it has not seen", func() {
@@ -212,6 +242,33 @@
 		Expect(len(fresh.Key)).To(BeNumerically(">=", 26))
 	})
 
+	// The entries that wrote the events are gone, one of them in the middle of a line; their clocks were
+	// seconds apart.
+	It("merges the files of entries that are gone, in order, by VM and time", func() {
+		dir := GinkgoT().TempDir()
+		write := func(name string, skew time.Duration) (*timeline.Recorder, string) {
+			path := filepath.Join(dir, name)
+			file, err := os.Create(path)
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(file.Close)
+			return timeline.NewRecorder(name, file, func() time.Time { return time.Now().Add(skew) }), path
+		}
+		fast, fastFile := write("fast", 3*time.Second)
+		slow, slowFile := write("slow", -3*time.Second)
+		fast.Record(timeline.Event{Kind: timeline.OrderSent, VM: "vm1", Detail: "cause"})
+		fast.Record(timeline.Event{Kind: timeline.OrderSent, VM: "vm2"})
+		slow.Observe(fast.Now())
+		slow.Record(timeline.Event{Kind: timeline.OrderRefused, VM: "vm1", Detail: "effect"})
+		text, err := os.ReadFile(slowFile)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(os.WriteFile(slowFile, append(text, text[:20]...), 0o600)).To(Succeed())
+		out := expectOK("timeline", "--file", slowFile, "--file", fastFile, "--vm", "vm1")
+		Expect(strings.Count(out, "\n")).To(Equal(2))
+		Expect(strings.Index(out, "cause")).To(BeNumerically("<", strings.Index(out, "effect")))
+		Expect(expectOK("timeline", "--file", fastFile, "--until", "1m")).To(BeEmpty())
+		Expect(expectOK("timeline", "--file", fastFile, "--limit", "1")).To(ContainSubstring("vm2"))
+	})
+
 	It("fills an empty directory by pull, as declarations that pass their checks and change nothing", func() {
 		newRig()
 		expectOK("apply", checkout())
--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"testing/fstest"
 	"time"
 
@@ -51,6 +52,9 @@
 	platform string
 	engines  string
 	entries  []*entryProcess
+	cuts     *cuts
+	// peerBytes counts what passed between entries.
+	peerBytes atomic.Int64
 }
 
 // startCluster starts stand-ins, applies the dev declarations, and starts n entries.
@@ -63,12 +67,12 @@
 // added.
 func startClusterWith(n int, world string, files map[string]string) *cluster {
 	GinkgoHelper()
-	c := &cluster{subnet: takeSubnet(), dir: GinkgoT().TempDir()}
+	c := &cluster{subnet: takeSubnet(), dir: GinkgoT().TempDir(), cuts: &cuts{cut: make(map[link]bool)}}
 	DeferCleanup(c.stop)
 	c.startStandins(world)
 	c.applyTree(files)
-	for i := range n {
-		c.startEntry(fmt.Sprintf("entry-%d", i+1))
+	for range n {
+		c.startEntry()
 	}
 	c.waitServing(c.entries[0])
 	return c
@@ -121,16 +125,21 @@
 	Expect(response.StatusCode).To(Equal(http.StatusOK))
 }
 
-// startEntry starts one more entry, at the next address.
-func (c *cluster) startEntry(name string) *entryProcess {
-	host := 10 + len(c.entries)
-	address := func(port int) string { return fmt.Sprintf("127.1.%d.%d:%d", c.subnet, host, port) }
+// startEntry starts one more entry, at the next address, behind relays which can be cut.
+func (c *cluster) startEntry() *entryProcess {
+	name := fmt.Sprintf("entry-%d", len(c.entries)+1)
+	host := firstHost + len(c.entries)
+	ip := fmt.Sprintf("127.1.%d.%d", c.subnet, host)
+	address := func(port int) string { return fmt.Sprintf("%s:%d", ip, port) }
 	e := &entryProcess{name: name, public: "http://" + address(8080), admin: "http://" + address(8081)}
+	startUDPRelay(c.cuts, name, address(8083), address(8082), c.nameOf, &c.peerBytes)
+	e.toPlatform = startTCPRelay(address(8084), c.platform[len("http://"):])
 	e.args = []string{
 		"serve", "--name", name, "--place", "local",
 		"--failure-domain", []string{"local-a", "local-b"}[host%2],
 		"--public-address", address(8080), "--admin-address", address(8081), "--peer-address", address(8082),
-		"--platform", c.platform, "--timeline", filepath.Join(c.dir, name+".timeline"), "--drain-margin", "1s",
+		"--advertised-peer-address", address(8083), "--source-address", ip, "--platform", "http://" + address(8084),
+		"--timeline", filepath.Join(c.dir, name+".timeline"), "--drain-margin", "1s",
 	}
 	e.process = start(c.dir, name, e.args...)
 	c.entries = append(c.entries, e)
@@ -144,6 +153,33 @@
 	e.process = start(c.dir, e.name, e.args...)
 }
 
+// firstHost is the last number of the first entry's address.
+const firstHost = 10
+
+// nameOf returns the entry at an address.
+func (c *cluster) nameOf(ip string) string {
+	var subnet, host int
+	if _, err := fmt.Sscanf(ip, "127.1.%d.%d", &subnet, &host); err != nil {
+		return ""
+	}
+	return fmt.Sprintf("entry-%d", host-firstHost+1)
+}
+
+// cut cuts or mends the links between two entries, both ways.
+func (c *cluster) cut(a, b *entryProcess, cut bool) {
+	c.cuts.set(a.name, b.name, cut)
+	c.cuts.set(b.name, a.name, cut)
+}
+
+// isolate cuts an entry off from all others, or mends it.
+func (c *cluster) isolate(e *entryProcess, cut bool) {
+	for _, other := range c.entries {
+		if other != e {
+			c.cut(e, other, cut)
+		}
+	}
+}
+
 // stop ends everything, and shows the logs of a spec that failed.
 func (c *cluster) stop() {
 	for _, e := range c.entries {
@@ -153,6 +189,9 @@
 	if !CurrentSpecReport().Failed() {
 		return
 	}
+	if kept := os.Getenv("POND_KEEP"); kept != "" { // a directory for what the processes of a failed spec wrote
+		_ = os.CopyFS(filepath.Join(kept, fmt.Sprint(c.subnet)), os.DirFS(c.dir))
+	}
 	logs, _ := filepath.Glob(filepath.Join(c.dir, "*.log"))
 	for _, path := range logs {
 		text, _ := os.ReadFile(path)
@@ -193,6 +232,11 @@
 	c.switchPlatform(standinplatform.Switches{Outage: &o})
 }
 
+func (c *cluster) switchDomain(fabric string, s standinengine.Switches) {
+	GinkgoHelper()
+	post(c.engines+"/standin/domains/"+fabric+"/switches", s)
+}
+
 func (c *cluster) switchVM(vm string, s standinengine.Switches) {
 	GinkgoHelper()
 	post(c.engines+"/standin/vms/"+vm+"/switches", s)
--- a/test/ledger_test.go
+++ b/test/ledger_test.go
@@ -42,13 +42,13 @@
 	GinkgoHelper()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	e := l.c.evidence()
+	e := l.c.trail()
 	for _, t := range l.told {
 		l.judgeOne(e, t)
 	}
 }
 
-func (l *ledger) judgeOne(e evidence, t told) {
+func (l *ledger) judgeOne(e trail, t told) {
 	GinkgoHelper()
 	about := fmt.Sprintf("%s attempt %d: told %s %s: %s", t.key, t.attempt, t.outcome, t.code, t.body)
 	starts := e.starts(t.key)
@@ -88,9 +88,9 @@
 }
 
 // starts returns the runs of a booking.
-func (e evidence) starts(key string) []standinengine.Run {
+func (t trail) starts(key string) []standinengine.Run {
 	var starts []standinengine.Run
-	for _, run := range e.runs[bodyHash(booking(key))] {
+	for _, run := range t.runs[bodyHash(booking(key))] {
 		if run.Phase == standinengine.Started {
 			starts = append(starts, run)
 		}
@@ -99,8 +99,8 @@
 }
 
 // claimOf returns the attempt number under which a request claimed a key, 0 if it did not.
-func (e evidence) claimOf(key, request string) int {
-	for _, record := range e.records[key] {
+func (t trail) claimOf(key, request string) int {
+	for _, record := range t.records[key] {
 		if record.State == contract.AttemptClaimed && record.RequestID == request {
 			return record.Number
 		}
--- a/test/requests_test.go
+++ b/test/requests_test.go
@@ -71,7 +71,7 @@
 			s.front = s.home
 		}
 		s.placeAll(f.steps, f.hold)
-		e := s.evidence()
+		e := s.trail()
 		met := slices.DeleteFunc(slices.Clone(s.placed), func(b *booked) bool { return !s.at(e, b) })
 		f.strike(s)
 		f.mend(s)
--- a/test/steps_test.go
+++ b/test/steps_test.go
@@ -130,7 +130,7 @@
 			s.count++
 			key := fmt.Sprintf("settle-%d", s.count)
 			g.Expect(s.ledger.ask(e, key, 1).outcome).To(Equal(contract.Answered))
-			g.Expect(s.evidence().starts(key)[0].VM).To(BeEquivalentTo(s.server))
+			g.Expect(s.trail().starts(key)[0].VM).To(BeEquivalentTo(s.server))
 		}
 	}, generous, "100ms").Should(Succeed())
 }
@@ -180,7 +180,7 @@
 		if !b.pending() {
 			StopTrying(fmt.Sprintf("%s was answered: %s", b.key, short(*b.got))).Attach("answer", b.got.body).Now()
 		}
-		g.Expect(s.at(s.evidence(), b)).To(BeTrue(), "%s is not at its step", b.key)
+		g.Expect(s.at(s.trail(), b)).To(BeTrue(), "%s is not at its step", b.key)
 	}, generous, "2ms").Should(Succeed())
 	s.placed = append(s.placed, b)
 	if at == running {
@@ -221,7 +221,7 @@
 }
 
 // at says whether a booking is at its step and can't be beyond it.
-func (s *stage) at(e evidence, b *booked) bool {
+func (s *stage) at(e trail, b *booked) bool {
 	if !b.pending() {
 		return false
 	}
--- a/test/evidence_test.go
+++ b/test/trail_test.go
@@ -16,9 +16,9 @@
 	"github.com/skylarkpond/skylarkpond/timeline"
 )
 
-// evidence is what tells how far requests came: the time lines that the entries write, the platform's
+// trail is what tells how far requests came: the time lines that the entries write, the platform's
 // history, the calls that it holds, and the backend servers' run logs.
-type evidence struct {
+type trail struct {
 	// events by request, records by key, runs by the hash of the body.
 	events  map[string][]timeline.Event
 	records map[string][]contract.Attempt
@@ -26,14 +26,14 @@
 	held    []standinplatform.Held
 }
 
-func (c *cluster) evidence() evidence {
+func (c *cluster) trail() trail {
 	GinkgoHelper()
-	e := evidence{
+	t := trail{
 		events: make(map[string][]timeline.Event), records: make(map[string][]contract.Attempt),
 		runs: make(map[string][]standinengine.Run),
 	}
 	for _, event := range c.timelines() {
-		e.events[event.Request] = append(e.events[event.Request], event)
+		t.events[event.Request] = append(t.events[event.Request], event)
 	}
 	for _, change := range c.history() {
 		if change.Kind != platform.KindAttempt || change.Deleted {
@@ -42,13 +42,13 @@
 		var record contract.Attempt
 		Expect(json.Unmarshal(change.Value, &record)).To(Succeed())
 		key := strings.TrimPrefix(change.Name, teamOfCallers+"/")
-		e.records[key] = append(e.records[key], record)
+		t.records[key] = append(t.records[key], record)
 	}
 	for _, run := range c.runs() {
-		e.runs[run.BodyHash] = append(e.runs[run.BodyHash], run)
+		t.runs[run.BodyHash] = append(t.runs[run.BodyHash], run)
 	}
-	e.held = lines[standinplatform.Held](c.platform + "/standin/held")
-	return e
+	t.held = lines[standinplatform.Held](c.platform + "/standin/held")
+	return t
 }
 
 // teamOfCallers is the team of all callers.
@@ -74,8 +74,8 @@
 }
 
 // has says whether a request came to an event.
-func (e evidence) has(request string, kind timeline.Kind) bool {
-	for _, event := range e.events[request] {
+func (t trail) has(request string, kind timeline.Kind) bool {
+	for _, event := range t.events[request] {
 		if event.Kind == kind {
 			return true
 		}
@@ -84,8 +84,8 @@
 }
 
 // ran says whether a run of the booking with this key came to a phase.
-func (e evidence) ran(key string, phase standinengine.Phase) bool {
-	for _, run := range e.runs[bodyHash(booking(key))] {
+func (t trail) ran(key string, phase standinengine.Phase) bool {
+	for _, run := range t.runs[bodyHash(booking(key))] {
 		if run.Phase == phase {
 			return true
 		}
@@ -94,8 +94,8 @@
 }
 
 // state is that of the record that stands for a key, "" without one.
-func (e evidence) state(key string) contract.AttemptState {
-	records := e.records[key]
+func (t trail) state(key string) contract.AttemptState {
+	records := t.records[key]
 	if len(records) == 0 {
 		return ""
 	}
@@ -103,8 +103,8 @@
 }
 
 // holds says whether the platform holds a call for a key.
-func (e evidence) holds(key string, verb standinplatform.Verb, after bool) bool {
-	for _, call := range e.held {
+func (t trail) holds(key string, verb standinplatform.Verb, after bool) bool {
+	for _, call := range t.held {
 		if call.Name == teamOfCallers+"/"+key && call.Verb == verb && call.After == after {
 			return true
 		}
