--- a/test/process_test.go
+++ b/test/process_test.go
@@ -32,6 +32,7 @@
 	name   string
 	public string
 	admin  string
+	args   []string
 	// toPlatform is the entry's way to the platform.
 	toPlatform *tcpRelay
 }
