--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -18,18 +18,27 @@
 	"github.com/skylarkpond/skylarkpond/vm"
 )
 
-// Status is what a home says of a group. It travels as a rumour when Whole or Draining change, and now and
-// then for the load.
+// Report is what a home says of all its groups. It travels as one rumour, named after the home, when
+// something in it changes. A status of each group in a rumour of its own would leave one behind for each
+// group that ever was.
+type Report struct {
+	Home string `cbor:"1,keyasint"`
+	// At orders the reports about a group: the sender's hybrid logical time.
+	At       int64    `cbor:"2,keyasint"`
+	Statuses []Status `cbor:"3,keyasint"`
+}
+
+// Status is what a home says of a group.
 type Status struct {
 	Group vm.GroupID `cbor:"1,keyasint"`
-	Home  string     `cbor:"2,keyasint"`
+	// Home and At are those of the report.
+	Home string `cbor:"-"`
+	At   int64  `cbor:"-"`
 	// Epoch is the group's epoch that the home probed for.
 	Epoch uint64 `cbor:"3,keyasint"`
 	// Whole says that every member was present when this was sent.
 	Whole bool               `cbor:"4,keyasint"`
 	Load  contract.GroupLoad `cbor:"5,keyasint"`
-	// At orders statuses of one group: the sender's hybrid logical time.
-	At int64 `cbor:"6,keyasint"`
 	// Reason says why the group is not whole.
 	Reason string `cbor:"7,keyasint,omitempty"`
 	// Drained is set when the group drains, takes no more, and Remaining is sure.
@@ -46,6 +55,8 @@
 	Status   Status
 	// Heard is when the status was taken in, by the own monotonic clock; zero if never.
 	Heard time.Time
+	// Report counts the loads heard of the group, so that one that is told again is not taken for a new one.
+	Report uint64
 	// ServingSince is when this entry first saw the group whole.
 	ServingSince time.Time
 }
@@ -64,6 +75,7 @@
 	position     domain.Position
 	status       Status
 	heard        time.Time
+	reports      uint64
 	servingSince time.Time
 }
 
@@ -71,22 +83,37 @@
 type Table struct {
 	live func() []string
 	now  func() time.Time
+	// changed and removed are told of each change, without a lock held; set before use.
+	changed func(Candidate)
+	removed func(vm.GroupID)
 
 	mu       sync.RWMutex // guards what follows
 	rows     map[vm.GroupID]*row
+	reports  map[string]Report // the latest of each home, for groups that are placed only later
 	versions map[domain.FabricDomain]platform.Version
 }
 
-// New returns an empty table. live names the live entries; it is called without a lock held.
+// New returns an empty table. live names the entries that may be homes; it is called without a lock held.
 func New(live func() []string, now func() time.Time) *Table {
 	return &Table{
 		live:     live,
 		now:      now,
+		changed:  func(Candidate) {},
+		removed:  func(vm.GroupID) {},
 		rows:     make(map[vm.GroupID]*row),
+		reports:  make(map[string]Report),
 		versions: make(map[domain.FabricDomain]platform.Version),
 	}
 }
 
+// OnChange has changed called with each group that changes, and removed with each that is gone. Two
+// changes may arrive out of order; the later one is made good by the next report, some seconds after.
+// Call it before the table is used.
+func (t *Table) OnChange(changed func(Candidate), removed func(vm.GroupID)) {
+	t.changed = changed
+	t.removed = removed
+}
+
 // ApplyPlacement takes in a placement object. An older version than the one applied changes nothing, so
 // that changes which cross each other do not bring a dissolved group back.
 func (t *Table) ApplyPlacement(object platform.Object) error {
@@ -97,21 +124,39 @@
 		}
 	}
 	fabric := domain.FabricDomain(object.Name)
+	gone := t.applyVersion(fabric, object.Version, &placement)
+	for _, id := range gone {
+		t.removed(id)
+	}
+	for _, group := range placement.Groups {
+		t.tell(group.ID)
+	}
+	return nil
+}
+
+func (t *Table) applyVersion(fabric domain.FabricDomain, version platform.Version, placement *vm.Placement) []vm.GroupID {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if object.Version <= t.versions[fabric] {
+	if version <= t.versions[fabric] {
 		return nil
 	}
-	t.versions[fabric] = object.Version
-	t.replace(fabric, &placement)
-	return nil
+	t.versions[fabric] = version
+	return t.replace(fabric, placement)
 }
 
-// replace must be called with mu held.
-func (t *Table) replace(fabric domain.FabricDomain, placement *vm.Placement) {
+// tell hands a group as it is now to whoever listens.
+func (t *Table) tell(id vm.GroupID) {
+	if candidate, ok := t.Candidate(id); ok {
+		t.changed(candidate)
+	}
+}
+
+// replace must be called with mu held. It returns the groups that are gone.
+func (t *Table) replace(fabric domain.FabricDomain, placement *vm.Placement) (gone []vm.GroupID) {
 	for id, r := range t.rows {
 		if r.fabric == fabric && placement.Group(id) == nil {
 			delete(t.rows, id)
+			gone = append(gone, id)
 		}
 	}
 	for _, group := range placement.Groups {
@@ -123,35 +168,71 @@
 		r.group = group
 		r.position = placement.Position
 	}
+	for _, report := range t.reports {
+		t.keepAll(report)
+	}
+	return gone
 }
 
-// Report takes in a status, from a rumour or from the own home role.
-func (t *Table) Report(status Status) {
+// Report takes in what a home says, from a rumour or from the own home role.
+func (t *Table) Report(report Report) {
+	for _, id := range t.take(report) {
+		t.tell(id)
+	}
+}
+
+func (t *Table) take(report Report) []vm.GroupID {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if report.At <= t.reports[report.Home].At {
+		return nil
+	}
+	t.reports[report.Home] = report
+	return t.keepAll(report)
+}
+
+// keepAll must be called with mu held. It returns the groups whose status is new.
+func (t *Table) keepAll(report Report) (changed []vm.GroupID) {
+	for _, status := range report.Statuses {
+		status.Home = report.Home
+		status.At = report.At
+		if t.keep(status) {
+			changed = append(changed, status.Group)
+		}
+	}
+	return changed
+}
+
+// keep must be called with mu held.
+func (t *Table) keep(status Status) bool {
 	r := t.rows[status.Group]
 	if r == nil || status.At <= r.status.At {
-		return
+		return false
 	}
 	r.status = status
 	r.heard = t.now()
+	r.reports++
 	if !status.Whole {
 		r.servingSince = time.Time{}
 	} else if r.servingSince.IsZero() {
 		r.servingSince = r.heard
 	}
+	return true
 }
 
 // ReportLoad takes in the load that came with a frame of a dispatch.
 func (t *Table) ReportLoad(group vm.GroupID, load contract.GroupLoad) {
+	t.keepLoad(group, load)
+	t.tell(group)
+}
+
+func (t *Table) keepLoad(group vm.GroupID, load contract.GroupLoad) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := t.rows[group]
-	if r == nil {
-		return
+	if r := t.rows[group]; r != nil {
+		r.status.Load = load
+		r.reports++
 	}
-	r.status.Load = load
-	r.heard = t.now()
 }
 
 // Group returns a group and the version of the placement it was read from.
@@ -177,22 +258,6 @@
 	return r.candidate(live), true
 }
 
-// Candidates returns the serving groups of a service, sorted by id. Whether the home calls them whole is
-// in the status; the home checks it again at each dispatch, so a stale status costs a try, never safety.
-func (t *Table) Candidates(service string) []Candidate {
-	live := t.live()
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-	var found []Candidate
-	for _, r := range t.rows {
-		if r.group.Service == service && r.group.State == vm.Serving {
-			found = append(found, r.candidate(live))
-		}
-	}
-	sortCandidates(found)
-	return found
-}
-
 // All returns every group, sorted by id.
 func (t *Table) All() []Candidate {
 	live := t.live()
@@ -209,10 +274,17 @@
 func (r *row) candidate(live []string) Candidate {
 	return Candidate{
 		Group: r.group, Position: r.position, Home: homeOf(r.group.ID, live),
-		Status: r.status, Heard: r.heard, ServingSince: r.servingSince,
+		Status: r.status, Heard: r.heard, Report: r.reports, ServingSince: r.servingSince,
 	}
 }
 
+// Len counts the groups.
+func (t *Table) Len() int {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return len(t.rows)
+}
+
 // HomeOf names the home of a group, "" without live entries.
 func (t *Table) HomeOf(id vm.GroupID) string { return homeOf(id, t.live()) }
 
--- a/entry/front/drive.go
+++ b/entry/front/drive.go
@@ -23,8 +23,13 @@
 	q       *request
 	machine *outcome.Machine
 	out     writer
+	began   time.Time
 	until   time.Time
 	tried   []vm.GroupID
+	// delivered: the caller was given a part of the answer.
+	delivered bool
+	// crash names the crash of a backend server that the last try ended in.
+	crash string
 
 	choice Choice
 	cancel context.CancelFunc
@@ -44,17 +49,16 @@
 	if q.unrepeatable && q.key == "" {
 		q.key = f.newID()
 	}
-	f.deps.Recorder.Record(timeline.Event{
-		Kind: timeline.RequestAccepted, Request: q.id, Team: q.team.Name, Service: q.service.Name,
-	})
+	now := time.Now()
 	d := &drive{
-		front: f, q: q, out: newWriter(q, w), until: time.Now().Add(q.timeout),
+		front: f, q: q, out: newWriter(q, w), began: now, until: now.Add(q.timeout),
 		machine: outcome.New(outcome.Request{
 			ID: q.id, Unrepeatable: q.unrepeatable, KeyChosen: q.chosen, Attempt: q.attempt,
 			Fingerprint: q.fingerprint, Resumable: q.service.CanResume, Plain: q.plain != nil,
 		}),
 	}
 	defer d.close()
+	d.record(timeline.RequestAccepted, "")
 	d.run(r.Context(), p)
 }
 
@@ -107,6 +111,9 @@
 
 func (d *drive) take(f contract.Frame) (action outcome.Action, over bool) {
 	d.front.deps.Recorder.Observe(f.Time)
+	if f.Crash != "" {
+		d.crash = f.Crash
+	}
 	action = d.machine.Frame(f)
 	if action.Do != outcome.Deliver {
 		d.well = f.Kind == contract.FrameEnd || f.Kind == contract.FrameRefused || f.Kind == contract.FrameFound
@@ -115,6 +122,7 @@
 	began, err := d.out.deliver(f)
 	if began {
 		d.machine.Delivered()
+		d.front.counts.delivered(d)
 	}
 	if errors.Is(err, errAnswerTooLarge) {
 		return d.machine.Abandon(problemAnswerTooLarge()), false
@@ -127,14 +135,14 @@
 	if action.Restart {
 		d.out.restart()
 	}
-	left := time.Until(d.until)
-	if left <= 0 {
-		return d.machine.Deadline()
-	}
 	service := d.q.service
-	if len(d.tried) > 0 && !d.front.deps.Retries.Retry(service.Name) {
+	if !d.mayTry(ctx, time.Until(d.until)) {
 		return d.machine.NoDispatch(contract.Later(contract.CodeOverloaded, "too many retries are under way", outcome.RetrySoon))
 	}
+	left := time.Until(d.until)
+	if left <= 0 {
+		return d.machine.NoDispatch(outcome.TooLate())
+	}
 	choice, p := d.front.deps.Chooser.Choose(Ask{Service: service, Prefix: d.q.prefix, Work: d.q.work, Tried: d.tried})
 	if p != nil {
 		return d.machine.NoDispatch(p)
@@ -145,10 +153,29 @@
 	order.Group = choice.Group
 	order.ResumeFrom = action.ResumeFrom
 	order.Renounced = action.Renounced
+	order.Crash = d.crash
 	d.open(ctx, order)
 	return outcome.Action{Do: outcome.Wait}
 }
 
+// mayTry says whether another try may be made, after the pause that it has to keep. A first one always may.
+func (d *drive) mayTry(ctx context.Context, left time.Duration) bool {
+	if len(d.tried) == 0 {
+		return true
+	}
+	wait, ok := d.front.deps.Retries.Retry(d.q.service, len(d.tried), left)
+	if !ok {
+		return false
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return true
+}
+
 // homeTimeout leaves the home a little less than the caller's time. What waits in a queue until the end is
 // then refused by the home, which can say that it did not run, before this front has to give it up
 // without knowing.
@@ -208,10 +235,14 @@
 func (d *drive) seal(ctx context.Context, action outcome.Action) attempt.Result {
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
-	return d.front.deps.Attempts.Seal(ctx, attempt.Wish{
+	result := d.front.deps.Attempts.Seal(ctx, attempt.Wish{
 		ID: d.id(), Number: d.q.attempt, Fingerprint: d.q.fingerprint, RequestID: d.q.id,
-		Retention: d.q.retention(), Renounced: action.Renounced,
+		Retention: attempt.Retention(d.q.service), Renounced: action.Renounced,
 	})
+	if result.Verdict == attempt.Confirmed {
+		d.record(timeline.RequestSealed, "")
+	}
+	return result
 }
 
 func (d *drive) find(ctx context.Context) attempt.Result {
@@ -233,8 +264,13 @@
 	if action.Problem != nil {
 		detail += " " + string(action.Problem.Code)
 	}
+	d.record(timeline.RequestOutcome, detail)
+	d.front.counts.told(action, time.Since(d.began))
+	d.out.tell(action)
+}
+
+func (d *drive) record(kind timeline.Kind, detail string) {
 	d.front.deps.Recorder.Record(timeline.Event{
-		Kind: timeline.RequestOutcome, Request: d.q.id, Team: d.q.team.Name, Service: d.q.service.Name, Detail: detail,
+		Kind: kind, Request: d.q.id, Team: d.q.team.Name, Service: d.q.service.Name, Detail: detail,
 	})
-	d.out.tell(action)
 }
--- a/entry/front/fakes_test.go
+++ b/entry/front/fakes_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -19,11 +20,13 @@
 	"github.com/emicklei/go-restful/v3"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/skylarkpond/skylarkpond/contract"
 	"github.com/skylarkpond/skylarkpond/contract/attempt"
 	"github.com/skylarkpond/skylarkpond/contract/settings"
 	"github.com/skylarkpond/skylarkpond/entry/front"
+	"github.com/skylarkpond/skylarkpond/entry/guard"
 	"github.com/skylarkpond/skylarkpond/entry/home"
 	standin "github.com/skylarkpond/skylarkpond/internal/standin/platform"
 	"github.com/skylarkpond/skylarkpond/link/engine"
@@ -90,8 +93,15 @@
 	return &stream{ctx: ctx, b: b, h: h, id: send.RequestID}, nil
 }
 
+// others is the id of another request, whose texts differ.
+const others = "other"
+
 func event(id string, seq uint64) engine.Event {
-	return engine.Event{RequestID: id, Seq: seq, Text: fmt.Sprint("w", seq, " "), Tokens: 1, Final: seq == answerEvents-1}
+	text := fmt.Sprint("w", seq, " ")
+	if id == others {
+		text = "another's "
+	}
+	return engine.Event{RequestID: id, Seq: seq, Text: text, Tokens: 1, Final: seq == answerEvents-1}
 }
 
 type stream struct {
@@ -206,7 +216,7 @@
 	DeferCleanup(f.server.Close)
 	for _, id := range groups {
 		f.homes[id] = home.New(home.Deps{
-			Self: "home-" + string(id), Incarnation: "1", Groups: f, Presence: f, Admission: home.NewFIFO(4, 4),
+			Self: "home-" + string(id), Incarnation: "1", Groups: f, Presence: f, Admission: openDoor{}, Guard: f.guard(),
 			Attempts: f.attempts(), Engines: f.backend, Settings: func() *settings.Snapshot { return f.settings },
 			Recorder: timeline.NewRecorder(string(id), nil, time.Now),
 		})
@@ -217,6 +227,17 @@
 	return f
 }
 
+func (f *fleet) guard() *guard.Guard {
+	return guard.New(guard.Deps{
+		Store: platform.NewClient(f.server.URL), Taker: noTaker{}, Engines: f.backend, Metrics: metrics.NewRegistry(),
+		Recorder: timeline.NewRecorder("guard", nil, time.Now), Clock: time.Now, Nonce: rand.Text,
+	})
+}
+
+type noTaker struct{}
+
+func (noTaker) Took(platform.Object) {}
+
 func (f *fleet) attempts() *attempt.Records {
 	return attempt.New(platform.NewClient(f.server.URL, platform.WithCallTimeout(200*time.Millisecond)), time.Now)
 }
@@ -226,7 +247,7 @@
 	service := new(restful.WebService).Path("/v1").Consumes("*/*").Produces("*/*")
 	front.New(front.Deps{
 		Self: "front", Settings: func() *settings.Snapshot { return f.settings }, Dispatcher: f, Holders: f, Chooser: f,
-		Retries: front.NewShareBudget(), Attempts: f.attempts(), Recorder: timeline.NewRecorder("front", nil, time.Now),
+		Retries: &tenRetries{}, Attempts: f.attempts(), Recorder: timeline.NewRecorder("front", nil, time.Now), Metrics: metrics.NewRegistry(),
 	}).Register(service)
 	container.Add(service)
 	server := httptest.NewServer(container)
@@ -413,6 +434,40 @@
 
 func complete(server *httptest.Server, stream bool) answer {
 	GinkgoHelper()
+	return completeAs(server, "", stream)
+}
+
+func completeAs(server *httptest.Server, key string, stream bool) answer {
+	GinkgoHelper()
+	var header map[string]string
+	if key != "" {
+		header = map[string]string{contract.HeaderIdempotencyKey: key}
+	}
 	body := fmt.Sprintf(`{"model":"small","stream":%t,"messages":[{"role":"user","content":"x"}]}`, stream)
-	return ask(server, http.MethodPost, "/v1/chat/completions", nil, body)
+	return ask(server, http.MethodPost, "/v1/chat/completions", header, body)
 }
+
+// tenRetries is a RetryBudget of ten retries without a pause.
+type tenRetries struct{ used atomic.Int64 }
+
+func (b *tenRetries) First(string) {}
+
+func (b *tenRetries) Retry(settings.Service, int, time.Duration) (time.Duration, bool) {
+	return 0, b.used.Add(1) <= 10
+}
+
+// openDoor is an Admission that lets everything in.
+type openDoor struct{}
+
+func (openDoor) Enter(context.Context, home.Item) (home.Turn, *contract.Problem) {
+	return openTurn{}, nil
+}
+
+type openTurn struct{}
+
+func (openTurn) FirstToken() {}
+func (openTurn) Token(int)   {}
+func (openTurn) Done()       {}
+
+// Probe says that the backend server is alive: what breaks off here is no crash.
+func (b *backend) Probe(context.Context, string) (engine.State, error) { return engine.State{}, nil }
--- a/entry/home/home.go
+++ b/entry/home/home.go
@@ -12,6 +12,7 @@
 	"github.com/skylarkpond/skylarkpond/contract"
 	"github.com/skylarkpond/skylarkpond/contract/attempt"
 	"github.com/skylarkpond/skylarkpond/contract/settings"
+	"github.com/skylarkpond/skylarkpond/entry/guard"
 	"github.com/skylarkpond/skylarkpond/link/engine"
 	"github.com/skylarkpond/skylarkpond/timeline"
 	"github.com/skylarkpond/skylarkpond/vm"
@@ -39,6 +40,8 @@
 	Priority int
 	// Work is the estimated work in tokens.
 	Work int
+	// Prompt is the part of Work that the prompt is; the rest is a bound on the answer.
+	Prompt int
 }
 
 // Turn is a request's place at work. Its owner reports what it sees, and calls Done at the end; more calls
@@ -56,6 +59,12 @@
 	Enter(ctx context.Context, item Item) (Turn, *contract.Problem)
 }
 
+// Guard holds requests back that crash backend servers.
+type Guard interface {
+	// Enter says whether the request may go to the group now. It is called right before the claim.
+	Enter(ctx context.Context, s guard.Subject) (*guard.Pass, *contract.Problem)
+}
+
 // Deps is what a home needs.
 type Deps struct {
 	// Self and Incarnation name this life of this entry in claims.
@@ -64,10 +73,13 @@
 	Groups      Groups
 	Presence    Presence
 	Admission   Admission
+	Guard       Guard
 	Attempts    *attempt.Records
 	Engines     engine.Client
 	Settings    func() *settings.Snapshot
 	Recorder    *timeline.Recorder
+	// Clock is time.Now if nil.
+	Clock func() time.Time
 }
 
 // Home takes dispatches. It is safe for concurrent use.
@@ -78,6 +90,9 @@
 
 // New returns a home.
 func New(deps Deps) *Home {
+	if deps.Clock == nil {
+		deps.Clock = time.Now
+	}
 	return &Home{deps: deps, work: newTable()}
 }
 
--- a/entry/member/run_test.go
+++ b/entry/member/run_test.go
@@ -19,10 +19,19 @@
 type process struct {
 	*Members
 	entry platform.Entry
+	start func()
 	stop  func()
 }
 
 func startProcess(name string, generation uint64) *process {
+	p := newProcess(name, generation, func(s net.PacketConn) net.PacketConn { return s })
+	p.start()
+	DeferCleanup(p.stop)
+	return p
+}
+
+// newProcess prepares an entry whose server reads and writes through the socket that wrap returns.
+func newProcess(name string, generation uint64, wrap func(net.PacketConn) net.PacketConn) *process {
 	id, err := peer.NewIdentity(name)
 	Expect(err).NotTo(HaveOccurred())
 	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
@@ -37,15 +46,16 @@
 	p.Register(server, pinger)
 	ctx, cancel := context.WithCancel(context.Background())
 	var wait sync.WaitGroup
-	wait.Go(func() { _ = server.Serve(ctx, socket) })
-	wait.Go(func() { _ = p.Run(ctx, pinger) })
+	p.start = func() {
+		wait.Go(func() { _ = server.Serve(ctx, wrap(socket)) })
+		wait.Go(func() { _ = p.Run(ctx, pinger) })
+	}
 	p.stop = sync.OnceFunc(func() {
 		cancel()
 		client.Close()
-		_ = socket.Close()
 		wait.Wait()
+		_ = socket.Close()
 	})
-	DeferCleanup(p.stop)
 	return p
 }
 
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/skylarkpond/skylarkpond/entry/admission"
+	"github.com/skylarkpond/skylarkpond/entry/drain"
 	"github.com/skylarkpond/skylarkpond/entry/mirror"
 	"github.com/skylarkpond/skylarkpond/timeline"
 	"github.com/skylarkpond/skylarkpond/vm"
@@ -17,10 +18,10 @@
 // assemble builds an entry from its settings and its registration.
 func assemble(config Config, self registered, recorder *timeline.Recorder, measures *measures, log *logrus.Entry) *Entry {
 	wire.Build(
-		provideStore, provideMembers, provideOwners, providePeerClient, providePeerServer,
-		providePinger, provideFollower, provideTable, providePlaced, provideAttempts, provideHome, provideDispatcher,
-		provideFront, provideProber, provideController, provideOverview, provideOperator, provideRegistration,
-		newSettingsInForce, mirror.New, admission.New, vm.NewPresence,
+		provideStore, provideReach, provideMembers, provideOwners, providePeerClient, providePeerServer,
+		providePinger, provideFollower, provideTable, providePlaced, provideAttempts, providePurger, provideHome, provideGuard, provideDispatcher,
+		provideFront, provideRouter, provideProber, provideController, provideOverview, provideDirectory, provideOperator, provideRegistration,
+		newSettingsInForce, newHomes, wire.Struct(new(drain.Gate)), mirror.New, admission.New, vm.NewPresence,
 		provideEngines,
 		wire.Struct(new(Entry), "*"),
 	)
--- a/policy/forming/view.go
+++ b/policy/forming/view.go
@@ -32,7 +32,7 @@
 	Version   string
 	GroupSize int
 	Replicas  int
-	// Spares is the least number of free VMs kept in each fabric domain, rather than extra groups.
+	// Spares is the least number of VMs kept free over all fabric domains, rather than formed into extra groups.
 	Spares int
 	// Dedicated services run only on VMs that are dedicated to them.
 	Dedicated bool
@@ -40,7 +40,7 @@
 	// accelerator-second outside any serving group.
 	DowntimeWeight float64
 	StrandedWeight float64
-	// LoadsPerMinute bounds how many groups start to load; 0: no bound.
+	// LoadsPerMinute bounds how many members start to load; 0: no bound.
 	LoadsPerMinute int
 	DrainTimeout   time.Duration
 }
@@ -90,7 +90,9 @@
 	Version string
 	State   State
 	Members []Member
-	Epoch   uint64
+	// Size is how many members it has, for groups of other domains, which are without Members; 0: not known.
+	Size  int
+	Epoch uint64
 	// NotWhole is what the placement says of a group whose member is missing for long. It is how the
 	// controllers of other fabric domains learn of it.
 	NotWhole bool
@@ -111,12 +113,20 @@
 // counts says that the group is, or is on the way to be, a replica.
 func (g Group) counts() bool { return g.State != Draining && !g.NotWhole }
 
+// size returns the number of members, or 0 if it is not known.
+func (g Group) size() int { return max(g.Size, len(g.Members)) }
+
+// outdated says that the group is another than s wants now, and is to be replaced.
+func (g Group) outdated(s Service) bool {
+	return g.Version != s.Version || g.size() != 0 && g.size() != s.GroupSize
+}
+
 // Domain is what another fabric domain reports through its placement.
 type Domain struct {
 	Name string
 	// Live counts the usable VMs by the service that they are dedicated to (empty: any).
 	Live map[string]int
-	// Groups are without members.
+	// Groups are without Members.
 	Groups []Group
 }
 
--- a/test/operator_test.go
+++ b/test/operator_test.go
@@ -40,8 +40,8 @@
 	entries []*entryProcess
 }
 
-// told is what an operator was told of an apply.
-type told struct {
+// applyResult is what an operator was told of an apply.
+type applyResult struct {
 	operator string
 	node     settings.Path
 	value    int
@@ -51,15 +51,15 @@
 	progress string
 }
 
-func (t told) String() string {
+func (t applyResult) String() string {
 	return fmt.Sprintf("%s set %s to %d: exit code %d\n%s%s", t.operator, t.node, t.value, t.code, t.out, t.progress)
 }
 
 // desk is what the operators of a cluster have done so far.
 type desk struct {
-	mu    sync.Mutex // guards what follows
-	value int
-	told  []told
+	mu      sync.Mutex // guards what follows
+	value   int
+	results []applyResult
 }
 
 // firstValue is above all values of the declarations: each change of a spec sets a value of its own.
@@ -72,16 +72,16 @@
 	return firstValue + d.value
 }
 
-func (d *desk) note(t told) {
+func (d *desk) note(t applyResult) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.told = append(d.told, t)
+	d.results = append(d.results, t)
 }
 
-func (d *desk) all() []told {
+func (d *desk) all() []applyResult {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return append([]told(nil), d.told...)
+	return append([]applyResult(nil), d.results...)
 }
 
 // operator gives somebody a fresh checkout, who asks the given entries only.
@@ -154,8 +154,8 @@
 }
 
 // apply applies the checkout, of which node was edited last.
-func (o *operator) apply(node settings.Path, flags ...string) told {
-	t := told{operator: o.name, node: node, value: o.value(node)}
+func (o *operator) apply(node settings.Path, flags ...string) applyResult {
+	t := applyResult{operator: o.name, node: node, value: o.value(node)}
 	t.code, t.out, t.progress = o.run(append([]string{"--json", "apply", o.dir}, flags...)...)
 	_ = json.Unmarshal([]byte(t.out), &t.applied)
 	o.c.desk.note(t)
@@ -163,14 +163,14 @@
 }
 
 // change edits a node and applies it, which must be accepted.
-func (o *operator) change(node settings.Path) told {
+func (o *operator) change(node settings.Path) applyResult {
 	GinkgoHelper()
 	o.edit(node)
-	return accepted(o.apply(node))
+	return expectAccepted(o.apply(node))
 }
 
-// accepted expects that the operator was told that the change was taken, now or before.
-func accepted(t told) told {
+// expectAccepted expects that the operator was told that the change was taken, now or before.
+func expectAccepted(t applyResult) applyResult {
 	GinkgoHelper()
 	Expect(t.code).To(Equal(pondctl.ExitOK), t.String())
 	Expect(t.applied.Status).To(BeElementOf(settings.Accepted, settings.AlreadyApplied), t.String())
--- a/test/settings_test.go
+++ b/test/settings_test.go
@@ -52,7 +52,7 @@
 		nodes := []settings.Path{rootNode, placeNode, chatNode, deskNode}
 		operators := c.operators(e[0], e[1], e[2], e[3])
 		for _, t := range race(operators, func(i int) settings.Path { return nodes[i] }) {
-			accepted(t)
+			expectAccepted(t)
 		}
 		trees := c.trees()
 		for i, o := range operators {
@@ -95,15 +95,15 @@
 		expectCode(first, pondctl.ExitFailure)
 		c.release()
 
-		again := accepted(ana.colleague("ana", e[0]).apply(chatNode))
+		again := expectAccepted(ana.colleague("ana", e[0]).apply(chatNode))
 		Expect(again.applied.Status).To(Equal(settings.AlreadyApplied))
-		accepted(ana.colleague("bob", e[1]).apply(chatNode))
+		expectAccepted(ana.colleague("bob", e[1]).apply(chatNode))
 		c.operator("dora", e[3]).change(chatNode)
 		late := carl.apply(chatNode)
 		Expect(late.code).To(Equal(pondctl.ExitConflict))
 		Expect(late.applied.Status).To(Equal(settings.AlreadyApplied), late.String())
 		Expect(late.applied.Superseded).To(ConsistOf(chatNode))
-		c.run(e[4])
+		c.restart(e[4])
 		c.waitLive(e[0], e...)
 	})
 
@@ -204,7 +204,7 @@
 		e[3].kill()
 		e[4].freeze()
 		ana.change(chatNode)
-		c.run(e[3])
+		c.restart(e[3])
 		t := ana.change(chatNode)
 		c.expectInForce(t.applied.Version, e[:4]...)
 		e[4].wake()
@@ -226,9 +226,9 @@
 }
 
 // race lets operators edit and apply at the same time.
-func race(operators []*operator, node func(i int) settings.Path) []told {
+func race(operators []*operator, node func(i int) settings.Path) []applyResult {
 	GinkgoHelper()
-	results := make([]told, len(operators))
+	results := make([]applyResult, len(operators))
 	for i, o := range operators {
 		o.edit(node(i))
 	}
@@ -241,16 +241,16 @@
 }
 
 // inBackground applies what an operator has edited.
-func (c *cluster) inBackground(o *operator, node settings.Path) <-chan told {
-	result := make(chan told, 1)
+func (c *cluster) inBackground(o *operator, node settings.Path) <-chan applyResult {
+	result := make(chan applyResult, 1)
 	go func() { result <- o.apply(node) }()
 	return result
 }
 
 // expectCode waits for the end of an apply.
-func expectCode(result <-chan told, code int) {
+func expectCode(result <-chan applyResult, code int) {
 	GinkgoHelper()
-	var t told
+	var t applyResult
 	Eventually(result, generous).Should(Receive(&t))
 	Expect(t.code).To(Equal(code), t.String())
 }
