--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -55,6 +55,7 @@
 	cuts     *cuts
 	// peerBytes counts what passed between entries.
 	peerBytes atomic.Int64
+	desk      desk
 }
 
 // startCluster starts stand-ins, applies the dev declarations, and starts n entries.
@@ -141,7 +142,7 @@
 		"--advertised-peer-address", address(8083), "--source-address", ip, "--platform", "http://" + address(8084),
 		"--timeline", filepath.Join(c.dir, name+".timeline"), "--drain-margin", "1s",
 	}
-	e.process = start(c.dir, name, e.args...)
+	c.run(e)
 	c.entries = append(c.entries, e)
 	return e
 }
@@ -150,6 +151,13 @@
 func (c *cluster) restart(e *entryProcess) {
 	GinkgoHelper()
 	Expect(e.done).To(BeClosed())
+	c.run(e)
+}
+
+// run starts a process of the entry, whose earlier one has ended.
+func (c *cluster) run(e *entryProcess) {
+	GinkgoHelper()
+	e.started = append(e.started, time.Now())
 	e.process = start(c.dir, e.name, e.args...)
 }
 
