--- a/entry/guard/pass.go
+++ b/entry/guard/pass.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -47,12 +48,14 @@
 // member that does not answer at all may be cut off or frozen: nobody is suspected for that.
 func (p *Pass) Broke(ctx context.Context) (crash string) {
 	s := p.subject
-	boot := p.guard.goneBoot(ctx, s.Group)
+	boot, why := p.guard.goneBoot(ctx, s.Group)
 	if boot == "" {
+		p.guard.record(timeline.BreakUnexplained, s, why)
 		return ""
 	}
 	p.over = true
 	crash = string(s.Group.ID) + "/" + string(boot)
+	p.guard.record(timeline.BackendCrashed, s, crash)
 	p.guard.crashed(ctx, s, crash)
 	return crash
 }
@@ -95,29 +98,43 @@
 		})
 	}
 	// The register in update has the crash already, by the merge with this entry's own.
-	_ = g.update(context.WithoutCancel(ctx), s.Service, func(*quarantine.Register) bool { return true })
+	err := g.update(context.WithoutCancel(ctx), s.Service, func(*quarantine.Register) bool { return true })
+	if err != nil {
+		g.record(timeline.QuarantineUnsaved, s, err.Error())
+	}
 }
 
-// goneBoot probes the members and returns the boot id that is gone, or "". The answers take milliseconds;
-// a member that gives none is waited for as long as any probe.
-func (g *Guard) goneBoot(ctx context.Context, group vm.Group) vm.BootID {
+func (g *Guard) record(kind timeline.Kind, s Subject, detail string) {
+	g.deps.Recorder.Record(timeline.Event{
+		Kind: kind, Request: s.RequestID, Service: s.Service, Group: string(s.Group.ID), Detail: detail,
+	})
+}
+
+// goneBoot probes the members and returns the boot id that is gone, or "" and what was seen. The answers take
+// milliseconds; a member that gives none is waited for as long as any probe.
+func (g *Guard) goneBoot(ctx context.Context, group vm.Group) (boot vm.BootID, why string) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), engine.ProbeTimeout)
 	defer cancel()
 	gone := make([]bool, len(group.Members))
+	silent := make([]bool, len(group.Members))
 	var probes sync.WaitGroup
 	for i, member := range group.Members {
 		probes.Go(func() {
 			state, err := g.deps.Engines.Probe(ctx, member.Address)
 			gone[i] = errors.Is(err, engine.ErrNoProcess) || err == nil && state.BootID != member.BootID
+			silent[i] = err != nil && !gone[i]
 		})
 	}
 	probes.Wait()
 	for i, member := range group.Members {
 		if gone[i] {
-			return member.BootID
+			return member.BootID, ""
 		}
 	}
-	return ""
+	if i := slices.Index(silent, true); i >= 0 {
+		return "", string(group.Members[i].VM) + " does not answer"
+	}
+	return "", "every member answers with its boot id"
 }
 
 // Held lists what is held back, by service.
--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -53,9 +53,9 @@
 	engines  string
 	entries  []*entryProcess
 	cuts     *cuts
+	desk     desk
 	// peerBytes counts what passed between entries.
 	peerBytes atomic.Int64
-	desk      desk
 }
 
 // startCluster starts stand-ins, applies the dev declarations, and starts n entries.
@@ -154,7 +154,6 @@
 	c.run(e)
 }
 
-// run starts a process of the entry, whose earlier one has ended.
 func (c *cluster) run(e *entryProcess) {
 	GinkgoHelper()
 	e.started = append(e.started, time.Now())
--- a/test/operator_test.go
+++ b/test/operator_test.go
@@ -40,26 +40,26 @@
 	entries []*entryProcess
 }
 
-// applied is what an operator was told of an apply.
-type applied struct {
+// applyResult is what an operator was told of an apply.
+type applyResult struct {
 	operator string
 	node     settings.Path
 	value    int
 	code     int
-	answer   admin.Applied
+	applied  admin.Applied
 	out      string
 	progress string
 }
 
-func (t applied) String() string {
+func (t applyResult) String() string {
 	return fmt.Sprintf("%s set %s to %d: exit code %d\n%s%s", t.operator, t.node, t.value, t.code, t.out, t.progress)
 }
 
 // desk is what the operators of a cluster have done so far.
 type desk struct {
-	mu    sync.Mutex // guards what follows
-	value int
-	told  []applied
+	mu      sync.Mutex // guards what follows
+	value   int
+	results []applyResult
 }
 
 // firstValue is above all values of the declarations: each change of a spec sets a value of its own.
@@ -72,16 +72,16 @@
 	return firstValue + d.value
 }
 
-func (d *desk) note(t applied) {
+func (d *desk) note(t applyResult) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.told = append(d.told, t)
+	d.results = append(d.results, t)
 }
 
-func (d *desk) all() []applied {
+func (d *desk) all() []applyResult {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return append([]applied(nil), d.told...)
+	return append([]applyResult(nil), d.results...)
 }
 
 // operator gives somebody a fresh checkout, who asks the given entries only.
@@ -154,26 +154,26 @@
 }
 
 // apply applies the checkout, of which node was edited last.
-func (o *operator) apply(node settings.Path, flags ...string) applied {
-	t := applied{operator: o.name, node: node, value: o.value(node)}
+func (o *operator) apply(node settings.Path, flags ...string) applyResult {
+	t := applyResult{operator: o.name, node: node, value: o.value(node)}
 	t.code, t.out, t.progress = o.run(append([]string{"--json", "apply", o.dir}, flags...)...)
-	_ = json.Unmarshal([]byte(t.out), &t.answer)
+	_ = json.Unmarshal([]byte(t.out), &t.applied)
 	o.c.desk.note(t)
 	return t
 }
 
 // change edits a node and applies it, which must be accepted.
-func (o *operator) change(node settings.Path) applied {
+func (o *operator) change(node settings.Path) applyResult {
 	GinkgoHelper()
 	o.edit(node)
-	return wasAccepted(o.apply(node))
+	return expectAccepted(o.apply(node))
 }
 
-// wasAccepted expects that the operator was told that the change was taken, now or before.
-func wasAccepted(t applied) applied {
+// expectAccepted expects that the operator was told that the change was taken, now or before.
+func expectAccepted(t applyResult) applyResult {
 	GinkgoHelper()
 	Expect(t.code).To(Equal(pondctl.ExitOK), t.String())
-	Expect(t.answer.Status).To(BeElementOf(settings.Accepted, settings.AlreadyApplied), t.String())
-	Expect(t.answer.Version).NotTo(BeZero(), t.String())
+	Expect(t.applied.Status).To(BeElementOf(settings.Accepted, settings.AlreadyApplied), t.String())
+	Expect(t.applied.Version).NotTo(BeZero(), t.String())
 	return t
 }
--- a/test/settings_judge_test.go
+++ b/test/settings_judge_test.go
@@ -204,14 +204,14 @@
 		for _, tree := range trees {
 			sets := tree.sets(t.node, t.value)
 			ever = ever || sets
-			atVersion = atVersion || (sets && tree.version == t.answer.Version)
+			atVersion = atVersion || (sets && tree.version == t.applied.Version)
 		}
 		switch {
-		case t.code == pondctl.ExitOK && t.answer.Status == settings.Accepted:
+		case t.code == pondctl.ExitOK && t.applied.Status == settings.Accepted:
 			Expect(atVersion).To(BeTrue(), "told as accepted, and is not there: %s", t)
 		case t.code == pondctl.ExitOK:
 			Expect(ever).To(BeTrue(), "told as in the settings, and never was: %s", t)
-		case t.answer.Status == settings.Conflicted, t.answer.Status == settings.Refused:
+		case t.applied.Status == settings.Conflicted, t.applied.Status == settings.Refused:
 			Expect(ever).To(BeFalse(), "told as not changed, and was: %s", t)
 		}
 	}
--- a/test/settings_test.go
+++ b/test/settings_test.go
@@ -52,7 +52,7 @@
 		nodes := []settings.Path{rootNode, placeNode, chatNode, deskNode}
 		operators := c.operators(e[0], e[1], e[2], e[3])
 		for _, t := range race(operators, func(i int) settings.Path { return nodes[i] }) {
-			wasAccepted(t)
+			expectAccepted(t)
 		}
 		trees := c.trees()
 		for i, o := range operators {
@@ -78,7 +78,7 @@
 	It("are told as accepted when the answer of the write is lost", func() {
 		c.switchPlatform(standinplatform.Switches{LoseAnswers: &standinplatform.LoseAnswers{Prefix: theTree, Count: 1}})
 		t := c.operator("ana", e[0]).change(chatNode)
-		Expect(t.answer.Status).To(Equal(settings.Accepted))
+		Expect(t.applied.Status).To(Equal(settings.Accepted))
 	})
 
 	// The write takes effect, and the entry dies before it has the answer. The operator knows nothing and
@@ -95,15 +95,15 @@
 		expectCode(first, pondctl.ExitFailure)
 		c.release()
 
-		again := wasAccepted(ana.colleague("ana", e[0]).apply(chatNode))
-		Expect(again.answer.Status).To(Equal(settings.AlreadyApplied))
-		wasAccepted(ana.colleague("bob", e[1]).apply(chatNode))
+		again := expectAccepted(ana.colleague("ana", e[0]).apply(chatNode))
+		Expect(again.applied.Status).To(Equal(settings.AlreadyApplied))
+		expectAccepted(ana.colleague("bob", e[1]).apply(chatNode))
 		c.operator("dora", e[3]).change(chatNode)
 		late := carl.apply(chatNode)
 		Expect(late.code).To(Equal(pondctl.ExitConflict))
-		Expect(late.answer.Status).To(Equal(settings.AlreadyApplied), late.String())
-		Expect(late.answer.Superseded).To(ConsistOf(chatNode))
-		c.run(e[4])
+		Expect(late.applied.Status).To(Equal(settings.AlreadyApplied), late.String())
+		Expect(late.applied.Superseded).To(ConsistOf(chatNode))
+		c.restart(e[4])
 		c.waitLive(e[0], e...)
 	})
 
@@ -138,7 +138,7 @@
 		e[4].freeze()
 		t := bob.change(chatNode)
 		c.release()
-		c.expectInForce(t.answer.Version, e[:4]...)
+		c.expectInForce(t.applied.Version, e[:4]...)
 		e[4].wake()
 		expectCode(first, pondctl.ExitConflict)
 		c.waitLive(e[0], e...)
@@ -150,7 +150,7 @@
 		for range 5 {
 			repeats := 6
 			c.switchPlatform(standinplatform.Switches{DropWatches: true, RepeatChanges: &repeats})
-			c.expectInForce(ana.change(chatNode).answer.Version, e...)
+			c.expectInForce(ana.change(chatNode).applied.Version, e...)
 		}
 		c.switchPlatform(standinplatform.Switches{RepeatChanges: new(int)})
 	})
@@ -164,7 +164,7 @@
 		bob.edit(chatNode)
 		t := c.operator("ana", e[0]).change(chatNode)
 		c.outage(standinplatform.OutageDrop)
-		c.expectInForce(t.answer.Version, e...)
+		c.expectInForce(t.applied.Version, e...)
 		Expect(bob.apply(chatNode).code).To(Equal(pondctl.ExitFailure))
 		c.outage(standinplatform.OutageNone)
 		c.release()
@@ -175,7 +175,7 @@
 			each.toPlatform.setCut(true)
 		}
 		t := c.operator("ana", e[0]).change(chatNode)
-		c.expectInForce(t.answer.Version, e...)
+		c.expectInForce(t.applied.Version, e...)
 		for _, each := range e[1:] {
 			each.toPlatform.setCut(false)
 		}
@@ -190,7 +190,7 @@
 		c.waitLive(e[4], e[4])
 		c.operator("ana", e[0]).change(chatNode)
 		t := c.operator("bob", e[4]).change(chatNode)
-		c.expectInForce(t.answer.Version, e...)
+		c.expectInForce(t.applied.Version, e...)
 		c.isolate(e[3], false)
 		c.isolate(e[4], false)
 		c.waitLive(e[0], e...)
@@ -204,11 +204,11 @@
 		e[3].kill()
 		e[4].freeze()
 		ana.change(chatNode)
-		c.run(e[3])
+		c.restart(e[3])
 		t := ana.change(chatNode)
-		c.expectInForce(t.answer.Version, e[:4]...)
+		c.expectInForce(t.applied.Version, e[:4]...)
 		e[4].wake()
-		c.expectInForce(t.answer.Version, e[4])
+		c.expectInForce(t.applied.Version, e[4])
 		c.waitLive(e[0], e...)
 		Expect(caller{e[4]}.send(http.MethodGet, "/v1/entries", nil, "").status).To(Equal(http.StatusOK))
 	})
@@ -226,9 +226,9 @@
 }
 
 // race lets operators edit and apply at the same time.
-func race(operators []*operator, node func(i int) settings.Path) []applied {
+func race(operators []*operator, node func(i int) settings.Path) []applyResult {
 	GinkgoHelper()
-	results := make([]applied, len(operators))
+	results := make([]applyResult, len(operators))
 	for i, o := range operators {
 		o.edit(node(i))
 	}
@@ -241,16 +241,16 @@
 }
 
 // inBackground applies what an operator has edited.
-func (c *cluster) inBackground(o *operator, node settings.Path) <-chan applied {
-	result := make(chan applied, 1)
+func (c *cluster) inBackground(o *operator, node settings.Path) <-chan applyResult {
+	result := make(chan applyResult, 1)
 	go func() { result <- o.apply(node) }()
 	return result
 }
 
 // expectCode waits for the end of an apply.
-func expectCode(result <-chan applied, code int) {
+func expectCode(result <-chan applyResult, code int) {
 	GinkgoHelper()
-	var t applied
+	var t applyResult
 	Eventually(result, generous).Should(Receive(&t))
 	Expect(t.code).To(Equal(code), t.String())
 }
