Specs: a burst of two teams and a slow replica, through the real front and home

The decisions under load were measured in virtual time only; what a caller gets of them over separate processes was not. One spec now plays both situations on one cluster and counts outcomes; no clock is asked. A refusal counts as at once if fewer requests were answered between its sending and its answer than the service has places: a busy machine slows both alike.

Ruled out as a measure: the share of the runs that began on the slow replica.

--- a/test/caller_test.go
+++ b/test/caller_test.go
@@ -76,7 +76,13 @@
 
 // stream asks for a completion as a stream.
 func (c caller) stream(prompt string, tokens int) answer {
-	got := c.send(http.MethodPost, "/v1/chat/completions", nil, completion(prompt, tokens, true))
+	return c.streamAs(examples.DevTeamKey, prompt, tokens)
+}
+
+// streamAs is stream with the key of another team.
+func (c caller) streamAs(key, prompt string, tokens int) answer {
+	header := map[string]string{"Authorization": "Bearer " + key}
+	got := c.send(http.MethodPost, "/v1/chat/completions", header, completion(prompt, tokens, true))
 	scanner := bufio.NewScanner(strings.NewReader(got.body))
 	scanner.Buffer(nil, 1<<20)
 	for scanner.Scan() {
--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -4,11 +4,13 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io/fs"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
 	"sync/atomic"
+	"testing/fstest"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -57,11 +59,18 @@
 
 // startCluster starts stand-ins, applies the dev declarations, and starts n entries.
 func startCluster(n int) *cluster {
+	GinkgoHelper()
+	return startClusterWith(n, devWorld, nil)
+}
+
+// startClusterWith is startCluster with another world, and with some files of the declarations replaced or
+// added.
+func startClusterWith(n int, world string, files map[string]string) *cluster {
 	GinkgoHelper()
 	c := &cluster{subnet: takeSubnet(), dir: GinkgoT().TempDir(), cuts: &cuts{cut: make(map[link]bool)}}
 	DeferCleanup(c.stop)
-	c.startStandins()
-	c.applyTree()
+	c.startStandins(world)
+	c.applyTree(files)
 	for range n {
 		c.startEntry()
 	}
@@ -69,12 +78,13 @@
 	return c
 }
 
-func (c *cluster) startStandins() {
+func (c *cluster) startStandins(world string) {
+	GinkgoHelper()
 	c.platform = fmt.Sprintf("http://127.1.%d.1:9000", c.subnet)
 	c.engines = fmt.Sprintf("http://127.1.%d.1:9001", c.subnet)
-	world := filepath.Join(c.dir, "world.json")
-	Expect(os.WriteFile(world, fmt.Appendf(nil, devWorld, c.subnet), 0o600)).To(Succeed())
-	c.standins = start(c.dir, "standins", "dev", "--role", "standins", "--world", world,
+	path := filepath.Join(c.dir, "world.json")
+	Expect(os.WriteFile(path, fmt.Appendf(nil, world, c.subnet), 0o600)).To(Succeed())
+	c.standins = start(c.dir, "standins", "dev", "--role", "standins", "--world", path,
 		"--platform-address", c.platform[len("http://"):], "--engines-address", c.engines[len("http://"):])
 	Eventually(func() error {
 		_, err := http.Get(c.engines + "/standin/vms")
@@ -89,8 +99,21 @@
  {"Name":"local-b","FabricDomains":[{"Name":"local-b1","VMs":5,"Accelerators":2,"Plain":[{"Service":"desk","VMs":1}]}]}]}]}`
 
 // applyTree writes the dev declarations straight to the platform, as the first apply does.
-func (c *cluster) applyTree() {
-	declarations, err := settings.LoadFS(examples.Dev(), "examples/dev")
+func (c *cluster) applyTree(files map[string]string) {
+	GinkgoHelper()
+	declared := make(fstest.MapFS)
+	Expect(fs.WalkDir(examples.Dev(), ".", func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() {
+			return err
+		}
+		text, err := fs.ReadFile(examples.Dev(), path)
+		declared[path] = &fstest.MapFile{Data: text}
+		return err
+	})).To(Succeed())
+	for path, text := range files {
+		declared[path] = &fstest.MapFile{Data: []byte(text)}
+	}
+	declarations, err := settings.LoadFS(declared, "examples/dev")
 	Expect(err).NotTo(HaveOccurred())
 	value, err := json.Marshal(declarations.Tree("test"))
 	Expect(err).NotTo(HaveOccurred())
