--- a/entry/front/fakes_test.go
+++ b/entry/front/fakes_test.go
@@ -93,8 +93,15 @@
 	return &stream{ctx: ctx, b: b, h: h, id: send.RequestID}, nil
 }
 
+// others is the id of another request, whose texts differ.
+const others = "other"
+
 func event(id string, seq uint64) engine.Event {
-	return engine.Event{RequestID: id, Seq: seq, Text: fmt.Sprint("w", seq, " "), Tokens: 1, Final: seq == answerEvents-1}
+	text := fmt.Sprint("w", seq, " ")
+	if id == others {
+		text = "another's "
+	}
+	return engine.Event{RequestID: id, Seq: seq, Text: text, Tokens: 1, Final: seq == answerEvents-1}
 }
 
 type stream struct {
@@ -240,7 +247,7 @@
 	service := new(restful.WebService).Path("/v1").Consumes("*/*").Produces("*/*")
 	front.New(front.Deps{
 		Self: "front", Settings: func() *settings.Snapshot { return f.settings }, Dispatcher: f, Holders: f, Chooser: f,
-		Retries: &tenRetries{}, Attempts: f.attempts(), Recorder: timeline.NewRecorder("front", nil, time.Now),
+		Retries: &tenRetries{}, Attempts: f.attempts(), Recorder: timeline.NewRecorder("front", nil, time.Now), Metrics: metrics.NewRegistry(),
 	}).Register(service)
 	container.Add(service)
 	server := httptest.NewServer(container)
@@ -427,8 +434,17 @@
 
 func complete(server *httptest.Server, stream bool) answer {
 	GinkgoHelper()
+	return completeAs(server, "", stream)
+}
+
+func completeAs(server *httptest.Server, key string, stream bool) answer {
+	GinkgoHelper()
+	var header map[string]string
+	if key != "" {
+		header = map[string]string{contract.HeaderIdempotencyKey: key}
+	}
 	body := fmt.Sprintf(`{"model":"small","stream":%t,"messages":[{"role":"user","content":"x"}]}`, stream)
-	return ask(server, http.MethodPost, "/v1/chat/completions", nil, body)
+	return ask(server, http.MethodPost, "/v1/chat/completions", header, body)
 }
 
 // tenRetries is a RetryBudget of ten retries without a pause.
--- a/policy/forming/decide.go
+++ b/policy/forming/decide.go
@@ -16,6 +16,8 @@
 	touched map[string]bool
 	// broken holds the groups that are to be repaired.
 	broken map[string]condition
+	// targets holds the split, by domain and service.
+	targets map[string]map[string]int
 	// pool holds the VMs that are free, or become so by this plan.
 	pool []VM
 	// formed counts the groups formed by this plan, by service.
@@ -65,6 +67,7 @@
 	p.plan.Held = make(map[string]string)
 	p.plan.Live = p.live()
 	targets, unplaced := Split(v.Services, p.domains())
+	p.targets = targets
 	p.plan.Targets = targets[v.Domain]
 	p.plan.DownGroups = make(map[string]int)
 	if p.firstDomain() {
@@ -141,9 +144,10 @@
 
 // advanceDraining frees the members of a group once nothing is in progress on it. The home's count is
 // checked against the head's own: a home that has just changed may not know of the requests that the one
-// before it still has at work.
+// before it still has at work. A group with a member lost for good has nothing left to drain: its
+// requests broke off, and if it is the head that is gone, nobody will ever say so.
 func (p *planner) advanceDraining(g *Group) {
-	drained := g.Known && g.InProgress == 0 && p.running(g) == 0
+	drained := p.condition(g).lost() || g.Known && g.InProgress == 0 && p.running(g) == 0
 	if !drained && g.InState < p.drainTimeout(g) {
 		return
 	}
--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -55,6 +55,7 @@
 	cuts     *cuts
 	// peerBytes counts what passed between entries.
 	peerBytes atomic.Int64
+	desk      desk
 }
 
 // startCluster starts stand-ins, applies the dev declarations, and starts n entries.
@@ -134,14 +135,32 @@
 	e := &entryProcess{name: name, public: "http://" + address(8080), admin: "http://" + address(8081)}
 	startUDPRelay(c.cuts, name, address(8083), address(8082), c.nameOf, &c.peerBytes)
 	e.toPlatform = startTCPRelay(address(8084), c.platform[len("http://"):])
-	e.process = start(c.dir, name, "serve", "--name", name, "--place", "local",
+	e.args = []string{
+		"serve", "--name", name, "--place", "local",
 		"--failure-domain", []string{"local-a", "local-b"}[host%2],
 		"--public-address", address(8080), "--admin-address", address(8081), "--peer-address", address(8082),
-		"--advertised-peer-address", address(8083), "--source-address", ip, "--platform", "http://"+address(8084), "--timeline", filepath.Join(c.dir, name+".timeline"), "--drain-margin", "1s")
+		"--advertised-peer-address", address(8083), "--source-address", ip, "--platform", "http://" + address(8084),
+		"--timeline", filepath.Join(c.dir, name+".timeline"), "--drain-margin", "1s",
+	}
+	c.run(e)
 	c.entries = append(c.entries, e)
 	return e
 }
 
+// restart starts an entry that has ended again, under its name and at its addresses.
+func (c *cluster) restart(e *entryProcess) {
+	GinkgoHelper()
+	Expect(e.done).To(BeClosed())
+	c.run(e)
+}
+
+// run starts a process of the entry, whose earlier one has ended.
+func (c *cluster) run(e *entryProcess) {
+	GinkgoHelper()
+	e.started = append(e.started, time.Now())
+	e.process = start(c.dir, e.name, e.args...)
+}
+
 // firstHost is the last number of the first entry's address.
 const firstHost = 10
 
@@ -178,6 +197,9 @@
 	if !CurrentSpecReport().Failed() {
 		return
 	}
+	if kept := os.Getenv("POND_KEEP"); kept != "" { // a directory for what the processes of a failed spec wrote
+		_ = os.CopyFS(filepath.Join(kept, fmt.Sprint(c.subnet)), os.DirFS(c.dir))
+	}
 	logs, _ := filepath.Glob(filepath.Join(c.dir, "*.log"))
 	for _, path := range logs {
 		text, _ := os.ReadFile(path)
@@ -223,6 +245,11 @@
 	post(c.engines+"/standin/domains/"+fabric+"/switches", s)
 }
 
+func (c *cluster) switchVM(vm string, s standinengine.Switches) {
+	GinkgoHelper()
+	post(c.engines+"/standin/vms/"+vm+"/switches", s)
+}
+
 func post(url string, body any) {
 	GinkgoHelper()
 	encoded, err := json.Marshal(body)
