--- a/entry/guard/guard.go
+++ b/entry/guard/guard.go
@@ -59,6 +59,7 @@
 	mu       sync.Mutex // guards what follows; a leaf lock: not held over I/O
 	services map[string]*quarantine.Register
 	running  map[vm.GroupID]map[string]string // request id to fingerprint
+	unsaved  map[string]bool                  // services with something that the platform did not take yet
 }
 
 // New returns a Guard that knows of no crash.
@@ -66,6 +67,7 @@
 	return &Guard{
 		deps: deps, config: quarantine.DefaultConfig(),
 		services: make(map[string]*quarantine.Register), running: make(map[vm.GroupID]map[string]string),
+		unsaved: make(map[string]bool),
 	}
 }
 
--- /dev/null
+++ b/entry/guard/operate.go
@@ -0,0 +1,30 @@
+package guard
+
+import (
+	"context"
+
+	"github.com/skylarkpond/skylarkpond/policy/quarantine"
+)
+
+// Held lists what is held back, by service.
+func (g *Guard) Held() map[string][]quarantine.Held {
+	now := g.deps.Clock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	held := make(map[string][]quarantine.Held)
+	for service, r := range g.services {
+		if list := r.Held(now); len(list) > 0 {
+			held[service] = list
+		}
+	}
+	return held
+}
+
+// Lift lets a request run again, by an operator's word. It says whether the request was held.
+func (g *Guard) Lift(ctx context.Context, service, fingerprint string) (lifted bool, err error) {
+	err = g.update(ctx, service, func(r *quarantine.Register) bool {
+		lifted = r.Lift(g.deps.Clock(), fingerprint)
+		return lifted
+	})
+	return lifted, err
+}
--- a/entry/guard/pass.go
+++ b/entry/guard/pass.go
@@ -2,12 +2,7 @@
 
 import (
 	"context"
-	"errors"
-	"slices"
-	"sync"
-	"time"
 
-	"github.com/skylarkpond/skylarkpond/link/engine"
 	"github.com/skylarkpond/skylarkpond/policy/quarantine"
 	"github.com/skylarkpond/skylarkpond/timeline"
 	"github.com/skylarkpond/skylarkpond/vm"
@@ -101,87 +96,19 @@
 	err := g.update(context.WithoutCancel(ctx), s.Service, func(*quarantine.Register) bool { return true })
 	if err != nil {
 		g.record(timeline.QuarantineUnsaved, s, err.Error())
+		g.owe(s.Service)
 	}
 }
 
-func (g *Guard) record(kind timeline.Kind, s Subject, detail string) {
-	g.deps.Recorder.Record(timeline.Event{
-		Kind: kind, Request: s.RequestID, Service: s.Service, Group: string(s.Group.ID), Detail: detail,
-	})
-}
-
-// goneBoot probes the members and returns the boot id that is gone, or "" and what was seen. The answers take
-// milliseconds; a member that gives none is waited for as long as any probe.
-func (g *Guard) goneBoot(ctx context.Context, group vm.Group) (boot vm.BootID, why string) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), engine.ProbeTimeout)
-	defer cancel()
-	gone := make([]bool, len(group.Members))
-	silent := make([]bool, len(group.Members))
-	var probes sync.WaitGroup
-	for i, member := range group.Members {
-		probes.Go(func() {
-			state, err := g.deps.Engines.Probe(ctx, member.Address)
-			gone[i] = errors.Is(err, engine.ErrNoProcess) || err == nil && state.BootID != member.BootID
-			silent[i] = err != nil && !gone[i]
-		})
-	}
-	probes.Wait()
-	for i, member := range group.Members {
-		if gone[i] {
-			return member.BootID, ""
-		}
-	}
-	if i := slices.Index(silent, true); i >= 0 {
-		return "", string(group.Members[i].VM) + " does not answer"
-	}
-	return "", "every member answers with its boot id"
-}
-
-// Held lists what is held back, by service.
-func (g *Guard) Held() map[string][]quarantine.Held {
-	now := g.deps.Clock()
+// owe notes that what is known of a service has to be written yet.
+func (g *Guard) owe(service string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	held := make(map[string][]quarantine.Held)
-	for service, r := range g.services {
-		if list := r.Held(now); len(list) > 0 {
-			held[service] = list
-		}
-	}
-	return held
+	g.unsaved[service] = true
 }
 
-// Lift lets a request run again, by an operator's word. It says whether the request was held.
-func (g *Guard) Lift(ctx context.Context, service, fingerprint string) (lifted bool, err error) {
-	err = g.update(ctx, service, func(r *quarantine.Register) bool {
-		lifted = r.Lift(g.deps.Clock(), fingerprint)
-		return lifted
+func (g *Guard) record(kind timeline.Kind, s Subject, detail string) {
+	g.deps.Recorder.Record(timeline.Event{
+		Kind: kind, Request: s.RequestID, Service: s.Service, Group: string(s.Group.ID), Detail: detail,
 	})
-	return lifted, err
-}
-
-// expireInterval is how often what no longer matters is forgotten.
-const expireInterval = time.Minute
-
-// Run forgets what no longer matters until ctx ends.
-func (g *Guard) Run(ctx context.Context) {
-	ticker := time.NewTicker(expireInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			g.expire()
-		}
-	}
-}
-
-func (g *Guard) expire() {
-	now := g.deps.Clock()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, r := range g.services {
-		r.Expire(now)
-	}
 }
