--- a/entry/guard/pass.go
+++ b/entry/guard/pass.go
@@ -5,7 +5,6 @@
 
 	"github.com/skylarkpond/skylarkpond/policy/quarantine"
 	"github.com/skylarkpond/skylarkpond/timeline"
-	"github.com/skylarkpond/skylarkpond/vm"
 )
 
 // Pass is a request's leave to run on a group. Only the request's own goroutine uses it.
