--- a/entry/guard/pass.go
+++ b/entry/guard/pass.go
@@ -2,14 +2,9 @@
 
 import (
 	"context"
-	"errors"
-	"sync"
-	"time"
 
-	"github.com/skylarkpond/skylarkpond/link/engine"
 	"github.com/skylarkpond/skylarkpond/policy/quarantine"
 	"github.com/skylarkpond/skylarkpond/timeline"
-	"github.com/skylarkpond/skylarkpond/vm"
 )
 
 // Pass is a request's leave to run on a group. Only the request's own goroutine uses it.
@@ -47,12 +42,14 @@
 // member that does not answer at all may be cut off or frozen: nobody is suspected for that.
 func (p *Pass) Broke(ctx context.Context) (crash string) {
 	s := p.subject
-	boot := p.guard.goneBoot(ctx, s.Group)
+	boot, why := p.guard.goneBoot(ctx, s.Group)
 	if boot == "" {
+		p.guard.record(timeline.BreakUnexplained, s, why)
 		return ""
 	}
 	p.over = true
 	crash = string(s.Group.ID) + "/" + string(boot)
+	p.guard.record(timeline.BackendCrashed, s, crash)
 	p.guard.crashed(ctx, s, crash)
 	return crash
 }
@@ -95,76 +92,22 @@
 		})
 	}
 	// The register in update has the crash already, by the merge with this entry's own.
-	_ = g.update(context.WithoutCancel(ctx), s.Service, func(*quarantine.Register) bool { return true })
-}
-
-// goneBoot probes the members and returns the boot id that is gone, or "". The answers take milliseconds;
-// a member that gives none is waited for as long as any probe.
-func (g *Guard) goneBoot(ctx context.Context, group vm.Group) vm.BootID {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), engine.ProbeTimeout)
-	defer cancel()
-	gone := make([]bool, len(group.Members))
-	var probes sync.WaitGroup
-	for i, member := range group.Members {
-		probes.Go(func() {
-			state, err := g.deps.Engines.Probe(ctx, member.Address)
-			gone[i] = errors.Is(err, engine.ErrNoProcess) || err == nil && state.BootID != member.BootID
-		})
-	}
-	probes.Wait()
-	for i, member := range group.Members {
-		if gone[i] {
-			return member.BootID
-		}
+	err := g.update(context.WithoutCancel(ctx), s.Service, func(*quarantine.Register) bool { return true })
+	if err != nil {
+		g.record(timeline.QuarantineUnsaved, s, err.Error())
+		g.owe(s.Service)
 	}
-	return ""
 }
 
-// Held lists what is held back, by service.
-func (g *Guard) Held() map[string][]quarantine.Held {
-	now := g.deps.Clock()
+// owe notes that what is known of a service has to be written yet.
+func (g *Guard) owe(service string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	held := make(map[string][]quarantine.Held)
-	for service, r := range g.services {
-		if list := r.Held(now); len(list) > 0 {
-			held[service] = list
-		}
-	}
-	return held
+	g.unsaved[service] = true
 }
 
-// Lift lets a request run again, by an operator's word. It says whether the request was held.
-func (g *Guard) Lift(ctx context.Context, service, fingerprint string) (lifted bool, err error) {
-	err = g.update(ctx, service, func(r *quarantine.Register) bool {
-		lifted = r.Lift(g.deps.Clock(), fingerprint)
-		return lifted
+func (g *Guard) record(kind timeline.Kind, s Subject, detail string) {
+	g.deps.Recorder.Record(timeline.Event{
+		Kind: kind, Request: s.RequestID, Service: s.Service, Group: string(s.Group.ID), Detail: detail,
 	})
-	return lifted, err
-}
-
-// expireInterval is how often what no longer matters is forgotten.
-const expireInterval = time.Minute
-
-// Run forgets what no longer matters until ctx ends.
-func (g *Guard) Run(ctx context.Context) {
-	ticker := time.NewTicker(expireInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			g.expire()
-		}
-	}
-}
-
-func (g *Guard) expire() {
-	now := g.deps.Clock()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, r := range g.services {
-		r.Expire(now)
-	}
 }
--- a/timeline/event.go
+++ b/timeline/event.go
@@ -34,6 +34,9 @@
 	RequestSealed     Kind = "request-sealed"     // Request
 	RequestSent       Kind = "request-sent"       // Request, Group, VM: home to engine
 	RequestOutcome    Kind = "request-outcome"    // Request, Detail: outcome and code
+	BackendCrashed    Kind = "backend-crashed"    // Request, Service, Group, Detail: the crash's name
+	BreakUnexplained  Kind = "break-unexplained"  // Request, Service, Group, Detail: why no crash was found
+	QuarantineUnsaved Kind = "quarantine-unsaved" // Request, Service, Detail: why the platform did not take it
 	RequestQuarantine Kind = "request-quarantine" // Request, Service, Detail: fingerprint
 )
 
