Stand-in platform: reads can be answered with an old state

As a replica that lags does: get and list of a kind are answered at a given revision, a number of times. Watches are not touched; they have drop_watches and repeat_changes.

--- a/internal/standin/platform/faults.go
+++ b/internal/standin/platform/faults.go
@@ -45,6 +45,15 @@
 	DelayMillis int64 `json:"delay_ms"`
 }
 
+// StaleReads answers reads and lists with the state at an old revision, as a replica of the platform that
+// lags does.
+type StaleReads struct {
+	Prefix
+	Revision platform.Version `json:"revision"`
+	// Count is how many calls it applies to; 0 switches it off, below 0 it stays on.
+	Count int `json:"count"`
+}
+
 // Switches is a change of the faults. What is absent stays as it is.
 type Switches struct {
 	Outage *Outage `json:"outage,omitempty"`
@@ -54,6 +63,7 @@
 	CallsPerSecond *float64     `json:"calls_per_second,omitempty"`
 	LoseAnswers    *LoseAnswers `json:"lose_answers,omitempty"`
 	LateEffects    *LateEffects `json:"late_effects,omitempty"`
+	StaleReads     *StaleReads  `json:"stale_reads,omitempty"`
 	// DropWatches closes the connections of the watches that wait, without an answer.
 	DropWatches bool `json:"drop_watches,omitempty"`
 	// RepeatChanges lets this many answers of watches begin from revision 0 again: old changes come twice.
@@ -75,6 +85,7 @@
 	throttle *rate.Limiter
 	lose     LoseAnswers
 	late     LateEffects
+	stale    StaleReads
 	repeats  int
 	lag      time.Duration
 	drop     chan struct{} // closed and replaced to drop the waiting watches
@@ -102,6 +113,9 @@
 	if s.LateEffects != nil {
 		f.late = *s.LateEffects
 	}
+	if s.StaleReads != nil {
+		f.stale = *s.StaleReads
+	}
 	if s.RepeatChanges != nil {
 		f.repeats = *s.RepeatChanges
 	}
@@ -161,6 +175,16 @@
 	return millis(f.late.DelayMillis)
 }
 
+// staleness returns the revision that a read is answered at, 0 for the present one, and counts it.
+func (f *faults) staleness(kind platform.Kind, name string) platform.Version {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.stale.matches(kind, name) || !take(&f.stale.Count) {
+		return 0
+	}
+	return f.stale.Revision
+}
+
 // repeatsChanges says whether this answer of a watch repeats old changes, and counts it.
 func (f *faults) repeatsChanges() bool {
 	f.mu.Lock()
--- a/internal/standin/platform/objects.go
+++ b/internal/standin/platform/objects.go
@@ -134,6 +134,9 @@
 	if lag := p.lagOf(kind); lag > 0 {
 		return find(p.table.asOf(kind, time.Now().Add(-lag)), name)
 	}
+	if stale := p.faults.staleness(kind, name); stale > 0 {
+		return find(p.table.at(kind, stale), name)
+	}
 	return p.table.get(kind, name)
 }
 
@@ -150,6 +153,9 @@
 	if lag := p.lagOf(kind); lag > 0 {
 		return p.table.asOf(kind, time.Now().Add(-lag)), nil
 	}
+	if stale := p.faults.staleness(kind, ""); stale > 0 {
+		return p.table.at(kind, stale), nil
+	}
 	return p.table.list(kind), nil
 }
 
--- a/internal/standin/platform/platform_test.go
+++ b/internal/standin/platform/platform_test.go
@@ -175,6 +175,17 @@
 		}, eventually).Should(ConsistOf(HaveField("Value", ContainSubstring("vm2"))))
 	})
 
+	It("answers reads with an old state, as often as it is switched to", func() {
+		Expect(put("a")).To(Succeed())
+		Expect(put("b")).To(Succeed())
+		Expect(post("/standin/switches", `{"stale_reads":{"kind":"entry","revision":1,"count":2}}`)).To(Equal(http.StatusOK))
+		Expect(client.List(ctx, link.KindEntry)).To(And(
+			HaveField("Objects", ConsistOf(HaveField("Name", "a"))), HaveField("Revision", link.Version(1))))
+		_, err := client.Get(ctx, link.KindEntry, "b")
+		Expect(err).To(MatchError(link.ErrNotFound))
+		Expect(client.Get(ctx, link.KindEntry, "b")).To(HaveField("Version", link.Version(2)))
+	})
+
 	It("keeps the history and the calls for the tests", func() {
 		Expect(put("a")).To(Succeed())
 		Expect(client.Delete(ctx, link.KindEntry, "a", 1)).To(Succeed())
--- a/internal/standin/platform/table.go
+++ b/internal/standin/platform/table.go
@@ -129,6 +129,18 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	end, _ := slices.BinarySearchFunc(t.history, at, func(c Change, at time.Time) int { return c.Time.Compare(at) })
+	return t.state(kind, end)
+}
+
+// at returns the kind as it was at a revision, as far back as the history goes.
+func (t *table) at(kind platform.Kind, revision platform.Version) platform.Changes {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.state(kind, len(t.history)-len(t.since(revision)))
+}
+
+// state returns the kind after the first end changes of the history. It must be called with mu held.
+func (t *table) state(kind platform.Kind, end int) platform.Changes {
 	past := t.history[:end]
 	revision := t.compacted
 	if end > 0 {
