--- a/entry/adapters.go
+++ b/entry/adapters.go
@@ -9,6 +9,7 @@
 	"github.com/skylarkpond/skylarkpond/entry/fleet"
 	"github.com/skylarkpond/skylarkpond/entry/member"
 	"github.com/skylarkpond/skylarkpond/entry/mirror"
+	"github.com/skylarkpond/skylarkpond/entry/reach"
 	"github.com/skylarkpond/skylarkpond/link/platform"
 	"github.com/skylarkpond/skylarkpond/vm"
 )
@@ -30,6 +31,15 @@
 	return names
 }
 
+// reaching names the live entries that reach the platform.
+type reaching struct {
+	owners
+	reach *reach.Reach
+}
+
+// Live returns the names of the live entries, without those that are known to be cut off from the platform.
+func (r reaching) Live() []string { return r.reach.Usable(r.owners.Live()) }
+
 // placed is the home's view of the groups: placements, and the members' last answers.
 type placed struct {
 	self     string
@@ -56,9 +66,6 @@
 // reports is the controller's view of what homes say of groups.
 type reports struct{ table *fleet.Table }
 
-// reportFresh is how old a home's status may be to count; homes repeat it every four seconds.
-const reportFresh = 10 * time.Second
-
 // InProgress implements controller.GroupLoad.
 func (r reports) InProgress(id vm.GroupID) (int, bool) {
 	status, ok := r.status(id)
@@ -79,8 +86,8 @@
 
 func (r reports) status(id vm.GroupID) (fleet.Status, bool) {
 	candidate, ok := r.table.Candidate(id)
-	known := ok && !candidate.Heard.IsZero() && time.Since(candidate.Heard) < reportFresh &&
-		candidate.Status.Epoch == candidate.Group.Epoch
+	// What an earlier home said no longer counts: its word came before the present one's look.
+	known := ok && candidate.Status.Home == candidate.Home && candidate.Status.Epoch == candidate.Group.Epoch
 	return candidate.Status, known
 }
 
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -18,18 +18,27 @@
 	"github.com/skylarkpond/skylarkpond/vm"
 )
 
-// Status is what a home says of a group. It travels as a rumour when Whole or Draining change, and now and
-// then for the load.
+// Report is what a home says of all its groups. It travels as one rumour, named after the home, when
+// something in it changes. A status of each group in a rumour of its own would leave one behind for each
+// group that ever was.
+type Report struct {
+	Home string `cbor:"1,keyasint"`
+	// At orders the reports about a group: the sender's hybrid logical time.
+	At       int64    `cbor:"2,keyasint"`
+	Statuses []Status `cbor:"3,keyasint"`
+}
+
+// Status is what a home says of a group.
 type Status struct {
 	Group vm.GroupID `cbor:"1,keyasint"`
-	Home  string     `cbor:"2,keyasint"`
+	// Home and At are those of the report.
+	Home string `cbor:"-"`
+	At   int64  `cbor:"-"`
 	// Epoch is the group's epoch that the home probed for.
 	Epoch uint64 `cbor:"3,keyasint"`
 	// Whole says that every member was present when this was sent.
 	Whole bool               `cbor:"4,keyasint"`
 	Load  contract.GroupLoad `cbor:"5,keyasint"`
-	// At orders statuses of one group: the sender's hybrid logical time.
-	At int64 `cbor:"6,keyasint"`
 	// Reason says why the group is not whole.
 	Reason string `cbor:"7,keyasint,omitempty"`
 	// Drained is set when the group drains, takes no more, and Remaining is sure.
@@ -46,6 +55,8 @@
 	Status   Status
 	// Heard is when the status was taken in, by the own monotonic clock; zero if never.
 	Heard time.Time
+	// Report counts the loads heard of the group, so that one that is told again is not taken for a new one.
+	Report uint64
 	// ServingSince is when this entry first saw the group whole.
 	ServingSince time.Time
 }
@@ -64,6 +75,7 @@
 	position     domain.Position
 	status       Status
 	heard        time.Time
+	reports      uint64
 	servingSince time.Time
 }
 
@@ -77,10 +89,11 @@
 
 	mu       sync.RWMutex // guards what follows
 	rows     map[vm.GroupID]*row
+	reports  map[string]Report // the latest of each home, for groups that are placed only later
 	versions map[domain.FabricDomain]platform.Version
 }
 
-// New returns an empty table. live names the live entries; it is called without a lock held.
+// New returns an empty table. live names the entries that may be homes; it is called without a lock held.
 func New(live func() []string, now func() time.Time) *Table {
 	return &Table{
 		live:     live,
@@ -88,6 +101,7 @@
 		changed:  func(Candidate) {},
 		removed:  func(vm.GroupID) {},
 		rows:     make(map[vm.GroupID]*row),
+		reports:  make(map[string]Report),
 		versions: make(map[domain.FabricDomain]platform.Version),
 	}
 }
@@ -154,25 +168,50 @@
 		r.group = group
 		r.position = placement.Position
 	}
+	for _, report := range t.reports {
+		t.keepAll(report)
+	}
 	return gone
 }
 
-// Report takes in a status, from a rumour or from the own home role.
-func (t *Table) Report(status Status) {
-	if t.keep(status) {
-		t.tell(status.Group)
+// Report takes in what a home says, from a rumour or from the own home role.
+func (t *Table) Report(report Report) {
+	for _, id := range t.take(report) {
+		t.tell(id)
 	}
 }
 
-func (t *Table) keep(status Status) bool {
+func (t *Table) take(report Report) []vm.GroupID {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if report.At <= t.reports[report.Home].At {
+		return nil
+	}
+	t.reports[report.Home] = report
+	return t.keepAll(report)
+}
+
+// keepAll must be called with mu held. It returns the groups whose status is new.
+func (t *Table) keepAll(report Report) (changed []vm.GroupID) {
+	for _, status := range report.Statuses {
+		status.Home = report.Home
+		status.At = report.At
+		if t.keep(status) {
+			changed = append(changed, status.Group)
+		}
+	}
+	return changed
+}
+
+// keep must be called with mu held.
+func (t *Table) keep(status Status) bool {
 	r := t.rows[status.Group]
 	if r == nil || status.At <= r.status.At {
 		return false
 	}
 	r.status = status
 	r.heard = t.now()
+	r.reports++
 	if !status.Whole {
 		r.servingSince = time.Time{}
 	} else if r.servingSince.IsZero() {
@@ -192,6 +231,7 @@
 	defer t.mu.Unlock()
 	if r := t.rows[group]; r != nil {
 		r.status.Load = load
+		r.reports++
 	}
 }
 
@@ -234,10 +274,17 @@
 func (r *row) candidate(live []string) Candidate {
 	return Candidate{
 		Group: r.group, Position: r.position, Home: homeOf(r.group.ID, live),
-		Status: r.status, Heard: r.heard, ServingSince: r.servingSince,
+		Status: r.status, Heard: r.heard, Report: r.reports, ServingSince: r.servingSince,
 	}
 }
 
+// Len counts the groups.
+func (t *Table) Len() int {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return len(t.rows)
+}
+
 // HomeOf names the home of a group, "" without live entries.
 func (t *Table) HomeOf(id vm.GroupID) string { return homeOf(id, t.live()) }
 
