--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -25,9 +25,10 @@
 	entryOwners := provideOwners(members)
 	follower := provideFollower(mirrorMirror, store, entryOwners, members)
 	entryRegistration := provideRegistration(self, store, follower)
+	entryHomes := newHomes(members)
 	client := providePeerClient(config, self, members)
 	pinger := providePinger(client)
-	table := provideTable(entryOwners)
+	table := provideTable(entryHomes)
 	engineClient := provideEngines(config)
 	presence := vm.NewPresence()
 	admissionAdmission := admission.New()
@@ -42,7 +43,7 @@
 	home := provideHome(self, entryPlaced, admissionAdmission, records, engineClient, entrySettingsInForce, recorder, guard)
 	entryDispatcher := provideDispatcher(self, table, home, members, client, recorder, admissionAdmission)
 	router := provideRouter(config, measures2)
-	front := provideFront(config, entrySettingsInForce, entryDispatcher, router, records, recorder)
+	front := provideFront(config, entrySettingsInForce, entryDispatcher, router, records, recorder, measures2)
 	gate := &drain.Gate{}
 	directory := provideDirectory(members, entrySettingsInForce, gate, entryDispatcher)
 	entryOverview := provideOverview(config, members, table, entrySettingsInForce, client, recorder)
@@ -54,6 +55,7 @@
 		recorder:     recorder,
 		registration: entryRegistration,
 		members:      members,
+		homes:        entryHomes,
 		pinger:       pinger,
 		mirror:       mirrorMirror,
 		follower:     follower,
--- a/test/caller_test.go
+++ b/test/caller_test.go
@@ -76,7 +76,13 @@
 
 // stream asks for a completion as a stream.
 func (c caller) stream(prompt string, tokens int) answer {
-	got := c.send(http.MethodPost, "/v1/chat/completions", nil, completion(prompt, tokens, true))
+	return c.streamAs(examples.DevTeamKey, prompt, tokens)
+}
+
+// streamAs is stream with the key of another team.
+func (c caller) streamAs(key, prompt string, tokens int) answer {
+	header := map[string]string{"Authorization": "Bearer " + key}
+	got := c.send(http.MethodPost, "/v1/chat/completions", header, completion(prompt, tokens, true))
 	scanner := bufio.NewScanner(strings.NewReader(got.body))
 	scanner.Buffer(nil, 1<<20)
 	for scanner.Scan() {
@@ -138,9 +144,11 @@
 
 // book calls the path that may not be repeated. The body names the lot, so that the backend server's log
 // tells by its hash how often the lot was booked.
-func (c caller) book(lot string, attempt int) answer {
+func (c caller) book(lot string, attempt int) answer { return c.bookOn("desk", lot, attempt) }
+
+func (c caller) bookOn(service, lot string, attempt int) answer {
 	header := map[string]string{contract.HeaderIdempotencyKey: lot, contract.HeaderAttempt: fmt.Sprint(attempt)}
-	return c.send(http.MethodPost, "/v1/services/desk/bookings", header, booking(lot))
+	return c.send(http.MethodPost, "/v1/services/"+service+"/bookings", header, booking(lot))
 }
 
 func booking(lot string) string { return `{"lot":"` + lot + `"}` }
--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -53,6 +53,7 @@
 	engines  string
 	entries  []*entryProcess
 	cuts     *cuts
+	desk     desk
 	// peerBytes counts what passed between entries.
 	peerBytes atomic.Int64
 }
@@ -134,14 +135,31 @@
 	e := &entryProcess{name: name, public: "http://" + address(8080), admin: "http://" + address(8081)}
 	startUDPRelay(c.cuts, name, address(8083), address(8082), c.nameOf, &c.peerBytes)
 	e.toPlatform = startTCPRelay(address(8084), c.platform[len("http://"):])
-	e.process = start(c.dir, name, "serve", "--name", name, "--place", "local",
+	e.args = []string{
+		"serve", "--name", name, "--place", "local",
 		"--failure-domain", []string{"local-a", "local-b"}[host%2],
 		"--public-address", address(8080), "--admin-address", address(8081), "--peer-address", address(8082),
-		"--advertised-peer-address", address(8083), "--source-address", ip, "--platform", "http://"+address(8084), "--timeline", filepath.Join(c.dir, name+".timeline"), "--drain-margin", "1s")
+		"--advertised-peer-address", address(8083), "--source-address", ip, "--platform", "http://" + address(8084),
+		"--timeline", filepath.Join(c.dir, name+".timeline"), "--drain-margin", "1s",
+	}
+	c.run(e)
 	c.entries = append(c.entries, e)
 	return e
 }
 
+// restart starts an entry that has ended again, under its name and at its addresses.
+func (c *cluster) restart(e *entryProcess) {
+	GinkgoHelper()
+	Expect(e.done).To(BeClosed())
+	c.run(e)
+}
+
+func (c *cluster) run(e *entryProcess) {
+	GinkgoHelper()
+	e.started = append(e.started, time.Now())
+	e.process = start(c.dir, e.name, e.args...)
+}
+
 // firstHost is the last number of the first entry's address.
 const firstHost = 10
 
