--- a/test/groups_judge_test.go
+++ b/test/groups_judge_test.go
@@ -158,6 +158,53 @@
 	e.judgeArrivals()
 }
 
+// judgeMinimum checks that from a time on no fewer groups than a minimum served with all their members.
+func (e *evidence) judgeMinimum(minimum int, from time.Time) {
+	GinkgoHelper()
+	var moments []time.Time
+	for _, history := range e.history {
+		for _, p := range history {
+			moments = append(moments, p.at)
+		}
+	}
+	for _, turns := range e.turns {
+		for _, t := range turns {
+			moments = append(moments, t.at)
+		}
+	}
+	for _, at := range moments {
+		if at.After(from) {
+			Expect(e.serving(at)).To(BeNumerically(">=", minimum), "at %v", at)
+		}
+	}
+}
+
+// serving counts the groups of the language service that serve at a time, with all their members.
+func (e *evidence) serving(at time.Time) int {
+	count := 0
+	for _, history := range e.history {
+		last := placed{}
+		for _, p := range history {
+			if !p.at.After(at) {
+				last = p
+			}
+		}
+		for _, group := range last.Groups {
+			if group.Service == chat && group.State == vm.Serving && e.whole(group, at) {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+func (e *evidence) whole(group vm.Group, at time.Time) bool {
+	return !slices.ContainsFunc(group.Members, func(m vm.Member) bool {
+		missing, _ := e.missing(group, m, at)
+		return missing > 0
+	})
+}
+
 // judgeEpochs checks that each change of controller raised the epoch.
 func (e *evidence) judgeEpochs() {
 	GinkgoHelper()
--- a/test/groups_platform_test.go
+++ b/test/groups_platform_test.go
@@ -42,7 +42,7 @@
 	It("live through a platform that is out, slow, loses answers, and writes late", func() {
 		first, lost, late := numbered("first", 4), numbered("lost", 4), numbered("late", 4)
 		all := slices.Concat([]string{"steady"}, first, lost, late)
-		c := startClusterWith(4, groupsWorld(all...), chatFiles(len(all), "checks_fence: false\n"))
+		c := startClusterWith(4, groupsWorld(all...), chatFiles(len(all), soon+"checks_fence: false\n"))
 		for _, fabric := range all {
 			c.switchDomain(fabric, standinengine.Switches{ChecksFence: &no, ChecksEpoch: &no})
 		}
@@ -83,7 +83,7 @@
 	It("live through fabric domains that go dark", func() {
 		silent, dead := numbered("silent", 4), numbered("dead", 4)
 		all := slices.Concat([]string{"steady"}, silent, dead)
-		c := startClusterWith(4, groupsWorld(all...), chatFiles(len(all), ""))
+		c := startClusterWith(4, groupsWorld(all...), chatFiles(len(all), soon))
 		load := c.startLoad(c.entries[:2])
 		x, y := c.stageBoth(silent, dead)
 		for i := range silent {
--- a/test/groups_test.go
+++ b/test/groups_test.go
@@ -30,7 +30,7 @@
 	It("lose a member in each state: killed, frozen and woken, restarted, cut from the home", func() {
 		killed, frozen, restarted, cut := numbered("kill", 4), numbered("freeze", 4), numbered("restart", 4), numbered("cut", 4)
 		all := slices.Concat([]string{"steady"}, killed, frozen, restarted, cut)
-		c := startClusterWith(4, groupsWorld(all...), chatFiles(len(all), ""))
+		c := startClusterWith(4, groupsWorld(all...), chatFiles(len(all), soon))
 		load := c.startLoad(c.entries)
 		together(func() {
 			s := c.stage(killed)
@@ -72,11 +72,12 @@
 		slices.Reverse(names)
 		controlled, homed := ownedBy(4, names, names[0], names[1]), numbered("homed", 4)
 		all := slices.Concat([]string{"steady"}, controlled, homed)
-		c := startClusterWith(len(names), groupsWorld(all...), chatFiles(len(all), ""))
+		c := startClusterWith(len(names), groupsWorld(all...), chatFiles(len(all), soon))
 		owner := c.entry(names[0])
 		load := c.startLoad(c.entries)
 
 		By("freezing them")
+		c.awaitHeld(controlled, owner)
 		x, y := c.stageBoth(controlled, homed)
 		struck := append(y.homes(), owner)
 		before := x.epochs()
@@ -97,6 +98,7 @@
 		y.end()
 
 		By("cutting the controller off from the platform")
+		c.awaitHeld(controlled, owner)
 		x = c.stage(controlled)
 		before = x.epochs()
 		owner.toPlatform.setCut(true)
@@ -106,6 +108,7 @@
 		x.awaitServing()
 
 		By("killing them")
+		c.awaitHeld(controlled, owner)
 		x, y = c.stageBoth(controlled, homed)
 		before = x.epochs()
 		for _, e := range append(y.homes(), owner) {
@@ -124,7 +127,7 @@
 	// Each half holds the other dead, and works on all fabric domains.
 	It("have two controllers and two homes at once", func() {
 		all := slices.Concat([]string{"steady"}, numbered("split", 4))
-		c := startClusterWith(6, groupsWorld(all...), chatFiles(len(all), ""))
+		c := startClusterWith(6, groupsWorld(all...), chatFiles(len(all), soon))
 		load := c.startLoad(c.entries)
 		s := c.stage(all[1:])
 		left, right := c.entries[:3], c.entries[3:]
--- a/test/scene_test.go
+++ b/test/scene_test.go
@@ -43,11 +43,13 @@
 		strings.Join(lists[0], ","), strings.Join(lists[1], ","))
 }
 
-// chatFiles declares the language service with one replica in each fabric domain. A request that hangs on a
-// frozen group is given up soon, so that its caller goes on.
+// soon lets drains, and requests that hang on a frozen group, be given up soon, so that a spec goes on.
+const soon = "drain_timeout: 6s\nrequest_timeout: 5s\n"
+
+// chatFiles declares the language service, with more keys of its own.
 func chatFiles(replicas int, more string) map[string]string {
 	return map[string]string{"places/local/services/chat.yaml": fmt.Sprintf(
-		"kind: language\nmodel: chat-small\nmodel_version: v1\ngroup_size: %d\nreplicas: %d\nmax_concurrency: 8\ndrain_timeout: 6s\nrequest_timeout: 5s\n%s",
+		"kind: language\nmodel: chat-small\nmodel_version: v1\ngroup_size: %d\nreplicas: %d\nmax_concurrency: 8\n%s",
 		groupSize, replicas, more)}
 }
 
@@ -276,6 +278,17 @@
 	return epochs
 }
 
+// awaitHeld waits until an entry holds some fabric domains: while entries start or come back, another may
+// hold one for some seconds.
+func (c *cluster) awaitHeld(fabrics []string, owner *entryProcess) {
+	GinkgoHelper()
+	Eventually(func(g Gomega) {
+		for _, fabric := range fabrics {
+			g.Expect(c.placement(fabric).Controller).To(Equal(owner.name), fabric)
+		}
+	}, generous, "100ms").Should(Succeed())
+}
+
 // awaitTaken waits until another controller has taken each domain and written what it decided.
 func (s *scene) awaitTaken(before map[string]uint64) {
 	GinkgoHelper()
