--- a/test/operator_test.go
+++ b/test/operator_test.go
@@ -101,8 +101,8 @@
 	return other
 }
 
-// patience bounds a run of pondctl, whose own waits are shorter.
-const patience = 2 * time.Minute
+// pondctlTimeout bounds a run of pondctl, whose own waits are shorter.
+const pondctlTimeout = 2 * time.Minute
 
 func (o *operator) run(args ...string) (code int, out, progress string) {
 	var addresses []string
@@ -116,7 +116,7 @@
 	cmd.Stdout = &stdout
 	cmd.Stderr = &stderr
 	cmd.WaitDelay = time.Second
-	timer := time.AfterFunc(patience, func() { _ = cmd.Process.Kill() })
+	timer := time.AfterFunc(pondctlTimeout, func() { _ = cmd.Process.Kill() })
 	defer timer.Stop()
 	if err := cmd.Run(); err != nil && cmd.ProcessState == nil {
 		return -1, "", err.Error()
