--- a/entry/serve.go
+++ b/entry/serve.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	stdlog "log"
 	"net"
 	"net/http"
 	"os"
@@ -85,6 +86,9 @@
 	log := logrus.New()
 	log.SetFormatter(&logrus.JSONFormatter{})
 	log.SetLevel(level)
+	// Libraries that print by the standard log are to print JSON lines as well.
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(log.WriterLevel(logrus.WarnLevel))
 	return log.WithField("entry", config.Name), nil
 }
 
@@ -139,8 +143,12 @@
 }
 
 func (e *Entry) takeEntry(object platform.Object) {
+	if object.Deleted {
+		e.members.Forget(object.Name)
+		return
+	}
 	var entry platform.Entry
-	if object.Deleted || json.Unmarshal(object.Value, &entry) != nil {
+	if json.Unmarshal(object.Value, &entry) != nil {
 		return
 	}
 	e.members.Know(entry, uint64(object.Version))
