--- a/entry/homes.go
+++ b/entry/homes.go
@@ -17,7 +17,7 @@
 	start   time.Time
 	steady  atomic.Pointer[[]string]
 
-	mu    sync.Mutex // guards shift; taken before the lock of members, never after
+	mu    sync.Mutex // guards shift; a leaf lock
 	shift *shift.Homes
 }
 
