How long an entry is no home after it came is a setting of the process

Cause: the hold grows to two minutes for an entry that comes and goes. An operator may want another bound, and the failure tests strike the same entries again and again: a spec waited 90 s for a struck entry to be home to its group again.

--- a/dev/dev.go
+++ b/dev/dev.go
@@ -22,6 +22,7 @@
 	"github.com/skylarkpond/skylarkpond/examples"
 	"github.com/skylarkpond/skylarkpond/internal/standin"
 	"github.com/skylarkpond/skylarkpond/link/platform"
+	"github.com/skylarkpond/skylarkpond/policy/shift"
 )
 
 // Role says what of the system to run.
@@ -150,6 +151,7 @@
 		Name: fmt.Sprintf("entry-%d", i+1), Place: place, FailureDomain: domains[i%len(domains)],
 		Public: c.address(i, 0), Admin: c.address(i, adminOffset), Peer: c.address(i, peerOffset),
 		Platform: platformURL, PlatformRate: 100, LogLevel: "warn", DrainMargin: time.Second,
+		HomeHold: shift.DefaultHold, HomeHoldMax: shift.DefaultMaxHold,
 	}
 }
 
--- a/entry/config.go
+++ b/entry/config.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/skylarkpond/skylarkpond/policy/shift"
 )
 
 // Config is what one entry is told at its start, by flag or environment variable. Everything else is in
@@ -32,6 +34,9 @@
 	LogLevel     string  `arg:"--log-level,env:POND_LOG_LEVEL" default:"info" help:"panic, fatal, error, warn, info, debug or trace"`
 	// BootstrapKeyHash lets an operator in as long as no tree of settings exists.
 	BootstrapKeyHash string `arg:"--bootstrap-key-hash,env:POND_BOOTSTRAP_KEY_HASH" help:"SHA-256, in hex, of the operator key accepted while the tree of settings does not exist"`
+	// HomeHold and HomeHoldMax bound how long an entry that came, or came and went, is no home (policy/shift).
+	HomeHold    time.Duration `arg:"--home-hold,env:POND_HOME_HOLD" default:"5s" help:"how long an entry must be live before it is home to groups"`
+	HomeHoldMax time.Duration `arg:"--home-hold-max,env:POND_HOME_HOLD_MAX" default:"2m" help:"the longest that --home-hold grows to for an entry that comes and goes"`
 	// DrainMargin is added to the time that callers may keep an address, before a stopping entry closes.
 	DrainMargin time.Duration `arg:"--drain-margin,env:POND_DRAIN_MARGIN" default:"5s" help:"how much longer than callers may keep its address a stopping entry keeps serving; the news that it leaves take some 3s to 330 entries"`
 }
@@ -71,6 +76,7 @@
 	check(validPlatform(c.Platform), "--platform", "must be http://IP:port or https://IP:port by number, not "+quoted(c.Platform))
 	check(c.PlatformRate >= 1 && c.PlatformRate <= 10_000, "--platform-rate", "must be between 1 and 10000 calls a second")
 	check(c.BootstrapKeyHash == "" || validHash(c.BootstrapKeyHash), "--bootstrap-key-hash", "must be 64 hex digits (pondctl hash-key makes one)")
+	check(c.homeHold().Check() == nil, "--home-hold, --home-hold-max", "must be 0s to 1m, and from there to 1h")
 	check(c.DrainMargin >= 0 && c.DrainMargin <= 10*time.Minute, "--drain-margin", "must be between 0s and 10m")
 	if len(faults) == 0 {
 		return nil
@@ -78,6 +84,12 @@
 	return eris.Wrap(ErrConfig, strings.Join(faults, "; "))
 }
 
+// homeHold says when an entry may be a home. An entry is forgotten to have gone after ten times the longest
+// hold, or ten minutes.
+func (c *Config) homeHold() shift.HoldConfig {
+	return shift.HoldConfig{Hold: c.HomeHold, MaxHold: c.HomeHoldMax, Forget: max(shift.DefaultForget, 10*c.HomeHoldMax)}
+}
+
 // source is the local address of outgoing connections, or nil.
 func (c *Config) source() net.IP { return net.ParseIP(c.Source) }
 
--- a/entry/homes.go
+++ b/entry/homes.go
@@ -21,10 +21,10 @@
 	shift *shift.Homes
 }
 
-func newHomes(members *member.Members) *homes {
+func newHomes(config Config, members *member.Members) *homes {
 	h := &homes{
 		members: members, start: time.Now(),
-		shift: shift.NewHomes(shift.DefaultHoldConfig(), members.Self().Name),
+		shift: shift.NewHomes(config.homeHold(), members.Self().Name),
 	}
 	h.steady.Store(&[]string{})
 	return h
--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -25,7 +25,7 @@
 	entryOwners := provideOwners(members)
 	follower := provideFollower(mirrorMirror, store, entryOwners, members)
 	entryRegistration := provideRegistration(self, store, follower)
-	entryHomes := newHomes(members)
+	entryHomes := newHomes(config, members)
 	client := providePeerClient(config, self, members)
 	pinger := providePinger(client)
 	table := provideTable(entryHomes)
