--- a/entry/serve.go
+++ b/entry/serve.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	stdlog "log"
 	"net"
 	"net/http"
 	"os"
@@ -85,6 +86,9 @@
 	log := logrus.New()
 	log.SetFormatter(&logrus.JSONFormatter{})
 	log.SetLevel(level)
+	// Libraries that print by the standard log are to print JSON lines as well.
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(log.WriterLevel(logrus.WarnLevel))
 	return log.WithField("entry", config.Name), nil
 }
 
@@ -132,14 +136,19 @@
 	e.members.Register(e.peerServer, e.pinger)
 	e.dispatcher.register(e.peerServer)
 	e.overview.register(e.peerServer)
+	e.registerTree(e.peerServer)
 	counted(e.metrics.registry, "home.dispatches.serving", &e.dispatcher.serving)
 	gauge(e.metrics.registry, "settings.version", func() int64 { return int64(e.inForce.Snapshot().Version) })
 	gauge(e.metrics.registry, "members.live", func() int64 { return int64(len(e.members.Live())) })
 }
 
 func (e *Entry) takeEntry(object platform.Object) {
+	if object.Deleted {
+		e.members.Forget(object.Name)
+		return
+	}
 	var entry platform.Entry
-	if object.Deleted || json.Unmarshal(object.Value, &entry) != nil {
+	if json.Unmarshal(object.Value, &entry) != nil {
 		return
 	}
 	e.members.Know(entry, uint64(object.Version))
--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -25,7 +25,7 @@
 	entryOwners := provideOwners(members)
 	follower := provideFollower(mirrorMirror, store, entryOwners, members)
 	entryRegistration := provideRegistration(self, store, follower)
-	entryHomes := newHomes(members)
+	entryHomes := newHomes(config, members)
 	client := providePeerClient(config, self, members)
 	pinger := providePinger(client)
 	table := provideTable(entryHomes)
@@ -49,6 +49,7 @@
 	entryOverview := provideOverview(config, members, table, entrySettingsInForce, client, recorder)
 	server := provideOperator(config, store, entrySettingsInForce, mirrorMirror, follower, entryOverview, recorder, measures2, log, guard)
 	peerServer := providePeerServer(self, members)
+	v := provideSettled()
 	entry := &Entry{
 		config:       config,
 		log:          log,
@@ -77,6 +78,7 @@
 		peerServer:   peerServer,
 		inForce:      entrySettingsInForce,
 		metrics:      measures2,
+		settled:      v,
 	}
 	return entry
 }
