--- a/policy/forming/condition.go
+++ b/policy/forming/condition.go
@@ -43,8 +43,7 @@
 	faultPause
 	// faultSilent: silent beyond the grace; it may come back with its state.
 	faultSilent
-	// faultGone: silent and no longer listed; or it leaves, while another member is silent: the group won't be
-	// whole again either way, and nothing on it can finish.
+	// faultGone: silent and no longer listed.
 	faultGone
 	// faultLost: it answers, and has not the state that it was ordered to have.
 	faultLost
@@ -60,6 +59,8 @@
 type condition struct {
 	worst fault
 	vm    string
+	// leaving says that some member leaves, whatever the worst is.
+	leaving bool
 }
 
 func (c condition) reason() string { return fmt.Sprintf("%s %s", c.vm, c.worst) }
@@ -72,6 +73,10 @@
 // lost says that a member will not come back with the state that the group needs.
 func (c condition) lost() bool { return c.worst == faultGone || c.worst == faultLost }
 
+// hopeless says that the group will not be whole again as it is: what is silent may come back, but by then
+// another member has left.
+func (c condition) hopeless() bool { return c.lost() || c.worst == faultSilent && c.leaving }
+
 func (p *planner) condition(g *Group) condition {
 	worst := condition{}
 	leaving := condition{}
@@ -87,9 +92,7 @@
 	if g.HomeWhole && (worst.worst == faultPause || worst.worst == faultSilent) {
 		return leaving
 	}
-	if leaving.vm != "" && worst.worst == faultSilent {
-		return condition{worst: faultGone, vm: leaving.vm}
-	}
+	worst.leaving = leaving.vm != ""
 	return worst
 }
 
--- a/policy/forming/decide_test.go
+++ b/policy/forming/decide_test.go
@@ -151,6 +151,11 @@
 			v.VMs[1].Present, v.VMs[1].SilentFor = false, forming.Grace
 		}),
 		Entry("drained", func(v *forming.View) { v.Groups[0].State = forming.Draining }, "release g1"),
+		Entry("drains, one member leaves and the other is silent: requests may yet finish", func(v *forming.View) {
+			v.Groups[0].State, v.Groups[0].InProgress = forming.Draining, 1
+			v.VMs[0].Leaving = true
+			v.VMs[1].Present, v.VMs[1].SilentFor = false, forming.CommonGrace
+		}),
 		Entry("drain timeout", func(v *forming.View) {
 			v.Groups[0].State, v.Groups[0].InProgress, v.Groups[0].InState = forming.Draining, 1, time.Minute
 		}, "release g1"),
--- a/policy/forming/repair.go
+++ b/policy/forming/repair.go
@@ -114,7 +114,7 @@
 		if !ok || p.touched[g.ID] {
 			continue
 		}
-		if c.lost() {
+		if c.hopeless() {
 			p.dissolve(g, c.reason())
 		}
 	}
