--- a/entry/homes.go
+++ b/entry/homes.go
@@ -17,14 +17,14 @@
 	start   time.Time
 	steady  atomic.Pointer[[]string]
 
-	mu    sync.Mutex // guards shift; taken before the lock of members, never after
+	mu    sync.Mutex // guards shift; a leaf lock
 	shift *shift.Homes
 }
 
-func newHomes(members *member.Members) *homes {
+func newHomes(config Config, members *member.Members) *homes {
 	h := &homes{
 		members: members, start: time.Now(),
-		shift: shift.NewHomes(shift.DefaultHoldConfig(), members.Self().Name),
+		shift: shift.NewHomes(config.homeHold(), members.Self().Name),
 	}
 	h.steady.Store(&[]string{})
 	return h
