Home: a dispatch's steps are functions of their own

Cause: the one function that took a dispatch through its steps had grown to 56 lines with nine ways out. Behaviour is unchanged: front's 68 specs and home's pass.

--- a/entry/home/run.go
+++ b/entry/home/run.go
@@ -34,50 +34,77 @@
 	return &run{home: h, d: d, send: send, front: front, arrived: h.deps.Clock()}
 }
 
-// do takes the dispatch through its steps. Each step that fails tells the front and ends it.
+// do takes the dispatch through its steps. Each step that fails has told the front, and ends it.
 func (r *run) do(ctx context.Context) {
+	if !r.enter(ctx) {
+		return
+	}
+	defer r.turn.Done()
+	if !r.clear(ctx) {
+		return
+	}
+	defer r.pass.Done(ctx)
+	ctx, end, ok := r.claimed(ctx)
+	defer end()
+	if !ok {
+		return
+	}
+	r.dispatch(ctx)
+}
+
+// enter waits for the request's turn at the group.
+func (r *run) enter(ctx context.Context) bool {
 	if p := r.check(); p != nil {
 		r.refuse(p)
-		return
+		return false
 	}
 	if !r.frame(contract.Frame{Kind: contract.FrameQueued}) {
-		return
+		return false
 	}
 	r.record(timeline.RequestQueued, "")
 	turn, p := r.home.deps.Admission.Enter(ctx, r.item(ctx))
 	if p != nil {
 		r.refuse(p)
-		return
+		return false
 	}
-	defer turn.Done()
 	r.turn = turn
-	// Right before the claim: what waited too long, or lost its group meanwhile, should cost no claim.
+	return true
+}
+
+// clear asks whether it may still go, right before the claim: what waited too long, lost its group meanwhile,
+// or is held back as a suspect should cost no claim.
+func (r *run) clear(ctx context.Context) bool {
+	p := r.check()
 	if ctx.Err() != nil {
-		r.refuse(gone())
-		return
+		p = gone()
 	}
-	if p := r.check(); p != nil {
-		r.refuse(p)
-		return
+	if p == nil {
+		r.pass, p = r.home.deps.Guard.Enter(ctx, r.subject(ctx))
 	}
-	pass, p := r.home.deps.Guard.Enter(ctx, r.subject(ctx))
 	if p != nil {
 		r.refuse(p)
-		return
+		return false
 	}
-	defer pass.Done(ctx)
-	r.pass = pass
-	if r.d.Unrepeatable {
-		r.home.work.add(r.d.RequestID)
-		defer r.home.work.remove(r.d.RequestID)
-		if !r.claimRight(ctx) {
-			return
-		}
-		var cancel context.CancelFunc
-		ctx, cancel = r.detach(ctx)
-		defer cancel()
+	return true
+}
+
+// claimed takes the right to send a request that may not be repeated. The context that it returns is the
+// one to work under until end is called.
+func (r *run) claimed(ctx context.Context) (work context.Context, end func(), ok bool) {
+	if !r.d.Unrepeatable {
+		return ctx, func() {}, true
 	}
-	// The claim took time. Between this check and the send lies no wait.
+	r.home.work.add(r.d.RequestID)
+	remove := func() { r.home.work.remove(r.d.RequestID) }
+	if !r.claimRight(ctx) {
+		return ctx, remove, false
+	}
+	work, cancel := r.detach(ctx)
+	return work, func() { cancel(); remove() }, true
+}
+
+// dispatch sends the request. The claim took time: between this check and the send lies no wait.
+func (r *run) dispatch(ctx context.Context) {
 	if p := r.check(); p != nil {
 		r.refuse(p)
 		return
--- a/link/platform/store.go
+++ b/link/platform/store.go
@@ -19,7 +19,7 @@
 // Kind is a kind of object.
 type Kind string
 
-// The kinds. DESIGN says who writes which.
+// The kinds. docs/DESIGN.md says who writes which.
 const (
 	// KindVMs is read only: one object per fabric domain, named after it, whose value is a vm.List.
 	KindVMs Kind = "vms"
@@ -76,7 +76,7 @@
 	ErrTooLarge = eris.New("value too large for the platform")
 )
 
-// MaxValueBytes is the largest value that the platform holds (the brief: up to a megabyte).
+// MaxValueBytes is the largest value that the platform holds, in bytes.
 const MaxValueBytes = 1 << 20
 
 // Store is the platform's object API. Implementations are safe for concurrent use.
