The spec of a leaving VM now notices a group that is freed too early

Cause: its streams of 2.5 s had all ended when the group was freed: with the wait of a draining group taken out in a trial, the spec passed (freed 6.1 s after the notice). Change: one stream an entry takes 7.5 s; the rest are short, so that one group carries all of them. Ruled out: half of them long; one group then refuses some, rightly.

--- a/test/planned_test.go
+++ b/test/planned_test.go
@@ -19,10 +19,11 @@
 // leavingBound is what the users are promised for a leaving backend server, and busyMachine on top.
 const leavingBound = 3*time.Second + busyMachine
 
-// Streams that take some seconds, so that several are in progress on every group at any time, and short
-// ones, so that there is always one about to begin.
+// One stream an entry takes longer than a controller needs to free a group, so that one which frees it too
+// early cuts it; the short ones see to it that there is always one about to begin. One group alone carries
+// all of them.
 const (
-	longTokens  = 100
+	longTokens  = 300
 	shortTokens = 4
 	longGap     = 25 // milliseconds
 )
@@ -110,7 +111,10 @@
 	s := &streams{stopping: make(chan struct{}), refused: make(map[string]int)}
 	for i, e := range entries {
 		for j := range streamsPerEntry {
-			tokens := []int{longTokens, shortTokens}[j%2]
+			tokens := shortTokens
+			if j == 0 {
+				tokens = longTokens
+			}
 			s.group.Go(func() { s.call(caller{e}, fmt.Sprintf("stream %d-%d", i, j), tokens) })
 		}
 	}
