--- a/entry/controller/controller_test.go
+++ b/entry/controller/controller_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/skylarkpond/skylarkpond/domain"
 	"github.com/skylarkpond/skylarkpond/entry/controller"
+	"github.com/skylarkpond/skylarkpond/link/engine"
 	"github.com/skylarkpond/skylarkpond/policy/forming"
 	"github.com/skylarkpond/skylarkpond/vm"
 )
@@ -130,6 +131,28 @@
 		Expect(w.orders).To(BeEmpty())
 	})
 
+	// An order of a controller that was replaced long ago arrives at last, at a member of a group that serves. An
+	// engine that checks fencing numbers refuses it. One that does not obeys, and its group is dead: nothing
+	// but asking it shows that.
+	DescribeTable("finds a late order of an older controller", func(checks bool) {
+		w := newWorld(2)
+		c := w.entry("a")
+		rounds(w, c, 3)
+		first := w.placement().Groups[0].ID
+		w.engine("v2").checks = checks
+		_, err := w.Order(context.Background(), "addr-v2", engine.Order{
+			Kind: engine.OrderLoad, Group: "older", BootID: "boot-v2", Fence: 0, Epoch: 0,
+		})
+		Expect(err != nil).To(Equal(checks))
+		rounds(w, c, 4)
+		Expect(groups(w)).To(Equal([]string{"serving: v1 v2"}))
+		Expect(w.placement().Groups[0].ID == first).To(Equal(checks))
+		Expect(w.engine("v2").state.Group).To(Equal(w.placement().Groups[0].ID))
+	},
+		Entry("refused by an engine that checks", true),
+		Entry("read back from one that does not", false),
+	)
+
 	// Two entries disagree on which entries are live, and both think they own the domain. Each take-over is a
 	// write, and the groups that load wait for whoever holds the domain.
 	It("does not take a domain back at once from another live entry", func() {
