--- a/test/measure_test.go
+++ b/test/measure_test.go
@@ -48,17 +48,18 @@
 			}, tokens)
 		}
 		const requests, tokens = 200, 100
+		time.Sleep(settled)
 		sequence(through, 20, tokens)
 		report("straight", sequence(straight, requests, tokens))
-		before := c.cpu()
+		cpu := newMeter(c.entries)
+		cpu.begin()
 		report("through front and home", sequence(through, requests, tokens))
-		long := c.cpu() - before
-		before = c.cpu()
+		long := cpu.micros()
+		cpu.begin()
 		sequence(through, requests, 1)
-		short := c.cpu() - before
-		perRequest := short / requests
-		GinkgoWriter.Printf("processor time of all entries: %v a request of 1 token, %v a further token\n",
-			perRequest, (long-short)/(requests*(tokens-1)))
+		short := cpu.micros()
+		GinkgoWriter.Printf("processor time of all entries beyond idle: %.0f us a request of 1 token, %.0f us a further token\n",
+			short/requests, (long-short)/(requests*(tokens-1)))
 		for _, e := range c.entries {
 			GinkgoWriter.Printf("%s resident memory: %d MB\n", e.name, e.residentBytes()>>20)
 		}
@@ -66,15 +67,7 @@
 
 	DescribeTable("control bytes, processor time and memory of idle entries", func(entries int) {
 		c := startCluster(entries)
-		c.waitLive(c.entries[0], c.entries...)
-		time.Sleep(10 * time.Second) // what the start itself cost is over
-		const seconds = 30
-		bytes, cpu := c.peerBytes.Load(), c.cpu()
-		time.Sleep(seconds * time.Second)
-		perEntry := float64(seconds * entries)
-		GinkgoWriter.Printf("%d entries: %.0f bytes a second and entry between entries, %.3f%% of a core an entry, %d MB\n",
-			entries, float64(c.peerBytes.Load()-bytes)/perEntry, 100*(c.cpu()-cpu).Seconds()/perEntry,
-			c.entries[0].residentBytes()>>20)
+		c.reportIdle(fmt.Sprintf("%d entries, 4 groups", entries))
 	}, Entry("4", 4), Entry("8", 8), Entry("16", 16), Entry("32", 32))
 })
 
@@ -155,16 +148,6 @@
 		name, at(0.5, first), at(0.95, first), at(0.5, gap), at(0.95, gap))
 }
 
-// cpu is the processor time that all entries have used.
-func (c *cluster) cpu() time.Duration {
-	GinkgoHelper()
-	sum := time.Duration(0)
-	for _, e := range c.entries {
-		sum += e.cpu()
-	}
-	return sum
-}
-
 // clockTick is the unit of processor times in /proc.
 const clockTick = 10 * time.Millisecond
 
