A group whose home can't reach it, though nothing is wrong with it, is formed anew after half a minute

Cause: a home cut off from one member gives the group no work, rightly; but the controller, which sees every member present, did nothing, and counted the group as serving. The callers of a service with one replica got nothing for as long as the cut lasted, and no measure showed it. Such a group counts as down now, and is drained after 30 s, one at a time in a domain; formed anew, it has another id and so most likely another home. Where the member that the home can't reach is the head, the drain lasts up to drain_timeout, since only the head knows what it runs.

Ruled out: taking an idle head's word in place of its home's when the home is silent. The property test of interleaved controllers found releases of groups with a request in progress, since its engines report no load; an engine whose reports lag by more than the wait would do the same.

New cases of the decision and of the tracker. The reports of a home over separate processes are covered by 'cut from the home' as far as that no request is begun there; the half minute is proved at the decision only.

--- a/entry/adapters.go
+++ b/entry/adapters.go
@@ -78,6 +78,12 @@
 	return status.Whole, ok
 }
 
+// NotWhole implements controller.GroupLoad.
+func (r reports) NotWhole(id vm.GroupID) bool {
+	status, ok := r.status(id)
+	return ok && !status.Whole
+}
+
 // TokenGap implements controller.GroupLoad.
 func (r reports) TokenGap(id vm.GroupID) time.Duration {
 	status, _ := r.status(id)
--- a/entry/controller/controller.go
+++ b/entry/controller/controller.go
@@ -78,6 +78,8 @@
 	InProgress(group vm.GroupID) (n int, known bool)
 	// Whole says what the home last said of the group, if it said so within some seconds.
 	Whole(group vm.GroupID) (whole, known bool)
+	// NotWhole says that the home said a moment ago that it gives the group no work, since it is not whole.
+	NotWhole(group vm.GroupID) bool
 	// TokenGap is the time between tokens that the home measures; 0 if unknown.
 	TokenGap(group vm.GroupID) time.Duration
 }
--- a/entry/controller/split_test.go
+++ b/entry/controller/split_test.go
@@ -8,8 +8,12 @@
 
 	"github.com/skylarkpond/skylarkpond/entry/controller"
 	"github.com/skylarkpond/skylarkpond/policy/forming"
+	"github.com/skylarkpond/skylarkpond/vm"
 )
 
+// NotWhole is never said by the home of a world.
+func (w *world) NotWhole(vm.GroupID) bool { return false }
+
 var _ = Describe("Two controllers that hold each other dead", func() {
 	// The network between two halves of the entries is cut, and both reach the platform. If each took the
 	// domain back as soon as it saw the other's write, both would write every round, and none would watch a
--- a/entry/controller/view.go
+++ b/entry/controller/view.go
@@ -182,6 +182,7 @@
 	}
 	whole, known := w.c.Loads.Whole(g.ID)
 	group.HomeWhole = whole && known
+	group.HomeNotWhole = w.c.Loads.NotWhole(g.ID)
 	group.InProgress, group.Known = w.c.Loads.InProgress(g.ID)
 	if g.State != vm.Serving && g.State != vm.Draining {
 		group.InProgress, group.Known = 0, true
--- a/policy/forming/condition.go
+++ b/policy/forming/condition.go
@@ -28,6 +28,11 @@
 	// LoadTimeout is when a load counts as failed. The largest weights load in a few minutes at the
 	// store's rate; orders that were lost are repeated long before.
 	LoadTimeout = 15 * time.Minute
+	// BlindHold is how long a home may call a group not whole in which nothing is wrong, as when the way from
+	// there to a member is cut, before the group is formed anew: under another id, and so most likely with
+	// another home. Links are switched over within seconds, and forming anew costs a load. One at a time in
+	// a domain: were homes blind for being overloaded, draining all their groups would make it worse.
+	BlindHold = 30 * time.Second
 	// ReleaseGrace is how long a member may take to confirm that it left a drained group.
 	ReleaseGrace = 5 * time.Second
 	// RemovedDrainTimeout bounds the drain of a group whose service is no longer in the settings.
@@ -124,9 +129,11 @@
 }
 
 // whole says that every member has joined the group and is ready.
-func (p *planner) whole(g *Group) bool {
+func (p *planner) whole(g *Group) bool { return wholeIn(p.view.VMs, g) }
+
+func wholeIn(vms []VM, g *Group) bool {
 	for _, m := range g.Members {
-		v := p.vms[m.VM]
+		v := find(vms, m.VM)
 		if !v.Present || v.Boot != m.Boot || v.Group != g.ID || v.Epoch != g.Epoch || !v.Ready {
 			return false
 		}
@@ -134,9 +141,19 @@
 	return true
 }
 
-// serves says that the group does a replica's work, as far as is known.
+func find(vms []VM, name string) VM {
+	for _, v := range vms {
+		if v.Name == name {
+			return v
+		}
+	}
+	return VM{}
+}
+
+// serves says that the group does a replica's work, as far as is known. What its home calls not whole gets
+// no work, whatever the members say to others.
 func (p *planner) serves(g *Group) bool {
-	return g.State == Serving && (g.HomeWhole || p.whole(g))
+	return g.State == Serving && !g.HomeNotWhole && (g.HomeWhole || p.whole(g))
 }
 
 func graceFor(v *View) time.Duration {
--- a/policy/forming/decide.go
+++ b/policy/forming/decide.go
@@ -134,6 +134,8 @@
 			p.drain(g, "", c.reason())
 		case !wanted:
 			p.drain(g, "", "service no longer wanted")
+		case g.BlindFor >= BlindHold && !p.drainsAny():
+			p.drain(g, "", "its home can't reach its members")
 		case g.State == Loading && p.whole(g):
 			p.step(Step{Kind: StepServe, Group: g.ID, Service: g.Service, Reason: "every member is ready"})
 		case g.State == Loading && g.InState >= LoadTimeout:
--- a/policy/forming/decide_test.go
+++ b/policy/forming/decide_test.go
@@ -57,6 +57,35 @@
 	return lines
 }
 
+var _ = Describe("Tracker", func() {
+	It("counts for how long a home is blind to a group in which nothing is wrong", func() {
+		s := service("chat", 2, 1)
+		observe := func(t *forming.Tracker, now time.Duration, change func(v *forming.View)) time.Duration {
+			v := forming.View{Services: []forming.Service{s}, VMs: vms(2)}
+			serving(&v, "g1", s, 0)
+			change(&v)
+			t.Observe(now, &v)
+			return v.Groups[0].BlindFor
+		}
+		cut := func(v *forming.View) { v.Groups[0].HomeNotWhole = true }
+		t := forming.NewTracker()
+		for second, c := range []struct {
+			change func(v *forming.View)
+			blind  time.Duration
+		}{
+			{cut, 0},
+			{cut, 1},
+			{func(v *forming.View) {}, 0},
+			{cut, 1},
+			{cut, 2},
+			{func(v *forming.View) { cut(v); v.VMs[1].Ready = false }, 0},
+			{func(v *forming.View) { cut(v); v.VMs[0].Present = false }, 0},
+		} {
+			Expect(observe(t, time.Duration(second)*time.Second, c.change)).To(Equal(c.blind*time.Second), "at %d", second)
+		}
+	})
+})
+
 var _ = Describe("Decide", func() {
 	// Each case starts from one serving group g1 of v1 and v2, with v3 free, and changes one thing.
 	DescribeTable("one fault at a serving group",
@@ -95,6 +124,12 @@
 		}, "dissolve g1", "form v1 v2"),
 		Entry("obeyed an order of an older controller", func(v *forming.View) { v.VMs[1].Group = "g0" },
 			"dissolve g1", "form v1 v2"),
+		Entry("its home can't reach it for a while", func(v *forming.View) {
+			v.Groups[0].HomeNotWhole, v.Groups[0].BlindFor = true, forming.BlindHold-1
+		}),
+		Entry("its home can't reach it for long, though nothing is wrong with it", func(v *forming.View) {
+			v.Groups[0].HomeNotWhole, v.Groups[0].BlindFor = true, forming.BlindHold
+		}, "drain g1"),
 		Entry("a leaving member drains its group", func(v *forming.View) { v.VMs[1].Leaving = true }, "drain g1"),
 		Entry("the list lags: a member not listed for a moment", func(v *forming.View) {
 			v.VMs[1].Listed, v.VMs[1].UnlistedFor = false, forming.UnlistedGrace-1
--- a/policy/forming/roll.go
+++ b/policy/forming/roll.go
@@ -184,7 +184,7 @@
 	}
 	for _, d := range p.view.Others {
 		for _, g := range d.Groups {
-			if g.Service == service && g.State == Serving && !g.NotWhole {
+			if g.Service == service && g.State == Serving && !g.NotWhole && !g.HomeNotWhole {
 				count++
 			}
 		}
--- a/policy/forming/straggler.go
+++ b/policy/forming/straggler.go
@@ -58,10 +58,8 @@
 
 // setAsideStraggler drains at most one slow group of the domain at a time.
 func (p *planner) setAsideStraggler() {
-	for _, g := range p.view.Groups {
-		if g.State == Draining {
-			return
-		}
+	if p.drainsAny() {
+		return
 	}
 	for i := range p.view.Groups {
 		g := &p.view.Groups[i]
@@ -74,6 +72,21 @@
 	}
 }
 
+// drainsAny says that some group of the domain drains, or is to by this plan.
+func (p *planner) drainsAny() bool {
+	for _, g := range p.view.Groups {
+		if g.State == Draining {
+			return true
+		}
+	}
+	for _, s := range p.plan.Steps {
+		if s.Kind == StepDrain {
+			return true
+		}
+	}
+	return false
+}
+
 func (p *planner) drainSlow(g *Group) bool {
 	s, ok := p.services[g.Service]
 	if !ok || p.servingEverywhere(s.Name) < s.Replicas {
--- a/policy/forming/tracker.go
+++ b/policy/forming/tracker.go
@@ -35,6 +35,7 @@
 	state   State
 	inState time.Duration
 	slow    time.Duration
+	blind   time.Duration
 	seen    bool
 }
 
@@ -55,7 +56,9 @@
 	}
 	slow := slowGroups(v)
 	for i := range v.Groups {
-		t.observeGroup(gap, &v.Groups[i], slow[v.Groups[i].ID])
+		g := &v.Groups[i]
+		blind := g.State == Serving && g.HomeNotWhole && wholeIn(v.VMs, g)
+		t.observeGroup(gap, g, slow[g.ID], blind)
 	}
 	t.forget()
 }
@@ -99,7 +102,7 @@
 	}
 }
 
-func (t *Tracker) observeGroup(gap time.Duration, g *Group, slow bool) {
+func (t *Tracker) observeGroup(gap time.Duration, g *Group, slow, blind bool) {
 	track := t.groups[g.ID]
 	if track == nil {
 		track = &groupTrack{state: g.State}
@@ -110,8 +113,10 @@
 	track.inState = grown(track.inState, gap, track.state == g.State)
 	track.state = g.State
 	track.slow = grown(track.slow, gap, slow)
+	track.blind = grown(track.blind, gap, blind)
 	g.InState = track.inState
 	g.SlowFor = track.slow
+	g.BlindFor = track.blind
 }
 
 func (t *Tracker) forget() {
--- a/policy/forming/view.go
+++ b/policy/forming/view.go
@@ -103,15 +103,19 @@
 	// HomeWhole says that the group's home reported it whole a moment ago. It outweighs the controller's
 	// own silent probes: the controller may be the one that is cut off.
 	HomeWhole bool
+	// HomeNotWhole says that the group's home reported it not whole a moment ago: it gives it no work.
+	HomeNotWhole bool
 	// InProgress counts the requests that the home has at work; Known says that it reported.
 	InProgress int
 	Known      bool
 	// TokenGap is the time between tokens that the home measures; 0: not known.
 	TokenGap time.Duration
 
-	// InState and SlowFor are filled in by a Tracker.
-	InState time.Duration
-	SlowFor time.Duration
+	// What follows is filled in by a Tracker. BlindFor is for how long the home has called a group not whole
+	// whose members are all as they should be.
+	InState  time.Duration
+	SlowFor  time.Duration
+	BlindFor time.Duration
 }
 
 // counts says that the group is, or is on the way to be, a replica.
