--- a/test/settings_measure_test.go
+++ b/test/settings_measure_test.go
@@ -58,9 +58,10 @@
 
 func (c *cluster) spent(during func()) cost {
 	GinkgoHelper()
-	bytes, cpu := c.peerBytes.Load(), c.cpu()
+	entries := &meter{entries: c.entries}
+	bytes, cpu := c.peerBytes.Load(), entries.cpu()
 	during()
-	return cost{bytes: c.peerBytes.Load() - bytes, cpu: c.cpu() - cpu}
+	return cost{bytes: c.peerBytes.Load() - bytes, cpu: entries.cpu() - cpu}
 }
 
 // spread says how long changes took from when the platform took them until they were in force.
