--- a/test/measure_size_test.go
+++ b/test/measure_size_test.go
@@ -14,7 +14,9 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	standinengine "github.com/skylarkpond/skylarkpond/internal/standin/engine"
 	standinplatform "github.com/skylarkpond/skylarkpond/internal/standin/platform"
+	"github.com/skylarkpond/skylarkpond/vm"
 )
 
 // The slopes of docs/CAPACITY.md: what one more token, request, group and entry costs.
@@ -87,11 +89,23 @@
 			return through.send(http.MethodGet, fmt.Sprint("/v1/services/desk/stock/", i), nil, "")
 		}
 		run(stock)
+		report("the directory's answer", func(through caller, _ int) answer { return through.send(http.MethodGet, "/v1/entries", nil, "") })
 		report("a call that may be repeated", stock)
 		report("a call that may not, with a key of its caller", func(through caller, i int) answer { return through.book(fmt.Sprint("lot-", i), 1) })
 		report("the same key again", func(through caller, i int) answer { return through.book(fmt.Sprint("lot-", i), 1) })
 	})
 
+	It("the platform's calls for a member that dies and is replaced", func() {
+		c := startCluster(4)
+		time.Sleep(settled)
+		group := c.servingGroup("chat")
+		calls, begun := c.platformCalls(), time.Now()
+		c.switchVM(string(group.Members[1].VM), standinengine.Switches{Die: true})
+		Eventually(func() vm.GroupID { return c.servingGroup("chat").ID }, generous, "500ms").ShouldNot(Equal(group.ID))
+		c.waitServing(c.entries[0])
+		GinkgoWriter.Printf("a member replaced after %.0f s: %s\n", time.Since(begun).Seconds(), perRequest(calls, c.platformCalls(), 1))
+	})
+
 	DescribeTable("idle entries before more groups of four VMs", func(groups int) {
 		const entries = 4
 		c := startClusterWith(entries, sizedWorld(groups), map[string]string{
