Plans say how many wanted groups no fabric domain has room for

Until now they were only part of the count of missing groups, so that nobody could tell a replica that is on its way from one that will never come. The controller's status shows it as what is held up. It is not put into the plan's own Held, which would keep other services from forming extra groups.

--- a/entry/controller/measure.go
+++ b/entry/controller/measure.go
@@ -72,7 +72,7 @@
 // newStatus is what Status shows of the round that ended.
 func (w *work) newStatus() Status {
 	status := Status{
-		Domain: w.fabric, Targets: w.plan.Targets, Down: w.plan.DownGroups, Stranded: w.plan.Stranded, Held: w.plan.Held,
+		Domain: w.fabric, Targets: w.plan.Targets, Down: w.plan.DownGroups, Stranded: w.plan.Stranded, Held: w.held(),
 	}
 	if w.placement != nil {
 		status.Epoch = w.placement.Epoch
@@ -82,3 +82,15 @@
 	}
 	return status
 }
+
+// held is why something wanted is not done, by service.
+func (w *work) held() map[string]string {
+	held := make(map[string]string)
+	for name, count := range w.plan.Unplaced {
+		if count > 0 {
+			held[name] = fmt.Sprintf("no fabric domain has room for %d more", count)
+		}
+	}
+	maps.Copy(held, w.plan.Held)
+	return held
+}
--- a/policy/forming/decide.go
+++ b/policy/forming/decide.go
@@ -71,6 +71,7 @@
 	p.plan.Targets = targets[v.Domain]
 	p.plan.DownGroups = make(map[string]int)
 	if p.firstDomain() {
+		p.plan.Unplaced = unplaced
 		for name, count := range unplaced {
 			p.plan.DownGroups[name] += count
 		}
--- a/policy/forming/view.go
+++ b/policy/forming/view.go
@@ -194,4 +194,7 @@
 	Live map[string]int
 	// Held says, by service, why something wanted is not done.
 	Held map[string]string
+	// Unplaced counts, by service, the wanted groups that no fabric domain of the place has room for. Only the
+	// first domain by name reports them.
+	Unplaced map[string]int
 }
