pondctl status says why a change of groups waits

The reasons lay in each controller's own status, which nobody could ask. The call that asks each entry for its version in force now carries them along; status notes them for each service, each reason once with up to three fabric domains, and names fabric domains whose controller can't work at all.

--- a/contract/admin/admin.go
+++ b/contract/admin/admin.go
@@ -63,6 +63,16 @@
 	Entries  []EntryStatus   `json:"entries"`
 	Groups   []GroupStatus   `json:"groups"`
 	Services []ServiceStatus `json:"services"`
+	// Held is what controllers want and can't do now, as they say themselves.
+	Held []Held `json:"held,omitempty"`
+}
+
+// Held is something that the controller of a fabric domain wants and can't do.
+type Held struct {
+	FabricDomain string `json:"fabric_domain"`
+	// Service is empty where the controller's work as a whole is held up.
+	Service string `json:"service,omitempty"`
+	Reason  string `json:"reason"`
 }
 
 // EntryStatus is one entry.
@@ -103,6 +113,8 @@
 	Current int `json:"current"`
 	// Changing counts groups that form, load or drain.
 	Changing int `json:"changing"`
+	// Note says why more is not done now, and in which fabric domains.
+	Note string `json:"note,omitempty"`
 }
 
 // TimelineQuery narrows a time line; zero fields don't.
--- a/entry/operator/progress.go
+++ b/entry/operator/progress.go
@@ -1,8 +1,10 @@
 package operator
 
 import (
+	"fmt"
 	"maps"
 	"slices"
+	"strings"
 
 	"github.com/skylarkpond/skylarkpond/contract/admin"
 	"github.com/skylarkpond/skylarkpond/contract/settings"
@@ -11,7 +13,7 @@
 
 // progress compares the groups that exist with those that the settings want, service by service, sorted
 // by name. Services that are no longer declared are listed while groups of theirs remain.
-func progress(snapshot *settings.Snapshot, groups []admin.GroupStatus) []admin.ServiceStatus {
+func progress(snapshot *settings.Snapshot, groups []admin.GroupStatus, held []admin.Held) []admin.ServiceStatus {
 	rows := make(map[string]*admin.ServiceStatus)
 	if snapshot != nil {
 		for name, service := range snapshot.Services {
@@ -28,6 +30,7 @@
 	}
 	services := make([]admin.ServiceStatus, 0, len(rows))
 	for _, name := range slices.Sorted(maps.Keys(rows)) {
+		rows[name].Note = noteOf(name, held)
 		services = append(services, *rows[name])
 	}
 	return services
@@ -50,3 +53,27 @@
 		row.Current++
 	}
 }
+
+// namedDomains bounds the fabric domains that a note names for one reason: a roll may wait in hundreds.
+const namedDomains = 3
+
+// noteOf says why more is not done for a service: each reason once, with the fabric domains it holds in.
+func noteOf(service string, held []admin.Held) string {
+	domains := make(map[string][]string)
+	for _, h := range held {
+		if h.Service == service && !slices.Contains(domains[h.Reason], h.FabricDomain) {
+			domains[h.Reason] = append(domains[h.Reason], h.FabricDomain)
+		}
+	}
+	var notes []string
+	for _, reason := range slices.Sorted(maps.Keys(domains)) {
+		slices.Sort(domains[reason])
+		named := domains[reason][:min(namedDomains, len(domains[reason]))]
+		note := reason + " (" + strings.Join(named, ", ")
+		if more := len(domains[reason]) - len(named); more > 0 {
+			note += fmt.Sprintf(" and %d more", more)
+		}
+		notes = append(notes, note+")")
+	}
+	return strings.Join(notes, "; ")
+}
--- a/entry/operator/server.go
+++ b/entry/operator/server.go
@@ -154,7 +154,7 @@
 func (s *Server) getStatus(req *restful.Request, resp *restful.Response) {
 	status, err := s.deps.Status.Status(req.Request.Context())
 	if err == nil {
-		status.Services = progress(s.deps.Snapshots.Snapshot(), status.Groups)
+		status.Services = progress(s.deps.Snapshots.Snapshot(), status.Groups, status.Held)
 	}
 	answer(resp, status, err)
 }
--- a/entry/providers.go
+++ b/entry/providers.go
@@ -226,10 +226,11 @@
 
 func provideOverview(
 	config Config, members *member.Members, table *fleet.Table, inForce *settingsInForce, client *peer.Client,
-	recorder *timeline.Recorder,
+	recorder *timeline.Recorder, controller *controller.Controller,
 ) *overview {
 	return &overview{
 		self: config.Name, members: members, table: table, inForce: inForce, client: client, recorder: recorder,
+		controller: controller,
 	}
 }
 
--- a/entry/status.go
+++ b/entry/status.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"strings"
@@ -8,6 +9,7 @@
 	"time"
 
 	"github.com/skylarkpond/skylarkpond/contract/admin"
+	"github.com/skylarkpond/skylarkpond/entry/controller"
 	"github.com/skylarkpond/skylarkpond/entry/fleet"
 	"github.com/skylarkpond/skylarkpond/entry/member"
 	"github.com/skylarkpond/skylarkpond/link/peer"
@@ -16,8 +18,8 @@
 
 // Paths of the calls that gather for an operator.
 const (
-	pathInForce = "/peer/v1/in-force"
-	pathEvents  = "/peer/v1/events"
+	pathStatus = "/peer/v1/status"
+	pathEvents = "/peer/v1/events"
 )
 
 const (
@@ -27,11 +29,14 @@
 	gatherers = 16
 )
 
-// inForce is what an entry says of its settings.
-type inForceAnswer struct {
+// selfStatus is what an entry says of itself.
+type selfStatus struct {
+	// Version is that of the settings in force.
 	Version uint64 `cbor:"1,keyasint"`
 	// Since is in Unix milliseconds, by the answering entry's clock.
 	Since int64 `cbor:"2,keyasint"`
+	// Held is what the entry can't do as a controller.
+	Held []admin.Held `cbor:"3,keyasint,omitempty"`
 }
 
 // overview gathers status and time lines over all entries, when an operator asks. Between questions it
@@ -43,19 +48,35 @@
 	inForce  *settingsInForce
 	client   *peer.Client
 	recorder *timeline.Recorder
+	// controller is this entry's own.
+	controller *controller.Controller
 }
 
 func (o *overview) register(server *peer.Server) {
-	peer.Handle(server, pathInForce, func(context.Context, string, struct{}) (inForceAnswer, error) {
-		return o.ownInForce(), nil
+	peer.Handle(server, pathStatus, func(context.Context, string, struct{}) (selfStatus, error) {
+		return o.ownStatus(), nil
 	})
 	peer.Handle(server, pathEvents, func(_ context.Context, _ string, query admin.TimelineQuery) ([]timeline.Event, error) {
 		return o.ownEvents(query), nil
 	})
 }
 
-func (o *overview) ownInForce() inForceAnswer {
-	return inForceAnswer{Version: o.inForce.Snapshot().Version, Since: o.inForce.Since().UnixMilli()}
+func (o *overview) ownStatus() selfStatus {
+	return selfStatus{Version: o.inForce.Snapshot().Version, Since: o.inForce.Since().UnixMilli(), Held: o.ownHeld()}
+}
+
+func (o *overview) ownHeld() []admin.Held {
+	var held []admin.Held
+	for _, status := range o.controller.Status() {
+		domain := string(status.Domain)
+		for service, reason := range status.Held {
+			held = append(held, admin.Held{FabricDomain: domain, Service: service, Reason: reason})
+		}
+		if status.Problem != "" {
+			held = append(held, admin.Held{FabricDomain: domain, Reason: status.Problem})
+		}
+	}
+	return held
 }
 
 // Status implements operator.StatusSource.
@@ -63,10 +84,13 @@
 	status := admin.Status{Reporter: o.self, At: time.Now().UnixMilli(), Groups: o.groups()}
 	peers := append(o.members.Peers(), o.members.Self())
 	status.Entries = make([]admin.EntryStatus, len(peers))
+	held := make([][]admin.Held, len(peers))
 	live := o.liveNames()
 	o.gather(len(peers), func(i int) {
-		status.Entries[i] = o.entryStatus(ctx, peers[i], live[peers[i].Name])
+		status.Entries[i], held[i] = o.entryStatus(ctx, peers[i], live[peers[i].Name])
 	})
+	status.Held = slices.Concat(held...)
+	slices.SortFunc(status.Held, compareHeld)
 	slices.SortFunc(status.Entries, func(a, b admin.EntryStatus) int { return strings.Compare(a.Name, b.Name) })
 	return status, nil
 }
@@ -97,32 +121,37 @@
 	pool.Wait()
 }
 
-func (o *overview) entryStatus(ctx context.Context, p member.Peer, live bool) admin.EntryStatus {
+func compareHeld(a, b admin.Held) int {
+	return cmp.Or(
+		strings.Compare(a.FabricDomain, b.FabricDomain), strings.Compare(a.Service, b.Service), strings.Compare(a.Reason, b.Reason))
+}
+
+func (o *overview) entryStatus(ctx context.Context, p member.Peer, live bool) (admin.EntryStatus, []admin.Held) {
 	status := admin.EntryStatus{
 		Name: p.Name, Place: p.Place, FailureDomain: p.FailureDomain, AdminAddress: p.AdminAddress,
 		Incarnation: p.Incarnation, Live: live, Leaving: p.Leaving,
 	}
-	answer, err := o.askInForce(ctx, p, live)
+	answer, err := o.askStatus(ctx, p, live)
 	if err != nil {
 		status.Problem = err.Error()
-		return status
+		return status, nil
 	}
 	status.SettingsVersion = answer.Version
 	status.SettingsSince = answer.Since
-	return status
+	return status, answer.Held
 }
 
-func (o *overview) askInForce(ctx context.Context, p member.Peer, live bool) (inForceAnswer, error) {
+func (o *overview) askStatus(ctx context.Context, p member.Peer, live bool) (selfStatus, error) {
 	if p.Self {
-		return o.ownInForce(), nil
+		return o.ownStatus(), nil
 	}
 	if !live && p.State == member.Dead {
-		return inForceAnswer{}, errNotLive
+		return selfStatus{}, errNotLive
 	}
 	ctx, cancel := context.WithTimeout(ctx, gatherTimeout)
 	defer cancel()
-	var answer inForceAnswer
-	err := o.client.Call(ctx, p.PeerAddress, pathInForce, struct{}{}, &answer)
+	var answer selfStatus
+	err := o.client.Call(ctx, p.PeerAddress, pathStatus, struct{}{}, &answer)
 	return answer, err
 }
 
--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -46,7 +46,7 @@
 	front := provideFront(config, entrySettingsInForce, entryDispatcher, router, records, recorder, measures2)
 	gate := &drain.Gate{}
 	directory := provideDirectory(members, entrySettingsInForce, gate, entryDispatcher)
-	entryOverview := provideOverview(config, members, table, entrySettingsInForce, client, recorder)
+	entryOverview := provideOverview(config, members, table, entrySettingsInForce, client, recorder, controller)
 	server := provideOperator(config, store, entrySettingsInForce, mirrorMirror, follower, entryOverview, recorder, measures2, log, guard)
 	peerServer := providePeerServer(self, members)
 	v := provideSettled()
--- a/pondctl/rig_test.go
+++ b/pondctl/rig_test.go
@@ -126,6 +126,7 @@
 			{Name: "e3", SettingsVersion: 1},
 		},
 		Groups: []admin.GroupStatus{{Group: vm.Group{ID: "g1", Service: "desk", State: vm.Serving}, Whole: true}},
+		Held:   []admin.Held{{FabricDomain: "f1", Service: "desk", Reason: "loads are paced"}, {FabricDomain: "f2", Reason: "the platform is out"}},
 	}, nil
 }
 
--- a/pondctl/show.go
+++ b/pondctl/show.go
@@ -93,6 +93,7 @@
 		writeEntries(w, answer.Entries)
 		fmt.Fprintln(w)
 		writeServices(w, answer.Services)
+		writeHeldDomains(w, answer.Held)
 		if groups {
 			fmt.Fprintln(w)
 			writeGroups(w, answer.Groups)
@@ -131,15 +132,24 @@
 }
 
 func writeServices(w io.Writer, services []admin.ServiceStatus) {
-	rows := [][]string{{"SERVICE", "WANTED", "SERVING", "UP TO DATE", "CHANGING"}}
+	rows := [][]string{{"SERVICE", "WANTED", "SERVING", "UP TO DATE", "CHANGING", "NOTE"}}
 	for _, s := range services {
 		rows = append(rows, []string{
-			s.Name, strconv.Itoa(s.Wanted), strconv.Itoa(s.Serving), strconv.Itoa(s.Current), strconv.Itoa(s.Changing),
+			s.Name, strconv.Itoa(s.Wanted), strconv.Itoa(s.Serving), strconv.Itoa(s.Current), strconv.Itoa(s.Changing), s.Note,
 		})
 	}
 	table(w, rows)
 }
 
+// writeHeldDomains names the fabric domains whose controller can't work; what holds up a service is noted there.
+func writeHeldDomains(w io.Writer, held []admin.Held) {
+	for _, h := range held {
+		if h.Service == "" {
+			fmt.Fprintf(w, "fabric domain %s is held up: %s\n", h.FabricDomain, h.Reason)
+		}
+	}
+}
+
 func writeGroups(w io.Writer, groups []admin.GroupStatus) {
 	rows := [][]string{{"GROUP", "SERVICE", "FABRIC", "STATE", "WHOLE", "HOME", "VERSION", "MEMBERS", "NOTE"}}
 	for _, g := range groups {
