An entry that loses a fabric domain stops showing its gauges

controller.groups_down and controller.stranded_accelerators kept their last value at an entry that no longer controls the domain, and for services that are gone, so that an alarm on them would never end. The new test failed with both gauges of the domain left; a domain's gauges are now replaced as a whole, and taken away with it.

--- a/entry/controller/controller.go
+++ b/entry/controller/controller.go
@@ -205,6 +205,9 @@
 
 // end gives the work back, with its status for Status, and drops it if the domain is not owned any more.
 func (c *Controller) end(w *work, keep bool) {
+	if !keep {
+		w.showGauges(nil)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	w.busy = false
--- a/entry/controller/cost_test.go
+++ b/entry/controller/cost_test.go
@@ -69,6 +69,27 @@
 		Expect(c.Status()[0].Down).To(Equal(map[string]int{"chat": 1}))
 	})
 
+	// An entry loses a domain while a replica is missing there. The gauge of the missing replica would stay with
+	// it at 1, and whoever has an alarm on it would be called for a replica that serves.
+	It("go from the gauges of an entry with the domain", func() {
+		w := newWorld(2)
+		d := w.deps("a")
+		c := controller.New(d)
+		rounds(w, c, 1)
+		gauges := func() (names []string) {
+			d.Metrics.Each(func(name string, metric any) {
+				if _, ok := metric.(metrics.Gauge); ok {
+					names = append(names, name)
+				}
+			})
+			return names
+		}
+		Expect(gauges()).To(ConsistOf(controller.MetricDown+"chat."+fabric, controller.MetricStrandedNow+fabric))
+		d.Owners.(*owners).live = nil
+		rounds(w, c, 1)
+		Expect(gauges()).To(BeEmpty())
+	})
+
 	// The platform answers with an empty list. Taken at its word, it would drain every replica.
 	It("does not believe an empty list while members answer", func() {
 		w := newWorld(2)
--- a/entry/controller/measure.go
+++ b/entry/controller/measure.go
@@ -39,11 +39,12 @@
 	for name, down := range w.plan.DownGroups {
 		w.count(MetricDowntime+name, since*time.Duration(down))
 	}
+	w.count(MetricStranded, since*time.Duration(w.plan.Stranded))
+	gauges := map[string]int{MetricStrandedNow + string(w.fabric): w.plan.Stranded}
 	for name := range w.plan.Targets {
-		w.gauge(MetricDown+name+"."+string(w.fabric), w.plan.DownGroups[name])
+		gauges[MetricDown+name+"."+string(w.fabric)] = w.plan.DownGroups[name]
 	}
-	w.count(MetricStranded, since*time.Duration(w.plan.Stranded))
-	w.gauge(MetricStrandedNow+string(w.fabric), w.plan.Stranded)
+	w.showGauges(gauges)
 	w.recordMeasures()
 }
 
@@ -51,8 +52,18 @@
 	metrics.GetOrRegisterCounter(name, w.c.Metrics).Inc(d.Milliseconds())
 }
 
-func (w *work) gauge(name string, value int) {
-	metrics.GetOrRegisterGauge(name, w.c.Metrics).Update(int64(value))
+// showGauges replaces the domain's gauges. One that stayed behind, of a service that is gone or at an entry that
+// lost the domain, would keep its last value, and an alarm on it would never end.
+func (w *work) showGauges(gauges map[string]int) {
+	for name := range w.gauges {
+		if _, kept := gauges[name]; !kept {
+			w.c.Metrics.Unregister(name)
+		}
+	}
+	for name, value := range gauges {
+		metrics.GetOrRegisterGauge(name, w.c.Metrics).Update(int64(value))
+	}
+	w.gauges = gauges
 }
 
 // recordMeasures tells the time line when a measure changes.
--- a/entry/controller/work.go
+++ b/entry/controller/work.go
@@ -52,6 +52,7 @@
 	rivalSeen time.Time
 
 	measured     time.Time
+	gauges       map[string]int
 	lastMeasured string
 }
 
