--- a/test/settings_test.go
+++ b/test/settings_test.go
@@ -103,6 +103,37 @@
 		c.waitLive(e[0], e...)
 	})
 
+	// The entry dies before its write took effect, and pondctl goes on to the next entry by itself.
+	It("are taken by another entry when the first one dies with its write under way", func() {
+		ana := c.operator("ana", e[4], e[0])
+		ana.edit(chatNode)
+		c.holdWrite(standinplatform.Hold{Count: 1, Drop: true})
+		result := c.inBackground(ana, chatNode)
+		c.waitHeld()
+		e[4].kill()
+		c.release()
+		expectCode(result, pondctl.ExitOK)
+		c.restart(e[4])
+		c.waitLive(e[0], e...)
+	})
+
+	// The answer of a write is lost, and before its entry has asked what became of it somebody changes the same
+	// node again. The first operator must learn of both: that the change was accepted, and that it was replaced.
+	It("are told as accepted and replaced when both happen before the answer", func() {
+		ana := c.operator("ana", e[0])
+		ana.edit(chatNode)
+		c.holdWrite(standinplatform.Hold{After: true, Count: 1, Drop: true})
+		first := c.inBackground(ana, chatNode)
+		c.waitHeld()
+		c.operator("bob", e[1]).change(chatNode)
+		c.release()
+		var t applyResult
+		Eventually(first, generous).Should(Receive(&t))
+		Expect(t.code).To(Equal(pondctl.ExitConflict), t.String())
+		Expect(t.applied.Status).To(Equal(settings.Accepted), t.String())
+		Expect(t.applied.Superseded).To(ConsistOf(chatNode))
+	})
+
 	// A write lies somewhere on the way and takes effect after others have changed the settings, when its entry
 	// has asked anew or is about to. Taken then, it would bring back the tree that it was made from.
 	DescribeTable("stay when an earlier write takes effect late",
