--- a/test/settings_test.go
+++ b/test/settings_test.go
@@ -153,23 +153,33 @@
 	)
 
 	// The entry that takes a change in is frozen with its write under way, as when its VM is moved. Another
-	// operator changes the same node through another entry. The old write comes after that and must not
-	// undo it, and its operator must not be told that it was accepted.
-	It("stay when the write of an entry that froze comes after them", func() {
-		ana := c.operator("ana", e[4])
-		ana.edit(chatNode)
-		bob := ana.colleague("bob", e[0])
-		c.holdWrite(standinplatform.Hold{Count: 1})
-		first := c.inBackground(ana, chatNode)
-		c.waitHeld()
-		e[4].freeze()
-		t := bob.change(chatNode)
-		c.release()
-		c.expectInForce(t.applied.Version, e[:4]...)
-		e[4].wake()
-		expectCode(first, pondctl.ExitConflict)
-		c.waitLive(e[0], e...)
-	})
+	// operator changes the same node through another entry, before the old write takes effect or after. A late
+	// write must not undo the newer change, and its operator must not be told that it was accepted; one that did
+	// take effect must be told so, also if it was replaced meanwhile.
+	DescribeTable("stay while an entry is frozen that wrote them or is about to write others",
+		func(after bool, want settings.Status) {
+			ana := c.operator("ana", e[4])
+			ana.edit(chatNode)
+			c.holdWrite(standinplatform.Hold{Count: 1, After: after})
+			first := c.inBackground(ana, chatNode)
+			c.waitHeld()
+			e[4].freeze()
+			newer := c.operator("bob", e[0]).change(chatNode)
+			c.expectInForce(newer.applied.Version, e[:4]...)
+			if after { // it hears of the newer change first, then has the answer for its own
+				e[4].wake()
+				c.expectInForce(newer.applied.Version, e[4])
+			}
+			c.release()
+			e[4].wake()
+			var t applyResult
+			Eventually(first, generous).Should(Receive(&t))
+			Expect(t.applied.Status).To(Equal(want), t.String())
+			c.waitLive(e[0], e...)
+		},
+		Entry("frozen before its write took effect", false, settings.Conflicted),
+		Entry("frozen after its write took effect", true, settings.Accepted),
+	)
 
 	// Connections to the platform break again and again, and each new watch repeats what was long before.
 	It("come into force once, and stay, while watches drop and repeat old changes", func() {
@@ -193,10 +203,22 @@
 		c.outage(standinplatform.OutageDrop)
 		c.expectInForce(t.applied.Version, e...)
 		Expect(bob.apply(chatNode).code).To(Equal(pondctl.ExitFailure))
+		code, _, progress := bob.run("pull", bob.dir)
+		Expect(code).To(Equal(pondctl.ExitFailure))
+		Expect(progress).To(ContainSubstring("own copy may be old"))
 		c.outage(standinplatform.OutageNone)
 		c.release()
 	})
 
+	It("are accepted and come into force while the platform is slow", func() {
+		slow := int64(500)
+		ana := c.operator("ana", e[0])
+		ana.edit(chatNode)
+		c.switchPlatform(standinplatform.Switches{DelayMillis: &slow})
+		c.expectInForce(expectAccepted(ana.apply(chatNode)).applied.Version, e...)
+		c.switchPlatform(standinplatform.Switches{DelayMillis: new(int64)})
+	})
+
 	It("come into force at entries that are cut off from the platform, not from each other", func() {
 		for _, each := range e[1:] {
 			each.toPlatform.setCut(true)
@@ -209,7 +231,8 @@
 	})
 
 	// Two entries are cut off from all others, and reach the platform. An operator changes settings on either
-	// side of the cut, and each side has to work by both changes before the cut is mended.
+	// side of the cut, and each side has to work by both changes before the cut is mended. Then one of them loses the
+	// platform too, and has to catch up once it hears the others again.
 	It("come into force at entries that are cut off from each other, not from the platform", func() {
 		c.isolate(e[3], true)
 		c.isolate(e[4], true)
@@ -218,8 +241,14 @@
 		c.operator("ana", e[0]).change(chatNode)
 		t := c.operator("bob", e[4]).change(chatNode)
 		c.expectInForce(t.applied.Version, e...)
+
+		e[3].toPlatform.setCut(true)
+		t = c.operator("ana", e[0]).change(chatNode)
+		c.expectInForce(t.applied.Version, e[:3]...)
 		c.isolate(e[3], false)
 		c.isolate(e[4], false)
+		c.expectInForce(t.applied.Version, e[3]) // from the others alone
+		e[3].toPlatform.setCut(false)
 		c.waitLive(e[0], e...)
 	})
 
