--- a/internal/standin/engine/controls.go
+++ b/internal/standin/engine/controls.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 
 	"github.com/emicklei/go-restful/v3"
 
@@ -17,8 +18,10 @@
 	service.Route(service.GET("/vms").To(func(_ *restful.Request, response *restful.Response) {
 		writeJSON(response, h.VMs())
 	}))
-	service.Route(service.GET("/runs").To(func(_ *restful.Request, response *restful.Response) {
-		writeLines(response, h.Runs())
+	service.Route(service.GET("/runs").To(func(request *restful.Request, response *restful.Response) {
+		skip, _ := strconv.Atoi(request.QueryParameter("skip")) // those that a test has read already
+		runs := h.Runs()
+		writeLines(response, runs[min(skip, len(runs)):])
 	}))
 	service.Route(service.GET("/orders").To(func(_ *restful.Request, response *restful.Response) {
 		writeLines(response, h.Orders())
--- a/internal/standin/platform/controls.go
+++ b/internal/standin/platform/controls.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"reflect"
 	"slices"
+	"strconv"
 
 	"github.com/emicklei/go-restful/v3"
 	"github.com/rotisserie/eris"
@@ -20,9 +21,11 @@
 // controls returns the calls of tests.
 func (p *Platform) controls() *restful.WebService {
 	service := new(restful.WebService).Path("/standin")
-	service.Route(service.GET("/history").To(func(_ *restful.Request, response *restful.Response) {
+	service.Route(service.GET("/history").To(func(request *restful.Request, response *restful.Response) {
 		encoder := json.NewEncoder(response)
-		for _, change := range p.History() {
+		skip, _ := strconv.Atoi(request.QueryParameter("skip")) // those that a test has read already
+		history := p.History()
+		for _, change := range history[min(skip, len(history)):] {
 			_ = encoder.Encode(change)
 		}
 	}))
--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -54,6 +54,8 @@
 	entries  []*entryProcess
 	cuts     *cuts
 	desk     desk
+	// read is what was read of the growing logs.
+	read logs
 	// peerBytes counts what passed between entries.
 	peerBytes atomic.Int64
 }
@@ -277,10 +279,14 @@
 
 func (c *cluster) runs() []standinengine.Run {
 	GinkgoHelper()
-	return lines[standinengine.Run](c.engines + "/standin/runs")
+	return c.read.runs.more(func(known int) []standinengine.Run {
+		return lines[standinengine.Run](fmt.Sprintf("%s/standin/runs?skip=%d", c.engines, known))
+	})
 }
 
 func (c *cluster) history() []standinplatform.Change {
 	GinkgoHelper()
-	return lines[standinplatform.Change](c.platform + "/standin/history")
+	return c.read.history.more(func(known int) []standinplatform.Change {
+		return lines[standinplatform.Change](fmt.Sprintf("%s/standin/history?skip=%d", c.platform, known))
+	})
 }
--- a/test/trail_test.go
+++ b/test/trail_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"os"
 	"path/filepath"
 	"strings"
 
@@ -54,21 +53,14 @@
 // teamOfCallers is the team of all callers.
 const teamOfCallers = "dev"
 
-// timelines reads what the entries have written. The last line of a killed entry may be cut.
+// timelines reads what the entries have written.
 func (c *cluster) timelines() []timeline.Event {
 	GinkgoHelper()
 	paths, err := filepath.Glob(filepath.Join(c.dir, "*.timeline"))
 	Expect(err).NotTo(HaveOccurred())
 	var all []timeline.Event
 	for _, path := range paths {
-		text, err := os.ReadFile(path)
-		Expect(err).NotTo(HaveOccurred())
-		for line := range strings.Lines(string(text)) {
-			var event timeline.Event
-			if json.Unmarshal([]byte(line), &event) == nil {
-				all = append(all, event)
-			}
-		}
+		all = append(all, c.read.timeline(path).events()...)
 	}
 	return all
 }
