A group's home moves without a refusal

Five seconds after they start, entries become homes; a home that has just got a group had asked no member, refused, and told the fronts that the group is not whole. Change: a new home asks before it refuses, and tells nothing before it knows; an old home goes on for five seconds, looking at the members as ever. Ruled out: retries at the front; the one other group is gone in this spec.

--- a/entry/adapters.go
+++ b/entry/adapters.go
@@ -9,6 +9,7 @@
 	"github.com/skylarkpond/skylarkpond/entry/fleet"
 	"github.com/skylarkpond/skylarkpond/entry/member"
 	"github.com/skylarkpond/skylarkpond/entry/mirror"
+	"github.com/skylarkpond/skylarkpond/entry/prober"
 	"github.com/skylarkpond/skylarkpond/entry/reach"
 	"github.com/skylarkpond/skylarkpond/link/platform"
 	"github.com/skylarkpond/skylarkpond/vm"
@@ -45,12 +46,13 @@
 	self     string
 	table    *fleet.Table
 	presence *vm.Presence
+	prober   *prober.Prober
 }
 
-// Lookup implements home.Groups.
+// Lookup implements home.Groups. An entry that was home until a moment ago still counts as one.
 func (p placed) Lookup(id vm.GroupID) (group vm.Group, homed, ok bool) {
 	group, _, ok = p.table.Group(id)
-	return group, ok && p.table.HomeOf(id) == p.self, ok
+	return group, ok && (p.table.HomeOf(id) == p.self || p.prober.Serves(id)), ok
 }
 
 // Whole implements home.Presence.
@@ -60,6 +62,10 @@
 		return false, "not placed"
 	}
 	whole, gap := p.presence.Whole(&group, time.Now())
+	if gap.Why == vm.WhySilent {
+		p.prober.Settle(group)
+		whole, gap = p.presence.Whole(&group, time.Now())
+	}
 	return whole, gap.String()
 }
 
--- a/entry/prober/prober.go
+++ b/entry/prober/prober.go
@@ -10,9 +10,12 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/singleflight"
+
 	"github.com/skylarkpond/skylarkpond/contract"
 	"github.com/skylarkpond/skylarkpond/entry/fleet"
 	"github.com/skylarkpond/skylarkpond/link/engine"
+	"github.com/skylarkpond/skylarkpond/link/platform"
 	"github.com/skylarkpond/skylarkpond/timeline"
 	"github.com/skylarkpond/skylarkpond/vm"
 )
@@ -29,6 +32,7 @@
 // Groups is the table of groups.
 type Groups interface {
 	Homed(entry string) []vm.Group
+	Group(id vm.GroupID) (vm.Group, platform.Version, bool)
 	Report(report fleet.Report)
 }
 
@@ -47,13 +51,19 @@
 
 	jobs chan job
 
-	mu       sync.Mutex // guards what follows; a leaf lock
+	mu       sync.Mutex // guards what follows; only the lock of presence is taken under it
 	told     map[vm.GroupID]told
 	reported time.Time
 	loads    map[vm.GroupID]headLoad
 	draining map[vm.GroupID]time.Time // when this home first saw the group draining
+	tenures  map[vm.GroupID]tenure
+
+	probing singleflight.Group // probes on demand, by group
 }
 
+// tenure is for how long this entry has been home to a group.
+type tenure struct{ first, last time.Time }
+
 // headLoad is what the head of a group reported, and the time for which it is true.
 type headLoad struct {
 	load engine.Load
@@ -63,6 +73,8 @@
 type job struct {
 	group  vm.Group
 	member vm.Member
+	// homed says that this entry is the home, so that others are told what changed.
+	homed bool
 }
 
 type told struct {
@@ -102,6 +114,7 @@
 		told:     make(map[vm.GroupID]told),
 		loads:    make(map[vm.GroupID]headLoad),
 		draining: make(map[vm.GroupID]time.Time),
+		tenures:  make(map[vm.GroupID]tenure),
 	}
 }
 
@@ -128,19 +141,28 @@
 // probes: answers then grow stale and groups count as not whole, which is the safe side.
 func (p *Prober) round() {
 	homed := p.groups.Homed(p.self)
+	left := p.noteHomed(homed, time.Now())
 	for _, group := range homed {
 		p.tellChange(group)
-		for _, member := range group.Members {
-			select {
-			case p.jobs <- job{group: group, member: member}:
-			default:
-			}
+		p.hand(group, true)
+	}
+	for _, id := range left {
+		if group, _, ok := p.groups.Group(id); ok {
+			p.hand(group, false)
 		}
 	}
-	p.forgetOthers(homed)
 	p.refresh()
 }
 
+func (p *Prober) hand(group vm.Group, homed bool) {
+	for _, member := range group.Members {
+		select {
+		case p.jobs <- job{group: group, member: member, homed: homed}:
+		default:
+		}
+	}
+}
+
 func (p *Prober) work(ctx context.Context) {
 	for {
 		select {
@@ -167,7 +189,9 @@
 	if j.member.VM == j.group.Head().VM {
 		p.keepLoad(j.group.ID, state.Load, sent)
 	}
-	p.tellChange(j.group)
+	if j.homed {
+		p.tellChange(j.group)
+	}
 }
 
 func (p *Prober) keepLoad(id vm.GroupID, load engine.Load, probed time.Time) {
@@ -208,6 +232,9 @@
 	}
 	now := time.Now()
 	whole, gap := p.presence.Whole(&group, now)
+	if gap.Why == vm.WhySilent && p.settling(group.ID, now) {
+		return
+	}
 	next := told{whole: whole, epoch: group.Epoch, gap: gap, drain: p.drainOf(group, now)}
 	before, known := p.note(group.ID, next)
 	if known && before.same(next) {
@@ -275,25 +302,3 @@
 	}
 	p.recorder.Record(event)
 }
-
-// forgetOthers drops what is known of groups that have another home now or are gone.
-func (p *Prober) forgetOthers(homed []vm.Group) {
-	keep := make(map[vm.GroupID]bool, len(homed))
-	for _, group := range homed {
-		keep[group.ID] = true
-	}
-	p.mu.Lock()
-	var gone []vm.GroupID
-	for id := range p.told {
-		if !keep[id] {
-			gone = append(gone, id)
-			delete(p.told, id)
-			delete(p.loads, id)
-			delete(p.draining, id)
-		}
-	}
-	p.mu.Unlock()
-	for _, id := range gone {
-		p.presence.Forget(id)
-	}
-}
--- /dev/null
+++ b/entry/prober/prober_test.go
@@ -0,0 +1,83 @@
+package prober
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/skylarkpond/skylarkpond/contract"
+	"github.com/skylarkpond/skylarkpond/entry/fleet"
+	"github.com/skylarkpond/skylarkpond/link/engine"
+	"github.com/skylarkpond/skylarkpond/link/platform"
+	"github.com/skylarkpond/skylarkpond/timeline"
+	"github.com/skylarkpond/skylarkpond/vm"
+)
+
+func TestProber(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Prober")
+}
+
+var group = vm.Group{
+	ID: "g", State: vm.Serving, Epoch: 3,
+	Members: []vm.Member{{VM: "a", Address: "a", BootID: "boot-a"}, {VM: "b", Address: "b", BootID: "boot-b"}},
+}
+
+// world is a table of groups and backend servers that all answer.
+type world struct {
+	engine.Client
+	homed []vm.Group
+	told  []fleet.Report
+}
+
+func (w *world) Homed(string) []vm.Group                             { return w.homed }
+func (w *world) Group(vm.GroupID) (vm.Group, platform.Version, bool) { return group, 1, true }
+func (w *world) Report(fleet.Report)                                 {}
+func (w *world) Probe(_ context.Context, at string) (engine.State, error) {
+	return engine.State{VM: vm.Name(at), BootID: vm.BootID("boot-" + at), Group: "g", Epoch: 3, Ready: true}, nil
+}
+
+func (w *world) prober(paused *bool) (*Prober, *vm.Presence) {
+	presence := vm.NewPresence()
+	return New(Deps{
+		Self: "self", Groups: w, Client: w, Presence: presence, Recorder: timeline.NewRecorder("self", nil, time.Now),
+		LoadOf: func(vm.GroupID) contract.GroupLoad { return contract.GroupLoad{} },
+		Tell:   func(r fleet.Report) { w.told = append(w.told, r) },
+		Paused: func() bool { return *paused }, Interval: func() time.Duration { return time.Hour },
+	}), presence
+}
+
+var _ = Describe("A home", func() {
+	// An entry comes or leaves, and a group's home moves. Until the new home has asked the members it knows
+	// nothing: callers of a service with one group were refused, and fronts told that the group is not whole.
+	It("that has just got a group asks its members before it refuses, and tells nobody that it is not whole", func() {
+		paused := false
+		w := &world{homed: []vm.Group{group}}
+		p, presence := w.prober(&paused)
+		p.round()
+		Expect(w.told).To(BeEmpty())
+		p.Settle(group)
+		whole, gap := presence.Whole(&group, time.Now())
+		Expect(whole).To(BeTrue(), gap.String())
+		Expect(w.told[len(w.told)-1].Statuses).To(HaveExactElements(HaveField("Whole", true)))
+	})
+
+	// Entries hear of the change some seconds apart. A front that has not heard yet sends to the old home.
+	It("that has lost a group serves it on for a moment, unless it was paused, and then forgets it", func() {
+		paused := false
+		w := &world{homed: []vm.Group{group}}
+		p, _ := w.prober(&paused)
+		now := time.Now()
+		p.noteHomed(w.homed, now)
+		Expect(p.noteHomed(nil, now.Add(handover-time.Millisecond))).To(ConsistOf(group.ID))
+		Expect(p.Serves(group.ID)).To(BeTrue())
+		paused = true
+		Expect(p.Serves(group.ID)).To(BeFalse())
+		paused = false
+		Expect(p.noteHomed(nil, now.Add(handover))).To(BeEmpty())
+		Expect(p.Serves(group.ID)).To(BeFalse())
+	})
+})
--- a/entry/providers.go
+++ b/entry/providers.go
@@ -82,8 +82,8 @@
 
 func provideTable(homes *homes) *fleet.Table { return fleet.New(homes.Steady, time.Now) }
 
-func providePlaced(config Config, table *fleet.Table, presence *vm.Presence) placed {
-	return placed{self: config.Name, table: table, presence: presence}
+func providePlaced(config Config, table *fleet.Table, presence *vm.Presence, prober *prober.Prober) placed {
+	return placed{self: config.Name, table: table, presence: presence, prober: prober}
 }
 
 // purgesPerSecond leaves the platform's several hundred writes a second to claims and answers. It purges
--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -38,7 +38,7 @@
 	guard := provideGuard(config, store, follower, engineClient, recorder, measures2)
 	entrySettingsInForce := newSettingsInForce(recorder, log)
 	controller := provideController(self, reach, store, engineClient, entryOwners, mirrorMirror, table, entrySettingsInForce, recorder, measures2, log, follower)
-	entryPlaced := providePlaced(config, table, presence)
+	entryPlaced := providePlaced(config, table, presence, prober)
 	records := provideAttempts(store)
 	home := provideHome(self, entryPlaced, admissionAdmission, records, engineClient, entrySettingsInForce, recorder, guard)
 	entryDispatcher := provideDispatcher(self, table, home, members, client, recorder, admissionAdmission)
