--- a/cmd/skylarkpond/main.go
+++ b/cmd/skylarkpond/main.go
@@ -2,6 +2,7 @@
 //
 //	skylarkpond serve   serves as one entry
 //	skylarkpond check   checks the flags and the platform, and starts nothing
+//	skylarkpond gateway serves callers of a platform whose backend servers register themselves
 //	skylarkpond dev     serves on loopback, with stand-ins for the platform and the backend servers
 package main
 
@@ -16,13 +17,15 @@
 
 	"github.com/skylarkpond/skylarkpond/dev"
 	"github.com/skylarkpond/skylarkpond/entry"
+	"github.com/skylarkpond/skylarkpond/entry/gateway"
 )
 
 // arguments are the subcommands.
 type arguments struct {
-	Serve *entry.Config `arg:"subcommand:serve" help:"serve as one entry"`
-	Check *entry.Config `arg:"subcommand:check" help:"check the settings of this process and whether the platform answers"`
-	Dev   *dev.Config   `arg:"subcommand:dev" help:"serve on loopback with stand-ins for the platform and the backend servers"`
+	Serve   *entry.Config   `arg:"subcommand:serve" help:"serve as one entry"`
+	Check   *entry.Config   `arg:"subcommand:check" help:"check the settings of this process and whether the platform answers"`
+	Gateway *gateway.Config `arg:"subcommand:gateway" help:"serve callers of a platform whose backend servers register themselves"`
+	Dev     *dev.Config     `arg:"subcommand:dev" help:"serve on loopback with stand-ins for the platform and the backend servers"`
 }
 
 // Description is shown by --help.
@@ -52,6 +55,9 @@
 	case args.Check != nil:
 		check(args.Check.Check())
 		exit(entry.CheckPlatform(ctx, *args.Check, os.Stdout))
+	case args.Gateway != nil:
+		check(args.Gateway.Check())
+		exit(gateway.Serve(ctx, *args.Gateway))
 	case args.Dev != nil:
 		check(args.Dev.Check())
 		exit(dev.Run(ctx, *args.Dev, os.Stdout))
--- /dev/null
+++ b/entry/gateway/assemble.go
@@ -0,0 +1,151 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/skylarkpond/skylarkpond/contract/route"
+	"github.com/skylarkpond/skylarkpond/domain"
+	"github.com/skylarkpond/skylarkpond/entry/catalog"
+	"github.com/skylarkpond/skylarkpond/entry/drain"
+	"github.com/skylarkpond/skylarkpond/entry/grouping"
+	"github.com/skylarkpond/skylarkpond/entry/lease"
+	"github.com/skylarkpond/skylarkpond/entry/relay"
+	"github.com/skylarkpond/skylarkpond/entry/roster"
+	"github.com/skylarkpond/skylarkpond/entry/turn"
+	store "github.com/skylarkpond/skylarkpond/link/platform"
+	"github.com/skylarkpond/skylarkpond/link/upstream"
+	"github.com/skylarkpond/skylarkpond/platform"
+	directory "github.com/skylarkpond/skylarkpond/policy/directory"
+	"github.com/skylarkpond/skylarkpond/policy/retry"
+)
+
+func assemble(config Config) (*Gateway, error) {
+	level, err := logrus.ParseLevel(config.LogLevel)
+	if err != nil {
+		return nil, err
+	}
+	log := logrus.New()
+	log.SetFormatter(&logrus.JSONFormatter{})
+	log.SetLevel(level)
+	log.SetOutput(os.Stdout)
+	g := &Gateway{
+		config: config, log: log.WithField("entry", config.Name), registry: metrics.NewRegistry(),
+		pool: upstream.NewPool(), gate: &drain.Gate{}, started: time.Now(),
+	}
+	client := store.NewClient("http://"+config.Platform, store.WithWire(platform.Objects{}), store.WithMetrics(g.registry),
+		store.WithSource(sourceOf(config.Callers)), store.WithRates(store.Rates{
+			Shared: config.PlatformRate * (1 - reservedShare), Reserved: config.PlatformRate * reservedShare,
+		}))
+	g.catalog = catalog.New(catalog.Deps{
+		Store: client, Lost: g.platformLost, Regained: g.platformRegained, Unreadable: g.unreadable, Config: g.configInForce,
+	})
+	g.roster = roster.New(roster.Deps{
+		Store: client, Self: selfOf(config), Choice: directory.DefaultConfig(), Keep: config.addressTTL(),
+		Dead: func(string) bool { return false },
+		Failed: func(doing string, err error) {
+			g.log.WithError(err).Warn(doing + " failed")
+		},
+	})
+	g.lease = lease.New(lease.Deps{
+		Store: client, Linked: func() bool { return false }, Changed: g.leaseChanged,
+		Self: lease.Holder{Entry: config.Name, Address: config.Peer, Token: uuid.NewString()},
+	})
+	g.controller = grouping.New(grouping.Deps{
+		Pool: g.pool, Table: g.catalog.Table, Listing: g.catalog.Listing, Held: g.lease.Held, Epoch: g.lease.Version,
+		Early: g.early, Event: g.groupEvent,
+	})
+	g.catalog.OnServers(g.controller.Wake)
+	g.local = turn.NewLocal(g.catalog.Listing, g.catalog.Table)
+	g.relay = relay.New(relay.Deps{
+		Table: g.catalog.Table, Turns: g.local, Pool: g.pool, Retries: relay.NewRetries(retryConfig(config)),
+		FailureDomain: domain.FailureDomain(config.FailureDomain), Report: g.requestEnded, Random: rand.Float64,
+	})
+	return g, nil
+}
+
+// reservedShare is the part of the platform rate that only writes may use.
+const reservedShare = 0.2
+
+func sourceOf(address string) net.IP {
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil // Check has refused it
+	}
+	return parsed.Addr().AsSlice()
+}
+
+func selfOf(config Config) store.Entry {
+	return store.Entry{
+		Name: config.Name, PublicAddress: config.Callers, PeerAddress: config.Peer, AdminAddress: config.Metrics,
+		Place: config.Place, FailureDomain: config.FailureDomain,
+	}
+}
+
+const (
+	// retryShare of the ratio that all entries may use is given out by each for its own first tries; the rest covers windows
+	// in which load falls.
+	retryShare = 0.8
+	// retryBurst is what one entry may repeat at once, when a group breaks under it.
+	retryBurst = 6
+)
+
+func retryConfig(config Config) retry.Config {
+	c := retry.DefaultConfig()
+	c.Share = config.RetryRatio * retryShare
+	c.PerSecond = 0.2
+	c.Burst = retryBurst
+	return c
+}
+
+// earlyFor is how long after a first start callers have surely not come.
+const earlyFor = 9 * time.Second
+
+func (g *Gateway) early() bool {
+	return g.config.First && time.Since(g.started) < earlyFor && g.relay.InProgress() == 0
+}
+
+func (g *Gateway) platformLost(kind store.Kind, err error) {
+	g.log.WithError(err).WithField("kind", kind).Warn("platform lost")
+}
+
+func (g *Gateway) platformRegained(kind store.Kind, away time.Duration) {
+	g.log.WithFields(logrus.Fields{"kind": kind, "away_ms": away.Milliseconds()}).Info("platform regained")
+}
+
+func (g *Gateway) unreadable(object store.Object, err error) {
+	g.log.WithError(err).WithFields(logrus.Fields{"kind": object.Kind, "object": object.Name}).Warn("object left out")
+}
+
+func (g *Gateway) configInForce(table *route.Table) {
+	g.log.WithField("config_version", table.Version).Info("configuration in force")
+}
+
+func (g *Gateway) leaseChanged(holder lease.Holder, held bool) {
+	g.log.WithFields(logrus.Fields{"holder": holder.Entry, "held": held}).Info("lease")
+}
+
+func (g *Gateway) groupEvent(event grouping.Event) {
+	g.log.WithFields(logrus.Fields{
+		"group": event.Group.String(), "vm": event.VM, "model": event.Model, "detail": event.Detail, "took_ms": event.Took.Milliseconds(),
+	}).Info(string(event.Kind))
+}
+
+func (g *Gateway) requestEnded(report relay.Report) {
+	metrics.GetOrRegisterCounter("requests."+string(report.Outcome), g.registry).Inc(1)
+	if report.Outcome == relay.Served {
+		return
+	}
+	g.log.WithFields(logrus.Fields{
+		"request": report.ID, "route": report.Route, "team": report.Team, "service": report.Service, "model": report.Model,
+		"outcome": report.Outcome, "status": report.Status, "detail": report.Detail, "config_version": report.ConfigVersion,
+		"attempts": report.Attempts, "servers": report.Servers, "resumed": report.Resumed, "took_ms": report.Took.Milliseconds(),
+	}).Info("request ended")
+}
--- /dev/null
+++ b/entry/gateway/config.go
@@ -0,0 +1,74 @@
+// Package gateway assembles the process that serves callers of a platform whose backend servers register themselves: it
+// forwards requests as they are, answers which entries to use, and takes its part in forming groups.
+package gateway
+
+import (
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Config is what the process is told at its start, by flag or environment variable.
+type Config struct {
+	Name          string  `arg:"--name,env:POND_NAME,required" help:"name of this entry, unique and stable over restarts"`
+	Place         string  `arg:"--place,env:POND_PLACE,required" help:"place (region) this entry is in"`
+	FailureDomain string  `arg:"--failure-domain,env:POND_FAILURE_DOMAIN,required" help:"failure domain this entry is in"`
+	Callers       string  `arg:"--caller-address,env:POND_CALLER_ADDRESS,required" help:"IP:port for callers' requests"`
+	Ready         string  `arg:"--ready-address,env:POND_READY_ADDRESS,required" help:"IP:port for readiness checks"`
+	Directory     string  `arg:"--directory-address,env:POND_DIRECTORY_ADDRESS,required" help:"IP:port for callers that ask which entries to use"`
+	Peer          string  `arg:"--peer-address,env:POND_PEER_ADDRESS,required" help:"IP:port for other entries (UDP)"`
+	Metrics       string  `arg:"--metrics-address,env:POND_METRICS_ADDRESS,required" help:"IP:port for metrics, as text"`
+	Platform      string  `arg:"--platform-address,env:POND_PLATFORM_ADDRESS,required" help:"IP:port of the platform's object API"`
+	PlatformRate  float64 `arg:"--platform-rate,env:POND_PLATFORM_RATE" default:"40" help:"calls a second this entry may make to the platform"`
+	First         bool    `arg:"--first-start,env:POND_FIRST_START" help:"the whole system starts for the first time, and no caller has come yet"`
+	MemoryMB      int     `arg:"--memory-mb,env:POND_MEMORY_MB" default:"206" help:"memory of this VM, in MB"`
+	// The bounds that operators promise to their callers.
+	AddressTTL   float64 `arg:"--address-ttl,env:POND_ADDRESS_TTL" default:"5" help:"seconds for which callers may keep an answer of the directory, at most"`
+	Grace        float64 `arg:"--stop-grace,env:POND_STOP_GRACE" default:"8" help:"seconds from a request to stop until the process is killed"`
+	RetryRatio   float64 `arg:"--retry-ratio,env:POND_RETRY_RATIO" default:"0.2" help:"repeats that all entries may send to a service, as a share of its requests"`
+	LogLevel     string  `arg:"--log-level,env:POND_LOG_LEVEL" default:"info" help:"error, warn, info or debug"`
+	LogQueueSize int     `arg:"--log-queue,env:POND_LOG_QUEUE" default:"1024" help:"log lines that wait for a slow reader before further ones are dropped and counted"`
+}
+
+// ErrConfig is wrapped by every fault of a Config.
+var ErrConfig = eris.New("invalid setting")
+
+// Check returns all faults of the settings, each with the setting's name and what would be right.
+func (c *Config) Check() error {
+	var faults []string
+	check := func(ok bool, setting, right string) {
+		if !ok {
+			faults = append(faults, setting+": "+right)
+		}
+	}
+	for _, address := range []struct{ setting, value string }{
+		{"--caller-address", c.Callers},
+		{"--ready-address", c.Ready},
+		{"--directory-address", c.Directory},
+		{"--peer-address", c.Peer},
+		{"--metrics-address", c.Metrics},
+		{"--platform-address", c.Platform},
+	} {
+		_, err := netip.ParseAddrPort(address.value)
+		check(err == nil, address.setting, "must be IP:port by number, such as 10.0.0.7:8080, not \""+address.value+"\"")
+	}
+	check(c.Name != "", "--name", "must not be empty")
+	check(c.PlatformRate >= 1 && c.PlatformRate <= 10_000, "--platform-rate", "must be between 1 and 10000 calls a second")
+	check(c.AddressTTL >= 1 && c.AddressTTL <= 3600, "--address-ttl", "must be between 1 and 3600 seconds")
+	check(c.Grace >= 1 && c.Grace <= 3600, "--stop-grace", "must be between 1 and 3600 seconds")
+	check(c.RetryRatio >= 0 && c.RetryRatio <= 1, "--retry-ratio", "must be between 0 and 1")
+	check(c.MemoryMB >= 32, "--memory-mb", "must be 32 or more")
+	check(c.LogQueueSize >= 1, "--log-queue", "must be 1 or more")
+	if len(faults) == 0 {
+		return nil
+	}
+	return eris.Wrap(ErrConfig, strings.Join(faults, "; "))
+}
+
+func (c *Config) addressTTL() time.Duration {
+	return time.Duration(c.AddressTTL * float64(time.Second))
+}
+
+func (c *Config) grace() time.Duration { return time.Duration(c.Grace * float64(time.Second)) }
--- /dev/null
+++ b/entry/gateway/gateway.go
@@ -0,0 +1,234 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/skylarkpond/skylarkpond/entry/catalog"
+	"github.com/skylarkpond/skylarkpond/entry/drain"
+	"github.com/skylarkpond/skylarkpond/entry/grouping"
+	"github.com/skylarkpond/skylarkpond/entry/lease"
+	"github.com/skylarkpond/skylarkpond/entry/relay"
+	"github.com/skylarkpond/skylarkpond/entry/roster"
+	"github.com/skylarkpond/skylarkpond/entry/turn"
+	"github.com/skylarkpond/skylarkpond/link/upstream"
+	"github.com/skylarkpond/skylarkpond/platform"
+	directory "github.com/skylarkpond/skylarkpond/policy/directory"
+)
+
+// Gateway is one assembled process. Run makes it work.
+type Gateway struct {
+	config     Config
+	log        *logrus.Entry
+	registry   metrics.Registry
+	catalog    *catalog.Catalog
+	roster     *roster.Roster
+	lease      *lease.Lease
+	controller *grouping.Controller
+	relay      *relay.Relay
+	local      *turn.Local
+	pool       *upstream.Pool
+	gate       *drain.Gate
+	leaving    atomic.Bool
+	started    time.Time
+}
+
+// Serve runs one gateway until ctx ends and it has drained.
+func Serve(ctx context.Context, config Config) error {
+	// Memory is bounded well below that of the VM, so that the collector works harder before the process is killed.
+	debug.SetMemoryLimit(int64(config.MemoryMB) << 20 / 2)
+	g, err := assemble(config)
+	if err != nil {
+		return err
+	}
+	return g.Run(ctx)
+}
+
+// Run serves until ctx ends, then drains.
+func (g *Gateway) Run(ctx context.Context) error {
+	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer stopWork()
+	servers, err := g.listen()
+	if err != nil {
+		return err
+	}
+	g.log.Info("started")
+	failed := make(chan error, 1)
+	for _, server := range servers {
+		go func() { failed <- server.serve() }()
+	}
+	for _, role := range []func(context.Context){g.catalog.Run, g.roster.Run, g.lease.Run, g.controller.Run, g.sweep} {
+		running.Go(func() { role(work) })
+	}
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+		g.drain(servers)
+		return nil
+	}
+}
+
+// sweepEvery is how often what is no longer needed is let go.
+const sweepEvery = time.Second
+
+func (g *Gateway) sweep(ctx context.Context) {
+	for ctx.Err() == nil {
+		select {
+		case <-time.After(sweepEvery):
+		case <-ctx.Done():
+		}
+		listing := g.catalog.Listing()
+		g.pool.Sweep(func(to upstream.Endpoint) bool {
+			server := listing.Servers[to.ID]
+			return server != nil && upstream.EndpointOf(server) == to
+		})
+		g.local.Sweep()
+	}
+}
+
+// server is one listener with its handler.
+type server struct {
+	http     *http.Server
+	listener net.Listener
+}
+
+func (s *server) serve() error {
+	err := s.http.Serve(s.listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		select {} // it was closed in order; Run returns
+	}
+	return err
+}
+
+const (
+	// idleTimeout is above what operators tell callers, so that it is the caller who closes an idle connection.
+	idleTimeout = 60 * time.Second
+	// headerTimeout and headerBytes bound a request's header.
+	headerTimeout = 5 * time.Second
+	headerBytes   = 16 << 10
+)
+
+func (g *Gateway) listen() ([]*server, error) {
+	mux := []struct {
+		address string
+		handler http.Handler
+	}{
+		{g.config.Callers, g.gate.Wrap(g.relay)},
+		{g.config.Ready, http.HandlerFunc(g.ready)},
+		{g.config.Directory, http.HandlerFunc(g.lookup)},
+		{g.config.Metrics, http.HandlerFunc(g.metrics)},
+	}
+	var servers []*server
+	for _, m := range mux {
+		listener, err := net.Listen("tcp", m.address)
+		if err != nil {
+			return nil, eris.Wrap(err, "listening at "+m.address)
+		}
+		servers = append(servers, &server{
+			listener: listener,
+			http: &http.Server{
+				Handler: m.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+				ErrorLog: log.New(io.Discard, "", 0), // what matters of a request is reported by the relay
+			},
+		})
+	}
+	return servers, nil
+}
+
+// ready answers the platform's checks.
+func (g *Gateway) ready(w http.ResponseWriter, request *http.Request) {
+	if request.URL.Path != platform.PathReady {
+		http.NotFound(w, request)
+		return
+	}
+	if g.leaving.Load() || g.catalog.Table() == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// lookup tells a caller which entries to use.
+func (g *Gateway) lookup(w http.ResponseWriter, request *http.Request) {
+	if request.URL.Path != platform.PathLookup {
+		http.NotFound(w, request)
+		return
+	}
+	asked := platform.DecodeLookup(request)
+	addresses, keep := g.roster.Answer(directory.Caller{Place: asked.Region, FailureDomain: asked.Zone})
+	body, err := json.Marshal(platform.NewLookupAnswer(addresses, keep))
+	if err != nil || len(addresses) == 0 {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(body) // a caller that is gone asks again
+}
+
+func (g *Gateway) metrics(w http.ResponseWriter, _ *http.Request) {
+	metrics.WriteOnce(g.registry, w)
+}
+
+// drainLook is how often a stopping process looks whether its requests are done.
+const drainLook = 20 * time.Millisecond
+
+// drain is the planned stop: out of the directory and not ready at once; it serves on while callers may still come, and
+// ends when the grace is nearly over, or earlier once nothing comes any more.
+func (g *Gateway) drain(servers []*server) {
+	g.log.Info("leaving")
+	g.leaving.Store(true)
+	g.gate.Leave()
+	deadline := time.Now().Add(g.config.grace() - graceMargin)
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	go g.roster.Leave(ctx)
+	g.serveOn(ctx)
+	closed := make(chan struct{})
+	go func() {
+		_ = servers[0].http.Shutdown(ctx)
+		close(closed)
+	}()
+	select {
+	case <-closed:
+	case <-ctx.Done():
+	}
+	for g.relay.InProgress() > 0 && ctx.Err() == nil {
+		time.Sleep(drainLook)
+	}
+	g.log.WithField("unfinished", g.relay.InProgress()).Info("stopped")
+}
+
+const (
+	// graceMargin is left of the grace, so that the process ends by itself.
+	graceMargin = 300 * time.Millisecond
+	// quietFor is how long no request must have come before the listener is closed.
+	quietFor = 1500 * time.Millisecond
+)
+
+// serveOn returns when callers have stopped coming, or when half of the grace is over.
+func (g *Gateway) serveOn(ctx context.Context) {
+	latest := time.Now().Add(g.config.grace() / 2)
+	quiet := time.Now()
+	for time.Now().Before(latest) && time.Since(quiet) < quietFor && ctx.Err() == nil {
+		if g.relay.InProgress() > 0 {
+			quiet = time.Now()
+		}
+		time.Sleep(drainLook)
+	}
+}
--- /dev/null
+++ b/entry/grouping/dissolve.go
@@ -0,0 +1,140 @@
+package grouping
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/skylarkpond/skylarkpond/backend"
+	"github.com/skylarkpond/skylarkpond/contract/route"
+)
+
+// startDissolve makes a head that is not whole stop serving. The VMs are free once it does.
+func (c *Controller) startDissolve(ctx context.Context, group brokenGroup) {
+	c.mu.Lock()
+	started := c.dissolving[group.key]
+	c.dissolving[group.key] = true
+	c.mu.Unlock()
+	if started {
+		return
+	}
+	c.running.Go(func() {
+		ctx, cancel := context.WithTimeout(ctx, closeTimeout)
+		defer cancel()
+		began := time.Now()
+		err := c.retire(ctx, group.key, group.cancel)
+		c.mu.Lock()
+		delete(c.dissolving, group.key)
+		delete(c.opened, group.key)
+		c.mu.Unlock()
+		event := Event{Kind: GroupDissolved, Group: group.key, VM: group.head.ID, Detail: group.reason, Took: time.Since(began)}
+		if err != nil {
+			event.Kind = GroupStuck
+			event.Detail += ": " + err.Error()
+		}
+		c.deps.Event(event)
+		c.Wake()
+	})
+}
+
+const (
+	// closeTimeout is above the time that a member which leaves waits for its group's work.
+	closeTimeout = 12 * time.Second
+	// closeLook is how often a head that is closing is asked.
+	closeLook = 150 * time.Millisecond
+)
+
+// retire ends the part of a head in a group: it serves no more, and no late order can make it serve. A nil error also
+// means that the head is gone, or has gone on to another group by itself.
+func (c *Controller) retire(ctx context.Context, key backend.GroupKey, cancel bool) error {
+	head, ok := headOf(key.Name)
+	if !ok {
+		return eris.Wrapf(errServing, "head of %s is not known", key)
+	}
+	listed := c.deps.Listing().Servers[head.ID]
+	if listed != nil {
+		head = listed
+	}
+	for {
+		if !c.deps.Held() {
+			return errNotInCharge
+		}
+		report, err := c.engines.report(ctx, head)
+		switch {
+		case err != nil && listed == nil:
+			return nil // its registration has ended and it does not answer: it is gone
+		case eris.Is(err, errOther):
+			return nil // another server has the address
+		case err != nil:
+			return eris.Wrapf(err, "head %s", head.ID)
+		case report.Group.GroupKey != key:
+			return nil
+		}
+		done, err := c.retireStep(ctx, head, key, report, cancel)
+		if done || err != nil {
+			return err
+		}
+		if !pause(ctx, closeLook) {
+			return eris.Wrapf(ctx.Err(), "closing %s", key)
+		}
+	}
+}
+
+// retireStep sends the order that fits the head's state, and says whether the head is out of the group.
+func (c *Controller) retireStep(ctx context.Context, head *backend.Server, key backend.GroupKey, report backend.Report, cancel bool) (bool, error) {
+	switch report.Group.State {
+	case backend.GroupClosing:
+		return false, nil
+	case backend.GroupOpen:
+		order := backend.Order{Kind: backend.OrderClose, Group: key, Cancel: cancel, Expect: report.Orders}
+		err := c.engines.confirm(ctx, head, order, func(r backend.Report) bool {
+			return r.Group.GroupKey != key || r.Group.State != backend.GroupOpen
+		})
+		return false, ignoreRefused(err)
+	}
+	order := backend.Order{Kind: backend.OrderLeave, Group: key, Expect: report.Orders}
+	err := c.engines.confirm(ctx, head, order, func(r backend.Report) bool { return r.Group.GroupKey != key })
+	return err == nil, ignoreRefused(err)
+}
+
+// ignoreRefused lets the next look at the head decide: a refusal means that its state has changed meanwhile.
+func ignoreRefused(err error) error {
+	if eris.Is(err, errRefused) {
+		return nil
+	}
+	return err
+}
+
+// startStaging puts a model's weights on a VM's host.
+func (c *Controller) startStaging(ctx context.Context, engine *route.Engine, server *backend.Server, modelName string) {
+	model, ok := engine.Model(modelName)
+	if !ok || server == nil {
+		return
+	}
+	c.mu.Lock()
+	c.staging[server.ID] = staging{model: modelName, until: time.Now().Add(model.Load + stageMargin), born: server.Born}
+	c.loads.take(1, time.Now().Add(model.Load))
+	c.mu.Unlock()
+	c.running.Go(func() {
+		ctx, cancel := context.WithTimeout(ctx, taskTimeout)
+		defer cancel()
+		event := Event{Kind: StageOrdered, VM: server.ID, Model: modelName}
+		if err := c.stage(ctx, server, modelName); err != nil {
+			event.Kind, event.Detail = StageFailed, err.Error()
+			c.mu.Lock()
+			delete(c.staging, server.ID)
+			c.mu.Unlock()
+		}
+		c.deps.Event(event)
+	})
+}
+
+func (c *Controller) stage(ctx context.Context, server *backend.Server, model string) error {
+	report, err := c.ask(ctx, server)
+	if err != nil {
+		return err
+	}
+	order := backend.Order{Kind: backend.OrderStage, Model: model, Expect: report.Orders}
+	return c.engines.confirm(ctx, server, order, func(r backend.Report) bool { return r.Orders > report.Orders })
+}
--- /dev/null
+++ b/entry/grouping/grouping.go
@@ -0,0 +1,191 @@
+// Package grouping carries out what policy/grouping decides: it forms groups of VMs by orders to their model servers, opens
+// them, and dissolves those that lost a member.
+//
+// What always holds, also while another entry believes that it is in charge, and when orders are carried out late:
+//
+//   - Every order names the count of orders that its VM must have, so that of any number of copies at most one takes effect,
+//     and none after another order.
+//   - The name of a group is never used again. A group is opened only by the task that ordered its joins, and only after each
+//     member has itself reported to be ready under that name and epoch.
+//   - A VM takes a join only after the head of its earlier group has taken an order that ends its part in that group, or
+//     is gone. So a late order to open that head is refused.
+package grouping
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/skylarkpond/skylarkpond/backend"
+	"github.com/skylarkpond/skylarkpond/contract/route"
+	"github.com/skylarkpond/skylarkpond/link/upstream"
+	policy "github.com/skylarkpond/skylarkpond/policy/grouping"
+)
+
+// Deps is what a Controller works with.
+type Deps struct {
+	Pool    *upstream.Pool
+	Table   func() *route.Table
+	Listing func() *backend.Listing
+	// Held says whether this entry is in charge.
+	Held func() bool
+	// Epoch returns a number that no earlier holder of the lease had.
+	Epoch func() uint64
+	// Early says that no caller has come yet.
+	Early func() bool
+	// Event tells what was done or seen.
+	Event func(Event)
+}
+
+// Event is one step, for the log.
+type Event struct {
+	Kind   EventKind
+	Group  backend.GroupKey
+	VM     backend.ID
+	Model  string
+	Detail string
+	Took   time.Duration
+}
+
+// EventKind names a step.
+type EventKind string
+
+// The steps.
+const (
+	GroupForming   EventKind = "group-forming"
+	GroupOpened    EventKind = "group-opened"
+	GroupFailed    EventKind = "group-not-formed"
+	GroupDissolved EventKind = "group-dissolved"
+	GroupStuck     EventKind = "group-not-dissolved"
+	StageOrdered   EventKind = "stage-ordered"
+	StageFailed    EventKind = "stage-failed"
+)
+
+const (
+	// tick is how often the VMs are looked at; changes of the listing come in between.
+	tick = 100 * time.Millisecond
+	// darkFor is how long a VM that did not answer is left out.
+	darkFor = 2 * time.Second
+	// taskTimeout bounds the forming of a group beyond the time of its loads.
+	taskTimeout = 8 * time.Second
+	// stageMargin is how much longer than its time a load is waited for before it counts as lost.
+	stageMargin = 20 * time.Second
+)
+
+// Controller is safe for concurrent use.
+type Controller struct {
+	deps    Deps
+	engines engines
+	wake    chan struct{}
+
+	mu sync.Mutex // guards what follows; a leaf lock
+	// tasks holds the VMs of groups that are being formed, with the model at the head's and nothing at the others'.
+	tasks map[backend.ID]string
+	// dissolving holds the groups that a task dissolves.
+	dissolving map[backend.GroupKey]bool
+	// opened holds groups that were opened and are not yet listed as such, with when.
+	opened map[backend.GroupKey]time.Time
+	// dark holds VMs that did not answer, until when.
+	dark map[backend.ID]time.Time
+	// staging holds the loads that were ordered.
+	staging map[backend.ID]staging
+	loads   *loadPace
+	running sync.WaitGroup
+	inForce bool
+}
+
+type staging struct {
+	model string
+	until time.Time
+	born  int64
+}
+
+// New returns a controller; Run makes it work.
+func New(deps Deps) *Controller {
+	return &Controller{
+		deps: deps, engines: engines{deps.Pool}, wake: make(chan struct{}, 1),
+		tasks: make(map[backend.ID]string), dissolving: make(map[backend.GroupKey]bool),
+		opened: make(map[backend.GroupKey]time.Time), dark: make(map[backend.ID]time.Time),
+		staging: make(map[backend.ID]staging), loads: newLoadPace(),
+	}
+}
+
+// Wake makes the controller look at once.
+func (c *Controller) Wake() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run works until ctx ends.
+func (c *Controller) Run(ctx context.Context) {
+	defer c.running.Wait()
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-c.wake:
+		}
+		c.round(ctx)
+	}
+}
+
+// round looks at all model services and starts what is to be done.
+func (c *Controller) round(ctx context.Context) {
+	if !c.holds() {
+		return
+	}
+	table := c.deps.Table()
+	if table == nil {
+		return
+	}
+	listing := c.deps.Listing()
+	for _, service := range table.Services {
+		if service.Engine == nil || len(service.Engine.Models) == 0 {
+			continue
+		}
+		c.serve(ctx, service, listing.ByService[service.Name])
+	}
+}
+
+// holds forgets what an earlier time in charge has left when this entry takes charge again.
+func (c *Controller) holds() bool {
+	held := c.deps.Held()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if held && !c.inForce {
+		c.loads.restart(time.Now())
+	}
+	c.inForce = held
+	return held
+}
+
+func (c *Controller) serve(ctx context.Context, service route.Service, servers []*backend.Server) {
+	view := c.look(service.Engine, servers)
+	for _, broken := range view.broken {
+		c.startDissolve(ctx, broken)
+	}
+	early := c.deps.Early()
+	view.input.Early = early
+	view.input.Loads = c.availableLoads(service.Engine, early)
+	plan := policy.Decide(view.input)
+	for _, formation := range plan.Form {
+		c.startForming(ctx, service.Engine, view, formation)
+	}
+	for _, stage := range plan.Stage {
+		c.startStaging(ctx, service.Engine, view.servers[backend.ID(stage.VM)], stage.Model)
+	}
+}
+
+func (c *Controller) availableLoads(engine *route.Engine, early bool) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if early {
+		return c.loads.earlyRoom(engine, time.Now())
+	}
+	return c.loads.room(engine, time.Now())
+}
--- /dev/null
+++ b/entry/grouping/view.go
@@ -0,0 +1,177 @@
+package grouping
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/skylarkpond/skylarkpond/backend"
+	"github.com/skylarkpond/skylarkpond/contract/route"
+	policy "github.com/skylarkpond/skylarkpond/policy/grouping"
+)
+
+// view is what one round sees of a service.
+type view struct {
+	input   policy.Input
+	servers map[backend.ID]*backend.Server
+	// broken are groups that serve and are not whole.
+	broken []brokenGroup
+}
+
+// brokenGroup is a group whose head may serve although a member is missing or leaving.
+type brokenGroup struct {
+	key  backend.GroupKey
+	head *backend.Server
+	// cancel says that a member is gone, so that nothing in progress can end.
+	cancel bool
+	reason string
+}
+
+// look sorts the VMs: those in whole groups, those that tasks work on, and those that are free.
+func (c *Controller) look(engine *route.Engine, servers []*backend.Server) *view {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	c.forget(now, servers)
+	v := &view{servers: make(map[backend.ID]*backend.Server, len(servers))}
+	members := make(map[backend.GroupKey][]*backend.Server)
+	for _, server := range servers {
+		v.servers[server.ID] = server
+		if server.Group.Name != "" {
+			members[server.Group.Key()] = append(members[server.Group.Key()], server)
+		}
+	}
+	taken := c.sortGroups(engine, members, v)
+	v.input.Models = policyModels(engine)
+	v.input.Domains = c.domains(servers, taken, now)
+	return v
+}
+
+// sortGroups returns the VMs in groups that serve, with their models, and adds those that are not whole to v.
+func (c *Controller) sortGroups(engine *route.Engine, members map[backend.GroupKey][]*backend.Server, v *view) map[backend.ID]string {
+	taken := make(map[backend.ID]string)
+	for key, list := range members {
+		head := headAmong(list)
+		if head == nil || !(head.Group.State.Serving() || c.justOpened(key)) {
+			continue
+		}
+		model := head.Model
+		for _, member := range list {
+			taken[member.ID] = ""
+		}
+		if reason, cancel := c.gap(engine, list, model); reason != "" {
+			v.broken = append(v.broken, brokenGroup{key: key, head: head, cancel: cancel, reason: reason})
+			continue
+		}
+		taken[head.ID] = model
+	}
+	return taken
+}
+
+func headAmong(members []*backend.Server) *backend.Server {
+	for _, member := range members {
+		if member.Group.Rank == 0 {
+			return member
+		}
+	}
+	return nil
+}
+
+func (c *Controller) justOpened(key backend.GroupKey) bool {
+	_, ok := c.opened[key]
+	return ok
+}
+
+// gap says what keeps a serving group from being whole, and whether its work can't end.
+func (c *Controller) gap(engine *route.Engine, members []*backend.Server, model string) (reason string, cancel bool) {
+	known, ok := engine.Model(model)
+	if ok && len(members) < known.Size {
+		return "a member's registration is gone", true
+	}
+	for _, member := range members {
+		if until, dark := c.dark[member.ID]; dark && time.Now().Before(until) {
+			return "member " + string(member.ID) + " does not answer", true
+		}
+	}
+	for _, member := range members {
+		if member.Leaving {
+			return "member " + string(member.ID) + " is leaving", false
+		}
+	}
+	return "", false
+}
+
+// domains lists the free VMs and counts the groups.
+func (c *Controller) domains(servers []*backend.Server, taken map[backend.ID]string, now time.Time) []policy.Domain {
+	byName := make(map[string]*policy.Domain)
+	for _, server := range servers {
+		name := string(server.Fabric)
+		domain := byName[name]
+		if domain == nil {
+			domain = &policy.Domain{Name: name, Groups: make(map[string]int)}
+			byName[name] = domain
+		}
+		if server.Leaving {
+			continue
+		}
+		domain.Total++
+		if model, busy := taken[server.ID]; busy {
+			if model != "" {
+				domain.Groups[model]++
+			}
+			continue
+		}
+		if model, forming := c.tasks[server.ID]; forming {
+			if model != "" {
+				domain.Groups[model]++
+			}
+			continue
+		}
+		if until, dark := c.dark[server.ID]; dark && now.Before(until) {
+			continue
+		}
+		domain.Free = append(domain.Free, c.free(server))
+	}
+	sorted := make([]policy.Domain, 0, len(byName))
+	for _, name := range slices.Sorted(maps.Keys(byName)) {
+		sorted = append(sorted, *byName[name])
+	}
+	return sorted
+}
+
+func (c *Controller) free(server *backend.Server) policy.VM {
+	vm := policy.VM{ID: string(server.ID), Loaded: server.Model}
+	if len(server.Staged) > 0 {
+		vm.Staged = server.Staged[len(server.Staged)-1]
+	}
+	if order, ok := c.staging[server.ID]; ok {
+		vm.Staging = order.model
+	}
+	return vm
+}
+
+// forget drops what is over.
+func (c *Controller) forget(now time.Time, servers []*backend.Server) {
+	for key, at := range c.opened {
+		if now.Sub(at) > openedFor {
+			delete(c.opened, key)
+		}
+	}
+	for _, server := range servers {
+		order, ok := c.staging[server.ID]
+		if ok && (server.HasStaged(order.model) || now.After(order.until) || server.Born != order.born) {
+			delete(c.staging, server.ID)
+		}
+	}
+}
+
+// openedFor is how long a group that was opened may take to be listed as open.
+const openedFor = 2 * time.Second
+
+func policyModels(engine *route.Engine) []policy.Model {
+	models := make([]policy.Model, 0, len(engine.Models))
+	for _, model := range engine.Models {
+		models = append(models, policy.Model{Name: model.Name, Size: model.Size, Share: model.Share})
+	}
+	return models
+}
--- /dev/null
+++ b/entry/lease/lease.go
@@ -0,0 +1,204 @@
+// Package lease keeps one entry in charge of the groups, by conditional writes of one object.
+//
+// The holder counts the object up once a second. Another entry takes over when it has seen the same version for longer
+// than the holder may act on it, by its own monotonic clock. Nothing that must hold rests on this alone: two entries that
+// both believe they are in charge can't harm each other's groups (package grouping says why). The lease keeps the
+// orders of two from crossing, and the pace of loads in one hand.
+package lease
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+
+	"github.com/skylarkpond/skylarkpond/link/platform"
+)
+
+// Kind and Name are those of the object.
+const (
+	Kind platform.Kind = "leases"
+	Name               = "grouping"
+)
+
+const (
+	// renewEvery is how often the holder writes.
+	renewEvery = time.Second
+	// ActWithin is how long the holder may act after it sent the last confirmed write.
+	ActWithin = 2 * time.Second
+	// takeAfter is how long the object must stand still before another entry takes it. It is above ActWithin by
+	// the time that a write may take.
+	takeAfter = 2500 * time.Millisecond
+	// lookEvery is how often an entry looks that does not hold the lease and has no link to the holder.
+	lookEvery = 500 * time.Millisecond
+)
+
+// Holder is the value of the object.
+type Holder struct {
+	Entry string `json:"entry"`
+	// Address is where the other entries reach the holder, IP:port.
+	Address string `json:"address"`
+	// Fingerprint is that of the holder's certificate.
+	Fingerprint string `json:"fingerprint"`
+	// Token is what the other entries show to the holder. Whoever may read the platform knows it.
+	Token string `json:"token"`
+	Nonce string `json:"nonce"`
+}
+
+// Deps is what a Lease works with.
+type Deps struct {
+	Store platform.Store
+	Self  Holder
+	// Linked says whether this entry hears from the holder, so that it need not ask the platform.
+	Linked func() bool
+	// Changed tells of another holder.
+	Changed func(holder Holder, held bool)
+}
+
+// Lease is safe for concurrent use.
+type Lease struct {
+	deps Deps
+
+	mu sync.Mutex // guards what follows; a leaf lock
+	// holder is the last one seen, at version, which was first seen at since.
+	holder  Holder
+	version platform.Version
+	since   time.Time
+	held    bool
+	// confirmed is when the last confirmed write was sent.
+	confirmed time.Time
+}
+
+// New returns a lease that nobody is known to hold.
+func New(deps Deps) *Lease { return &Lease{deps: deps} }
+
+// Held says whether this entry is in charge and may act now.
+func (l *Lease) Held() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.held && time.Since(l.confirmed) < ActWithin
+}
+
+// Version returns the version of the last write of this entry: a number that no earlier holder had.
+func (l *Lease) Version() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return uint64(l.version)
+}
+
+// Holder returns the last holder seen.
+func (l *Lease) Holder() (Holder, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.holder, l.holder.Entry != ""
+}
+
+// Run takes and renews the lease until ctx ends.
+func (l *Lease) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if l.owns() {
+			l.renew(ctx)
+			pause(ctx, renewEvery)
+			continue
+		}
+		if !l.deps.Linked() {
+			l.look(ctx)
+		}
+		pause(ctx, lookEvery/2+rand.N(lookEvery))
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+func (l *Lease) owns() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.held
+}
+
+// look reads the object, and takes it where it has stood still for long or does not exist.
+func (l *Lease) look(ctx context.Context) {
+	object, err := l.deps.Store.Get(ctx, Kind, Name)
+	if eris.Is(err, platform.ErrNotFound) {
+		l.write(ctx, 0)
+		return
+	}
+	if err != nil {
+		return // an unreachable platform names no holder; the next look asks again
+	}
+	var holder Holder
+	if err := json.Unmarshal(object.Value, &holder); err != nil {
+		holder = Holder{} // an unreadable object is taken over like one that stands still
+	}
+	if l.saw(holder, object.Version) {
+		l.write(ctx, object.Version)
+	}
+}
+
+// saw notes the object and says whether it may be taken.
+func (l *Lease) saw(holder Holder, version platform.Version) bool {
+	l.mu.Lock()
+	changed := holder.Entry != l.holder.Entry || holder.Token != l.holder.Token
+	if version != l.version {
+		l.version = version
+		l.since = time.Now()
+	}
+	l.holder = holder
+	ripe := time.Since(l.since) > takeAfter
+	l.mu.Unlock()
+	if changed {
+		l.deps.Changed(holder, false)
+	}
+	return ripe
+}
+
+func (l *Lease) renew(ctx context.Context) {
+	l.mu.Lock()
+	version := l.version
+	l.mu.Unlock()
+	l.write(ctx, version)
+}
+
+// write replaces the object at version by one that names this entry.
+func (l *Lease) write(ctx context.Context, version platform.Version) {
+	value := l.deps.Self
+	value.Nonce = uuid.NewString()
+	body, err := json.Marshal(value)
+	if err != nil {
+		return // text always encodes
+	}
+	sent := time.Now()
+	bounded, cancel := context.WithTimeout(ctx, ActWithin)
+	defer cancel()
+	written, err := platform.PutConfirmed(bounded, l.deps.Store, Kind, Name, version, body, value.Nonce)
+	l.settle(value, written, sent, err)
+}
+
+// settle notes the outcome of a write. A conflict means that another entry has the lease; after any other failure the next
+// write tells.
+func (l *Lease) settle(value Holder, written platform.Version, sent time.Time, err error) {
+	l.mu.Lock()
+	was := l.held
+	switch {
+	case err == nil:
+		l.held, l.holder, l.version, l.confirmed = true, value, written, sent
+		l.since = time.Now()
+	case eris.Is(err, platform.ErrConflict), eris.Is(err, platform.ErrSuperseded), eris.Is(err, platform.ErrNotFound):
+		l.held = false
+		l.since = time.Now()
+	}
+	held := l.held
+	l.mu.Unlock()
+	if held != was {
+		l.deps.Changed(value, held)
+	}
+}
--- /dev/null
+++ b/entry/relay/event.go
@@ -0,0 +1,54 @@
+package relay
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+)
+
+// event is one whole server-sent event, with the blank line that ends it.
+type event struct {
+	bytes []byte
+	// id is empty where the event has none.
+	id string
+}
+
+// eventReader splits a stream into whole events.
+type eventReader struct {
+	reader *bufio.Reader
+	buffer []byte
+}
+
+// eventBuffer is above the usual event, in bytes.
+const eventBuffer = 1 << 10
+
+func newEventReader(r io.Reader) *eventReader {
+	return &eventReader{reader: bufio.NewReaderSize(r, eventBuffer)}
+}
+
+// next returns the next event, which is valid until the following call. io.EOF is the regular end of the stream; bytes
+// before it without a blank line are the last event.
+func (r *eventReader) next() (event, error) {
+	r.buffer = r.buffer[:0]
+	id := ""
+	for {
+		line, err := r.reader.ReadSlice('\n')
+		r.buffer = append(r.buffer, line...)
+		if err == bufio.ErrBufferFull {
+			continue
+		}
+		if err == io.EOF && len(r.buffer) > 0 {
+			return event{bytes: r.buffer, id: id}, nil
+		}
+		if err != nil {
+			return event{}, err
+		}
+		text := bytes.TrimRight(line, "\r\n")
+		if len(text) == 0 {
+			return event{bytes: r.buffer, id: id}, nil
+		}
+		if value, found := bytes.CutPrefix(text, []byte("id:")); found {
+			id = string(bytes.TrimSpace(value))
+		}
+	}
+}
--- /dev/null
+++ b/entry/relay/exchange.go
@@ -0,0 +1,272 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/skylarkpond/skylarkpond/backend"
+	"github.com/skylarkpond/skylarkpond/contract/route"
+	"github.com/skylarkpond/skylarkpond/entry/turn"
+	"github.com/skylarkpond/skylarkpond/link/upstream"
+	"github.com/skylarkpond/skylarkpond/platform"
+)
+
+// exchange is one caller's request on its way. One goroutine uses it.
+type exchange struct {
+	relay   *Relay
+	writer  http.ResponseWriter
+	request *http.Request
+	ctx     context.Context
+	call    platform.Call
+	arrived time.Time
+	// deadline is the caller's or the route's, whichever is first.
+	deadline time.Time
+	table    *route.Table
+	route    *route.Route
+	team     string
+	priority int
+	service  string
+	body     []byte
+	tried    []backend.ID
+	// attempts counts the sends that reached a server; mayHaveRun says that one of them may have run.
+	attempts   int
+	mayHaveRun bool
+	// begun says that a part of the answer has gone out.
+	begun bool
+	ended Report
+}
+
+func newExchange(r *Relay, w http.ResponseWriter, request *http.Request) *exchange {
+	return &exchange{
+		relay: r, writer: w, request: request, ctx: request.Context(), arrived: time.Now(),
+		call: platform.DecodeCall(request.Header), table: r.deps.Table(),
+	}
+}
+
+func (e *exchange) run() {
+	if !e.admit() || !e.readBody() {
+		return
+	}
+	ctx, cancel := context.WithDeadline(e.request.Context(), e.deadline)
+	defer cancel()
+	e.ctx = ctx
+	e.drive()
+}
+
+// admit finds the route and checks the key. A table that is not known yet says nothing about either.
+func (e *exchange) admit() bool {
+	if e.table == nil {
+		return e.refuse(NoConfig, http.StatusServiceUnavailable, retryUnknown, "no configuration yet")
+	}
+	path, _, _ := strings.Cut(e.request.RequestURI, "?")
+	found, ok := e.table.Match(hostOf(e.request.Host), path)
+	if !ok {
+		return e.refuse(NoRoute, http.StatusNotFound, 0, "no route for this host and path")
+	}
+	e.route = found
+	e.priority = found.Priority
+	if e.table.KeyNeeded(found) && !e.identify() {
+		return e.refuse(NoKey, http.StatusUnauthorized, 0, "no team holds this key")
+	}
+	e.deadline = e.arrived.Add(found.Timeout)
+	if e.call.Left > 0 && e.call.Left < found.Timeout {
+		e.deadline = e.arrived.Add(e.call.Left)
+	}
+	e.service = e.target()
+	return true
+}
+
+func hostOf(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		return name
+	}
+	return host
+}
+
+func (e *exchange) identify() bool {
+	team, ok := e.table.TeamOf(e.call.Key)
+	if !ok {
+		return false
+	}
+	e.team = team.Name
+	if team.Priority != nil {
+		e.priority = *team.Priority
+	}
+	return true
+}
+
+// target draws the service by the weights of the route's targets.
+func (e *exchange) target() string {
+	targets := e.route.Targets
+	sum := 0.0
+	for _, target := range targets {
+		sum += target.Weight
+	}
+	drawn := e.relay.deps.Random() * sum
+	for _, target := range targets {
+		drawn -= target.Weight
+		if drawn < 0 {
+			return target.Service
+		}
+	}
+	return targets[len(targets)-1].Service
+}
+
+// readBody takes the whole body in. It is sent on with its length, and may have to be sent again.
+func (e *exchange) readBody() bool {
+	limit := e.table.Limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	if e.request.ContentLength > limit {
+		return e.refuse(TooLarge, http.StatusRequestEntityTooLarge, 0, "body over the limit")
+	}
+	controller := http.NewResponseController(e.writer)
+	_ = controller.SetReadDeadline(e.deadline)
+	body, err := io.ReadAll(io.LimitReader(e.request.Body, limit+1))
+	if err != nil {
+		e.ended.Outcome = CallerLeft
+		e.ended.Detail = "reading the body: " + err.Error()
+		e.abort()
+	}
+	if int64(len(body)) > limit {
+		return e.refuse(TooLarge, http.StatusRequestEntityTooLarge, 0, "body over the limit")
+	}
+	_ = controller.SetReadDeadline(time.Time{})
+	e.body = body
+	return true
+}
+
+// defaultBodyBytes bounds a body where the configuration says nothing.
+const defaultBodyBytes = 4 << 20
+
+// drive tries servers until one answers, or until the request is given up.
+func (e *exchange) drive() {
+	for {
+		t, refusal := e.relay.deps.Turns.Take(e.ctx, e.ask())
+		if refusal != nil {
+			e.giveUp(refusal)
+			return
+		}
+		if e.attempt(t) {
+			return
+		}
+	}
+}
+
+func (e *exchange) ask() turn.Ask {
+	answer := e.call.AnswerTokens
+	if e.call.LengthHint > 0 {
+		answer = min(answer, e.call.LengthHint)
+	}
+	return turn.Ask{
+		Service: e.service, Model: e.call.Model, PromptTokens: e.call.PromptTokens, AnswerTokens: answer,
+		Priority: e.priority, FirstAnswer: e.route.FirstAnswer, Arrived: e.arrived, Deadline: e.deadline,
+		Tried: e.tried, FailureDomain: e.relay.deps.FailureDomain, Team: e.team,
+	}
+}
+
+// attempt sends the request to one server and returns whether the request is over.
+func (e *exchange) attempt(t *turn.Turn) bool {
+	e.tried = append(e.tried, t.Server.ID)
+	if e.attempts == 0 {
+		e.relay.deps.Retries.FirstTry(e.service)
+	}
+	answer, err := e.send(t, "")
+	if errors.Is(err, upstream.ErrNotSent) {
+		t.Done(turn.Result{Unreachable: true})
+		return e.overUnsent()
+	}
+	e.attempts++
+	if err != nil {
+		t.Done(turn.Result{Failed: e.ctx.Err() == nil})
+		e.mayHaveRun = true
+		return e.overBroken("no answer: " + err.Error())
+	}
+	said := platform.DecodeAnswer(answer.Status, answer.Header)
+	if said.Load != nil {
+		t.Load(said.Load.Running, said.Load.Waiting, said.Load.Slots)
+	}
+	if said.NotRun {
+		_ = answer.Body.Close()
+		t.Done(turn.Result{Rejected: true})
+		return e.overRejected(t)
+	}
+	e.mayHaveRun = true
+	if e.route.Kind == route.Streaming && answer.Status == http.StatusOK {
+		return e.stream(t, answer)
+	}
+	return e.whole(t, answer)
+}
+
+func (e *exchange) send(t *turn.Turn, lastEvent string) (*upstream.Answer, error) {
+	e.ended.Servers = append(e.ended.Servers, string(t.Server.ID))
+	return e.relay.deps.Pool.Send(e.ctx, upstream.EndpointOf(t.Server), &upstream.Request{
+		Method: e.request.Method, Target: e.request.RequestURI, Host: e.request.Host,
+		Header: platform.ForwardHeader(e.request.Header, platform.Forward{
+			Server: t.Server.ID, Team: e.team, Left: time.Until(e.deadline), LastEvent: lastEvent,
+		}),
+		Body: e.body,
+		Owns: func(header http.Header) bool { return platform.Belongs(e.call.ID, header) },
+	})
+}
+
+// maxUnreachable bounds the servers that are tried in vain to connect to. Each takes up to 0.6 s.
+const maxUnreachable = 3
+
+// overUnsent goes on with another server: nothing was sent, so that no budget is drawn on.
+func (e *exchange) overUnsent() bool {
+	if e.ctx.Err() != nil || len(e.tried)-e.attempts >= maxUnreachable {
+		e.giveUp(&turn.Refusal{Reason: turn.NoServer, RetryAfter: retryUnknown, Detail: "servers can't be reached"})
+		return true
+	}
+	return false
+}
+
+// overBroken decides after a send whose outcome is not known.
+func (e *exchange) overBroken(detail string) bool {
+	if e.ctx.Err() != nil || !e.route.Repeatable() || !e.mayTryAgain() {
+		e.fail(detail)
+		return true
+	}
+	return false
+}
+
+// overRejected decides after a server said that it did not run the request.
+func (e *exchange) overRejected(t *turn.Turn) bool {
+	if e.ctx.Err() == nil && e.mayTryAgain() {
+		return false
+	}
+	e.giveUp(&turn.Refusal{Reason: turn.Full, RetryAfter: retryFull, Detail: "rejected by " + string(t.Server.ID)})
+	return true
+}
+
+func (e *exchange) mayTryAgain() bool {
+	return e.attempts < e.route.MaxAttempts && e.relay.deps.Retries.Take(e.service, time.Until(e.deadline))
+}
+
+// whole hands back an answer that is not a stream. It is taken in before any of it goes out, so that one that
+// breaks off can be replaced.
+func (e *exchange) whole(t *turn.Turn, answer *upstream.Answer) bool {
+	body, err := io.ReadAll(answer.Body)
+	_ = answer.Body.Close()
+	if err != nil {
+		t.Done(turn.Result{Failed: e.ctx.Err() == nil})
+		return e.overBroken("answer broke off: " + err.Error())
+	}
+	failed := answer.Status >= http.StatusInternalServerError
+	t.First()
+	t.Done(turn.Result{Failed: failed})
+	if failed && e.route.Kind == route.Idempotent && e.mayTryAgain() {
+		return false
+	}
+	e.ended.First = time.Since(e.arrived)
+	e.answer(answer.Status, platform.AnswerHeader(answer.Header), body)
+	e.ended.Outcome = Served
+	return true
+}
--- /dev/null
+++ b/entry/relay/stream.go
@@ -0,0 +1,151 @@
+package relay
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/skylarkpond/skylarkpond/entry/turn"
+	"github.com/skylarkpond/skylarkpond/link/upstream"
+	"github.com/skylarkpond/skylarkpond/platform"
+)
+
+// Silence after which a stream is resumed elsewhere. A group that has lost a member goes on accepting, and nothing moves
+// until the engine notices, which takes seconds; the caller would have left by then.
+const (
+	// silence is between two events: several times the pass of a loaded engine that reads prompts (about 0.3 s).
+	silence = 900 * time.Millisecond
+	// silenceFirst is before the first event, for which a request may wait in the engine's queue.
+	silenceFirst = 1500 * time.Millisecond
+)
+
+// stream hands on the events of a stream as they come. It returns whether the request is over.
+func (e *exchange) stream(t *turn.Turn, answer *upstream.Answer) bool {
+	if !platform.Signed(answer.Header) {
+		_ = answer.Body.Close()
+		t.Done(turn.Result{Failed: true})
+		return e.overBroken("success without a signature")
+	}
+	head := platform.AnswerHeader(answer.Header)
+	last := e.call.LastEvent
+	for {
+		var err error
+		last, err = e.copyEvents(t, answer, head, last)
+		_ = answer.Body.Close()
+		if err == nil {
+			t.Done(turn.Result{})
+			e.finish(head)
+			return true
+		}
+		quiet := errors.Is(err, os.ErrDeadlineExceeded)
+		t.Done(turn.Result{Failed: !quiet && e.ctx.Err() == nil, Silent: quiet && e.ctx.Err() == nil})
+		t, answer = e.resume(last, "stream broke off: "+err.Error())
+		if t == nil {
+			return true
+		}
+	}
+}
+
+// finish ends a stream whose last event has gone out.
+func (e *exchange) finish(head http.Header) {
+	e.begin(head)
+	e.ended.Outcome = Served
+}
+
+// begin sends the head of the first server's answer, once.
+func (e *exchange) begin(head http.Header) {
+	if e.begun {
+		return
+	}
+	e.begun = true
+	e.ended.Status = http.StatusOK
+	e.ended.First = time.Since(e.arrived)
+	out := e.writer.Header()
+	for name, values := range head {
+		out[name] = values
+	}
+	e.writer.WriteHeader(http.StatusOK)
+}
+
+// copyEvents hands on whole events until the stream ends, and returns the id of the last one that went out. An event
+// that breaks off in its middle does not go out: the stream goes on elsewhere after the last whole one.
+func (e *exchange) copyEvents(t *turn.Turn, answer *upstream.Answer, head http.Header, last string) (string, error) {
+	events := newEventReader(answer.Body)
+	controller := http.NewResponseController(e.writer)
+	first := true
+	for {
+		if err := answer.Body.SetReadDeadline(time.Now().Add(e.patience(first))); err != nil {
+			return last, err
+		}
+		if err := e.ctx.Err(); err != nil {
+			return last, err
+		}
+		event, err := events.next()
+		if err == io.EOF {
+			return last, nil
+		}
+		if err != nil {
+			return last, err
+		}
+		if first {
+			t.First()
+			first = false
+		}
+		e.begin(head)
+		if _, err := e.writer.Write(event.bytes); err != nil {
+			return last, err
+		}
+		if err := controller.Flush(); err != nil {
+			return last, err
+		}
+		if event.id != "" {
+			last = event.id
+		}
+	}
+}
+
+// patience is how long the next event may take. A stream that can't be resumed is waited for to its deadline.
+func (e *exchange) patience(first bool) time.Duration {
+	switch {
+	case !e.route.Resumable || e.attempts >= e.route.MaxAttempts:
+		return time.Until(e.deadline)
+	case first && !e.begun:
+		return silenceFirst
+	}
+	return silence
+}
+
+// resume sends the request again, to go on after the last event that went out. It returns nil when the request is over.
+func (e *exchange) resume(last, detail string) (*turn.Turn, *upstream.Answer) {
+	for {
+		if e.ctx.Err() != nil || !e.route.Resumable || !e.mayTryAgain() {
+			e.fail(detail)
+			return nil, nil
+		}
+		t, refusal := e.relay.deps.Turns.Take(e.ctx, e.ask())
+		if refusal != nil {
+			e.fail(detail + "; " + string(refusal.Reason))
+			return nil, nil
+		}
+		e.tried = append(e.tried, t.Server.ID)
+		answer, err := e.send(t, last)
+		if errors.Is(err, upstream.ErrNotSent) {
+			t.Done(turn.Result{Unreachable: true})
+			continue
+		}
+		e.attempts++
+		if err != nil {
+			t.Done(turn.Result{Failed: e.ctx.Err() == nil})
+			continue
+		}
+		if platform.DecodeAnswer(answer.Status, answer.Header).NotRun || answer.Status != http.StatusOK || !platform.Signed(answer.Header) {
+			_ = answer.Body.Close()
+			t.Done(turn.Result{Rejected: true})
+			continue
+		}
+		e.ended.Resumed = true
+		return t, answer
+	}
+}
--- /dev/null
+++ b/entry/roster/roster.go
@@ -0,0 +1,197 @@
+// Package roster registers this entry with the platform, follows the other entries, and tells callers which to use.
+package roster
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"reflect"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/skylarkpond/skylarkpond/link/platform"
+	policy "github.com/skylarkpond/skylarkpond/policy/directory"
+)
+
+const (
+	// gather is the pause after a change: entries that start together would otherwise end everybody's watch one by one.
+	gather = time.Second
+	// retryPause is the mean pause after a failed call.
+	retryPause = 500 * time.Millisecond
+)
+
+// Deps is what a Roster works with.
+type Deps struct {
+	Store platform.Store
+	Self  platform.Entry
+	// Choice says how many entries a caller is told, and where they stand.
+	Choice policy.Config
+	// Keep is how long a caller may keep an answer.
+	Keep time.Duration
+	// Dead says whether an entry is known to be down.
+	Dead func(name string) bool
+	// Failed tells of a call to the platform that did not succeed.
+	Failed func(doing string, err error)
+}
+
+// Roster is safe for concurrent use.
+type Roster struct {
+	deps Deps
+
+	mu      sync.Mutex // guards entries; a leaf lock
+	entries map[string]platform.Entry
+	leaving bool
+}
+
+// New returns a roster that knows this entry alone.
+func New(deps Deps) *Roster {
+	return &Roster{deps: deps, entries: map[string]platform.Entry{deps.Self.Name: deps.Self}}
+}
+
+// Run registers this entry and follows the others until ctx ends.
+func (r *Roster) Run(ctx context.Context) {
+	var running sync.WaitGroup
+	running.Go(func() { r.publish(ctx, r.deps.Self) })
+	running.Go(func() { r.follow(ctx) })
+	running.Wait()
+}
+
+// Leave takes this entry out of all answers.
+func (r *Roster) Leave(ctx context.Context) {
+	leaving := r.deps.Self
+	leaving.Leaving = true
+	r.mu.Lock()
+	r.leaving = true
+	r.entries[leaving.Name] = leaving
+	r.mu.Unlock()
+	r.publish(ctx, leaving)
+}
+
+// Len returns how many entries are known and not leaving.
+func (r *Roster) Len() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, entry := range r.entries {
+		if !entry.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
+// Answer names entries for a caller, and for how long it may keep the answer.
+func (r *Roster) Answer(caller policy.Caller) ([]string, time.Duration) {
+	r.mu.Lock()
+	candidates := make([]policy.Candidate, 0, len(r.entries))
+	addresses := make(map[string]string, len(r.entries))
+	for name, entry := range r.entries {
+		candidates = append(candidates, policy.Candidate{
+			Name: name, Place: entry.Place, FailureDomain: entry.FailureDomain, Leaving: entry.Leaving, Dead: r.deps.Dead(name),
+		})
+		addresses[name] = entry.PublicAddress
+	}
+	r.mu.Unlock()
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	chosen := policy.Choose(r.deps.Choice, candidates, caller, random)
+	answer := make([]string, 0, len(chosen))
+	for _, candidate := range chosen {
+		answer = append(answer, addresses[candidate.Name])
+	}
+	return answer, r.deps.Keep
+}
+
+// publish writes this entry's object until it is there. An object that says the same already is left alone, so that a
+// restart makes no change for others.
+func (r *Roster) publish(ctx context.Context, entry platform.Entry) {
+	for {
+		done, err := r.publishOnce(ctx, entry)
+		if done || ctx.Err() != nil || r.overtaken(entry) {
+			return
+		}
+		if err != nil {
+			r.deps.Failed("publishing this entry", err)
+		}
+		pause(ctx, retryPause/2+rand.N(retryPause))
+	}
+}
+
+// overtaken says that this entry has begun to leave since.
+func (r *Roster) overtaken(entry platform.Entry) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.leaving && !entry.Leaving
+}
+
+func (r *Roster) publishOnce(ctx context.Context, entry platform.Entry) (bool, error) {
+	held, err := r.deps.Store.Get(ctx, platform.KindEntry, entry.Name)
+	if err != nil && !eris.Is(err, platform.ErrNotFound) {
+		return false, err
+	}
+	var same platform.Entry
+	if err == nil && json.Unmarshal(held.Value, &same) == nil && reflect.DeepEqual(same, entry) {
+		return true, nil
+	}
+	value, err := json.Marshal(entry)
+	if err != nil {
+		return false, err
+	}
+	_, err = r.deps.Store.Put(ctx, platform.KindEntry, entry.Name, held.Version, value)
+	return err == nil, err
+}
+
+func (r *Roster) follow(ctx context.Context) {
+	var revision platform.Version
+	listed := false
+	for ctx.Err() == nil {
+		var changes platform.Changes
+		var err error
+		if listed {
+			changes, err = r.deps.Store.Watch(ctx, platform.KindEntry, revision)
+		} else {
+			changes, err = r.deps.Store.List(ctx, platform.KindEntry)
+		}
+		if err != nil {
+			if ctx.Err() == nil {
+				r.deps.Failed("following the entries", err)
+			}
+			pause(ctx, retryPause/2+rand.N(retryPause))
+			continue
+		}
+		listed = true
+		revision = max(revision, changes.Revision)
+		if len(changes.Objects) > 0 {
+			r.apply(changes)
+			pause(ctx, gather)
+		}
+	}
+}
+
+func (r *Roster) apply(changes platform.Changes) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, object := range changes.Objects {
+		if object.Name == r.deps.Self.Name {
+			continue
+		}
+		if object.Deleted {
+			delete(r.entries, object.Name)
+			continue
+		}
+		var entry platform.Entry
+		if err := json.Unmarshal(object.Value, &entry); err != nil {
+			r.deps.Failed("reading entry "+object.Name, err)
+			continue
+		}
+		r.entries[object.Name] = entry
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/entry/turn/turn.go
@@ -0,0 +1,78 @@
+// Package turn says which backend server a request may be sent to, and when.
+package turn
+
+import (
+	"context"
+	"time"
+
+	"github.com/skylarkpond/skylarkpond/backend"
+	"github.com/skylarkpond/skylarkpond/domain"
+)
+
+// Ask is one request that wants to be sent.
+type Ask struct {
+	Service string
+	// Model is empty for plain services.
+	Model string
+	// PromptTokens and AnswerTokens are what the request is expected to take.
+	PromptTokens, AnswerTokens int
+	Priority                   int
+	// FirstAnswer is the objective for the time to the first part of the answer.
+	FirstAnswer time.Duration
+	// Arrived is when the request came.
+	Arrived  time.Time
+	Deadline time.Time
+	// Tried are the servers that it was sent to.
+	Tried         []backend.ID
+	FailureDomain domain.FailureDomain
+	Team          string
+}
+
+// Reason says why there is no turn.
+type Reason string
+
+// The reasons.
+const (
+	// NoServer: no server of the service, or no open group of the model, is known.
+	NoServer Reason = "no-server"
+	// Full: those that are known have no room within the request's objective.
+	Full Reason = "full"
+	// Spent: the request has been tried on all that could take it.
+	Spent Reason = "tried-all"
+)
+
+// Refusal says that the request gets no turn, and when there will be room.
+type Refusal struct {
+	Reason     Reason
+	RetryAfter time.Duration
+	// Detail is for the log: what the decision was made from.
+	Detail string
+}
+
+// Result is how a turn ended.
+type Result struct {
+	// Unreachable: no connection could be made.
+	Unreachable bool
+	// Rejected: the server said that it did not run the request.
+	Rejected bool
+	// Failed: the answer was broken, wrong, or an error of the server.
+	Failed bool
+	// Silent: the server said nothing for longer than a sound one does.
+	Silent bool
+}
+
+// Turn is the right to send one request to one server.
+type Turn struct {
+	Server *backend.Server
+	// Load tells what the server said of its load.
+	Load func(running, waiting, slots int)
+	// First tells that the first part of the answer came.
+	First func()
+	// Done ends the turn. It is called exactly once.
+	Done func(Result)
+}
+
+// Taker gives turns. Implementations are safe for concurrent use.
+type Taker interface {
+	Take(ctx context.Context, ask Ask) (*Turn, *Refusal)
+}
--- a/link/platform/client.go
+++ b/link/platform/client.go
@@ -8,8 +8,6 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"net/url"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -32,6 +30,7 @@
 	watchTimeout time.Duration
 	limiter      *limiter
 	registry     metrics.Registry
+	wire         Wire
 }
 
 // Defaults of a Client.
@@ -64,17 +63,42 @@
 // WithMetrics counts the calls in registry, under "platform.calls.<kind>.<verb>".
 func WithMetrics(registry metrics.Registry) Option { return func(c *Client) { c.registry = registry } }
 
+// WithWire makes the calls in another platform's form.
+func WithWire(wire Wire) Option { return func(c *Client) { c.wire = wire } }
+
 // WithSource lets all connections come from a local address; nil: the system chooses.
 func WithSource(source net.IP) Option {
 	return func(c *Client) {
 		if source == nil {
 			return
 		}
-		dialer := &net.Dialer{LocalAddr: &net.TCPAddr{IP: source}}
+		dialer := newDialer()
+		dialer.LocalAddr = &net.TCPAddr{IP: source}
 		c.transport.DialContext = dialer.DialContext
 	}
 }
 
+// Bounds of a connection.
+const (
+	// dialTimeout bounds the making of a connection; the platform answers in milliseconds, and a lost first
+	// packet is sent again after a second.
+	dialTimeout = 1500 * time.Millisecond
+	// A waiting watch hears nothing for many seconds, so that only probes tell a connection that has gone
+	// silent from a quiet kind. With these it is noticed after 3 s.
+	keepAliveIdle     = time.Second
+	keepAliveInterval = time.Second
+	keepAliveCount    = 2
+)
+
+func newDialer() *net.Dialer {
+	return &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
+	}}
+}
+
+// errCompacted: the platform no longer has the history that a watch begins at.
+var errCompacted = eris.New("history before this revision is gone")
+
 // NewClient returns a client of the platform at baseURL, such as "http://10.0.0.1:8000".
 func NewClient(baseURL string, opts ...Option) *Client {
 	c := &Client{
@@ -83,10 +107,12 @@
 		watchTimeout: DefaultWatchTimeout,
 		limiter:      newLimiter(DefaultRates),
 		registry:     metrics.NewRegistry(),
+		wire:         ownWire{},
 		transport: &http.Transport{
 			MaxIdleConns:        maxIdleConns,
 			MaxIdleConnsPerHost: maxIdleConns,
 			IdleConnTimeout:     idleConnTimeout,
+			DialContext:         newDialer().DialContext,
 		},
 	}
 	c.http = &http.Client{
@@ -99,40 +125,22 @@
 	return c
 }
 
-// verb names a call for the count of calls.
-type verb string
-
-const (
-	verbGet    verb = "get"
-	verbList   verb = "list"
-	verbPut    verb = "put"
-	verbDelete verb = "delete"
-	verbWatch  verb = "watch"
-)
-
-func (v verb) writes() bool { return v == verbPut || v == verbDelete }
-
-// call is one call on the wire.
-type call struct {
-	verb   verb
-	method string
-	kind   Kind
-	url    string
-	body   []byte
-}
-
 // Get implements Store.
 func (c *Client) Get(ctx context.Context, kind Kind, name string) (Object, error) {
-	var object Object
-	err := c.do(ctx, call{verb: verbGet, method: http.MethodGet, kind: kind, url: c.objectURL(kind, name)}, &object)
-	return object, err
+	return c.object(ctx, Call{Verb: VerbGet, Kind: kind, Name: name})
 }
 
-// List implements Store.
+// List implements Store. Where the list has several pages, it is complete up to the first one's revision,
+// and a watch from there tells again what changed while the others were read.
 func (c *Client) List(ctx context.Context, kind Kind) (Changes, error) {
-	var changes Changes
-	target := c.base + "/v1/objects/" + url.PathEscape(string(kind))
-	err := c.do(ctx, call{verb: verbList, method: http.MethodGet, kind: kind, url: target}, &changes)
+	call := Call{Verb: VerbList, Kind: kind}
+	page, err := c.page(ctx, call)
+	changes := page.Changes
+	for err == nil && page.Next != "" {
+		call.After = page.Next
+		page, err = c.page(ctx, call)
+		changes.Objects = append(changes.Objects, page.Objects...)
+	}
 	return changes, err
 }
 
@@ -141,107 +149,119 @@
 	if len(value) > MaxValueBytes {
 		return 0, eris.Wrapf(ErrTooLarge, "%s/%s: %d bytes", kind, name, len(value))
 	}
-	target := c.objectURL(kind, name) + "?version=" + formatVersion(version)
-	var written Written
-	err := c.do(ctx, call{verb: verbPut, method: http.MethodPut, kind: kind, url: target, body: value}, &written)
-	return written.Version, err
+	object, err := c.object(ctx, Call{Verb: VerbPut, Kind: kind, Name: name, Version: version, Value: value})
+	return object.Version, err
 }
 
 // Delete implements Store.
 func (c *Client) Delete(ctx context.Context, kind Kind, name string, version Version) error {
-	target := c.objectURL(kind, name) + "?version=" + formatVersion(version)
-	return c.do(ctx, call{verb: verbDelete, method: http.MethodDelete, kind: kind, url: target}, nil)
+	_, err := c.do(ctx, Call{Verb: VerbDelete, Kind: kind, Name: name, Version: version})
+	return err
 }
 
-// Watch implements Store.
+// Watch implements Store. A history that the platform has dropped is replaced by a list.
 func (c *Client) Watch(ctx context.Context, kind Kind, after Version) (Changes, error) {
-	var changes Changes
-	target := c.base + "/v1/watch/" + url.PathEscape(string(kind)) + "?after=" + formatVersion(after)
-	err := c.do(ctx, call{verb: verbWatch, method: http.MethodGet, kind: kind, url: target}, &changes)
-	return changes, err
+	page, err := c.page(ctx, Call{Verb: VerbWatch, Kind: kind, Version: after})
+	if eris.Is(err, errCompacted) {
+		return c.List(ctx, kind)
+	}
+	return page.Changes, err
 }
 
-// Written is the platform's answer to a write.
-type Written struct {
-	Version Version `json:"version"`
+func (c *Client) object(ctx context.Context, call Call) (Object, error) {
+	body, err := c.do(ctx, call)
+	if err != nil {
+		return Object{}, err
+	}
+	object, err := c.wire.DecodeObject(call, body)
+	if err != nil {
+		return Object{}, eris.Wrapf(lost(call), "%s %s: %v", call.Verb, call.Kind, err)
+	}
+	return object, nil
 }
 
-func (c *Client) objectURL(kind Kind, name string) string {
-	return c.base + "/v1/objects/" + url.PathEscape(string(kind)) + "/" + url.PathEscape(name)
+func (c *Client) page(ctx context.Context, call Call) (Page, error) {
+	body, err := c.do(ctx, call)
+	if err != nil {
+		return Page{}, err
+	}
+	page, err := c.wire.DecodePage(call, body)
+	if err != nil {
+		return Page{}, eris.Wrapf(lost(call), "%s %s: %v", call.Verb, call.Kind, err)
+	}
+	return page, nil
 }
 
-func formatVersion(v Version) string { return strconv.FormatUint(uint64(v), 10) }
-
-// do waits for the rate limit, makes the call and decodes its answer into reply, unless that is nil.
-func (c *Client) do(ctx context.Context, call call, reply any) error {
-	if err := c.limiter.wait(ctx, call.verb.writes()); err != nil {
-		return eris.Wrapf(ErrThrottled, "%s %s: %v", call.verb, call.kind, err)
+// do waits for the rate limit, makes the call and returns the body of its answer.
+func (c *Client) do(ctx context.Context, call Call) ([]byte, error) {
+	if err := c.limiter.wait(ctx, call.Verb.writes()); err != nil {
+		return nil, eris.Wrapf(ErrThrottled, "%s %s: %v", call.Verb, call.Kind, err)
 	}
 	c.count(call)
 	timeout := c.callTimeout
-	if call.verb == verbWatch {
+	if call.Verb == VerbWatch {
 		timeout = c.watchTimeout
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return c.send(ctx, call, reply)
+	return c.send(ctx, call)
 }
 
-func (c *Client) count(call call) {
-	name := "platform.calls." + string(call.kind) + "." + string(call.verb)
+func (c *Client) count(call Call) {
+	name := "platform.calls." + string(call.Kind) + "." + string(call.Verb)
 	metrics.GetOrRegisterCounter(name, c.registry).Inc(1)
 }
 
 // send makes the call. Once a connection was got, the platform may have taken it: only an answer of the
 // platform itself can then say that a write did not take effect.
-func (c *Client) send(ctx context.Context, call call, reply any) error {
+func (c *Client) send(ctx context.Context, call Call) ([]byte, error) {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	request, err := newRequest(httptrace.WithClientTrace(ctx, trace), call)
+	request, err := c.newRequest(httptrace.WithClientTrace(ctx, trace), call)
 	if err != nil {
-		return eris.Wrapf(ErrUnavailable, "%s %s: %v", call.verb, call.kind, err)
+		return nil, eris.Wrapf(ErrUnavailable, "%s %s: %v", call.Verb, call.Kind, err)
 	}
 	response, err := c.http.Do(request)
 	if err != nil && !connected.Load() {
-		return eris.Wrapf(ErrUnavailable, "%s %s: %v", call.verb, call.kind, err)
+		return nil, eris.Wrapf(ErrUnavailable, "%s %s: %v", call.Verb, call.Kind, err)
 	}
 	if err != nil {
-		return eris.Wrapf(lost(call), "%s %s: %v", call.verb, call.kind, err)
+		return nil, eris.Wrapf(lost(call), "%s %s: %v", call.Verb, call.Kind, err)
 	}
 	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return refusal(call, response)
+	if response.StatusCode != http.StatusOK && response.StatusCode != http.StatusCreated {
+		return nil, refusal(call, response)
 	}
-	if reply == nil {
-		return nil
-	}
-	if err := json.NewDecoder(response.Body).Decode(reply); err != nil {
-		return eris.Wrapf(lost(call), "%s %s: %v", call.verb, call.kind, err)
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return nil, eris.Wrapf(lost(call), "%s %s: %v", call.Verb, call.Kind, err)
 	}
-	// Read to the end, so that the connection can be used again.
-	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxErrorBytes))
-	return nil
+	return body, nil
 }
 
 // oneShot hides what the reader below it is, so that net/http can't rewind it.
 type oneShot struct{ io.Reader }
 
-func newRequest(ctx context.Context, call call) (*http.Request, error) {
-	if call.body == nil {
-		return http.NewRequestWithContext(ctx, call.method, call.url, nil)
+func (c *Client) newRequest(ctx context.Context, call Call) (*http.Request, error) {
+	message, err := c.wire.Encode(call)
+	if err != nil {
+		return nil, err
+	}
+	if message.Body == nil {
+		return http.NewRequestWithContext(ctx, message.Method, c.base+message.Target, nil)
 	}
-	request, err := http.NewRequestWithContext(ctx, call.method, call.url, oneShot{bytes.NewReader(call.body)})
+	request, err := http.NewRequestWithContext(ctx, message.Method, c.base+message.Target, oneShot{bytes.NewReader(message.Body)})
 	if err != nil {
 		return nil, err
 	}
-	request.ContentLength = int64(len(call.body))
+	request.ContentLength = int64(len(message.Body))
 	request.Header.Set("Content-Type", "application/json")
 	return request, nil
 }
 
 // lost is the error of a call whose answer did not come.
-func lost(call call) error {
-	if call.verb.writes() {
+func lost(call Call) error {
+	if call.Verb.writes() {
 		return ErrUnconfirmed
 	}
 	return ErrUnavailable
@@ -249,20 +269,22 @@
 
 // refusal turns an answer that is not 200 into an error. A status that isn't the platform's own word
 // (say, 502 of something in between) leaves a write unconfirmed.
-func refusal(call call, response *http.Response) error {
+func refusal(call Call, response *http.Response) error {
 	text, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
 	return eris.Wrapf(errorOfStatus(call, response.StatusCode), "%s %s: status %d: %s",
-		call.verb, call.kind, response.StatusCode, strings.TrimSpace(string(text)))
+		call.Verb, call.Kind, response.StatusCode, strings.TrimSpace(string(text)))
 }
 
-func errorOfStatus(call call, status int) error {
+func errorOfStatus(call Call, status int) error {
 	switch status {
 	case http.StatusNotFound:
 		return ErrNotFound
-	case http.StatusPreconditionFailed:
+	case http.StatusPreconditionFailed, http.StatusConflict:
 		return ErrConflict
 	case http.StatusRequestEntityTooLarge:
 		return ErrTooLarge
+	case http.StatusGone:
+		return errCompacted
 	case http.StatusTooManyRequests:
 		return ErrThrottled
 	case http.StatusServiceUnavailable, http.StatusBadRequest, http.StatusForbidden, http.StatusMethodNotAllowed:
--- /dev/null
+++ b/policy/grouping/grouping.go
@@ -0,0 +1,296 @@
+// Package grouping decides which VMs form which groups, and which weights to stage ahead.
+//
+// Load pattern: VMs are lost for good every few seconds, now and then a whole fabric domain, and new, empty VMs come.
+// Each loss breaks the group that the VM was in. Weights come from a store that starts only a few loads a second, and a load takes
+// ten times as long as reading the weights from the VM's own host.
+//
+// What goes wrong without it: survivors wait for a replacement of their own group although another group of the domain
+// could be completed with them; a group is formed that needs a load, and all its members wait 12 to 16 s for the one; all loads
+// begin at once and each takes several times as long; one model gets all VMs and the callers of the other are refused.
+//
+// So groups are formed only of VMs that have the weights at hand (except before callers come), models in proportion to the VMs
+// that their demand needs, and loads are spent on staging whatever completes the next group soonest. Some VMs of each domain stay
+// free, with staged weights, while no model is short: a group that loses a member then stands again in two seconds.
+package grouping
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Model is one model of the service.
+type Model struct {
+	Name string
+	// Size is how many VMs one group takes.
+	Size int
+	// Share is the part of the VMs that the model's demand needs.
+	Share float64
+}
+
+// VM is one VM that is in no group that serves or forms.
+type VM struct {
+	ID string
+	// Staged is the model whose weights lie on the host; empty for none.
+	Staged string
+	// Loaded is the model of its last group, which it takes up again at once.
+	Loaded string
+	// Staging is the model that is being staged; empty for none.
+	Staging string
+}
+
+// Domain is one fabric domain. Groups do not cross it.
+type Domain struct {
+	Name string
+	Free []VM
+	// Groups counts the groups that serve or form, by model.
+	Groups map[string]int
+	// Total counts all usable VMs.
+	Total int
+}
+
+// Input is what is known at one moment.
+type Input struct {
+	Models  []Model
+	Domains []Domain
+	// Early says that no caller has come yet: loads are short and groups may be formed that need them.
+	Early bool
+	// Loads is how many loads may begin now.
+	Loads int
+}
+
+// Formation is one group to form. The first member is the head.
+type Formation struct {
+	Domain  string
+	Model   string
+	Members []string
+	// Loads is how many members need the weights from the store.
+	Loads int
+}
+
+// Staging is one VM whose host is to hold a model's weights.
+type Staging struct {
+	VM    string
+	Model string
+}
+
+// Plan is what to do now.
+type Plan struct {
+	Form  []Formation
+	Stage []Staging
+}
+
+const (
+	// SpareShare is the part of a domain's VMs that stays free while no model is short: two of nine. A loss takes one or two
+	// VMs of a domain, so that the group stands again from spares.
+	SpareShare = 0.2
+	// ShortShare is the part of a model's fair number of groups below which it is short, and gets spares too.
+	ShortShare = 0.75
+)
+
+// Decide plans the next steps. Equal inputs give equal plans.
+func Decide(in Input) Plan {
+	d := &decision{in: in, loads: in.Loads, counts: make(map[string]int), free: make([][]VM, len(in.Domains))}
+	for i, domain := range in.Domains {
+		d.free[i] = slices.Clone(domain.Free)
+		d.total += domain.Total
+		for model, n := range domain.Groups {
+			d.counts[model] += n
+		}
+	}
+	for d.formNext() {
+	}
+	d.stage()
+	return d.plan
+}
+
+type decision struct {
+	in    Input
+	loads int
+	// counts are groups by model, those of the plan included.
+	counts map[string]int
+	// free are the VMs left, by domain.
+	free  [][]VM
+	total int
+	plan  Plan
+}
+
+// fair is the number of groups of a model when all VMs serve in proportion to the demand.
+func (d *decision) fair(model Model) float64 {
+	sum := 0.0
+	for _, other := range d.in.Models {
+		sum += other.Share
+	}
+	if sum == 0 {
+		return 0
+	}
+	return model.Share / sum * float64(d.total) / float64(model.Size)
+}
+
+// need is how much a model lacks: higher for one whose groups are few beside its fair number.
+func (d *decision) need(model Model) float64 {
+	return d.fair(model) / (float64(d.counts[model.Name]) + 0.5)
+}
+
+func (d *decision) short(model Model) bool {
+	return float64(d.counts[model.Name]) < ShortShare*d.fair(model)
+}
+
+// candidate is one group that could be formed.
+type candidate struct {
+	domain int
+	model  Model
+	vms    []VM
+	loads  int
+	need   float64
+}
+
+// formNext adds the most needed group to the plan, and returns false when there is none.
+func (d *decision) formNext() bool {
+	var best *candidate
+	for i := range d.in.Domains {
+		for _, model := range d.in.Models {
+			if c := d.candidate(i, model); c != nil && (best == nil || c.better(best)) {
+				best = c
+			}
+		}
+	}
+	if best == nil {
+		return false
+	}
+	d.take(best)
+	return true
+}
+
+// better prefers groups without loads, then the model that lacks more.
+func (c *candidate) better(other *candidate) bool {
+	if (c.loads == 0) != (other.loads == 0) {
+		return c.loads == 0
+	}
+	if c.need != other.need {
+		return c.need > other.need
+	}
+	return c.loads < other.loads
+}
+
+func (d *decision) candidate(i int, model Model) *candidate {
+	free := d.free[i]
+	if len(free) < model.Size {
+		return nil
+	}
+	spares := int(SpareShare * float64(d.in.Domains[i].Total))
+	if len(free)-model.Size < spares && !d.short(model) {
+		return nil
+	}
+	vms := slices.Clone(free)
+	slices.SortStableFunc(vms, func(a, b VM) int {
+		return cmp.Or(cmp.Compare(a.distance(model.Name), b.distance(model.Name)), cmp.Compare(a.ID, b.ID))
+	})
+	vms = vms[:model.Size]
+	loads := 0
+	for _, vm := range vms {
+		if vm.distance(model.Name) >= distanceLoad {
+			loads++
+		}
+	}
+	if loads > 0 && (!d.in.Early || loads > d.loads) {
+		return nil
+	}
+	return &candidate{domain: i, model: model, vms: vms, loads: loads, need: d.need(model)}
+}
+
+// Distances of a VM from serving a model.
+const (
+	distanceLoaded = iota
+	distanceStaged
+	distanceLoad
+	// distanceOther is a load that drops another model's weights.
+	distanceOther
+	// distanceBusy is a VM that is staging another model now.
+	distanceBusy
+)
+
+func (v VM) distance(model string) int {
+	switch {
+	case v.Staging != "":
+		return distanceBusy
+	case v.Loaded == model:
+		return distanceLoaded
+	case v.Staged == model:
+		return distanceStaged
+	case v.Staged == "":
+		return distanceLoad
+	}
+	return distanceOther
+}
+
+func (d *decision) take(c *candidate) {
+	formation := Formation{Domain: d.in.Domains[c.domain].Name, Model: c.model.Name, Loads: c.loads}
+	for _, vm := range c.vms {
+		formation.Members = append(formation.Members, vm.ID)
+		d.free[c.domain] = slices.DeleteFunc(d.free[c.domain], func(other VM) bool { return other.ID == vm.ID })
+	}
+	d.plan.Form = append(d.plan.Form, formation)
+	d.counts[c.model.Name]++
+	d.loads -= c.loads
+}
+
+// stage spends the loads that are left: first on what completes a group soonest, then on spares.
+func (d *decision) stage() {
+	if d.in.Early {
+		return
+	}
+	for i := range d.in.Domains {
+		d.stageDomain(i)
+	}
+}
+
+func (d *decision) stageDomain(i int) {
+	model, ok := d.nextModel(i)
+	if !ok {
+		return
+	}
+	lacking := model.Size - d.atHand(i, model.Name)
+	for _, vm := range d.free[i] {
+		if d.loads <= 0 {
+			return
+		}
+		if vm.Staging != "" || vm.Staged == model.Name {
+			continue
+		}
+		if vm.Staged != "" && lacking <= 0 {
+			continue // it is as good a spare as it is
+		}
+		d.plan.Stage = append(d.plan.Stage, Staging{VM: vm.ID, Model: model.Name})
+		d.loads--
+		lacking--
+	}
+}
+
+func (d *decision) atHand(i int, model string) int {
+	n := 0
+	for _, vm := range d.free[i] {
+		if vm.Staged == model && vm.Staging == "" || vm.Staging == model {
+			n++
+		}
+	}
+	return n
+}
+
+// nextModel is the one whose next group in the domain lacks the fewest loads; where the free VMs make no group, the
+// one that the domain's groups would most likely need a spare of.
+func (d *decision) nextModel(i int) (Model, bool) {
+	var best Model
+	found := false
+	fewest := 0
+	for _, model := range d.in.Models {
+		lacking := max(0, model.Size-d.atHand(i, model.Name))
+		if len(d.free[i]) < model.Size {
+			lacking += len(d.free[i]) + model.Size // not now: behind all that can be completed
+			lacking -= d.in.Domains[i].Groups[model.Name]
+		}
+		if !found || lacking < fewest || (lacking == fewest && d.need(model) > d.need(best)) {
+			best, fewest, found = model, lacking, true
+		}
+	}
+	return best, found
+}
