Groups form and open by orders: reports that tell no start count as of the same life

Cause: reports carry no time of the start, so that each formation took every VM for one that has started again.

--- a/entry/grouping/form.go
+++ b/entry/grouping/form.go
@@ -136,7 +136,7 @@
 // ask reports a VM, and notes one that does not answer.
 func (c *Controller) ask(ctx context.Context, server *backend.Server) (backend.Report, error) {
 	report, err := c.engines.report(ctx, server)
-	if err == nil && server.Born != 0 && report.Born != server.Born {
+	if err == nil && report.Born != 0 && server.Born != 0 && report.Born != server.Born {
 		err = eris.Wrap(errOther, "the VM has started again")
 	}
 	if err != nil && ctx.Err() == nil {
