Reports are believed once they can tell of the latest order

Cause: a report is some hundred ms old. Right after a close or leave it shows the group as it was and a count of orders that is over, so that the next order was refused and tried again every 10 ms. Ruled out: orders of another entry (one held the lease all the while).

--- a/entry/grouping/dissolve.go
+++ b/entry/grouping/dissolve.go
@@ -27,6 +27,9 @@
 		c.mu.Lock()
 		delete(c.dissolving, group.key)
 		delete(c.opened, group.key)
+		if err == nil {
+			c.closed[group.key] = time.Now()
+		}
 		c.mu.Unlock()
 		event := Event{Kind: GroupDissolved, Group: group.key, VM: group.head.ID, Detail: group.reason, Took: time.Since(began)}
 		if err != nil {
--- a/entry/grouping/form.go
+++ b/entry/grouping/form.go
@@ -83,6 +83,9 @@
 	c.mu.Lock()
 	for _, member := range f.members {
 		delete(c.tasks, member.ID)
+		if err != nil {
+			c.resting[member.ID] = time.Now().Add(restFor)
+		}
 	}
 	if err == nil {
 		c.opened[f.key] = time.Now()
--- a/entry/grouping/grouping.go
+++ b/entry/grouping/grouping.go
@@ -66,6 +66,9 @@
 	tick = 100 * time.Millisecond
 	// darkFor is how long a VM that did not answer is left out.
 	darkFor = 2 * time.Second
+	// restFor is how long the VMs of a formation that failed are left alone, so that a cause which lasts does not cost
+	// an order a millisecond.
+	restFor = 300 * time.Millisecond
 	// taskTimeout bounds the forming of a group beyond the time of its loads.
 	taskTimeout = 8 * time.Second
 	// stageMargin is how much longer than its time a load is waited for before it counts as lost.
@@ -75,7 +78,7 @@
 // Controller is safe for concurrent use.
 type Controller struct {
 	deps    Deps
-	engines engines
+	engines *engines
 	wake    chan struct{}
 
 	mu sync.Mutex // guards what follows; a leaf lock
@@ -85,6 +88,10 @@
 	dissolving map[backend.GroupKey]bool
 	// opened holds groups that were opened and are not yet listed as such, with when.
 	opened map[backend.GroupKey]time.Time
+	// closed holds groups that were dissolved and may still be listed as open, with when.
+	closed map[backend.GroupKey]time.Time
+	// resting holds VMs of a formation that failed, until when.
+	resting map[backend.ID]time.Time
 	// dark holds VMs that did not answer, until when.
 	dark map[backend.ID]time.Time
 	// staging holds the loads that were ordered.
@@ -103,9 +110,10 @@
 // New returns a controller; Run makes it work.
 func New(deps Deps) *Controller {
 	return &Controller{
-		deps: deps, engines: engines{deps.Pool}, wake: make(chan struct{}, 1),
+		deps: deps, engines: newEngines(deps.Pool), wake: make(chan struct{}, 1),
 		tasks: make(map[backend.ID]string), dissolving: make(map[backend.GroupKey]bool),
-		opened: make(map[backend.GroupKey]time.Time), dark: make(map[backend.ID]time.Time),
+		opened: make(map[backend.GroupKey]time.Time), closed: make(map[backend.GroupKey]time.Time),
+		resting: make(map[backend.ID]time.Time), dark: make(map[backend.ID]time.Time),
 		staging: make(map[backend.ID]staging), loads: newLoadPace(),
 	}
 }
@@ -143,6 +151,7 @@
 	if table == nil {
 		return
 	}
+	c.engines.sweep()
 	listing := c.deps.Listing()
 	for _, service := range table.Services {
 		if service.Engine == nil || len(service.Engine.Models) == 0 {
--- a/entry/grouping/orders.go
+++ b/entry/grouping/orders.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -32,11 +33,80 @@
 	maxReport = 64 << 10
 )
 
-// engines speaks with model servers.
-type engines struct{ pool *upstream.Pool }
+// engines speaks with model servers. It is safe for concurrent use.
+type engines struct {
+	pool *upstream.Pool
 
-// report asks a VM for its state.
-func (e engines) report(ctx context.Context, server *backend.Server) (backend.Report, error) {
+	mu sync.Mutex // guards ordered; a leaf lock
+	// ordered holds what is known of the latest order that each life of a VM took.
+	ordered map[upstream.Endpoint]latestOrder
+}
+
+// latestOrder is the latest order that a VM took.
+type latestOrder struct {
+	at time.Time
+	// count is what the VM's count of orders has reached at least.
+	count uint64
+}
+
+func newEngines(pool *upstream.Pool) *engines {
+	return &engines{pool: pool, ordered: make(map[upstream.Endpoint]latestOrder)}
+}
+
+const (
+	// reportLag is above the time by which reports are late (200 ms), with a margin.
+	reportLag = 300 * time.Millisecond
+	// reportWait bounds the wait for a report that tells of the latest order.
+	reportWait = 700 * time.Millisecond
+	// reportAgain is the pause between two looks.
+	reportAgain = 100 * time.Millisecond
+)
+
+// report asks a VM for its state, after the latest order that it is known to have taken. A report lags: without the wait a
+// group that was just closed looks open, and the next order expects a count that is over.
+func (e *engines) report(ctx context.Context, server *backend.Server) (backend.Report, error) {
+	latest := e.latest(server)
+	for {
+		report, err := e.reportOnce(ctx, server)
+		settled := time.Since(latest.at) > reportLag && (report.Orders >= latest.count || time.Since(latest.at) > reportWait)
+		if err != nil || settled {
+			return report, err
+		}
+		if !pause(ctx, reportAgain) {
+			return report, eris.Wrap(errDark, "no time left for a report")
+		}
+	}
+}
+
+func (e *engines) latest(server *backend.Server) latestOrder {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.ordered[upstream.EndpointOf(server)]
+}
+
+// learn notes that an order was taken. began says that it has raised the count.
+func (e *engines) learn(server *backend.Server, expected uint64, began bool) {
+	if began {
+		expected++
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.ordered[upstream.EndpointOf(server)] = latestOrder{at: time.Now(), count: expected}
+}
+
+// sweep forgets VMs that took no order for long.
+func (e *engines) sweep() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for to, latest := range e.ordered {
+		if time.Since(latest.at) > reportWait {
+			delete(e.ordered, to)
+		}
+	}
+}
+
+// reportOnce asks a VM for its state, as of some hundred ms ago.
+func (e *engines) reportOnce(ctx context.Context, server *backend.Server) (backend.Report, error) {
 	var report backend.Report
 	var err error
 	for range callTries {
@@ -58,7 +128,7 @@
 }
 
 // order sends one order once. A nil error means that it has begun or that its effect holds.
-func (e engines) order(ctx context.Context, server *backend.Server, order backend.Order) error {
+func (e *engines) order(ctx context.Context, server *backend.Server, order backend.Order) error {
 	body, err := platform.EncodeOrder(order)
 	if err != nil {
 		return err
@@ -67,7 +137,12 @@
 	switch {
 	case err != nil:
 		return eris.Wrap(errDark, err.Error())
-	case status == http.StatusOK || status == http.StatusAccepted:
+	case status == http.StatusAccepted:
+		e.learn(server, order.Expect, true)
+		return nil
+	case status == http.StatusOK:
+		// Its effect holds. Whether it has just begun, and been counted, or held before is not told.
+		e.learn(server, order.Expect, false)
 		return nil
 	case status == http.StatusMisdirectedRequest:
 		return eris.Wrapf(errOther, "status %d", status)
@@ -79,7 +154,7 @@
 	return eris.Wrapf(errDark, "status %d", status)
 }
 
-func (e engines) call(ctx context.Context, server *backend.Server, method, path string, body []byte) (int, []byte, error) {
+func (e *engines) call(ctx context.Context, server *backend.Server, method, path string, body []byte) (int, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	header := platform.ForwardHeader(http.Header{}, platform.Forward{Server: server.ID, Left: callTimeout})
@@ -99,7 +174,7 @@
 
 // confirm sends an order until its effect is known. holds says whether a report shows the effect. Each copy expects
 // the same count of orders, so that at most one of them is carried out, however late.
-func (e engines) confirm(ctx context.Context, server *backend.Server, order backend.Order, holds func(backend.Report) bool) error {
+func (e *engines) confirm(ctx context.Context, server *backend.Server, order backend.Order, holds func(backend.Report) bool) error {
 	for {
 		err := e.order(ctx, server, order)
 		if err == nil || eris.Is(err, errOther) {
--- a/entry/grouping/view.go
+++ b/entry/grouping/view.go
@@ -52,7 +52,7 @@
 	taken := make(map[backend.ID]string)
 	for key, list := range members {
 		head := headAmong(list)
-		if head == nil || !(head.Group.State.Serving() || c.justOpened(key)) {
+		if _, over := c.closed[key]; over || head == nil || !(head.Group.State.Serving() || c.justOpened(key)) {
 			continue
 		}
 		model := head.Model
@@ -127,7 +127,7 @@
 			}
 			continue
 		}
-		if until, dark := c.dark[server.ID]; dark && now.Before(until) {
+		if now.Before(c.dark[server.ID]) || now.Before(c.resting[server.ID]) {
 			continue
 		}
 		domain.Free = append(domain.Free, c.free(server))
@@ -157,6 +157,11 @@
 			delete(c.opened, key)
 		}
 	}
+	for key, at := range c.closed {
+		if now.Sub(at) > closedFor {
+			delete(c.closed, key)
+		}
+	}
 	for _, server := range servers {
 		order, ok := c.staging[server.ID]
 		if ok && (server.HasStaged(order.model) || now.After(order.until) || server.Born != order.born) {
@@ -165,6 +170,10 @@
 	}
 }
 
+// closedFor is how long a group that was dissolved may still be listed as open. A group that was not dissolved after all is
+// seen again after that.
+const closedFor = 5 * time.Second
+
 // openedFor is how long a group that was opened may take to be listed as open.
 const openedFor = 2 * time.Second
 
