--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -11,15 +12,19 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"github.com/skylarkpond/skylarkpond/backend"
 	"github.com/skylarkpond/skylarkpond/contract/route"
 	"github.com/skylarkpond/skylarkpond/domain"
 	"github.com/skylarkpond/skylarkpond/entry/catalog"
 	"github.com/skylarkpond/skylarkpond/entry/drain"
 	"github.com/skylarkpond/skylarkpond/entry/grouping"
+	"github.com/skylarkpond/skylarkpond/entry/leader"
 	"github.com/skylarkpond/skylarkpond/entry/lease"
 	"github.com/skylarkpond/skylarkpond/entry/relay"
 	"github.com/skylarkpond/skylarkpond/entry/roster"
 	"github.com/skylarkpond/skylarkpond/entry/turn"
+	link "github.com/skylarkpond/skylarkpond/link/leader"
+	"github.com/skylarkpond/skylarkpond/link/peer"
 	store "github.com/skylarkpond/skylarkpond/link/platform"
 	"github.com/skylarkpond/skylarkpond/link/upstream"
 	"github.com/skylarkpond/skylarkpond/platform"
@@ -49,23 +54,37 @@
 	})
 	g.roster = roster.New(roster.Deps{
 		Store: client, Self: selfOf(config), Choice: directory.DefaultConfig(), Keep: config.addressTTL(),
-		Dead: func(string) bool { return false },
+		Dead: g.dead,
 		Failed: func(doing string, err error) {
 			g.log.WithError(err).Warn(doing + " failed")
 		},
 	})
+	identity, err := peer.NewIdentity(config.Name)
+	if err != nil {
+		return nil, err
+	}
+	g.identity = identity
+	self := lease.Holder{Entry: config.Name, Address: config.Peer, Fingerprint: identity.Fingerprint(), Token: uuid.NewString()}
 	g.lease = lease.New(lease.Deps{
-		Store: client, Linked: func() bool { return false }, Changed: g.leaseChanged,
-		Self: lease.Holder{Entry: config.Name, Address: config.Peer, Token: uuid.NewString()},
+		Store: client, Self: self, Linked: g.linked, Changed: g.leaseChanged, Renewed: func() { g.leader.Renewed() },
 	})
 	g.controller = grouping.New(grouping.Deps{
 		Pool: g.pool, Table: g.catalog.Table, Listing: g.catalog.Listing, Held: g.lease.Held, Epoch: g.lease.Version,
+		Reached: g.reached, Sound: func(head backend.ID) { g.leader.Clear(head) },
 		Early: g.early, Event: g.groupEvent,
 	})
+	g.leader = leader.New(leader.Deps{
+		Held: g.lease.Held, Listing: g.catalog.Listing, Table: g.catalog.Table, Closed: g.controller.Closed,
+		Suspect: func(_ backend.ID, key backend.GroupKey) { g.controller.Suspect(context.Background(), key) },
+		Config:  g.catalog.Config, TakeConfig: g.catalog.TakeConfig, LeaseVersion: g.lease.Version,
+	})
+	g.links = link.NewServer(identity, self.Token, g.leader)
 	g.catalog.OnServers(g.controller.Wake)
+	g.catalog.OnServers(g.leader.SetGroups)
 	g.local = turn.NewLocal(g.catalog.Listing, g.catalog.Table)
+	g.remote = turn.NewRemote(g.local, g.catalog.Listing)
 	g.relay = relay.New(relay.Deps{
-		Table: g.catalog.Table, Turns: g.local, Pool: g.pool, Retries: relay.NewRetries(retryConfig(config)),
+		Table: g.catalog.Table, Turns: g.remote, Pool: g.pool, Retries: relay.NewRetries(retryConfig(config)),
 		FailureDomain: domain.FailureDomain(config.FailureDomain), Report: g.requestEnded, Random: rand.Float64,
 	})
 	return g, nil
--- /dev/null
+++ b/entry/gateway/follow.go
@@ -0,0 +1,219 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/skylarkpond/skylarkpond/backend"
+	"github.com/skylarkpond/skylarkpond/entry/lease"
+	link "github.com/skylarkpond/skylarkpond/link/leader"
+)
+
+// following is what an entry hears from the one in charge.
+type following struct {
+	mu sync.Mutex // guards what follows; a leaf lock
+	// heard is when the leader last said that it holds the lease.
+	heard time.Time
+	// live are the entries that the leader hears from; nil before it has said so.
+	live map[string]bool
+	// since is when this leader first said so.
+	since time.Time
+	// send reaches the leader; nil without a link.
+	send func(link.Up)
+}
+
+const (
+	// heardFor is how long the leader's word counts that it holds the lease: longer than two renewals.
+	heardFor = 1300 * time.Millisecond
+	// relink is the pause between two tries to link.
+	relink = 150 * time.Millisecond
+	// liveSettled is how long entries have to link to a new leader before one that did not counts as down.
+	liveSettled = 4 * time.Second
+)
+
+// linked says whether this entry hears from a leader that holds the lease.
+func (g *Gateway) linked() bool {
+	g.following.mu.Lock()
+	defer g.following.mu.Unlock()
+	return time.Since(g.following.heard) < heardFor
+}
+
+// dead says whether an entry is known to be down. A leader that hears from few is more likely cut off itself.
+func (g *Gateway) dead(name string) bool {
+	f := &g.following
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.live == nil || name == g.config.Name || time.Since(f.since) < liveSettled || 2*len(f.live) < g.roster.Len() {
+		return false
+	}
+	return !f.live[name]
+}
+
+// follow keeps a link to the entry in charge, which may be this one.
+func (g *Gateway) follow(ctx context.Context) {
+	for ctx.Err() == nil {
+		holder, known := g.lease.Holder()
+		switch {
+		case g.lease.Held():
+			g.followSelf(ctx)
+		case known && holder.Entry != g.config.Name:
+			g.followOther(ctx, holder)
+		}
+		select {
+		case <-time.After(relink):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// selfQueue is how many messages of this entry to itself may wait.
+const selfQueue = 4096
+
+// selfLink takes the leader's messages to its own entry. They are queued, since the leader sends under its lock.
+type selfLink struct{ queue chan link.Down }
+
+// Send implements the leader's way to an entry. Requests whose answer finds the queue full are decided by the entry itself.
+func (s *selfLink) Send(message link.Down) {
+	select {
+	case s.queue <- message:
+	default:
+	}
+}
+
+// followSelf works while this entry is in charge.
+func (g *Gateway) followSelf(ctx context.Context) {
+	self := &selfLink{queue: make(chan link.Down, selfQueue)}
+	send := func(message link.Up) { g.leader.Receive(g.config.Name, self, message) }
+	version, _ := g.catalog.Config()
+	g.leader.SetGroups()
+	g.leader.Join(g.config.Name, self, link.Hello{Entry: g.config.Name, Running: g.remote.Attach(send), ConfigVersion: version})
+	g.attach(send)
+	defer g.detach()
+	check := time.NewTicker(relink)
+	defer check.Stop()
+	for {
+		select {
+		case message := <-self.queue:
+			g.fromLeader(ctx, send, message)
+		case <-check.C:
+			if !g.lease.Held() {
+				return
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// followOther links to another entry until the link ends or that entry no longer says that it is in charge.
+func (g *Gateway) followOther(ctx context.Context, holder lease.Holder) {
+	version, _ := g.catalog.Config()
+	hello := link.Hello{Entry: g.config.Name, Token: holder.Token, ConfigVersion: version, Running: g.remote.Attach(nil)}
+	to, err := link.Dial(ctx, g.identity, sourceOf(g.config.Callers), holder.Address, holder.Fingerprint, hello)
+	if err != nil {
+		g.log.WithError(err).WithField("leader", holder.Entry).Debug("no link to the leader")
+		return
+	}
+	g.log.WithField("leader", holder.Entry).Info("linked to the leader")
+	g.remote.Attach(to.Send)
+	g.attach(to.Send)
+	defer g.detach()
+	defer to.Close("over")
+	go g.watchLeader(ctx, to)
+	err = to.Receive(func(message link.Down) { g.fromLeader(ctx, to.Send, message) })
+	g.log.WithError(err).WithField("leader", holder.Entry).Info("link to the leader ended")
+}
+
+// watchLeader ends a link whose other side no longer says that it is in charge.
+func (g *Gateway) watchLeader(ctx context.Context, to *link.Link) {
+	began := time.Now()
+	for {
+		select {
+		case <-time.After(relink):
+		case <-to.Done():
+			return
+		case <-ctx.Done():
+			to.Close("stopping")
+			return
+		}
+		if time.Since(began) > heardFor && !g.linked() {
+			to.Close("not in charge")
+			return
+		}
+	}
+}
+
+func (g *Gateway) attach(send func(link.Up)) {
+	g.following.mu.Lock()
+	defer g.following.mu.Unlock()
+	g.following.send = send
+	g.following.live = nil
+	g.following.since = time.Now()
+}
+
+func (g *Gateway) detach() {
+	g.remote.Attach(nil)
+	g.following.mu.Lock()
+	defer g.following.mu.Unlock()
+	g.following.send = nil
+}
+
+// fromLeader handles one message of the leader.
+func (g *Gateway) fromLeader(ctx context.Context, send func(link.Up), message link.Down) {
+	switch {
+	case message.Grant != nil || message.Refuse != nil:
+		g.remote.Answered(message)
+	case message.Config != nil:
+		g.catalog.TakeConfig(message.Config.Spec)
+	case message.Renewed != nil:
+		g.leaderRenewed(send, *message.Renewed)
+	case message.Look != nil:
+		go g.look(ctx, send, *message.Look)
+	}
+}
+
+func (g *Gateway) leaderRenewed(send func(link.Up), renewed link.Renewed) {
+	g.lease.Heard(renewed.Version)
+	g.following.mu.Lock()
+	g.following.heard = time.Now()
+	if renewed.Live != nil {
+		live := make(map[string]bool, len(renewed.Live))
+		for _, name := range renewed.Live {
+			live[name] = true
+		}
+		g.following.live = live
+	}
+	g.following.mu.Unlock()
+	version, spec := g.catalog.Config()
+	switch {
+	case version > renewed.ConfigVersion && spec != nil:
+		send(link.Up{Config: &link.Config{Spec: spec}})
+	case version < renewed.ConfigVersion:
+		send(link.Up{Has: max(1, version)})
+	}
+}
+
+// look answers the leader's question whether this entry reaches a server.
+func (g *Gateway) look(ctx context.Context, send func(link.Up), asked link.Look) {
+	seen := link.Seen{Server: asked.Server}
+	report, err := g.controller.Look(ctx, &backend.Server{ID: asked.Server, Address: asked.Address})
+	if err == nil {
+		seen.Answered = true
+		seen.Group = report.Group.Key()
+		seen.Serving = report.Group.State.Serving()
+	}
+	send(link.Up{Seen: &seen})
+}
+
+// reached asks the other entries whether a server that this one does not reach serves a group.
+func (g *Gateway) reached(ctx context.Context, server *backend.Server, key backend.GroupKey) bool {
+	seen, answered := g.leader.Reached(ctx, server)
+	serving := answered && seen.Group == key && seen.Serving
+	g.log.WithFields(logrus.Fields{
+		"vm": server.ID, "group": key.String(), "answered": answered, "serving": serving, "asked_of": g.leader.Followers(),
+	}).Info("asked other entries for a server")
+	return serving
+}
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -20,10 +20,13 @@
 	"github.com/skylarkpond/skylarkpond/entry/catalog"
 	"github.com/skylarkpond/skylarkpond/entry/drain"
 	"github.com/skylarkpond/skylarkpond/entry/grouping"
+	"github.com/skylarkpond/skylarkpond/entry/leader"
 	"github.com/skylarkpond/skylarkpond/entry/lease"
 	"github.com/skylarkpond/skylarkpond/entry/relay"
 	"github.com/skylarkpond/skylarkpond/entry/roster"
 	"github.com/skylarkpond/skylarkpond/entry/turn"
+	link "github.com/skylarkpond/skylarkpond/link/leader"
+	"github.com/skylarkpond/skylarkpond/link/peer"
 	"github.com/skylarkpond/skylarkpond/link/upstream"
 	"github.com/skylarkpond/skylarkpond/platform"
 	directory "github.com/skylarkpond/skylarkpond/policy/directory"
@@ -40,6 +43,11 @@
 	controller *grouping.Controller
 	relay      *relay.Relay
 	local      *turn.Local
+	remote     *turn.Remote
+	leader     *leader.Leader
+	links      *link.Server
+	identity   *peer.Identity
+	following  following
 	pool       *upstream.Pool
 	gate       *drain.Gate
 	leaving    atomic.Bool
@@ -67,12 +75,21 @@
 	if err != nil {
 		return err
 	}
+	socket, err := net.ListenPacket("udp", g.config.Peer)
+	if err != nil {
+		return eris.Wrap(err, "listening at "+g.config.Peer)
+	}
 	g.log.Info("started")
-	failed := make(chan error, 1)
+	failed := make(chan error, len(servers)+1)
 	for _, server := range servers {
 		go func() { failed <- server.serve() }()
 	}
-	for _, role := range []func(context.Context){g.catalog.Run, g.roster.Run, g.lease.Run, g.controller.Run, g.sweep} {
+	running.Go(func() {
+		if err := g.links.Serve(work, socket); err != nil {
+			failed <- err
+		}
+	})
+	for _, role := range []func(context.Context){g.catalog.Run, g.roster.Run, g.lease.Run, g.controller.Run, g.leader.Run, g.follow, g.sweep} {
 		running.Go(func() { role(work) })
 	}
 	select {
--- a/entry/grouping/dissolve.go
+++ b/entry/grouping/dissolve.go
@@ -66,7 +66,10 @@
 		report, err := c.engines.report(ctx, head)
 		switch {
 		case err != nil && listed == nil:
-			return nil // its registration has ended and it does not answer: it is gone
+			if c.deps.Reached(ctx, head, key) {
+				return eris.Wrapf(errServing, "head %s serves behind a cut", head.ID)
+			}
+			return nil // its registration has ended and it answers nobody: it is gone
 		case eris.Is(err, errOther):
 			return nil // another server has the address
 		case err != nil:
--- a/entry/grouping/form.go
+++ b/entry/grouping/form.go
@@ -144,8 +144,12 @@
 	}
 	if err != nil && ctx.Err() == nil {
 		c.mu.Lock()
+		_, known := c.dark[server.ID]
 		c.dark[server.ID] = time.Now().Add(darkFor)
 		c.mu.Unlock()
+		if !known {
+			c.deps.Event(Event{Kind: MemberDark, VM: server.ID, Detail: err.Error()})
+		}
 	}
 	return report, err
 }
--- a/entry/grouping/grouping.go
+++ b/entry/grouping/grouping.go
@@ -31,6 +31,10 @@
 	Held func() bool
 	// Epoch returns a number that no earlier holder of the lease had.
 	Epoch func() uint64
+	// Reached asks other entries whether they reach a server that this one does not, and says whether it serves a group there.
+	Reached func(ctx context.Context, server *backend.Server, key backend.GroupKey) (serving bool)
+	// Sound tells that a suspected group has answered in full.
+	Sound func(head backend.ID)
 	// Early says that no caller has come yet.
 	Early func() bool
 	// Event tells what was done or seen.
@@ -59,13 +63,17 @@
 	GroupStuck     EventKind = "group-not-dissolved"
 	StageOrdered   EventKind = "stage-ordered"
 	StageFailed    EventKind = "stage-failed"
+	GroupSuspected EventKind = "group-suspected"
+	MemberDark     EventKind = "member-dark"
+	MemberBack     EventKind = "member-answers-again"
 )
 
 const (
 	// tick is how often the VMs are looked at; changes of the listing come in between.
 	tick = 100 * time.Millisecond
-	// darkFor is how long a VM that did not answer is left out.
-	darkFor = 2 * time.Second
+	// darkFor is how long a VM that did not answer is left out. It is above the time in which the registration of a VM that is gone
+	// lapses (3.6 s); one that answers again is back sooner.
+	darkFor = 4500 * time.Millisecond
 	// restFor is how long the VMs of a formation that failed are left alone, so that a cause which lasts does not cost
 	// an order a millisecond.
 	restFor = 300 * time.Millisecond
@@ -84,6 +92,8 @@
 	mu sync.Mutex // guards what follows; a leaf lock
 	// tasks holds the VMs of groups that are being formed, with the model at the head's and nothing at the others'.
 	tasks map[backend.ID]string
+	// checking holds the groups that are being looked into.
+	checking map[backend.GroupKey]bool
 	// dissolving holds the groups that a task dissolves.
 	dissolving map[backend.GroupKey]bool
 	// opened holds groups that were opened and are not yet listed as such, with when.
@@ -97,8 +107,10 @@
 	// staging holds the loads that were ordered.
 	staging map[backend.ID]staging
 	loads   *loadPace
-	running sync.WaitGroup
-	inForce bool
+	// askedDark is when the VMs that did not answer were asked last.
+	askedDark time.Time
+	running   sync.WaitGroup
+	inForce   bool
 }
 
 type staging struct {
@@ -112,7 +124,8 @@
 	return &Controller{
 		deps: deps, engines: newEngines(deps.Pool), wake: make(chan struct{}, 1),
 		tasks: make(map[backend.ID]string), dissolving: make(map[backend.GroupKey]bool),
-		opened: make(map[backend.GroupKey]time.Time), closed: make(map[backend.GroupKey]time.Time),
+		checking: make(map[backend.GroupKey]bool),
+		opened:   make(map[backend.GroupKey]time.Time), closed: make(map[backend.GroupKey]time.Time),
 		resting: make(map[backend.ID]time.Time), dark: make(map[backend.ID]time.Time),
 		staging: make(map[backend.ID]staging), loads: newLoadPace(),
 	}
@@ -152,6 +165,7 @@
 		return
 	}
 	c.engines.sweep()
+	c.askDark(ctx)
 	listing := c.deps.Listing()
 	for _, service := range table.Services {
 		if service.Engine == nil || len(service.Engine.Models) == 0 {
--- /dev/null
+++ b/entry/leader/leader.go
@@ -0,0 +1,374 @@
+// Package leader is what the entry in charge does for the others: it gives turns at the groups, looks into groups that keep
+// silent, and passes on news.
+package leader
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/skylarkpond/skylarkpond/backend"
+	"github.com/skylarkpond/skylarkpond/contract/route"
+	"github.com/skylarkpond/skylarkpond/entry/turn"
+	link "github.com/skylarkpond/skylarkpond/link/leader"
+	policy "github.com/skylarkpond/skylarkpond/policy/turns"
+)
+
+// Deps is what a Leader works with.
+type Deps struct {
+	Held    func() bool
+	Listing func() *backend.Listing
+	Table   func() *route.Table
+	// Closed says that a group is being dissolved although it is still listed as open.
+	Closed func(key backend.GroupKey) bool
+	// Suspect looks into a group whose head keeps silent.
+	Suspect func(head backend.ID, group backend.GroupKey)
+	// Config returns the configuration in force; TakeConfig offers another one.
+	Config     func() (uint64, json.RawMessage)
+	TakeConfig func(spec json.RawMessage)
+	// LeaseVersion is that of the last renewal.
+	LeaseVersion func() uint64
+}
+
+// Leader implements link/leader.Handler. It is safe for concurrent use.
+type Leader struct {
+	deps    Deps
+	started time.Time
+
+	mu sync.Mutex // guards what follows; a leaf lock
+	// turns is made anew when this entry takes charge.
+	turns     *policy.Scheduler
+	followers map[string]sender
+	inCharge  bool
+	// told is the set of live entries that the followers were told last.
+	told []string
+	// looks are the questions in progress, by server.
+	looks map[backend.ID]chan link.Seen
+}
+
+// sender is a follower, or this entry itself.
+type sender interface{ Send(message link.Down) }
+
+// New returns a leader that is not in charge.
+func New(deps Deps) *Leader {
+	return &Leader{
+		deps: deps, started: time.Now(), turns: policy.New(policy.DefaultConfig()), followers: make(map[string]sender),
+		looks: make(map[backend.ID]chan link.Seen),
+	}
+}
+
+const (
+	// tick is how often waiting requests are looked at.
+	tick = 20 * time.Millisecond
+	// groupsEvery is how often the groups are read from the listing, beside its changes.
+	groupsEvery = 100 * time.Millisecond
+)
+
+// Run works until ctx ends.
+func (l *Leader) Run(ctx context.Context) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	var groupsAt time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if !l.deps.Held() {
+			l.stepDown()
+			continue
+		}
+		if time.Since(groupsAt) >= groupsEvery {
+			groupsAt = time.Now()
+			l.SetGroups()
+		}
+		l.mu.Lock()
+		l.send(l.turns.Tick(l.now(), rand.Float64))
+		l.mu.Unlock()
+	}
+}
+
+func (l *Leader) now() time.Duration { return time.Since(l.started) }
+
+// stepDown forgets the turns: another entry gives them now.
+func (l *Leader) stepDown() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.inCharge {
+		l.inCharge = false
+		l.turns = policy.New(policy.DefaultConfig())
+	}
+}
+
+// SetGroups reads the groups that stand.
+func (l *Leader) SetGroups() {
+	if !l.deps.Held() {
+		return
+	}
+	table := l.deps.Table()
+	if table == nil {
+		return
+	}
+	listing := l.deps.Listing()
+	var groups []policy.Group
+	for _, service := range table.Services {
+		if service.Engine != nil {
+			groups = l.appendGroups(groups, service, listing.ByService[service.Name])
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.inCharge = true
+	l.send(l.turns.SetGroups(l.now(), groups, rand.Float64))
+}
+
+func (l *Leader) appendGroups(groups []policy.Group, service route.Service, servers []*backend.Server) []policy.Group {
+	for _, model := range service.Engine.Models {
+		for _, head := range turn.Heads(servers, service.Engine, model.Name) {
+			if l.deps.Closed(head.Group.Key()) {
+				continue
+			}
+			groups = append(groups, policy.Group{
+				Head: string(head.ID), Model: modelKey(service.Name, model.Name), Slots: service.Engine.Slots,
+			})
+		}
+	}
+	return groups
+}
+
+func modelKey(service, model string) string { return service + "/" + model }
+
+// turnKey names a turn over all entries.
+func turnKey(entry string, key uint64) string { return entry + "/" + strconv.FormatUint(key, 10) }
+
+// splitKey is the reverse of turnKey.
+func splitKey(turnKey string) (entry string, key uint64) {
+	i := strings.LastIndexByte(turnKey, '/')
+	key, err := strconv.ParseUint(turnKey[i+1:], 10, 64)
+	if err != nil {
+		return "", 0 // turnKey made it
+	}
+	return turnKey[:i], key
+}
+
+// Joined implements link/leader.Handler.
+func (l *Leader) Joined(follower *link.Follower, hello link.Hello) {
+	l.Join(follower.Entry, follower, hello)
+}
+
+// Join adds an entry, with the turns that it holds.
+func (l *Leader) Join(entry string, to sender, hello link.Hello) {
+	l.mu.Lock()
+	l.followers[entry] = to
+	for _, running := range hello.Running {
+		l.turns.Adopt(l.now(), turnKey(entry, running.Key), string(running.Head))
+	}
+	l.mu.Unlock()
+	l.passConfig(to, hello.ConfigVersion)
+}
+
+// Received implements link/leader.Handler.
+func (l *Leader) Received(follower *link.Follower, message link.Up) {
+	l.Receive(follower.Entry, follower, message)
+}
+
+// Receive handles a message of an entry.
+func (l *Leader) Receive(entry string, from sender, message link.Up) {
+	switch {
+	case message.Ask != nil:
+		l.ask(entry, from, *message.Ask)
+	case message.Done != nil:
+		l.done(entry, *message.Done)
+	case message.Silent != "":
+		l.silent(message.Silent)
+	case message.Config != nil:
+		l.deps.TakeConfig(message.Config.Spec)
+	case message.Seen != nil:
+		l.seen(*message.Seen)
+	case message.Has != 0:
+		l.passConfig(from, message.Has)
+	}
+}
+
+// Left implements link/leader.Handler. The turns of an entry that is gone are over: the servers drop what it asked for. One that only
+// lost its link names its turns again when it is back.
+func (l *Leader) Left(follower *link.Follower) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.followers[follower.Entry] != sender(follower) {
+		return // it has a newer link
+	}
+	delete(l.followers, follower.Entry)
+	l.send(l.turns.Forget(l.now(), follower.Entry+"/", rand.Float64))
+}
+
+// notInCharge tells a follower to decide for itself.
+const notInCharge = "not-in-charge"
+
+func (l *Leader) ask(entry string, from sender, ask link.Ask) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.inCharge {
+		from.Send(link.Down{Refuse: &link.Refuse{Key: ask.Key, Reason: notInCharge}})
+		return
+	}
+	tried := make([]string, 0, len(ask.Tried))
+	for _, id := range ask.Tried {
+		tried = append(tried, string(id))
+	}
+	l.send(l.turns.Ask(l.now(), policy.Request{
+		Key: turnKey(entry, ask.Key), Model: modelKey(ask.Service, ask.Model),
+		Patience: time.Duration(ask.PatienceMs) * time.Millisecond, Priority: ask.Priority, Tried: tried,
+	}, rand.Float64))
+}
+
+func (l *Leader) done(entry string, done link.Done) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.send(l.turns.Done(l.now(), turnKey(entry, done.Key), done.Whole, rand.Float64))
+}
+
+// send tells the followers what was decided. It is called under the lock; sending never blocks.
+func (l *Leader) send(decisions []policy.Decision) {
+	for _, d := range decisions {
+		entry, key := splitKey(d.Key)
+		to := l.followers[entry]
+		if to == nil {
+			continue
+		}
+		if d.Why == policy.Granted {
+			to.Send(link.Down{Grant: &link.Grant{Key: key, Head: backend.ID(d.Head)}})
+			continue
+		}
+		to.Send(link.Down{Refuse: &link.Refuse{
+			Key: key, Reason: string(reasons[d.Why]), RetryAfterMs: d.RetryAfter.Milliseconds(),
+			Detail: fmt.Sprintf("%d run on %d places, %d wait", d.Running, d.Places, d.Waiting),
+		}})
+	}
+}
+
+var reasons = map[policy.Why]turn.Reason{policy.NoGroup: turn.NoServer, policy.Late: turn.Full, policy.TriedAll: turn.Spent}
+
+// silent keeps turns from a group and has it looked into.
+func (l *Leader) silent(head backend.ID) {
+	server := l.deps.Listing().Servers[head]
+	if server == nil || !l.deps.Held() {
+		return
+	}
+	l.mu.Lock()
+	l.turns.Suspect(l.now(), string(head))
+	l.mu.Unlock()
+	l.deps.Suspect(head, server.Group.Key())
+}
+
+// Clear ends a suspicion: all members of the group have answered.
+func (l *Leader) Clear(head backend.ID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.send(l.turns.Clear(l.now(), string(head), rand.Float64))
+}
+
+// passConfig sends the configuration to a follower that has an older one.
+func (l *Leader) passConfig(to sender, has uint64) {
+	version, spec := l.deps.Config()
+	if version > has && spec != nil {
+		to.Send(link.Down{Config: &link.Config{Spec: spec}})
+	}
+}
+
+// Renewed tells all followers that the lease is held.
+func (l *Leader) Renewed() {
+	version, _ := l.deps.Config()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	live := make([]string, 0, len(l.followers))
+	for entry := range l.followers {
+		live = append(live, entry)
+	}
+	slices.Sort(live)
+	message := link.Renewed{Version: l.deps.LeaseVersion(), ConfigVersion: version}
+	if !slices.Equal(live, l.told) {
+		message.Live = live
+		l.told = live
+	}
+	for _, to := range l.followers {
+		to.Send(link.Down{Renewed: &message})
+	}
+}
+
+const (
+	// lookers is how many entries are asked whether they reach a server.
+	lookers = 6
+	// lookTime is how long their answers are waited for.
+	lookTime = 900 * time.Millisecond
+)
+
+// Reached asks other entries whether a server answers them, and returns what one that reached it saw. A server can be cut off from this
+// entry and from the platform, and still serve others.
+func (l *Leader) Reached(ctx context.Context, server *backend.Server) (link.Seen, bool) {
+	answers := make(chan link.Seen, lookers)
+	l.mu.Lock()
+	l.looks[server.ID] = answers
+	asked := 0
+	for _, to := range l.followers {
+		if asked == lookers {
+			break
+		}
+		to.Send(link.Down{Look: &link.Look{Server: server.ID, Address: server.Address}})
+		asked++
+	}
+	l.mu.Unlock()
+	defer func() {
+		l.mu.Lock()
+		delete(l.looks, server.ID)
+		l.mu.Unlock()
+	}()
+	timeout := time.After(lookTime)
+	for range asked {
+		select {
+		case seen := <-answers:
+			if seen.Answered {
+				return seen, true
+			}
+		case <-timeout:
+			return link.Seen{}, false
+		case <-ctx.Done():
+			return link.Seen{}, false
+		}
+	}
+	return link.Seen{}, false
+}
+
+func (l *Leader) seen(seen link.Seen) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	answers, ok := l.looks[seen.Server]
+	if !ok {
+		return // too late
+	}
+	select {
+	case answers <- seen:
+	default:
+	}
+}
+
+// Followers counts the entries that are linked, this one included.
+func (l *Leader) Followers() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.followers)
+}
+
+// Loads returns the load of the groups, for status and metrics.
+func (l *Leader) Loads() []policy.Load {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.turns.Loads(l.now())
+}
--- a/entry/lease/lease.go
+++ b/entry/lease/lease.go
@@ -1,6 +1,6 @@
 // Package lease keeps one entry in charge of the groups, by conditional writes of one object.
 //
-// The holder counts the object up once a second. Another entry takes over when it has seen the same version for longer
+// The holder writes the object anew every 600 ms. Another entry takes over when it has seen the same version for longer
 // than the holder may act on it, by its own monotonic clock. Nothing that must hold rests on this alone: two entries that
 // both believe they are in charge can't harm each other's groups (package grouping says why). The lease keeps the
 // orders of two from crossing, and the pace of loads in one hand.
@@ -27,14 +27,14 @@
 
 const (
 	// renewEvery is how often the holder writes.
-	renewEvery = time.Second
+	renewEvery = 600 * time.Millisecond
 	// ActWithin is how long the holder may act after it sent the last confirmed write.
-	ActWithin = 2 * time.Second
+	ActWithin = 1300 * time.Millisecond
 	// takeAfter is how long the object must stand still before another entry takes it. It is above ActWithin by
 	// the time that a write may take.
-	takeAfter = 2500 * time.Millisecond
+	takeAfter = 1700 * time.Millisecond
 	// lookEvery is how often an entry looks that does not hold the lease and has no link to the holder.
-	lookEvery = 500 * time.Millisecond
+	lookEvery = 300 * time.Millisecond
 )
 
 // Holder is the value of the object.
@@ -55,6 +55,8 @@
 	Self  Holder
 	// Linked says whether this entry hears from the holder, so that it need not ask the platform.
 	Linked func() bool
+	// Renewed tells of each confirmed write of this entry.
+	Renewed func()
 	// Changed tells of another holder.
 	Changed func(holder Holder, held bool)
 }
@@ -161,6 +163,16 @@
 	return ripe
 }
 
+// Heard notes that the holder has written the object at version, as its link tells.
+func (l *Lease) Heard(version uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if platform.Version(version) > l.version {
+		l.version = platform.Version(version)
+		l.since = time.Now()
+	}
+}
+
 func (l *Lease) renew(ctx context.Context) {
 	l.mu.Lock()
 	version := l.version
@@ -201,4 +213,7 @@
 	if held != was {
 		l.deps.Changed(value, held)
 	}
+	if err == nil {
+		l.deps.Renewed()
+	}
 }
--- a/entry/relay/exchange.go
+++ b/entry/relay/exchange.go
@@ -164,13 +164,25 @@
 	if e.call.LengthHint > 0 {
 		answer = min(answer, e.call.LengthHint)
 	}
-	return turn.Ask{
+	ask := turn.Ask{
 		Service: e.service, Model: e.call.Model, PromptTokens: e.call.PromptTokens, AnswerTokens: answer,
-		Priority: e.priority, FirstAnswer: e.route.FirstAnswer, Arrived: e.arrived, Deadline: e.deadline,
+		Priority: e.priority, Patience: turn.PatienceOf(e.route.FirstAnswer, time.Since(e.arrived), e.returning()),
 		Tried: e.tried, FailureDomain: e.relay.deps.FailureDomain, Team: e.team,
 	}
+	if e.begun {
+		ask.Priority = turn.First
+	}
+	return ask
+}
+
+// returning says that the caller has spent some of its time elsewhere: it was turned away, or its connection broke.
+func (e *exchange) returning() bool {
+	return e.attempts > 0 || (e.call.Left > 0 && e.call.Left < e.route.Timeout-returnMargin)
 }
 
+// returnMargin is what callers may name less than the route's timeout at their first try.
+const returnMargin = 100 * time.Millisecond
+
 // attempt sends the request to one server and returns whether the request is over.
 func (e *exchange) attempt(t *turn.Turn) bool {
 	e.tried = append(e.tried, t.Server.ID)
@@ -260,7 +272,6 @@
 		return e.overBroken("answer broke off: " + err.Error())
 	}
 	failed := answer.Status >= http.StatusInternalServerError
-	t.First()
 	t.Done(turn.Result{Failed: failed})
 	if failed && e.route.Kind == route.Idempotent && e.mayTryAgain() {
 		return false
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -17,6 +17,10 @@
 const (
 	// silence is between two events: several times the pass of a loaded engine that reads prompts (about 0.3 s).
 	silence = 900 * time.Millisecond
+	// suspect and suspectFirst are when the leader is asked to look into the group, while the stream goes on. Sound groups are rarely
+	// as quiet, and a look costs a few small calls.
+	suspect      = 300 * time.Millisecond
+	suspectFirst = 600 * time.Millisecond
 	// silenceFirst is before the first event, for which a request may wait in the engine's queue.
 	silenceFirst = 1500 * time.Millisecond
 )
@@ -73,6 +77,8 @@
 // that breaks off in its middle does not go out: the stream goes on elsewhere after the last whole one.
 func (e *exchange) copyEvents(t *turn.Turn, answer *upstream.Answer, head http.Header, last string) (string, error) {
 	events := newEventReader(answer.Body)
+	suspicion := time.AfterFunc(suspectFirst, t.Silent)
+	defer suspicion.Stop()
 	controller := http.NewResponseController(e.writer)
 	first := true
 	for {
@@ -89,10 +95,8 @@
 		if err != nil {
 			return last, err
 		}
-		if first {
-			t.First()
-			first = false
-		}
+		first = false
+		suspicion.Reset(suspect)
 		e.begin(head)
 		if _, err := e.writer.Write(event.bytes); err != nil {
 			return last, err
--- a/entry/roster/roster.go
+++ b/entry/roster/roster.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
 	"reflect"
 	"sync"
@@ -84,16 +85,15 @@
 
 // Answer names entries for a caller, and for how long it may keep the answer.
 func (r *Roster) Answer(caller policy.Caller) ([]string, time.Duration) {
-	r.mu.Lock()
-	candidates := make([]policy.Candidate, 0, len(r.entries))
-	addresses := make(map[string]string, len(r.entries))
-	for name, entry := range r.entries {
+	entries := r.all() // Dead asks others, so the lock is not held
+	candidates := make([]policy.Candidate, 0, len(entries))
+	addresses := make(map[string]string, len(entries))
+	for name, entry := range entries {
 		candidates = append(candidates, policy.Candidate{
 			Name: name, Place: entry.Place, FailureDomain: entry.FailureDomain, Leaving: entry.Leaving, Dead: r.deps.Dead(name),
 		})
 		addresses[name] = entry.PublicAddress
 	}
-	r.mu.Unlock()
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	chosen := policy.Choose(r.deps.Choice, candidates, caller, random)
 	answer := make([]string, 0, len(chosen))
@@ -103,6 +103,12 @@
 	return answer, r.deps.Keep
 }
 
+func (r *Roster) all() map[string]platform.Entry {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.entries)
+}
+
 // publish writes this entry's object until it is there. An object that says the same already is left alone, so that a
 // restart makes no change for others.
 func (r *Roster) publish(ctx context.Context, entry platform.Entry) {
--- a/entry/turn/local.go
+++ b/entry/turn/local.go
@@ -160,6 +160,13 @@
 	return heads
 }
 
+// Hold notes a turn that another gave.
+func (l *Local) Hold(server *backend.Server) *Turn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.grant(server)
+}
+
 // grant is called under the lock.
 func (l *Local) grant(server *backend.Server) *Turn {
 	load := l.of(server.ID)
@@ -172,8 +179,8 @@
 			defer l.mu.Unlock()
 			load.told, load.toldAt, load.sent = running+waiting, time.Now(), 0
 		},
-		First: func() {},
-		Done:  func(result Result) { l.done(load, result) },
+		Silent: func() {},
+		Done:   func(result Result) { l.done(load, result) },
 	}
 }
 
--- /dev/null
+++ b/entry/turn/remote.go
@@ -0,0 +1,203 @@
+package turn
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/skylarkpond/skylarkpond/backend"
+	link "github.com/skylarkpond/skylarkpond/link/leader"
+	policy "github.com/skylarkpond/skylarkpond/policy/turns"
+)
+
+const (
+	// answerMargin is how much longer than its patience a request waits for the leader's word: the way there and back takes some
+	// milliseconds. After that this entry decides for itself.
+	answerMargin = 80 * time.Millisecond
+	// doubtFor is how long the leader is not asked after it did not answer.
+	doubtFor = 300 * time.Millisecond
+)
+
+// Remote gives turns by asking the entry in charge. Where that one does not answer, and for plain services, Local decides.
+type Remote struct {
+	local   *Local
+	listing func() *backend.Listing
+
+	mu sync.Mutex // guards what follows; a leaf lock
+	// send reaches the entry in charge; nil without a link.
+	send func(link.Up)
+	// waiting are the requests without an answer, running the turns that are held.
+	waiting map[uint64]chan link.Down
+	running map[uint64]backend.ID
+	lastKey uint64
+	doubt   time.Time
+}
+
+// NewRemote returns a Remote without a link.
+func NewRemote(local *Local, listing func() *backend.Listing) *Remote {
+	return &Remote{
+		local: local, listing: listing, waiting: make(map[uint64]chan link.Down), running: make(map[uint64]backend.ID),
+	}
+}
+
+// Attach sets the way to the entry in charge, or nil, and returns the turns held. Requests that wait at an earlier one are
+// decided here.
+func (r *Remote) Attach(send func(link.Up)) []link.Running {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.send = send
+	r.doubt = time.Time{}
+	for key, answer := range r.waiting {
+		close(answer)
+		delete(r.waiting, key)
+	}
+	held := make([]link.Running, 0, len(r.running))
+	for key, head := range r.running {
+		held = append(held, link.Running{Key: key, Head: head})
+	}
+	return held
+}
+
+// Linked says whether there is a way to the entry in charge.
+func (r *Remote) Linked() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.send != nil
+}
+
+// Take implements Taker.
+func (r *Remote) Take(ctx context.Context, ask Ask) (*Turn, *Refusal) {
+	if ask.Model == "" {
+		return r.local.Take(ctx, ask)
+	}
+	key, answer := r.ask(ask)
+	if answer == nil {
+		return r.local.Take(ctx, ask)
+	}
+	timer := time.NewTimer(ask.Patience + answerMargin)
+	defer timer.Stop()
+	select {
+	case down, ok := <-answer:
+		if !ok {
+			return r.local.Take(ctx, ask)
+		}
+		return r.settle(ctx, ask, key, down)
+	case <-timer.C:
+		r.giveUp(key, true)
+		return r.local.Take(ctx, ask)
+	case <-ctx.Done():
+		r.giveUp(key, false)
+		return nil, &Refusal{Reason: Full, Detail: "deadline passed while waiting for a turn"}
+	}
+}
+
+func (r *Remote) ask(ask Ask) (uint64, chan link.Down) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.send == nil || time.Now().Before(r.doubt) {
+		return 0, nil
+	}
+	r.lastKey++
+	key := r.lastKey
+	answer := make(chan link.Down, 1)
+	r.waiting[key] = answer
+	r.send(link.Up{Ask: &link.Ask{
+		Key: key, Service: ask.Service, Model: ask.Model, PatienceMs: ask.Patience.Milliseconds(),
+		Priority: ask.Priority, Tried: ask.Tried,
+	}})
+	return key, answer
+}
+
+// giveUp takes a request back. A turn that crosses this is ended when it arrives.
+func (r *Remote) giveUp(key uint64, doubted bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.waiting, key)
+	if doubted {
+		r.doubt = time.Now().Add(doubtFor)
+	}
+	if r.send != nil {
+		r.send(link.Up{Done: &link.Done{Key: key}})
+	}
+}
+
+// settle turns the leader's word into a turn or a refusal.
+func (r *Remote) settle(ctx context.Context, ask Ask, key uint64, down link.Down) (*Turn, *Refusal) {
+	if refuse := down.Refuse; refuse != nil {
+		if refuse.RetryAfterMs == 0 {
+			return r.local.Take(ctx, ask) // it is not in charge
+		}
+		return nil, &Refusal{
+			Reason: Reason(refuse.Reason), RetryAfter: time.Duration(refuse.RetryAfterMs) * time.Millisecond,
+			Detail: "leader: " + refuse.Detail,
+		}
+	}
+	server := r.listing().Servers[down.Grant.Head]
+	if server == nil {
+		r.end(key, Result{})
+		return r.local.Take(ctx, ask) // this entry does not know the head yet
+	}
+	return r.turn(key, server), nil
+}
+
+// turn wraps the local account of the server, so that this entry knows enough when it has to decide by itself.
+func (r *Remote) turn(key uint64, server *backend.Server) *Turn {
+	t := r.local.Hold(server)
+	done := t.Done
+	t.Done = func(result Result) {
+		done(result)
+		r.end(key, result)
+	}
+	t.Silent = func() { r.tell(link.Up{Silent: server.ID}) }
+	return t
+}
+
+func (r *Remote) end(key uint64, result Result) {
+	whole := !result.Unreachable && !result.Rejected && !result.Failed && !result.Silent
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.running, key)
+	if r.send != nil {
+		r.send(link.Up{Done: &link.Done{Key: key, Whole: whole, Unreachable: result.Unreachable}})
+	}
+}
+
+func (r *Remote) tell(message link.Up) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.send != nil {
+		r.send(message)
+	}
+}
+
+// Answered takes the leader's word on a request.
+func (r *Remote) Answered(down link.Down) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var key uint64
+	switch {
+	case down.Grant != nil:
+		key = down.Grant.Key
+	case down.Refuse != nil:
+		key = down.Refuse.Key
+	default:
+		return
+	}
+	answer, ok := r.waiting[key]
+	if !ok {
+		if down.Grant != nil && r.send != nil {
+			r.send(link.Up{Done: &link.Done{Key: key}})
+		}
+		return
+	}
+	delete(r.waiting, key)
+	if down.Grant != nil {
+		r.running[key] = down.Grant.Head
+	}
+	answer <- down
+}
+
+// PatienceOf says how long a request may wait for its turn.
+func PatienceOf(objective, elapsed time.Duration, returning bool) time.Duration {
+	return policy.Patience(objective, elapsed, returning)
+}
--- a/entry/turn/turn.go
+++ b/entry/turn/turn.go
@@ -17,17 +17,17 @@
 	// PromptTokens and AnswerTokens are what the request is expected to take.
 	PromptTokens, AnswerTokens int
 	Priority                   int
-	// FirstAnswer is the objective for the time to the first part of the answer.
-	FirstAnswer time.Duration
-	// Arrived is when the request came.
-	Arrived  time.Time
-	Deadline time.Time
+	// Patience is how long the request may wait for its turn.
+	Patience time.Duration
 	// Tried are the servers that it was sent to.
 	Tried         []backend.ID
 	FailureDomain domain.FailureDomain
 	Team          string
 }
 
+// First is the priority of streams that broke off and are to go on.
+const First = -1
+
 // Reason says why there is no turn.
 type Reason string
 
@@ -66,8 +66,8 @@
 	Server *backend.Server
 	// Load tells what the server said of its load.
 	Load func(running, waiting, slots int)
-	// First tells that the first part of the answer came.
-	First func()
+	// Silent tells that the server has said nothing for longer than usual, while the turn lasts.
+	Silent func()
 	// Done ends the turn. It is called exactly once.
 	Done func(Result)
 }
--- /dev/null
+++ b/link/leader/leader.go
@@ -0,0 +1,147 @@
+// Package leader links every entry with the one that is in charge: one stream each, over QUIC, on which both sides send
+// CBOR items. Requests for turns, their answers and news of all kinds share it, so that the cost grows with requests and changes, and
+// not with (entries x groups).
+//
+// The follower knows the leader by the fingerprint in the lease; the leader knows a follower by the lease's token. Whoever can
+// read the platform's objects is trusted, nobody else.
+package leader
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"github.com/skylarkpond/skylarkpond/backend"
+)
+
+// protocol names this protocol in the handshake.
+const protocol = "skylarkpond-leader/1"
+
+const (
+	// idleTimeout is how long a link lives without a packet. A leader that was killed says nothing, and nobody is
+	// in charge until its followers notice.
+	idleTimeout = 1200 * time.Millisecond
+	// keepAlive makes a quiet side speak several times within idleTimeout, so that two lost packets don't end the link.
+	keepAlive = 350 * time.Millisecond
+	// dialTimeout bounds a handshake, which takes some 15 ms.
+	dialTimeout = 700 * time.Millisecond
+	// queueSize is how many messages wait for a slow link. One that finds it full ends the link: its follower then decides
+	// for itself, and no turn is given that nobody hears of.
+	queueSize = 4096
+)
+
+func config() *quic.Config {
+	return &quic.Config{
+		HandshakeIdleTimeout: dialTimeout, MaxIdleTimeout: idleTimeout, KeepAlivePeriod: keepAlive,
+		InitialStreamReceiveWindow: 64 << 10, MaxStreamReceiveWindow: 1 << 20,
+		InitialConnectionReceiveWindow: 64 << 10, MaxConnectionReceiveWindow: 1 << 20,
+		MaxIncomingStreams: 1, MaxIncomingUniStreams: -1,
+	}
+}
+
+// Up is what a follower sends. One of its fields is set.
+type Up struct {
+	Hello *Hello `cbor:"1,keyasint,omitempty"`
+	Ask   *Ask   `cbor:"2,keyasint,omitempty"`
+	Done  *Done  `cbor:"3,keyasint,omitempty"`
+	// Silent names a head whose streams have stopped.
+	Silent backend.ID `cbor:"4,keyasint,omitempty"`
+	Config *Config    `cbor:"5,keyasint,omitempty"`
+	// Seen answers a question whether a server can be reached.
+	Seen *Seen `cbor:"6,keyasint,omitempty"`
+	// Has is the version of the configuration that the follower works by.
+	Has uint64 `cbor:"7,keyasint,omitempty"`
+}
+
+// Hello is the first message of a follower.
+type Hello struct {
+	Entry string `cbor:"1,keyasint"`
+	Token string `cbor:"2,keyasint"`
+	// Running are the turns that the follower holds, given by this leader or an earlier one.
+	Running []Running `cbor:"3,keyasint,omitempty"`
+	// ConfigVersion is the version of its configuration.
+	ConfigVersion uint64 `cbor:"4,keyasint,omitempty"`
+	// Leaving followers are to be named to no caller.
+	Leaving bool `cbor:"5,keyasint,omitempty"`
+}
+
+// Running is one turn.
+type Running struct {
+	Key  uint64     `cbor:"1,keyasint"`
+	Head backend.ID `cbor:"2,keyasint"`
+}
+
+// Ask is a request that wants a turn.
+type Ask struct {
+	Key     uint64 `cbor:"1,keyasint"`
+	Service string `cbor:"2,keyasint"`
+	Model   string `cbor:"3,keyasint"`
+	// PatienceMs is how long it may wait.
+	PatienceMs int64        `cbor:"4,keyasint"`
+	Priority   int          `cbor:"5,keyasint,omitempty"`
+	Tried      []backend.ID `cbor:"6,keyasint,omitempty"`
+}
+
+// Done ends a turn, or takes back a request that waits.
+type Done struct {
+	Key uint64 `cbor:"1,keyasint"`
+	// Whole says that the answer was given to its end.
+	Whole bool `cbor:"2,keyasint,omitempty"`
+	// Unreachable says that no connection to the head could be made.
+	Unreachable bool `cbor:"3,keyasint,omitempty"`
+}
+
+// Config is the configuration as the operator wrote it.
+type Config struct {
+	Spec json.RawMessage `cbor:"1,keyasint"`
+}
+
+// Seen says whether a server answered the follower.
+type Seen struct {
+	Server   backend.ID `cbor:"1,keyasint"`
+	Answered bool       `cbor:"2,keyasint,omitempty"`
+	// Group is what it answered to be in.
+	Group backend.GroupKey `cbor:"3,keyasint,omitempty"`
+	// Serving says that it takes requests there.
+	Serving bool `cbor:"4,keyasint,omitempty"`
+}
+
+// Down is what the leader sends. One of its fields is set.
+type Down struct {
+	Grant  *Grant  `cbor:"1,keyasint,omitempty"`
+	Refuse *Refuse `cbor:"2,keyasint,omitempty"`
+	Config *Config `cbor:"3,keyasint,omitempty"`
+	// Renewed is the version of the lease, after each renewal.
+	Renewed *Renewed `cbor:"4,keyasint,omitempty"`
+	// Look asks the follower whether it can reach a server.
+	Look *Look `cbor:"5,keyasint,omitempty"`
+}
+
+// Grant is a turn.
+type Grant struct {
+	Key  uint64     `cbor:"1,keyasint"`
+	Head backend.ID `cbor:"2,keyasint"`
+}
+
+// Refuse turns a request away.
+type Refuse struct {
+	Key          uint64 `cbor:"1,keyasint"`
+	Reason       string `cbor:"2,keyasint"`
+	RetryAfterMs int64  `cbor:"3,keyasint"`
+	Detail       string `cbor:"4,keyasint"`
+}
+
+// Renewed tells that the leader holds the lease, and which entries it hears from.
+type Renewed struct {
+	Version uint64   `cbor:"1,keyasint"`
+	Live    []string `cbor:"2,keyasint,omitempty"`
+	// ConfigVersion is that of the leader's configuration.
+	ConfigVersion uint64 `cbor:"3,keyasint,omitempty"`
+}
+
+// Look is a question about a server.
+type Look struct {
+	Server  backend.ID `cbor:"1,keyasint"`
+	Address string     `cbor:"2,keyasint"`
+}
--- /dev/null
+++ b/link/leader/stream.go
@@ -0,0 +1,86 @@
+package leader
+
+import (
+	"io"
+	"sync"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/quic-go/quic-go"
+	"github.com/rotisserie/eris"
+)
+
+// errOverrun ends a link whose other side does not read.
+var errOverrun = eris.New("too many messages wait for the link")
+
+// stream sends and receives items on one connection.
+type stream struct {
+	conn  *quic.Conn
+	raw   *quic.Stream
+	queue chan any
+	once  sync.Once
+}
+
+func newStream(conn *quic.Conn, raw *quic.Stream) *stream {
+	s := &stream{conn: conn, raw: raw, queue: make(chan any, queueSize)}
+	go s.write()
+	return s
+}
+
+// send queues an item. It never blocks.
+func (s *stream) send(item any) {
+	select {
+	case s.queue <- item:
+	case <-s.conn.Context().Done():
+	default:
+		s.close(errOverrun.Error())
+	}
+}
+
+func (s *stream) write() {
+	for {
+		select {
+		case <-s.conn.Context().Done():
+			return
+		case item := <-s.queue:
+			if !s.writeBatch(item) {
+				return
+			}
+		}
+	}
+}
+
+// writeBatch writes an item and those that wait behind it at once, which makes one packet of them.
+func (s *stream) writeBatch(item any) bool {
+	var batch []byte
+	for more := true; more; {
+		encoded, err := cbor.Marshal(item)
+		if err != nil {
+			s.close(err.Error())
+			return false
+		}
+		batch = append(batch, encoded...)
+		select {
+		case item = <-s.queue:
+		default:
+			more = false
+		}
+	}
+	if _, err := s.raw.Write(batch); err != nil {
+		s.close(err.Error())
+		return false
+	}
+	return true
+}
+
+// decoder reads the items of the other side.
+func (s *stream) decoder() (*cbor.Decoder, error) {
+	mode, err := cbor.DecOptions{MaxArrayElements: 1 << 16, MaxMapPairs: 1 << 12}.DecMode()
+	if err != nil {
+		return nil, err
+	}
+	return mode.NewDecoder(io.Reader(s.raw)), nil
+}
+
+func (s *stream) close(reason string) {
+	s.once.Do(func() { _ = s.conn.CloseWithError(0, reason) })
+}
--- a/link/peer/identity.go
+++ b/link/peer/identity.go
@@ -91,3 +91,10 @@
 		},
 	}
 }
+
+// TLSConfig returns the configuration of one side of a connection for an own protocol over QUIC.
+func TLSConfig(id *Identity, trust Trust, protocol string) *tls.Config {
+	config := tlsConfig(id, trust)
+	config.NextProtos = []string{protocol}
+	return config
+}
--- /dev/null
+++ b/policy/turns/turns.go
@@ -0,0 +1,430 @@
+// Package turns decides which request is sent to which group, which ones wait, and which are turned away.
+//
+// Load pattern: many entries before few groups, of which some are lost every few seconds. Each entry alone sees a small part of the
+// requests, and load reports are late. At the worst, the groups that stand can't serve all that come, and callers come again.
+//
+// What goes wrong without it: entries that choose by what they see pick the same group at once (the busiest had six times the mean), and
+// requests wait in that group's engine behind others whose callers will be gone. All are served, but late; a caller who is
+// turned away late comes again late. A fixed limit for each entry is far too loose or far too tight.
+//
+// So one entry counts what runs on each group, and gives turns: to the group with the largest share of free places; in the order of arrival
+// when there is none; and no turn to a request whose turn would come too late. That one is turned away at once, while its caller can still
+// come back, and it is told when there will be room.
+//
+// Time is a duration since any fixed moment. A Scheduler is not safe for concurrent use.
+package turns
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Group is one replica that takes requests.
+type Group struct {
+	// Head names the group's head.
+	Head  string
+	Model string
+	// Slots is how many requests it runs at once.
+	Slots int
+}
+
+// Request is one request that wants a turn.
+type Request struct {
+	// Key is unique among the requests that wait or run.
+	Key   string
+	Model string
+	// Patience is how long it may wait for its turn to be of full use.
+	Patience time.Duration
+	// Priority is 0 for the most urgent.
+	Priority int
+	// Tried are the heads that it was sent to.
+	Tried []string
+}
+
+// Why says why a request is turned away.
+type Why uint8
+
+// The reasons.
+const (
+	// Granted: it is not.
+	Granted Why = iota
+	// NoGroup: no group of the model stands.
+	NoGroup
+	// Late: its turn would come too late.
+	Late
+	// TriedAll: it was sent to every group that stands.
+	TriedAll
+)
+
+// Decision is what becomes of a request.
+type Decision struct {
+	Key  string
+	Head string
+	Why  Why
+	// RetryAfter is when there will be room, for a request that is turned away.
+	RetryAfter time.Duration
+	// Running and Waiting are what the decision was made from: requests of the model that run and wait.
+	Running, Waiting, Places int
+}
+
+// Config holds the thresholds.
+type Config struct {
+	// Overhang is how many requests a group is given beyond its places. The engine then always has one to begin with when
+	// a place comes free, which saves it the way to here and back (some ms).
+	Overhang int
+	// UsualTime is the time that a request takes until the first ones have ended.
+	UsualTime time.Duration
+	// ReturnFirst is the shortest time to come back after; ReturnSpread is added by chance, so that callers that were turned away
+	// together do not come together.
+	ReturnFirst, ReturnSpread time.Duration
+	// ReturnStand is when groups that are being formed will stand, for callers of a model without any.
+	ReturnStand time.Duration
+	// SuspectFor is how long a group that keeps silent gets no turns.
+	SuspectFor time.Duration
+}
+
+// DefaultConfig returns the thresholds in use.
+func DefaultConfig() Config {
+	return Config{
+		Overhang: 1, UsualTime: 1500 * time.Millisecond,
+		ReturnFirst: 500 * time.Millisecond, ReturnSpread: 800 * time.Millisecond,
+		ReturnStand: 1200 * time.Millisecond, SuspectFor: time.Second,
+	}
+}
+
+// Scheduler gives turns.
+type Scheduler struct {
+	config Config
+	groups map[string]*group
+	models map[string]*model
+	// running holds the turns given, by key.
+	running map[string]turn
+}
+
+type group struct {
+	Group
+	running int
+	// suspect is until when it gets no turns.
+	suspect time.Duration
+	// gone: it stands no more; it is kept while turns are out.
+	gone bool
+}
+
+type turn struct {
+	head  string
+	since time.Duration
+}
+
+// model is the queue of one model's requests.
+type model struct {
+	waiting []waiter
+	// took is the mean time of a turn.
+	took time.Duration
+}
+
+type waiter struct {
+	Request
+	since time.Duration
+}
+
+// New returns a scheduler without groups.
+func New(config Config) *Scheduler {
+	return &Scheduler{
+		config: config, groups: make(map[string]*group), models: make(map[string]*model), running: make(map[string]turn),
+	}
+}
+
+// SetGroups says which groups take requests now, and returns the turns that this makes possible.
+func (s *Scheduler) SetGroups(now time.Duration, groups []Group, chance func() float64) []Decision {
+	for _, g := range s.groups {
+		g.gone = true
+	}
+	for _, g := range groups {
+		held := s.groups[g.Head]
+		if held == nil {
+			held = &group{}
+			s.groups[g.Head] = held
+		}
+		held.Group = g
+		held.gone = false
+	}
+	for head, g := range s.groups {
+		if g.gone && g.running == 0 {
+			delete(s.groups, head)
+		}
+	}
+	return s.serveAll(now, chance)
+}
+
+func (s *Scheduler) model(name string) *model {
+	m := s.models[name]
+	if m == nil {
+		m = &model{took: s.config.UsualTime}
+		s.models[name] = m
+	}
+	return m
+}
+
+// Ask decides on a request. No decision means that it waits.
+func (s *Scheduler) Ask(now time.Duration, request Request, chance func() float64) []Decision {
+	m := s.model(request.Model)
+	if head := s.best(now, request); head != nil && len(m.waiting) == 0 {
+		return []Decision{s.grant(now, head, request.Key)}
+	}
+	if why := s.hopeless(request); why != Granted {
+		return []Decision{s.refuse(request, why, chance)}
+	}
+	if s.expectedWait(request.Model, s.ahead(m, request)) > request.Patience {
+		return []Decision{s.refuse(request, Late, chance)}
+	}
+	m.insert(waiter{Request: request, since: now})
+	return s.serve(now, request.Model, chance)
+}
+
+// insert keeps the order of priority, then of arrival.
+func (m *model) insert(w waiter) {
+	i := len(m.waiting)
+	for i > 0 && m.waiting[i-1].Priority > w.Priority {
+		i--
+	}
+	m.waiting = slices.Insert(m.waiting, i, w)
+}
+
+func (s *Scheduler) ahead(m *model, request Request) int {
+	n := 0
+	for _, w := range m.waiting {
+		if w.Priority <= request.Priority {
+			n++
+		}
+	}
+	return n
+}
+
+// hopeless says why no turn can come: no group stands, or none that was not tried.
+func (s *Scheduler) hopeless(request Request) Why {
+	why := NoGroup
+	for _, g := range s.groups {
+		if g.gone || g.Model != request.Model {
+			continue
+		}
+		if !slices.Contains(request.Tried, g.Head) {
+			return Granted
+		}
+		why = TriedAll
+	}
+	return why
+}
+
+// expectedWait is how long a request waits behind others: places come free at the rate at which turns end.
+func (s *Scheduler) expectedWait(name string, ahead int) time.Duration {
+	_, places := s.places(name)
+	if places == 0 {
+		return s.config.ReturnStand
+	}
+	return time.Duration(ahead+1) * s.model(name).took / time.Duration(places)
+}
+
+// places returns how many requests run on the groups of a model that stand, and how many they can run.
+func (s *Scheduler) places(name string) (running, places int) {
+	for _, g := range s.groups {
+		if !g.gone && g.Model == name {
+			running += g.running
+			places += g.Slots
+		}
+	}
+	return running, places
+}
+
+// best returns the group with the largest share of free places, or nil if there is none.
+func (s *Scheduler) best(now time.Duration, request Request) *group {
+	var best *group
+	for _, g := range s.groups {
+		if g.gone || g.Model != request.Model || now < g.suspect || g.running >= g.Slots+s.config.Overhang {
+			continue
+		}
+		if slices.Contains(request.Tried, g.Head) {
+			continue
+		}
+		if best == nil || g.load() < best.load() || (g.load() == best.load() && g.Head < best.Head) {
+			best = g
+		}
+	}
+	return best
+}
+
+func (g *group) load() float64 { return float64(g.running) / float64(max(1, g.Slots)) }
+
+func (s *Scheduler) grant(now time.Duration, g *group, key string) Decision {
+	g.running++
+	s.running[key] = turn{head: g.Head, since: now}
+	return Decision{Key: key, Head: g.Head}
+}
+
+func (s *Scheduler) refuse(request Request, why Why, chance func() float64) Decision {
+	d := Decision{Key: request.Key, Why: why}
+	d.Running, d.Places = s.places(request.Model)
+	d.Waiting = len(s.model(request.Model).waiting)
+	spread := time.Duration(chance() * float64(s.config.ReturnSpread))
+	switch why {
+	case NoGroup, TriedAll:
+		d.RetryAfter = s.config.ReturnStand + spread
+	default:
+		d.RetryAfter = max(s.config.ReturnFirst, s.expectedWait(request.Model, d.Waiting)) + spread
+	}
+	return d
+}
+
+// Done ends a turn, and returns the turns that this makes possible. whole says that the answer was given to its end, so that
+// its time tells how long turns take.
+func (s *Scheduler) Done(now time.Duration, key string, whole bool, chance func() float64) []Decision {
+	t, ok := s.running[key]
+	if !ok {
+		return s.Withdraw(key)
+	}
+	delete(s.running, key)
+	g := s.groups[t.head]
+	if g == nil {
+		return nil
+	}
+	g.running--
+	if whole {
+		s.model(g.Model).learn(now - t.since)
+	}
+	if g.gone && g.running == 0 {
+		delete(s.groups, t.head)
+	}
+	return s.serve(now, g.Model, chance)
+}
+
+// learnShare is the weight of the latest turn in the mean.
+const learnShare = 0.02
+
+func (m *model) learn(took time.Duration) {
+	m.took += time.Duration(learnShare * float64(took-m.took))
+}
+
+// Forget ends all turns, and takes back all requests, whose keys begin with prefix.
+func (s *Scheduler) Forget(now time.Duration, prefix string, chance func() float64) []Decision {
+	for key, t := range s.running {
+		if !strings.HasPrefix(key, prefix) {
+			continue
+		}
+		delete(s.running, key)
+		if g := s.groups[t.head]; g != nil {
+			g.running--
+		}
+	}
+	for _, m := range s.models {
+		m.waiting = slices.DeleteFunc(m.waiting, func(w waiter) bool { return strings.HasPrefix(w.Key, prefix) })
+	}
+	return s.serveAll(now, chance)
+}
+
+// Adopt notes a turn that another scheduler gave.
+func (s *Scheduler) Adopt(now time.Duration, key, head string) {
+	if _, ok := s.running[key]; ok {
+		return
+	}
+	g := s.groups[head]
+	if g == nil {
+		g = &group{Group: Group{Head: head}, gone: true}
+		s.groups[head] = g
+	}
+	g.running++
+	s.running[key] = turn{head: head, since: now}
+}
+
+// Withdraw takes back a request that waits.
+func (s *Scheduler) Withdraw(key string) []Decision {
+	for _, m := range s.models {
+		m.waiting = slices.DeleteFunc(m.waiting, func(w waiter) bool { return w.Key == key })
+	}
+	return nil
+}
+
+// Suspect keeps turns from a group that is silent.
+func (s *Scheduler) Suspect(now time.Duration, head string) {
+	if g := s.groups[head]; g != nil {
+		g.suspect = now + s.config.SuspectFor
+	}
+}
+
+// Clear ends a suspicion that proved wrong.
+func (s *Scheduler) Clear(now time.Duration, head string, chance func() float64) []Decision {
+	g := s.groups[head]
+	if g == nil || g.suspect <= now {
+		return nil
+	}
+	g.suspect = now
+	return s.serve(now, g.Model, chance)
+}
+
+// Tick turns away what has waited for too long. It is called often.
+func (s *Scheduler) Tick(now time.Duration, chance func() float64) []Decision {
+	return s.serveAll(now, chance)
+}
+
+func (s *Scheduler) serveAll(now time.Duration, chance func() float64) []Decision {
+	var decisions []Decision
+	names := make([]string, 0, len(s.models))
+	for name := range s.models {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		decisions = append(decisions, s.serve(now, name, chance)...)
+	}
+	return decisions
+}
+
+// serve gives turns to those that wait, in their order, and turns away those whose time is over.
+func (s *Scheduler) serve(now time.Duration, name string, chance func() float64) []Decision {
+	m := s.model(name)
+	var decisions []Decision
+	kept := m.waiting[:0]
+	for _, w := range m.waiting {
+		if head := s.best(now, w.Request); head != nil {
+			decisions = append(decisions, s.grant(now, head, w.Key))
+			continue
+		}
+		why := s.hopeless(w.Request)
+		if why == Granted && now-w.since >= w.Patience {
+			why = Late
+		}
+		if why != Granted {
+			decisions = append(decisions, s.refuse(w.Request, why, chance))
+			continue
+		}
+		kept = append(kept, w)
+	}
+	clear(m.waiting[len(kept):])
+	m.waiting = kept
+	return decisions
+}
+
+// Load is what is known of one group.
+type Load struct {
+	Head    string
+	Model   string
+	Running int
+	Slots   int
+	Suspect bool
+}
+
+// Loads returns the load of every group that stands, by head.
+func (s *Scheduler) Loads(now time.Duration) []Load {
+	loads := make([]Load, 0, len(s.groups))
+	for _, g := range s.groups {
+		if !g.gone {
+			loads = append(loads, Load{Head: g.Head, Model: g.Model, Running: g.running, Slots: g.Slots, Suspect: now < g.suspect})
+		}
+	}
+	slices.SortFunc(loads, func(a, b Load) int {
+		if a.Head < b.Head {
+			return -1
+		}
+		return 1
+	})
+	return loads
+}
