Loads go to what completes the most needed group, and all groups stand before callers come

Cause: nine groups of the smaller model and four of the larger stood at the start, since the smaller one always fitted into the loads that were left; survivors were staged anew for whatever lacked least.

--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -30,6 +30,7 @@
 	"github.com/skylarkpond/skylarkpond/platform"
 	directory "github.com/skylarkpond/skylarkpond/policy/directory"
 	"github.com/skylarkpond/skylarkpond/policy/retry"
+	"github.com/skylarkpond/skylarkpond/policy/turns"
 )
 
 func assemble(config Config) (*Gateway, error) {
@@ -71,11 +72,13 @@
 	g.controller = grouping.New(grouping.Deps{
 		Pool: g.pool, Table: g.catalog.Table, Listing: g.catalog.Listing, Held: g.lease.Held, Epoch: g.lease.Version,
 		Reached: g.reached, Sound: func(head backend.ID) { g.leader.Clear(head) },
-		Early: g.early, Event: g.groupEvent,
+		Demand: func(service, model string) float64 { return g.leader.Wanted(service, model) },
+		Early:  g.early, Event: g.groupEvent,
 	})
 	g.leader = leader.New(leader.Deps{
 		Held: g.lease.Held, Listing: g.catalog.Listing, Table: g.catalog.Table, Closed: g.controller.Closed,
 		Suspect: func(_ backend.ID, key backend.GroupKey) { g.controller.Suspect(context.Background(), key) },
+		Demand:  g.demand,
 		Config:  g.catalog.Config, TakeConfig: g.catalog.TakeConfig, LeaseVersion: g.lease.Version,
 	})
 	g.links = link.NewServer(identity, self.Token, g.leader)
@@ -157,6 +160,13 @@
 	}).Info(string(event.Kind))
 }
 
+func (g *Gateway) demand(demand turns.Demand) {
+	g.log.WithFields(logrus.Fields{
+		"model": demand.Model, "groups": demand.Groups, "places": demand.Places, "running": demand.Running, "waiting": demand.Waiting,
+		"asked": demand.Asked, "granted": demand.Granted, "refused": demand.Refused, "took_ms": demand.Took.Milliseconds(),
+	}).Info("demand")
+}
+
 func (g *Gateway) requestEnded(report relay.Report) {
 	metrics.GetOrRegisterCounter("requests."+string(report.Outcome), g.registry).Inc(1)
 	if report.Outcome == relay.Served {
--- a/entry/grouping/grouping.go
+++ b/entry/grouping/grouping.go
@@ -35,6 +35,8 @@
 	Reached func(ctx context.Context, server *backend.Server, key backend.GroupKey) (serving bool)
 	// Sound tells that a suspected group has answered in full.
 	Sound func(head backend.ID)
+	// Demand returns how many groups' worth of requests of a model come, or 0 where that is not known yet.
+	Demand func(service, model string) float64
 	// Early says that no caller has come yet.
 	Early func() bool
 	// Event tells what was done or seen.
@@ -188,7 +190,7 @@
 }
 
 func (c *Controller) serve(ctx context.Context, service route.Service, servers []*backend.Server) {
-	view := c.look(service.Engine, servers)
+	view := c.look(service, servers)
 	for _, broken := range view.broken {
 		c.startDissolve(ctx, broken)
 	}
--- a/entry/grouping/pace.go
+++ b/entry/grouping/pace.go
@@ -14,7 +14,7 @@
 	paceBurst = 3
 	// earlyLoads is how many loads run beside each other before callers come: one group more than what the store
 	// loads at full speed, so that it never idles.
-	earlyLoads = 4
+	earlyLoads = 21
 )
 
 // loadPace counts the loads that were ordered. It is guarded by the Controller's lock.
@@ -34,10 +34,11 @@
 	p.ends = nil
 }
 
-// room is how many loads may begin now.
+// room is how many loads may begin now. More of them beside each other than the store loads at full speed would not end
+// sooner, and the first would end later.
 func (p *loadPace) room(engine *route.Engine, now time.Time) int {
 	p.fill(engine, now)
-	return min(int(p.tokens), 2*engine.LoadsAtOnce-p.inProgress(now))
+	return min(int(p.tokens), engine.LoadsAtOnce-p.inProgress(now))
 }
 
 // earlyRoom is the same before callers come, when the rate does not count.
--- a/entry/grouping/view.go
+++ b/entry/grouping/view.go
@@ -28,7 +28,9 @@
 }
 
 // look sorts the VMs: those in whole groups, those that tasks work on, and those that are free.
-func (c *Controller) look(engine *route.Engine, servers []*backend.Server) *view {
+func (c *Controller) look(service route.Service, servers []*backend.Server) *view {
+	engine := service.Engine
+	models := c.policyModels(service)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
@@ -42,7 +44,7 @@
 		}
 	}
 	taken := c.sortGroups(engine, members, v)
-	v.input.Models = policyModels(engine)
+	v.input.Models = models
 	v.input.Domains = c.domains(servers, taken, now)
 	return v
 }
@@ -177,10 +179,28 @@
 // openedFor is how long a group that was opened may take to be listed as open.
 const openedFor = 2 * time.Second
 
-func policyModels(engine *route.Engine) []policy.Model {
-	models := make([]policy.Model, 0, len(engine.Models))
-	for _, model := range engine.Models {
+// Bounds of the measured demand beside what the configuration says: a model that nobody asks for at the moment keeps some groups.
+const (
+	leastDemand = 0.4
+	mostDemand  = 2.5
+)
+
+// policyModels takes the share of each model from its demand, once that is known for all, and from the configuration before.
+func (c *Controller) policyModels(service route.Service) []policy.Model {
+	models := make([]policy.Model, 0, len(service.Engine.Models))
+	demands := make([]float64, 0, len(service.Engine.Models))
+	sum := 0.0
+	for _, model := range service.Engine.Models {
 		models = append(models, policy.Model{Name: model.Name, Size: model.Size, Share: model.Share})
+		vms := c.deps.Demand(service.Name, model.Name) * float64(model.Size)
+		demands = append(demands, vms)
+		sum += vms
+	}
+	for i := range models {
+		if sum > 0 && models[i].Share > 0 {
+			measured := demands[i] / sum
+			models[i].Share = min(max(measured, leastDemand*models[i].Share), mostDemand*models[i].Share)
+		}
 	}
 	return models
 }
--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -32,6 +32,8 @@
 	// Config returns the configuration in force; TakeConfig offers another one.
 	Config     func() (uint64, json.RawMessage)
 	TakeConfig func(spec json.RawMessage)
+	// Demand tells of each model once in demandEvery, while this entry is in charge.
+	Demand func(demand policy.Demand)
 	// LeaseVersion is that of the last renewal.
 	LeaseVersion func() uint64
 }
@@ -46,6 +48,9 @@
 	turns     *policy.Scheduler
 	followers map[string]sender
 	inCharge  bool
+	// wanted is how many groups' worth of requests come, by model.
+	wanted  map[string]float64
+	seconds int
 	// told is the set of live entries that the followers were told last.
 	told []string
 	// looks are the questions in progress, by server.
@@ -59,7 +64,7 @@
 func New(deps Deps) *Leader {
 	return &Leader{
 		deps: deps, started: time.Now(), turns: policy.New(policy.DefaultConfig()), followers: make(map[string]sender),
-		looks: make(map[backend.ID]chan link.Seen),
+		looks: make(map[backend.ID]chan link.Seen), wanted: make(map[string]float64),
 	}
 }
 
@@ -68,13 +73,15 @@
 	tick = 20 * time.Millisecond
 	// groupsEvery is how often the groups are read from the listing, beside its changes.
 	groupsEvery = 100 * time.Millisecond
+	// demandEvery is how often the demand of each model is told.
+	demandEvery = time.Second
 )
 
 // Run works until ctx ends.
 func (l *Leader) Run(ctx context.Context) {
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
-	var groupsAt time.Time
+	var groupsAt, demandAt time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -92,7 +99,55 @@
 		l.mu.Lock()
 		l.send(l.turns.Tick(l.now(), rand.Float64))
 		l.mu.Unlock()
+		if time.Since(demandAt) >= demandEvery {
+			demandAt = time.Now()
+			l.tellDemand()
+		}
+	}
+}
+
+func (l *Leader) tellDemand() {
+	l.mu.Lock()
+	demands := l.turns.Demands()
+	for _, demand := range demands {
+		l.learn(demand)
+	}
+	l.mu.Unlock()
+	for _, demand := range demands {
+		l.deps.Demand(demand)
+	}
+}
+
+const (
+	// demandShare is the weight of the latest second in the mean demand: a change counts by half after 3 s.
+	demandShare = 0.2
+	// demandSeconds is how many seconds must have been seen before the mean counts.
+	demandSeconds = 3
+)
+
+// learn takes the latest second into the mean. It is called under the lock.
+func (l *Leader) learn(demand policy.Demand) {
+	if demand.Groups == 0 || demand.Asked == 0 {
+		return // nothing tells how long its requests would take
+	}
+	slots := float64(demand.Places) / float64(demand.Groups)
+	groups := float64(demand.Asked) * demand.Took.Seconds() / demandEvery.Seconds() / slots
+	held, known := l.wanted[demand.Model]
+	if !known {
+		held = groups
+	}
+	l.wanted[demand.Model] = held + demandShare*(groups-held)
+	l.seconds++
+}
+
+// Wanted returns how many groups' worth of requests of a model come, or 0 where that is not known yet.
+func (l *Leader) Wanted(service, model string) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.seconds < demandSeconds {
+		return 0
 	}
+	return l.wanted[modelKey(service, model)]
 }
 
 func (l *Leader) now() time.Duration { return time.Since(l.started) }
--- a/policy/grouping/grouping.go
+++ b/policy/grouping/grouping.go
@@ -8,8 +8,8 @@
 // could be completed with them; a group is formed that needs a load, and all its members wait 12 to 16 s for the one; all loads
 // begin at once and each takes several times as long; one model gets all VMs and the callers of the other are refused.
 //
-// So groups are formed only of VMs that have the weights at hand (except before callers come), models in proportion to the VMs
-// that their demand needs, and loads are spent on staging whatever completes the next group soonest. Some VMs of each domain stay
+// So groups are formed of VMs that have the weights at hand (before callers come, also of others), models in proportion to the VMs
+// that their demand needs, and the few loads go to whatever completes the most needed group with the fewest. Some VMs of each domain stay
 // free, with staged weights, while no model is short: a group that loses a member then stands again in two seconds.
 package grouping
 
@@ -23,7 +23,7 @@
 	Name string
 	// Size is how many VMs one group takes.
 	Size int
-	// Share is the part of the VMs that the model's demand needs.
+	// Share is the part of the VMs that the model's demand needs. Only the ratio of the models' shares counts.
 	Share float64
 }
 
@@ -99,7 +99,9 @@
 	}
 	for d.formNext() {
 	}
-	d.stage()
+	if !d.blocked {
+		d.stage()
+	}
 	return d.plan
 }
 
@@ -111,7 +113,9 @@
 	// free are the VMs left, by domain.
 	free  [][]VM
 	total int
-	plan  Plan
+	// blocked says that a group waits for loads, so that none are to be spent on less.
+	blocked bool
+	plan    Plan
 }
 
 // fair is the number of groups of a model when all VMs serve in proportion to the demand.
@@ -144,7 +148,8 @@
 	need   float64
 }
 
-// formNext adds the most needed group to the plan, and returns false when there is none.
+// formNext adds the most needed group to the plan, and returns false when there is none. A group that is needed more than all others
+// and waits for loads is not overtaken by one that needs fewer: the larger model would never get its share.
 func (d *decision) formNext() bool {
 	var best *candidate
 	for i := range d.in.Domains {
@@ -157,11 +162,15 @@
 	if best == nil {
 		return false
 	}
+	if best.loads > d.loads {
+		d.blocked = true
+		return false
+	}
 	d.take(best)
 	return true
 }
 
-// better prefers groups without loads, then the model that lacks more.
+// better prefers groups without loads, then the model that lacks more, then the domain with more VMs to spare.
 func (c *candidate) better(other *candidate) bool {
 	if (c.loads == 0) != (other.loads == 0) {
 		return c.loads == 0
@@ -181,23 +190,28 @@
 	if len(free)-model.Size < spares && !d.short(model) {
 		return nil
 	}
-	vms := slices.Clone(free)
-	slices.SortStableFunc(vms, func(a, b VM) int {
-		return cmp.Or(cmp.Compare(a.distance(model.Name), b.distance(model.Name)), cmp.Compare(a.ID, b.ID))
-	})
-	vms = vms[:model.Size]
+	vms := nearest(free, model.Name)[:model.Size]
 	loads := 0
 	for _, vm := range vms {
 		if vm.distance(model.Name) >= distanceLoad {
 			loads++
 		}
 	}
-	if loads > 0 && (!d.in.Early || loads > d.loads) {
+	if loads > 0 && !d.in.Early {
 		return nil
 	}
 	return &candidate{domain: i, model: model, vms: vms, loads: loads, need: d.need(model)}
 }
 
+// nearest returns the VMs in the order in which they would take up the model.
+func nearest(vms []VM, model string) []VM {
+	sorted := slices.Clone(vms)
+	slices.SortStableFunc(sorted, func(a, b VM) int {
+		return cmp.Or(cmp.Compare(a.distance(model), b.distance(model)), cmp.Compare(a.ID, b.ID))
+	})
+	return sorted
+}
+
 // Distances of a VM from serving a model.
 const (
 	distanceLoaded = iota
@@ -205,7 +219,7 @@
 	distanceLoad
 	// distanceOther is a load that drops another model's weights.
 	distanceOther
-	// distanceBusy is a VM that is staging another model now.
+	// distanceBusy is a VM that is staging now.
 	distanceBusy
 )
 
@@ -213,7 +227,7 @@
 	switch {
 	case v.Staging != "":
 		return distanceBusy
-	case v.Loaded == model:
+	case v.Loaded == model && v.Staged == model:
 		return distanceLoaded
 	case v.Staged == model:
 		return distanceStaged
@@ -233,64 +247,3 @@
 	d.counts[c.model.Name]++
 	d.loads -= c.loads
 }
-
-// stage spends the loads that are left: first on what completes a group soonest, then on spares.
-func (d *decision) stage() {
-	if d.in.Early {
-		return
-	}
-	for i := range d.in.Domains {
-		d.stageDomain(i)
-	}
-}
-
-func (d *decision) stageDomain(i int) {
-	model, ok := d.nextModel(i)
-	if !ok {
-		return
-	}
-	lacking := model.Size - d.atHand(i, model.Name)
-	for _, vm := range d.free[i] {
-		if d.loads <= 0 {
-			return
-		}
-		if vm.Staging != "" || vm.Staged == model.Name {
-			continue
-		}
-		if vm.Staged != "" && lacking <= 0 {
-			continue // it is as good a spare as it is
-		}
-		d.plan.Stage = append(d.plan.Stage, Staging{VM: vm.ID, Model: model.Name})
-		d.loads--
-		lacking--
-	}
-}
-
-func (d *decision) atHand(i int, model string) int {
-	n := 0
-	for _, vm := range d.free[i] {
-		if vm.Staged == model && vm.Staging == "" || vm.Staging == model {
-			n++
-		}
-	}
-	return n
-}
-
-// nextModel is the one whose next group in the domain lacks the fewest loads; where the free VMs make no group, the
-// one that the domain's groups would most likely need a spare of.
-func (d *decision) nextModel(i int) (Model, bool) {
-	var best Model
-	found := false
-	fewest := 0
-	for _, model := range d.in.Models {
-		lacking := max(0, model.Size-d.atHand(i, model.Name))
-		if len(d.free[i]) < model.Size {
-			lacking += len(d.free[i]) + model.Size // not now: behind all that can be completed
-			lacking -= d.in.Domains[i].Groups[model.Name]
-		}
-		if !found || lacking < fewest || (lacking == fewest && d.need(model) > d.need(best)) {
-			best, fewest, found = model, lacking, true
-		}
-	}
-	return best, found
-}
--- a/policy/turns/turns.go
+++ b/policy/turns/turns.go
@@ -121,6 +121,8 @@
 	waiting []waiter
 	// took is the mean time of a turn.
 	took time.Duration
+	// asked, granted and refused count since the last Demands.
+	asked, granted, refused int
 }
 
 type waiter struct {
@@ -169,6 +171,7 @@
 // Ask decides on a request. No decision means that it waits.
 func (s *Scheduler) Ask(now time.Duration, request Request, chance func() float64) []Decision {
 	m := s.model(request.Model)
+	m.asked++
 	if head := s.best(now, request); head != nil && len(m.waiting) == 0 {
 		return []Decision{s.grant(now, head, request.Key)}
 	}
@@ -257,11 +260,13 @@
 
 func (s *Scheduler) grant(now time.Duration, g *group, key string) Decision {
 	g.running++
+	s.model(g.Model).granted++
 	s.running[key] = turn{head: g.Head, since: now}
 	return Decision{Key: key, Head: g.Head}
 }
 
 func (s *Scheduler) refuse(request Request, why Why, chance func() float64) Decision {
+	s.model(request.Model).refused++
 	d := Decision{Key: request.Key, Why: why}
 	d.Running, d.Places = s.places(request.Model)
 	d.Waiting = len(s.model(request.Model).waiting)
@@ -403,6 +408,35 @@
 	return decisions
 }
 
+// Demand is what is known of one model.
+type Demand struct {
+	Model string
+	// Groups stand, with Places in all, on which Running requests run; Waiting wait.
+	Groups, Places, Running, Waiting int
+	// Took is the mean time of a turn.
+	Took time.Duration
+	// Asked, Granted and Refused count requests since the last call of Demands.
+	Asked, Granted, Refused int
+}
+
+// Demands returns the demand of every model that was asked for, by name, and begins new counts.
+func (s *Scheduler) Demands() []Demand {
+	demands := make([]Demand, 0, len(s.models))
+	for name, m := range s.models {
+		d := Demand{Model: name, Waiting: len(m.waiting), Took: m.took, Asked: m.asked, Granted: m.granted, Refused: m.refused}
+		for _, g := range s.groups {
+			if !g.gone && g.Model == name {
+				d.Groups++
+			}
+		}
+		d.Running, d.Places = s.places(name)
+		m.asked, m.granted, m.refused = 0, 0, 0
+		demands = append(demands, d)
+	}
+	slices.SortFunc(demands, func(a, b Demand) int { return strings.Compare(a.Model, b.Model) })
+	return demands
+}
+
 // Load is what is known of one group.
 type Load struct {
 	Head    string
