News of the platform come by the entry in charge; watches wait shortly

Ruled out: a stale read (none is made) and a failed call (none was logged). The entry in charge now watches in steps of 0.8 s and passes changes on over the links; the others watch only without a link.

--- a/entry/catalog/catalog.go
+++ b/entry/catalog/catalog.go
@@ -5,8 +5,6 @@
 import (
 	"context"
 	"encoding/json"
-	"maps"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,26 +15,15 @@
 	"github.com/skylarkpond/skylarkpond/platform"
 )
 
-const (
-	// serversPause gathers changes of servers after a watch has ended: each event ends the watch of every entry, and
-	// each call is priced. A leaving server must be known within 2 s.
-	serversPause = 400 * time.Millisecond
-	// configPause is the same for the configuration, which must be in force within 2 s.
-	configPause = 200 * time.Millisecond
-	// retryPause is the longest pause after a failed call; half of it is random.
-	retryPause = 400 * time.Millisecond
-	// returnGrace is how long servers whose registration lapsed while the platform was away stay listed after its
-	// return: they register again within about two seconds.
-	returnGrace = 2500 * time.Millisecond
-	// massShare and massCount tell lapses of an outage from crashes: so many registrations of a service never end at once otherwise,
-	// since a fabric domain holds a sixth of them.
-	massShare = 0.34
-	massCount = 3
-)
-
 // Deps is what a Catalog works with.
 type Deps struct {
-	Store store.Store
+	Store Store
+	// Fed says whether the entry in charge passes its news on, so that this one need not watch.
+	Fed func() bool
+	// Leads says whether this entry passes its news on to others.
+	Leads func() bool
+	// News tells of what a watch of this entry brought.
+	News func(news News)
 	// Lost and Regained tell of the platform's absence, per kind.
 	Lost     func(kind store.Kind, err error)
 	Regained func(kind store.Kind, away time.Duration)
@@ -52,15 +39,20 @@
 	table   atomic.Pointer[route.Table]
 	spec    atomic.Pointer[json.RawMessage]
 	listing atomic.Pointer[backend.Listing]
+	servers *servers
 
-	mu      sync.Mutex // guards listeners and the swap of table and spec
-	changed []func()
+	mu        sync.Mutex // guards what follows and the swap of table and spec; a leaf lock
+	changed   []func()
+	followers map[store.Kind]*follower
 }
 
 // New returns an empty catalog; Run fills it.
 func New(deps Deps) *Catalog {
-	c := &Catalog{deps: deps}
+	c := &Catalog{deps: deps, followers: make(map[store.Kind]*follower)}
 	c.listing.Store(backend.NewListing(0, nil))
+	c.servers = &servers{catalog: c, known: make(map[backend.ID]*backend.Server), lapsed: make(map[backend.ID]time.Time)}
+	c.Follow(platform.KindConfig, configPace, c.applyConfig)
+	c.Follow(platform.KindServers, serversPace, c.servers.apply)
 	return c
 }
 
@@ -103,178 +95,50 @@
 	c.deps.Config(table)
 }
 
-// Run follows both kinds until ctx ends.
-func (c *Catalog) Run(ctx context.Context) {
-	var running sync.WaitGroup
-	running.Go(func() { c.follow(ctx, platform.KindConfig, configPause, c.applyConfig) })
-	servers := &servers{catalog: c, known: make(map[backend.ID]*backend.Server), lapsed: make(map[backend.ID]time.Time)}
-	running.Go(func() { c.follow(ctx, platform.KindServers, serversPause, servers.apply) })
-	running.Go(func() { servers.expire(ctx) })
-	running.Wait()
+// Follow adds a kind, before Run. apply is called with each change, in order.
+func (c *Catalog) Follow(kind store.Kind, pace Pace, apply func(store.Changes)) {
+	c.followers[kind] = &follower{catalog: c, kind: kind, pace: pace, apply: apply, fed: make(chan struct{}, 1)}
 }
 
-func (c *Catalog) applyConfig(changes store.Changes) {
-	for _, object := range changes.Objects {
-		if object.Name == platform.ConfigName && !object.Deleted {
-			c.TakeConfig(object.Value)
-		}
+// Run follows all kinds until ctx ends.
+func (c *Catalog) Run(ctx context.Context) {
+	var running sync.WaitGroup
+	for _, follower := range c.followers {
+		running.Go(func() { follower.run(ctx) })
 	}
+	running.Go(func() { c.servers.expire(ctx) })
+	running.Wait()
 }
 
-// follow lists a kind and then watches it. What is lost by a failed watch comes with the next one, which begins at
-// the same revision.
-func (c *Catalog) follow(ctx context.Context, kind store.Kind, gather time.Duration, apply func(store.Changes)) {
-	var revision store.Version
-	listed := false
-	var failedSince time.Time
-	for ctx.Err() == nil {
-		changes, err := c.read(ctx, kind, revision, listed)
-		if ctx.Err() != nil {
-			return
-		}
-		if err != nil {
-			if failedSince.IsZero() {
-				failedSince = time.Now()
-				c.deps.Lost(kind, err)
-			}
-			pause(ctx, retryPause/2+rand.N(retryPause/2))
-			continue
-		}
-		if !failedSince.IsZero() {
-			c.deps.Regained(kind, time.Since(failedSince))
-			failedSince = time.Time{}
-		}
-		listed = true
-		revision = max(revision, changes.Revision)
-		if len(changes.Objects) > 0 || changes.Complete {
-			apply(changes)
-			pause(ctx, gather)
-		}
+// Feed takes the news of the entry in charge.
+func (c *Catalog) Feed(news News) {
+	if follower := c.followers[news.Kind]; follower != nil {
+		follower.feed(news)
 	}
 }
 
-func (c *Catalog) read(ctx context.Context, kind store.Kind, after store.Version, listed bool) (store.Changes, error) {
-	if !listed {
-		return c.deps.Store.List(ctx, kind)
+// Revisions returns up to which revision each kind is known.
+func (c *Catalog) Revisions() map[store.Kind]store.Version {
+	revisions := make(map[store.Kind]store.Version, len(c.followers))
+	for kind, follower := range c.followers {
+		revisions[kind] = follower.known()
 	}
-	return c.deps.Store.Watch(ctx, kind, after)
+	return revisions
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
+// NewsSince returns what happened to a kind since a revision; ok is false where that is no longer known.
+func (c *Catalog) NewsSince(kind store.Kind, revision store.Version) (news News, ok bool) {
+	follower := c.followers[kind]
+	if follower == nil {
+		return News{}, false
 	}
+	return follower.since(revision)
 }
 
-// servers collects registrations into listings.
-type servers struct {
-	catalog *Catalog
-
-	mu    sync.Mutex // guards what follows; taken before Catalog.mu
-	known map[backend.ID]*backend.Server
-	// lapsed holds servers that are listed on although their registration ended, each with the time until when.
-	lapsed   map[backend.ID]time.Time
-	revision uint64
-}
-
-func (s *servers) apply(changes store.Changes) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.revision = max(s.revision, uint64(changes.Revision))
-	present := make(map[backend.ID]bool, len(changes.Objects))
-	var gone []backend.ID
+func (c *Catalog) applyConfig(changes store.Changes) {
 	for _, object := range changes.Objects {
-		id := backend.ID(object.Name)
-		server := s.decode(object)
-		if server == nil {
-			gone = append(gone, id)
-			continue
-		}
-		present[id] = true
-		if held := s.known[id]; held == nil || held.Revision <= server.Revision {
-			s.known[id] = server
-			delete(s.lapsed, id)
-		}
-	}
-	if changes.Complete {
-		for id := range s.known {
-			if !present[id] {
-				gone = append(gone, id)
-			}
-		}
-	}
-	s.remove(gone)
-	s.publish()
-}
-
-// decode returns nil for what names no server to use.
-func (s *servers) decode(object store.Object) *backend.Server {
-	if object.Deleted {
-		return nil
-	}
-	server, err := platform.DecodeServer(object)
-	if err != nil {
-		s.catalog.deps.Unreadable(object, err)
-		return nil
-	}
-	return server
-}
-
-// remove takes servers out, at once or, where so many went at the same time that the platform must have been away, after a
-// grace. Without it each return of the platform would leave a service without servers for two seconds.
-func (s *servers) remove(gone []backend.ID) {
-	lost := make(map[string]int)
-	total := make(map[string]int)
-	for _, server := range s.known {
-		total[server.Service]++
-	}
-	for _, id := range gone {
-		if server := s.known[id]; server != nil {
-			lost[server.Service]++
-		}
-	}
-	for _, id := range gone {
-		server := s.known[id]
-		if server == nil {
-			continue
-		}
-		if n := lost[server.Service]; n >= massCount && float64(n) > massShare*float64(total[server.Service]) {
-			s.lapsed[id] = time.Now().Add(returnGrace)
-			continue
-		}
-		if _, held := s.lapsed[id]; !held {
-			delete(s.known, id)
-		}
-	}
-}
-
-// expire ends the graces.
-func (s *servers) expire(ctx context.Context) {
-	for ctx.Err() == nil {
-		pause(ctx, serversPause)
-		s.mu.Lock()
-		ended := false
-		for id, until := range s.lapsed {
-			if time.Now().After(until) {
-				delete(s.lapsed, id)
-				delete(s.known, id)
-				ended = true
-			}
-		}
-		if ended {
-			s.publish()
+		if object.Name == platform.ConfigName && !object.Deleted {
+			c.TakeConfig(object.Value)
 		}
-		s.mu.Unlock()
-	}
-}
-
-func (s *servers) publish() {
-	s.catalog.listing.Store(backend.NewListing(s.revision, maps.Clone(s.known)))
-	s.catalog.mu.Lock()
-	listeners := s.catalog.changed
-	s.catalog.mu.Unlock()
-	for _, listener := range listeners {
-		listener()
 	}
 }
--- /dev/null
+++ b/entry/catalog/follow.go
@@ -0,0 +1,209 @@
+package catalog
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	link "github.com/skylarkpond/skylarkpond/link/leader"
+	store "github.com/skylarkpond/skylarkpond/link/platform"
+)
+
+// Store is what a catalog needs of the platform.
+type Store interface {
+	List(ctx context.Context, kind store.Kind) (store.Changes, error)
+	// WatchFor is a watch that waits no longer than wait.
+	WatchFor(ctx context.Context, kind store.Kind, after store.Version, wait time.Duration) (store.Changes, error)
+}
+
+// News is what happened to a kind between two revisions.
+type News = link.News
+
+// Pace says how a kind is watched.
+type Pace struct {
+	// Gather is the pause after a change, in which further ones gather: each change ends the watch, and each call is priced.
+	Gather time.Duration
+	// Wait is how long a watch waits. A watch can go deaf when the platform drops its history, so this bounds how late a change is
+	// heard of.
+	Wait time.Duration
+}
+
+var (
+	// Configurations must be in force, and leaving servers known, within 2 s.
+	configPace  = Pace{Gather: 150 * time.Millisecond, Wait: 800 * time.Millisecond}
+	serversPace = Pace{Gather: 150 * time.Millisecond, Wait: 800 * time.Millisecond}
+)
+
+const (
+	// aloneGather is the least gathering of an entry that passes nothing on: when there is nobody in charge, all entries watch.
+	aloneGather = 400 * time.Millisecond
+	// retryPause is the longest pause after a failed call; half of it is random.
+	retryPause = 800 * time.Millisecond
+	// fedLook is how often an entry that is fed looks whether it still is.
+	fedLook = 200 * time.Millisecond
+	// keptNews bounds the changes of a kind that are kept for entries that come late.
+	keptNews = 2048
+)
+
+// follower follows one kind: by the news of the entry in charge where there is one, else by a watch of its own.
+type follower struct {
+	catalog *Catalog
+	kind    store.Kind
+	pace    Pace
+	apply   func(store.Changes)
+	fed     chan struct{}
+
+	mu sync.Mutex // guards what follows, and the order of apply; taken before the locks of whoever applies
+	// revision is up to which the kind is known; 0 before the first list.
+	revision store.Version
+	// gap says that news were missed, so that only a watch of its own helps.
+	gap bool
+	// news are the latest changes, oldest first, complete since oldest.
+	news   []store.Object
+	oldest store.Version
+}
+
+func (f *follower) known() store.Version {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.revision
+}
+
+func (f *follower) run(ctx context.Context) {
+	var failedSince time.Time
+	for ctx.Err() == nil {
+		if f.feeds() {
+			f.waitFed(ctx)
+			continue
+		}
+		from := f.known()
+		changes, err := f.read(ctx, from)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			if failedSince.IsZero() {
+				failedSince = time.Now()
+				f.catalog.deps.Lost(f.kind, err)
+			}
+			pause(ctx, retryPause/2+rand.N(retryPause/2))
+			continue
+		}
+		if !failedSince.IsZero() {
+			f.catalog.deps.Regained(f.kind, time.Since(failedSince))
+			failedSince = time.Time{}
+		}
+		f.take(from, changes)
+		if len(changes.Objects) > 0 {
+			pause(ctx, f.gather())
+		}
+	}
+}
+
+func (f *follower) gather() time.Duration {
+	if f.catalog.deps.Leads() {
+		return f.pace.Gather
+	}
+	return max(f.pace.Gather, aloneGather)
+}
+
+// feeds says whether the news of the entry in charge suffice.
+func (f *follower) feeds() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.revision > 0 && !f.gap && f.catalog.deps.Fed() && !f.catalog.deps.Leads()
+}
+
+func (f *follower) waitFed(ctx context.Context) {
+	select {
+	case <-f.fed:
+	case <-time.After(fedLook):
+	case <-ctx.Done():
+	}
+}
+
+func (f *follower) read(ctx context.Context, after store.Version) (store.Changes, error) {
+	if after == 0 {
+		return f.catalog.deps.Store.List(ctx, f.kind)
+	}
+	return f.catalog.deps.Store.WatchFor(ctx, f.kind, after, f.pace.Wait)
+}
+
+// take applies what a call of its own brought, and passes it on.
+func (f *follower) take(from store.Version, changes store.Changes) {
+	f.mu.Lock()
+	if changes.Complete {
+		// What was deleted is not among the objects: nobody can be fed across this.
+		f.news, f.oldest = nil, changes.Revision
+	}
+	f.gap = false
+	news := f.advance(News{Kind: f.kind, From: from, To: changes.Revision, Objects: changes.Objects})
+	if len(changes.Objects) > 0 || changes.Complete {
+		f.apply(changes)
+	}
+	f.mu.Unlock()
+	if changes.Complete {
+		news.From = 0
+	}
+	f.catalog.deps.News(news)
+}
+
+// feed applies what the entry in charge passed on. News that begin later than what is known leave a gap.
+func (f *follower) feed(news News) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case news.To <= f.revision:
+		return // known already
+	case news.From == 0 || news.From > f.revision:
+		f.gap = true
+	default:
+		f.advance(news)
+		if len(news.Objects) > 0 {
+			f.apply(store.Changes{Objects: news.Objects, Revision: news.To})
+		}
+	}
+	select {
+	case f.fed <- struct{}{}:
+	default:
+	}
+}
+
+// advance notes news. It is called under the lock.
+func (f *follower) advance(news News) News {
+	f.revision = max(f.revision, news.To)
+	f.news = append(f.news, news.Objects...)
+	if over := len(f.news) - keptNews; over > 0 {
+		f.oldest = f.news[over-1].Version
+		f.news = slices.Delete(f.news, 0, over)
+	}
+	return news
+}
+
+// since returns the news after a revision, if all of them are kept.
+func (f *follower) since(revision store.Version) (News, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if revision < f.oldest || f.revision == 0 {
+		return News{}, false
+	}
+	news := News{Kind: f.kind, From: revision, To: f.revision}
+	for _, object := range f.news {
+		if object.Version > revision {
+			news.Objects = append(news.Objects, object)
+		}
+	}
+	return news, true
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+// EntriesPace is that of the other entries' registrations.
+var EntriesPace = Pace{Gather: time.Second, Wait: 3 * time.Second}
--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -51,7 +51,9 @@
 			Shared: config.PlatformRate * (1 - reservedShare), Reserved: config.PlatformRate * reservedShare,
 		}))
 	g.catalog = catalog.New(catalog.Deps{
-		Store: client, Lost: g.platformLost, Regained: g.platformRegained, Unreadable: g.unreadable, Config: g.configInForce,
+		Store: client, Fed: g.linked, Leads: func() bool { return g.lease.Held() },
+		News: func(news catalog.News) { g.leader.PassOn(news) },
+		Lost: g.platformLost, Regained: g.platformRegained, Unreadable: g.unreadable, Config: g.configInForce,
 	})
 	g.roster = roster.New(roster.Deps{
 		Store: client, Self: selfOf(config), Choice: directory.DefaultConfig(), Keep: config.addressTTL(),
@@ -66,17 +68,19 @@
 	}
 	g.identity = identity
 	self := lease.Holder{Entry: config.Name, Address: config.Peer, Fingerprint: identity.Fingerprint(), Token: uuid.NewString()}
+	g.catalog.Follow(store.KindEntry, catalog.EntriesPace, g.roster.Apply)
 	g.lease = lease.New(lease.Deps{
 		Store: client, Self: self, Linked: g.linked, Changed: g.leaseChanged, Renewed: func() { g.leader.Renewed() },
 	})
 	g.controller = grouping.New(grouping.Deps{
-		Pool: g.pool, Table: g.catalog.Table, Listing: g.catalog.Listing, Held: g.lease.Held, Epoch: g.lease.Version,
+		Pool: g.pool, Table: g.catalog.Table, Listing: g.catalog.Listing, Held: g.mayOrder, Epoch: g.lease.Version,
 		Reached: g.reached, Sound: func(head backend.ID) { g.leader.Clear(head) },
 		Demand: func(service, model string) float64 { return g.leader.Wanted(service, model) },
 		Early:  g.early, Event: g.groupEvent,
 	})
 	g.leader = leader.New(leader.Deps{
-		Held: g.lease.Held, Listing: g.catalog.Listing, Table: g.catalog.Table, Closed: g.controller.Closed,
+		InOffice: g.lease.InOffice, NewsSince: g.catalog.NewsSince,
+		Listing: g.catalog.Listing, Table: g.catalog.Table, Closed: g.controller.Closed,
 		Suspect: func(_ backend.ID, key backend.GroupKey) { g.controller.Suspect(context.Background(), key) },
 		Demand:  g.demand,
 		Config:  g.catalog.Config, TakeConfig: g.catalog.TakeConfig, LeaseVersion: g.lease.Version,
@@ -134,6 +138,12 @@
 	return g.config.First && time.Since(g.started) < earlyFor && g.relay.InProgress() == 0
 }
 
+// mayOrder says whether this entry gives the orders. While the platform is away nobody can take the lease, so its last holder goes on
+// as long as it hears from at least half of the entries. What keeps groups whole does not rest on this (package grouping).
+func (g *Gateway) mayOrder() bool {
+	return g.lease.Held() || (g.lease.InOffice() && 2*g.leader.Followers() >= g.roster.Len())
+}
+
 func (g *Gateway) platformLost(kind store.Kind, err error) {
 	g.log.WithError(err).WithField("kind", kind).Warn("platform lost")
 }
--- a/entry/gateway/follow.go
+++ b/entry/gateway/follow.go
@@ -34,7 +34,7 @@
 	liveSettled = 4 * time.Second
 )
 
-// linked says whether this entry hears from a leader that holds the lease.
+// linked says whether this entry hears from a leader that holds the lease, so that its news are current.
 func (g *Gateway) linked() bool {
 	g.following.mu.Lock()
 	defer g.following.mu.Unlock()
@@ -57,7 +57,7 @@
 	for ctx.Err() == nil {
 		holder, known := g.lease.Holder()
 		switch {
-		case g.lease.Held():
+		case g.lease.InOffice():
 			g.followSelf(ctx)
 		case known && holder.Entry != g.config.Name:
 			g.followOther(ctx, holder)
@@ -99,7 +99,7 @@
 		case message := <-self.queue:
 			g.fromLeader(ctx, send, message)
 		case <-check.C:
-			if !g.lease.Held() {
+			if !g.lease.InOffice() {
 				return
 			}
 		case <-ctx.Done():
@@ -111,7 +111,10 @@
 // followOther links to another entry until the link ends or that entry no longer says that it is in charge.
 func (g *Gateway) followOther(ctx context.Context, holder lease.Holder) {
 	version, _ := g.catalog.Config()
-	hello := link.Hello{Entry: g.config.Name, Token: holder.Token, ConfigVersion: version, Running: g.remote.Attach(nil)}
+	hello := link.Hello{
+		Entry: g.config.Name, Token: holder.Token, ConfigVersion: version, Running: g.remote.Attach(nil),
+		Revisions: g.catalog.Revisions(),
+	}
 	to, err := link.Dial(ctx, g.identity, sourceOf(g.config.Callers), holder.Address, holder.Fingerprint, hello)
 	if err != nil {
 		g.log.WithError(err).WithField("leader", holder.Entry).Debug("no link to the leader")
@@ -122,14 +125,14 @@
 	g.attach(to.Send)
 	defer g.detach()
 	defer to.Close("over")
-	go g.watchLeader(ctx, to)
+	go g.watchLeader(ctx, to, holder)
 	err = to.Receive(func(message link.Down) { g.fromLeader(ctx, to.Send, message) })
 	g.log.WithError(err).WithField("leader", holder.Entry).Info("link to the leader ended")
 }
 
-// watchLeader ends a link whose other side no longer says that it is in charge.
-func (g *Gateway) watchLeader(ctx context.Context, to *link.Link) {
-	began := time.Now()
+// watchLeader ends a link once another entry holds the lease. A leader that can't confirm it, because the platform is away, goes on
+// giving turns.
+func (g *Gateway) watchLeader(ctx context.Context, to *link.Link, linked lease.Holder) {
 	for {
 		select {
 		case <-time.After(relink):
@@ -139,7 +142,7 @@
 			to.Close("stopping")
 			return
 		}
-		if time.Since(began) > heardFor && !g.linked() {
+		if holder, _ := g.lease.Holder(); holder.Token != linked.Token {
 			to.Close("not in charge")
 			return
 		}
@@ -170,6 +173,8 @@
 		g.catalog.TakeConfig(message.Config.Spec)
 	case message.Renewed != nil:
 		g.leaderRenewed(send, *message.Renewed)
+	case message.News != nil:
+		g.catalog.Feed(*message.News)
 	case message.Look != nil:
 		go g.look(ctx, send, *message.Look)
 	}
--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -15,16 +15,19 @@
 
 	"github.com/skylarkpond/skylarkpond/backend"
 	"github.com/skylarkpond/skylarkpond/contract/route"
+	"github.com/skylarkpond/skylarkpond/entry/catalog"
 	"github.com/skylarkpond/skylarkpond/entry/turn"
 	link "github.com/skylarkpond/skylarkpond/link/leader"
+	store "github.com/skylarkpond/skylarkpond/link/platform"
 	policy "github.com/skylarkpond/skylarkpond/policy/turns"
 )
 
 // Deps is what a Leader works with.
 type Deps struct {
-	Held    func() bool
-	Listing func() *backend.Listing
-	Table   func() *route.Table
+	// InOffice says whether this entry gives the turns.
+	InOffice func() bool
+	Listing  func() *backend.Listing
+	Table    func() *route.Table
 	// Closed says that a group is being dissolved although it is still listed as open.
 	Closed func(key backend.GroupKey) bool
 	// Suspect looks into a group whose head keeps silent.
@@ -34,6 +37,8 @@
 	TakeConfig func(spec json.RawMessage)
 	// Demand tells of each model once in demandEvery, while this entry is in charge.
 	Demand func(demand policy.Demand)
+	// NewsSince returns what happened to a kind since a revision.
+	NewsSince func(kind store.Kind, revision store.Version) (catalog.News, bool)
 	// LeaseVersion is that of the last renewal.
 	LeaseVersion func() uint64
 }
@@ -48,6 +53,8 @@
 	turns     *policy.Scheduler
 	followers map[string]sender
 	inCharge  bool
+	// passed is up to which revision each kind was passed on.
+	passed map[store.Kind]store.Version
 	// wanted is how many groups' worth of requests come, by model.
 	wanted  map[string]float64
 	seconds int
@@ -65,6 +72,7 @@
 	return &Leader{
 		deps: deps, started: time.Now(), turns: policy.New(policy.DefaultConfig()), followers: make(map[string]sender),
 		looks: make(map[backend.ID]chan link.Seen), wanted: make(map[string]float64),
+		passed: make(map[store.Kind]store.Version),
 	}
 }
 
@@ -88,7 +96,7 @@
 			return
 		case <-ticker.C:
 		}
-		if !l.deps.Held() {
+		if !l.deps.InOffice() {
 			l.stepDown()
 			continue
 		}
@@ -158,13 +166,14 @@
 	defer l.mu.Unlock()
 	if l.inCharge {
 		l.inCharge = false
+		clear(l.passed)
 		l.turns = policy.New(policy.DefaultConfig())
 	}
 }
 
 // SetGroups reads the groups that stand.
 func (l *Leader) SetGroups() {
-	if !l.deps.Held() {
+	if !l.deps.InOffice() {
 		return
 	}
 	table := l.deps.Table()
@@ -227,6 +236,34 @@
 	}
 	l.mu.Unlock()
 	l.passConfig(to, hello.ConfigVersion)
+	l.catchUp(to, hello.Revisions)
+}
+
+// catchUp passes on what an entry has missed. Where that is no longer known, the entry is told of a gap and reads for itself.
+func (l *Leader) catchUp(to sender, revisions map[store.Kind]store.Version) {
+	for kind, revision := range revisions {
+		news, ok := l.deps.NewsSince(kind, revision)
+		if !ok {
+			news = catalog.News{Kind: kind, To: revision + 1}
+		}
+		to.Send(link.Down{News: &news})
+	}
+}
+
+// PassOn tells all followers what a watch of this entry brought.
+func (l *Leader) PassOn(news catalog.News) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.inCharge || (len(news.Objects) == 0 && news.From != 0) {
+		return
+	}
+	if passed := l.passed[news.Kind]; passed > 0 {
+		news.From = min(news.From, passed) // what lies between brought nothing, and was not passed on
+	}
+	l.passed[news.Kind] = news.To
+	for _, to := range l.followers {
+		to.Send(link.Down{News: &news})
+	}
 }
 
 // Received implements link/leader.Handler.
@@ -247,6 +284,8 @@
 		l.deps.TakeConfig(message.Config.Spec)
 	case message.Seen != nil:
 		l.seen(*message.Seen)
+	case message.Revisions != nil:
+		l.catchUp(from, message.Revisions)
 	case message.Has != 0:
 		l.passConfig(from, message.Has)
 	}
@@ -314,7 +353,7 @@
 // silent keeps turns from a group and has it looked into.
 func (l *Leader) silent(head backend.ID) {
 	server := l.deps.Listing().Servers[head]
-	if server == nil || !l.deps.Held() {
+	if server == nil || !l.deps.InOffice() {
 		return
 	}
 	l.mu.Lock()
--- a/entry/lease/lease.go
+++ b/entry/lease/lease.go
@@ -85,6 +85,10 @@
 	return l.held && time.Since(l.confirmed) < ActWithin
 }
 
+// InOffice says whether this entry took the lease and has not heard of another holder. It may be unable to confirm that: then it may
+// go on with what is safe without, and not with what must be known to be current.
+func (l *Lease) InOffice() bool { return l.owns() }
+
 // Version returns the version of the last write of this entry: a number that no earlier holder had.
 func (l *Lease) Version() uint64 {
 	l.mu.Lock()
--- a/entry/roster/roster.go
+++ b/entry/roster/roster.go
@@ -16,12 +16,8 @@
 	policy "github.com/skylarkpond/skylarkpond/policy/directory"
 )
 
-const (
-	// gather is the pause after a change: entries that start together would otherwise end everybody's watch one by one.
-	gather = time.Second
-	// retryPause is the mean pause after a failed call.
-	retryPause = 500 * time.Millisecond
-)
+// retryPause is the mean pause after a failed call.
+const retryPause = 500 * time.Millisecond
 
 // Deps is what a Roster works with.
 type Deps struct {
@@ -51,13 +47,8 @@
 	return &Roster{deps: deps, entries: map[string]platform.Entry{deps.Self.Name: deps.Self}}
 }
 
-// Run registers this entry and follows the others until ctx ends.
-func (r *Roster) Run(ctx context.Context) {
-	var running sync.WaitGroup
-	running.Go(func() { r.publish(ctx, r.deps.Self) })
-	running.Go(func() { r.follow(ctx) })
-	running.Wait()
-}
+// Run registers this entry.
+func (r *Roster) Run(ctx context.Context) { r.publish(ctx, r.deps.Self) }
 
 // Leave takes this entry out of all answers.
 func (r *Roster) Leave(ctx context.Context) {
@@ -148,34 +139,8 @@
 	return err == nil, err
 }
 
-func (r *Roster) follow(ctx context.Context) {
-	var revision platform.Version
-	listed := false
-	for ctx.Err() == nil {
-		var changes platform.Changes
-		var err error
-		if listed {
-			changes, err = r.deps.Store.Watch(ctx, platform.KindEntry, revision)
-		} else {
-			changes, err = r.deps.Store.List(ctx, platform.KindEntry)
-		}
-		if err != nil {
-			if ctx.Err() == nil {
-				r.deps.Failed("following the entries", err)
-			}
-			pause(ctx, retryPause/2+rand.N(retryPause))
-			continue
-		}
-		listed = true
-		revision = max(revision, changes.Revision)
-		if len(changes.Objects) > 0 {
-			r.apply(changes)
-			pause(ctx, gather)
-		}
-	}
-}
-
-func (r *Roster) apply(changes platform.Changes) {
+// Apply takes changes of the entries.
+func (r *Roster) Apply(changes platform.Changes) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, object := range changes.Objects {
--- a/link/leader/leader.go
+++ b/link/leader/leader.go
@@ -13,6 +13,7 @@
 	"github.com/quic-go/quic-go"
 
 	"github.com/skylarkpond/skylarkpond/backend"
+	"github.com/skylarkpond/skylarkpond/link/platform"
 )
 
 // protocol names this protocol in the handshake.
@@ -52,6 +53,8 @@
 	Seen *Seen `cbor:"6,keyasint,omitempty"`
 	// Has is the version of the configuration that the follower works by.
 	Has uint64 `cbor:"7,keyasint,omitempty"`
+	// Revisions asks for the news since then, by kind.
+	Revisions map[platform.Kind]platform.Version `cbor:"8,keyasint,omitempty"`
 }
 
 // Hello is the first message of a follower.
@@ -64,6 +67,8 @@
 	ConfigVersion uint64 `cbor:"4,keyasint,omitempty"`
 	// Leaving followers are to be named to no caller.
 	Leaving bool `cbor:"5,keyasint,omitempty"`
+	// Revisions say up to where the follower knows each kind.
+	Revisions map[platform.Kind]platform.Version `cbor:"6,keyasint,omitempty"`
 }
 
 // Running is one turn.
@@ -116,6 +121,17 @@
 	Renewed *Renewed `cbor:"4,keyasint,omitempty"`
 	// Look asks the follower whether it can reach a server.
 	Look *Look `cbor:"5,keyasint,omitempty"`
+	// News are changes of a kind of objects.
+	News *News `cbor:"6,keyasint,omitempty"`
+}
+
+// News is what happened to a kind between two revisions. From is 0 where changes are missing, so that a follower has to read the
+// kind for itself.
+type News struct {
+	Kind    platform.Kind     `cbor:"1,keyasint"`
+	From    platform.Version  `cbor:"2,keyasint"`
+	To      platform.Version  `cbor:"3,keyasint"`
+	Objects []platform.Object `cbor:"4,keyasint,omitempty"`
 }
 
 // Grant is a turn.
--- a/link/platform/client.go
+++ b/link/platform/client.go
@@ -161,7 +161,12 @@
 
 // Watch implements Store. A history that the platform has dropped is replaced by a list.
 func (c *Client) Watch(ctx context.Context, kind Kind, after Version) (Changes, error) {
-	page, err := c.page(ctx, Call{Verb: VerbWatch, Kind: kind, Version: after})
+	return c.WatchFor(ctx, kind, after, 0)
+}
+
+// WatchFor is a Watch that waits no longer than wait, or as long as the platform does where wait is 0.
+func (c *Client) WatchFor(ctx context.Context, kind Kind, after Version, wait time.Duration) (Changes, error) {
+	page, err := c.page(ctx, Call{Verb: VerbWatch, Kind: kind, Version: after, Wait: wait})
 	if eris.Is(err, errCompacted) {
 		return c.List(ctx, kind)
 	}
@@ -201,6 +206,9 @@
 	timeout := c.callTimeout
 	if call.Verb == VerbWatch {
 		timeout = c.watchTimeout
+		if call.Wait > 0 {
+			timeout = call.Wait + c.callTimeout
+		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
--- a/link/platform/wire.go
+++ b/link/platform/wire.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"time"
 )
 
 // Verb names what a call does. It is part of the names of the metrics.
@@ -31,6 +32,8 @@
 	Version Version
 	// After is the name after which the next page of a list begins; empty for the first one.
 	After string
+	// Wait bounds how long a watch waits; 0 leaves it to the platform.
+	Wait time.Duration
 	// Value is what a put writes.
 	Value json.RawMessage
 }
