Groups that need no load are formed whatever loads are left; spares stay out of groups being dissolved

Cause: loads before callers come drew on the rate, so that the room was negative for the first 7 s and every formation counted as waiting for loads. VMs of a group that was being closed counted as free, and joins met the close's orders.

--- a/entry/grouping/dissolve.go
+++ b/entry/grouping/dissolve.go
@@ -118,9 +118,14 @@
 	if !ok || server == nil {
 		return
 	}
+	early := c.deps.Early()
+	takes := model.Load
+	if early {
+		takes /= earlySpeed
+	}
 	c.mu.Lock()
 	c.staging[server.ID] = staging{model: modelName, until: time.Now().Add(model.Load + stageMargin), born: server.Born}
-	c.loads.take(1, time.Now().Add(model.Load))
+	c.loads.take(1, time.Now().Add(takes), early)
 	c.mu.Unlock()
 	c.running.Go(func() {
 		ctx, cancel := context.WithTimeout(ctx, taskTimeout)
--- a/entry/grouping/form.go
+++ b/entry/grouping/form.go
@@ -36,6 +36,7 @@
 		f.members = append(f.members, v.servers[backend.ID(id)])
 	}
 	f.key = backend.GroupKey{Name: newName(f.members[0])}
+	early := c.deps.Early()
 	c.mu.Lock()
 	for i, member := range f.members {
 		c.tasks[member.ID] = ""
@@ -43,7 +44,7 @@
 			c.tasks[member.ID] = model.Name
 		}
 	}
-	c.loads.take(f.loads, time.Now().Add(f.loadTime()))
+	c.loads.take(f.loads, time.Now().Add(f.loadTime()), early)
 	c.mu.Unlock()
 	c.deps.Event(Event{Kind: GroupForming, Group: f.key, Model: model.Name, Detail: f.describe()})
 	c.running.Go(func() { f.run(ctx) })
--- a/entry/grouping/pace.go
+++ b/entry/grouping/pace.go
@@ -38,12 +38,12 @@
 // sooner, and the first would end later.
 func (p *loadPace) room(engine *route.Engine, now time.Time) int {
 	p.fill(engine, now)
-	return min(int(p.tokens), engine.LoadsAtOnce-p.inProgress(now))
+	return max(0, min(int(p.tokens), engine.LoadsAtOnce-p.inProgress(now)))
 }
 
 // earlyRoom is the same before callers come, when the rate does not count.
 func (p *loadPace) earlyRoom(engine *route.Engine, now time.Time) int {
-	return engine.LoadsAtOnce + earlyLoads - p.inProgress(now)
+	return max(0, engine.LoadsAtOnce+earlyLoads-p.inProgress(now))
 }
 
 func (p *loadPace) fill(engine *route.Engine, now time.Time) {
@@ -51,8 +51,11 @@
 	p.filled = now
 }
 
-func (p *loadPace) take(n int, end time.Time) {
-	p.tokens -= float64(n)
+// take notes n loads that end at a time. Those before callers come do not draw on the rate.
+func (p *loadPace) take(n int, end time.Time, early bool) {
+	if !early {
+		p.tokens -= float64(n)
+	}
 	for range n {
 		p.ends = append(p.ends, end)
 	}
--- a/entry/grouping/view.go
+++ b/entry/grouping/view.go
@@ -53,6 +53,13 @@
 func (c *Controller) sortGroups(engine *route.Engine, members map[backend.GroupKey][]*backend.Server, v *view) map[backend.ID]string {
 	taken := make(map[backend.ID]string)
 	for key, list := range members {
+		if c.dissolving[key] {
+			// The task that dissolves it has orders under way to the head.
+			for _, member := range list {
+				taken[member.ID] = ""
+			}
+			continue
+		}
 		head := headAmong(list)
 		if _, over := c.closed[key]; over || head == nil || !(head.Group.State.Serving() || c.justOpened(key)) {
 			continue
--- a/entry/relay/exchange.go
+++ b/entry/relay/exchange.go
@@ -228,7 +228,7 @@
 	})
 }
 
-// maxUnreachable bounds the servers that are tried in vain to connect to. Each takes up to 0.6 s.
+// maxUnreachable bounds the servers that are tried in vain to connect to. Each takes up to 0.4 s.
 const maxUnreachable = 3
 
 // overUnsent goes on with another server: nothing was sent, so that no budget is drawn on.
--- a/link/upstream/upstream.go
+++ b/link/upstream/upstream.go
@@ -50,7 +50,7 @@
 // Bounds of connections.
 const (
 	// dialTimeout bounds one try to connect. Servers are within a few milliseconds; a server that is gone does not answer.
-	dialTimeout = 300 * time.Millisecond
+	dialTimeout = 200 * time.Millisecond
 	// dialTries is two, since one lost packet holds a connection up for a second.
 	dialTries = 2
 	// keptIdle is how long an idle connection is kept where the server names no time of its own.
--- a/policy/grouping/stage.go
+++ b/policy/grouping/stage.go
@@ -6,10 +6,12 @@
 const (
 	// emptyPrice is that of a host without weights.
 	emptyPrice = 1.0
-	// otherPrice is that of a host with another model's weights, which are lost.
-	otherPrice = 2.5
-	// restageNeed is how many times more a model must be needed than the one whose weights are dropped for it.
-	restageNeed = 1.5
+	// otherPrice is that of a host with another model's weights, which are lost: a load for this model, and later one to make up
+	// for the other.
+	otherPrice = 3.0
+	// restageNeed is how many times more a model must be needed than the one whose weights are dropped for it. Needs change within
+	// seconds while a load takes up to 16, so only a model that is nearly without groups beside the other is worth it.
+	restageNeed = 4.0
 )
 
 // stage spends the loads that are left: first on what completes the most needed groups, then on spares.
