--- a/backend/order.go
+++ b/backend/order.go
@@ -1,5 +1,7 @@
 package backend
 
+import "time"
+
 // OrderKind says what a model server is to do.
 type OrderKind string
 
@@ -29,6 +31,8 @@
 	// Expect is the server's count of orders for which this one was meant. An order that is carried out late, after
 	// another one, does not find it and is refused: the only fence where servers check no fencing number.
 	Expect uint64
+	// Takes is how long it takes until the effect shows.
+	Takes time.Duration
 }
 
 // Report is what a model server says of itself when asked.
--- a/entry/grouping/form.go
+++ b/entry/grouping/form.go
@@ -89,7 +89,7 @@
 		}
 	}
 	if err == nil {
-		c.opened[f.key] = time.Now()
+		c.opened[f.key] = opened{at: time.Now(), members: f.members}
 	}
 	c.mu.Unlock()
 	event := Event{Kind: GroupOpened, Group: f.key, Model: f.model.Name, Took: time.Since(f.started)}
@@ -164,19 +164,28 @@
 	return epoch
 }
 
-// release ends the part of the old heads that stay outside the new group. Those of members are released by their own join,
-// which comes before the other members' joins.
+// release ends the part of every old head, also of those that are to be members: a head may have been told to open so lately that its
+// report does not show it, and must not take a join before it has left. It raises the counts of orders of members that left.
 func (f *formation) release(ctx context.Context, reports []backend.Report) error {
 	released := make(map[backend.GroupKey]bool)
 	for i, report := range reports {
 		key := report.Group.GroupKey
-		if key.Name == "" || released[key] {
+		if key.Name == "" {
 			continue
 		}
 		if report.Group.State.Serving() {
 			return eris.Wrapf(errServing, "%s in %s", f.members[i].ID, key)
 		}
-		if f.headIsMember(reports, key) {
+		if report.Group.Rank == 0 {
+			if err := f.leave(ctx, i, reports); err != nil {
+				return err
+			}
+			released[key] = true
+		}
+	}
+	for _, report := range reports {
+		key := report.Group.GroupKey
+		if key.Name == "" || released[key] {
 			continue
 		}
 		if err := f.controller.retire(ctx, key, true); err != nil {
@@ -187,37 +196,24 @@
 	return nil
 }
 
-func (f *formation) headIsMember(reports []backend.Report, key backend.GroupKey) bool {
-	for _, report := range reports {
-		if report.Group.GroupKey == key && report.Group.Rank == 0 {
-			return true
-		}
+// leave takes a member that is the head of its old group out of it.
+func (f *formation) leave(ctx context.Context, i int, reports []backend.Report) error {
+	if !f.controller.deps.Held() {
+		return errNotInCharge
 	}
-	return false
+	key := reports[i].Group.GroupKey
+	order := backend.Order{Kind: backend.OrderLeave, Group: key, Expect: reports[i].Orders}
+	err := f.controller.engines.confirm(ctx, f.members[i], order, func(r backend.Report) bool { return r.Group.GroupKey != key })
+	reports[i].Orders++
+	return eris.Wrapf(err, "%s leaving %s", f.members[i].ID, key)
 }
 
-// join orders the joins: first to members that were heads, so that a late order to open their old groups finds another
-// count of orders; then to the others, side by side.
+// join orders the joins, side by side.
 func (f *formation) join(ctx context.Context, reports []backend.Report) error {
-	var heads, others []int
-	for i, report := range reports {
-		if report.Group.Name != "" && report.Group.Rank == 0 {
-			heads = append(heads, i)
-			continue
-		}
-		others = append(others, i)
-	}
-	if err := f.joinAll(ctx, reports, heads); err != nil {
-		return err
-	}
-	return f.joinAll(ctx, reports, others)
-}
-
-func (f *formation) joinAll(ctx context.Context, reports []backend.Report, indices []int) error {
-	errs := make([]error, len(indices))
+	errs := make([]error, len(f.members))
 	var ordered sync.WaitGroup
-	for n, i := range indices {
-		ordered.Go(func() { errs[n] = f.joinOne(ctx, f.members[i], reports[i].Orders) })
+	for i, member := range f.members {
+		ordered.Go(func() { errs[i] = f.joinOne(ctx, member, reports[i].Orders) })
 	}
 	ordered.Wait()
 	for _, err := range errs {
@@ -309,7 +305,7 @@
 	if !f.controller.deps.Held() {
 		return errNotInCharge
 	}
-	order := backend.Order{Kind: backend.OrderOpen, Group: f.key, Expect: head.Orders}
+	order := backend.Order{Kind: backend.OrderOpen, Group: f.key, Expect: head.Orders, Takes: f.engine.OpenTime}
 	err := f.controller.engines.confirm(ctx, f.members[0], order, func(r backend.Report) bool {
 		return r.Group.GroupKey == f.key && r.Group.State == backend.GroupOpen
 	})
--- a/entry/grouping/grouping.go
+++ b/entry/grouping/grouping.go
@@ -98,8 +98,8 @@
 	checking map[backend.GroupKey]bool
 	// dissolving holds the groups that a task dissolves.
 	dissolving map[backend.GroupKey]bool
-	// opened holds groups that were opened and are not yet listed as such, with when.
-	opened map[backend.GroupKey]time.Time
+	// opened holds groups that were opened and are not yet listed as such.
+	opened map[backend.GroupKey]opened
 	// closed holds groups that were dissolved and may still be listed as open, with when.
 	closed map[backend.GroupKey]time.Time
 	// resting holds VMs of a formation that failed, until when.
@@ -115,6 +115,13 @@
 	inForce   bool
 }
 
+// opened is a group that this entry has opened. Its members may be cut off from the platform, so that they stay listed as they
+// were before.
+type opened struct {
+	at      time.Time
+	members []*backend.Server
+}
+
 type staging struct {
 	model string
 	until time.Time
@@ -127,7 +134,7 @@
 		deps: deps, engines: newEngines(deps.Pool), wake: make(chan struct{}, 1),
 		tasks: make(map[backend.ID]string), dissolving: make(map[backend.GroupKey]bool),
 		checking: make(map[backend.GroupKey]bool),
-		opened:   make(map[backend.GroupKey]time.Time), closed: make(map[backend.GroupKey]time.Time),
+		opened:   make(map[backend.GroupKey]opened), closed: make(map[backend.GroupKey]time.Time),
 		resting: make(map[backend.ID]time.Time), dark: make(map[backend.ID]time.Time),
 		staging: make(map[backend.ID]staging), loads: newLoadPace(),
 	}
--- a/entry/grouping/orders.go
+++ b/entry/grouping/orders.go
@@ -45,6 +45,8 @@
 // latestOrder is the latest order that a VM took.
 type latestOrder struct {
 	at time.Time
+	// shows is how long after that a report tells of it.
+	shows time.Duration
 	// count is what the VM's count of orders has reached at least.
 	count uint64
 }
@@ -68,7 +70,7 @@
 	latest := e.latest(server)
 	for {
 		report, err := e.reportOnce(ctx, server)
-		settled := time.Since(latest.at) > reportLag && (report.Orders >= latest.count || time.Since(latest.at) > reportWait)
+		settled := time.Since(latest.at) > latest.shows && (report.Orders >= latest.count || time.Since(latest.at) > reportWait)
 		if err != nil || settled {
 			return report, err
 		}
@@ -85,13 +87,14 @@
 }
 
 // learn notes that an order was taken. began says that it has raised the count.
-func (e *engines) learn(server *backend.Server, expected uint64, began bool) {
+func (e *engines) learn(server *backend.Server, order backend.Order, began bool) {
+	count := order.Expect
 	if began {
-		expected++
+		count++
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.ordered[upstream.EndpointOf(server)] = latestOrder{at: time.Now(), count: expected}
+	e.ordered[upstream.EndpointOf(server)] = latestOrder{at: time.Now(), shows: reportLag + order.Takes, count: count}
 }
 
 // sweep forgets VMs that took no order for long.
@@ -138,11 +141,11 @@
 	case err != nil:
 		return eris.Wrap(errDark, err.Error())
 	case status == http.StatusAccepted:
-		e.learn(server, order.Expect, true)
+		e.learn(server, order, true)
 		return nil
 	case status == http.StatusOK:
 		// Its effect holds. Whether it has just begun, and been counted, or held before is not told.
-		e.learn(server, order.Expect, false)
+		e.learn(server, order, false)
 		return nil
 	case status == http.StatusMisdirectedRequest:
 		return eris.Wrapf(errOther, "status %d", status)
--- a/entry/grouping/view.go
+++ b/entry/grouping/view.go
@@ -52,6 +52,11 @@
 // sortGroups returns the VMs in groups that serve, with their models, and adds those that are not whole to v.
 func (c *Controller) sortGroups(engine *route.Engine, members map[backend.GroupKey][]*backend.Server, v *view) map[backend.ID]string {
 	taken := make(map[backend.ID]string)
+	for _, group := range c.opened {
+		for _, member := range group.members {
+			taken[member.ID] = ""
+		}
+	}
 	for key, list := range members {
 		if c.dissolving[key] {
 			// The task that dissolves it has orders under way to the head.
@@ -161,8 +166,8 @@
 
 // forget drops what is over.
 func (c *Controller) forget(now time.Time, servers []*backend.Server) {
-	for key, at := range c.opened {
-		if now.Sub(at) > openedFor {
+	for key, group := range c.opened {
+		if listed(servers, group.members, key) {
 			delete(c.opened, key)
 		}
 	}
@@ -183,8 +188,26 @@
 // seen again after that.
 const closedFor = 5 * time.Second
 
-// openedFor is how long a group that was opened may take to be listed as open.
-const openedFor = 2 * time.Second
+// listed says whether the registrations tell of a group that was opened: its head is listed as serving, or one of its members is gone or
+// in another life.
+func listed(servers []*backend.Server, members []*backend.Server, key backend.GroupKey) bool {
+	found := 0
+	for _, server := range servers {
+		for i, member := range members {
+			if server.ID != member.ID {
+				continue
+			}
+			if server.Born != member.Born {
+				return true
+			}
+			found++
+			if i == 0 && server.Group.Key() == key && server.Group.State.Serving() {
+				return true
+			}
+		}
+	}
+	return found < len(members)
+}
 
 // Bounds of the measured demand beside what the configuration says: a model that nobody asks for at the moment keeps some groups.
 const (
--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -320,6 +320,7 @@
 	l.send(l.turns.Ask(l.now(), policy.Request{
 		Key: turnKey(entry, ask.Key), Model: modelKey(ask.Service, ask.Model),
 		Patience: time.Duration(ask.PatienceMs) * time.Millisecond, Priority: ask.Priority, Tried: tried,
+		Returning: ask.Returning,
 	}, rand.Float64))
 }
 
--- a/entry/relay/exchange.go
+++ b/entry/relay/exchange.go
@@ -167,7 +167,7 @@
 	ask := turn.Ask{
 		Service: e.service, Model: e.call.Model, PromptTokens: e.call.PromptTokens, AnswerTokens: answer,
 		Priority: e.priority, Patience: turn.PatienceOf(e.route.FirstAnswer, time.Since(e.arrived), e.returning()),
-		Tried: e.tried, FailureDomain: e.relay.deps.FailureDomain, Team: e.team,
+		Returning: e.returning(), Tried: e.tried, FailureDomain: e.relay.deps.FailureDomain, Team: e.team,
 	}
 	if e.begun {
 		ask.Priority = turn.First
--- a/entry/turn/remote.go
+++ b/entry/turn/remote.go
@@ -103,7 +103,7 @@
 	r.waiting[key] = answer
 	r.send(link.Up{Ask: &link.Ask{
 		Key: key, Service: ask.Service, Model: ask.Model, PatienceMs: ask.Patience.Milliseconds(),
-		Priority: ask.Priority, Tried: ask.Tried,
+		Priority: ask.Priority, Tried: ask.Tried, Returning: ask.Returning,
 	}})
 	return key, answer
 }
--- a/entry/turn/turn.go
+++ b/entry/turn/turn.go
@@ -19,6 +19,8 @@
 	Priority                   int
 	// Patience is how long the request may wait for its turn.
 	Patience time.Duration
+	// Returning says that the caller was turned away before.
+	Returning bool
 	// Tried are the servers that it was sent to.
 	Tried         []backend.ID
 	FailureDomain domain.FailureDomain
--- a/link/leader/leader.go
+++ b/link/leader/leader.go
@@ -86,6 +86,8 @@
 	PatienceMs int64        `cbor:"4,keyasint"`
 	Priority   int          `cbor:"5,keyasint,omitempty"`
 	Tried      []backend.ID `cbor:"6,keyasint,omitempty"`
+	// Returning says that the caller was turned away before.
+	Returning bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Done ends a turn, or takes back a request that waits.
--- a/policy/turns/turns.go
+++ b/policy/turns/turns.go
@@ -38,6 +38,9 @@
 	Patience time.Duration
 	// Priority is 0 for the most urgent.
 	Priority int
+	// Returning says that the caller was turned away before. Its answer is late in any case, so it gives way to requests of its priority
+	// that can still be answered in time: were it the other way round, every request would be turned away once and then answered late.
+	Returning bool
 	// Tried are the heads that it was sent to.
 	Tried []string
 }
@@ -185,10 +188,18 @@
 	return s.serve(now, request.Model, chance)
 }
 
-// insert keeps the order of priority, then of arrival.
+// before says whether a request goes before another that came earlier.
+func (r Request) before(other Request) bool {
+	if r.Priority != other.Priority {
+		return r.Priority < other.Priority
+	}
+	return !r.Returning && other.Returning
+}
+
+// insert keeps the order of priority, of those that were not turned away yet, then of arrival.
 func (m *model) insert(w waiter) {
 	i := len(m.waiting)
-	for i > 0 && m.waiting[i-1].Priority > w.Priority {
+	for i > 0 && w.before(m.waiting[i-1].Request) {
 		i--
 	}
 	m.waiting = slices.Insert(m.waiting, i, w)
@@ -197,7 +208,7 @@
 func (s *Scheduler) ahead(m *model, request Request) int {
 	n := 0
 	for _, w := range m.waiting {
-		if w.Priority <= request.Priority {
+		if !request.before(w.Request) {
 			n++
 		}
 	}
