--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -45,6 +45,7 @@
 	g := &Gateway{
 		config: config, log: log.WithField("entry", config.Name), registry: metrics.NewRegistry(),
 		pool: upstream.NewPool(), gate: &drain.Gate{}, started: time.Now(),
+		following: following{down: make(map[string]bool)},
 	}
 	client := store.NewClient("http://"+config.Platform, store.WithWire(platform.Objects{}), store.WithMetrics(g.registry),
 		store.WithSource(sourceOf(config.Callers)), store.WithRates(store.Rates{
--- a/entry/gateway/follow.go
+++ b/entry/gateway/follow.go
@@ -19,6 +19,8 @@
 	heard time.Time
 	// live are the entries that the leader hears from; nil before it has said so.
 	live map[string]bool
+	// down are the entries that a settled leader did not hear from.
+	down map[string]bool
 	// since is when this leader first said so.
 	since time.Time
 	// send reaches the leader; nil without a link.
@@ -31,7 +33,7 @@
 	// relink is the pause between two tries to link.
 	relink = 150 * time.Millisecond
 	// liveSettled is how long entries have to link to a new leader before one that did not counts as down.
-	liveSettled = 4 * time.Second
+	liveSettled = 2 * time.Second
 )
 
 // linked says whether this entry hears from a leader that holds the lease, so that its news are current.
@@ -41,15 +43,19 @@
 	return time.Since(g.following.heard) < heardFor
 }
 
-// dead says whether an entry is known to be down. A leader that hears from few is more likely cut off itself.
+// dead says whether an entry is known to be down. A leader that hears from few is more likely cut off itself. What an earlier leader
+// knew counts until a new one has had the time to hear from all: callers would otherwise be sent to an entry that is long gone.
 func (g *Gateway) dead(name string) bool {
 	f := &g.following
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.live == nil || name == g.config.Name || time.Since(f.since) < liveSettled || 2*len(f.live) < g.roster.Len() {
+	if name == g.config.Name {
 		return false
 	}
-	return !f.live[name]
+	if f.live != nil && time.Since(f.since) > liveSettled && 2*len(f.live) >= g.roster.Len() {
+		f.down[name] = !f.live[name]
+	}
+	return f.down[name] && !f.live[name]
 }
 
 // follow keeps a link to the entry in charge, which may be this one.
@@ -115,7 +121,10 @@
 		Entry: g.config.Name, Token: holder.Token, ConfigVersion: version, Running: g.remote.Attach(nil),
 		Revisions: g.catalog.Revisions(),
 	}
-	to, err := link.Dial(ctx, g.identity, sourceOf(g.config.Callers), holder.Address, holder.Fingerprint, hello)
+	dialling, stopDialling := context.WithCancel(ctx)
+	defer stopDialling()
+	go g.whileHolder(dialling, stopDialling, holder)
+	to, err := link.Dial(dialling, g.identity, sourceOf(g.config.Callers), holder.Address, holder.Fingerprint, hello)
 	if err != nil {
 		g.log.WithError(err).WithField("leader", holder.Entry).Debug("no link to the leader")
 		return
@@ -125,25 +134,29 @@
 	g.attach(to.Send)
 	defer g.detach()
 	defer to.Close("over")
-	go g.watchLeader(ctx, to, holder)
+	stopDialling()
+	watching, stopWatching := context.WithCancel(ctx)
+	defer stopWatching()
+	go g.whileHolder(watching, func() { to.Close("not in charge") }, holder)
+	context.AfterFunc(ctx, func() { to.Close("stopping") })
 	err = to.Receive(func(message link.Down) { g.fromLeader(ctx, to.Send, message) })
 	g.log.WithError(err).WithField("leader", holder.Entry).Info("link to the leader ended")
 }
 
-// watchLeader ends a link once another entry holds the lease. A leader that can't confirm it, because the platform is away, goes on
+// holderLook is how often an entry looks whether the lease has another holder.
+const holderLook = 50 * time.Millisecond
+
+// whileHolder calls stop once another entry holds the lease. A leader that can't confirm it, because the platform is away, goes on
 // giving turns.
-func (g *Gateway) watchLeader(ctx context.Context, to *link.Link, linked lease.Holder) {
+func (g *Gateway) whileHolder(ctx context.Context, stop func(), holder lease.Holder) {
 	for {
 		select {
-		case <-time.After(relink):
-		case <-to.Done():
-			return
+		case <-time.After(holderLook):
 		case <-ctx.Done():
-			to.Close("stopping")
 			return
 		}
-		if holder, _ := g.lease.Holder(); holder.Token != linked.Token {
-			to.Close("not in charge")
+		if now, _ := g.lease.Holder(); now.Token != holder.Token {
+			stop()
 			return
 		}
 	}
--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -231,6 +231,7 @@
 func (l *Leader) Join(entry string, to sender, hello link.Hello) {
 	l.mu.Lock()
 	l.followers[entry] = to
+	l.told = nil // the new one has not heard which entries are live
 	for _, running := range hello.Running {
 		l.turns.Adopt(l.now(), turnKey(entry, running.Key), string(running.Head))
 	}
--- a/link/upstream/pool.go
+++ b/link/upstream/pool.go
@@ -34,7 +34,7 @@
 	Length int64
 }
 
-// Body is the body of an answer. Reading it to its end gives the connection back; closing it before that
+// Body is the body of an answer. One goroutine uses it. Reading it to its end gives the connection back; closing it before that
 // ends the connection, by which the server learns that nobody waits.
 type Body struct {
 	answer *http.Response
@@ -42,7 +42,8 @@
 	pool   *Pool
 	to     Endpoint
 	stop   func() bool
-	once   sync.Once
+	// over says that the connection was given back or closed. It is used by the reader alone.
+	over bool
 }
 
 // Send sends the request once and returns the head of its answer. Ending ctx ends the connection.
@@ -79,8 +80,14 @@
 	return n, err
 }
 
-// SetReadDeadline bounds the reads that follow; the zero time lifts the bound.
-func (b *Body) SetReadDeadline(t time.Time) error { return b.conn.SetReadDeadline(t) }
+// SetReadDeadline bounds the reads that follow; the zero time lifts the bound. After the end of the body it does nothing: the
+// connection then belongs to nobody, or to another request.
+func (b *Body) SetReadDeadline(t time.Time) error {
+	if b.over {
+		return nil
+	}
+	return b.conn.SetReadDeadline(t)
+}
 
 // Close ends the connection unless the body was read to its end.
 func (b *Body) Close() error {
@@ -89,14 +96,16 @@
 }
 
 func (b *Body) release(reusable bool) {
-	b.once.Do(func() {
-		stopped := b.stop()
-		if !reusable || !stopped {
-			_ = b.conn.Close()
-			return
-		}
-		b.pool.put(b.to, b.conn)
-	})
+	if b.over {
+		return
+	}
+	b.over = true
+	stopped := b.stop()
+	if !reusable || !stopped {
+		_ = b.conn.Close()
+		return
+	}
+	b.pool.put(b.to, b.conn)
 }
 
 // take returns a kept connection that is quiet, or a new one.
