--- a/entry/catalog/follow.go
+++ b/entry/catalog/follow.go
@@ -40,7 +40,7 @@
 	// aloneGather is the least gathering of an entry that passes nothing on: when there is nobody in charge, all entries watch.
 	aloneGather = 400 * time.Millisecond
 	// retryPause is the longest pause after a failed call; half of it is random.
-	retryPause = 800 * time.Millisecond
+	retryPause = 400 * time.Millisecond
 	// fedLook is how often an entry that is fed looks whether it still is.
 	fedLook = 200 * time.Millisecond
 	// keptNews bounds the changes of a kind that are kept for entries that come late.
--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -47,7 +47,7 @@
 		pool: upstream.NewPool(), gate: &drain.Gate{}, started: time.Now(),
 		following: following{down: make(map[string]bool)},
 	}
-	client := store.NewClient("http://"+config.Platform, store.WithWire(platform.Objects{}), store.WithMetrics(g.registry),
+	client := store.NewClient("http://"+config.Platform, store.WithWire(platform.Objects{}), store.WithCallTimeout(platformTimeout), store.WithMetrics(g.registry),
 		store.WithSource(sourceOf(config.Callers)), store.WithRates(store.Rates{
 			Shared: config.PlatformRate * (1 - reservedShare), Reserved: config.PlatformRate * reservedShare,
 		}))
@@ -98,6 +98,10 @@
 	return g, nil
 }
 
+// platformTimeout bounds one call to the platform. What the platform swallowed while it was away must not keep an entry from asking again:
+// a configuration must be in force 3 s after its return. A platform that is slow answers in 0.3 s.
+const platformTimeout = time.Second
+
 // reservedShare is the part of the platform rate that only writes may use.
 const reservedShare = 0.2
 
--- a/entry/gateway/follow.go
+++ b/entry/gateway/follow.go
@@ -33,7 +33,7 @@
 	// relink is the pause between two tries to link.
 	relink = 150 * time.Millisecond
 	// liveSettled is how long entries have to link to a new leader before one that did not counts as down.
-	liveSettled = 2 * time.Second
+	liveSettled = 1500 * time.Millisecond
 )
 
 // linked says whether this entry hears from a leader that holds the lease, so that its news are current.
@@ -43,19 +43,28 @@
 	return time.Since(g.following.heard) < heardFor
 }
 
-// dead says whether an entry is known to be down. A leader that hears from few is more likely cut off itself. What an earlier leader
-// knew counts until a new one has had the time to hear from all: callers would otherwise be sent to an entry that is long gone.
+// dead says whether an entry is known to be down.
 func (g *Gateway) dead(name string) bool {
 	f := &g.following
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if name == g.config.Name {
-		return false
+	return name != g.config.Name && f.down[name] && !f.live[name]
+}
+
+// noteDown takes over which entries the leader does not hear from, once all have had the time to link to it. What an earlier leader knew
+// counts until then: callers would otherwise be sent to an entry that is long gone. A leader that hears from few is more likely cut
+// off itself.
+func (g *Gateway) noteDown() {
+	names := g.roster.Names()
+	f := &g.following
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.live == nil || time.Since(f.since) < liveSettled || 2*len(f.live) < len(names) {
+		return
 	}
-	if f.live != nil && time.Since(f.since) > liveSettled && 2*len(f.live) >= g.roster.Len() {
+	for _, name := range names {
 		f.down[name] = !f.live[name]
 	}
-	return f.down[name] && !f.live[name]
 }
 
 // follow keeps a link to the entry in charge, which may be this one.
@@ -205,6 +214,7 @@
 		g.following.live = live
 	}
 	g.following.mu.Unlock()
+	g.noteDown()
 	version, spec := g.catalog.Config()
 	switch {
 	case version > renewed.ConfigVersion && spec != nil:
--- a/entry/lease/lease.go
+++ b/entry/lease/lease.go
@@ -22,7 +22,7 @@
 // Kind and Name are those of the object.
 const (
 	Kind platform.Kind = "leases"
-	Name               = "grouping"
+	Name string        = "grouping"
 )
 
 const (
--- a/entry/roster/roster.go
+++ b/entry/roster/roster.go
@@ -61,19 +61,22 @@
 	r.publish(ctx, leaving)
 }
 
-// Len returns how many entries are known and not leaving.
-func (r *Roster) Len() int {
+// Names returns the entries that are known and not leaving.
+func (r *Roster) Names() []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	n := 0
-	for _, entry := range r.entries {
+	names := make([]string, 0, len(r.entries))
+	for name, entry := range r.entries {
 		if !entry.Leaving {
-			n++
+			names = append(names, name)
 		}
 	}
-	return n
+	return names
 }
 
+// Len returns how many entries are known and not leaving.
+func (r *Roster) Len() int { return len(r.Names()) }
+
 // Answer names entries for a caller, and for how long it may keep the answer.
 func (r *Roster) Answer(caller policy.Caller) ([]string, time.Duration) {
 	entries := r.all() // Dead asks others, so the lock is not held
--- a/link/platform/client.go
+++ b/link/platform/client.go
@@ -80,9 +80,9 @@
 
 // Bounds of a connection.
 const (
-	// dialTimeout bounds the making of a connection; the platform answers in milliseconds, and a lost first
-	// packet is sent again after a second.
-	dialTimeout = 1500 * time.Millisecond
+	// dialTimeout bounds the making of a connection; the platform answers in milliseconds. A lost first packet is sent again only
+	// after a second, so another try is sooner there.
+	dialTimeout = 700 * time.Millisecond
 	// A waiting watch hears nothing for many seconds, so that only probes tell a connection that has gone
 	// silent from a quiet kind. With these it is noticed after 3 s.
 	keepAliveIdle     = time.Second
