--- /dev/null
+++ b/entry/catalog/catalog_test.go
@@ -0,0 +1,213 @@
+package catalog_test
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/skylarkpond/skylarkpond/contract/route"
+	"github.com/skylarkpond/skylarkpond/entry/catalog"
+	"github.com/skylarkpond/skylarkpond/internal/standin/objects"
+	store "github.com/skylarkpond/skylarkpond/link/platform"
+	"github.com/skylarkpond/skylarkpond/platform"
+)
+
+func TestCatalog(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "what the platform holds")
+}
+
+type config struct {
+	Version int `json:"version"`
+}
+
+func server(service string) map[string]any {
+	return map[string]any{
+		"service": service, "address": "10.0.0.1:80", "zone": "z", "version": "v1", "slots": 8, "state": "ready", "sequence": 1, "coldLeftMs": 0,
+	}
+}
+
+// rig is a catalog before a stand-in platform.
+type rig struct {
+	api     *objects.API
+	catalog *catalog.Catalog
+	fed     atomic.Bool
+	news    chan catalog.News
+	inForce chan uint64
+}
+
+func newRig() *rig {
+	r := &rig{api: objects.New(), news: make(chan catalog.News, 1000), inForce: make(chan uint64, 1000)}
+	client := store.NewClient("http://"+r.api.Address(), store.WithWire(platform.Objects{}), store.WithCallTimeout(300*time.Millisecond))
+	r.catalog = catalog.New(catalog.Deps{
+		Store: client, Fed: r.fed.Load, Leads: func() bool { return false },
+		News: func(news catalog.News) { r.news <- news },
+		Lost: func(store.Kind, error) {}, Regained: func(store.Kind, time.Duration) {}, Unreadable: func(store.Object, error) {},
+		Config: func(table *route.Table) { r.inForce <- table.Version },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.catalog.Run(ctx)
+	}()
+	DeferCleanup(func() {
+		cancel()
+		r.api.Close()
+		<-done
+	})
+	return r
+}
+
+func (r *rig) version() uint64 {
+	table := r.catalog.Table()
+	if table == nil {
+		return 0
+	}
+	return table.Version
+}
+
+func (r *rig) servers() int { return len(r.catalog.Listing().Servers) }
+
+// waitFor is above what anything here may take by the pages of the platform.
+const waitFor = "5s"
+
+var _ = Describe("Catalog", func() {
+	It("follows the configuration and the servers", func() {
+		r := newRig()
+		Expect(r.catalog.Table()).To(BeNil())
+		r.api.Write("config", "main", config{2})
+		r.api.Write("servers", "i-1", server("s"))
+		Eventually(r.version, waitFor).Should(Equal(uint64(2)))
+		Eventually(r.servers, waitFor).Should(Equal(1))
+		r.api.Write("config", "main", config{5})
+		r.api.Delete("servers", "i-1")
+		Eventually(r.version, waitFor).Should(Equal(uint64(5)))
+		Eventually(r.servers, waitFor).Should(BeZero())
+	})
+
+	It("leaves out what can't be read, and keeps the rest", func() {
+		r := newRig()
+		r.api.Write("servers", "i-1", server("s"))
+		r.api.Write("servers", "i-2", "nonsense")
+		r.api.Write("servers", "i-3", server("s"))
+		Eventually(r.servers, waitFor).Should(Equal(2))
+	})
+
+	// The platform drops its history, and a watch that waits hears nothing any more, without a sign. A key that was revoked meanwhile would
+	// go on being taken.
+	It("hears of changes although its watch has gone deaf", func() {
+		r := newRig()
+		r.api.Write("config", "main", config{2})
+		Eventually(r.version, waitFor).Should(Equal(uint64(2)))
+		Eventually(r.api.Calls, waitFor).Should(HaveKeyWithValue("GET config", BeNumerically(">=", 2)))
+		r.api.Set(objects.Faults{Deaf: true})
+		r.api.Write("config", "main", config{3})
+		r.api.Compact()
+		Eventually(r.version, waitFor).Should(Equal(uint64(3)))
+	})
+
+	// The platform swallows calls for a while. An entry that waits for an answer that never comes works by an old configuration long after
+	// the platform is back.
+	It("asks again soon after the platform was silent", func() {
+		r := newRig()
+		r.api.Write("config", "main", config{2})
+		Eventually(r.version, waitFor).Should(Equal(uint64(2)))
+		r.api.Set(objects.Faults{Silent: true})
+		Consistently(r.version, "1s").Should(Equal(uint64(2)))
+		r.api.Set(objects.Faults{})
+		r.api.Write("config", "main", config{4})
+		Eventually(r.version, waitFor).Should(Equal(uint64(4)))
+	})
+
+	// An older configuration arrives late, from a peer or a replica of the platform that lags. Callers would see a route come back that
+	// was removed.
+	It("never goes back to an older configuration", func() {
+		r := newRig()
+		r.api.Write("config", "main", config{7})
+		Eventually(r.version, waitFor).Should(Equal(uint64(7)))
+		r.catalog.TakeConfig([]byte(`{"version":6}`))
+		r.catalog.TakeConfig([]byte(`{"version":7}`))
+		r.catalog.TakeConfig([]byte(`not a configuration`))
+		Expect(r.version()).To(Equal(uint64(7)))
+		Expect(r.inForce).To(HaveLen(1))
+	})
+
+	// This entry can't reach the platform, and another one can.
+	It("takes the configuration from another entry", func() {
+		r := newRig()
+		r.api.Set(objects.Faults{Refuse: 503})
+		r.catalog.TakeConfig([]byte(`{"version":9}`))
+		Expect(r.version()).To(Equal(uint64(9)))
+	})
+
+	// The platform was away for longer than servers may be silent, and all registrations lapse at once. They are back within two
+	// seconds; an entry that forgets them turns every caller away until then.
+	It("keeps servers whose registrations lapse all at once for as long as they may take to register again", func() {
+		r := newRig()
+		for i := range 6 {
+			r.api.Write("servers", fmt.Sprint("i-", i), server("s"))
+		}
+		Eventually(r.servers, waitFor).Should(Equal(6))
+		for i := range 6 {
+			r.api.Delete("servers", fmt.Sprint("i-", i))
+		}
+		Consistently(r.servers, "1s").Should(Equal(6))
+		r.api.Write("servers", "i-0", server("s"))
+		Eventually(r.servers, waitFor).Should(Equal(1))
+		Consistently(r.servers, "500ms").Should(Equal(1))
+	})
+
+	It("does not watch while it is fed, and goes on by itself when that ends", func() {
+		r := newRig()
+		r.api.Write("servers", "i-1", server("s"))
+		Eventually(r.servers, waitFor).Should(Equal(1))
+		r.fed.Store(true)
+		time.Sleep(1200 * time.Millisecond) // the watch that waits ends by itself
+		before := r.api.Calls()["GET servers"]
+		from := r.catalog.Revisions()[platform.KindServers]
+		r.api.Write("servers", "i-2", server("s"))
+		Consistently(r.servers, "500ms").Should(Equal(1))
+		Expect(r.api.Calls()["GET servers"]).To(Equal(before))
+		body := []byte(`{"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":8,"state":"ready","sequence":1,"coldLeftMs":0}`)
+		r.catalog.Feed(catalog.News{Kind: platform.KindServers, From: from, To: from + 1, Objects: []store.Object{{
+			Kind: platform.KindServers, Name: "i-2", Version: from + 1, Value: body,
+		}}})
+		Eventually(r.servers, waitFor).Should(Equal(2))
+		r.fed.Store(false)
+		r.api.Write("servers", "i-3", server("s"))
+		Eventually(r.servers, waitFor).Should(Equal(3))
+	})
+
+	// News got lost on the way, say while a link was down. Applied to what is known they would leave a server listed that has gone.
+	It("reads for itself where news were missed", func() {
+		r := newRig()
+		r.api.Write("servers", "i-1", server("s"))
+		Eventually(r.servers, waitFor).Should(Equal(1))
+		r.fed.Store(true)
+		time.Sleep(1200 * time.Millisecond)
+		r.api.Write("servers", "i-2", server("s"))
+		from := r.catalog.Revisions()[platform.KindServers]
+		r.catalog.Feed(catalog.News{Kind: platform.KindServers, From: from + 5, To: from + 6})
+		Eventually(r.servers, waitFor).Should(Equal(2))
+	})
+
+	It("keeps the latest news for entries that come late", func() {
+		r := newRig()
+		r.api.Write("servers", "i-1", server("s"))
+		Eventually(r.servers, waitFor).Should(Equal(1))
+		since := r.catalog.Revisions()[platform.KindServers]
+		r.api.Write("servers", "i-2", server("s"))
+		Eventually(r.servers, waitFor).Should(Equal(2))
+		news, ok := r.catalog.NewsSince(platform.KindServers, since)
+		Expect(ok).To(BeTrue())
+		Expect(news.Objects).To(ConsistOf(HaveField("Name", "i-2")))
+		_, ok = r.catalog.NewsSince(platform.KindServers, 0)
+		Expect(ok).To(BeFalse())
+	})
+})
--- /dev/null
+++ b/entry/grouping/grouping_test.go
@@ -0,0 +1,282 @@
+package grouping_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/skylarkpond/skylarkpond/backend"
+	"github.com/skylarkpond/skylarkpond/contract/route"
+	"github.com/skylarkpond/skylarkpond/entry/catalog"
+	"github.com/skylarkpond/skylarkpond/entry/grouping"
+	"github.com/skylarkpond/skylarkpond/entry/turn"
+	"github.com/skylarkpond/skylarkpond/internal/standin/objects"
+	"github.com/skylarkpond/skylarkpond/internal/standin/replica"
+	store "github.com/skylarkpond/skylarkpond/link/platform"
+	"github.com/skylarkpond/skylarkpond/link/upstream"
+	"github.com/skylarkpond/skylarkpond/platform"
+)
+
+func TestGrouping(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "forming groups")
+}
+
+// engine has models of three and two VMs, and times that are tenths of real ones.
+var engine = &route.Engine{
+	Slots: 4, LoadsPerSecond: 20, LoadsAtOnce: 6, OpenTime: 60 * time.Millisecond,
+	Models: []route.Model{
+		{Name: "large", Size: 3, Share: 0.6, Load: time.Second, Warm: 100 * time.Millisecond},
+		{Name: "small", Size: 2, Share: 0.4, Load: time.Second, Warm: 100 * time.Millisecond},
+	},
+}
+
+var table = route.NewTable(1, nil, []route.Service{{Name: "s", Engine: engine}}, nil, route.Limits{})
+
+// cell is a fabric domain of VMs before some controllers.
+type cell struct {
+	api     *objects.API
+	world   *replica.World
+	catalog *catalog.Catalog
+	vms     []*replica.Server
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+	next    int
+}
+
+func newCell(vms int) *cell {
+	c := &cell{api: objects.New(), world: replica.NewWorld()}
+	client := store.NewClient("http://"+c.api.Address(), store.WithWire(platform.Objects{}))
+	c.catalog = catalog.New(catalog.Deps{
+		Store: client, Fed: func() bool { return false }, Leads: func() bool { return true }, News: func(catalog.News) {},
+		Lost: func(store.Kind, error) {}, Regained: func(store.Kind, time.Duration) {}, Unreadable: func(store.Object, error) {},
+		Config: func(*route.Table) {},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	c.cancel = cancel
+	c.running.Go(func() { c.catalog.Run(ctx) })
+	for range vms {
+		c.add("large")
+	}
+	DeferCleanup(func() {
+		cancel()
+		c.running.Wait()
+		for _, vm := range c.vms {
+			vm.Close()
+		}
+		c.api.Close()
+	})
+	return c
+}
+
+func (c *cell) add(staged ...string) *replica.Server {
+	c.next++
+	vm := c.world.Start(c.api, replica.Config{
+		ID: fmt.Sprintf("vm-%02d", c.next), Service: "s", Zone: "z", Domain: "d", Slots: 4, Engine: true, Staged: staged,
+		JoinTakes: 80 * time.Millisecond, OpenTakes: 60 * time.Millisecond, ReportLag: 40 * time.Millisecond,
+	})
+	c.vms = append(c.vms, vm)
+	return vm
+}
+
+// control is a controller that believes itself in charge while its flag is set.
+type control struct {
+	*grouping.Controller
+	held atomic.Bool
+	stop context.CancelFunc
+}
+
+func (c *cell) control(epoch uint64) *control {
+	k := &control{}
+	k.held.Store(true)
+	k.Controller = grouping.New(grouping.Deps{
+		Pool: upstream.NewPool(), Table: func() *route.Table { return table }, Listing: c.catalog.Listing, Held: k.held.Load,
+		Epoch:   func() uint64 { return epoch },
+		Reached: func(context.Context, *backend.Server, backend.GroupKey) bool { return false },
+		Sound:   func(backend.ID) {}, Demand: func(string, string) float64 { return 0 }, Early: func() bool { return false },
+		Event: func(event grouping.Event) { GinkgoWriter.Printf("%d %+v\n", epoch, event) },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { k.Run(ctx) })
+	k.stop = func() {
+		cancel()
+		running.Wait()
+	}
+	DeferCleanup(k.stop)
+	return k
+}
+
+// heads returns the heads of whole, open groups of both models, as entries see them.
+func (c *cell) heads() []*backend.Server {
+	servers := c.catalog.Listing().ByService["s"]
+	return append(turn.Heads(servers, engine, "large"), turn.Heads(servers, engine, "small")...)
+}
+
+func (c *cell) groups() int { return len(c.heads()) }
+
+const waitFor = "20s"
+
+var _ = Describe("Controller", func() {
+	It("forms and opens groups of VMs that have the weights", func() {
+		c := newCell(7)
+		c.control(1)
+		Eventually(c.groups, waitFor).Should(Equal(2))
+		Expect(c.world.Broken()).To(BeEmpty())
+	})
+
+	// A member dies. Its group goes on accepting, and nothing moves in it.
+	It("closes a group that lost a member and forms another of the survivors and a spare", func() {
+		c := newCell(4)
+		k := c.control(1)
+		Eventually(c.groups, waitFor).Should(Equal(1))
+		head := c.heads()[0]
+		for _, vm := range c.vms {
+			if group := vm.Group(); group != nil && group.Rank == 1 {
+				vm.Die()
+				break
+			}
+		}
+		k.Suspect(context.Background(), head.Group.Key())
+		Eventually(func() bool {
+			heads := c.heads()
+			return len(heads) == 1 && heads[0].Group.Key() != head.Group.Key()
+		}, waitFor).Should(BeTrue())
+		Expect(c.world.Broken()).To(BeEmpty())
+	})
+
+	// A group's members are cut off from the platform just as it opens, so that they stay listed as free. Taken for another group, they
+	// would leave one that serves.
+	It("takes no VM of a group that it opened, although it is listed as free", func() {
+		c := newCell(3)
+		Eventually(func() int { return len(c.catalog.Listing().Servers) }, waitFor).Should(Equal(3))
+		for _, vm := range c.vms {
+			vm.Set(replica.Faults{Unregistered: true})
+		}
+		c.control(1)
+		open := func() int {
+			n := 0
+			for _, vm := range c.vms {
+				if group := vm.Group(); group != nil && group.State == "open" {
+					n++
+				}
+			}
+			return n
+		}
+		Eventually(open, waitFor).Should(Equal(1))
+		Consistently(open, "2s").Should(Equal(1))
+		Expect(c.world.Broken()).To(BeEmpty())
+	})
+
+	// Orders get no answer and are carried out later, when newer ones have come.
+	It("is not misled by orders that are carried out late", func() {
+		c := newCell(7)
+		for _, vm := range c.vms[:3] {
+			vm.Set(replica.Faults{LateOrders: 700 * time.Millisecond})
+		}
+		c.control(1)
+		time.AfterFunc(1500*time.Millisecond, func() {
+			for _, vm := range c.vms[:3] {
+				vm.Set(replica.Faults{})
+			}
+		})
+		Eventually(c.groups, waitFor).Should(Equal(2))
+		Expect(c.world.Broken()).To(BeEmpty())
+	})
+
+	// The entry in charge is gone, and the next one knows nothing but what VMs report.
+	It("takes over groups that stand, without touching them", func() {
+		c := newCell(7)
+		first := c.control(1)
+		Eventually(c.groups, waitFor).Should(Equal(2))
+		first.stop()
+		before := c.heads()
+		c.control(2)
+		Consistently(c.groups, "1500ms").Should(Equal(2))
+		Expect(c.heads()[0].Group.Key()).To(Equal(before[0].Group.Key()))
+	})
+
+	It("drains the group of a member that leaves", func() {
+		c := newCell(4)
+		c.control(1)
+		Eventually(c.groups, waitFor).Should(Equal(1))
+		for _, vm := range c.vms {
+			if group := vm.Group(); group != nil && group.Rank == 2 {
+				vm.Leave()
+			}
+		}
+		Eventually(func() bool {
+			heads := c.heads()
+			return len(heads) == 1
+		}, waitFor).Should(BeTrue())
+		Expect(c.world.Broken()).To(BeEmpty())
+	})
+})
+
+// schedules is how many random schedules run; more by hand, with GROUPING_SCHEDULES and GROUPING_SEED.
+func schedules() (count int, seed uint64) {
+	count, seed = 3, 1
+	if n, err := strconv.Atoi(os.Getenv("GROUPING_SCHEDULES")); err == nil {
+		count = n
+	}
+	if n, err := strconv.ParseUint(os.Getenv("GROUPING_SEED"), 10, 64); err == nil {
+		seed = n
+	}
+	return count, seed
+}
+
+var _ = Describe("Two controllers that both believe themselves in charge", func() {
+	// One entry stood still and woke, or can't reach the platform; both give orders, some of which are carried out late, while members die,
+	// fall silent and come back. However they interleave, no VM may be taken out of a group that serves, and no group may serve
+	// that was never whole.
+	It("break no rule, whatever the schedule", func() {
+		count, seed := schedules()
+		for i := range count {
+			r := rand.New(rand.NewPCG(seed+uint64(i), 5))
+			By(fmt.Sprint("seed ", seed+uint64(i)))
+			c := newCell(8)
+			controls := []*control{c.control(10), c.control(20)}
+			for range 14 {
+				time.Sleep(time.Duration(50+r.IntN(250)) * time.Millisecond)
+				vm := c.vms[r.IntN(len(c.vms))]
+				switch r.IntN(8) {
+				case 0:
+					vm.Die()
+					c.add("large")
+				case 1:
+					vm.Set(replica.Faults{LateOrders: time.Duration(200+r.IntN(900)) * time.Millisecond})
+				case 2:
+					vm.Set(replica.Faults{Mute: true})
+				case 3:
+					vm.Set(replica.Faults{Unregistered: true})
+				case 4:
+					for _, other := range c.vms {
+						other.Set(replica.Faults{})
+					}
+				case 5:
+					controls[r.IntN(2)].held.Store(r.IntN(2) == 0)
+				case 6:
+					c.add("small")
+				case 7:
+					for _, head := range c.heads() {
+						controls[r.IntN(2)].Suspect(context.Background(), head.Group.Key())
+					}
+				}
+			}
+			for _, k := range controls {
+				k.stop()
+			}
+			Expect(strings.Join(c.world.Broken(), "\n")).To(BeEmpty(), fmt.Sprint("seed ", seed+uint64(i)))
+		}
+	})
+})
--- /dev/null
+++ b/entry/lease/lease_test.go
@@ -0,0 +1,130 @@
+package lease_test
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/skylarkpond/skylarkpond/entry/lease"
+	"github.com/skylarkpond/skylarkpond/internal/standin/objects"
+	store "github.com/skylarkpond/skylarkpond/link/platform"
+	"github.com/skylarkpond/skylarkpond/platform"
+)
+
+func TestLease(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "who is in charge")
+}
+
+// member is one entry that may hold the lease.
+type member struct {
+	*lease.Lease
+	stop   context.CancelFunc
+	linked atomic.Bool
+}
+
+func start(api *objects.API, name string) *member {
+	m := &member{}
+	client := store.NewClient("http://"+api.Address(), store.WithWire(platform.Objects{}), store.WithCallTimeout(300*time.Millisecond))
+	m.Lease = lease.New(lease.Deps{
+		Store: client, Self: lease.Holder{Entry: name, Token: name}, Linked: m.linked.Load,
+		Renewed: func() {}, Changed: func(lease.Holder, bool) {},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { m.Run(ctx) })
+	m.stop = func() {
+		cancel()
+		running.Wait()
+	}
+	DeferCleanup(m.stop)
+	return m
+}
+
+func held(members ...*member) func() int {
+	return func() int {
+		n := 0
+		for _, m := range members {
+			if m.Held() {
+				n++
+			}
+		}
+		return n
+	}
+}
+
+const waitFor = "10s"
+
+var _ = Describe("Lease", func() {
+	var api *objects.API
+	BeforeEach(func() {
+		api = objects.New()
+		DeferCleanup(api.Close)
+	})
+
+	It("is held by one entry, which the others know", func() {
+		a, b, c := start(api, "a"), start(api, "b"), start(api, "c")
+		Eventually(held(a, b, c), waitFor).Should(Equal(1))
+		Consistently(func() int { return held(a, b, c)() }, "2s").Should(BeNumerically("<=", 1))
+		Eventually(func() bool {
+			x, _ := a.Holder()
+			y, _ := b.Holder()
+			z, _ := c.Holder()
+			return x.Entry != "" && x.Entry == y.Entry && y.Entry == z.Entry
+		}, waitFor).Should(BeTrue())
+	})
+
+	// The entry in charge dies. Until another one takes over, no group is mended.
+	It("passes to another entry when its holder is gone", func() {
+		a := start(api, "a")
+		Eventually(a.Held, waitFor).Should(BeTrue())
+		first := a.Version()
+		b := start(api, "b")
+		a.stop()
+		Eventually(b.Held, waitFor).Should(BeTrue())
+		Expect(b.Version()).To(BeNumerically(">", first))
+	})
+
+	// The platform does not answer. A holder that acts on as if nothing had happened may meet its successor.
+	It("is not held for longer than its last confirmation allows", func() {
+		a := start(api, "a")
+		Eventually(a.Held, waitFor).Should(BeTrue())
+		api.Set(objects.Faults{Silent: true})
+		Eventually(a.Held, waitFor).Should(BeFalse())
+		Expect(a.InOffice()).To(BeTrue())
+		api.Set(objects.Faults{})
+		Eventually(a.Held, waitFor).Should(BeTrue())
+	})
+
+	// The answer to the write that took the lease is lost. An entry that takes that for a refusal leaves everybody waiting for a holder
+	// that does not know of its office.
+	It("is held after a write whose answer was lost", func() {
+		api.Set(objects.Faults{LoseAnswers: true})
+		a := start(api, "a")
+		Consistently(a.Held, "500ms").Should(BeFalse())
+		api.Set(objects.Faults{})
+		Eventually(a.Held, waitFor).Should(BeTrue())
+	})
+
+	It("is given up by a holder that meets another one", func() {
+		a := start(api, "a")
+		Eventually(a.Held, waitFor).Should(BeTrue())
+		api.Write(string(lease.Kind), lease.Name, lease.Holder{Entry: "other", Token: "other"})
+		Eventually(a.InOffice, waitFor).Should(BeFalse())
+	})
+
+	It("asks the platform nothing while it hears from the holder", func() {
+		a := start(api, "a")
+		Eventually(a.Held, waitFor).Should(BeTrue())
+		b := start(api, "b")
+		b.linked.Store(true)
+		time.Sleep(500 * time.Millisecond)
+		before := api.Calls()["GET "+string(lease.Kind)]
+		Consistently(func() int { return api.Calls()["GET "+string(lease.Kind)] }, "1500ms").Should(Equal(before))
+	})
+})
