--- a/entry/grouping/dissolve.go
+++ b/entry/grouping/dissolve.go
@@ -123,9 +123,10 @@
 	if early {
 		takes /= earlySpeed
 	}
+	end := time.Now().Add(takes)
 	c.mu.Lock()
 	c.staging[server.ID] = staging{model: modelName, until: time.Now().Add(model.Load + stageMargin), born: server.Born}
-	c.loads.take(1, time.Now().Add(takes), early)
+	c.loads.take(1, end, early)
 	c.mu.Unlock()
 	c.running.Go(func() {
 		ctx, cancel := context.WithTimeout(ctx, taskTimeout)
@@ -133,14 +134,28 @@
 		event := Event{Kind: StageOrdered, VM: server.ID, Model: modelName}
 		if err := c.stage(ctx, server, modelName); err != nil {
 			event.Kind, event.Detail = StageFailed, err.Error()
-			c.mu.Lock()
-			delete(c.staging, server.ID)
-			c.mu.Unlock()
+			c.stagingFailed(server, model, end, err)
 		}
 		c.deps.Event(event)
 	})
 }
 
+// stagingFailed corrects the account of loads. A VM that refuses is most likely busy with a load that an earlier holder of the lease ordered:
+// it is left alone for as long as one takes. Ordered again and again, it would use up the room for all other loads.
+func (c *Controller) stagingFailed(server *backend.Server, model route.Model, end time.Time, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if eris.Is(err, errRefused) {
+		c.staging[server.ID] = staging{model: unknownModel, until: time.Now().Add(model.Load), born: server.Born}
+		return
+	}
+	delete(c.staging, server.ID)
+	c.loads.giveBack(end)
+}
+
+// unknownModel stands for weights that another entry has ordered.
+const unknownModel = "?"
+
 func (c *Controller) stage(ctx context.Context, server *backend.Server, model string) error {
 	report, err := c.ask(ctx, server)
 	if err != nil {
--- a/entry/grouping/grouping_test.go
+++ b/entry/grouping/grouping_test.go
@@ -206,6 +206,25 @@
 		Expect(c.heads()[0].Group.Key()).To(Equal(before[0].Group.Key()))
 	})
 
+	// The entry in charge has died while a host loads weights that it ordered. The next one does not know of the load; ordered again and
+	// again, each refusal would take the room of another load, and no host would load anything for as long as a load takes.
+	It("orders weights for a host that is busy loading once, and goes on with other hosts", func() {
+		c := newCell(2)
+		slow := c.world.Start(c.api, replica.Config{
+			ID: "vm-slow", Service: "s", Zone: "z", Domain: "d", Slots: 4, Engine: true, JoinTakes: 2 * time.Second, ReportLag: 40 * time.Millisecond,
+		})
+		c.vms = append(c.vms, slow)
+		first := c.control(1)
+		Eventually(func() int { return slow.Asked("phase") }, waitFor).Should(Equal(1))
+		first.stop()
+		c.control(2)
+		others := []*replica.Server{c.add(), c.add(), c.add()}
+		for _, vm := range others {
+			Eventually(func() int { return vm.Asked("phase") }, waitFor).Should(BeNumerically(">=", 1))
+		}
+		Consistently(func() int { return slow.Asked("phase") }, "1s").Should(BeNumerically("<=", 2))
+	})
+
 	It("drains the group of a member that leaves", func() {
 		c := newCell(4)
 		c.control(1)
--- a/entry/grouping/pace.go
+++ b/entry/grouping/pace.go
@@ -1,6 +1,7 @@
 package grouping
 
 import (
+	"slices"
 	"time"
 
 	"github.com/skylarkpond/skylarkpond/contract/route"
@@ -61,6 +62,13 @@
 	}
 }
 
+// giveBack takes back a load that did not begin.
+func (p *loadPace) giveBack(end time.Time) {
+	if i := slices.Index(p.ends, end); i >= 0 {
+		p.ends = slices.Delete(p.ends, i, i+1)
+	}
+}
+
 func (p *loadPace) inProgress(now time.Time) int {
 	live := p.ends[:0]
 	for _, end := range p.ends {
--- a/entry/grouping/view.go
+++ b/entry/grouping/view.go
@@ -178,7 +178,8 @@
 	}
 	for _, server := range servers {
 		order, ok := c.staging[server.ID]
-		if ok && (server.HasStaged(order.model) || now.After(order.until) || server.Born != order.born) {
+		staged := server.HasStaged(order.model) || (order.model == unknownModel && len(server.Staged) > 0)
+		if ok && (staged || now.After(order.until) || server.Born != order.born) {
 			delete(c.staging, server.ID)
 		}
 	}
--- a/internal/standin/replica/order.go
+++ b/internal/standin/replica/order.go
@@ -42,6 +42,7 @@
 	if o.Expect != nil && *o.Expect != s.orders {
 		return http.StatusConflict
 	}
+	s.asked[o.Operation]++
 	switch o.Operation {
 	case "join":
 		return s.join(o)
@@ -144,11 +145,16 @@
 }
 
 func (s *Server) stage(o order) int {
+	if s.staging {
+		return http.StatusConflict
+	}
+	s.staging = true
 	model := o.Model
 	s.begin()
 	time.AfterFunc(s.config.JoinTakes*loadTimes, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
+		s.staging = false
 		s.staged = []string{model}
 		s.changed()
 	})
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -97,6 +97,9 @@
 	runs    []Run
 	leaving bool
 	dead    bool
+	// staging says that a load is in progress; asked counts the orders that met the expected count, by operation.
+	staging bool
+	asked   map[string]int
 }
 
 // snapshot is a report as of a time.
@@ -180,7 +183,7 @@
 
 // Start starts a server and registers it.
 func (w *World) Start(api *objects.API, config Config) *Server {
-	s := &Server{config: config, api: api, world: w, born: time.Now().UnixMilli(), staged: config.Staged}
+	s := &Server{config: config, api: api, world: w, born: time.Now().UnixMilli(), staged: config.Staged, asked: make(map[string]int)}
 	s.server = httptest.NewServer(http.HandlerFunc(s.serve))
 	w.mu.Lock()
 	w.servers[config.ID] = s
@@ -245,6 +248,13 @@
 	return &copied
 }
 
+// Asked returns how many orders of an operation came that expected the right count.
+func (s *Server) Asked(operation string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.asked[operation]
+}
+
 // Runs returns the requests that ran here.
 func (s *Server) Runs() []Run {
 	s.mu.Lock()
