--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"runtime"
 	"time"
 
 	"github.com/google/uuid"
@@ -41,12 +42,14 @@
 	log := logrus.New()
 	log.SetFormatter(&logrus.JSONFormatter{})
 	log.SetLevel(level)
-	log.SetOutput(os.Stdout)
+	lines := newLogQueue(os.Stdout, config.LogQueueSize)
+	log.SetOutput(lines)
 	g := &Gateway{
 		config: config, log: log.WithField("entry", config.Name), registry: metrics.NewRegistry(),
 		pool: upstream.NewPool(), gate: &drain.Gate{}, started: time.Now(),
 		following: following{down: make(map[string]bool)},
 	}
+	g.gauges(lines)
 	client := store.NewClient("http://"+config.Platform, store.WithWire(platform.Objects{}), store.WithCallTimeout(platformTimeout), store.WithMetrics(g.registry),
 		store.WithSource(sourceOf(config.Callers)), store.WithRates(store.Rates{
 			Shared: config.PlatformRate * (1 - reservedShare), Reserved: config.PlatformRate * reservedShare,
@@ -149,7 +152,36 @@
 	return g.lease.Held() || (g.lease.InOffice() && 2*g.leader.Followers() >= g.roster.Len())
 }
 
+// gauges shows what is true now.
+func (g *Gateway) gauges(lines *logQueue) {
+	for name, value := range map[string]func() int64{
+		"log.lines.dropped":      lines.Dropped,
+		"requests.in_progress":   func() int64 { return int64(g.relay.InProgress()) },
+		"connections.to_servers": func() int64 { return g.pool.Dialled() },
+		"config.version":         func() int64 { version, _ := g.catalog.Config(); return int64(version) },
+		"servers.listed":         func() int64 { return int64(len(g.catalog.Listing().Servers)) },
+		"servers.revision":       func() int64 { return int64(g.catalog.Listing().Revision) },
+		"entries.known":          func() int64 { return int64(g.roster.Len()) },
+		"leader.held":            func() int64 { return asNumber(g.lease.Held()) },
+		"leader.linked":          func() int64 { return asNumber(g.linked()) },
+		"leader.followers":       func() int64 { return int64(g.leader.Followers()) },
+		"process.uptime.seconds": func() int64 { return int64(time.Since(g.started).Seconds()) },
+		"process.goroutines":     func() int64 { return int64(runtime.NumGoroutine()) },
+		"process.stopping":       func() int64 { return asNumber(g.leaving.Load()) },
+	} {
+		_ = g.registry.Register(name, metrics.NewFunctionalGauge(value)) // fails only for a name that stands twice
+	}
+}
+
+func asNumber(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 func (g *Gateway) platformLost(kind store.Kind, err error) {
+	metrics.GetOrRegisterCounter("platform.lost."+string(kind), g.registry).Inc(1)
 	g.log.WithError(err).WithField("kind", kind).Warn("platform lost")
 }
 
@@ -170,6 +202,7 @@
 }
 
 func (g *Gateway) groupEvent(event grouping.Event) {
+	metrics.GetOrRegisterCounter("groups."+string(event.Kind), g.registry).Inc(1)
 	g.log.WithFields(logrus.Fields{
 		"group": event.Group.String(), "vm": event.VM, "model": event.Model, "detail": event.Detail, "took_ms": event.Took.Milliseconds(),
 	}).Info(string(event.Kind))
@@ -182,8 +215,28 @@
 	}).Info("demand")
 }
 
+// Samples of a histogram, and how much the latest weigh (the library's usual values, which cover some five minutes).
+const (
+	histogramSamples = 1028
+	histogramAlpha   = 0.015
+)
+
+func (g *Gateway) histogram(name string) metrics.Histogram {
+	return metrics.GetOrRegisterHistogram(name, g.registry, metrics.NewExpDecaySample(histogramSamples, histogramAlpha))
+}
+
 func (g *Gateway) requestEnded(report relay.Report) {
 	metrics.GetOrRegisterCounter("requests."+string(report.Outcome), g.registry).Inc(1)
+	route := report.Route
+	if route == "" {
+		route = "none"
+	}
+	metrics.GetOrRegisterCounter("requests.route."+route+"."+string(report.Outcome), g.registry).Inc(1)
+	g.histogram("requests.first.ms").Update(report.First.Milliseconds())
+	g.histogram("requests.took.ms").Update(report.Took.Milliseconds())
+	if report.Resumed {
+		metrics.GetOrRegisterCounter("requests.resumed", g.registry).Inc(1)
+	}
 	if report.Outcome == relay.Served {
 		return
 	}
--- a/policy/turns/turns_test.go
+++ b/policy/turns/turns_test.go
@@ -206,7 +206,6 @@
 type callerState struct {
 	key      string
 	born     time.Duration
-	sent     time.Duration
 	tries    int
 	due      time.Duration // when it comes (again)
 	ends     time.Duration // when its turn ends
