--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -50,6 +50,8 @@
 		following: following{down: make(map[string]bool)},
 	}
 	g.gauges(lines)
+	g.first = histogram(g.registry, "requests.first.ms")
+	g.took = histogram(g.registry, "requests.took.ms")
 	client := store.NewClient("http://"+config.Platform, store.WithWire(platform.Objects{}), store.WithCallTimeout(platformTimeout), store.WithMetrics(g.registry),
 		store.WithSource(sourceOf(config.Callers)), store.WithRates(store.Rates{
 			Shared: config.PlatformRate * (1 - reservedShare), Reserved: config.PlatformRate * reservedShare,
@@ -221,8 +223,9 @@
 	histogramAlpha   = 0.015
 )
 
-func (g *Gateway) histogram(name string) metrics.Histogram {
-	return metrics.GetOrRegisterHistogram(name, g.registry, metrics.NewExpDecaySample(histogramSamples, histogramAlpha))
+// histogram registers the times of something, in milliseconds.
+func histogram(registry metrics.Registry, name string) metrics.Histogram {
+	return metrics.NewRegisteredHistogram(name, registry, metrics.NewExpDecaySample(histogramSamples, histogramAlpha))
 }
 
 func (g *Gateway) requestEnded(report relay.Report) {
@@ -232,8 +235,8 @@
 		route = "none"
 	}
 	metrics.GetOrRegisterCounter("requests.route."+route+"."+string(report.Outcome), g.registry).Inc(1)
-	g.histogram("requests.first.ms").Update(report.First.Milliseconds())
-	g.histogram("requests.took.ms").Update(report.Took.Milliseconds())
+	g.first.Update(report.First.Milliseconds())
+	g.took.Update(report.Took.Milliseconds())
 	if report.Resumed {
 		metrics.GetOrRegisterCounter("requests.resumed", g.registry).Inc(1)
 	}
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -51,8 +51,10 @@
 	following  following
 	pool       *upstream.Pool
 	gate       *drain.Gate
-	leaving    atomic.Bool
-	started    time.Time
+	// first and took are the times to the first part of an answer and to its end.
+	first, took metrics.Histogram
+	leaving     atomic.Bool
+	started     time.Time
 }
 
 // Serve runs one gateway until ctx ends and it has drained. reload tells that the platform has changed the settings file.
