Other entries are asked for a dark head before its registration ends

Cause: when the registration of a lost head had lapsed, the entry in charge began to ask the others, which takes 0.9 s more.

--- a/entry/grouping/dissolve.go
+++ b/entry/grouping/dissolve.go
@@ -66,13 +66,15 @@
 		report, err := c.engines.report(ctx, head)
 		switch {
 		case err != nil && listed == nil:
-			if c.deps.Reached(ctx, head, key) {
+			if c.servesOthers(ctx, head, key) {
 				return eris.Wrapf(errServing, "head %s serves behind a cut", head.ID)
 			}
 			return nil // its registration has ended and it answers nobody: it is gone
 		case eris.Is(err, errOther):
 			return nil // another server has the address
 		case err != nil:
+			// Asked now, the others' word is at hand when the registration ends: 0.9 s less without the group.
+			c.servesOthers(ctx, head, key)
 			return eris.Wrapf(err, "head %s", head.ID)
 		case report.Group.GroupKey != key:
 			return nil
@@ -87,6 +89,27 @@
 	}
 }
 
+// unreachedFor is how long the word of the other entries counts that they don't reach a server. Within it the server's registration can't
+// have lapsed for a cut that began later: that takes three silent heartbeats.
+const unreachedFor = 2 * time.Second
+
+// servesOthers says whether another entry reaches a head that this one does not, and finds it serving.
+func (c *Controller) servesOthers(ctx context.Context, head *backend.Server, key backend.GroupKey) bool {
+	c.mu.Lock()
+	lately := time.Since(c.unreached[head.ID]) < unreachedFor
+	c.mu.Unlock()
+	if lately {
+		return false
+	}
+	if c.deps.Reached(ctx, head, key) {
+		return true
+	}
+	c.mu.Lock()
+	c.unreached[head.ID] = time.Now()
+	c.mu.Unlock()
+	return false
+}
+
 // retireStep sends the order that fits the head's state, and says whether the head is out of the group.
 func (c *Controller) retireStep(ctx context.Context, head *backend.Server, key backend.GroupKey, report backend.Report, cancel bool) (bool, error) {
 	switch report.Group.State {
--- a/entry/grouping/grouping.go
+++ b/entry/grouping/grouping.go
@@ -106,6 +106,8 @@
 	resting map[backend.ID]time.Time
 	// dark holds VMs that did not answer, until when.
 	dark map[backend.ID]time.Time
+	// unreached holds heads that no other entry reached, with when they were asked.
+	unreached map[backend.ID]time.Time
 	// staging holds the loads that were ordered.
 	staging map[backend.ID]staging
 	loads   *loadPace
@@ -136,7 +138,7 @@
 		checking: make(map[backend.GroupKey]bool),
 		opened:   make(map[backend.GroupKey]opened), closed: make(map[backend.GroupKey]time.Time),
 		resting: make(map[backend.ID]time.Time), dark: make(map[backend.ID]time.Time),
-		staging: make(map[backend.ID]staging), loads: newLoadPace(),
+		staging: make(map[backend.ID]staging), unreached: make(map[backend.ID]time.Time), loads: newLoadPace(),
 	}
 }
 
--- a/entry/grouping/grouping_test.go
+++ b/entry/grouping/grouping_test.go
@@ -93,7 +93,9 @@
 type control struct {
 	*grouping.Controller
 	held atomic.Bool
-	stop context.CancelFunc
+	// reached says that another entry finds every head serving that this one does not reach.
+	reached atomic.Bool
+	stop    context.CancelFunc
 }
 
 func (c *cell) control(epoch uint64) *control {
@@ -102,7 +104,7 @@
 	k.Controller = grouping.New(grouping.Deps{
 		Pool: upstream.NewPool(), Table: func() *route.Table { return table }, Listing: c.catalog.Listing, Held: k.held.Load,
 		Epoch:   func() uint64 { return epoch },
-		Reached: func(context.Context, *backend.Server, backend.GroupKey) bool { return false },
+		Reached: func(context.Context, *backend.Server, backend.GroupKey) bool { return k.reached.Load() },
 		Sound:   func(backend.ID) {}, Demand: func(string, string) float64 { return 0 }, Early: func() bool { return false },
 		Event: func(event grouping.Event) { GinkgoWriter.Printf("%d %+v\n", epoch, event) },
 	})
@@ -206,6 +208,42 @@
 		Expect(c.heads()[0].Group.Key()).To(Equal(before[0].Group.Key()))
 	})
 
+	It("forms another group of the survivors once a head is gone", func() {
+		c := newCell(4)
+		c.control(1)
+		Eventually(c.groups, waitFor).Should(Equal(1))
+		head := c.heads()[0]
+		for _, vm := range c.vms {
+			if vm.ID() == string(head.ID) {
+				vm.Die()
+			}
+		}
+		Eventually(func() bool {
+			heads := c.heads()
+			return len(heads) == 1 && heads[0].ID != head.ID
+		}, waitFor).Should(BeTrue())
+		Expect(c.world.Broken()).To(BeEmpty())
+	})
+
+	// A head is cut off from the platform and from the entry in charge, and still serves callers of other entries. Its members joined to
+	// another group would be in two.
+	It("leaves the members of a head alone that another entry finds serving", func() {
+		c := newCell(4)
+		k := c.control(1)
+		Eventually(c.groups, waitFor).Should(Equal(1))
+		head := c.heads()[0]
+		k.reached.Store(true)
+		for _, vm := range c.vms {
+			if vm.ID() == string(head.ID) {
+				vm.Set(replica.Faults{Mute: true, Unregistered: true})
+			}
+		}
+		c.api.Delete("servers", string(head.ID))
+		Eventually(c.groups, waitFor).Should(BeZero())
+		Consistently(c.groups, "2s").Should(BeZero())
+		Expect(c.world.Broken()).To(BeEmpty())
+	})
+
 	// The entry in charge has died while a host loads weights that it ordered. The next one does not know of the load; ordered again and
 	// again, each refusal would take the room of another load, and no host would load anything for as long as a load takes.
 	It("orders weights for a host that is busy loading once, and goes on with other hosts", func() {
--- a/entry/grouping/view.go
+++ b/entry/grouping/view.go
@@ -171,6 +171,11 @@
 			delete(c.opened, key)
 		}
 	}
+	for id, at := range c.unreached {
+		if now.Sub(at) > unreachedFor {
+			delete(c.unreached, id)
+		}
+	}
 	for key, at := range c.closed {
 		if now.Sub(at) > closedFor {
 			delete(c.closed, key)
