Repeats beyond the share of first tries are divided among the entries that are known

Cause: every entry could repeat six requests at once, whatever the number of entries: too few at 13 when a group breaks (streams were cut after one attempt), too many at 142 (852 where 491 are allowed).

--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -30,7 +30,6 @@
 	"github.com/skylarkpond/skylarkpond/link/upstream"
 	"github.com/skylarkpond/skylarkpond/platform"
 	directory "github.com/skylarkpond/skylarkpond/policy/directory"
-	"github.com/skylarkpond/skylarkpond/policy/retry"
 	"github.com/skylarkpond/skylarkpond/policy/turns"
 )
 
@@ -95,9 +94,10 @@
 	g.catalog.OnServers(g.controller.Wake)
 	g.catalog.OnServers(g.leader.SetGroups)
 	g.local = turn.NewLocal(g.catalog.Listing, g.catalog.Table)
+	g.retries = relay.NewRetries(relay.Allowed{Ratio: config.RetryRatio, Extra: config.RetryExtra}, assumedEntries)
 	g.remote = turn.NewRemote(g.local, g.catalog.Listing)
 	g.relay = relay.New(relay.Deps{
-		Table: g.catalog.Table, Turns: g.remote, Pool: g.pool, Retries: relay.NewRetries(retryConfig(config)),
+		Table: g.catalog.Table, Turns: g.remote, Pool: g.pool, Retries: g.retries,
 		FailureDomain: domain.FailureDomain(config.FailureDomain), Report: g.requestEnded, Random: rand.Float64,
 	})
 	return g, nil
@@ -125,21 +125,8 @@
 	}
 }
 
-const (
-	// retryShare of the ratio that all entries may use is given out by each for its own first tries; the rest covers windows
-	// in which load falls.
-	retryShare = 0.8
-	// retryBurst is what one entry may repeat at once, when a group breaks under it.
-	retryBurst = 6
-)
-
-func retryConfig(config Config) retry.Config {
-	c := retry.DefaultConfig()
-	c.Share = config.RetryRatio * retryShare
-	c.PerSecond = 0.2
-	c.Burst = retryBurst
-	return c
-}
+// assumedEntries is how many entries share the retries before the others are known.
+const assumedEntries = 32
 
 // earlyFor is how long after a first start callers have surely not come.
 const earlyFor = 9 * time.Second
--- a/entry/gateway/config.go
+++ b/entry/gateway/config.go
@@ -28,6 +28,7 @@
 	AddressTTL   float64 `arg:"--address-ttl,env:POND_ADDRESS_TTL" default:"5" help:"seconds for which callers may keep an answer of the directory, at most"`
 	Grace        float64 `arg:"--stop-grace,env:POND_STOP_GRACE" default:"8" help:"seconds from a request to stop until the process is killed"`
 	RetryRatio   float64 `arg:"--retry-ratio,env:POND_RETRY_RATIO" default:"0.2" help:"repeats that all entries may send to a service, as a share of its requests"`
+	RetryExtra   float64 `arg:"--retry-extra,env:POND_RETRY_EXTRA" default:"280" help:"repeats that all entries may send to a service beside that, in some ten seconds"`
 	LogLevel     string  `arg:"--log-level,env:POND_LOG_LEVEL" default:"info" help:"error, warn, info or debug"`
 	LogQueueSize int     `arg:"--log-queue,env:POND_LOG_QUEUE" default:"1024" help:"log lines that wait for a slow reader before further ones are dropped and counted"`
 }
@@ -59,6 +60,7 @@
 	check(c.AddressTTL >= 1 && c.AddressTTL <= 3600, "--address-ttl", "must be between 1 and 3600 seconds")
 	check(c.Grace >= 1 && c.Grace <= 3600, "--stop-grace", "must be between 1 and 3600 seconds")
 	check(c.RetryRatio >= 0 && c.RetryRatio <= 1, "--retry-ratio", "must be between 0 and 1")
+	check(c.RetryExtra >= 0 && c.RetryExtra <= 1e6, "--retry-extra", "must be between 0 and 1000000")
 	check(c.MemoryMB >= 32, "--memory-mb", "must be 32 or more")
 	check(c.LogQueueSize >= 1, "--log-queue", "must be 1 or more")
 	if len(faults) == 0 {
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -45,6 +45,7 @@
 	relay      *relay.Relay
 	local      *turn.Local
 	remote     *turn.Remote
+	retries    *relay.Retries
 	leader     *leader.Leader
 	links      *link.Server
 	identity   *peer.Identity
@@ -133,6 +134,9 @@
 			return server != nil && upstream.EndpointOf(server) == to
 		})
 		g.local.Sweep()
+		if n := g.roster.Len(); n > 1 {
+			g.retries.Resize(n)
+		}
 	}
 }
 
--- a/entry/gateway/logqueue_test.go
+++ b/entry/gateway/logqueue_test.go
@@ -54,6 +54,7 @@
 		Entry(nil, func(c *Config) { c.AddressTTL = 0 }, "--address-ttl"),
 		Entry(nil, func(c *Config) { c.Grace = 0 }, "--stop-grace"),
 		Entry(nil, func(c *Config) { c.RetryRatio = 2 }, "--retry-ratio"),
+		Entry(nil, func(c *Config) { c.RetryExtra = -1 }, "--retry-extra"),
 		Entry(nil, func(c *Config) { c.MemoryMB = 1 }, "--memory-mb"),
 		Entry(nil, func(c *Config) { c.LogQueueSize = 0 }, "--log-queue"),
 	)
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -24,7 +24,6 @@
 	"github.com/skylarkpond/skylarkpond/internal/standin/objects"
 	"github.com/skylarkpond/skylarkpond/internal/standin/replica"
 	"github.com/skylarkpond/skylarkpond/link/upstream"
-	"github.com/skylarkpond/skylarkpond/policy/retry"
 )
 
 func TestRelay(t *testing.T) {
@@ -99,9 +98,8 @@
 		{Name: "chat", Host: "h.example", Prefix: "/chat/", Kind: route.Streaming, Timeout: 8 * time.Second, MaxAttempts: 2, Resumable: true, Targets: targets},
 		{Name: "once", Host: "h.example", Prefix: "/once/", Kind: route.Streaming, Timeout: 2 * time.Second, MaxAttempts: 2, Targets: targets},
 	}, nil, []route.Team{{Name: "one", Keys: []string{"key"}}}, route.Limits{BodyBytes: 1 << 20})
-	budget := retry.DefaultConfig()
 	handler := relay.New(relay.Deps{
-		Table: func() *route.Table { return r.table }, Turns: r.turns, Pool: upstream.NewPool(), Retries: relay.NewRetries(budget),
+		Table: func() *route.Table { return r.table }, Turns: r.turns, Pool: upstream.NewPool(), Retries: relay.NewRetries(relay.Allowed{Ratio: 0.2, Extra: 20}, 1),
 		Random: func() float64 { return 0.5 },
 		Report: func(report relay.Report) {
 			r.mu.Lock()
@@ -154,6 +152,43 @@
 
 func (r *rig) set(i int, faults replica.Faults) { r.servers[i].Set(faults) }
 
+var _ = Describe("Retries", func() {
+	take := func(r *relay.Retries, most int) int {
+		n := 0
+		for n < most && r.Take("s", time.Second) {
+			n++
+		}
+		return n
+	}
+
+	// Groups break under all entries at once. Were each entry's share of the repeats the same however many there are, many entries would
+	// repeat more than the servers that are left can bear.
+	It("stay within what all entries may repeat together, however many there are", func() {
+		for _, entries := range []int{1, 13, 142, 330} {
+			total := 0
+			for range entries {
+				r := relay.NewRetries(relay.Allowed{Ratio: 0.2, Extra: 491}, entries)
+				total += take(r, 1000)
+			}
+			Expect(total).To(BeNumerically("<=", 491), "%d entries", entries)
+			Expect(total).To(BeNumerically(">=", 140), "%d entries", entries)
+		}
+	})
+
+	It("grow with the first tries, and shrink when entries come", func() {
+		r := relay.NewRetries(relay.Allowed{Ratio: 0.2, Extra: 100}, 10)
+		Expect(take(r, 1000)).To(Equal(6))
+		for range 20 {
+			r.FirstTry("s")
+		}
+		Expect(take(r, 1000)).To(Equal(3))
+		fresh := relay.NewRetries(relay.Allowed{Ratio: 0.2, Extra: 100}, 1)
+		Expect(fresh.Take("s", time.Second)).To(BeTrue())
+		fresh.Resize(65)
+		Expect(take(fresh, 1000)).To(Equal(1))
+	})
+})
+
 var _ = Describe("Relay", func() {
 	It("hands a request on as it is, under the team's name, and the answer back unchanged", func() {
 		r := newRig(replica.Config{}, 1)
