--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -15,7 +15,6 @@
 
 	"github.com/skylarkpond/skylarkpond/backend"
 	"github.com/skylarkpond/skylarkpond/contract/route"
-	"github.com/skylarkpond/skylarkpond/domain"
 	"github.com/skylarkpond/skylarkpond/entry/catalog"
 	"github.com/skylarkpond/skylarkpond/entry/drain"
 	"github.com/skylarkpond/skylarkpond/entry/grouping"
@@ -98,7 +97,7 @@
 	g.remote = turn.NewRemote(g.local, g.catalog.Listing)
 	g.relay = relay.New(relay.Deps{
 		Table: g.catalog.Table, Turns: g.remote, Pool: g.pool, Retries: g.retries,
-		FailureDomain: domain.FailureDomain(config.FailureDomain), Report: g.requestEnded, Random: rand.Float64,
+		Report: g.requestEnded, Random: rand.Float64,
 	})
 	return g, nil
 }
--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -461,10 +461,3 @@
 	defer l.mu.Unlock()
 	return len(l.followers)
 }
-
-// Loads returns the load of the groups, for status and metrics.
-func (l *Leader) Loads() []policy.Load {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.turns.Loads(l.now())
-}
--- a/entry/relay/exchange.go
+++ b/entry/relay/exchange.go
@@ -160,14 +160,9 @@
 }
 
 func (e *exchange) ask() turn.Ask {
-	answer := e.call.AnswerTokens
-	if e.call.LengthHint > 0 {
-		answer = min(answer, e.call.LengthHint)
-	}
 	ask := turn.Ask{
-		Service: e.service, Model: e.call.Model, PromptTokens: e.call.PromptTokens, AnswerTokens: answer,
-		Priority: e.priority, Patience: turn.PatienceOf(e.route.FirstAnswer, time.Since(e.arrived), e.returning()),
-		Returning: e.returning(), Tried: e.tried, FailureDomain: e.relay.deps.FailureDomain, Team: e.team,
+		Service: e.service, Model: e.call.Model, Priority: e.priority, Patience: turn.PatienceOf(e.route.FirstAnswer, time.Since(e.arrived), e.returning()),
+		Returning: e.returning(), Tried: e.tried,
 	}
 	if e.begun {
 		ask.Priority = turn.First
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/skylarkpond/skylarkpond/contract/route"
-	"github.com/skylarkpond/skylarkpond/domain"
 	"github.com/skylarkpond/skylarkpond/entry/turn"
 	"github.com/skylarkpond/skylarkpond/link/upstream"
 )
@@ -25,9 +24,8 @@
 	Pool  *upstream.Pool
 	// Retries bounds repeats.
 	Retries *Retries
-	// FailureDomain is this entry's own.
-	FailureDomain domain.FailureDomain
-	Report        func(Report)
+	// Report is told how each request ended.
+	Report func(Report)
 	// Random is from 0 to 1; it draws targets of split routes and spreads retries.
 	Random func() float64
 }
--- a/entry/turn/remote.go
+++ b/entry/turn/remote.go
@@ -158,7 +158,7 @@
 	defer r.mu.Unlock()
 	delete(r.running, key)
 	if r.send != nil {
-		r.send(link.Up{Done: &link.Done{Key: key, Whole: whole, Unreachable: result.Unreachable}})
+		r.send(link.Up{Done: &link.Done{Key: key, Whole: whole}})
 	}
 }
 
--- a/entry/turn/turn.go
+++ b/entry/turn/turn.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/skylarkpond/skylarkpond/backend"
-	"github.com/skylarkpond/skylarkpond/domain"
 )
 
 // Ask is one request that wants to be sent.
@@ -14,17 +13,14 @@
 	Service string
 	// Model is empty for plain services.
 	Model string
-	// PromptTokens and AnswerTokens are what the request is expected to take.
-	PromptTokens, AnswerTokens int
-	Priority                   int
+	// Priority is 0 for the most urgent, or First.
+	Priority int
 	// Patience is how long the request may wait for its turn.
 	Patience time.Duration
 	// Returning says that the caller was turned away before.
 	Returning bool
 	// Tried are the servers that it was sent to.
-	Tried         []backend.ID
-	FailureDomain domain.FailureDomain
-	Team          string
+	Tried []backend.ID
 }
 
 // First is the priority of streams that broke off and are to go on.
--- a/link/leader/leader.go
+++ b/link/leader/leader.go
@@ -65,8 +65,6 @@
 	Running []Running `cbor:"3,keyasint,omitempty"`
 	// ConfigVersion is the version of its configuration.
 	ConfigVersion uint64 `cbor:"4,keyasint,omitempty"`
-	// Leaving followers are to be named to no caller.
-	Leaving bool `cbor:"5,keyasint,omitempty"`
 	// Revisions say up to where the follower knows each kind.
 	Revisions map[platform.Kind]platform.Version `cbor:"6,keyasint,omitempty"`
 }
@@ -95,8 +93,6 @@
 	Key uint64 `cbor:"1,keyasint"`
 	// Whole says that the answer was given to its end.
 	Whole bool `cbor:"2,keyasint,omitempty"`
-	// Unreachable says that no connection to the head could be made.
-	Unreachable bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Config is the configuration as the operator wrote it.
