--- a/contract/attempt/records.go
+++ b/contract/attempt/records.go
@@ -23,6 +23,7 @@
 
 	"github.com/skylarkpond/skylarkpond/contract"
 	"github.com/skylarkpond/skylarkpond/contract/settings"
+	"github.com/skylarkpond/skylarkpond/internal/wait"
 	"github.com/skylarkpond/skylarkpond/link/platform"
 )
 
@@ -100,7 +101,7 @@
 
 // New returns records kept in store. The clock is the wall clock; it only stamps the expiry.
 func New(store platform.Store, clock func() time.Time) *Records {
-	return &Records{store: store, clock: clock, nonce: uuid.NewString, Pause: sleep}
+	return &Records{store: store, clock: clock, nonce: uuid.NewString, Pause: func(ctx context.Context, d time.Duration) { wait.Pause(ctx, d) }}
 }
 
 // Claim takes the right to send, once, for this home and incarnation. Only Confirmed gives it.
@@ -174,12 +175,3 @@
 		return false
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/entry/catalog/follow.go
+++ b/entry/catalog/follow.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/skylarkpond/skylarkpond/internal/wait"
 	link "github.com/skylarkpond/skylarkpond/link/leader"
 	store "github.com/skylarkpond/skylarkpond/link/platform"
 )
@@ -88,7 +89,7 @@
 				failedSince = time.Now()
 				f.catalog.deps.Lost(f.kind, err)
 			}
-			pause(ctx, retryPause/2+rand.N(retryPause/2))
+			wait.Pause(ctx, retryPause/2+rand.N(retryPause/2))
 			continue
 		}
 		if !failedSince.IsZero() {
@@ -97,7 +98,7 @@
 		}
 		f.take(from, changes)
 		if len(changes.Objects) > 0 {
-			pause(ctx, f.gather())
+			wait.Pause(ctx, f.gather())
 		}
 	}
 }
@@ -198,12 +199,5 @@
 	return news, true
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 // EntriesPace is that of the other entries' registrations.
 var EntriesPace = Pace{Gather: time.Second, Wait: 3 * time.Second}
--- a/entry/catalog/servers.go
+++ b/entry/catalog/servers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/skylarkpond/skylarkpond/backend"
+	"github.com/skylarkpond/skylarkpond/internal/wait"
 	store "github.com/skylarkpond/skylarkpond/link/platform"
 	"github.com/skylarkpond/skylarkpond/platform"
 )
@@ -108,7 +109,7 @@
 // expire ends the graces.
 func (s *servers) expire(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, expireEvery)
+		wait.Pause(ctx, expireEvery)
 		s.mu.Lock()
 		ended := false
 		for id, until := range s.lapsed {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -31,6 +31,7 @@
 	"github.com/skylarkpond/skylarkpond/entry/prober"
 	"github.com/skylarkpond/skylarkpond/entry/reach"
 	"github.com/skylarkpond/skylarkpond/entry/routing"
+	"github.com/skylarkpond/skylarkpond/internal/wait"
 	"github.com/skylarkpond/skylarkpond/link/peer"
 	"github.com/skylarkpond/skylarkpond/link/platform"
 	"github.com/skylarkpond/skylarkpond/timeline"
@@ -226,7 +227,7 @@
 // fronts share the load.
 func (e *Entry) watchMembers(ctx context.Context) error {
 	for ctx.Err() == nil {
-		pause(ctx, membersCheck)
+		wait.Pause(ctx, membersCheck)
 		e.router.SetFronts(len(e.members.Live()))
 		if e.members.Superseded() {
 			return ErrSuperseded
--- a/entry/gateway/follow.go
+++ b/entry/gateway/follow.go
@@ -9,6 +9,7 @@
 
 	"github.com/skylarkpond/skylarkpond/backend"
 	"github.com/skylarkpond/skylarkpond/entry/lease"
+	"github.com/skylarkpond/skylarkpond/internal/wait"
 	link "github.com/skylarkpond/skylarkpond/link/leader"
 )
 
@@ -77,10 +78,7 @@
 		case known && holder.Entry != g.config.Name:
 			g.followOther(ctx, holder)
 		}
-		select {
-		case <-time.After(relink):
-		case <-ctx.Done():
-		}
+		wait.Pause(ctx, relink)
 	}
 }
 
@@ -158,12 +156,7 @@
 // whileHolder calls stop once another entry holds the lease. A leader that can't confirm it, because the platform is away, goes on
 // giving turns.
 func (g *Gateway) whileHolder(ctx context.Context, stop func(), holder lease.Holder) {
-	for {
-		select {
-		case <-time.After(holderLook):
-		case <-ctx.Done():
-			return
-		}
+	for wait.Pause(ctx, holderLook) {
 		if now, _ := g.lease.Holder(); now.Token != holder.Token {
 			stop()
 			return
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/skylarkpond/skylarkpond/entry/relay"
 	"github.com/skylarkpond/skylarkpond/entry/roster"
 	"github.com/skylarkpond/skylarkpond/entry/turn"
+	"github.com/skylarkpond/skylarkpond/internal/wait"
 	link "github.com/skylarkpond/skylarkpond/link/leader"
 	"github.com/skylarkpond/skylarkpond/link/peer"
 	"github.com/skylarkpond/skylarkpond/link/upstream"
@@ -123,11 +124,7 @@
 const sweepEvery = time.Second
 
 func (g *Gateway) sweep(ctx context.Context) {
-	for ctx.Err() == nil {
-		select {
-		case <-time.After(sweepEvery):
-		case <-ctx.Done():
-		}
+	for wait.Pause(ctx, sweepEvery) {
 		listing := g.catalog.Listing()
 		g.pool.Sweep(func(to upstream.Endpoint) bool {
 			server := listing.Servers[to.ID]
--- a/entry/grouping/dissolve.go
+++ b/entry/grouping/dissolve.go
@@ -8,6 +8,7 @@
 
 	"github.com/skylarkpond/skylarkpond/backend"
 	"github.com/skylarkpond/skylarkpond/contract/route"
+	"github.com/skylarkpond/skylarkpond/internal/wait"
 )
 
 // startDissolve makes a head that is not whole stop serving. The VMs are free once it does.
@@ -83,7 +84,7 @@
 		if done || err != nil {
 			return err
 		}
-		if !pause(ctx, closeLook) {
+		if !wait.Pause(ctx, closeLook) {
 			return eris.Wrapf(ctx.Err(), "closing %s", key)
 		}
 	}
--- a/entry/grouping/form.go
+++ b/entry/grouping/form.go
@@ -9,6 +9,7 @@
 
 	"github.com/skylarkpond/skylarkpond/backend"
 	"github.com/skylarkpond/skylarkpond/contract/route"
+	"github.com/skylarkpond/skylarkpond/internal/wait"
 	policy "github.com/skylarkpond/skylarkpond/policy/grouping"
 )
 
@@ -257,7 +258,7 @@
 func (f *formation) awaitReady(ctx context.Context) (backend.Report, error) {
 	nextAsk := time.Now().Add(rejoinTime + readyLook)
 	for {
-		if !pause(ctx, readyLook) {
+		if !wait.Pause(ctx, readyLook) {
 			return backend.Report{}, eris.Wrap(ctx.Err(), "waiting for members")
 		}
 		if !f.listedReady() && time.Now().Before(nextAsk) {
--- a/entry/grouping/orders.go
+++ b/entry/grouping/orders.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/skylarkpond/skylarkpond/backend"
+	"github.com/skylarkpond/skylarkpond/internal/wait"
 	"github.com/skylarkpond/skylarkpond/link/upstream"
 	"github.com/skylarkpond/skylarkpond/platform"
 )
@@ -74,7 +75,7 @@
 		if err != nil || settled {
 			return report, err
 		}
-		if !pause(ctx, reportAgain) {
+		if !wait.Pause(ctx, reportAgain) {
 			return report, eris.Wrap(errDark, "no time left for a report")
 		}
 	}
@@ -194,7 +195,7 @@
 		case eris.Is(err, errRefused):
 			return err
 		}
-		if !pause(ctx, orderAgain) {
+		if !wait.Pause(ctx, orderAgain) {
 			return ctx.Err()
 		}
 	}
@@ -202,13 +203,3 @@
 
 // orderAgain is the pause before an order without an answer is sent again.
 const orderAgain = 200 * time.Millisecond
-
-// pause returns false when ctx ended.
-func pause(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-time.After(d):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/entry/lease/lease.go
+++ b/entry/lease/lease.go
@@ -16,6 +16,7 @@
 	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
 
+	"github.com/skylarkpond/skylarkpond/internal/wait"
 	"github.com/skylarkpond/skylarkpond/link/platform"
 )
 
@@ -108,20 +109,13 @@
 	for ctx.Err() == nil {
 		if l.owns() {
 			l.renew(ctx)
-			pause(ctx, renewEvery)
+			wait.Pause(ctx, renewEvery)
 			continue
 		}
 		if !l.deps.Linked() {
 			l.look(ctx)
 		}
-		pause(ctx, lookEvery/2+rand.N(lookEvery))
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
+		wait.Pause(ctx, lookEvery/2+rand.N(lookEvery))
 	}
 }
 
--- a/entry/mirror/follow.go
+++ b/entry/mirror/follow.go
@@ -10,6 +10,7 @@
 
 	"github.com/skylarkpond/skylarkpond/domain"
 	"github.com/skylarkpond/skylarkpond/entry/member"
+	"github.com/skylarkpond/skylarkpond/internal/wait"
 	"github.com/skylarkpond/skylarkpond/link/platform"
 )
 
@@ -112,12 +113,12 @@
 	for ctx.Err() == nil {
 		if !f.chosen(kind) {
 			revision = 0
-			pause(ctx, ownershipCheck)
+			wait.Pause(ctx, ownershipCheck)
 			continue
 		}
 		next, err := f.watchOnce(ctx, kind, revision)
 		if err != nil {
-			pause(ctx, jittered(retryPause))
+			wait.Pause(ctx, jittered(retryPause))
 			continue
 		}
 		revision = next
@@ -151,12 +152,3 @@
 func jittered(mean time.Duration) time.Duration {
 	return mean/2 + rand.N(mean)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/entry/operator/apply.go
+++ b/entry/operator/apply.go
@@ -11,6 +11,7 @@
 
 	"github.com/skylarkpond/skylarkpond/contract/admin"
 	"github.com/skylarkpond/skylarkpond/contract/settings"
+	"github.com/skylarkpond/skylarkpond/internal/wait"
 	"github.com/skylarkpond/skylarkpond/link/platform"
 	"github.com/skylarkpond/skylarkpond/timeline"
 )
@@ -88,14 +89,7 @@
 }
 
 func pause(ctx context.Context) bool {
-	timer := time.NewTimer(applyPause/2 + rand.N(applyPause))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return wait.Pause(ctx, applyPause/2+rand.N(applyPause))
 }
 
 // applyOnce reads, merges, checks and writes once. Once a write was sent the VM list is not consulted
--- a/entry/register.go
+++ b/entry/register.go
@@ -8,6 +8,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/skylarkpond/skylarkpond/internal/wait"
 	"github.com/skylarkpond/skylarkpond/link/platform"
 )
 
@@ -29,7 +30,7 @@
 		if err == nil || ctx.Err() != nil {
 			return err
 		}
-		pause(ctx, registerPause)
+		wait.Pause(ctx, registerPause)
 	}
 }
 
@@ -60,12 +61,3 @@
 	}
 	return object.Version, err
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/entry/roster/roster.go
+++ b/entry/roster/roster.go
@@ -12,6 +12,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/skylarkpond/skylarkpond/internal/wait"
 	"github.com/skylarkpond/skylarkpond/link/platform"
 	policy "github.com/skylarkpond/skylarkpond/policy/directory"
 )
@@ -114,7 +115,7 @@
 		if err != nil {
 			r.deps.Failed("publishing this entry", err)
 		}
-		pause(ctx, retryPause/2+rand.N(retryPause))
+		wait.Pause(ctx, retryPause/2+rand.N(retryPause))
 	}
 }
 
@@ -162,10 +163,3 @@
 		r.entries[object.Name] = entry
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -22,6 +22,7 @@
 	"github.com/skylarkpond/skylarkpond/entry/fleet"
 	"github.com/skylarkpond/skylarkpond/entry/member"
 	"github.com/skylarkpond/skylarkpond/entry/reach"
+	"github.com/skylarkpond/skylarkpond/internal/wait"
 	"github.com/skylarkpond/skylarkpond/link/peer"
 	"github.com/skylarkpond/skylarkpond/link/platform"
 	"github.com/skylarkpond/skylarkpond/timeline"
@@ -183,7 +184,7 @@
 			return err
 		}
 		e.log.WithError(err).Warn("the platform can't be read; trying again")
-		pause(ctx, registerPause)
+		wait.Pause(ctx, registerPause)
 	}
 }
 
--- a/entry/settle.go
+++ b/entry/settle.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/skylarkpond/skylarkpond/entry/member"
+	"github.com/skylarkpond/skylarkpond/internal/wait"
 	"github.com/skylarkpond/skylarkpond/link/peer"
 	"github.com/skylarkpond/skylarkpond/link/platform"
 )
@@ -50,7 +51,7 @@
 			e.log.Warn("no other entry answers; starting with the settings that the platform gave")
 			break
 		}
-		pause(ctx, settleEvery)
+		wait.Pause(ctx, settleEvery)
 	}
 	e.inForce.open()
 	e.router.ApplySettings(e.inForce.Snapshot())
--- a/link/platform/confirm.go
+++ b/link/platform/confirm.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/skylarkpond/skylarkpond/internal/wait"
 )
 
 // ErrSuperseded: the object has moved on to a version of another writer while this write was unconfirmed.
@@ -53,7 +55,7 @@
 	if !eris.Is(err, ErrUnconfirmed) {
 		return written, err
 	}
-	for pause := confirmFirstPause; sleep(ctx, pause); pause = min(2*pause, confirmLastPause) {
+	for pause := confirmFirstPause; wait.Pause(ctx, pause); pause = min(2*pause, confirmLastPause) {
 		written, again := store.Put(ctx, kind, name, version, value)
 		if again == nil {
 			return written, nil
@@ -103,15 +105,3 @@
 	}
 	return marked.Nonce
 }
-
-// sleep waits for d and returns whether ctx is still open.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/pondctl/wait.go
+++ b/pondctl/wait.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/skylarkpond/skylarkpond/contract/admin"
+	"github.com/skylarkpond/skylarkpond/internal/wait"
 )
 
 // wait looks at the status until every live entry works by the version or a later one.
@@ -25,7 +26,7 @@
 		if done {
 			return nil
 		}
-		if !sleep(ctx, pollPause) {
+		if !wait.Pause(ctx, pollPause) {
 			return eris.Wrapf(ErrNotInForce, "after %s: %s", longest, told)
 		}
 	}
@@ -66,14 +67,3 @@
 	}
 	return text + ")"
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
