What nobody reads or calls is gone, and small copies call the library

Cause: the way to the leader was kept twice and read once; a question for news and the end of a link had no sender and no reader; a method stood for an embedded field beside it; a result was always nil; a wrapper only renamed policy/turns.Patience; headers were copied by hand twice. No behaviour changes.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -3,6 +3,7 @@
 package backend
 
 import (
+	"cmp"
 	"slices"
 	"strconv"
 
@@ -51,9 +52,6 @@
 	State GroupState
 }
 
-// Key returns the formation that the VM belongs to.
-func (m Membership) Key() GroupKey { return m.GroupKey }
-
 // Server is one backend server as registered.
 type Server struct {
 	ID            ID
@@ -93,12 +91,7 @@
 		l.ByService[server.Service] = append(l.ByService[server.Service], server)
 	}
 	for _, list := range l.ByService {
-		slices.SortFunc(list, func(a, b *Server) int {
-			if a.ID < b.ID {
-				return -1
-			}
-			return 1
-		})
+		slices.SortFunc(list, func(a, b *Server) int { return cmp.Compare(a.ID, b.ID) })
 	}
 	return l
 }
--- a/entry/catalog/follow.go
+++ b/entry/catalog/follow.go
@@ -31,6 +31,9 @@
 	Wait time.Duration
 }
 
+// EntriesPace is that of the other entries' registrations.
+var EntriesPace = Pace{Gather: time.Second, Wait: 3 * time.Second}
+
 var (
 	// Configurations must be in force, and leaving servers known, within 2 s.
 	configPace  = Pace{Gather: 150 * time.Millisecond, Wait: 800 * time.Millisecond}
@@ -140,7 +143,8 @@
 		f.news, f.oldest = nil, changes.Revision
 	}
 	f.gap = false
-	news := f.advance(News{Kind: f.kind, From: from, To: changes.Revision, Objects: changes.Objects})
+	news := News{Kind: f.kind, From: from, To: changes.Revision, Objects: changes.Objects}
+	f.advance(news)
 	if len(changes.Objects) > 0 || changes.Complete {
 		f.apply(changes)
 	}
@@ -173,14 +177,13 @@
 }
 
 // advance notes news. It is called under the lock.
-func (f *follower) advance(news News) News {
+func (f *follower) advance(news News) {
 	f.revision = max(f.revision, news.To)
 	f.news = append(f.news, news.Objects...)
 	if over := len(f.news) - keptNews; over > 0 {
 		f.oldest = f.news[over-1].Version
 		f.news = slices.Delete(f.news, 0, over)
 	}
-	return news
 }
 
 // since returns the news after a revision, if all of them are kept.
@@ -198,6 +201,3 @@
 	}
 	return news, true
 }
-
-// EntriesPace is that of the other entries' registrations.
-var EntriesPace = Pace{Gather: time.Second, Wait: 3 * time.Second}
--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -85,7 +85,7 @@
 	g.leader = leader.New(leader.Deps{
 		InOffice: g.lease.InOffice, NewsSince: g.catalog.NewsSince,
 		Listing: g.catalog.Listing, Table: g.catalog.Table, Closed: g.controller.Closed,
-		Suspect: func(_ backend.ID, key backend.GroupKey) { g.controller.Suspect(context.Background(), key) },
+		Suspect: func(key backend.GroupKey) { g.controller.Suspect(context.Background(), key) },
 		Demand:  g.demand,
 		Config:  g.catalog.Config, TakeConfig: g.catalog.TakeConfig, LeaseVersion: g.lease.Version,
 	})
--- a/entry/gateway/follow.go
+++ b/entry/gateway/follow.go
@@ -24,8 +24,6 @@
 	down map[string]bool
 	// since is when this leader first said so.
 	since time.Time
-	// send reaches the leader; nil without a link.
-	send func(link.Up)
 }
 
 const (
@@ -103,8 +101,8 @@
 	version, _ := g.catalog.Config()
 	g.leader.SetGroups()
 	g.leader.Join(g.config.Name, self, link.Hello{Entry: g.config.Name, Running: g.remote.Attach(send), ConfigVersion: version})
-	g.attach(send)
-	defer g.detach()
+	g.newLeader()
+	defer g.remote.Attach(nil)
 	check := time.NewTicker(relink)
 	defer check.Stop()
 	for {
@@ -138,8 +136,8 @@
 	}
 	g.log.WithField("leader", holder.Entry).Info("linked to the leader")
 	g.remote.Attach(to.Send)
-	g.attach(to.Send)
-	defer g.detach()
+	g.newLeader()
+	defer g.remote.Attach(nil)
 	defer to.Close("over")
 	stopDialling()
 	watching, stopWatching := context.WithCancel(ctx)
@@ -164,21 +162,14 @@
 	}
 }
 
-func (g *Gateway) attach(send func(link.Up)) {
+// newLeader forgets which entries the last leader heard from.
+func (g *Gateway) newLeader() {
 	g.following.mu.Lock()
 	defer g.following.mu.Unlock()
-	g.following.send = send
 	g.following.live = nil
 	g.following.since = time.Now()
 }
 
-func (g *Gateway) detach() {
-	g.remote.Attach(nil)
-	g.following.mu.Lock()
-	defer g.following.mu.Unlock()
-	g.following.send = nil
-}
-
 // fromLeader handles one message of the leader.
 func (g *Gateway) fromLeader(ctx context.Context, send func(link.Up), message link.Down) {
 	switch {
@@ -223,7 +214,7 @@
 	report, err := g.controller.Look(ctx, &backend.Server{ID: asked.Server, Address: asked.Address})
 	if err == nil {
 		seen.Answered = true
-		seen.Group = report.Group.Key()
+		seen.Group = report.Group.GroupKey
 		seen.Serving = report.Group.State.Serving()
 	}
 	send(link.Up{Seen: &seen})
--- a/entry/grouping/form.go
+++ b/entry/grouping/form.go
@@ -283,7 +283,7 @@
 	listing := f.controller.deps.Listing()
 	for _, member := range f.members {
 		listed := listing.Servers[member.ID]
-		if listed == nil || listed.Group.Key() != f.key || listed.Group.State != backend.GroupReady {
+		if listed == nil || listed.Group.GroupKey != f.key || listed.Group.State != backend.GroupReady {
 			return false
 		}
 	}
--- a/entry/grouping/grouping_test.go
+++ b/entry/grouping/grouping_test.go
@@ -149,10 +149,10 @@
 				break
 			}
 		}
-		k.Suspect(context.Background(), head.Group.Key())
+		k.Suspect(context.Background(), head.Group.GroupKey)
 		Eventually(func() bool {
 			heads := c.heads()
-			return len(heads) == 1 && heads[0].Group.Key() != head.Group.Key()
+			return len(heads) == 1 && heads[0].Group.GroupKey != head.Group.GroupKey
 		}, waitFor).Should(BeTrue())
 		Expect(c.world.Broken()).To(BeEmpty())
 	})
@@ -205,7 +205,7 @@
 		before := c.heads()
 		c.control(2)
 		Consistently(c.groups, "1500ms").Should(Equal(2))
-		Expect(c.heads()[0].Group.Key()).To(Equal(before[0].Group.Key()))
+		Expect(c.heads()[0].Group.GroupKey).To(Equal(before[0].Group.GroupKey))
 	})
 
 	It("forms another group of the survivors once a head is gone", func() {
@@ -326,7 +326,7 @@
 					c.add("small")
 				case 7:
 					for _, head := range c.heads() {
-						controls[r.IntN(2)].Suspect(context.Background(), head.Group.Key())
+						controls[r.IntN(2)].Suspect(context.Background(), head.Group.GroupKey)
 					}
 				}
 			}
--- a/entry/grouping/suspect.go
+++ b/entry/grouping/suspect.go
@@ -50,7 +50,7 @@
 func (c *Controller) membersOf(key backend.GroupKey) []*backend.Server {
 	var members []*backend.Server
 	for _, server := range c.deps.Listing().Servers {
-		if server.Group.Key() == key {
+		if server.Group.GroupKey == key {
 			members = append(members, server)
 		}
 	}
--- a/entry/grouping/view.go
+++ b/entry/grouping/view.go
@@ -40,7 +40,7 @@
 	for _, server := range servers {
 		v.servers[server.ID] = server
 		if server.Group.Name != "" {
-			members[server.Group.Key()] = append(members[server.Group.Key()], server)
+			members[server.Group.GroupKey] = append(members[server.Group.GroupKey], server)
 		}
 	}
 	taken := c.sortGroups(engine, members, v)
@@ -207,7 +207,7 @@
 				return true
 			}
 			found++
-			if i == 0 && server.Group.Key() == key && server.Group.State.Serving() {
+			if i == 0 && server.Group.GroupKey == key && server.Group.State.Serving() {
 				return true
 			}
 		}
--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -31,7 +31,7 @@
 	// Closed says that a group is being dissolved although it is still listed as open.
 	Closed func(key backend.GroupKey) bool
 	// Suspect looks into a group whose head keeps silent.
-	Suspect func(head backend.ID, group backend.GroupKey)
+	Suspect func(group backend.GroupKey)
 	// Config returns the configuration in force; TakeConfig offers another one.
 	Config     func() (uint64, json.RawMessage)
 	TakeConfig func(spec json.RawMessage)
@@ -196,7 +196,7 @@
 func (l *Leader) appendGroups(groups []policy.Group, service route.Service, servers []*backend.Server) []policy.Group {
 	for _, model := range service.Engine.Models {
 		for _, head := range turn.Heads(servers, service.Engine, model.Name) {
-			if l.deps.Closed(head.Group.Key()) {
+			if l.deps.Closed(head.Group.GroupKey) {
 				continue
 			}
 			groups = append(groups, policy.Group{
@@ -285,8 +285,6 @@
 		l.deps.TakeConfig(message.Config.Spec)
 	case message.Seen != nil:
 		l.seen(*message.Seen)
-	case message.Revisions != nil:
-		l.catchUp(from, message.Revisions)
 	case message.Has != 0:
 		l.passConfig(from, message.Has)
 	}
@@ -361,7 +359,7 @@
 	l.mu.Lock()
 	l.turns.Suspect(l.now(), string(head))
 	l.mu.Unlock()
-	l.deps.Suspect(head, server.Group.Key())
+	l.deps.Suspect(server.Group.GroupKey)
 }
 
 // Clear ends a suspicion: all members of the group have answered.
--- a/entry/relay/answer.go
+++ b/entry/relay/answer.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"net/http"
 	"strconv"
 	"time"
@@ -86,9 +87,7 @@
 func (e *exchange) answer(status int, header http.Header, body []byte) {
 	e.ended.Status = status
 	out := e.writer.Header()
-	for name, values := range header {
-		out[name] = values
-	}
+	maps.Copy(out, header)
 	out.Set("Content-Length", strconv.Itoa(len(body)))
 	e.writer.WriteHeader(status)
 	if _, err := e.writer.Write(body); err != nil && e.ended.Detail == "" {
--- a/entry/relay/exchange.go
+++ b/entry/relay/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/skylarkpond/skylarkpond/entry/turn"
 	"github.com/skylarkpond/skylarkpond/link/upstream"
 	"github.com/skylarkpond/skylarkpond/platform"
+	"github.com/skylarkpond/skylarkpond/policy/turns"
 )
 
 // exchange is one caller's request on its way. One goroutine uses it.
@@ -160,9 +161,10 @@
 }
 
 func (e *exchange) ask() turn.Ask {
+	returning := e.returning()
 	ask := turn.Ask{
-		Service: e.service, Model: e.call.Model, Priority: e.priority, Patience: turn.PatienceOf(e.route.FirstAnswer, time.Since(e.arrived), e.returning()),
-		Returning: e.returning(), Tried: e.tried,
+		Service: e.service, Model: e.call.Model, Priority: e.priority, Returning: returning, Tried: e.tried,
+		Patience: turns.Patience(e.route.FirstAnswer, time.Since(e.arrived), returning),
 	}
 	if e.begun {
 		ask.Priority = turn.First
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"os"
 	"time"
@@ -66,10 +67,7 @@
 	e.begun = true
 	e.ended.Status = http.StatusOK
 	e.ended.First = time.Since(e.arrived)
-	out := e.writer.Header()
-	for name, values := range head {
-		out[name] = values
-	}
+	maps.Copy(e.writer.Header(), head)
 	e.writer.WriteHeader(http.StatusOK)
 }
 
--- a/entry/turn/local.go
+++ b/entry/turn/local.go
@@ -148,12 +148,12 @@
 	members := make(map[backend.GroupKey]int)
 	for _, server := range servers {
 		if server.Group.Name != "" && !server.Leaving {
-			members[server.Group.Key()]++
+			members[server.Group.GroupKey]++
 		}
 	}
 	var heads []*backend.Server
 	for _, server := range servers {
-		if server.Group.State == backend.GroupOpen && server.Model == modelName && members[server.Group.Key()] == model.Size {
+		if server.Group.State == backend.GroupOpen && server.Model == modelName && members[server.Group.GroupKey] == model.Size {
 			heads = append(heads, server)
 		}
 	}
--- a/entry/turn/remote.go
+++ b/entry/turn/remote.go
@@ -7,7 +7,6 @@
 
 	"github.com/skylarkpond/skylarkpond/backend"
 	link "github.com/skylarkpond/skylarkpond/link/leader"
-	policy "github.com/skylarkpond/skylarkpond/policy/turns"
 )
 
 const (
@@ -196,8 +195,3 @@
 	}
 	answer <- down
 }
-
-// PatienceOf says how long a request may wait for its turn.
-func PatienceOf(objective, elapsed time.Duration, returning bool) time.Duration {
-	return policy.Patience(objective, elapsed, returning)
-}
--- a/link/leader/client.go
+++ b/link/leader/client.go
@@ -67,6 +67,3 @@
 
 // Close ends the link.
 func (l *Link) Close(reason string) { l.stream.close(reason) }
-
-// Done is closed when the link is over.
-func (l *Link) Done() <-chan struct{} { return l.stream.conn.Context().Done() }
--- a/link/leader/leader.go
+++ b/link/leader/leader.go
@@ -53,8 +53,6 @@
 	Seen *Seen `cbor:"6,keyasint,omitempty"`
 	// Has is the version of the configuration that the follower works by.
 	Has uint64 `cbor:"7,keyasint,omitempty"`
-	// Revisions asks for the news since then, by kind.
-	Revisions map[platform.Kind]platform.Version `cbor:"8,keyasint,omitempty"`
 }
 
 // Hello is the first message of a follower.
--- a/policy/turns/turns.go
+++ b/policy/turns/turns.go
@@ -15,6 +15,7 @@
 package turns
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -296,7 +297,8 @@
 func (s *Scheduler) Done(now time.Duration, key string, whole bool, chance func() float64) []Decision {
 	t, ok := s.running[key]
 	if !ok {
-		return s.Withdraw(key)
+		s.withdraw(key)
+		return nil
 	}
 	delete(s.running, key)
 	g := s.groups[t.head]
@@ -351,12 +353,11 @@
 	s.running[key] = turn{head: head, since: now}
 }
 
-// Withdraw takes back a request that waits.
-func (s *Scheduler) Withdraw(key string) []Decision {
+// withdraw takes back a request that waits.
+func (s *Scheduler) withdraw(key string) {
 	for _, m := range s.models {
 		m.waiting = slices.DeleteFunc(m.waiting, func(w waiter) bool { return w.Key == key })
 	}
-	return nil
 }
 
 // Suspect keeps turns from a group that is silent.
@@ -383,12 +384,7 @@
 
 func (s *Scheduler) serveAll(now time.Duration, chance func() float64) []Decision {
 	var decisions []Decision
-	names := make([]string, 0, len(s.models))
-	for name := range s.models {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	for _, name := range names {
+	for _, name := range slices.Sorted(maps.Keys(s.models)) {
 		decisions = append(decisions, s.serve(now, name, chance)...)
 	}
 	return decisions
@@ -465,11 +461,6 @@
 			loads = append(loads, Load{Head: g.Head, Model: g.Model, Running: g.running, Slots: g.Slots, Suspect: now < g.suspect})
 		}
 	}
-	slices.SortFunc(loads, func(a, b Load) int {
-		if a.Head < b.Head {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(loads, func(a, b Load) int { return strings.Compare(a.Head, b.Head) })
 	return loads
 }
