What is known of opened groups is kept over all services; dark VMs are looked up, not searched for

Causes: the account of opened groups was swept against the VMs of one service, so that looking at another service dropped it and the plan took the VMs again every 0.4 s (6 formations for 1 group in the spec, which now has a second service; refused each time by the heads' reports). Whether a group has lost a member went through all VMs for every group, ten times a second. Leftovers of failed formations and of loads were never let go.

--- a/entry/grouping/grouping_test.go
+++ b/entry/grouping/grouping_test.go
@@ -41,7 +41,8 @@
 	},
 }
 
-var table = route.NewTable(1, nil, []route.Service{{Name: "s", Engine: engine}}, nil, route.Limits{})
+// table has a second service, without VMs: what is known of one must not be lost when the other is looked at.
+var table = route.NewTable(1, nil, []route.Service{{Name: "s", Engine: engine}, {Name: "t", Engine: engine}}, nil, route.Limits{})
 
 // cell is a fabric domain of VMs before some controllers.
 type cell struct {
@@ -95,7 +96,9 @@
 	held atomic.Bool
 	// reached says that another entry finds every head serving that this one does not reach.
 	reached atomic.Bool
-	stop    context.CancelFunc
+	// begun counts the formations.
+	begun atomic.Int32
+	stop  context.CancelFunc
 }
 
 func (c *cell) control(epoch uint64) *control {
@@ -106,7 +109,12 @@
 		Epoch:   func() uint64 { return epoch },
 		Reached: func(context.Context, *backend.Server, backend.GroupKey) bool { return k.reached.Load() },
 		Sound:   func(backend.ID) {}, Demand: func(string, string) float64 { return 0 }, Early: func() bool { return false },
-		Event: func(event grouping.Event) { GinkgoWriter.Printf("%d %+v\n", epoch, event) },
+		Event: func(event grouping.Event) {
+			GinkgoWriter.Printf("%d %+v\n", epoch, event)
+			if event.Kind == grouping.GroupForming {
+				k.begun.Add(1)
+			}
+		},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
@@ -165,7 +173,7 @@
 		for _, vm := range c.vms {
 			vm.Set(replica.Faults{Unregistered: true})
 		}
-		c.control(1)
+		k := c.control(1)
 		open := func() int {
 			n := 0
 			for _, vm := range c.vms {
@@ -177,6 +185,7 @@
 		}
 		Eventually(open, waitFor).Should(Equal(1))
 		Consistently(open, "2s").Should(Equal(1))
+		Expect(k.begun.Load()).To(Equal(int32(1)))
 		Expect(c.world.Broken()).To(BeEmpty())
 	})
 
--- a/entry/grouping/suspect.go
+++ b/entry/grouping/suspect.go
@@ -103,14 +103,20 @@
 	if _, over := c.closed[key]; over || c.dissolving[key] {
 		return true
 	}
-	for _, member := range c.membersOf(key) {
-		if time.Now().Before(c.dark[member.ID]) {
+	// This is asked for every group several times a second: the dark VMs are few, the listed ones are many.
+	listing := c.deps.Listing()
+	for id := range c.dark {
+		server := listing.Servers[id]
+		if server != nil && server.Group.GroupKey == key && c.isDark(id, time.Now()) {
 			return true
 		}
 	}
 	return false
 }
 
+// isDark says whether a VM is left out because it did not answer. It is called under the lock.
+func (c *Controller) isDark(id backend.ID, now time.Time) bool { return now.Before(c.dark[id]) }
+
 // Look asks a server for the leader, which can't reach it.
 func (c *Controller) Look(ctx context.Context, server *backend.Server) (backend.Report, error) {
 	return c.engines.reportOnce(ctx, server)
--- a/entry/grouping/view.go
+++ b/entry/grouping/view.go
@@ -34,7 +34,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	c.forget(now, servers)
 	v := &view{servers: make(map[backend.ID]*backend.Server, len(servers))}
 	members := make(map[backend.GroupKey][]*backend.Server)
 	for _, server := range servers {
@@ -43,14 +42,17 @@
 			members[server.Group.GroupKey] = append(members[server.Group.GroupKey], server)
 		}
 	}
-	taken := c.sortGroups(engine, members, v)
+	c.forget(now, c.deps.Listing().Servers)
+	taken := c.sortGroups(engine, members, v, now)
 	v.input.Models = models
 	v.input.Domains = c.domains(servers, taken, now)
 	return v
 }
 
 // sortGroups returns the VMs in groups that serve, with their models, and adds those that are not whole to v.
-func (c *Controller) sortGroups(engine *route.Engine, members map[backend.GroupKey][]*backend.Server, v *view) map[backend.ID]string {
+func (c *Controller) sortGroups(
+	engine *route.Engine, members map[backend.GroupKey][]*backend.Server, v *view, now time.Time,
+) map[backend.ID]string {
 	taken := make(map[backend.ID]string)
 	for _, group := range c.opened {
 		for _, member := range group.members {
@@ -73,7 +75,7 @@
 		for _, member := range list {
 			taken[member.ID] = ""
 		}
-		if reason, cancel := c.gap(engine, list, model); reason != "" {
+		if reason, cancel := c.gap(engine, list, model, now); reason != "" {
 			v.broken = append(v.broken, brokenGroup{key: key, head: head, cancel: cancel, reason: reason})
 			continue
 		}
@@ -97,13 +99,13 @@
 }
 
 // gap says what keeps a serving group from being whole, and whether its work can't end.
-func (c *Controller) gap(engine *route.Engine, members []*backend.Server, model string) (reason string, cancel bool) {
+func (c *Controller) gap(engine *route.Engine, members []*backend.Server, model string, now time.Time) (reason string, cancel bool) {
 	known, ok := engine.Model(model)
 	if ok && len(members) < known.Size {
 		return "a member's registration is gone", true
 	}
 	for _, member := range members {
-		if until, dark := c.dark[member.ID]; dark && time.Now().Before(until) {
+		if c.isDark(member.ID, now) {
 			return "member " + string(member.ID) + " does not answer", true
 		}
 	}
@@ -141,7 +143,7 @@
 			}
 			continue
 		}
-		if now.Before(c.dark[server.ID]) || now.Before(c.resting[server.ID]) {
+		if c.isDark(server.ID, now) || now.Before(c.resting[server.ID]) {
 			continue
 		}
 		domain.Free = append(domain.Free, c.free(server))
@@ -165,7 +167,7 @@
 }
 
 // forget drops what is over.
-func (c *Controller) forget(now time.Time, servers []*backend.Server) {
+func (c *Controller) forget(now time.Time, servers map[backend.ID]*backend.Server) {
 	for key, group := range c.opened {
 		if listed(servers, group.members, key) {
 			delete(c.opened, key)
@@ -181,38 +183,42 @@
 			delete(c.closed, key)
 		}
 	}
-	for _, server := range servers {
-		order, ok := c.staging[server.ID]
-		staged := server.HasStaged(order.model) || (order.model == unknownModel && len(server.Staged) > 0)
-		if ok && (staged || now.After(order.until) || server.Born != order.born) {
-			delete(c.staging, server.ID)
+	for id, until := range c.resting {
+		if now.After(until) {
+			delete(c.resting, id)
+		}
+	}
+	for id, order := range c.staging {
+		if now.After(order.until) || order.over(servers[id]) {
+			delete(c.staging, id)
 		}
 	}
 }
 
+// over says whether a registration shows that the load has ended. One that has lapsed shows nothing.
+func (s staging) over(server *backend.Server) bool {
+	if server == nil {
+		return false
+	}
+	staged := server.HasStaged(s.model) || (s.model == unknownModel && len(server.Staged) > 0)
+	return staged || server.Born != s.born
+}
+
 // closedFor is how long a group that was dissolved may still be listed as open. A group that was not dissolved after all is
 // seen again after that.
 const closedFor = 5 * time.Second
 
 // listed says whether the registrations tell of a group that was opened: its head is listed as serving, or one of its members is gone or
 // in another life.
-func listed(servers []*backend.Server, members []*backend.Server, key backend.GroupKey) bool {
-	found := 0
-	for _, server := range servers {
-		for i, member := range members {
-			if server.ID != member.ID {
-				continue
-			}
-			if server.Born != member.Born {
-				return true
-			}
-			found++
-			if i == 0 && server.Group.GroupKey == key && server.Group.State.Serving() {
-				return true
-			}
+func listed(servers map[backend.ID]*backend.Server, members []*backend.Server, key backend.GroupKey) bool {
+	for _, member := range members {
+		server := servers[member.ID]
+		if server == nil || server.Born != member.Born {
+			return true
 		}
 	}
-	return found < len(members)
+	head := servers[members[0].ID]
+	return head.Group.GroupKey == key && head.Group.State.Serving()
 }
 
 // Bounds of the measured demand beside what the configuration says: a model that nobody asks for at the moment keeps some groups.
