What goes to all followers is encoded once; tests of the links to the entry in charge

Cause: the leader encoded each change of each VM once for every entry, on the machine that carries the most. link/leader had no tests of its own: who is let in, who is trusted, what is carried.

--- a/entry/gateway/follow.go
+++ b/entry/gateway/follow.go
@@ -94,6 +94,9 @@
 	}
 }
 
+// SendShared implements the leader's way to an entry.
+func (s *selfLink) SendShared(message *link.Shared) { s.Send(message.Down) }
+
 // followSelf works while this entry is in charge.
 func (g *Gateway) followSelf(ctx context.Context) {
 	self := &selfLink{queue: make(chan link.Down, selfQueue)}
--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -65,7 +65,10 @@
 }
 
 // sender is a follower, or this entry itself.
-type sender interface{ Send(message link.Down) }
+type sender interface {
+	Send(message link.Down)
+	SendShared(message *link.Shared)
+}
 
 // New returns a leader that is not in charge.
 func New(deps Deps) *Leader {
@@ -262,9 +265,7 @@
 		news.From = min(news.From, passed) // what lies between brought nothing, and was not passed on
 	}
 	l.passed[news.Kind] = news.To
-	for _, to := range l.followers {
-		to.Send(link.Down{News: &news})
-	}
+	l.sendAll(link.Down{News: &news})
 }
 
 // Received implements link/leader.Handler.
@@ -392,8 +393,14 @@
 		message.Live = live
 		l.told = live
 	}
+	l.sendAll(link.Down{Renewed: &message})
+}
+
+// sendAll tells every follower the same. It is called under the lock.
+func (l *Leader) sendAll(message link.Down) {
+	shared := &link.Shared{Down: message}
 	for _, to := range l.followers {
-		to.Send(link.Down{Renewed: &message})
+		to.SendShared(shared)
 	}
 }
 
--- /dev/null
+++ b/link/leader/leader_test.go
@@ -0,0 +1,148 @@
+package leader_test
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/skylarkpond/skylarkpond/link/leader"
+	"github.com/skylarkpond/skylarkpond/link/peer"
+	"github.com/skylarkpond/skylarkpond/link/platform"
+)
+
+func TestLeader(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "links to the entry in charge")
+}
+
+// hub notes what comes over the links.
+type hub struct {
+	mu        sync.Mutex
+	followers map[string]*leader.Follower
+	received  []leader.Up
+	left      []string
+}
+
+func (h *hub) Joined(follower *leader.Follower, _ leader.Hello) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.followers[follower.Entry] = follower
+}
+
+func (h *hub) Received(_ *leader.Follower, message leader.Up) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.received = append(h.received, message)
+}
+
+func (h *hub) Left(follower *leader.Follower) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.left = append(h.left, follower.Entry)
+}
+
+func (h *hub) joined() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.followers)
+}
+
+func (h *hub) gone() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]string(nil), h.left...)
+}
+
+func (h *hub) asks() []leader.Up {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]leader.Up(nil), h.received...)
+}
+
+const waitFor = "10s"
+
+var _ = Describe("Link", func() {
+	var (
+		h        *hub
+		ctx      context.Context
+		address  string
+		identity *peer.Identity
+	)
+	BeforeEach(func() {
+		h = &hub{followers: make(map[string]*leader.Follower)}
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithCancel(context.Background())
+		var err error
+		identity, err = peer.NewIdentity("leader")
+		Expect(err).NotTo(HaveOccurred())
+		socket, err := net.ListenPacket("udp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		address = socket.LocalAddr().String()
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = leader.NewServer(identity, "token", h).Serve(ctx, socket)
+		}()
+		DeferCleanup(func() {
+			cancel()
+			<-done
+			_ = socket.Close()
+		})
+	})
+
+	dial := func(name, token, fingerprint string) (*leader.Link, error) {
+		own, err := peer.NewIdentity(name)
+		Expect(err).NotTo(HaveOccurred())
+		return leader.Dial(ctx, own, net.IPv4(127, 0, 0, 1), address, fingerprint, leader.Hello{Entry: name, Token: token})
+	}
+
+	It("carries messages both ways, and one to all as it is", func() {
+		received := make(chan leader.Down, 10)
+		for _, name := range []string{"a", "b"} {
+			link, err := dial(name, "token", identity.Fingerprint())
+			Expect(err).NotTo(HaveOccurred())
+			go func() { _ = link.Receive(func(down leader.Down) { received <- down }) }()
+			link.Send(leader.Up{Ask: &leader.Ask{Key: 7, Service: "s", Model: "m", PatienceMs: 200, Returning: true}})
+		}
+		Eventually(h.joined, waitFor).Should(Equal(2))
+		Eventually(h.asks, waitFor).Should(HaveLen(2))
+		Expect(*h.asks()[0].Ask).To(Equal(leader.Ask{Key: 7, Service: "s", Model: "m", PatienceMs: 200, Returning: true}))
+		news := leader.Down{News: &leader.News{Kind: "servers", From: 3, To: 5, Objects: []platform.Object{{Kind: "servers", Name: "i-1", Version: 5, Deleted: true}}}}
+		shared := &leader.Shared{Down: news}
+		for _, follower := range h.followers {
+			follower.SendShared(shared)
+		}
+		for range 2 {
+			Eventually(received, waitFor).Should(Receive(Equal(news)))
+		}
+		h.followers["a"].Send(leader.Down{Grant: &leader.Grant{Key: 7, Head: "i-1"}})
+		Eventually(received, waitFor).Should(Receive(HaveField("Grant.Head", BeEquivalentTo("i-1"))))
+	})
+
+	// A process that is none of ours reaches the port. Let in, it could take turns and pass on configurations of its own.
+	It("lets in nobody who does not know the lease's token", func() {
+		link, err := dial("stranger", "guess", identity.Fingerprint())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(link.Receive(func(leader.Down) {})).NotTo(Succeed())
+		Expect(h.joined()).To(BeZero())
+	})
+
+	// Another process has taken the leader's address. Its orders and configurations must not be taken for the leader's.
+	It("trusts no other certificate than the one in the lease", func() {
+		_, err := dial("a", "token", "0000")
+		Expect(err).To(HaveOccurred())
+		Expect(h.joined()).To(BeZero())
+	})
+
+	It("tells when a follower has gone", func() {
+		link, err := dial("a", "token", identity.Fingerprint())
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(h.joined, waitFor).Should(Equal(1))
+		link.Close("over")
+		Eventually(h.gone, waitFor).Should(Equal([]string{"a"}))
+	})
+})
--- a/link/leader/server.go
+++ b/link/leader/server.go
@@ -39,6 +39,9 @@
 // Send queues a message. It never blocks; a link that can't keep up ends.
 func (f *Follower) Send(message Down) { f.stream.send(message) }
 
+// SendShared queues a message that other followers get as well.
+func (f *Follower) SendShared(message *Shared) { f.stream.send(message) }
+
 // Close ends the link.
 func (f *Follower) Close(reason string) { f.stream.close(reason) }
 
--- a/link/leader/stream.go
+++ b/link/leader/stream.go
@@ -53,7 +53,7 @@
 func (s *stream) writeBatch(item any) bool {
 	var batch []byte
 	for more := true; more; {
-		encoded, err := cbor.Marshal(item)
+		encoded, err := encode(item)
 		if err != nil {
 			s.close(err.Error())
 			return false
@@ -72,6 +72,23 @@
 	return true
 }
 
+// Shared is a message to many followers, encoded once however many they are.
+type Shared struct {
+	Down
+	once    sync.Once
+	encoded []byte
+	err     error
+}
+
+func encode(item any) ([]byte, error) {
+	shared, ok := item.(*Shared)
+	if !ok {
+		return cbor.Marshal(item)
+	}
+	shared.once.Do(func() { shared.encoded, shared.err = cbor.Marshal(shared.Down) })
+	return shared.encoded, shared.err
+}
+
 // decoder reads the items of the other side.
 func (s *stream) decoder() (*cbor.Decoder, error) {
 	mode, err := cbor.DecOptions{MaxArrayElements: 1 << 16, MaxMapPairs: 1 << 12}.DecMode()
