--- a/entry/catalog/catalog_test.go
+++ b/entry/catalog/catalog_test.go
@@ -12,9 +12,11 @@
 
 	"github.com/skylarkpond/skylarkpond/contract/route"
 	"github.com/skylarkpond/skylarkpond/entry/catalog"
-	"github.com/skylarkpond/skylarkpond/internal/standin/objects"
 	store "github.com/skylarkpond/skylarkpond/link/platform"
 	"github.com/skylarkpond/skylarkpond/platform"
+	"github.com/skylarkpond/skylarkpond/platform/standin/objects"
+	"github.com/skylarkpond/skylarkpond/platform/standin/operator"
+	"github.com/skylarkpond/skylarkpond/platform/standin/replica"
 )
 
 func TestCatalog(t *testing.T) {
@@ -22,16 +24,6 @@
 	RunSpecs(t, "what the platform holds")
 }
 
-type config struct {
-	Version int `json:"version"`
-}
-
-func server(service string) map[string]any {
-	return map[string]any{
-		"service": service, "address": "10.0.0.1:80", "zone": "z", "version": "v1", "slots": 8, "state": "ready", "sequence": 1, "coldLeftMs": 0,
-	}
-}
-
 // rig is a catalog before a stand-in platform.
 type rig struct {
 	api     *objects.API
@@ -81,11 +73,11 @@
 	It("follows the configuration and the servers", func() {
 		r := newRig()
 		Expect(r.catalog.Table()).To(BeNil())
-		r.api.Write("config", "main", config{2})
-		r.api.Write("servers", "i-1", server("s"))
+		operator.Write(r.api, operator.Config{Version: 2})
+		r.api.Write("servers", "i-1", replica.Registered("s"))
 		Eventually(r.version, waitFor).Should(Equal(uint64(2)))
 		Eventually(r.servers, waitFor).Should(Equal(1))
-		r.api.Write("config", "main", config{5})
+		operator.Write(r.api, operator.Config{Version: 5})
 		r.api.Delete("servers", "i-1")
 		Eventually(r.version, waitFor).Should(Equal(uint64(5)))
 		Eventually(r.servers, waitFor).Should(BeZero())
@@ -93,9 +85,9 @@
 
 	It("leaves out what can't be read, and keeps the rest", func() {
 		r := newRig()
-		r.api.Write("servers", "i-1", server("s"))
+		r.api.Write("servers", "i-1", replica.Registered("s"))
 		r.api.Write("servers", "i-2", "nonsense")
-		r.api.Write("servers", "i-3", server("s"))
+		r.api.Write("servers", "i-3", replica.Registered("s"))
 		Eventually(r.servers, waitFor).Should(Equal(2))
 	})
 
@@ -103,11 +95,11 @@
 	// go on being taken.
 	It("hears of changes although its watch has gone deaf", func() {
 		r := newRig()
-		r.api.Write("config", "main", config{2})
+		operator.Write(r.api, operator.Config{Version: 2})
 		Eventually(r.version, waitFor).Should(Equal(uint64(2)))
 		Eventually(r.api.Calls, waitFor).Should(HaveKeyWithValue("GET config", BeNumerically(">=", 2)))
 		r.api.Set(objects.Faults{Deaf: true})
-		r.api.Write("config", "main", config{3})
+		operator.Write(r.api, operator.Config{Version: 3})
 		r.api.Compact()
 		Eventually(r.version, waitFor).Should(Equal(uint64(3)))
 	})
@@ -116,12 +108,12 @@
 	// the platform is back.
 	It("asks again soon after the platform was silent", func() {
 		r := newRig()
-		r.api.Write("config", "main", config{2})
+		operator.Write(r.api, operator.Config{Version: 2})
 		Eventually(r.version, waitFor).Should(Equal(uint64(2)))
 		r.api.Set(objects.Faults{Silent: true})
 		Consistently(r.version, "1s").Should(Equal(uint64(2)))
 		r.api.Set(objects.Faults{})
-		r.api.Write("config", "main", config{4})
+		operator.Write(r.api, operator.Config{Version: 4})
 		Eventually(r.version, waitFor).Should(Equal(uint64(4)))
 	})
 
@@ -129,7 +121,7 @@
 	// was removed.
 	It("never goes back to an older configuration", func() {
 		r := newRig()
-		r.api.Write("config", "main", config{7})
+		operator.Write(r.api, operator.Config{Version: 7})
 		Eventually(r.version, waitFor).Should(Equal(uint64(7)))
 		r.catalog.TakeConfig([]byte(`{"version":6}`))
 		r.catalog.TakeConfig([]byte(`{"version":7}`))
@@ -151,47 +143,46 @@
 	It("keeps servers whose registrations lapse all at once for as long as they may take to register again", func() {
 		r := newRig()
 		for i := range 6 {
-			r.api.Write("servers", fmt.Sprint("i-", i), server("s"))
+			r.api.Write("servers", fmt.Sprint("i-", i), replica.Registered("s"))
 		}
 		Eventually(r.servers, waitFor).Should(Equal(6))
 		for i := range 6 {
 			r.api.Delete("servers", fmt.Sprint("i-", i))
 		}
 		Consistently(r.servers, "1s").Should(Equal(6))
-		r.api.Write("servers", "i-0", server("s"))
+		r.api.Write("servers", "i-0", replica.Registered("s"))
 		Eventually(r.servers, waitFor).Should(Equal(1))
 		Consistently(r.servers, "500ms").Should(Equal(1))
 	})
 
 	It("does not watch while it is fed, and goes on by itself when that ends", func() {
 		r := newRig()
-		r.api.Write("servers", "i-1", server("s"))
+		r.api.Write("servers", "i-1", replica.Registered("s"))
 		Eventually(r.servers, waitFor).Should(Equal(1))
 		r.fed.Store(true)
 		time.Sleep(1200 * time.Millisecond) // the watch that waits ends by itself
 		before := r.api.Calls()["GET servers"]
 		from := r.catalog.Revisions()[platform.KindServers]
-		r.api.Write("servers", "i-2", server("s"))
+		r.api.Write("servers", "i-2", replica.Registered("s"))
 		Consistently(r.servers, "500ms").Should(Equal(1))
 		Expect(r.api.Calls()["GET servers"]).To(Equal(before))
-		body := []byte(`{"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":8,"state":"ready","sequence":1,"coldLeftMs":0}`)
 		r.catalog.Feed(catalog.News{Kind: platform.KindServers, From: from, To: from + 1, Objects: []store.Object{{
-			Kind: platform.KindServers, Name: "i-2", Version: from + 1, Value: body,
+			Kind: platform.KindServers, Name: "i-2", Version: from + 1, Value: replica.Registered("s"),
 		}}})
 		Eventually(r.servers, waitFor).Should(Equal(2))
 		r.fed.Store(false)
-		r.api.Write("servers", "i-3", server("s"))
+		r.api.Write("servers", "i-3", replica.Registered("s"))
 		Eventually(r.servers, waitFor).Should(Equal(3))
 	})
 
 	// News got lost on the way, say while a link was down. Applied to what is known they would leave a server listed that has gone.
 	It("reads for itself where news were missed", func() {
 		r := newRig()
-		r.api.Write("servers", "i-1", server("s"))
+		r.api.Write("servers", "i-1", replica.Registered("s"))
 		Eventually(r.servers, waitFor).Should(Equal(1))
 		r.fed.Store(true)
 		time.Sleep(1200 * time.Millisecond)
-		r.api.Write("servers", "i-2", server("s"))
+		r.api.Write("servers", "i-2", replica.Registered("s"))
 		from := r.catalog.Revisions()[platform.KindServers]
 		r.catalog.Feed(catalog.News{Kind: platform.KindServers, From: from + 5, To: from + 6})
 		Eventually(r.servers, waitFor).Should(Equal(2))
@@ -199,10 +190,10 @@
 
 	It("keeps the latest news for entries that come late", func() {
 		r := newRig()
-		r.api.Write("servers", "i-1", server("s"))
+		r.api.Write("servers", "i-1", replica.Registered("s"))
 		Eventually(r.servers, waitFor).Should(Equal(1))
 		since := r.catalog.Revisions()[platform.KindServers]
-		r.api.Write("servers", "i-2", server("s"))
+		r.api.Write("servers", "i-2", replica.Registered("s"))
 		Eventually(r.servers, waitFor).Should(Equal(2))
 		news, ok := r.catalog.NewsSince(platform.KindServers, since)
 		Expect(ok).To(BeTrue())
--- a/entry/grouping/grouping_test.go
+++ b/entry/grouping/grouping_test.go
@@ -20,11 +20,11 @@
 	"github.com/skylarkpond/skylarkpond/entry/catalog"
 	"github.com/skylarkpond/skylarkpond/entry/grouping"
 	"github.com/skylarkpond/skylarkpond/entry/turn"
-	"github.com/skylarkpond/skylarkpond/internal/standin/objects"
-	"github.com/skylarkpond/skylarkpond/internal/standin/replica"
 	store "github.com/skylarkpond/skylarkpond/link/platform"
 	"github.com/skylarkpond/skylarkpond/link/upstream"
 	"github.com/skylarkpond/skylarkpond/platform"
+	"github.com/skylarkpond/skylarkpond/platform/standin/objects"
+	"github.com/skylarkpond/skylarkpond/platform/standin/replica"
 )
 
 func TestGrouping(t *testing.T) {
--- a/entry/lease/lease_test.go
+++ b/entry/lease/lease_test.go
@@ -11,9 +11,9 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/skylarkpond/skylarkpond/entry/lease"
-	"github.com/skylarkpond/skylarkpond/internal/standin/objects"
 	store "github.com/skylarkpond/skylarkpond/link/platform"
 	"github.com/skylarkpond/skylarkpond/platform"
+	"github.com/skylarkpond/skylarkpond/platform/standin/objects"
 )
 
 func TestLease(t *testing.T) {
--- a/entry/relay/exchange.go
+++ b/entry/relay/exchange.go
@@ -183,7 +183,7 @@
 // attempt sends the request to one server and returns whether the request is over.
 func (e *exchange) attempt(t *turn.Turn) bool {
 	e.tried = append(e.tried, t.Server.ID)
-	if e.attempts == 0 {
+	if len(e.tried) == 1 {
 		e.relay.deps.Retries.FirstTry(e.service)
 	}
 	answer, err := e.send(t, "")
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -21,9 +21,10 @@
 	"github.com/skylarkpond/skylarkpond/contract/route"
 	"github.com/skylarkpond/skylarkpond/entry/relay"
 	"github.com/skylarkpond/skylarkpond/entry/turn"
-	"github.com/skylarkpond/skylarkpond/internal/standin/objects"
-	"github.com/skylarkpond/skylarkpond/internal/standin/replica"
 	"github.com/skylarkpond/skylarkpond/link/upstream"
+	"github.com/skylarkpond/skylarkpond/platform"
+	"github.com/skylarkpond/skylarkpond/platform/standin/objects"
+	"github.com/skylarkpond/skylarkpond/platform/standin/replica"
 )
 
 func TestRelay(t *testing.T) {
@@ -77,6 +78,7 @@
 	mu      sync.Mutex
 	reports []relay.Report
 	table   *route.Table
+	retries *relay.Retries
 }
 
 func newRig(config replica.Config, count int) *rig {
@@ -98,8 +100,9 @@
 		{Name: "chat", Host: "h.example", Prefix: "/chat/", Kind: route.Streaming, Timeout: 8 * time.Second, MaxAttempts: 2, Resumable: true, Targets: targets},
 		{Name: "once", Host: "h.example", Prefix: "/once/", Kind: route.Streaming, Timeout: 2 * time.Second, MaxAttempts: 2, Targets: targets},
 	}, nil, []route.Team{{Name: "one", Keys: []string{"key"}}}, route.Limits{BodyBytes: 1 << 20})
+	r.retries = relay.NewRetries(relay.Allowed{Ratio: 1, Extra: 20}, 1)
 	handler := relay.New(relay.Deps{
-		Table: func() *route.Table { return r.table }, Turns: r.turns, Pool: upstream.NewPool(), Retries: relay.NewRetries(relay.Allowed{Ratio: 0.2, Extra: 20}, 1),
+		Table: func() *route.Table { return r.table }, Turns: r.turns, Pool: upstream.NewPool(), Retries: r.retries,
 		Random: func() float64 { return 0.5 },
 		Report: func(report relay.Report) {
 			r.mu.Lock()
@@ -120,9 +123,9 @@
 		request.ContentLength = 0
 	}
 	request.Host = "h.example"
-	request.Header.Set("Skylarkpond-Attempt-Id", id)
-	request.Header.Set("Skylarkpond-Credential", "key")
-	request.Header.Set("Skylarkpond-Deadline-Ms", "5000")
+	request.Header.Set(platform.HeaderRequestID, id)
+	request.Header.Set(platform.HeaderKey, "key")
+	request.Header.Set(platform.HeaderDeadline, "5000")
 	return request
 }
 
@@ -195,7 +198,7 @@
 		got := r.send(r.request(http.MethodPost, "/book/x?q=1", "a1"))
 		Expect(got.status).To(Equal(http.StatusOK))
 		Expect(got.body).To(Equal("answer to a1"))
-		Expect(got.header.Get("Skylarkpond-Server-Signature")).To(Equal("signed.i-0"))
+		Expect(got.header.Get(platform.HeaderSignature)).To(Equal("signed.i-0"))
 		Expect(r.servers[0].Runs()).To(ConsistOf(And(
 			HaveField("ID", "a1"), HaveField("Team", "one"), HaveField("Key", ""), HaveField("Body", "body"),
 			HaveField("Deadline", BeNumerically("<=", 2000)),
@@ -209,21 +212,21 @@
 			change(r, request)
 			got := r.send(request)
 			Expect(got.status).To(Equal(status))
-			Expect(got.header.Get("Skylarkpond-Server-Signature")).To(BeEmpty())
+			Expect(got.header.Get(platform.HeaderSignature)).To(BeEmpty())
 			Expect(r.servers[0].Runs()).To(BeEmpty())
 		},
 		// A machine has just started and has no configuration. "No such route" would be a lie, and callers don't come back after it.
 		Entry("before the first configuration", func(r *rig, _ *http.Request) { r.table = nil }, http.StatusServiceUnavailable),
 		Entry("no route", func(_ *rig, q *http.Request) { q.URL.Path = "/none/" }, http.StatusNotFound),
 		Entry("another host", func(_ *rig, q *http.Request) { q.Host = "other.example" }, http.StatusNotFound),
-		Entry("an unknown key", func(_ *rig, q *http.Request) { q.Header.Set("Skylarkpond-Credential", "no") }, http.StatusUnauthorized),
-		Entry("no key", func(_ *rig, q *http.Request) { q.Header.Del("Skylarkpond-Credential") }, http.StatusUnauthorized),
+		Entry("an unknown key", func(_ *rig, q *http.Request) { q.Header.Set(platform.HeaderKey, "no") }, http.StatusUnauthorized),
+		Entry("no key", func(_ *rig, q *http.Request) { q.Header.Del(platform.HeaderKey) }, http.StatusUnauthorized),
 	)
 
 	It("asks for no key on public routes", func() {
 		r := newRig(replica.Config{}, 1)
 		request := r.request(http.MethodGet, "/free/x", "a1")
-		request.Header.Del("Skylarkpond-Credential")
+		request.Header.Del(platform.HeaderKey)
 		Expect(r.send(request).status).To(Equal(http.StatusOK))
 	})
 
@@ -263,7 +266,7 @@
 			r.set(0, faults)
 			got := r.send(r.request(http.MethodGet, "/look/x", "a1"))
 			Expect(got.status).To(Equal(http.StatusOK))
-			Expect(got.header.Get("Skylarkpond-Server-Signature")).To(Equal("signed.i-1"))
+			Expect(got.header.Get(platform.HeaderSignature)).To(Equal("signed.i-1"))
 		}
 	})
 
@@ -272,7 +275,7 @@
 		r.set(0, replica.Faults{Fail: 500})
 		got := r.send(r.request(http.MethodPost, "/book/x", "a1"))
 		Expect(got.status).To(Equal(http.StatusInternalServerError))
-		Expect(got.header.Get("Skylarkpond-Server-Signature")).To(Equal("signed.i-0"))
+		Expect(got.header.Get(platform.HeaderSignature)).To(Equal("signed.i-0"))
 	})
 
 	It("tries a server that can't be reached for nothing, and another one then", func() {
@@ -284,6 +287,18 @@
 		Expect(r.last().Attempts).To(Equal(1))
 	})
 
+	// Many servers are gone. Were every vain try to connect one more first try, the budget would grow with the trouble that it is there to
+	// contain.
+	It("counts one first try for a request, however many servers it could not reach", func() {
+		r := newRig(replica.Config{}, 3)
+		r.servers[0].Close()
+		r.servers[1].Close()
+		for r.retries.Take("s", time.Second) {
+		}
+		Expect(r.send(r.request(http.MethodPost, "/book/x", "a1")).status).To(Equal(http.StatusOK))
+		Expect(r.retries.Take("s", time.Second)).To(BeFalse())
+	})
+
 	// The server works for longer than the route allows. The caller gets its last word when the time is over, and no promise.
 	It("ends a request at the route's timeout", func() {
 		r := newRig(replica.Config{}, 1)
@@ -320,7 +335,7 @@
 			got := r.send(r.request(http.MethodPost, "/chat/x", "a1"))
 			Expect(got.err).NotTo(HaveOccurred())
 			Expect(got.body).To(Equal(whole(1, 6)))
-			Expect(got.header.Get("Skylarkpond-Server-Signature")).To(Equal("signed.i-0"))
+			Expect(got.header.Get(platform.HeaderSignature)).To(Equal("signed.i-0"))
 			Expect(r.servers[1].Runs()).To(ConsistOf(HaveField("From", "3")))
 			Expect(r.last().Resumed).To(BeTrue())
 		},
--- a/test/cooperative/cooperative_test.go
+++ b/test/cooperative/cooperative_test.go
@@ -23,8 +23,10 @@
 	. "github.com/onsi/gomega"
 	"github.com/onsi/gomega/gexec"
 
-	"github.com/skylarkpond/skylarkpond/internal/standin/objects"
-	"github.com/skylarkpond/skylarkpond/internal/standin/replica"
+	"github.com/skylarkpond/skylarkpond/platform"
+	"github.com/skylarkpond/skylarkpond/platform/standin/objects"
+	"github.com/skylarkpond/skylarkpond/platform/standin/operator"
+	"github.com/skylarkpond/skylarkpond/platform/standin/replica"
 )
 
 // generous bounds every wait on a condition. Nothing is asserted of how long things take.
@@ -131,32 +133,32 @@
 // configure writes the next version of the operator's configuration.
 func (p *pond) configure(extra ...string) {
 	p.version++
-	routes := []map[string]any{
+	routes := []operator.Route{
 		{
-			"name": "chat", "hostname": "h.example", "pathPrefix": "/chat/", "routeType": "streaming", "timeoutMs": 8000, "targetLatencyMs": 300,
-			"gapTargetMs": 300, "maxAttempts": 2, "resumable": true, "service": "chat",
+			Name: "chat", Host: "h.example", Prefix: "/chat/", Kind: operator.Streaming, Service: "chat", Timeout: 8000, FirstAnswer: 300,
+			MaxPause: 300, MaxAttempts: 2, Resumable: true,
 		},
 		{
-			"name": "book", "hostname": "h.example", "pathPrefix": "/book/", "routeType": "non_idempotent", "timeoutMs": 2000, "targetLatencyMs": 150,
-			"maxAttempts": 1, "service": "desk",
+			Name: "book", Host: "h.example", Prefix: "/book/", Kind: operator.NonIdempotent, Service: "desk", Timeout: 2000, FirstAnswer: 150,
+			MaxAttempts: 1,
 		},
 	}
 	for _, prefix := range extra {
-		routes = append(routes, map[string]any{
-			"name": prefix, "hostname": "h.example", "pathPrefix": prefix, "routeType": "idempotent", "timeoutMs": 2000, "maxAttempts": 2, "service": "desk",
+		routes = append(routes, operator.Route{
+			Name: prefix, Host: "h.example", Prefix: prefix, Kind: operator.Idempotent, Service: "desk", Timeout: 2000, MaxAttempts: 2,
 		})
 	}
-	p.api.Write("config", "main", map[string]any{
-		"version": p.version, "routes": routes,
-		"services": []map[string]any{
-			{"name": "desk"},
-			{"name": "chat", "engine": map[string]any{
-				"slots": 8, "loadsPerS": 20, "loads_at_once": 6, "formMs": 100, "report_lag_ms": 100,
-				"models": []map[string]any{{"name": "large", "size": 3, "share": 1, "pace": 1, "loadS": 1, "warmS": 0.2}},
+	operator.Write(p.api, operator.Config{
+		Version: p.version, Routes: routes,
+		Services: []operator.Service{
+			{Name: "desk"},
+			{Name: "chat", Engine: &operator.Engine{
+				Slots: 8, LoadsPerSecond: 20, LoadsAtOnce: 6, OpenTime: 100, ReportLag: 100,
+				Models: []operator.Model{{Name: "large", Size: 3, Share: 1, Pace: 1, Load: 1, Warm: 0.2}},
 			}},
 		},
-		"limits":  map[string]any{"maxBodyBytes": 1 << 20},
-		"tenants": []map[string]any{{"name": "one", "apiKeys": []string{"key"}}},
+		Limits: operator.Limits{Body: 1 << 20},
+		Teams:  []operator.Team{{Name: "one", Keys: []string{"key"}}},
 	})
 }
 
@@ -191,7 +193,7 @@
 }
 
 func (e *gatewayProcess) isReady() bool {
-	response, err := http.Get("http://" + e.ready + "/v1/readyz")
+	response, err := http.Get("http://" + e.ready + platform.PathReady)
 	if err != nil {
 		return false
 	}
@@ -201,14 +203,12 @@
 
 // named returns the addresses that an entry tells callers to use.
 func (e *gatewayProcess) named() []string {
-	response, err := http.Get("http://" + e.directory + "/v1/lookup?name=h.example&region=r&zone=z")
+	response, err := http.Get("http://" + e.directory + platform.PathLookup + "?name=h.example&region=r&zone=z")
 	if err != nil {
 		return nil
 	}
 	defer response.Body.Close()
-	var answer struct {
-		Addresses []string `json:"addresses"`
-	}
+	var answer platform.LookupAnswer
 	if json.NewDecoder(response.Body).Decode(&answer) != nil {
 		return nil
 	}
@@ -233,11 +233,11 @@
 		return sent{id: id, err: err}
 	}
 	request.Host = "h.example"
-	request.Header.Set("Skylarkpond-Attempt-Id", id)
-	request.Header.Set("Skylarkpond-Credential", "key")
+	request.Header.Set(platform.HeaderRequestID, id)
+	request.Header.Set(platform.HeaderKey, "key")
 	if strings.HasPrefix(path, "/chat/") {
-		request.Header.Set("Skylarkpond-Model", "large")
-		request.Header.Set("Skylarkpond-Token-Usage", "100,100")
+		request.Header.Set(platform.HeaderModel, "large")
+		request.Header.Set(platform.HeaderTokens, "100,100")
 	}
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(request)
