News of servers are decoded once, compressed and bounded; live entries are told by their changes

It sent each changed registration as the platform holds it, and all names of live entries at each change, to each follower.

Now a change is decoded at the entry in charge (several changes of one VM between two looks are one), messages above 256 bytes are compressed, live entries are told by who came and went, and news above 900 KB over all followers are read from the platform by each.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -48,30 +48,30 @@
 type Membership struct {
 	GroupKey
 	// Rank is 0 for the head.
-	Rank  int
-	State GroupState
+	Rank  int        `cbor:"3,keyasint,omitempty"`
+	State GroupState `cbor:"4,keyasint"`
 }
 
-// Server is one backend server as registered.
+// Server is one backend server as registered. Its encoding is what entries tell each other.
 type Server struct {
-	ID            ID
-	Service       string
-	Address       string
-	FailureDomain domain.FailureDomain
+	ID            ID                   `cbor:"1,keyasint"`
+	Service       string               `cbor:"2,keyasint"`
+	Address       string               `cbor:"3,keyasint"`
+	FailureDomain domain.FailureDomain `cbor:"4,keyasint"`
 	// Fabric is the fabric domain; groups of VMs in different ones are slow.
-	Fabric domain.FabricDomain
-	Slots  int
+	Fabric domain.FabricDomain `cbor:"5,keyasint,omitempty"`
+	Slots  int                 `cbor:"6,keyasint"`
 	// Leaving servers take no new work.
-	Leaving bool
+	Leaving bool `cbor:"7,keyasint,omitempty"`
 	// Born is the start of this life, in Unix milliseconds; 0 where the platform does not tell.
-	Born int64
+	Born int64 `cbor:"8,keyasint,omitempty"`
 	// Staged are the models whose weights lie on the host.
-	Staged []string
+	Staged []string `cbor:"9,keyasint,omitempty"`
 	// Model is the one that the VM has loaded.
-	Model string
-	Group Membership
+	Model string     `cbor:"10,keyasint,omitempty"`
+	Group Membership `cbor:"11,keyasint,omitzero"`
 	// Revision is the platform's revision of this registration.
-	Revision uint64
+	Revision uint64 `cbor:"12,keyasint"`
 }
 
 // HasStaged says whether the weights of a model lie on the VM's host.
--- a/entry/catalog/catalog.go
+++ b/entry/catalog/catalog.go
@@ -52,7 +52,7 @@
 	c.listing.Store(backend.NewListing(0, nil))
 	c.servers = &servers{catalog: c, known: make(map[backend.ID]*backend.Server), lapsed: make(map[backend.ID]time.Time)}
 	c.Follow(platform.KindConfig, configPace, c.applyConfig)
-	c.Follow(platform.KindServers, serversPace, c.servers.apply)
+	c.follow(&follower{kind: platform.KindServers, pace: serversPace, decode: c.servers.decode, apply: c.servers.apply})
 	return c
 }
 
@@ -96,8 +96,14 @@
 }
 
 // Follow adds a kind, before Run. apply is called with each change, in order.
-func (c *Catalog) Follow(kind store.Kind, pace Pace, apply func(store.Changes)) {
-	c.followers[kind] = &follower{catalog: c, kind: kind, pace: pace, apply: apply, fed: make(chan struct{}, 1)}
+func (c *Catalog) Follow(kind store.Kind, pace Pace, apply func(Update)) {
+	c.follow(&follower{kind: kind, pace: pace, apply: apply})
+}
+
+func (c *Catalog) follow(f *follower) {
+	f.catalog = c
+	f.fed = make(chan struct{}, 1)
+	c.followers[f.kind] = f
 }
 
 // Run follows all kinds until ctx ends.
@@ -135,9 +141,9 @@
 	return follower.since(revision)
 }
 
-func (c *Catalog) applyConfig(changes store.Changes) {
-	for _, object := range changes.Objects {
-		if object.Name == platform.ConfigName && !object.Deleted {
+func (c *Catalog) applyConfig(update Update) {
+	for _, change := range update.Changes {
+		if object := change.Object; object != nil && object.Name == platform.ConfigName && !object.Deleted {
 			c.TakeConfig(object.Value)
 		}
 	}
--- a/entry/catalog/catalog_test.go
+++ b/entry/catalog/catalog_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/skylarkpond/skylarkpond/backend"
 	"github.com/skylarkpond/skylarkpond/contract/route"
 	"github.com/skylarkpond/skylarkpond/entry/catalog"
 	store "github.com/skylarkpond/skylarkpond/link/platform"
@@ -155,6 +156,23 @@
 		Consistently(r.servers, "500ms").Should(Equal(1))
 	})
 
+	// A VM passes through several states between two looks. Each of them passed on to hundreds of entries would cost the bytes of all.
+	It("passes on the last of several changes of a server, and that one ended", func() {
+		r := newRig()
+		r.api.Write("servers", "i-1", replica.Registered("s"))
+		Eventually(r.servers, waitFor).Should(Equal(1))
+		since := r.catalog.Revisions()[platform.KindServers]
+		r.api.Set(objects.Faults{Silent: true})
+		r.api.Write("servers", "i-2", replica.Registered("s"))
+		r.api.Write("servers", "i-2", replica.Registered("t"))
+		r.api.Delete("servers", "i-1")
+		r.api.Set(objects.Faults{})
+		Eventually(func() []catalog.Change {
+			news, _ := r.catalog.NewsSince(platform.KindServers, since)
+			return news.Changes
+		}, waitFor).Should(ConsistOf(HaveField("Server.Service", "t"), HaveField("Gone.Server", BeEquivalentTo("i-1"))))
+	})
+
 	It("does not watch while it is fed, and goes on by itself when that ends", func() {
 		r := newRig()
 		r.api.Write("servers", "i-1", replica.Registered("s"))
@@ -166,9 +184,9 @@
 		r.api.Write("servers", "i-2", replica.Registered("s"))
 		Consistently(r.servers, "500ms").Should(Equal(1))
 		Expect(r.api.Calls()["GET servers"]).To(Equal(before))
-		r.catalog.Feed(catalog.News{Kind: platform.KindServers, From: from, To: from + 1, Objects: []store.Object{{
-			Kind: platform.KindServers, Name: "i-2", Version: from + 1, Value: replica.Registered("s"),
-		}}})
+		r.catalog.Feed(catalog.News{Kind: platform.KindServers, From: from, To: from + 1, Changes: []catalog.Change{
+			{Server: &backend.Server{ID: "i-2", Service: "s", Address: "10.0.0.2:1", Revision: uint64(from + 1)}},
+		}})
 		Eventually(r.servers, waitFor).Should(Equal(2))
 		r.fed.Store(false)
 		r.api.Write("servers", "i-3", replica.Registered("s"))
@@ -197,7 +215,7 @@
 		Eventually(r.servers, waitFor).Should(Equal(2))
 		news, ok := r.catalog.NewsSince(platform.KindServers, since)
 		Expect(ok).To(BeTrue())
-		Expect(news.Objects).To(ConsistOf(HaveField("Name", "i-2")))
+		Expect(news.Changes).To(ConsistOf(HaveField("Server.ID", BeEquivalentTo("i-2"))))
 		_, ok = r.catalog.NewsSince(platform.KindServers, 0)
 		Expect(ok).To(BeFalse())
 	})
--- a/entry/catalog/follow.go
+++ b/entry/catalog/follow.go
@@ -22,6 +22,27 @@
 // News is what happened to a kind between two revisions.
 type News = link.News
 
+// Change is the change of one object.
+type Change = link.Change
+
+// Update is what a follower applies: some changes, or all objects of the kind where Complete is set.
+type Update struct {
+	Changes  []Change
+	Revision store.Version
+	Complete bool
+}
+
+// Objects returns the objects that changed, for a kind that is not decoded.
+func (u Update) Objects() []store.Object {
+	objects := make([]store.Object, 0, len(u.Changes))
+	for _, change := range u.Changes {
+		if change.Object != nil {
+			objects = append(objects, *change.Object)
+		}
+	}
+	return objects
+}
+
 // Pace says how a kind is watched.
 type Pace struct {
 	// Gather is the pause after a change, in which further ones gather: each change ends the watch, and each call is priced.
@@ -56,8 +77,10 @@
 	catalog *Catalog
 	kind    store.Kind
 	pace    Pace
-	apply   func(store.Changes)
-	fed     chan struct{}
+	// decode is what is made of each object before it is applied and passed on; nil leaves it as it is.
+	decode func(store.Object) Change
+	apply  func(Update)
+	fed    chan struct{}
 
 	mu sync.Mutex // guards what follows, and the order of apply; taken before the locks of whoever applies
 	// revision is up to which the kind is known; 0 before the first list.
@@ -65,7 +88,7 @@
 	// gap says that news were missed, so that only a watch of its own helps.
 	gap bool
 	// news are the latest changes, oldest first, complete since oldest.
-	news   []store.Object
+	news   []Change
 	oldest store.Version
 }
 
@@ -136,25 +159,45 @@
 }
 
 // take applies what a call of its own brought, and passes it on.
-func (f *follower) take(from store.Version, changes store.Changes) {
+func (f *follower) take(from store.Version, read store.Changes) {
+	update := Update{Changes: f.changes(read.Objects), Revision: read.Revision, Complete: read.Complete}
 	f.mu.Lock()
-	if changes.Complete {
+	if update.Complete {
 		// What was deleted is not among the objects: nobody can be fed across this.
-		f.news, f.oldest = nil, changes.Revision
+		f.news, f.oldest = nil, update.Revision
 	}
 	f.gap = false
-	news := News{Kind: f.kind, From: from, To: changes.Revision, Objects: changes.Objects}
+	news := News{Kind: f.kind, From: from, To: update.Revision, Changes: update.Changes}
 	f.advance(news)
-	if len(changes.Objects) > 0 || changes.Complete {
-		f.apply(changes)
+	if len(update.Changes) > 0 || update.Complete {
+		f.apply(update)
 	}
 	f.mu.Unlock()
-	if changes.Complete {
-		news.From = 0
+	if update.Complete {
+		news = link.Gap(f.kind, update.Revision)
 	}
 	f.catalog.deps.News(news)
 }
 
+// changes decodes objects. Of one that changed several times, the last change is kept.
+func (f *follower) changes(objects []store.Object) []Change {
+	latest := make(map[string]int, len(objects))
+	for i, object := range objects {
+		latest[object.Name] = i
+	}
+	changes := make([]Change, 0, len(latest))
+	for i, object := range objects {
+		switch {
+		case latest[object.Name] != i:
+		case f.decode != nil:
+			changes = append(changes, f.decode(object))
+		default:
+			changes = append(changes, Change{Object: &object})
+		}
+	}
+	return changes
+}
+
 // feed applies what the entry in charge passed on. News that begin later than what is known leave a gap.
 func (f *follower) feed(news News) {
 	f.mu.Lock()
@@ -166,8 +209,8 @@
 		f.gap = true
 	default:
 		f.advance(news)
-		if len(news.Objects) > 0 {
-			f.apply(store.Changes{Objects: news.Objects, Revision: news.To})
+		if len(news.Changes) > 0 {
+			f.apply(Update{Changes: news.Changes, Revision: news.To})
 		}
 	}
 	select {
@@ -179,9 +222,9 @@
 // advance notes news. It is called under the lock.
 func (f *follower) advance(news News) {
 	f.revision = max(f.revision, news.To)
-	f.news = append(f.news, news.Objects...)
+	f.news = append(f.news, news.Changes...)
 	if over := len(f.news) - keptNews; over > 0 {
-		f.oldest = f.news[over-1].Version
+		f.oldest = f.news[over-1].Version()
 		f.news = slices.Delete(f.news, 0, over)
 	}
 }
@@ -194,9 +237,9 @@
 		return News{}, false
 	}
 	news := News{Kind: f.kind, From: revision, To: f.revision}
-	for _, object := range f.news {
-		if object.Version > revision {
-			news.Objects = append(news.Objects, object)
+	for _, change := range f.news {
+		if change.Version() > revision {
+			news.Changes = append(news.Changes, change)
 		}
 	}
 	return news, true
--- a/entry/catalog/servers.go
+++ b/entry/catalog/servers.go
@@ -8,6 +8,7 @@
 
 	"github.com/skylarkpond/skylarkpond/backend"
 	"github.com/skylarkpond/skylarkpond/internal/wait"
+	link "github.com/skylarkpond/skylarkpond/link/leader"
 	store "github.com/skylarkpond/skylarkpond/link/platform"
 	"github.com/skylarkpond/skylarkpond/platform"
 )
@@ -35,26 +36,27 @@
 	revision uint64
 }
 
-func (s *servers) apply(changes store.Changes) {
+func (s *servers) apply(update Update) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.revision = max(s.revision, uint64(changes.Revision))
-	present := make(map[backend.ID]bool, len(changes.Objects))
+	s.revision = max(s.revision, uint64(update.Revision))
+	present := make(map[backend.ID]bool, len(update.Changes))
 	var gone []backend.ID
-	for _, object := range changes.Objects {
-		id := backend.ID(object.Name)
-		server := s.decode(object)
-		if server == nil {
-			gone = append(gone, id)
+	for _, change := range update.Changes {
+		if change.Gone != nil {
+			gone = append(gone, change.Gone.Server)
+		}
+		if change.Server == nil {
 			continue
 		}
-		present[id] = true
-		if held := s.known[id]; held == nil || held.Revision <= server.Revision {
-			s.known[id] = server
-			delete(s.lapsed, id)
+		server := change.Server
+		present[server.ID] = true
+		if held := s.known[server.ID]; held == nil || held.Revision <= server.Revision {
+			s.known[server.ID] = server
+			delete(s.lapsed, server.ID)
 		}
 	}
-	if changes.Complete {
+	if update.Complete {
 		for id := range s.known {
 			if !present[id] {
 				gone = append(gone, id)
@@ -65,17 +67,18 @@
 	s.publish()
 }
 
-// decode returns nil for what names no server to use.
-func (s *servers) decode(object store.Object) *backend.Server {
+// decode reads one registration. What names no server to use is taken for one that ended.
+func (s *servers) decode(object store.Object) Change {
+	gone := Change{Gone: &link.Gone{Server: backend.ID(object.Name), Version: object.Version}}
 	if object.Deleted {
-		return nil
+		return gone
 	}
 	server, err := platform.DecodeServer(object)
 	if err != nil {
 		s.catalog.deps.Unreadable(object, err)
-		return nil
+		return gone
 	}
-	return server
+	return Change{Server: server}
 }
 
 // remove takes servers out, at once or, where so many went at the same time that the platform must have been away, after a
--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -72,7 +72,7 @@
 	}
 	g.identity = identity
 	self := lease.Holder{Entry: config.Name, Address: config.Peer, Fingerprint: identity.Fingerprint(), Token: uuid.NewString()}
-	g.catalog.Follow(store.KindEntry, catalog.EntriesPace, g.roster.Apply)
+	g.catalog.Follow(store.KindEntry, catalog.EntriesPace, func(update catalog.Update) { g.roster.Apply(update.Objects()) })
 	g.lease = lease.New(lease.Deps{
 		Store: client, Self: self, Linked: g.linked, Changed: g.leaseChanged, Renewed: func() { g.leader.Renewed() },
 	})
--- a/entry/gateway/follow.go
+++ b/entry/gateway/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,6 +25,8 @@
 	down map[string]bool
 	// since is when this leader first said so.
 	since time.Time
+	// behind says that the leader had a newer configuration when it last renewed the lease.
+	behind bool
 }
 
 const (
@@ -191,26 +194,45 @@
 
 func (g *Gateway) leaderRenewed(send func(link.Up), renewed link.Renewed) {
 	g.lease.Heard(renewed.Version)
-	g.following.mu.Lock()
-	g.following.heard = time.Now()
-	if renewed.Live != nil {
-		live := make(map[string]bool, len(renewed.Live))
-		for _, name := range renewed.Live {
-			live[name] = true
-		}
-		g.following.live = live
-	}
-	g.following.mu.Unlock()
+	g.following.renewed(renewed)
 	g.noteDown()
 	version, spec := g.catalog.Config()
 	switch {
 	case version > renewed.ConfigVersion && spec != nil:
 		send(link.Up{Config: &link.Config{Spec: spec}})
-	case version < renewed.ConfigVersion:
+	case g.following.stillBehind(version < renewed.ConfigVersion):
 		send(link.Up{Has: max(1, version)})
 	}
 }
 
+func (f *following) renewed(renewed link.Renewed) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.heard = time.Now()
+	if renewed.Live != nil {
+		f.live = make(map[string]bool, len(renewed.Live))
+	}
+	if f.live == nil {
+		return // it was not told the whole yet
+	}
+	for _, name := range slices.Concat(renewed.Live, renewed.Joined) {
+		f.live[name] = true
+	}
+	for _, name := range renewed.Left {
+		delete(f.live, name)
+	}
+}
+
+// stillBehind says whether this entry has an older configuration than the leader, as it had at the renewal before. All entries read a large
+// configuration from the platform at the same time; were each to ask the leader for it at once as well, its link would be full.
+func (f *following) stillBehind(behind bool) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	still := behind && f.behind
+	f.behind = behind
+	return still
+}
+
 // look answers the leader's question whether this entry reaches a server.
 func (g *Gateway) look(ctx context.Context, send func(link.Up), asked link.Look) {
 	seen := link.Seen{Server: asked.Server}
--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -58,8 +59,9 @@
 	// wanted is how many groups' worth of requests come, by model.
 	wanted  map[string]float64
 	seconds int
-	// told is the set of live entries that the followers were told last.
-	told []string
+	// told is the set of live entries that the followers were told last; fresh are those that were told none yet.
+	told  map[string]bool
+	fresh map[string]bool
 	// looks are the questions in progress, by server.
 	looks map[backend.ID]chan link.Seen
 }
@@ -75,7 +77,7 @@
 	return &Leader{
 		deps: deps, started: time.Now(), turns: policy.New(policy.DefaultConfig()), followers: make(map[string]sender),
 		looks: make(map[backend.ID]chan link.Seen), wanted: make(map[string]float64),
-		passed: make(map[store.Kind]store.Version),
+		passed: make(map[store.Kind]store.Version), told: make(map[string]bool), fresh: make(map[string]bool),
 	}
 }
 
@@ -234,7 +236,7 @@
 func (l *Leader) Join(entry string, to sender, hello link.Hello) {
 	l.mu.Lock()
 	l.followers[entry] = to
-	l.told = nil // the new one has not heard which entries are live
+	l.fresh[entry] = true
 	for _, running := range hello.Running {
 		l.turns.Adopt(l.now(), turnKey(entry, running.Key), string(running.Head))
 	}
@@ -248,7 +250,7 @@
 	for kind, revision := range revisions {
 		news, ok := l.deps.NewsSince(kind, revision)
 		if !ok {
-			news = catalog.News{Kind: kind, To: revision + 1}
+			news = link.Gap(kind, revision+1)
 		}
 		to.Send(link.Down{News: &news})
 	}
@@ -258,16 +260,26 @@
 func (l *Leader) PassOn(news catalog.News) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.inCharge || (len(news.Objects) == 0 && news.From != 0) {
+	if !l.inCharge || (len(news.Changes) == 0 && news.From != 0) {
 		return
 	}
 	if passed := l.passed[news.Kind]; passed > 0 {
 		news.From = min(news.From, passed) // what lies between brought nothing, and was not passed on
 	}
 	l.passed[news.Kind] = news.To
-	l.sendAll(link.Down{News: &news})
+	shared := &link.Shared{Down: link.Down{News: &news}}
+	if shared.Size()*len(l.followers) > mostPassed {
+		gap := link.Gap(news.Kind, news.To)
+		shared = &link.Shared{Down: link.Down{News: &gap}}
+	}
+	l.share(shared)
 }
 
+// mostPassed bounds the bytes of one piece of news over all followers. A leader whose link carries 14 Mbit/s sends them in half a second, in
+// which nothing else goes out; were a large configuration passed on to all, links would time out, and it would be in force late. What is
+// larger is read from the platform by each follower.
+const mostPassed = 900 << 10
+
 // Received implements link/leader.Handler.
 func (l *Leader) Received(follower *link.Follower, message link.Up) {
 	l.Receive(follower.Entry, follower, message)
@@ -378,27 +390,50 @@
 	}
 }
 
-// Renewed tells all followers that the lease is held.
+// Renewed tells all followers that the lease is held, and which of them have come and gone.
 func (l *Leader) Renewed() {
 	version, _ := l.deps.Config()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	live := make([]string, 0, len(l.followers))
+	message := link.Renewed{Version: l.deps.LeaseVersion(), ConfigVersion: version}
+	first := message
+	first.Live = slices.Sorted(maps.Keys(l.followers))
+	message.Joined, message.Left = l.changedLive()
+	shared := &link.Shared{Down: link.Down{Renewed: &message}}
+	whole := &link.Shared{Down: link.Down{Renewed: &first}}
+	for entry, to := range l.followers {
+		if l.fresh[entry] {
+			to.SendShared(whole)
+			continue
+		}
+		to.SendShared(shared)
+	}
+	clear(l.fresh)
+}
+
+// changedLive returns which followers came and went since the last call. It is called under the lock.
+func (l *Leader) changedLive() (joined, left []string) {
 	for entry := range l.followers {
-		live = append(live, entry)
+		if !l.told[entry] {
+			joined = append(joined, entry)
+		}
 	}
-	slices.Sort(live)
-	message := link.Renewed{Version: l.deps.LeaseVersion(), ConfigVersion: version}
-	if !slices.Equal(live, l.told) {
-		message.Live = live
-		l.told = live
+	for entry := range l.told {
+		if l.followers[entry] == nil {
+			left = append(left, entry)
+		}
+	}
+	for _, entry := range joined {
+		l.told[entry] = true
+	}
+	for _, entry := range left {
+		delete(l.told, entry)
 	}
-	l.sendAll(link.Down{Renewed: &message})
+	return joined, left
 }
 
-// sendAll tells every follower the same. It is called under the lock.
-func (l *Leader) sendAll(message link.Down) {
-	shared := &link.Shared{Down: message}
+// share tells every follower the same. It is called under the lock.
+func (l *Leader) share(shared *link.Shared) {
 	for _, to := range l.followers {
 		to.SendShared(shared)
 	}
--- /dev/null
+++ b/entry/leader/leader_test.go
@@ -0,0 +1,95 @@
+package leader_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/skylarkpond/skylarkpond/backend"
+	"github.com/skylarkpond/skylarkpond/contract/route"
+	"github.com/skylarkpond/skylarkpond/entry/leader"
+	link "github.com/skylarkpond/skylarkpond/link/leader"
+	"github.com/skylarkpond/skylarkpond/link/platform"
+	"github.com/skylarkpond/skylarkpond/policy/turns"
+)
+
+func TestLeader(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "the entry in charge")
+}
+
+// follower keeps what it is sent.
+type follower struct{ got []link.Down }
+
+func (f *follower) Send(message link.Down)          { f.got = append(f.got, message) }
+func (f *follower) SendShared(message *link.Shared) { f.got = append(f.got, message.Down) }
+
+// last returns the last message and forgets all.
+func (f *follower) last() link.Down {
+	GinkgoHelper()
+	Expect(f.got).NotTo(BeEmpty())
+	last := f.got[len(f.got)-1]
+	f.got = nil
+	return last
+}
+
+// newLeader returns a leader in charge of one plain service.
+func newLeader() *leader.Leader {
+	servers := map[backend.ID]*backend.Server{"i-1": {ID: "i-1", Service: "desk"}}
+	l := leader.New(leader.Deps{
+		InOffice:     func() bool { return true },
+		Listing:      func() *backend.Listing { return backend.NewListing(1, servers) },
+		Table:        func() *route.Table { return &route.Table{Version: 3} },
+		Closed:       func(backend.GroupKey) bool { return false },
+		Demand:       func(turns.Demand) {},
+		Config:       func() (uint64, json.RawMessage) { return 3, nil },
+		LeaseVersion: func() uint64 { return 9 },
+	})
+	l.SetGroups()
+	return l
+}
+
+var _ = Describe("Leader", func() {
+	It("tells a new follower all that are live, and the others who came and went", func() {
+		l := newLeader()
+		first, second := &follower{}, &follower{}
+		l.Join("e-1", first, link.Hello{})
+		l.Renewed()
+		Expect(first.last().Renewed).To(Equal(&link.Renewed{Version: 9, ConfigVersion: 3, Live: []string{"e-1"}}))
+		l.Join("e-2", second, link.Hello{})
+		l.Renewed()
+		Expect(second.last().Renewed.Live).To(Equal([]string{"e-1", "e-2"}))
+		Expect(first.last().Renewed).To(Equal(&link.Renewed{Version: 9, ConfigVersion: 3, Joined: []string{"e-2"}}))
+		l.Renewed()
+		Expect(second.last().Renewed).To(Equal(&link.Renewed{Version: 9, ConfigVersion: 3}))
+	})
+
+	// A configuration grows by thousands of routes. Passed on to hundreds of followers it would fill the leader's link for seconds; links
+	// time out, and the configuration is in force late.
+	It("lets followers read for themselves what is too large to be passed on to all", func() {
+		l := newLeader()
+		all := make([]*follower, 100)
+		for i := range all {
+			all[i] = &follower{}
+			l.Join(fmt.Sprint("e-", i), all[i], link.Hello{})
+		}
+		large := make([]byte, 20<<10)
+		random := rand.NewChaCha8([32]byte{1})
+		_, _ = random.Read(large) // never fails
+		value, err := json.Marshal(large)
+		Expect(err).NotTo(HaveOccurred())
+		news := func(value json.RawMessage) link.News {
+			return link.News{Kind: "config", From: 5, To: 6, Changes: []link.Change{{Object: &platform.Object{Kind: "config", Name: "main", Version: 6, Value: value}}}}
+		}
+		l.PassOn(news(value))
+		for _, f := range all {
+			Expect(*f.last().News).To(Equal(link.Gap("config", 6)))
+		}
+		l.PassOn(news(json.RawMessage(`{"version":4}`)))
+		Expect(all[0].last().News.Changes).To(HaveLen(1))
+	})
+})
--- a/entry/roster/roster.go
+++ b/entry/roster/roster.go
@@ -143,11 +143,11 @@
 	return err == nil, err
 }
 
-// Apply takes changes of the entries.
-func (r *Roster) Apply(changes platform.Changes) {
+// Apply takes changed objects of the entries.
+func (r *Roster) Apply(objects []platform.Object) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, object := range changes.Objects {
+	for _, object := range objects {
 		if object.Name == r.deps.Self.Name {
 			continue
 		}
--- a/link/leader/client.go
+++ b/link/leader/client.go
@@ -61,7 +61,11 @@
 		if err := decoder.Decode(&message); err != nil {
 			return eris.Wrap(err, "link to the leader")
 		}
-		handle(message)
+		unpacked, err := unpack(message)
+		if err != nil {
+			return err
+		}
+		handle(unpacked)
 	}
 }
 
--- a/link/leader/leader.go
+++ b/link/leader/leader.go
@@ -119,15 +119,8 @@
 	Look *Look `cbor:"5,keyasint,omitempty"`
 	// News are changes of a kind of objects.
 	News *News `cbor:"6,keyasint,omitempty"`
-}
-
-// News is what happened to a kind between two revisions. From is 0 where changes are missing, so that a follower has to read the
-// kind for itself.
-type News struct {
-	Kind    platform.Kind     `cbor:"1,keyasint"`
-	From    platform.Version  `cbor:"2,keyasint"`
-	To      platform.Version  `cbor:"3,keyasint"`
-	Objects []platform.Object `cbor:"4,keyasint,omitempty"`
+	// Packed is one of the above, compressed.
+	Packed []byte `cbor:"7,keyasint,omitempty"`
 }
 
 // Grant is a turn.
@@ -146,8 +139,12 @@
 
 // Renewed tells that the leader holds the lease, and which entries it hears from.
 type Renewed struct {
-	Version uint64   `cbor:"1,keyasint"`
-	Live    []string `cbor:"2,keyasint,omitempty"`
+	Version uint64 `cbor:"1,keyasint"`
+	// Live are all entries that it hears from, for a follower that was not told yet; Joined and Left are those that changed since.
+	// With hundreds of entries, all names at each change would be most of what the leader sends.
+	Live   []string `cbor:"2,keyasint,omitempty"`
+	Joined []string `cbor:"4,keyasint,omitempty"`
+	Left   []string `cbor:"5,keyasint,omitempty"`
 	// ConfigVersion is that of the leader's configuration.
 	ConfigVersion uint64 `cbor:"3,keyasint,omitempty"`
 }
--- a/link/leader/leader_test.go
+++ b/link/leader/leader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync"
 	"testing"
@@ -9,9 +10,9 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/skylarkpond/skylarkpond/backend"
 	"github.com/skylarkpond/skylarkpond/link/leader"
 	"github.com/skylarkpond/skylarkpond/link/peer"
-	"github.com/skylarkpond/skylarkpond/link/platform"
 )
 
 func TestLeader(t *testing.T) {
@@ -111,7 +112,9 @@
 		Eventually(h.joined, waitFor).Should(Equal(2))
 		Eventually(h.asks, waitFor).Should(HaveLen(2))
 		Expect(*h.asks()[0].Ask).To(Equal(leader.Ask{Key: 7, Service: "s", Model: "m", PatienceMs: 200, Returning: true}))
-		news := leader.Down{News: &leader.News{Kind: "servers", From: 3, To: 5, Objects: []platform.Object{{Kind: "servers", Name: "i-1", Version: 5, Deleted: true}}}}
+		news := leader.Down{News: &leader.News{Kind: "servers", From: 3, To: 5, Changes: []leader.Change{
+			{Gone: &leader.Gone{Server: "i-1", Version: 5}}, {Server: &backend.Server{ID: "i-2", Service: "s", Address: "10.0.0.1:1", Revision: 4}},
+		}}}
 		shared := &leader.Shared{Down: news}
 		for _, follower := range h.followers {
 			follower.SendShared(shared)
@@ -123,6 +126,28 @@
 		Eventually(received, waitFor).Should(Receive(HaveField("Grant.Head", BeEquivalentTo("i-1"))))
 	})
 
+	// A configuration, or the news of a whole fabric domain, goes to hundreds of followers. Sent as it is, it fills the leader's link, whose
+	// links then time out.
+	It("compresses what is long", func() {
+		received := make(chan leader.Down, 1)
+		link, err := dial("a", "token", identity.Fingerprint())
+		Expect(err).NotTo(HaveOccurred())
+		go func() { _ = link.Receive(func(down leader.Down) { received <- down }) }()
+		Eventually(h.joined, waitFor).Should(Equal(1))
+		changes := make([]leader.Change, 0, 200)
+		for i := range 200 {
+			changes = append(changes, leader.Change{Server: &backend.Server{
+				ID: backend.ID(fmt.Sprintf("i-%d", i)), Service: "model-service", Address: fmt.Sprintf("10.0.0.%d:8080", i), Slots: 26, Model: "model",
+				Group: backend.Membership{GroupKey: backend.GroupKey{Name: "the group", Epoch: 7}, Rank: i, State: backend.GroupReady}, Revision: 5,
+			}})
+		}
+		news := leader.Down{News: &leader.News{Kind: "servers", From: 3, To: 5, Changes: changes}}
+		shared := &leader.Shared{Down: news}
+		Expect(shared.Size()).To(BeNumerically("<", 200*30))
+		h.followers["a"].SendShared(shared)
+		Eventually(received, waitFor).Should(Receive(Equal(news)))
+	})
+
 	// A process that is none of ours reaches the port. Let in, it could take turns and pass on configurations of its own.
 	It("lets in nobody who does not know the lease's token", func() {
 		link, err := dial("stranger", "guess", identity.Fingerprint())
--- a/link/leader/stream.go
+++ b/link/leader/stream.go
@@ -80,13 +80,25 @@
 	err     error
 }
 
+// Size is how many bytes each follower gets.
+func (s *Shared) Size() int {
+	s.encode()
+	return len(s.encoded)
+}
+
+func (s *Shared) encode() {
+	s.once.Do(func() { s.encoded, s.err = packed(s.Down) })
+}
+
 func encode(item any) ([]byte, error) {
-	shared, ok := item.(*Shared)
-	if !ok {
-		return cbor.Marshal(item)
+	switch item := item.(type) {
+	case *Shared:
+		item.encode()
+		return item.encoded, item.err
+	case Down:
+		return packed(item)
 	}
-	shared.once.Do(func() { shared.encoded, shared.err = cbor.Marshal(shared.Down) })
-	return shared.encoded, shared.err
+	return cbor.Marshal(item)
 }
 
 // decoder reads the items of the other side.
