A leader that fell silent is not named to callers; a process that starts among others first hears who is live

Now whoever loses its link to the leader by silence takes that one for down unless the successor hears from it; the leader itself says when it has settled, so that late links don't begin the wait anew; and a process that starts among others tells callers no entries for up to 2.5 s until it has heard who is live (they ask the next).

--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -45,7 +45,7 @@
 	g := &Gateway{
 		config: config, log: log.WithField("entry", config.Name), registry: metrics.NewRegistry(),
 		pool: upstream.NewPool(), gate: &drain.Gate{}, started: time.Now(),
-		following: following{down: make(map[string]bool)},
+		following: newFollowing(),
 	}
 	g.gauges(lines)
 	g.first = histogram(g.registry, "requests.first.ms")
@@ -55,13 +55,13 @@
 			Shared: config.PlatformRate * (1 - reservedShare), Reserved: config.PlatformRate * reservedShare,
 		}))
 	g.catalog = catalog.New(catalog.Deps{
-		Store: client, Fed: g.linked, Leads: func() bool { return g.lease.Held() },
+		Store: client, Fed: g.following.linked, Leads: func() bool { return g.lease.Held() },
 		News: func(news catalog.News) { g.leader.PassOn(news) },
 		Lost: g.platformLost, Regained: g.platformRegained, Unreadable: g.unreadable, Config: g.configInForce,
 	})
 	g.roster = roster.New(roster.Deps{
 		Store: client, Self: selfOf(config), Choice: directory.DefaultConfig(), Keep: config.addressTTL(),
-		Dead: g.dead,
+		Dead: func(name string) bool { return name != config.Name && g.following.dead(name) },
 		Failed: func(doing string, err error) {
 			g.log.WithError(err).Warn(doing + " failed")
 		},
@@ -74,7 +74,7 @@
 	self := lease.Holder{Entry: config.Name, Address: config.Peer, Fingerprint: identity.Fingerprint(), Token: uuid.NewString()}
 	g.catalog.Follow(store.KindEntry, catalog.EntriesPace, func(update catalog.Update) { g.roster.Apply(update.Objects()) })
 	g.lease = lease.New(lease.Deps{
-		Store: client, Self: self, Linked: g.linked, Changed: g.leaseChanged, Renewed: func() { g.leader.Renewed() },
+		Store: client, Self: self, Linked: g.following.linked, Changed: g.leaseChanged, Renewed: func() { g.leader.Renewed() },
 	})
 	g.controller = grouping.New(grouping.Deps{
 		Pool: g.pool, Table: g.catalog.Table, Listing: g.catalog.Listing, Held: g.mayOrder, Epoch: g.lease.Version,
@@ -151,7 +151,7 @@
 		"servers.revision":       func() int64 { return int64(g.catalog.Listing().Revision) },
 		"entries.known":          func() int64 { return int64(g.roster.Len()) },
 		"leader.held":            func() int64 { return asNumber(g.lease.Held()) },
-		"leader.linked":          func() int64 { return asNumber(g.linked()) },
+		"leader.linked":          func() int64 { return asNumber(g.following.linked()) },
 		"leader.followers":       func() int64 { return int64(g.leader.Followers()) },
 		"process.uptime.seconds": func() int64 { return int64(time.Since(g.started).Seconds()) },
 		"process.goroutines":     func() int64 { return int64(runtime.NumGoroutine()) },
--- a/entry/gateway/follow.go
+++ b/entry/gateway/follow.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"slices"
-	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -14,60 +12,8 @@
 	link "github.com/skylarkpond/skylarkpond/link/leader"
 )
 
-// following is what an entry hears from the one in charge.
-type following struct {
-	mu sync.Mutex // guards what follows; a leaf lock
-	// heard is when the leader last said that it holds the lease.
-	heard time.Time
-	// live are the entries that the leader hears from; nil before it has said so.
-	live map[string]bool
-	// down are the entries that a settled leader did not hear from.
-	down map[string]bool
-	// since is when this leader first said so.
-	since time.Time
-	// behind says that the leader had a newer configuration when it last renewed the lease.
-	behind bool
-}
-
-const (
-	// heardFor is how long the leader's word counts that it holds the lease: longer than two renewals.
-	heardFor = 1300 * time.Millisecond
-	// relink is the pause between two tries to link.
-	relink = 150 * time.Millisecond
-	// liveSettled is how long entries have to link to a new leader before one that did not counts as down.
-	liveSettled = 1500 * time.Millisecond
-)
-
-// linked says whether this entry hears from a leader that holds the lease, so that its news are current.
-func (g *Gateway) linked() bool {
-	g.following.mu.Lock()
-	defer g.following.mu.Unlock()
-	return time.Since(g.following.heard) < heardFor
-}
-
-// dead says whether an entry is known to be down.
-func (g *Gateway) dead(name string) bool {
-	f := &g.following
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return name != g.config.Name && f.down[name] && !f.live[name]
-}
-
-// noteDown takes over which entries the leader does not hear from, once all have had the time to link to it. What an earlier leader knew
-// counts until then: callers would otherwise be sent to an entry that is long gone. A leader that hears from few is more likely cut
-// off itself.
-func (g *Gateway) noteDown() {
-	names := g.roster.Names()
-	f := &g.following
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.live == nil || time.Since(f.since) < liveSettled || 2*len(f.live) < len(names) {
-		return
-	}
-	for _, name := range names {
-		f.down[name] = !f.live[name]
-	}
-}
+// relink is the pause between two tries to link.
+const relink = 150 * time.Millisecond
 
 // follow keeps a link to the entry in charge, which may be this one.
 func (g *Gateway) follow(ctx context.Context) {
@@ -107,7 +53,7 @@
 	version, _ := g.catalog.Config()
 	g.leader.SetGroups()
 	g.leader.Join(g.config.Name, self, link.Hello{Entry: g.config.Name, Running: g.remote.Attach(send), ConfigVersion: version})
-	g.newLeader()
+	g.following.newLeader()
 	defer g.remote.Attach(nil)
 	check := time.NewTicker(relink)
 	defer check.Stop()
@@ -142,7 +88,7 @@
 	}
 	g.log.WithField("leader", holder.Entry).Info("linked to the leader")
 	g.remote.Attach(to.Send)
-	g.newLeader()
+	g.following.newLeader()
 	defer g.remote.Attach(nil)
 	defer to.Close("over")
 	stopDialling()
@@ -152,6 +98,9 @@
 	context.AfterFunc(ctx, func() { to.Close("stopping") })
 	err = to.Receive(func(message link.Down) { g.fromLeader(ctx, to.Send, message) })
 	g.log.WithError(err).WithField("leader", holder.Entry).Info("link to the leader ended")
+	if link.Silent(err) {
+		g.following.lost(holder.Entry)
+	}
 }
 
 // holderLook is how often an entry looks whether the lease has another holder.
@@ -168,14 +117,6 @@
 	}
 }
 
-// newLeader forgets which entries the last leader heard from.
-func (g *Gateway) newLeader() {
-	g.following.mu.Lock()
-	defer g.following.mu.Unlock()
-	g.following.live = nil
-	g.following.since = time.Now()
-}
-
 // fromLeader handles one message of the leader.
 func (g *Gateway) fromLeader(ctx context.Context, send func(link.Up), message link.Down) {
 	switch {
@@ -194,8 +135,7 @@
 
 func (g *Gateway) leaderRenewed(send func(link.Up), renewed link.Renewed) {
 	g.lease.Heard(renewed.Version)
-	g.following.renewed(renewed)
-	g.noteDown()
+	g.following.renewed(renewed, g.roster.Names())
 	version, spec := g.catalog.Config()
 	switch {
 	case version > renewed.ConfigVersion && spec != nil:
@@ -205,34 +145,6 @@
 	}
 }
 
-func (f *following) renewed(renewed link.Renewed) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.heard = time.Now()
-	if renewed.Live != nil {
-		f.live = make(map[string]bool, len(renewed.Live))
-	}
-	if f.live == nil {
-		return // it was not told the whole yet
-	}
-	for _, name := range slices.Concat(renewed.Live, renewed.Joined) {
-		f.live[name] = true
-	}
-	for _, name := range renewed.Left {
-		delete(f.live, name)
-	}
-}
-
-// stillBehind says whether this entry has an older configuration than the leader, as it had at the renewal before. All entries read a large
-// configuration from the platform at the same time; were each to ask the leader for it at once as well, its link would be full.
-func (f *following) stillBehind(behind bool) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	still := behind && f.behind
-	f.behind = behind
-	return still
-}
-
 // look answers the leader's question whether this entry reaches a server.
 func (g *Gateway) look(ctx context.Context, send func(link.Up), asked link.Look) {
 	seen := link.Seen{Server: asked.Server}
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -51,7 +51,7 @@
 	leader     *leader.Leader
 	links      *link.Server
 	identity   *peer.Identity
-	following  following
+	following  *following
 	pool       *upstream.Pool
 	gate       *drain.Gate
 	// first and took are the times to the first part of an answer and to its end.
@@ -206,6 +206,10 @@
 		http.NotFound(w, request)
 		return
 	}
+	if !g.knowsEntries() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	asked := platform.DecodeLookup(request)
 	addresses, keep := g.roster.Answer(directory.Caller{Place: asked.Region, FailureDomain: asked.Zone})
 	body, err := json.Marshal(platform.NewLookupAnswer(addresses, keep))
@@ -217,6 +221,16 @@
 	_, _ = w.Write(body) // a caller that is gone asks again
 }
 
+// uninformedFor is how long a process that starts among others answers no caller before it has heard which of them are live. It is above
+// the time in which an entry links to the one in charge, and in which another one takes charge.
+const uninformedFor = 2500 * time.Millisecond
+
+// knowsEntries says whether this process can tell which entries work. What is registered includes those that were lost for good: right
+// after its start it would send callers there. Callers ask another entry meanwhile.
+func (g *Gateway) knowsEntries() bool {
+	return g.config.First || g.following.informed() || time.Since(g.started) > uninformedFor
+}
+
 func (g *Gateway) metrics(w http.ResponseWriter, _ *http.Request) {
 	metrics.WriteOnce(g.registry, w)
 }
--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -8,6 +8,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	link "github.com/skylarkpond/skylarkpond/link/leader"
 )
 
 func TestGateway(t *testing.T) {
@@ -59,3 +61,57 @@
 		Entry(nil, func(c *Config) { c.LogQueueSize = 0 }, "--log-queue"),
 	)
 })
+
+var _ = Describe("Which entries are live", func() {
+	names := []string{"e-1", "e-2", "e-3", "e-4"}
+	settled := func(live ...string) link.Renewed { return link.Renewed{Live: live, Settled: true} }
+
+	It("follows a settled leader, and what it tells of those that come and go", func() {
+		f := newFollowing()
+		Expect(f.informed()).To(BeFalse())
+		f.renewed(settled("e-1", "e-2", "e-3"), names)
+		Expect(f.informed()).To(BeTrue())
+		Expect(f.dead("e-4")).To(BeTrue())
+		f.renewed(link.Renewed{Joined: []string{"e-4"}, Left: []string{"e-1"}, Settled: true}, names)
+		Expect(f.dead("e-4")).To(BeFalse())
+		Expect(f.dead("e-1")).To(BeTrue())
+	})
+
+	// The entry in charge is lost for good. Its successor needs seconds to know who else is there, and callers would be told to use the dead
+	// one until then.
+	It("takes a leader that fell silent for dead, unless its successor hears from it", func() {
+		f := newFollowing()
+		f.renewed(settled(names...), names)
+		f.lost("e-1")
+		Expect(f.dead("e-1")).To(BeTrue())
+		f.newLeader()
+		Expect(f.dead("e-1")).To(BeTrue())
+		f.renewed(link.Renewed{Live: []string{"e-1", "e-2"}}, names)
+		Expect(f.dead("e-1")).To(BeFalse())
+	})
+
+	// All entries are linked to the dead leader. Its successor hears from the first of them: the others are not down, only later.
+	It("takes no entry for dead before a new leader has settled, and keeps those dead that were", func() {
+		f := newFollowing()
+		f.renewed(settled("e-1", "e-2", "e-3"), names)
+		f.newLeader()
+		f.renewed(link.Renewed{Live: []string{"e-2"}}, names)
+		Expect(f.dead("e-3")).To(BeFalse())
+		Expect(f.dead("e-4")).To(BeTrue())
+	})
+
+	It("does not believe a leader that hears from few", func() {
+		f := newFollowing()
+		f.renewed(settled("e-1"), names)
+		Expect(f.dead("e-2")).To(BeFalse())
+		Expect(f.informed()).To(BeFalse())
+	})
+
+	It("asks for a configuration only when it is behind for a second time", func() {
+		f := newFollowing()
+		Expect(f.stillBehind(true)).To(BeFalse())
+		Expect(f.stillBehind(true)).To(BeTrue())
+		Expect(f.stillBehind(false)).To(BeFalse())
+		Expect(f.stillBehind(true)).To(BeFalse())
+	})
+})
--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -54,6 +54,8 @@
 	turns     *policy.Scheduler
 	followers map[string]sender
 	inCharge  bool
+	// since is when this entry took charge.
+	since time.Time
 	// passed is up to which revision each kind was passed on.
 	passed map[store.Kind]store.Version
 	// wanted is how many groups' worth of requests come, by model.
@@ -194,7 +196,10 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.inCharge = true
+	if !l.inCharge {
+		l.inCharge = true
+		l.since = time.Now()
+	}
 	l.send(l.turns.SetGroups(l.now(), groups, rand.Float64))
 }
 
@@ -390,12 +395,17 @@
 	}
 }
 
+// settled is how long entries have to link to a new leader before one that did not counts as down.
+const settled = 1500 * time.Millisecond
+
 // Renewed tells all followers that the lease is held, and which of them have come and gone.
 func (l *Leader) Renewed() {
 	version, _ := l.deps.Config()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	message := link.Renewed{Version: l.deps.LeaseVersion(), ConfigVersion: version}
+	message := link.Renewed{
+		Version: l.deps.LeaseVersion(), ConfigVersion: version, Settled: l.inCharge && time.Since(l.since) >= settled,
+	}
 	first := message
 	first.Live = slices.Sorted(maps.Keys(l.followers))
 	message.Joined, message.Left = l.changedLive()
--- a/link/leader/client.go
+++ b/link/leader/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 
 	"github.com/quic-go/quic-go"
@@ -69,5 +70,11 @@
 	}
 }
 
+// Silent says of what Receive returned that the other side has not been heard for longer than a link lives without a packet.
+func Silent(err error) bool {
+	var idle *quic.IdleTimeoutError
+	return errors.As(err, &idle)
+}
+
 // Close ends the link.
 func (l *Link) Close(reason string) { l.stream.close(reason) }
--- a/link/leader/leader.go
+++ b/link/leader/leader.go
@@ -147,6 +147,8 @@
 	Left   []string `cbor:"5,keyasint,omitempty"`
 	// ConfigVersion is that of the leader's configuration.
 	ConfigVersion uint64 `cbor:"3,keyasint,omitempty"`
+	// Settled says that the leader has been in charge for so long that an entry which it does not hear from is down.
+	Settled bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Look is a question about a server.
--- a/link/leader/leader_test.go
+++ b/link/leader/leader_test.go
@@ -72,6 +72,7 @@
 		ctx      context.Context
 		address  string
 		identity *peer.Identity
+		socket   net.PacketConn
 	)
 	BeforeEach(func() {
 		h = &hub{followers: make(map[string]*leader.Follower)}
@@ -80,7 +81,7 @@
 		var err error
 		identity, err = peer.NewIdentity("leader")
 		Expect(err).NotTo(HaveOccurred())
-		socket, err := net.ListenPacket("udp", "127.0.0.1:0")
+		socket, err = net.ListenPacket("udp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		address = socket.LocalAddr().String()
 		done := make(chan struct{})
@@ -163,6 +164,19 @@
 		Expect(h.joined()).To(BeZero())
 	})
 
+	// The leader's VM loses power. Nothing says so, but that nothing comes any more.
+	It("tells a leader that fell silent from one that ended the link", func() {
+		silent, err := dial("a", "token", identity.Fingerprint())
+		Expect(err).NotTo(HaveOccurred())
+		ended, err := dial("b", "token", identity.Fingerprint())
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(h.joined, waitFor).Should(Equal(2))
+		h.followers["b"].Close("over")
+		Expect(leader.Silent(ended.Receive(func(leader.Down) {}))).To(BeFalse())
+		Expect(socket.Close()).To(Succeed())
+		Expect(leader.Silent(silent.Receive(func(leader.Down) {}))).To(BeTrue())
+	})
+
 	It("tells when a follower has gone", func() {
 		link, err := dial("a", "token", identity.Fingerprint())
 		Expect(err).NotTo(HaveOccurred())
