A request that crashes the servers that run it is held back at all entries

Cause: nothing on this platform kept such a request from being sent to one server after the other (open in docs/FAULTS.md; policy/quarantine was there and not wired). Each entry now tells the one in charge which request lost its server, once the server's address refuses connections; that one counts crashes by request over all entries with policy/quarantine's register, of which the number of crashes became a setting (three here), and tells all entries what to hold back. It is refused at once, as not run, with a minute to come back. A request that finishes anywhere is cleared, so that a VM which dies with usual requests in progress holds nothing back.

Ruled out: trials of suspects one at a time, as `serve` does them. They need a claim before each send; operators allow three crashes.

--- a/entry/front/handlers.go
+++ b/entry/front/handlers.go
@@ -129,7 +129,7 @@
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	_ = control.SetReadDeadline(time.Time{})
 	q.body = body
-	q.fingerprint = fingerprint(r.Method, r.URL.EscapedPath(), r.URL.RawQuery, r.Header.Get("Content-Type"), string(body))
+	q.fingerprint = contract.Fingerprint(r.Method, r.URL.EscapedPath(), r.URL.RawQuery, r.Header.Get("Content-Type"), string(body))
 	var over *http.MaxBytesError
 	if errors.As(err, &over) {
 		return tooLarge()
--- a/entry/front/request.go
+++ b/entry/front/request.go
@@ -143,14 +143,3 @@
 	return contract.Refuse(http.StatusBadRequest, contract.CodeUnknownPath,
 		"the path is not in its plain form", "send it without empty or dotted segments and without escaped slashes")
 }
-
-// fingerprint identifies what is asked for.
-func fingerprint(parts ...string) string {
-	hash := sha256.New()
-	for _, part := range parts {
-		hash.Write([]byte(strconv.Itoa(len(part))))
-		hash.Write([]byte{':'})
-		hash.Write([]byte(part))
-	}
-	return hex.EncodeToString(hash.Sum(nil))
-}
--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -22,6 +22,7 @@
 	"github.com/skylarkpond/skylarkpond/entry/lease"
 	"github.com/skylarkpond/skylarkpond/entry/relay"
 	"github.com/skylarkpond/skylarkpond/entry/roster"
+	"github.com/skylarkpond/skylarkpond/entry/suspects"
 	"github.com/skylarkpond/skylarkpond/entry/turn"
 	link "github.com/skylarkpond/skylarkpond/link/leader"
 	"github.com/skylarkpond/skylarkpond/link/peer"
@@ -88,6 +89,7 @@
 		Suspect: func(key backend.GroupKey) { g.controller.Suspect(context.Background(), key) },
 		Demand:  g.demand,
 		Config:  g.catalog.Config, TakeConfig: g.catalog.TakeConfig, LeaseVersion: g.lease.Version,
+		Held: g.heldBack,
 	})
 	g.links = link.NewServer(identity, self.Token, g.leader)
 	g.catalog.OnServers(g.controller.Wake)
@@ -95,8 +97,9 @@
 	g.local = turn.NewLocal(g.catalog.Listing, g.catalog.Table)
 	g.retries = relay.NewRetries(relay.Allowed{Ratio: config.RetryRatio, Extra: config.RetryExtra}, assumedEntries)
 	g.remote = turn.NewRemote(g.local, g.catalog.Listing)
+	g.suspects = suspects.New(suspects.Deps{Refuses: upstream.Refuses, Tell: g.remote.Tell})
 	g.relay = relay.New(relay.Deps{
-		Table: g.catalog.Table, Turns: g.remote, Pool: g.pool, Retries: g.retries,
+		Table: g.catalog.Table, Turns: g.remote, Pool: g.pool, Retries: g.retries, Suspects: g.suspects,
 		Report: g.requestEnded, Random: rand.Float64,
 	})
 	return g, nil
@@ -196,6 +199,10 @@
 	}).Info(string(event.Kind))
 }
 
+func (g *Gateway) heldBack(held link.Held) {
+	g.log.WithFields(logrus.Fields{"service": held.Service, "fingerprints": held.Fingerprints}).Warn("requests held back: they crash servers")
+}
+
 func (g *Gateway) demand(demand turns.Demand) {
 	g.log.WithFields(logrus.Fields{
 		"model": demand.Model, "groups": demand.Groups, "places": demand.Places, "running": demand.Running, "waiting": demand.Waiting,
--- a/entry/gateway/follow.go
+++ b/entry/gateway/follow.go
@@ -52,7 +52,9 @@
 	send := func(message link.Up) { g.leader.Receive(g.config.Name, self, message) }
 	version, _ := g.catalog.Config()
 	g.leader.SetGroups()
-	g.leader.Join(g.config.Name, self, link.Hello{Entry: g.config.Name, Running: g.remote.Attach(send), ConfigVersion: version})
+	g.leader.Join(g.config.Name, self, link.Hello{
+		Entry: g.config.Name, Running: g.remote.Attach(send), ConfigVersion: version, Crashes: g.suspects.Reports(),
+	})
 	g.following.newLeader()
 	defer g.remote.Attach(nil)
 	check := time.NewTicker(relink)
@@ -76,7 +78,7 @@
 	version, _ := g.catalog.Config()
 	hello := link.Hello{
 		Entry: g.config.Name, Token: holder.Token, ConfigVersion: version, Running: g.remote.Attach(nil),
-		Revisions: g.catalog.Revisions(),
+		Revisions: g.catalog.Revisions(), Crashes: g.suspects.Reports(),
 	}
 	dialling, stopDialling := context.WithCancel(ctx)
 	defer stopDialling()
@@ -128,6 +130,8 @@
 		g.leaderRenewed(send, *message.Renewed)
 	case message.News != nil:
 		g.catalog.Feed(*message.News)
+	case message.Held != nil:
+		g.suspects.Take(*message.Held)
 	case message.Look != nil:
 		go g.look(ctx, send, *message.Look)
 	}
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/skylarkpond/skylarkpond/entry/lease"
 	"github.com/skylarkpond/skylarkpond/entry/relay"
 	"github.com/skylarkpond/skylarkpond/entry/roster"
+	"github.com/skylarkpond/skylarkpond/entry/suspects"
 	"github.com/skylarkpond/skylarkpond/entry/turn"
 	"github.com/skylarkpond/skylarkpond/internal/lateread"
 	"github.com/skylarkpond/skylarkpond/internal/wait"
@@ -47,6 +48,7 @@
 	relay      *relay.Relay
 	local      *turn.Local
 	remote     *turn.Remote
+	suspects   *suspects.Watch
 	retries    *relay.Retries
 	leader     *leader.Leader
 	links      *link.Server
--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -42,6 +42,8 @@
 	NewsSince func(kind store.Kind, revision store.Version) (catalog.News, bool)
 	// LeaseVersion is that of the last renewal.
 	LeaseVersion func() uint64
+	// Held tells which requests of a service are held back from now on, because they crash servers.
+	Held func(held link.Held)
 }
 
 // Leader implements link/leader.Handler. It is safe for concurrent use.
@@ -62,8 +64,9 @@
 	wanted  map[string]float64
 	seconds int
 	// told is the set of live entries that the followers were told last; fresh are those that were told none yet.
-	told  map[string]bool
-	fresh map[string]bool
+	told    map[string]bool
+	fresh   map[string]bool
+	crashes *crashes
 	// looks are the questions in progress, by server.
 	looks map[backend.ID]chan link.Seen
 }
@@ -80,6 +83,7 @@
 		deps: deps, started: time.Now(), turns: policy.New(policy.DefaultConfig()), followers: make(map[string]sender),
 		looks: make(map[backend.ID]chan link.Seen), wanted: make(map[string]float64),
 		passed: make(map[store.Kind]store.Version), told: make(map[string]bool), fresh: make(map[string]bool),
+		crashes: newCrashes(),
 	}
 }
 
@@ -174,6 +178,7 @@
 	if l.inCharge {
 		l.inCharge = false
 		clear(l.passed)
+		l.crashes = newCrashes()
 		l.turns = policy.New(policy.DefaultConfig())
 	}
 }
@@ -245,6 +250,11 @@
 	for _, running := range hello.Running {
 		l.turns.Adopt(l.now(), turnKey(entry, running.Key), string(running.Head))
 	}
+	l.tellAllHeld(to)
+	for _, crash := range hello.Crashes {
+		l.crashes.add(crash)
+		l.tellHeld(crash.Service)
+	}
 	l.mu.Unlock()
 	l.passConfig(to, hello.ConfigVersion)
 	l.catchUp(to, hello.Revisions)
@@ -303,6 +313,10 @@
 		l.deps.TakeConfig(message.Config.Spec)
 	case message.Seen != nil:
 		l.seen(*message.Seen)
+	case message.Crash != nil:
+		l.crashed(*message.Crash)
+	case message.Cleared != nil:
+		l.cleared(*message.Cleared)
 	case message.Has != 0:
 		l.passConfig(from, message.Has)
 	}
--- a/entry/leader/leader_test.go
+++ b/entry/leader/leader_test.go
@@ -48,6 +48,7 @@
 		Demand:       func(turns.Demand) {},
 		Config:       func() (uint64, json.RawMessage) { return 3, nil },
 		LeaseVersion: func() uint64 { return 9 },
+		Held:         func(link.Held) {},
 	})
 	l.SetGroups()
 	return l
@@ -92,4 +93,39 @@
 		l.PassOn(news(json.RawMessage(`{"version":4}`)))
 		Expect(all[0].last().News.Changes).To(HaveLen(1))
 	})
+
+	crash := func(fingerprint, server string) link.Crash {
+		return link.Crash{Service: "desk", Fingerprint: fingerprint, Server: backend.ID(server)}
+	}
+
+	// Several entries see one crash, and each sees a part of those of one request.
+	It("holds back what crashed three servers, whoever saw it, until it finishes somewhere", func() {
+		l := newLeader()
+		first, second := &follower{}, &follower{}
+		l.Join("e-1", first, link.Hello{})
+		l.Join("e-2", second, link.Hello{})
+		for i, told := range []link.Crash{crash("poison", "i-1"), crash("poison", "i-1"), crash("other", "i-1"), crash("poison", "i-2")} {
+			l.Receive(fmt.Sprint("e-", 1+i%2), first, link.Up{Crash: &told})
+		}
+		Expect(first.got).To(BeEmpty())
+		third := crash("poison", "i-3")
+		l.Receive("e-2", second, link.Up{Crash: &third})
+		held := &link.Held{Service: "desk", Fingerprints: []string{"poison"}}
+		Expect(first.last().Held).To(Equal(held))
+		late := &follower{}
+		l.Join("e-3", late, link.Hello{})
+		Expect(late.last().Held).To(Equal(held))
+		l.Receive("e-3", late, link.Up{Cleared: &link.Cleared{Service: "desk", Fingerprint: "poison"}})
+		Expect(first.last().Held.Fingerprints).To(BeEmpty())
+	})
+
+	// The entry that counted the crashes is gone. Were its successor to begin anew, three more servers would go.
+	It("learns the crashes that an earlier leader was told", func() {
+		l := newLeader()
+		one, other := &follower{}, &follower{}
+		l.Join("e-1", one, link.Hello{Crashes: []link.Crash{crash("poison", "i-1"), crash("poison", "i-2")}})
+		Expect(one.got).To(BeEmpty())
+		l.Join("e-2", other, link.Hello{Crashes: []link.Crash{crash("poison", "i-3")}})
+		Expect(one.last().Held.Fingerprints).To(Equal([]string{"poison"}))
+	})
 })
--- a/entry/relay/answer.go
+++ b/entry/relay/answer.go
@@ -19,6 +19,8 @@
 	retryUnknown = time.Second
 	// retryFull is in the order of the time in which a place comes free.
 	retryFull = 500 * time.Millisecond
+	// retryHeld is for a request that crashes servers: nothing will change before an operator has looked.
+	retryHeld = time.Minute
 )
 
 // failure is the body of the entry's own answers.
--- a/entry/relay/exchange.go
+++ b/entry/relay/exchange.go
@@ -6,10 +6,12 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
 	"github.com/skylarkpond/skylarkpond/backend"
+	"github.com/skylarkpond/skylarkpond/contract"
 	"github.com/skylarkpond/skylarkpond/contract/route"
 	"github.com/skylarkpond/skylarkpond/entry/turn"
 	"github.com/skylarkpond/skylarkpond/link/upstream"
@@ -33,7 +35,9 @@
 	priority int
 	service  string
 	body     []byte
-	tried    []backend.ID
+	// fingerprint is alike for requests of one caller with the same path and body.
+	fingerprint string
+	tried       []backend.ID
 	// attempts counts the sends that reached a server; mayHaveRun says that one of them may have run.
 	attempts   int
 	mayHaveRun bool
@@ -53,6 +57,11 @@
 	if !e.admit() || !e.readBody() {
 		return
 	}
+	e.fingerprint = contract.Fingerprint(e.request.Method, e.request.RequestURI, e.call.Key, string(e.body))
+	if e.relay.deps.Suspects.Held(e.service, e.fingerprint) {
+		e.refuse(HeldBack, http.StatusServiceUnavailable, retryHeld, "requests like this one have crashed servers")
+		return
+	}
 	ctx, cancel := context.WithDeadline(e.request.Context(), e.deadline)
 	defer cancel()
 	e.ctx = ctx
@@ -195,6 +204,7 @@
 	if err != nil {
 		t.Done(turn.Result{Failed: e.ctx.Err() == nil})
 		e.mayHaveRun = true
+		e.lost(t, err)
 		return e.overBroken("no answer: " + err.Error())
 	}
 	said := platform.DecodeAnswer(answer.Status, answer.Header)
@@ -255,6 +265,14 @@
 	return true
 }
 
+// lost has a server looked into that ended its connection in the middle of the request. Silence and the end of the time are no sign of a crash.
+func (e *exchange) lost(t *turn.Turn, err error) {
+	if e.ctx.Err() != nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		return
+	}
+	go e.relay.deps.Suspects.Lost(context.WithoutCancel(e.ctx), e.fingerprint, t.Server)
+}
+
 func (e *exchange) mayTryAgain() bool {
 	return e.attempts < e.route.MaxAttempts && e.relay.deps.Retries.Take(e.service, time.Until(e.deadline))
 }
@@ -266,8 +284,10 @@
 	_ = answer.Body.Close()
 	if err != nil {
 		t.Done(turn.Result{Failed: e.ctx.Err() == nil})
+		e.lost(t, err)
 		return e.overBroken("answer broke off: " + err.Error())
 	}
+	e.relay.deps.Suspects.Finished(e.service, e.fingerprint)
 	failed := answer.Status >= http.StatusInternalServerError
 	t.Done(turn.Result{Failed: failed})
 	if failed && e.route.Kind == route.Idempotent && e.mayTryAgain() {
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -7,10 +7,12 @@
 package relay
 
 import (
+	"context"
 	"net/http"
 	"sync/atomic"
 	"time"
 
+	"github.com/skylarkpond/skylarkpond/backend"
 	"github.com/skylarkpond/skylarkpond/contract/route"
 	"github.com/skylarkpond/skylarkpond/entry/turn"
 	"github.com/skylarkpond/skylarkpond/link/upstream"
@@ -24,12 +26,24 @@
 	Pool  *upstream.Pool
 	// Retries bounds repeats.
 	Retries *Retries
+	// Suspects knows the requests that crash servers.
+	Suspects Suspects
 	// Report is told how each request ended.
 	Report func(Report)
 	// Random is from 0 to 1; it draws targets of split routes and spreads retries.
 	Random func() float64
 }
 
+// Suspects knows which requests crash the servers that run them. It is safe for concurrent use.
+type Suspects interface {
+	// Held says whether a request may not be sent to any server of a service.
+	Held(service, fingerprint string) bool
+	// Finished notes that a server answered a request in full.
+	Finished(service, fingerprint string)
+	// Lost looks into a server that ended its connection in the middle of a request. It takes some time.
+	Lost(ctx context.Context, fingerprint string, server *backend.Server)
+}
+
 // Relay is an http.Handler. It is safe for concurrent use.
 type Relay struct {
 	deps     Deps
@@ -88,6 +102,8 @@
 	TooLarge Outcome = "too-large"
 	// Refused: it has not run, and was told so.
 	Refused Outcome = "refused"
+	// HeldBack: it has crashed servers, and has not run again.
+	HeldBack Outcome = "held-back"
 	// Unknown: it may have run, and has no answer.
 	Unknown Outcome = "unknown"
 	// TimedOut: the deadline or the route's timeout passed.
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -79,10 +79,39 @@
 	reports []relay.Report
 	table   *route.Table
 	retries *relay.Retries
+	watched *suspects
+}
+
+// suspects holds back what a spec says, and notes what it is told.
+type suspects struct {
+	mu       sync.Mutex
+	held     bool
+	finished int
+	lost     []backend.ID
+}
+
+func (s *suspects) Held(string, string) bool { return s.held }
+
+func (s *suspects) Finished(string, string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.finished++
+}
+
+func (s *suspects) Lost(_ context.Context, _ string, server *backend.Server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lost = append(s.lost, server.ID)
+}
+
+func (s *suspects) told() (finished int, lost []backend.ID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.finished, slices.Clone(s.lost)
 }
 
 func newRig(config replica.Config, count int) *rig {
-	r := &rig{world: replica.NewWorld(), api: objects.New(), turns: &inOrder{}}
+	r := &rig{world: replica.NewWorld(), api: objects.New(), turns: &inOrder{}, watched: &suspects{}}
 	DeferCleanup(r.api.Close)
 	for i := range count {
 		config.ID = fmt.Sprintf("i-%d", i)
@@ -102,7 +131,7 @@
 	}, nil, []route.Team{{Name: "one", Keys: []string{"key"}}}, route.Limits{BodyBytes: 1 << 20})
 	r.retries = relay.NewRetries(relay.Allowed{Ratio: 1, Extra: 20}, 1)
 	handler := relay.New(relay.Deps{
-		Table: func() *route.Table { return r.table }, Turns: r.turns, Pool: upstream.NewPool(), Retries: r.retries,
+		Table: func() *route.Table { return r.table }, Turns: r.turns, Pool: upstream.NewPool(), Retries: r.retries, Suspects: r.watched,
 		Random: func() float64 { return 0.5 },
 		Report: func(report relay.Report) {
 			r.mu.Lock()
@@ -250,6 +279,29 @@
 		Expect(r.turns.ended()[0].Rejected).To(BeTrue())
 	})
 
+	// A request crashes each server that runs it, and its caller sends it again and again.
+	It("does not send what is held back, and says so at once", func() {
+		r := newRig(replica.Config{}, 1)
+		r.watched.held = true
+		got := r.send(r.request(http.MethodPost, "/book/x", "a1"))
+		Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(got.header.Get("Retry-After")).To(Equal("60.000"))
+		Expect(r.world.Runs("a1")).To(BeZero())
+		Expect(r.last().Outcome).To(Equal(relay.HeldBack))
+	})
+
+	It("has a server looked into that ended its connection in the middle of a request", func() {
+		r := newRig(replica.Config{Events: 4}, 3)
+		r.set(0, replica.Faults{LoseAnswer: true})
+		r.set(1, replica.Faults{Cut: 1})
+		Expect(r.send(r.request(http.MethodPost, "/look/x", "a1")).status).To(Equal(http.StatusBadGateway))
+		Eventually(func() []backend.ID { _, lost := r.watched.told(); return lost }).Should(ConsistOf(BeEquivalentTo("i-0"), BeEquivalentTo("i-1")))
+		r.set(0, replica.Faults{})
+		Expect(r.send(r.request(http.MethodPost, "/chat/x", "a2")).status).To(Equal(http.StatusOK))
+		finished, _ := r.watched.told()
+		Expect(finished).To(Equal(1))
+	})
+
 	It("says not-run, with when to come back, where no server ran the request", func() {
 		r := newRig(replica.Config{}, 2)
 		r.set(0, replica.Faults{Shed: true})
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -41,6 +41,7 @@
 		_ = answer.Body.Close()
 		if err == nil {
 			t.Done(turn.Result{})
+			e.relay.deps.Suspects.Finished(e.service, e.fingerprint)
 			e.finish(head)
 			return true
 		}
@@ -91,6 +92,7 @@
 			return last, nil
 		}
 		if err != nil {
+			e.lost(t, err)
 			return last, err
 		}
 		first = false
@@ -140,6 +142,7 @@
 		e.attempts++
 		if err != nil {
 			t.Done(turn.Result{Failed: e.ctx.Err() == nil})
+			e.lost(t, err)
 			continue
 		}
 		if platform.DecodeAnswer(answer.Status, answer.Header).NotRun || answer.Status != http.StatusOK || !platform.Signed(answer.Header) {
--- a/entry/turn/remote.go
+++ b/entry/turn/remote.go
@@ -147,7 +147,7 @@
 		done(result)
 		r.end(key, result)
 	}
-	t.Silent = func() { r.tell(link.Up{Silent: server.ID}) }
+	t.Silent = func() { r.Tell(link.Up{Silent: server.ID}) }
 	return t
 }
 
@@ -161,7 +161,8 @@
 	}
 }
 
-func (r *Remote) tell(message link.Up) {
+// Tell sends a message to the entry in charge, if there is a way.
+func (r *Remote) Tell(message link.Up) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.send != nil {
--- a/link/leader/leader.go
+++ b/link/leader/leader.go
@@ -53,6 +53,9 @@
 	Seen *Seen `cbor:"6,keyasint,omitempty"`
 	// Has is the version of the configuration that the follower works by.
 	Has uint64 `cbor:"7,keyasint,omitempty"`
+	// Crash tells of a request that lost its server, Cleared of one that finished although it is held back.
+	Crash   *Crash   `cbor:"8,keyasint,omitempty"`
+	Cleared *Cleared `cbor:"9,keyasint,omitempty"`
 }
 
 // Hello is the first message of a follower.
@@ -65,6 +68,29 @@
 	ConfigVersion uint64 `cbor:"4,keyasint,omitempty"`
 	// Revisions say up to where the follower knows each kind.
 	Revisions map[platform.Kind]platform.Version `cbor:"6,keyasint,omitempty"`
+	// Crashes are those that the follower told of before.
+	Crashes []Crash `cbor:"7,keyasint,omitempty"`
+}
+
+// Crash is the end of a server's process in the middle of a request.
+type Crash struct {
+	Service     string     `cbor:"1,keyasint"`
+	Fingerprint string     `cbor:"2,keyasint"`
+	Server      backend.ID `cbor:"3,keyasint"`
+	// Born tells one life of the server from another.
+	Born int64 `cbor:"4,keyasint,omitempty"`
+}
+
+// Cleared is a request that a server answered in full.
+type Cleared struct {
+	Service     string `cbor:"1,keyasint"`
+	Fingerprint string `cbor:"2,keyasint"`
+}
+
+// Held are all requests of a service that no entry may send to a server.
+type Held struct {
+	Service      string   `cbor:"1,keyasint"`
+	Fingerprints []string `cbor:"2,keyasint,omitempty"`
 }
 
 // Running is one turn.
@@ -119,6 +145,7 @@
 	Look *Look `cbor:"5,keyasint,omitempty"`
 	// News are changes of a kind of objects.
 	News *News `cbor:"6,keyasint,omitempty"`
+	Held *Held `cbor:"8,keyasint,omitempty"`
 	// Packed is one of the above, compressed.
 	Packed []byte `cbor:"7,keyasint,omitempty"`
 }
--- a/link/upstream/conn.go
+++ b/link/upstream/conn.go
@@ -45,6 +45,16 @@
 	return nil, err
 }
 
+// Refuses says whether nobody listens at an address: the process there has ended, and its VM goes on.
+func Refuses(ctx context.Context, address string) bool {
+	c, err := dial(ctx, address)
+	if err == nil {
+		_ = c.Close()
+		return false
+	}
+	return eris.Is(err, syscall.ECONNREFUSED) || eris.Is(err, syscall.ECONNRESET)
+}
+
 // quiet says whether a kept connection is open and has nothing to read. Whatever a server sends while no request
 // is in progress belongs to none, and a connection that the server has closed must not be written to.
 func (c *conn) quiet() bool {
--- a/policy/quarantine/config.go
+++ b/policy/quarantine/config.go
@@ -47,6 +47,8 @@
 	QuarantineFor time.Duration
 	// MaxSuspects is the largest number of suspects at a time. 1 to 1000.
 	MaxSuspects int
+	// Crashes is how many crashes quarantine a request that was not on trial. 2 to 8.
+	Crashes int
 }
 
 // The defaults. Callers send again for minutes, not hours, after a failure: DefaultSuspectFor. A quarantine
@@ -58,12 +60,15 @@
 	DefaultSuspectFor    = 10 * time.Minute
 	DefaultQuarantineFor = 48 * time.Hour
 	DefaultMaxSuspects   = 256
+	// DefaultCrashes: suspects run alone, so that a second crash is hardly chance.
+	DefaultCrashes = 2
 )
 
 // DefaultConfig returns the defaults.
 func DefaultConfig() Config {
 	return Config{
 		SuspectFor: DefaultSuspectFor, QuarantineFor: DefaultQuarantineFor, MaxSuspects: DefaultMaxSuspects,
+		Crashes: DefaultCrashes,
 	}
 }
 
@@ -76,6 +81,8 @@
 		return fmt.Errorf("%w: QuarantineFor is %v, not in 1m to 720h", ErrRange, c.QuarantineFor)
 	case c.MaxSuspects < 1 || c.MaxSuspects > 1000:
 		return fmt.Errorf("%w: MaxSuspects is %d, not in 1 to 1000", ErrRange, c.MaxSuspects)
+	case c.Crashes < 2 || c.Crashes > maxCrashes:
+		return fmt.Errorf("%w: Crashes is %d, not in 2 to %d", ErrRange, c.Crashes, maxCrashes)
 	}
 	return nil
 }
--- a/policy/quarantine/record.go
+++ b/policy/quarantine/record.go
@@ -102,15 +102,15 @@
 }
 
 // guilty says whether the evidence is enough for a quarantine.
-func (e evidence) guilty() bool {
-	return e.tried || e.counted > 1 && e.single || e.counted >= massCrashes
+func (e evidence) guilty(config Config) bool {
+	return e.tried || e.counted >= config.Crashes && e.single || e.counted >= max(massCrashes, config.Crashes)
 }
 
 // at returns the status that follows from the record alone, at a time in Unix milliseconds.
 func (r *record) at(now int64, config Config) status {
 	e := r.evidence(config, nil)
 	switch {
-	case e.guilty() && now-e.latest < config.QuarantineFor.Milliseconds():
+	case e.guilty(config) && now-e.latest < config.QuarantineFor.Milliseconds():
 		return quarantined
 	case e.single && now-e.latest < config.SuspectFor.Milliseconds():
 		return suspect
--- a/policy/quarantine/register.go
+++ b/policy/quarantine/register.go
@@ -133,7 +133,7 @@
 		}
 		return false
 	}
-	if rec.evidence(r.config, explained).guilty() {
+	if rec.evidence(r.config, explained).guilty(r.config) {
 		return quarantined
 	}
 	return suspect
--- a/policy/quarantine/register_test.go
+++ b/policy/quarantine/register_test.go
@@ -104,10 +104,24 @@
 		Expect(DefaultConfig().Check()).To(Succeed())
 		Expect(errors.Is(c.Check(), ErrRange)).To(BeTrue())
 	},
-		Entry("suspicion", Config{SuspectFor: sec, QuarantineFor: time.Hour, MaxSuspects: 1}),
-		Entry("quarantine", Config{SuspectFor: time.Minute, MaxSuspects: 1}),
-		Entry("suspects", Config{SuspectFor: time.Minute, QuarantineFor: time.Hour}),
+		Entry("suspicion", Config{SuspectFor: sec, QuarantineFor: time.Hour, MaxSuspects: 1, Crashes: 2}),
+		Entry("quarantine", Config{SuspectFor: time.Minute, MaxSuspects: 1, Crashes: 2}),
+		Entry("suspects", Config{SuspectFor: time.Minute, QuarantineFor: time.Hour, Crashes: 2}),
+		Entry("crashes", Config{SuspectFor: time.Minute, QuarantineFor: time.Hour, MaxSuspects: 1, Crashes: 1}),
 	)
+
+	// Where suspects are not held back, a request that shared two servers with the one that crashed them is no rarity.
+	It("waits for as many crashes as are asked for", func() {
+		config := DefaultConfig()
+		config.Crashes = 3
+		r := New(config)
+		for i, server := range []string{"a", "b"} {
+			Expect(r.Crash(at(float64(i)), "crash-"+server, server, []string{"poison"})).To(BeEmpty())
+		}
+		Expect(r.Crash(at(2), "crash-b", "b", []string{"poison"})).To(BeEmpty(), "the same crash, seen by another")
+		Expect(r.Crash(at(3), "crash-c", "c", []string{"poison"})).To(Equal([]string{"poison"}))
+		Expect(r.Verdict(at(4), "poison", "d")).To(Equal(Quarantined))
+	})
 })
 
 // draw makes a register by random steps, within limits that bounds do not reach.
--- a/test/cooperative/cooperative_test.go
+++ b/test/cooperative/cooperative_test.go
@@ -224,10 +224,12 @@
 	err    error
 }
 
-func (e *gatewayProcess) send(path, id string) sent {
+func (e *gatewayProcess) send(path, id string) sent { return e.sendBody(path, id, "body") }
+
+func (e *gatewayProcess) sendBody(path, id, body string) sent {
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.callers+path, strings.NewReader("body"))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.callers+path, strings.NewReader(body))
 	if err != nil {
 		return sent{id: id, err: err}
 	}
@@ -244,8 +246,8 @@
 		return sent{id: id, err: err}
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
-	return sent{id: id, status: response.StatusCode, body: string(body), retry: response.Header.Get("Retry-After"), err: err}
+	answer, err := io.ReadAll(response.Body)
+	return sent{id: id, status: response.StatusCode, body: string(answer), retry: response.Header.Get("Retry-After"), err: err}
 }
 
 // wholeStream is the answer to a prompt.
@@ -430,6 +432,34 @@
 		}
 	})
 
+	// A booking crashes each server that begins to run it, and its caller sends it again and again, to one entry after the other. All servers
+	// would be gone after some seconds, with the bookings of everyone else.
+	It("hold back a request that crashes servers, and serve the others", func() {
+		p := newPond(3, 4)
+		p.awaitServing(1)
+		const poison = "poison"
+		for i := range 6 {
+			desk := p.world.Start(p.api, replica.Config{ID: fmt.Sprint("spare-desk-", i), Service: "desk", Zone: "z", Slots: 6})
+			DeferCleanup(desk.Close)
+			p.desks = append(p.desks, desk)
+		}
+		for _, desk := range p.desks {
+			desk.Set(replica.Faults{CrashOn: poison})
+		}
+		refused := 0
+		Eventually(func() int {
+			got := p.entries[refused%3].sendBody("/book/x", "poison", poison)
+			if got.status == http.StatusServiceUnavailable && got.retry == "60.000" {
+				refused++
+			}
+			return refused
+		}, generous, "300ms").Should(Equal(6))
+		Expect(p.world.Runs("poison")).To(BeNumerically("<=", 5))
+		for i := range 6 {
+			Expect(p.entries[i%3].send("/book/x", fmt.Sprint("after-", i)).status).To(Equal(http.StatusOK))
+		}
+	})
+
 	It("keep working after a signal to read the settings anew", func() {
 		p := newPond(2, 4)
 		p.awaitServing(1)
