The entry in charge tells once a second what each fabric domain's VMs are doing

Now: for each domain the usable VMs, the groups, and the free VMs by the weights that they have or load, with the room for loads.

Nothing was changed in the decisions.

--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -193,6 +193,10 @@
 }
 
 func (g *Gateway) groupEvent(event grouping.Event) {
+	if event.Kind == grouping.FleetSeen {
+		g.log.WithFields(logrus.Fields{"service": event.Service, "detail": event.Detail}).Info(string(event.Kind))
+		return
+	}
 	metrics.GetOrRegisterCounter("groups."+string(event.Kind), g.registry).Inc(1)
 	g.log.WithFields(logrus.Fields{
 		"group": event.Group.String(), "vm": event.VM, "model": event.Model, "detail": event.Detail, "took_ms": event.Took.Milliseconds(),
--- a/entry/grouping/grouping.go
+++ b/entry/grouping/grouping.go
@@ -45,12 +45,14 @@
 
 // Event is one step, for the log.
 type Event struct {
-	Kind   EventKind
-	Group  backend.GroupKey
-	VM     backend.ID
-	Model  string
-	Detail string
-	Took   time.Duration
+	Kind EventKind
+	// Service is set for FleetSeen alone.
+	Service string
+	Group   backend.GroupKey
+	VM      backend.ID
+	Model   string
+	Detail  string
+	Took    time.Duration
 }
 
 // EventKind names a step.
@@ -68,6 +70,8 @@
 	GroupSuspected EventKind = "group-suspected"
 	MemberDark     EventKind = "member-dark"
 	MemberBack     EventKind = "member-answers-again"
+	// FleetSeen is what a round saw of one service, once in fleetEvery.
+	FleetSeen EventKind = "fleet"
 )
 
 const (
@@ -111,6 +115,8 @@
 	// staging holds the loads that were ordered.
 	staging map[backend.ID]staging
 	loads   *loadPace
+	// toldFleet is when each service's VMs were last told.
+	toldFleet map[string]time.Time
 	// askedDark is when the VMs that did not answer were asked last.
 	askedDark time.Time
 	running   sync.WaitGroup
@@ -138,7 +144,8 @@
 		checking: make(map[backend.GroupKey]bool),
 		opened:   make(map[backend.GroupKey]opened), closed: make(map[backend.GroupKey]time.Time),
 		resting: make(map[backend.ID]time.Time), dark: make(map[backend.ID]time.Time),
-		staging: make(map[backend.ID]staging), unreached: make(map[backend.ID]time.Time), loads: newLoadPace(),
+		toldFleet: make(map[string]time.Time),
+		staging:   make(map[backend.ID]staging), unreached: make(map[backend.ID]time.Time), loads: newLoadPace(),
 	}
 }
 
@@ -207,6 +214,7 @@
 	view.input.Early = early
 	view.input.Loads = c.availableLoads(service.Engine, early)
 	plan := policy.Decide(view.input)
+	c.tellFleet(service.Name, view)
 	for _, formation := range plan.Form {
 		c.startForming(ctx, service.Engine, view, formation)
 	}
