Entries ask the platform seldom while it fails, and for the lease only when it can be taken; strong VMs take charge first

While nobody is in charge each entry looked at the lease three times a second, before it can be taken; while the platform fails each follower of a kind asked three times a second by itself; a watch of an entry on its own ended with each change. And the successor was any entry, one with a link of 14 Mbit/s too. Now the pause after a failed call doubles up to 1.2 s and is shared by all kinds (policy/outage); the lease is looked at once it can be taken, spread over 0.3 s, later by weak VMs (policy/takeover; the VM's link and processors are settings); an entry on its own gathers changes for 0.9 s.

Each spec fails before its part: calls while the platform refuses, looks at a lease that was just renewed.

--- a/entry/catalog/catalog.go
+++ b/entry/catalog/catalog.go
@@ -40,6 +40,7 @@
 	spec    atomic.Pointer[json.RawMessage]
 	listing atomic.Pointer[backend.Listing]
 	servers *servers
+	outage  outage
 
 	mu        sync.Mutex // guards what follows and the swap of table and spec; a leaf lock
 	changed   []func()
--- a/entry/catalog/catalog_test.go
+++ b/entry/catalog/catalog_test.go
@@ -118,6 +118,26 @@
 		Eventually(r.version, waitFor).Should(Equal(uint64(4)))
 	})
 
+	// The platform refuses all calls for some seconds, as it does to hundreds of entries at once. Each entry that asks three times a second for
+	// each kind makes it more calls than a whole day without an outage.
+	It("asks seldom while the platform fails, for one kind at a time, and goes on with all when it is back", func() {
+		r := newRig()
+		operator.Write(r.api, operator.Config{Version: 2})
+		Eventually(r.version, waitFor).Should(Equal(uint64(2)))
+		r.api.Set(objects.Faults{Refuse: 503})
+		time.Sleep(time.Second) // watches that wait have ended
+		before := r.api.Calls()
+		time.Sleep(3 * time.Second)
+		after := r.api.Calls()
+		calls := after["GET config"] + after["GET servers"] - before["GET config"] - before["GET servers"]
+		Expect(calls).To(BeNumerically("<=", 7), "%v", after)
+		r.api.Set(objects.Faults{})
+		operator.Write(r.api, operator.Config{Version: 3})
+		r.api.Write("servers", "i-1", replica.Registered("s"))
+		Eventually(r.version, waitFor).Should(Equal(uint64(3)))
+		Eventually(r.servers, waitFor).Should(Equal(1))
+	})
+
 	// An older configuration arrives late, from a peer or a replica of the platform that lags. Callers would see a route come back that
 	// was removed.
 	It("never goes back to an older configuration", func() {
--- a/entry/catalog/follow.go
+++ b/entry/catalog/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -62,10 +61,9 @@
 )
 
 const (
-	// aloneGather is the least gathering of an entry that passes nothing on: when there is nobody in charge, all entries watch.
-	aloneGather = 400 * time.Millisecond
-	// retryPause is the longest pause after a failed call; half of it is random.
-	retryPause = 400 * time.Millisecond
+	// aloneGather is the least gathering of an entry that passes nothing on: when there is nobody in charge, all entries watch. It is half
+	// of the time in which a leaving server must be known.
+	aloneGather = 900 * time.Millisecond
 	// fedLook is how often an entry that is fed looks whether it still is.
 	fedLook = 200 * time.Millisecond
 	// keptNews bounds the changes of a kind that are kept for entries that come late.
@@ -105,6 +103,9 @@
 			f.waitFed(ctx)
 			continue
 		}
+		if !f.catalog.outage.wait(ctx) {
+			return
+		}
 		from := f.known()
 		changes, err := f.read(ctx, from)
 		if ctx.Err() != nil {
@@ -115,9 +116,10 @@
 				failedSince = time.Now()
 				f.catalog.deps.Lost(f.kind, err)
 			}
-			wait.Pause(ctx, retryPause/2+rand.N(retryPause/2))
+			f.catalog.outage.failed()
 			continue
 		}
+		f.catalog.outage.over()
 		if !failedSince.IsZero() {
 			f.catalog.deps.Regained(f.kind, time.Since(failedSince))
 			failedSince = time.Time{}
--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -30,6 +30,7 @@
 	"github.com/skylarkpond/skylarkpond/link/upstream"
 	"github.com/skylarkpond/skylarkpond/platform"
 	directory "github.com/skylarkpond/skylarkpond/policy/directory"
+	"github.com/skylarkpond/skylarkpond/policy/takeover"
 	"github.com/skylarkpond/skylarkpond/policy/turns"
 )
 
@@ -76,6 +77,7 @@
 	g.catalog.Follow(store.KindEntry, catalog.EntriesPace, func(update catalog.Update) { g.roster.Apply(update.Objects()) })
 	g.lease = lease.New(lease.Deps{
 		Store: client, Self: self, Linked: g.following.linked, Changed: g.leaseChanged, Renewed: func() { g.leader.Renewed() },
+		Capacity: takeover.Capacity{LinkMbps: config.LinkMbps, Cores: config.Cores},
 	})
 	g.controller = grouping.New(grouping.Deps{
 		Pool: g.pool, Table: g.catalog.Table, Listing: g.catalog.Listing, Held: g.mayOrder, Epoch: g.lease.Version,
--- a/entry/gateway/config.go
+++ b/entry/gateway/config.go
@@ -24,6 +24,8 @@
 	PlatformRate  float64 `arg:"--platform-rate,env:POND_PLATFORM_RATE" default:"40" help:"calls a second this entry may make to the platform"`
 	First         bool    `arg:"--first-start,env:POND_FIRST_START" help:"the whole system starts for the first time, and no caller has come yet"`
 	MemoryMB      int     `arg:"--memory-mb,env:POND_MEMORY_MB" default:"206" help:"memory of this VM, in MB"`
+	LinkMbps      float64 `arg:"--link-mbps,env:POND_LINK_MBPS" help:"link of this VM in Mbit/s; VMs with more rather take charge of the groups (0: not known)"`
+	Cores         float64 `arg:"--cores,env:POND_CORES" help:"processors that this VM may use, a share counting as such (0: not known)"`
 	// The bounds that operators promise to their callers.
 	AddressTTL   float64 `arg:"--address-ttl,env:POND_ADDRESS_TTL" default:"5" help:"seconds for which callers may keep an answer of the directory, at most"`
 	Grace        float64 `arg:"--stop-grace,env:POND_STOP_GRACE" default:"8" help:"seconds from a request to stop until the process is killed"`
@@ -62,6 +64,8 @@
 	check(c.RetryRatio >= 0 && c.RetryRatio <= 1, "--retry-ratio", "must be between 0 and 1")
 	check(c.RetryExtra >= 0 && c.RetryExtra <= 1e6, "--retry-extra", "must be between 0 and 1000000")
 	check(c.MemoryMB >= 32, "--memory-mb", "must be 32 or more")
+	check(c.LinkMbps >= 0, "--link-mbps", "must be 0 or more")
+	check(c.Cores >= 0, "--cores", "must be 0 or more")
 	check(c.LogQueueSize >= 1, "--log-queue", "must be 1 or more")
 	if len(faults) == 0 {
 		return nil
--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -58,6 +58,8 @@
 		Entry(nil, func(c *Config) { c.RetryRatio = 2 }, "--retry-ratio"),
 		Entry(nil, func(c *Config) { c.RetryExtra = -1 }, "--retry-extra"),
 		Entry(nil, func(c *Config) { c.MemoryMB = 1 }, "--memory-mb"),
+		Entry(nil, func(c *Config) { c.LinkMbps = -1 }, "--link-mbps"),
+		Entry(nil, func(c *Config) { c.Cores = -1 }, "--cores"),
 		Entry(nil, func(c *Config) { c.LogQueueSize = 0 }, "--log-queue"),
 	)
 })
--- a/entry/lease/lease.go
+++ b/entry/lease/lease.go
@@ -18,6 +18,8 @@
 
 	"github.com/skylarkpond/skylarkpond/internal/wait"
 	"github.com/skylarkpond/skylarkpond/link/platform"
+	"github.com/skylarkpond/skylarkpond/policy/outage"
+	"github.com/skylarkpond/skylarkpond/policy/takeover"
 )
 
 // Kind and Name are those of the object.
@@ -34,8 +36,10 @@
 	// takeAfter is how long the object must stand still before another entry takes it. It is above ActWithin by
 	// the time that a write may take.
 	takeAfter = 1700 * time.Millisecond
-	// lookEvery is how often an entry looks that does not hold the lease and has no link to the holder.
+	// lookEvery is the mean pause between two looks of an entry that knows no holder yet.
 	lookEvery = 300 * time.Millisecond
+	// dueEvery is how often an entry sees whether it has to look.
+	dueEvery = 50 * time.Millisecond
 )
 
 // Holder is the value of the object.
@@ -56,6 +60,8 @@
 	Self  Holder
 	// Linked says whether this entry hears from the holder, so that it need not ask the platform.
 	Linked func() bool
+	// Capacity is that of this entry's VM.
+	Capacity takeover.Capacity
 	// Renewed tells of each confirmed write of this entry.
 	Renewed func()
 	// Changed tells of another holder.
@@ -74,6 +80,11 @@
 	held    bool
 	// confirmed is when the last confirmed write was sent.
 	confirmed time.Time
+	// delay is how long after the object may be taken this entry looks; it is drawn anew with each version.
+	delay time.Duration
+	// failures counts the looks that got no answer, in a row; again is when the next one may be.
+	failures int
+	again    time.Time
 }
 
 // New returns a lease that nobody is known to hold.
@@ -112,13 +123,45 @@
 			wait.Pause(ctx, renewEvery)
 			continue
 		}
-		if !l.deps.Linked() {
+		if !l.deps.Linked() && l.due() {
 			l.look(ctx)
 		}
-		wait.Pause(ctx, lookEvery/2+rand.N(lookEvery))
+		wait.Pause(ctx, dueEvery)
 	}
 }
 
+// due says whether it is time to look: at once while no holder is known, and else when the lease can be taken. Whoever looks sooner learns
+// nothing that its link would not tell.
+func (l *Lease) due() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	if now.Before(l.again) {
+		return false
+	}
+	return l.holder.Entry == "" || now.Sub(l.since) >= takeAfter+l.delay
+}
+
+// answered notes whether a look got an answer, and when the next one may be.
+func (l *Lease) answered(ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if ok {
+		l.failures = 0
+		l.again = time.Now().Add(lookEvery/2 + rand.N(lookEvery))
+		return
+	}
+	l.failures++
+	l.again = time.Now().Add(outage.Pause(l.failures, rand.Float64()))
+}
+
+// changed notes that the object was seen at another version. It is called under the lock.
+func (l *Lease) changed(version platform.Version) {
+	l.version = version
+	l.since = time.Now()
+	l.delay = takeover.Delay(l.deps.Capacity, rand.Float64())
+}
+
 func (l *Lease) owns() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -128,6 +171,7 @@
 // look reads the object, and takes it where it has stood still for long or does not exist.
 func (l *Lease) look(ctx context.Context) {
 	object, err := l.deps.Store.Get(ctx, Kind, Name)
+	l.answered(err == nil || eris.Is(err, platform.ErrNotFound))
 	if eris.Is(err, platform.ErrNotFound) {
 		l.write(ctx, 0)
 		return
@@ -147,15 +191,14 @@
 // saw notes the object and says whether it may be taken.
 func (l *Lease) saw(holder Holder, version platform.Version) bool {
 	l.mu.Lock()
-	changed := holder.Entry != l.holder.Entry || holder.Token != l.holder.Token
+	other := holder.Entry != l.holder.Entry || holder.Token != l.holder.Token
 	if version != l.version {
-		l.version = version
-		l.since = time.Now()
+		l.changed(version)
 	}
 	l.holder = holder
 	ripe := time.Since(l.since) > takeAfter
 	l.mu.Unlock()
-	if changed {
+	if other {
 		l.deps.Changed(holder, false)
 	}
 	return ripe
@@ -166,8 +209,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if platform.Version(version) > l.version {
-		l.version = platform.Version(version)
-		l.since = time.Now()
+		l.changed(platform.Version(version))
 	}
 }
 
--- a/entry/lease/lease_test.go
+++ b/entry/lease/lease_test.go
@@ -127,4 +127,22 @@
 		before := api.Calls()["GET "+string(lease.Kind)]
 		Consistently(func() int { return api.Calls()["GET "+string(lease.Kind)] }, "1500ms").Should(Equal(before))
 	})
+
+	// The entry in charge has died. Hundreds of others ask who holds the lease, again and again, before it can have changed.
+	It("is not asked for before it can be taken", func() {
+		a := start(api, "a")
+		Eventually(a.Held, waitFor).Should(BeTrue())
+		b := start(api, "b")
+		Eventually(func() bool { _, known := b.Holder(); return known }, waitFor).Should(BeTrue())
+		gets := func() int { return api.Calls()["GET "+string(lease.Kind)] }
+		b.linked.Store(true)
+		time.Sleep(200 * time.Millisecond)
+		b.Heard(a.Version() + 1000) // the holder renewed it a moment ago
+		before := gets()
+		b.linked.Store(false)
+		time.Sleep(1200 * time.Millisecond)
+		Expect(gets()).To(Equal(before))
+		a.stop()
+		Eventually(b.Held, waitFor).Should(BeTrue())
+	})
 })
--- /dev/null
+++ b/policy/outage/outage_test.go
@@ -0,0 +1,43 @@
+package outage
+
+import (
+	"testing"
+	"time"
+)
+
+// An outage of five seconds, with calls that fail at once: what one entry asks, beside an entry that asks again after 0.3 s on average.
+func TestCallsInAnOutage(t *testing.T) {
+	const lasts = 5 * time.Second
+	calls := func(pause func(failures int) time.Duration) int {
+		n := 0
+		for at := time.Duration(0); at < lasts; at += pause(n) {
+			n++
+		}
+		return n
+	}
+	fixed := calls(func(int) time.Duration { return 300 * time.Millisecond })
+	doubling := calls(func(failures int) time.Duration { return Pause(failures, 0.5) })
+	if doubling*2 > fixed {
+		t.Errorf("%d calls in place of %d", doubling, fixed)
+	}
+}
+
+func TestPause(t *testing.T) {
+	for _, c := range []struct {
+		failures int
+		random   float64
+		want     time.Duration
+	}{
+		{0, 0, 300 * time.Millisecond},
+		{1, 0, 300 * time.Millisecond},
+		{1, 1, 150 * time.Millisecond},
+		{2, 0, 600 * time.Millisecond},
+		{3, 0, 1200 * time.Millisecond},
+		{40, 0, 1200 * time.Millisecond},
+		{40, 1, 600 * time.Millisecond},
+	} {
+		if got := Pause(c.failures, c.random); got != c.want {
+			t.Errorf("Pause(%d, %v) = %v, not %v", c.failures, c.random, got, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/policy/takeover/takeover_test.go
@@ -0,0 +1,60 @@
+package takeover
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// Of 142 entries most are weak. Chance alone, the baseline, makes a weak one the successor.
+func TestTheSuccessorIsStrong(t *testing.T) {
+	weak := Capacity{LinkMbps: 14, Cores: 0.134}
+	strong := Capacity{LinkMbps: 200, Cores: 0.8}
+	r := rand.New(rand.NewPCG(1, 1))
+	const plays = 200
+	taken, byChance := 0, 0
+	for range plays {
+		first, firstByChance := time.Hour, time.Hour
+		strongFirst, strongByChance := false, false
+		for i := range 142 {
+			c := weak
+			if i < 10 {
+				c = strong
+			}
+			random := r.Float64()
+			if d := Delay(c, random); d < first {
+				first, strongFirst = d, c == strong
+			}
+			if d := Delay(Capacity{}, random); d < firstByChance {
+				firstByChance, strongByChance = d, c == strong
+			}
+		}
+		if strongFirst {
+			taken++
+		}
+		if strongByChance {
+			byChance++
+		}
+	}
+	if taken < plays*95/100 || byChance > plays/4 {
+		t.Errorf("a strong one succeeds in %d of %d plays, by chance in %d", taken, plays, byChance)
+	}
+}
+
+func TestDelay(t *testing.T) {
+	for _, c := range []struct {
+		capacity Capacity
+		random   float64
+		want     time.Duration
+	}{
+		{Capacity{}, 0, 0},
+		{Capacity{}, 1, 300 * time.Millisecond},
+		{Capacity{LinkMbps: 700, Cores: 0.272}, 0, 0},
+		{Capacity{LinkMbps: 25, Cores: 1}, 0, 200 * time.Millisecond},
+		{Capacity{LinkMbps: 700, Cores: 0.125}, 0.5, 350 * time.Millisecond},
+	} {
+		if got := Delay(c.capacity, c.random); got != c.want {
+			t.Errorf("Delay(%+v, %v) = %v, not %v", c.capacity, c.random, got, c.want)
+		}
+	}
+}
