--- a/cmd/skylarkpond/main.go
+++ b/cmd/skylarkpond/main.go
@@ -2,7 +2,7 @@
 //
 //	skylarkpond serve   serves as one entry
 //	skylarkpond check   checks the flags and the platform, and starts nothing
-//	skylarkpond gateway serves callers of a platform whose backend servers register themselves
+//	skylarkpond gateway serves callers of a platform whose backend servers register themselves; --check starts nothing
 //	skylarkpond dev     serves on loopback, with stand-ins for the platform and the backend servers
 package main
 
@@ -57,6 +57,10 @@
 		exit(entry.CheckPlatform(ctx, *args.Check, os.Stdout))
 	case args.Gateway != nil:
 		check(args.Gateway.Check())
+		if args.Gateway.CheckOnly {
+			exit(gateway.CheckPlatform(ctx, *args.Gateway, os.Stdout))
+			return
+		}
 		reload := make(chan os.Signal, 1)
 		signal.Notify(reload, syscall.SIGHUP)
 		exit(gateway.Serve(ctx, *args.Gateway, reload))
--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -14,7 +14,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/skylarkpond/skylarkpond/backend"
-	"github.com/skylarkpond/skylarkpond/contract/route"
 	"github.com/skylarkpond/skylarkpond/entry/catalog"
 	"github.com/skylarkpond/skylarkpond/entry/drain"
 	"github.com/skylarkpond/skylarkpond/entry/grouping"
@@ -28,10 +27,10 @@
 	"github.com/skylarkpond/skylarkpond/link/peer"
 	store "github.com/skylarkpond/skylarkpond/link/platform"
 	"github.com/skylarkpond/skylarkpond/link/upstream"
+	"github.com/skylarkpond/skylarkpond/logline"
 	"github.com/skylarkpond/skylarkpond/platform"
 	directory "github.com/skylarkpond/skylarkpond/policy/directory"
 	"github.com/skylarkpond/skylarkpond/policy/takeover"
-	"github.com/skylarkpond/skylarkpond/policy/turns"
 )
 
 func assemble(config Config) (*Gateway, error) {
@@ -40,7 +39,7 @@
 		return nil, err
 	}
 	log := logrus.New()
-	log.SetFormatter(&logrus.JSONFormatter{})
+	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: logline.TimeFormat})
 	log.SetLevel(level)
 	lines := newLogQueue(os.Stdout, config.LogQueueSize)
 	log.SetOutput(lines)
@@ -52,10 +51,7 @@
 	g.gauges(lines)
 	g.first = histogram(g.registry, "requests.first.ms")
 	g.took = histogram(g.registry, "requests.took.ms")
-	client := store.NewClient("http://"+config.Platform, store.WithWire(platform.Objects{}), store.WithCallTimeout(platformTimeout), store.WithMetrics(g.registry),
-		store.WithSource(sourceOf(config.Callers)), store.WithRates(store.Rates{
-			Shared: config.PlatformRate * (1 - reservedShare), Reserved: config.PlatformRate * reservedShare,
-		}))
+	client := newClient(config, store.WithMetrics(g.registry))
 	g.catalog = catalog.New(catalog.Deps{
 		Store: client, Fed: g.following.linked, Leads: func() bool { return g.lease.Held() },
 		News: func(news catalog.News) { g.leader.PassOn(news) },
@@ -107,6 +103,13 @@
 	return g, nil
 }
 
+// newClient returns the client of the platform.
+func newClient(config Config, options ...store.Option) *store.Client {
+	options = append(options, store.WithWire(platform.Objects{}), store.WithCallTimeout(platformTimeout), store.WithSource(sourceOf(config.Callers)),
+		store.WithRates(store.Rates{Shared: config.PlatformRate * (1 - reservedShare), Reserved: config.PlatformRate * reservedShare}))
+	return store.NewClient("http://"+config.Platform, options...)
+}
+
 // platformTimeout bounds one call to the platform. What the platform swallowed while it was away must not keep an entry from asking again:
 // a configuration must be in force 3 s after its return. A platform that is slow answers in 0.3 s.
 const platformTimeout = time.Second
@@ -173,49 +176,6 @@
 	return 0
 }
 
-func (g *Gateway) platformLost(kind store.Kind, err error) {
-	metrics.GetOrRegisterCounter("platform.lost."+string(kind), g.registry).Inc(1)
-	g.log.WithError(err).WithField("kind", kind).Warn("platform lost")
-}
-
-func (g *Gateway) platformRegained(kind store.Kind, away time.Duration) {
-	g.log.WithFields(logrus.Fields{"kind": kind, "away_ms": away.Milliseconds()}).Info("platform regained")
-}
-
-func (g *Gateway) unreadable(object store.Object, err error) {
-	g.log.WithError(err).WithFields(logrus.Fields{"kind": object.Kind, "object": object.Name}).Warn("object left out")
-}
-
-func (g *Gateway) configInForce(table *route.Table) {
-	g.log.WithField("config_version", table.Version).Info("configuration in force")
-}
-
-func (g *Gateway) leaseChanged(holder lease.Holder, held bool) {
-	g.log.WithFields(logrus.Fields{"holder": holder.Entry, "held": held}).Info("lease")
-}
-
-func (g *Gateway) groupEvent(event grouping.Event) {
-	if event.Kind == grouping.FleetSeen {
-		g.log.WithFields(logrus.Fields{"service": event.Service, "detail": event.Detail}).Info(string(event.Kind))
-		return
-	}
-	metrics.GetOrRegisterCounter("groups."+string(event.Kind), g.registry).Inc(1)
-	g.log.WithFields(logrus.Fields{
-		"group": event.Group.String(), "vm": event.VM, "model": event.Model, "detail": event.Detail, "took_ms": event.Took.Milliseconds(),
-	}).Info(string(event.Kind))
-}
-
-func (g *Gateway) heldBack(held link.Held) {
-	g.log.WithFields(logrus.Fields{"service": held.Service, "fingerprints": held.Fingerprints}).Warn("requests held back: they crash servers")
-}
-
-func (g *Gateway) demand(demand turns.Demand) {
-	g.log.WithFields(logrus.Fields{
-		"model": demand.Model, "groups": demand.Groups, "places": demand.Places, "running": demand.Running, "waiting": demand.Waiting,
-		"asked": demand.Asked, "granted": demand.Granted, "refused": demand.Refused, "took_ms": demand.Took.Milliseconds(),
-	}).Info("demand")
-}
-
 // Samples of a histogram, and how much the latest weigh (the library's usual values, which cover some five minutes).
 const (
 	histogramSamples = 1028
@@ -226,25 +186,3 @@
 func histogram(registry metrics.Registry, name string) metrics.Histogram {
 	return metrics.NewRegisteredHistogram(name, registry, metrics.NewExpDecaySample(histogramSamples, histogramAlpha))
 }
-
-func (g *Gateway) requestEnded(report relay.Report) {
-	metrics.GetOrRegisterCounter("requests."+string(report.Outcome), g.registry).Inc(1)
-	route := report.Route
-	if route == "" {
-		route = "none"
-	}
-	metrics.GetOrRegisterCounter("requests.route."+route+"."+string(report.Outcome), g.registry).Inc(1)
-	g.first.Update(report.First.Milliseconds())
-	g.took.Update(report.Took.Milliseconds())
-	if report.Resumed {
-		metrics.GetOrRegisterCounter("requests.resumed", g.registry).Inc(1)
-	}
-	if report.Outcome == relay.Served {
-		return
-	}
-	g.log.WithFields(logrus.Fields{
-		"request": report.ID, "route": report.Route, "team": report.Team, "service": report.Service, "model": report.Model,
-		"outcome": report.Outcome, "status": report.Status, "detail": report.Detail, "config_version": report.ConfigVersion,
-		"attempts": report.Attempts, "servers": report.Servers, "resumed": report.Resumed, "took_ms": report.Took.Milliseconds(),
-	}).Info("request ended")
-}
--- a/entry/gateway/config.go
+++ b/entry/gateway/config.go
@@ -31,6 +31,7 @@
 	Grace        float64 `arg:"--stop-grace,env:POND_STOP_GRACE" default:"8" help:"seconds from a request to stop until the process is killed"`
 	RetryRatio   float64 `arg:"--retry-ratio,env:POND_RETRY_RATIO" default:"0.2" help:"repeats that all entries may send to a service, as a share of its requests"`
 	RetryExtra   float64 `arg:"--retry-extra,env:POND_RETRY_EXTRA" default:"280" help:"repeats that all entries may send to a service beside that, in some ten seconds"`
+	CheckOnly    bool    `arg:"--check,env:POND_CHECK" help:"check these settings and whether the platform answers, and start nothing"`
 	LogLevel     string  `arg:"--log-level,env:POND_LOG_LEVEL" default:"info" help:"error, warn, info or debug"`
 	LogQueueSize int     `arg:"--log-queue,env:POND_LOG_QUEUE" default:"1024" help:"log lines that wait for a slow reader before further ones are dropped and counted"`
 }
--- a/entry/gateway/follow.go
+++ b/entry/gateway/follow.go
@@ -10,6 +10,7 @@
 	"github.com/skylarkpond/skylarkpond/entry/lease"
 	"github.com/skylarkpond/skylarkpond/internal/wait"
 	link "github.com/skylarkpond/skylarkpond/link/leader"
+	"github.com/skylarkpond/skylarkpond/logline"
 )
 
 // relink is the pause between two tries to link.
@@ -88,7 +89,7 @@
 		g.log.WithError(err).WithField("leader", holder.Entry).Debug("no link to the leader")
 		return
 	}
-	g.log.WithField("leader", holder.Entry).Info("linked to the leader")
+	g.log.WithField("leader", holder.Entry).Info(logline.Linked)
 	g.remote.Attach(to.Send)
 	g.following.newLeader()
 	defer g.remote.Attach(nil)
@@ -99,7 +100,7 @@
 	go g.whileHolder(watching, func() { to.Close("not in charge") }, holder)
 	context.AfterFunc(ctx, func() { to.Close("stopping") })
 	err = to.Receive(func(message link.Down) { g.fromLeader(ctx, to.Send, message) })
-	g.log.WithError(err).WithField("leader", holder.Entry).Info("link to the leader ended")
+	g.log.WithError(err).WithField("leader", holder.Entry).Info(logline.LinkEnded)
 	if link.Silent(err) {
 		g.following.lost(holder.Entry)
 	}
@@ -167,6 +168,6 @@
 	serving := answered && seen.Group == key && seen.Serving
 	g.log.WithFields(logrus.Fields{
 		"vm": server.ID, "group": key.String(), "answered": answered, "serving": serving, "asked_of": g.leader.Followers(),
-	}).Info("asked other entries for a server")
+	}).Info(logline.AskedOthers)
 	return serving
 }
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -32,6 +32,7 @@
 	link "github.com/skylarkpond/skylarkpond/link/leader"
 	"github.com/skylarkpond/skylarkpond/link/peer"
 	"github.com/skylarkpond/skylarkpond/link/upstream"
+	"github.com/skylarkpond/skylarkpond/logline"
 	"github.com/skylarkpond/skylarkpond/platform"
 	directory "github.com/skylarkpond/skylarkpond/policy/directory"
 )
@@ -80,7 +81,7 @@
 	for {
 		select {
 		case <-reload:
-			g.log.Info("reload: the settings of this process hold until it starts again")
+			g.log.Info(logline.Reload)
 		case <-ctx.Done():
 			return
 		}
@@ -101,7 +102,7 @@
 	if err != nil {
 		return eris.Wrap(err, "listening at "+g.config.Peer)
 	}
-	g.log.Info("started")
+	g.log.Info(logline.Started)
 	failed := make(chan error, len(servers)+1)
 	for _, server := range servers {
 		go func() { failed <- server.serve() }()
@@ -243,7 +244,7 @@
 // drain is the planned stop: out of the directory and not ready at once; it serves on while callers may still come, and
 // ends when the grace is nearly over, or earlier once nothing comes any more.
 func (g *Gateway) drain(servers []*server) {
-	g.log.Info("leaving")
+	g.log.Info(logline.Leaving)
 	g.leaving.Store(true)
 	g.gate.Leave()
 	deadline := time.Now().Add(g.config.grace() - graceMargin)
@@ -263,7 +264,7 @@
 	for g.relay.InProgress() > 0 && ctx.Err() == nil {
 		time.Sleep(drainLook)
 	}
-	g.log.WithField("unfinished", g.relay.InProgress()).Info("stopped")
+	g.log.WithField("unfinished", g.relay.InProgress()).Info(logline.Stopped)
 }
 
 const (
--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"testing"
@@ -10,6 +12,9 @@
 	. "github.com/onsi/gomega"
 
 	link "github.com/skylarkpond/skylarkpond/link/leader"
+	"github.com/skylarkpond/skylarkpond/platform/standin/objects"
+	"github.com/skylarkpond/skylarkpond/platform/standin/operator"
+	"github.com/skylarkpond/skylarkpond/platform/standin/replica"
 )
 
 func TestGateway(t *testing.T) {
@@ -117,3 +122,25 @@
 		Expect(f.stillBehind(true)).To(BeFalse())
 	})
 })
+
+var _ = Describe("Check of the platform", func() {
+	It("tells what the platform holds, and that a configuration can't be read", func() {
+		api := objects.New()
+		DeferCleanup(api.Close)
+		config := Config{Callers: "127.0.0.1:1", Platform: api.Address(), PlatformRate: 40}
+		var out bytes.Buffer
+		Expect(CheckPlatform(context.Background(), config, &out)).To(Succeed())
+		Expect(out.String()).To(ContainSubstring("configuration: none yet"))
+		api.Write("servers", "i-1", replica.Registered("desk"))
+		api.Write("servers", "i-2", "nonsense")
+		operator.Write(api, operator.Config{Version: 4, Services: []operator.Service{{Name: "desk"}}})
+		out.Reset()
+		Expect(CheckPlatform(context.Background(), config, &out)).To(Succeed())
+		Expect(out.String()).To(ContainSubstring("2 registered, 1 of them readable"))
+		Expect(out.String()).To(ContainSubstring("configuration: version 4, 1 services"))
+		api.Write("config", "main", "nonsense")
+		Expect(CheckPlatform(context.Background(), config, &out)).NotTo(Succeed())
+		api.Close()
+		Expect(CheckPlatform(context.Background(), config, &out)).NotTo(Succeed())
+	})
+})
--- a/entry/gateway/logqueue.go
+++ b/entry/gateway/logqueue.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"io"
 	"sync/atomic"
+
+	"github.com/skylarkpond/skylarkpond/logline"
 )
 
 // logQueue writes lines to a reader that may be slow, or may not read at all. Written directly, a full pipe would hold up every request
@@ -44,7 +46,7 @@
 			continue
 		}
 		if n := q.dropped.Swap(0); n > 0 {
-			fmt.Fprintf(out, `{"level":"warning","msg":"log lines dropped","count":%d}`+"\n", n)
+			fmt.Fprintf(out, `{"level":"warning","msg":%q,"count":%d}`+"\n", logline.LinesDropped, n)
 		}
 	}
 }
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -363,10 +363,11 @@
 	})
 
 	stream := replica.Config{Events: 6, EventTakes: 10 * time.Millisecond}
+	// whole is what the requests of these specs, which are named a1, are answered.
 	whole := func(from, to int) string {
 		text := ""
 		for i := from; i <= to; i++ {
-			text += fmt.Sprintf("id: %d\ndata: piece %d\n\n", i, i)
+			text += replica.Event(i, "a1")
 		}
 		return text
 	}
--- a/internal/loopback/loopback_test.go
+++ b/internal/loopback/loopback_test.go
@@ -1,7 +1,12 @@
 package loopback_test
 
 import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -32,3 +37,47 @@
 		Expect(first.Close()).To(Succeed())
 	})
 })
+
+var _ = Describe("Proxy", func() {
+	var (
+		proxy  *loopback.Proxy
+		server *httptest.Server
+	)
+	BeforeEach(func() {
+		server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			body, _ := io.ReadAll(r.Body)
+			_, _ = w.Write(body)
+		}))
+		DeferCleanup(server.Close)
+		var err error
+		proxy, err = loopback.NewProxy("127.0.0.1:0", server.Listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(proxy.Close)
+	})
+	ask := func(timeout time.Duration) (string, error) {
+		client := &http.Client{Timeout: timeout}
+		response, err := client.Post("http://"+proxy.Address(), "text/plain", strings.NewReader("words"))
+		if err != nil {
+			return "", err
+		}
+		defer response.Body.Close()
+		body, err := io.ReadAll(response.Body)
+		return string(body), err
+	}
+
+	It("passes connections on, and again after each weather", func() {
+		for _, weather := range []loopback.Weather{{Silent: true}, {Deaf: true}, {Refuse: true}} {
+			Expect(ask(time.Minute)).To(Equal("words"))
+			proxy.Set(weather)
+			proxy.Reset()
+			_, err := ask(200 * time.Millisecond)
+			Expect(err).To(HaveOccurred())
+			proxy.Set(loopback.Weather{})
+			proxy.Reset()
+		}
+		began := time.Now()
+		proxy.Set(loopback.Weather{Delay: 50 * time.Millisecond})
+		Expect(ask(time.Minute)).To(Equal("words"))
+		Expect(time.Since(began)).To(BeNumerically(">=", 100*time.Millisecond))
+	})
+})
--- a/pondctl/args.go
+++ b/pondctl/args.go
@@ -27,6 +27,7 @@
 	History    *HistoryArgs    `arg:"subcommand:history" help:"list accepted changes, latest first"`
 	Status     *StatusArgs     `arg:"subcommand:status" help:"show entries, the settings in force on each, services and groups"`
 	Timeline   *TimelineArgs   `arg:"subcommand:timeline" help:"show events over all entries"`
+	Trace      *TraceArgs      `arg:"subcommand:trace" help:"show what led to the end of one request, from the output of gateways"`
 	Quarantine *QuarantineArgs `arg:"subcommand:quarantine" help:"list requests that crashed backend servers, or lift one"`
 	HashKey    *HashKeyArgs    `arg:"subcommand:hash-key" help:"print the hash of a key, as declarations hold it"`
 
@@ -90,6 +91,12 @@
 	Limit   int           `arg:"--limit,env:POND_LIMIT" default:"200" help:"at most so many events, the latest"`
 }
 
+// TraceArgs are those of trace.
+type TraceArgs struct {
+	Request string   `arg:"positional,required" help:"id of the request, as its caller sent it"`
+	Files   []string `arg:"positional" placeholder:"FILE" help:"output of gateways, one or more processes in each; standard input without any"`
+}
+
 // QuarantineArgs are those of quarantine.
 type QuarantineArgs struct {
 	List *struct{} `arg:"subcommand:list" help:"list quarantined requests"`
--- a/pondctl/run.go
+++ b/pondctl/run.go
@@ -77,6 +77,8 @@
 		return c.history(ctx, a.History.Limit)
 	case a.Status != nil:
 		return c.status(ctx, a.Status.Groups)
+	case a.Trace != nil:
+		return c.trace(a.Trace)
 	case a.Timeline != nil:
 		return c.timeline(ctx, a.Timeline)
 	case a.Quarantine != nil && a.Quarantine.Lift != nil:
--- /dev/null
+++ b/test/cooperative/pond_test.go
@@ -0,0 +1,453 @@
+package cooperative
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gexec"
+
+	"github.com/skylarkpond/skylarkpond/internal/loopback"
+	"github.com/skylarkpond/skylarkpond/platform"
+	"github.com/skylarkpond/skylarkpond/platform/standin/objects"
+	"github.com/skylarkpond/skylarkpond/platform/standin/operator"
+	"github.com/skylarkpond/skylarkpond/platform/standin/replica"
+)
+
+// generous bounds every wait on a condition. Nothing is asserted of how long things take.
+const generous = 60 * time.Second
+
+// stoodStill is above the time that an entry gives callers to send a header.
+const stoodStill = 6 * time.Second
+
+// skylarkpond is the binary, which the suite builds.
+var skylarkpond string
+
+func TestCooperative(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Entries on the cooperative's platform, over separate processes")
+}
+
+var _ = BeforeSuite(func() {
+	var err error
+	skylarkpond, err = gexec.Build("github.com/skylarkpond/skylarkpond/cmd/skylarkpond")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(gexec.CleanupBuildArtifacts)
+})
+
+// gatewayProcess is one entry on the cooperative's platform, as one process after the other.
+type gatewayProcess struct {
+	name      string
+	callers   string
+	ready     string
+	directory string
+	metrics   string
+	// toPlatform is its way to the platform.
+	toPlatform  *loopback.Proxy
+	environment []string
+	log         *lockedBuffer
+
+	mu sync.Mutex // guards what follows; a leaf lock
+	// life counts its processes; the last one has ended once done is closed.
+	life    int
+	command *exec.Cmd
+	done    chan struct{}
+}
+
+// start starts its next process.
+func (e *gatewayProcess) start() {
+	command := exec.Command(skylarkpond, "gateway")
+	command.Env = e.environment
+	command.Stdout, command.Stderr = e.log, e.log
+	done := make(chan struct{})
+	e.mu.Lock()
+	e.life++
+	e.command, e.done = command, done
+	err := command.Start()
+	e.mu.Unlock()
+	if err != nil {
+		close(done)
+		return // whoever waits for it to serve sees the spec fail
+	}
+	go func() {
+		defer close(done)
+		_ = command.Wait() // an entry that was killed says so by its end
+	}()
+}
+
+// process is its present process.
+func (e *gatewayProcess) process() *os.Process {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.command.Process
+}
+
+// ended is closed once its present process has ended.
+func (e *gatewayProcess) ended() chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.done
+}
+
+// lifeNumber counts its processes.
+func (e *gatewayProcess) lifeNumber() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.life
+}
+
+// configVersion is the version of the configuration that it says to work by, or -1 if it does not answer.
+func (e *gatewayProcess) configVersion() int {
+	response, err := (&http.Client{Timeout: time.Second}).Get("http://" + e.metrics)
+	if err != nil {
+		return -1
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return -1
+	}
+	_, after, found := strings.Cut(string(text), "gauge config.version\n  value:")
+	if !found {
+		return -1
+	}
+	var version int
+	if _, err := fmt.Sscan(after, &version); err != nil {
+		return -1
+	}
+	return version
+}
+
+// lockedBuffer collects what a process writes.
+type lockedBuffer struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.String()
+}
+
+// pond is some entries before a stand-in platform and stand-in backend servers.
+type pond struct {
+	subnet *loopback.Subnet
+
+	mu sync.Mutex // guards engines, proxies and version while troubles change them; a leaf lock
+	// proxies are the ways to the model servers, by id.
+	proxies map[string]*loopback.Proxy
+	api     *objects.API
+	world   *replica.World
+	engines []*replica.Server
+	desks   []*replica.Server
+	entries []*gatewayProcess
+	version int
+}
+
+// groupSize is how many VMs a group of the model takes.
+const groupSize = 3
+
+// pondNetwork is the loopback network of the entries.
+const pondNetwork = 3
+
+func newPond(entries, engines int) *pond {
+	GinkgoHelper()
+	subnet, err := loopback.Take(pondNetwork)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(subnet.Close)
+	p := &pond{subnet: subnet, api: objects.New(), world: replica.NewWorld(), proxies: make(map[string]*loopback.Proxy)}
+	DeferCleanup(p.api.Close)
+	for range engines {
+		p.addEngine("large")
+	}
+	for i := range 2 {
+		desk := p.world.Start(p.api, replica.Config{ID: fmt.Sprint("desk-", i), Service: "desk", Zone: "z", Slots: 6})
+		DeferCleanup(desk.Close)
+		p.desks = append(p.desks, desk)
+	}
+	p.configure()
+	for i := range entries {
+		p.entries = append(p.entries, p.startEntry(i))
+	}
+	return p
+}
+
+func (p *pond) addEngine(staged ...string) {
+	GinkgoHelper()
+	id := fmt.Sprintf("vm-%02d", len(p.engines))
+	engine := p.newEngine(id, staged...)
+	DeferCleanup(engine.Close)
+	p.engines = append(p.engines, engine)
+}
+
+// newEngine starts a model server, which is reached through a proxy.
+func (p *pond) newEngine(id string, staged ...string) *replica.Server {
+	return p.world.Start(p.api, replica.Config{
+		ID: id, Service: "chat", Zone: "z", Domain: "d", Slots: 8, Engine: true, Staged: staged,
+		JoinTakes: 150 * time.Millisecond, OpenTakes: 100 * time.Millisecond, ReportLag: 100 * time.Millisecond,
+		Events: streamEvents, EventTakes: 25 * time.Millisecond,
+		Via: func(address string) string { return p.proxyTo(id, address) },
+	})
+}
+
+// proxyTo returns the address of a proxy before a model server, or the server's own where there is none.
+func (p *pond) proxyTo(id, address string) string {
+	proxy, err := loopback.NewProxy("127.0.0.1:0", address)
+	if err != nil {
+		return address
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.proxies[id] = proxy
+	return proxy.Address()
+}
+
+func (p *pond) proxyOf(engine *replica.Server) *loopback.Proxy {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.proxies[engine.ID()]
+}
+
+// engineAt returns the model server that draw draws.
+func (p *pond) engineAt(draw func(int) int) *replica.Server {
+	drawn := draw(len(p.engines))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.engines[drawn]
+}
+
+// replaceEngine puts a new model server in the place of one that is gone.
+func (p *pond) replaceEngine(gone *replica.Server, staged ...string) {
+	id := gone.ID() + "x"
+	engine := p.newEngine(id, staged...)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.engines[slices.Index(p.engines, gone)] = engine
+}
+
+// configure writes the next version of the operator's configuration.
+func (p *pond) configure(extra ...string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.version++
+	routes := []operator.Route{
+		{
+			Name: "chat", Host: "h.example", Prefix: "/chat/", Kind: operator.Streaming, Service: "chat", Timeout: 25000, FirstAnswer: 300,
+			MaxPause: 300, MaxAttempts: 2, Resumable: true,
+		},
+		{
+			Name: "book", Host: "h.example", Prefix: "/book/", Kind: operator.NonIdempotent, Service: "desk", Timeout: 2000, FirstAnswer: 150,
+			MaxAttempts: 1,
+		},
+		{
+			Name: "look", Host: "h.example", Prefix: "/look/", Kind: operator.Idempotent, Service: "desk", Timeout: 2000, FirstAnswer: 150,
+			MaxAttempts: 2,
+		},
+	}
+	for _, prefix := range extra {
+		routes = append(routes, operator.Route{
+			Name: prefix, Host: "h.example", Prefix: prefix, Kind: operator.Idempotent, Service: "desk", Timeout: 2000, MaxAttempts: 2,
+		})
+	}
+	operator.Write(p.api, operator.Config{
+		Version: p.version, Routes: routes,
+		Services: []operator.Service{
+			{Name: "desk"},
+			{Name: "chat", Engine: &operator.Engine{
+				Slots: 8, LoadsPerSecond: 20, LoadsAtOnce: 6, OpenTime: 100, ReportLag: 100,
+				Models: []operator.Model{{Name: "large", Size: groupSize, Share: 1, Pace: 1, Load: 1, Warm: 0.2}},
+			}},
+		},
+		Limits: operator.Limits{Body: 1 << 20},
+		Teams:  []operator.Team{{Name: "one", Keys: []string{"key"}}},
+	})
+}
+
+// Ports of an entry, on an address of its own.
+const (
+	callersPort = 8080 + iota
+	readyPort
+	directoryPort
+	peerPort
+	metricsPort
+	platformPort
+)
+
+func (p *pond) startEntry(number int) *gatewayProcess {
+	GinkgoHelper()
+	name := fmt.Sprint("entry-", number)
+	address := func(port int) string { return fmt.Sprintf("%s:%d", p.subnet.IP(number+1), port) }
+	e := &gatewayProcess{
+		name: name, callers: address(callersPort), ready: address(readyPort), directory: address(directoryPort), metrics: address(metricsPort),
+		log: &lockedBuffer{},
+	}
+	var err error
+	e.toPlatform, err = loopback.NewProxy(address(platformPort), p.api.Address())
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(e.toPlatform.Close)
+	e.environment = append(os.Environ(),
+		"POND_NAME="+name, "POND_PLACE=r", "POND_FAILURE_DOMAIN=z", "POND_CALLER_ADDRESS="+e.callers, "POND_READY_ADDRESS="+e.ready,
+		"POND_DIRECTORY_ADDRESS="+e.directory, "POND_PEER_ADDRESS="+address(peerPort), "POND_METRICS_ADDRESS="+e.metrics,
+		"POND_PLATFORM_ADDRESS="+e.toPlatform.Address(), "POND_STOP_GRACE=20")
+	e.start()
+	DeferCleanup(func() {
+		_ = e.process().Kill()
+		<-e.ended()
+		AddReportEntry(name, ReportEntryVisibilityFailureOrVerbose, e.log.String())
+	})
+	return e
+}
+
+func (e *gatewayProcess) signal(s syscall.Signal) {
+	GinkgoHelper()
+	Expect(e.process().Signal(s)).To(Succeed())
+}
+
+func (e *gatewayProcess) isReady() bool {
+	response, err := http.Get("http://" + e.ready + platform.PathReady)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// named returns the addresses that an entry tells callers to use.
+func (e *gatewayProcess) named() []string {
+	response, err := http.Get("http://" + e.directory + platform.PathLookup + "?name=h.example&region=r&zone=z")
+	if err != nil {
+		return nil
+	}
+	defer response.Body.Close()
+	var answer platform.LookupAnswer
+	if json.NewDecoder(response.Body).Decode(&answer) != nil {
+		return nil
+	}
+	slices.Sort(answer.Addresses)
+	return answer.Addresses
+}
+
+// sent is what a caller got.
+type sent struct {
+	id     string
+	status int
+	body   string
+	retry  string
+	err    error
+}
+
+func (e *gatewayProcess) send(path, id string) sent { return e.sendBody(path, id, "body") }
+
+func (e *gatewayProcess) sendBody(path, id, body string) sent {
+	return e.sendOver(&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, path, id, body)
+}
+
+func (e *gatewayProcess) sendOver(client *http.Client, path, id, body string) sent {
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.callers+path, strings.NewReader(body))
+	if err != nil {
+		return sent{id: id, err: err}
+	}
+	request.Host = "h.example"
+	request.Header.Set(platform.HeaderRequestID, id)
+	request.Header.Set(platform.HeaderKey, "key")
+	if strings.HasPrefix(path, "/chat/") {
+		request.Header.Set(platform.HeaderModel, "large")
+		request.Header.Set(platform.HeaderTokens, "100,100")
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return sent{id: id, err: err}
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(response.Body)
+	return sent{id: id, status: response.StatusCode, body: string(answer), retry: response.Header.Get("Retry-After"), err: err}
+}
+
+// streamEvents is how many events the answer to a prompt has.
+const streamEvents = 40
+
+// wholeStream is the answer to the prompt of one request.
+func wholeStream(id string) string {
+	text := ""
+	for i := 1; i <= streamEvents; i++ {
+		text += replica.Event(i, id)
+	}
+	return text
+}
+
+func (s sent) whole() bool {
+	return s.err == nil && s.status == http.StatusOK && s.body == wholeStream(s.id)
+}
+
+// streams sends requests at the same time, one to each entry in turn, and returns what came.
+func streams(entries []*gatewayProcess, count int, name string) []sent {
+	results := make([]sent, count)
+	var asked sync.WaitGroup
+	for i := range count {
+		asked.Go(func() { results[i] = entries[i%len(entries)].send("/chat/x", fmt.Sprint(name, "-", i)) })
+	}
+	asked.Wait()
+	return results
+}
+
+// leader returns the entry that holds the lease.
+func (p *pond) leader() *gatewayProcess {
+	spec, ok := p.api.Get("leases", "grouping")
+	if !ok {
+		return nil
+	}
+	var holder struct {
+		Entry string `json:"entry"`
+	}
+	if json.Unmarshal(spec, &holder) != nil {
+		return nil
+	}
+	for _, e := range p.entries {
+		if e.name == holder.Entry {
+			return e
+		}
+	}
+	return nil
+}
+
+// openGroups counts the groups whose heads serve.
+func (p *pond) openGroups() int {
+	n := 0
+	for _, engine := range p.engines {
+		if group := engine.Group(); group != nil && group.State == "open" {
+			n++
+		}
+	}
+	return n
+}
+
+func (p *pond) awaitServing(groups int) {
+	GinkgoHelper()
+	Eventually(p.openGroups, generous).Should(Equal(groups))
+	for _, e := range p.entries {
+		Eventually(e.isReady, generous).Should(BeTrue())
+		Eventually(func() bool { return e.send("/chat/x", "probe-"+e.name).whole() }, generous).Should(BeTrue(), e.name)
+	}
+}
--- /dev/null
+++ b/test/cooperative/troubles_test.go
@@ -0,0 +1,175 @@
+package cooperative
+
+import (
+	"fmt"
+	"syscall"
+	"time"
+
+	"github.com/skylarkpond/skylarkpond/internal/loopback"
+	"github.com/skylarkpond/skylarkpond/platform/standin/objects"
+	"github.com/skylarkpond/skylarkpond/platform/standin/replica"
+)
+
+// troubles are what the soak draws from. Each returns when its trouble is over.
+var troubles = []func(*soak){
+	(*soak).killEntry, (*soak).killEntry, (*soak).freezeEntry, (*soak).freezeEntry, (*soak).stopEntry, (*soak).reloadEntry,
+	(*soak).cutEntry, (*soak).cutEntry, (*soak).failPlatform, (*soak).failPlatform, (*soak).cutEngine, (*soak).cutEngine, (*soak).resetAll,
+	(*soak).loseEngine, (*soak).loseEngine, (*soak).drainEngine, (*soak).failServer, (*soak).failServer, (*soak).changeConfig, (*soak).changeConfig,
+}
+
+// onEntry does something to an entry that has no other trouble.
+func (s *soak) onEntry(what string, do func(*gatewayProcess)) {
+	entry := s.entries[s.draw(len(s.entries))]
+	if !s.take(entry) {
+		return
+	}
+	defer s.release(entry)
+	s.note("%s %s", what, entry.name)
+	do(entry)
+	s.note("%s %s is over", what, entry.name)
+}
+
+func (s *soak) killEntry() {
+	s.onEntry("kill", func(e *gatewayProcess) {
+		_ = e.process().Kill()
+		<-e.ended()
+		time.Sleep(s.some())
+		e.start()
+	})
+}
+
+func (s *soak) freezeEntry() {
+	s.onEntry("freeze", func(e *gatewayProcess) {
+		_ = e.process().Signal(syscall.SIGSTOP)
+		time.Sleep(s.some())
+		_ = e.process().Signal(syscall.SIGCONT)
+	})
+}
+
+func (s *soak) stopEntry() {
+	s.onEntry("stop", func(e *gatewayProcess) {
+		_ = e.process().Signal(syscall.SIGTERM)
+		<-e.ended()
+		e.start()
+	})
+}
+
+func (s *soak) reloadEntry() {
+	s.onEntry("reload", func(e *gatewayProcess) { _ = e.process().Signal(syscall.SIGHUP) })
+}
+
+// weather draws what a proxy does.
+func (s *soak) weather() loopback.Weather {
+	return []loopback.Weather{
+		{Delay: 100 * time.Millisecond}, {Delay: 500 * time.Millisecond}, {Silent: true}, {Deaf: true}, {Refuse: true},
+	}[s.draw(5)]
+}
+
+// spoil changes the weather of a proxy for a while.
+func (s *soak) spoil(what string, proxy *loopback.Proxy) {
+	if !s.take(proxy) {
+		return
+	}
+	defer s.release(proxy)
+	weather := s.weather()
+	s.note("%s: %+v", what, weather)
+	proxy.Set(weather)
+	if weather.Refuse {
+		proxy.Reset()
+	}
+	time.Sleep(s.some())
+	proxy.Set(loopback.Weather{})
+	s.note("%s is over", what)
+}
+
+// cutEntry spoils one entry's way to the platform.
+func (s *soak) cutEntry() {
+	e := s.entries[s.draw(len(s.entries))]
+	s.spoil("way of "+e.name+" to the platform", e.toPlatform)
+}
+
+// cutEngine spoils all ways to one model server.
+func (s *soak) cutEngine() {
+	engine := s.engineAt(s.draw)
+	s.spoil("ways to "+engine.ID(), s.proxyOf(engine))
+}
+
+// resetAll resets the connections to one model server, or of one entry to the platform.
+func (s *soak) resetAll() {
+	if s.draw(2) == 0 {
+		s.entries[s.draw(len(s.entries))].toPlatform.Reset()
+		return
+	}
+	s.proxyOf(s.engineAt(s.draw)).Reset()
+}
+
+func (s *soak) failPlatform() {
+	if !s.take(s.api) {
+		return
+	}
+	defer s.release(s.api)
+	faults := []objects.Faults{{Silent: true}, {Refuse: 503}, {Refuse: 429}, {LoseAnswers: true}, {Deaf: true}}[s.draw(5)]
+	s.note("platform: %+v", faults)
+	s.api.Set(faults)
+	time.Sleep(s.some())
+	s.api.Set(objects.Faults{})
+	if faults.Deaf || s.draw(3) == 0 {
+		s.api.Compact()
+	}
+	s.note("platform is well")
+}
+
+// loseEngine ends a model server for good; another one comes, with weights on its host.
+func (s *soak) loseEngine() {
+	engine := s.engineAt(s.draw)
+	if !s.take(engine) {
+		return
+	}
+	s.note("lose %s", engine.ID())
+	engine.Die()
+	time.Sleep(s.some() / 2)
+	s.replaceEngine(engine, "large")
+}
+
+func (s *soak) drainEngine() {
+	engine := s.engineAt(s.draw)
+	if !s.take(engine) {
+		return
+	}
+	s.note("drain %s", engine.ID())
+	engine.Leave()
+	time.Sleep(s.some())
+	engine.Die()
+	s.replaceEngine(engine, "large")
+}
+
+// failServer lets a model server or a plain one fail for a while.
+func (s *soak) failServer() {
+	var server *replica.Server
+	if s.draw(3) == 0 {
+		server = s.desks[s.draw(len(s.desks))]
+	} else {
+		server = s.engineAt(s.draw)
+	}
+	if !s.take(server) {
+		return
+	}
+	defer s.release(server)
+	faults := []replica.Faults{
+		{Mute: true}, {Stall: 5}, {Cut: 3}, {LoseAnswer: true}, {Shed: true}, {Fail: 500}, {LateOrders: 1500 * time.Millisecond}, {Unregistered: true},
+	}[s.draw(8)]
+	s.note("%s: %+v", server.ID(), faults)
+	server.Set(faults)
+	time.Sleep(s.some())
+	server.Set(replica.Faults{})
+	s.note("%s is well", server.ID())
+}
+
+func (s *soak) changeConfig() {
+	if !s.take("config") {
+		return
+	}
+	defer s.release("config")
+	s.configure(fmt.Sprintf("/extra-%d/", s.draw(5)))
+	time.Sleep(s.some() / 4)
+}
