Tests of VMs reborn under their id and of addresses used again

A member and a head that start again under their id make the group be formed anew; a booking sent to an address that belongs to another server by now runs once, at the server it was meant for.

--- a/entry/grouping/grouping_test.go
+++ b/entry/grouping/grouping_test.go
@@ -165,6 +165,26 @@
 		Expect(c.world.Broken()).To(BeEmpty())
 	})
 
+	// A VM's process starts again under its id, faster than its registration lapses. It knows no group, while the others of its group
+	// wait for it: streams there stand still.
+	DescribeTable("forms a group anew when one of its VMs was restarted under its id", func(rank int) {
+		c := newCell(4)
+		c.control(1)
+		Eventually(c.groups, waitFor).Should(Equal(1))
+		before := c.heads()[0].Group.GroupKey
+		for _, vm := range c.vms {
+			if group := vm.Group(); group != nil && group.Rank == rank {
+				vm.Restart()
+				break
+			}
+		}
+		Eventually(func() bool {
+			heads := c.heads()
+			return len(heads) == 1 && heads[0].Group.GroupKey != before
+		}, waitFor).Should(BeTrue())
+		Expect(c.world.Broken()).To(BeEmpty())
+	}, Entry("a member", 1), Entry("the head", 0))
+
 	// A group's members are cut off from the platform just as it opens, so that they stay listed as free. Taken for another group, they
 	// would leave one that serves.
 	It("takes no VM of a group that it opened, although it is listed as free", func() {
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -341,6 +341,16 @@
 
 	// Many servers are gone. Were every vain try to connect one more first try, the budget would grow with the trouble that it is there to
 	// contain.
+	// A server is gone, and another one has its address. A booking that is sent there in good faith would run at a service that must not have it.
+	It("goes on to another server where an address belongs to another one now", func() {
+		r := newRig(replica.Config{}, 2)
+		r.turns.servers[0].ID = "i-gone"
+		got := r.send(r.request(http.MethodPost, "/book/x", "a1"))
+		Expect(got.status).To(Equal(http.StatusOK))
+		Expect(r.world.Runs("a1")).To(Equal(1))
+		Expect(r.servers[0].Runs()).To(BeEmpty())
+	})
+
 	It("counts one first try for a request, however many servers it could not reach", func() {
 		r := newRig(replica.Config{}, 3)
 		r.servers[0].Close()
