One loopback proxy for the specs over processes

test/ had a relay of its own between an entry and the platform that did the same as internal/loopback's proxy. The specs say what they said.

--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -123,13 +123,17 @@
 
 // startEntry starts one more entry, at the next address, behind relays which can be cut.
 func (c *cluster) startEntry() *entryProcess {
+	GinkgoHelper()
 	name := fmt.Sprintf("entry-%d", len(c.entries)+1)
 	host := firstHost + len(c.entries)
 	ip := fmt.Sprintf("127.1.%d.%d", c.subnet, host)
 	address := func(port int) string { return fmt.Sprintf("%s:%d", ip, port) }
 	e := &entryProcess{name: name, public: "http://" + address(8080), admin: "http://" + address(8081)}
 	startUDPRelay(c.cuts, name, address(8083), address(8082), c.nameOf, &c.peerBytes)
-	e.toPlatform = startTCPRelay(address(8084), c.platform[len("http://"):])
+	var err error
+	e.toPlatform, err = loopback.NewProxy(address(8084), c.platform[len("http://"):])
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(e.toPlatform.Close)
 	e.args = []string{
 		"serve", "--name", name, "--place", "local",
 		"--failure-domain", []string{"local-a", "local-b"}[host%2],
--- a/test/groups_test.go
+++ b/test/groups_test.go
@@ -115,7 +115,7 @@
 		}
 		struck := append(y.homes(), frozen.owner)
 		frozenBefore, cutBefore := frozen.epochs(), cut.epochs()
-		cut.owner.toPlatform.setCut(true)
+		cutOff(cut.owner.toPlatform, true)
 		for _, e := range struck {
 			e.freeze()
 		}
@@ -127,7 +127,7 @@
 		for _, e := range struck {
 			e.wake()
 		}
-		cut.owner.toPlatform.setCut(false)
+		cutOff(cut.owner.toPlatform, false)
 		c.waitLive(c.entries[0], c.entries...)
 		load.expectProgress()
 		c.switchVM(y.member(vm.Serving, 1), standinengine.Switches{Restart: true})
--- a/test/membership_test.go
+++ b/test/membership_test.go
@@ -24,12 +24,12 @@
 		c.waitLive(c.entries[0], c.entries...)
 		c.waitLive(lost, c.entries...)
 
-		lost.toPlatform.setCut(true)
+		cutOff(lost.toPlatform, true)
 		load.expectProgress()
 		Consistently(c.entries[0].live, "3s", "500ms").Should(HaveLen(4))
 		streamed := caller{lost}.stream("cut off from the platform", 5)
 		Expect(streamed.isWhole("cut off from the platform", 5)).To(BeTrue(), streamed.body)
-		lost.toPlatform.setCut(false)
+		cutOff(lost.toPlatform, false)
 
 		load.stop()
 		c.judgeBookings()
--- a/test/process_test.go
+++ b/test/process_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/skylarkpond/skylarkpond/contract/admin"
 	"github.com/skylarkpond/skylarkpond/examples"
+	"github.com/skylarkpond/skylarkpond/internal/loopback"
 )
 
 // process is a process that the test started, and ends by its id.
@@ -33,7 +34,7 @@
 	public string
 	admin  string
 	// toPlatform is the entry's way to the platform.
-	toPlatform *tcpRelay
+	toPlatform *loopback.Proxy
 	// args are those of its process, started is when each of its processes was started.
 	args    []string
 	started []time.Time
--- a/test/relay_test.go
+++ b/test/relay_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net"
 	"net/netip"
 	"sync"
@@ -10,6 +9,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/skylarkpond/skylarkpond/internal/loopback"
 )
 
 // cuts says which links are cut: from a source IP to an entry, one way. Packets that an entry sends back
@@ -114,73 +115,10 @@
 	}
 }
 
-// tcpRelay stands between one entry and the platform. A cut breaks what is open and refuses what is new.
-type tcpRelay struct {
-	target string
-
-	mu    sync.Mutex // guards what follows
-	cut   bool
-	conns map[net.Conn]bool
-}
-
-func startTCPRelay(address, target string) *tcpRelay {
-	GinkgoHelper()
-	listener, err := net.Listen("tcp", address)
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(listener.Close)
-	r := &tcpRelay{target: target, conns: make(map[net.Conn]bool)}
-	go r.accept(listener)
-	return r
-}
-
-func (r *tcpRelay) accept(listener net.Listener) {
-	for {
-		conn, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		go r.pass(conn)
-	}
-}
-
-func (r *tcpRelay) pass(conn net.Conn) {
-	defer conn.Close()
-	if !r.hold(conn, true) {
-		return
-	}
-	defer r.hold(conn, false)
-	onward, err := net.Dial("tcp", r.target)
-	if err != nil {
-		return
-	}
-	defer onward.Close()
-	go func() {
-		_, _ = io.Copy(onward, conn)
-		_ = onward.Close()
-	}()
-	_, _ = io.Copy(conn, onward)
-}
-
-func (r *tcpRelay) hold(conn net.Conn, held bool) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if held && r.cut {
-		return false
-	}
-	r.conns[conn] = held
-	return true
-}
-
-func (r *tcpRelay) setCut(cut bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.cut = cut
-	if !cut {
-		return
-	}
-	for conn, open := range r.conns {
-		if open {
-			_ = conn.Close()
-		}
+// cutOff breaks what passes a proxy and refuses what is new, or mends it.
+func cutOff(proxy *loopback.Proxy, cut bool) {
+	proxy.Set(loopback.Weather{Refuse: cut})
+	if cut {
+		proxy.Reset()
 	}
 }
--- a/test/requests_test.go
+++ b/test/requests_test.go
@@ -305,12 +305,12 @@
 	{
 		name: "home cut off from the platform",
 		strike: func(s *stage) {
-			s.home.toPlatform.setCut(true)
+			cutOff(s.home.toPlatform, true)
 			s.goOn()
 			s.awaitAnswers()
 			s.again()
 		},
-		mend: func(s *stage) { s.home.toPlatform.setCut(false) },
+		mend: func(s *stage) { cutOff(s.home.toPlatform, false) },
 	},
 }
 
--- a/test/settings_test.go
+++ b/test/settings_test.go
@@ -221,12 +221,12 @@
 
 	It("come into force at entries that are cut off from the platform, not from each other", func() {
 		for _, each := range e[1:] {
-			each.toPlatform.setCut(true)
+			cutOff(each.toPlatform, true)
 		}
 		t := c.operator("ana", e[0]).change(chatNode)
 		c.expectInForce(t.applied.Version, e...)
 		for _, each := range e[1:] {
-			each.toPlatform.setCut(false)
+			cutOff(each.toPlatform, false)
 		}
 	})
 
@@ -242,13 +242,13 @@
 		t := c.operator("bob", e[4]).change(chatNode)
 		c.expectInForce(t.applied.Version, e...)
 
-		e[3].toPlatform.setCut(true)
+		cutOff(e[3].toPlatform, true)
 		t = c.operator("ana", e[0]).change(chatNode)
 		c.expectInForce(t.applied.Version, e[:3]...)
 		c.isolate(e[3], false)
 		c.isolate(e[4], false)
 		c.expectInForce(t.applied.Version, e[3]) // from the others alone
-		e[3].toPlatform.setCut(false)
+		cutOff(e[3].toPlatform, false)
 		c.waitLive(e[0], e...)
 	})
 
