The gateway is wired by google/wire

assemble was one function of seventy lines in which parts that need each other were tied by order. Now a shell (settings, log, metrics, who is live) lives first, each part has a provider, and parts that need each other both ways meet through the shell, which knows them before anything runs.

--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -11,11 +11,11 @@
 
 	"github.com/google/uuid"
 	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
 	"github.com/skylarkpond/skylarkpond/backend"
 	"github.com/skylarkpond/skylarkpond/entry/catalog"
-	"github.com/skylarkpond/skylarkpond/entry/drain"
 	"github.com/skylarkpond/skylarkpond/entry/grouping"
 	"github.com/skylarkpond/skylarkpond/entry/leader"
 	"github.com/skylarkpond/skylarkpond/entry/lease"
@@ -33,74 +33,110 @@
 	"github.com/skylarkpond/skylarkpond/policy/takeover"
 )
 
-func assemble(config Config) (*Gateway, error) {
+// newShell returns what is there before the parts.
+func newShell(config Config) (*shell, error) {
 	level, err := logrus.ParseLevel(config.LogLevel)
 	if err != nil {
-		return nil, err
+		return nil, eris.Wrap(ErrConfig, "--log-level: "+err.Error())
 	}
 	log := logrus.New()
 	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: logline.TimeFormat})
 	log.SetLevel(level)
 	lines := newLogQueue(os.Stdout, config.LogQueueSize)
 	log.SetOutput(lines)
-	g := &Gateway{
-		config: config, log: log.WithField("entry", config.Name), registry: metrics.NewRegistry(),
-		pool: upstream.NewPool(), gate: &drain.Gate{}, started: time.Now(),
-		following: newFollowing(),
+	s := &shell{
+		config: config, log: log.WithField("entry", config.Name), registry: metrics.NewRegistry(), following: newFollowing(), started: time.Now(),
 	}
-	g.gauges(lines)
-	g.first = histogram(g.registry, "requests.first.ms")
-	g.took = histogram(g.registry, "requests.took.ms")
-	client := newClient(config, store.WithMetrics(g.registry))
-	g.catalog = catalog.New(catalog.Deps{
-		Store: client, Fed: g.following.linked, Leads: func() bool { return g.lease.Held() },
-		News: func(news catalog.News) { g.leader.PassOn(news) },
-		Lost: g.platformLost, Regained: g.platformRegained, Unreadable: g.unreadable, Config: g.configInForce,
+	s.first = histogram(s.registry, "requests.first.ms")
+	s.took = histogram(s.registry, "requests.took.ms")
+	s.gauge("log.lines.dropped", lines.Dropped)
+	return s, nil
+}
+
+func provideStore(s *shell) *store.Client { return newClient(s.config, store.WithMetrics(s.registry)) }
+
+func provideIdentity(s *shell) (*peer.Identity, error) { return peer.NewIdentity(s.config.Name) }
+
+// provideHolder says how the lease names this entry while it is in charge.
+func provideHolder(s *shell, identity *peer.Identity) lease.Holder {
+	return lease.Holder{Entry: s.config.Name, Address: s.config.Peer, Fingerprint: identity.Fingerprint(), Token: uuid.NewString()}
+}
+
+func provideCatalog(s *shell, client *store.Client) *catalog.Catalog {
+	return catalog.New(catalog.Deps{
+		Store: client, Fed: s.following.linked, Leads: func() bool { return s.parts.lease.Held() },
+		News: func(news catalog.News) { s.parts.leader.PassOn(news) },
+		Lost: s.platformLost, Regained: s.platformRegained, Unreadable: s.unreadable, Config: s.configInForce,
 	})
-	g.roster = roster.New(roster.Deps{
-		Store: client, Self: selfOf(config), Choice: directory.DefaultConfig(), Keep: config.addressTTL(),
-		Dead: func(name string) bool { return name != config.Name && g.following.dead(name) },
-		Failed: func(doing string, err error) {
-			g.log.WithError(err).Warn(doing + " failed")
-		},
+}
+
+func provideRoster(s *shell, client *store.Client) *roster.Roster {
+	return roster.New(roster.Deps{
+		Store: client, Self: selfOf(s.config), Choice: directory.DefaultConfig(), Keep: s.config.addressTTL(),
+		Dead:   func(name string) bool { return name != s.config.Name && s.following.dead(name) },
+		Failed: func(doing string, err error) { s.log.WithError(err).Warn(doing + " failed") },
 	})
-	identity, err := peer.NewIdentity(config.Name)
-	if err != nil {
-		return nil, err
-	}
-	g.identity = identity
-	self := lease.Holder{Entry: config.Name, Address: config.Peer, Fingerprint: identity.Fingerprint(), Token: uuid.NewString()}
-	g.catalog.Follow(store.KindEntry, catalog.EntriesPace, func(update catalog.Update) { g.roster.Apply(update.Objects()) })
-	g.lease = lease.New(lease.Deps{
-		Store: client, Self: self, Linked: g.following.linked, Changed: g.leaseChanged, Renewed: func() { g.leader.Renewed() },
-		Capacity: takeover.Capacity{LinkMbps: config.LinkMbps, Cores: config.Cores},
+}
+
+func provideLease(s *shell, client *store.Client, self lease.Holder) *lease.Lease {
+	return lease.New(lease.Deps{
+		Store: client, Self: self, Linked: s.following.linked, Changed: s.leaseChanged, Renewed: func() { s.parts.leader.Renewed() },
+		Capacity: takeover.Capacity{LinkMbps: s.config.LinkMbps, Cores: s.config.Cores},
 	})
-	g.controller = grouping.New(grouping.Deps{
-		Pool: g.pool, Table: g.catalog.Table, Listing: g.catalog.Listing, Held: g.mayOrder, Epoch: g.lease.Version,
-		Reached: g.reached, Sound: func(head backend.ID) { g.leader.Clear(head) },
-		Demand: func(service, model string) float64 { return g.leader.Wanted(service, model) },
-		Early:  g.early, Event: g.groupEvent,
+}
+
+func provideController(s *shell, pool *upstream.Pool, known *catalog.Catalog, charge *lease.Lease) *grouping.Controller {
+	return grouping.New(grouping.Deps{
+		Pool: pool, Table: known.Table, Listing: known.Listing, Held: s.mayOrder, Epoch: charge.Version,
+		Reached: s.reached, Sound: func(head backend.ID) { s.parts.leader.Clear(head) },
+		Demand: func(service, model string) float64 { return s.parts.leader.Wanted(service, model) },
+		Early:  s.early, Event: s.groupEvent,
+	})
+}
+
+func provideLeader(s *shell, known *catalog.Catalog, charge *lease.Lease, controller *grouping.Controller) *leader.Leader {
+	return leader.New(leader.Deps{
+		InOffice: charge.InOffice, NewsSince: known.NewsSince, Listing: known.Listing, Table: known.Table, Closed: controller.Closed,
+		Suspect: func(key backend.GroupKey) { controller.Suspect(context.Background(), key) },
+		Demand:  s.demand, Config: known.Config, TakeConfig: known.TakeConfig, LeaseVersion: charge.Version, Held: s.heldBack,
 	})
-	g.leader = leader.New(leader.Deps{
-		InOffice: g.lease.InOffice, NewsSince: g.catalog.NewsSince,
-		Listing: g.catalog.Listing, Table: g.catalog.Table, Closed: g.controller.Closed,
-		Suspect: func(key backend.GroupKey) { g.controller.Suspect(context.Background(), key) },
-		Demand:  g.demand,
-		Config:  g.catalog.Config, TakeConfig: g.catalog.TakeConfig, LeaseVersion: g.lease.Version,
-		Held: g.heldBack,
+}
+
+func provideLinks(identity *peer.Identity, self lease.Holder, inCharge *leader.Leader) *link.Server {
+	return link.NewServer(identity, self.Token, inCharge)
+}
+
+func provideLocal(known *catalog.Catalog) *turn.Local {
+	return turn.NewLocal(known.Listing, known.Table)
+}
+
+func provideRemote(local *turn.Local, known *catalog.Catalog) *turn.Remote {
+	return turn.NewRemote(local, known.Listing)
+}
+
+func provideSuspects(remote *turn.Remote) *suspects.Watch {
+	return suspects.New(suspects.Deps{Refuses: upstream.Refuses, Tell: remote.Tell})
+}
+
+func provideRetries(s *shell) *relay.Retries {
+	return relay.NewRetries(relay.Allowed{Ratio: s.config.RetryRatio, Extra: s.config.RetryExtra}, assumedEntries)
+}
+
+func provideRelay(
+	s *shell, known *catalog.Catalog, remote *turn.Remote, pool *upstream.Pool, retries *relay.Retries, watch *suspects.Watch,
+) *relay.Relay {
+	return relay.New(relay.Deps{
+		Table: known.Table, Turns: remote, Pool: pool, Retries: retries, Suspects: watch, Report: s.requestEnded, Random: rand.Float64,
 	})
-	g.links = link.NewServer(identity, self.Token, g.leader)
+}
+
+// connect ties the parts together that tell each other of changes.
+func (g *Gateway) connect() {
+	g.shell.parts = &g.parts
+	g.catalog.Follow(store.KindEntry, catalog.EntriesPace, func(update catalog.Update) { g.roster.Apply(update.Objects()) })
 	g.catalog.OnServers(g.controller.Wake)
 	g.catalog.OnServers(g.leader.SetGroups)
-	g.local = turn.NewLocal(g.catalog.Listing, g.catalog.Table)
-	g.retries = relay.NewRetries(relay.Allowed{Ratio: config.RetryRatio, Extra: config.RetryExtra}, assumedEntries)
-	g.remote = turn.NewRemote(g.local, g.catalog.Listing)
-	g.suspects = suspects.New(suspects.Deps{Refuses: upstream.Refuses, Tell: g.remote.Tell})
-	g.relay = relay.New(relay.Deps{
-		Table: g.catalog.Table, Turns: g.remote, Pool: g.pool, Retries: g.retries, Suspects: g.suspects,
-		Report: g.requestEnded, Random: rand.Float64,
-	})
-	return g, nil
+	g.gauges()
 }
 
 // newClient returns the client of the platform.
@@ -138,22 +174,22 @@
 // earlyFor is how long after a first start callers have surely not come.
 const earlyFor = 9 * time.Second
 
-func (g *Gateway) early() bool {
-	return g.config.First && time.Since(g.started) < earlyFor && g.relay.InProgress() == 0
+func (s *shell) early() bool {
+	return s.config.First && time.Since(s.started) < earlyFor && s.parts.relay.InProgress() == 0
 }
 
 // mayOrder says whether this entry gives the orders. While the platform is away nobody can take the lease, so its last holder goes on
 // as long as it hears from at least half of the entries. What keeps groups whole does not rest on this (package grouping).
-func (g *Gateway) mayOrder() bool {
-	return g.lease.Held() || (g.lease.InOffice() && 2*g.leader.Followers() >= g.roster.Len())
+func (s *shell) mayOrder() bool {
+	p := s.parts
+	return p.lease.Held() || (p.lease.InOffice() && 2*p.leader.Followers() >= p.roster.Len())
 }
 
 // gauges shows what is true now.
-func (g *Gateway) gauges(lines *logQueue) {
+func (g *Gateway) gauges() {
 	for name, value := range map[string]func() int64{
-		"log.lines.dropped":      lines.Dropped,
 		"requests.in_progress":   func() int64 { return int64(g.relay.InProgress()) },
-		"connections.to_servers": func() int64 { return g.pool.Dialled() },
+		"connections.to_servers": g.pool.Dialled,
 		"config.version":         func() int64 { version, _ := g.catalog.Config(); return int64(version) },
 		"servers.listed":         func() int64 { return int64(len(g.catalog.Listing().Servers)) },
 		"servers.revision":       func() int64 { return int64(g.catalog.Listing().Revision) },
@@ -165,10 +201,14 @@
 		"process.goroutines":     func() int64 { return int64(runtime.NumGoroutine()) },
 		"process.stopping":       func() int64 { return asNumber(g.leaving.Load()) },
 	} {
-		_ = g.registry.Register(name, metrics.NewFunctionalGauge(value)) // fails only for a name that stands twice
+		g.gauge(name, value)
 	}
 }
 
+func (s *shell) gauge(name string, value func() int64) {
+	_ = s.registry.Register(name, metrics.NewFunctionalGauge(value)) // fails only for a name that stands twice
+}
+
 func asNumber(b bool) int64 {
 	if b {
 		return 1
--- a/entry/gateway/follow.go
+++ b/entry/gateway/follow.go
@@ -163,11 +163,11 @@
 }
 
 // reached asks the other entries whether a server that this one does not reach serves a group.
-func (g *Gateway) reached(ctx context.Context, server *backend.Server, key backend.GroupKey) bool {
-	seen, answered := g.leader.Reached(ctx, server)
+func (s *shell) reached(ctx context.Context, server *backend.Server, key backend.GroupKey) bool {
+	seen, answered := s.parts.leader.Reached(ctx, server)
 	serving := answered && seen.Group == key && seen.Serving
-	g.log.WithFields(logrus.Fields{
-		"vm": server.ID, "group": key.String(), "answered": answered, "serving": serving, "asked_of": g.leader.Followers(),
+	s.log.WithFields(logrus.Fields{
+		"vm": server.ID, "group": key.String(), "answered": answered, "serving": serving, "asked_of": s.parts.leader.Followers(),
 	}).Info(logline.AskedOthers)
 	return serving
 }
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -39,9 +39,27 @@
 
 // Gateway is one assembled process. Run makes it work.
 type Gateway struct {
-	config     Config
-	log        *logrus.Entry
-	registry   metrics.Registry
+	*shell
+	parts
+}
+
+// shell is what is there before the parts are made. Parts that need each other both ways reach one another through it: parts is set once
+// all are made, and used only from Run on.
+type shell struct {
+	config    Config
+	log       *logrus.Entry
+	registry  metrics.Registry
+	following *following
+	// first and took are the times to the first part of an answer and to its end.
+	first, took metrics.Histogram
+	leaving     atomic.Bool
+	started     time.Time
+
+	parts *parts
+}
+
+// parts are the objects that a process works with.
+type parts struct {
 	catalog    *catalog.Catalog
 	roster     *roster.Roster
 	lease      *lease.Lease
@@ -54,23 +72,23 @@
 	leader     *leader.Leader
 	links      *link.Server
 	identity   *peer.Identity
-	following  *following
 	pool       *upstream.Pool
 	gate       *drain.Gate
-	// first and took are the times to the first part of an answer and to its end.
-	first, took metrics.Histogram
-	leaving     atomic.Bool
-	started     time.Time
 }
 
 // Serve runs one gateway until ctx ends and it has drained. reload tells that the platform has changed the settings file.
 func Serve(ctx context.Context, config Config, reload <-chan os.Signal) error {
 	// Memory is bounded well below that of the VM, so that the collector works harder before the process is killed.
 	debug.SetMemoryLimit(int64(config.MemoryMB) << 20 / 2)
-	g, err := assemble(config)
+	shell, err := newShell(config)
+	if err != nil {
+		return err
+	}
+	g, err := assemble(shell)
 	if err != nil {
 		return err
 	}
+	g.connect()
 	go g.reloads(ctx, reload)
 	return g.Run(ctx)
 }
