--- a/entry/lease/lease.go
+++ b/entry/lease/lease.go
@@ -196,7 +196,7 @@
 		l.changed(version)
 	}
 	l.holder = holder
-	ripe := time.Since(l.since) > takeAfter
+	ripe := time.Since(l.since) > takeAfter || l.formerSelf(holder)
 	l.mu.Unlock()
 	if other {
 		l.deps.Changed(holder, false)
@@ -204,6 +204,12 @@
 	return ripe
 }
 
+// formerSelf says whether the holder is an earlier process of this entry. It has ended, since this one has its addresses, so that nobody needs
+// to wait for it: when all entries were killed at once, groups are mended and turns are given 1.7 s sooner.
+func (l *Lease) formerSelf(holder Holder) bool {
+	return holder.Entry == l.deps.Self.Entry && holder.Token != l.deps.Self.Token
+}
+
 // Heard notes that the holder has written the object at version, as its link tells.
 func (l *Lease) Heard(version uint64) {
 	l.mu.Lock()
--- a/entry/lease/lease_test.go
+++ b/entry/lease/lease_test.go
@@ -29,10 +29,14 @@
 }
 
 func start(api *objects.API, name string) *member {
+	return startAs(api, lease.Holder{Entry: name, Token: name})
+}
+
+func startAs(api *objects.API, self lease.Holder) *member {
 	m := &member{}
 	client := store.NewClient("http://"+api.Address(), store.WithWire(platform.Objects{}), store.WithCallTimeout(300*time.Millisecond))
 	m.Lease = lease.New(lease.Deps{
-		Store: client, Self: lease.Holder{Entry: name, Token: name}, Linked: m.linked.Load,
+		Store: client, Self: self, Linked: m.linked.Load,
 		Renewed: func() {}, Changed: func(lease.Holder, bool) {},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -145,4 +149,17 @@
 		a.stop()
 		Eventually(b.Held, waitFor).Should(BeTrue())
 	})
+
+	// The entry in charge is killed, with all others or alone, and starts again at once. Nobody would be in charge for as long as its former
+	// process might still act, although it is known to have ended.
+	It("is taken up at once by the entry that held it before its restart", func() {
+		a := start(api, "a")
+		Eventually(a.Held, waitFor).Should(BeTrue())
+		other := start(api, "other")
+		Eventually(func() bool { _, known := other.Holder(); return known }, waitFor).Should(BeTrue())
+		a.stop()
+		again := startAs(api, lease.Holder{Entry: "a", Token: "of its next process"})
+		Eventually(again.Held, waitFor).Should(BeTrue())
+		Expect(other.InOffice()).To(BeFalse())
+	})
 })
