--- a/policy/grouping/grouping.go
+++ b/policy/grouping/grouping.go
@@ -15,6 +15,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 )
 
@@ -91,10 +92,12 @@
 
 // Decide plans the next steps. Equal inputs give equal plans.
 func Decide(in Input) Plan {
-	d := &decision{in: in, loads: in.Loads, counts: make(map[string]int), free: make([][]VM, len(in.Domains))}
+	d := &decision{in: in, loads: in.Loads, counts: make(map[string]int), free: make([][]VM, len(in.Domains)), groups: make([]map[string]int, len(in.Domains))}
 	for i, domain := range in.Domains {
 		d.free[i] = slices.Clone(domain.Free)
 		d.total += domain.Total
+		d.groups[i] = make(map[string]int, len(in.Models))
+		maps.Copy(d.groups[i], domain.Groups)
 		for model, n := range domain.Groups {
 			d.counts[model] += n
 		}
@@ -112,9 +115,10 @@
 	loads int
 	// counts are groups by model, those of the plan included.
 	counts map[string]int
-	// free are the VMs left, by domain.
-	free  [][]VM
-	total int
+	// free are the VMs left, groups the groups by model, those of the plan included, by domain.
+	free   [][]VM
+	groups []map[string]int
+	total  int
 	// blocked says that a group waits for loads, so that none are to be spent on less.
 	blocked bool
 	plan    Plan
@@ -152,6 +156,9 @@
 	vms    []VM
 	loads  int
 	need   float64
+	// groups is how many of the model the domain has; short says that the model has too few in all.
+	groups int
+	short  bool
 }
 
 // formNext adds the most needed group to the plan, and returns false when there is none. A group that is needed more than all others
@@ -160,7 +167,7 @@
 	var best *candidate
 	for i := range d.in.Domains {
 		for _, model := range d.in.Models {
-			if c := d.candidate(i, model); c != nil && (best == nil || c.better(best)) {
+			if c := d.candidate(i, model); c != nil && (best == nil || c.better(best, d.in.Early)) {
 				best = c
 			}
 		}
@@ -176,17 +183,30 @@
 	return true
 }
 
-// better prefers groups without loads, then the model that lacks more, then the domain with more VMs to spare.
-func (c *candidate) better(other *candidate) bool {
-	if (c.loads == 0) != (other.loads == 0) {
+// better prefers groups without loads, then the model that lacks more, then the domain with fewer groups of it, then fewer loads. Before
+// callers come loads cost next to nothing and count last: were groups without loads preferred, spares that were just staged would go
+// to a model that has enough. Models that are short go first then, and what follows is spread: each domain gets its own part of each
+// model, so that the spares of each serve all.
+func (c *candidate) better(other *candidate, early bool) bool {
+	switch {
+	case !early && (c.loads == 0) != (other.loads == 0):
 		return c.loads == 0
-	}
-	if c.need != other.need {
+	case early && c.short != other.short:
+		return c.short
+	case c.need != other.need:
 		return c.need > other.need
+	case c.groups != other.groups:
+		return c.groups < other.groups
 	}
 	return c.loads < other.loads
 }
 
+// needIn is how much a domain lacks of a model, when all domains hold the models in the same proportion.
+func (d *decision) needIn(i int, model Model) float64 {
+	fair := d.fair(model) * float64(d.in.Domains[i].Total) / float64(max(1, d.total))
+	return fair / (float64(d.groups[i][model.Name]) + 0.5)
+}
+
 func (d *decision) candidate(i int, model Model) *candidate {
 	free := d.free[i]
 	if len(free) < model.Size {
@@ -206,7 +226,11 @@
 	if loads > 0 && !d.in.Early {
 		return nil
 	}
-	return &candidate{domain: i, model: model, vms: vms, loads: loads, need: d.need(model)}
+	c := &candidate{domain: i, model: model, vms: vms, loads: loads, need: d.need(model), groups: d.groups[i][model.Name], short: d.short(model)}
+	if d.in.Early && !c.short {
+		c.need = d.needIn(i, model)
+	}
+	return c
 }
 
 // nearest returns the VMs in the order in which they would take up the model.
@@ -251,5 +275,6 @@
 	}
 	d.plan.Form = append(d.plan.Form, formation)
 	d.counts[c.model.Name]++
+	d.groups[c.domain][c.model.Name]++
 	d.loads -= c.loads
 }
--- a/policy/grouping/stage.go
+++ b/policy/grouping/stage.go
@@ -137,7 +137,7 @@
 	var best Model
 	bestWorth := -1.0
 	for _, model := range d.in.Models {
-		atRisk := float64(d.in.Domains[i].Groups[model.Name] * model.Size * model.Size)
+		atRisk := float64(d.groups[i][model.Name] * model.Size * model.Size)
 		worth := (atRisk + 0.1*d.need(model)) / float64(1+atHand(d.free[i], model.Name))
 		if worth > bestWorth {
 			best, bestWorth = model, worth
