Try: a group with a slow member is given as much as it can do

A suspected group whose members all answer was called sound; now the slowest one's pace divides the group's places for 3 s.

--- a/entry/grouping/suspect.go
+++ b/entry/grouping/suspect.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/skylarkpond/skylarkpond/backend"
@@ -28,25 +29,43 @@
 
 func (c *Controller) check(ctx context.Context, key backend.GroupKey) {
 	members := c.membersOf(key)
-	answers := make(chan error, len(members))
+	answers := make(chan answer, len(members))
 	for _, member := range members {
 		go func() {
-			_, err := c.ask(ctx, member)
-			answers <- err
+			report, err := c.ask(ctx, member)
+			answers <- answer{member.ID, report.Pace, err}
 		}()
 	}
+	slowest := answer{pace: 1}
 	for range members {
-		if err := <-answers; err != nil {
-			c.deps.Event(Event{Kind: GroupSuspected, Group: key, Detail: err.Error()})
+		got := <-answers
+		if got.err != nil {
+			c.deps.Event(Event{Kind: GroupSuspected, Group: key, Detail: got.err.Error()})
 			c.Wake()
 			return
 		}
+		if got.pace > slowest.pace {
+			slowest = got
+		}
+	}
+	if slowest.pace >= slowPace {
+		c.deps.Event(Event{Kind: GroupSlow, Group: key, VM: slowest.vm, Detail: fmt.Sprintf("works %.1f times slower", slowest.pace)})
 	}
 	if head, ok := headOf(key.Name); ok {
-		c.deps.Sound(head.ID)
+		c.deps.Sound(head.ID, slowest.pace)
 	}
 }
 
+// answer is what one member said of itself, or why it said nothing.
+type answer struct {
+	vm   backend.ID
+	pace float64
+	err  error
+}
+
+// slowPace is told in the log: servers differ by less among each other.
+const slowPace = 1.5
+
 func (c *Controller) membersOf(key backend.GroupKey) []*backend.Server {
 	var members []*backend.Server
 	for _, server := range c.deps.Listing().Servers {
