--- a/entry/grouping/grouping.go
+++ b/entry/grouping/grouping.go
@@ -33,8 +33,8 @@
 	Epoch func() uint64
 	// Reached asks other entries whether they reach a server that this one does not, and says whether it serves a group there.
 	Reached func(ctx context.Context, server *backend.Server, key backend.GroupKey) (serving bool)
-	// Sound tells that a suspected group has answered in full, and how many times slower than usual its slowest member works.
-	Sound func(head backend.ID, pace float64)
+	// Sound tells that a suspected group has answered in full.
+	Sound func(head backend.ID)
 	// Demand returns how many groups' worth of requests of a model come, or 0 where that is not known yet.
 	Demand func(service, model string) float64
 	// Early says that no caller has come yet.
@@ -70,8 +70,6 @@
 	GroupSuspected EventKind = "group-suspected"
 	MemberDark     EventKind = "member-dark"
 	MemberBack     EventKind = "member-answers-again"
-	// GroupSlow: a suspected group is whole, and one of its members is slow.
-	GroupSlow EventKind = "group-slow"
 	// FleetSeen is what a round saw of one service, once in fleetEvery.
 	FleetSeen EventKind = "fleet"
 )
--- a/entry/grouping/suspect.go
+++ b/entry/grouping/suspect.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"github.com/skylarkpond/skylarkpond/backend"
@@ -29,43 +28,25 @@
 
 func (c *Controller) check(ctx context.Context, key backend.GroupKey) {
 	members := c.membersOf(key)
-	answers := make(chan answer, len(members))
+	answers := make(chan error, len(members))
 	for _, member := range members {
 		go func() {
-			report, err := c.ask(ctx, member)
-			answers <- answer{member.ID, report.Pace, err}
+			_, err := c.ask(ctx, member)
+			answers <- err
 		}()
 	}
-	slowest := answer{pace: 1}
 	for range members {
-		got := <-answers
-		if got.err != nil {
-			c.deps.Event(Event{Kind: GroupSuspected, Group: key, Detail: got.err.Error()})
+		if err := <-answers; err != nil {
+			c.deps.Event(Event{Kind: GroupSuspected, Group: key, Detail: err.Error()})
 			c.Wake()
 			return
 		}
-		if got.pace > slowest.pace {
-			slowest = got
-		}
-	}
-	if slowest.pace >= slowPace {
-		c.deps.Event(Event{Kind: GroupSlow, Group: key, VM: slowest.vm, Detail: fmt.Sprintf("works %.1f times slower", slowest.pace)})
 	}
 	if head, ok := headOf(key.Name); ok {
-		c.deps.Sound(head.ID, slowest.pace)
+		c.deps.Sound(head.ID)
 	}
 }
 
-// answer is what one member said of itself, or why it said nothing.
-type answer struct {
-	vm   backend.ID
-	pace float64
-	err  error
-}
-
-// slowPace is told in the log: servers differ by less among each other.
-const slowPace = 1.5
-
 func (c *Controller) membersOf(key backend.GroupKey) []*backend.Server {
 	var members []*backend.Server
 	for _, server := range c.deps.Listing().Servers {
--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -127,7 +127,7 @@
 
 func (l *Leader) tellDemand() {
 	l.mu.Lock()
-	demands := l.turns.Demands(l.now())
+	demands := l.turns.Demands()
 	for _, demand := range demands {
 		l.learn(demand)
 	}
@@ -404,11 +404,11 @@
 	l.deps.Suspect(server.Group.GroupKey)
 }
 
-// Sound ends a suspicion: all members of the group have answered, and the slowest works pace times slower than usual.
-func (l *Leader) Sound(head backend.ID, pace float64) {
+// Clear ends a suspicion: all members of the group have answered.
+func (l *Leader) Clear(head backend.ID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.send(l.turns.Sound(l.now(), string(head), pace, rand.Float64))
+	l.send(l.turns.Clear(l.now(), string(head), rand.Float64))
 }
 
 // passConfig sends the configuration to a follower that has an older one.
--- a/policy/turns/turns.go
+++ b/policy/turns/turns.go
@@ -86,8 +86,6 @@
 	ReturnStand time.Duration
 	// SuspectFor is how long a group that keeps silent gets no turns.
 	SuspectFor time.Duration
-	// SlowFor is how long a group counts as slow after it was seen to be.
-	SlowFor time.Duration
 }
 
 // DefaultConfig returns the thresholds in use.
@@ -95,7 +93,7 @@
 	return Config{
 		Overhang: 1, UsualTime: 1500 * time.Millisecond,
 		ReturnFirst: 500 * time.Millisecond, ReturnSpread: 800 * time.Millisecond,
-		ReturnStand: 1200 * time.Millisecond, SuspectFor: time.Second, SlowFor: 3 * time.Second,
+		ReturnStand: 1200 * time.Millisecond, SuspectFor: time.Second,
 	}
 }
 
@@ -113,9 +111,6 @@
 	running int
 	// suspect is until when it gets no turns.
 	suspect time.Duration
-	// pace is how many times slower than usual it works, until slow.
-	pace float64
-	slow time.Duration
 	// gone: it stands no more; it is kept while turns are out.
 	gone bool
 }
@@ -185,10 +180,10 @@
 		return []Decision{s.grant(now, head, request.Key)}
 	}
 	if why := s.hopeless(request); why != Granted {
-		return []Decision{s.refuse(now, request, why, chance)}
+		return []Decision{s.refuse(request, why, chance)}
 	}
-	if s.expectedWait(now, request.Model, s.ahead(m, request)) > request.Patience {
-		return []Decision{s.refuse(now, request, Late, chance)}
+	if s.expectedWait(request.Model, s.ahead(m, request)) > request.Patience {
+		return []Decision{s.refuse(request, Late, chance)}
 	}
 	m.insert(waiter{Request: request, since: now})
 	return s.serve(now, request.Model, chance)
@@ -236,21 +231,9 @@
 	return why
 }
 
-// leastPlaces are left to a group however slow it is, so that one that was slow for a moment is seen to be well again.
-const leastPlaces = 2
-
-// slots is how many requests a group is given at once: one that works at a quarter of the usual pace, and is given as many as the others,
-// answers all of them late, while it could answer a quarter of them in time.
-func (g *group) slots(now time.Duration) int {
-	if g.pace <= 1 || now >= g.slow {
-		return g.Slots
-	}
-	return min(g.Slots, max(leastPlaces, int(float64(g.Slots)/g.pace)))
-}
-
 // expectedWait is how long a request waits behind others: places come free at the rate at which turns end.
-func (s *Scheduler) expectedWait(now time.Duration, name string, ahead int) time.Duration {
-	_, places := s.places(now, name)
+func (s *Scheduler) expectedWait(name string, ahead int) time.Duration {
+	_, places := s.places(name)
 	if places == 0 {
 		return s.config.ReturnStand
 	}
@@ -258,11 +241,11 @@
 }
 
 // places returns how many requests run on the groups of a model that stand, and how many they can run.
-func (s *Scheduler) places(now time.Duration, name string) (running, places int) {
+func (s *Scheduler) places(name string) (running, places int) {
 	for _, g := range s.groups {
 		if !g.gone && g.Model == name {
 			running += g.running
-			places += g.slots(now)
+			places += g.Slots
 		}
 	}
 	return running, places
@@ -272,22 +255,20 @@
 func (s *Scheduler) best(now time.Duration, request Request) *group {
 	var best *group
 	for _, g := range s.groups {
-		if g.gone || g.Model != request.Model || now < g.suspect || g.running >= g.slots(now)+s.config.Overhang {
+		if g.gone || g.Model != request.Model || now < g.suspect || g.running >= g.Slots+s.config.Overhang {
 			continue
 		}
 		if slices.Contains(request.Tried, g.Head) {
 			continue
 		}
-		if best == nil || g.load(now) < best.load(now) || (g.load(now) == best.load(now) && g.Head < best.Head) {
+		if best == nil || g.load() < best.load() || (g.load() == best.load() && g.Head < best.Head) {
 			best = g
 		}
 	}
 	return best
 }
 
-func (g *group) load(now time.Duration) float64 {
-	return float64(g.running) / float64(max(1, g.slots(now)))
-}
+func (g *group) load() float64 { return float64(g.running) / float64(max(1, g.Slots)) }
 
 func (s *Scheduler) grant(now time.Duration, g *group, key string) Decision {
 	g.running++
@@ -296,17 +277,17 @@
 	return Decision{Key: key, Head: g.Head}
 }
 
-func (s *Scheduler) refuse(now time.Duration, request Request, why Why, chance func() float64) Decision {
+func (s *Scheduler) refuse(request Request, why Why, chance func() float64) Decision {
 	s.model(request.Model).refused++
 	d := Decision{Key: request.Key, Why: why}
-	d.Running, d.Places = s.places(now, request.Model)
+	d.Running, d.Places = s.places(request.Model)
 	d.Waiting = len(s.model(request.Model).waiting)
 	spread := time.Duration(chance() * float64(s.config.ReturnSpread))
 	switch why {
 	case NoGroup, TriedAll:
 		d.RetryAfter = s.config.ReturnStand + spread
 	default:
-		d.RetryAfter = max(s.config.ReturnFirst, s.expectedWait(now, request.Model, d.Waiting)) + spread
+		d.RetryAfter = max(s.config.ReturnFirst, s.expectedWait(request.Model, d.Waiting)) + spread
 	}
 	return d
 }
@@ -406,15 +387,13 @@
 	}
 }
 
-// Sound ends a suspicion: all members of the group have answered. pace is how many times slower than usual the slowest works; 1 for one
-// that is well.
-func (s *Scheduler) Sound(now time.Duration, head string, pace float64, chance func() float64) []Decision {
+// Clear ends a suspicion that proved wrong.
+func (s *Scheduler) Clear(now time.Duration, head string, chance func() float64) []Decision {
 	g := s.groups[head]
-	if g == nil {
+	if g == nil || g.suspect <= now {
 		return nil
 	}
-	g.pace, g.slow = pace, now+s.config.SlowFor
-	g.suspect = min(g.suspect, now)
+	g.suspect = now
 	return s.serve(now, g.Model, chance)
 }
 
@@ -446,7 +425,7 @@
 			why = Late
 		}
 		if why != Granted {
-			decisions = append(decisions, s.refuse(now, w.Request, why, chance))
+			decisions = append(decisions, s.refuse(w.Request, why, chance))
 			continue
 		}
 		kept = append(kept, w)
@@ -468,7 +447,7 @@
 }
 
 // Demands returns the demand of every model that was asked for, by name, and begins new counts.
-func (s *Scheduler) Demands(now time.Duration) []Demand {
+func (s *Scheduler) Demands() []Demand {
 	demands := make([]Demand, 0, len(s.models))
 	for name, m := range s.models {
 		d := Demand{Model: name, Waiting: len(m.waiting), Took: m.took, Asked: m.asked, Granted: m.granted, Refused: m.refused}
@@ -477,7 +456,7 @@
 				d.Groups++
 			}
 		}
-		d.Running, d.Places = s.places(now, name)
+		d.Running, d.Places = s.places(name)
 		m.asked, m.granted, m.refused = 0, 0, 0
 		demands = append(demands, d)
 	}
@@ -499,7 +478,7 @@
 	loads := make([]Load, 0, len(s.groups))
 	for _, g := range s.groups {
 		if !g.gone {
-			loads = append(loads, Load{Head: g.Head, Model: g.Model, Running: g.running, Slots: g.slots(now), Suspect: now < g.suspect})
+			loads = append(loads, Load{Head: g.Head, Model: g.Model, Running: g.running, Slots: g.Slots, Suspect: now < g.suspect})
 		}
 	}
 	slices.SortFunc(loads, func(a, b Load) int { return strings.Compare(a.Head, b.Head) })
