A silent server is given up only for a turn elsewhere that was taken before

Now one watch over each attempt asks for a turn elsewhere after 1 s (0.6 s for plain servers, 0.9 s between events), then for the budget, and gives the server up only when it has both; else it asks again after 0.3 s while the server is waited for. The patience that upstream had for this is gone again, and so is the deadline on reads of a body. A spec where there is nowhere else to go fails before.

--- a/entry/relay/exchange.go
+++ b/entry/relay/exchange.go
@@ -41,8 +41,12 @@
 	// attempts counts the sends that reached a server; mayHaveRun says that one of them may have run.
 	attempts   int
 	mayHaveRun bool
+	// next is a turn that was taken before the last attempt was given up.
+	next *turn.Turn
 	// begun says that a part of the answer has gone out.
 	begun bool
+	// watch is that over the present attempt.
+	watch *watch
 	ended Report
 }
 
@@ -65,9 +69,17 @@
 	ctx, cancel := context.WithDeadline(e.request.Context(), e.deadline)
 	defer cancel()
 	e.ctx = ctx
+	defer e.returnNext()
 	e.drive()
 }
 
+// returnNext gives a turn back that was taken and is of no use any more.
+func (e *exchange) returnNext() {
+	if t := e.takeNext(); t != nil {
+		t.Done(turn.Result{Rejected: true})
+	}
+}
+
 // admit finds the route and checks the key. A table that is not known yet says nothing about either.
 func (e *exchange) admit() bool {
 	if e.table == nil {
@@ -158,10 +170,13 @@
 // drive tries servers until one answers, or until the request is given up.
 func (e *exchange) drive() {
 	for {
-		t, refusal := e.relay.deps.Turns.Take(e.ctx, e.ask())
-		if refusal != nil {
-			e.giveUp(refusal)
-			return
+		t := e.takeNext()
+		if t == nil {
+			var refusal *turn.Refusal
+			if t, refusal = e.relay.deps.Turns.Take(e.ctx, e.ask()); refusal != nil {
+				e.giveUp(refusal)
+				return
+			}
 		}
 		if e.attempt(t) {
 			return
@@ -169,6 +184,13 @@
 	}
 }
 
+// takeNext returns the turn for which a silent server was given up, once.
+func (e *exchange) takeNext() *turn.Turn {
+	t := e.next
+	e.next = nil
+	return t
+}
+
 func (e *exchange) ask() turn.Ask {
 	returning := e.returning()
 	ask := turn.Ask{
@@ -202,7 +224,7 @@
 	}
 	e.attempts++
 	if err != nil {
-		t.Done(e.resultOf(err))
+		t.Done(e.resultOf())
 		e.mayHaveRun = true
 		e.lost(t, err)
 		return e.overBroken("no answer: " + err.Error())
@@ -213,6 +235,7 @@
 	}
 	if said.NotRun {
 		_ = answer.Body.Close()
+		e.endAttempt()
 		t.Done(turn.Result{Rejected: true})
 		return e.overRejected(t)
 	}
@@ -223,50 +246,40 @@
 	return e.whole(t, answer)
 }
 
-// resultOf says how a turn ended whose server gave no answer.
-func (e *exchange) resultOf(err error) turn.Result {
-	silent := errors.Is(err, upstream.ErrSilent)
+// resultOf says how a turn ended whose server gave no answer, or a part of one.
+func (e *exchange) resultOf() turn.Result {
+	silent := e.next != nil
 	return turn.Result{Silent: silent, Failed: !silent && e.ctx.Err() == nil}
 }
 
-// Patience with a server that has not begun to answer a request which may be sent elsewhere. A group that has lost a member takes requests
-// and does nothing, and callers leave after some two seconds: waited for to the end, every tenth request on a day of steady losses
-// was given up by its caller in such a group.
-const (
-	// answerStream is ten times the mean time to the first event of a stream, and above 95 in 100 of them on groups that are full.
-	answerStream = time.Second
-	// answerWhole is twenty times what a plain server takes.
-	answerWhole = 600 * time.Millisecond
-)
-
-// answerPatience is 0 where the request can't be sent elsewhere, so that its server is waited for to the deadline.
-func (e *exchange) answerPatience() time.Duration {
-	switch {
-	case !e.route.Repeatable() || e.attempts+1 >= e.route.MaxAttempts:
-		return 0
-	case e.route.Kind == route.Streaming:
-		return answerStream
-	}
-	return answerWhole
-}
-
+// send sends the request to one server, under a watch that is over when the attempt is: the caller stops it by endAttempt.
 func (e *exchange) send(t *turn.Turn, lastEvent string) (*upstream.Answer, error) {
 	e.ended.Servers = append(e.ended.Servers, string(t.Server.ID))
 	if e.route.Kind == route.Streaming {
 		suspicion := time.AfterFunc(suspectFirst, t.Silent)
 		defer suspicion.Stop()
 	}
-	return e.relay.deps.Pool.Send(e.ctx, upstream.EndpointOf(t.Server), &upstream.Request{
+	ctx, cancel := context.WithCancelCause(e.ctx)
+	e.watch = newWatch(e, cancel)
+	answer, err := e.relay.deps.Pool.Send(ctx, upstream.EndpointOf(t.Server), &upstream.Request{
 		Method: e.request.Method, Target: e.request.RequestURI, Host: e.request.Host,
 		Header: platform.ForwardHeader(e.request.Header, platform.Forward{
 			Server: t.Server.ID, Team: e.team, Left: time.Until(e.deadline), LastEvent: lastEvent,
 		}),
-		Body:     e.body,
-		Owns:     func(header http.Header) bool { return platform.Belongs(e.call.ID, header) },
-		Patience: e.answerPatience(),
+		Body: e.body,
+		Owns: func(header http.Header) bool { return platform.Belongs(e.call.ID, header) },
 	})
+	if err != nil {
+		e.endAttempt()
+		return nil, err
+	}
+	e.watch.heard()
+	return answer, nil
 }
 
+// endAttempt ends the watch over an attempt, and keeps the turn for which it was given up.
+func (e *exchange) endAttempt() { e.next = e.watch.stop() }
+
 // maxUnreachable bounds the servers that are tried in vain to connect to. Each takes up to 0.4 s.
 const maxUnreachable = 3
 
@@ -281,6 +294,9 @@
 
 // overBroken decides after a send whose outcome is not known.
 func (e *exchange) overBroken(detail string) bool {
+	if e.next != nil {
+		return false
+	}
 	if e.ctx.Err() != nil || !e.route.Repeatable() || !e.mayTryAgain() {
 		e.fail(detail)
 		return true
@@ -290,7 +306,7 @@
 
 // overRejected decides after a server said that it did not run the request.
 func (e *exchange) overRejected(t *turn.Turn) bool {
-	if e.ctx.Err() == nil && e.mayTryAgain() {
+	if e.next != nil || e.ctx.Err() == nil && e.mayTryAgain() {
 		return false
 	}
 	e.giveUp(&turn.Refusal{Reason: turn.Full, RetryAfter: retryFull, Detail: "rejected by " + string(t.Server.ID)})
@@ -299,7 +315,7 @@
 
 // lost has a server looked into that ended its connection in the middle of the request. Silence and the end of the time are no sign of a crash.
 func (e *exchange) lost(t *turn.Turn, err error) {
-	if e.ctx.Err() != nil || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, upstream.ErrSilent) {
+	if e.ctx.Err() != nil || e.next != nil || errors.Is(err, os.ErrDeadlineExceeded) {
 		return
 	}
 	go e.relay.deps.Suspects.Lost(context.WithoutCancel(e.ctx), e.fingerprint, t.Server)
@@ -314,8 +330,9 @@
 func (e *exchange) whole(t *turn.Turn, answer *upstream.Answer) bool {
 	body, err := io.ReadAll(answer.Body)
 	_ = answer.Body.Close()
+	e.endAttempt()
 	if err != nil {
-		t.Done(turn.Result{Failed: e.ctx.Err() == nil})
+		t.Done(e.resultOf())
 		e.lost(t, err)
 		return e.overBroken("answer broke off: " + err.Error())
 	}
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -419,6 +419,14 @@
 		Expect(r.turns.ended()[0].Silent).To(BeTrue())
 	}, Entry("a stream", "/chat/x"), Entry("a look-up", "/look/x"))
 
+	// All other groups are full, or the budget of repeats is spent. A request that is given up for nothing gets no answer at all, where its server
+	// was only slow.
+	It("waits for a silent server while there is nowhere else to go", func() {
+		r := newRig(stream, 1)
+		r.servers[0].SetStream(3, 1500*time.Millisecond)
+		Expect(r.send(r.request(http.MethodPost, "/chat/x", "a1")).body).To(Equal(whole(1, 3)))
+	})
+
 	It("waits for the server of what may not be repeated", func() {
 		r := newRig(stream, 2)
 		r.set(0, replica.Faults{Mute: true})
--- a/link/upstream/pool.go
+++ b/link/upstream/pool.go
@@ -52,38 +52,18 @@
 	if err != nil {
 		return nil, eris.Wrapf(ErrNotSent, "%s at %s: %v", to.ID, to.Address, err)
 	}
-	stop := context.AfterFunc(ctx, c.abort)
-	answer, err := c.exchangeWithin(request)
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	answer, err := c.exchange(request)
 	if err != nil {
 		stop()
 		_ = c.Close()
-		return nil, eris.Wrapf(err, "%s at %s", to.ID, to.Address)
+		return nil, eris.Wrapf(ErrUnknown, "%s at %s: %v", to.ID, to.Address, err)
 	}
 	c.keep = keepFor(answer.Header)
 	body := &Body{answer: answer, conn: c, pool: p, to: to, stop: stop}
 	return &Answer{Status: answer.StatusCode, Header: answer.Header, Body: body, Length: answer.ContentLength}, nil
 }
 
-// abort ends what is being read or written.
-func (c *conn) abort() { _ = c.SetDeadline(time.Unix(1, 0)) }
-
-// exchangeWithin bounds exchange by the request's patience. Its errors are ErrUnknown and ErrSilent.
-func (c *conn) exchangeWithin(request *Request) (*http.Response, error) {
-	inTime := func() bool { return true }
-	if request.Patience > 0 {
-		timer := time.AfterFunc(request.Patience, c.abort)
-		inTime = timer.Stop
-	}
-	answer, err := c.exchange(request)
-	switch {
-	case !inTime():
-		return nil, ErrSilent // an answer that came in this moment has lost its connection
-	case err != nil:
-		return nil, eris.Wrap(ErrUnknown, err.Error())
-	}
-	return answer, nil
-}
-
 func (c *conn) exchange(request *Request) (*http.Response, error) {
 	if err := c.write(request); err != nil {
 		return nil, err
@@ -100,15 +80,6 @@
 	return n, err
 }
 
-// SetReadDeadline bounds the reads that follow; the zero time lifts the bound. After the end of the body it does nothing: the
-// connection then belongs to nobody, or to another request.
-func (b *Body) SetReadDeadline(t time.Time) error {
-	if b.over {
-		return nil
-	}
-	return b.conn.SetReadDeadline(t)
-}
-
 // Close ends the connection unless the body was read to its end.
 func (b *Body) Close() error {
 	b.release(false)
--- a/link/upstream/upstream.go
+++ b/link/upstream/upstream.go
@@ -20,8 +20,6 @@
 	ErrNotSent = eris.New("request was not sent")
 	// ErrUnknown: the request was sent, wholly or in part, and has no answer. It may have run.
 	ErrUnknown = eris.New("request was sent and has no answer")
-	// ErrSilent: the request was sent, and the server did not begin to answer within the request's patience. It may have run.
-	ErrSilent = eris.New("request was sent and the server keeps silent")
 )
 
 // Endpoint is one life of one backend server. Connections are kept by endpoint, since addresses are used again.
@@ -47,8 +45,6 @@
 	// Owns says whether an answer belongs to this request. One that does not is skipped: a faulty server
 	// may send an answer twice, and the second copy comes where the next answer is due.
 	Owns func(header http.Header) bool
-	// Patience is how long the server may take to begin its answer; 0 for as long as the context lasts.
-	Patience time.Duration
 }
 
 // Bounds of connections.
