--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -6,9 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -257,41 +255,6 @@
 	l.catchUp(to, hello.Revisions)
 }
 
-// catchUp passes on what an entry has missed. Where that is no longer known, the entry is told of a gap and reads for itself.
-func (l *Leader) catchUp(to sender, revisions map[store.Kind]store.Version) {
-	for kind, revision := range revisions {
-		news, ok := l.deps.NewsSince(kind, revision)
-		if !ok {
-			news = link.Gap(kind, revision+1)
-		}
-		to.Send(link.Down{News: &news})
-	}
-}
-
-// PassOn tells all followers what a watch of this entry brought.
-func (l *Leader) PassOn(news catalog.News) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if !l.inCharge || (len(news.Changes) == 0 && news.From != 0) {
-		return
-	}
-	if passed := l.passed[news.Kind]; passed > 0 {
-		news.From = min(news.From, passed) // what lies between brought nothing, and was not passed on
-	}
-	l.passed[news.Kind] = news.To
-	shared := &link.Shared{Down: link.Down{News: &news}}
-	if shared.Size()*len(l.followers) > mostPassed {
-		gap := link.Gap(news.Kind, news.To)
-		shared = &link.Shared{Down: link.Down{News: &gap}}
-	}
-	l.share(shared)
-}
-
-// mostPassed bounds the bytes of one piece of news over all followers. A leader whose link carries 14 Mbit/s sends them in half a second, in
-// which nothing else goes out; were a large configuration passed on to all, links would time out, and it would be in force late. What is
-// larger is read from the platform by each follower.
-const mostPassed = 900 << 10
-
 // Received implements link/leader.Handler.
 func (l *Leader) Received(follower *link.Follower, message link.Up) {
 	l.Receive(follower.Entry, follower, message)
@@ -411,124 +374,6 @@
 	l.send(l.turns.Clear(l.now(), string(head), rand.Float64))
 }
 
-// passConfig sends the configuration to a follower that has an older one.
-func (l *Leader) passConfig(to sender, has uint64) {
-	version, spec := l.deps.Config()
-	if version > has && spec != nil {
-		to.Send(link.Down{Config: &link.Config{Spec: spec}})
-	}
-}
-
-// settled is how long entries have to link to a new leader before one that did not counts as down.
-const settled = 1500 * time.Millisecond
-
-// Renewed tells all followers that the lease is held, and which of them have come and gone.
-func (l *Leader) Renewed() {
-	version, _ := l.deps.Config()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	message := link.Renewed{
-		Version: l.deps.LeaseVersion(), ConfigVersion: version, Settled: l.inCharge && time.Since(l.since) >= settled,
-	}
-	first := message
-	first.Live = slices.Sorted(maps.Keys(l.followers))
-	message.Joined, message.Left = l.changedLive()
-	shared := &link.Shared{Down: link.Down{Renewed: &message}}
-	whole := &link.Shared{Down: link.Down{Renewed: &first}}
-	for entry, to := range l.followers {
-		if l.fresh[entry] {
-			to.SendShared(whole)
-			continue
-		}
-		to.SendShared(shared)
-	}
-	clear(l.fresh)
-}
-
-// changedLive returns which followers came and went since the last call. It is called under the lock.
-func (l *Leader) changedLive() (joined, left []string) {
-	for entry := range l.followers {
-		if !l.told[entry] {
-			joined = append(joined, entry)
-		}
-	}
-	for entry := range l.told {
-		if l.followers[entry] == nil {
-			left = append(left, entry)
-		}
-	}
-	for _, entry := range joined {
-		l.told[entry] = true
-	}
-	for _, entry := range left {
-		delete(l.told, entry)
-	}
-	return joined, left
-}
-
-// share tells every follower the same. It is called under the lock.
-func (l *Leader) share(shared *link.Shared) {
-	for _, to := range l.followers {
-		to.SendShared(shared)
-	}
-}
-
-const (
-	// lookers is how many entries are asked whether they reach a server.
-	lookers = 6
-	// lookTime is how long their answers are waited for.
-	lookTime = 900 * time.Millisecond
-)
-
-// Reached asks other entries whether a server answers them, and returns what one that reached it saw. A server can be cut off from this
-// entry and from the platform, and still serve others.
-func (l *Leader) Reached(ctx context.Context, server *backend.Server) (link.Seen, bool) {
-	answers := make(chan link.Seen, lookers)
-	l.mu.Lock()
-	l.looks[server.ID] = answers
-	asked := 0
-	for _, to := range l.followers {
-		if asked == lookers {
-			break
-		}
-		to.Send(link.Down{Look: &link.Look{Server: server.ID, Address: server.Address}})
-		asked++
-	}
-	l.mu.Unlock()
-	defer func() {
-		l.mu.Lock()
-		delete(l.looks, server.ID)
-		l.mu.Unlock()
-	}()
-	timeout := time.After(lookTime)
-	for range asked {
-		select {
-		case seen := <-answers:
-			if seen.Answered {
-				return seen, true
-			}
-		case <-timeout:
-			return link.Seen{}, false
-		case <-ctx.Done():
-			return link.Seen{}, false
-		}
-	}
-	return link.Seen{}, false
-}
-
-func (l *Leader) seen(seen link.Seen) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	answers, ok := l.looks[seen.Server]
-	if !ok {
-		return // too late
-	}
-	select {
-	case answers <- seen:
-	default:
-	}
-}
-
 // Followers counts the entries that are linked, this one included.
 func (l *Leader) Followers() int {
 	l.mu.Lock()
