The lease is read again when its holder can't be reached; a process that knows nobody live answers no caller for 8 s

Most entries had read the lease before its holder's next process wrote it, could not link with the old certificate, and read it again only when it could be taken (links came at 37 to 39 s); those without a link named all that are registered after 2.5 s. Now an entry that does not reach the holder reads the lease again, and a process that has not heard who is live answers no look-up for 8 s. The spec fails before.

--- a/entry/gateway/follow.go
+++ b/entry/gateway/follow.go
@@ -89,6 +89,7 @@
 	to, err := link.Dial(dialling, g.identity, sourceOf(g.config.Callers), holder.Address, holder.Fingerprint, hello)
 	if err != nil {
 		g.log.WithError(err).WithField("leader", holder.Entry).Debug("no link to the leader")
+		g.lease.Doubt()
 		return
 	}
 	g.log.WithField("leader", holder.Entry).Info(logline.Linked)
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -242,9 +242,9 @@
 	_, _ = w.Write(body) // a caller that is gone asks again
 }
 
-// uninformedFor is how long a process that starts among others answers no caller before it has heard which of them are live. It is above
-// the time in which an entry links to the one in charge, and in which another one takes charge.
-const uninformedFor = 2500 * time.Millisecond
+// uninformedFor is how long a process that starts among others answers no caller before it has heard which of them are live. An entry links
+// to the one in charge within some four seconds also when all have started at once; callers keep their last answer meanwhile.
+const uninformedFor = 8 * time.Second
 
 // knowsEntries says whether this process can tell which entries work. What is registered includes those that were lost for good: right
 // after its start it would send callers there. Callers ask another entry meanwhile.
--- a/entry/lease/lease.go
+++ b/entry/lease/lease.go
@@ -85,6 +85,8 @@
 	// failures counts the looks that got no answer, in a row; again is when the next one may be.
 	failures int
 	again    time.Time
+	// doubted says that the holder could not be reached where the object says.
+	doubted bool
 }
 
 // New returns a lease that nobody is known to hold.
@@ -139,13 +141,22 @@
 	if now.Before(l.again) {
 		return false
 	}
-	return l.holder.Entry == "" || now.Sub(l.since) >= takeAfter+l.delay
+	return l.doubted || l.holder.Entry == "" || now.Sub(l.since) >= takeAfter+l.delay
+}
+
+// Doubt notes that the holder can't be reached where the object says. Its process may have started again, with another certificate: after all
+// entries were killed, most have read the object before the holder wrote it anew, and would find it only once the lease can be taken.
+func (l *Lease) Doubt() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.doubted = true
 }
 
 // answered notes whether a look got an answer, and when the next one may be.
 func (l *Lease) answered(ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.doubted = false
 	if ok {
 		l.failures = 0
 		l.again = time.Now().Add(lookEvery/2 + rand.N(lookEvery))
--- a/entry/lease/lease_test.go
+++ b/entry/lease/lease_test.go
@@ -162,4 +162,24 @@
 		Eventually(again.Held, waitFor).Should(BeTrue())
 		Expect(other.InOffice()).To(BeFalse())
 	})
+
+	// All entries were killed. One reads the lease before the holder's next process has written it anew, and can't link to what it read.
+	It("is read again soon by an entry that does not reach the holder", func() {
+		a := start(api, "a")
+		Eventually(a.Held, waitFor).Should(BeTrue())
+		b := start(api, "b")
+		Eventually(func() bool { _, known := b.Holder(); return known }, waitFor).Should(BeTrue())
+		b.linked.Store(true)
+		a.stop()
+		api.Write(string(lease.Kind), lease.Name, lease.Holder{Entry: "a", Token: "of its next process"})
+		b.linked.Store(false)
+		renewed := a.Version() + 1000
+		Eventually(func() string {
+			renewed++
+			b.Heard(renewed) // it is renewed all the time, so that nobody may take it
+			b.Doubt()
+			holder, _ := b.Holder()
+			return holder.Token
+		}, waitFor, "50ms").Should(Equal("of its next process"))
+	})
 })
