--- a/entry/grouping/view.go
+++ b/entry/grouping/view.go
@@ -233,8 +233,9 @@
 	demands := make([]float64, 0, len(service.Engine.Models))
 	sum := 0.0
 	for _, model := range service.Engine.Models {
-		models = append(models, policy.Model{Name: model.Name, Size: model.Size, Share: model.Share})
-		vms := c.deps.Demand(service.Name, model.Name) * float64(model.Size)
+		wanted := c.deps.Demand(service.Name, model.Name)
+		models = append(models, policy.Model{Name: model.Name, Size: model.Size, Share: model.Share, Wanted: wanted})
+		vms := wanted * float64(model.Size)
 		demands = append(demands, vms)
 		sum += vms
 	}
--- a/policy/grouping/grouping.go
+++ b/policy/grouping/grouping.go
@@ -26,6 +26,8 @@
 	Size int
 	// Share is the part of the VMs that the model's demand needs. Only the ratio of the models' shares counts.
 	Share float64
+	// Wanted is how many groups the requests that come would fill; 0 where that is not known.
+	Wanted float64
 }
 
 // VM is one VM that is in no group that serves or forms.
@@ -88,6 +90,9 @@
 	ShortShare = 0.75
 	// EarlyShare is the same before callers come, when nothing is lost by keeping spares: their weights are loaded in no time.
 	EarlyShare = 0.5
+	// WantedRoom is how many groups a model is to have for each that its requests fill. Below, its spares serve rather than wait: a full model
+	// turns callers away now, and a loss may come later.
+	WantedRoom = 1.2
 )
 
 // Decide plans the next steps. Equal inputs give equal plans.
@@ -146,7 +151,8 @@
 	if d.in.Early {
 		share = EarlyShare
 	}
-	return float64(d.counts[model.Name]) < share*d.fair(model)
+	count := float64(d.counts[model.Name])
+	return count < share*d.fair(model) || count < WantedRoom*model.Wanted
 }
 
 // candidate is one group that could be formed.
--- a/policy/grouping/grouping_test.go
+++ b/policy/grouping/grouping_test.go
@@ -118,6 +118,16 @@
 		Expect(plan.Stage).To(Equal([]grouping.Staging{{VM: "v15", Model: "large"}}))
 	})
 
+	// Callers jump to half as many again. The groups are full and turn them away, while spares with the weights stand idle.
+	It("puts spares to work for a model whose requests fill its groups", func() {
+		in := grouping.Input{Models: []grouping.Model{{Name: "large", Size: 4, Share: 0.57}, {Name: "small", Size: 3, Share: 0.43}}, Domains: []grouping.Domain{
+			domain("d", 9, vms("v", "small", "small", "small"), map[string]int{"small": 2, "large": 3}),
+		}}
+		Expect(grouping.Decide(in).Form).To(BeEmpty())
+		in.Models[1].Wanted = 2
+		Expect(grouping.Decide(in).Form).To(ConsistOf(HaveField("Model", "small")))
+	})
+
 	It("never takes a VM twice, nor one that is staging", func() {
 		free := vms("v", "large", "large", "large", "large", "small", "small", "small")
 		free[0].Staging = "small"
