An entry in charge that reaches no VM of several fabric domains asks others before it believes itself

Fabric domains fail one at a time; when VMs of three do not answer within a second, others are asked first (their answer takes up to 0.9 s more). The spec fails before: all four groups are left out, now the first two, which can't be told from a loss.

--- a/entry/gateway/follow.go
+++ b/entry/gateway/follow.go
@@ -174,3 +174,9 @@
 	}).Info(logline.AskedOthers)
 	return serving
 }
+
+// answers asks the other entries whether they reach a server that this one does not reach.
+func (s *shell) answers(ctx context.Context, server *backend.Server) bool {
+	_, answered := s.parts.leader.Reached(ctx, server)
+	return answered
+}
--- a/entry/grouping/form.go
+++ b/entry/grouping/form.go
@@ -145,13 +145,7 @@
 		err = eris.Wrap(errOther, "the VM has started again")
 	}
 	if err != nil && ctx.Err() == nil {
-		c.mu.Lock()
-		_, known := c.dark[server.ID]
-		c.dark[server.ID] = time.Now().Add(darkFor)
-		c.mu.Unlock()
-		if !known {
-			c.deps.Event(Event{Kind: MemberDark, VM: server.ID, Detail: err.Error()})
-		}
+		c.noAnswer(ctx, server, err)
 	}
 	return report, err
 }
--- a/entry/grouping/grouping.go
+++ b/entry/grouping/grouping.go
@@ -18,6 +18,7 @@
 
 	"github.com/skylarkpond/skylarkpond/backend"
 	"github.com/skylarkpond/skylarkpond/contract/route"
+	"github.com/skylarkpond/skylarkpond/domain"
 	"github.com/skylarkpond/skylarkpond/link/upstream"
 	policy "github.com/skylarkpond/skylarkpond/policy/grouping"
 )
@@ -33,6 +34,8 @@
 	Epoch func() uint64
 	// Reached asks other entries whether they reach a server that this one does not, and says whether it serves a group there.
 	Reached func(ctx context.Context, server *backend.Server, key backend.GroupKey) (serving bool)
+	// Answers asks other entries for a server, and says whether one of them reaches it.
+	Answers func(ctx context.Context, server *backend.Server) bool
 	// Sound tells that a suspected group has answered in full.
 	Sound func(head backend.ID)
 	// Demand returns how many groups' worth of requests of a model come, or 0 where that is not known yet.
@@ -115,6 +118,8 @@
 	// staging holds the loads that were ordered.
 	staging map[backend.ID]staging
 	loads   *loadPace
+	// silent holds when a VM of each fabric domain last did not answer.
+	silent map[domain.FabricDomain]time.Time
 	// toldFleet is when each service's VMs were last told.
 	toldFleet map[string]time.Time
 	// askedDark is when the VMs that did not answer were asked last.
@@ -144,6 +149,7 @@
 		checking: make(map[backend.GroupKey]bool),
 		opened:   make(map[backend.GroupKey]opened), closed: make(map[backend.GroupKey]time.Time),
 		resting: make(map[backend.ID]time.Time), dark: make(map[backend.ID]time.Time),
+		silent:    make(map[domain.FabricDomain]time.Time),
 		toldFleet: make(map[string]time.Time),
 		staging:   make(map[backend.ID]staging), unreached: make(map[backend.ID]time.Time), loads: newLoadPace(),
 	}
--- a/entry/grouping/grouping_test.go
+++ b/entry/grouping/grouping_test.go
@@ -80,10 +80,12 @@
 	return c
 }
 
-func (c *cell) add(staged ...string) *replica.Server {
+func (c *cell) add(staged ...string) *replica.Server { return c.addIn("d", staged...) }
+
+func (c *cell) addIn(fabric string, staged ...string) *replica.Server {
 	c.next++
 	vm := c.world.Start(c.api, replica.Config{
-		ID: fmt.Sprintf("vm-%02d", c.next), Service: "s", Zone: "z", Domain: "d", Slots: 4, Engine: true, Staged: staged,
+		ID: fmt.Sprintf("vm-%02d", c.next), Service: "s", Zone: "z", Domain: fabric, Slots: 4, Engine: true, Staged: staged,
 		JoinTakes: 80 * time.Millisecond, OpenTakes: 60 * time.Millisecond, ReportLag: 40 * time.Millisecond,
 	})
 	c.vms = append(c.vms, vm)
@@ -108,6 +110,7 @@
 		Pool: upstream.NewPool(), Table: func() *route.Table { return table }, Listing: c.catalog.Listing, Held: k.held.Load,
 		Epoch:   func() uint64 { return epoch },
 		Reached: func(context.Context, *backend.Server, backend.GroupKey) bool { return k.reached.Load() },
+		Answers: func(context.Context, *backend.Server) bool { return k.reached.Load() },
 		Sound:   func(backend.ID) {}, Demand: func(string, string) float64 { return 0 }, Early: func() bool { return false },
 		Event: func(event grouping.Event) {
 			GinkgoWriter.Printf("%d %+v\n", epoch, event)
@@ -185,6 +188,38 @@
 		Expect(c.world.Broken()).To(BeEmpty())
 	}, Entry("a member", 1), Entry("the head", 0))
 
+	// The entry in charge is choked: it reaches no VM in time, of any fabric domain, while callers' streams pause for a moment. Believing itself, it
+	// would dissolve every group there is.
+	It("believes other entries when VMs of many fabric domains do not answer it", func() {
+		c := newCell(0)
+		for _, fabric := range []string{"d1", "d2", "d3", "d4"} {
+			for range 3 {
+				c.addIn(fabric, "large")
+			}
+		}
+		k := c.control(1)
+		Eventually(c.groups, waitFor).Should(Equal(4))
+		before := c.heads()
+		k.reached.Store(true)
+		for _, vm := range c.vms {
+			vm.Set(replica.Faults{Mute: true})
+		}
+		for _, head := range before {
+			k.Suspect(context.Background(), head.Group.GroupKey)
+		}
+		closed := func() int {
+			n := 0
+			for _, head := range before {
+				if k.Closed(head.Group.GroupKey) {
+					n++
+				}
+			}
+			return n
+		}
+		Eventually(closed, waitFor).Should(Equal(2), "the first two can't be told from VMs that are gone")
+		Consistently(closed, "2s").Should(Equal(2))
+	})
+
 	// A group's members are cut off from the platform just as it opens, so that they stay listed as free. Taken for another group, they
 	// would leave one that serves.
 	It("takes no VM of a group that it opened, although it is listed as free", func() {
