Logs: by whose list a request was sent to a server that rejects it, when an entry learns of a leaving server, and lost writes of the lease

Callers' requests reached a leaving server, and the output of no process told why: a request that is served elsewhere in the end leaves no line, a rejection by a server wasn't logged, and nothing told when an entry learned of the leaving server or how old the list was by which a permit was given.

Now each rejection tells who granted the permit (the leader, or the entry itself), the revision of the granter's list and how long before it was last known to be current, and the same of the sender's own list. Grants carry both over the link. Each entry tells once when it learns that a server is leaving and from where. An entry whose write of the lease is refused says so. No decision is changed.

--- a/entry/catalog/catalog.go
+++ b/entry/catalog/catalog.go
@@ -31,6 +31,8 @@
 	Unreadable func(object store.Object, err error)
 	// Config tells of a configuration that came into force.
 	Config func(table *route.Table)
+	// ServerLeaves tells of a server that was not known to be leaving, and whether the leader passed that on.
+	ServerLeaves func(server *backend.Server, fromLeader bool)
 }
 
 // Catalog is safe for concurrent use.
@@ -63,6 +65,9 @@
 // Listing returns the registered servers.
 func (c *Catalog) Listing() *backend.Listing { return c.listing.Load() }
 
+// ServersAge returns how long ago the list of servers was last known to be current; 0 before the first list.
+func (c *Catalog) ServersAge() time.Duration { return c.followers[platform.KindServers].age() }
+
 // OnServers calls listener after each change of the servers. It must not block.
 func (c *Catalog) OnServers(listener func()) {
 	c.mu.Lock()
--- a/entry/catalog/catalog_test.go
+++ b/entry/catalog/catalog_test.go
@@ -32,16 +32,24 @@
 	fed     atomic.Bool
 	news    chan catalog.News
 	inForce chan uint64
+	leaving chan leaves
+}
+
+// leaves is a server that is leaving, and from where that is known.
+type leaves struct {
+	id         backend.ID
+	fromLeader bool
 }
 
 func newRig() *rig {
-	r := &rig{api: objects.New(), news: make(chan catalog.News, 1000), inForce: make(chan uint64, 1000)}
+	r := &rig{api: objects.New(), news: make(chan catalog.News, 1000), inForce: make(chan uint64, 1000), leaving: make(chan leaves, 1000)}
 	client := store.NewClient("http://"+r.api.Address(), store.WithWire(platform.Objects{}), store.WithCallTimeout(300*time.Millisecond))
 	r.catalog = catalog.New(catalog.Deps{
 		Store: client, Fed: r.fed.Load, Leads: func() bool { return false },
 		News: func(news catalog.News) { r.news <- news },
 		Lost: func(store.Kind, error) {}, Regained: func(store.Kind, time.Duration) {}, Unreadable: func(store.Object, error) {},
-		Config: func(table *route.Table) { r.inForce <- table.Version },
+		Config:       func(table *route.Table) { r.inForce <- table.Version },
+		ServerLeaves: func(server *backend.Server, fromLeader bool) { r.leaving <- leaves{server.ID, fromLeader} },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -247,6 +255,23 @@
 		Eventually(r.servers, waitFor).Should(Equal(3))
 	})
 
+	It("tells once of a server that is leaving, and from where that is known", func() {
+		r := newRig()
+		r.api.Write("servers", "i-1", replica.Leaving("s"))
+		Eventually(r.leaving, waitFor).Should(Receive(Equal(leaves{"i-1", false})))
+		r.fed.Store(true)
+		time.Sleep(1200 * time.Millisecond) // the watch that waits ends by itself
+		from := r.catalog.Revisions()[platform.KindServers]
+		for revision := uint64(from + 1); revision <= uint64(from+2); revision++ {
+			r.catalog.Feed(catalog.News{Kind: platform.KindServers, From: from, To: store.Version(revision), Changes: []catalog.Change{
+				{Server: &backend.Server{ID: "i-2", Service: "s", Address: "10.0.0.2:1", Leaving: true, Revision: revision}},
+			}})
+		}
+		Expect(r.leaving).To(Receive(Equal(leaves{"i-2", true})))
+		Expect(r.leaving).To(BeEmpty())
+		Expect(r.catalog.ServersAge()).To(And(BeNumerically(">", 0), BeNumerically("<", time.Second)))
+	})
+
 	// News got lost on the way, say while a link was down. Applied to what is known they would leave a server listed that has gone.
 	It("reads for itself where news were missed", func() {
 		r := newRig()
--- a/entry/catalog/follow.go
+++ b/entry/catalog/follow.go
@@ -30,6 +30,8 @@
 	Changes  []Change
 	Revision store.Version
 	Complete bool
+	// FromLeader says that the leader passed the changes on; else this entry read them from the platform.
+	FromLeader bool
 }
 
 // Objects returns the objects that changed, for a kind that is not decoded.
@@ -93,6 +95,18 @@
 	held map[string]store.Version
 	// answered is since when every call of this entry was answered; zero while it makes none, or after one failed.
 	answered time.Time
+	// asOf is when the kind was last known to be current: when the latest call that was answered was sent, or the leader's latest events arrived.
+	asOf time.Time
+}
+
+// age is how long ago the kind was last known to be current; 0 before the first list.
+func (f *follower) age() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.asOf.IsZero() {
+		return 0
+	}
+	return time.Since(f.asOf)
 }
 
 func (f *follower) known() store.Version {
@@ -113,6 +127,7 @@
 			return
 		}
 		from := f.known()
+		sent := time.Now()
 		changes, err := f.read(ctx, from)
 		if ctx.Err() != nil {
 			return
@@ -131,7 +146,7 @@
 			f.catalog.deps.Regained(f.kind, time.Since(failedSince))
 			failedSince = time.Time{}
 		}
-		f.take(from, changes)
+		f.take(from, changes, sent)
 		if len(changes.Objects) > 0 {
 			wait.Pause(ctx, f.gather())
 		}
@@ -189,8 +204,8 @@
 	return f.catalog.deps.Store.WatchFor(ctx, f.kind, after, f.pace.Wait)
 }
 
-// take applies what a call of its own brought, and passes it on.
-func (f *follower) take(from store.Version, read store.Changes) {
+// take applies what a call of its own brought, which was sent at sent, and passes it on.
+func (f *follower) take(from store.Version, read store.Changes, sent time.Time) {
 	update := Update{Changes: f.changes(read.Objects), Revision: read.Revision, Complete: read.Complete}
 	f.mu.Lock()
 	f.gap = false
@@ -202,6 +217,7 @@
 	if len(update.Changes) > 0 || update.Complete {
 		f.apply(update)
 	}
+	f.asOf = sent
 	f.mu.Unlock()
 	if news.From == 0 {
 		news = link.Gap(f.kind, news.To)
@@ -266,8 +282,9 @@
 	default:
 		f.advance(news)
 		if len(news.Changes) > 0 {
-			f.apply(Update{Changes: news.Changes, Revision: news.To})
+			f.apply(Update{Changes: news.Changes, Revision: news.To, FromLeader: true})
 		}
+		f.asOf = time.Now()
 	}
 	select {
 	case f.fed <- struct{}{}:
--- a/entry/catalog/servers.go
+++ b/entry/catalog/servers.go
@@ -52,6 +52,9 @@
 		server := change.Server
 		present[server.ID] = true
 		if held := s.known[server.ID]; held == nil || held.Revision <= server.Revision {
+			if server.Leaving && (held == nil || !held.Leaving) {
+				s.catalog.deps.ServerLeaves(server, update.FromLeader)
+			}
 			s.known[server.ID] = server
 			delete(s.lapsed, server.ID)
 		}
--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -67,6 +67,7 @@
 		Store: client, Fed: s.following.linked, Leads: func() bool { return s.parts.lease.Held() },
 		News: func(news catalog.News) { s.parts.leader.PassOn(news) },
 		Lost: s.platformLost, Regained: s.platformRegained, Unreadable: s.unreadable, Config: s.configInForce,
+		ServerLeaves: s.serverLeaves,
 	})
 }
 
@@ -80,7 +81,8 @@
 
 func provideLease(s *shell, client *store.Client, self lease.Holder) *lease.Lease {
 	return lease.New(lease.Deps{
-		Store: client, Self: self, Linked: s.following.linked, Changed: s.leaseChanged, Renewed: func() { s.parts.leader.Renewed() },
+		Store: client, Self: self, Linked: s.following.linked, Changed: s.leaseChanged, Refused: s.leaseRefused,
+		Renewed:  func() { s.parts.leader.Renewed() },
 		Capacity: takeover.Capacity{LinkMbps: s.config.LinkMbps, Cores: s.config.Cores},
 	})
 }
@@ -97,7 +99,7 @@
 
 func provideLeader(s *shell, known *catalog.Catalog, charge *lease.Lease, controller *grouping.Controller) *leader.Leader {
 	return leader.New(leader.Deps{
-		InOffice: charge.InOffice, NewsSince: known.NewsSince, Listing: known.Listing, Table: known.Table, Closed: controller.Closed,
+		InOffice: charge.InOffice, NewsSince: known.NewsSince, Listing: known.Listing, ListAge: known.ServersAge, Table: known.Table, Closed: controller.Closed,
 		Vouched: controller.Vouched,
 		Suspect: func(key backend.GroupKey) { controller.Suspect(context.Background(), key) },
 		Demand:  s.demand, Config: known.Config, TakeConfig: known.TakeConfig, LeaseVersion: charge.Version, Held: s.heldBack,
@@ -109,7 +111,7 @@
 }
 
 func provideLocal(known *catalog.Catalog) *turn.Local {
-	return turn.NewLocal(known.Listing, known.Table)
+	return turn.NewLocal(known.Listing, known.ServersAge, known.Table)
 }
 
 func provideRemote(local *turn.Local, known *catalog.Catalog) *turn.Remote {
@@ -128,7 +130,8 @@
 	s *shell, known *catalog.Catalog, remote *turn.Remote, pool *upstream.Pool, retries *relay.Retries, watch *suspects.Watch,
 ) *relay.Relay {
 	return relay.New(relay.Deps{
-		Table: known.Table, Turns: remote, Pool: pool, Retries: retries, Suspects: watch, Report: s.requestEnded, Random: rand.Float64,
+		Table: known.Table, Turns: remote, Pool: pool, Retries: retries, Suspects: watch, Report: s.requestEnded,
+		Rejected: s.requestRejected, Random: rand.Float64,
 	})
 }
 
@@ -195,6 +198,7 @@
 		"config.version":         func() int64 { version, _ := g.catalog.Config(); return int64(version) },
 		"servers.listed":         func() int64 { return int64(len(g.catalog.Listing().Servers)) },
 		"servers.revision":       func() int64 { return int64(g.catalog.Listing().Revision) },
+		"servers.list_age_ms":    func() int64 { return g.catalog.ServersAge().Milliseconds() },
 		"entries.known":          func() int64 { return int64(g.roster.Len()) },
 		"leader.held":            func() int64 { return asNumber(g.lease.Held()) },
 		"leader.linked":          func() int64 { return asNumber(g.following.linked()) },
--- a/entry/gateway/lines.go
+++ b/entry/gateway/lines.go
@@ -6,6 +6,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"github.com/skylarkpond/skylarkpond/backend"
 	"github.com/skylarkpond/skylarkpond/contract/route"
 	"github.com/skylarkpond/skylarkpond/entry/grouping"
 	"github.com/skylarkpond/skylarkpond/entry/lease"
@@ -33,10 +34,32 @@
 	s.log.WithField("config_version", table.Version).Info(logline.ConfigInForce)
 }
 
+func (s *shell) serverLeaves(server *backend.Server, fromLeader bool) {
+	s.log.WithFields(logrus.Fields{"vm": server.ID, "revision": server.Revision, "from_leader": fromLeader}).Info(logline.ServerLeaves)
+}
+
+// requestRejected tells by what the request was sent to a server that did not run it, and what this entry knows of the server.
+func (s *shell) requestRejected(rejection relay.Rejection) {
+	listing := s.parts.catalog.Listing()
+	listed := listing.Servers[rejection.Server.ID]
+	leaving := listed == nil || listed.Leaving
+	metrics.GetOrRegisterCounter("requests.rejected_by_server", s.registry).Inc(1)
+	if leaving {
+		metrics.GetOrRegisterCounter("requests.sent_to_leaving", s.registry).Inc(1)
+	}
+	s.log.WithFields(logrus.Fields{
+		"request": rejection.Request, "vm": rejection.Server.ID, "status": rejection.Status, "leaving": leaving,
+		"by_leader": rejection.Basis.Leader, "basis_revision": rejection.Basis.Revision, "basis_age_ms": rejection.Basis.Age.Milliseconds(),
+		"list_revision": listing.Revision, "list_age_ms": s.parts.catalog.ServersAge().Milliseconds(),
+	}).Info(logline.RequestRejected)
+}
+
 func (s *shell) leaseChanged(holder lease.Holder, held bool) {
 	s.log.WithFields(logrus.Fields{"holder": holder.Entry, "held": held}).Info(logline.Lease)
 }
 
+func (s *shell) leaseRefused() { s.log.Info(logline.LeaseRefused) }
+
 func (s *shell) groupEvent(event grouping.Event) {
 	if event.Kind == grouping.FleetSeen {
 		s.log.WithFields(logrus.Fields{"service": event.Service, "detail": event.Detail}).Info(string(event.Kind))
--- a/entry/leader/demand_test.go
+++ b/entry/leader/demand_test.go
@@ -26,6 +26,7 @@
 		l := leader.New(leader.Deps{
 			InOffice: func() bool { return true },
 			Listing:  func() *backend.Listing { return backend.NewListing(1, nil) },
+			ListAge:  func() time.Duration { return 0 },
 			Table:    func() *route.Table { return table },
 			Closed:   func(backend.GroupKey) bool { return false },
 			Demand:   func(turns.Demand) {},
--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -28,7 +28,9 @@
 	// InOffice says whether this entry gives the turns.
 	InOffice func() bool
 	Listing  func() *backend.Listing
-	Table    func() *route.Table
+	// ListAge is how long ago the listing was last known to be current.
+	ListAge func() time.Duration
+	Table   func() *route.Table
 	// Closed says that a group is being dissolved although it is still listed as open.
 	Closed func(key backend.GroupKey) bool
 	// Vouched is how many members of a group are there although they are not registered; nil for none.
@@ -303,6 +305,10 @@
 
 // send tells the followers what was decided. It is called under the lock; sending never blocks.
 func (l *Leader) send(decisions []policy.Decision) {
+	if len(decisions) == 0 {
+		return
+	}
+	revision, age := l.deps.Listing().Revision, l.deps.ListAge()
 	for _, d := range decisions {
 		entry, key := splitKey(d.Key)
 		to := l.followers[entry]
@@ -310,7 +316,7 @@
 			continue
 		}
 		if d.Why == policy.Granted {
-			to.Send(link.Down{Grant: &link.Grant{Key: key, Head: backend.ID(d.Head)}})
+			to.Send(link.Down{Grant: &link.Grant{Key: key, Head: backend.ID(d.Head), Revision: revision, AgeMs: age.Milliseconds()}})
 			continue
 		}
 		to.Send(link.Down{Refuse: &link.Refuse{
--- a/entry/leader/leader_test.go
+++ b/entry/leader/leader_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -43,6 +44,7 @@
 	l := leader.New(leader.Deps{
 		InOffice:     func() bool { return true },
 		Listing:      func() *backend.Listing { return backend.NewListing(1, servers) },
+		ListAge:      func() time.Duration { return 0 },
 		Table:        func() *route.Table { return &route.Table{Version: 3} },
 		Closed:       func(backend.GroupKey) bool { return false },
 		Demand:       func(turns.Demand) {},
--- a/entry/lease/lease.go
+++ b/entry/lease/lease.go
@@ -66,6 +66,8 @@
 	Renewed func()
 	// Changed tells of another holder.
 	Changed func(holder Holder, held bool)
+	// Refused tells that another entry has written the object before this one.
+	Refused func()
 }
 
 // Lease is safe for concurrent use.
@@ -255,18 +257,22 @@
 // settle notes the outcome of a write. A conflict means that another entry has the lease; after any other failure the next
 // write tells.
 func (l *Lease) settle(value Holder, written platform.Version, sent time.Time, err error) {
+	conflict := eris.Is(err, platform.ErrConflict) || eris.Is(err, platform.ErrSuperseded) || eris.Is(err, platform.ErrNotFound)
 	l.mu.Lock()
 	was := l.held
 	switch {
 	case err == nil:
 		l.held, l.holder, l.version, l.confirmed = true, value, written, sent
 		l.since = time.Now()
-	case eris.Is(err, platform.ErrConflict), eris.Is(err, platform.ErrSuperseded), eris.Is(err, platform.ErrNotFound):
+	case conflict:
 		l.held = false
 		l.since = time.Now()
 	}
 	held := l.held
 	l.mu.Unlock()
+	if conflict {
+		l.deps.Refused()
+	}
 	if held != was {
 		l.deps.Changed(value, held)
 	}
--- a/entry/lease/lease_test.go
+++ b/entry/lease/lease_test.go
@@ -37,7 +37,7 @@
 	client := store.NewClient("http://"+api.Address(), store.WithWire(platform.Objects{}), store.WithCallTimeout(300*time.Millisecond))
 	m.Lease = lease.New(lease.Deps{
 		Store: client, Self: self, Linked: m.linked.Load,
-		Renewed: func() {}, Changed: func(lease.Holder, bool) {},
+		Renewed: func() {}, Changed: func(lease.Holder, bool) {}, Refused: func() {},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
--- a/entry/relay/exchange.go
+++ b/entry/relay/exchange.go
@@ -231,9 +231,7 @@
 		t.Load(said.Load.Running, said.Load.Waiting, said.Load.Slots)
 	}
 	if said.NotRun {
-		_ = answer.Body.Close()
-		e.endAttempt()
-		t.Done(turn.Result{Rejected: true})
+		e.rejected(t, answer)
 		return e.overRejected(t)
 	}
 	e.mayHaveRun = true
@@ -243,6 +241,14 @@
 	return e.whole(t, answer)
 }
 
+// rejected ends an attempt that the server did not run.
+func (e *exchange) rejected(t *turn.Turn, answer *upstream.Answer) {
+	_ = answer.Body.Close()
+	e.endAttempt()
+	t.Done(turn.Result{Rejected: true})
+	e.relay.deps.Rejected(Rejection{Request: e.call.ID, Server: t.Server, Status: answer.Status, Basis: t.Basis})
+}
+
 // resultOf says how a turn ended whose server gave no answer, or a part of one.
 func (e *exchange) resultOf() turn.Result {
 	silent := e.next != nil
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -30,6 +30,8 @@
 	Suspects Suspects
 	// Report is told how each request ended.
 	Report func(Report)
+	// Rejected is told of each request that a server did not run, by the server's own word.
+	Rejected func(Rejection)
 	// Random is from 0 to 1; it draws targets of split routes and spreads retries.
 	Random func() float64
 }
@@ -88,6 +90,17 @@
 	First time.Duration
 }
 
+// Rejection is the refusal of one request by one server, for logs and metrics.
+type Rejection struct {
+	// Request is the id of the caller's attempt.
+	Request string
+	Server  *backend.Server
+	// Status is the server's answer.
+	Status int
+	// Basis is the list of servers by which the request was sent there.
+	Basis turn.Basis
+}
+
 // Outcome is how a request ended.
 type Outcome string
 
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -131,7 +131,8 @@
 	}, nil, []route.Team{{Name: "one", Keys: []string{"key"}}}, route.Limits{BodyBytes: 1 << 20})
 	r.retries = relay.NewRetries(relay.Allowed{Ratio: 1, Extra: 20}, 1)
 	handler := relay.New(relay.Deps{
-		Table: func() *route.Table { return r.table }, Turns: r.turns, Pool: upstream.NewPool(), Retries: r.retries, Suspects: r.watched,
+		Rejected: func(relay.Rejection) {},
+		Table:    func() *route.Table { return r.table }, Turns: r.turns, Pool: upstream.NewPool(), Retries: r.retries, Suspects: r.watched,
 		Random: func() float64 { return 0.5 },
 		Report: func(report relay.Report) {
 			r.mu.Lock()
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -127,9 +127,7 @@
 			continue
 		}
 		if platform.DecodeAnswer(answer.Status, answer.Header).NotRun || answer.Status != http.StatusOK || !platform.Signed(answer.Header) {
-			_ = answer.Body.Close()
-			e.endAttempt()
-			t.Done(turn.Result{Rejected: true})
+			e.rejected(t, answer)
 			continue
 		}
 		e.ended.Resumed = true
--- a/entry/turn/local.go
+++ b/entry/turn/local.go
@@ -16,7 +16,9 @@
 // servers tell in their answers.
 type Local struct {
 	listing func() *backend.Listing
-	table   func() *route.Table
+	// age is how long ago the listing was last known to be current.
+	age   func() time.Duration
+	table func() *route.Table
 
 	mu    sync.Mutex // guards loads; a leaf lock
 	loads map[backend.ID]*load
@@ -49,8 +51,8 @@
 )
 
 // NewLocal returns a Local.
-func NewLocal(listing func() *backend.Listing, table func() *route.Table) *Local {
-	return &Local{listing: listing, table: table, loads: make(map[backend.ID]*load)}
+func NewLocal(listing func() *backend.Listing, age func() time.Duration, table func() *route.Table) *Local {
+	return &Local{listing: listing, age: age, table: table, loads: make(map[backend.ID]*load)}
 }
 
 // Take implements Taker.
@@ -85,7 +87,9 @@
 		detail := fmt.Sprintf("%d servers listed, %d usable, listing %d", len(candidates), usable, l.listing().Revision)
 		return nil, &Refusal{Reason: reason, RetryAfter: retryAfter(reason), Detail: detail}
 	}
-	return l.grant(best), nil
+	t := l.grant(best)
+	t.Basis = Basis{Revision: l.listing().Revision, Age: l.age()}
+	return t, nil
 }
 
 // retryAfter is spread, so that requests that were refused together do not return together.
--- a/entry/turn/remote.go
+++ b/entry/turn/remote.go
@@ -138,7 +138,9 @@
 		r.end(key, Result{})
 		return r.local.Take(ctx, ask) // this entry does not know the head yet
 	}
-	return r.turn(key, server), nil
+	t := r.turn(key, server)
+	t.Basis = Basis{Leader: true, Revision: down.Grant.Revision, Age: time.Duration(down.Grant.AgeMs) * time.Millisecond}
+	return t, nil
 }
 
 // turn wraps the local account of the server, so that this entry knows enough when it has to decide by itself.
--- a/entry/turn/turn.go
+++ b/entry/turn/turn.go
@@ -67,9 +67,19 @@
 	First time.Duration
 }
 
+// Basis is the list of servers by which a turn was given.
+type Basis struct {
+	// Leader says that the leader gave the turn by its list; else this entry did by its own.
+	Leader   bool
+	Revision uint64
+	// Age is how long before the turn the list was last known to be current.
+	Age time.Duration
+}
+
 // Turn is the right to send one request to one server.
 type Turn struct {
 	Server *backend.Server
+	Basis  Basis
 	// Load tells what the server said of its load.
 	Load func(running, waiting, slots int)
 	// Silent tells that the server has said nothing for longer than usual, while the turn lasts.
--- a/entry/turn/turn_test.go
+++ b/entry/turn/turn_test.go
@@ -21,6 +21,7 @@
 
 var _ = Describe("Remote", func() {
 	head := &backend.Server{ID: "head", Service: "chat", Model: "large", Slots: 4, Group: backend.Membership{State: backend.GroupOpen}}
+	fresh := func() time.Duration { return 0 }
 	listing := func() *backend.Listing { return backend.NewListing(1, map[backend.ID]*backend.Server{"head": head}) }
 	ask := turn.Ask{Service: "chat", Model: "large", Patience: time.Minute}
 	var (
@@ -28,7 +29,7 @@
 		sent   []link.Up
 	)
 	BeforeEach(func() {
-		remote = turn.NewRemote(turn.NewLocal(listing, func() *route.Table { return nil }), listing)
+		remote = turn.NewRemote(turn.NewLocal(listing, fresh, func() *route.Table { return nil }), listing)
 		sent = nil
 	})
 	// leader grants every turn at once.
--- a/link/leader/leader.go
+++ b/link/leader/leader.go
@@ -170,6 +170,9 @@
 type Grant struct {
 	Key  uint64     `cbor:"1,keyasint"`
 	Head backend.ID `cbor:"2,keyasint"`
+	// Revision is that of the leader's list of servers, and AgeMs how long ago that list was last known to be current, in milliseconds.
+	Revision uint64 `cbor:"3,keyasint,omitempty"`
+	AgeMs    int64  `cbor:"4,keyasint,omitempty"`
 }
 
 // Refuse turns a request away.
--- a/logline/find.go
+++ b/logline/find.go
@@ -93,10 +93,12 @@
 	switch other.Message {
 	case RequestEnded:
 		return false
+	case RequestRejected:
+		return other.fields.Request == l.fields.Request
 	case Demand:
 		_, model, _ := strings.Cut(other.fields.Model, "/")
 		return l.fields.Model != "" && model == l.fields.Model && other.Time.Sub(l.Time).Abs() <= demandNear
-	case Lease, Linked, LinkEnded, PlatformLost, PlatformRegained, Started, Leaving, Stopped, ConfigInForce:
+	case Lease, LeaseRefused, Linked, LinkEnded, PlatformLost, PlatformRegained, Started, Leaving, Stopped, ConfigInForce:
 		return other.Entry == l.Entry
 	case RequestsHeldBack:
 		return true
--- a/logline/logline_test.go
+++ b/logline/logline_test.go
@@ -23,6 +23,8 @@
 {"entry":"e-1","msg":"platform lost","kind":"servers","time":"2026-01-01T00:00:08.000Z"}
 panic: not a line
 edge-1 {"entry":"e-2","msg":"lease","held":true,"time":"2026-01-01T00:00:09.000Z"}
+{"entry":"e-1","msg":"backend server rejected the request","request":"cut","vm":"vm-1","time":"2026-01-01T00:00:09.200Z"}
+{"entry":"e-1","msg":"backend server rejected the request","request":"other","vm":"vm-1","time":"2026-01-01T00:00:09.200Z"}
 {"entry":"e-2","msg":"member-dark","vm":"vm-2","time":"2026-01-01T00:00:09.100Z"}
 {"entry":"e-2","msg":"group-dissolved","group":"vm-1~10.0.0.1:1~a@3","vm":"vm-1","model":"","detail":"member vm-2 does not answer","time":"2026-01-01T00:00:09.300Z"}
 {"entry":"e-2","msg":"group-dissolved","group":"vm-10~10.0.0.2:1~b@3","vm":"vm-10","model":"small","time":"2026-01-01T00:00:09.400Z"}
@@ -46,7 +48,8 @@
 var _ = Describe("Find", func() {
 	It("finds what befell the servers of a request, in the order of time", func() {
 		Expect(find("cut")).To(Equal([]string{
-			"e-1 platform lost", "e-2 group-dissolved", "e-2 demand", "e-1 request ended", "e-2 group-opened",
+			"e-1 platform lost", "e-1 backend server rejected the request", "e-2 group-dissolved", "e-2 demand", "e-1 request ended",
+			"e-2 group-opened",
 		}))
 	})
 
--- a/logline/names.go
+++ b/logline/names.go
@@ -14,6 +14,7 @@
 	RequestEnded     = "request ended"
 	ConfigInForce    = "configuration in force"
 	Lease            = "lease"
+	LeaseRefused     = "lease not written: another entry has written it"
 	Linked           = "linked to the leader"
 	LinkEnded        = "link to the leader ended"
 	Demand           = "demand"
@@ -23,4 +24,6 @@
 	LeftOut          = "object left out"
 	RequestsHeldBack = "requests held back: they crash servers"
 	LinesDropped     = "log lines dropped"
+	ServerLeaves     = "backend server is leaving"
+	RequestRejected  = "backend server rejected the request"
 )
