--- a/test/cooperative/pond_test.go
+++ b/test/cooperative/pond_test.go
@@ -432,17 +432,20 @@
 	return nil
 }
 
-// openGroups counts the groups whose heads serve.
-func (p *pond) openGroups() int {
-	n := 0
+// openHeads returns the heads that serve.
+func (p *pond) openHeads() []*replica.Server {
+	var heads []*replica.Server
 	for _, engine := range p.engines {
 		if group := engine.Group(); group != nil && group.State == "open" {
-			n++
+			heads = append(heads, engine)
 		}
 	}
-	return n
+	return heads
 }
 
+// openGroups counts the groups whose heads serve.
+func (p *pond) openGroups() int { return len(p.openHeads()) }
+
 func (p *pond) awaitServing(groups int) {
 	GinkgoHelper()
 	Eventually(p.openGroups, generous).Should(Equal(groups))
