A permit of the leader is given back where the sender's own list says that the server is leaving or gone

What callers saw: requests reached a server more than 2 s after its leaving was acknowledged, were refused there, and were served elsewhere, or failed when the second server did.

Cause: an entry sent wherever the leader granted, without a look at its own list. A leader that the platform refuses goes on granting from the list that it has. The other entries notice 1.3 s after its last renewal and read the list for themselves, but until they are linked to its successor its old list still decides. Class: a decision taken from another's copy of the state although one's own is newer.

Fix: a server's leaving is never taken back within one life, so whoever knows of it is right. The permit is given back and the entry decides by its own list, as it already did for a server that its list does not hold. Such a permit no longer counts as one that was served whole in no time.

--- a/entry/turn/remote.go
+++ b/entry/turn/remote.go
@@ -15,7 +15,8 @@
 // is gone is noticed by its link only after a second, and each request that waits for it in vain is answered late.
 const answerTime = 80 * time.Millisecond
 
-// Remote gives turns by asking the entry in charge. Where that one does not answer, and for plain services, Local decides.
+// Remote gives turns by asking the entry in charge. Where that one does not answer, and for plain services, Local decides. No turn is given
+// at a server that is leaving or gone by this entry's own list, whoever granted it: the leader's list may be older.
 type Remote struct {
 	local   *Local
 	listing func() *backend.Listing
@@ -134,9 +135,10 @@
 		}
 	}
 	server := r.listing().Servers[down.Grant.Head]
-	if server == nil {
-		r.end(key, Result{})
-		return r.local.Take(ctx, ask) // this entry does not know the head yet
+	if server == nil || server.Leaving {
+		// A server never comes back from leaving in one life, so that this entry's list is newer than the leader's if it says so.
+		r.end(key, Result{Rejected: true})
+		return r.local.Take(ctx, ask)
 	}
 	t := r.turn(key, server)
 	t.Basis = Basis{Leader: true, Revision: down.Grant.Revision, Age: time.Duration(down.Grant.AgeMs) * time.Millisecond}
--- a/entry/turn/turn_test.go
+++ b/entry/turn/turn_test.go
@@ -74,6 +74,20 @@
 		Expect(len(sent)).To(BeNumerically(">", asked))
 	})
 
+	// Guards against requests that reach a leaving server by grants of a leader that can't read the platform.
+	It("gives a turn back that is at a server which this entry knows to be leaving", func() {
+		leaving := *head
+		leaving.Leaving = true
+		servers := map[backend.ID]*backend.Server{"head": &leaving}
+		newer := func() *backend.Listing { return backend.NewListing(2, servers) }
+		remote = turn.NewRemote(turn.NewLocal(newer, fresh, func() *route.Table { return nil }), newer)
+		remote.Attach(leader)
+		granted, refusal := remote.Take(context.Background(), ask)
+		Expect(granted).To(BeNil())
+		Expect(refusal.Reason).To(Equal(turn.NoServer))
+		Expect(sent).To(ContainElement(link.Up{Done: &link.Done{Key: 1}}))
+	})
+
 	// All places are taken, and the leader has said that the request waits. Deciding by itself, the entry would send it to a full group.
 	It("waits for its turn once the leader has said that it does", func() {
 		remote.Attach(func(message link.Up) {
