The age of a list is read without the lock under which the list is applied

A leader asks for the age of its list under its own lock, and the age was read under the lock of the follower, which is held while listeners of the list take the leader's. Two goroutines that each hold one wait for the other.

Fix: the age is an atomic value.

--- a/entry/catalog/catalog_test.go
+++ b/entry/catalog/catalog_test.go
@@ -255,6 +255,15 @@
 		Eventually(r.servers, waitFor).Should(Equal(3))
 	})
 
+	// Guards against a leader that stands still for good: it asks for the age of the list under its lock, which listeners take as well.
+	It("tells the age of the list to a listener of its changes", func() {
+		r := newRig()
+		ages := make(chan time.Duration, 100)
+		r.catalog.OnServers(func() { ages <- r.catalog.ServersAge() })
+		r.api.Write("servers", "i-1", replica.Registered("s"))
+		Eventually(ages, waitFor).Should(Receive())
+	})
+
 	It("tells once of a server that is leaving, and from where that is known", func() {
 		r := newRig()
 		r.api.Write("servers", "i-1", replica.Leaving("s"))
--- a/entry/catalog/follow.go
+++ b/entry/catalog/follow.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/skylarkpond/skylarkpond/internal/wait"
@@ -95,18 +96,19 @@
 	held map[string]store.Version
 	// answered is since when every call of this entry was answered; zero while it makes none, or after one failed.
 	answered time.Time
-	// asOf is when the kind was last known to be current: when the latest call that was answered was sent, or the leader's latest events arrived.
-	asOf time.Time
+
+	// asOf is when the kind was last known to be current: when the latest call that was answered was sent, or the leader's latest events
+	// arrived; nil before the first list. It is written under mu and read without, since those who ask may hold locks that are taken after mu.
+	asOf atomic.Pointer[time.Time]
 }
 
 // age is how long ago the kind was last known to be current; 0 before the first list.
 func (f *follower) age() time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.asOf.IsZero() {
+	asOf := f.asOf.Load()
+	if asOf == nil {
 		return 0
 	}
-	return time.Since(f.asOf)
+	return time.Since(*asOf)
 }
 
 func (f *follower) known() store.Version {
@@ -217,7 +219,7 @@
 	if len(update.Changes) > 0 || update.Complete {
 		f.apply(update)
 	}
-	f.asOf = sent
+	f.asOf.Store(&sent)
 	f.mu.Unlock()
 	if news.From == 0 {
 		news = link.Gap(f.kind, news.To)
@@ -284,7 +286,8 @@
 		if len(news.Changes) > 0 {
 			f.apply(Update{Changes: news.Changes, Revision: news.To, FromLeader: true})
 		}
-		f.asOf = time.Now()
+		now := time.Now()
+		f.asOf.Store(&now)
 	}
 	select {
 	case f.fed <- struct{}{}:
