An entry that is not the first to take the lease reads it again at once

Cause: when the holder of the lease can't renew it, several entries write it within some milliseconds. One succeeds; the others were told of a conflict, which means that somebody else holds it now, and went on as before: linked to the former leader, and looking again only once the lease could have stood still, 1.7 to 2 s later. Class: a refused write taken for the end of the matter, though it says that one's own knowledge is old.

Ruled out: links that were slow to come up; the others took 0.2 to 0.45 s from the same moment.

Fix: a conflict makes the entry doubt the holder that it knows of, as it already does for one that it can't reach, so the next look is due at once. It costs one read for each entry that was late. The spec failed before (10 s without reading the lease).

--- a/entry/lease/lease.go
+++ b/entry/lease/lease.go
@@ -87,7 +87,7 @@
 	// failures counts the looks that got no answer, in a row; again is when the next one may be.
 	failures int
 	again    time.Time
-	// doubted says that the holder could not be reached where the object says.
+	// doubted says that the holder could not be reached where the object says, or that another entry has written the object since.
 	doubted bool
 }
 
@@ -267,6 +267,7 @@
 	case conflict:
 		l.held = false
 		l.since = time.Now()
+		l.doubted, l.again = true, time.Time{} // the holder that this entry knows of has been replaced; the next look tells by whom
 	}
 	held := l.held
 	l.mu.Unlock()
--- a/entry/lease/lease_test.go
+++ b/entry/lease/lease_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -26,18 +28,42 @@
 	*lease.Lease
 	stop   context.CancelFunc
 	linked atomic.Bool
+	// refused tells that another entry has written the lease first.
+	refused chan struct{}
+}
+
+// outrun lets another entry write the lease just before each write that passes it.
+type outrun struct {
+	store.Store
+	api *objects.API
+}
+
+func (o outrun) Put(ctx context.Context, kind store.Kind, name string, version store.Version, value json.RawMessage) (store.Version, error) {
+	o.api.Write(string(kind), name, lease.Holder{Entry: "first", Token: "first", Nonce: strconv.FormatUint(uint64(version), 10)})
+	return o.Store.Put(ctx, kind, name, version, value)
 }
 
 func start(api *objects.API, name string) *member {
 	return startAs(api, lease.Holder{Entry: name, Token: name})
 }
 
-func startAs(api *objects.API, self lease.Holder) *member {
-	m := &member{}
-	client := store.NewClient("http://"+api.Address(), store.WithWire(platform.Objects{}), store.WithCallTimeout(300*time.Millisecond))
+func startAs(api *objects.API, self lease.Holder) *member { return startOver(newClient(api), self) }
+
+func newClient(api *objects.API) store.Store {
+	return store.NewClient("http://"+api.Address(), store.WithWire(platform.Objects{}), store.WithCallTimeout(300*time.Millisecond))
+}
+
+func startOver(platform store.Store, self lease.Holder) *member {
+	m := &member{refused: make(chan struct{}, 1)}
 	m.Lease = lease.New(lease.Deps{
-		Store: client, Self: self, Linked: m.linked.Load,
-		Renewed: func() {}, Changed: func(lease.Holder, bool) {}, Refused: func() {},
+		Store: platform, Self: self, Linked: m.linked.Load,
+		Renewed: func() {}, Changed: func(lease.Holder, bool) {},
+		Refused: func() {
+			select {
+			case m.refused <- struct{}{}:
+			default:
+			}
+		},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
@@ -163,6 +189,20 @@
 		Expect(other.InOffice()).To(BeFalse())
 	})
 
+	// Guards against an entry that goes on with a former leader, which can't read the platform, because another entry took the lease just before it.
+	It("is read again by an entry that was not the first to take it", func() {
+		api.Write(string(lease.Kind), lease.Name, lease.Holder{Entry: "former", Token: "former"})
+		late := startOver(outrun{newClient(api), api}, lease.Holder{Entry: "late", Token: "late"})
+		Eventually(late.refused, waitFor).Should(Receive())
+		version := uint64(1000)
+		Eventually(func() string {
+			version++
+			late.Heard(version) // it is renewed all the time, so that nobody may take it
+			holder, _ := late.Holder()
+			return holder.Entry
+		}, waitFor, "50ms").Should(Equal("first"))
+	})
+
 	// All entries were killed. One reads the lease before the holder's next process has written it anew, and can't link to what it read.
 	It("is read again soon by an entry that does not reach the holder", func() {
 		a := start(api, "a")
