A leader passes on what it reads before it knows that it holds the lease

Entries link to the next leader as soon as they read its name in the lease, and that may be before the leader has the answer to its own write (up to a second where the answer is lost), or before its next look at the groups. Such an entry is told what it has missed when it links, and everything after the leader took charge; a change that the leader read in between was told to nobody, and nothing said so until the next change.

Now what a leader reads goes to whoever is linked. The revision up to which changes were passed on is kept from one time in charge to the next: forgetting it made the first change under each new leader look like a gap, for which every entry read the platform once.

The spec failed before (nothing was passed on).

--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -139,7 +139,6 @@
 	defer l.mu.Unlock()
 	if l.inCharge {
 		l.inCharge = false
-		clear(l.passed)
 		l.crashes = newCrashes()
 		l.turns = policy.New(policy.DefaultConfig())
 	}
--- a/entry/leader/leader_test.go
+++ b/entry/leader/leader_test.go
@@ -38,13 +38,26 @@
 	return last
 }
 
+// configNews is the change of the configuration between two revisions.
+func configNews(from, to platform.Version, value json.RawMessage) link.News {
+	object := &platform.Object{Kind: "config", Name: "main", Version: to, Value: value}
+	return link.News{Kind: "config", From: from, To: to, Changes: []link.Change{{Object: object}}}
+}
+
 // ages are what a leader knows.
 var ages = []link.Age{{Kind: "servers", Ms: 400}}
 
 // newLeader returns a leader in charge of one plain service.
 func newLeader() *leader.Leader {
+	l := newEntry()
+	l.SetGroups()
+	return l
+}
+
+// newEntry returns a leader that does not know yet that it is in charge.
+func newEntry() *leader.Leader {
 	servers := map[backend.ID]*backend.Server{"i-1": {ID: "i-1", Service: "desk"}}
-	l := leader.New(leader.Deps{
+	return leader.New(leader.Deps{
 		InOffice:     func() bool { return true },
 		Listing:      func() *backend.Listing { return backend.NewListing(1, servers) },
 		ListAge:      func() time.Duration { return 0 },
@@ -56,8 +69,6 @@
 		Ages:         func() []link.Age { return ages },
 		Held:         func(link.Held) {},
 	})
-	l.SetGroups()
-	return l
 }
 
 var _ = Describe("Leader", func() {
@@ -97,17 +108,25 @@
 		_, _ = random.Read(large) // never fails
 		value, err := json.Marshal(large)
 		Expect(err).NotTo(HaveOccurred())
-		news := func(value json.RawMessage) link.News {
-			return link.News{Kind: "config", From: 5, To: 6, Changes: []link.Change{{Object: &platform.Object{Kind: "config", Name: "main", Version: 6, Value: value}}}}
-		}
-		l.PassOn(news(value))
+		l.PassOn(configNews(5, 6, value))
 		for _, f := range all {
 			Expect(*f.last().News).To(Equal(link.Gap("config", 6)))
 		}
-		l.PassOn(news(json.RawMessage(`{"version":4}`)))
+		l.PassOn(configNews(5, 6, json.RawMessage(`{"version":4}`)))
 		Expect(all[0].last().News.Changes).To(HaveLen(1))
 	})
 
+	// Guards against changes that nobody is told of: entries link to the next leader before it knows that its write of the lease has succeeded.
+	It("passes on what it reads before it knows that it is in charge, and leaves no gap afterwards", func() {
+		l := newEntry()
+		early := &follower{}
+		l.Join("e-1", early, link.Hello{})
+		l.PassOn(configNews(5, 6, nil))
+		Expect(early.last().News.Changes).To(HaveLen(1))
+		l.PassOn(configNews(8, 9, nil)) // what it read between brought nothing
+		Expect(early.last().News.From).To(BeEquivalentTo(6))
+	})
+
 	crash := func(fingerprint, server string) link.Crash {
 		return link.Crash{Service: "desk", Fingerprint: fingerprint, Server: backend.ID(server)}
 	}
--- a/entry/leader/news.go
+++ b/entry/leader/news.go
@@ -17,17 +17,20 @@
 	}
 }
 
-// PassOn tells all followers what a watch of this entry brought.
+// PassOn tells all followers what a watch of this entry brought. Some link to it before it knows that it holds the lease.
 func (l *Leader) PassOn(news catalog.News) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if !l.inCharge || (len(news.Changes) == 0 && news.From != 0) {
+	if len(news.Changes) == 0 && news.From != 0 {
 		return
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if passed := l.passed[news.Kind]; passed > 0 {
 		news.From = min(news.From, passed) // what lies between brought nothing, and was not passed on
 	}
 	l.passed[news.Kind] = news.To
+	if len(l.followers) == 0 {
+		return
+	}
 	shared := &link.Shared{Down: link.Down{News: &news}}
 	if shared.Size()*len(l.followers) > mostPassed {
 		gap := link.Gap(news.Kind, news.To)
