A group whose head is leaving gets no requests, whatever is counted of its members

A count of one from before made a group whole whose head had left.

The table fails in its last row without the change.

--- a/entry/turn/local.go
+++ b/entry/turn/local.go
@@ -144,7 +144,7 @@
 }
 
 // Heads returns the heads of the whole, open groups of a model: every member is registered, in the group, and not leaving. vouched is how many
-// members of a group are there although they are not registered; nil for none.
+// members of a group are there although they are not registered; nil for none. It may be out of date, and never stands for the head.
 func Heads(servers []*backend.Server, engine *route.Engine, modelName string, vouched func(backend.GroupKey) int) []*backend.Server {
 	model, ok := engine.Model(modelName)
 	if !ok {
@@ -158,7 +158,7 @@
 	}
 	var heads []*backend.Server
 	for _, server := range servers {
-		if server.Group.State != backend.GroupOpen || server.Model != modelName {
+		if server.Group.State != backend.GroupOpen || server.Model != modelName || server.Leaving {
 			continue
 		}
 		present := members[server.Group.GroupKey]
--- a/entry/turn/turn_test.go
+++ b/entry/turn/turn_test.go
@@ -19,6 +19,28 @@
 	RunSpecs(t, "where a request may be sent")
 }
 
+var _ = Describe("Heads", func() {
+	engine := &route.Engine{Models: []route.Model{{Name: "large", Size: 2}}}
+	key := backend.GroupKey{Name: "g", Epoch: 1}
+	group := func(headLeaves, memberLeaves bool) []*backend.Server {
+		return []*backend.Server{
+			{ID: "head", Model: "large", Leaving: headLeaves, Group: backend.Membership{GroupKey: key, State: backend.GroupOpen}},
+			{ID: "member", Model: "large", Leaving: memberLeaves, Group: backend.Membership{GroupKey: key, Rank: 1, State: backend.GroupReady}},
+		}
+	}
+
+	DescribeTable("counts members that answer without a registration, and never a head that is leaving",
+		func(servers []*backend.Server, vouched, heads int) {
+			Expect(turn.Heads(servers, engine, "large", func(backend.GroupKey) int { return vouched })).To(HaveLen(heads))
+		},
+		Entry("whole", group(false, false), 0, 1),
+		Entry("a member is leaving", group(false, true), 0, 0),
+		Entry("a member has no registration and answers", group(false, false)[:1], 1, 1),
+		Entry("the head is leaving", group(true, false), 0, 0),
+		Entry("the head is leaving, and an old count says that a member answers", group(true, false), 1, 0),
+	)
+})
+
 var _ = Describe("Remote", func() {
 	head := &backend.Server{ID: "head", Service: "chat", Model: "large", Slots: 4, Group: backend.Membership{State: backend.GroupOpen}}
 	fresh := func() time.Duration { return 0 }
