The soak judges requests that reach a leaving server, and lets heads leave while the leader can't read the platform

The soak drained servers, but nobody noted who still got requests, and it ended them within 3 s of their leaving. Now they serve on until 2 s after the acknowledgement and a little longer, and a request that reaches one later than 2 s is a problem, unless its entry, the entry's way to the platform, the way to that server or the platform had a fault within the 3 s before (the users' rule excuses these). Another fault of the soak: the leader loses its path to the platform, and a head leaves then.

--- a/test/cooperative/pond_test.go
+++ b/test/cooperative/pond_test.go
@@ -434,8 +434,11 @@
 
 // openHeads returns the heads that serve.
 func (p *pond) openHeads() []*replica.Server {
+	p.mu.Lock()
+	engines := slices.Clone(p.engines)
+	p.mu.Unlock()
 	var heads []*replica.Server
-	for _, engine := range p.engines {
+	for _, engine := range engines {
 		if group := engine.Group(); group != nil && group.State == "open" {
 			heads = append(heads, engine)
 		}
--- a/test/cooperative/soak_test.go
+++ b/test/cooperative/soak_test.go
@@ -21,7 +21,8 @@
 // soakSeeds are played in CI: one of no history, then each that ever failed.
 //
 //	1: no history
-var soakSeeds = []uint64{1}
+//	2016, 2022: requests to a leaving server by grants of a leader that could not read the platform
+var soakSeeds = []uint64{1, 2016, 2022}
 
 const (
 	soakEntries, soakEngines = 4, 9
@@ -66,6 +67,8 @@
 	told              map[string]int
 	// busy are the entries and servers that a trouble has now, so that another one does not take it back.
 	busy map[any]bool
+	// faults are the times in which an entry, a way or the platform had a fault.
+	faults map[any][]faultTime
 }
 
 func (s *soak) draw(n int) int {
@@ -124,7 +127,7 @@
 		entry := s.entries[s.random.IntN(len(s.entries))]
 		kind := s.random.IntN(10)
 		s.mu.Unlock()
-		id := fmt.Sprintf("caller-%d-%d", caller, n)
+		id := fmt.Sprintf("caller-%d-%d-%s", caller, n, entry.name)
 		switch {
 		case kind < 5:
 			s.judge("chat", entry.sendOver(client, "/chat/x", id, "body"), wholeStream(id))
@@ -196,6 +199,7 @@
 	GinkgoHelper()
 	AddReportEntry("troubles", ReportEntryVisibilityFailureOrVerbose, s.lines)
 	GinkgoWriter.Printf("told: %v\n", s.told)
+	s.judgeLeaving()
 	Expect(s.problems).To(BeEmpty())
 	Expect(s.world.Broken()).To(BeEmpty())
 	for _, id := range s.refused {
@@ -221,6 +225,7 @@
 			p.awaitServing(soakEngines / groupSize)
 			s := &soak{
 				pond: p, random: rand.New(rand.NewPCG(seed, 0)), told: make(map[string]int), busy: make(map[any]bool),
+				faults: make(map[any][]faultTime),
 			}
 			s.play(time.Duration(fromEnvironment("POND_SOAK_SECONDS", soakSeconds)) * time.Second)
 		})
--- a/test/cooperative/troubles_test.go
+++ b/test/cooperative/troubles_test.go
@@ -14,7 +14,7 @@
 var troubles = []func(*soak){
 	(*soak).killEntry, (*soak).killEntry, (*soak).freezeEntry, (*soak).freezeEntry, (*soak).stopEntry, (*soak).reloadEntry,
 	(*soak).cutEntry, (*soak).cutEntry, (*soak).failPlatform, (*soak).failPlatform, (*soak).cutEngine, (*soak).cutEngine, (*soak).resetAll,
-	(*soak).loseEngine, (*soak).loseEngine, (*soak).drainEngine, (*soak).failServer, (*soak).failServer, (*soak).changeConfig, (*soak).changeConfig,
+	(*soak).loseEngine, (*soak).loseEngine, (*soak).drainEngine, (*soak).drainUnseen, (*soak).failServer, (*soak).failServer, (*soak).changeConfig, (*soak).changeConfig,
 }
 
 // onEntry does something to an entry that has no other trouble.
@@ -24,6 +24,7 @@
 		return
 	}
 	defer s.release(entry)
+	defer s.faulty(entry)()
 	s.note("%s %s", what, entry.name)
 	do(entry)
 	s.note("%s %s is over", what, entry.name)
@@ -55,7 +56,13 @@
 }
 
 func (s *soak) reloadEntry() {
-	s.onEntry("reload", func(e *gatewayProcess) { _ = e.process().Signal(syscall.SIGHUP) })
+	entry := s.entries[s.draw(len(s.entries))]
+	if !s.take(entry) {
+		return
+	}
+	defer s.release(entry)
+	s.note("reload %s", entry.name)
+	_ = entry.process().Signal(syscall.SIGHUP)
 }
 
 // weather draws what a proxy does.
@@ -71,6 +78,7 @@
 		return
 	}
 	defer s.release(proxy)
+	defer s.faulty(proxy)()
 	weather := s.weather()
 	s.note("%s: %+v", what, weather)
 	proxy.Set(weather)
@@ -96,11 +104,12 @@
 
 // resetAll resets the connections to one model server, or of one entry to the platform.
 func (s *soak) resetAll() {
+	proxy := s.proxyOf(s.engineAt(s.draw))
 	if s.draw(2) == 0 {
-		s.entries[s.draw(len(s.entries))].toPlatform.Reset()
-		return
+		proxy = s.entries[s.draw(len(s.entries))].toPlatform
 	}
-	s.proxyOf(s.engineAt(s.draw)).Reset()
+	defer s.faulty(proxy)()
+	proxy.Reset()
 }
 
 func (s *soak) failPlatform() {
@@ -108,6 +117,7 @@
 		return
 	}
 	defer s.release(s.api)
+	defer s.faulty(s.api)()
 	faults := []objects.Faults{{Silent: true}, {Refuse: 503}, {Refuse: 429}, {LoseAnswers: true}, {Deaf: true}}[s.draw(5)]
 	s.note("platform: %+v", faults)
 	s.api.Set(faults)
@@ -131,14 +141,31 @@
 	s.replaceEngine(engine, "large")
 }
 
-func (s *soak) drainEngine() {
-	engine := s.engineAt(s.draw)
+func (s *soak) drainEngine() { s.drain(s.engineAt(s.draw)) }
+
+// drainUnseen lets a head leave while the leader can't read the platform.
+func (s *soak) drainUnseen() {
+	leader, heads := s.leader(), s.openHeads()
+	if leader == nil || len(heads) == 0 || !s.take(leader.toPlatform) {
+		return
+	}
+	defer s.release(leader.toPlatform)
+	defer s.faulty(leader.toPlatform)()
+	s.note("%s, the leader, can't read the platform", leader.name)
+	leader.toPlatform.Set(loopback.Weather{Silent: true})
+	time.Sleep(s.some() / 10)
+	s.drain(heads[s.draw(len(heads))])
+	leader.toPlatform.Set(loopback.Weather{})
+}
+
+// drain lets a model server leave; another one comes, with weights on its host.
+func (s *soak) drain(engine *replica.Server) {
 	if !s.take(engine) {
 		return
 	}
 	s.note("drain %s", engine.ID())
 	engine.Leave()
-	time.Sleep(s.some())
+	time.Sleep(leavingKnown + s.some()) // it serves on until its leaving must be known, and a little longer
 	engine.Die()
 	s.replaceEngine(engine, "large")
 }
