Soak and failure tests: one way to a fault of an entry, one to the leader and the others (no change in behaviour)

Noting the time of a fault in onEntry had made reloadEntry a copy of it, since a reload is no fault: harmEntry adds the note to onEntry, and a reload uses that again. The leader and the other entries were picked by the same three lines in two specs: leaderAndRest.

The program is untouched.

--- a/test/cooperative/cooperative_test.go
+++ b/test/cooperative/cooperative_test.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -40,9 +39,7 @@
 	It("go on and mend a group after the entry in charge was killed", func() {
 		p := newPond(4, 7)
 		p.awaitServing(2)
-		leader := p.leader()
-		Expect(leader).NotTo(BeNil())
-		rest := slices.DeleteFunc(slices.Clone(p.entries), func(e *gatewayProcess) bool { return e == leader })
+		leader, rest := p.leaderAndRest()
 		results := make(chan []sent, 1)
 		go func() { results <- streams(rest, 6, "killed") }()
 		time.Sleep(200 * time.Millisecond)
--- a/test/cooperative/leaving_test.go
+++ b/test/cooperative/leaving_test.go
@@ -85,9 +85,7 @@
 	It("send nothing to a leaving server although the leader can't read the platform", func() {
 		p := newPond(3, 7)
 		p.awaitServing(2)
-		leader := p.leader()
-		Expect(leader).NotTo(BeNil())
-		rest := slices.DeleteFunc(slices.Clone(p.entries), func(e *gatewayProcess) bool { return e == leader })
+		leader, rest := p.leaderAndRest()
 		p.api.Set(objects.Faults{RefuseWrites: 503})
 		leader.toPlatform.Set(loopback.Weather{Silent: true})
 		p.openHeads()[0].Leave()
--- a/test/cooperative/pond_test.go
+++ b/test/cooperative/pond_test.go
@@ -432,6 +432,14 @@
 	return nil
 }
 
+// leaderAndRest returns the entry that holds the lease, and the others.
+func (p *pond) leaderAndRest() (leader *gatewayProcess, rest []*gatewayProcess) {
+	GinkgoHelper()
+	leader = p.leader()
+	Expect(leader).NotTo(BeNil())
+	return leader, slices.DeleteFunc(slices.Clone(p.entries), func(e *gatewayProcess) bool { return e == leader })
+}
+
 // openHeads returns the heads that serve.
 func (p *pond) openHeads() []*replica.Server {
 	p.mu.Lock()
--- a/test/cooperative/troubles_test.go
+++ b/test/cooperative/troubles_test.go
@@ -24,14 +24,21 @@
 		return
 	}
 	defer s.release(entry)
-	defer s.faulty(entry)()
 	s.note("%s %s", what, entry.name)
 	do(entry)
 	s.note("%s %s is over", what, entry.name)
 }
 
+// harmEntry does something to an entry that is a fault while it lasts.
+func (s *soak) harmEntry(what string, do func(*gatewayProcess)) {
+	s.onEntry(what, func(e *gatewayProcess) {
+		defer s.faulty(e)()
+		do(e)
+	})
+}
+
 func (s *soak) killEntry() {
-	s.onEntry("kill", func(e *gatewayProcess) {
+	s.harmEntry("kill", func(e *gatewayProcess) {
 		_ = e.process().Kill()
 		<-e.ended()
 		time.Sleep(s.some())
@@ -40,7 +47,7 @@
 }
 
 func (s *soak) freezeEntry() {
-	s.onEntry("freeze", func(e *gatewayProcess) {
+	s.harmEntry("freeze", func(e *gatewayProcess) {
 		_ = e.process().Signal(syscall.SIGSTOP)
 		time.Sleep(s.some())
 		_ = e.process().Signal(syscall.SIGCONT)
@@ -48,7 +55,7 @@
 }
 
 func (s *soak) stopEntry() {
-	s.onEntry("stop", func(e *gatewayProcess) {
+	s.harmEntry("stop", func(e *gatewayProcess) {
 		_ = e.process().Signal(syscall.SIGTERM)
 		<-e.ended()
 		e.start()
@@ -56,13 +63,7 @@
 }
 
 func (s *soak) reloadEntry() {
-	entry := s.entries[s.draw(len(s.entries))]
-	if !s.take(entry) {
-		return
-	}
-	defer s.release(entry)
-	s.note("reload %s", entry.name)
-	_ = entry.process().Signal(syscall.SIGHUP)
+	s.onEntry("reload", func(e *gatewayProcess) { _ = e.process().Signal(syscall.SIGHUP) })
 }
 
 // weather draws what a proxy does.
