Requests that may not be repeated: a line for each claim, refusal, seal and question to a holder; failed step specs report their trails

Callers saw "unknown" for bookings that never ran, and nothing told why: a failed step spec left two lines a process, and the time line had no event for a claim that was not confirmed, a refusal, a seal that failed, or the answer to the question to a claim's holder. What was missing to tell the hypotheses of the known failures apart is added first, without a change of behaviour:

- time line: request-refused (with whether a claim is given up), claim-unconfirmed, seal-unconfirmed, holder-asked; request-queued tells what is in flight, the limit and the queue at the home;
- log lines of the front for each request that may not be repeated and ended without an answer, and of the home for a claim that was not confirmed, a claim given up, and its own seals;
- metrics: home.claim.*, home.seal.*, home.claim-given-up, front.seal.*, front.holder.*;

--- a/contract/attempt/records.go
+++ b/contract/attempt/records.go
@@ -55,6 +55,15 @@
 	Absent
 )
 
+// String names the verdict in logs.
+func (v Verdict) String() string {
+	names := [...]string{"none", "confirmed", "found", "reused", "untouched", "unsure", "absent"}
+	if int(v) >= len(names) {
+		return "invalid"
+	}
+	return names[v]
+}
+
 // Result is what came of a call.
 type Result struct {
 	Verdict Verdict
--- a/entry/front/counts.go
+++ b/entry/front/counts.go
@@ -25,10 +25,12 @@
 	}
 }
 
+func (c *counts) add(name string) { metrics.GetOrRegisterCounter(name, c.registry).Inc(1) }
+
 func (c *counts) told(a outcome.Action, took time.Duration) {
-	metrics.GetOrRegisterCounter("front.outcome."+string(a.Outcome), c.registry).Inc(1)
+	c.add("front.outcome." + string(a.Outcome))
 	if a.Problem != nil {
-		metrics.GetOrRegisterCounter("front.code."+string(a.Problem.Code), c.registry).Inc(1)
+		c.add("front.code." + string(a.Problem.Code))
 	}
 	c.total.Update(took)
 }
--- a/entry/front/drive.go
+++ b/entry/front/drive.go
@@ -239,9 +239,7 @@
 		ID: d.id(), Number: d.q.attempt, Fingerprint: d.q.fingerprint, RequestID: d.q.id,
 		Retention: attempt.Retention(d.q.service), Renounced: action.Renounced,
 	})
-	if result.Verdict == attempt.Confirmed {
-		d.record(timeline.RequestSealed, "")
-	}
+	d.noteSeal(result)
 	return result
 }
 
@@ -256,7 +254,9 @@
 func (d *drive) working(ctx context.Context, a contract.Attempt) bool {
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
-	return d.front.deps.Holders.Working(ctx, a.Home, a.Incarnation, a.RequestID)
+	working := d.front.deps.Holders.Working(ctx, a.Home, a.Incarnation, a.RequestID)
+	d.noteHolder(a, working)
+	return working
 }
 
 func (d *drive) tell(action outcome.Action) {
@@ -266,6 +266,7 @@
 	}
 	d.record(timeline.RequestOutcome, detail)
 	d.front.counts.told(action, time.Since(d.began))
+	d.noteUnanswered(action)
 	d.out.tell(action)
 }
 
--- a/entry/front/fakes_test.go
+++ b/entry/front/fakes_test.go
@@ -463,6 +463,8 @@
 	return openTurn{}, nil
 }
 
+func (openDoor) Load(vm.GroupID) contract.GroupLoad { return contract.GroupLoad{} }
+
 type openTurn struct{}
 
 func (openTurn) FirstToken() {}
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/google/uuid"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
 
 	"github.com/skylarkpond/skylarkpond/contract"
 	"github.com/skylarkpond/skylarkpond/contract/attempt"
@@ -88,6 +90,8 @@
 	Attempts   *attempt.Records
 	Recorder   *timeline.Recorder
 	Metrics    metrics.Registry
+	// Log may be nil.
+	Log logrus.FieldLogger
 }
 
 // Front serves callers. It is safe for concurrent use.
@@ -99,6 +103,11 @@
 
 // New returns a front.
 func New(deps Deps) *Front {
+	if deps.Log == nil {
+		discard := logrus.New()
+		discard.SetOutput(io.Discard)
+		deps.Log = discard
+	}
 	return &Front{deps: deps, newID: uuid.NewString, counts: newCounts(deps.Metrics)}
 }
 
--- /dev/null
+++ b/entry/front/lines.go
@@ -0,0 +1,53 @@
+package front
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/skylarkpond/skylarkpond/contract"
+	"github.com/skylarkpond/skylarkpond/contract/attempt"
+	"github.com/skylarkpond/skylarkpond/contract/outcome"
+	"github.com/skylarkpond/skylarkpond/timeline"
+)
+
+// lineUnanswered is the message of the log line of a request that may not be repeated and was not answered.
+const lineUnanswered = "request ended without an answer"
+
+func (d *drive) noteUnanswered(action outcome.Action) {
+	if !d.q.unrepeatable || action.Problem == nil || action.Outcome == contract.Answered {
+		return
+	}
+	line := d.front.deps.Log.WithFields(logrus.Fields{
+		"request": d.q.id, "team": d.q.team.Name, "service": d.q.service.Name, "key": d.q.key, "attempt": d.q.attempt,
+		"outcome": action.Outcome, "code": action.Problem.Code, "detail": action.Problem.Message,
+		"groups": d.tried, "took_ms": time.Since(d.began).Milliseconds(),
+	})
+	if action.Outcome == contract.Unknown {
+		line.Warn(lineUnanswered)
+		return
+	}
+	line.Info(lineUnanswered)
+}
+
+// noteSeal reports the result of a seal: "front.seal.<verdict>" counts them.
+func (d *drive) noteSeal(result attempt.Result) {
+	d.front.counts.add("front.seal." + result.Verdict.String())
+	if result.Verdict == attempt.Confirmed {
+		d.record(timeline.RequestSealed, "")
+		return
+	}
+	d.record(timeline.SealUnconfirmed, result.Verdict.String())
+}
+
+// noteHolder reports what the holder of a claim answered: "front.holder.<answer>" counts the answers.
+func (d *drive) noteHolder(a contract.Attempt, working bool) {
+	answer := "not-working"
+	if working {
+		answer = "working"
+	}
+	d.front.counts.add("front.holder." + answer)
+	d.front.deps.Recorder.Record(timeline.Event{
+		Kind: timeline.HolderAsked, Request: d.q.id, Team: d.q.team.Name, Service: d.q.service.Name, Peer: a.Home, Detail: answer,
+	})
+}
--- a/entry/home/home.go
+++ b/entry/home/home.go
@@ -7,8 +7,12 @@
 
 import (
 	"context"
+	"io"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
 	"github.com/skylarkpond/skylarkpond/contract"
 	"github.com/skylarkpond/skylarkpond/contract/attempt"
 	"github.com/skylarkpond/skylarkpond/contract/settings"
@@ -57,6 +61,8 @@
 type Admission interface {
 	// Enter waits for a turn, or says at once why there is none.
 	Enter(ctx context.Context, item Item) (Turn, *contract.Problem)
+	// Load returns the load of a group at this home.
+	Load(id vm.GroupID) contract.GroupLoad
 }
 
 // Guard holds requests back that crash backend servers.
@@ -78,6 +84,9 @@
 	Engines     engine.Client
 	Settings    func() *settings.Snapshot
 	Recorder    *timeline.Recorder
+	Metrics     metrics.Registry
+	// Log may be nil.
+	Log logrus.FieldLogger
 	// Clock is time.Now if nil.
 	Clock func() time.Time
 }
@@ -93,6 +102,11 @@
 	if deps.Clock == nil {
 		deps.Clock = time.Now
 	}
+	if deps.Log == nil {
+		discard := logrus.New()
+		discard.SetOutput(io.Discard)
+		deps.Log = discard
+	}
 	return &Home{deps: deps, work: newTable()}
 }
 
--- a/entry/home/home_test.go
+++ b/entry/home/home_test.go
@@ -49,6 +49,8 @@
 	return nil, engine.ErrNotSent
 }
 
+func (s *scene) Load(vm.GroupID) contract.GroupLoad { return contract.GroupLoad{} }
+
 // openGuard knows no suspects and holds nothing back.
 func openGuard() *guard.Guard {
 	return guard.New(guard.Deps{Metrics: metrics.NewRegistry(), Recorder: timeline.NewRecorder("g", nil, time.Now), Clock: time.Now})
--- a/entry/home/run.go
+++ b/entry/home/run.go
@@ -61,7 +61,7 @@
 	if !r.frame(contract.Frame{Kind: contract.FrameQueued}) {
 		return false
 	}
-	r.record(timeline.RequestQueued, "")
+	r.record(timeline.RequestQueued, describeLoad(r.home.deps.Admission.Load(r.d.Group)))
 	turn, p := r.home.deps.Admission.Enter(ctx, r.item(ctx))
 	if p != nil {
 		r.refuse(p)
@@ -213,10 +213,10 @@
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	result := r.home.deps.Attempts.Claim(ctx, w, r.home.deps.Self, r.home.deps.Incarnation)
+	r.noteClaim(result)
 	switch result.Verdict {
 	case attempt.Confirmed:
 		r.claim = result
-		r.record(timeline.RequestClaimed, "")
 		r.frame(contract.Frame{Kind: contract.FrameClaimed, AttemptVersion: uint64(result.Version)})
 		return true
 	case attempt.Found, attempt.Reused:
@@ -248,6 +248,7 @@
 // told unknown: then the home itself puts a seal in its place, as well as it can.
 func (r *run) refuse(p *contract.Problem) {
 	frontGone := r.front.Err() != nil
+	r.noteRefusal(p, frontGone)
 	f := contract.Frame{Kind: contract.FrameRefused, Problem: p}
 	if r.claim.Verdict != 0 {
 		claim := r.claim.Attempt
@@ -261,9 +262,7 @@
 	defer cancel()
 	w := r.wish()
 	w.Renounced = []string{r.claim.Attempt.Nonce}
-	if r.home.deps.Attempts.Seal(ctx, w).Verdict == attempt.Confirmed {
-		r.record(timeline.RequestSealed, "by the home")
-	}
+	r.noteSeal(r.home.deps.Attempts.Seal(ctx, w))
 }
 
 // broken tells the front that the answer broke off. Whether a backend server crashed is found out first: a
--- a/entry/providers.go
+++ b/entry/providers.go
@@ -108,12 +108,12 @@
 
 func provideHome(
 	self registered, placed placed, admission *admission.Admission, attempts *attempt.Records, engines engine.Client,
-	inForce *settingsInForce, recorder *timeline.Recorder, guard *guard.Guard,
+	inForce *settingsInForce, recorder *timeline.Recorder, guard *guard.Guard, measures *measures, log *logrus.Entry,
 ) *home.Home {
 	return home.New(home.Deps{
 		Self: self.entry.Name, Incarnation: self.entry.Incarnation, Groups: placed, Presence: placed,
 		Admission: admission, Guard: guard, Attempts: attempts, Engines: engines,
-		Settings: inForce.Snapshot, Recorder: recorder,
+		Settings: inForce.Snapshot, Recorder: recorder, Metrics: measures.registry, Log: log,
 	})
 }
 
@@ -129,12 +129,12 @@
 
 func provideFront(
 	config Config, inForce *settingsInForce, dispatcher *dispatcher, router *routing.Router, attempts *attempt.Records,
-	recorder *timeline.Recorder, measures *measures,
+	recorder *timeline.Recorder, measures *measures, log *logrus.Entry,
 ) *front.Front {
 	return front.New(front.Deps{
 		Self: config.Name, Settings: inForce.Snapshot, Dispatcher: dispatcher, Holders: dispatcher,
 		Chooser: router, Retries: router,
-		Attempts: attempts, Recorder: recorder, Metrics: measures.registry,
+		Attempts: attempts, Recorder: recorder, Metrics: measures.registry, Log: log,
 	})
 }
 
--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -40,10 +40,10 @@
 	controller := provideController(self, reach, store, engineClient, entryOwners, mirrorMirror, table, entrySettingsInForce, recorder, measures2, log, follower)
 	entryPlaced := providePlaced(config, table, presence, prober)
 	records := provideAttempts(store)
-	home := provideHome(self, entryPlaced, admissionAdmission, records, engineClient, entrySettingsInForce, recorder, guard)
+	home := provideHome(self, entryPlaced, admissionAdmission, records, engineClient, entrySettingsInForce, recorder, guard, measures2, log)
 	entryDispatcher := provideDispatcher(self, table, home, members, client, recorder, admissionAdmission)
 	router := provideRouter(config, measures2)
-	front := provideFront(config, entrySettingsInForce, entryDispatcher, router, records, recorder, measures2)
+	front := provideFront(config, entrySettingsInForce, entryDispatcher, router, records, recorder, measures2, log)
 	gate := &drain.Gate{}
 	directory := provideDirectory(members, entrySettingsInForce, gate, entryDispatcher)
 	entryOverview := provideOverview(config, members, table, entrySettingsInForce, client, recorder, controller)
--- a/test/steps_test.go
+++ b/test/steps_test.go
@@ -107,6 +107,7 @@
 	GinkgoHelper()
 	s := &stage{cluster: startClusterWith(4, stageWorld, stageFiles)}
 	s.ledger = &ledger{c: s.cluster}
+	DeferCleanup(s.reportOnFailure)
 	return s
 }
 
--- a/timeline/event.go
+++ b/timeline/event.go
@@ -29,9 +29,13 @@
 	OrderRefused      Kind = "order-refused"      // VM, Group, Version: fence, Detail
 	RequestAccepted   Kind = "request-accepted"   // Request, Team, Service
 	RequestDispatched Kind = "request-dispatched" // Request, Group: front to home
-	RequestQueued     Kind = "request-queued"     // Request, Group
+	RequestQueued     Kind = "request-queued"     // Request, Group, Detail: load of the group at its home
+	RequestRefused    Kind = "request-refused"    // Request, Group, Detail: code, and whether a claim is given up
 	RequestClaimed    Kind = "request-claimed"    // Request
+	ClaimUnconfirmed  Kind = "claim-unconfirmed"  // Request, Group, Detail: verdict
 	RequestSealed     Kind = "request-sealed"     // Request
+	SealUnconfirmed   Kind = "seal-unconfirmed"   // Request, Detail: verdict
+	HolderAsked       Kind = "holder-asked"       // Request, Peer: holder of the claim, Detail: its answer
 	RequestSent       Kind = "request-sent"       // Request, Group, VM: home to engine
 	RequestOutcome    Kind = "request-outcome"    // Request, Detail: outcome and code
 	BackendCrashed    Kind = "backend-crashed"    // Request, Service, Group, Detail: the crash's name
