A claim that was given up is released by its home, and its holder says so to whoever asks

What callers saw: a booking that never ran was told "unknown (outcome-unknown)", and the same again for as long as its record was kept, although its home lived and knew that it had not sent it (home cut off from all entries while it asked for the claim). They could neither book again nor give up.

Cause: a home that gives a claim up leaves the claim to its front, unless it knows that the front is gone. It took a frame that was written for a frame that was heard. Written into a link that is cut, the refusal is lost without an error; the front then finds a claim and asks its holder, which could only say "not at work". After that nobody ever replaced the claim: the front may not, and the home was done.

Ruled out: a claim that lands after the home looked (the record was seen to stand by the front's own seal); a home that was restarted (same incarnation).

Fix: the home remembers the nonces of claims that it gave up (8,192 at most) and answers for them; a front that is told so goes on in place of the claim, or seals it. A claim may be replaced only by a claim of its number or a higher one: attempts below may have been told not-run by a seal that it replaced.

The property test of the machine plays releases and the holder's answers.

--- a/contract/attempt/records.go
+++ b/contract/attempt/records.go
@@ -4,12 +4,14 @@
 // "it never runs": a home claims right before it sends, a front seals before it says not-run, and the
 // platform lets only one of the two through. What each write may replace:
 //
-//	claim N   nothing, a seal of a lower number, a renounced claim
-//	seal N    nothing, a seal of a lower number, a renounced claim
-//	done      the claim of the same holder
+//	claim N    nothing, a seal of a lower number, a renounced claim of N or lower
+//	seal N     nothing, a seal of a lower number, a renounced claim of N+1 or lower
+//	release N  nothing, a seal of N-1 or lower, the holder's own claim of N
+//	done       the claim of the same holder
 //
-// A claim is renounced when its holder told the front that it will never send under it. Nothing else ever
-// replaces a claim: its holder may be frozen between the claim and the send.
+// A claim is renounced when its holder told a front that it will never send under it. Nothing else ever
+// replaces a claim: its holder may be frozen between the claim and the send. A release is a seal of N-1: it
+// ends the claim and leaves open what the claim found, so that attempt N can be claimed or sealed by anybody.
 package attempt
 
 import (
@@ -84,6 +86,8 @@
 	Retention time.Duration
 	// Renounced lists the nonces of claims that may be replaced.
 	Renounced []string
+	// refresh replaces a seal of the same number, so that a claim that is on its way to that seal's version can't land.
+	refresh bool
 }
 
 // unknownRetention is that of a seal whose service this entry does not know.
@@ -127,6 +131,16 @@
 	return r.write(ctx, w, r.record(w, contract.AttemptSealed))
 }
 
+// Release ends a claim of this holder under which nothing was or will be sent. Confirmed, Found and Reused say
+// that the claim does not stand.
+func (r *Records) Release(ctx context.Context, w Wish, claim Result) Result {
+	record := r.record(w, contract.AttemptSealed)
+	record.Number = claim.Attempt.Number - 1
+	w.Renounced = []string{claim.Attempt.Nonce}
+	w.refresh = true
+	return r.writeFrom(ctx, w, record, claim.Version)
+}
+
 // Done replaces a confirmed claim by the answer.
 func (r *Records) Done(ctx context.Context, id ID, claim Result, answer contract.StoredAnswer, retention time.Duration) Result {
 	record := claim.Attempt
@@ -173,13 +187,23 @@
 	return standing, nil
 }
 
+// leastOver is the lowest number that may replace a renounced claim. Attempts below that of the claim may have
+// been told not-run by a seal that the claim replaced: another claim must not bring one of them back, and a
+// seal must cover them still.
+func leastOver(claim, record contract.Attempt) int {
+	if record.State == contract.AttemptSealed {
+		return claim.Number - 1
+	}
+	return claim.Number
+}
+
 // mayReplace says whether record may be written over standing.
-func mayReplace(standing, record contract.Attempt, renounced []string) bool {
+func (w *Wish) mayReplace(standing, record contract.Attempt) bool {
 	switch standing.State {
 	case contract.AttemptSealed:
-		return standing.Number < record.Number
+		return standing.Number < record.Number || w.refresh && standing.Number == record.Number
 	case contract.AttemptClaimed:
-		return slices.Contains(renounced, standing.Nonce)
+		return slices.Contains(w.Renounced, standing.Nonce) && record.Number >= leastOver(standing, record)
 	default:
 		return false
 	}
--- a/contract/attempt/records_test.go
+++ b/contract/attempt/records_test.go
@@ -79,8 +79,41 @@
 		Entry("an answer", contract.Attempt{State: contract.AttemptDone, Number: 1, Fingerprint: "f", Nonce: "gone"}, 2, Found, Found),
 		Entry("another request's seal", contract.Attempt{State: contract.AttemptSealed, Number: 1, Fingerprint: "g"}, 2, Reused, Reused),
 		Entry("another request's claim", contract.Attempt{State: contract.AttemptClaimed, Number: 1, Fingerprint: "g"}, 1, Reused, Reused),
+		Entry("a renounced claim of the next attempt", contract.Attempt{State: contract.AttemptClaimed, Number: 2, Fingerprint: "f", Nonce: "gone"}, 1, Found, Confirmed),
+		Entry("a renounced claim of a higher attempt", contract.Attempt{State: contract.AttemptClaimed, Number: 3, Fingerprint: "f", Nonce: "gone"}, 1, Found, Found),
 	)
 
+	// A release must end the claim, also one that lands late, and must not bring back an attempt that was told not-run.
+	DescribeTable("releases a claim that was given up",
+		func(faults ...fault) {
+			stand(contract.Attempt{State: contract.AttemptSealed, Number: 1, Fingerprint: "f"})
+			seal := store.objects["dairy/lot-7"]
+			store.faults = faults
+			claim := records().Claim(ctx, wish(2), "e1", "i1")
+			Expect(claim.Verdict).To(BeElementOf(Confirmed, Unsure))
+			store.faults = nil
+			Expect(records().Release(ctx, wish(2), claim).Verdict).To(Equal(Confirmed))
+			value, err := json.Marshal(claim.Attempt)
+			Expect(err).NotTo(HaveOccurred())
+			_, err = store.apply(seal.Name, seal.Version, value)
+			Expect(err).To(MatchError(platform.ErrConflict), "a late copy of the claim")
+			Expect(standing().State).To(Equal(contract.AttemptSealed))
+			Expect(records().Claim(ctx, wish(1), "e2", "i2").Verdict).To(Equal(Found))
+			Expect(records().Claim(ctx, wish(2), "e2", "i2").Verdict).To(Equal(Confirmed))
+		},
+		Entry("confirmed"),
+		Entry("its answer lost, and the reads behind it", lost, out, lost, out, lost, out, lost, out),
+		Entry("lost", void, out, void, out, void, out, void, out),
+	)
+
+	It("leaves what replaced a released claim", func() {
+		first := records().Claim(ctx, wish(1), "e1", "i1")
+		second := records().Claim(ctx, wish(1, first.Attempt.Nonce), "e2", "i2")
+		Expect(second.Verdict).To(Equal(Confirmed))
+		Expect(records().Release(ctx, wish(1), first).Verdict).To(Equal(Found))
+		Expect(standing()).To(Equal(second.Attempt))
+	})
+
 	// The platform takes the write and its answer is lost, or loses the write, or is out for a while. Read the
 	// wrong way, a request runs that was told not-run, or a seal is told that never came about.
 	DescribeTable("a write whose answer is lost",
--- a/contract/attempt/write.go
+++ b/contract/attempt/write.go
@@ -59,7 +59,7 @@
 		case standing.Attempt.Fingerprint != record.Fingerprint:
 			standing.Verdict = Reused
 			return standing
-		case !mayReplace(standing.Attempt, record, w.Renounced):
+		case !w.mayReplace(standing.Attempt, record):
 			standing.Verdict = Found
 			return standing
 		default:
--- a/contract/outcome/action.go
+++ b/contract/outcome/action.go
@@ -30,12 +30,37 @@
 	Seal
 	// Find: read the record, report by Found.
 	Find
-	// AskHolder: ask the home in Attempt whether it still works under this claim, report by Holder.
+	// AskHolder: ask the home in Attempt what became of this claim, report by Holder.
 	AskHolder
 	// Tell: the outcome is final. A dispatch under way is closed.
 	Tell
 )
 
+// HolderAnswer is what the holder of a claim says of it.
+type HolderAnswer uint8
+
+// The answers.
+const (
+	// HolderSilent: it can't be reached, or knows no more of the claim.
+	HolderSilent HolderAnswer = iota
+	// HolderWorking: it is still at work.
+	HolderWorking
+	// HolderGaveUp: it gave the claim up. Nothing was or will be sent under it.
+	HolderGaveUp
+)
+
+// String names the answer in logs.
+func (a HolderAnswer) String() string {
+	switch a {
+	case HolderWorking:
+		return "working"
+	case HolderGaveUp:
+		return "gave-up"
+	default:
+		return "silent"
+	}
+}
+
 // Action is what is to be done next.
 type Action struct {
 	Do Do
--- a/contract/outcome/actors_test.go
+++ b/contract/outcome/actors_test.go
@@ -72,7 +72,7 @@
 				action = m.Found(r.Find(context.Background(), attempt.ID{Team: "t", Key: t.key}, t.request.Fingerprint))
 			case AskHolder:
 				holder := action.Attempt
-				y(step{do: func() { action = m.Holder(w.working(holder)) }})
+				y(step{do: func() { action = m.Holder(w.ask(holder)) }})
 			case Tell:
 				t.tell(action)
 				t.returned = w.clock
@@ -147,10 +147,19 @@
 	return next
 }
 
-// working is the holder's own answer; a dead or frozen one gives none.
-func (w *world) working(holder contract.Attempt) bool {
+// ask is the holder's own answer; a dead or frozen one gives none. A home that has given its claim up goes on
+// answering for it.
+func (w *world) ask(holder contract.Attempt) HolderAnswer {
 	i := slices.IndexFunc(w.actors, func(a *actor) bool { return a.name == holder.Home })
-	return i >= 0 && !w.actors[i].over && !w.actors[i].frozen
+	switch {
+	case i < 0 || w.actors[i].dead || w.actors[i].frozen:
+		return HolderSilent
+	case w.givenUp[holder.Nonce]:
+		return HolderGaveUp
+	case !w.actors[i].over:
+		return HolderWorking
+	}
+	return HolderSilent
 }
 
 // home handles one dispatch: queue, claim, one send, events, answer kept, end.
@@ -172,8 +181,13 @@
 			f := contract.Frame{Kind: contract.FrameRefused, Problem: contract.Later(code, "", RetrySoon)}
 			if claim.Verdict != 0 {
 				f.Attempt = &claim.Attempt
+				w.givenUp[claim.Attempt.Nonce] = true
 			}
 			send(f)
+			if claim.Verdict != 0 {
+				y(step{do: func() {}})
+				records(w, y).Release(context.Background(), wish(q, t.key, nil), claim)
+			}
 		}
 		r := records(w, y)
 		refused := false
--- a/contract/outcome/machine.go
+++ b/contract/outcome/machine.go
@@ -53,13 +53,19 @@
 	// ran: a dispatch may have run. loose: a dispatch may run yet, as far as this front knows.
 	ran   bool
 	loose bool
+	// dispatched: there was a dispatch.
+	dispatched bool
 	// delivered: the caller was given a part of the answer already.
 	delivered bool
 	renounced []string
-	// asked: the holder of the claim was asked, and is not at work.
-	asked bool
-	// problem is why the request is given up.
+	// claim is the one whose holder is asked; asked: it was, and is not at work. unsettled is why the outcome is
+	// unknown if the claim stays.
+	claim     contract.Attempt
+	asked     bool
+	unsettled *contract.Problem
+	// problem is why the request is given up; noOther: there was no group for another dispatch.
 	problem *contract.Problem
+	noOther bool
 }
 
 // New returns the machine of a request.
@@ -134,6 +140,7 @@
 	if m.phase != atHome {
 		return Action{Do: Wait}
 	}
+	m.noOther = true
 	if m.problem == nil {
 		m.problem = p
 	}
@@ -184,7 +191,7 @@
 		}
 	case finding:
 		if !stands {
-			return m.unknown(m.problem)
+			return m.unknown(m.whyUnknown())
 		}
 	default:
 		return Action{Do: Wait}
@@ -192,25 +199,54 @@
 	return m.standing(r)
 }
 
-// Holder takes the answer to AskHolder: whether the holder of the claim lives and is still at work.
-func (m *Machine) Holder(working bool) Action {
+// Holder takes the answer to AskHolder.
+func (m *Machine) Holder(answer HolderAnswer) Action {
 	if m.phase != asking {
 		return Action{Do: Wait}
 	}
-	if working && !m.delivered {
+	if answer == HolderWorking && !m.delivered {
 		return m.tell(Action{Outcome: contract.InProgress, Problem: problemInProgress()})
 	}
-	if !working && !m.asked {
+	if answer == HolderGaveUp && m.mayReplace(m.claim) {
+		return m.replaceClaim()
+	}
+	if answer != HolderWorking && !m.asked {
 		// It may have ended between the look at the record and the question: then the answer is there now.
 		m.asked = true
 		m.phase = finding
 		return Action{Do: Find}
 	}
-	return m.unknown(m.problem)
+	return m.unknown(m.whyUnknown())
+}
+
+func (m *Machine) whyUnknown() *contract.Problem {
+	if m.unsettled != nil {
+		return m.unsettled
+	}
+	return m.problem
+}
+
+// mayReplace says whether this request may go on in place of a claim that was given up: it is this request's own,
+// or that of another copy while nothing that this front sent may have run.
+func (m *Machine) mayReplace(claim contract.Attempt) bool {
+	return claim.Number <= m.request.Attempt && !m.delivered && (!m.ran || claim.RequestID == m.request.ID)
+}
+
+// replaceClaim goes on after the holder of the claim that stands gave it up, as after a refusal.
+func (m *Machine) replaceClaim() Action {
+	m.renounced = append(m.renounced, m.claim.Nonce)
+	m.ran = false
+	m.asked = false
+	m.unsettled = nil
+	if m.problem == nil || m.dispatched && !m.noOther && elsewhere(m.problem.Code) {
+		return m.dispatch(false)
+	}
+	return m.giveUp()
 }
 
 func (m *Machine) dispatch(restart bool) Action {
 	m.phase = atHome
+	m.dispatched = true
 	m.claimed = false
 	m.sent = false
 	action := Action{Do: Dispatch, Renounced: m.renounced, Restart: restart}
--- a/contract/outcome/machine_test.go
+++ b/contract/outcome/machine_test.go
@@ -17,31 +17,41 @@
 }
 
 var (
-	fp         = "f"
-	overloaded = contract.Later(contract.CodeOverloaded, "", 3*time.Second)
-	keyed      = Request{ID: "r", Unrepeatable: true, KeyChosen: true, Attempt: 2, Fingerprint: fp}
-	made       = Request{ID: "r", Unrepeatable: true, Attempt: 1, Fingerprint: fp}
-	free       = Request{ID: "r", Attempt: 1, Fingerprint: fp}
-	resumable  = Request{ID: "r", Attempt: 1, Fingerprint: fp, Resumable: true}
-	sealedAt   = func(n int) contract.Attempt { return contract.Attempt{State: contract.AttemptSealed, Number: n} }
-	claimed    = contract.Attempt{State: contract.AttemptClaimed, Number: 1, Fingerprint: fp, RequestID: "other"}
-	answer     = contract.StoredAnswer{Status: 201}
-	done       = contract.Attempt{State: contract.AttemptDone, Answer: &answer}
-	doneTooBig = contract.Attempt{State: contract.AttemptDone, Answer: &contract.StoredAnswer{TooLarge: true}}
-	found      = func(a contract.Attempt) attempt.Result { return attempt.Result{Verdict: attempt.Found, Attempt: a} }
-	confirmed  = attempt.Result{Verdict: attempt.Confirmed}
-	verdict    = func(v attempt.Verdict) attempt.Result { return attempt.Result{Verdict: v} }
-	start      = func(want Do) input { return input{want, (*Machine).Start} }
-	lost       = func(want Do) input { return input{want, func(m *Machine) Action { return m.Lost(false) }} }
-	notSent    = func(want Do) input { return input{want, func(m *Machine) Action { return m.Lost(true) }} }
-	deadline   = func(want Do) input { return input{want, (*Machine).Deadline} }
-	seal       = func(want Do, r attempt.Result) input {
+	fp          = "f"
+	overloaded  = contract.Later(contract.CodeOverloaded, "", 3*time.Second)
+	keyed       = Request{ID: "r", Unrepeatable: true, KeyChosen: true, Attempt: 2, Fingerprint: fp}
+	made        = Request{ID: "r", Unrepeatable: true, Attempt: 1, Fingerprint: fp}
+	free        = Request{ID: "r", Attempt: 1, Fingerprint: fp}
+	resumable   = Request{ID: "r", Attempt: 1, Fingerprint: fp, Resumable: true}
+	sealedAt    = func(n int) contract.Attempt { return contract.Attempt{State: contract.AttemptSealed, Number: n} }
+	claimed     = contract.Attempt{State: contract.AttemptClaimed, Number: 1, Fingerprint: fp, RequestID: "other"}
+	ownClaim    = contract.Attempt{State: contract.AttemptClaimed, Number: 2, Fingerprint: fp, RequestID: "r", Nonce: "n"}
+	ownRelease  = contract.Attempt{State: contract.AttemptSealed, Number: 1, Fingerprint: fp, RequestID: "r"}
+	higherClaim = contract.Attempt{State: contract.AttemptClaimed, Number: 5, Fingerprint: fp, RequestID: "other"}
+	answer      = contract.StoredAnswer{Status: 201}
+	done        = contract.Attempt{State: contract.AttemptDone, Answer: &answer}
+	doneTooBig  = contract.Attempt{State: contract.AttemptDone, Answer: &contract.StoredAnswer{TooLarge: true}}
+	found       = func(a contract.Attempt) attempt.Result { return attempt.Result{Verdict: attempt.Found, Attempt: a} }
+	confirmed   = attempt.Result{Verdict: attempt.Confirmed}
+	verdict     = func(v attempt.Verdict) attempt.Result { return attempt.Result{Verdict: v} }
+	start       = func(want Do) input { return input{want, (*Machine).Start} }
+	lost        = func(want Do) input { return input{want, func(m *Machine) Action { return m.Lost(false) }} }
+	notSent     = func(want Do) input { return input{want, func(m *Machine) Action { return m.Lost(true) }} }
+	deadline    = func(want Do) input { return input{want, (*Machine).Deadline} }
+	seal        = func(want Do, r attempt.Result) input {
 		return input{want, func(m *Machine) Action { return m.Sealed(r) }}
 	}
 	find = func(want Do, r attempt.Result) input {
 		return input{want, func(m *Machine) Action { return m.Found(r) }}
 	}
-	holder      = func(working bool) input { return input{Tell, func(m *Machine) Action { return m.Holder(working) }} }
+	holder = func(working bool) input {
+		answer := HolderSilent
+		if working {
+			answer = HolderWorking
+		}
+		return input{Tell, func(m *Machine) Action { return m.Holder(answer) }}
+	}
+	gaveUp      = func(want Do) input { return input{want, func(m *Machine) Action { return m.Holder(HolderGaveUp) }} }
 	noGroup     = func(want Do) input { return input{want, func(m *Machine) Action { return m.NoDispatch(overloaded) }} }
 	beforeStart = func(want Do) input { return input{want, func(m *Machine) Action { return m.Refuse(overloaded) }} }
 	delivered   = input{Wait, func(m *Machine) Action { m.Delivered(); return Action{Do: Wait} }}
@@ -147,6 +157,14 @@
 	Entry("chosen key of another request, found by the home", keyed, []input{start(Find), lookup, homeFound(Tell, contract.Attempt{Fingerprint: "g"})}, contract.NotRun, contract.CodeKeyReused, 0),
 	Entry("chosen key, looked up in an outage, claimed by a copy meanwhile", keyed, []input{start(Find), find(Dispatch, verdict(attempt.Untouched)), homeFound(AskHolder, claimed), holder(false).wants(Find), find(Tell, found(claimed))}, contract.Unknown, contract.CodeUnknownOutcome, 0),
 	Entry("chosen key, backend server broke", keyed, after(keyedAt, broken(Find), find(AskHolder, found(claimed)), holder(false).wants(Find), find(Tell, found(claimed))), contract.Unknown, contract.CodeInternal, 0),
+	Entry("chosen key, claim of an earlier copy given up, goes on in its place", keyed, []input{start(Find), find(AskHolder, found(claimed)), gaveUp(Dispatch), queued, claim, sent, event(true), end(Tell)}, contract.Answered, contract.Code(""), 0),
+	Entry("chosen key, own claim given up unheard, no other group", keyed, []input{start(Find), lookup, queued, claim, lost(Find), find(AskHolder, found(ownClaim)), gaveUp(Dispatch), noGroup(Seal), seal(Tell, confirmed)}, contract.NotRun, contract.CodeHomeLost, 2),
+	Entry("chosen key, own claim given up unheard, no time left", keyed, []input{start(Find), lookup, queued, claim, deadline(Find), find(AskHolder, found(ownClaim)), gaveUp(Seal), seal(Tell, confirmed)}, contract.NotRun, contract.CodeDeadline, 2),
+	Entry("chosen key, own claim given up unheard and released", keyed, []input{start(Find), lookup, queued, claim, lost(Find), find(Seal, found(ownRelease)), seal(Tell, confirmed)}, contract.NotRun, contract.CodeHomeLost, 2),
+	Entry("chosen key, lost at work, a claim of another copy given up", keyed, after(keyedAt, lost(Find), find(AskHolder, found(claimed)), gaveUp(Find), find(Tell, found(claimed))), contract.Unknown, contract.CodeHomeLost, 0),
+	Entry("chosen key, claim unheard, given up: no dispatch after the last group", keyed, []input{start(Find), lookup, lost(Dispatch), noGroup(Seal), seal(AskHolder, found(ownClaim)), gaveUp(Seal), seal(Tell, confirmed)}, contract.NotRun, contract.CodeHomeLost, 2),
+	Entry("chosen key, refused before any dispatch, a claim of another copy given up", keyed, []input{beforeStart(Seal), seal(AskHolder, found(claimed)), gaveUp(Seal), seal(Tell, confirmed)}, contract.NotRun, contract.CodeOverloaded, 2),
+	Entry("chosen key, claim of a higher attempt given up", made, []input{{Dispatch, (*Machine).Start}, homeFound(AskHolder, higherClaim), gaveUp(Find), find(Tell, found(higherClaim))}, contract.Unknown, contract.CodeUnknownOutcome, 0),
 	Entry("chosen key, deadline at work", keyed, after(keyedAt, deadline(Find), find(AskHolder, found(claimed)), holder(true)), contract.InProgress, contract.CodeInProgress, 0),
 )
 
--- a/contract/outcome/property_test.go
+++ b/contract/outcome/property_test.go
@@ -92,7 +92,7 @@
 		outcomes := make(map[contract.Outcome]int)
 		runs, fronts := 0, 0
 		rapid.Check(GinkgoTB(), func(t *rapid.T) {
-			w := &world{t: t, objects: make(map[string]platform.Object)}
+			w := &world{t: t, objects: make(map[string]platform.Object), givenUp: make(map[string]bool)}
 			defer w.close()
 			highest := make(map[string]int)
 			w.run(scheduleLen, func() { w.arrive(highest) })
--- a/contract/outcome/tell.go
+++ b/contract/outcome/tell.go
@@ -35,22 +35,35 @@
 	case contract.AttemptDone:
 		return m.stored(r.Attempt.Answer)
 	case contract.AttemptSealed:
-		if r.Attempt.Number >= m.request.Attempt && !m.ran {
-			return m.notRun(m.sealedProblem(), r.Attempt.Number)
+		if r.Attempt.RequestID == m.request.ID {
+			m.ran = false // a seal replaces the claim of this request only after its holder gave it up
+		}
+		if !m.ran {
+			return m.sealed(r.Attempt)
 		}
 	case contract.AttemptClaimed:
+		m.unsettled = m.problem
 		if !m.ran {
-			m.problem = problemClaimed()
+			m.unsettled = problemClaimed()
 		}
 		if m.asked {
-			return m.unknown(m.problem)
+			return m.unknown(m.unsettled)
 		}
+		m.claim = r.Attempt
 		m.phase = asking
 		return Action{Do: AskHolder, Attempt: r.Attempt}
 	}
 	return m.unknown(problemClaimed())
 }
 
+// sealed: a seal stands, and nothing of this request ran.
+func (m *Machine) sealed(seal contract.Attempt) Action {
+	if seal.Number >= m.request.Attempt {
+		return m.notRun(m.sealedProblem(), seal.Number)
+	}
+	return m.giveUp()
+}
+
 func (m *Machine) stored(answer *contract.StoredAnswer) Action {
 	switch {
 	case m.delivered:
--- a/contract/outcome/world_test.go
+++ b/contract/outcome/world_test.go
@@ -26,6 +26,8 @@
 	version platform.Version
 	// pending are writes whose answer was lost and which may still take effect.
 	pending []func()
+	// givenUp are the nonces of claims that their homes have given up.
+	givenUp map[string]bool
 	runs    []runLog
 	tellers []*teller
 	serial  int
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 
 	"github.com/skylarkpond/skylarkpond/contract"
+	"github.com/skylarkpond/skylarkpond/contract/outcome"
 	"github.com/skylarkpond/skylarkpond/entry/fleet"
 	"github.com/skylarkpond/skylarkpond/entry/front"
 	"github.com/skylarkpond/skylarkpond/entry/home"
@@ -20,6 +21,7 @@
 const (
 	pathDispatch = "/peer/v1/dispatch"
 	pathWorking  = "/peer/v1/working"
+	pathGaveUp   = "/peer/v1/gave-up"
 )
 
 // dispatcher carries dispatches from the own front to the home of a group: by a function call if this
@@ -166,21 +168,33 @@
 type working struct {
 	Incarnation string `cbor:"1,keyasint"`
 	RequestID   string `cbor:"2,keyasint"`
+	// Nonce is that of the claim.
+	Nonce string `cbor:"3,keyasint,omitempty"`
+}
+
+// Ask implements front.Holders. No answer counts as silent: the caller is then told unknown, which is true whatever
+// the holder does.
+func (d *dispatcher) Ask(ctx context.Context, claim contract.Attempt) outcome.HolderAnswer {
+	question := working{Incarnation: claim.Incarnation, RequestID: claim.RequestID, Nonce: claim.Nonce}
+	address, ok := d.liveAddress(claim.Home)
+	switch {
+	case claim.Home != d.self && !ok:
+		return outcome.HolderSilent
+	case d.answers(ctx, claim.Home, address, pathWorking, question, d.atWork):
+		return outcome.HolderWorking
+	case d.answers(ctx, claim.Home, address, pathGaveUp, question, d.gaveUp):
+		return outcome.HolderGaveUp
+	}
+	return outcome.HolderSilent
 }
 
-// Working implements front.Holders. No answer counts as not working: the caller is then told unknown,
-// which is true whatever the holder does.
-func (d *dispatcher) Working(ctx context.Context, holder, incarnation, requestID string) bool {
-	question := working{Incarnation: incarnation, RequestID: requestID}
+// answers puts a question to the holder, by a function call if that is this entry.
+func (d *dispatcher) answers(ctx context.Context, holder, address, path string, question working, own func(working) bool) bool {
 	if holder == d.self {
-		return d.atWork(question)
-	}
-	address, ok := d.liveAddress(holder)
-	if !ok {
-		return false
+		return own(question)
 	}
 	var answer bool
-	err := d.client.Call(ctx, address, pathWorking, question, &answer)
+	err := d.client.Call(ctx, address, path, question, &answer)
 	return err == nil && answer
 }
 
@@ -188,6 +202,10 @@
 	return question.Incarnation == d.life && d.home.Working(question.RequestID)
 }
 
+func (d *dispatcher) gaveUp(question working) bool {
+	return question.Incarnation == d.life && d.home.GaveUp(question.Nonce)
+}
+
 // liveAddress returns where a live entry takes calls from other entries.
 func (d *dispatcher) liveAddress(name string) (string, bool) {
 	for _, p := range d.members.Live() {
@@ -210,4 +228,7 @@
 	peer.Handle(server, pathWorking, func(_ context.Context, _ string, question working) (bool, error) {
 		return d.atWork(question), nil
 	})
+	peer.Handle(server, pathGaveUp, func(_ context.Context, _ string, question working) (bool, error) {
+		return d.gaveUp(question), nil
+	})
 }
--- a/entry/front/drive.go
+++ b/entry/front/drive.go
@@ -79,7 +79,7 @@
 		case outcome.Find:
 			action = d.machine.Found(d.find(ctx))
 		case outcome.AskHolder:
-			action = d.machine.Holder(d.working(ctx, action.Attempt))
+			action = d.machine.Holder(d.askHolder(ctx, action.Attempt))
 		case outcome.Tell:
 			d.tell(action)
 			return
@@ -251,12 +251,12 @@
 
 func (d *drive) id() attempt.ID { return attempt.ID{Team: d.q.team.Name, Key: d.q.key} }
 
-func (d *drive) working(ctx context.Context, a contract.Attempt) bool {
+func (d *drive) askHolder(ctx context.Context, claim contract.Attempt) outcome.HolderAnswer {
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
-	working := d.front.deps.Holders.Working(ctx, a.Home, a.Incarnation, a.RequestID)
-	d.noteHolder(a, working)
-	return working
+	answer := d.front.deps.Holders.Ask(ctx, claim)
+	d.noteHolder(claim, answer)
+	return answer
 }
 
 func (d *drive) tell(action outcome.Action) {
--- a/entry/front/fakes_test.go
+++ b/entry/front/fakes_test.go
@@ -24,6 +24,7 @@
 
 	"github.com/skylarkpond/skylarkpond/contract"
 	"github.com/skylarkpond/skylarkpond/contract/attempt"
+	"github.com/skylarkpond/skylarkpond/contract/outcome"
 	"github.com/skylarkpond/skylarkpond/contract/settings"
 	"github.com/skylarkpond/skylarkpond/entry/front"
 	"github.com/skylarkpond/skylarkpond/entry/guard"
@@ -189,6 +190,8 @@
 	fault map[vm.GroupID]fault
 	// frozen holds the homes that a fault froze, until wake closes it.
 	frozen chan struct{}
+	// silent: no holder of a claim can be asked.
+	silent bool
 }
 
 // fault befalls a dispatch at its frame of this kind.
@@ -205,6 +208,7 @@
 	cut              // the front hears no more; the home goes on
 	freeze           // the front hears no more; the home stops right there until it is woken
 	lose             // one frame is lost
+	unheard          // the home sends into a dead connection, which looks sent; the front hears no more
 )
 
 func newFleet(groups ...vm.GroupID) *fleet {
@@ -279,13 +283,21 @@
 	return front.Choice{}, contract.Later(contract.CodeNoGroup, "none", time.Second)
 }
 
-// Working asks the home, unless it is frozen.
-func (f *fleet) Working(_ context.Context, holder, _, requestID string) bool {
-	id := vm.GroupID(strings.TrimPrefix(holder, "home-"))
+// Ask asks the home, unless it is frozen or can't be reached.
+func (f *fleet) Ask(_ context.Context, claim contract.Attempt) outcome.HolderAnswer {
+	id := vm.GroupID(strings.TrimPrefix(claim.Home, "home-"))
 	f.mu.Lock()
-	frozen := f.fault[id].what == freeze
+	silent := f.fault[id].what == freeze || f.silent
 	f.mu.Unlock()
-	return !frozen && f.homes[id].Working(requestID)
+	switch {
+	case silent:
+		return outcome.HolderSilent
+	case f.homes[id].Working(claim.RequestID):
+		return outcome.HolderWorking
+	case f.homes[id].GaveUp(claim.Nonce):
+		return outcome.HolderGaveUp
+	}
+	return outcome.HolderSilent
 }
 
 func (f *fleet) wake() {
@@ -300,6 +312,18 @@
 	cancel context.CancelFunc
 	frames chan contract.Frame
 	lost   chan struct{}
+	once   sync.Once
+}
+
+func (l *frames) lose() { l.once.Do(func() { close(l.lost) }) }
+
+func (l *frames) isLost() bool {
+	select {
+	case <-l.lost:
+		return true
+	default:
+		return false
+	}
 }
 
 func (l *frames) Next() (contract.Frame, error) {
@@ -325,9 +349,17 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	l := &frames{ctx: ctx, cancel: cancel, frames: make(chan contract.Frame), lost: make(chan struct{})}
+	homeCtx := ctx
+	if fault.what == unheard {
+		homeCtx = context.WithoutCancel(ctx)
+	}
 	go func() {
 		defer close(l.frames)
-		_ = f.homes[d.Group].Dispatch(ctx, d, func(frame contract.Frame) error {
+		_ = f.homes[d.Group].Dispatch(homeCtx, d, func(frame contract.Frame) error {
+			if fault.what == unheard && (frame.Kind == fault.at || l.isLost()) {
+				l.lose()
+				return nil
+			}
 			if fault.what != none && frame.Kind == fault.at {
 				what := fault.what
 				fault.what = none
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -18,6 +18,7 @@
 
 	"github.com/skylarkpond/skylarkpond/contract"
 	"github.com/skylarkpond/skylarkpond/contract/attempt"
+	"github.com/skylarkpond/skylarkpond/contract/outcome"
 	"github.com/skylarkpond/skylarkpond/contract/settings"
 	"github.com/skylarkpond/skylarkpond/timeline"
 	"github.com/skylarkpond/skylarkpond/vm"
@@ -43,8 +44,8 @@
 
 // Holders asks the holder of a claim.
 type Holders interface {
-	// Working says whether that life of that entry can be reached and is still at work on the request.
-	Working(ctx context.Context, home, incarnation, requestID string) bool
+	// Ask asks that life of that entry what became of the claim.
+	Ask(ctx context.Context, claim contract.Attempt) outcome.HolderAnswer
 }
 
 // Ask is what the choice of a group goes by.
--- a/entry/front/front_test.go
+++ b/entry/front/front_test.go
@@ -114,6 +114,30 @@
 		Entry("refused", &engine.Refusal{Status: http.StatusServiceUnavailable}),
 	)
 
+	// A claim that is given up must not stand when the refusal is lost on a link that is cut.
+	DescribeTable("is not left unknown when its front never hears that the claim was given up",
+		func(silent bool, first, again contract.Outcome) {
+			for _, key := range []string{"lot-7", ""} {
+				f := newFleet("desk1")
+				f.backend.how = []behaviour{{err: engine.ErrNotSent}}
+				f.fault["desk1"] = fault{at: contract.FrameRefused, what: unheard}
+				f.silent = silent
+				got := book(f.fronts[0], key, 1)
+				Expect(got.outcome).To(Equal(first), got.body)
+				f.wake()
+				if key == "" {
+					key = got.key
+				}
+				if key == "" {
+					continue
+				}
+				Eventually(func() contract.Outcome { return book(f.fronts[1], key, 1).outcome }, eventually).Should(Equal(again))
+			}
+		},
+		Entry("the holder of the claim answers", false, notRun, notRun),
+		Entry("the holder of the claim can't be asked", true, unknown, answered),
+	)
+
 	It("is unknown when its backend server broke, and does not run again", func() {
 		f := newFleet("desk1", "desk2")
 		f.backend.how = []behaviour{{err: engine.ErrBroken}}
--- a/entry/front/lines.go
+++ b/entry/front/lines.go
@@ -41,13 +41,9 @@
 }
 
 // noteHolder reports what the holder of a claim answered: "front.holder.<answer>" counts the answers.
-func (d *drive) noteHolder(a contract.Attempt, working bool) {
-	answer := "not-working"
-	if working {
-		answer = "working"
-	}
-	d.front.counts.add("front.holder." + answer)
+func (d *drive) noteHolder(claim contract.Attempt, answer outcome.HolderAnswer) {
+	d.front.counts.add("front.holder." + answer.String())
 	d.front.deps.Recorder.Record(timeline.Event{
-		Kind: timeline.HolderAsked, Request: d.q.id, Team: d.q.team.Name, Service: d.q.service.Name, Peer: a.Home, Detail: answer,
+		Kind: timeline.HolderAsked, Request: d.q.id, Team: d.q.team.Name, Service: d.q.service.Name, Peer: claim.Home, Detail: answer.String(),
 	})
 }
--- a/entry/home/home.go
+++ b/entry/home/home.go
@@ -113,6 +113,9 @@
 // Working says whether this home is still at work on a request that it claimed.
 func (h *Home) Working(requestID string) bool { return h.work.has(requestID) }
 
+// GaveUp says whether this home gave up the claim with this nonce: nothing was or will be sent under it.
+func (h *Home) GaveUp(nonce string) bool { return h.work.gaveUp(nonce) }
+
 // Dispatch handles one dispatch and sends its frames. It returns when the work is over. When ctx is over
 // or send fails the front is gone: what it asked for is cancelled, unless it was claimed.
 func (h *Home) Dispatch(ctx context.Context, d contract.Dispatch, send func(contract.Frame) error) error {
@@ -121,5 +124,6 @@
 	ctx, cancel := context.WithTimeout(ctx, d.Timeout)
 	defer cancel()
 	run.do(ctx)
+	run.releaseClaim()
 	return run.sendErr
 }
--- a/entry/home/lines.go
+++ b/entry/home/lines.go
@@ -15,8 +15,8 @@
 const (
 	lineClaimUnconfirmed = "claim not confirmed"
 	lineClaimGivenUp     = "request given up unsent after its claim"
-	lineSealed           = "own claim replaced by a seal"
-	lineNotSealed        = "own claim could not be replaced by a seal"
+	lineReleased         = "claim released"
+	lineNotReleased      = "claim could not be released"
 )
 
 func (r *run) log() logrus.FieldLogger {
@@ -47,25 +47,28 @@
 }
 
 // noteRefusal reports that the request is given up unsent.
-func (r *run) noteRefusal(p *contract.Problem, frontGone bool) {
+func (r *run) noteRefusal(p *contract.Problem) {
 	if r.claim.Verdict == 0 {
 		r.record(timeline.RequestRefused, string(p.Code))
 		return
 	}
 	r.home.count("home.claim-given-up")
 	r.record(timeline.RequestRefused, string(p.Code)+", claim given up")
-	r.log().WithFields(logrus.Fields{"code": p.Code, "reason": p.Message, "front_gone": frontGone}).Info(lineClaimGivenUp)
+	r.log().WithFields(logrus.Fields{"code": p.Code, "reason": p.Message, "front_gone": r.front.Err() != nil}).Info(lineClaimGivenUp)
 }
 
-// noteSeal reports the result of the seal in place of an own claim: "home.seal.<verdict>" counts them.
-func (r *run) noteSeal(result attempt.Result) {
-	r.home.count("home.seal." + result.Verdict.String())
-	line := r.log().WithFields(logrus.Fields{"verdict": result.Verdict.String(), "state": result.Attempt.State})
-	if result.Verdict == attempt.Confirmed {
-		r.record(timeline.RequestSealed, "by the home")
-		line.Info(lineSealed)
-		return
+// noteRelease reports the result of a release: "home.release.<verdict>" counts them; found: the front replaced the
+// claim.
+func (r *run) noteRelease(result attempt.Result) {
+	verdict := result.Verdict.String()
+	r.home.count("home.release." + verdict)
+	switch result.Verdict {
+	case attempt.Confirmed:
+		r.record(timeline.ClaimReleased, "")
+		r.log().Info(lineReleased)
+	case attempt.Found, attempt.Reused:
+	default:
+		r.record(timeline.ReleaseUnconfirmed, verdict)
+		r.log().WithField("verdict", verdict).Warn(lineNotReleased)
 	}
-	r.record(timeline.SealUnconfirmed, "by the home: "+result.Verdict.String())
-	line.Warn(lineNotSealed)
 }
--- a/entry/home/run.go
+++ b/entry/home/run.go
@@ -21,6 +21,8 @@
 	turn    Turn
 	pass    *guard.Pass
 	claim   attempt.Result
+	// givenUp says that nothing was or will be sent under claim.
+	givenUp bool
 	seq     uint64
 	send    func(contract.Frame) error
 	sendErr error
@@ -241,28 +243,18 @@
 	return contract.Later(contract.CodeDeadline, "the request's time was over, or its caller gone, before it was sent", time.Second)
 }
 
-// refuse gives the request up unsent, and renounces a claim that was or may have been made.
-//
-// The claim is left to the front, which may replace it by that of another home. If the front is gone, as
-// when this process was frozen behind its claim, nobody would ever replace it, and the caller could only be
-// told unknown: then the home itself puts a seal in its place, as well as it can.
+// refuse gives the request up unsent, and renounces a claim that was or may have been made. The front may
+// replace the claim by that of another home.
 func (r *run) refuse(p *contract.Problem) {
-	frontGone := r.front.Err() != nil
-	r.noteRefusal(p, frontGone)
+	r.noteRefusal(p)
 	f := contract.Frame{Kind: contract.FrameRefused, Problem: p}
 	if r.claim.Verdict != 0 {
 		claim := r.claim.Attempt
 		f.Attempt = &claim
+		r.givenUp = true
+		r.home.work.giveUp(claim.Nonce)
 	}
 	r.frame(f)
-	if r.claim.Verdict == 0 || !frontGone && r.sendErr == nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.front), claimTimeout)
-	defer cancel()
-	w := r.wish()
-	w.Renounced = []string{r.claim.Attempt.Nonce}
-	r.noteSeal(r.home.deps.Attempts.Seal(ctx, w))
 }
 
 // broken tells the front that the answer broke off. Whether a backend server crashed is found out first: a
--- a/entry/home/table.go
+++ b/entry/home/table.go
@@ -2,16 +2,44 @@
 
 import "sync"
 
+// maxGivenUp bounds the claims that are remembered as given up, of some 40 bytes each.
+const maxGivenUp = 8192
+
 // table holds the requests under a claim of this home.
 type table struct {
 	mu      sync.Mutex // guards what follows; a leaf lock: nothing is locked while it is held
 	working map[string]int
+	// givenUp holds the nonces of claims under which nothing was or will be sent, givenUpOrder the same in the
+	// order of time: the oldest one makes room.
+	givenUp      map[string]bool
+	givenUpOrder []string
 	// unkept counts the answers that wait for the platform.
 	unkept int
 }
 
 func newTable() *table {
-	return &table{working: make(map[string]int)}
+	return &table{working: make(map[string]int), givenUp: make(map[string]bool)}
+}
+
+// giveUp remembers the nonce of a claim under which nothing was or will be sent.
+func (t *table) giveUp(nonce string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.givenUp[nonce] {
+		return
+	}
+	if len(t.givenUpOrder) >= maxGivenUp {
+		delete(t.givenUp, t.givenUpOrder[0])
+		t.givenUpOrder = t.givenUpOrder[1:]
+	}
+	t.givenUp[nonce] = true
+	t.givenUpOrder = append(t.givenUpOrder, nonce)
+}
+
+func (t *table) gaveUp(nonce string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.givenUp[nonce]
 }
 
 func (t *table) add(requestID string) {
--- a/timeline/event.go
+++ b/timeline/event.go
@@ -10,38 +10,40 @@
 
 // The kinds of events. Fields that are set beside Kind are named in brackets.
 const (
-	EntryStarted      Kind = "entry-started"      // Entry, Detail: incarnation
-	EntryLeaving      Kind = "entry-leaving"      // Entry
-	EntryStopped      Kind = "entry-stopped"      // Entry
-	PeerSuspected     Kind = "peer-suspected"     // Peer
-	PeerDead          Kind = "peer-dead"          // Peer
-	PeerAlive         Kind = "peer-alive"         // Peer
-	ClockPaused       Kind = "process-paused"     // Millis
-	SettingsInForce   Kind = "settings-in-force"  // Version
-	SettingsAccepted  Kind = "settings-accepted"  // Version, Detail: change id
-	DomainTaken       Kind = "domain-taken"       // Domain, Version
-	PlacementWritten  Kind = "placement-written"  // Domain, Version
-	GroupState        Kind = "group-state"        // Group, Service, Detail: state
-	GroupWhole        Kind = "group-whole"        // Group, Service
-	GroupNotWhole     Kind = "group-not-whole"    // Group, Service, VM, Detail: why
-	DomainMeasured    Kind = "domain-measured"    // Domain, Detail: down groups by service, stranded accelerators
-	OrderSent         Kind = "order-sent"         // VM, Group, Version: fence
-	OrderRefused      Kind = "order-refused"      // VM, Group, Version: fence, Detail
-	RequestAccepted   Kind = "request-accepted"   // Request, Team, Service
-	RequestDispatched Kind = "request-dispatched" // Request, Group: front to home
-	RequestQueued     Kind = "request-queued"     // Request, Group, Detail: load of the group at its home
-	RequestRefused    Kind = "request-refused"    // Request, Group, Detail: code, and whether a claim is given up
-	RequestClaimed    Kind = "request-claimed"    // Request
-	ClaimUnconfirmed  Kind = "claim-unconfirmed"  // Request, Group, Detail: verdict
-	RequestSealed     Kind = "request-sealed"     // Request
-	SealUnconfirmed   Kind = "seal-unconfirmed"   // Request, Detail: verdict
-	HolderAsked       Kind = "holder-asked"       // Request, Peer: holder of the claim, Detail: its answer
-	RequestSent       Kind = "request-sent"       // Request, Group, VM: home to engine
-	RequestOutcome    Kind = "request-outcome"    // Request, Detail: outcome and code
-	BackendCrashed    Kind = "backend-crashed"    // Request, Service, Group, Detail: the crash's name
-	BreakUnexplained  Kind = "break-unexplained"  // Request, Service, Group, Detail: why no crash was found
-	QuarantineUnsaved Kind = "quarantine-unsaved" // Request, Service, Detail: why the platform did not take it
-	RequestQuarantine Kind = "request-quarantine" // Request, Service, Detail: fingerprint
+	EntryStarted       Kind = "entry-started"       // Entry, Detail: incarnation
+	EntryLeaving       Kind = "entry-leaving"       // Entry
+	EntryStopped       Kind = "entry-stopped"       // Entry
+	PeerSuspected      Kind = "peer-suspected"      // Peer
+	PeerDead           Kind = "peer-dead"           // Peer
+	PeerAlive          Kind = "peer-alive"          // Peer
+	ClockPaused        Kind = "process-paused"      // Millis
+	SettingsInForce    Kind = "settings-in-force"   // Version
+	SettingsAccepted   Kind = "settings-accepted"   // Version, Detail: change id
+	DomainTaken        Kind = "domain-taken"        // Domain, Version
+	PlacementWritten   Kind = "placement-written"   // Domain, Version
+	GroupState         Kind = "group-state"         // Group, Service, Detail: state
+	GroupWhole         Kind = "group-whole"         // Group, Service
+	GroupNotWhole      Kind = "group-not-whole"     // Group, Service, VM, Detail: why
+	DomainMeasured     Kind = "domain-measured"     // Domain, Detail: down groups by service, stranded accelerators
+	OrderSent          Kind = "order-sent"          // VM, Group, Version: fence
+	OrderRefused       Kind = "order-refused"       // VM, Group, Version: fence, Detail
+	RequestAccepted    Kind = "request-accepted"    // Request, Team, Service
+	RequestDispatched  Kind = "request-dispatched"  // Request, Group: front to home
+	RequestQueued      Kind = "request-queued"      // Request, Group, Detail: load of the group at its home
+	RequestRefused     Kind = "request-refused"     // Request, Group, Detail: code, and whether a claim is given up
+	RequestClaimed     Kind = "request-claimed"     // Request
+	ClaimUnconfirmed   Kind = "claim-unconfirmed"   // Request, Group, Detail: verdict
+	ClaimReleased      Kind = "claim-released"      // Request, Group
+	ReleaseUnconfirmed Kind = "release-unconfirmed" // Request, Group, Detail: verdict
+	RequestSealed      Kind = "request-sealed"      // Request
+	SealUnconfirmed    Kind = "seal-unconfirmed"    // Request, Detail: verdict
+	HolderAsked        Kind = "holder-asked"        // Request, Peer: holder of the claim, Detail: its answer
+	RequestSent        Kind = "request-sent"        // Request, Group, VM: home to engine
+	RequestOutcome     Kind = "request-outcome"     // Request, Detail: outcome and code
+	BackendCrashed     Kind = "backend-crashed"     // Request, Service, Group, Detail: the crash's name
+	BreakUnexplained   Kind = "break-unexplained"   // Request, Service, Group, Detail: why no crash was found
+	QuarantineUnsaved  Kind = "quarantine-unsaved"  // Request, Service, Detail: why the platform did not take it
+	RequestQuarantine  Kind = "request-quarantine"  // Request, Service, Detail: fingerprint
 )
 
 // Event is one line of the time line.
