A front tells how it lost the home of a dispatch; a home waits one second before it releases a claim

Why a front held a home for lost was in no line (cut, idle timeout, disconnect on its death). The time line has it now (home-lost), and front.home-lost counts it.

A home waits one second in place of two for the front to replace a claim that it gave up. A front notices a cut link after 3.7 s (suspicion) to 4 s (idle timeout); a claim lasts a second at most. So the release is written before the front looks, which can then tell not-run in place of unknown. A release costs a front that goes on elsewhere nothing: the same attempt may be claimed over it.

--- a/entry/front/drive.go
+++ b/entry/front/drive.go
@@ -103,6 +103,7 @@
 		return d.machine.Deadline(), false
 	case got := <-d.next:
 		if got.err != nil {
+			d.noteLost(got.err)
 			return d.machine.Lost(errors.Is(got.err, ErrNotSent)), false
 		}
 		return d.take(got.frame)
--- a/entry/front/lines.go
+++ b/entry/front/lines.go
@@ -30,6 +30,14 @@
 	line.Info(lineUnanswered)
 }
 
+func (d *drive) noteLost(err error) {
+	d.front.counts.add("front.home-lost")
+	d.front.deps.Recorder.Record(timeline.Event{
+		Kind: timeline.HomeLost, Request: d.q.id, Team: d.q.team.Name, Service: d.q.service.Name,
+		Group: string(d.choice.Group), Detail: err.Error(),
+	})
+}
+
 // noteSeal reports the result of a seal: "front.seal.<verdict>" counts them.
 func (d *drive) noteSeal(result attempt.Result) {
 	d.front.counts.add("front.seal." + result.Verdict.String())
--- a/entry/home/release.go
+++ b/entry/home/release.go
@@ -10,7 +10,7 @@
 
 const (
 	// frontReplaces is how long the front, if it is there, has to replace a claim that it was told is given up.
-	frontReplaces = 2 * time.Second
+	frontReplaces = time.Second
 	// releaseFor and releasePause are of the tries to release a claim. Outages are often over in seconds.
 	releaseFor   = 30 * time.Second
 	releasePause = time.Second
--- a/timeline/event.go
+++ b/timeline/event.go
@@ -33,6 +33,7 @@
 	RequestRefused     Kind = "request-refused"     // Request, Group, Detail: code, and whether a claim is given up
 	RequestClaimed     Kind = "request-claimed"     // Request
 	ClaimUnconfirmed   Kind = "claim-unconfirmed"   // Request, Group, Detail: verdict
+	HomeLost           Kind = "home-lost"           // Request, Group, Detail: how the front lost the home of its dispatch
 	ClaimReleased      Kind = "claim-released"      // Request, Group
 	ReleaseUnconfirmed Kind = "release-unconfirmed" // Request, Group, Detail: verdict
 	RequestSealed      Kind = "request-sealed"      // Request
