Step specs: a fault meets the bookings that are at their steps when it comes, not at the look before

Bookings at later steps may be told so, and these were at later steps.

- The look at the steps came before the fault, and a booking went on in between.
"front and home in one, killed" at "queued": the claim of another booking timed out at 08.462 and gave its place back, the queued one was claimed and sent at 08.466; the home was killed after that.
Its booking was at the server: unknown is the truth.
- SIGSTOP does not stop a process at once.
"front and home in one, frozen" at "queued": the signal was sent, what was held was let go, and the process wrote 9 more events at 18.970 and 18.971, a claim of the judged booking under way among them.
The signal goes to one thread, and until that one runs the others go on.
- A booking that went beyond its step while it was placed was waited for until it was answered.
Sent to the frozen backend server, that is at its deadline, 55 s later: the tries of 57 to 61 s.
By then all others are beyond their steps, so the fault meets none.
Two such answers in a window of 20 lower the home's limit from 6 to 4 (policy/limit), as they should; with fewer places than steps the next try goes the same way, at any load.
The limit rises again as soon as it is used.

Ruled out: a place that is not given back.

Changes, of the harness alone; what is checked of a booking, all steps, tries and bounds stay:

- freeze returns once every thread of the process stands;
- what is read of the logs is indexed as it comes.
Built anew at each look, looks took longer as a cluster got older.

--- a/test/logs_test.go
+++ b/test/logs_test.go
@@ -22,6 +22,7 @@
 type logs struct {
 	runs    growing[standinengine.Run]
 	history growing[standinplatform.Change]
+	index   *trailIndex // of trail
 
 	mu    sync.Mutex // guards files
 	files map[string]*timelineFile
--- a/test/process_test.go
+++ b/test/process_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -64,9 +65,32 @@
 	<-p.done
 }
 
+// freeze stops the process, and returns once all of its threads stand: on a busy machine they go on for some
+// milliseconds after the signal was sent.
 func (p *process) freeze() {
+	GinkgoHelper()
 	p.frozen.Store(true)
 	p.signal(syscall.SIGSTOP)
+	Eventually(p.stopped, generous, "1ms").Should(BeTrue())
+}
+
+// stopped reports whether no thread of the process runs.
+func (p *process) stopped() bool {
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.cmd.Process.Pid))
+	if err != nil || len(threads) == 0 {
+		return false
+	}
+	for _, thread := range threads {
+		stat, err := os.ReadFile(thread)
+		if err != nil {
+			continue // the thread has ended
+		}
+		_, state, _ := strings.Cut(string(stat), ") ")
+		if !strings.HasPrefix(state, "T") {
+			return false
+		}
+	}
+	return true
 }
 
 func (p *process) wake() {
