The holder of a claim is asked also while it leaves or is held dead

What callers saw: a booking that is at work at a home which is being stopped was told "unknown (outcome-unknown)" when its key was sent again, through whichever other entry, for the whole of the stop (seconds to minutes: the requests in progress are finished first). It should be "in-progress". The same while a home that was frozen and is awake again is still held dead.

Cause: the question to the holder went only to entries that are live, which means "may own something": neither leaving nor dead. Whether it can be reached and knows the claim is another matter.

Fix: whichever state the holder is in, it is asked if the life that claimed is the one that is known; a later life knows nothing of the claim and is not asked. A holder that is held dead, or that this entry does not reach, has 300 ms to answer, since its caller waits with nothing else left to wait for.

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"sync/atomic"
+	"time"
 
 	"github.com/skylarkpond/skylarkpond/contract"
 	"github.com/skylarkpond/skylarkpond/contract/outcome"
@@ -176,10 +177,20 @@
 // the holder does.
 func (d *dispatcher) Ask(ctx context.Context, claim contract.Attempt) outcome.HolderAnswer {
 	question := working{Incarnation: claim.Incarnation, RequestID: claim.RequestID, Nonce: claim.Nonce}
-	address, ok := d.liveAddress(claim.Home)
+	address := ""
+	if claim.Home != d.self {
+		holder, ok := d.holder(claim)
+		if !ok {
+			return outcome.HolderSilent
+		}
+		address = holder.PeerAddress
+		if holder.State == member.Dead || holder.Unreachable {
+			var cancel context.CancelFunc
+			ctx, cancel = context.WithTimeout(ctx, lostHolderTimeout)
+			defer cancel()
+		}
+	}
 	switch {
-	case claim.Home != d.self && !ok:
-		return outcome.HolderSilent
 	case d.answers(ctx, claim.Home, address, pathWorking, question, d.atWork):
 		return outcome.HolderWorking
 	case d.answers(ctx, claim.Home, address, pathGaveUp, question, d.gaveUp):
@@ -188,6 +199,21 @@
 	return outcome.HolderSilent
 }
 
+// lostHolderTimeout bounds the question to a holder that is held dead. It may be awake again, or cut off from others
+// alone; then it answers in milliseconds. The caller waits for it.
+const lostHolderTimeout = 300 * time.Millisecond
+
+// holder returns the entry that holds a claim, in whatever state: one that is leaving finishes its work, and one that
+// is held dead may live. A later life of the entry knows nothing of the claim.
+func (d *dispatcher) holder(claim contract.Attempt) (member.Peer, bool) {
+	for _, p := range d.members.Peers() {
+		if p.Name == claim.Home {
+			return p, p.Incarnation == claim.Incarnation
+		}
+	}
+	return member.Peer{}, false
+}
+
 // answers puts a question to the holder, by a function call if that is this entry.
 func (d *dispatcher) answers(ctx context.Context, holder, address, path string, question working, own func(working) bool) bool {
 	if holder == d.self {
--- a/test/requests_test.go
+++ b/test/requests_test.go
@@ -75,8 +75,11 @@
 			s.front = s.home
 		}
 		s.placeAll(f.steps, f.hold)
+		By("the fault comes")
 		met := s.hit(f)
+		By("what was held is let go")
 		f.follow(s)
+		By("the fault ends")
 		f.mend(s)
 		s.awaitAnswers()
 		s.settle()
@@ -300,6 +303,19 @@
 		unsure: atServer,
 		lost:   claims,
 	},
+	{
+		name: "home leaving", steps: slices.DeleteFunc(slices.Clone(allSteps), isDispatched),
+		hit: func(s *stage) { s.home.terminate() },
+		follow: func(s *stage) {
+			s.goOn()
+			s.waitLive(s.front, s.others(s.home)...)
+			s.again()
+		},
+		mend: func(s *stage) {
+			Eventually(s.home.done, generous).Should(BeClosed())
+			s.cluster.restart(s.home)
+		},
+	},
 	{
 		name:   "home frozen for a moment",
 		hit:    func(s *stage) { s.home.freeze() },
