Claims are released behind the dispatch; a claim that is released while its holder is asked lets the request go on

Two faults of the release of claims, found by reading and by a spec that failed once:

- The release ran inside the dispatch.
With the platform out for long, each booking whose claim was unsure stayed counted as in progress for up to 31 s, which the directory takes for load, and kept its stream.
It runs behind the dispatch now, 4,096 at most; a planned stop waits for it.
- A front that found a claim, asked its silent holder and looked again may find the claim released in between.
It sealed the attempt and told not-run, though nothing had been tried: the caller had to come back with a higher attempt.
It goes on now, as with any seal of a lower number.

--- a/contract/outcome/machine.go
+++ b/contract/outcome/machine.go
@@ -236,6 +236,11 @@
 func (m *Machine) replaceClaim() Action {
 	m.renounced = append(m.renounced, m.claim.Nonce)
 	m.ran = false
+	return m.goOn()
+}
+
+// goOn: no claim stands in the way any more, and nothing of this request ran.
+func (m *Machine) goOn() Action {
 	m.asked = false
 	m.unsettled = nil
 	if m.problem == nil || m.dispatched && !m.noOther && elsewhere(m.problem.Code) {
--- a/contract/outcome/tell.go
+++ b/contract/outcome/tell.go
@@ -61,7 +61,7 @@
 	if seal.Number >= m.request.Attempt {
 		return m.notRun(m.sealedProblem(), seal.Number)
 	}
-	return m.giveUp()
+	return m.goOn()
 }
 
 func (m *Machine) stored(answer *contract.StoredAnswer) Action {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -172,8 +172,10 @@
 				_ = public.Shutdown(context.Background())
 			}()
 		},
-		InProgress: func() int { return int(e.dispatcher.serving.Load()) + max(e.gate.InProgress(), unfinished(closed)) },
-		Entered:    e.recordPhase,
+		InProgress: func() int {
+			return int(e.dispatcher.serving.Load()) + e.dispatcher.home.Releasing() + max(e.gate.InProgress(), unfinished(closed))
+		},
+		Entered: e.recordPhase,
 	}
 	config := drain.Config{Margin: e.config.DrainMargin, FinishTimeout: e.longestRequest() + finishMargin}
 	return drain.New(config, steps, drain.SystemClock{}).Run(context.Background())
--- a/entry/home/home.go
+++ b/entry/home/home.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -95,6 +96,8 @@
 type Home struct {
 	deps Deps
 	work *table
+	// releasing counts the goroutines of releases.
+	releasing atomic.Int64
 }
 
 // New returns a home.
@@ -116,6 +119,9 @@
 // GaveUp says whether this home gave up the claim with this nonce: nothing was or will be sent under it.
 func (h *Home) GaveUp(nonce string) bool { return h.work.gaveUp(nonce) }
 
+// Releasing counts the claims that were given up and may stand still. A planned stop waits for them.
+func (h *Home) Releasing() int { return int(h.releasing.Load()) }
+
 // Dispatch handles one dispatch and sends its frames. It returns when the work is over. When ctx is over
 // or send fails the front is gone: what it asked for is cancelled, unless it was claimed.
 func (h *Home) Dispatch(ctx context.Context, d contract.Dispatch, send func(contract.Frame) error) error {
@@ -124,6 +130,8 @@
 	ctx, cancel := context.WithTimeout(ctx, d.Timeout)
 	defer cancel()
 	run.do(ctx)
-	run.releaseClaim()
+	if run.givenUp {
+		run.startRelease()
+	}
 	return run.sendErr
 }
--- a/entry/home/release.go
+++ b/entry/home/release.go
@@ -14,17 +14,31 @@
 	// releaseFor and releasePause are of the tries to release a claim. Outages are often over in seconds.
 	releaseFor   = 30 * time.Second
 	releasePause = time.Second
+	// maxReleasing bounds the releases under way. Beyond it a claim is only remembered as given up.
+	maxReleasing = 4096
 )
 
+// startRelease releases the claim behind the dispatch, whose place and stream are given back at once.
+func (r *run) startRelease() {
+	if r.home.releasing.Add(1) > maxReleasing {
+		r.home.releasing.Add(-1)
+		r.noteRelease(attempt.Result{Verdict: attempt.Untouched})
+		return
+	}
+	r.d.Body, r.d.Plain = nil, nil // not held for as long as the release takes
+	frontGone := r.front.Err() != nil || r.sendErr != nil
+	go func() {
+		defer r.home.releasing.Add(-1)
+		r.releaseClaim(frontGone)
+	}()
+}
+
 // releaseClaim sees to it that a claim that was given up does not stand, whether or not the front heard of it. What
 // is written to a link that is cut, or to a front that is frozen, looks sent. A claim that nobody replaces would
 // leave its caller with an unknown outcome for as long as the record is kept.
-func (r *run) releaseClaim() {
-	if !r.givenUp {
-		return
-	}
+func (r *run) releaseClaim(frontGone bool) {
 	ctx := context.WithoutCancel(r.front)
-	if r.front.Err() == nil && r.sendErr == nil {
+	if !frontGone {
 		wait.Pause(ctx, frontReplaces)
 	}
 	ctx, cancel := context.WithTimeout(ctx, releaseFor)
