Log lines of an entry wait in a queue, as those of a gateway do

The gateway's queue moves to internal/logqueue and serves both; lines that find it full are dropped and counted (log.lines.dropped). It is flushed at the end of the process, for a second at most.

--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -23,6 +23,7 @@
 	"github.com/skylarkpond/skylarkpond/entry/roster"
 	"github.com/skylarkpond/skylarkpond/entry/suspects"
 	"github.com/skylarkpond/skylarkpond/entry/turn"
+	"github.com/skylarkpond/skylarkpond/internal/logqueue"
 	link "github.com/skylarkpond/skylarkpond/link/leader"
 	"github.com/skylarkpond/skylarkpond/link/peer"
 	store "github.com/skylarkpond/skylarkpond/link/platform"
@@ -42,7 +43,7 @@
 	log := logrus.New()
 	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: logline.TimeFormat})
 	log.SetLevel(level)
-	lines := newLogQueue(os.Stdout, config.LogQueueSize)
+	lines := logqueue.New(os.Stdout, config.LogQueueSize)
 	log.SetOutput(lines)
 	s := &shell{
 		config: config, log: log.WithField("entry", config.Name), registry: metrics.NewRegistry(), following: newFollowing(), started: time.Now(),
--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -1,11 +1,8 @@
 package gateway
 
 import (
-	"bufio"
 	"bytes"
 	"context"
-	"fmt"
-	"io"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -22,24 +19,6 @@
 	RunSpecs(t, "gateway")
 }
 
-var _ = Describe("Log queue", func() {
-	// Whoever collects the logs stops reading. A process that waits for him serves nobody.
-	It("never holds its writer up, and tells how many lines were dropped", func() {
-		reader, writer := io.Pipe()
-		q := newLogQueue(writer, 4)
-		for i := range 100 {
-			_, err := fmt.Fprintf(q, "line %d\n", i)
-			Expect(err).NotTo(HaveOccurred())
-		}
-		Expect(q.Dropped()).To(BeNumerically(">=", 90))
-		lines := bufio.NewScanner(reader)
-		Expect(lines.Scan()).To(BeTrue())
-		Expect(lines.Text()).To(Equal("line 0"))
-		Expect(lines.Scan()).To(BeTrue())
-		Expect(lines.Text()).To(ContainSubstring(`"msg":"log lines dropped"`))
-	})
-})
-
 var _ = Describe("Config", func() {
 	good := Config{
 		Name: "e", Place: "r", FailureDomain: "z", Callers: "10.0.0.1:1", Ready: "10.0.0.1:2", Directory: "10.0.0.1:3", Peer: "10.0.0.1:4",
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -22,6 +22,7 @@
 	"github.com/skylarkpond/skylarkpond/entry/fleet"
 	"github.com/skylarkpond/skylarkpond/entry/member"
 	"github.com/skylarkpond/skylarkpond/entry/reach"
+	"github.com/skylarkpond/skylarkpond/internal/logqueue"
 	"github.com/skylarkpond/skylarkpond/internal/wait"
 	"github.com/skylarkpond/skylarkpond/link/peer"
 	"github.com/skylarkpond/skylarkpond/link/platform"
@@ -53,7 +54,9 @@
 
 // Serve runs one entry until ctx ends and it has drained. A start waits for the platform.
 func Serve(ctx context.Context, config Config) error {
-	log, err := newLog(config)
+	lines := logqueue.New(os.Stderr, logQueueSize)
+	defer lines.Flush(logFlushTimeout)
+	log, err := newLog(config, lines)
 	if err != nil {
 		return err
 	}
@@ -66,6 +69,7 @@
 		return err
 	}
 	measures := newMeasures()
+	gauge(measures.registry, "log.lines.dropped", lines.Dropped)
 	self, err := register(ctx, config, provideStore(config, measures), log)
 	if err != nil {
 		return err
@@ -79,13 +83,21 @@
 	return e.Run(ctx, sockets)
 }
 
-func newLog(config Config) (*logrus.Entry, error) {
+const (
+	// logQueueSize is how many log lines wait for a slow reader before further ones are dropped and counted.
+	logQueueSize = 1024
+	// logFlushTimeout bounds the wait for the last lines at the end of the process.
+	logFlushTimeout = time.Second
+)
+
+func newLog(config Config, out io.Writer) (*logrus.Entry, error) {
 	level, err := logrus.ParseLevel(config.LogLevel)
 	if err != nil {
 		return nil, eris.Wrap(ErrConfig, "--log-level: "+err.Error())
 	}
 	log := logrus.New()
 	log.SetFormatter(&logrus.JSONFormatter{})
+	log.SetOutput(out)
 	log.SetLevel(level)
 	// Libraries that print by the standard log are to print JSON lines as well.
 	stdlog.SetFlags(0)
