A front that closes a refused dispatch is given its second to replace the claim

Whether the front was gone was looked at behind the refusal. A front that hears a refusal closes the dispatch at once, so that most releases were written at once as well, beside the front's own seal: two to four calls of the platform for nothing. It is looked at before the refusal is told.

--- a/entry/home/release.go
+++ b/entry/home/release.go
@@ -26,19 +26,18 @@
 		return
 	}
 	r.d.Body, r.d.Plain = nil, nil // not held for as long as the release takes
-	frontGone := r.front.Err() != nil || r.sendErr != nil
 	go func() {
 		defer r.home.releasing.Add(-1)
-		r.releaseClaim(frontGone)
+		r.releaseClaim()
 	}()
 }
 
 // releaseClaim sees to it that a claim that was given up does not stand, whether or not the front heard of it. What
 // is written to a link that is cut, or to a front that is frozen, looks sent. A claim that nobody replaces would
 // leave its caller with an unknown outcome for as long as the record is kept.
-func (r *run) releaseClaim(frontGone bool) {
+func (r *run) releaseClaim() {
 	ctx := context.WithoutCancel(r.front)
-	if !frontGone {
+	if !r.frontGone && r.sendErr == nil {
 		wait.Pause(ctx, frontReplaces)
 	}
 	ctx, cancel := context.WithTimeout(ctx, releaseFor)
--- a/entry/home/run.go
+++ b/entry/home/run.go
@@ -21,13 +21,13 @@
 	turn    Turn
 	pass    *guard.Pass
 	claim   attempt.Result
-	// givenUp says that nothing was or will be sent under claim.
-	givenUp bool
-	seq     uint64
-	send    func(contract.Frame) error
-	sendErr error
-	kept    keeper
-	arrived time.Time
+	// givenUp says that nothing was or will be sent under claim; frontGone that the front was gone before it was told.
+	givenUp, frontGone bool
+	seq                uint64
+	send               func(contract.Frame) error
+	sendErr            error
+	kept               keeper
+	arrived            time.Time
 	// front ends when the front closes the dispatch, or can't be heard any more.
 	front context.Context
 }
@@ -252,6 +252,7 @@
 		claim := r.claim.Attempt
 		f.Attempt = &claim
 		r.givenUp = true
+		r.frontGone = r.front.Err() != nil
 		r.home.work.giveUp(claim.Nonce)
 	}
 	r.frame(f)
