--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -5,10 +5,8 @@
 	"errors"
 	"io"
 	"sync/atomic"
-	"time"
 
 	"github.com/skylarkpond/skylarkpond/contract"
-	"github.com/skylarkpond/skylarkpond/contract/outcome"
 	"github.com/skylarkpond/skylarkpond/entry/fleet"
 	"github.com/skylarkpond/skylarkpond/entry/front"
 	"github.com/skylarkpond/skylarkpond/entry/home"
@@ -18,12 +16,8 @@
 	"github.com/skylarkpond/skylarkpond/vm"
 )
 
-// Paths of the calls between entries.
-const (
-	pathDispatch = "/peer/v1/dispatch"
-	pathWorking  = "/peer/v1/working"
-	pathGaveUp   = "/peer/v1/gave-up"
-)
+// pathDispatch is where the fronts of other entries send dispatches.
+const pathDispatch = "/peer/v1/dispatch"
 
 // dispatcher carries dispatches from the own front to the home of a group: by a function call if this
 // entry is the home, else over the peer link.
@@ -165,73 +159,6 @@
 	return frame
 }
 
-// working is asked of the holder of a claim.
-type working struct {
-	Incarnation string `cbor:"1,keyasint"`
-	RequestID   string `cbor:"2,keyasint"`
-	// Nonce is that of the claim.
-	Nonce string `cbor:"3,keyasint,omitempty"`
-}
-
-// Ask implements front.Holders. No answer counts as silent: the caller is then told unknown, which is true whatever
-// the holder does.
-func (d *dispatcher) Ask(ctx context.Context, claim contract.Attempt) outcome.HolderAnswer {
-	question := working{Incarnation: claim.Incarnation, RequestID: claim.RequestID, Nonce: claim.Nonce}
-	address := ""
-	if claim.Home != d.self {
-		holder, ok := d.holder(claim)
-		if !ok {
-			return outcome.HolderSilent
-		}
-		address = holder.PeerAddress
-		if holder.State == member.Dead || holder.Unreachable {
-			var cancel context.CancelFunc
-			ctx, cancel = context.WithTimeout(ctx, lostHolderTimeout)
-			defer cancel()
-		}
-	}
-	switch {
-	case d.answers(ctx, claim.Home, address, pathWorking, question, d.atWork):
-		return outcome.HolderWorking
-	case d.answers(ctx, claim.Home, address, pathGaveUp, question, d.gaveUp):
-		return outcome.HolderGaveUp
-	}
-	return outcome.HolderSilent
-}
-
-// lostHolderTimeout bounds the question to a holder that is held dead. It may be awake again, or cut off from others
-// alone; then it answers in milliseconds. The caller waits for it.
-const lostHolderTimeout = 300 * time.Millisecond
-
-// holder returns the entry that holds a claim, in whatever state: one that is leaving finishes its work, and one that
-// is held dead may live. A later life of the entry knows nothing of the claim.
-func (d *dispatcher) holder(claim contract.Attempt) (member.Peer, bool) {
-	for _, p := range d.members.Peers() {
-		if p.Name == claim.Home {
-			return p, p.Incarnation == claim.Incarnation
-		}
-	}
-	return member.Peer{}, false
-}
-
-// answers puts a question to the holder, by a function call if that is this entry.
-func (d *dispatcher) answers(ctx context.Context, holder, address, path string, question working, own func(working) bool) bool {
-	if holder == d.self {
-		return own(question)
-	}
-	var answer bool
-	err := d.client.Call(ctx, address, path, question, &answer)
-	return err == nil && answer
-}
-
-func (d *dispatcher) atWork(question working) bool {
-	return question.Incarnation == d.life && d.home.Working(question.RequestID)
-}
-
-func (d *dispatcher) gaveUp(question working) bool {
-	return question.Incarnation == d.life && d.home.GaveUp(question.Nonce)
-}
-
 // liveAddress returns where a live entry takes calls from other entries.
 func (d *dispatcher) liveAddress(name string) (string, bool) {
 	for _, p := range d.members.Live() {
@@ -251,10 +178,5 @@
 			return send(d.stamped(request, frame))
 		})
 	})
-	peer.Handle(server, pathWorking, func(_ context.Context, _ string, question working) (bool, error) {
-		return d.atWork(question), nil
-	})
-	peer.Handle(server, pathGaveUp, func(_ context.Context, _ string, question working) (bool, error) {
-		return d.gaveUp(question), nil
-	})
+	d.registerHolder(server)
 }
--- a/entry/home/table.go
+++ b/entry/home/table.go
@@ -2,7 +2,7 @@
 
 import "sync"
 
-// maxGivenUp bounds the claims that are remembered as given up, of some 40 bytes each.
+// maxGivenUp bounds the claims that are remembered as given up, of some 150 bytes each.
 const maxGivenUp = 8192
 
 // table holds the requests under a claim of this home.
