Whether servers are settled is told without the lock under which their changes are applied

Cause: two locks that wait for each other. A change of the servers is applied under the lock of their follower, and its listeners take the lock of the groups' controller. The controller, under its own lock, asks whether the servers are settled where a group lacks a registration, which took the follower's lock.

Fix: since when calls are answered is an atomic value beside the lock, as the age of the list is. What else the controller and the leader ask of the catalog under their locks takes none of its locks: the new spec asks all of it while a listener takes a change in.

--- a/entry/catalog/catalog_test.go
+++ b/entry/catalog/catalog_test.go
@@ -119,6 +119,30 @@
 		Eventually(r.servers, waitFor).Should(BeZero())
 	})
 
+	// A listener takes the lock of whoever asks whether the servers are settled: one of the two waits for ever.
+	It("tells whether servers are settled while a listener takes a change in", func() {
+		r := newRig()
+		told := make(chan bool, 100)
+		r.catalog.OnServers(func() {
+			asked := make(chan struct{})
+			go func() {
+				r.catalog.Settled()
+				r.catalog.ServersAge()
+				r.catalog.Ages()
+				r.catalog.Listing()
+				close(asked)
+			}()
+			select {
+			case <-asked:
+				told <- true
+			case <-time.After(time.Second):
+				told <- false
+			}
+		})
+		r.api.Write("servers", "i-1", replica.Registered("s"))
+		Eventually(told, waitFor).Should(Receive(BeTrue()))
+	})
+
 	It("leaves out what can't be read, and keeps the rest", func() {
 		r := newRig()
 		r.api.Write("servers", "i-1", replica.Registered("s"))
--- a/entry/catalog/follow.go
+++ b/entry/catalog/follow.go
@@ -101,12 +101,15 @@
 	oldest store.Version
 	// held are the objects that there are at revision, with their versions.
 	held map[string]store.Version
-	// answered is since when every call of this entry was answered; zero while it makes none, or after one failed.
-	answered time.Time
+
+	// What follows is not under mu, since those who ask may hold locks that are taken after mu.
 
 	// asOf is when the kind was last known to be current: when the latest call that was answered was sent, here or by the leader; nil before
-	// the first list. It is not under mu, since those who ask may hold locks that are taken after mu.
+	// the first list.
 	asOf atomic.Pointer[time.Time]
+	// answered is since when every call of this entry was answered; nil while it makes none, or after one failed. The goroutine that makes
+	// the calls writes it.
+	answered atomic.Pointer[time.Time]
 }
 
 // currentAt notes that the kind was known to be current at a time.
@@ -190,24 +193,22 @@
 
 // noteCall notes whether the latest call was answered.
 func (f *follower) noteCall(answered bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	switch {
 	case !answered:
-		f.answered = time.Time{}
-	case f.answered.IsZero():
-		f.answered = time.Now()
+		f.answered.Store(nil)
+	case f.answered.Load() == nil:
+		now := time.Now()
+		f.answered.Store(&now)
 	}
 }
 
 // answeredFor is for how long every call of this entry was answered; 0 while it makes none.
 func (f *follower) answeredFor() time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.answered.IsZero() {
+	since := f.answered.Load()
+	if since == nil {
 		return 0
 	}
-	return time.Since(f.answered)
+	return time.Since(*since)
 }
 
 func (f *follower) gather() time.Duration {
--- a/test/cooperative/soak_test.go
+++ b/test/cooperative/soak_test.go
@@ -22,7 +22,8 @@
 //
 //	1: no history
 //	2016, 2022: requests to a leaving server by grants of a leader that could not read the platform
-var soakSeeds = []uint64{1, 2016, 2022}
+//	5007, 5027: a look at the groups and a change of the servers waited for each other for ever
+var soakSeeds = []uint64{1, 2016, 2022, 5007, 5027}
 
 const (
 	soakEntries, soakEngines = 4, 9
