--- a/entry/holder.go
+++ b/entry/holder.go
@@ -47,7 +47,7 @@
 	return holderAnswer(call, call)
 }
 
-// holderAnswer asks first whether the holder is at work: it gives up before it stops working.
+// holderAnswer asks first whether the holder is at work: one that gives the claim up in between then says so.
 func holderAnswer(atWork, gaveUp func(path string) bool) outcome.HolderAnswer {
 	switch {
 	case atWork(pathWorking):
@@ -74,8 +74,10 @@
 	return member.Peer{}, false
 }
 
+// atWork says whether this entry is at work under the claim. A request that is given up counts as at work for a moment
+// longer at its home.
 func (d *dispatcher) atWork(question holderQuestion) bool {
-	return question.Incarnation == d.life && d.home.Working(question.RequestID)
+	return question.Incarnation == d.life && d.home.Working(question.RequestID) && !d.home.GaveUp(question.Nonce)
 }
 
 func (d *dispatcher) gaveUp(question holderQuestion) bool {
