--- a/link/peer/peer_test.go
+++ b/link/peer/peer_test.go
@@ -289,12 +289,10 @@
 		ended := make(chan struct{}, 10)
 		f := newFixture(func(s *Server) {
 			HandleStream(s, "/wait", func(ctx context.Context, _ string, _ echo, send func(any) error) error {
-				if err := send(echo{}); err != nil {
-					return err
-				}
+				err := send(echo{}) // fails if the caller closes before the item is written
 				<-ctx.Done()
 				ended <- struct{}{}
-				return nil
+				return err
 			})
 		})
 		ctx, cancel := context.WithCancel(testContext())
