What became of a claim is answered in one place, under one lock (no change in behaviour)

Whether a claim is given up, or at work and not given up, was worked out by the dispatcher from two questions to the home, by its handlers for other entries, and again by the fake of the front's tests. The home answers it from its table at once: given up, working, or silent. The dispatcher and both handlers call that. The check for a nonce that is given up twice was of no use: nonces are made for one claim, which is given up once.

--- a/entry/front/fakes_test.go
+++ b/entry/front/fakes_test.go
@@ -289,15 +289,10 @@
 	f.mu.Lock()
 	silent := f.fault[id].what == freeze || f.silent
 	f.mu.Unlock()
-	switch {
-	case silent:
+	if silent {
 		return outcome.HolderSilent
-	case f.homes[id].Working(claim.RequestID) && !f.homes[id].GaveUp(claim.Nonce):
-		return outcome.HolderWorking
-	case f.homes[id].GaveUp(claim.Nonce):
-		return outcome.HolderGaveUp
 	}
-	return outcome.HolderSilent
+	return f.homes[id].Holds(claim.RequestID, claim.Nonce)
 }
 
 func (f *fleet) wake() {
--- a/entry/holder.go
+++ b/entry/holder.go
@@ -29,7 +29,7 @@
 func (d *dispatcher) Ask(ctx context.Context, claim contract.Attempt) outcome.HolderAnswer {
 	question := holderQuestion{Incarnation: claim.Incarnation, RequestID: claim.RequestID, Nonce: claim.Nonce}
 	if claim.Home == d.self {
-		return holderAnswer(func(string) bool { return d.atWork(question) }, func(string) bool { return d.gaveUp(question) })
+		return d.answer(question)
 	}
 	holder, ok := d.holder(claim)
 	if !ok {
@@ -44,15 +44,11 @@
 		var answer bool
 		return d.client.Call(ctx, holder.PeerAddress, path, question, &answer) == nil && answer
 	}
-	return holderAnswer(call, call)
-}
-
-// holderAnswer asks first whether the holder is at work: one that gives the claim up in between then says so.
-func holderAnswer(atWork, gaveUp func(path string) bool) outcome.HolderAnswer {
+	// The first question is whether it is at work: a holder that gives the claim up in between says so to the second.
 	switch {
-	case atWork(pathWorking):
+	case call(pathWorking):
 		return outcome.HolderWorking
-	case gaveUp(pathGaveUp):
+	case call(pathGaveUp):
 		return outcome.HolderGaveUp
 	default:
 		return outcome.HolderSilent
@@ -74,22 +70,19 @@
 	return member.Peer{}, false
 }
 
-// atWork says whether this entry is at work under the claim. A request that is given up counts as at work for a moment
-// longer at its home.
-func (d *dispatcher) atWork(question holderQuestion) bool {
-	return question.Incarnation == d.life && d.home.Working(question.RequestID) && !d.home.GaveUp(question.Nonce)
-}
-
-func (d *dispatcher) gaveUp(question holderQuestion) bool {
-	return question.Incarnation == d.life && d.home.GaveUp(question.Nonce)
+// answer says what became of a claim of this entry.
+func (d *dispatcher) answer(question holderQuestion) outcome.HolderAnswer {
+	if question.Incarnation != d.life {
+		return outcome.HolderSilent
+	}
+	return d.home.Holds(question.RequestID, question.Nonce)
 }
 
 // registerHolder answers the questions of other entries' fronts.
 func (d *dispatcher) registerHolder(server *peer.Server) {
-	peer.Handle(server, pathWorking, func(_ context.Context, _ string, question holderQuestion) (bool, error) {
-		return d.atWork(question), nil
-	})
-	peer.Handle(server, pathGaveUp, func(_ context.Context, _ string, question holderQuestion) (bool, error) {
-		return d.gaveUp(question), nil
-	})
+	for path, wanted := range map[string]outcome.HolderAnswer{pathWorking: outcome.HolderWorking, pathGaveUp: outcome.HolderGaveUp} {
+		peer.Handle(server, path, func(_ context.Context, _ string, question holderQuestion) (bool, error) {
+			return d.answer(question) == wanted, nil
+		})
+	}
 }
--- a/entry/home/home.go
+++ b/entry/home/home.go
@@ -16,6 +16,7 @@
 
 	"github.com/skylarkpond/skylarkpond/contract"
 	"github.com/skylarkpond/skylarkpond/contract/attempt"
+	"github.com/skylarkpond/skylarkpond/contract/outcome"
 	"github.com/skylarkpond/skylarkpond/contract/settings"
 	"github.com/skylarkpond/skylarkpond/entry/guard"
 	"github.com/skylarkpond/skylarkpond/link/engine"
@@ -113,11 +114,10 @@
 	return &Home{deps: deps, work: newTable()}
 }
 
-// Working says whether this home is still at work on a request that it claimed.
-func (h *Home) Working(requestID string) bool { return h.work.has(requestID) }
-
-// GaveUp says whether this home gave up the claim with this nonce: nothing was or will be sent under it.
-func (h *Home) GaveUp(nonce string) bool { return h.work.gaveUp(nonce) }
+// Holds says what became of a claim of this home, given the request's id and the claim's nonce.
+func (h *Home) Holds(requestID, nonce string) outcome.HolderAnswer {
+	return h.work.answer(requestID, nonce)
+}
 
 // Releasing counts the claims that were given up and may stand still. A planned stop waits for them.
 func (h *Home) Releasing() int { return int(h.releasing.Load()) }
--- a/entry/home/table.go
+++ b/entry/home/table.go
@@ -1,6 +1,10 @@
 package home
 
-import "sync"
+import (
+	"sync"
+
+	"github.com/skylarkpond/skylarkpond/contract/outcome"
+)
 
 // maxGivenUp bounds the claims that are remembered as given up, of some 150 bytes each.
 const maxGivenUp = 8192
@@ -25,9 +29,6 @@
 func (t *table) giveUp(nonce string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.givenUp[nonce] {
-		return
-	}
 	if len(t.givenUpOrder) >= maxGivenUp {
 		delete(t.givenUp, t.givenUpOrder[0])
 		t.givenUpOrder = t.givenUpOrder[1:]
@@ -36,10 +37,18 @@
 	t.givenUpOrder = append(t.givenUpOrder, nonce)
 }
 
-func (t *table) gaveUp(nonce string) bool {
+// answer says what became of a claim. A request that is given up counts as working for a moment longer.
+func (t *table) answer(requestID, nonce string) outcome.HolderAnswer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.givenUp[nonce]
+	switch {
+	case t.givenUp[nonce]:
+		return outcome.HolderGaveUp
+	case t.working[requestID] > 0:
+		return outcome.HolderWorking
+	default:
+		return outcome.HolderSilent
+	}
 }
 
 func (t *table) add(requestID string) {
@@ -57,12 +66,6 @@
 	}
 }
 
-func (t *table) has(requestID string) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.working[requestID] > 0
-}
-
 // wait counts one more answer that waits, if there is room.
 func (t *table) wait() bool {
 	t.mu.Lock()
