The home puts the load on its frames itself (no change in behaviour)

The dispatcher stamped time and load on the frames of the home, which had stamped the time already; since the time line tells the load of a queued request, the home asked its admission for the same load a second time for each request. Now the home stamps both, once, and the dispatcher passes frames on. Whether the front is gone is looked at once as well.

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -13,7 +13,6 @@
 	"github.com/skylarkpond/skylarkpond/entry/member"
 	"github.com/skylarkpond/skylarkpond/link/peer"
 	"github.com/skylarkpond/skylarkpond/timeline"
-	"github.com/skylarkpond/skylarkpond/vm"
 )
 
 // pathDispatch is where the fronts of other entries send dispatches.
@@ -32,8 +31,6 @@
 	// serving counts the dispatches under way at the own home role, of any front. A claimed one goes on when
 	// its caller left, so a planned stop waits for it here, not at the caller's connection.
 	serving atomic.Int64
-	// loadOf gives the load of a group at the own home role.
-	loadOf func(vm.GroupID) contract.GroupLoad
 }
 
 // Dispatch implements front.Dispatcher.
@@ -117,7 +114,7 @@
 	go func() {
 		defer d.serving.Add(-1)
 		defer close(l.frames)
-		_ = d.home.Dispatch(ctx, request, func(frame contract.Frame) error { return l.send(d.stamped(request, frame)) })
+		_ = d.home.Dispatch(ctx, request, l.send)
 	}()
 	return l
 }
@@ -147,18 +144,6 @@
 // Close implements front.Frames.
 func (l *localFrames) Close() { l.cancel() }
 
-// stamped adds to a frame what it tells beside the answer. Every first and last frame carries the load;
-// those between would only repeat it.
-func (d *dispatcher) stamped(request contract.Dispatch, frame contract.Frame) contract.Frame {
-	frame.Time = d.recorder.Now()
-	switch frame.Kind {
-	case contract.FrameQueued, contract.FrameRefused, contract.FrameEnd, contract.FrameBroken:
-		load := d.loadOf(request.Group)
-		frame.Load = &load
-	}
-	return frame
-}
-
 // liveAddress returns where a live entry takes calls from other entries.
 func (d *dispatcher) liveAddress(name string) (string, bool) {
 	for _, p := range d.members.Live() {
@@ -174,9 +159,7 @@
 	peer.HandleStream(server, pathDispatch, func(ctx context.Context, _ string, request contract.Dispatch, send func(v any) error) error {
 		d.serving.Add(1)
 		defer d.serving.Add(-1)
-		return d.home.Dispatch(ctx, request, func(frame contract.Frame) error {
-			return send(d.stamped(request, frame))
-		})
+		return d.home.Dispatch(ctx, request, func(frame contract.Frame) error { return send(frame) })
 	})
 	d.registerHolder(server)
 }
--- a/entry/home/lines.go
+++ b/entry/home/lines.go
@@ -54,7 +54,7 @@
 	}
 	r.home.count("home.claim-given-up")
 	r.record(timeline.RequestRefused, string(p.Code)+", claim given up")
-	r.log().WithFields(logrus.Fields{"code": p.Code, "reason": p.Message, "front_gone": r.front.Err() != nil}).Info(lineClaimGivenUp)
+	r.log().WithFields(logrus.Fields{"code": p.Code, "reason": p.Message, "front_gone": r.frontGone}).Info(lineClaimGivenUp)
 }
 
 // noteRelease reports the result of a release: "home.release.<verdict>" counts them; found: the front replaced the
--- a/entry/home/run.go
+++ b/entry/home/run.go
@@ -60,10 +60,11 @@
 		r.refuse(p)
 		return false
 	}
-	if !r.frame(contract.Frame{Kind: contract.FrameQueued}) {
+	load := r.home.deps.Admission.Load(r.d.Group)
+	if !r.frame(contract.Frame{Kind: contract.FrameQueued, Load: &load}) {
 		return false
 	}
-	r.record(timeline.RequestQueued, describeLoad(r.home.deps.Admission.Load(r.d.Group)))
+	r.record(timeline.RequestQueued, describeLoad(load))
 	turn, p := r.home.deps.Admission.Enter(ctx, r.item(ctx))
 	if p != nil {
 		r.refuse(p)
@@ -246,13 +247,13 @@
 // refuse gives the request up unsent, and renounces a claim that was or may have been made. The front may
 // replace the claim by that of another home.
 func (r *run) refuse(p *contract.Problem) {
+	r.frontGone = r.front.Err() != nil
 	r.noteRefusal(p)
 	f := contract.Frame{Kind: contract.FrameRefused, Problem: p}
 	if r.claim.Verdict != 0 {
 		claim := r.claim.Attempt
 		f.Attempt = &claim
 		r.givenUp = true
-		r.frontGone = r.front.Err() != nil
 		r.home.work.giveUp(claim.Nonce)
 	}
 	r.frame(f)
@@ -265,7 +266,8 @@
 	r.frame(contract.Frame{Kind: contract.FrameBroken, Problem: p, Crash: crash})
 }
 
-// frame sends one frame; false: the front is gone. Once a frame could not be sent, none is: the front
+// frame sends one frame; false: the front is gone. The last one of a dispatch carries the load, as the first one does;
+// those between would only repeat it. Once a frame could not be sent, none is: the front
 // must not see what came behind a gap as if it were whole.
 func (r *run) frame(f contract.Frame) bool {
 	if r.sendErr != nil {
@@ -274,6 +276,11 @@
 	f.RequestID = r.d.RequestID
 	f.Seq = r.seq
 	f.Time = r.home.deps.Recorder.Now()
+	switch f.Kind {
+	case contract.FrameRefused, contract.FrameEnd, contract.FrameBroken:
+		load := r.home.deps.Admission.Load(r.d.Group)
+		f.Load = &load
+	}
 	r.seq++
 	r.sendErr = r.send(f)
 	return r.sendErr == nil
--- a/entry/providers.go
+++ b/entry/providers.go
@@ -119,11 +119,11 @@
 
 func provideDispatcher(
 	self registered, table *fleet.Table, home *home.Home, members *member.Members, client *peer.Client,
-	recorder *timeline.Recorder, admission *admission.Admission,
+	recorder *timeline.Recorder,
 ) *dispatcher {
 	return &dispatcher{
 		self: self.entry.Name, life: self.entry.Incarnation, table: table, home: home, members: members, client: client,
-		recorder: recorder, loadOf: admission.Load,
+		recorder: recorder,
 	}
 }
 
--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -41,7 +41,7 @@
 	entryPlaced := providePlaced(config, table, presence, prober)
 	records := provideAttempts(store)
 	home := provideHome(self, entryPlaced, admissionAdmission, records, engineClient, entrySettingsInForce, recorder, guard, measures2, log)
-	entryDispatcher := provideDispatcher(self, table, home, members, client, recorder, admissionAdmission)
+	entryDispatcher := provideDispatcher(self, table, home, members, client, recorder)
 	router := provideRouter(config, measures2)
 	front := provideFront(config, entrySettingsInForce, entryDispatcher, router, records, recorder, measures2, log)
 	gate := &drain.Gate{}
