One flag, one verdict, one record and the library's silent logger in place of copies (no change in behaviour)

- outcome.Machine: that a request is given up before its first dispatch is "there is no further dispatch", as after the last group; one flag less.
- attempt.Verdict.Settled stands for two switches over the same verdicts at the home.
- The front's events are filled in by one function, not by three.
- front and home made a silent logger each where none was given, for tests alone.
They need one now, as controller and operator do, and the tests take that of logrus; the operator's test does as well.

--- a/contract/attempt/records.go
+++ b/contract/attempt/records.go
@@ -66,6 +66,9 @@
 	return names[v]
 }
 
+// Settled says that a write was decided: it took effect, or another record stands in its way.
+func (v Verdict) Settled() bool { return v == Confirmed || v == Found || v == Reused }
+
 // Result is what came of a call.
 type Result struct {
 	Verdict Verdict
@@ -131,8 +134,8 @@
 	return r.write(ctx, w, r.record(w, contract.AttemptSealed))
 }
 
-// Release ends a claim of this holder under which nothing was or will be sent. Confirmed, Found and Reused say
-// that the claim does not stand.
+// Release ends a claim of this holder under which nothing was or will be sent. Once it is settled the claim does not
+// stand.
 func (r *Records) Release(ctx context.Context, w Wish, claim Result) Result {
 	record := r.record(w, contract.AttemptSealed)
 	record.Number = claim.Attempt.Number - 1
--- a/contract/outcome/machine.go
+++ b/contract/outcome/machine.go
@@ -53,8 +53,6 @@
 	// ran: a dispatch may have run. loose: a dispatch may run yet, as far as this front knows.
 	ran   bool
 	loose bool
-	// dispatched: there was a dispatch.
-	dispatched bool
 	// delivered: the caller was given a part of the answer already.
 	delivered bool
 	renounced []string
@@ -63,7 +61,7 @@
 	claim     contract.Attempt
 	asked     bool
 	unsettled *contract.Problem
-	// problem is why the request is given up; noOther: there was no group for another dispatch.
+	// problem is why the request is given up; noOther: there is no further dispatch.
 	problem *contract.Problem
 	noOther bool
 }
@@ -162,6 +160,7 @@
 
 // Refuse gives the request up before its first dispatch.
 func (m *Machine) Refuse(p *contract.Problem) Action {
+	m.noOther = true
 	m.problem = p
 	return m.giveUp()
 }
@@ -243,7 +242,7 @@
 func (m *Machine) goOn() Action {
 	m.asked = false
 	m.unsettled = nil
-	if m.problem == nil || m.dispatched && !m.noOther && elsewhere(m.problem.Code) {
+	if m.problem == nil || !m.noOther && elsewhere(m.problem.Code) {
 		return m.dispatch(false)
 	}
 	return m.giveUp()
@@ -251,7 +250,6 @@
 
 func (m *Machine) dispatch(restart bool) Action {
 	m.phase = atHome
-	m.dispatched = true
 	m.claimed = false
 	m.sent = false
 	action := Action{Do: Dispatch, Renounced: m.renounced, Restart: restart}
--- a/entry/front/drive.go
+++ b/entry/front/drive.go
@@ -272,7 +272,11 @@
 }
 
 func (d *drive) record(kind timeline.Kind, detail string) {
-	d.front.deps.Recorder.Record(timeline.Event{
-		Kind: kind, Request: d.q.id, Team: d.q.team.Name, Service: d.q.service.Name, Detail: detail,
-	})
+	d.recordEvent(timeline.Event{Kind: kind, Detail: detail})
+}
+
+// recordEvent records an event of this request.
+func (d *drive) recordEvent(e timeline.Event) {
+	e.Request, e.Team, e.Service = d.q.id, d.q.team.Name, d.q.service.Name
+	d.front.deps.Recorder.Record(e)
 }
--- a/entry/front/fakes_test.go
+++ b/entry/front/fakes_test.go
@@ -21,6 +21,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/skylarkpond/skylarkpond/contract"
 	"github.com/skylarkpond/skylarkpond/contract/attempt"
@@ -222,7 +224,7 @@
 		f.homes[id] = home.New(home.Deps{
 			Self: "home-" + string(id), Incarnation: "1", Groups: f, Presence: f, Admission: openDoor{}, Guard: f.guard(),
 			Attempts: f.attempts(), Engines: f.backend, Settings: func() *settings.Snapshot { return f.settings },
-			Recorder: timeline.NewRecorder(string(id), nil, time.Now),
+			Recorder: timeline.NewRecorder(string(id), nil, time.Now), Metrics: metrics.NewRegistry(), Log: noLog(),
 		})
 	}
 	for range 2 {
@@ -238,6 +240,11 @@
 	})
 }
 
+func noLog() logrus.FieldLogger {
+	log, _ := logtest.NewNullLogger()
+	return log
+}
+
 type noTaker struct{}
 
 func (noTaker) Took(platform.Object) {}
@@ -252,6 +259,7 @@
 	front.New(front.Deps{
 		Self: "front", Settings: func() *settings.Snapshot { return f.settings }, Dispatcher: f, Holders: f, Chooser: f,
 		Retries: &tenRetries{}, Attempts: f.attempts(), Recorder: timeline.NewRecorder("front", nil, time.Now), Metrics: metrics.NewRegistry(),
+		Log: noLog(),
 	}).Register(service)
 	container.Add(service)
 	server := httptest.NewServer(container)
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -91,8 +90,7 @@
 	Attempts   *attempt.Records
 	Recorder   *timeline.Recorder
 	Metrics    metrics.Registry
-	// Log may be nil.
-	Log logrus.FieldLogger
+	Log        logrus.FieldLogger
 }
 
 // Front serves callers. It is safe for concurrent use.
@@ -104,11 +102,6 @@
 
 // New returns a front.
 func New(deps Deps) *Front {
-	if deps.Log == nil {
-		discard := logrus.New()
-		discard.SetOutput(io.Discard)
-		deps.Log = discard
-	}
 	return &Front{deps: deps, newID: uuid.NewString, counts: newCounts(deps.Metrics)}
 }
 
--- a/entry/front/lines.go
+++ b/entry/front/lines.go
@@ -32,10 +32,7 @@
 
 func (d *drive) noteLost(err error) {
 	d.front.counts.add("front.home-lost")
-	d.front.deps.Recorder.Record(timeline.Event{
-		Kind: timeline.HomeLost, Request: d.q.id, Team: d.q.team.Name, Service: d.q.service.Name,
-		Group: string(d.choice.Group), Detail: err.Error(),
-	})
+	d.recordEvent(timeline.Event{Kind: timeline.HomeLost, Group: string(d.choice.Group), Detail: err.Error()})
 }
 
 // noteSeal reports the result of a seal: "front.seal.<verdict>" counts them.
@@ -51,7 +48,5 @@
 // noteHolder reports what the holder of a claim answered: "front.holder.<answer>" counts the answers.
 func (d *drive) noteHolder(claim contract.Attempt, answer outcome.HolderAnswer) {
 	d.front.counts.add("front.holder." + answer.String())
-	d.front.deps.Recorder.Record(timeline.Event{
-		Kind: timeline.HolderAsked, Request: d.q.id, Team: d.q.team.Name, Service: d.q.service.Name, Peer: claim.Home, Detail: answer.String(),
-	})
+	d.recordEvent(timeline.Event{Kind: timeline.HolderAsked, Peer: claim.Home, Detail: answer.String()})
 }
--- a/entry/home/home.go
+++ b/entry/home/home.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"io"
 	"sync/atomic"
 	"time"
 
@@ -87,8 +86,7 @@
 	Settings    func() *settings.Snapshot
 	Recorder    *timeline.Recorder
 	Metrics     metrics.Registry
-	// Log may be nil.
-	Log logrus.FieldLogger
+	Log         logrus.FieldLogger
 	// Clock is time.Now if nil.
 	Clock func() time.Time
 }
@@ -106,11 +104,6 @@
 	if deps.Clock == nil {
 		deps.Clock = time.Now
 	}
-	if deps.Log == nil {
-		discard := logrus.New()
-		discard.SetOutput(io.Discard)
-		deps.Log = discard
-	}
 	return &Home{deps: deps, work: newTable()}
 }
 
--- a/entry/home/home_test.go
+++ b/entry/home/home_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/rcrowley/go-metrics"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/skylarkpond/skylarkpond/contract"
 	"github.com/skylarkpond/skylarkpond/contract/settings"
@@ -68,7 +69,9 @@
 var _ = DescribeTable("what changed while a request waited",
 	func(wait func(s *scene), sends int, code contract.Code) {
 		s := &scene{state: vm.Serving, homed: true, whole: true, now: time.Now(), wait: wait}
+		log, _ := logtest.NewNullLogger()
 		h := New(Deps{
+			Metrics: metrics.NewRegistry(), Log: log,
 			Groups: s, Presence: s, Admission: s, Engines: s, Guard: openGuard(), Recorder: timeline.NewRecorder("h", nil, time.Now),
 			Clock: func() time.Time { return s.now },
 			Settings: func() *settings.Snapshot {
--- a/entry/home/lines.go
+++ b/entry/home/lines.go
@@ -26,9 +26,7 @@
 }
 
 func (h *Home) count(name string) {
-	if h.deps.Metrics != nil {
-		metrics.GetOrRegisterCounter(name, h.deps.Metrics).Inc(1)
-	}
+	metrics.GetOrRegisterCounter(name, h.deps.Metrics).Inc(1)
 }
 
 func describeLoad(load contract.GroupLoad) string {
@@ -62,12 +60,11 @@
 func (r *run) noteRelease(result attempt.Result) {
 	verdict := result.Verdict.String()
 	r.home.count("home.release." + verdict)
-	switch result.Verdict {
-	case attempt.Confirmed:
+	switch {
+	case result.Verdict == attempt.Confirmed:
 		r.record(timeline.ClaimReleased, "")
 		r.log().Info(lineReleased)
-	case attempt.Found, attempt.Reused:
-	default:
+	case !result.Verdict.Settled():
 		r.record(timeline.ReleaseUnconfirmed, verdict)
 		r.log().WithField("verdict", verdict).Warn(lineNotReleased)
 	}
--- a/entry/home/release.go
+++ b/entry/home/release.go
@@ -53,10 +53,5 @@
 	defer cancel()
 	result := r.home.deps.Attempts.Release(ctx, r.wish(), r.claim)
 	r.noteRelease(result)
-	switch result.Verdict {
-	case attempt.Confirmed, attempt.Found, attempt.Reused:
-		return true
-	default:
-		return false
-	}
+	return result.Verdict.Settled()
 }
--- a/entry/operator/operator_test.go
+++ b/entry/operator/operator_test.go
@@ -13,7 +13,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
-	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/skylarkpond/skylarkpond/contract"
 	"github.com/skylarkpond/skylarkpond/contract/admin"
@@ -46,8 +46,7 @@
 
 func newRig(store *fakeStore) *rig {
 	r := &rig{store: store, entry: &fakeEntry{}, token: examples.DevOperatorKey}
-	log := logrus.New()
-	log.SetOutput(io.Discard)
+	log, _ := logtest.NewNullLogger()
 	var mu sync.Mutex
 	nonces := 0
 	r.server = httptest.NewServer(operator.New(operator.Deps{
