--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -302,14 +302,26 @@
 
 func (c *cluster) runs() []standinengine.Run {
 	GinkgoHelper()
-	return c.read.runs.more(func(known int) []standinengine.Run {
+	return c.runsFrom(0)
+}
+
+// runsFrom returns the runs behind the first from.
+func (c *cluster) runsFrom(from int) []standinengine.Run {
+	GinkgoHelper()
+	return c.read.runs.more(from, func(known int) []standinengine.Run {
 		return lines[standinengine.Run](fmt.Sprintf("%s/standin/runs?skip=%d", c.engines, known))
 	})
 }
 
 func (c *cluster) history() []standinplatform.Change {
 	GinkgoHelper()
-	return c.read.history.more(func(known int) []standinplatform.Change {
+	return c.historyFrom(0)
+}
+
+// historyFrom returns the changes behind the first from.
+func (c *cluster) historyFrom(from int) []standinplatform.Change {
+	GinkgoHelper()
+	return c.read.history.more(from, func(known int) []standinplatform.Change {
 		return lines[standinplatform.Change](fmt.Sprintf("%s/standin/history?skip=%d", c.platform, known))
 	})
 }
--- a/test/logs_test.go
+++ b/test/logs_test.go
@@ -46,13 +46,13 @@
 	all []T
 }
 
-// more adds what read returns behind what is known, and returns all.
-func (g *growing[T]) more(read func(known int) []T) []T {
+// more adds what read returns behind what is known, and returns all behind the first from.
+func (g *growing[T]) more(from int, read func(known int) []T) []T {
 	GinkgoHelper()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.all = append(g.all, read(len(g.all))...)
-	return slices.Clone(g.all)
+	return slices.Clone(g.all[from:])
 }
 
 // timelineFile is the time line of one entry, over its lives.
@@ -62,11 +62,11 @@
 	offset int64 // guarded by growing.mu
 }
 
-// events returns what the file holds. The last line may be half written, and is read at the next look; that
+// events returns what the file holds behind the first from events. The last line may be half written, and is read at the next look; that
 // of a killed entry stays cut, and the next life's first line is lost with it.
-func (f *timelineFile) events() []timeline.Event {
+func (f *timelineFile) events(from int) []timeline.Event {
 	GinkgoHelper()
-	return f.more(func(int) []timeline.Event {
+	return f.more(from, func(int) []timeline.Event {
 		file, err := os.Open(f.path)
 		Expect(err).NotTo(HaveOccurred())
 		defer file.Close()
--- a/test/requests_test.go
+++ b/test/requests_test.go
@@ -127,7 +127,7 @@
 // lostHomeWhileHeld reports whether the front of a booking held the home lost before what was held was let go. The
 // home may have been frozen only to place a booking.
 func (s *stage) lostHomeWhileHeld(b *booked) bool {
-	return slices.ContainsFunc(s.trail().events[b.request], func(event timeline.Event) bool {
+	return s.trail().hasEvent(b.request, func(event timeline.Event) bool {
 		return event.Kind == timeline.HomeLost && time.Unix(0, event.Time).Before(s.released)
 	})
 }
@@ -272,6 +272,9 @@
 	// claims are the steps between the wish for a claim and the send, seals those of a seal.
 	claims = []step{claiming, claimed}
 	seals  = []step{sealing, sealed}
+	// notDispatched are the steps that need no frozen home: between front and home in one process lies no link, and a
+	// frozen home takes no signal to stop.
+	notDispatched = slices.DeleteFunc(slices.Clone(allSteps), func(at step) bool { return at == dispatched })
 )
 
 var entryFaults = []fault{
@@ -313,7 +316,7 @@
 		lost:   claims,
 	},
 	{
-		name: "home leaving", steps: slices.DeleteFunc(slices.Clone(allSteps), isDispatched),
+		name: "home leaving", steps: notDispatched,
 		hit: func(s *stage) { s.home.terminate() },
 		follow: func(s *stage) {
 			s.goOn()
@@ -332,14 +335,14 @@
 		mend:   func(*stage) {},
 	},
 	{
-		name: "front and home in one, killed", both: true, steps: slices.DeleteFunc(slices.Clone(allSteps), isDispatched),
+		name: "front and home in one, killed", both: true, steps: notDispatched,
 		hit:    func(s *stage) { s.home.kill() },
 		follow: (*stage).goOn,
 		mend:   func(s *stage) { s.cluster.restart(s.home) },
 		lost:   slices.Concat(claims, atServer),
 	},
 	{
-		name: "front and home in one, frozen", both: true, steps: slices.DeleteFunc(slices.Clone(allSteps), isDispatched),
+		name: "front and home in one, frozen", both: true, steps: notDispatched,
 		hit: func(s *stage) { s.home.freeze() },
 		follow: func(s *stage) {
 			s.letGo()
@@ -399,9 +402,6 @@
 	},
 }
 
-// isDispatched: between front and home in one process lies no link.
-func isDispatched(at step) bool { return at == dispatched }
-
 var serverFaults = []fault{
 	{
 		name: "server killed",
--- a/test/steps_test.go
+++ b/test/steps_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"strings"
 	"time"
 
@@ -229,14 +228,13 @@
 
 // beyond reports whether a booking has come beyond its step.
 func (t trail) beyond(b *booked) bool {
-	return t.has(b.request, timeline.RequestOutcome) ||
-		slices.ContainsFunc(beyondStep[b.step], func(kind timeline.Kind) bool { return t.has(b.request, kind) })
+	return t.has(b.request, timeline.RequestOutcome) || t.has(b.request, beyondStep[b.step]...)
 }
 
 // wentElsewhere reports whether a booking was sent to another home than the one that the fault is about: the home
 // of a group moves when an entry that was restarted has been live for long enough.
 func (s *stage) wentElsewhere(t trail, b *booked) bool {
-	return slices.ContainsFunc(t.events[b.request], func(event timeline.Event) bool {
+	return t.hasEvent(b.request, func(event timeline.Event) bool {
 		return event.Kind == timeline.RequestDispatched && event.Peer != s.home.name
 	})
 }
--- a/test/trail_test.go
+++ b/test/trail_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"maps"
 	"path/filepath"
+	"slices"
 	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -53,18 +54,19 @@
 		c.read.index = newTrailIndex()
 	}
 	index := c.read.index
-	for path, events := range c.timelineFiles() {
-		index.addEvents(events[index.files[path]:])
-		index.files[path] = len(events)
+	for _, path := range c.timelineFiles() {
+		events := c.read.timeline(path).events(index.files[path])
+		index.addEvents(events)
+		index.files[path] += len(events)
 	}
-	changes := c.history()
-	index.addChanges(changes[index.changes:])
-	index.changes = len(changes)
-	runs := c.runs()
-	for _, run := range runs[index.starts:] {
+	changes := c.historyFrom(index.changes)
+	index.addChanges(changes)
+	index.changes += len(changes)
+	runs := c.runsFrom(index.starts)
+	for _, run := range runs {
 		index.runs[run.BodyHash] = append(index.runs[run.BodyHash], run)
 	}
-	index.starts = len(runs)
+	index.starts += len(runs)
 	return trail{
 		events: maps.Clone(index.events), records: maps.Clone(index.records), runs: maps.Clone(index.runs),
 		held: lines[standinplatform.Held](c.platform + "/standin/held"), accepted: index.accepted,
@@ -100,32 +102,27 @@
 func (c *cluster) timelines() []timeline.Event {
 	GinkgoHelper()
 	var all []timeline.Event
-	for _, events := range c.timelineFiles() {
-		all = append(all, events...)
+	for _, path := range c.timelineFiles() {
+		all = append(all, c.read.timeline(path).events(0)...)
 	}
 	return all
 }
 
-// timelineFiles is timelines by file.
-func (c *cluster) timelineFiles() map[string][]timeline.Event {
+// timelineFiles returns the paths of what the entries write.
+func (c *cluster) timelineFiles() []string {
 	GinkgoHelper()
 	paths, err := filepath.Glob(filepath.Join(c.dir, "*.timeline"))
 	Expect(err).NotTo(HaveOccurred())
-	files := make(map[string][]timeline.Event)
-	for _, path := range paths {
-		files[path] = c.read.timeline(path).events()
-	}
-	return files
+	return paths
 }
 
-// has says whether a request came to an event.
-func (t trail) has(request string, kind timeline.Kind) bool {
-	for _, event := range t.events[request] {
-		if event.Kind == kind {
-			return true
-		}
-	}
-	return false
+// has says whether a request came to an event of one of some kinds.
+func (t trail) has(request string, kinds ...timeline.Kind) bool {
+	return t.hasEvent(request, func(event timeline.Event) bool { return slices.Contains(kinds, event.Kind) })
+}
+
+func (t trail) hasEvent(request string, matches func(timeline.Event) bool) bool {
+	return slices.ContainsFunc(t.events[request], matches)
 }
 
 // ran says whether a run of the booking with this key came to a phase.
