--- a/backend/backend.go
+++ b/backend/backend.go
@@ -77,9 +77,15 @@
 // HasStaged reports whether the weights of a model are stored on the VM's host.
 func (s *Server) HasStaged(model string) bool { return slices.Contains(s.Staged, model) }
 
-// Listing is a consistent snapshot of all registered servers. It is immutable.
+// Routable reports whether callers' requests may be sent to the server: it belongs to a plain service, or is the head of a group that
+// serves.
+func (s *Server) Routable() bool { return s.Fabric == "" || s.Group.State.Serving() }
+
+// Listing is a consistent snapshot of the registered servers. It is immutable.
 type Listing struct {
-	Revision  uint64
+	Revision uint64
+	// RoutableOnly reports that the listing holds only the routable servers, and of each group only its head.
+	RoutableOnly bool
 	Servers   map[ID]*Server
 	ByService map[string][]*Server
 }
--- a/entry/catalog/catalog.go
+++ b/entry/catalog/catalog.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,6 +25,9 @@
 	FedByLeader func() bool
 	// IsLeader reports whether this entry forwards its changes to others.
 	IsLeader func() bool
+	// RoutableOnly reports whether this entry holds only the routable servers. It must be false while this entry is the leader. If it is
+	// nil, the entry holds all servers.
+	RoutableOnly func() bool
 	// OnChanges is called with the result of each call that this entry makes to the platform.
 	OnChanges func(changes ChangeSet)
 	// OnPlatformLost and OnPlatformRegained are called when calls for a kind begin to fail and when they succeed again.
@@ -54,11 +58,17 @@
 
 // New returns an empty catalog. Run fills it.
 func New(deps Deps) *Catalog {
+	if deps.RoutableOnly == nil {
+		deps.RoutableOnly = func() bool { return false }
+	}
 	c := &Catalog{deps: deps, followers: make(map[store.Kind]*follower)}
 	c.listing.Store(backend.NewListing(0, nil))
 	c.servers = &serverList{catalog: c, byID: make(map[backend.ID]*backend.Server), lapsed: make(map[backend.ID]time.Time)}
 	c.Follow(platform.KindConfig, promptWatchPolicy, c.applyConfig)
-	c.addFollower(&follower{kind: platform.KindServers, policy: promptWatchPolicy, decode: c.servers.decode, apply: c.servers.apply})
+	c.addFollower(&follower{
+		kind: platform.KindServers, policy: promptWatchPolicy, decode: c.servers.decode, apply: c.servers.apply,
+		holdsRoutableOnly: c.servers.holdsRoutableOnly, wantsRoutableOnly: deps.RoutableOnly,
+	})
 	return c
 }
 
@@ -112,6 +122,8 @@
 func (c *Catalog) addFollower(f *follower) {
 	f.catalog = c
 	f.wake = make(chan struct{}, 1)
+	f.lackingSince = time.Now()
+	f.snapshotTimeout = minSnapshotTimeout + rand.N(snapshotTimeoutSpread)
 	c.followers[f.kind] = f
 }
 
@@ -185,6 +197,18 @@
 	return follower.changesSince(revision)
 }
 
+// RoutableServers returns all routable servers as a change set for followers that hold no others. ok is false unless this entry holds
+// all servers.
+func (c *Catalog) RoutableServers() (snapshot ChangeSet, ok bool) {
+	follower := c.followers[platform.KindServers]
+	follower.mu.Lock()
+	defer follower.mu.Unlock()
+	if follower.revision == 0 || follower.gap || follower.holdsRoutableOnly() {
+		return ChangeSet{}, false
+	}
+	return ChangeSet{Kind: follower.kind, To: follower.revision, Changes: c.servers.routable(), Snapshot: true}, true
+}
+
 func (c *Catalog) applyConfig(update Update) {
 	for _, object := range update.Objects() {
 		if object.Name == platform.ConfigName && !object.Deleted {
--- a/entry/catalog/follow.go
+++ b/entry/catalog/follow.go
@@ -33,6 +33,8 @@
 	Complete bool
 	// FromLeader reports that the leader forwarded the changes. Otherwise, this entry read them from the platform.
 	FromLeader bool
+	// RoutableOnly reports that the changes concern only routable servers.
+	RoutableOnly bool
 }
 
 // Objects returns the changed objects of a kind that has no decoder.
@@ -78,8 +80,15 @@
 	minBatchDelay = 900 * time.Millisecond
 	// leaderCheckInterval is how often an entry that is fed by the leader checks whether it still is.
 	leaderCheckInterval = 200 * time.Millisecond
+	// minLeaderWait is the shortest wait for the leader's changes.
+	minLeaderWait = 10 * time.Millisecond
 	// maxHistory bounds the number of recent changes of a kind that are kept for entries that connect late.
 	maxHistory = 2048
+	// An entry that holds only the routable servers waits for the leader's list for minSnapshotTimeout to minSnapshotTimeout +
+	// snapshotTimeoutSpread before it reads all servers itself. After all entries were killed, the leader has the list within a
+	// second; if hundreds of entries read all servers meanwhile, their lists would fill the platform's link for seconds.
+	minSnapshotTimeout    = time.Second
+	snapshotTimeoutSpread = time.Second
 )
 
 // follower follows one kind, through the changes that the leader forwards if available, otherwise by its own watch.
@@ -91,6 +100,9 @@
 	decode func(store.Object) Change
 	apply  func(Update)
 	wake   chan struct{}
+	// holdsRoutableOnly and wantsRoutableOnly report whether only the routable servers are held and needed; nil for other kinds.
+	holdsRoutableOnly, wantsRoutableOnly func() bool
+	snapshotTimeout                      time.Duration
 
 	mu sync.Mutex // guards the fields below and the order of apply; acquired before any lock that apply takes
 	// revision is the revision up to which the kind is known; 0 before the first list.
@@ -103,8 +115,11 @@
 	// history contains the latest changes, oldest first. It is complete since the revision oldest.
 	history []Change
 	oldest  store.Version
-	// versions contains the objects that exist at revision, with their versions.
+	// versions contains the objects that exist at revision, with their versions, and routable those that are routable servers.
 	versions map[string]store.Version
+	routable map[string]bool
+	// lackingSince is since when this entry has had no list without a gap. It is meaningless while it has one.
+	lackingSince time.Time
 
 	// The fields below are not guarded by mu, because their readers may hold locks that are acquired after mu.
 
@@ -165,10 +180,14 @@
 			f.waitForLeader(ctx)
 			continue
 		}
+		if f.awaitsSnapshot() {
+			f.waitForLeader(ctx)
+			continue
+		}
 		if !f.catalog.outage.wait(ctx) {
 			return
 		}
-		from := f.knownRevision()
+		from := f.startRevision()
 		sent := time.Now()
 		changes, err := f.fetch(ctx, from)
 		if ctx.Err() != nil {
@@ -238,10 +257,28 @@
 	return f.policy.MaxAge - f.age()
 }
 
+// awaitsSnapshot reports whether this entry waits for the leader's list of routable servers before it reads all servers itself.
+func (f *follower) awaitsSnapshot() bool {
+	if f.wantsRoutableOnly == nil || !f.wantsRoutableOnly() {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return (f.revision == 0 || f.gap) && time.Since(f.lackingSince) < f.snapshotTimeout
+}
+
+// startRevision returns the revision after which this entry reads changes; 0 if it has to read all objects.
+func (f *follower) startRevision() store.Version {
+	if f.holdsRoutableOnly != nil && f.holdsRoutableOnly() && !f.wantsRoutableOnly() {
+		return 0
+	}
+	return f.knownRevision()
+}
+
 func (f *follower) waitForLeader(ctx context.Context) {
 	select {
 	case <-f.wake:
-	case <-time.After(min(leaderCheckInterval, f.remaining())):
+	case <-time.After(max(minLeaderWait, min(leaderCheckInterval, f.remaining()))):
 	case <-ctx.Done():
 	}
 }
@@ -265,6 +302,7 @@
 	if update.Complete {
 		changes = f.changesFromList(update)
 	}
+	f.markUnroutable(changes.Changes)
 	f.record(changes)
 	if len(update.Changes) > 0 || update.Complete {
 		f.apply(update)
@@ -281,8 +319,8 @@
 // from the previous objects. Without it, every entry would have to read the list itself, which would cause hundreds of calls
 // within a second. It must be called with f.mu held.
 func (f *follower) changesFromList(list Update) ChangeSet {
-	if f.revision == 0 {
-		f.oldest = list.Revision // no entry can be fed from a revision before the first list
+	if f.revision == 0 || (f.holdsRoutableOnly != nil && f.holdsRoutableOnly()) {
+		f.oldest = list.Revision // no entry can be fed from a revision before the first complete list
 		return ChangeSet{Kind: f.kind, To: list.Revision, Changes: list.Changes}
 	}
 	changes := ChangeSet{Kind: f.kind, From: f.revision, To: list.Revision}
@@ -329,14 +367,20 @@
 	defer f.mu.Unlock()
 	f.caughtUp = true
 	switch {
+	case changes.Snapshot:
+		f.applySnapshot(changes)
 	case changes.To <= f.revision:
 		return // already known
 	case changes.From == 0 || changes.From > f.revision:
+		if !f.gap && f.revision > 0 {
+			f.lackingSince = time.Now()
+		}
 		f.gap = true
 	default:
+		f.markUnroutable(changes.Changes)
 		f.record(changes)
 		if len(changes.Changes) > 0 {
-			f.apply(Update{Changes: changes.Changes, Revision: changes.To, FromLeader: true})
+			f.apply(Update{Changes: changes.Changes, Revision: changes.To, FromLeader: true, RoutableOnly: f.routableOnly()})
 		}
 	}
 	select {
@@ -345,6 +389,32 @@
 	}
 }
 
+// routableOnly reports whether the leader's changes concern only routable servers.
+func (f *follower) routableOnly() bool { return f.wantsRoutableOnly != nil && f.wantsRoutableOnly() }
+
+// applySnapshot replaces what this entry knows, unless that is newer. It must be called with f.mu held.
+func (f *follower) applySnapshot(snapshot ChangeSet) {
+	if snapshot.To < f.revision {
+		return
+	}
+	f.gap = false
+	f.versions, f.routable = nil, nil
+	f.history, f.oldest = nil, snapshot.To
+	f.markUnroutable(snapshot.Changes)
+	f.recordVersions(snapshot.Changes)
+	f.revision = snapshot.To
+	f.apply(Update{Changes: snapshot.Changes, Revision: snapshot.To, Complete: true, FromLeader: true, RoutableOnly: true})
+}
+
+// markUnroutable marks the changes that an entry which holds only the routable servers need not be told. It must be called with f.mu held,
+// before the changes are recorded.
+func (f *follower) markUnroutable(changes []Change) {
+	for i := range changes {
+		change := &changes[i]
+		change.Unroutable = change.Object == nil && !f.routable[change.Name()] && (change.Server == nil || !change.Server.Routable())
+	}
+}
+
 // record adds a change set to the history. It must be called with f.mu held.
 func (f *follower) record(changes ChangeSet) {
 	f.revision = max(f.revision, changes.To)
@@ -359,14 +429,19 @@
 // recordVersions updates the set of existing objects. It must be called with f.mu held.
 func (f *follower) recordVersions(changes []Change) {
 	if f.versions == nil {
-		f.versions = make(map[string]store.Version)
+		f.versions, f.routable = make(map[string]store.Version), make(map[string]bool)
 	}
 	for _, change := range changes {
+		name := change.Name()
+		delete(f.routable, name)
 		if change.IsRemoval() {
-			delete(f.versions, change.Name())
+			delete(f.versions, name)
 			continue
 		}
-		f.versions[change.Name()] = change.Version()
+		f.versions[name] = change.Version()
+		if change.Server != nil && change.Server.Routable() {
+			f.routable[name] = true
+		}
 	}
 }
 
@@ -374,7 +449,7 @@
 func (f *follower) changesSince(revision store.Version) (ChangeSet, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if revision < f.oldest || f.revision == 0 {
+	if revision < f.oldest || f.revision == 0 || (f.holdsRoutableOnly != nil && f.holdsRoutableOnly()) {
 		return ChangeSet{}, false
 	}
 	changes := ChangeSet{Kind: f.kind, From: revision, To: f.revision}
--- a/entry/catalog/servers.go
+++ b/entry/catalog/servers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,6 +35,8 @@
 	// lapsed contains servers that remain listed although their registration ended, with the time until which they do.
 	lapsed   map[backend.ID]time.Time
 	revision uint64
+	// routableOnly reports that the servers that are not routable are not held.
+	routableOnly bool
 }
 
 func (s *serverList) apply(update Update) {
@@ -67,9 +70,37 @@
 		}
 	}
 	s.remove(ended)
+	switch {
+	case update.RoutableOnly || s.catalog.deps.RoutableOnly():
+		s.routableOnly = true
+	case update.Complete:
+		s.routableOnly = false
+	}
+	if s.routableOnly {
+		maps.DeleteFunc(s.byID, func(_ backend.ID, server *backend.Server) bool { return !server.Routable() })
+	}
 	s.publish()
 }
 
+func (s *serverList) holdsRoutableOnly() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.routableOnly
+}
+
+// routable returns the routable servers that are registered, sorted by id.
+func (s *serverList) routable() []Change {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var changes []Change
+	for _, id := range slices.Sorted(maps.Keys(s.byID)) {
+		if _, lapsed := s.lapsed[id]; !lapsed && s.byID[id].Routable() {
+			changes = append(changes, Change{Server: s.byID[id]})
+		}
+	}
+	return changes
+}
+
 // decode decodes one registration. An object that does not describe a usable server is treated as a registration that ended.
 func (s *serverList) decode(object store.Object) Change {
 	ended := Change{Removal: &link.Removal{Server: backend.ID(object.Name), Version: object.Version}}
@@ -134,7 +165,9 @@
 }
 
 func (s *serverList) publish() {
-	s.catalog.listing.Store(backend.NewListing(s.revision, maps.Clone(s.byID)))
+	listing := backend.NewListing(s.revision, maps.Clone(s.byID))
+	listing.RoutableOnly = s.routableOnly
+	s.catalog.listing.Store(listing)
 	s.catalog.mu.Lock()
 	listeners := s.catalog.listeners
 	s.catalog.mu.Unlock()
--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -31,7 +31,6 @@
 	"github.com/skylarkpond/skylarkpond/logline"
 	"github.com/skylarkpond/skylarkpond/platform"
 	directory "github.com/skylarkpond/skylarkpond/policy/directory"
-	"github.com/skylarkpond/skylarkpond/policy/takeover"
 )
 
 // newShared creates the logger, the metrics registry and the leader state, which the components are built on.
@@ -66,6 +65,7 @@
 func provideCatalog(s *shared, client *store.Client) *catalog.Catalog {
 	return catalog.New(catalog.Deps{
 		Store: client, FedByLeader: s.leaderState.linked, IsLeader: func() bool { return s.components.lease.Held() },
+		RoutableOnly:   s.holdsRoutableOnly,
 		OnChanges:      func(changes catalog.ChangeSet) { s.components.leader.Broadcast(changes) },
 		OnPlatformLost: s.platformLost, OnPlatformRegained: s.platformRegained, OnUnreadable: s.objectUnreadable, OnConfig: s.configInForce,
 		OnServerLeaving: s.serverLeaving,
@@ -84,7 +84,7 @@
 	return lease.New(lease.Deps{
 		Store: client, Self: self, Linked: s.leaderState.linked, HolderChanged: s.leaseChanged, WriteConflict: s.leaseWriteConflict,
 		Renewed:  func() { s.components.leader.BroadcastRenewal() },
-		Capacity: takeover.Capacity{LinkMbps: s.config.LinkMbps, Cores: s.config.Cores},
+		Capacity: s.config.capacity(),
 	})
 }
 
@@ -100,7 +100,8 @@
 
 func provideLeader(s *shared, cat *catalog.Catalog, entryLease *lease.Lease, controller *grouping.Controller) *leader.Leader {
 	return leader.New(leader.Deps{
-		IsLeader: entryLease.IsLeader, ChangesSince: cat.ChangesSince, Listing: cat.Listing, ListAge: cat.ServersAge,
+		IsLeader: entryLease.IsLeader, ChangesSince: cat.ChangesSince, RoutableServers: cat.RoutableServers, Listing: cat.Listing,
+		ListAge: cat.ServersAge, LinkMbps: s.config.LinkMbps,
 		Table: cat.Table, Dissolving: controller.Closed,
 		UnregisteredMembers: controller.ResponsiveUnregistered,
 		Suspect:             func(key backend.GroupKey) { controller.Suspect(context.Background(), key) },
@@ -180,6 +181,12 @@
 // assumedEntries is the number of entries among which the retry budget is divided until the roster is known.
 const assumedEntries = 32
 
+// holdsRoutableOnly reports whether this entry holds only the servers that callers' requests may be sent to. An entry with sufficient
+// capacity holds all servers, because it may become the leader at any time.
+func (s *shared) holdsRoutableOnly() bool {
+	return !s.config.capacity().Sufficient() && !s.components.lease.IsLeader()
+}
+
 // beforeTraffic reports that no entry has received a caller's request since the whole system was started for the first time. A leader
 // that hears from fewer than half of the entries can't tell.
 func (s *shared) beforeTraffic() bool {
--- a/entry/gateway/config.go
+++ b/entry/gateway/config.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/skylarkpond/skylarkpond/policy/takeover"
 )
 
 // Config holds the process's settings, given at start by flag or environment variable.
@@ -75,6 +77,10 @@
 	return eris.Wrap(ErrConfig, strings.Join(problems, "; "))
 }
 
+func (c *Config) capacity() takeover.Capacity {
+	return takeover.Capacity{LinkMbps: c.LinkMbps, Cores: c.Cores}
+}
+
 func (c *Config) addressTTL() time.Duration {
 	return time.Duration(c.AddressTTL * float64(time.Second))
 }
--- a/entry/gateway/follow.go
+++ b/entry/gateway/follow.go
@@ -81,7 +81,7 @@
 	version, _ := g.catalog.Config()
 	hello := link.Hello{
 		Entry: g.config.Name, Token: holder.Token, ConfigVersion: version,
-		Revisions: g.catalog.Revisions(), Crashes: g.suspects.Reports(),
+		Revisions: g.catalog.Revisions(), RoutableOnly: g.holdsRoutableOnly(), Crashes: g.suspects.Reports(),
 	}
 	dialling, stopDialling := context.WithCancel(ctx)
 	defer stopDialling()
--- a/entry/grouping/grouping.go
+++ b/entry/grouping/grouping.go
@@ -228,6 +228,9 @@
 	c.client.pruneOrders()
 	c.pollUnresponsive(ctx)
 	listing := c.deps.Listing()
+	if listing.RoutableOnly {
+		return // a new leader that has yet to read the other servers
+	}
 	for _, service := range table.Services {
 		if service.Engine == nil || len(service.Engine.Models) == 0 {
 			continue
--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -50,10 +50,14 @@
 	ReportDemand func(demand policy.Demand)
 	// ChangesSince returns the changes of a kind of objects since a revision, or false if they are no longer known.
 	ChangesSince func(kind store.Kind, revision store.Version) (catalog.ChangeSet, bool)
+	// RoutableServers returns all routable servers, or false while this entry doesn't know all servers.
+	RoutableServers func() (catalog.ChangeSet, bool)
 	// Ages returns, for each kind of objects, how long ago this entry's copy was known to be current.
 	Ages func() []link.Age
 	// LeaseVersion returns the version of the lease at its last renewal.
 	LeaseVersion func() uint64
+	// LinkMbps is the bandwidth of this entry's link in Mbit/s; 0 if unknown.
+	LinkMbps float64
 	// ReportQuarantine is called when the set of quarantined requests of a service changes: requests that are held back
 	// because they crash servers.
 	ReportQuarantine func(quarantine link.Quarantine)
@@ -67,12 +71,14 @@
 	mu sync.Mutex // guards the fields below; several Deps are called while it is held, and must not call the Leader
 	// turns is replaced when this entry ceases to be the leader.
 	turns     *policy.Scheduler
-	followers map[string]recipient
+	followers map[string]*follower
 	leading   bool
 	// leadingSince is when this entry became the leader.
 	leadingSince time.Time
 	// broadcastUpTo is the latest revision of each kind that was broadcast.
 	broadcastUpTo map[store.Kind]store.Version
+	// routableUpTo is the latest revision of the servers that was broadcast to the followers which hold only the routable ones.
+	routableUpTo store.Version
 	// engines holds the performance parameters of the groups of each model.
 	engines map[string]capacity.Engine
 	// demand is the average demand for each model while this entry is the leader.
@@ -94,10 +100,17 @@
 	SendShared(message *link.Shared)
 }
 
+// follower is an entry that is linked to this one.
+type follower struct {
+	recipient
+	// routableOnly reports that it holds only the routable servers, and awaitsSnapshot that it has yet to be sent all of them.
+	routableOnly, awaitsSnapshot bool
+}
+
 // New returns a Leader that is not leading.
 func New(deps Deps) *Leader {
 	return &Leader{
-		deps: deps, started: time.Now(), turns: policy.New(policy.DefaultConfig()), followers: make(map[string]recipient),
+		deps: deps, started: time.Now(), turns: policy.New(policy.DefaultConfig()), followers: make(map[string]*follower),
 		probes: make(map[backend.ID]chan link.ProbeResult), demand: make(map[string]*modelDemand),
 		broadcastUpTo: make(map[store.Kind]store.Version), announced: make(map[string]bool), newFollowers: make(map[string]bool),
 		crashes: newCrashTracker(),
@@ -130,6 +143,7 @@
 			groupsAt = time.Now()
 			l.RefreshGroups()
 		}
+		l.SendSnapshots()
 		l.mu.Lock()
 		l.sendDecisions(l.turns.Tick(l.now(), rand.Float64))
 		l.mu.Unlock()
@@ -165,8 +179,8 @@
 		return
 	}
 	listing := l.deps.Listing()
-	if listing.Revision == 0 {
-		return // no list has been read yet: without it, every request would be rejected for want of a server
+	if listing.Revision == 0 || listing.RoutableOnly {
+		return // no complete list has been read yet: without it, every request would be rejected for want of a server
 	}
 	var groups []policy.Group
 	engines := make(map[string]capacity.Engine)
@@ -221,7 +235,7 @@
 // Join adds an entry as a follower.
 func (l *Leader) Join(entry string, to recipient, hello link.Hello) {
 	l.mu.Lock()
-	l.followers[entry] = to
+	l.followers[entry] = &follower{recipient: to, routableOnly: hello.RoutableOnly}
 	l.newFollowers[entry] = true
 	l.sendQuarantines(to)
 	for _, crash := range hello.Crashes {
@@ -230,7 +244,7 @@
 	}
 	l.mu.Unlock()
 	l.sendNewerConfig(to, hello.ConfigVersion)
-	l.catchUp(to, hello.Revisions)
+	l.catchUp(entry, to, hello.Revisions, hello.RoutableOnly)
 }
 
 // Received implements link/leader.Handler.
@@ -278,7 +292,7 @@
 func (l *Leader) Left(follower *link.Follower) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.followers[follower.Entry] != recipient(follower) {
+	if linked := l.followers[follower.Entry]; linked == nil || linked.recipient != recipient(follower) {
 		return // the follower has reconnected on a newer link
 	}
 	delete(l.followers, follower.Entry)
--- a/entry/turn/local.go
+++ b/entry/turn/local.go
@@ -158,7 +158,8 @@
 }
 
 func (l *Local) candidates(request Request) []*backend.Server {
-	servers := l.listing().ByService[request.Service]
+	listing := l.listing()
+	servers := listing.ByService[request.Service]
 	table := l.table()
 	if table == nil {
 		return nil
@@ -167,6 +168,9 @@
 	if engine == nil || len(engine.Models) == 0 {
 		return slices.DeleteFunc(slices.Clone(servers), func(s *backend.Server) bool { return s.Leaving })
 	}
+	if listing.RoutableOnly {
+		return openHeads(servers, request.Model)
+	}
 	return Heads(servers, engine, request.Model, nil)
 }
 
@@ -185,10 +189,7 @@
 		}
 	}
 	var heads []*backend.Server
-	for _, server := range servers {
-		if server.Group.State != backend.GroupOpen || server.Model != modelName || server.Leaving {
-			continue
-		}
+	for _, server := range openHeads(servers, modelName) {
 		present := members[server.Group.GroupKey]
 		if present < model.Size && unregistered != nil {
 			present += unregistered(server.Group.GroupKey)
@@ -200,6 +201,17 @@
 	return heads
 }
 
+// openHeads returns the heads of the open groups of a model, whether or not all members of the groups are present.
+func openHeads(servers []*backend.Server, modelName string) []*backend.Server {
+	var heads []*backend.Server
+	for _, server := range servers {
+		if server.Group.State == backend.GroupOpen && server.Model == modelName && !server.Leaving {
+			heads = append(heads, server)
+		}
+	}
+	return heads
+}
+
 // Track returns a turn that another Source granted, and counts it in the load of its server.
 func (l *Local) Track(server *backend.Server) *Turn {
 	l.mu.Lock()
--- a/link/leader/leader.go
+++ b/link/leader/leader.go
@@ -19,7 +19,7 @@
 )
 
 // protocol is the ALPN protocol name.
-const protocol = "skylarkpond-leader/1"
+const protocol = "skylarkpond-leader/2"
 
 const (
 	// idleTimeout is how long a link lives without receiving a packet. A leader that was killed sends nothing, and
@@ -75,6 +75,8 @@
 	Revisions map[platform.Kind]platform.Version `cbor:"6,keyasint,omitempty"`
 	// Crashes are the crashes that the follower has reported before, to an earlier leader.
 	Crashes []Crash `cbor:"7,keyasint,omitempty"`
+	// RoutableOnly reports that the follower is to be sent only the routable servers.
+	RoutableOnly bool `cbor:"8,keyasint,omitempty"`
 }
 
 // Crash reports that a server's process ended while it ran a request.
--- a/link/leader/news.go
+++ b/link/leader/news.go
@@ -12,6 +12,20 @@
 	From    platform.Version `cbor:"2,keyasint"`
 	To      platform.Version `cbor:"3,keyasint"`
 	Changes []Change         `cbor:"4,keyasint,omitempty"`
+	// Snapshot reports that Changes holds every routable server as of To, whatever the follower knew before.
+	Snapshot bool `cbor:"5,keyasint,omitempty"`
+}
+
+// RoutableChanges returns the change set for a follower that holds only the routable servers.
+func (c ChangeSet) RoutableChanges() ChangeSet {
+	routable := c
+	routable.Changes = nil
+	for _, change := range c.Changes {
+		if !change.Unroutable {
+			routable.Changes = append(routable.Changes, change)
+		}
+	}
+	return routable
 }
 
 // Gap returns a change set that only states that there is something to read.
@@ -25,6 +39,8 @@
 	Server *backend.Server `cbor:"2,keyasint,omitempty"`
 	// Removal is a registration that ended, or that no longer names a usable server.
 	Removal *Removal `cbor:"3,keyasint,omitempty"`
+	// Unroutable reports that the server was not routable before the change, and is not after it.
+	Unroutable bool `cbor:"-"`
 }
 
 // Removal identifies a registration that ended.
--- a/link/platform/client.go
+++ b/link/platform/client.go
@@ -130,20 +130,6 @@
 	return c.doObject(ctx, Call{Verb: VerbGet, Kind: kind, Name: name})
 }
 
-// List implements Store. If the list has several pages, the result is complete up to the revision of the
-// first page; a watch from that revision reports again the changes made while later pages were read.
-func (c *Client) List(ctx context.Context, kind Kind) (Changes, error) {
-	call := Call{Verb: VerbList, Kind: kind}
-	page, err := c.doPage(ctx, call)
-	changes := page.Changes
-	for err == nil && page.Next != "" {
-		call.After = page.Next
-		page, err = c.doPage(ctx, call)
-		changes.Objects = append(changes.Objects, page.Objects...)
-	}
-	return changes, err
-}
-
 // Put implements Store.
 func (c *Client) Put(ctx context.Context, kind Kind, name string, version Version, value json.RawMessage) (Version, error) {
 	if len(value) > MaxValueBytes {
@@ -199,8 +185,10 @@
 
 // do waits for the rate limiter, makes the call and returns the response body.
 func (c *Client) do(ctx context.Context, call Call) ([]byte, error) {
-	if err := c.limiter.wait(ctx, call.Verb.writes()); err != nil {
-		return nil, eris.Wrapf(ErrThrottled, "%s %s: %v", call.Verb, call.Kind, err)
+	if !call.Stale {
+		if err := c.limiter.wait(ctx, call.Verb.writes()); err != nil {
+			return nil, eris.Wrapf(ErrThrottled, "%s %s: %v", call.Verb, call.Kind, err)
+		}
 	}
 	c.count(call)
 	timeout := c.callTimeout
@@ -217,6 +205,9 @@
 
 func (c *Client) count(call Call) {
 	name := "platform.calls." + string(call.Kind) + "." + string(call.Verb)
+	if call.Stale {
+		name += ".stale"
+	}
 	metrics.GetOrRegisterCounter(name, c.registry).Inc(1)
 }
 
--- a/link/platform/wire.go
+++ b/link/platform/wire.go
@@ -32,6 +32,8 @@
 	Version Version
 	// After is the name after which the next page of a list starts. It is empty for the first page.
 	After string
+	// Stale allows a list to return data that is seconds old. The platform doesn't count such a call towards its rate limit.
+	Stale bool
 	// Wait limits how long a watch waits. 0 selects the platform's limit.
 	Wait time.Duration
 	// Value is the value to write in a put.
--- a/policy/takeover/takeover.go
+++ b/policy/takeover/takeover.go
@@ -49,6 +49,9 @@
 	return Delay(c, random) + time.Duration((1-c.score())*float64(outagePenalty))
 }
 
+// Sufficient reports whether the entry has the capacity to be the leader of some three hundred entries.
+func (c Capacity) Sufficient() bool { return c.score() == 1 }
+
 // score rates the capacity from 0 (none) to 1 (sufficient).
 func (c Capacity) score() float64 {
 	score := 1.0
