entry: weak entries hold only the servers that requests go to, and first lists come from the leader

Cause: each entry lists and follows all servers, though a turn needs only heads of groups and plain servers; the leader tells 300 entries of every change of 3,000. It waits one to two seconds for it before it lists all servers itself; once it becomes the leader it reads the rest, and forms no groups and feeds nobody before that. The revision is passed on every 3 s without changes, so that a follower can watch from it.

--- a/entry/catalog/catalog.go
+++ b/entry/catalog/catalog.go
@@ -67,7 +67,7 @@
 	c.Follow(platform.KindConfig, promptWatchPolicy, c.applyConfig)
 	c.addFollower(&follower{
 		kind: platform.KindServers, policy: promptWatchPolicy, decode: c.servers.decode, apply: c.servers.apply,
-		holdsRoutableOnly: c.servers.holdsRoutableOnly, wantsRoutableOnly: deps.RoutableOnly,
+		snapshots: deps.RoutableOnly, holdsRoutableOnly: c.servers.holdsRoutableOnly,
 	})
 	return c
 }
@@ -116,7 +116,11 @@
 
 // Follow adds a kind of object. It must be called before Run. apply is called with the changes in order.
 func (c *Catalog) Follow(kind store.Kind, policy WatchPolicy, apply func(Update)) {
-	c.addFollower(&follower{kind: kind, policy: policy, apply: apply})
+	f := &follower{kind: kind, policy: policy, apply: apply}
+	if policy.FirstFromLeader {
+		f.snapshots = func() bool { return !c.deps.IsLeader() }
+	}
+	c.addFollower(f)
 }
 
 func (c *Catalog) addFollower(f *follower) {
@@ -197,16 +201,14 @@
 	return follower.changesSince(revision)
 }
 
-// RoutableServers returns all routable servers as a change set for followers that hold no others. ok is false unless this entry holds
-// all servers.
-func (c *Catalog) RoutableServers() (snapshot ChangeSet, ok bool) {
-	follower := c.followers[platform.KindServers]
-	follower.mu.Lock()
-	defer follower.mu.Unlock()
-	if follower.revision == 0 || follower.gap || follower.holdsRoutableOnly() {
+// Snapshot returns all objects of a kind, and only the routable ones of the servers, for an entry that knows none of them. ok is false
+// unless this entry holds all objects of the kind.
+func (c *Catalog) Snapshot(kind store.Kind) (snapshot ChangeSet, ok bool) {
+	follower := c.followers[kind]
+	if follower == nil {
 		return ChangeSet{}, false
 	}
-	return ChangeSet{Kind: follower.kind, To: follower.revision, Changes: c.servers.routable(), Snapshot: true}, true
+	return follower.snapshot()
 }
 
 func (c *Catalog) applyConfig(update Update) {
--- a/entry/catalog/catalog_test.go
+++ b/entry/catalog/catalog_test.go
@@ -32,6 +32,7 @@
 	api            *objects.API
 	catalog        *catalog.Catalog
 	fedByLeader    atomic.Bool
+	routableOnly   atomic.Bool
 	changes        chan catalog.ChangeSet
 	configVersions chan uint64
 	leaving        chan leavingServer
@@ -43,11 +44,15 @@
 	fromLeader bool
 }
 
-func newFixture() *fixture {
+func newFixture() *fixture { return startFixture(false) }
+
+// startFixture starts a catalog that holds only the routable servers, or all.
+func startFixture(routableOnly bool) *fixture {
 	f := &fixture{api: objects.New(), changes: make(chan catalog.ChangeSet, 1000), configVersions: make(chan uint64, 1000), leaving: make(chan leavingServer, 1000)}
+	f.routableOnly.Store(routableOnly)
 	client := store.NewClient("http://"+f.api.Address(), store.WithCodec(platform.ObjectCodec{}), store.WithCallTimeout(300*time.Millisecond))
 	f.catalog = catalog.New(catalog.Deps{
-		Store: client, FedByLeader: f.fedByLeader.Load, IsLeader: func() bool { return false },
+		Store: client, FedByLeader: f.fedByLeader.Load, IsLeader: func() bool { return false }, RoutableOnly: f.routableOnly.Load,
 		OnChanges:      func(changes catalog.ChangeSet) { f.changes <- changes },
 		OnPlatformLost: func(store.Kind, error) {}, OnPlatformRegained: func(store.Kind, time.Duration) {}, OnUnreadable: func(store.Object, error) {},
 		OnConfig:        func(table *route.Table) { f.configVersions <- table.Version },
@@ -95,6 +100,14 @@
 	return cancel
 }
 
+// member returns a member of a group; the head has rank 0.
+func member(id backend.ID, rank int, state backend.GroupState, revision store.Version) catalog.Change {
+	return catalog.Change{Server: &backend.Server{
+		ID: id, Service: "s", Address: "10.0.0.2:1", Fabric: "d", Revision: uint64(revision),
+		Group: backend.Membership{GroupKey: backend.GroupKey{Name: "g", Epoch: 1}, Rank: rank, State: state},
+	}}
+}
+
 // serversSince returns the changes of the servers since a revision, as an entry that connects late receives them.
 func (f *fixture) serversSince(since store.Version) func() []catalog.Change {
 	return func() []catalog.Change {
@@ -376,4 +389,99 @@
 		_, ok = f.catalog.ChangesSince(platform.KindServers, 0)
 		Expect(ok).To(BeFalse())
 	})
+
+	// All entries are killed at once. If hundreds of entries each read thousands of servers, their lists exceed the platform's rate
+	// limit, and callers are refused until they end.
+	It("takes the routable servers from the leader in place of a list of its own", func() {
+		f := startFixture(true)
+		f.api.Write("servers", "i-1", replica.ReadyRegistration("s"))
+		f.catalog.LeaderChanged()
+		f.fedByLeader.Store(true)
+		f.catalog.ApplyChanges(catalog.ChangeSet{Kind: platform.KindServers, To: 40, Snapshot: true, Changes: []catalog.Change{
+			member("head", 0, backend.GroupOpen, 30),
+		}})
+		Expect(f.servers()).To(Equal(1))
+		Expect(f.catalog.Listing().RoutableOnly).To(BeTrue())
+		f.catalog.ConfirmAges([]link.Age{{Kind: platform.KindServers}})
+		f.catalog.ApplyChanges(catalog.ChangeSet{Kind: platform.KindServers, From: 40, To: 45, Changes: []catalog.Change{
+			member("head", 0, backend.GroupClosing, 41), member("next", 0, backend.GroupOpen, 45),
+		}})
+		Expect(f.servers()).To(Equal(2))
+		f.catalog.ApplyChanges(catalog.ChangeSet{Kind: platform.KindServers, From: 45, To: 50, Changes: []catalog.Change{
+			member("head", 0, backend.GroupNone, 50),
+		}})
+		Expect(f.servers()).To(Equal(1))
+		Expect(f.api.Calls()["GET servers"]).To(BeZero())
+	})
+
+	// The leader dies just after it has sent an entry the servers.
+	It("watches the platform if the leader's list is all that it hears", func() {
+		f := startFixture(true)
+		f.api.Write("servers", "i-1", replica.ReadyRegistration("s"))
+		f.catalog.LeaderChanged()
+		f.catalog.ApplyChanges(catalog.ChangeSet{Kind: platform.KindServers, To: 1, Snapshot: true, AgeMs: 100})
+		Expect(f.servers()).To(BeZero())
+		Eventually(f.servers, waitFor).Should(Equal(1))
+	})
+
+	// Each of hundreds of entries that start calls the platform. Those that are linked to the leader within a second need not watch it.
+	It("does not watch what it has just read before it can be linked to the leader", func() {
+		f := newFixture()
+		f.api.Write("servers", "i-1", replica.ReadyRegistration("s"))
+		Eventually(f.servers, waitFor).Should(Equal(1))
+		before := f.api.Calls()["GET servers"]
+		time.Sleep(300 * time.Millisecond)
+		f.fedByLeader.Store(true)
+		f.followLeader()
+		Expect(f.api.Calls()["GET servers"]).To(Equal(before))
+	})
+
+	// No leader is there to send the routable servers.
+	It("reads all servers itself if the leader sends none in time", func() {
+		f := startFixture(true)
+		f.api.Write("servers", "i-1", replica.ReadyRegistration("s"))
+		Consistently(f.servers, "500ms").Should(BeZero())
+		Eventually(f.servers, waitFor).Should(Equal(1))
+	})
+
+	// A weak entry becomes the leader. If it went on with the routable servers alone, it would form no groups, and the entries linked to
+	// it would miss changes.
+	It("reads all servers once it is to hold them, and feeds nobody before", func() {
+		f := startFixture(true)
+		f.api.Write("servers", "i-1", replica.ReadyRegistration("s"))
+		f.catalog.ApplyChanges(catalog.ChangeSet{Kind: platform.KindServers, To: 1, Snapshot: true, Changes: []catalog.Change{
+			member("head", 0, backend.GroupOpen, 1),
+		}})
+		_, ok := f.catalog.Snapshot(platform.KindServers)
+		Expect(ok).To(BeFalse())
+		_, ok = f.catalog.ChangesSince(platform.KindServers, 1)
+		Expect(ok).To(BeFalse())
+		f.routableOnly.Store(false)
+		Eventually(func() bool { return f.catalog.Listing().RoutableOnly }, waitFor).Should(BeFalse())
+		Expect(f.catalog.Listing().Servers).To(HaveKey(backend.ID("i-1")))
+		snapshot, ok := f.catalog.Snapshot(platform.KindServers)
+		Expect(ok).To(BeTrue())
+		Expect(snapshot.Changes).To(ConsistOf(HaveField("Server.ID", BeEquivalentTo("i-1"))))
+	})
+
+	// A head closes its group and joins another one as a member. An entry that is told of routable servers only must learn that the head
+	// no longer is one.
+	It("marks the changes that concern no routable server", func() {
+		f := newFixture()
+		f.api.Write("servers", "i-1", replica.ReadyRegistration("s"))
+		Eventually(f.servers, waitFor).Should(Equal(1))
+		f.followLeader()
+		from := f.catalog.Revisions()[platform.KindServers]
+		f.catalog.ApplyChanges(catalog.ChangeSet{Kind: platform.KindServers, From: from, To: from + 2, Changes: []catalog.Change{
+			member("head", 0, backend.GroupOpen, from+1), member("other", 1, backend.GroupReady, from+2),
+		}})
+		f.catalog.ApplyChanges(catalog.ChangeSet{Kind: platform.KindServers, From: from + 2, To: from + 4, Changes: []catalog.Change{
+			member("head", 1, backend.GroupReady, from+3),
+			{Removal: &link.Removal{Server: "other", Version: from + 4}},
+		}})
+		changes, ok := f.catalog.ChangesSince(platform.KindServers, from)
+		Expect(ok).To(BeTrue())
+		Expect(changes.RoutableChanges().Changes).To(HaveExactElements(
+			HaveField("Server.Group.State", backend.GroupOpen), HaveField("Server.Group.State", backend.GroupReady)))
+	})
 })
--- a/entry/catalog/follow.go
+++ b/entry/catalog/follow.go
@@ -62,10 +62,14 @@
 	// MaxAge is how long ago the leader's list may have been current. An entry that receives no confirmation within this time
 	// reads the list itself. 0 means no limit.
 	MaxAge time.Duration
+	// FirstFromLeader makes an entry that has just started wait for the leader's objects before it reads all of them itself.
+	FirstFromLeader bool
 }
 
 // EntriesWatchPolicy is the policy for the registrations of the other entries.
-var EntriesWatchPolicy = WatchPolicy{BatchDelay: time.Second, Timeout: 3 * time.Second, LeaderTimeout: 3 * time.Second}
+var EntriesWatchPolicy = WatchPolicy{
+	BatchDelay: time.Second, Timeout: 3 * time.Second, LeaderTimeout: 3 * time.Second, FirstFromLeader: true,
+}
 
 // promptWatchPolicy is the policy for configurations, which must be in force within 2 s, and for servers, whose leaving must
 // be known within 2 s. MaxAge leaves time for a call and for connecting to a server. It exceeds the greatest age that a
@@ -78,15 +82,18 @@
 	// minBatchDelay is the minimum batch delay of an entry that is not the leader. Without a leader, all entries watch the
 	// platform. The value is half of the time within which a leaving server must be known.
 	minBatchDelay = 900 * time.Millisecond
+	// unlinkedMaxAge is the age up to which the objects are not watched while there is no link to a leader. An entry that has just read
+	// them is linked soon. The value is as long as an entry waits between two watches.
+	unlinkedMaxAge = minBatchDelay
 	// leaderCheckInterval is how often an entry that is fed by the leader checks whether it still is.
 	leaderCheckInterval = 200 * time.Millisecond
 	// minLeaderWait is the shortest wait for the leader's changes.
 	minLeaderWait = 10 * time.Millisecond
 	// maxHistory bounds the number of recent changes of a kind that are kept for entries that connect late.
 	maxHistory = 2048
-	// An entry that holds only the routable servers waits for the leader's list for minSnapshotTimeout to minSnapshotTimeout +
-	// snapshotTimeoutSpread before it reads all servers itself. After all entries were killed, the leader has the list within a
-	// second; if hundreds of entries read all servers meanwhile, their lists would fill the platform's link for seconds.
+	// An entry waits for the leader's objects for minSnapshotTimeout to minSnapshotTimeout + snapshotTimeoutSpread before it reads all
+	// of them itself. After all entries were killed, the leader has them within a second; if hundreds of entries read all servers
+	// meanwhile, their lists would fill the platform's link for seconds.
 	minSnapshotTimeout    = time.Second
 	snapshotTimeoutSpread = time.Second
 )
@@ -100,9 +107,11 @@
 	decode func(store.Object) Change
 	apply  func(Update)
 	wake   chan struct{}
-	// holdsRoutableOnly and wantsRoutableOnly report whether only the routable servers are held and needed; nil for other kinds.
-	holdsRoutableOnly, wantsRoutableOnly func() bool
-	snapshotTimeout                      time.Duration
+	// snapshots reports whether this entry takes the first list from the leader; nil if it never does.
+	snapshots       func() bool
+	snapshotTimeout time.Duration
+	// holdsRoutableOnly reports whether only the routable servers are held; nil for other kinds.
+	holdsRoutableOnly func() bool
 
 	mu sync.Mutex // guards the fields below and the order of apply; acquired before any lock that apply takes
 	// revision is the revision up to which the kind is known; 0 before the first list.
@@ -115,9 +124,10 @@
 	// history contains the latest changes, oldest first. It is complete since the revision oldest.
 	history []Change
 	oldest  store.Version
-	// versions contains the objects that exist at revision, with their versions, and routable those that are routable servers.
-	versions map[string]store.Version
-	routable map[string]bool
+	// completeAsOf is when the objects were known to be current that this entry last read itself, or was sent as a snapshot.
+	completeAsOf time.Time
+	// latest contains the objects that exist at revision, as their latest changes.
+	latest map[string]Change
 	// lackingSince is since when this entry has had no list without a gap. It is meaningless while it has one.
 	lackingSince time.Time
 
@@ -246,20 +256,23 @@
 func (f *follower) followsLeader() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.revision > 0 && !f.gap && f.remaining() > 0 && f.catalog.deps.FedByLeader() && !f.catalog.deps.IsLeader()
+	return f.revision > 0 && !f.gap && !f.catalog.deps.IsLeader() && f.remaining() > 0
 }
 
-// remaining returns how long the leader's latest confirmation remains valid.
+// remaining returns how long this entry need not watch the platform. It must be called with f.mu held.
 func (f *follower) remaining() time.Duration {
-	if f.policy.MaxAge == 0 {
+	switch {
+	case !f.catalog.deps.FedByLeader():
+		return unlinkedMaxAge - time.Since(f.completeAsOf)
+	case f.policy.MaxAge == 0:
 		return leaderCheckInterval
 	}
 	return f.policy.MaxAge - f.age()
 }
 
-// awaitsSnapshot reports whether this entry waits for the leader's list of routable servers before it reads all servers itself.
+// awaitsSnapshot reports whether this entry waits for the leader's objects before it reads all of them itself.
 func (f *follower) awaitsSnapshot() bool {
-	if f.wantsRoutableOnly == nil || !f.wantsRoutableOnly() {
+	if f.snapshots == nil || !f.snapshots() {
 		return false
 	}
 	f.mu.Lock()
@@ -269,16 +282,22 @@
 
 // startRevision returns the revision after which this entry reads changes; 0 if it has to read all objects.
 func (f *follower) startRevision() store.Version {
-	if f.holdsRoutableOnly != nil && f.holdsRoutableOnly() && !f.wantsRoutableOnly() {
+	if f.incomplete() && !f.snapshots() {
 		return 0
 	}
 	return f.knownRevision()
 }
 
+// incomplete reports whether this entry holds only a part of the objects.
+func (f *follower) incomplete() bool { return f.holdsRoutableOnly != nil && f.holdsRoutableOnly() }
+
 func (f *follower) waitForLeader(ctx context.Context) {
+	f.mu.Lock()
+	remaining := f.remaining()
+	f.mu.Unlock()
 	select {
 	case <-f.wake:
-	case <-time.After(max(minLeaderWait, min(leaderCheckInterval, f.remaining()))):
+	case <-time.After(max(minLeaderWait, min(leaderCheckInterval, remaining))):
 	case <-ctx.Done():
 	}
 }
@@ -298,6 +317,7 @@
 	update := Update{Changes: f.decodeChanges(fetched.Objects), Revision: fetched.Revision, Complete: fetched.Complete}
 	f.mu.Lock()
 	f.gap = false
+	f.completeAsOf = sent
 	changes := ChangeSet{Kind: f.kind, From: from, To: update.Revision, Changes: update.Changes}
 	if update.Complete {
 		changes = f.changesFromList(update)
@@ -319,19 +339,19 @@
 // from the previous objects. Without it, every entry would have to read the list itself, which would cause hundreds of calls
 // within a second. It must be called with f.mu held.
 func (f *follower) changesFromList(list Update) ChangeSet {
-	if f.revision == 0 || (f.holdsRoutableOnly != nil && f.holdsRoutableOnly()) {
-		f.oldest = list.Revision // no entry can be fed from a revision before the first complete list
+	if f.revision == 0 || f.incomplete() {
+		f.latest, f.history, f.oldest = nil, nil, list.Revision // no entry can be fed from a revision before the first complete list
 		return ChangeSet{Kind: f.kind, To: list.Revision, Changes: list.Changes}
 	}
 	changes := ChangeSet{Kind: f.kind, From: f.revision, To: list.Revision}
 	listedNames := make(map[string]bool, len(list.Changes))
 	for _, change := range list.Changes {
 		listedNames[change.Name()] = true
-		if f.versions[change.Name()] != change.Version() {
+		if known, ok := f.latest[change.Name()]; !ok || known.Version() != change.Version() {
 			changes.Changes = append(changes.Changes, change)
 		}
 	}
-	for _, name := range slices.Sorted(maps.Keys(f.versions)) {
+	for _, name := range slices.Sorted(maps.Keys(f.latest)) {
 		if !listedNames[name] {
 			changes.Changes = append(changes.Changes, f.decodeChange(store.Object{Kind: f.kind, Name: name, Version: list.Revision, Deleted: true}))
 		}
@@ -380,7 +400,7 @@
 		f.markUnroutable(changes.Changes)
 		f.record(changes)
 		if len(changes.Changes) > 0 {
-			f.apply(Update{Changes: changes.Changes, Revision: changes.To, FromLeader: true, RoutableOnly: f.routableOnly()})
+			f.apply(Update{Changes: changes.Changes, Revision: changes.To, FromLeader: true})
 		}
 	}
 	select {
@@ -389,21 +409,35 @@
 	}
 }
 
-// routableOnly reports whether the leader's changes concern only routable servers.
-func (f *follower) routableOnly() bool { return f.wantsRoutableOnly != nil && f.wantsRoutableOnly() }
-
 // applySnapshot replaces what this entry knows, unless that is newer. It must be called with f.mu held.
 func (f *follower) applySnapshot(snapshot ChangeSet) {
 	if snapshot.To < f.revision {
 		return
 	}
 	f.gap = false
-	f.versions, f.routable = nil, nil
-	f.history, f.oldest = nil, snapshot.To
+	f.completeAsOf = time.Now().Add(-time.Duration(snapshot.AgeMs) * time.Millisecond)
+	f.noteCurrent(f.completeAsOf)
+	f.latest, f.history, f.oldest = nil, nil, snapshot.To
 	f.markUnroutable(snapshot.Changes)
-	f.recordVersions(snapshot.Changes)
+	f.recordLatest(snapshot.Changes)
 	f.revision = snapshot.To
-	f.apply(Update{Changes: snapshot.Changes, Revision: snapshot.To, Complete: true, FromLeader: true, RoutableOnly: true})
+	f.apply(Update{Changes: snapshot.Changes, Revision: snapshot.To, Complete: true, FromLeader: true, RoutableOnly: f.holdsRoutableOnly != nil})
+}
+
+// snapshot returns all objects, or the routable ones of the servers, for an entry that knows none.
+func (f *follower) snapshot() (ChangeSet, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.revision == 0 || f.gap || f.incomplete() {
+		return ChangeSet{}, false
+	}
+	snapshot := ChangeSet{Kind: f.kind, To: f.revision, Snapshot: true, AgeMs: f.age().Milliseconds()}
+	for _, name := range slices.Sorted(maps.Keys(f.latest)) {
+		if change := f.latest[name]; change.Server == nil || change.Server.Routable() {
+			snapshot.Changes = append(snapshot.Changes, change)
+		}
+	}
+	return snapshot, true
 }
 
 // markUnroutable marks the changes that an entry which holds only the routable servers need not be told. It must be called with f.mu held,
@@ -411,14 +445,17 @@
 func (f *follower) markUnroutable(changes []Change) {
 	for i := range changes {
 		change := &changes[i]
-		change.Unroutable = change.Object == nil && !f.routable[change.Name()] && (change.Server == nil || !change.Server.Routable())
+		known := f.latest[change.Name()].Server
+		wasRoutable := known != nil && known.Routable()
+		isRoutable := change.Server != nil && change.Server.Routable()
+		change.Unroutable = change.Object == nil && !wasRoutable && !isRoutable
 	}
 }
 
 // record adds a change set to the history. It must be called with f.mu held.
 func (f *follower) record(changes ChangeSet) {
 	f.revision = max(f.revision, changes.To)
-	f.recordVersions(changes.Changes)
+	f.recordLatest(changes.Changes)
 	f.history = append(f.history, changes.Changes...)
 	if excess := len(f.history) - maxHistory; excess > 0 {
 		f.oldest = f.history[excess-1].Version()
@@ -426,22 +463,17 @@
 	}
 }
 
-// recordVersions updates the set of existing objects. It must be called with f.mu held.
-func (f *follower) recordVersions(changes []Change) {
-	if f.versions == nil {
-		f.versions, f.routable = make(map[string]store.Version), make(map[string]bool)
+// recordLatest updates the set of existing objects. It must be called with f.mu held.
+func (f *follower) recordLatest(changes []Change) {
+	if f.latest == nil {
+		f.latest = make(map[string]Change)
 	}
 	for _, change := range changes {
-		name := change.Name()
-		delete(f.routable, name)
 		if change.IsRemoval() {
-			delete(f.versions, name)
+			delete(f.latest, change.Name())
 			continue
 		}
-		f.versions[name] = change.Version()
-		if change.Server != nil && change.Server.Routable() {
-			f.routable[name] = true
-		}
+		f.latest[change.Name()] = change
 	}
 }
 
@@ -449,7 +481,7 @@
 func (f *follower) changesSince(revision store.Version) (ChangeSet, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if revision < f.oldest || f.revision == 0 || (f.holdsRoutableOnly != nil && f.holdsRoutableOnly()) {
+	if revision < f.oldest || f.revision == 0 || f.incomplete() {
 		return ChangeSet{}, false
 	}
 	changes := ChangeSet{Kind: f.kind, From: revision, To: f.revision}
--- a/entry/catalog/servers.go
+++ b/entry/catalog/servers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -88,19 +87,6 @@
 	return s.routableOnly
 }
 
-// routable returns the routable servers that are registered, sorted by id.
-func (s *serverList) routable() []Change {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var changes []Change
-	for _, id := range slices.Sorted(maps.Keys(s.byID)) {
-		if _, lapsed := s.lapsed[id]; !lapsed && s.byID[id].Routable() {
-			changes = append(changes, Change{Server: s.byID[id]})
-		}
-	}
-	return changes
-}
-
 // decode decodes one registration. An object that does not describe a usable server is treated as a registration that ended.
 func (s *serverList) decode(object store.Object) Change {
 	ended := Change{Removal: &link.Removal{Server: backend.ID(object.Name), Version: object.Version}}
--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -100,7 +100,7 @@
 
 func provideLeader(s *shared, cat *catalog.Catalog, entryLease *lease.Lease, controller *grouping.Controller) *leader.Leader {
 	return leader.New(leader.Deps{
-		IsLeader: entryLease.IsLeader, ChangesSince: cat.ChangesSince, RoutableServers: cat.RoutableServers, Listing: cat.Listing,
+		IsLeader: entryLease.IsLeader, ChangesSince: cat.ChangesSince, Snapshot: cat.Snapshot, Listing: cat.Listing,
 		ListAge: cat.ServersAge, LinkMbps: s.config.LinkMbps,
 		Table: cat.Table, Dissolving: controller.Closed,
 		UnregisteredMembers: controller.ResponsiveUnregistered,
--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -50,8 +50,8 @@
 	ReportDemand func(demand policy.Demand)
 	// ChangesSince returns the changes of a kind of objects since a revision, or false if they are no longer known.
 	ChangesSince func(kind store.Kind, revision store.Version) (catalog.ChangeSet, bool)
-	// RoutableServers returns all routable servers, or false while this entry doesn't know all servers.
-	RoutableServers func() (catalog.ChangeSet, bool)
+	// Snapshot returns all objects of a kind, and only the routable ones of the servers, or false while this entry doesn't know them.
+	Snapshot func(kind store.Kind) (catalog.ChangeSet, bool)
 	// Ages returns, for each kind of objects, how long ago this entry's copy was known to be current.
 	Ages func() []link.Age
 	// LeaseVersion returns the version of the lease at its last renewal.
@@ -75,10 +75,10 @@
 	leading   bool
 	// leadingSince is when this entry became the leader.
 	leadingSince time.Time
-	// broadcastUpTo is the latest revision of each kind that was broadcast.
-	broadcastUpTo map[store.Kind]store.Version
-	// routableUpTo is the latest revision of the servers that was broadcast to the followers which hold only the routable ones.
-	routableUpTo store.Version
+	// renewedAt is when the followers were last told that the lease was renewed.
+	renewedAt time.Time
+	// progress is how far the changes of each kind were broadcast.
+	progress map[store.Kind]*progress
 	// engines holds the performance parameters of the groups of each model.
 	engines map[string]capacity.Engine
 	// demand is the average demand for each model while this entry is the leader.
@@ -103,8 +103,17 @@
 // follower is an entry that is linked to this one.
 type follower struct {
 	recipient
-	// routableOnly reports that it holds only the routable servers, and awaitsSnapshot that it has yet to be sent all of them.
-	routableOnly, awaitsSnapshot bool
+	// routableOnly reports that it holds only the routable servers.
+	routableOnly bool
+	// awaitsSnapshot holds the kinds of which it has yet to be sent all objects.
+	awaitsSnapshot map[store.Kind]bool
+}
+
+func (f *follower) awaitSnapshot(kind store.Kind) {
+	if f.awaitsSnapshot == nil {
+		f.awaitsSnapshot = make(map[store.Kind]bool)
+	}
+	f.awaitsSnapshot[kind] = true
 }
 
 // New returns a Leader that is not leading.
@@ -112,7 +121,7 @@
 	return &Leader{
 		deps: deps, started: time.Now(), turns: policy.New(policy.DefaultConfig()), followers: make(map[string]*follower),
 		probes: make(map[backend.ID]chan link.ProbeResult), demand: make(map[string]*modelDemand),
-		broadcastUpTo: make(map[store.Kind]store.Version), announced: make(map[string]bool), newFollowers: make(map[string]bool),
+		progress: make(map[store.Kind]*progress), announced: make(map[string]bool), newFollowers: make(map[string]bool),
 		crashes: newCrashTracker(),
 	}
 }
@@ -245,6 +254,7 @@
 	l.mu.Unlock()
 	l.sendNewerConfig(to, hello.ConfigVersion)
 	l.catchUp(entry, to, hello.Revisions, hello.RoutableOnly)
+	l.confirmLeadership(to)
 }
 
 // Received implements link/leader.Handler.
--- a/entry/leader/leader_test.go
+++ b/entry/leader/leader_test.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"reflect"
+	"slices"
 	"testing"
 	"time"
 
@@ -12,6 +14,7 @@
 
 	"github.com/skylarkpond/skylarkpond/backend"
 	"github.com/skylarkpond/skylarkpond/contract/route"
+	"github.com/skylarkpond/skylarkpond/entry/catalog"
 	"github.com/skylarkpond/skylarkpond/entry/leader"
 	link "github.com/skylarkpond/skylarkpond/link/leader"
 	"github.com/skylarkpond/skylarkpond/link/platform"
@@ -55,7 +58,10 @@
 }
 
 // newEntry returns a Leader that has not noticed yet that its entry is the leader.
-func newEntry() *leader.Leader {
+func newEntry() *leader.Leader { return newEntryWith(&catalog.ChangeSet{}) }
+
+// newEntryWith returns the Leader of an entry with this snapshot, and none while its revision is 0.
+func newEntryWith(snapshot *catalog.ChangeSet) *leader.Leader {
 	servers := map[backend.ID]*backend.Server{"i-1": {ID: "i-1", Service: "desk"}}
 	return leader.New(leader.Deps{
 		IsLeader:         func() bool { return true },
@@ -65,6 +71,8 @@
 		Dissolving:       func(backend.GroupKey) bool { return false },
 		ReportDemand:     func(turns.Demand) {},
 		Config:           func() (uint64, json.RawMessage) { return 3, nil },
+		ChangesSince:     func(platform.Kind, platform.Version) (catalog.ChangeSet, bool) { return catalog.ChangeSet{}, false },
+		Snapshot:         func(platform.Kind) (catalog.ChangeSet, bool) { return *snapshot, snapshot.To > 0 },
 		LeaseVersion:     func() uint64 { return 9 },
 		Ages:             func() []link.Age { return ages },
 		ReportQuarantine: func(link.Quarantine) {},
@@ -155,6 +163,65 @@
 		Expect(early.takeLast().ChangeSet.From).To(BeEquivalentTo(6))
 	})
 
+	serverChange := func(from, to platform.Version, unroutable bool) link.ChangeSet {
+		server := &backend.Server{ID: "i-1", Revision: uint64(to)}
+		return link.ChangeSet{Kind: "servers", From: from, To: to, Changes: []link.Change{{Server: server, Unroutable: unroutable}}}
+	}
+
+	// All entries start at once, and the leader's own list is still on its way. A follower that was told to read the servers itself would
+	// compete with the leader for the platform's calls.
+	It("sends a follower that holds only the routable servers those, as soon as it knows them, and then their changes", func() {
+		routable := &catalog.ChangeSet{Kind: "servers", Snapshot: true}
+		l := newEntryWith(routable)
+		weak, strong := &follower{}, &follower{}
+		unknown := map[platform.Kind]platform.Version{"servers": 0}
+		l.Join("weak", weak, link.Hello{Revisions: unknown, RoutableOnly: true})
+		l.Join("strong", strong, link.Hello{Revisions: unknown})
+		Expect(strong.takeLast().ChangeSet.From).To(BeZero(), "a gap")
+		l.Broadcast(serverChange(0, 20, false))
+		Expect(strong.takeLast().ChangeSet).To(Equal(&link.ChangeSet{Kind: "servers", To: 20}))
+		l.SendSnapshots()
+		Expect(weak.received).To(BeEmpty())
+		routable.To = 19
+		l.SendSnapshots()
+		Expect(weak.received).To(BeEmpty(), "changes up to 20 were broadcast before")
+		routable.To = 20
+		l.SendSnapshots()
+		Expect(weak.takeLast().ChangeSet.Snapshot).To(BeTrue())
+		l.Broadcast(serverChange(20, 21, true))
+		Expect(strong.takeLast().ChangeSet.To).To(BeEquivalentTo(21))
+		Expect(weak.received).To(BeEmpty())
+		l.Broadcast(serverChange(21, 22, false))
+		Expect(weak.takeLast().ChangeSet).To(And(HaveField("From", BeEquivalentTo(20)), HaveField("To", BeEquivalentTo(22))))
+	})
+
+	// Nothing changes for the routable servers for long while others change all the time. A follower that has to watch the platform from
+	// its revision after the leader's death would find that history dropped.
+	It("tells its followers of later revisions without changes for them", func() {
+		l := newEntryWith(&catalog.ChangeSet{Kind: "servers", To: 1, Snapshot: true})
+		weak, strong := &follower{}, &follower{}
+		l.Join("weak", weak, link.Hello{Revisions: map[platform.Kind]platform.Version{"servers": 0}, RoutableOnly: true})
+		l.Join("strong", strong, link.Hello{})
+		l.SendSnapshots()
+		weak.takeLast()
+		l.Broadcast(serverChange(1, 2, true))
+		strong.takeLast()
+		l.Broadcast(link.ChangeSet{Kind: "servers", From: 2, To: 5})
+		told := func(to *follower, from, upTo platform.Version) func() bool {
+			return func() bool {
+				l.BroadcastRenewal()
+				return slices.ContainsFunc(to.received, func(message link.Down) bool {
+					return message.ChangeSet != nil && reflect.DeepEqual(*message.ChangeSet, link.ChangeSet{Kind: "servers", From: from, To: upTo})
+				})
+			}
+		}
+		Eventually(told(weak, 1, 5), "6s", "100ms").Should(BeTrue())
+		Expect(told(strong, 2, 5)()).To(BeTrue())
+		weak.received = nil
+		l.Broadcast(serverChange(5, 6, false))
+		Expect(weak.takeLast().ChangeSet.From).To(BeEquivalentTo(5))
+	})
+
 	crash := func(fingerprint, server string) link.Crash {
 		return link.Crash{Service: "desk", Fingerprint: fingerprint, Server: backend.ID(server)}
 	}
--- a/entry/leader/live.go
+++ b/entry/leader/live.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/skylarkpond/skylarkpond/entry/lease"
 	link "github.com/skylarkpond/skylarkpond/link/leader"
 )
 
@@ -35,6 +36,21 @@
 		to.SendShared(shared)
 	}
 	clear(l.newFollowers)
+	l.renewedAt = time.Now()
+	l.broadcastRevisions()
+}
+
+// confirmLeadership tells a new follower that this entry holds the lease, without waiting for the next renewal: until then, the follower
+// would go on to watch the platform itself.
+func (l *Leader) confirmLeadership(to recipient) {
+	l.mu.Lock()
+	renewedAt := l.renewedAt
+	l.mu.Unlock()
+	if renewedAt.IsZero() || time.Since(renewedAt) >= lease.Validity {
+		return
+	}
+	version, _ := l.deps.Config()
+	to.Send(link.Down{Renewal: &link.Renewal{Version: l.deps.LeaseVersion(), ConfigVersion: version, Ages: l.deps.Ages()}})
 }
 
 // liveChanges returns which followers have joined and left since the last call. It must be called with l.mu held.
--- a/entry/leader/news.go
+++ b/entry/leader/news.go
@@ -1,7 +1,10 @@
 package leader
 
 import (
+	"maps"
 	"math"
+	"slices"
+	"time"
 
 	"github.com/skylarkpond/skylarkpond/entry/catalog"
 	link "github.com/skylarkpond/skylarkpond/link/leader"
@@ -10,14 +13,14 @@
 )
 
 // catchUp sends the changes that a follower has missed. If they are no longer known, the follower is sent a gap and
-// reads the objects from the platform. A follower that holds only the routable servers is sent those instead.
+// reads the objects from the platform. One that knows nothing yet, or holds only the routable servers, is sent a snapshot instead.
 func (l *Leader) catchUp(entry string, to recipient, revisions map[store.Kind]store.Version, routableOnly bool) {
 	for kind, revision := range revisions {
 		changes, ok := l.deps.ChangesSince(kind, revision)
 		filtered := routableOnly && kind == platform.KindServers
 		switch {
-		case !ok && filtered:
-			l.requestSnapshot(entry, to)
+		case !ok && (filtered || (revision == 0 && kind != platform.KindServers)):
+			l.requestSnapshot(entry, to, kind)
 			continue
 		case !ok:
 			changes = link.Gap(kind, revision+1)
@@ -28,41 +31,54 @@
 	}
 }
 
-// requestSnapshot schedules that a follower is sent the routable servers, once this entry has a list.
-func (l *Leader) requestSnapshot(entry string, to recipient) {
+// requestSnapshot schedules that a follower is sent all objects of a kind, once this entry has them.
+func (l *Leader) requestSnapshot(entry string, to recipient, kind store.Kind) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if follower := l.followers[entry]; follower != nil && follower.recipient == to {
-		follower.awaitsSnapshot = true
+		follower.awaitSnapshot(kind)
 	}
 }
 
-// SendSnapshots sends the routable servers to the followers that wait for them.
+// SendSnapshots sends the followers the snapshots that they wait for.
 func (l *Leader) SendSnapshots() {
-	if !l.snapshotAwaited() {
-		return
-	}
-	snapshot, ok := l.deps.RoutableServers() // takes locks under which l.mu is acquired
-	if !ok {
-		return
+	budget := l.snapshotBudget()
+	for _, kind := range l.awaitedSnapshots() {
+		snapshot, ok := l.deps.Snapshot(kind) // takes locks under which l.mu is acquired
+		if ok {
+			budget = l.sendSnapshot(snapshot, budget)
+		}
 	}
+}
+
+// sendSnapshot sends a snapshot to the followers that wait for it, and returns what is left of the budget in bytes.
+func (l *Leader) sendSnapshot(snapshot catalog.ChangeSet, budget int) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if snapshot.To < l.broadcastUpTo[snapshot.Kind] {
-		return // later changes were broadcast meanwhile, and would leave a gap
+	if done := l.progressOf(snapshot.Kind); snapshot.To < max(done.sentUpTo, done.routableUpTo) {
+		return budget // later changes were broadcast meanwhile, and would leave a gap
 	}
 	shared := &link.Shared{Down: link.Down{ChangeSet: &snapshot}}
-	budget := l.snapshotBudget()
 	for _, to := range l.followers {
-		if !to.awaitsSnapshot {
+		if !to.awaitsSnapshot[snapshot.Kind] || budget <= 0 {
 			continue
 		}
-		to.awaitsSnapshot = false
+		delete(to.awaitsSnapshot, snapshot.Kind)
 		to.SendShared(shared)
-		if budget -= shared.Size(); budget <= 0 {
-			return
-		}
+		budget -= shared.Size()
+	}
+	return budget
+}
+
+// awaitedSnapshots returns the kinds of which followers wait for a snapshot, in a fixed order.
+func (l *Leader) awaitedSnapshots() []store.Kind {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	kinds := make(map[store.Kind]bool)
+	for _, to := range l.followers {
+		maps.Copy(kinds, to.awaitsSnapshot)
 	}
+	return slices.Sorted(maps.Keys(kinds))
 }
 
 // snapshotBudget returns how many bytes of snapshots are sent at a time: half of what the link transmits in a tick. If all entries were
@@ -74,29 +90,55 @@
 	return int(l.deps.LinkMbps * 1e6 / 8 * tickInterval.Seconds() / 2)
 }
 
-func (l *Leader) snapshotAwaited() bool {
+// Broadcast sends changes that this entry's watch returned to all followers. Followers may connect before this entry
+// knows that it holds the lease, so it also broadcasts before it is leading.
+func (l *Leader) Broadcast(changes catalog.ChangeSet) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, to := range l.followers {
-		if to.awaitsSnapshot {
-			return true
-		}
+	done := l.progressOf(changes.Kind)
+	done.knownUpTo = changes.To
+	if done.sentUpTo == 0 {
+		done.sentUpTo, done.routableUpTo = changes.From, changes.From
+	}
+	if len(changes.Changes) > 0 || changes.From == 0 {
+		l.broadcast(changes)
 	}
-	return false
 }
 
-// Broadcast sends changes that this entry's watch returned to all followers. Followers may connect before this entry
-// knows that it holds the lease, so it also broadcasts before it is leading.
-func (l *Leader) Broadcast(changes catalog.ChangeSet) {
-	if len(changes.Changes) == 0 && changes.From != 0 {
-		return
+// progress is how far the followers were sent the changes of a kind of objects.
+type progress struct {
+	// knownUpTo is the revision up to which this entry has passed on every change.
+	knownUpTo store.Version
+	// sentUpTo is the revision that the followers were last sent, and routableUpTo the one that those were sent which hold only the
+	// routable servers. There were no changes for them from there to knownUpTo.
+	sentUpTo, routableUpTo store.Version
+	sentAt                 time.Time
+}
+
+// progressOf must be called with l.mu held.
+func (l *Leader) progressOf(kind store.Kind) *progress {
+	if l.progress[kind] == nil {
+		l.progress[kind] = &progress{}
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if previous := l.broadcastUpTo[changes.Kind]; previous > 0 {
-		changes.From = min(changes.From, previous) // there were no changes in between, so that nothing was broadcast
+	return l.progress[kind]
+}
+
+// maxRevisionAge is how long the followers are not sent a later revision without changes. If the leader dies, they watch the platform
+// from the revision that they know, which it must not have dropped from its history.
+const maxRevisionAge = 3 * time.Second
+
+// broadcastRevisions sends the followers the revisions up to which there were no changes. It must be called with l.mu held.
+func (l *Leader) broadcastRevisions() {
+	for kind, done := range l.progress {
+		if min(done.sentUpTo, done.routableUpTo) < done.knownUpTo && time.Since(done.sentAt) > maxRevisionAge {
+			done.sentAt = time.Now()
+			l.broadcast(catalog.ChangeSet{Kind: kind, From: done.knownUpTo, To: done.knownUpTo})
+		}
 	}
-	l.broadcastUpTo[changes.Kind] = changes.To
+}
+
+// broadcast must be called with l.mu held.
+func (l *Leader) broadcast(changes catalog.ChangeSet) {
 	var all, routableOnly []*follower
 	for _, to := range l.followers {
 		if to.routableOnly && changes.Kind == platform.KindServers {
@@ -105,35 +147,30 @@
 		}
 		all = append(all, to)
 	}
-	if !sendChanges(all, changes) {
+	done := l.progressOf(changes.Kind)
+	if !sendChanges(all, extend(changes, &done.sentUpTo)) {
 		sendGap(all, changes)
 	}
-	l.sendRoutable(routableOnly, changes)
-}
-
-// sendRoutable sends changes to the followers that hold only the routable servers. It must be called with l.mu held.
-func (l *Leader) sendRoutable(to []*follower, changes catalog.ChangeSet) {
-	if changes.From != 0 {
-		changes = changes.RoutableChanges()
-		if l.routableUpTo > 0 {
-			changes.From = min(changes.From, l.routableUpTo)
-		}
-		if len(changes.Changes) == 0 && changes.To-changes.From < maxUnsentRevisions {
-			return
-		}
-	}
-	l.routableUpTo = changes.To
-	if sendChanges(to, changes) {
+	routable := changes.RoutableChanges()
+	if len(routable.Changes) == 0 && len(changes.Changes) > 0 && changes.From != 0 {
 		return
 	}
-	for _, follower := range to {
-		follower.awaitsSnapshot = true
+	done.sentAt = time.Now()
+	if !sendChanges(routableOnly, extend(routable, &done.routableUpTo)) {
+		for _, to := range routableOnly {
+			to.awaitSnapshot(changes.Kind)
+		}
 	}
 }
 
-// maxUnsentRevisions bounds how far the revision that a follower knows may fall behind while no routable server changes. If the leader
-// dies, the follower watches from there, which the platform must not have dropped from its history.
-const maxUnsentRevisions = 200
+// extend returns a change set that begins where the previous one ended, since there were no changes in between.
+func extend(changes catalog.ChangeSet, sentUpTo *store.Version) catalog.ChangeSet {
+	if *sentUpTo > 0 {
+		changes.From = min(changes.From, *sentUpTo)
+	}
+	*sentUpTo = changes.To
+	return changes
+}
 
 // sendChanges sends the same changes to several followers. It reports whether they are known and small enough.
 func sendChanges(to []*follower, changes catalog.ChangeSet) bool {
@@ -148,7 +185,7 @@
 		return false
 	}
 	for _, follower := range to {
-		if !follower.awaitsSnapshot {
+		if !follower.awaitsSnapshot[changes.Kind] {
 			follower.SendShared(shared)
 		}
 	}
--- a/link/leader/news.go
+++ b/link/leader/news.go
@@ -12,8 +12,10 @@
 	From    platform.Version `cbor:"2,keyasint"`
 	To      platform.Version `cbor:"3,keyasint"`
 	Changes []Change         `cbor:"4,keyasint,omitempty"`
-	// Snapshot reports that Changes holds every routable server as of To, whatever the follower knew before.
+	// Snapshot reports that Changes holds every object, of the servers every routable one, as of To, whatever the follower knew before.
 	Snapshot bool `cbor:"5,keyasint,omitempty"`
+	// AgeMs is how long before a snapshot was sent it was known to be current, in milliseconds.
+	AgeMs int64 `cbor:"6,keyasint,omitempty"`
 }
 
 // RoutableChanges returns the change set for a follower that holds only the routable servers.
