entry/relay: requests wait for the first configuration of a process that has just started

Cause: the configuration is in force 0.4 s after the process starts (median of 132 entries; its last 0.2 s are the download of 1,840 routes on 14 Mbit/s), and a request that arrives before was refused. A request can be served then, so it waits, one second after the start at most. Ruled out: refusing with a shorter Retry-After (the second try of the caller would still be the last). Spec: serves a request that arrives just before the first configuration; it fails on the code before.

--- a/entry/relay/exchange.go
+++ b/entry/relay/exchange.go
@@ -57,7 +57,7 @@
 func newExchange(r *Relay, w http.ResponseWriter, request *http.Request) *exchange {
 	return &exchange{
 		relay: r, writer: w, request: request, ctx: request.Context(), arrived: time.Now(),
-		call: platform.DecodeRequest(request.Header), table: r.deps.Table(),
+		call: platform.DecodeRequest(request.Header), table: r.awaitTable(request.Context()),
 	}
 }
 
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -15,6 +15,7 @@
 	"github.com/skylarkpond/skylarkpond/backend"
 	"github.com/skylarkpond/skylarkpond/contract/route"
 	"github.com/skylarkpond/skylarkpond/entry/turn"
+	"github.com/skylarkpond/skylarkpond/internal/wait"
 	"github.com/skylarkpond/skylarkpond/link/upstream"
 )
 
@@ -52,12 +53,32 @@
 // Relay is an http.Handler. It is safe for concurrent use.
 type Relay struct {
 	deps     Deps
+	started  time.Time
 	inFlight atomic.Int64
 	received atomic.Bool
 }
 
 // New returns a Relay.
-func New(deps Deps) *Relay { return &Relay{deps: deps} }
+func New(deps Deps) *Relay { return &Relay{deps: deps, started: time.Now()} }
+
+const (
+	// firstConfigTimeout is how long after its start a process may take to learn the first configuration. If all entries were killed, callers
+	// come back while the entries start, and one that is refused twice does not come again.
+	firstConfigTimeout = time.Second
+	// configPollInterval is the interval between checks for the first configuration.
+	configPollInterval = 10 * time.Millisecond
+)
+
+// awaitTable returns the configuration in force. It waits for the first one until firstConfigTimeout has passed since the start, and returns
+// nil if there is none by then or ctx ends.
+func (r *Relay) awaitTable(ctx context.Context) *route.Table {
+	for r.deps.Table() == nil && time.Since(r.started) < firstConfigTimeout {
+		if !wait.Pause(ctx, configPollInterval) {
+			break
+		}
+	}
+	return r.deps.Table()
+}
 
 // InProgress returns the number of requests without a complete answer.
 func (r *Relay) InProgress() int { return int(r.inFlight.Load()) }
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -78,7 +78,7 @@
 	gateway *httptest.Server
 	mu      sync.Mutex
 	reports []relay.Report
-	table   *route.Table
+	table   atomic.Pointer[route.Table]
 	retries *relay.Retries
 	// firstRequests counts the calls of FirstRequest.
 	firstRequests atomic.Int32
@@ -125,17 +125,17 @@
 		r.turns.servers = append(r.turns.servers, &backend.Server{ID: backend.ID(config.ID), Address: server.Address(), Slots: 8})
 	}
 	targets := []route.Target{{Service: "s", Weight: 1}}
-	r.table = route.NewTable(3, []route.Route{
+	r.table.Store(route.NewTable(3, []route.Route{
 		{Name: "free", Host: "h.example", PathPrefix: "/free/", Kind: route.Idempotent, Timeout: 2 * time.Second, MaxAttempts: 2, Public: true, Targets: targets},
 		{Name: "look", Host: "h.example", PathPrefix: "/look/", Kind: route.Idempotent, Timeout: 2 * time.Second, MaxAttempts: 2, Targets: targets},
 		{Name: "book", Host: "h.example", PathPrefix: "/book/", Kind: route.NonIdempotent, Timeout: 2 * time.Second, MaxAttempts: 2, Targets: targets},
 		{Name: "chat", Host: "h.example", PathPrefix: "/chat/", Kind: route.Streaming, Timeout: 8 * time.Second, MaxAttempts: 2, Resumable: true, Targets: targets},
 		{Name: "once", Host: "h.example", PathPrefix: "/once/", Kind: route.Streaming, Timeout: 2 * time.Second, MaxAttempts: 2, Targets: targets},
-	}, nil, []route.Team{{Name: "one", Keys: []string{"key"}}}, route.Limits{BodyBytes: 1 << 20})
+	}, nil, []route.Team{{Name: "one", Keys: []string{"key"}}}, route.Limits{BodyBytes: 1 << 20}))
 	r.retries = relay.NewRetries(relay.Allowance{Ratio: 1, Extra: 20}, 1)
 	handler := relay.New(relay.Deps{
 		Rejected: func(relay.Rejection) {},
-		Table:    func() *route.Table { return r.table }, Turns: r.turns, Pool: upstream.NewPool(), Retries: r.retries, Suspects: r.suspects,
+		Table:    r.table.Load, Turns: r.turns, Pool: upstream.NewPool(), Retries: r.retries, Suspects: r.suspects,
 		Random: func() float64 { return 0.5 }, FirstRequest: func() { r.firstRequests.Add(1) },
 		Report: func(report relay.Report) {
 			r.mu.Lock()
@@ -249,13 +249,21 @@
 			Expect(r.servers[0].Runs()).To(BeEmpty())
 		},
 		// An entry that has just started has no configuration. Answering 404 would be wrong, and callers don't retry after it.
-		Entry("before the first configuration", func(r *harness, _ *http.Request) { r.table = nil }, http.StatusServiceUnavailable),
+		Entry("before the first configuration", func(r *harness, _ *http.Request) { r.table.Store(nil) }, http.StatusServiceUnavailable),
 		Entry("no route", func(_ *harness, q *http.Request) { q.URL.Path = "/none/" }, http.StatusNotFound),
 		Entry("another host", func(_ *harness, q *http.Request) { q.Host = "other.example" }, http.StatusNotFound),
 		Entry("an unknown key", func(_ *harness, q *http.Request) { q.Header.Set(platform.HeaderKey, "no") }, http.StatusUnauthorized),
 		Entry("no key", func(_ *harness, q *http.Request) { q.Header.Del(platform.HeaderKey) }, http.StatusUnauthorized),
 	)
 
+	// All entries were killed, and callers come back while they start. Each caller comes again once, so that a second refusal ends its request.
+	It("serves a request that arrives just before the first configuration", func() {
+		r := newHarness(replica.Config{}, 1)
+		table := r.table.Swap(nil)
+		time.AfterFunc(200*time.Millisecond, func() { r.table.Store(table) })
+		Expect(r.send(r.request(http.MethodGet, "/look/a", "id")).status).To(Equal(http.StatusOK))
+	})
+
 	It("reports the first request, and only that one", func() {
 		r := newHarness(replica.Config{}, 1)
 		Expect(r.firstRequests.Load()).To(BeZero())
