entry/grouping, policy/capacity: a group with a slow member gets what it can answer

Cause: a stalled stream makes the leader ask the group's members, all answer, and the group is cleared: it gets as many requests as the others. The members' reports say how slow they are, and nothing read it. The slowest member's slowdown now counts for its group: its times grow and its slots shrink by it, and it is asked again each second until it works normally. Lines group-slow, group-normal. Ruled out: first tokens by group as evidence (reported when a stream ends, which is later the slower the group is).

--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -103,7 +103,7 @@
 		IsLeader: entryLease.IsLeader, ChangesSince: cat.ChangesSince, Snapshot: cat.Snapshot, Listing: cat.Listing,
 		ListAge: cat.ServersAge, LinkMbps: s.config.LinkMbps,
 		Table: cat.Table, Dissolving: controller.Closed,
-		UnregisteredMembers: controller.ResponsiveUnregistered,
+		UnregisteredMembers: controller.ResponsiveUnregistered, Slowdown: controller.Slowdown,
 		Suspect:             func(key backend.GroupKey) { controller.Suspect(context.Background(), key) },
 		ReportDemand:        s.logDemand, Config: cat.Config, OfferConfig: cat.UpdateConfig, LeaseVersion: entryLease.Version,
 		Ages: cat.Ages, ReportQuarantine: s.requestsQuarantined,
--- a/entry/grouping/grouping.go
+++ b/entry/grouping/grouping.go
@@ -78,6 +78,9 @@
 	GroupSuspected     EventKind = "group-suspected"
 	MemberUnresponsive EventKind = "member-dark"
 	MemberResponsive   EventKind = "member-answers-again"
+	// GroupSlow reports that a member works slower than normal, and GroupNormal that none does any more.
+	GroupSlow   EventKind = "group-slow"
+	GroupNormal EventKind = "group-normal"
 	// ModelCannotBeFormed reports that no fabric domain has enough VMs for a group of the model.
 	ModelCannotBeFormed EventKind = "model-cannot-be-formed"
 	// FleetReport describes the VMs of one service, once per fleetReportInterval.
@@ -130,6 +133,8 @@
 	silent map[backend.ID]time.Time
 	// unreachableAt contains the heads that no peer could reach, with the time when the peers were asked.
 	unreachableAt map[backend.ID]time.Time
+	// slow contains the groups that work slower than normal.
+	slow map[backend.GroupKey]slowGroup
 	// staging contains the loads that were ordered.
 	staging map[backend.ID]pendingLoad
 	// complete contains the groups that were seen with all their members. responsiveUnregistered is the number of their
@@ -184,6 +189,7 @@
 		opened:   make(map[backend.GroupKey]openedGroup), dissolvedAt: make(map[backend.GroupKey]time.Time),
 		backoffUntil: make(map[backend.ID]time.Time), warmRetryAt: make(map[backend.ID]time.Time),
 		lastModels: make(map[backend.ID]groupModel), silent: make(map[backend.ID]time.Time),
+		slow:            make(map[backend.GroupKey]slowGroup),
 		domainSilentAt:  make(map[domain.FabricDomain]time.Time),
 		fleetReportedAt: make(map[string]time.Time), unformable: make(map[string]bool), registrations: make(map[string]*serviceRegistration),
 		complete: make(map[backend.GroupKey]completeGroup), responsiveUnregistered: make(map[backend.GroupKey]int),
@@ -227,6 +233,7 @@
 	}
 	c.client.pruneOrders()
 	c.pollUnresponsive(ctx)
+	c.checkSlowGroups(ctx)
 	listing := c.deps.Listing()
 	if listing.RoutableOnly {
 		return // a new leader that has yet to read the other servers
--- a/entry/grouping/grouping_test.go
+++ b/entry/grouping/grouping_test.go
@@ -48,6 +48,30 @@
 		Expect(f.world.Violations()).To(BeEmpty())
 	})
 
+	// One member works at a fifth of its speed, and so does its group. All members answer, so that the group got as many requests as the others,
+	// and a third of their callers left before the first token.
+	It("reports how much slower a group works than normal, until its members are as fast as before", func() {
+		f := newFixture(4)
+		controller := f.startController(1)
+		Eventually(f.groupCount, waitFor).Should(Equal(1))
+		key := f.heads()[0].Group.GroupKey
+		var slow *replica.Server
+		for _, vm := range f.vms {
+			if group := vm.Group(); group != nil && group.Rank == 1 {
+				slow = vm
+			}
+		}
+		slow.SetFaults(replica.Faults{Slowdown: 5})
+		Expect(controller.Slowdown(key)).To(Equal(1.0))
+		Eventually(func() float64 {
+			controller.Suspect(context.Background(), key)
+			return controller.Slowdown(key)
+		}, waitFor, "100ms").Should(Equal(5.0))
+		slow.SetFaults(replica.Faults{})
+		Eventually(func() float64 { return controller.Slowdown(key) }, waitFor).Should(Equal(1.0))
+		Expect(f.groupCount()).To(Equal(1))
+	})
+
 	// A VM's process restarts under the same id before its registration lapses. It knows of no group, while the other members
 	// of its group wait for it and all streams of the group stall.
 	DescribeTable("replaces a group when one of its VMs was restarted under the same id", func(rank int) {
--- a/entry/grouping/suspect.go
+++ b/entry/grouping/suspect.go
@@ -28,20 +28,31 @@
 
 func (c *Controller) checkGroup(ctx context.Context, key backend.GroupKey) {
 	members := c.listedMembers(key)
-	results := make(chan error, len(members))
+	type result struct {
+		vm     backend.ID
+		report backend.Report
+		err    error
+	}
+	results := make(chan result, len(members))
 	for _, member := range members {
 		go func() {
-			_, err := c.checkedReport(ctx, member)
-			results <- err
+			report, err := c.checkedReport(ctx, member)
+			results <- result{member.ID, report, err}
 		}()
 	}
+	slowest := result{report: backend.Report{Slowdown: 1}}
 	for range members {
-		if err := <-results; err != nil {
-			c.deps.OnEvent(Event{Kind: GroupSuspected, Group: key, Detail: err.Error()})
+		got := <-results
+		if got.err != nil {
+			c.deps.OnEvent(Event{Kind: GroupSuspected, Group: key, Detail: got.err.Error()})
 			c.Wake()
 			return
 		}
+		if got.report.Slowdown > slowest.report.Slowdown {
+			slowest = got
+		}
 	}
+	c.recordSlowdown(key, slowest.vm, slowest.report.Slowdown)
 	if head, ok := headFromName(key.Name); ok {
 		c.deps.ClearSuspicion(head.ID)
 	}
--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -40,6 +40,8 @@
 	// UnregisteredMembers returns the number of members of a group that are running although they are not registered.
 	// It may be nil.
 	UnregisteredMembers func(key backend.GroupKey) int
+	// Slowdown returns the factor by which a group works slower than normal. It may be nil.
+	Slowdown func(key backend.GroupKey) float64
 	// Suspect starts a check of a group whose head has stopped answering.
 	Suspect func(group backend.GroupKey)
 	// Config returns the version and the text of the configuration in force. OfferConfig offers a configuration, which
@@ -201,7 +203,7 @@
 			key := modelKey(service.Name, model.Name)
 			engines[key] = engineFor(service.Engine, model)
 			for _, head := range l.heads(service, model, listing.ByService[service.Name]) {
-				groups = append(groups, policy.Group{Head: string(head.ID), Model: key, Engine: engines[key]})
+				groups = append(groups, policy.Group{Head: string(head.ID), Model: key, Engine: engines[key].SlowedBy(l.slowdown(head))})
 			}
 		}
 	}
@@ -223,6 +225,14 @@
 
 func modelKey(service, model string) string { return service + "/" + model }
 
+// slowdown returns the factor by which the group of a head works slower than normal.
+func (l *Leader) slowdown(head *backend.Server) float64 {
+	if l.deps.Slowdown == nil {
+		return 1
+	}
+	return l.deps.Slowdown(head.Group.GroupKey)
+}
+
 // turnKey returns the key of a turn, which is unique over all entries.
 func turnKey(entry string, key uint64) string { return entry + "/" + strconv.FormatUint(key, 10) }
 
--- a/policy/capacity/capacity.go
+++ b/policy/capacity/capacity.go
@@ -61,6 +61,17 @@
 	return e.TimeFactor
 }
 
+// SlowedBy returns the performance of the group while it works slower by a factor of 1 or more, because one of its VMs does: its times
+// grow, and it runs fewer requests at once. A slow group that got as many requests as the others would answer none of them in time.
+func (e Engine) SlowedBy(factor float64) Engine {
+	if factor <= 1 {
+		return e
+	}
+	e.TimeFactor = e.timeFactor() * factor
+	e.Slots = max(1, int(float64(e.Slots)/factor))
+	return e
+}
+
 // PrefillTime returns how long a group takes to prefill a prompt of the given number of tokens; 0 if unknown.
 func (e Engine) PrefillTime(promptTokens float64) time.Duration {
 	if e.PrefillTokensPerSecond <= 0 {
--- a/policy/capacity/capacity_test.go
+++ b/policy/capacity/capacity_test.go
@@ -58,3 +58,18 @@
 		Expect(engine.Rate(capacity.RequestSize{})).To(BeZero())
 	})
 })
+
+var _ = Describe("SlowedBy", func() {
+	engine := capacity.Engine{
+		Slots: 30, StepTime: 6 * time.Millisecond, StepTimePerSequence: 45 * time.Microsecond, StepsPerPass: 7, PrefillTokensPerSecond: 50_000, TimeFactor: 0.6,
+	}
+
+	It("makes all times longer and leaves fewer slots, but at least one", func() {
+		slow := engine.SlowedBy(5)
+		Expect(slow.Slots).To(Equal(6))
+		Expect(slow.PassTime(10)).To(BeNumerically("~", 5*engine.PassTime(10), time.Microsecond))
+		Expect(slow.PrefillTime(1000)).To(BeNumerically("~", 5*engine.PrefillTime(1000), time.Microsecond))
+		Expect(engine.SlowedBy(100).Slots).To(Equal(1))
+		Expect(engine.SlowedBy(0.5)).To(Equal(engine))
+	})
+})
