--- a/test/cooperative/pond_test.go
+++ b/test/cooperative/pond_test.go
@@ -293,6 +293,9 @@
 	platformPort
 )
 
+// weakCores is less than the leader of many entries needs.
+const weakCores = "POND_CORES=0.1"
+
 func (p *pond) startEntry(number int) *gatewayProcess {
 	GinkgoHelper()
 	name := fmt.Sprint("entry-", number)
@@ -309,6 +312,9 @@
 		"POND_NAME="+name, "POND_PLACE=r", "POND_FAILURE_DOMAIN=z", "POND_CALLER_ADDRESS="+e.callers, "POND_READY_ADDRESS="+e.ready,
 		"POND_DIRECTORY_ADDRESS="+e.directory, "POND_PEER_ADDRESS="+address(peerPort), "POND_METRICS_ADDRESS="+e.metrics,
 		"POND_PLATFORM_ADDRESS="+e.toPlatform.Address(), "POND_STOP_GRACE=20")
+	if number%2 == 1 {
+		e.environment = append(e.environment, weakCores) // it holds only the servers that requests go to
+	}
 	e.start()
 	DeferCleanup(func() {
 		_ = e.process().Kill()
