entry/leader: a new follower gets what it missed before any broadcast

Found by reading. A follower was registered, and then sent the changes that it had missed. A broadcast in between came first; it claims to hold all changes since the last broadcast, which lies long ago for a leader that was fed by another one, so that the follower took it and then passed over what it had missed: a leaving server, say, would go on to get requests there. The changes missed are sent first now; a broadcast in between leaves a gap, which the follower notices. Spec: sends a new follower what it missed before any broadcast; it fails on the code before. Two files are formatted.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -86,8 +86,8 @@
 	Revision uint64
 	// RoutableOnly reports that the listing holds only the routable servers, and of each group only its head.
 	RoutableOnly bool
-	Servers   map[ID]*Server
-	ByService map[string][]*Server
+	Servers      map[ID]*Server
+	ByService    map[string][]*Server
 }
 
 // NewListing indexes servers by service. The servers of each service are sorted by id.
--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -104,8 +104,8 @@
 		ListAge: cat.ServersAge, LinkMbps: s.config.LinkMbps,
 		Table: cat.Table, Dissolving: controller.Closed,
 		UnregisteredMembers: controller.ResponsiveUnregistered, Slowdown: controller.Slowdown,
-		Suspect:             func(key backend.GroupKey) { controller.Suspect(context.Background(), key) },
-		ReportDemand:        s.logDemand, Config: cat.Config, OfferConfig: cat.UpdateConfig, LeaseVersion: entryLease.Version,
+		Suspect:      func(key backend.GroupKey) { controller.Suspect(context.Background(), key) },
+		ReportDemand: s.logDemand, Config: cat.Config, OfferConfig: cat.UpdateConfig, LeaseVersion: entryLease.Version,
 		Ages: cat.Ages, ReportQuarantine: s.requestsQuarantined,
 	})
 }
--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -253,8 +253,10 @@
 
 // Join adds an entry as a follower.
 func (l *Leader) Join(entry string, to recipient, hello link.Hello) {
+	joining := &follower{recipient: to, routableOnly: hello.RoutableOnly}
+	l.catchUp(joining, hello.Revisions)
 	l.mu.Lock()
-	l.followers[entry] = &follower{recipient: to, routableOnly: hello.RoutableOnly}
+	l.followers[entry] = joining
 	l.newFollowers[entry] = true
 	l.sendQuarantines(to)
 	for _, crash := range hello.Crashes {
@@ -263,7 +265,6 @@
 	}
 	l.mu.Unlock()
 	l.sendNewerConfig(to, hello.ConfigVersion)
-	l.catchUp(entry, to, hello.Revisions, hello.RoutableOnly)
 	l.confirmLeadership(to)
 }
 
--- a/entry/leader/leader_test.go
+++ b/entry/leader/leader_test.go
@@ -195,6 +195,28 @@
 		Expect(weak.takeLast().ChangeSet).To(And(HaveField("From", BeEquivalentTo(20)), HaveField("To", BeEquivalentTo(22))))
 	})
 
+	// The leader's watch returns while a follower connects. Changes that were broadcast to the follower before those that it had missed would
+	// count as all since the leader's last broadcast, and a server's leaving among the missed ones would never reach the follower.
+	It("sends a new follower what it missed before any broadcast", func() {
+		var l *leader.Leader
+		l = leader.New(leader.Deps{
+			IsLeader: func() bool { return true }, Config: func() (uint64, json.RawMessage) { return 0, nil },
+			ChangesSince: func(platform.Kind, platform.Version) (catalog.ChangeSet, bool) {
+				l.Broadcast(serverChange(9, 10, false))
+				return serverChange(5, 9, false), true
+			},
+		})
+		l.Broadcast(serverChange(1, 2, false)) // this entry was fed by another leader since
+		joining := &follower{}
+		l.Join("e-1", joining, link.Hello{Revisions: map[platform.Kind]platform.Version{"servers": 5}})
+		l.Broadcast(serverChange(10, 11, false))
+		var from []platform.Version
+		for _, message := range joining.received {
+			from = append(from, message.ChangeSet.From)
+		}
+		Expect(from).To(Equal([]platform.Version{5, 10}), "the second one leaves a gap after revision 9")
+	})
+
 	// Nothing changes for the routable servers for long while others change all the time. A follower that has to watch the platform from
 	// its revision after the leader's death would find that history dropped.
 	It("tells its followers of later revisions without changes for them", func() {
--- a/entry/leader/news.go
+++ b/entry/leader/news.go
@@ -13,14 +13,16 @@
 )
 
 // catchUp sends the changes that a follower has missed. If they are no longer known, the follower is sent a gap and
-// reads the objects from the platform. One that knows nothing yet, or holds only the routable servers, is sent a snapshot instead.
-func (l *Leader) catchUp(entry string, to recipient, revisions map[store.Kind]store.Version, routableOnly bool) {
+// reads the objects from the platform. One that knows nothing yet, or holds only the routable servers, is sent a snapshot later. Broadcasts
+// to the follower must begin after it: one that came before would claim to hold what the follower missed. Those that the follower is not
+// sent meanwhile leave a gap, which it notices.
+func (l *Leader) catchUp(to *follower, revisions map[store.Kind]store.Version) {
 	for kind, revision := range revisions {
 		changes, ok := l.deps.ChangesSince(kind, revision)
-		filtered := routableOnly && kind == platform.KindServers
+		filtered := to.routableOnly && kind == platform.KindServers
 		switch {
 		case !ok && (filtered || (revision == 0 && kind != platform.KindServers)):
-			l.requestSnapshot(entry, to, kind)
+			to.awaitSnapshot(kind)
 			continue
 		case !ok:
 			changes = link.Gap(kind, revision+1)
@@ -31,15 +33,6 @@
 	}
 }
 
-// requestSnapshot schedules that a follower is sent all objects of a kind, once this entry has them.
-func (l *Leader) requestSnapshot(entry string, to recipient, kind store.Kind) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if follower := l.followers[entry]; follower != nil && follower.recipient == to {
-		follower.awaitSnapshot(kind)
-	}
-}
-
 // SendSnapshots sends the followers the snapshots that they wait for.
 func (l *Leader) SendSnapshots() {
 	budget := l.snapshotBudget()
