--- a/test/caller_test.go
+++ b/test/caller_test.go
@@ -83,21 +83,6 @@
 	return c.streamAs(examples.DevTeamKey, prompt, tokens)
 }
 
-// streamUntilRun is stream for a caller that comes again, a second later, after each answer that its request has not run. While homes move to
-// an entry that has just started, the entries refuse some requests so.
-func (c caller) streamUntilRun(prompt string, tokens int) answer {
-	for tries := 0; ; tries++ {
-		got := c.stream(prompt, tokens)
-		if got.status != http.StatusServiceUnavailable || !strings.Contains(got.body, `"outcome":"not-run"`) || tries == maxTries {
-			return got
-		}
-		time.Sleep(time.Second)
-	}
-}
-
-// maxTries is how often streamUntilRun comes again. Homes move within a few seconds.
-const maxTries = 10
-
 // streamAs is stream with the key of another team.
 func (c caller) streamAs(key, prompt string, tokens int) answer {
 	header := map[string]string{"Authorization": "Bearer " + key}
--- a/test/membership_test.go
+++ b/test/membership_test.go
@@ -50,7 +50,7 @@
 		c.switchDomain("local-b1", standinengine.Switches{TokenGapMillis: &gap})
 		answers := make(chan answer, 8)
 		for range cap(answers) {
-			go func() { answers <- caller{fresh}.streamUntilRun("stop me", long) }()
+			go func() { answers <- caller{fresh}.stream("stop me", long) }()
 		}
 		Eventually(func() int { return len(c.runs()) }, generous).Should(BeNumerically(">=", cap(answers)))
 		fresh.terminate()
