entry/front: a log line for each request that ends without an answer

What callers saw: eight streams to a new entry were answered 503 not-home, not run, and no process had a line on them, so the listed failure could not be traced from what it had left behind. Cause: the front logged only requests that may run at most once. Change: every request that ends with a problem is logged with its id, the groups that were tried, and the last refusal. What its caller has to correct first (4xx other than 429) is not logged: it tells the caller all there is to know, and a client in a loop would fill the bounded queue with it. Test: "A completion without an answer leaves one log line" failed before (no line). No change in what callers are told.

--- a/entry/front/fakes_test.go
+++ b/entry/front/fakes_test.go
@@ -183,6 +183,9 @@
 	fronts   []*httptest.Server
 	settings *settings.Snapshot
 	notWhole map[vm.GroupID]bool
+	// logged holds the log lines of the fronts.
+	logged *logtest.Hook
+	log    logrus.FieldLogger
 
 	// framesTaken counts the frames that the fronts have taken.
 	framesTaken atomic.Int64
@@ -201,6 +204,7 @@
 		backend: &backend{runs: make(map[string]int)}, platform: standin.New(), homes: make(map[vm.GroupID]*home.Home), groups: groups,
 		notWhole: make(map[vm.GroupID]bool), fault: make(map[vm.GroupID]fault), frozen: make(chan struct{}), settings: testSettings(),
 	}
+	f.log, f.logged = logtest.NewNullLogger()
 	f.server = httptest.NewServer(f.platform.Handler())
 	DeferCleanup(f.server.Close)
 	for _, id := range groups {
@@ -242,7 +246,7 @@
 	front.New(front.Deps{
 		Self: "front", Settings: func() *settings.Snapshot { return f.settings }, Dispatcher: f, Holders: f, Chooser: f,
 		Retries: &tenRetries{}, Attempts: f.attempts(), Recorder: timeline.NewRecorder("front", nil, time.Now), Metrics: metrics.NewRegistry(),
-		Log: discardLog(),
+		Log: f.log,
 	}).Register(service)
 	container.Add(service)
 	server := httptest.NewServer(container)
--- a/entry/front/front_test.go
+++ b/entry/front/front_test.go
@@ -407,3 +407,26 @@
 	total := (64 << 20) / (16 << 10)
 	Consistently(func() int64 { return f.framesTaken.Load() }, 300*time.Millisecond).Should(BeNumerically("<", total))
 })
+
+// A completion that no home takes is refused without any log line, so that nobody can tell why its caller was refused.
+var _ = Describe("A completion without an answer", func() {
+	It("leaves one log line with the groups that were tried and why it was refused", func() {
+		f := newFleet("chat1", "chat2")
+		f.notWhole["chat1"], f.notWhole["chat2"] = true, true
+		got := complete(f.fronts[0], true)
+		Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+		lines := f.logged.AllEntries()
+		Expect(lines).To(HaveLen(1))
+		Expect(lines[0].Data).To(HaveKeyWithValue("request", got.header.Get(contract.HeaderRequestID)))
+		Expect(lines[0].Data).To(HaveKeyWithValue("code", contract.CodeNoGroup))
+		Expect(lines[0].Data).To(HaveKeyWithValue("outcome", notRun))
+		Expect(lines[0].Data).To(HaveKeyWithValue("groups", ConsistOf(vm.GroupID("chat1"), vm.GroupID("chat2"))))
+	})
+
+	It("leaves none if its caller has to correct it", func() {
+		f := newFleet("chat1")
+		Expect(sendRequest(f.fronts[0], http.MethodPost, "/v1/chat/completions", nil, "{").status).To(Equal(http.StatusBadRequest))
+		Expect(complete(f.fronts[0], true).outcome).To(Equal(answered))
+		Expect(f.logged.AllEntries()).To(BeEmpty())
+	})
+})
--- a/entry/front/lines.go
+++ b/entry/front/lines.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -11,19 +12,27 @@
 	"github.com/skylarkpond/skylarkpond/timeline"
 )
 
-// msgUnanswered is the log message for a request that may run at most once and did not get an answer.
+// msgUnanswered is the log message for a request that did not get an answer.
 const msgUnanswered = "request ended without an answer"
 
-// logUnanswered logs a request that may run at most once and ends with a problem instead of an answer.
+// logUnanswered logs a request that ends with a problem instead of an answer. A request that may run at most once is
+// always logged, any other one unless the caller has to correct it first.
 func (d *driver) logUnanswered(action outcome.Action) {
-	if !d.request.atMostOnce || action.Problem == nil || action.Outcome == contract.OutcomeAnswered {
+	if action.Problem == nil || action.Outcome == contract.OutcomeAnswered {
 		return
 	}
-	line := d.front.deps.Log.WithFields(logrus.Fields{
-		"request": d.request.id, "team": d.request.team.Name, "service": d.request.service.Name, "key": d.request.key, "attempt": d.request.attempt,
+	fields := logrus.Fields{
+		"request": d.request.id, "team": d.request.team.Name, "service": d.request.service.Name,
 		"outcome": action.Outcome, "code": action.Problem.Code, "detail": action.Problem.Message,
 		"groups": d.tried, "took_ms": time.Since(d.startedAt).Milliseconds(),
-	})
+	}
+	if d.request.atMostOnce {
+		fields["key"] = d.request.key
+		fields["attempt"] = d.request.attempt
+	} else if rejectsCaller(action.Problem.Status) {
+		return
+	}
+	line := d.front.deps.Log.WithFields(fields)
 	if action.Outcome == contract.OutcomeUnknown {
 		line.Warn(msgUnanswered)
 		return
@@ -31,6 +40,11 @@
 	line.Info(msgUnanswered)
 }
 
+// rejectsCaller reports whether an HTTP status means that the same request would be rejected again.
+func rejectsCaller(status int) bool {
+	return status < http.StatusInternalServerError && status != http.StatusTooManyRequests
+}
+
 // reportHomeLost records that the home of the dispatch can no longer be reached.
 func (d *driver) reportHomeLost(err error) {
 	d.front.metrics.increment("front.home-lost")
