entry/front, policy/shift: a request that the wrong entry refuses as not-home goes to the home

What callers saw: all eight streams to an entry that had started a second before were answered 503 not-home, not run, Retry-After 1, within 0.2 s, while the group's home was free and would have served them. Cause: entries learn of a membership change some time apart. A front with another view than the entry that it takes for the home is refused, and it passed that on to the caller once the retry budget or the groups of the service were used up. A refusal by an entry that isn't the home says nothing about the home. Change: a refusal names the home that the refusing entry computes (Frame.Home). The front asks that entry, then the first live ones of the group's ranking that it has not asked, four in all, and only then another group or the caller. It counts against no retry budget: no backend server has seen the request, and the number is bounded. Claims go as after every refusal: the state machine of the request decides, and is unchanged. A front that knows no eligible entry, since it has just started, asks the first live one of the ranking; it told home-lost before. Each such refusal leaves one line with the request's id, the group, the entries asked and named, the next one, the eligible entries and since when, and counts as front.not-home. Ruled out: a longer hold or handover; the refusing entry can't serve by itself, since it doesn't probe the group's members.

--- a/contract/dispatch.go
+++ b/contract/dispatch.go
@@ -119,6 +119,9 @@
 	// CrashID is set in FrameBroken if a backend server crashed, and identifies the crash. From then on the request
 	// is suspected of having caused it.
 	CrashID string `cbor:"18,keyasint,omitempty"`
+	// Home is set in FrameRefused with CodeNotHome: the entry that the refusing entry takes for the group's home, or
+	// "" if it knows none.
+	Home string `cbor:"19,keyasint,omitempty"`
 }
 
 // GroupLoad is the load of one group as seen by its home.
--- a/entry/adapters.go
+++ b/entry/adapters.go
@@ -55,6 +55,9 @@
 	return group, ok && (p.table.HomeOf(id) == p.self || p.prober.RecentlyHomed(id)), ok
 }
 
+// HomeOf implements home.Groups.
+func (p homedGroups) HomeOf(id vm.GroupID) string { return p.table.HomeOf(id) }
+
 // Whole implements home.Presence.
 func (p homedGroups) Whole(id vm.GroupID) (bool, string) {
 	group, _, ok := p.table.Group(id)
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"sync/atomic"
+	"time"
 
 	"github.com/skylarkpond/skylarkpond/contract"
 	"github.com/skylarkpond/skylarkpond/entry/fleet"
@@ -12,7 +14,9 @@
 	"github.com/skylarkpond/skylarkpond/entry/home"
 	"github.com/skylarkpond/skylarkpond/entry/member"
 	"github.com/skylarkpond/skylarkpond/link/peer"
+	"github.com/skylarkpond/skylarkpond/policy/shift"
 	"github.com/skylarkpond/skylarkpond/timeline"
+	"github.com/skylarkpond/skylarkpond/vm"
 )
 
 // pathDispatch is the path to which the fronts of other entries send dispatches.
@@ -23,6 +27,7 @@
 type dispatcher struct {
 	self        string
 	table       *fleet.Table
+	homes       *homeCandidates
 	home        *home.Home
 	members     *member.Members
 	incarnation string // of this process
@@ -34,9 +39,29 @@
 	serving atomic.Int64
 }
 
+// Next implements front.Homes.
+func (d *dispatcher) Next(group vm.GroupID, asked []string, named string) (string, bool) {
+	query := shift.HomeQuery{Computed: d.table.HomeOf(group), Asked: asked}
+	if query.Computed != "" && len(asked) == 0 {
+		return query.Next()
+	}
+	live := liveMembership{d.members}.Live()
+	if slices.Contains(live, named) {
+		query.Named = named
+	}
+	// The role of the home at this entry refuses what this entry does not compute itself.
+	others := slices.DeleteFunc(live, func(name string) bool { return name == d.self })
+	query.Ranked = fleet.RankHomes(group, others, shift.MaxAsked)
+	return query.Next()
+}
+
+// Eligible implements front.Homes.
+func (d *dispatcher) Eligible() ([]string, time.Duration) {
+	return d.homes.Eligible(), d.homes.EligibleFor()
+}
+
 // Dispatch implements front.Dispatcher.
-func (d *dispatcher) Dispatch(ctx context.Context, request contract.Dispatch) (front.FrameStream, error) {
-	homeName := d.table.HomeOf(request.Group)
+func (d *dispatcher) Dispatch(ctx context.Context, homeName string, request contract.Dispatch) (front.FrameStream, error) {
 	request.HLCTime = d.recorder.Now()
 	d.recorder.Record(timeline.Event{
 		Kind: timeline.RequestDispatched, Request: request.RequestID, Group: string(request.Group), Peer: homeName,
--- a/entry/fleet/homes.go
+++ b/entry/fleet/homes.go
@@ -20,6 +20,11 @@
 	return homeOf(id, live)
 }
 
+// RankHomes returns up to count of the named entries, in the order in which they become home of the group.
+func RankHomes(id vm.GroupID, names []string, count int) []string {
+	return domain.Owners(homeKey(id), names, count)
+}
+
 // refreshHomes recomputes the homes if the entries eligible as homes have changed.
 func (t *Table) refreshHomes(live []string) {
 	if t.homesCurrent(live) {
@@ -40,9 +45,11 @@
 }
 
 func homeOf(id vm.GroupID, live []string) string {
-	return domain.Owner("home/"+string(id), live)
+	return domain.Owner(homeKey(id), live)
 }
 
+func homeKey(id vm.GroupID) string { return "home/" + string(id) }
+
 // GroupsHomedAt returns the groups whose home is the named entry, sorted by ID.
 func (t *Table) GroupsHomedAt(entry string) []vm.Group {
 	t.refreshHomes(t.live())
--- a/entry/front/drive.go
+++ b/entry/front/drive.go
@@ -33,6 +33,14 @@
 	crashID string
 
 	choice Choice
+	// home is the entry that is asked as the home of the chosen group. refusedBy lists those that refused the request
+	// because they are not, and named is the entry that the last of them named instead, if any. refused is set until
+	// the next dispatch.
+	home      string
+	refusedBy []string
+	named     string
+	refused   bool
+
 	cancel context.CancelFunc
 	frames chan frameResult
 	// endedByHome is set if the home ended the current dispatch by an answer, a refusal, or an existing record.
@@ -119,6 +127,10 @@
 		d.crashID = f.CrashID
 	}
 	action = d.machine.HandleFrame(f)
+	if action.Kind == outcome.Dispatch && f.Problem != nil && f.Problem.Code == contract.CodeNotHome {
+		d.refused, d.named = true, f.Home
+		d.refusedBy = append(d.refusedBy, d.home)
+	}
 	if action.Kind != outcome.Deliver {
 		d.endedByHome = f.Kind == contract.FrameEnd || f.Kind == contract.FrameRefused || f.Kind == contract.FrameRecordExists
 		return action, false
@@ -135,27 +147,34 @@
 }
 
 // dispatch ends the current dispatch and starts the next one, unless there is no time, no retry, or no group left.
+// After a refusal by an entry that is not the home, it asks another entry for the same group. That does not count as a
+// retry: no backend server has seen the request, and the number of entries to ask is bounded.
 func (d *driver) dispatch(ctx context.Context, action outcome.Action) outcome.Action {
-	d.closeDispatch()
+	redirected := d.redirect()
+	if !redirected {
+		d.closeDispatch()
+	}
 	if action.Restart {
 		d.writer.reset()
 	}
-	service := d.request.service
-	if !d.awaitRetry(ctx, time.Until(d.deadline)) {
+	if !redirected && !d.awaitRetry(ctx, time.Until(d.deadline)) {
 		return d.machine.HandleNoDispatch(contract.NewRetryLater(contract.CodeOverloaded, "too many retries are under way", outcome.RetryAfterShort))
 	}
 	left := time.Until(d.deadline)
 	if left <= 0 {
 		return d.machine.HandleNoDispatch(outcome.DeadlineProblem())
 	}
-	choice, p := d.front.deps.Chooser.Choose(GroupQuery{Service: service, PrefixHash: d.request.prefixHash, EstimatedTokens: d.request.estimatedTokens, Tried: d.tried})
-	if p != nil {
-		return d.machine.HandleNoDispatch(p)
+	if !redirected {
+		if p := d.chooseGroup(); p != nil {
+			return d.machine.HandleNoDispatch(p)
+		}
+	}
+	if d.home == "" {
+		d.reportHomeLost(ErrNotSent)
+		return d.machine.HandleHomeLost(true)
 	}
-	d.choice = choice
-	d.tried = append(d.tried, choice.Group)
 	dispatch := d.request.newDispatch(d.front, homeTimeout(left))
-	dispatch.Group = choice.Group
+	dispatch.Group = d.choice.Group
 	dispatch.ResumeFrom = action.ResumeFrom
 	dispatch.AbandonedClaims = action.AbandonedClaims
 	dispatch.CrashID = d.crashID
@@ -163,6 +182,38 @@
 	return outcome.Action{Kind: outcome.Wait}
 }
 
+// chooseGroup chooses the group of the next dispatch and the entry to ask as its home.
+func (d *driver) chooseGroup() *contract.Problem {
+	choice, p := d.front.deps.Chooser.Choose(GroupQuery{
+		Service: d.request.service, PrefixHash: d.request.prefixHash, EstimatedTokens: d.request.estimatedTokens, Tried: d.tried,
+	})
+	if p != nil {
+		return p
+	}
+	d.choice = choice
+	d.tried = append(d.tried, choice.Group)
+	d.refusedBy = nil
+	d.home, _ = d.front.deps.Homes.Next(choice.Group, nil, "")
+	return nil
+}
+
+// redirect reports whether the current dispatch was refused by an entry that is not the home and another one is to be
+// asked for the same group. It then ends the current dispatch but keeps its group.
+func (d *driver) redirect() bool {
+	if !d.refused {
+		return false
+	}
+	d.refused = false
+	next, ok := d.front.deps.Homes.Next(d.choice.Group, d.refusedBy, d.named)
+	d.reportNotHome(next)
+	if !ok {
+		return false
+	}
+	d.home = next
+	d.closeFrames()
+	return true
+}
+
 // awaitRetry waits for the backoff before a retry and reports whether the retry is allowed. The first try is
 // always allowed.
 func (d *driver) awaitRetry(ctx context.Context, left time.Duration) bool {
@@ -198,9 +249,9 @@
 	ctx, d.cancel = context.WithCancel(ctx)
 	results := make(chan frameResult)
 	d.frames = results
-	dispatcher := d.front.deps.Dispatcher
+	dispatcher, home := d.front.deps.Dispatcher, d.home
 	go func() {
-		frames, err := dispatcher.Dispatch(ctx, dispatch)
+		frames, err := dispatcher.Dispatch(ctx, home, dispatch)
 		if err != nil {
 			sendResult(ctx, results, frameResult{err: err})
 			return
@@ -226,16 +277,22 @@
 	}
 }
 
-// closeDispatch ends the current dispatch, if any.
+// closeDispatch ends the current dispatch and the use of its group, if any.
 func (d *driver) closeDispatch() {
-	if d.cancel == nil {
-		return
-	}
-	d.cancel()
-	d.cancel = nil
+	endedByHome := d.endedByHome
+	d.closeFrames()
 	if d.choice.Done != nil {
-		d.choice.Done(d.endedByHome)
+		d.choice.Done(endedByHome)
 	}
+	d.choice = Choice{}
+}
+
+// closeFrames ends the current dispatch, if any.
+func (d *driver) closeFrames() {
+	if d.cancel != nil {
+		d.cancel()
+	}
+	d.cancel = nil
 	d.endedByHome = false
 }
 
--- a/entry/front/fakes_test.go
+++ b/entry/front/fakes_test.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -33,6 +34,7 @@
 	standin "github.com/skylarkpond/skylarkpond/internal/standin/platform"
 	"github.com/skylarkpond/skylarkpond/link/engine"
 	"github.com/skylarkpond/skylarkpond/link/platform"
+	"github.com/skylarkpond/skylarkpond/policy/shift"
 	"github.com/skylarkpond/skylarkpond/timeline"
 	"github.com/skylarkpond/skylarkpond/vm"
 )
@@ -183,6 +185,10 @@
 	fronts   []*httptest.Server
 	settings *settings.Snapshot
 	notWhole map[vm.GroupID]bool
+	// computed is the home that the fronts compute for a group, in place of homeName.
+	computed map[vm.GroupID]string
+	// strangers are entries that are not the home of any group. Each names another home, or none.
+	strangers map[string]*home.Home
 	// logged holds the log lines of the fronts.
 	logged *logtest.Hook
 	log    logrus.FieldLogger
@@ -202,17 +208,14 @@
 func newFleet(groups ...vm.GroupID) *fleet {
 	f := &fleet{
 		backend: &backend{runs: make(map[string]int)}, platform: standin.New(), homes: make(map[vm.GroupID]*home.Home), groups: groups,
-		notWhole: make(map[vm.GroupID]bool), fault: make(map[vm.GroupID]fault), frozen: make(chan struct{}), settings: testSettings(),
+		notWhole: make(map[vm.GroupID]bool), fault: make(map[vm.GroupID]fault),
+		computed: make(map[vm.GroupID]string), strangers: make(map[string]*home.Home), frozen: make(chan struct{}), settings: testSettings(),
 	}
 	f.log, f.logged = logtest.NewNullLogger()
 	f.server = httptest.NewServer(f.platform.Handler())
 	DeferCleanup(f.server.Close)
 	for _, id := range groups {
-		f.homes[id] = home.New(home.Deps{
-			Self: "home-" + string(id), Incarnation: "1", Groups: f, Presence: f, Admission: admitAll{}, Guard: f.newGuard(),
-			Attempts: f.attempts(), Engines: f.backend, Settings: func() *settings.Snapshot { return f.settings },
-			Recorder: timeline.NewRecorder(string(id), nil, time.Now), Metrics: metrics.NewRegistry(), Log: discardLog(),
-		})
+		f.homes[id] = f.newHome(homeName(id), f)
 	}
 	for range 2 {
 		f.fronts = append(f.fronts, f.newFront())
@@ -220,6 +223,57 @@
 	return f
 }
 
+func homeName(id vm.GroupID) string { return "home-" + string(id) }
+
+func (f *fleet) newHome(name string, groups home.Groups) *home.Home {
+	return home.New(home.Deps{
+		Self: name, Incarnation: "1", Groups: groups, Presence: f, Admission: admitAll{}, Guard: f.newGuard(),
+		Attempts: f.attempts(), Engines: f.backend, Settings: func() *settings.Snapshot { return f.settings },
+		Recorder: timeline.NewRecorder(name, nil, time.Now), Metrics: metrics.NewRegistry(), Log: discardLog(),
+	})
+}
+
+// addStranger adds an entry that is not the home of any group and names the given entry as the home of all, or the
+// true homes if named is theHome.
+func (f *fleet) addStranger(name, named string) {
+	f.strangers[name] = f.newHome(name, strangerView{f, named})
+}
+
+// strangerView is the view of an entry that is not a home.
+type strangerView struct {
+	*fleet
+	named string
+}
+
+func (v strangerView) Lookup(id vm.GroupID) (vm.Group, bool, bool) {
+	group, _, ok := v.fleet.Lookup(id)
+	return group, false, ok
+}
+
+func (v strangerView) HomeOf(id vm.GroupID) string {
+	if v.named == theHome {
+		return homeName(id)
+	}
+	return v.named
+}
+
+// theHome stands for the name of the home of any group.
+const theHome = "the home"
+
+func (f *fleet) HomeOf(id vm.GroupID) string { return homeName(id) }
+
+// Next ranks the strangers by name, behind the home that the fronts compute, and before the true one.
+func (f *fleet) Next(id vm.GroupID, asked []string, named string) (string, bool) {
+	computed, ok := f.computed[id]
+	if !ok {
+		computed = homeName(id)
+	}
+	ranked := append(slices.Sorted(maps.Keys(f.strangers)), homeName(id))
+	return shift.HomeQuery{Computed: computed, Named: named, Ranked: ranked, Asked: asked}.Next()
+}
+
+func (f *fleet) Eligible() ([]string, time.Duration) { return []string{"e1", "e2"}, time.Second }
+
 func (f *fleet) newGuard() *guard.Guard {
 	return guard.New(guard.Deps{
 		Store: platform.NewClient(f.server.URL), Publisher: discardPublisher{}, Engines: f.backend, Metrics: metrics.NewRegistry(),
@@ -244,7 +298,7 @@
 	container := restful.NewContainer()
 	service := new(restful.WebService).Path("/v1").Consumes("*/*").Produces("*/*")
 	front.New(front.Deps{
-		Self: "front", Settings: func() *settings.Snapshot { return f.settings }, Dispatcher: f, Holders: f, Chooser: f,
+		Self: "front", Settings: func() *settings.Snapshot { return f.settings }, Dispatcher: f, Homes: f, Holders: f, Chooser: f,
 		Retries: &tenRetries{}, Attempts: f.attempts(), Recorder: timeline.NewRecorder("front", nil, time.Now), Metrics: metrics.NewRegistry(),
 		Log: f.log,
 	}).Register(service)
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -38,9 +38,18 @@
 	Close()
 }
 
-// Dispatcher sends a dispatch to the home of its group.
+// Dispatcher sends a dispatch to the entry that is asked as the home of its group.
 type Dispatcher interface {
-	Dispatch(ctx context.Context, d contract.Dispatch) (FrameStream, error)
+	Dispatch(ctx context.Context, home string, d contract.Dispatch) (FrameStream, error)
+}
+
+// Homes determines which entry is asked as the home of a group. The view of this entry may be out of date.
+type Homes interface {
+	// Next returns the entry to ask next. asked lists the entries that refused the request because they are not the
+	// home, and named is the entry that the last of them named instead, if any. ok is false if there is none left.
+	Next(group vm.GroupID, asked []string, named string) (home string, ok bool)
+	// Eligible returns the entries from which homes are computed, and for how long they have been these.
+	Eligible() (names []string, age time.Duration)
 }
 
 // ClaimHolders queries the entries that hold claims.
@@ -86,6 +95,7 @@
 	Self       string
 	Settings   func() *settings.Snapshot
 	Dispatcher Dispatcher
+	Homes      Homes
 	Holders    ClaimHolders
 	Chooser    Chooser
 	Retries    RetryBudget
--- a/entry/front/front_test.go
+++ b/entry/front/front_test.go
@@ -15,6 +15,7 @@
 	standin "github.com/skylarkpond/skylarkpond/internal/standin/platform"
 	"github.com/skylarkpond/skylarkpond/link/engine"
 	"github.com/skylarkpond/skylarkpond/link/platform"
+	"github.com/skylarkpond/skylarkpond/policy/shift"
 	"github.com/skylarkpond/skylarkpond/vm"
 )
 
@@ -430,3 +431,57 @@
 		Expect(f.logged.AllEntries()).To(BeEmpty())
 	})
 })
+
+// While an entry joins, a front takes an entry for the home that is not. Without asking another one, every request for
+// the groups concerned is refused for seconds, although their home would serve it at once.
+var _ = Describe("A front whose view of the homes is out of date", func() {
+	var f *fleet
+	BeforeEach(func() {
+		f = newFleet("chat1", "desk1")
+		f.computed["chat1"], f.computed["desk1"] = "s1", "s1"
+	})
+
+	DescribeTable("gets an answer from the home",
+		func(strangers map[string]string, asked int) {
+			for name, named := range strangers {
+				f.addStranger(name, named)
+			}
+			Expect(complete(f.fronts[0], true).outcome).To(Equal(answered))
+			Expect(f.logged.AllEntries()).To(HaveLen(asked))
+			line := f.logged.AllEntries()[asked-1].Data
+			Expect(line).To(HaveKeyWithValue("group", vm.GroupID("chat1")))
+			Expect(line).To(HaveKeyWithValue("asked", HaveLen(asked)))
+			Expect(line).To(HaveKeyWithValue("next", "home-chat1"))
+			Expect(line).To(HaveKeyWithValue("eligible", []string{"e1", "e2"}))
+			Expect(line).To(HaveKeyWithValue("eligible_age_ms", BeEquivalentTo(1000)))
+			Expect(book(f.fronts[0], "lot-7", 1).outcome).To(Equal(answered))
+			Expect(f.backend.count("lot-7")).To(Equal(1))
+		},
+		Entry("that the refusal names", map[string]string{"s0": "", "s1": theHome}, 1),
+		Entry("that the second refusal names", map[string]string{"s0": "", "s1": "s2", "s2": theHome}, 2),
+		Entry("that comes next if the refusal names none", map[string]string{"s1": ""}, 1),
+		Entry("that comes next if both name each other", map[string]string{"s1": "s2", "s2": "s1"}, 2),
+	)
+
+	It("refuses a request at once, as not run, if no entry that it may ask is the home", func() {
+		for i := range 2 * shift.MaxAsked {
+			f.addStranger(fmt.Sprint("s", i+1), fmt.Sprint("s", i+2))
+		}
+		got := complete(f.fronts[0], true)
+		Expect(got.outcome).To(Equal(notRun))
+		Expect(got.code).To(Equal(contract.CodeNotHome))
+		Expect(got.retryAfter).To(Equal("1"))
+		lines := f.logged.AllEntries()
+		Expect(lines).To(HaveLen(shift.MaxAsked + 1))
+		Expect(lines[shift.MaxAsked-1].Data).To(HaveKeyWithValue("next", ""))
+	})
+
+	It("tries another group of the service then", func() {
+		f = newFleet("chat1", "chat2")
+		f.computed["chat1"] = "s1"
+		for i := range 2 * shift.MaxAsked {
+			f.addStranger(fmt.Sprint("s", i+1), fmt.Sprint("s", i+2))
+		}
+		Expect(complete(f.fronts[0], true).outcome).To(Equal(answered))
+	})
+})
--- a/entry/front/lines.go
+++ b/entry/front/lines.go
@@ -24,7 +24,7 @@
 	fields := logrus.Fields{
 		"request": d.request.id, "team": d.request.team.Name, "service": d.request.service.Name,
 		"outcome": action.Outcome, "code": action.Problem.Code, "detail": action.Problem.Message,
-		"groups": d.tried, "took_ms": time.Since(d.startedAt).Milliseconds(),
+		"groups": d.tried, "home": d.home, "took_ms": time.Since(d.startedAt).Milliseconds(),
 	}
 	if d.request.atMostOnce {
 		fields["key"] = d.request.key
@@ -40,6 +40,25 @@
 	line.Info(msgUnanswered)
 }
 
+// msgNotHome is the log message for a request that an entry refused because it is not the home of the group.
+const msgNotHome = "entry refused the request because it is not the home of the group"
+
+// maxLoggedEntries bounds the names of entries in one log line.
+const maxLoggedEntries = 16
+
+// reportNotHome logs and counts that the entry that was asked is not the home of the group. next is the entry that is
+// asked instead, or "" if none is.
+func (d *driver) reportNotHome(next string) {
+	d.front.metrics.increment("front.not-home")
+	eligible, age := d.front.deps.Homes.Eligible()
+	count := len(eligible)
+	eligible = eligible[:min(count, maxLoggedEntries)]
+	d.front.deps.Log.WithFields(logrus.Fields{
+		"request": d.request.id, "group": d.choice.Group, "asked": d.refusedBy, "named": d.named, "next": next,
+		"eligible": eligible, "eligible_count": count, "eligible_age_ms": age.Milliseconds(),
+	}).Info(msgNotHome)
+}
+
 // rejectsCaller reports whether an HTTP status means that the same request would be rejected again.
 func rejectsCaller(status int) bool {
 	return status < http.StatusInternalServerError && status != http.StatusTooManyRequests
--- a/entry/front/links_test.go
+++ b/entry/front/links_test.go
@@ -81,7 +81,11 @@
 
 func (l *frameLink) Close() { l.cancel() }
 
-func (f *fleet) Dispatch(ctx context.Context, d contract.Dispatch) (front.FrameStream, error) {
+func (f *fleet) Dispatch(ctx context.Context, homeName string, d contract.Dispatch) (front.FrameStream, error) {
+	asked := f.homes[d.Group]
+	if stranger := f.strangers[homeName]; stranger != nil {
+		asked = stranger
+	}
 	f.mu.Lock()
 	fault := f.fault[d.Group]
 	f.mu.Unlock()
@@ -96,7 +100,7 @@
 	}
 	go func() {
 		defer close(l.frames)
-		_ = f.homes[d.Group].Dispatch(homeCtx, d, func(frame contract.Frame) error {
+		_ = asked.Dispatch(homeCtx, d, func(frame contract.Frame) error {
 			if fault.kind == blackholeLink && (frame.Kind == fault.at || l.isCutOff()) {
 				l.cutOff()
 				return nil
--- a/entry/home/home.go
+++ b/entry/home/home.go
@@ -30,6 +30,8 @@
 	// Lookup returns the group as last placed, and whether this entry is its home. ok is false if the group is not
 	// placed.
 	Lookup(id vm.GroupID) (group vm.Group, home bool, ok bool)
+	// HomeOf returns the name of the entry that is the group's home to this entry's knowledge, or "" if it knows none.
+	HomeOf(id vm.GroupID) string
 }
 
 // Presence reports whether a group is whole: every member answered a probe recently with the expected boot ID,
--- a/entry/home/home_test.go
+++ b/entry/home/home_test.go
@@ -39,6 +39,8 @@
 	return vm.Group{ID: id, Service: "chat", State: s.state, Members: []vm.Member{{}}}, s.isHome, true
 }
 
+func (s *fakeEnvironment) HomeOf(vm.GroupID) string { return "other" }
+
 func (s *fakeEnvironment) Whole(vm.GroupID) (bool, string) { return s.whole, "a member is silent" }
 
 func (s *fakeEnvironment) Enter(context.Context, AdmissionRequest) (Permit, *contract.Problem) {
--- a/entry/home/run.go
+++ b/entry/home/run.go
@@ -257,6 +257,9 @@
 	r.frontGone = r.frontCtx.Err() != nil
 	r.reportRefusal(p)
 	f := contract.Frame{Kind: contract.FrameRefused, Problem: p}
+	if p.Code == contract.CodeNotHome {
+		f.Home = r.home.deps.Groups.HomeOf(r.d.Group)
+	}
 	if r.claim.Verdict != 0 {
 		claim := r.claim.Record
 		f.Record = &claim
--- a/entry/homes.go
+++ b/entry/homes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,20 +14,26 @@
 // homeCandidates determines the entries eligible as homes of groups: the live entries except those that have just
 // joined, or that join and leave repeatedly (policy/shift). It is safe for concurrent use.
 type homeCandidates struct {
-	members  *member.Members
-	start    time.Time
-	eligible atomic.Pointer[[]string]
+	members *member.Members
+	start   time.Time
+	view    atomic.Pointer[homeView]
 
 	mu     sync.Mutex // guards damper; no other lock is taken while it is held
 	damper *shift.FlapDamper
 }
 
+// homeView is the result of one computation. It is not modified once it is published.
+type homeView struct {
+	eligible []string // sorted
+	since    time.Time
+}
+
 func newHomeCandidates(config Config, members *member.Members) *homeCandidates {
 	h := &homeCandidates{
 		members: members, start: time.Now(),
 		damper: shift.NewFlapDamper(config.homeHold(), members.Self().Name),
 	}
-	h.eligible.Store(&[]string{})
+	h.view.Store(&homeView{since: h.start})
 	return h
 }
 
@@ -36,9 +43,12 @@
 	if h.members.Paused() {
 		return nil
 	}
-	return *h.eligible.Load()
+	return h.view.Load().eligible
 }
 
+// EligibleFor returns how long the names have been what Eligible returns while this process is not suspended.
+func (h *homeCandidates) EligibleFor() time.Duration { return time.Since(h.view.Load().since) }
+
 // maxRefreshInterval is how often the names are recomputed if nothing changes.
 const maxRefreshInterval = time.Minute
 
@@ -65,8 +75,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.damper.Observe(now, live)
-	eligible := h.damper.Eligible(now)
-	h.eligible.Store(&eligible)
+	if eligible := h.damper.Eligible(now); !slices.Equal(eligible, h.view.Load().eligible) {
+		h.view.Store(&homeView{eligible: eligible, since: h.start.Add(now)})
+	}
 	if next, ok := h.damper.NextChange(now); ok {
 		return max(0, next-now)
 	}
--- a/entry/providers.go
+++ b/entry/providers.go
@@ -118,11 +118,11 @@
 }
 
 func provideDispatcher(
-	self publishedEntry, table *fleet.Table, home *home.Home, members *member.Members, client *peer.Client,
+	self publishedEntry, table *fleet.Table, homes *homeCandidates, home *home.Home, members *member.Members, client *peer.Client,
 	recorder *timeline.Recorder,
 ) *dispatcher {
 	return &dispatcher{
-		self: self.entry.Name, incarnation: self.entry.Incarnation, table: table, home: home, members: members, client: client,
+		self: self.entry.Name, incarnation: self.entry.Incarnation, table: table, homes: homes, home: home, members: members, client: client,
 		recorder: recorder,
 	}
 }
@@ -132,7 +132,7 @@
 	recorder *timeline.Recorder, measures *processMetrics, log *logrus.Entry,
 ) *front.Front {
 	return front.New(front.Deps{
-		Self: config.Name, Settings: inForce.Snapshot, Dispatcher: dispatcher, Holders: dispatcher,
+		Self: config.Name, Settings: inForce.Snapshot, Dispatcher: dispatcher, Homes: dispatcher, Holders: dispatcher,
 		Chooser: router, Retries: router,
 		Attempts: attempts, Recorder: recorder, Metrics: measures.registry, Log: log,
 	})
--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -41,7 +41,7 @@
 	entryHomedGroups := provideHomedGroups(config, table, presence, prober)
 	records := provideAttempts(store)
 	home := provideHome(self, entryHomedGroups, admissionAdmission, records, engineClient, entrySettingsInForce, recorder, guard, measures, log)
-	entryDispatcher := provideDispatcher(self, table, home, members, client, recorder)
+	entryDispatcher := provideDispatcher(self, table, entryHomeCandidates, home, members, client, recorder)
 	router := provideRouter(config, measures)
 	front := provideFront(config, entrySettingsInForce, entryDispatcher, router, records, recorder, measures, log)
 	gate := &drain.Gate{}
--- a/policy/shift/shift_test.go
+++ b/policy/shift/shift_test.go
@@ -117,6 +117,19 @@
 	})
 })
 
+var _ = DescribeTable("The entry to ask for the home of a group", func(query HomeQuery, next string) {
+	name, ok := query.Next()
+	Expect(name).To(Equal(next))
+	Expect(ok).To(Equal(next != ""))
+},
+	Entry("is the computed one first", HomeQuery{Computed: "a", Ranked: []string{"b", "a"}}, "a"),
+	Entry("is the best live one if none can be computed", HomeQuery{Ranked: []string{"b", "a"}}, "b"),
+	Entry("is the one that the refusal names", HomeQuery{Computed: "a", Named: "c", Ranked: []string{"b"}, Asked: []string{"a"}}, "c"),
+	Entry("is the best one that was not asked", HomeQuery{Computed: "a", Named: "a", Ranked: []string{"a", "b"}, Asked: []string{"a"}}, "b"),
+	Entry("is none if all were asked", HomeQuery{Computed: "a", Named: "b", Ranked: []string{"a", "b"}, Asked: []string{"a", "b"}}, ""),
+	Entry("is none after MaxAsked", HomeQuery{Computed: "a", Named: "e", Ranked: []string{"f"}, Asked: []string{"a", "b", "c", "d"}}, ""),
+)
+
 // The simulation models entries that notice each other's outages with a delay of their own, and groups whose home each
 // entry computes by rendezvous hashing. A group is not served for a second after its home moved. A front whose view of
 // the home differs from that of the entry that it sends to is refused.
