policy/shift, entry/member: entries announce that they are joining, so that all compute the same homes

What callers saw: eight streams to a new entry answered 503 not-home. For 5 s the new entry computed another home than all others. Cause: each entry measured the hold time of the others from its own first sight of them, and took only those of its first view for old ones. An entry that starts learns of the others one by one, milliseconds apart: whom it saw second it held back for 5 s, alone. Entries that start together disagree again and again until the last hold time is over, since each times it by its own sightings. Evidence: in numbers, an entry d that sees a, b, d and 0.1 s later a, b, c, d has the eligible homes a, b until 5.1 s (spec, failed before). Change: an entry announces with its membership state that it is joining, as it announces leaving and overloaded, from its start and after an absence of its own until its hold time is over. The others don't make it home meanwhile, and need no clock of their own for it. An entry that is joining holds nobody back whom it sees for the first time; a settled one holds back whom it sees for the first time and who doesn't announce joining, as before (an entry of an older version, or one that was away for longer than absences are remembered). While most entries are joining, as after a start of all, all live ones count on each of them, self included; before, each left itself out, and with three entries nobody was the home of some groups. Flapping is judged as before by those that see it: an entry that returns is held back whatever it announces (spec). A time of its own start in each entry's state needs clocks or ages that are passed on. Checks of existing specs are as they were; Observe has one more argument.

--- a/entry/homes.go
+++ b/entry/homes.go
@@ -70,16 +70,33 @@
 
 // refresh recomputes the names and returns the time until they next change without an event.
 func (h *homeCandidates) refresh() time.Duration {
-	live := liveMembership{h.members}.Live()
+	peers := h.members.Live()
 	now := time.Since(h.start)
+	var live, joining []string
+	for _, peer := range peers {
+		live = append(live, peer.Name)
+		if peer.Joining {
+			joining = append(joining, peer.Name)
+		}
+	}
+	next, selfJoining := h.update(now, live, joining)
+	if slices.ContainsFunc(peers, func(p member.Peer) bool { return p.Self }) {
+		h.members.SetJoining(selfJoining)
+	}
+	return next
+}
+
+// update applies the live entries, and those of them that are joining. It returns the time until the names next change
+// without an event, and whether this entry is joining itself.
+func (h *homeCandidates) update(now time.Duration, live, joining []string) (time.Duration, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.damper.Observe(now, live)
+	h.damper.Observe(now, live, joining)
 	if eligible := h.damper.Eligible(now); !slices.Equal(eligible, h.view.Load().eligible) {
 		h.view.Store(&homeView{eligible: eligible, since: h.start.Add(now)})
 	}
 	if next, ok := h.damper.NextChange(now); ok {
-		return max(0, next-now)
+		return max(0, next-now), h.damper.Joining(now)
 	}
-	return maxRefreshInterval
+	return maxRefreshInterval, h.damper.Joining(now)
 }
--- a/entry/member/apply.go
+++ b/entry/member/apply.go
@@ -129,7 +129,7 @@
 	if spread {
 		m.queue.put(statusKey(s.Name), item{Status: &s})
 	}
-	if before.State != s.State || before.Leaving != s.Leaving || before.Overloaded != s.Overloaded {
+	if before.State != s.State || before.Leaving != s.Leaving || before.Overloaded != s.Overloaded || before.Joining != s.Joining {
 		m.markDirty()
 	}
 }
--- a/entry/member/fault_test.go
+++ b/entry/member/fault_test.go
@@ -61,6 +61,17 @@
 		}
 	})
 
+	It("announces to all entries when one is joining and when it no longer is", func() {
+		s := startedSim(1, 16)
+		for _, joining := range []bool{true, false} {
+			s.nodes[3].SetJoining(joining)
+			s.runUntil(detectionBound, func() bool { return s.nodes[9].peers[s.nodes[3].entry.Name].status.Joining == joining })
+			for _, p := range s.nodes[9].Live() {
+				Expect(p.Joining).To(Equal(joining && p.Name == s.nodes[3].entry.Name))
+			}
+		}
+	})
+
 	// The network drops one message in twenty, without the retransmission that QUIC would add. An entry
 	// that is wrongly declared dead loses its homes for a moment.
 	It("rarely mistakes a live entry for a dead one at 5% loss, and loses no rumour", func() {
--- a/entry/member/member.go
+++ b/entry/member/member.go
@@ -27,7 +27,9 @@
 	Self platform.Entry
 	// Generation is the platform's version of this entry's object.
 	Generation uint64
-	Rand       *rand.Rand
+	// Joining is what this entry announces until SetJoining is called.
+	Joining bool
+	Rand    *rand.Rand
 	// Events receives time line events; it may be nil.
 	Events *timeline.Recorder
 	// Clock defaults to time.Now.
@@ -72,7 +74,7 @@
 		selfEntry: cfg.Self,
 		self: Status{
 			Name: cfg.Self.Name, Incarnation: cfg.Self.Incarnation, Generation: cfg.Generation,
-			Counter: 1, State: Alive, Leaving: cfg.Self.Leaving,
+			Counter: 1, State: Alive, Leaving: cfg.Self.Leaving, Joining: cfg.Joining,
 		},
 		table: table{
 			peers:   make(map[string]*peerState),
@@ -102,7 +104,7 @@
 func (m *Members) selfPeer() Peer {
 	entry := m.selfEntry
 	entry.Leaving = m.self.Leaving
-	return Peer{Entry: entry, State: m.self.State, Self: true, Overloaded: m.self.Overloaded}
+	return Peer{Entry: entry, State: m.self.State, Self: true, Overloaded: m.self.Overloaded, Joining: m.self.Joining}
 }
 
 // Live returns, sorted by name, the entries that callers can be sent to and that can own things: alive
@@ -203,6 +205,20 @@
 	m.markDirty()
 }
 
+// SetJoining announces whether this entry may not be made the home of groups yet. Each change is gossiped to all
+// entries, so the caller must make sure that changes are rare.
+func (m *Members) SetJoining(joining bool) {
+	m.mu.Lock()
+	defer m.unlock()
+	if m.self.Joining == joining {
+		return
+	}
+	m.self.Joining = joining
+	m.self.Counter++
+	m.announceSelf()
+	m.markDirty()
+}
+
 // announceSelf queues this entry's status for gossip. Called with mu held. Entries that lack the profile
 // fetch it once; pushed with the status, it would be sent eleven times by each of 330 entries.
 func (m *Members) announceSelf() {
--- a/entry/member/status.go
+++ b/entry/member/status.go
@@ -43,6 +43,8 @@
 	Leaving bool `cbor:"6,keyasint,omitempty"`
 	// Overloaded is set and cleared by the entry itself.
 	Overloaded bool `cbor:"7,keyasint,omitempty"`
+	// Joining is set and cleared by the entry itself.
+	Joining bool `cbor:"8,keyasint,omitempty"`
 }
 
 // supersedes reports whether a replaces b, where both have the same name. Statuses of one process are
@@ -105,4 +107,6 @@
 	Unreachable bool
 	// Overloaded is set when the entry asks that callers not be sent to it.
 	Overloaded bool
+	// Joining is set while the entry asks not to be made the home of groups.
+	Joining bool
 }
--- a/entry/member/table.go
+++ b/entry/member/table.go
@@ -131,5 +131,5 @@
 func (p *peerState) peer() Peer {
 	entry := p.entry
 	entry.Leaving = p.status.Leaving
-	return Peer{Entry: entry, State: p.status.State, Unreachable: p.unreachable, Overloaded: p.status.Overloaded}
+	return Peer{Entry: entry, State: p.status.State, Unreachable: p.unreachable, Overloaded: p.status.Overloaded, Joining: p.status.Joining}
 }
--- a/entry/providers.go
+++ b/entry/providers.go
@@ -55,6 +55,7 @@
 	return member.New(member.Config{
 		Self:       self.entry,
 		Generation: uint64(self.generation),
+		Joining:    true, // until homeCandidates decides
 		Rand:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Events:     recorder,
 	})
--- a/policy/shift/homes.go
+++ b/policy/shift/homes.go
@@ -6,13 +6,16 @@
 // to an entry that is no longer the home are refused.
 //
 // An entry that leaves loses its groups at once. When it returns it may be a home again only after it was live for a
-// hold time, which grows with each absence. An entry that is seen for the first time waits as well: it does not know
-// the groups yet.
+// hold time, which grows with each absence. An entry that has just started waits as well: it does not know the groups
+// yet. It measures this hold time itself and announces that it is joining until then, so that all entries make it
+// eligible at the same time, however long ago each of them has seen it first. An entry that is joining itself can't
+// tell who was there before, and holds nobody back whom it sees for the first time.
 //
-// The entries' views differ for a moment, and so does the home that each of them computes. Only the momentarily
-// doubled limit depends on this. An entry that was itself cut off sees all others return; if it held them back, it
-// would be the home of every group. Therefore, while fewer than half of the live entries are eligible, all live ones
-// count, except for the entry itself, which the others hold back.
+// The entries' views differ for a moment, and so does the home that each of them computes. Besides the momentarily
+// doubled limit, a front asks another entry than the home (HomeQuery). An entry that was itself cut off sees all others
+// return; if it held them back, it would be the home of every group. Therefore, while fewer than half of the live
+// entries are eligible, all live ones count that do not announce that they are joining. While most are joining, as
+// after a start of all entries, all live ones count.
 //
 // Thresholds (figures: docs/measurements/shifting.md): DefaultHold is longer than the few seconds in which all
 // entries learn that one has returned. It grows by a factor of four up to DefaultMaxHold, so that an entry that
@@ -70,7 +73,8 @@
 // entryState is the liveness history of one entry.
 type entryState struct {
 	live        bool
-	eligibleAt  time.Duration // when it becomes eligible, if it stays live
+	joining     bool          // as announced
+	eligibleAt  time.Duration // when it becomes eligible, if it stays live and is not joining
 	absences    int           // how often it left
 	lastAbsence time.Duration
 	lastRound   uint64 // the last call of Observe that listed it
@@ -90,16 +94,20 @@
 	return &FlapDamper{config: config, entries: make(map[string]*entryState), self: self}
 }
 
-// Observe updates the set of live entries. Those of the first call are eligible at once, except for self, which has
-// just started. If most of the live entries return in the same call, self was the one that was cut off, and an absence
-// of self is recorded.
-func (d *FlapDamper) Observe(now time.Duration, live []string) {
+// Observe updates the set of live entries, and of those among them that announce that they are joining. What self
+// announces is not used. Entries that are seen for the first time while self is joining, as all are in the first call,
+// are not held back. If most of the live entries return in the same call, self was the one that was cut off, and an
+// absence of self is recorded.
+func (d *FlapDamper) Observe(now time.Duration, live, joining []string) {
 	d.round++
 	rejoined := 0
+	selfJoining := d.Joining(now)
 	for _, name := range live {
-		if d.markLive(now, name, d.started || name == d.self) {
+		announced := slices.Contains(joining, name)
+		if d.markLive(now, name, name == d.self || !selfJoining && !announced) {
 			rejoined++
 		}
+		d.entries[name].joining = announced && name != d.self
 	}
 	for _, s := range d.entries {
 		if s.live && s.lastRound != d.round {
@@ -127,9 +135,9 @@
 	s.eligibleAt = now + d.holdTime(s.absences)
 }
 
-// markLive records that an entry is live and reports whether it is a known entry that returned. If held is set, the
-// entry is eligible only after its hold time.
-func (d *FlapDamper) markLive(now time.Duration, name string, held bool) bool {
+// markLive records that an entry is live and reports whether it is a known entry that returned. An entry that returned,
+// or that is new while holdNew is set, is eligible only after its hold time.
+func (d *FlapDamper) markLive(now time.Duration, name string, holdNew bool) bool {
 	s, known := d.entries[name]
 	if !known {
 		s = &entryState{}
@@ -141,7 +149,7 @@
 	}
 	s.live = true
 	s.eligibleAt = now
-	if held {
+	if known || holdNew {
 		s.eligibleAt = now + d.holdTime(s.absences)
 	}
 	return known
@@ -170,20 +178,33 @@
 	}
 }
 
+// Joining reports whether self may not be a home yet. Self announces it to the other entries.
+func (d *FlapDamper) Joining(now time.Duration) bool {
+	s := d.entries[d.self]
+	return s == nil || !s.live || s.eligibleAt > now
+}
+
 // Eligible returns the live entries that may be homes, sorted.
 func (d *FlapDamper) Eligible(now time.Duration) []string {
-	var eligible, live []string
+	var live, settled, eligible []string
 	for name, s := range d.entries {
 		if !s.live {
 			continue
 		}
 		live = append(live, name)
+		if s.joining || name == d.self && s.eligibleAt > now {
+			continue
+		}
+		settled = append(settled, name)
 		if s.eligibleAt <= now {
 			eligible = append(eligible, name)
 		}
 	}
 	if 2*len(eligible) < len(live) {
-		eligible = slices.DeleteFunc(live, func(name string) bool { return name == d.self && len(live) > 1 && d.entries[name].eligibleAt > now })
+		eligible = settled
+	}
+	if 2*len(eligible) < len(live) {
+		eligible = live
 	}
 	slices.Sort(eligible)
 	return eligible
--- a/policy/shift/shift_test.go
+++ b/policy/shift/shift_test.go
@@ -48,7 +48,7 @@
 		Expect(DefaultHoldConfig().Check()).To(Succeed())
 		Expect(DefaultRamp().Check()).To(Succeed())
 		damper = NewFlapDamper(DefaultHoldConfig(), "a")
-		damper.Observe(0, []string{"a", "b", "c", "d", "e"})
+		damper.Observe(0, []string{"a", "b", "c", "d", "e"}, nil)
 	})
 
 	It("holds back itself at its start, and new entries", func() {
@@ -57,7 +57,7 @@
 		Expect(found).To(BeTrue())
 		Expect(next).To(Equal(DefaultHold))
 		Expect(damper.Eligible(next)).To(Equal([]string{"a", "b", "c", "d", "e"}))
-		damper.Observe(10*sec, []string{"a", "b", "c", "d", "e", "f"})
+		damper.Observe(10*sec, []string{"a", "b", "c", "d", "e", "f"}, nil)
 		Expect(damper.Eligible(14 * sec)).NotTo(ContainElement("f"))
 		Expect(damper.Eligible(15 * sec)).To(ContainElement("f"))
 	})
@@ -65,16 +65,16 @@
 	It("excludes an entry that leaves at once, holds it back longer each time, and forgets its absences", func() {
 		now := 10 * sec
 		for _, hold := range []time.Duration{5, 20, 80, 120, 120} {
-			damper.Observe(now, []string{"a", "c", "d", "e"})
+			damper.Observe(now, []string{"a", "c", "d", "e"}, nil)
 			Expect(damper.Eligible(now)).NotTo(ContainElement("b"))
 			now += sec
-			damper.Observe(now, []string{"a", "b", "c", "d", "e"})
+			damper.Observe(now, []string{"a", "b", "c", "d", "e"}, nil)
 			Expect(damper.Eligible(now + hold*sec - 1)).NotTo(ContainElement("b"))
 			Expect(damper.Eligible(now + hold*sec)).To(ContainElement("b"))
 			now += sec
 		}
 		now += DefaultForgetAfter
-		damper.Observe(now, []string{"a", "b", "c", "d", "e"})
+		damper.Observe(now, []string{"a", "b", "c", "d", "e"}, nil)
 		damper.RecordAbsence(now, "b")
 		Expect(damper.Eligible(now)).NotTo(ContainElement("b"))
 		Expect(damper.Eligible(now + DefaultHold)).To(ContainElement("b"))
@@ -83,12 +83,57 @@
 	// The VM of self was cut off, so all others seem to return at once. If they were held back, self would
 	// consider itself the home of every group.
 	It("accepts all live entries while fewer than half are eligible", func() {
-		damper.Observe(10*sec, []string{"a"})
+		damper.Observe(10*sec, []string{"a"}, nil)
 		Expect(damper.Eligible(10 * sec)).To(Equal([]string{"a"}))
-		damper.Observe(13*sec, []string{"a", "b", "c", "d", "e"})
+		damper.Observe(13*sec, []string{"a", "b", "c", "d", "e"}, nil)
 		Expect(damper.Eligible(13 * sec)).To(Equal([]string{"b", "c", "d", "e"}))
 	})
 
+	// An entry starts and learns of the others one by one, milliseconds apart. It holds back those that it sees second
+	// although they are homes of groups, and sends requests to entries that refuse them.
+	It("does not hold back an entry that it sees first while it is joining itself", func() {
+		d := NewFlapDamper(DefaultHoldConfig(), "d")
+		d.Observe(0, []string{"a", "b", "d"}, []string{"d"})
+		d.Observe(100*time.Millisecond, []string{"a", "b", "c", "d"}, []string{"d"})
+		Expect(d.Eligible(200 * time.Millisecond)).To(Equal([]string{"a", "b", "c"}))
+		Expect(d.Eligible(4 * sec)).To(Equal([]string{"a", "b", "c"}))
+		Expect(d.Joining(DefaultHold - 1)).To(BeTrue())
+		Expect(d.Joining(DefaultHold)).To(BeFalse())
+		Expect(d.Eligible(DefaultHold)).To(Equal([]string{"a", "b", "c", "d"}))
+	})
+
+	It("holds back an entry for as long as that announces that it is joining", func() {
+		live := []string{"a", "b", "c", "d", "e", "f"}
+		damper.Observe(10*sec, live, []string{"f"})
+		Expect(damper.Eligible(time.Minute)).NotTo(ContainElement("f"))
+		damper.Observe(time.Minute, live, nil)
+		Expect(damper.Eligible(time.Minute)).To(ContainElement("f"))
+	})
+
+	It("holds back an entry that returns, whatever that announces", func() {
+		damper.Observe(10*sec, []string{"a", "b", "c", "d"}, nil)
+		damper.Observe(11*sec, []string{"a", "b", "c", "d", "e"}, []string{"e"})
+		damper.Observe(12*sec, []string{"a", "b", "c", "d", "e"}, nil)
+		Expect(damper.Eligible(16*sec - 1)).NotTo(ContainElement("e"))
+		Expect(damper.Eligible(16 * sec)).To(ContainElement("e"))
+	})
+
+	It("accepts all live entries while most are joining", func() {
+		d := NewFlapDamper(DefaultHoldConfig(), "a")
+		d.Observe(0, []string{"a", "b", "c"}, []string{"a", "b", "c"})
+		Expect(d.Eligible(sec)).To(Equal([]string{"a", "b", "c"}))
+		d.Observe(2*sec, []string{"a", "b", "c"}, []string{"a", "c"})
+		Expect(d.Eligible(2 * sec)).To(Equal([]string{"a", "b", "c"}))
+		d.Observe(3*sec, []string{"a", "b", "c"}, []string{"a"})
+		Expect(d.Eligible(3 * sec)).To(Equal([]string{"b", "c"}))
+	})
+
+	// Entries start at about the same time, and each sees the others start at its own moment. They compute different
+	// homes again and again until the last hold time is over, and refuse each other's requests.
+	It("gives the same result on all entries once they have the same news", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) { checkAgreement(t, drawStarts(t)) })
+	})
+
 	It("returns only live entries, at least one if any is live, and drops old state", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			h := NewFlapDamper(DefaultHoldConfig(), "a")
@@ -97,7 +142,7 @@
 				now += time.Duration(rapid.IntRange(0, 300).Draw(t, "pause")) * sec
 				name := rapid.StringMatching("[a-h]")
 				live := rapid.SliceOfNDistinct(name, 0, 8, rapid.ID[string]).Draw(t, "live")
-				h.Observe(now, live)
+				h.Observe(now, live, nil)
 				eligible := h.Eligible(now)
 				if len(live) > 0 && len(eligible) == 0 {
 					t.Fatal("no eligible entry")
@@ -108,8 +153,8 @@
 					}
 				}
 			}
-			h.Observe(now+DefaultForgetAfter, nil)
-			h.Observe(now+2*DefaultForgetAfter, nil)
+			h.Observe(now+DefaultForgetAfter, nil, nil)
+			h.Observe(now+2*DefaultForgetAfter, nil, nil)
 			if len(h.entries) > 0 {
 				t.Fatalf("%d entries kept", len(h.entries))
 			}
@@ -117,6 +162,83 @@
 	})
 })
 
+const (
+	// newsDelay is the longest time in which an entry learns of a start or an announcement of another one.
+	newsDelay = sec
+	// newsStep is the resolution of the times of checkAgreement.
+	newsStep = 50 * time.Millisecond
+)
+
+// starts holds when entries start, and how long each of them takes to learn what another one announces.
+type starts struct {
+	at    []time.Duration
+	delay [][]time.Duration // by observer and observed entry
+}
+
+func drawStarts(t *rapid.T) starts {
+	steps := func(bound time.Duration) *rapid.Generator[time.Duration] {
+		return rapid.Map(rapid.IntRange(0, int(bound/newsStep)), func(n int) time.Duration { return time.Duration(n) * newsStep })
+	}
+	var s starts
+	count := rapid.IntRange(2, 6).Draw(t, "entries")
+	for range count {
+		s.at = append(s.at, steps(12*sec).Draw(t, "start"))
+		s.delay = append(s.delay, rapid.SliceOfN(steps(newsDelay-newsStep), count, count).Draw(t, "delays"))
+	}
+	return s
+}
+
+// checkAgreement starts the entries and fails if two of them consider different entries eligible at a time when all
+// news has arrived.
+func checkAgreement(t *rapid.T, s starts) {
+	dampers := make([]*FlapDamper, len(s.at))
+	joined := make([]time.Duration, len(s.at)) // when the entry announced that it is no longer joining
+	lastNews := time.Duration(0)
+	for now := time.Duration(0); now < 20*sec; now += newsStep {
+		for e, start := range s.at {
+			if now < start {
+				continue
+			}
+			if now == start {
+				dampers[e] = NewFlapDamper(DefaultHoldConfig(), entryName(e))
+				lastNews = now
+			}
+			var live, joining []string
+			for other, at := range s.at {
+				seenUntil := now
+				if other != e {
+					seenUntil -= s.delay[e][other]
+				}
+				if at > seenUntil {
+					continue
+				}
+				live = append(live, entryName(other))
+				if joined[other] == 0 || joined[other] > seenUntil {
+					joining = append(joining, entryName(other))
+				}
+			}
+			dampers[e].Observe(now, live, joining)
+			if joined[e] == 0 && !dampers[e].Joining(now) {
+				joined[e] = now
+				lastNews = now
+			}
+		}
+		if now-lastNews < newsDelay {
+			continue
+		}
+		var first []string
+		for e, d := range dampers {
+			switch {
+			case d == nil:
+			case first == nil:
+				first = d.Eligible(now)
+			case !slices.Equal(d.Eligible(now), first):
+				t.Fatalf("at %v, %s has %v, another one %v", now, entryName(e), d.Eligible(now), first)
+			}
+		}
+	}
+}
+
 var _ = DescribeTable("The entry to ask for the home of a group", func(query HomeQuery, next string) {
 	name, ok := query.Next()
 	Expect(name).To(Equal(next))
@@ -227,7 +349,7 @@
 	for e := range views {
 		detectionDelay[e] = 300*time.Millisecond + time.Duration(random.IntN(1200))*time.Millisecond
 		views[e] = NewFlapDamper(config, entryName(e))
-		views[e].Observe(-time.Minute, liveSeenBy(c, e, -time.Minute))
+		views[e].Observe(-time.Minute, liveSeenBy(c, e, -time.Minute), nil)
 	}
 	var result churnResult
 	var homes [groupCount]int
@@ -240,7 +362,7 @@
 		for e := range views {
 			endOutages(c, views, e, now, config)
 			up[e] = !isDown(c, e, now)
-			views[e].Observe(now, liveSeenBy(c, e, now-detectionDelay[e]))
+			views[e].Observe(now, liveSeenBy(c, e, now-detectionDelay[e]), nil)
 			if eligible := views[e].Eligible(now); !slices.Equal(eligible, last[e]) {
 				last[e], homeOf[e] = eligible, computeHomes(eligible)
 			}
@@ -369,7 +491,7 @@
 			h := NewFlapDamper(DefaultHoldConfig(), live[0])
 			b.ReportAllocs()
 			for i := range b.N {
-				h.Observe(time.Duration(i)*sec, live)
+				h.Observe(time.Duration(i)*sec, live, nil)
 				h.Eligible(time.Duration(i) * sec)
 			}
 		})
