entry, policy/shift: a front that has just started waits for a home that does not know it yet

What callers saw: 503 home-lost, not run, from an entry that the directory had named a moment before, while the home was alive and free. Cause: an entry serves callers as soon as it has the settings. The others accept its connections only once they know its certificate, from the platform or from a peer; until then the home ends the handshake, and the front told the caller so. Change: while an entry is joining, it asks such a home again every 0.1 s, for 1 s at most, with what is left of the request's time. A try that the handshake ends is certainly not sent, so a request that may not be repeated is as safe as before. An entry that isn't joining is told at once: then another process has taken its name. Ruled out: another entry can't help, the home is one; not to name an entry in the directory before all know it does not help callers that have its address from before a restart (it would help the others, and is not done).

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"slices"
 	"sync/atomic"
@@ -13,6 +14,7 @@
 	"github.com/skylarkpond/skylarkpond/entry/front"
 	"github.com/skylarkpond/skylarkpond/entry/home"
 	"github.com/skylarkpond/skylarkpond/entry/member"
+	"github.com/skylarkpond/skylarkpond/internal/wait"
 	"github.com/skylarkpond/skylarkpond/link/peer"
 	"github.com/skylarkpond/skylarkpond/policy/shift"
 	"github.com/skylarkpond/skylarkpond/timeline"
@@ -71,11 +73,11 @@
 	}
 	address, ok := d.liveAddress(homeName)
 	if !ok {
-		return nil, front.ErrNotSent
+		return nil, fmt.Errorf("%w: %s is not live", front.ErrNotSent, homeName)
 	}
-	receiver, err := d.client.Stream(ctx, address, pathDispatch, request)
+	receiver, err := d.send(ctx, address, request)
 	if errors.Is(err, peer.ErrNotSent) {
-		return nil, front.ErrNotSent
+		return nil, fmt.Errorf("%w: %w", front.ErrNotSent, err)
 	}
 	if err != nil {
 		return nil, err
@@ -83,6 +85,22 @@
 	return d.observe(request, &remoteFrames{receiver: receiver}), nil
 }
 
+// send sends a dispatch to the entry at address. It waits for a moment if that entry does not know this process yet.
+func (d *dispatcher) send(ctx context.Context, address string, request contract.Dispatch) (*peer.Receiver, error) {
+	start, timeout := time.Now(), request.Timeout
+	for {
+		receiver, err := d.client.Stream(ctx, address, pathDispatch, request)
+		if !errors.Is(err, peer.ErrUntrusted) {
+			return receiver, err
+		}
+		pause, ok := shift.AwaitIntroduction(d.members.Self().Joining, time.Since(start))
+		if !ok || !wait.Pause(ctx, pause) {
+			return nil, err
+		}
+		request.Timeout = timeout - time.Since(start)
+	}
+}
+
 func (d *dispatcher) observe(request contract.Dispatch, frames front.FrameStream) front.FrameStream {
 	return &observedFrames{FrameStream: frames, request: request, table: d.table, recorder: d.recorder}
 }
--- /dev/null
+++ b/policy/shift/introduction.go
@@ -0,0 +1,25 @@
+package shift
+
+import "time"
+
+// An entry that starts serves callers as soon as it has the settings, but each of the others accepts its connections
+// only once it has learned of the new process from the platform or from a peer, up to a second later. The home of a
+// group is a single entry, so asking another one does not help. Without a wait, a front refuses every request to the
+// homes that learn of it last, although they are about to accept it.
+const (
+	// MaxIntroduction is how long a front waits for a home to learn of it. Most requests have a deadline of some
+	// seconds, and news reaches all entries within one.
+	MaxIntroduction = time.Second
+	// introductionPause is the pause between two tries. A try costs a handshake.
+	introductionPause = 100 * time.Millisecond
+)
+
+// AwaitIntroduction returns the pause after which a front tries again to reach a home that does not know it, having
+// tried for the given time. ok is false if it should give up. A front that is not joining has been known to all for
+// long; if a home does not accept it, another process has taken its name.
+func AwaitIntroduction(joining bool, tried time.Duration) (pause time.Duration, ok bool) {
+	if !joining || tried+introductionPause > MaxIntroduction {
+		return 0, false
+	}
+	return introductionPause, true
+}
--- a/policy/shift/shift_test.go
+++ b/policy/shift/shift_test.go
@@ -162,6 +162,17 @@
 	})
 })
 
+var _ = DescribeTable("A front that a home does not know", func(joining bool, tried time.Duration, again bool) {
+	pause, ok := AwaitIntroduction(joining, tried)
+	Expect(ok).To(Equal(again))
+	Expect(tried + pause).To(BeNumerically("<=", max(tried, MaxIntroduction)))
+},
+	Entry("tries again while it is joining", true, time.Duration(0), true),
+	Entry("tries again until MaxIntroduction", true, MaxIntroduction-introductionPause, true),
+	Entry("gives up after MaxIntroduction", true, MaxIntroduction, false),
+	Entry("gives up if it is not joining", false, time.Duration(0), false),
+)
+
 const (
 	// newsDelay is the longest time in which an entry learns of a start or an announcement of another one.
 	newsDelay = sec
--- a/test/membership_test.go
+++ b/test/membership_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"slices"
+	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -63,6 +64,27 @@
 		c.waitLive(c.entries[0], c.entries[:3]...)
 	})
 
+	// Entries are added one after the other, and callers use each as soon as the directory names it. The others learn of it some time apart:
+	// a front that asks an entry which is not the home by its own view would refuse its callers.
+	It("serves callers through each entry from when the directory names it, while entries are added", func() {
+		c := startCluster(3)
+		for range 6 {
+			fresh := c.startEntry()
+			Eventually(func() string {
+				return caller{c.entries[0]}.send(http.MethodGet, "/v1/entries?count=32", nil, "").body
+			}, generous, "20ms").Should(ContainSubstring(strings.TrimPrefix(fresh.public, "http://")))
+			answers := make(chan answer, 8)
+			for range cap(answers) {
+				go func() { answers <- caller{fresh}.stream("added", 20) }()
+			}
+			for range cap(answers) {
+				var got answer
+				Eventually(answers, generous).Should(Receive(&got))
+				Expect(got.isWhole("added", 20)).To(BeTrue(), "%s: %d %s", fresh.name, got.status, got.body[max(0, len(got.body)-300):])
+			}
+		}
+	})
+
 	// All entries are replaced one after the other for an update, while callers stream through the others and
 	// those that are stopped are home to the groups. A cut request would show as a run that was broken off or
 	// begun twice, even where a retry hid it from its caller.
