cmd: SIGHUP is handled before the arguments are read

Cause: the signal was handled only after the arguments had been read and checked. Until then it ends the process. Not mended: before main runs, the runtime's own start (6 ms on a busy machine, by its trace) still ends the process by the signal. A process can't change that. The other commands keep the signal's default action.

--- a/cmd/skylarkpond/main.go
+++ b/cmd/skylarkpond/main.go
@@ -44,8 +44,15 @@
 )
 
 func main() {
+	// Handled before anything else: the platform may signal a process in its first milliseconds, and an unhandled
+	// SIGHUP ends it.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	var args arguments
 	parser := arg.MustParse(&args)
+	if args.Gateway == nil {
+		signal.Reset(syscall.SIGHUP)
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	switch {
@@ -61,8 +68,6 @@
 			exitIfFailed(gateway.CheckPlatform(ctx, *args.Gateway, os.Stdout))
 			return
 		}
-		reload := make(chan os.Signal, 1)
-		signal.Notify(reload, syscall.SIGHUP)
 		exitIfFailed(gateway.Serve(ctx, *args.Gateway, reload))
 	case args.Dev != nil:
 		exitIfInvalid(args.Dev.Check())
--- a/test/cooperative/cooperative_test.go
+++ b/test/cooperative/cooperative_test.go
@@ -5,14 +5,19 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"os"
+	"os/exec"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"golang.org/x/sys/unix"
 
 	"github.com/skylarkpond/skylarkpond/platform/standin/objects"
 	"github.com/skylarkpond/skylarkpond/platform/standin/replica"
@@ -162,6 +167,26 @@
 		}
 	})
 
+	// A process gets the signal in its first milliseconds. If it does not handle the signal yet, it ends, and its callers wait until it is
+	// started again.
+	It("survive a signal to read the settings anew that comes while they read their arguments", func() {
+		output, input, err := os.Pipe()
+		Expect(err).NotTo(HaveOccurred())
+		defer output.Close()
+		size, err := unix.FcntlInt(input.Fd(), unix.F_SETPIPE_SZ, os.Getpagesize())
+		Expect(err).NotTo(HaveOccurred())
+		command := exec.Command(skylarkpond, "gateway", "--help")
+		command.Args[0] = strings.Repeat("x", 2*size) // a part of the help, which the pipe can't hold: it waits there for its reader
+		command.Stdout = input
+		Expect(command.Start()).To(Succeed())
+		Expect(input.Close()).To(Succeed())
+		Eventually(func() (int, error) { return unix.IoctlGetInt(int(output.Fd()), unix.TIOCINQ) }, generous, "1ms").Should(BeNumerically(">", 0))
+		Expect(command.Process.Signal(syscall.SIGHUP)).To(Succeed())
+		_, err = io.Copy(io.Discard, output)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(command.Wait()).To(Succeed())
+	})
+
 	It("keep working after a signal to read the settings anew", func() {
 		p := newPond(2, 4)
 		p.awaitServing(1)
