entry/home: an entry that is not the home of a group reports no load for it

Seen by reading, while not-home refusals were traced: the last frame of a dispatch carries the group's load, a refusal too. The refusing entry has no queue of the group and reported none in flight and none queued, so that fronts took the group for idle until the next report of its home. The existing spec of a home that moves while a request waits now checks it too, and failed before. What callers saw of it is not measured.

--- a/entry/home/home_test.go
+++ b/entry/home/home_test.go
@@ -92,6 +92,8 @@
 		last := frames[len(frames)-1]
 		Expect(last.Kind).To(Equal(contract.FrameRefused))
 		Expect(last.Problem.Code).To(Equal(code))
+		// An entry that is not the home has no queue of the group: fronts would take the group for idle.
+		Expect(last.Load != nil).To(Equal(code != contract.CodeNotHome))
 		for i, f := range frames {
 			Expect(f.RequestID).To(Equal("r"))
 			Expect(f.Seq).To(BeEquivalentTo(i))
