entry: a front that has just started asks the named home before it has heard of it

Cause: the entries that it asked all named the right home, entry-3, but it had not heard of that entry itself yet (it did 45 ms later) and took the name for outdated. Evidence: the log lines of the refused requests ("asked" entry-2 and entry-4, "named" entry-3, "eligible" without it) and the time lines. Change: while an entry is joining, it also asks an entry that it knows from the platform and that a live one names.

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -48,7 +48,7 @@
 		return query.Next()
 	}
 	live := liveMembership{d.members}.Live()
-	if slices.Contains(live, named) {
+	if _, ok := d.addressOf(named); ok {
 		query.Named = named
 	}
 	// The role of the home at this entry refuses what this entry does not compute itself.
@@ -71,7 +71,7 @@
 	if homeName == d.self {
 		return d.observe(request, d.dispatchLocally(ctx, request)), nil
 	}
-	address, ok := d.liveAddress(homeName)
+	address, ok := d.addressOf(homeName)
 	if !ok {
 		return nil, fmt.Errorf("%w: %s is not live", front.ErrNotSent, homeName)
 	}
@@ -188,12 +188,16 @@
 // Close implements front.FrameStream.
 func (l *localFrames) Close() { l.cancel() }
 
-// liveAddress returns the address at which a live entry accepts calls from other entries, and false if the entry
-// is not live.
-func (d *dispatcher) liveAddress(name string) (string, bool) {
-	for _, p := range d.members.Live() {
+// addressOf returns the address at which another entry accepts calls, and false if that entry is not live. While this
+// entry is joining, it has not heard of all live ones yet, and takes the word of those that name one to it.
+func (d *dispatcher) addressOf(name string) (string, bool) {
+	known := d.members.Live()
+	if d.members.Self().Joining {
+		known = d.members.Peers()
+	}
+	for _, p := range known {
 		if p.Name == name {
-			return p.PeerAddress, true
+			return p.PeerAddress, !p.Leaving
 		}
 	}
 	return "", false
--- a/test/membership_test.go
+++ b/test/membership_test.go
@@ -85,6 +85,26 @@
 		}
 	})
 
+	// An entry is killed and started again under its name, and callers that still have its address use it as soon as it listens.
+	It("serves callers of an entry that was killed from when it listens again", func() {
+		c := startCluster(4)
+		for i := range 4 {
+			again := c.entries[i]
+			again.kill()
+			c.restart(again)
+			Eventually(func() int { return caller{again}.send(http.MethodGet, "/v1/entries", nil, "").status }, generous, "5ms").Should(Equal(http.StatusOK))
+			answers := make(chan answer, 8)
+			for range cap(answers) {
+				go func() { answers <- caller{again}.stream("again", 20) }()
+			}
+			for range cap(answers) {
+				var got answer
+				Eventually(answers, generous).Should(Receive(&got))
+				Expect(got.isWhole("again", 20)).To(BeTrue(), "%s: %d %s %v", again.name, got.status, got.body[max(0, len(got.body)-300):], got.err)
+			}
+		}
+	})
+
 	// All entries are replaced one after the other for an update, while callers stream through the others and
 	// those that are stopped are home to the groups. A cut request would show as a run that was broken off or
 	// begun twice, even where a retry hid it from its caller.
