--- a/entry/front/drive.go
+++ b/entry/front/drive.go
@@ -34,12 +34,12 @@
 
 	choice Choice
 	// home is the entry that is asked as the home of the chosen group. refusedBy lists those that refused the request
-	// because they are not, and named is the entry that the last of them named instead, if any. refused is set until
-	// the next dispatch.
+	// because they are not, and named is the entry that the last of them named instead, if any. wrongHome is set from
+	// such a refusal until the next dispatch.
 	home      string
 	refusedBy []string
 	named     string
-	refused   bool
+	wrongHome bool
 
 	cancel context.CancelFunc
 	frames chan frameResult
@@ -128,7 +128,7 @@
 	}
 	action = d.machine.HandleFrame(f)
 	if action.Kind == outcome.Dispatch && f.Problem != nil && f.Problem.Code == contract.CodeNotHome {
-		d.refused, d.named = true, f.Home
+		d.wrongHome, d.named = true, f.Home
 		d.refusedBy = append(d.refusedBy, d.home)
 	}
 	if action.Kind != outcome.Deliver {
@@ -200,10 +200,10 @@
 // redirect reports whether the current dispatch was refused by an entry that is not the home and another one is to be
 // asked for the same group. It then ends the current dispatch but keeps its group.
 func (d *driver) redirect() bool {
-	if !d.refused {
+	if !d.wrongHome {
 		return false
 	}
-	d.refused = false
+	d.wrongHome = false
 	next, ok := d.front.deps.Homes.Next(d.choice.Group, d.refusedBy, d.named)
 	d.reportNotHome(next)
 	if !ok {
--- a/entry/front/fakes_test.go
+++ b/entry/front/fakes_test.go
@@ -187,6 +187,8 @@
 	notWhole map[vm.GroupID]bool
 	// computed is the home that the fronts compute for a group, in place of homeName.
 	computed map[vm.GroupID]string
+	// noneLive is set while the fronts know no live entry.
+	noneLive bool
 	// strangers are entries that are not the home of any group. Each names another home, or none.
 	strangers map[string]*home.Home
 	// logged holds the log lines of the fronts.
@@ -264,6 +266,9 @@
 
 // Next ranks the strangers by name, behind the home that the fronts compute, and before the true one.
 func (f *fleet) Next(id vm.GroupID, asked []string, named string) (string, bool) {
+	if f.noneLive {
+		return "", false
+	}
 	computed, ok := f.computed[id]
 	if !ok {
 		computed = homeName(id)
--- a/entry/front/front_test.go
+++ b/entry/front/front_test.go
@@ -476,7 +476,17 @@
 		Expect(lines[shift.MaxAsked-1].Data).To(HaveKeyWithValue("next", ""))
 	})
 
-	It("tries another group of the service then", func() {
+	It("refuses a request at once, as not run, while it knows no live entry", func() {
+		f.noneLive = true
+		got := complete(f.fronts[0], true)
+		Expect(got.outcome).To(Equal(notRun))
+		Expect(got.code).To(Equal(contract.CodeHomeLost))
+		Expect(got.retryAfter).To(Equal("1"))
+		Expect(book(f.fronts[0], "lot-7", 1).outcome).To(Equal(notRun))
+		Expect(f.backend.count("lot-7")).To(BeZero())
+	})
+
+	It("tries another group of the service if no entry that it may ask is the home", func() {
 		f = newFleet("chat1", "chat2")
 		f.computed["chat1"] = "s1"
 		for i := range 2 * shift.MaxAsked {
--- a/entry/home/run.go
+++ b/entry/home/run.go
@@ -288,11 +288,10 @@
 	f.HLCTime = r.home.deps.Recorder.Now()
 	switch f.Kind {
 	case contract.FrameRefused, contract.FrameEnd, contract.FrameBroken:
-		if f.Problem != nil && f.Problem.Code == contract.CodeNotHome {
-			break // the queue is at another entry
+		if f.Problem == nil || f.Problem.Code != contract.CodeNotHome { // else the queue is at another entry
+			load := r.home.deps.Admission.Load(r.d.Group)
+			f.Load = &load
 		}
-		load := r.home.deps.Admission.Load(r.d.Group)
-		f.Load = &load
 	}
 	r.seq++
 	r.sendErr = r.send(f)
