entry/prober: a home that was suspended probes the members before it refuses requests

The groups were whole. Cause: the home went on with answers of before its stop, all of them too old, and took that for the members' silence. It told other entries so as well, if a round of probes came before the first new answer, and fronts use such a group again only at the next report. Evidence: the log line of that request, and the spec, which failed with the new rule taken out. Change: answers that expired while no round of probes was made tell nothing about the members. While rounds are made as usual an answer that is too old counts as before, and callers don't wait (spec). A group still gets no request without a new answer of every member.

--- a/entry/adapters.go
+++ b/entry/adapters.go
@@ -65,8 +65,8 @@
 		return false, "not placed"
 	}
 	whole, gap := p.presence.Whole(&group, time.Now())
-	if gap.Reason == vm.ReasonNoAnswer {
-		p.prober.ProbeIfNew(group)
+	if !whole {
+		p.prober.ProbeIfUnknown(group, gap.Reason)
 		whole, gap = p.presence.Whole(&group, time.Now())
 	}
 	return whole, gap.String()
--- a/entry/prober/handover.go
+++ b/entry/prober/handover.go
@@ -60,8 +60,40 @@
 	p.presence.Forget(id)
 }
 
+// isUnknown reports whether a member that is absent for the given reason may be present, because this entry has not been
+// able to probe it. If its group were reported as not whole, no front would use it until the next report.
+func (p *Prober) isUnknown(id vm.GroupID, absence vm.Reason, now time.Time) bool {
+	switch absence {
+	case vm.ReasonNoAnswer:
+		return p.newlyHomed(id, now)
+	case vm.ReasonStaleAnswer:
+		return p.recentlySuspended(now)
+	default:
+		return false
+	}
+}
+
+// recentlySuspended reports whether this process was suspended for so long that its answers expired, and has not been
+// able to get new ones since.
+func (p *Prober) recentlySuspended(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	suspended := !p.lastRound.IsZero() && now.Sub(p.lastRound) >= vm.FreshnessBound
+	return suspended || now.Sub(p.resumedAt) < vm.FreshnessBound
+}
+
+// beginRound records the start of a round of probes.
+func (p *Prober) beginRound(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.lastRound.IsZero() && now.Sub(p.lastRound) >= vm.FreshnessBound {
+		p.resumedAt = now
+	}
+	p.lastRound = now
+}
+
 // newlyHomed reports whether this entry became home to the group so recently that a missing answer of a member is
-// not significant yet. If the group were reported as not whole, no front would use it until the next report.
+// not significant yet.
 func (p *Prober) newlyHomed(id vm.GroupID, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -69,10 +101,11 @@
 	return !ok || now.Sub(t.firstHomed) < vm.FreshnessBound
 }
 
-// ProbeIfNew probes the members of a group if this entry has only just become its home, so that the first requests
-// need not be rejected. It returns within engine.ProbeTimeout; concurrent calls for a group share the same probes.
-func (p *Prober) ProbeIfNew(group vm.Group) {
-	if !p.newlyHomed(group.ID, time.Now()) {
+// ProbeIfUnknown probes the members of a group that is not whole for the given reason, if this entry has only just become
+// its home or was suspended, so that the first requests need not be rejected. It returns within engine.ProbeTimeout;
+// concurrent calls for a group share the same probes.
+func (p *Prober) ProbeIfUnknown(group vm.Group, absence vm.Reason) {
+	if !p.isUnknown(group.ID, absence, time.Now()) {
 		return
 	}
 	_, _, _ = p.onDemand.Do(string(group.ID), func() (any, error) {
--- a/entry/prober/prober.go
+++ b/entry/prober/prober.go
@@ -57,8 +57,10 @@
 	loads         map[vm.GroupID]headLoad
 	drainingSince map[vm.GroupID]time.Time // when this home first saw each group draining
 	tenures       map[vm.GroupID]tenure
+	// lastRound is when the latest round of probes began, resumedAt when the first round after a suspension did.
+	lastRound, resumedAt time.Time
 
-	onDemand singleflight.Group // probes made by ProbeIfNew, keyed by group
+	onDemand singleflight.Group // probes made by ProbeIfUnknown, keyed by group
 }
 
 // tenure records the first and the most recent time at which this entry was home to a group.
@@ -141,8 +143,10 @@
 // full, probes are dropped: the stored answers then expire and the groups count as not whole, which is the safe
 // failure mode.
 func (p *Prober) probeAll() {
+	now := time.Now()
+	p.beginRound(now)
 	homed := p.groups.GroupsHomedAt(p.self)
-	handedOver := p.updateTenures(homed, time.Now())
+	handedOver := p.updateTenures(homed, now)
 	for _, group := range homed {
 		p.reportIfChanged(group)
 		p.enqueue(group, true)
@@ -233,7 +237,7 @@
 	}
 	now := time.Now()
 	whole, gap := p.presence.Whole(&group, now)
-	if gap.Reason == vm.ReasonNoAnswer && p.newlyHomed(group.ID, now) {
+	if p.isUnknown(group.ID, gap.Reason, now) {
 		return
 	}
 	next := announcedState{whole: whole, epoch: group.Epoch, gap: gap, drain: p.drainProgress(group, now)}
--- a/entry/prober/prober_test.go
+++ b/entry/prober/prober_test.go
@@ -60,12 +60,42 @@
 		p, presence := w.prober(&paused)
 		p.probeAll()
 		Expect(w.reports).To(BeEmpty())
-		p.ProbeIfNew(group)
+		p.ProbeIfUnknown(group, vm.ReasonNoAnswer)
 		whole, gap := presence.Whole(&group, time.Now())
 		Expect(whole).To(BeTrue(), gap.String())
 		Expect(w.reports[len(w.reports)-1].Statuses).To(HaveExactElements(HaveField("Whole", true)))
 	})
 
+	// The process was suspended for seconds. When it goes on, all answers that it holds are too old; it rejected the callers of
+	// its groups and told fronts that they were not whole, until the members had answered again.
+	It("that was suspended probes the members before it rejects requests or reports the group as not whole", func() {
+		paused := false
+		w := &fakeCluster{homed: []vm.Group{group}}
+		p, presence := w.prober(&paused)
+		p.probeAll()
+		p.ProbeIfUnknown(group, vm.ReasonNoAnswer)
+		reports := len(w.reports)
+		time.Sleep(vm.FreshnessBound)
+		_, gap := presence.Whole(&group, time.Now())
+		Expect(gap.Reason).To(Equal(vm.ReasonStaleAnswer))
+		p.probeAll()
+		Expect(w.reports).To(HaveLen(reports))
+		p.ProbeIfUnknown(group, gap.Reason)
+		whole, gap := presence.Whole(&group, time.Now())
+		Expect(whole).To(BeTrue(), gap.String())
+	})
+
+	It("that goes on probing does not wait for a member whose answer is too old", func() {
+		paused := false
+		w := &fakeCluster{homed: []vm.Group{group}}
+		p, presence := w.prober(&paused)
+		presence.Record(group.ID, "a", vm.ProbeAnswer{Sent: time.Now().Add(-vm.FreshnessBound), BootID: "boot-a", Group: "g", Epoch: 3, Ready: true})
+		p.probeAll()
+		p.ProbeIfUnknown(group, vm.ReasonStaleAnswer)
+		_, gap := presence.Whole(&group, time.Now())
+		Expect(gap.Reason).To(Equal(vm.ReasonStaleAnswer))
+	})
+
 	// Entries learn of the change some seconds apart. A front that has not learned of it yet sends to the old
 	// home.
 	It("that has handed over a group serves it for the handover period, unless it was suspended, and then forgets it", func() {
