entry, entry/home: a home without the settings in force does not refuse for good

What callers saw: four bookings were told 404 unknown-service, not run, no Retry-After, though the service was declared and their front had accepted them by it. Cause: while most entries are joining, as after a start of all, an entry is home as soon as it is live. entry-4 had started 0.12 s before, and had no settings in force until 0.04 s later (time lines). The home role took the missing service for an undeclared one. The same holds for a service declared a moment ago whose settings have not reached the home. Change: dispatches wait until the entry's settings are in force (tens of milliseconds; the front's deadline bounds it, and the wait counts).

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -35,6 +35,8 @@
 	incarnation string // of this process
 	client      *peer.Client
 	recorder    *timeline.Recorder
+	// ready is closed once the settings of this entry are in force.
+	ready <-chan struct{}
 	// serving counts the dispatches in progress at this entry's home role, from any front. A claimed request
 	// continues after its caller has disconnected, so a planned stop must wait for this count and not only for the
 	// callers' connections.
@@ -158,11 +160,24 @@
 	go func() {
 		defer d.serving.Add(-1)
 		defer close(l.frames)
-		_ = d.home.Dispatch(ctx, request, l.send)
+		_ = d.serve(ctx, request, l.send)
 	}()
 	return l
 }
 
+// serve passes a dispatch to this entry's home role. Other entries make this one the home of groups as soon as it is
+// live, which may be before it has settings.
+func (d *dispatcher) serve(ctx context.Context, request contract.Dispatch, send func(contract.Frame) error) error {
+	start := time.Now()
+	select {
+	case <-d.ready:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	request.Timeout -= time.Since(start)
+	return d.home.Dispatch(ctx, request, send)
+}
+
 func (l *localFrames) send(frame contract.Frame) error {
 	select {
 	case l.frames <- frame:
@@ -208,7 +223,7 @@
 	peer.HandleStream(server, pathDispatch, func(ctx context.Context, _ string, request contract.Dispatch, send func(v any) error) error {
 		d.serving.Add(1)
 		defer d.serving.Add(-1)
-		return d.home.Dispatch(ctx, request, func(frame contract.Frame) error { return send(frame) })
+		return d.serve(ctx, request, func(frame contract.Frame) error { return send(frame) })
 	})
 	d.registerClaimQueries(server)
 }
--- a/entry/home/home_test.go
+++ b/entry/home/home_test.go
@@ -66,6 +66,27 @@
 func (fakePermit) Token(int)   {}
 func (fakePermit) Done()       {}
 
+// The settings that a front works by reach the home a moment later. The caller of a service that was just declared was told
+// that there is no such service, and to correct its request.
+var _ = DescribeTable("a service that the home's settings don't declare", func(acceptedUnder uint64, code contract.Code, retry time.Duration) {
+	s := &fakeEnvironment{state: vm.Serving, isHome: true, whole: true, now: time.Now()}
+	log, _ := logtest.NewNullLogger()
+	h := New(Deps{
+		Metrics: metrics.NewRegistry(), Log: log,
+		Groups: s, Presence: s, Admission: s, Engines: s, Guard: openGuard(), Recorder: timeline.NewRecorder("h", nil, time.Now),
+		Clock: func() time.Time { return s.now }, Settings: func() *settings.Snapshot { return &settings.Snapshot{Version: 4} },
+	})
+	var refusal contract.Frame
+	d := contract.Dispatch{RequestID: "r", Service: "chat", Group: "g", Timeout: time.Minute, SettingsVersion: acceptedUnder}
+	Expect(h.Dispatch(context.Background(), d, func(f contract.Frame) error { refusal = f; return nil })).To(Succeed())
+	Expect(refusal.Kind).To(Equal(contract.FrameRefused))
+	Expect(refusal.Problem.Code).To(Equal(code))
+	Expect(refusal.Problem.RetryAfter).To(Equal(retry))
+},
+	Entry("though the front's do", uint64(5), contract.CodeNoGroup, noGroupRetryAfter),
+	Entry("any more", uint64(4), contract.CodeUnknownService, time.Duration(0)),
+)
+
 // While a request waits in the queue, its group loses a member, is drained, or gets another home, or the VM of
 // this home is paused for longer than the caller waits. If the request were sent anyway, it would reach a broken
 // replica, be cut off by a planned stop, or run after its caller was told that it would not.
--- a/entry/home/run.go
+++ b/entry/home/run.go
@@ -172,7 +172,11 @@
 	if ok, reason := r.home.deps.Presence.Whole(group.ID); !ok {
 		return contract.NewRetryLater(contract.CodeNoGroup, "the group is not whole: "+reason, noGroupRetryAfter)
 	}
-	service, ok := r.home.deps.Settings().Services[r.d.Service]
+	inForce := r.home.deps.Settings()
+	service, ok := inForce.Services[r.d.Service]
+	if !ok && inForce.Version < r.d.SettingsVersion {
+		return contract.NewRetryLater(contract.CodeNoGroup, "the home does not have the settings yet that declare the service", noGroupRetryAfter)
+	}
 	if !ok {
 		return contract.NewRejection(404, contract.CodeUnknownService, "the service is not declared", "check the service's name")
 	}
--- a/entry/providers.go
+++ b/entry/providers.go
@@ -120,11 +120,11 @@
 
 func provideDispatcher(
 	self publishedEntry, table *fleet.Table, homes *homeCandidates, home *home.Home, members *member.Members, client *peer.Client,
-	recorder *timeline.Recorder,
+	recorder *timeline.Recorder, ready chan struct{},
 ) *dispatcher {
 	return &dispatcher{
 		self: self.entry.Name, incarnation: self.entry.Incarnation, table: table, homes: homes, home: home, members: members, client: client,
-		recorder: recorder,
+		recorder: recorder, ready: ready,
 	}
 }
 
--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -41,7 +41,8 @@
 	entryHomedGroups := provideHomedGroups(config, table, presence, prober)
 	records := provideAttempts(store)
 	home := provideHome(self, entryHomedGroups, admissionAdmission, records, engineClient, entrySettingsInForce, recorder, guard, measures, log)
-	entryDispatcher := provideDispatcher(self, table, entryHomeCandidates, home, members, client, recorder)
+	v := provideSettingsReady()
+	entryDispatcher := provideDispatcher(self, table, entryHomeCandidates, home, members, client, recorder, v)
 	router := provideRouter(config, measures)
 	front := provideFront(config, entrySettingsInForce, entryDispatcher, router, records, recorder, measures, log)
 	gate := &drain.Gate{}
@@ -49,7 +50,6 @@
 	entryStatusCollector := provideStatusCollector(config, members, table, entrySettingsInForce, client, recorder, controller)
 	server := provideOperator(config, store, entrySettingsInForce, mirrorMirror, follower, entryStatusCollector, recorder, measures, log, guard)
 	peerServer := providePeerServer(self, members)
-	v := provideSettingsReady()
 	entry := &Entry{
 		config:          config,
 		log:             log,
--- a/test/membership_test.go
+++ b/test/membership_test.go
@@ -4,11 +4,13 @@
 	"net/http"
 	"slices"
 	"strings"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	standinengine "github.com/skylarkpond/skylarkpond/internal/standin/engine"
+	standinplatform "github.com/skylarkpond/skylarkpond/internal/standin/platform"
 )
 
 var _ = Describe("Membership", func() {
@@ -73,15 +75,7 @@
 			Eventually(func() string {
 				return caller{c.entries[0]}.send(http.MethodGet, "/v1/entries?count=32", nil, "").body
 			}, generous, "20ms").Should(ContainSubstring(strings.TrimPrefix(fresh.public, "http://")))
-			answers := make(chan answer, 8)
-			for range cap(answers) {
-				go func() { answers <- caller{fresh}.stream("added", 20) }()
-			}
-			for range cap(answers) {
-				var got answer
-				Eventually(answers, generous).Should(Receive(&got))
-				Expect(got.isWhole("added", 20)).To(BeTrue(), "%s: %d %s", fresh.name, got.status, got.body[max(0, len(got.body)-300):])
-			}
+			expectStreams("added", 8, fresh)
 		}
 	})
 
@@ -93,16 +87,62 @@
 			again.kill()
 			c.restart(again)
 			Eventually(func() int { return caller{again}.send(http.MethodGet, "/v1/entries", nil, "").status }, generous, "5ms").Should(Equal(http.StatusOK))
+			expectStreams("again", 8, again)
+		}
+	})
+
+	// The VM of an entry stands still while the entry starts. When it goes on it has missed what the others did meanwhile, and callers
+	// use it at once.
+	DescribeTable("serves callers of an entry that stood still while it started", func(after, still time.Duration) {
+		c := startCluster(3)
+		load := c.startLoad(c.entries[:3])
+		fresh := c.startEntry()
+		time.Sleep(after)
+		fresh.freeze()
+		time.Sleep(still)
+		fresh.wake()
+		Eventually(func() int { return caller{fresh}.send(http.MethodGet, "/v1/entries", nil, "").status }, generous, "5ms").Should(Equal(http.StatusOK))
+		expectStreams("late", 8, fresh)
+		load.expectProgress()
+		load.stop()
+		c.judgeBookings()
+	},
+		Entry("before it is known, for a moment", 30*time.Millisecond, 2500*time.Millisecond),
+		Entry("once it is known, for a moment", 400*time.Millisecond, 2500*time.Millisecond),
+		Entry("before it is known, until it is held dead", 30*time.Millisecond, 8*time.Second),
+		Entry("once it is known, until it is held dead", 400*time.Millisecond, 8*time.Second),
+	)
+
+	// The platform is out when entries are stopped, so that none of them can write that it leaves.
+	It("stops entries during an outage of the platform without a request being cut", func() {
+		c := startCluster(4)
+		c.waitAgreed(c.entries...)
+		const long = 150
+		gap := int64(30)
+		c.switchDomain("local-a1", standinengine.Switches{TokenGapMillis: &gap})
+		c.switchDomain("local-b1", standinengine.Switches{TokenGapMillis: &gap})
+		c.outage(standinplatform.OutageHang)
+		for i := range 2 {
+			leaving := c.entries[i]
 			answers := make(chan answer, 8)
-			for range cap(answers) {
-				go func() { answers <- caller{again}.stream("again", 20) }()
+			for j := range cap(answers) {
+				through := caller{c.entries[i+j%2]}
+				go func() { answers <- through.stream("outage", long) }()
 			}
+			Eventually(func() int { return len(c.startsByRequest()) }, generous).Should(BeNumerically(">=", (i+1)*cap(answers)))
+			leaving.terminate()
 			for range cap(answers) {
 				var got answer
 				Eventually(answers, generous).Should(Receive(&got))
-				Expect(got.isWhole("again", 20)).To(BeTrue(), "%s: %d %s %v", again.name, got.status, got.body[max(0, len(got.body)-300):], got.err)
+				Expect(got.isWhole("outage", long)).To(BeTrue(), got.body[max(0, len(got.body)-300):])
 			}
+			Eventually(leaving.done, generous).Should(BeClosed())
 		}
+		for request, starts := range c.startsByRequest() {
+			Expect(starts).To(Equal(1), request)
+		}
+		c.outage(standinplatform.OutageNone)
+		c.waitLive(c.entries[3], c.entries[2:]...)
 	})
 
 	// All entries are replaced one after the other for an update, while callers stream through the others and
@@ -142,3 +182,18 @@
 		}
 	})
 })
+
+// expectStreams sends streams through an entry, all at once, and expects that each is whole.
+func expectStreams(prompt string, count int, through *entryProcess) {
+	GinkgoHelper()
+	const tokens = 20
+	answers := make(chan answer, count)
+	for range count {
+		go func() { answers <- caller{through}.stream(prompt, tokens) }()
+	}
+	for range count {
+		var got answer
+		Eventually(answers, generous).Should(Receive(&got))
+		Expect(got.isWhole(prompt, tokens)).To(BeTrue(), "%s: %d %s %v", through.name, got.status, got.body[max(0, len(got.body)-300):], got.err)
+	}
+}
