entry, policy/shift: a request waits a second at most for the settings of its home

What can't be served is to be refused at once. After a second the home now refuses it with when to come back, and the front tries another group.

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -166,11 +166,14 @@
 }
 
 // serve passes a dispatch to this entry's home role. Other entries make this one the home of groups as soon as it is
-// live, which may be before it has settings.
+// live, which may be before it has settings. The home refuses what its settings don't declare yet.
 func (d *dispatcher) serve(ctx context.Context, request contract.Dispatch, send func(contract.Frame) error) error {
 	start := time.Now()
+	timer := time.NewTimer(shift.MaxPreparation)
+	defer timer.Stop()
 	select {
 	case <-d.ready:
+	case <-timer.C:
 	case <-ctx.Done():
 		return ctx.Err()
 	}
--- a/policy/shift/introduction.go
+++ b/policy/shift/introduction.go
@@ -14,6 +14,11 @@
 	introductionPause = 100 * time.Millisecond
 )
 
+// MaxPreparation is how long a request waits at a home that does not have its settings yet. An entry is the home of
+// groups from when it is live, and has its settings some tens of milliseconds later. If it takes longer, the entry
+// can't reach the others, and the request is better served by another group.
+const MaxPreparation = time.Second
+
 // AwaitIntroduction returns the pause after which a front tries again to reach a home that does not know it, having
 // tried for the given time. ok is false if it should give up. A front that is not joining has been known to all for
 // long; if a home does not accept it, another process has taken its name.
