--- a/policy/shift/introduction.go
+++ b/policy/shift/introduction.go
@@ -7,16 +7,15 @@
 // group is a single entry, so asking another one does not help. Without a wait, a front refuses every request to the
 // homes that learn of it last, although they are about to accept it.
 const (
-	// MaxIntroduction is how long a front waits for a home to learn of it. Most requests have a deadline of some
-	// seconds, and news reaches all entries within one.
+	// MaxIntroduction is how long a front waits for a home to learn of it.
 	MaxIntroduction = time.Second
 	// introductionPause is the pause between two tries. A try costs a handshake.
 	introductionPause = 100 * time.Millisecond
 )
 
-// MaxPreparation is how long a request waits at a home that does not have its settings yet. An entry is the home of
-// groups from when it is live, and has its settings some tens of milliseconds later. If it takes longer, the entry
-// can't reach the others, and the request is better served by another group.
+// MaxPreparation is how long a request waits at a home that does not have its settings yet. An entry may be the home of
+// groups as soon as it is live, a moment before it has them. If it takes longer, the entry can't reach the others, and
+// another group serves the request sooner.
 const MaxPreparation = time.Second
 
 // AwaitIntroduction returns the pause after which a front tries again to reach a home that does not know it, having
--- a/policy/shift/redirect.go
+++ b/policy/shift/redirect.go
@@ -2,18 +2,15 @@
 
 import "slices"
 
-// MaxAsked is the number of entries that a front asks to be the home of a group before it refuses the request: the
-// one that it computes itself, the one that this one names, and two more in case both are out of date. A further one
-// would hardly help, since each membership change that is under way moves a group between two entries, and it bounds
-// what a front that has lost contact can cost the others.
+// MaxAsked is the number of entries that a front asks as the home of one group before it refuses the request. It bounds
+// what a front with an outdated view can cost the others.
 const MaxAsked = 4
 
 // HomeQuery is what a front knows about the home of a group when it decides which entry to ask.
 //
 // Entries learn of a membership change some time apart, and compute different homes meanwhile. The entry that a front
-// takes for the home then refuses the request, although another entry would serve it at once. Without a second
-// question, every caller of a front with an outdated view is refused until the view is corrected, for some groups
-// and for seconds each time an entry joins.
+// takes for the home then refuses the request, although another entry would serve it at once. If the front passed that
+// on, all callers of the groups concerned would be refused until its view is corrected, each time an entry joins.
 type HomeQuery struct {
 	// Computed is the home that the front computes, or "" if it knows no eligible entry.
 	Computed string
