test, KNOWN-RED: callers are refused while a cut between one entry and the others is mended

What callers see: 503 not-home, not run, Retry-After 1, in the first tenths of a second after the mend. Cause, as far as the log lines show: entries that learn that others held them dead hold themselves stale until a peer has answered, compute no home and name none; others name one that the front does not hold live yet, and a settled front takes no word for that.

--- a/test/membership_test.go
+++ b/test/membership_test.go
@@ -145,6 +145,34 @@
 		c.waitLive(c.entries[3], c.entries[2:]...)
 	})
 
+	// The links between one entry and all others are cut, then mended. Each entry learns at its own moment that the others are back, and callers
+	// use all of them meanwhile.
+	It("serves callers through all entries while a cut between one and the others is mended", func() {
+		c := startCluster(4)
+		c.waitAgreed(c.entries...)
+		for i := range 3 {
+			lost := c.entries[i]
+			c.isolate(lost, true)
+			c.waitLive(lost, lost)
+			c.waitLive(c.entries[3], slices.DeleteFunc(slices.Clone(c.entries), func(e *entryProcess) bool { return e == lost })...)
+			c.isolate(lost, false)
+			answers := make(chan answer, 32)
+			for j := range cap(answers) {
+				through := caller{c.entries[j%4]}
+				go func() {
+					time.Sleep(time.Duration(j/4) * 100 * time.Millisecond)
+					answers <- through.stream("mended", 10)
+				}()
+			}
+			for range cap(answers) {
+				var got answer
+				Eventually(answers, generous).Should(Receive(&got))
+				Expect(got.isWhole("mended", 10)).To(BeTrue(), "%d %s %v", got.status, got.body[max(0, len(got.body)-300):], got.err)
+			}
+			c.waitAgreed(c.entries...)
+		}
+	})
+
 	// All entries are replaced one after the other for an update, while callers stream through the others and
 	// those that are stopped are home to the groups. A cut request would show as a run that was broken off or
 	// begun twice, even where a retry hid it from its caller.
