--- a/policy/shift/homes.go
+++ b/policy/shift/homes.go
@@ -11,11 +11,11 @@
 // eligible at the same time, however long ago each of them has seen it first. An entry that is joining itself can't
 // tell who was there before, and holds nobody back whom it sees for the first time.
 //
-// The entries' views differ for a moment, and so does the home that each of them computes. Besides the momentarily
-// doubled limit, a front asks another entry than the home (HomeQuery). An entry that was itself cut off sees all others
-// return; if it held them back, it would be the home of every group. Therefore, while fewer than half of the live
-// entries are eligible, all live ones count that do not announce that they are joining. While most are joining, as
-// after a start of all entries, all live ones count.
+// The entries' views differ for a moment, and so does the home that each of them computes. The limit is doubled for
+// that time, and a front may ask an entry that is not the home (HomeQuery). An entry that was itself cut off sees all
+// others return; if it held them back, it would be the home of every group. Therefore, while fewer than half of the
+// live entries are eligible, all live ones count that do not announce that they are joining. While most are joining,
+// as after a start of all entries, all live ones count.
 //
 // Thresholds (figures: docs/measurements/shifting.md): DefaultHold is longer than the few seconds in which all
 // entries learn that one has returned. It grows by a factor of four up to DefaultMaxHold, so that an entry that
