entry/relay, entry/gateway: log lines and metrics tell how a server's answer was framed and whether it ended inside an event

A request whose server's answer ends with its connection, or whose stream ended inside an event, gets a line also when it was served, and counts in requests.answer_without_length and requests.partial_event. What callers get is unchanged.

--- a/entry/gateway/lines.go
+++ b/entry/gateway/lines.go
@@ -11,6 +11,7 @@
 	"github.com/skylarkpond/skylarkpond/entry/grouping"
 	"github.com/skylarkpond/skylarkpond/entry/lease"
 	"github.com/skylarkpond/skylarkpond/entry/relay"
+	"github.com/skylarkpond/skylarkpond/link/framing"
 	link "github.com/skylarkpond/skylarkpond/link/leader"
 	store "github.com/skylarkpond/skylarkpond/link/platform"
 	"github.com/skylarkpond/skylarkpond/logline"
@@ -96,12 +97,19 @@
 	if report.Resumed {
 		metrics.GetOrRegisterCounter("requests.resumed", s.registry).Inc(1)
 	}
-	if report.Outcome == relay.Served {
+	if report.Framing == framing.Closed {
+		metrics.GetOrRegisterCounter("requests.answer_without_length", s.registry).Inc(1)
+	}
+	if report.PartialEvent {
+		metrics.GetOrRegisterCounter("requests.partial_event", s.registry).Inc(1)
+	}
+	if report.Outcome == relay.Served && report.Framing != framing.Closed && !report.PartialEvent {
 		return
 	}
 	s.log.WithFields(logrus.Fields{
 		"request": report.ID, "route": report.Route, "team": report.Team, "service": report.Service, "model": report.Model,
 		"outcome": report.Outcome, "status": report.Status, "detail": report.Detail, "config_version": report.ConfigVersion,
-		"attempts": report.Attempts, "servers": report.Servers, "resumed": report.Resumed, "took_ms": report.Took.Milliseconds(),
+		"attempts": report.Attempts, "servers": report.Servers, "resumed": report.Resumed, "framing": report.Framing, "partial_event": report.PartialEvent,
+		"took_ms": report.Took.Milliseconds(),
 	}).Info(logline.RequestEnded)
 }
--- a/entry/relay/event.go
+++ b/entry/relay/event.go
@@ -11,6 +11,8 @@
 	bytes []byte
 	// id is empty if the event has none.
 	id string
+	// partial is set if the stream ended before the blank line.
+	partial bool
 }
 
 // eventReader splits a stream into complete server-sent events.
@@ -38,7 +40,7 @@
 			continue
 		}
 		if err == io.EOF && len(r.buffer) > 0 {
-			return event{bytes: r.buffer, id: id}, nil
+			return event{bytes: r.buffer, id: id, partial: true}, nil
 		}
 		if err != nil {
 			return event{}, err
--- a/entry/relay/exchange.go
+++ b/entry/relay/exchange.go
@@ -279,6 +279,7 @@
 		return nil, err
 	}
 	e.watch.noteActivity()
+	e.summary.Framing = answer.Framing
 	return answer, nil
 }
 
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -16,6 +16,7 @@
 	"github.com/skylarkpond/skylarkpond/contract/route"
 	"github.com/skylarkpond/skylarkpond/entry/turn"
 	"github.com/skylarkpond/skylarkpond/internal/wait"
+	"github.com/skylarkpond/skylarkpond/link/framing"
 	"github.com/skylarkpond/skylarkpond/link/upstream"
 )
 
@@ -116,7 +117,11 @@
 	// Servers are the servers to which the request was sent.
 	Servers []string
 	Resumed bool
-	Took    time.Duration
+	// Framing is how the end of the last server's answer was marked; empty if there was no answer.
+	Framing framing.Framing
+	// PartialEvent is set if a server's stream ended inside an event.
+	PartialEvent bool
+	Took         time.Duration
 	// TimeToFirstByte is the time until the first part of the answer was sent.
 	TimeToFirstByte time.Duration
 }
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -91,6 +91,7 @@
 		if err != nil {
 			return last, err
 		}
+		e.summary.PartialEvent = e.summary.PartialEvent || event.partial
 		e.watch.noteActivity()
 		suspicion.Reset(eventStallReportDelay)
 		e.sendHeader(head)
--- a/link/upstream/pool.go
+++ b/link/upstream/pool.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/skylarkpond/skylarkpond/link/framing"
 )
 
 // Pool sends requests and reuses connections. It is safe for concurrent use.
@@ -32,6 +34,8 @@
 	Body   *Body
 	// Length is the length of the body, or -1 if it is unknown.
 	Length int64
+	// Framing is how the end of the body is marked. A body with framing.Closed that was cut off may end with io.EOF.
+	Framing framing.Framing
 }
 
 // Body is the body of a response. It is not safe for concurrent use. Reading it to the end returns the
@@ -63,7 +67,9 @@
 	}
 	c.idleTimeout = idleTimeoutOf(response.Header)
 	body := &Body{response: response, conn: c, pool: p, endpoint: endpoint, stopCancel: stop}
-	return &Response{Status: response.StatusCode, Header: response.Header, Body: body, Length: response.ContentLength}, nil
+	return &Response{
+		Status: response.StatusCode, Header: response.Header, Body: body, Length: response.ContentLength, Framing: framing.Of(response),
+	}, nil
 }
 
 func (c *conn) exchange(request *Request) (*http.Response, error) {
