--- a/entry/front/fakes_test.go
+++ b/entry/front/fakes_test.go
@@ -61,6 +61,7 @@
 	hold       chan struct{} // if set, the first event waits until it is closed
 	body       string
 	status     int
+	unframed   bool // the answer has neither a length nor chunks
 }
 
 const answerEvents = 4
@@ -165,6 +166,9 @@
 		StatusCode: max(h.status, http.StatusOK), Header: http.Header{"X-Lot": {"7"}}, ContentLength: int64(len(h.body)),
 		Body: io.NopCloser(strings.NewReader(h.body)),
 	}
+	if h.unframed {
+		response.ContentLength = -1
+	}
 	if h.breakAfter > 0 {
 		response.Body = io.NopCloser(io.MultiReader(bytes.NewReader([]byte(h.body)[:h.breakAfter]), brokenReader{}))
 	}
@@ -347,7 +351,9 @@
 	key        string
 	body       string
 	header     http.Header
-	err        error
+	// endsWithConnection is set if the response had neither a length nor chunks.
+	endsWithConnection bool
+	err                error
 }
 
 const (
@@ -393,6 +399,7 @@
 		status: response.StatusCode, outcome: contract.Outcome(response.Header.Get(contract.HeaderOutcome)),
 		retryAfter: response.Header.Get(contract.HeaderRetryAfter), attempt: response.Header.Get(contract.HeaderAttempt),
 		key: response.Header.Get(contract.HeaderIdempotencyKey), body: string(text), header: response.Header, err: err,
+		endsWithConnection: response.ContentLength < 0 && len(response.TransferEncoding) == 0,
 	}
 	if got.outcome == "" {
 		got.outcome = contract.Outcome(response.Trailer.Get(contract.HeaderOutcome))
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -166,7 +166,10 @@
 	status int
 	header http.Header
 	body   string
-	err    error
+	// length is -1 if the header states none; encoding holds its transfer encodings.
+	length   int64
+	encoding []string
+	err      error
 }
 
 func (r *harness) send(request *http.Request) answer {
@@ -177,7 +180,10 @@
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
-	return answer{status: response.StatusCode, header: response.Header, body: string(body), err: err}
+	return answer{
+		status: response.StatusCode, header: response.Header, body: string(body), length: response.ContentLength,
+		encoding: response.TransferEncoding, err: err,
+	}
 }
 
 func (r *harness) last() relay.Report {
