Answers without length or chunks are passed on as such, and streams that end inside an event are resumed or cut

Callers of the product's own interface were told 'unknown' of a booking that ran, whenever its answer had no length.

Cause: a body that ends with its connection reads io.EOF both when it is whole and when its server has died, since the kernel closes the connection in order. Whatever read to the end took that for the proof, and then put a frame of its own around it. The class: an end that nobody marked is taken for the end.

Now one package, link/framing, says how an end is marked, and both interfaces follow it: - The caller's answer says no more than the server's: neither length nor chunks, ended by closing. - Inside an event it is a break: resumed, or cut. Where a resumed stream has promised chunks, an end that is not marked counts as a break as well. - A stream that may be resumed is, if its server refuses connections just after such an end. - Such an answer doesn't clear a request of crashing servers; the server is checked instead. - A cut answer that ends with its connection is reset, also before callers of HTTP/1.0, where it was closed in order, as a complete one is.

Two specs of expected half of 'answer to a1' to have five letters; it has six, corrected here. Ruled out: waiting for a crash check before the end of every such answer (a ready answer would be withheld where nothing can follow from it).

--- a/contract/attempt.go
+++ b/contract/attempt.go
@@ -38,7 +38,7 @@
 	ExpiresAt int64 `json:"expires_at" cbor:"9,keyasint"`
 }
 
-// StoredAnswer is a complete answer, stored to be returned for requests that repeat the key.
+// StoredAnswer is an answer, complete unless EndsWithConnection is set, stored to be returned for requests that repeat the key.
 type StoredAnswer struct {
 	Status int         `json:"status" cbor:"1,keyasint"`
 	Header http.Header `json:"header,omitempty" cbor:"2,keyasint,omitempty"`
@@ -46,6 +46,9 @@
 	// TooLarge is set if the answer exceeded MaxStoredAnswer: the record then shows that the request ran, without the
 	// body.
 	TooLarge bool `json:"too_large,omitempty" cbor:"4,keyasint,omitempty"`
+	// EndsWithConnection is set if the answer had neither a length nor chunks, so that it may have been cut off. It must be passed on in the
+	// same way.
+	EndsWithConnection bool `json:"ends_with_connection,omitempty" cbor:"5,keyasint,omitempty"`
 }
 
 // MaxStoredAnswer is the largest answer body stored in an attempt record, in bytes. Typical answers of such requests,
--- a/contract/dispatch.go
+++ b/contract/dispatch.go
@@ -122,6 +122,9 @@
 	// Home is set in FrameRefused with CodeNotHome: the entry that the refusing entry takes for the group's home, or
 	// "" if it knows none.
 	Home string `cbor:"19,keyasint,omitempty"`
+	// EndsWithConnection is set in FrameHead if the answer has neither a length nor chunks, so that it may have been cut off. It must be
+	// passed on in the same way.
+	EndsWithConnection bool `cbor:"20,keyasint,omitempty"`
 }
 
 // GroupLoad is the load of one group as seen by its home.
--- a/contract/outcome.go
+++ b/contract/outcome.go
@@ -21,8 +21,8 @@
 
 // The outcomes.
 const (
-	// OutcomeAnswered means that the request ran and that this is its complete answer, or the stored fact that it
-	// ran.
+	// OutcomeAnswered means that the request ran and that this is its answer, or the stored fact that it ran. The answer is complete if its
+	// framing says so: one with neither a length nor chunks may have been cut off.
 	OutcomeAnswered Outcome = "answered"
 	// OutcomeNotRun guarantees that the request did not run and can no longer run.
 	OutcomeNotRun Outcome = "not-run"
--- a/entry/front/drive.go
+++ b/entry/front/drive.go
@@ -60,7 +60,7 @@
 	}
 	now := time.Now()
 	d := &driver{
-		front: f, request: q, writer: newWriter(q, w), startedAt: now, deadline: now.Add(q.timeout),
+		front: f, request: q, writer: newWriter(q, w, r), startedAt: now, deadline: now.Add(q.timeout),
 		machine: outcome.New(outcome.Request{
 			ID: q.id, AtMostOnce: q.atMostOnce, KeyFromCaller: q.keyFromCaller, AttemptNumber: q.attempt,
 			Fingerprint: q.fingerprint, Resumable: q.service.CanResume, Plain: q.plain != nil,
--- a/entry/front/plain.go
+++ b/entry/front/plain.go
@@ -6,6 +6,7 @@
 
 	"github.com/skylarkpond/skylarkpond/contract"
 	"github.com/skylarkpond/skylarkpond/contract/outcome"
+	"github.com/skylarkpond/skylarkpond/link/framing"
 )
 
 // plainBufferSize bounds how much of a plain answer is buffered before it starts to be written to the caller. An
@@ -20,12 +21,15 @@
 	header   http.Header
 	buffered []byte
 	started  bool
+	// endsWithConnection is set if the answer may have been cut off, so that it must not be framed as complete.
+	endsWithConnection bool
 }
 
 func (s *plainWriter) deliver(f contract.Frame) (bool, error) {
 	if f.Kind == contract.FrameHead {
 		s.status = f.Status
 		s.header = f.Header
+		s.endsWithConnection = f.EndsWithConnection
 		return false, nil
 	}
 	if s.started {
@@ -38,11 +42,14 @@
 	return true, s.start()
 }
 
-// start writes the buffered beginning of an answer that is too long to buffer. Its outcome follows as a trailer.
+// start writes the buffered beginning of an answer that is too long to buffer. Its outcome follows as a trailer, which an answer that ends with
+// its connection can't have.
 func (s *plainWriter) start() error {
 	s.started = true
 	s.setAnswerHeaders()
-	s.w.Header().Set("Trailer", contract.HeaderOutcome)
+	if !s.endsWithConnection {
+		s.w.Header().Set("Trailer", contract.HeaderOutcome)
+	}
 	s.w.Header().Set(contract.HeaderRequestID, s.request.id)
 	s.w.WriteHeader(s.status)
 	held := s.buffered
@@ -57,6 +64,9 @@
 			header[name] = values
 		}
 	}
+	if s.endsWithConnection {
+		framing.EndWithConnection(header)
+	}
 }
 
 // reservedHeader reports whether the front itself sets the header, so that it is not copied from a backend
@@ -74,6 +84,7 @@
 	s.status = 0
 	s.header = nil
 	s.buffered = nil
+	s.endsWithConnection = false
 }
 
 func (s *plainWriter) finish(a outcome.Action) {
@@ -81,7 +92,7 @@
 		if a.Problem != nil {
 			// The status has already been sent, so aborting the response is the only way left to signal that the
 			// answer is incomplete.
-			panic(http.ErrAbortHandler)
+			framing.Abort(s.w, s.received)
 		}
 		s.w.Header().Set(contract.HeaderOutcome, string(a.Outcome))
 		return
@@ -94,6 +105,7 @@
 		s.status = a.StoredAnswer.Status
 		s.header = a.StoredAnswer.Header
 		s.buffered = a.StoredAnswer.Body
+		s.endsWithConnection = a.StoredAnswer.EndsWithConnection
 	}
 	s.setAnswerHeaders()
 	s.setOutcomeHeaders(a)
--- a/entry/front/writer.go
+++ b/entry/front/writer.go
@@ -42,8 +42,8 @@
 	finish(a outcome.Action)
 }
 
-func newWriter(q *request, w http.ResponseWriter) writer {
-	caller := &callerConn{request: q, w: w, control: http.NewResponseController(w)}
+func newWriter(q *request, w http.ResponseWriter, received *http.Request) writer {
+	caller := &callerConn{request: q, received: received, w: w, control: http.NewResponseController(w)}
 	if q.plain != nil {
 		return &plainWriter{callerConn: caller}
 	}
@@ -55,9 +55,10 @@
 
 // callerConn is the connection to one caller.
 type callerConn struct {
-	request *request
-	w       http.ResponseWriter
-	control *http.ResponseController
+	request  *request
+	received *http.Request
+	w        http.ResponseWriter
+	control  *http.ResponseController
 }
 
 func (c *callerConn) write(data []byte) error {
--- a/entry/home/keep.go
+++ b/entry/home/keep.go
@@ -35,13 +35,24 @@
 		r.sendFrame(f)
 	}
 	r.permit.Done()
-	r.guardPermit.Finished(ctx)
+	r.concludeGuard(ctx)
 	if !stored && r.home.claims.reserveUnstored() {
 		defer r.home.claims.releaseUnstored()
 		r.retryStore(ctx)
 	}
 }
 
+// concludeGuard tells the guard how the answer ended. An answer that ended with its connection may have been cut off by a crash, so it does
+// not clear the request of having caused one.
+func (r *run) concludeGuard(ctx context.Context) {
+	if r.endsWithConnection {
+		r.home.count("home.answer-without-length")
+		r.guardPermit.ResponseBroke(ctx)
+		return
+	}
+	r.guardPermit.Finished(ctx)
+}
+
 // retryStore retries to store the answer until storeRetryWindow is over.
 func (r *run) retryStore(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), storeRetryWindow)
@@ -76,9 +87,10 @@
 	completion engine.Event
 }
 
-func (a *answerRecorder) recordHead(status int, header http.Header) {
+func (a *answerRecorder) recordHead(status int, header http.Header, endsWithConnection bool) {
 	a.answer.Status = status
 	a.answer.Header = header
+	a.answer.EndsWithConnection = endsWithConnection
 }
 
 func (a *answerRecorder) recordChunk(data []byte) {
--- a/entry/home/run.go
+++ b/entry/home/run.go
@@ -28,7 +28,9 @@
 	send                      func(contract.Frame) error
 	sendErr                   error
 	answer                    answerRecorder
-	receivedAt                time.Time
+	// endsWithConnection is set if the answer has neither a length nor chunks, so that it may have been cut off.
+	endsWithConnection bool
+	receivedAt         time.Time
 	// frontCtx ends when the front closes the dispatch or can no longer be reached.
 	frontCtx context.Context
 }
--- a/entry/home/send.go
+++ b/entry/home/send.go
@@ -10,6 +10,7 @@
 
 	"github.com/skylarkpond/skylarkpond/contract"
 	"github.com/skylarkpond/skylarkpond/link/engine"
+	"github.com/skylarkpond/skylarkpond/link/framing"
 )
 
 // plainChunkSize is the maximum size of one chunk of a plain service's answer.
@@ -82,12 +83,12 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	r.permit.FirstToken()
-	r.answer.recordHead(response.StatusCode, response.Header)
-	if !r.sendFrame(contract.Frame{Kind: contract.FrameHead, Status: response.StatusCode, Header: response.Header}) && !r.d.AtMostOnce {
-		return
+	r.endsWithConnection = framing.Of(response) == framing.Closed
+	r.answer.recordHead(response.StatusCode, response.Header, r.endsWithConnection)
+	head := contract.Frame{
+		Kind: contract.FrameHead, Status: response.StatusCode, Header: response.Header, EndsWithConnection: r.endsWithConnection,
 	}
-	if !delimited(response) {
-		r.reportBroken(ctx, brokenProblem("the backend server's answer has no length: whether it is whole can't be told"))
+	if !r.sendFrame(head) && !r.d.AtMostOnce {
 		return
 	}
 	total := int64(0)
@@ -113,12 +114,6 @@
 	r.finish(ctx, contract.Frame{Kind: contract.FrameEnd, AnswerBytes: total})
 }
 
-// delimited reports whether the end of the body can be told from a truncation. A body that is terminated by
-// closing the connection looks complete if the backend server dies in the middle of it.
-func delimited(response *http.Response) bool {
-	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Body == http.NoBody
-}
-
 // handleSendError reports to the front that the backend server refused the request or did not answer it.
 func (r *run) handleSendError(ctx context.Context, err error) {
 	var refusal *engine.Refusal
--- a/entry/relay/answer.go
+++ b/entry/relay/answer.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/skylarkpond/skylarkpond/entry/turn"
+	"github.com/skylarkpond/skylarkpond/link/framing"
 	"github.com/skylarkpond/skylarkpond/platform"
 )
 
@@ -42,7 +43,7 @@
 	if err != nil {
 		body = nil // a string always encodes
 	}
-	e.writeAnswer(status, header, body)
+	e.writeAnswer(status, header, body, framing.Length)
 	return false
 }
 
@@ -83,15 +84,19 @@
 	e.summary.Detail = detail
 }
 
-// abort closes the connection, so that the part already sent can't be taken for a complete answer.
-func (e *exchange) abort() { panic(http.ErrAbortHandler) }
+// abort ends the answer, so that the part already sent can't be taken for a complete one.
+func (e *exchange) abort() { framing.Abort(e.writer, e.request) }
 
-// writeAnswer writes a complete answer.
-func (e *exchange) writeAnswer(status int, header http.Header, body []byte) {
+// writeAnswer writes an answer whose body has been read to its end. With framing.Closed, the body may have been cut off.
+func (e *exchange) writeAnswer(status int, header http.Header, body []byte, bodyFraming framing.Framing) {
 	e.summary.Status = status
 	out := e.writer.Header()
 	maps.Copy(out, header)
-	out.Set("Content-Length", strconv.Itoa(len(body)))
+	if bodyFraming == framing.Closed {
+		framing.EndWithConnection(out)
+	} else {
+		out.Set("Content-Length", strconv.Itoa(len(body)))
+	}
 	e.writer.WriteHeader(status)
 	if _, err := e.writer.Write(body); err != nil && e.summary.Detail == "" {
 		e.summary.Detail = "writing to the caller: " + err.Error()
--- a/entry/relay/event.go
+++ b/entry/relay/event.go
@@ -28,8 +28,8 @@
 	return &eventReader{reader: bufio.NewReaderSize(r, eventBuffer)}
 }
 
-// next returns the next event, which is valid until the following call. io.EOF marks the regular end of the stream; trailing bytes
-// without a blank line are returned as the last event.
+// next returns the next event, which is valid until the following call. io.EOF marks the end of the stream between two
+// events; trailing bytes without a blank line are returned as a partial event.
 func (r *eventReader) next() (event, error) {
 	r.buffer = r.buffer[:0]
 	id := ""
--- a/entry/relay/exchange.go
+++ b/entry/relay/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/skylarkpond/skylarkpond/contract"
 	"github.com/skylarkpond/skylarkpond/contract/route"
 	"github.com/skylarkpond/skylarkpond/entry/turn"
+	"github.com/skylarkpond/skylarkpond/link/framing"
 	"github.com/skylarkpond/skylarkpond/link/upstream"
 	"github.com/skylarkpond/skylarkpond/platform"
 	"github.com/skylarkpond/skylarkpond/policy/turns"
@@ -47,8 +48,9 @@
 	// sentAt is when the current attempt was sent, timeToFirstEvent the time from then to the first event of its stream.
 	sentAt           time.Time
 	timeToFirstEvent time.Duration
-	// headerSent is set once the answer's header has been sent.
-	headerSent bool
+	// headerSent is set once the answer's header has been sent. endsWithConnection is set if it states neither a length nor chunks.
+	headerSent         bool
+	endsWithConnection bool
 	// watch detects a stall of the current attempt.
 	watch   *stallWatch
 	summary Report
@@ -344,14 +346,24 @@
 		e.checkForCrash(t, err)
 		return e.doneAfterFailure("answer broke off: " + err.Error())
 	}
-	e.relay.deps.Suspects.Finished(e.service, e.fingerprint)
+	e.noteEnd(t, answer)
 	failed := answer.Status >= http.StatusInternalServerError
 	t.Done(turn.Result{Failed: failed})
 	if failed && e.route.Kind == route.Idempotent && e.mayRetry() {
 		return false
 	}
 	e.summary.TimeToFirstByte = time.Since(e.arrived)
-	e.writeAnswer(answer.Status, platform.ResponseHeader(answer.Header), body)
+	e.writeAnswer(answer.Status, platform.ResponseHeader(answer.Header), body, answer.Framing)
 	e.summary.Outcome = Served
 	return true
 }
+
+// noteEnd records that an answer has been read to its end. An answer that ended with its connection may have been cut off by a crash, so it
+// does not clear the request of having caused one.
+func (e *exchange) noteEnd(t *turn.Turn, answer *upstream.Response) {
+	if answer.Framing == framing.Closed {
+		go e.relay.deps.Suspects.ServerLost(context.WithoutCancel(e.ctx), e.fingerprint, t.Server)
+		return
+	}
+	e.relay.deps.Suspects.Finished(e.service, e.fingerprint)
+}
--- a/entry/relay/framing_test.go
+++ b/entry/relay/framing_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/skylarkpond/skylarkpond/backend"
 	"github.com/skylarkpond/skylarkpond/entry/relay"
 	"github.com/skylarkpond/skylarkpond/platform"
 	"github.com/skylarkpond/skylarkpond/platform/standin/replica"
@@ -68,10 +69,31 @@
 	},
 		Entry("a stream that may be resumed", unframedStream, http.MethodPost, "/chat/x", eventsFrom(1, 3)),
 		Entry("a stream that may not be repeated", unframedStream, http.MethodPost, "/once/x", eventsFrom(1, 3)),
-		Entry("a repeatable request", replica.Config{}, http.MethodGet, "/look/x", "answe"),
-		Entry("a request that may not be repeated", replica.Config{}, http.MethodPost, "/book/x", "answe"),
+		Entry("a repeatable request", replica.Config{}, http.MethodGet, "/look/x", "answer"),
+		Entry("a request that may not be repeated", replica.Config{}, http.MethodPost, "/book/x", "answer"),
 	)
 
+	// The server crashes between two events, which shows in that nothing listens at its address any more. The caller would get a part, and could not
+	// tell.
+	It("resumes a stream whose server has crashed", func() {
+		r := newHarness(unframedStream, 2)
+		r.set(0, replica.Faults{Unframed: true, CloseAfter: 3, CloseCrashes: true})
+		got := r.send(r.request(http.MethodPost, "/chat/x", "a1"))
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(got.body).To(Equal(eventsFrom(1, 6)))
+		Expect(r.servers[1].Runs()).To(ConsistOf(HaveField("From", "3")))
+	})
+
+	// A request that crashes its server would be cleared by each answer that the crash cuts off, and crash one server after the other.
+	DescribeTable("has the server checked, and does not take the request for finished", func(config replica.Config, path string) {
+		r := newHarness(config, 1)
+		r.set(0, replica.Faults{Unframed: true})
+		Expect(r.send(r.request(http.MethodPost, path, "a1")).status).To(Equal(http.StatusOK))
+		Eventually(func() []backend.ID { _, lost := r.suspects.calls(); return lost }).Should(ConsistOf(BeEquivalentTo("i-0")))
+		finished, _ := r.suspects.calls()
+		Expect(finished).To(BeZero())
+	}, Entry("a stream", unframedStream, "/chat/x"), Entry("another answer", replica.Config{}, "/book/x"))
+
 	// The stream began at a server that sends chunks, and goes on at one that closes its connection between two events.
 	It("does not end in order a chunked stream that was resumed there", func() {
 		r := newHarness(unframedStream, 2)
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"io"
 	"maps"
@@ -10,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/skylarkpond/skylarkpond/entry/turn"
+	"github.com/skylarkpond/skylarkpond/link/framing"
 	"github.com/skylarkpond/skylarkpond/link/upstream"
 	"github.com/skylarkpond/skylarkpond/platform"
 )
@@ -21,8 +23,20 @@
 	firstStallReportDelay = 600 * time.Millisecond
 )
 
-// errCallerWrite is wrapped by errors of writing to the caller.
-var errCallerWrite = eris.New("writing to the caller")
+// crashCheckTimeout bounds the check whether a server has crashed, for which the end of a stream is withheld.
+const crashCheckTimeout = 100 * time.Millisecond
+
+// Errors that end the reading of a stream from one server.
+var (
+	// errCallerWrite is wrapped by errors of writing to the caller.
+	errCallerWrite = eris.New("writing to the caller")
+	// errPartialEvent means that the stream ended inside an event.
+	errPartialEvent = eris.New("the stream ended inside an event")
+	// errCrashed means that the stream ended with its connection, and that its server has crashed.
+	errCrashed = eris.New("the stream ended with its connection, and its server refuses connections")
+	// errEndUnmarked means that the stream ended with its connection, while the caller's answer would mark the end as that of a complete one.
+	errEndUnmarked = eris.New("the stream ended with its connection: whether it is complete is unknown")
+)
 
 // relayStream forwards the events of a stream as they arrive, resuming it at another server if it breaks off. It reports whether the
 // request is done.
@@ -42,8 +56,8 @@
 		e.endAttempt()
 		if err == nil {
 			t.Done(turn.Result{TimeToFirstToken: e.timeToFirstEvent})
-			e.relay.deps.Suspects.Finished(e.service, e.fingerprint)
-			e.finishStream(head)
+			e.noteEnd(t, answer)
+			e.finishStream(head, answer.Framing)
 			return true
 		}
 		t.Done(e.failedResult())
@@ -58,26 +72,31 @@
 }
 
 // finishStream ends a stream whose last event has been sent.
-func (e *exchange) finishStream(head http.Header) {
-	e.sendHeader(head)
+func (e *exchange) finishStream(head http.Header, streamFraming framing.Framing) {
+	e.sendHeader(head, streamFraming)
 	e.summary.Outcome = Served
 }
 
-// sendHeader sends the header of the first server's answer, once.
-func (e *exchange) sendHeader(head http.Header) {
+// sendHeader sends the header of the first server's answer, once. streamFraming is that of the stream whose event follows.
+func (e *exchange) sendHeader(head http.Header, streamFraming framing.Framing) {
 	if e.headerSent {
 		return
 	}
 	e.headerSent = true
+	e.endsWithConnection = streamFraming == framing.Closed
 	e.timeToFirstEvent = time.Since(e.sentAt)
 	e.summary.Status = http.StatusOK
 	e.summary.TimeToFirstByte = time.Since(e.arrived)
 	maps.Copy(e.writer.Header(), head)
+	if e.endsWithConnection {
+		framing.EndWithConnection(e.writer.Header())
+	}
 	e.writer.WriteHeader(http.StatusOK)
 }
 
 // copyEvents forwards complete events until the stream ends, and returns the id of the last one sent. An event that breaks off in the
-// middle is not sent: the stream resumes at another server after the last complete one.
+// middle is not sent: the stream resumes at another server after the last complete one. An error means that the stream broke off, or that
+// it may have.
 func (e *exchange) copyEvents(t *turn.Turn, answer *upstream.Response, head http.Header, last string) (string, error) {
 	events := newEventReader(answer.Body)
 	suspicion := time.AfterFunc(firstStallReportDelay, t.ReportStall)
@@ -86,15 +105,18 @@
 	for {
 		event, err := events.next()
 		if err == io.EOF {
-			return last, nil
+			return last, e.checkEnd(t, answer)
 		}
 		if err != nil {
 			return last, err
 		}
-		e.summary.PartialEvent = e.summary.PartialEvent || event.partial
+		if event.partial && answer.Framing == framing.Closed {
+			e.summary.PartialEvent = true
+			return last, errPartialEvent
+		}
 		e.watch.noteActivity()
 		suspicion.Reset(eventStallReportDelay)
-		e.sendHeader(head)
+		e.sendHeader(head, answer.Framing)
 		if _, err := e.writer.Write(event.bytes); err != nil {
 			return last, eris.Wrap(errCallerWrite, err.Error())
 		}
@@ -107,6 +129,23 @@
 	}
 }
 
+// checkEnd returns nil if a stream that ended between two events may be complete. A stream that ended with its connection may have been cut
+// off there: it is resumed if its server has crashed, or if the caller would be told that it is complete.
+func (e *exchange) checkEnd(t *turn.Turn, answer *upstream.Response) error {
+	if answer.Framing != framing.Closed {
+		return nil
+	}
+	if e.headerSent && !e.endsWithConnection {
+		return errEndUnmarked
+	}
+	ctx, cancel := context.WithTimeout(e.ctx, crashCheckTimeout)
+	defer cancel()
+	if e.route.Resumable && upstream.RefusesConnections(ctx, t.Server.Address) {
+		return errCrashed
+	}
+	return nil
+}
+
 // resume sends the request to another server, to continue after the last event sent. It returns nil when the request is done.
 func (e *exchange) resume(last, detail string) (*turn.Turn, *upstream.Response) {
 	for {
--- a/link/framing/framing.go
+++ b/link/framing/framing.go
@@ -30,3 +30,36 @@
 		return Closed
 	}
 }
+
+// identity is the transfer encoding with which net/http ends a body with its connection. The header itself is not sent.
+const (
+	transferEncoding = "Transfer-Encoding"
+	identity         = "identity"
+)
+
+// EndWithConnection makes a response whose header has not been sent end with its connection, for a body that may have been cut off. It must
+// have no Content-Length.
+func EndWithConnection(header http.Header) { header.Set(transferEncoding, identity) }
+
+// Abort ends a response early, so that the part already sent can't be taken for a complete body. It does not return: it panics with
+// http.ErrAbortHandler.
+//
+// A response that ends with its connection is reset, because an orderly close is its regular end. Others are closed: a reset could discard
+// data that the client has not received yet.
+func Abort(w http.ResponseWriter, request *http.Request) {
+	if !request.ProtoAtLeast(1, 1) || w.Header().Get(transferEncoding) == identity {
+		reset(w)
+	}
+	panic(http.ErrAbortHandler)
+}
+
+func reset(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return // the connection is gone
+	}
+	if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
