link/upstream, entry/leader, entry/gateway: failed connections and reports of stalled heads are counted

Gauges tell how many connections to backend servers were refused or reset, and how many had no response; a counter of the leader tells which entries report stalled heads. Connections to backend servers originate from the entry's own address, as those to the platform do. What callers get is unchanged.

--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -55,6 +55,11 @@
 
 func provideStore(s *shared) *store.Client { return newClient(s.config, store.WithMetrics(s.registry)) }
 
+// providePool returns the connections to backend servers, which originate from the address that the entry has for callers.
+func providePool(s *shared) *upstream.Pool {
+	return upstream.NewPool(upstream.WithSource(sourceIP(s.config.CallerAddress)))
+}
+
 func provideIdentity(s *shared) (*peer.Identity, error) { return peer.NewIdentity(s.config.Name) }
 
 // provideHolder returns the record that the lease holds while this entry is the leader.
@@ -104,6 +109,7 @@
 		ListAge: cat.ServersAge, LinkMbps: s.config.LinkMbps,
 		Table: cat.Table, Dissolving: controller.Closed,
 		UnregisteredMembers: controller.ResponsiveUnregistered, Slowdown: controller.Slowdown,
+		StallReported: s.stallReported,
 		Suspect:      func(key backend.GroupKey) { controller.Suspect(context.Background(), key) },
 		ReportDemand: s.logDemand, Config: cat.Config, OfferConfig: cat.UpdateConfig, LeaseVersion: entryLease.Version,
 		Ages: cat.Ages, ReportQuarantine: s.requestsQuarantined,
@@ -207,7 +213,9 @@
 func (g *Gateway) gauges() {
 	for name, value := range map[string]func() int64{
 		"requests.in_progress":   func() int64 { return int64(g.relay.InProgress()) },
-		"connections.to_servers": g.pool.DialCount,
+		"connections.to_servers":         g.pool.DialCount,
+		"connections.to_servers.refused": g.pool.RefusedCount,
+		"connections.to_servers.silent":  g.pool.SilentCount,
 		"config.version":         func() int64 { version, _ := g.catalog.Config(); return int64(version) },
 		"servers.listed":         func() int64 { return int64(len(g.catalog.Listing().Servers)) },
 		"servers.revision":       func() int64 { return int64(g.catalog.Listing().Revision) },
--- a/entry/gateway/lines.go
+++ b/entry/gateway/lines.go
@@ -56,6 +56,11 @@
 	}).Info(logline.RequestRejected)
 }
 
+// stallReported counts the reports of stalled heads by the entry that sent them.
+func (s *shared) stallReported(entry string, _ backend.ID) {
+	metrics.GetOrRegisterCounter("leader.stalls_reported."+entry, s.registry).Inc(1)
+}
+
 func (s *shared) leaseChanged(holder lease.Holder, held bool) {
 	s.log.WithFields(logrus.Fields{"holder": holder.Entry, "held": held}).Info(logline.Lease)
 }
--- a/entry/gateway/wire.go
+++ b/entry/gateway/wire.go
@@ -6,7 +6,6 @@
 	"github.com/google/wire"
 
 	"github.com/skylarkpond/skylarkpond/entry/drain"
-	"github.com/skylarkpond/skylarkpond/link/upstream"
 )
 
 //go:generate ../../.bin/wire
@@ -15,7 +14,7 @@
 func assemble(s *shared) (*Gateway, error) {
 	wire.Build(
 		provideStore, provideIdentity, provideHolder, provideCatalog, provideRoster, provideLease, provideController, provideLeader,
-		provideLinks, provideLocal, provideRemote, provideSuspects, provideRetries, provideRelay, upstream.NewPool, wire.Struct(new(drain.Gate)),
+		provideLinks, provideLocal, provideRemote, provideSuspects, provideRetries, provideRelay, providePool, wire.Struct(new(drain.Gate)),
 		wire.Struct(new(components), "*"), wire.Struct(new(Gateway), "*"),
 	)
 	return nil, nil
--- a/entry/gateway/wire_gen.go
+++ b/entry/gateway/wire_gen.go
@@ -8,7 +8,6 @@
 
 import (
 	"github.com/skylarkpond/skylarkpond/entry/drain"
-	"github.com/skylarkpond/skylarkpond/link/upstream"
 )
 
 // Injectors from wire.go:
@@ -24,7 +23,7 @@
 	}
 	holder := provideHolder(s, identity)
 	lease := provideLease(s, client, holder)
-	pool := upstream.NewPool()
+	pool := providePool(s)
 	controller := provideController(s, pool, catalog, lease)
 	local := provideLocal(catalog)
 	remote := provideRemote(local, catalog)
--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -42,6 +42,8 @@
 	UnregisteredMembers func(key backend.GroupKey) int
 	// Slowdown returns the factor by which a group works slower than normal. It may be nil.
 	Slowdown func(key backend.GroupKey) float64
+	// StallReported is called when an entry reports that a head has stopped answering. It may be nil.
+	StallReported func(entry string, head backend.ID)
 	// Suspect starts a check of a group whose head has stopped answering.
 	Suspect func(group backend.GroupKey)
 	// Config returns the version and the text of the configuration in force. OfferConfig offers a configuration, which
@@ -283,6 +285,9 @@
 	case message.Done != nil:
 		l.done(entry, *message.Done)
 	case message.StalledHead != "":
+		if l.deps.StallReported != nil {
+			l.deps.StallReported(entry, message.StalledHead)
+		}
 		l.suspect(message.StalledHead)
 	case message.Config != nil:
 		l.deps.OfferConfig(message.Config.Spec)
--- a/link/upstream/conn.go
+++ b/link/upstream/conn.go
@@ -28,10 +28,14 @@
 	broken      bool
 }
 
-func dial(ctx context.Context, address string) (*conn, error) {
+// dial connects to address from a local address, which the system chooses if it is nil.
+func dial(ctx context.Context, source net.IP, address string) (*conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: time.Second, Interval: time.Second, Count: 3,
 	}}
+	if source != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: source}
+	}
 	var err error
 	for range dialAttempts {
 		var raw net.Conn
@@ -39,22 +43,27 @@
 		if err == nil {
 			return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferSize), idleTimeout: defaultIdleTimeout}, nil
 		}
-		if ctx.Err() != nil || eris.Is(err, syscall.ECONNREFUSED) || eris.Is(err, syscall.ECONNRESET) {
+		if ctx.Err() != nil || isRefusal(err) {
 			break
 		}
 	}
 	return nil, err
 }
 
+// isRefusal reports whether the other side refused or reset a connection that was dialed.
+func isRefusal(err error) bool {
+	return eris.Is(err, syscall.ECONNREFUSED) || eris.Is(err, syscall.ECONNRESET)
+}
+
 // RefusesConnections reports whether connections to address are refused or reset, which means that the process
 // has ended while its VM is still running.
 func RefusesConnections(ctx context.Context, address string) bool {
-	c, err := dial(ctx, address)
+	c, err := dial(ctx, nil, address)
 	if err == nil {
 		_ = c.Close()
 		return false
 	}
-	return eris.Is(err, syscall.ECONNREFUSED) || eris.Is(err, syscall.ECONNRESET)
+	return isRefusal(err)
 }
 
 // isIdle reports whether the connection is open and has no data to read. Data that the server sends while no
--- a/link/upstream/pool.go
+++ b/link/upstream/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -17,16 +18,37 @@
 type Pool struct {
 	mu   sync.Mutex // guards idle; not held over I/O
 	idle map[Endpoint][]*conn
-	// dialCount counts the connections dialed.
-	dialCount atomic.Int64
+	// source is the local address of the connections; the system chooses it if it is nil.
+	source net.IP
+	// dialCount counts the connections dialed, refusedCount those that the other side refused or reset, and silentCount those that failed
+	// otherwise, mostly because there was no response.
+	dialCount, refusedCount, silentCount atomic.Int64
 }
 
+// Option configures a Pool.
+type Option func(*Pool)
+
+// WithSource makes connections originate from a local address.
+func WithSource(source net.IP) Option { return func(p *Pool) { p.source = source } }
+
 // NewPool returns an empty pool.
-func NewPool() *Pool { return &Pool{idle: make(map[Endpoint][]*conn)} }
+func NewPool(options ...Option) *Pool {
+	p := &Pool{idle: make(map[Endpoint][]*conn)}
+	for _, option := range options {
+		option(p)
+	}
+	return p
+}
 
 // DialCount returns how many connections the pool has dialed, successfully or not.
 func (p *Pool) DialCount() int64 { return p.dialCount.Load() }
 
+// RefusedCount returns how many connections were refused or reset while they were dialed.
+func (p *Pool) RefusedCount() int64 { return p.refusedCount.Load() }
+
+// SilentCount returns how many connections could not be dialed for another reason, mostly because there was no response.
+func (p *Pool) SilentCount() int64 { return p.silentCount.Load() }
+
 // Response is the response to a request. Its Body must be closed.
 type Response struct {
 	Status int
@@ -119,8 +141,20 @@
 		}
 		_ = candidate.Close()
 	}
+	return p.dial(ctx, endpoint.Address)
+}
+
+func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
 	p.dialCount.Add(1)
-	return dial(ctx, endpoint.Address)
+	c, err := dial(ctx, p.source, address)
+	switch {
+	case err == nil:
+	case isRefusal(err):
+		p.refusedCount.Add(1)
+	case ctx.Err() == nil:
+		p.silentCount.Add(1)
+	}
+	return c, err
 }
 
 func (p *Pool) pop(endpoint Endpoint) *conn {
