--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -110,8 +110,8 @@
 		Table: cat.Table, Dissolving: controller.Closed,
 		UnregisteredMembers: controller.ResponsiveUnregistered, Slowdown: controller.Slowdown,
 		StallReported: s.stallReported,
-		Suspect:      func(key backend.GroupKey) { controller.Suspect(context.Background(), key) },
-		ReportDemand: s.logDemand, Config: cat.Config, OfferConfig: cat.UpdateConfig, LeaseVersion: entryLease.Version,
+		Suspect:       func(key backend.GroupKey) { controller.Suspect(context.Background(), key) },
+		ReportDemand:  s.logDemand, Config: cat.Config, OfferConfig: cat.UpdateConfig, LeaseVersion: entryLease.Version,
 		Ages: cat.Ages, ReportQuarantine: s.requestsQuarantined,
 	})
 }
@@ -212,21 +212,21 @@
 // gauges registers the gauges of the process.
 func (g *Gateway) gauges() {
 	for name, value := range map[string]func() int64{
-		"requests.in_progress":   func() int64 { return int64(g.relay.InProgress()) },
+		"requests.in_progress":           func() int64 { return int64(g.relay.InProgress()) },
 		"connections.to_servers":         g.pool.DialCount,
 		"connections.to_servers.refused": g.pool.RefusedCount,
 		"connections.to_servers.silent":  g.pool.SilentCount,
-		"config.version":         func() int64 { version, _ := g.catalog.Config(); return int64(version) },
-		"servers.listed":         func() int64 { return int64(len(g.catalog.Listing().Servers)) },
-		"servers.revision":       func() int64 { return int64(g.catalog.Listing().Revision) },
-		"servers.list_age_ms":    func() int64 { return g.catalog.ServersAge().Milliseconds() },
-		"entries.known":          func() int64 { return int64(g.roster.Len()) },
-		"leader.held":            func() int64 { return boolToInt(g.lease.Held()) },
-		"leader.linked":          func() int64 { return boolToInt(g.leaderState.linked()) },
-		"leader.followers":       func() int64 { return int64(g.leader.FollowerCount()) },
-		"process.uptime.seconds": func() int64 { return int64(time.Since(g.started).Seconds()) },
-		"process.goroutines":     func() int64 { return int64(runtime.NumGoroutine()) },
-		"process.stopping":       func() int64 { return boolToInt(g.leaving.Load()) },
+		"config.version":                 func() int64 { version, _ := g.catalog.Config(); return int64(version) },
+		"servers.listed":                 func() int64 { return int64(len(g.catalog.Listing().Servers)) },
+		"servers.revision":               func() int64 { return int64(g.catalog.Listing().Revision) },
+		"servers.list_age_ms":            func() int64 { return g.catalog.ServersAge().Milliseconds() },
+		"entries.known":                  func() int64 { return int64(g.roster.Len()) },
+		"leader.held":                    func() int64 { return boolToInt(g.lease.Held()) },
+		"leader.linked":                  func() int64 { return boolToInt(g.leaderState.linked()) },
+		"leader.followers":               func() int64 { return int64(g.leader.FollowerCount()) },
+		"process.uptime.seconds":         func() int64 { return int64(time.Since(g.started).Seconds()) },
+		"process.goroutines":             func() int64 { return int64(runtime.NumGoroutine()) },
+		"process.stopping":               func() int64 { return boolToInt(g.leaving.Load()) },
 	} {
 		g.gauge(name, value)
 	}
--- a/internal/loopback/proxy.go
+++ b/internal/loopback/proxy.go
@@ -27,7 +27,9 @@
 
 	mu     sync.Mutex // guards the fields below; a leaf lock
 	faults Faults
-	open   map[*net.TCPConn]bool
+	// sourceFaults replace faults for connections from some IP addresses.
+	sourceFaults map[string]Faults
+	open         map[*net.TCPConn]bool
 }
 
 // NewProxy listens at address (IP:port) and forwards connections to target.
@@ -36,7 +38,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "proxy")
 	}
-	p := &Proxy{listener: listener, target: target, open: make(map[*net.TCPConn]bool)}
+	p := &Proxy{listener: listener, target: target, sourceFaults: make(map[string]Faults), open: make(map[*net.TCPConn]bool)}
 	go p.accept()
 	return p, nil
 }
@@ -51,6 +53,38 @@
 	p.faults = faults
 }
 
+// SetSourceFaults injects faults into the connections from one IP address, in place of those of SetFaults.
+func (p *Proxy) SetSourceFaults(source string, faults Faults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sourceFaults[source] = faults
+}
+
+// ClearSourceFaults ends the effect of SetSourceFaults for one IP address.
+func (p *Proxy) ClearSourceFaults(source string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.sourceFaults, source)
+}
+
+// ResetSource resets the open connections from one IP address.
+func (p *Proxy) ResetSource(source string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for conn := range p.open {
+		if sourceOf(conn) == source {
+			reset(conn)
+		}
+	}
+}
+
+func sourceOf(conn *net.TCPConn) string {
+	if remote, ok := conn.RemoteAddr().(*net.TCPAddr); ok {
+		return remote.IP.String()
+	}
+	return ""
+}
+
 // Reset resets the connections that are open.
 func (p *Proxy) Reset() {
 	p.mu.Lock()
@@ -87,7 +121,8 @@
 }
 
 func (p *Proxy) forward(conn *net.TCPConn) {
-	if p.currentFaults().Refuse {
+	source := sourceOf(conn)
+	if p.currentFaults(source).Refuse {
 		reset(conn)
 		return
 	}
@@ -104,8 +139,10 @@
 	p.track(conn, targetConn)
 	defer p.closeAll(conn, targetConn)
 	var both sync.WaitGroup
-	both.Go(func() { p.copy(targetConn, conn, func(w Faults) bool { return w.StallAll }) })
-	both.Go(func() { p.copy(conn, targetConn, func(w Faults) bool { return w.StallAll || w.StallResponses }) })
+	both.Go(func() { p.copy(targetConn, conn, source, func(w Faults) bool { return w.StallAll }) })
+	both.Go(func() {
+		p.copy(conn, targetConn, source, func(w Faults) bool { return w.StallAll || w.StallResponses })
+	})
 	both.Wait()
 }
 
@@ -126,9 +163,12 @@
 	}
 }
 
-func (p *Proxy) currentFaults() Faults {
+func (p *Proxy) currentFaults(source string) Faults {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if faults, ok := p.sourceFaults[source]; ok {
+		return faults
+	}
 	return p.faults
 }
 
@@ -138,16 +178,16 @@
 	blockedPoll = 20 * time.Millisecond
 )
 
-// copy forwards data until either side closes the connection. A reset is forwarded as a reset, any other end as a close of the sending
+// copy forwards data of a client at source until either side closes the connection. A reset is forwarded as a reset, any other end as a close of the sending
 // direction.
-func (p *Proxy) copy(to, from *net.TCPConn, blocked func(Faults) bool) {
+func (p *Proxy) copy(to, from *net.TCPConn, source string, blocked func(Faults) bool) {
 	buffer := make([]byte, bufferBytes)
 	for {
 		n, err := from.Read(buffer)
-		faults := p.currentFaults()
+		faults := p.currentFaults(source)
 		for blocked(faults) && p.isOpen(from) {
 			time.Sleep(blockedPoll)
-			faults = p.currentFaults()
+			faults = p.currentFaults(source)
 		}
 		time.Sleep(faults.Delay)
 		if n > 0 {
--- a/test/cooperative/pond_test.go
+++ b/test/cooperative/pond_test.go
@@ -154,7 +154,7 @@
 	subnet *loopback.Subnet
 
 	mu sync.Mutex // guards engines, proxies and version while troubles change them; a leaf lock
-	// proxies are the ways to the model servers, by id.
+	// proxies are the ways to the backend servers, by id.
 	proxies map[string]*loopback.Proxy
 	api     *objects.API
 	world   *replica.Cluster
@@ -181,7 +181,10 @@
 		p.addEngine("large")
 	}
 	for i := range 2 {
-		desk := p.world.Start(p.api, replica.Config{ID: fmt.Sprint("desk-", i), Service: "desk", Zone: "z", Slots: 6})
+		id := fmt.Sprint("desk-", i)
+		desk := p.world.Start(p.api, replica.Config{
+			ID: id, Service: "desk", Zone: "z", Slots: 6, ProxyAddress: func(address string) string { return p.proxyTo(id, address) },
+		})
 		DeferCleanup(desk.Close)
 		p.desks = append(p.desks, desk)
 	}
@@ -210,7 +213,7 @@
 	})
 }
 
-// proxyTo returns the address of a proxy before a model server, or the server's own where there is none.
+// proxyTo returns the address of a proxy before a backend server, or the server's own where there is none.
 func (p *pond) proxyTo(id, address string) string {
 	proxy, err := loopback.NewProxy("127.0.0.1:0", address)
 	if err != nil {
