--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -186,12 +186,21 @@
 	}
 }
 
+// last returns the last report. A caller whose connection is reset may notice before the first report is there.
 func (r *harness) last() relay.Report {
+	GinkgoHelper()
+	Eventually(r.reportCount).Should(BeNumerically(">", 0))
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.reports[len(r.reports)-1]
 }
 
+func (r *harness) reportCount() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.reports)
+}
+
 func (r *harness) set(i int, faults replica.Faults) { r.servers[i].SetFaults(faults) }
 
 var _ = Describe("Retries", func() {
