--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"net/netip"
 	"os"
 	"runtime"
@@ -17,6 +18,7 @@
 	"github.com/skylarkpond/skylarkpond/backend"
 	"github.com/skylarkpond/skylarkpond/entry/catalog"
 	"github.com/skylarkpond/skylarkpond/entry/grouping"
+	"github.com/skylarkpond/skylarkpond/entry/isolation"
 	"github.com/skylarkpond/skylarkpond/entry/leader"
 	"github.com/skylarkpond/skylarkpond/entry/lease"
 	"github.com/skylarkpond/skylarkpond/entry/relay"
@@ -80,7 +82,13 @@
 func provideRoster(s *shared, client *store.Client) *roster.Roster {
 	return roster.New(roster.Deps{
 		Store: client, Self: selfEntry(s.config), Selection: directory.DefaultConfig(), AddressTTL: s.config.addressTTL(),
-		IsDown:  func(name string) bool { return name != s.config.Name && s.leaderState.isDown(name) },
+		IsDown: func(name string) bool { return name != s.config.Name && s.leaderState.isDown(name) },
+		IsIsolated: func(name string) bool {
+			if name == s.config.Name {
+				return s.components.isolation.Any()
+			}
+			return s.leaderState.isIsolated(name)
+		},
 		OnError: func(operation string, err error) { s.log.WithError(err).Warn(operation + " failed") },
 	})
 }
@@ -132,16 +140,34 @@
 	return suspects.New(suspects.Deps{ConnectionRefused: upstream.RefusesConnections, SendToLeader: remote.Send})
 }
 
+func provideIsolation(s *shared, cat *catalog.Catalog, pool *upstream.Pool) *isolation.Watch {
+	return isolation.New(isolation.Deps{
+		Listing: cat.Listing, Changed: s.isolationChanged,
+		Probe: func(ctx context.Context, server *backend.Server) bool {
+			header := platform.ForwardHeader(http.Header{}, platform.Forward{Server: server.ID, Remaining: time.Second})
+			return pool.Answers(ctx, upstream.EndpointOf(server), &upstream.Request{
+				Method: http.MethodGet, Target: platform.PathReport, Host: server.Address, Header: header,
+			})
+		},
+	})
+}
+
 func provideRetries(s *shared) *relay.Retries {
 	return relay.NewRetries(relay.Allowance{Ratio: s.config.RetryRatio, Extra: s.config.RetryExtra}, assumedEntries)
 }
 
 func provideRelay(
 	s *shared, cat *catalog.Catalog, remote *turn.Remote, pool *upstream.Pool, retries *relay.Retries, watch *suspects.Watch,
+	isolated *isolation.Watch, entries *roster.Roster,
 ) *relay.Relay {
 	return relay.New(relay.Deps{
 		Table: cat.Table, Turns: remote, Pool: pool, Retries: retries, Suspects: watch, Report: s.requestEnded,
 		Rejected: s.requestRejected, FirstRequest: func() { remote.Send(link.Up{RequestSeen: true}) }, Random: rand.Float64,
+		Isolation: isolated, PeerPool: upstream.NewPool(upstream.WithSource(sourceIP(s.config.CallerAddress))),
+		Peer: func(tried []string) (relay.Peer, bool) {
+			entry, ok := entries.Peer(tried)
+			return relay.Peer{Name: entry.Name, Address: entry.PublicAddress}, ok
+		},
 	})
 }
 
@@ -217,6 +243,7 @@
 		"connections.to_servers.refused": g.pool.RefusedCount,
 		"connections.to_servers.silent":  g.pool.SilentCount,
 		"config.version":                 func() int64 { version, _ := g.catalog.Config(); return int64(version) },
+		"servers.isolated":               func() int64 { return boolToInt(g.isolation.Any()) },
 		"servers.listed":                 func() int64 { return int64(len(g.catalog.Listing().Servers)) },
 		"servers.revision":               func() int64 { return int64(g.catalog.Listing().Revision) },
 		"servers.list_age_ms":            func() int64 { return g.catalog.ServersAge().Milliseconds() },
--- a/entry/gateway/follow.go
+++ b/entry/gateway/follow.go
@@ -110,12 +110,15 @@
 	}
 }
 
-// attach starts to use a link to the leader, and tells it whether callers' requests have arrived here.
+// attach starts to use a link to the leader, and tells it whether callers' requests have arrived here and whether this entry is isolated.
 func (g *Gateway) attach(send func(link.Up)) {
 	g.remote.Attach(send)
 	if g.relay.HasReceived() {
 		g.remote.Send(link.Up{RequestSeen: true})
 	}
+	if g.isolation.Any() {
+		g.remote.Send(link.Up{Isolation: &link.Isolation{Isolated: true}})
+	}
 }
 
 // holderPollInterval is how often an entry checks whether the lease has another holder.
@@ -146,6 +149,8 @@
 		g.catalog.ApplyChanges(*message.ChangeSet)
 	case message.Quarantine != nil:
 		g.suspects.ApplyQuarantine(*message.Quarantine)
+	case message.IsolationChanges != nil:
+		g.leaderState.applyIsolation(*message.IsolationChanges)
 	case message.Probe != nil:
 		go g.answerProbe(ctx, send, *message.Probe)
 	}
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/skylarkpond/skylarkpond/entry/catalog"
 	"github.com/skylarkpond/skylarkpond/entry/drain"
 	"github.com/skylarkpond/skylarkpond/entry/grouping"
+	"github.com/skylarkpond/skylarkpond/entry/isolation"
 	"github.com/skylarkpond/skylarkpond/entry/leader"
 	"github.com/skylarkpond/skylarkpond/entry/lease"
 	"github.com/skylarkpond/skylarkpond/entry/relay"
@@ -68,6 +69,7 @@
 	local      *turn.Local
 	remote     *turn.Remote
 	suspects   *suspects.Watch
+	isolation  *isolation.Watch
 	retries    *relay.Retries
 	leader     *leader.Leader
 	links      *link.Server
@@ -132,7 +134,7 @@
 			failed <- err
 		}
 	})
-	for _, role := range []func(context.Context){g.catalog.Run, g.roster.Run, g.lease.Run, g.controller.Run, g.leader.Run, g.follow, g.sweep} {
+	for _, role := range []func(context.Context){g.catalog.Run, g.roster.Run, g.lease.Run, g.controller.Run, g.leader.Run, g.isolation.Run, g.follow, g.sweep} {
 		running.Go(func() { role(work) })
 	}
 	select {
@@ -154,6 +156,7 @@
 			server := listing.Servers[to.ID]
 			return server != nil && upstream.EndpointOf(server) == to
 		})
+		g.relay.Sweep()
 		g.local.Sweep()
 		if n := g.roster.Len(); n > 1 {
 			g.retries.Resize(n)
--- a/entry/gateway/lines.go
+++ b/entry/gateway/lines.go
@@ -56,6 +56,14 @@
 	}).Info(logline.RequestRejected)
 }
 
+// isolationChanged logs that this entry has lost the servers of a service, or reaches them again, and tells the leader.
+func (s *shared) isolationChanged(service string, isolated bool) {
+	metrics.GetOrRegisterCounter("isolation.changes", s.registry).Inc(1)
+	fromAny := s.components.isolation.Any()
+	s.log.WithFields(logrus.Fields{"service": service, "isolated": isolated, "from_any": fromAny}).Warn(logline.Isolation)
+	s.components.remote.Send(link.Up{Isolation: &link.Isolation{Isolated: fromAny}})
+}
+
 // stallReported counts the reports of stalled heads by the entry that sent them.
 func (s *shared) stallReported(entry string, _ backend.ID) {
 	metrics.GetOrRegisterCounter("leader.stalls_reported."+entry, s.registry).Inc(1)
@@ -105,6 +113,12 @@
 	if report.Framing == framing.Closed {
 		metrics.GetOrRegisterCounter("requests.answer_without_length", s.registry).Inc(1)
 	}
+	if report.Via != "" {
+		metrics.GetOrRegisterCounter("requests.passed_on", s.registry).Inc(1)
+	}
+	if report.Forwarded {
+		metrics.GetOrRegisterCounter("requests.from_entries", s.registry).Inc(1)
+	}
 	if report.PartialEvent {
 		metrics.GetOrRegisterCounter("requests.partial_event", s.registry).Inc(1)
 	}
@@ -115,6 +129,7 @@
 		"request": report.ID, "route": report.Route, "team": report.Team, "service": report.Service, "model": report.Model,
 		"outcome": report.Outcome, "status": report.Status, "detail": report.Detail, "config_version": report.ConfigVersion,
 		"attempts": report.Attempts, "servers": report.Servers, "resumed": report.Resumed, "framing": report.Framing, "partial_event": report.PartialEvent,
+		"via": report.Via, "forwarded": report.Forwarded,
 		"took_ms": report.Took.Milliseconds(),
 	}).Info(logline.RequestEnded)
 }
--- a/entry/gateway/live.go
+++ b/entry/gateway/live.go
@@ -17,13 +17,17 @@
 	live map[string]bool
 	// down holds the entries that a settled leader did not hear from.
 	down map[string]bool
+	// isolated holds the other entries that have lost their connections to the servers, as the leader reported.
+	isolated map[string]bool
 	// settledSeen is set once a settled leader has reported which entries it hears from.
 	settledSeen bool
 	// behind records that the leader had a newer configuration at the last renewal.
 	behind bool
 }
 
-func newLeaderState() *leaderState { return &leaderState{down: make(map[string]bool)} }
+func newLeaderState() *leaderState {
+	return &leaderState{down: make(map[string]bool), isolated: make(map[string]bool)}
+}
 
 // renewalValidity is how long a renewal report of the leader stays valid: longer than two renewal intervals.
 const renewalValidity = 1300 * time.Millisecond
@@ -42,6 +46,25 @@
 	return s.down[name] && !s.live[name]
 }
 
+// isIsolated reports whether an entry has lost its connections to the servers, as far as the leader reported.
+func (s *leaderState) isIsolated(name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.isolated[name]
+}
+
+// applyIsolation applies the leader's report of isolated entries.
+func (s *leaderState) applyIsolation(changes link.IsolationChanges) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, name := range changes.Isolated {
+		s.isolated[name] = true
+	}
+	for _, name := range changes.Reaching {
+		delete(s.isolated, name)
+	}
+}
+
 // hasMembership reports whether this process has ever learned which entries are live.
 func (s *leaderState) hasMembership() bool {
 	s.mu.Lock()
@@ -49,12 +72,13 @@
 	return s.settledSeen
 }
 
-// leaderChanged forgets which entries the previous leader heard from. Entries known to be down stay down until the new leader has
+// leaderChanged forgets which entries the previous leader heard from, and which of them were isolated: each tells the new leader. Entries known to be down stay down until the new leader has
 // settled; otherwise callers would be sent to an entry that is long gone.
 func (s *leaderState) leaderChanged() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.live = nil
+	clear(s.isolated)
 }
 
 // leaderLost records that a leader stopped responding. Otherwise callers would be sent to it until its successor has settled, which
--- a/entry/gateway/wire_gen.go
+++ b/entry/gateway/wire_gen.go
@@ -29,7 +29,8 @@
 	remote := provideRemote(local, catalog)
 	retries := provideRetries(s)
 	watch := provideSuspects(remote)
-	relay := provideRelay(s, catalog, remote, pool, retries, watch)
+	isolationWatch := provideIsolation(s, catalog, pool)
+	relay := provideRelay(s, catalog, remote, pool, retries, watch, isolationWatch, roster)
 	leader := provideLeader(s, catalog, lease, controller)
 	leaderServer := provideLinks(identity, holder, leader)
 	gate := &drain.Gate{}
@@ -42,6 +43,7 @@
 		local:      local,
 		remote:     remote,
 		suspects:   watch,
+		isolation:  isolationWatch,
 		retries:    retries,
 		leader:     leader,
 		links:      leaderServer,
--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -94,6 +94,9 @@
 	crashes      *crashTracker
 	// probes holds the channels for the results of indirect probes in progress, by server.
 	probes map[backend.ID]chan link.ProbeResult
+	// isolated holds the followers that have lost their connections to the servers, and isolationChanged those of which the followers have yet
+	// to be told.
+	isolated, isolationChanged map[string]bool
 	// requestSeen reports that some entry has received a caller's request. It is never reset.
 	requestSeen bool
 }
@@ -126,7 +129,7 @@
 		deps: deps, started: time.Now(), turns: policy.New(policy.DefaultConfig()), followers: make(map[string]*follower),
 		probes: make(map[backend.ID]chan link.ProbeResult), demand: make(map[string]*modelDemand),
 		progress: make(map[store.Kind]*progress), announced: make(map[string]bool), newFollowers: make(map[string]bool),
-		crashes: newCrashTracker(),
+		crashes: newCrashTracker(), isolated: make(map[string]bool), isolationChanged: make(map[string]bool),
 	}
 }
 
@@ -155,6 +158,7 @@
 		if time.Since(groupsAt) >= refreshInterval {
 			groupsAt = time.Now()
 			l.RefreshGroups()
+			l.BroadcastIsolation()
 		}
 		l.SendSnapshots()
 		l.mu.Lock()
@@ -178,6 +182,8 @@
 		l.crashes = newCrashTracker()
 		l.demand = make(map[string]*modelDemand)
 		l.turns = policy.New(policy.DefaultConfig())
+		clear(l.isolated)
+		clear(l.isolationChanged)
 	}
 }
 
@@ -261,6 +267,7 @@
 	l.followers[entry] = joining
 	l.newFollowers[entry] = true
 	l.sendQuarantines(to)
+	l.sendIsolation(to)
 	for _, crash := range hello.Crashes {
 		l.crashes.add(crash)
 		l.broadcastQuarantine(crash.Service)
@@ -299,6 +306,8 @@
 		l.clearCrashes(*message.Cleared)
 	case message.ConfigVersion != 0:
 		l.sendNewerConfig(from, message.ConfigVersion)
+	case message.Isolation != nil:
+		l.setIsolated(entry, message.Isolation.Isolated)
 	case message.RequestSeen:
 		l.mu.Lock()
 		l.requestSeen = true
@@ -322,6 +331,10 @@
 		return // the follower has reconnected on a newer link
 	}
 	delete(l.followers, follower.Entry)
+	if l.isolated[follower.Entry] {
+		delete(l.isolated, follower.Entry)
+		l.isolationChanged[follower.Entry] = true
+	}
 	l.sendDecisions(l.turns.Forget(l.now(), follower.Entry+"/", rand.Float64))
 }
 
--- a/entry/relay/exchange.go
+++ b/entry/relay/exchange.go
@@ -39,8 +39,12 @@
 	body     []byte
 	// fingerprint is equal for requests of one caller with the same method, path and body.
 	fingerprint string
+	// tried are the servers that the request was sent to, or could not be sent to; unreachable counts the latter. peersTried are the entries that
+	// it was passed on to.
 	tried       []backend.ID
-	// attempts counts the attempts that reached a server; mayHaveRun is set if one of them may have run.
+	unreachable int
+	peersTried  []string
+	// attempts counts the attempts that reached a server, those of an entry that passed the request on included; mayHaveRun is set if one of them may have run.
 	attempts   int
 	mayHaveRun bool
 	// nextTurn is a turn that was acquired before the last attempt was abandoned.
@@ -57,14 +61,23 @@
 }
 
 func newExchange(r *Relay, w http.ResponseWriter, request *http.Request) *exchange {
-	return &exchange{
+	e := &exchange{
 		relay: r, writer: w, request: request, ctx: request.Context(), arrived: time.Now(),
 		call: platform.DecodeRequest(request.Header), table: r.awaitTable(request.Context()),
 	}
+	if e.call.Forwarded != nil {
+		e.attempts = e.call.Forwarded.Attempts
+		e.summary.Forwarded = true
+	}
+	return e
 }
 
 func (e *exchange) run() {
-	if !e.admit() || !e.readBody() {
+	if !e.canServePassedOn() || !e.admit() || !e.readBody() {
+		return
+	}
+	if e.call.Forwarded != nil && e.relay.deps.Isolation.Isolated(e.service) {
+		e.refuseElsewhere("this entry reaches no server either")
 		return
 	}
 	e.fingerprint = contract.Fingerprint(e.request.Method, e.request.RequestURI, e.call.Key, string(e.body))
@@ -179,9 +192,11 @@
 		t := e.takeNextTurn()
 		if t == nil {
 			var refusal *turn.Refusal
-			if t, refusal = e.relay.deps.Turns.Acquire(e.ctx, e.turnRequest()); refusal != nil {
-				e.endWithoutTurn(refusal)
-				return
+			if t, refusal = e.acquireTurn(e.turnRequest()); refusal != nil {
+				if t = e.lastPeerTurn(); t == nil {
+					e.endWithoutTurn(refusal)
+					return
+				}
 			}
 		}
 		if e.attempt(t) {
@@ -213,15 +228,18 @@
 
 // attempt sends the request to one server and reports whether the request is done.
 func (e *exchange) attempt(t *turn.Turn) bool {
-	e.tried = append(e.tried, t.Server.ID)
-	if len(e.tried) == 1 {
-		e.relay.deps.Retries.FirstTry(e.service)
+	if t.Peer {
+		return e.attemptAtPeer(t)
 	}
+	e.tried = append(e.tried, t.Server.ID)
 	answer, err := e.send(t, "")
 	if errors.Is(err, upstream.ErrNotSent) {
 		t.Done(turn.Result{Unreachable: true})
 		return e.doneAfterUnsent()
 	}
+	if e.attempts == 0 {
+		e.relay.deps.Retries.FirstTry(e.service)
+	}
 	e.attempts++
 	if err != nil {
 		t.Done(e.failedResult())
@@ -260,23 +278,30 @@
 
 // send sends the request to one server and starts a stall watch on the attempt, which the caller stops with endAttempt.
 func (e *exchange) send(t *turn.Turn, lastEvent string) (*upstream.Response, error) {
-	e.summary.Servers = append(e.summary.Servers, string(t.Server.ID))
 	e.sentAt, e.timeToFirstEvent = time.Now(), 0
-	if e.route.Kind == route.Streaming {
-		suspicion := time.AfterFunc(firstStallReportDelay, t.ReportStall)
-		defer suspicion.Stop()
-	}
+	suspicion := time.AfterFunc(e.silenceBeforeReport(), func() { e.reportSilence(t) })
+	defer suspicion.Stop()
 	ctx, cancel := context.WithCancelCause(e.ctx)
-	e.watch = newStallWatch(e, cancel)
-	answer, err := e.relay.deps.Pool.Send(ctx, upstream.EndpointOf(t.Server), &upstream.Request{
-		Method: e.request.Method, Target: e.request.RequestURI, Host: e.request.Host,
-		Header: platform.ForwardHeader(e.request.Header, platform.Forward{
+	e.watch = newStallWatch(e, cancel, t.Peer)
+	pool, header := e.relay.deps.Pool, http.Header(nil)
+	if t.Peer {
+		pool = e.relay.deps.PeerPool
+		forwarded := platform.Forwarded{Attempts: e.attempts, ConfigVersion: e.table.Version}
+		header = platform.PeerHeader(e.request.Header, forwarded, time.Until(e.deadline), lastEvent)
+	} else {
+		e.summary.Servers = append(e.summary.Servers, string(t.Server.ID))
+		header = platform.ForwardHeader(e.request.Header, platform.Forward{
 			Server: t.Server.ID, Team: e.team, Remaining: time.Until(e.deadline), LastEvent: lastEvent,
-		}),
-		Body:    e.body,
+		})
+	}
+	answer, err := pool.Send(ctx, upstream.EndpointOf(t.Server), &upstream.Request{
+		Method: e.request.Method, Target: e.request.RequestURI, Host: e.request.Host, Header: header, Body: e.body,
 		Matches: func(header http.Header) bool { return platform.MatchesID(e.call.ID, header) },
 	})
 	if err != nil {
+		if !t.Peer && e.ctx.Err() == nil {
+			e.relay.deps.Isolation.Suspect(e.service)
+		}
 		e.endAttempt()
 		return nil, err
 	}
@@ -285,6 +310,25 @@
 	return answer, nil
 }
 
+// silenceBeforeReport is how long a server may send nothing, not even a header, before that is reported.
+func (e *exchange) silenceBeforeReport() time.Duration {
+	if e.route.Kind == route.Streaming {
+		return firstStallReportDelay
+	}
+	return wholeAnswerReportDelay
+}
+
+// reportSilence reports that a server has sent nothing for longer than usual. Only groups are checked by the leader.
+func (e *exchange) reportSilence(t *turn.Turn) {
+	if t.Peer {
+		return
+	}
+	e.relay.deps.Isolation.Suspect(e.service)
+	if e.route.Kind == route.Streaming {
+		t.ReportStall()
+	}
+}
+
 // endAttempt stops the stall watch and keeps the turn for which the attempt was abandoned, if any.
 func (e *exchange) endAttempt() { e.nextTurn = e.watch.stop() }
 
@@ -294,7 +338,15 @@
 // doneAfterUnsent reports whether the request is done after a failed connection attempt. Nothing was sent, so another server is tried
 // without drawing on the retry budget.
 func (e *exchange) doneAfterUnsent() bool {
-	if e.ctx.Err() != nil || len(e.tried)-e.attempts >= maxUnreachable {
+	e.unreachable++
+	if e.ctx.Err() == nil && e.mayPassOn() {
+		return false
+	}
+	if e.call.Forwarded != nil && !e.mayHaveRun && e.unreachable >= unreachableBeforePeers {
+		e.refuseElsewhere("servers can't be reached")
+		return true
+	}
+	if e.ctx.Err() != nil || e.unreachable >= maxUnreachable {
 		e.endWithoutTurn(&turn.Refusal{Reason: turn.NoServer, RetryAfter: retryAfterUnavailable, Detail: "servers can't be reached"})
 		return true
 	}
@@ -325,7 +377,7 @@
 // checkForCrash has a server checked that closed its connection in the middle of the request. A stall or an expired deadline is no
 // sign of a crash.
 func (e *exchange) checkForCrash(t *turn.Turn, err error) {
-	if e.ctx.Err() != nil || e.nextTurn != nil || errors.Is(err, os.ErrDeadlineExceeded) {
+	if t.Peer || e.ctx.Err() != nil || e.nextTurn != nil || errors.Is(err, os.ErrDeadlineExceeded) {
 		return
 	}
 	go e.relay.deps.Suspects.ServerLost(context.WithoutCancel(e.ctx), e.fingerprint, t.Server)
@@ -354,13 +406,16 @@
 	}
 	e.summary.TimeToFirstByte = time.Since(e.arrived)
 	e.writeAnswer(answer.Status, platform.ResponseHeader(answer.Header), body, answer.Framing)
-	e.summary.Outcome = Served
+	e.summary.Outcome = e.outcomeOf(t, answer)
 	return true
 }
 
 // noteEnd records that an answer has been read to its end. An answer that ended with its connection may have been cut off by a crash, so it
 // does not clear the request of having caused one.
 func (e *exchange) noteEnd(t *turn.Turn, answer *upstream.Response) {
+	if t.Peer {
+		return // the other entry does
+	}
 	if answer.Framing == framing.Closed {
 		go e.relay.deps.Suspects.ServerLost(context.WithoutCancel(e.ctx), e.fingerprint, t.Server)
 		return
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -36,6 +36,12 @@
 	Rejected func(Rejection)
 	// FirstRequest is called once, when the first request arrives.
 	FirstRequest func()
+	// Isolation tells from which services' servers this entry is cut off.
+	Isolation Isolation
+	// Peer returns another entry that reaches the servers and is not among those tried, if there is one. PeerPool holds the connections to
+	// other entries.
+	Peer     func(tried []string) (Peer, bool)
+	PeerPool *upstream.Pool
 	// Random returns a number in [0, 1); it selects among the targets of a route.
 	Random func() float64
 }
@@ -51,6 +57,21 @@
 	ServerLost(ctx context.Context, fingerprint string, server *backend.Server)
 }
 
+// Isolation tells from which services' servers this entry is cut off. It is safe for concurrent use.
+type Isolation interface {
+	// Isolated reports whether this entry has lost its connections to all servers of a service.
+	Isolated(service string) bool
+	// Suspect records that a server of a service failed to answer or could not be reached. It does not block.
+	Suspect(service string)
+}
+
+// Peer is another entry.
+type Peer struct {
+	Name string
+	// Address is its address for callers, as IP:port.
+	Address string
+}
+
 // Relay is an http.Handler. It is safe for concurrent use.
 type Relay struct {
 	deps     Deps
@@ -84,6 +105,9 @@
 // InProgress returns the number of requests without a complete answer.
 func (r *Relay) InProgress() int { return int(r.inFlight.Load()) }
 
+// Sweep closes connections to other entries that have been idle for too long.
+func (r *Relay) Sweep() { r.deps.PeerPool.CloseStale(func(upstream.Endpoint) bool { return true }) }
+
 // HasReceived reports whether any request has arrived.
 func (r *Relay) HasReceived() bool { return r.received.Load() }
 
@@ -116,7 +140,10 @@
 	Attempts      int
 	// Servers are the servers to which the request was sent.
 	Servers []string
-	Resumed bool
+	// Via is the entry to which the request was passed on. Forwarded is set if it came from another entry.
+	Via       string
+	Forwarded bool
+	Resumed   bool
 	// Framing is how the end of the last server's answer was marked; empty if there was no answer.
 	Framing framing.Framing
 	// PartialEvent is set if a server's stream ended inside an event.
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -83,8 +83,32 @@
 	// firstRequests counts the calls of FirstRequest.
 	firstRequests atomic.Int32
 	suspects      *fakeSuspects
+	isolation     *fakeIsolation
+	// peers are the other entries that requests can be passed on to, in this order.
+	peers []*harness
 }
 
+// peer returns the first of the peers that was not tried.
+func (r *harness) peer(tried []string) (relay.Peer, bool) {
+	for i, peer := range r.peers {
+		name := fmt.Sprintf("peer-%d", i)
+		if !slices.Contains(tried, name) {
+			return relay.Peer{Name: name, Address: strings.TrimPrefix(peer.gateway.URL, "http://")}, true
+		}
+	}
+	return relay.Peer{}, false
+}
+
+// fakeIsolation reports what a spec sets, and counts the suspicions.
+type fakeIsolation struct {
+	isolated   atomic.Bool
+	suspicions atomic.Int32
+}
+
+func (i *fakeIsolation) Isolated(string) bool { return i.isolated.Load() }
+
+func (i *fakeIsolation) Suspect(string) { i.suspicions.Add(1) }
+
 // fakeSuspects quarantines requests if a spec sets quarantined, and records the calls it receives.
 type fakeSuspects struct {
 	mu          sync.Mutex
@@ -114,7 +138,7 @@
 }
 
 func newHarness(config replica.Config, count int) *harness {
-	r := &harness{world: replica.NewCluster(), api: objects.New(), turns: &inOrder{}, suspects: &fakeSuspects{}}
+	r := &harness{world: replica.NewCluster(), api: objects.New(), turns: &inOrder{}, suspects: &fakeSuspects{}, isolation: &fakeIsolation{}}
 	DeferCleanup(r.api.Close)
 	for i := range count {
 		config.ID = fmt.Sprintf("i-%d", i)
@@ -136,6 +160,7 @@
 	handler := relay.New(relay.Deps{
 		Rejected: func(relay.Rejection) {},
 		Table:    r.table.Load, Turns: r.turns, Pool: upstream.NewPool(), Retries: r.retries, Suspects: r.suspects,
+		Isolation: r.isolation, Peer: r.peer, PeerPool: upstream.NewPool(),
 		Random: func() float64 { return 0.5 }, FirstRequest: func() { r.firstRequests.Add(1) },
 		Report: func(report relay.Report) {
 			r.mu.Lock()
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -21,6 +21,8 @@
 const (
 	eventStallReportDelay = 300 * time.Millisecond
 	firstStallReportDelay = 600 * time.Millisecond
+	// wholeAnswerReportDelay applies to answers that are not streams.
+	wholeAnswerReportDelay = 300 * time.Millisecond
 )
 
 // crashCheckTimeout bounds the check whether a server has crashed, for which the end of a stream is withheld.
@@ -99,7 +101,7 @@
 // it may have.
 func (e *exchange) copyEvents(t *turn.Turn, answer *upstream.Response, head http.Header, last string) (string, error) {
 	events := newEventReader(answer.Body)
-	suspicion := time.AfterFunc(firstStallReportDelay, t.ReportStall)
+	suspicion := time.AfterFunc(firstStallReportDelay, func() { e.reportSilence(t) })
 	defer suspicion.Stop()
 	controller := http.NewResponseController(e.writer)
 	for {
@@ -155,10 +157,28 @@
 				return nil, nil
 			}
 		}
+		if t.Peer {
+			answer, err := e.sendToPeer(t, last)
+			if errors.Is(err, upstream.ErrNotSent) || errors.Is(err, errPeerCannot) {
+				continue
+			}
+			if err == nil && (answer.Status != http.StatusOK || !platform.HasSignature(answer.Header)) {
+				_ = answer.Body.Close()
+				e.endAttempt()
+				err = errPeerCannot
+			}
+			if err != nil {
+				e.fail(detail + "; passed on to " + e.summary.Via + ": " + err.Error())
+				return nil, nil
+			}
+			e.summary.Resumed = true
+			return t, answer
+		}
 		e.tried = append(e.tried, t.Server.ID)
 		answer, err := e.send(t, last)
 		if errors.Is(err, upstream.ErrNotSent) {
 			t.Done(turn.Result{Unreachable: true})
+			e.unreachable++
 			continue
 		}
 		e.attempts++
@@ -182,7 +202,7 @@
 		e.fail(detail)
 		return nil
 	}
-	t, refusal := e.relay.deps.Turns.Acquire(e.ctx, e.turnRequest())
+	t, refusal := e.acquireTurn(e.turnRequest())
 	if refusal != nil {
 		e.fail(detail + "; " + string(refusal.Reason) + ": " + refusal.Detail)
 		return nil
--- a/entry/relay/watch.go
+++ b/entry/relay/watch.go
@@ -48,10 +48,10 @@
 	alternate *turn.Turn
 }
 
-// newStallWatch starts a watch on the current attempt; cancel ends the attempt.
-func newStallWatch(e *exchange, cancel context.CancelCauseFunc) *stallWatch {
+// newStallWatch starts a watch on the current attempt; cancel ends the attempt. An attempt that another entry makes is watched there.
+func newStallWatch(e *exchange, cancel context.CancelCauseFunc, peer bool) *stallWatch {
 	w := &stallWatch{exchange: e, cancel: cancel, attempt: e.attempts + 1, tried: append([]backend.ID(nil), e.tried...)}
-	w.stopped = !e.route.Repeatable() || w.attempt >= e.route.MaxAttempts
+	w.stopped = peer || !e.route.Repeatable() || w.attempt >= e.route.MaxAttempts
 	timeout := wholeAnswerTimeout
 	if e.route.Kind == route.Streaming {
 		timeout = streamStartTimeout
@@ -98,7 +98,7 @@
 // acquireAlternate acquires a turn at another server. It returns nil if there is none or the retry budget is exhausted.
 func (w *stallWatch) acquireAlternate() *turn.Turn {
 	e := w.exchange
-	t, refusal := e.relay.deps.Turns.Acquire(e.ctx, turn.Request{
+	t, refusal := e.acquireTurn(turn.Request{
 		Service: e.service, Model: e.call.Model, Priority: turn.PriorityRetry, Retry: true, Tried: w.tried, MaxWait: alternateTurnWait,
 	})
 	if refusal != nil {
--- a/entry/roster/roster.go
+++ b/entry/roster/roster.go
@@ -8,6 +8,7 @@
 	"maps"
 	"math/rand/v2"
 	"reflect"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,6 +32,8 @@
 	AddressTTL time.Duration
 	// IsDown reports whether an entry is known to be down. It is called without the roster's lock.
 	IsDown func(name string) bool
+	// IsIsolated reports whether an entry has lost its connections to the backend servers. It is called without the roster's lock.
+	IsIsolated func(name string) bool
 	// OnError is called when an operation on the platform's objects fails.
 	OnError func(operation string, err error)
 }
@@ -81,22 +84,39 @@
 
 // Answer returns the addresses of the entries that a caller should use, and how long it may keep them.
 func (r *Roster) Answer(caller policy.Caller) ([]string, time.Duration) {
-	entries := r.snapshot() // IsDown takes locks of its own, so the roster's is not held
+	entries := r.snapshot()
+	chosen := r.choose(entries, caller)
+	answer := make([]string, 0, len(chosen))
+	for _, candidate := range chosen {
+		answer = append(answer, entries[candidate.Name].PublicAddress)
+	}
+	return answer, r.deps.AddressTTL
+}
+
+// Peer returns another entry that reaches the backend servers, if there is one that is not among those tried.
+func (r *Roster) Peer(tried []string) (platform.Entry, bool) {
+	entries := r.snapshot()
+	maps.DeleteFunc(entries, func(name string, _ platform.Entry) bool {
+		return name == r.deps.Self.Name || slices.Contains(tried, name) || r.deps.IsIsolated(name)
+	})
+	chosen := r.choose(entries, policy.Caller{Place: r.deps.Self.Place, FailureDomain: r.deps.Self.FailureDomain})
+	if len(chosen) == 0 {
+		return platform.Entry{}, false
+	}
+	return entries[chosen[0].Name], true
+}
+
+// choose must be called without the roster's lock: IsDown and IsIsolated take locks of their own.
+func (r *Roster) choose(entries map[string]platform.Entry, caller policy.Caller) []policy.Candidate {
 	candidates := make([]policy.Candidate, 0, len(entries))
-	addresses := make(map[string]string, len(entries))
 	for name, entry := range entries {
 		candidates = append(candidates, policy.Candidate{
 			Name: name, Place: entry.Place, FailureDomain: entry.FailureDomain, Leaving: entry.Leaving, Dead: r.deps.IsDown(name),
+			Isolated: r.deps.IsIsolated(name),
 		})
-		addresses[name] = entry.PublicAddress
 	}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	chosen := policy.Choose(r.deps.Selection, candidates, caller, random)
-	answer := make([]string, 0, len(chosen))
-	for _, candidate := range chosen {
-		answer = append(answer, addresses[candidate.Name])
-	}
-	return answer, r.deps.AddressTTL
+	return policy.Choose(r.deps.Selection, candidates, caller, random)
 }
 
 func (r *Roster) snapshot() map[string]platform.Entry {
--- a/entry/turn/turn.go
+++ b/entry/turn/turn.go
@@ -91,7 +91,9 @@
 // Turn is the right to send one request to one server.
 type Turn struct {
 	Server *backend.Server
-	Basis  Basis
+	// Peer is set if Server is another entry, which passes the request on to a server.
+	Peer  bool
+	Basis Basis
 	// ReportLoad records the load that the server reported in its answer.
 	ReportLoad func(running, waiting, slots int)
 	// ReportStall reports, during the turn, that the server has sent nothing for longer than usual.
--- a/link/leader/leader.go
+++ b/link/leader/leader.go
@@ -63,6 +63,13 @@
 	Cleared *Cleared `cbor:"9,keyasint,omitempty"`
 	// RequestSeen reports that the follower has received a caller's request since it started.
 	RequestSeen bool `cbor:"11,keyasint,omitempty"`
+	// Isolation reports whether the follower has lost its connections to the servers of a service.
+	Isolation *Isolation `cbor:"12,keyasint,omitempty"`
+}
+
+// Isolation reports whether an entry has lost its connections to all servers of any service.
+type Isolation struct {
+	Isolated bool `cbor:"1,keyasint,omitempty"`
 }
 
 // Hello is the first message of a follower.
@@ -172,6 +179,14 @@
 	Queued uint64 `cbor:"9,keyasint,omitempty"`
 	// Compressed is another message in compressed form.
 	Compressed []byte `cbor:"7,keyasint,omitempty"`
+	// IsolationChanges is sent when entries become isolated or reach the servers again.
+	IsolationChanges *IsolationChanges `cbor:"10,keyasint,omitempty"`
+}
+
+// IsolationChanges lists the entries that have become isolated and those that reach the servers again. A new follower is sent all isolated ones.
+type IsolationChanges struct {
+	Isolated []string `cbor:"1,keyasint,omitempty"`
+	Reaching []string `cbor:"2,keyasint,omitempty"`
 }
 
 // Grant grants a turn.
--- a/link/upstream/pool.go
+++ b/link/upstream/pool.go
@@ -94,6 +94,18 @@
 	}, nil
 }
 
+// Answers reports whether the server at endpoint answers a request on a new connection. It ends with ctx.
+func (p *Pool) Answers(ctx context.Context, endpoint Endpoint, request *Request) bool {
+	c, err := p.dial(ctx, endpoint.Address)
+	if err != nil {
+		return false
+	}
+	defer c.Close()
+	defer context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })()
+	_, err = c.exchange(request)
+	return err == nil
+}
+
 func (c *conn) exchange(request *Request) (*http.Response, error) {
 	if err := c.write(request); err != nil {
 		return nil, err
--- a/logline/names.go
+++ b/logline/names.go
@@ -17,6 +17,7 @@
 	LeaseRefused     = "lease not written: another entry has written it"
 	Linked           = "linked to the leader"
 	LinkEnded        = "link to the leader ended"
+	Isolation        = "backend servers of a service lost or reached again"
 	Demand           = "demand"
 	AskedOthers      = "asked other entries for a server"
 	PlatformLost     = "platform lost"
--- a/policy/directory/choose.go
+++ b/policy/directory/choose.go
@@ -10,7 +10,8 @@
 //
 // Each answer is therefore drawn at random, from the caller's failure domain first and then from its place, the
 // region that holds the failure domain. Entries that report overload are left out, which sends callers elsewhere,
-// and the last entries of each answer are in other failure domains.
+// and the last entries of each answer are in other failure domains. Entries that have lost their connections to the
+// backend servers are left out as well, unless all have: each request that they get has to be passed on.
 package directory
 
 import (
@@ -26,6 +27,8 @@
 	Leaving       bool
 	Dead          bool
 	Overloaded    bool
+	// Isolated entries have lost their connections to the backend servers.
+	Isolated bool
 }
 
 // Caller is the location of the caller. Empty fields are not known.
@@ -61,7 +64,7 @@
 
 // Choose returns the entries for the caller, best first. It returns none only if no entry is usable.
 func Choose(cfg Config, entries []Candidate, caller Caller, r *rand.Rand) []Candidate {
-	candidates := cfg.dropOverloaded(usable(entries))
+	candidates := cfg.dropOverloaded(dropIsolated(usable(entries)))
 	r.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
 	ranked := cfg.orderByProximity(candidates, caller)
 	if len(ranked) <= cfg.Count {
@@ -89,6 +92,15 @@
 	return kept
 }
 
+// dropIsolated leaves out isolated entries, unless all are: the servers are then more likely to be down.
+func dropIsolated(entries []Candidate) []Candidate {
+	rest := filter(entries, func(e Candidate) bool { return !e.Isolated })
+	if len(rest) == 0 {
+		return entries
+	}
+	return rest
+}
+
 // dropOverloaded leaves out overloaded entries, unless the others are less than PanicThreshold of all.
 func (cfg Config) dropOverloaded(entries []Candidate) []Candidate {
 	rest := filter(entries, func(e Candidate) bool { return !e.Overloaded })
--- a/policy/directory/choose_test.go
+++ b/policy/directory/choose_test.go
@@ -17,6 +17,25 @@
 	RunSpecs(t, "policy/directory")
 }
 
+// Guards against callers being sent to entries that can only pass their requests on, and against leaving callers without an address when the
+// servers are down for all.
+var _ = DescribeTable("isolated entries", func(isolated, want int) {
+	entries := newEntries(1, 4)
+	for i := range isolated {
+		entries[i].Isolated = true
+	}
+	chosen := Choose(DefaultConfig(), entries, Caller{}, newRand(1))
+	Expect(chosen).To(HaveLen(want))
+	for _, entry := range chosen {
+		Expect(entry.Isolated).To(Equal(isolated == len(entries)))
+	}
+},
+	Entry("none", 0, 4),
+	Entry("some", 1, 3),
+	Entry("all but one", 3, 1),
+	Entry("all", 4, 4),
+)
+
 // newEntries returns entries of one place, with the same number in each failure domain.
 func newEntries(domains, each int) []Candidate {
 	var entries []Candidate
