entry/grouping, entry/leader: a leader that has lost all backend servers takes no group from anybody

Callers of all entries were refused while the leader was cut off from the servers ('0 run on 0 places', 32 to 92 unserved at each of the others in 12 s): it found the members of one group after the other unresponsive, excluded them, and withheld each group that it or another cut-off entry suspected.

Cause: the leader took its own view for the truth unless VMs of three fabric domains had fallen silent within a second, and the reports of entries that see nothing counted like any others. The class: an observer that can't see takes what it observes for the state of what it looks at.

Now a VM that does not answer is excluded only if some other server answers the leader at that moment, or no other entry reaches the VM. An isolated leader orders nothing and withholds no group while another entry reaches the servers; reports of isolated entries are ignored, and only others are asked to look.

Ruled out: to ask the others about every VM that does not answer (0.9 s more until a group that lost a member is mended).

--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -101,11 +101,13 @@
 	})
 }
 
-func provideController(s *shared, pool *upstream.Pool, cat *catalog.Catalog, entryLease *lease.Lease) *grouping.Controller {
+func provideController(
+	s *shared, pool *upstream.Pool, cat *catalog.Catalog, entryLease *lease.Lease, isolated *isolation.Watch,
+) *grouping.Controller {
 	return grouping.New(grouping.Deps{
 		Pool: pool, Table: cat.Table, Listing: cat.Listing, RegistrationsReliable: cat.RegistrationsReliable,
 		IsLeader: s.mayIssueOrders, Epoch: entryLease.Version,
-		PeersSeeServing: s.peersSeeServing, PeersReach: s.peersReach, ClearSuspicion: func(head backend.ID) { s.components.leader.ClearSuspicion(head) },
+		PeersSeeServing: s.peersSeeServing, PeersReach: s.peersReach, ReachesServers: isolated.Check, ClearSuspicion: func(head backend.ID) { s.components.leader.ClearSuspicion(head) },
 		DemandGroups:  func(service, model string) float64 { return s.components.leader.GroupsNeeded(service, model) },
 		BeforeTraffic: s.beforeTraffic, OnEvent: s.groupEvent,
 	})
@@ -117,9 +119,9 @@
 		ListAge: cat.ServersAge, LinkMbps: s.config.LinkMbps,
 		Table: cat.Table, Dissolving: controller.Closed,
 		UnregisteredMembers: controller.ResponsiveUnregistered, Slowdown: controller.Slowdown,
-		StallReported: s.stallReported,
-		Suspect:       func(key backend.GroupKey) { controller.Suspect(context.Background(), key) },
-		ReportDemand:  s.logDemand, Config: cat.Config, OfferConfig: cat.UpdateConfig, LeaseVersion: entryLease.Version,
+		StallReported: s.stallReported, Blind: s.isBlind,
+		Suspect:      func(key backend.GroupKey) { controller.Suspect(context.Background(), key) },
+		ReportDemand: s.logDemand, Config: cat.Config, OfferConfig: cat.UpdateConfig, LeaseVersion: entryLease.Version,
 		Ages: cat.Ages, ReportQuarantine: s.requestsQuarantined,
 	})
 }
@@ -232,9 +234,28 @@
 // depend on this (see package grouping).
 func (s *shared) mayIssueOrders() bool {
 	p := s.components
+	if s.isBlind() {
+		return false
+	}
 	return p.lease.Held() || (p.lease.IsLeader() && 2*p.leader.FollowerCount() >= p.roster.Len())
 }
 
+// isBlind reports whether this entry has lost its connections to the servers of a service with groups while another entry has not, so that it
+// can't tell which groups are well.
+func (s *shared) isBlind() bool {
+	p := s.components
+	table := p.catalog.Table()
+	if table == nil {
+		return false
+	}
+	for name, service := range table.Services {
+		if service.Engine != nil && p.isolation.Isolated(name) {
+			return p.leader.OthersReachServers(s.config.Name)
+		}
+	}
+	return false
+}
+
 // gauges registers the gauges of the process.
 func (g *Gateway) gauges() {
 	for name, value := range map[string]func() int64{
--- a/entry/gateway/wire_gen.go
+++ b/entry/gateway/wire_gen.go
@@ -24,13 +24,13 @@
 	holder := provideHolder(s, identity)
 	lease := provideLease(s, client, holder)
 	pool := providePool(s)
-	controller := provideController(s, pool, catalog, lease)
+	watch := provideIsolation(s, catalog, pool)
+	controller := provideController(s, pool, catalog, lease, watch)
 	local := provideLocal(catalog)
 	remote := provideRemote(local, catalog)
 	retries := provideRetries(s)
-	watch := provideSuspects(remote)
-	isolationWatch := provideIsolation(s, catalog, pool)
-	relay := provideRelay(s, catalog, remote, pool, retries, watch, isolationWatch, roster)
+	suspectsWatch := provideSuspects(remote)
+	relay := provideRelay(s, catalog, remote, pool, retries, suspectsWatch, watch, roster)
 	leader := provideLeader(s, catalog, lease, controller)
 	leaderServer := provideLinks(identity, holder, leader)
 	gate := &drain.Gate{}
@@ -42,8 +42,8 @@
 		relay:      relay,
 		local:      local,
 		remote:     remote,
-		suspects:   watch,
-		isolation:  isolationWatch,
+		suspects:   suspectsWatch,
+		isolation:  watch,
 		retries:    retries,
 		leader:     leader,
 		links:      leaderServer,
--- a/entry/grouping/cell_test.go
+++ b/entry/grouping/cell_test.go
@@ -96,6 +96,8 @@
 	// peersReach makes the peers report that they reach every VM, and that every head that this controller can't reach is
 	// serving.
 	peersReach atomic.Bool
+	// isolated makes the controller's entry reach no server.
+	isolated atomic.Bool
 	// formations counts the groups that the controller began to form.
 	formations atomic.Int32
 	// unformableReports counts the events about a model of service s that fits into no fabric domain.
@@ -113,6 +115,7 @@
 		Pool: upstream.NewPool(), Table: func() *route.Table { return table }, Listing: listings.Listing, RegistrationsReliable: listings.RegistrationsReliable,
 		IsLeader: controller.leader.Load, Epoch: func() uint64 { return epoch },
 		PeersSeeServing: func(context.Context, *backend.Server, backend.GroupKey) bool { return controller.peersReach.Load() },
+		ReachesServers:  func(context.Context, string) bool { return !controller.isolated.Load() },
 		PeersReach:      func(context.Context, *backend.Server) bool { return controller.peersReach.Load() },
 		ClearSuspicion:  func(backend.ID) {}, DemandGroups: func(string, string) float64 { return 0 }, BeforeTraffic: func() bool { return false },
 		OnEvent: func(event grouping.Event) {
--- a/entry/grouping/dark.go
+++ b/entry/grouping/dark.go
@@ -15,9 +15,10 @@
 )
 
 // handleNoAnswer excludes a VM that did not answer. If this entry itself may be the cause, it asks its peers first: an entry
-// that became leader on a busy machine once found 14 healthy groups unresponsive and dissolved ten of them.
+// that is slow, or cut off from the servers, would find one healthy group after the other unresponsive.
 func (c *Controller) handleNoAnswer(ctx context.Context, server *backend.Server, err error) {
-	if c.suspectsItself(server) && c.deps.PeersReach(ctx, server) {
+	ownFault := c.suspectsItself(server) || !c.deps.ReachesServers(ctx, server.Service)
+	if ownFault && c.deps.PeersReach(ctx, server) {
 		c.deps.OnEvent(Event{Kind: MemberResponsive, VM: server.ID, Detail: "another entry reaches it: " + err.Error()})
 		return
 	}
--- a/entry/grouping/grouping.go
+++ b/entry/grouping/grouping.go
@@ -37,6 +37,8 @@
 	// PeersSeeServing asks other entries whether they reach a server that this entry can't reach, and reports whether it is
 	// serving the group.
 	PeersSeeServing func(ctx context.Context, server *backend.Server, key backend.GroupKey) (serving bool)
+	// ReachesServers reports whether any server of a service answers this entry now.
+	ReachesServers func(ctx context.Context, service string) bool
 	// PeersReach reports whether another entry reaches the server.
 	PeersReach func(ctx context.Context, server *backend.Server) bool
 	// ClearSuspicion is called when all members of a suspected group have answered.
--- a/entry/grouping/grouping_test.go
+++ b/entry/grouping/grouping_test.go
@@ -125,6 +125,22 @@
 		Consistently(closed, "2s").Should(Equal(2))
 	})
 
+	// The leader is cut off from all VMs, and other entries are not. It would take the groups from the callers of all entries, one after the
+	// other.
+	It("keeps the groups if this entry reaches no VM and other entries do", func() {
+		f := newFixture(3)
+		controller := f.startController(1)
+		Eventually(f.groupCount, waitFor).Should(Equal(1))
+		before := f.heads()
+		controller.peersReach.Store(true)
+		controller.isolated.Store(true)
+		for _, vm := range f.vms {
+			vm.SetFaults(replica.Faults{Unresponsive: true})
+		}
+		controller.Suspect(context.Background(), before[0].Group.GroupKey)
+		Consistently(func() bool { return controller.Closed(before[0].Group.GroupKey) }, "2s").Should(BeFalse())
+	})
+
 	// The members of a group lose the connection to the platform just as the group opens, so they remain listed as free. If
 	// they were assigned to another group, they would leave one that is serving.
 	It("does not reassign a VM of a group that it opened, even if the VM is listed as free", func() {
--- a/entry/grouping/suspect.go
+++ b/entry/grouping/suspect.go
@@ -43,6 +43,9 @@
 	slowest := result{report: backend.Report{Slowdown: 1}}
 	for range members {
 		got := <-results
+		if got.err != nil && !c.isExcluded(got.vm) {
+			continue // another entry reaches it
+		}
 		if got.err != nil {
 			c.deps.OnEvent(Event{Kind: GroupSuspected, Group: key, Detail: got.err.Error()})
 			c.Wake()
@@ -127,6 +130,13 @@
 	return false
 }
 
+// isExcluded reports whether a VM is excluded because it did not answer.
+func (c *Controller) isExcluded(id backend.ID) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.isSilent(id, time.Now())
+}
+
 // isSilent reports whether a VM is excluded because it did not answer. It must be called with c.mu held.
 func (c *Controller) isSilent(id backend.ID, now time.Time) bool { return now.Before(c.silent[id]) }
 
--- a/entry/isolation/isolation.go
+++ b/entry/isolation/isolation.go
@@ -134,6 +134,24 @@
 	return false
 }
 
+// Check reports whether a server of a service answers this entry now, and suspects that none does otherwise. Of an isolated service it reports
+// false at once.
+func (w *Watch) Check(ctx context.Context, name string) bool {
+	if w.Isolated(name) {
+		return false
+	}
+	bounded, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	results, _ := w.probeSample(bounded, name)
+	for answered := range results {
+		if answered {
+			return true
+		}
+	}
+	w.Suspect(name)
+	return false
+}
+
 // probeSample probes some servers of a service at the same time. The channel is closed after the last result.
 func (w *Watch) probeSample(ctx context.Context, name string) (results <-chan bool, asked int) {
 	servers := w.sample(name)
--- a/entry/leader/isolation.go
+++ b/entry/leader/isolation.go
@@ -49,3 +49,15 @@
 	}
 	to.Send(link.Down{IsolationChanges: &link.IsolationChanges{Isolated: slices.Sorted(maps.Keys(l.isolated))}})
 }
+
+// OthersReachServers reports whether any follower but the given entry has not reported to be isolated.
+func (l *Leader) OthersReachServers(entry string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for follower := range l.followers {
+		if follower != entry && !l.isolated[follower] {
+			return true
+		}
+	}
+	return false
+}
--- a/entry/leader/isolation_test.go
+++ b/entry/leader/isolation_test.go
@@ -29,4 +29,15 @@
 		l.BroadcastIsolation()
 		Expect(first.takeLast().IsolationChanges).To(Equal(&link.IsolationChanges{Reaching: []string{"e-2"}}))
 	})
+
+	It("knows whether other entries reach the servers", func() {
+		l := newLeader()
+		l.Join("self", &follower{}, link.Hello{})
+		Expect(l.OthersReachServers("self")).To(BeFalse())
+		other := &follower{}
+		l.Join("e-1", other, link.Hello{})
+		Expect(l.OthersReachServers("self")).To(BeTrue())
+		l.Receive("e-1", other, isolated(true))
+		Expect(l.OthersReachServers("self")).To(BeFalse())
+	})
 })
--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -44,6 +44,9 @@
 	Slowdown func(key backend.GroupKey) float64
 	// StallReported is called when an entry reports that a head has stopped answering. It may be nil.
 	StallReported func(entry string, head backend.ID)
+	// Blind reports whether this entry can't judge groups, because it has lost its connections to the servers while others have not. It may be
+	// nil.
+	Blind func() bool
 	// Suspect starts a check of a group whose head has stopped answering.
 	Suspect func(group backend.GroupKey)
 	// Config returns the version and the text of the configuration in force. OfferConfig offers a configuration, which
@@ -295,7 +298,7 @@
 		if l.deps.StallReported != nil {
 			l.deps.StallReported(entry, message.StalledHead)
 		}
-		l.suspect(message.StalledHead)
+		l.suspect(entry, message.StalledHead)
 	case message.Config != nil:
 		l.deps.OfferConfig(message.Config.Spec)
 	case message.ProbeResult != nil:
@@ -407,15 +410,22 @@
 
 var reasons = map[policy.Reason]turn.Reason{policy.NoGroup: turn.NoServer, policy.TooLate: turn.Full, policy.TriedAll: turn.TriedAll}
 
-// suspect withholds turns from a group and starts a check of it.
-func (l *Leader) suspect(head backend.ID) {
+// suspect withholds turns from a group and starts a check of it. It ignores reports of entries that have lost their connections to the servers,
+// and does nothing while this entry can't judge.
+func (l *Leader) suspect(entry string, head backend.ID) {
 	server := l.deps.Listing().Servers[head]
-	if server == nil || !l.deps.IsLeader() {
+	if server == nil || !l.deps.IsLeader() || l.deps.Blind != nil && l.deps.Blind() {
 		return
 	}
 	l.mu.Lock()
-	l.turns.Suspect(l.now(), string(head))
+	isolated := l.isolated[entry]
+	if !isolated {
+		l.turns.Suspect(l.now(), string(head))
+	}
 	l.mu.Unlock()
+	if isolated {
+		return
+	}
 	l.deps.Suspect(server.Group.GroupKey)
 }
 
--- a/entry/leader/looks.go
+++ b/entry/leader/looks.go
@@ -22,10 +22,13 @@
 	l.mu.Lock()
 	l.probes[server.ID] = answers
 	asked := 0
-	for _, to := range l.followers {
+	for entry, to := range l.followers {
 		if asked == maxProbers {
 			break
 		}
+		if l.isolated[entry] {
+			continue
+		}
 		to.Send(link.Down{Probe: &link.Probe{Server: server.ID, Address: server.Address}})
 		asked++
 	}
