entry/relay, policy/isolation: passed-on requests count one attempt; suspicions are probed once a second at most

The log line of a request that was passed on told as many attempts as its route allows. A service whose servers are slow, not lost, had each entry probe three of them every 0.5 s; a second is still well within the platform's stable window of 3 s.

--- a/entry/relay/exchange.go
+++ b/entry/relay/exchange.go
@@ -44,6 +44,8 @@
 	tried       []backend.ID
 	unreachable int
 	peersTried  []string
+	// passedOn is set once another entry has taken the request: it makes all attempts that are left.
+	passedOn bool
 	// attempts counts the attempts that reached a server, those of an entry that passed the request on included; mayHaveRun is set if one of them may have run.
 	attempts   int
 	mayHaveRun bool
@@ -384,7 +386,7 @@
 }
 
 func (e *exchange) mayRetry() bool {
-	return e.attempts < e.route.MaxAttempts && e.relay.deps.Retries.Take(e.service, time.Until(e.deadline))
+	return !e.passedOn && e.attempts < e.route.MaxAttempts && e.relay.deps.Retries.Take(e.service, time.Until(e.deadline))
 }
 
 // relayWhole forwards an answer that is not a stream. It is buffered before any of it is sent, so that an answer that breaks off can
--- a/entry/relay/forward.go
+++ b/entry/relay/forward.go
@@ -67,8 +67,8 @@
 // errPeerCannot means that another entry can't serve the request and has not run it.
 var errPeerCannot = eris.New("the other entry can't serve the request either")
 
-// sendToPeer passes the request on. It returns upstream.ErrNotSent or errPeerCannot if the request has not run. Otherwise the other entry may
-// have used up the attempts.
+// sendToPeer passes the request on. It returns upstream.ErrNotSent or errPeerCannot if the request has not run. Otherwise the other entry has
+// made all attempts that were left.
 func (e *exchange) sendToPeer(t *turn.Turn, lastEvent string) (*upstream.Response, error) {
 	e.summary.Via = string(t.Server.ID)
 	answer, err := e.send(t, lastEvent)
@@ -80,7 +80,8 @@
 		e.endAttempt()
 		return nil, errPeerCannot
 	}
-	e.attempts = max(e.attempts+1, e.route.MaxAttempts)
+	e.attempts++
+	e.passedOn = true
 	return answer, err
 }
 
--- a/policy/isolation/isolation.go
+++ b/policy/isolation/isolation.go
@@ -22,7 +22,7 @@
 	// round starts at once.
 	failedRounds = 2
 	// suspicionInterval is the shortest interval between rounds while the servers answer.
-	suspicionInterval = 500 * time.Millisecond
+	suspicionInterval = time.Second
 	// recoveryInterval is the interval between rounds while the entry is isolated.
 	recoveryInterval = 400 * time.Millisecond
 	// minAnsweredRounds is the number of successive answered rounds after which an entry is no longer isolated. It
