entry/front, policy/shift: a front waits a moment for the entries to agree on a home

After a cut between one entry and the others was mended, callers were told 503 not-home, not run, within 0.1 s, although the group's home would have served them a moment later.

Cause: asking a further entry helps against one outdated view, not while several entries know no home.

Now, after all that it may ask have refused, a front waits 50 ms and asks anew, doubling the time waited up to 0.8 s in all, while its own view is younger than a second or one of those asked knew no home. With settled views it refuses at once, as before.

--- a/entry/front/drive.go
+++ b/entry/front/drive.go
@@ -9,6 +9,7 @@
 	"github.com/skylarkpond/skylarkpond/contract"
 	"github.com/skylarkpond/skylarkpond/contract/attempt"
 	"github.com/skylarkpond/skylarkpond/contract/outcome"
+	"github.com/skylarkpond/skylarkpond/policy/shift"
 	"github.com/skylarkpond/skylarkpond/timeline"
 	"github.com/skylarkpond/skylarkpond/vm"
 )
@@ -40,6 +41,10 @@
 	refusedBy []string
 	named     string
 	wrongHome bool
+	// noHomeKnown is set if one of the entries in refusedBy knew no home itself.
+	noHomeKnown bool
+	// agreementWait is how long the request has waited for the entries to agree on the home of its group.
+	agreementWait time.Duration
 
 	cancel context.CancelFunc
 	frames chan frameResult
@@ -130,6 +135,7 @@
 	if action.Kind == outcome.Dispatch && f.Problem != nil && f.Problem.Code == contract.CodeNotHome {
 		d.wrongHome, d.named = true, f.Home
 		d.refusedBy = append(d.refusedBy, d.home)
+		d.noHomeKnown = d.noHomeKnown || f.Home == ""
 	}
 	if action.Kind != outcome.Deliver {
 		d.endedByHome = f.Kind == contract.FrameEnd || f.Kind == contract.FrameRefused || f.Kind == contract.FrameRecordExists
@@ -150,7 +156,7 @@
 // After a refusal by an entry that is not the home, it asks another entry for the same group. That does not count as a
 // retry: no backend server has seen the request, and the number of entries to ask is bounded.
 func (d *driver) dispatch(ctx context.Context, action outcome.Action) outcome.Action {
-	redirected := d.redirect()
+	redirected := d.redirect(ctx)
 	if !redirected {
 		d.closeDispatch()
 	}
@@ -192,20 +198,24 @@
 	}
 	d.choice = choice
 	d.tried = append(d.tried, choice.Group)
-	d.refusedBy = nil
+	d.refusedBy, d.noHomeKnown = nil, false
 	d.home, _ = d.front.deps.Homes.Next(choice.Group, nil, "")
 	return nil
 }
 
 // redirect reports whether the current dispatch was refused by an entry that is not the home and another one is to be
-// asked for the same group. It then ends the current dispatch but keeps its group.
-func (d *driver) redirect() bool {
+// asked for the same group. It then ends the current dispatch but keeps its group. If no entry is left to ask, it waits
+// for a moment for the entries to agree, and asks them anew.
+func (d *driver) redirect(ctx context.Context) bool {
 	if !d.wrongHome {
 		return false
 	}
 	d.wrongHome = false
 	next, ok := d.front.deps.Homes.Next(d.choice.Group, d.refusedBy, d.named)
 	d.reportNotHome(next)
+	if !ok {
+		next, ok = d.awaitAgreement(ctx)
+	}
 	if !ok {
 		return false
 	}
@@ -214,6 +224,33 @@
 	return true
 }
 
+// awaitAgreement waits until an entry may be asked again for the group, and returns it.
+func (d *driver) awaitAgreement(ctx context.Context) (next string, ok bool) {
+	for !ok {
+		_, age := d.front.deps.Homes.Eligible()
+		pause, wait := shift.AwaitAgreement(age, d.noHomeKnown, d.agreementWait)
+		if !wait || time.Until(d.deadline) <= pause || !waitFor(ctx, pause) {
+			return "", false
+		}
+		d.agreementWait += pause
+		d.refusedBy = nil
+		next, ok = d.front.deps.Homes.Next(d.choice.Group, nil, "")
+	}
+	return next, true
+}
+
+// waitFor returns false if ctx ended before the time was over.
+func waitFor(ctx context.Context, pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // awaitRetry waits for the backoff before a retry and reports whether the retry is allowed. The first try is
 // always allowed.
 func (d *driver) awaitRetry(ctx context.Context, left time.Duration) bool {
@@ -224,12 +261,7 @@
 	if !ok {
 		return false
 	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	waitFor(ctx, wait)
 	return true
 }
 
--- a/entry/front/fakes_test.go
+++ b/entry/front/fakes_test.go
@@ -193,6 +193,10 @@
 	computed map[vm.GroupID]string
 	// noneLive is set while the fronts know no live entry.
 	noneLive bool
+	// viewAge is how long the fronts' view has been unchanged; 0 for a second.
+	viewAge time.Duration
+	// homelessUntil is when the homes learn that they are; until then they know no home.
+	homelessUntil time.Time
 	// strangers are entries that are not the home of any group. Each names another home, or none.
 	strangers map[string]*home.Home
 	// logged holds the log lines of the fronts.
@@ -266,7 +270,12 @@
 // theHome stands for the name of the home of any group.
 const theHome = "the home"
 
-func (f *fleet) HomeOf(id vm.GroupID) string { return homeName(id) }
+func (f *fleet) HomeOf(id vm.GroupID) string {
+	if time.Now().Before(f.homelessUntil) {
+		return ""
+	}
+	return homeName(id)
+}
 
 // Next ranks the strangers by name, behind the home that the fronts compute, and before the true one.
 func (f *fleet) Next(id vm.GroupID, asked []string, named string) (string, bool) {
@@ -281,7 +290,12 @@
 	return shift.HomeQuery{Computed: computed, Named: named, Ranked: ranked, Asked: asked}.Next()
 }
 
-func (f *fleet) Eligible() ([]string, time.Duration) { return []string{"e1", "e2"}, time.Second }
+func (f *fleet) Eligible() ([]string, time.Duration) {
+	if f.viewAge > 0 {
+		return []string{"e1", "e2"}, f.viewAge
+	}
+	return []string{"e1", "e2"}, time.Second
+}
 
 func (f *fleet) newGuard() *guard.Guard {
 	return guard.New(guard.Deps{
@@ -322,7 +336,7 @@
 	if strings.HasPrefix(string(id), "chat") {
 		service = "chat"
 	}
-	return vm.Group{ID: id, Service: service, State: vm.Serving, Members: []vm.Member{{VM: "vm"}}}, true, true
+	return vm.Group{ID: id, Service: service, State: vm.Serving, Members: []vm.Member{{VM: "vm"}}}, !time.Now().Before(f.homelessUntil), true
 }
 
 func (f *fleet) Whole(id vm.GroupID) (bool, string) {
--- a/entry/front/front_test.go
+++ b/entry/front/front_test.go
@@ -476,6 +476,26 @@
 		Expect(lines[shift.MaxAsked-1].Data).To(HaveKeyWithValue("next", ""))
 	})
 
+	// A cut between the entries was mended. Each learns at its own moment that the others are back, and computes no home until then.
+	It("waits a moment for the entries to agree on the home", func() {
+		f.homelessUntil = time.Now().Add(300 * time.Millisecond)
+		Expect(complete(f.fronts[0], true).outcome).To(Equal(answered))
+		f.homelessUntil = time.Now().Add(300 * time.Millisecond)
+		Expect(book(f.fronts[0], "lot-7", 1).outcome).To(Equal(answered))
+		Expect(f.backend.count("lot-7")).To(Equal(1))
+	})
+
+	// Requests would be held until their time is over, and each would be sent to the others again and again.
+	It("refuses a request, as not run, if the entries do not agree soon", func() {
+		f.homelessUntil = time.Now().Add(time.Minute)
+		began := time.Now()
+		got := complete(f.fronts[0], true)
+		Expect(got.code).To(Equal(contract.CodeNotHome))
+		Expect(got.outcome).To(Equal(notRun))
+		Expect(got.retryAfter).To(Equal("1"))
+		Expect(time.Since(began)).To(BeNumerically("<", 2*shift.MaxAgreement))
+	})
+
 	It("refuses a request at once, as not run, while it knows no live entry", func() {
 		f.noneLive = true
 		got := complete(f.fronts[0], true)
--- a/policy/shift/redirect.go
+++ b/policy/shift/redirect.go
@@ -1,6 +1,9 @@
 package shift
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // MaxAsked is the number of entries that a front asks as the home of one group before it refuses the request. It bounds
 // what a front with an outdated view can cost the others.
@@ -34,3 +37,28 @@
 	}
 	return "", false
 }
+
+// Entries that were cut off from each other, or stood still, learn at different moments that they are back. Until an
+// entry has heard from one of the others it computes no home at all, so that asking a further entry does not help, while
+// all of them agree a moment later.
+const (
+	// MaxAgreement is how long a request waits in all for the entries to agree on a home. It is longer than news takes to
+	// reach all entries.
+	MaxAgreement = 800 * time.Millisecond
+	// firstAgreementPause is the first pause between two rounds of questions. Each further pause doubles the time waited.
+	firstAgreementPause = 50 * time.Millisecond
+	// settledAge is how long an entry's view has to be unchanged to count as settled.
+	settledAge = time.Second
+)
+
+// AwaitAgreement returns the pause after which a front asks again for the home of a group, after all entries that it may
+// ask have refused a request and it has waited for the given time. ok is false if it should give up. It waits only while
+// the views are changing: its own, which has been unchanged for viewAge, or that of an entry asked, if one
+// knew no home.
+func AwaitAgreement(viewAge time.Duration, noHomeKnown bool, waited time.Duration) (pause time.Duration, ok bool) {
+	pause = max(firstAgreementPause, waited)
+	if viewAge >= settledAge && !noHomeKnown || waited+pause > MaxAgreement {
+		return 0, false
+	}
+	return pause, true
+}
--- a/policy/shift/redirect_test.go
+++ b/policy/shift/redirect_test.go
@@ -30,3 +30,14 @@
 	Entry("gives up after MaxIntroduction", true, MaxIntroduction, false),
 	Entry("gives up if it is not joining", false, time.Duration(0), false),
 )
+
+var _ = DescribeTable("A front that no entry has served as the home", func(age time.Duration, noHomeKnown bool, waited time.Duration, again bool) {
+	pause, ok := AwaitAgreement(age, noHomeKnown, waited)
+	Expect(ok).To(Equal(again))
+	Expect(waited + pause).To(BeNumerically("<=", max(waited, MaxAgreement)))
+},
+	Entry("asks again if its own view has just changed", 10*time.Millisecond, false, time.Duration(0), true),
+	Entry("asks again if an entry that it asked knows no home", time.Hour, true, time.Duration(0), true),
+	Entry("gives up if all views are settled", settledAge, false, time.Duration(0), false),
+	Entry("gives up when it has waited for long", time.Duration(0), true, MaxAgreement, false),
+)
