test/cooperative: the soak cuts entries off from all backend servers

A lane of its own, with a source of its own so that the other troubles stay those of the seed: one entry after the other loses all servers silently, by resets, or for new connections alone, for 0.5 to 4 s.

--- a/test/cooperative/isolation_test.go
+++ b/test/cooperative/isolation_test.go
@@ -24,6 +24,15 @@
 	resetOpen bool
 }
 
+// Ways to be cut off.
+var (
+	silentCut  = serverCut{faults: loopback.Faults{StallAll: true}}
+	refusedCut = serverCut{faults: loopback.Faults{Refuse: true}, resetOpen: true}
+	// newConnectionsCut leaves open connections as they are.
+	newConnectionsCut = serverCut{faults: loopback.Faults{Refuse: true}}
+	serverCuts        = []serverCut{silentCut, refusedCut, newConnectionsCut}
+)
+
 // cutFromServers cuts entries off from every backend server, and returns a function that ends the cut.
 func (p *pond) cutFromServers(cut serverCut, entries ...*gatewayProcess) (mend func()) {
 	GinkgoHelper()
@@ -79,10 +88,6 @@
 }
 
 var _ = Describe("An entry that is cut off from all backend servers", func() {
-	silent := serverCut{faults: loopback.Faults{StallAll: true}}
-	refused := serverCut{faults: loopback.Faults{Refuse: true}, resetOpen: true}
-	onlyNew := serverCut{faults: loopback.Faults{Refuse: true}}
-
 	// Callers, the platform and the other entries still reach the entry. Each of its requests waited for several servers and was refused, and
 	// callers were sent back to it.
 	DescribeTable("serves its callers, and is not named to others until it reaches the servers again", func(cut serverCut) {
@@ -104,16 +109,16 @@
 		p.expectServed(entry.ask(6, "mended"))
 		Expect(p.world.Violations()).To(BeEmpty())
 	},
-		Entry("silently", silent),
-		Entry("by resets", refused),
-		Entry("for new connections", onlyNew),
+		Entry("silently", silentCut),
+		Entry("by resets", refusedCut),
+		Entry("for new connections", newConnectionsCut),
 	)
 
 	// Most entries are cut off. The remaining one has to serve everybody.
 	It("serves its callers together with most others", func() {
 		p := newPond(4, 7)
 		p.awaitServing(2)
-		mend := p.cutFromServers(silent, p.entries[1:]...)
+		mend := p.cutFromServers(silentCut, p.entries[1:]...)
 		defer mend()
 		begun := time.Now()
 		for _, e := range p.entries[1:] {
@@ -130,7 +135,7 @@
 		p := newPond(4, 7)
 		p.awaitServing(2)
 		leader, rest := p.leaderAndRest()
-		mend := p.cutFromServers(silent, leader)
+		mend := p.cutFromServers(silentCut, leader)
 		defer mend()
 		begun := time.Now()
 		go leader.ask(12, "notices")
--- a/test/cooperative/soak_test.go
+++ b/test/cooperative/soak_test.go
@@ -59,10 +59,12 @@
 	*pond
 	ends time.Time
 
-	mu       sync.Mutex // guards what follows; a leaf lock
-	random   *rand.Rand
-	problems []string
-	lines    []string
+	mu     sync.Mutex // guards what follows; a leaf lock
+	random *rand.Rand
+	// cutRandom draws the cuts of isolationLane, which alone uses it.
+	cutRandom *rand.Rand
+	problems  []string
+	lines     []string
 	// refused are the requests that were told not to have run; bookings are those that may run once.
 	refused, bookings []string
 	told              map[string]int
@@ -191,6 +193,7 @@
 	for range soakLanes {
 		running.Go(s.lane)
 	}
+	running.Go(s.isolationLane)
 	running.Wait()
 	s.judgeEnd()
 }
@@ -225,7 +228,7 @@
 			p := newPond(soakEntries, soakEngines)
 			p.awaitServing(soakEngines / groupSize)
 			s := &soak{
-				pond: p, random: rand.New(rand.NewPCG(seed, 0)), told: make(map[string]int), busy: make(map[any]bool),
+				pond: p, random: rand.New(rand.NewPCG(seed, 0)), cutRandom: rand.New(rand.NewPCG(seed, 1)), told: make(map[string]int), busy: make(map[any]bool),
 				faults: make(map[any][]faultTime),
 			}
 			s.play(time.Duration(fromEnvironment("POND_SOAK_SECONDS", soakSeconds)) * time.Second)
--- a/test/cooperative/troubles_test.go
+++ b/test/cooperative/troubles_test.go
@@ -5,6 +5,8 @@
 	"syscall"
 	"time"
 
+	. "github.com/onsi/ginkgo/v2"
+
 	"github.com/skylarkpond/skylarkpond/internal/loopback"
 	"github.com/skylarkpond/skylarkpond/platform/standin/objects"
 	"github.com/skylarkpond/skylarkpond/platform/standin/replica"
@@ -66,6 +68,29 @@
 	s.onEntry("reload", func(e *gatewayProcess) { _ = e.process().Signal(syscall.SIGHUP) })
 }
 
+// isolationLane cuts one entry after the other off from all backend servers. It draws from a source of its own, so that the other troubles stay
+// those of the seed.
+func (s *soak) isolationLane() {
+	defer GinkgoRecover()
+	some := func() time.Duration { return time.Duration(500+s.cutRandom.IntN(3500)) * time.Millisecond }
+	for time.Now().Before(s.ends) {
+		time.Sleep(some())
+		entry := s.entries[s.cutRandom.IntN(len(s.entries))]
+		cut := serverCuts[s.cutRandom.IntN(len(serverCuts))]
+		if !s.take(entry) {
+			continue
+		}
+		end := s.faulty(entry)
+		s.note("cut %s off from all backend servers: %+v", entry.name, cut)
+		mend := s.cutFromServers(cut, entry)
+		time.Sleep(some())
+		mend()
+		s.note("%s reaches the backend servers", entry.name)
+		end()
+		s.release(entry)
+	}
+}
+
 // weather draws what a proxy does.
 func (s *soak) weather() loopback.Faults {
 	return []loopback.Faults{
