entry/isolation, entry/gateway: an entry reports last whether it is isolated now

Cause: it reached two services again within the same millisecond; each of the two reports was computed and sent on its own, the one that still saw the other service lost was sent last, and the leader kept it for good.

Now the calls do not overlap and each tells the present state; a link to a leader begins with the state in any case, since a leader may still know one from a link that it has not given up. Without the lock the new spec of entry/isolation can't be written against (the state was computed by entry/gateway).

--- a/entry/gateway/follow.go
+++ b/entry/gateway/follow.go
@@ -116,9 +116,8 @@
 	if g.relay.HasReceived() {
 		g.remote.Send(link.Up{RequestSeen: true})
 	}
-	if g.isolation.Any() {
-		g.remote.Send(link.Up{Isolation: &link.Isolation{Isolated: true}})
-	}
+	// Sent in any case: the leader may still know an earlier state from a link that it has not given up yet.
+	g.remote.Send(link.Up{Isolation: &link.Isolation{Isolated: g.isolation.Any()}})
 }
 
 // holderPollInterval is how often an entry checks whether the lease has another holder.
--- a/entry/gateway/lines.go
+++ b/entry/gateway/lines.go
@@ -57,9 +57,8 @@
 }
 
 // isolationChanged logs that this entry has lost the servers of a service, or reaches them again, and tells the leader.
-func (s *shared) isolationChanged(service string, isolated bool) {
+func (s *shared) isolationChanged(service string, isolated, fromAny bool) {
 	metrics.GetOrRegisterCounter("isolation.changes", s.registry).Inc(1)
-	fromAny := s.components.isolation.Any()
 	s.log.WithFields(logrus.Fields{"service": service, "isolated": isolated, "from_any": fromAny}).Warn(logline.Isolation)
 	s.components.remote.Send(link.Up{Isolation: &link.Isolation{Isolated: fromAny}})
 }
--- a/entry/isolation/isolation.go
+++ b/entry/isolation/isolation.go
@@ -17,8 +17,9 @@
 	Listing func() *backend.Listing
 	// Probe reports whether a server answers on a new connection. It ends with ctx.
 	Probe func(ctx context.Context, server *backend.Server) bool
-	// Changed is called when this entry has lost all servers of a service, or reaches them again.
-	Changed func(service string, isolated bool)
+	// Changed is called when this entry has lost all servers of a service, or reaches them again. fromAny reports whether it is isolated from any
+	// service; calls do not overlap, so that the last one tells the present state.
+	Changed func(service string, isolated, fromAny bool)
 }
 
 const (
@@ -34,6 +35,8 @@
 	started time.Time
 	wake    chan struct{}
 
+	reporting sync.Mutex // held during calls of Changed; taken before mu
+
 	mu sync.Mutex // guards services; a leaf lock
 	// services holds the services that were ever suspected.
 	services map[string]*service
@@ -188,7 +191,9 @@
 	isolated := watched.detector.Isolated()
 	w.mu.Unlock()
 	if changed {
-		w.deps.Changed(name, isolated)
+		w.reporting.Lock()
+		defer w.reporting.Unlock()
+		w.deps.Changed(name, isolated, w.Any())
 	}
 }
 
--- a/entry/isolation/isolation_test.go
+++ b/entry/isolation/isolation_test.go
@@ -25,6 +25,9 @@
 		cut     atomic.Bool
 		probes  atomic.Int32
 		changes chan bool
+		// lastFromAny is what the last call of Changed to return reported; slowService is the service whose calls take longer.
+		lastFromAny atomic.Bool
+		slowService atomic.Pointer[string]
 	)
 	BeforeEach(func() {
 		cut.Store(false)
@@ -34,6 +37,7 @@
 		for i := range 6 {
 			id := backend.ID(fmt.Sprint("i-", i))
 			servers[id] = &backend.Server{ID: id, Service: "chat", Leaving: i == 0}
+			servers["desk-"+id] = &backend.Server{ID: "desk-" + id, Service: "desk"}
 		}
 		listing := backend.NewListing(1, servers)
 		watch = isolation.New(isolation.Deps{
@@ -48,10 +52,14 @@
 				}
 				return true
 			},
-			Changed: func(service string, isolated bool) {
-				defer GinkgoRecover()
-				Expect(service).To(Equal("chat"))
-				changes <- isolated
+			Changed: func(service string, isolated, fromAny bool) {
+				if slow := slowService.Load(); slow != nil && *slow == service {
+					time.Sleep(100 * time.Millisecond)
+				}
+				lastFromAny.Store(fromAny)
+				if service == "chat" {
+					changes <- isolated
+				}
 			},
 		})
 		ctx, stop := context.WithCancel(context.Background())
@@ -88,6 +96,21 @@
 		Expect(changes).NotTo(Receive())
 	})
 
+	// Two services are reached again at the same moment, and the entry reported last that it was still isolated from one of them. Callers were not
+	// sent to it any more.
+	DescribeTable("tells the present state last, if it changes for several services at once", func(slow string) {
+		slowService.Store(&slow)
+		cut.Store(true)
+		watch.Suspect("chat")
+		watch.Suspect("desk")
+		Eventually(watch.Any, "2s").Should(BeTrue())
+		Eventually(func() bool { return watch.Isolated("chat") && watch.Isolated("desk") }, "2s").Should(BeTrue())
+		cut.Store(false)
+		Eventually(watch.Any, "5s").Should(BeFalse())
+		Eventually(lastFromAny.Load).Should(BeFalse())
+		Consistently(lastFromAny.Load, "300ms").Should(BeFalse())
+	}, Entry("chat is reported slowly", "chat"), Entry("desk is reported slowly", "desk"))
+
 	It("is not isolated from a service that has no servers", func() {
 		for range 3 {
 			watch.Suspect("none")
