entry/suspects, platform: log each crash with the parts of the prompt that its requests had

Callers' requests of one kind crashed one server after the other, and of the crashes nothing was logged: only changes of the quarantine were, without a cause, so that the hypotheses of docs/incidents/unlike-requests.md could not be told apart. Each confirmed crash is logged with request, server, fingerprint and parts of the prompt; checks and crashes are counted; a request that ends otherwise than served is logged with its parts. No logic changes.

--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -138,8 +138,8 @@
 	return turn.NewRemote(local, cat.Listing)
 }
 
-func provideSuspects(remote *turn.Remote) *suspects.Watch {
-	return suspects.New(suspects.Deps{ConnectionRefused: upstream.RefusesConnections, SendToLeader: remote.Send})
+func provideSuspects(s *shared, remote *turn.Remote) *suspects.Watch {
+	return suspects.New(suspects.Deps{ConnectionRefused: upstream.RefusesConnections, SendToLeader: remote.Send, Checked: s.serverChecked})
 }
 
 func provideIsolation(s *shared, cat *catalog.Catalog, pool *upstream.Pool) *isolation.Watch {
--- a/entry/gateway/lines.go
+++ b/entry/gateway/lines.go
@@ -11,6 +11,7 @@
 	"github.com/skylarkpond/skylarkpond/entry/grouping"
 	"github.com/skylarkpond/skylarkpond/entry/lease"
 	"github.com/skylarkpond/skylarkpond/entry/relay"
+	"github.com/skylarkpond/skylarkpond/entry/suspects"
 	"github.com/skylarkpond/skylarkpond/link/framing"
 	link "github.com/skylarkpond/skylarkpond/link/leader"
 	store "github.com/skylarkpond/skylarkpond/link/platform"
@@ -89,6 +90,18 @@
 	s.log.WithFields(logrus.Fields{"service": quarantine.Service, "fingerprints": quarantine.Fingerprints}).Warn(logline.RequestsHeldBack)
 }
 
+// serverChecked counts the checks of servers that broke a connection, and logs those that found a crash.
+func (s *shared) serverChecked(check suspects.Check) {
+	metrics.GetOrRegisterCounter("suspects.checks", s.registry).Inc(1)
+	if !check.Crashed {
+		return
+	}
+	metrics.GetOrRegisterCounter("suspects.crashes", s.registry).Inc(1)
+	s.log.WithFields(logrus.Fields{
+		"request": check.Request.ID, "vm": check.Server.ID, "service": check.Server.Service, "fingerprint": check.Request.Fingerprint, "prompt_parts": check.Request.Parts,
+	}).Warn(logline.ServerCrashed)
+}
+
 func (s *shared) logDemand(demand turns.Demand) {
 	s.log.WithFields(logrus.Fields{
 		"model": demand.Model, "groups": demand.Groups, "places": demand.Slots, "running": demand.Running, "waiting": demand.Waiting,
@@ -128,7 +141,7 @@
 		"request": report.ID, "route": report.Route, "team": report.Team, "service": report.Service, "model": report.Model,
 		"outcome": report.Outcome, "status": report.Status, "detail": report.Detail, "config_version": report.ConfigVersion,
 		"attempts": report.Attempts, "servers": report.Servers, "resumed": report.Resumed, "framing": report.Framing, "partial_event": report.PartialEvent,
-		"via": report.Via, "forwarded": report.Forwarded,
+		"via": report.Via, "forwarded": report.Forwarded, "prompt_parts": report.PromptParts,
 		"took_ms": report.Took.Milliseconds(),
 	}).Info(logline.RequestEnded)
 }
--- a/entry/relay/answer.go
+++ b/entry/relay/answer.go
@@ -109,6 +109,7 @@
 	e.summary.Team = e.team
 	e.summary.Service = e.service
 	e.summary.Model = e.call.Model
+	e.summary.PromptParts = e.call.PromptParts
 	e.summary.Attempts = e.attempts
 	e.summary.Took = time.Since(e.arrived)
 	if e.route != nil {
--- a/entry/relay/exchange.go
+++ b/entry/relay/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/skylarkpond/skylarkpond/backend"
 	"github.com/skylarkpond/skylarkpond/contract"
 	"github.com/skylarkpond/skylarkpond/contract/route"
+	"github.com/skylarkpond/skylarkpond/entry/suspects"
 	"github.com/skylarkpond/skylarkpond/entry/turn"
 	"github.com/skylarkpond/skylarkpond/link/framing"
 	"github.com/skylarkpond/skylarkpond/link/upstream"
@@ -83,7 +84,7 @@
 		return
 	}
 	e.fingerprint = contract.Fingerprint(e.request.Method, e.request.RequestURI, e.call.Key, string(e.body))
-	if e.relay.deps.Suspects.Quarantined(e.service, e.fingerprint) {
+	if e.relay.deps.Suspects.Quarantined(e.suspect()) {
 		e.refuse(Quarantined, http.StatusServiceUnavailable, retryAfterQuarantined, "requests like this one have crashed servers")
 		return
 	}
@@ -382,7 +383,12 @@
 	if t.Peer || e.ctx.Err() != nil || e.nextTurn != nil || errors.Is(err, os.ErrDeadlineExceeded) {
 		return
 	}
-	go e.relay.deps.Suspects.ServerLost(context.WithoutCancel(e.ctx), e.fingerprint, t.Server)
+	go e.relay.deps.Suspects.ServerLost(context.WithoutCancel(e.ctx), e.suspect(), t.Server)
+}
+
+// suspect describes the request to Suspects.
+func (e *exchange) suspect() suspects.Request {
+	return suspects.Request{ID: e.call.ID, Service: e.service, Fingerprint: e.fingerprint, Parts: e.call.PromptParts}
 }
 
 func (e *exchange) mayRetry() bool {
@@ -419,8 +425,8 @@
 		return // the other entry does
 	}
 	if answer.Framing == framing.Closed {
-		go e.relay.deps.Suspects.ServerLost(context.WithoutCancel(e.ctx), e.fingerprint, t.Server)
+		go e.relay.deps.Suspects.ServerLost(context.WithoutCancel(e.ctx), e.suspect(), t.Server)
 		return
 	}
-	e.relay.deps.Suspects.Finished(e.service, e.fingerprint)
+	e.relay.deps.Suspects.Finished(e.suspect())
 }
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -14,6 +14,7 @@
 
 	"github.com/skylarkpond/skylarkpond/backend"
 	"github.com/skylarkpond/skylarkpond/contract/route"
+	"github.com/skylarkpond/skylarkpond/entry/suspects"
 	"github.com/skylarkpond/skylarkpond/entry/turn"
 	"github.com/skylarkpond/skylarkpond/internal/wait"
 	"github.com/skylarkpond/skylarkpond/link/framing"
@@ -49,12 +50,12 @@
 // Suspects tracks requests that crash the servers that run them. It is safe for concurrent use.
 type Suspects interface {
 	// Quarantined reports whether a request must not be sent to any server of a service.
-	Quarantined(service, fingerprint string) bool
+	Quarantined(request suspects.Request) bool
 	// Finished records that a server answered a request in full.
-	Finished(service, fingerprint string)
+	Finished(request suspects.Request)
 	// ServerLost checks whether a server that closed its connection in the middle of a request has crashed. It may block for some
 	// time.
-	ServerLost(ctx context.Context, fingerprint string, server *backend.Server)
+	ServerLost(ctx context.Context, request suspects.Request, server *backend.Server)
 }
 
 // Isolation tells from which services' servers this entry is cut off. It is safe for concurrent use.
@@ -146,6 +147,8 @@
 	Resumed   bool
 	// Framing is how the end of the last server's answer was marked; empty if there was no answer.
 	Framing framing.Framing
+	// PromptParts are the IDs of the parts of the prompt.
+	PromptParts []string
 	// PartialEvent is set if a server's stream ended inside an event.
 	PartialEvent bool
 	Took         time.Duration
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -21,6 +21,7 @@
 	"github.com/skylarkpond/skylarkpond/backend"
 	"github.com/skylarkpond/skylarkpond/contract/route"
 	"github.com/skylarkpond/skylarkpond/entry/relay"
+	"github.com/skylarkpond/skylarkpond/entry/suspects"
 	"github.com/skylarkpond/skylarkpond/entry/turn"
 	"github.com/skylarkpond/skylarkpond/link/upstream"
 	"github.com/skylarkpond/skylarkpond/platform"
@@ -117,15 +118,15 @@
 	lost        []backend.ID
 }
 
-func (s *fakeSuspects) Quarantined(string, string) bool { return s.quarantined }
+func (s *fakeSuspects) Quarantined(suspects.Request) bool { return s.quarantined }
 
-func (s *fakeSuspects) Finished(string, string) {
+func (s *fakeSuspects) Finished(suspects.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.finished++
 }
 
-func (s *fakeSuspects) ServerLost(_ context.Context, _ string, server *backend.Server) {
+func (s *fakeSuspects) ServerLost(_ context.Context, _ suspects.Request, server *backend.Server) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lost = append(s.lost, server.ID)
--- a/entry/suspects/suspects.go
+++ b/entry/suspects/suspects.go
@@ -26,6 +26,26 @@
 	ConnectionRefused func(ctx context.Context, address string) bool
 	// SendToLeader sends a message to the leader, if there is one.
 	SendToLeader func(message link.Up)
+	// Checked is called with the result of each check of a server. It may be nil.
+	Checked func(check Check)
+}
+
+// Check is the result of a check whether a server has crashed, for logs and metrics.
+type Check struct {
+	Request Request
+	Server  *backend.Server
+	Crashed bool
+}
+
+// Request is a request of a caller.
+type Request struct {
+	// ID is the caller's id of the request.
+	ID      string
+	Service string
+	// Fingerprint is equal for requests with the same content.
+	Fingerprint string
+	// Parts are the IDs of the parts of its prompt. Requests with different content share parts.
+	Parts []string
 }
 
 const (
@@ -45,28 +65,28 @@
 	// quarantined holds the requests that must not be sent, by service and fingerprint.
 	quarantined map[string]map[string]bool
 	// finished holds the requests that finished since rotatedAt, previousFinished those of the period before.
-	finished, previousFinished map[request]bool
+	finished, previousFinished map[key]bool
 	rotatedAt                  time.Time
 	// reports holds the crashes that this entry has reported, oldest first.
 	reports []link.Crash
 }
 
-// request identifies a request by its service and fingerprint.
-type request struct{ service, fingerprint string }
+// key identifies a request by its service and fingerprint.
+type key struct{ service, fingerprint string }
 
 // New returns a Watch with nothing quarantined.
 func New(deps Deps) *Watch {
 	return &Watch{
-		deps: deps, quarantined: make(map[string]map[string]bool), finished: make(map[request]bool), previousFinished: make(map[request]bool),
+		deps: deps, quarantined: make(map[string]map[string]bool), finished: make(map[key]bool), previousFinished: make(map[key]bool),
 		rotatedAt: time.Now(),
 	}
 }
 
 // Quarantined reports whether a request must not be sent to any server of a service.
-func (w *Watch) Quarantined(service, fingerprint string) bool {
+func (w *Watch) Quarantined(request Request) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.quarantined[service][fingerprint]
+	return w.quarantined[request.Service][request.Fingerprint]
 }
 
 // ApplyQuarantine sets the quarantined requests of a service as the leader reports them, and tells the leader which of them have
@@ -85,7 +105,7 @@
 	var cleared []string
 	for _, fingerprint := range quarantine.Fingerprints {
 		set[fingerprint] = true
-		if w.hasFinished(request{quarantine.Service, fingerprint}) {
+		if w.hasFinished(key{quarantine.Service, fingerprint}) {
 			cleared = append(cleared, fingerprint)
 		}
 	}
@@ -94,36 +114,43 @@
 }
 
 // Finished records that a server answered a request in full. If the request is quarantined, the leader is told.
-func (w *Watch) Finished(service, fingerprint string) {
-	if w.recordFinished(request{service, fingerprint}) {
-		w.deps.SendToLeader(link.Up{Cleared: &link.Cleared{Service: service, Fingerprint: fingerprint}})
+func (w *Watch) Finished(request Request) {
+	if w.recordFinished(key{request.Service, request.Fingerprint}) {
+		w.deps.SendToLeader(link.Up{Cleared: &link.Cleared{Service: request.Service, Fingerprint: request.Fingerprint}})
 	}
 }
 
 // recordFinished records a finished request and reports whether it is quarantined.
-func (w *Watch) recordFinished(r request) bool {
+func (w *Watch) recordFinished(k key) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if time.Since(w.rotatedAt) > finishedRetention {
-		w.previousFinished, w.finished, w.rotatedAt = w.finished, make(map[request]bool), time.Now()
+		w.previousFinished, w.finished, w.rotatedAt = w.finished, make(map[key]bool), time.Now()
 	}
-	w.finished[r] = true
-	return w.quarantined[r.service][r.fingerprint]
+	w.finished[k] = true
+	return w.quarantined[k.service][k.fingerprint]
 }
 
 // hasFinished reports whether a request finished recently. The caller holds the lock.
-func (w *Watch) hasFinished(r request) bool { return w.finished[r] || w.previousFinished[r] }
+func (w *Watch) hasFinished(k key) bool { return w.finished[k] || w.previousFinished[k] }
 
 // ServerLost checks whether a server that closed its connection in the middle of a request has crashed, and if so reports the request
 // to the leader. A request that finished recently is not suspected.
-func (w *Watch) ServerLost(ctx context.Context, fingerprint string, server *backend.Server) {
+func (w *Watch) ServerLost(ctx context.Context, request Request, server *backend.Server) {
 	w.mu.Lock()
-	cleared := w.hasFinished(request{server.Service, fingerprint})
+	cleared := w.hasFinished(key{server.Service, request.Fingerprint})
 	w.mu.Unlock()
-	if cleared || !wait.Pause(ctx, exitDelay) || !w.deps.ConnectionRefused(ctx, server.Address) {
+	if cleared || !wait.Pause(ctx, exitDelay) {
+		return
+	}
+	crashed := w.deps.ConnectionRefused(ctx, server.Address)
+	if w.deps.Checked != nil {
+		w.deps.Checked(Check{Request: request, Server: server, Crashed: crashed})
+	}
+	if !crashed {
 		return
 	}
-	crash := link.Crash{Service: server.Service, Fingerprint: fingerprint, Server: server.ID, Born: server.StartedAtMillis}
+	crash := link.Crash{Service: server.Service, Fingerprint: request.Fingerprint, Server: server.ID, Born: server.StartedAtMillis}
 	w.recordCrash(crash)
 	w.deps.SendToLeader(link.Up{Crash: &crash})
 }
--- a/logline/find.go
+++ b/logline/find.go
@@ -95,7 +95,7 @@
 	switch other.Message {
 	case RequestEnded:
 		return false
-	case RequestRejected:
+	case RequestRejected, ServerCrashed:
 		return other.fields.Request == l.fields.Request
 	case Demand:
 		_, model, _ := strings.Cut(other.fields.Model, "/")
--- a/logline/names.go
+++ b/logline/names.go
@@ -26,5 +26,6 @@
 	RequestsHeldBack = "requests held back: they crash servers"
 	LinesDropped     = "log lines dropped"
 	ServerLeaves     = "backend server is leaving"
+	ServerCrashed    = "backend server crashed while it ran a request"
 	RequestRejected  = "backend server rejected the request"
 )
