--- a/test/cooperative/pond_test.go
+++ b/test/cooperative/pond_test.go
@@ -205,12 +205,17 @@
 
 // newEngine starts a model server, which is reached through a proxy.
 func (p *pond) newEngine(id string, staged ...string) *replica.Server {
-	return p.world.Start(p.api, replica.Config{
+	config := engineConfig(id, staged...)
+	config.ProxyAddress = func(address string) string { return p.proxyTo(id, address) }
+	return p.world.Start(p.api, config)
+}
+
+func engineConfig(id string, staged ...string) replica.Config {
+	return replica.Config{
 		ID: id, Service: "chat", Zone: "z", Domain: "d", Slots: 8, Engine: true, Staged: staged,
 		JoinTime: 150 * time.Millisecond, OpenTime: 100 * time.Millisecond, ReportLag: 100 * time.Millisecond,
 		Events: streamEvents, EventInterval: 25 * time.Millisecond,
-		ProxyAddress: func(address string) string { return p.proxyTo(id, address) },
-	})
+	}
 }
 
 // proxyTo returns the address of a proxy before a backend server, or the server's own where there is none.
@@ -372,6 +377,11 @@
 }
 
 func (e *gatewayProcess) sendOver(client *http.Client, path, id, body string) sent {
+	return e.sendPrompt(client, path, id, body)
+}
+
+// sendPrompt sends a request whose prompt consists of parts.
+func (e *gatewayProcess) sendPrompt(client *http.Client, path, id, body string, parts ...string) sent {
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.callers+path, strings.NewReader(body))
@@ -381,6 +391,9 @@
 	request.Host = "h.example"
 	request.Header.Set(platform.HeaderRequestID, id)
 	request.Header.Set(platform.HeaderKey, "key")
+	if len(parts) > 0 {
+		request.Header.Set(platform.HeaderPromptParts, strings.Join(parts, ":100,")+":100")
+	}
 	if strings.HasPrefix(path, "/chat/") {
 		request.Header.Set(platform.HeaderModel, "large")
 		request.Header.Set(platform.HeaderTokens, "100,100")
