--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -122,7 +122,7 @@
 		StallReported: s.stallReported, Blind: s.isBlind,
 		Suspect:      func(key backend.GroupKey) { controller.Suspect(context.Background(), key) },
 		ReportDemand: s.logDemand, Config: cat.Config, OfferConfig: cat.UpdateConfig, LeaseVersion: entryLease.Version,
-		Ages: cat.Ages, ReportQuarantine: s.requestsQuarantined,
+		Ages: cat.Ages, ReportHolds: s.holdsChanged,
 	})
 }
 
@@ -138,8 +138,19 @@
 	return turn.NewRemote(local, cat.Listing)
 }
 
-func provideSuspects(s *shared, remote *turn.Remote) *suspects.Watch {
-	return suspects.New(suspects.Deps{ConnectionRefused: upstream.RefusesConnections, SendToLeader: remote.Send, Checked: s.serverChecked})
+func provideSuspects(s *shared, remote *turn.Remote, isolated *isolation.Watch) *suspects.Watch {
+	return suspects.New(suspects.Deps{
+		Probe:        probeProcess,
+		SendToLeader: remote.Send, Linked: s.leaderState.linked, Isolated: isolated.Isolated, Checked: s.serverChecked,
+	})
+}
+
+// probeProcess finds out whether the process of a server has ended.
+func probeProcess(ctx context.Context, server *backend.Server) suspects.Liveness {
+	if upstream.RefusesConnections(ctx, server.Address) {
+		return suspects.Gone
+	}
+	return suspects.Unknown
 }
 
 func provideIsolation(s *shared, cat *catalog.Catalog, pool *upstream.Pool) *isolation.Watch {
@@ -264,6 +275,7 @@
 		"connections.to_servers.refused": g.pool.RefusedCount,
 		"connections.to_servers.silent":  g.pool.SilentCount,
 		"config.version":                 func() int64 { version, _ := g.catalog.Config(); return int64(version) },
+		"suspects.rules":                 func() int64 { return int64(g.suspects.RuleCount()) },
 		"servers.isolated":               func() int64 { return boolToInt(g.isolation.Any()) },
 		"servers.listed":                 func() int64 { return int64(len(g.catalog.Listing().Servers)) },
 		"servers.revision":               func() int64 { return int64(g.catalog.Listing().Revision) },
--- a/entry/gateway/follow.go
+++ b/entry/gateway/follow.go
@@ -54,7 +54,7 @@
 	version, _ := g.catalog.Config()
 	g.leader.RefreshGroups()
 	g.leader.Join(g.config.Name, self, link.Hello{
-		Entry: g.config.Name, ConfigVersion: version, Crashes: g.suspects.Reports(),
+		Entry: g.config.Name, ConfigVersion: version, Crashes: g.suspects.Reports(), Holds: g.suspects.Holds(),
 	})
 	g.attach(send)
 	g.leaderState.leaderChanged()
@@ -81,7 +81,7 @@
 	version, _ := g.catalog.Config()
 	hello := link.Hello{
 		Entry: g.config.Name, Token: holder.Token, ConfigVersion: version,
-		Revisions: g.catalog.Revisions(), RoutableOnly: g.holdsRoutableOnly(), Crashes: g.suspects.Reports(),
+		Revisions: g.catalog.Revisions(), RoutableOnly: g.holdsRoutableOnly(), Crashes: g.suspects.Reports(), Holds: g.suspects.Holds(),
 	}
 	dialling, stopDialling := context.WithCancel(ctx)
 	defer stopDialling()
@@ -146,8 +146,10 @@
 		g.handleRenewal(send, *message.Renewal)
 	case message.ChangeSet != nil:
 		g.catalog.ApplyChanges(*message.ChangeSet)
-	case message.Quarantine != nil:
-		g.suspects.ApplyQuarantine(*message.Quarantine)
+	case message.Holds != nil:
+		g.suspects.ApplyHolds(*message.Holds)
+	case message.Trial != nil:
+		g.suspects.AllowTrial(*message.Trial)
 	case message.IsolationChanges != nil:
 		g.leaderState.applyIsolation(*message.IsolationChanges)
 	case message.Probe != nil:
--- a/entry/gateway/lines.go
+++ b/entry/gateway/lines.go
@@ -86,8 +86,13 @@
 	}).Info(string(event.Kind))
 }
 
-func (s *shared) requestsQuarantined(quarantine link.Quarantine) {
-	s.log.WithFields(logrus.Fields{"service": quarantine.Service, "fingerprints": quarantine.Fingerprints}).Warn(logline.RequestsHeldBack)
+// holdsChanged logs which requests are held back from now on, because they crash servers.
+func (s *shared) holdsChanged(holds link.Holds) {
+	rules := make([]logrus.Fields, 0, len(holds.Rules))
+	for _, rule := range holds.Rules {
+		rules = append(rules, logrus.Fields{"traits": rule.Traits, "crashes": rule.Crashes, "last_crash_ms": rule.AgeMs})
+	}
+	s.log.WithFields(logrus.Fields{"service": holds.Service, "rules": rules, "suspects": holds.Suspects}).Warn(logline.RequestsHeldBack)
 }
 
 // serverChecked counts the checks of servers that broke a connection, and logs those that found a crash.
@@ -97,9 +102,11 @@
 		return
 	}
 	metrics.GetOrRegisterCounter("suspects.crashes", s.registry).Inc(1)
-	s.log.WithFields(logrus.Fields{
-		"request": check.Request.ID, "vm": check.Server.ID, "service": check.Server.Service, "fingerprint": check.Request.Fingerprint, "prompt_parts": check.Request.Parts,
-	}).Warn(logline.ServerCrashed)
+	for _, request := range check.Requests {
+		s.log.WithFields(logrus.Fields{
+			"request": request.ID, "vm": check.Server.ID, "service": check.Server.Service, "traits": request.Traits,
+		}).Warn(logline.ServerCrashed)
+	}
 }
 
 func (s *shared) logDemand(demand turns.Demand) {
@@ -131,10 +138,13 @@
 	if report.Forwarded {
 		metrics.GetOrRegisterCounter("requests.from_entries", s.registry).Inc(1)
 	}
+	if report.OnTrial {
+		metrics.GetOrRegisterCounter("requests.on_trial", s.registry).Inc(1)
+	}
 	if report.PartialEvent {
 		metrics.GetOrRegisterCounter("requests.partial_event", s.registry).Inc(1)
 	}
-	if report.Outcome == relay.Served && report.Framing != framing.Closed && !report.PartialEvent {
+	if report.Outcome == relay.Served && report.Framing != framing.Closed && !report.PartialEvent && !report.OnTrial {
 		return
 	}
 	s.log.WithFields(logrus.Fields{
@@ -142,6 +152,7 @@
 		"outcome": report.Outcome, "status": report.Status, "detail": report.Detail, "config_version": report.ConfigVersion,
 		"attempts": report.Attempts, "servers": report.Servers, "resumed": report.Resumed, "framing": report.Framing, "partial_event": report.PartialEvent,
 		"via": report.Via, "forwarded": report.Forwarded, "prompt_parts": report.PromptParts,
+		"held_by": report.HeldBy, "on_trial": report.OnTrial,
 		"took_ms": report.Took.Milliseconds(),
 	}).Info(logline.RequestEnded)
 }
--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -65,9 +65,8 @@
 	LeaseVersion func() uint64
 	// LinkMbps is the bandwidth of this entry's link in Mbit/s; 0 if unknown.
 	LinkMbps float64
-	// ReportQuarantine is called when the set of quarantined requests of a service changes: requests that are held back
-	// because they crash servers.
-	ReportQuarantine func(quarantine link.Quarantine)
+	// ReportHolds is called when the requests of a service that are held back, because they crash servers, change.
+	ReportHolds func(holds link.Holds)
 }
 
 // Leader implements link/leader.Handler. It is safe for concurrent use.
@@ -94,7 +93,7 @@
 	// not been sent any yet.
 	announced    map[string]bool
 	newFollowers map[string]bool
-	crashes      *crashTracker
+	holds        *holdTracker
 	// probes holds the channels for the results of indirect probes in progress, by server.
 	probes map[backend.ID]chan link.ProbeResult
 	// isolated holds the followers that have lost their connections to the servers, and isolationChanged those of which the followers have yet
@@ -132,7 +131,7 @@
 		deps: deps, started: time.Now(), turns: policy.New(policy.DefaultConfig()), followers: make(map[string]*follower),
 		probes: make(map[backend.ID]chan link.ProbeResult), demand: make(map[string]*modelDemand),
 		progress: make(map[store.Kind]*progress), announced: make(map[string]bool), newFollowers: make(map[string]bool),
-		crashes: newCrashTracker(), isolated: make(map[string]bool), isolationChanged: make(map[string]bool),
+		holds: newHoldTracker(), isolated: make(map[string]bool), isolationChanged: make(map[string]bool),
 	}
 }
 
@@ -164,6 +163,7 @@
 			l.BroadcastIsolation()
 		}
 		l.SendSnapshots()
+		l.BroadcastHolds()
 		l.mu.Lock()
 		l.sendDecisions(l.turns.Tick(l.now(), rand.Float64))
 		l.mu.Unlock()
@@ -182,7 +182,7 @@
 	defer l.mu.Unlock()
 	if l.leading {
 		l.leading = false
-		l.crashes = newCrashTracker()
+		l.holds = newHoldTracker()
 		l.demand = make(map[string]*modelDemand)
 		l.turns = policy.New(policy.DefaultConfig())
 		clear(l.isolated)
@@ -269,11 +269,13 @@
 	l.mu.Lock()
 	l.followers[entry] = joining
 	l.newFollowers[entry] = true
-	l.sendQuarantines(to)
+	l.sendHolds(to)
 	l.sendIsolation(to)
+	for _, holds := range hello.Holds {
+		l.adoptHolds(holds)
+	}
 	for _, crash := range hello.Crashes {
-		l.crashes.add(crash)
-		l.broadcastQuarantine(crash.Service)
+		l.addCrash(crash)
 	}
 	l.mu.Unlock()
 	l.sendNewerConfig(to, hello.ConfigVersion)
@@ -304,9 +306,11 @@
 	case message.ProbeResult != nil:
 		l.handleProbeResult(*message.ProbeResult)
 	case message.Crash != nil:
+		l.mu.Lock()
 		l.addCrash(*message.Crash)
-	case message.Cleared != nil:
-		l.clearCrashes(*message.Cleared)
+		l.mu.Unlock()
+	case message.Finished != nil:
+		l.addFinished(*message.Finished)
 	case message.ConfigVersion != 0:
 		l.sendNewerConfig(from, message.ConfigVersion)
 	case message.Isolation != nil:
--- a/entry/leader/leader_test.go
+++ b/entry/leader/leader_test.go
@@ -64,18 +64,18 @@
 func newEntryWith(snapshot *catalog.ChangeSet) *leader.Leader {
 	servers := map[backend.ID]*backend.Server{"i-1": {ID: "i-1", Service: "desk"}}
 	return leader.New(leader.Deps{
-		IsLeader:         func() bool { return true },
-		Listing:          func() *backend.Listing { return backend.NewListing(1, servers) },
-		ListAge:          func() time.Duration { return 0 },
-		Table:            func() *route.Table { return &route.Table{Version: 3} },
-		Dissolving:       func(backend.GroupKey) bool { return false },
-		ReportDemand:     func(turns.Demand) {},
-		Config:           func() (uint64, json.RawMessage) { return 3, nil },
-		ChangesSince:     func(platform.Kind, platform.Version) (catalog.ChangeSet, bool) { return catalog.ChangeSet{}, false },
-		Snapshot:         func(platform.Kind) (catalog.ChangeSet, bool) { return *snapshot, snapshot.To > 0 },
-		LeaseVersion:     func() uint64 { return 9 },
-		Ages:             func() []link.Age { return ages },
-		ReportQuarantine: func(link.Quarantine) {},
+		IsLeader:     func() bool { return true },
+		Listing:      func() *backend.Listing { return backend.NewListing(1, servers) },
+		ListAge:      func() time.Duration { return 0 },
+		Table:        func() *route.Table { return &route.Table{Version: 3} },
+		Dissolving:   func(backend.GroupKey) bool { return false },
+		ReportDemand: func(turns.Demand) {},
+		Config:       func() (uint64, json.RawMessage) { return 3, nil },
+		ChangesSince: func(platform.Kind, platform.Version) (catalog.ChangeSet, bool) { return catalog.ChangeSet{}, false },
+		Snapshot:     func(platform.Kind) (catalog.ChangeSet, bool) { return *snapshot, snapshot.To > 0 },
+		LeaseVersion: func() uint64 { return 9 },
+		Ages:         func() []link.Age { return ages },
+		ReportHolds:  func(link.Holds) {},
 	})
 }
 
@@ -243,40 +243,4 @@
 		l.Broadcast(serverChange(5, 6, false))
 		Expect(weak.takeLast().ChangeSet.From).To(BeEquivalentTo(5))
 	})
-
-	crash := func(fingerprint, server string) link.Crash {
-		return link.Crash{Service: "desk", Fingerprint: fingerprint, Server: backend.ID(server)}
-	}
-
-	// Several entries observe the same crash, and each observes only some of the crashes of a request.
-	It("quarantines a request that crashed three servers, whichever entries reported it, until it completes on one", func() {
-		l := newLeader()
-		first, second := &follower{}, &follower{}
-		l.Join("e-1", first, link.Hello{})
-		l.Join("e-2", second, link.Hello{})
-		for i, report := range []link.Crash{crash("poison", "i-1"), crash("poison", "i-1"), crash("other", "i-1"), crash("poison", "i-2")} {
-			l.Receive(fmt.Sprint("e-", 1+i%2), first, link.Up{Crash: &report})
-		}
-		Expect(first.received).To(BeEmpty())
-		third := crash("poison", "i-3")
-		l.Receive("e-2", second, link.Up{Crash: &third})
-		held := &link.Quarantine{Service: "desk", Fingerprints: []string{"poison"}}
-		Expect(first.takeLast().Quarantine).To(Equal(held))
-		late := &follower{}
-		l.Join("e-3", late, link.Hello{})
-		Expect(late.takeLast().Quarantine).To(Equal(held))
-		l.Receive("e-3", late, link.Up{Cleared: &link.Cleared{Service: "desk", Fingerprint: "poison"}})
-		Expect(first.takeLast().Quarantine.Fingerprints).To(BeEmpty())
-	})
-
-	// The leader that counted the crashes has failed. If its successor started from zero, the request would crash three
-	// more servers.
-	It("takes over the crashes reported to an earlier leader", func() {
-		l := newLeader()
-		first, other := &follower{}, &follower{}
-		l.Join("e-1", first, link.Hello{Crashes: []link.Crash{crash("poison", "i-1"), crash("poison", "i-2")}})
-		Expect(first.received).To(BeEmpty())
-		l.Join("e-2", other, link.Hello{Crashes: []link.Crash{crash("poison", "i-3")}})
-		Expect(first.takeLast().Quarantine.Fingerprints).To(Equal([]string{"poison"}))
-	})
 })
--- a/entry/relay/answer.go
+++ b/entry/relay/answer.go
@@ -20,8 +20,8 @@
 	retryAfterUnavailable = time.Second
 	// retryAfterFull is of the order of the time in which a slot becomes free.
 	retryAfterFull = 500 * time.Millisecond
-	// retryAfterQuarantined applies to requests that crash servers: nothing changes before an operator has intervened.
-	retryAfterQuarantined = time.Minute
+	// retryAfterHeldBack applies to requests that crash servers: they are tried again seldom, one at a time.
+	retryAfterHeldBack = time.Minute
 )
 
 // errorBody is the body of answers that the entry itself gives.
--- a/entry/relay/exchange.go
+++ b/entry/relay/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -38,8 +39,14 @@
 	priority int
 	service  string
 	body     []byte
-	// fingerprint is equal for requests of one caller with the same method, path and body.
+	// fingerprint is equal for requests of one caller with the same method, path and body. traits is what the request may have in common with
+	// others that crash servers.
 	fingerprint string
+	traits      []string
+	// onTrial is set if the request is held back and may be sent once all the same.
+	onTrial bool
+	// brokeOff is set once a server has closed its connection in the middle of the request.
+	brokeOff bool
 	// tried are the servers that the request was sent to, or could not be sent to; unreachable counts the latter. peersTried are the entries that
 	// it was passed on to.
 	tried       []backend.ID
@@ -55,6 +62,8 @@
 	// sentAt is when the current attempt was sent, timeToFirstEvent the time from then to the first event of its stream.
 	sentAt           time.Time
 	timeToFirstEvent time.Duration
+	// events counts the events of its stream that were complete.
+	events int
 	// headerSent is set once the answer's header has been sent. endsWithConnection is set if it states neither a length nor chunks.
 	headerSent         bool
 	endsWithConnection bool
@@ -84,8 +93,8 @@
 		return
 	}
 	e.fingerprint = contract.Fingerprint(e.request.Method, e.request.RequestURI, e.call.Key, string(e.body))
-	if e.relay.deps.Suspects.Quarantined(e.suspect()) {
-		e.refuse(Quarantined, http.StatusServiceUnavailable, retryAfterQuarantined, "requests like this one have crashed servers")
+	e.traits = suspects.Traits(e.fingerprint, e.call.PromptParts)
+	if e.heldBack() {
 		return
 	}
 	ctx, cancel := context.WithDeadline(e.request.Context(), e.deadline)
@@ -234,6 +243,10 @@
 	if t.Peer {
 		return e.attemptAtPeer(t)
 	}
+	if e.heldBack() {
+		t.Done(turn.Result{Rejected: true})
+		return true
+	}
 	e.tried = append(e.tried, t.Server.ID)
 	answer, err := e.send(t, "")
 	if errors.Is(err, upstream.ErrNotSent) {
@@ -281,7 +294,7 @@
 
 // send sends the request to one server and starts a stall watch on the attempt, which the caller stops with endAttempt.
 func (e *exchange) send(t *turn.Turn, lastEvent string) (*upstream.Response, error) {
-	e.sentAt, e.timeToFirstEvent = time.Now(), 0
+	e.sentAt, e.timeToFirstEvent, e.events = time.Now(), 0, 0
 	suspicion := time.AfterFunc(e.silenceBeforeReport(), func() { e.reportSilence(t) })
 	defer suspicion.Stop()
 	ctx, cancel := context.WithCancelCause(e.ctx)
@@ -383,15 +396,47 @@
 	if t.Peer || e.ctx.Err() != nil || e.nextTurn != nil || errors.Is(err, os.ErrDeadlineExceeded) {
 		return
 	}
-	go e.relay.deps.Suspects.ServerLost(context.WithoutCancel(e.ctx), e.suspect(), t.Server)
+	e.serverLost(t)
+}
+
+// progressedEvents is the number of events of a stream after which the server is past the beginning of the answer.
+const progressedEvents = 3
+
+// serverLost has a server checked that closed its connection in the middle of the request, or may have.
+func (e *exchange) serverLost(t *turn.Turn) {
+	e.brokeOff = true
+	go e.relay.deps.Suspects.ServerLost(context.WithoutCancel(e.ctx), e.suspect(), t.Server, e.events >= progressedEvents)
 }
 
 // suspect describes the request to Suspects.
 func (e *exchange) suspect() suspects.Request {
-	return suspects.Request{ID: e.call.ID, Service: e.service, Fingerprint: e.fingerprint, Parts: e.call.PromptParts}
+	return suspects.Request{ID: e.call.ID, Service: e.service, Traits: e.traits}
+}
+
+// heldBack ends the request and returns true if requests like it crash servers.
+func (e *exchange) heldBack() bool {
+	hold, held := e.relay.deps.Suspects.Held(e.suspect())
+	if !held || e.onTrial {
+		return false
+	}
+	if e.onTrial = e.relay.deps.Suspects.TakeTrial(e.suspect()); e.onTrial {
+		e.summary.OnTrial = true
+		return false
+	}
+	detail := fmt.Sprintf("requests with %s have crashed servers: %d crashes", strings.Join(hold.Traits, " and "), hold.Crashes)
+	e.summary.HeldBy = hold.Traits
+	if e.mayHaveRun {
+		e.fail(detail)
+	} else {
+		e.refuse(HeldBack, http.StatusServiceUnavailable, retryAfterHeldBack, detail)
+	}
+	return true
 }
 
 func (e *exchange) mayRetry() bool {
+	if e.onTrial || e.brokeOff && e.relay.deps.Suspects.Suspected(e.suspect()) {
+		return false
+	}
 	return !e.passedOn && e.attempts < e.route.MaxAttempts && e.relay.deps.Retries.Take(e.service, time.Until(e.deadline))
 }
 
@@ -419,14 +464,16 @@
 }
 
 // noteEnd records that an answer has been read to its end. An answer that ended with its connection may have been cut off by a crash, so it
-// does not clear the request of having caused one.
+// does not clear the request of having caused one. Neither does a failure: the server may not have begun with the answer.
 func (e *exchange) noteEnd(t *turn.Turn, answer *upstream.Response) {
 	if t.Peer {
 		return // the other entry does
 	}
 	if answer.Framing == framing.Closed {
-		go e.relay.deps.Suspects.ServerLost(context.WithoutCancel(e.ctx), e.suspect(), t.Server)
+		e.serverLost(t)
 		return
 	}
-	e.relay.deps.Suspects.Finished(e.suspect())
+	if answer.Status < http.StatusMultipleChoices {
+		e.relay.deps.Suspects.Finished(e.suspect())
+	}
 }
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -49,13 +49,16 @@
 
 // Suspects tracks requests that crash the servers that run them. It is safe for concurrent use.
 type Suspects interface {
-	// Quarantined reports whether a request must not be sent to any server of a service.
-	Quarantined(request suspects.Request) bool
+	// Held reports whether a request must not be sent to any server, and why. TakeTrial reports whether it may be sent once all the same.
+	Held(request suspects.Request) (suspects.Hold, bool)
+	TakeTrial(request suspects.Request) bool
+	// Suspected reports whether a request that a server crashed on is not worth a second one.
+	Suspected(request suspects.Request) bool
 	// Finished records that a server answered a request in full.
 	Finished(request suspects.Request)
-	// ServerLost checks whether a server that closed its connection in the middle of a request has crashed. It may block for some
-	// time.
-	ServerLost(ctx context.Context, request suspects.Request, server *backend.Server)
+	// ServerLost checks whether a server that closed its connection in the middle of a request has crashed. progressed is set if the server had
+	// sent more than the beginning of an answer. It may block for some time.
+	ServerLost(ctx context.Context, request suspects.Request, server *backend.Server, progressed bool)
 }
 
 // Isolation tells from which services' servers this entry is cut off. It is safe for concurrent use.
@@ -149,6 +152,9 @@
 	Framing framing.Framing
 	// PromptParts are the IDs of the parts of the prompt.
 	PromptParts []string
+	// HeldBy are the traits for which the request was held back. OnTrial is set if it was sent all the same.
+	HeldBy  []string
+	OnTrial bool
 	// PartialEvent is set if a server's stream ended inside an event.
 	PartialEvent bool
 	Took         time.Duration
@@ -181,8 +187,8 @@
 	TooLarge Outcome = "too-large"
 	// Refused: the request has not run, and the answer says so.
 	Refused Outcome = "refused"
-	// Quarantined: the request has crashed servers, and was not run again.
-	Quarantined Outcome = "held-back"
+	// HeldBack: the request was not run, because requests like it have crashed servers.
+	HeldBack Outcome = "held-back"
 	// Unknown: the request may have run, and there is no answer.
 	Unknown Outcome = "unknown"
 	// TimedOut: the caller's deadline or the route's timeout passed.
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -110,15 +110,45 @@
 
 func (i *fakeIsolation) Suspect(string) { i.suspicions.Add(1) }
 
-// fakeSuspects quarantines requests if a spec sets quarantined, and records the calls it receives.
+// fakeSuspects holds requests back if a spec sets it to, and records the calls it receives.
 type fakeSuspects struct {
-	mu          sync.Mutex
-	quarantined bool
-	finished    int
-	lost        []backend.ID
+	mu       sync.Mutex
+	finished int
+	lost     []backend.ID
+	// progressed are the servers that were lost past the beginning of an answer.
+	progressed []backend.ID
+	// traits are those of the last request.
+	traits []string
+
+	// What a spec sets: whether requests are held, from which call on, whether one of them may be sent, and whether they are suspected.
+	held          bool
+	heldFromCall  int
+	calledForHeld int
+	trial         bool
+	suspected     bool
 }
 
-func (s *fakeSuspects) Quarantined(suspects.Request) bool { return s.quarantined }
+func (s *fakeSuspects) Held(request suspects.Request) (suspects.Hold, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.traits = request.Traits
+	s.calledForHeld++
+	return suspects.Hold{Traits: []string{"part bad"}, Crashes: 3}, s.held && s.calledForHeld > s.heldFromCall
+}
+
+func (s *fakeSuspects) TakeTrial(suspects.Request) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	taken := s.trial
+	s.trial = false
+	return taken
+}
+
+func (s *fakeSuspects) Suspected(suspects.Request) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.suspected
+}
 
 func (s *fakeSuspects) Finished(suspects.Request) {
 	s.mu.Lock()
@@ -126,9 +156,12 @@
 	s.finished++
 }
 
-func (s *fakeSuspects) ServerLost(_ context.Context, _ suspects.Request, server *backend.Server) {
+func (s *fakeSuspects) ServerLost(_ context.Context, _ suspects.Request, server *backend.Server, progressed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if progressed {
+		s.progressed = append(s.progressed, server.ID)
+	}
 	s.lost = append(s.lost, server.ID)
 }
 
@@ -342,29 +375,6 @@
 		Expect(r.turns.ended()[0].Rejected).To(BeTrue())
 	})
 
-	// A request crashes every server that runs it, and its caller sends it repeatedly.
-	It("refuses a quarantined request at once", func() {
-		r := newHarness(replica.Config{}, 1)
-		r.suspects.quarantined = true
-		got := r.send(r.request(http.MethodPost, "/book/x", "a1"))
-		Expect(got.status).To(Equal(http.StatusServiceUnavailable))
-		Expect(got.header.Get("Retry-After")).To(Equal("60.000"))
-		Expect(r.world.RunCount("a1")).To(BeZero())
-		Expect(r.last().Outcome).To(Equal(relay.Quarantined))
-	})
-
-	It("has a server checked that closed its connection in the middle of a request", func() {
-		r := newHarness(replica.Config{Events: 4}, 3)
-		r.set(0, replica.Faults{LoseAnswer: true})
-		r.set(1, replica.Faults{ResetAfter: 1})
-		Expect(r.send(r.request(http.MethodPost, "/look/x", "a1")).status).To(Equal(http.StatusBadGateway))
-		Eventually(func() []backend.ID { _, lost := r.suspects.calls(); return lost }).Should(ConsistOf(BeEquivalentTo("i-0"), BeEquivalentTo("i-1")))
-		r.set(0, replica.Faults{})
-		Expect(r.send(r.request(http.MethodPost, "/chat/x", "a2")).status).To(Equal(http.StatusOK))
-		finished, _ := r.suspects.calls()
-		Expect(finished).To(Equal(1))
-	})
-
 	It("answers 503 with Retry-After if no server ran the request", func() {
 		r := newHarness(replica.Config{}, 2)
 		r.set(0, replica.Faults{Shed: true})
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -116,6 +116,7 @@
 			e.summary.PartialEvent = true
 			return last, errPartialEvent
 		}
+		e.events++
 		e.watch.noteActivity()
 		suspicion.Reset(eventStallReportDelay)
 		e.sendHeader(head, answer.Framing)
@@ -174,6 +175,10 @@
 			e.summary.Resumed = true
 			return t, answer
 		}
+		if e.heldBack() {
+			t.Done(turn.Result{Rejected: true})
+			return nil, nil
+		}
 		e.tried = append(e.tried, t.Server.ID)
 		answer, err := e.send(t, last)
 		if errors.Is(err, upstream.ErrNotSent) {
--- a/entry/suspects/suspects.go
+++ b/entry/suspects/suspects.go
@@ -1,172 +1,286 @@
-// Package suspects keeps a request that crashes the servers that run it from being run on one server after the other.
+// Package suspects keeps requests that crash the servers that run them from being run on one server after the other.
 //
-// Each entry (gateway process) reports to the leader, the entry that coordinates all entries, which request it suspects of having
-// crashed its server. The leader counts the crashes over all entries (see policy/quarantine) and sends the resulting quarantine to all
-// of them, which refuse such requests at once. Without this, a caller that keeps repeating one request would crash one server after
-// the other, and with them the requests that each was running.
+// Each entry (gateway process) reports to the leader, the entry that coordinates all entries, which requests ran on a server when it crashed,
+// described by their traits: their content and the parts of their prompts. The leader finds out over all entries what the requests that crash
+// servers have in common (see policy/suspicion), and tells all of them, which refuse such requests at once. Without this, requests that share one
+// part of their prompts would crash one server after the other, and with them the requests that each was running.
 //
-// A server that fails some of its requests also resets connections. A crash differs in that the server's process is gone: it refuses
-// new connections. A request that finishes on any server was not the cause.
+// A server that fails some of its requests also resets connections. A crash differs in that the server's process is gone. A request that finishes
+// on any server clears its traits.
+//
+// An entry that has no link to the leader keeps to what it was told last, and to what its own crashes suggest.
 package suspects
 
 import (
 	"context"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/skylarkpond/skylarkpond/backend"
-	"github.com/skylarkpond/skylarkpond/internal/wait"
+	"github.com/skylarkpond/skylarkpond/contract"
 	link "github.com/skylarkpond/skylarkpond/link/leader"
+	"github.com/skylarkpond/skylarkpond/policy/suspicion"
 )
 
 // Deps holds the dependencies of a Watch.
 type Deps struct {
-	// ConnectionRefused reports whether no process listens at an address any more.
-	ConnectionRefused func(ctx context.Context, address string) bool
+	// Probe finds out whether a server's process still runs.
+	Probe func(ctx context.Context, server *backend.Server) Liveness
 	// SendToLeader sends a message to the leader, if there is one.
 	SendToLeader func(message link.Up)
-	// Checked is called with the result of each check of a server. It may be nil.
+	// Linked reports whether this entry hears from the leader.
+	Linked func() bool
+	// Isolated reports whether this entry has lost its connections to all servers of a service, so that it can't tell whether one has crashed.
+	Isolated func(service string) bool
+	// Checked is called with the result of each check of a server.
 	Checked func(check Check)
 }
 
-// Check is the result of a check whether a server has crashed, for logs and metrics.
-type Check struct {
-	Request Request
-	Server  *backend.Server
-	Crashed bool
-}
-
 // Request is a request of a caller.
 type Request struct {
 	// ID is the caller's id of the request.
 	ID      string
 	Service string
-	// Fingerprint is equal for requests with the same content.
-	Fingerprint string
-	// Parts are the IDs of the parts of its prompt. Requests with different content share parts.
-	Parts []string
+	// Traits is what it may have in common with other requests; see Traits.
+	Traits []string
+}
+
+// Traits returns the traits of a request, given the fingerprint of its content and the IDs of the parts of its prompt.
+func Traits(fingerprint string, parts []string) []string {
+	traits := make([]string, 0, len(parts)+1)
+	traits = append(traits, "request "+strconv.FormatUint(contract.ShortFingerprint(fingerprint), 16))
+	for _, part := range parts {
+		if trait := "part " + part; !slices.Contains(traits, trait) {
+			traits = append(traits, trait)
+		}
+	}
+	return traits
+}
+
+// Hold describes why a request is held back.
+type Hold struct {
+	// Traits are those that stand out among the requests that crashed servers.
+	Traits []string
+	// Crashes is the number of crashes that stand against them.
+	Crashes int
 }
 
 const (
-	// exitDelay is how long a process may take to exit after it has closed its connections.
-	exitDelay = 100 * time.Millisecond
-	// finishedRetention is the minimum time for which a finished request is remembered.
-	finishedRetention = 30 * time.Second
-	// maxReports bounds the crash reports that are repeated to the next leader: the latest of some minutes.
-	maxReports = 256
+	// trialValidity is how long after the leader has granted a trial a request may use it.
+	trialValidity = 5 * time.Second
+	// finishedReportInterval is the shortest interval between reports that requests with a trait finish.
+	finishedReportInterval = time.Second
 )
 
-// Watch tracks which requests crash servers, and the requests that the leader has quarantined. It is safe for concurrent use.
+// Watch tracks which requests crash servers, and those that are held back. It is safe for concurrent use.
 type Watch struct {
-	deps Deps
-
-	mu sync.Mutex // guards what follows; a leaf lock
-	// quarantined holds the requests that must not be sent, by service and fingerprint.
-	quarantined map[string]map[string]bool
-	// finished holds the requests that finished since rotatedAt, previousFinished those of the period before.
-	finished, previousFinished map[key]bool
-	rotatedAt                  time.Time
+	deps    Deps
+	started time.Time
+
+	mu       sync.Mutex // guards what follows; a leaf lock
+	services map[string]*service
+	finished *memory
+	checks   map[incarnation]*check
 	// reports holds the crashes that this entry has reported, oldest first.
-	reports []link.Crash
+	reports []report
 }
 
-// key identifies a request by its service and fingerprint.
-type key struct{ service, fingerprint string }
+// service is what is known about the requests of one service.
+type service struct {
+	// told is what the leader held back and suspected when it last told, at toldAt. rules are its rules.
+	told   link.Holds
+	toldAt time.Time
+	rules  []suspicion.Rule
+	// suspects are the traits of which the leader wants to know whether requests finish, with the time of the last report of each.
+	suspects map[string]time.Time
+	// trials holds the rules of which one request may be sent, by key, with the time until which it may.
+	trials map[string]time.Time
+	// own is the evidence that this entry has itself.
+	own *suspicion.Ledger
+}
 
-// New returns a Watch with nothing quarantined.
+// New returns a Watch with nothing held back.
 func New(deps Deps) *Watch {
 	return &Watch{
-		deps: deps, quarantined: make(map[string]map[string]bool), finished: make(map[key]bool), previousFinished: make(map[key]bool),
-		rotatedAt: time.Now(),
+		deps: deps, started: time.Now(), services: make(map[string]*service), finished: newMemory(), checks: make(map[incarnation]*check),
 	}
 }
 
-// Quarantined reports whether a request must not be sent to any server of a service.
-func (w *Watch) Quarantined(request Request) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.quarantined[request.Service][request.Fingerprint]
+func (w *Watch) now() time.Duration { return time.Since(w.started) }
+
+// service must be called with w.mu held.
+func (w *Watch) service(name string) *service {
+	s := w.services[name]
+	if s == nil {
+		s = &service{told: link.Holds{Service: name}, trials: make(map[string]time.Time), own: suspicion.New()}
+		w.services[name] = s
+	}
+	return s
 }
 
-// ApplyQuarantine sets the quarantined requests of a service as the leader reports them, and tells the leader which of them have
-// finished on a server recently.
-func (w *Watch) ApplyQuarantine(quarantine link.Quarantine) {
-	for _, fingerprint := range w.apply(quarantine) {
-		w.deps.SendToLeader(link.Up{Cleared: &link.Cleared{Service: quarantine.Service, Fingerprint: fingerprint}})
+// Held reports whether a request must not be sent to any server, and why.
+func (w *Watch) Held(request Request) (Hold, bool) {
+	linked := w.deps.Linked()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	rules := w.matching(request, linked)
+	if len(rules) == 0 {
+		return Hold{}, false
 	}
+	return Hold{Traits: rules[0].Traits, Crashes: rules[0].Crashes}, true
 }
 
-// apply replaces the quarantine of a service and returns the fingerprints in it that finished recently.
-func (w *Watch) apply(quarantine link.Quarantine) []string {
+// TakeTrial reports whether a request that is held may be sent all the same, to find out whether its traits still crash servers. The permission is
+// used up by it.
+func (w *Watch) TakeTrial(request Request) bool {
+	linked := w.deps.Linked()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	set := make(map[string]bool, len(quarantine.Fingerprints))
-	var cleared []string
-	for _, fingerprint := range quarantine.Fingerprints {
-		set[fingerprint] = true
-		if w.hasFinished(key{quarantine.Service, fingerprint}) {
-			cleared = append(cleared, fingerprint)
+	s := w.service(request.Service)
+	rules := w.matching(request, linked)
+	for _, rule := range rules {
+		if time.Now().After(s.trials[rule.Key()]) {
+			return false
 		}
 	}
-	w.quarantined[quarantine.Service] = set
-	return cleared
+	for _, rule := range rules {
+		delete(s.trials, rule.Key())
+	}
+	return len(rules) > 0
 }
 
-// Finished records that a server answered a request in full. If the request is quarantined, the leader is told.
-func (w *Watch) Finished(request Request) {
-	if w.recordFinished(key{request.Service, request.Fingerprint}) {
-		w.deps.SendToLeader(link.Up{Cleared: &link.Cleared{Service: request.Service, Fingerprint: request.Fingerprint}})
+// matching returns the rules that hold a request back. The caller holds the lock.
+func (w *Watch) matching(request Request, linked bool) []suspicion.Rule {
+	s := w.services[request.Service]
+	if s == nil {
+		return nil
+	}
+	rules := s.rules
+	if !linked {
+		rules = slices.Concat(rules, s.own.Rules(w.now()))
 	}
+	var matching []suspicion.Rule
+	for _, rule := range rules {
+		if rule.Matches(request.Traits) {
+			matching = append(matching, rule)
+		}
+	}
+	return matching
 }
 
-// recordFinished records a finished request and reports whether it is quarantined.
-func (w *Watch) recordFinished(k key) bool {
+// Suspected reports whether a request has a trait that was in progress at several crashes and with which, as far as this entry remembers, no
+// request has finished. Such a request is not worth a second server.
+func (w *Watch) Suspected(request Request) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if time.Since(w.rotatedAt) > finishedRetention {
-		w.previousFinished, w.finished, w.rotatedAt = w.finished, make(map[key]bool), time.Now()
+	s := w.services[request.Service]
+	if s == nil {
+		return false
 	}
-	w.finished[k] = true
-	return w.quarantined[k.service][k.fingerprint]
+	return slices.ContainsFunc(request.Traits, func(trait string) bool {
+		if _, suspected := s.suspects[trait]; !suspected {
+			return false
+		}
+		_, finished := w.finished.at(request.Service, trait)
+		return !finished
+	})
 }
 
-// hasFinished reports whether a request finished recently. The caller holds the lock.
-func (w *Watch) hasFinished(k key) bool { return w.finished[k] || w.previousFinished[k] }
+// ApplyHolds sets what is held back and suspected as the leader tells, and reports to it which of these traits have finished.
+func (w *Watch) ApplyHolds(holds link.Holds) {
+	for _, message := range w.apply(holds) {
+		w.deps.SendToLeader(message)
+	}
+}
 
-// ServerLost checks whether a server that closed its connection in the middle of a request has crashed, and if so reports the request
-// to the leader. A request that finished recently is not suspected.
-func (w *Watch) ServerLost(ctx context.Context, request Request, server *backend.Server) {
+func (w *Watch) apply(holds link.Holds) []link.Up {
 	w.mu.Lock()
-	cleared := w.hasFinished(key{server.Service, request.Fingerprint})
-	w.mu.Unlock()
-	if cleared || !wait.Pause(ctx, exitDelay) {
-		return
+	defer w.mu.Unlock()
+	s := w.service(holds.Service)
+	s.told, s.toldAt, s.rules = holds, time.Now(), nil
+	for _, rule := range holds.Rules {
+		if len(rule.Traits) > 0 {
+			s.rules = append(s.rules, suspicion.Rule{Traits: rule.Traits, Crashes: rule.Crashes})
+		}
 	}
-	crashed := w.deps.ConnectionRefused(ctx, server.Address)
-	if w.deps.Checked != nil {
-		w.deps.Checked(Check{Request: request, Server: server, Crashed: crashed})
+	suspects := make(map[string]time.Time, len(holds.Suspects))
+	var messages []link.Up
+	for _, trait := range holds.Suspects {
+		reported, known := s.suspects[trait]
+		suspects[trait] = reported
+		if at, finished := w.finished.at(holds.Service, trait); finished && !known {
+			suspects[trait] = time.Now()
+			messages = append(messages, finishedMessage(holds.Service, trait, time.Since(at)))
+		}
 	}
-	if !crashed {
-		return
+	s.suspects = suspects
+	return messages
+}
+
+func finishedMessage(service, trait string, ago time.Duration) link.Up {
+	return link.Up{Finished: &link.Finished{Service: service, Trait: trait, AgoMs: ago.Milliseconds()}}
+}
+
+// AllowTrial permits one request that a rule holds back.
+func (w *Watch) AllowTrial(trial link.Trial) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	rule := suspicion.Rule{Traits: trial.Traits}
+	w.service(trial.Service).trials[rule.Key()] = time.Now().Add(trialValidity)
+}
+
+// Finished records that a server answered a request in full. The leader is told if it suspects one of the request's traits.
+func (w *Watch) Finished(request Request) {
+	for _, message := range w.recordFinished(request) {
+		w.deps.SendToLeader(message)
 	}
-	crash := link.Crash{Service: server.Service, Fingerprint: request.Fingerprint, Server: server.ID, Born: server.StartedAtMillis}
-	w.recordCrash(crash)
-	w.deps.SendToLeader(link.Up{Crash: &crash})
 }
 
-func (w *Watch) recordCrash(crash link.Crash) {
+func (w *Watch) recordFinished(request Request) []link.Up {
+	now := time.Now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.reports = append(w.reports, crash)
-	if over := len(w.reports) - maxReports; over > 0 {
-		w.reports = slices.Delete(w.reports, 0, over)
+	s := w.service(request.Service)
+	var messages []link.Up
+	for _, trait := range request.Traits {
+		w.finished.note(request.Service, trait, now)
+		s.own.RecordFinish(w.now(), w.now(), trait)
+		if reported, suspected := s.suspects[trait]; suspected && now.Sub(reported) >= finishedReportInterval {
+			s.suspects[trait] = now
+			messages = append(messages, finishedMessage(request.Service, trait, 0))
+		}
 	}
+	return messages
 }
 
-// Reports returns the latest crashes that this entry has reported, for the next leader.
-func (w *Watch) Reports() []link.Crash {
+// Holds returns what the leader holds back, for the next leader.
+func (w *Watch) Holds() []link.Holds {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return slices.Clone(w.reports)
+	var all []link.Holds
+	for name, s := range w.services {
+		if len(s.told.Rules) == 0 {
+			continue
+		}
+		holds := link.Holds{Service: name}
+		for _, rule := range s.told.Rules {
+			rule.AgeMs += time.Since(s.toldAt).Milliseconds()
+			holds.Rules = append(holds.Rules, rule)
+		}
+		all = append(all, holds)
+	}
+	return all
+}
+
+// RuleCount returns the number of rules by which the leader holds requests back.
+func (w *Watch) RuleCount() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	count := 0
+	for _, s := range w.services {
+		count += len(s.rules)
+	}
+	return count
 }
--- a/entry/suspects/suspects_test.go
+++ b/entry/suspects/suspects_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"sync"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -17,59 +19,198 @@
 	RunSpecs(t, "requests that crash servers")
 }
 
+// surroundings are what a Watch depends on.
+type surroundings struct {
+	mu               sync.Mutex // guards what follows; a leaf lock
+	sent             []link.Up
+	checks           []suspects.Check
+	liveness         []suspects.Liveness
+	probes           int
+	linked, isolated bool
+}
+
+func (s *surroundings) watch() *suspects.Watch {
+	return suspects.New(suspects.Deps{
+		Probe: func(context.Context, *backend.Server) suspects.Liveness {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.probes++
+			return s.liveness[min(s.probes, len(s.liveness))-1]
+		},
+		SendToLeader: func(message link.Up) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.sent = append(s.sent, message)
+		},
+		Linked:   func() bool { return s.linked },
+		Isolated: func(string) bool { return s.isolated },
+		Checked: func(check suspects.Check) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.checks = append(s.checks, check)
+		},
+	})
+}
+
+func request(traits ...string) suspects.Request {
+	return suspects.Request{ID: "r", Service: "desk", Traits: traits}
+}
+
+func server(id string) *backend.Server {
+	return &backend.Server{ID: backend.ID(id), Service: "desk", Address: "10.0.0.1:1", StartedAtMillis: 7}
+}
+
+func names(traits []link.Trait) []string {
+	var names []string
+	for _, trait := range traits {
+		names = append(names, trait.Name)
+	}
+	return names
+}
+
+var _ = Describe("Traits", func() {
+	It("are the content of a request and the parts of its prompt, each once", func() {
+		Expect(suspects.Traits("0123456789abcdef00", []string{"a", "b", "a"})).To(Equal([]string{"request 123456789abcdef", "part a", "part b"}))
+	})
+})
+
 var _ = Describe("Watch", func() {
 	var (
-		sent    []link.Up
-		checks  []suspects.Check
-		refuses bool
-		watch   *suspects.Watch
+		around *surroundings
+		watch  *suspects.Watch
 	)
 	ctx := context.Background()
-	request := func(fingerprint string) suspects.Request {
-		return suspects.Request{Service: "desk", Fingerprint: fingerprint}
-	}
-	server := &backend.Server{ID: "i-1", Service: "desk", Address: "10.0.0.1:1", StartedAtMillis: 7}
 	BeforeEach(func() {
-		sent, checks, refuses = nil, nil, true
-		watch = suspects.New(suspects.Deps{
-			ConnectionRefused: func(context.Context, string) bool { return refuses },
-			SendToLeader:      func(message link.Up) { sent = append(sent, message) },
-			Checked:           func(check suspects.Check) { checks = append(checks, check) },
-		})
+		around = &surroundings{liveness: []suspects.Liveness{suspects.Gone}, linked: true}
+		watch = around.watch()
 	})
 
-	It("reports a request whose server is gone, and reports it again to the next leader", func() {
-		watch.ServerLost(ctx, request("poison"), server)
-		crash := link.Crash{Service: "desk", Fingerprint: "poison", Server: "i-1", Born: 7}
-		Expect(sent).To(Equal([]link.Up{{Crash: &crash}}))
-		Expect(watch.Reports()).To(Equal([]link.Crash{crash}))
-		Expect(checks).To(Equal([]suspects.Check{{Request: request("poison"), Server: server, Crashed: true}}))
+	It("reports the traits of a request whose server is gone, and reports them again to the next leader", func() {
+		watch.ServerLost(ctx, request("a", "b"), server("i-1"), true)
+		crash := link.Crash{Service: "desk", Server: "i-1", Born: 7, Traits: []link.Trait{{Name: "a", Progressed: true}, {Name: "b", Progressed: true}}}
+		Expect(around.sent).To(Equal([]link.Up{{Crash: &crash}}))
+		Expect(watch.Reports()).To(ConsistOf(HaveField("Traits", crash.Traits)))
+		Expect(around.checks).To(HaveLen(1))
+		Expect(around.checks[0].Crashed).To(BeTrue())
 	})
 
-	// A server resets some of its requests and keeps running. Counted as crashes, three such resets would quarantine a harmless
-	// request.
+	// A server resets some of its requests and keeps running. Counted as crashes, three such resets would hold harmless requests back.
 	It("does not count a reset by a server that keeps running as a crash", func() {
-		refuses = false
-		watch.ServerLost(ctx, request("innocent"), server)
-		Expect(sent).To(BeEmpty())
+		around.liveness = []suspects.Liveness{suspects.Running}
+		watch.ServerLost(ctx, request("innocent"), server("i-1"), false)
+		Expect(around.sent).To(BeEmpty())
+		Expect(around.checks).To(HaveLen(1))
+	})
+
+	// An entry that has lost its connections to all servers would take each of them for crashed.
+	It("reports no crash while the entry is cut off from the servers", func() {
+		around.isolated = true
+		watch.ServerLost(ctx, request("innocent"), server("i-1"), false)
+		Expect(around.sent).To(BeEmpty())
+	})
+
+	// All requests that ran on a server are lost with it at the same moment.
+	It("checks a server once for all requests that ran on it", func() {
+		var running sync.WaitGroup
+		for i := range 20 {
+			running.Go(func() { watch.ServerLost(ctx, request("shared", fmt.Sprint("own ", i)), server("i-1"), false) })
+		}
+		running.Wait()
+		Expect(around.probes).To(Equal(1))
+		Expect(around.sent).To(HaveLen(1))
+		Expect(around.sent[0].Crash.Traits).To(HaveLen(21))
+		watch.ServerLost(ctx, request("late"), server("i-1"), false)
+		Expect(around.probes).To(Equal(1))
+		Expect(names(around.sent[1].Crash.Traits)).To(Equal([]string{"late"}))
+	})
+
+	It("says when requests with the same traits finished", func() {
+		watch.Finished(request("shared"))
+		watch.ServerLost(ctx, request("shared", "own"), server("i-1"), false)
+		Expect(around.sent).To(HaveLen(1))
+		traits := around.sent[0].Crash.Traits
+		Expect(names(traits)).To(Equal([]string{"own", "shared"}))
+		Expect(traits[0].Finished).To(BeFalse())
+		Expect(traits[1].Finished).To(BeTrue())
+		Expect(traits[1].FinishedAgoMs).To(BeNumerically("<", 5000))
+	})
+
+	It("holds back what the leader says, in that service alone", func() {
+		watch.ApplyHolds(link.Holds{Service: "desk", Rules: []link.Rule{{Traits: []string{"bad"}, Crashes: 3}, {Traits: []string{"x", "y"}, Crashes: 4}}})
+		hold, held := watch.Held(request("bad", "own"))
+		Expect(held).To(BeTrue())
+		Expect(hold).To(Equal(suspects.Hold{Traits: []string{"bad"}, Crashes: 3}))
+		for _, sound := range []suspects.Request{request("own"), request("x", "own"), {Service: "other", Traits: []string{"bad"}}} {
+			_, held = watch.Held(sound)
+			Expect(held).To(BeFalse(), "%v", sound)
+		}
+		_, held = watch.Held(request("x", "own", "y"))
+		Expect(held).To(BeTrue())
+		Expect(watch.RuleCount()).To(Equal(2))
+		watch.ApplyHolds(link.Holds{Service: "desk"})
+		_, held = watch.Held(request("bad"))
+		Expect(held).To(BeFalse())
+	})
+
+	It("tells the leader that requests with a suspected trait finish, at once and then no more than once a second", func() {
+		watch.Finished(request("before"))
+		watch.ApplyHolds(link.Holds{Service: "desk", Suspects: []string{"before", "after", "never"}})
+		Expect(around.sent).To(HaveLen(1))
+		Expect(around.sent[0].Finished.Trait).To(Equal("before"))
+		for range 10 {
+			watch.Finished(request("after"))
+		}
+		Expect(around.sent).To(HaveLen(2))
+		Expect(around.sent[1]).To(Equal(link.Up{Finished: &link.Finished{Service: "desk", Trait: "after"}}))
+	})
+
+	// A request has taken one server down. Sent once more, it takes a second one.
+	It("finds a request with a suspected trait not worth a second server, unless requests with the trait finish", func() {
+		watch.Finished(request("shared"))
+		watch.ApplyHolds(link.Holds{Service: "desk", Suspects: []string{"bad", "shared"}})
+		Expect(watch.Suspected(request("bad"))).To(BeTrue())
+		Expect(watch.Suspected(request("shared", "own"))).To(BeFalse())
+	})
+
+	It("lets one request through for each trial", func() {
+		watch.ApplyHolds(link.Holds{Service: "desk", Rules: []link.Rule{{Traits: []string{"bad"}, Crashes: 3}}})
+		Expect(watch.TakeTrial(request("bad"))).To(BeFalse())
+		watch.AllowTrial(link.Trial{Service: "desk", Traits: []string{"bad"}})
+		Expect(watch.TakeTrial(request("sound"))).To(BeFalse(), "it is not held back")
+		Expect(watch.TakeTrial(request("bad", "own"))).To(BeTrue())
+		Expect(watch.TakeTrial(request("bad", "own"))).To(BeFalse())
+	})
+
+	It("hands what was held back to the next leader", func() {
+		Expect(watch.Holds()).To(BeEmpty())
+		watch.ApplyHolds(link.Holds{Service: "desk", Rules: []link.Rule{{Traits: []string{"bad"}, Crashes: 3, AgeMs: 1000}}})
+		holds := watch.Holds()
+		Expect(holds).To(HaveLen(1))
+		Expect(holds[0].Rules[0].Traits).To(Equal([]string{"bad"}))
+		Expect(holds[0].Rules[0].AgeMs).To(BeNumerically(">=", 1000))
 	})
 
-	// A server dies with its VM while it runs requests that look like many others. If they were quarantined, all of those would be
-	// refused.
-	It("does not suspect a request that has finished elsewhere", func() {
-		watch.Finished(request("usual"))
-		watch.ServerLost(ctx, request("usual"), server)
-		Expect(sent).To(BeEmpty())
+	// The entry is cut off from the leader while such requests come.
+	It("goes by its own evidence, and by what it was told last, while it has no leader", func() {
+		watch.ApplyHolds(link.Holds{Service: "desk", Rules: []link.Rule{{Traits: []string{"told"}, Crashes: 3}}})
+		for i := range 3 {
+			watch.ServerLost(ctx, request("bad", fmt.Sprint("own ", i)), server(fmt.Sprint("i-", i)), false)
+		}
+		_, held := watch.Held(request("bad"))
+		Expect(held).To(BeFalse(), "the leader, which knows more, decides")
+		around.linked = false
+		for _, trait := range []string{"bad", "told"} {
+			_, held = watch.Held(request(trait))
+			Expect(held).To(BeTrue(), trait)
+		}
 	})
 
-	It("quarantines requests as the leader says, and tells it which of them have finished", func() {
-		Expect(watch.Quarantined(request("poison"))).To(BeFalse())
-		watch.Finished(request("usual"))
-		watch.ApplyQuarantine(link.Quarantine{Service: "desk", Fingerprints: []string{"poison", "usual"}})
-		Expect(watch.Quarantined(request("poison"))).To(BeTrue())
-		Expect(watch.Quarantined(suspects.Request{Service: "other", Fingerprint: "poison"})).To(BeFalse())
-		Expect(sent).To(Equal([]link.Up{{Cleared: &link.Cleared{Service: "desk", Fingerprint: "usual"}}}))
-		watch.ApplyQuarantine(link.Quarantine{Service: "desk"})
-		Expect(watch.Quarantined(request("poison"))).To(BeFalse())
+	It("forgets finished traits within a bounded time and number", func() {
+		for i := range 40000 {
+			watch.Finished(request(fmt.Sprint("own ", i)))
+		}
+		watch.ApplyHolds(link.Holds{Service: "desk", Suspects: []string{"own 0", "own 39999"}})
+		Expect(around.sent).To(HaveLen(1))
+		Expect(around.sent[0].Finished.Trait).To(Equal("own 39999"))
 	})
 })
--- a/link/leader/leader.go
+++ b/link/leader/leader.go
@@ -58,9 +58,9 @@
 	ConfigVersion uint64 `cbor:"7,keyasint,omitempty"`
 	// HeldTurns reports all turns that the follower holds. It is sent before any other message about turns.
 	HeldTurns *HeldTurns `cbor:"10,keyasint,omitempty"`
-	// Crash reports a request whose server crashed, and Cleared a quarantined request that completed.
-	Crash   *Crash   `cbor:"8,keyasint,omitempty"`
-	Cleared *Cleared `cbor:"9,keyasint,omitempty"`
+	// Crash reports requests whose server crashed, and Finished a suspected trait whose request finished.
+	Crash    *Crash    `cbor:"13,keyasint,omitempty"`
+	Finished *Finished `cbor:"14,keyasint,omitempty"`
 	// RequestSeen reports that the follower has received a caller's request since it started.
 	RequestSeen bool `cbor:"11,keyasint,omitempty"`
 	// Isolation reports whether the follower has lost its connections to the servers of a service.
@@ -80,31 +80,63 @@
 	ConfigVersion uint64 `cbor:"4,keyasint,omitempty"`
 	// Revisions holds the revision up to which the follower knows each kind of objects.
 	Revisions map[platform.Kind]platform.Version `cbor:"6,keyasint,omitempty"`
-	// Crashes are the crashes that the follower has reported before, to an earlier leader.
-	Crashes []Crash `cbor:"7,keyasint,omitempty"`
+	// Crashes are the crashes that the follower has reported lately, to an earlier leader, and Holds what that leader held back.
+	Crashes []Crash `cbor:"9,keyasint,omitempty"`
+	Holds   []Holds `cbor:"10,keyasint,omitempty"`
 	// RoutableOnly reports that the follower is to be sent only the routable servers.
 	RoutableOnly bool `cbor:"8,keyasint,omitempty"`
 }
 
-// Crash reports that a server's process ended while it ran a request.
+// Crash reports that a server's process ended while it ran requests.
 type Crash struct {
-	Service     string     `cbor:"1,keyasint"`
-	Fingerprint string     `cbor:"2,keyasint"`
-	Server      backend.ID `cbor:"3,keyasint"`
+	Service string     `cbor:"1,keyasint"`
+	Server  backend.ID `cbor:"2,keyasint"`
 	// Born distinguishes successive processes of the server. It is the start of the process, or 0 if unknown.
-	Born int64 `cbor:"4,keyasint,omitempty"`
+	Born int64 `cbor:"3,keyasint,omitempty"`
+	// AgeMs is how long ago the crash was noticed; 0 unless it is reported again.
+	AgeMs int64 `cbor:"4,keyasint,omitempty"`
+	// Traits are what the requests had in common with others: their content, and the parts of their prompts.
+	Traits []Trait `cbor:"5,keyasint"`
 }
 
-// Cleared reports a request that a server has answered completely.
-type Cleared struct {
-	Service     string `cbor:"1,keyasint"`
-	Fingerprint string `cbor:"2,keyasint"`
+// Trait describes a trait of requests that ran on a server when it crashed.
+type Trait struct {
+	Name string `cbor:"1,keyasint"`
+	// FinishedAgoMs is how long before the report a request with the trait finished, and Finished whether any did in the follower's memory.
+	Finished      bool  `cbor:"2,keyasint,omitempty"`
+	FinishedAgoMs int64 `cbor:"3,keyasint,omitempty"`
+	// Progressed is set if the server had sent more than the beginning of an answer.
+	Progressed bool `cbor:"4,keyasint,omitempty"`
 }
 
-// Quarantine lists all requests of a service that no entry may send to a server.
-type Quarantine struct {
-	Service      string   `cbor:"1,keyasint"`
-	Fingerprints []string `cbor:"2,keyasint,omitempty"`
+// Finished reports that a server has answered a request with a suspected trait completely.
+type Finished struct {
+	Service string `cbor:"1,keyasint"`
+	Trait   string `cbor:"2,keyasint"`
+	// AgoMs is how long ago that was.
+	AgoMs int64 `cbor:"3,keyasint,omitempty"`
+}
+
+// Holds lists which requests of a service no entry may send to a server, and which traits are suspected.
+type Holds struct {
+	Service string `cbor:"1,keyasint"`
+	Rules   []Rule `cbor:"2,keyasint,omitempty"`
+	// Suspects are the traits about which the leader wants to know whether requests with them finish.
+	Suspects []string `cbor:"3,keyasint,omitempty"`
+}
+
+// Rule holds requests back that have all of some traits.
+type Rule struct {
+	Traits []string `cbor:"1,keyasint"`
+	// Crashes is the number of crashes that stand against the traits, and AgeMs how long ago the last one was.
+	Crashes int   `cbor:"2,keyasint"`
+	AgeMs   int64 `cbor:"3,keyasint,omitempty"`
+}
+
+// Trial permits a follower to send one request that a rule holds back.
+type Trial struct {
+	Service string   `cbor:"1,keyasint"`
+	Traits  []string `cbor:"2,keyasint"`
 }
 
 // HeldTurns lists the turns that a follower holds, granted by this leader or an earlier one.
@@ -173,8 +205,10 @@
 	// Probe asks the follower whether it can reach a server.
 	Probe *Probe `cbor:"5,keyasint,omitempty"`
 	// ChangeSet holds changes of one kind of objects.
-	ChangeSet  *ChangeSet  `cbor:"6,keyasint,omitempty"`
-	Quarantine *Quarantine `cbor:"8,keyasint,omitempty"`
+	ChangeSet *ChangeSet `cbor:"6,keyasint,omitempty"`
+	// Holds is sent when the requests that are held back or the suspects of a service change.
+	Holds *Holds `cbor:"11,keyasint,omitempty"`
+	Trial *Trial `cbor:"12,keyasint,omitempty"`
 	// Queued is the key of a request that waits for its turn; 0 for none.
 	Queued uint64 `cbor:"9,keyasint,omitempty"`
 	// Compressed is another message in compressed form.
--- a/test/cooperative/crashing_part_test.go
+++ b/test/cooperative/crashing_part_test.go
@@ -41,6 +41,15 @@
 	return late
 }
 
+// expectHeldBack checks that servers crashed on a part, and that requests with it were held back in time.
+func (p *pond) expectHeldBack(part string) {
+	GinkgoHelper()
+	crashes, runs, late := len(p.world.CrashTimes(part)), len(p.world.RunsWith(part)), p.lateRuns(part)
+	GinkgoWriter.Printf("%d requests with %s ran, %d of them late, and %d servers crashed\n", runs, part, late, crashes)
+	Expect(crashes).To(BeNumerically(">=", 1))
+	Expect(late).To(BeNumerically("<=", lateRunsAllowed), "of %d", runs)
+}
+
 // settledAt returns when sound requests that share parts with crashing ones must be served again.
 func (p *pond) settledAt(part string) time.Time {
 	crashes := p.world.CrashTimes(part)
@@ -126,9 +135,9 @@
 		running.Go(func() { p.load(interval, length, "crashing", "/book/x", crashing) })
 		running.Go(func() { answers = p.load(interval, length, "sound", "/book/x", sound) })
 		running.Wait()
-		Expect(len(p.world.CrashTimes(crashingPart))).To(BeNumerically(">=", 1))
-		Expect(p.lateRuns(crashingPart)).To(BeNumerically("<=", lateRunsAllowed), "of %d", len(p.world.RunsWith(crashingPart)))
+		p.expectHeldBack(crashingPart)
 		share, count := servedShare(answers, p.settledAt(crashingPart), func(got sent) bool { return got.status == http.StatusOK })
+		GinkgoWriter.Printf("sound requests served later: %.2f of %d\n", share, count)
 		Expect(count).To(BeNumerically(">=", 20))
 		Expect(share).To(BeNumerically(">=", 0.5))
 	},
@@ -154,9 +163,9 @@
 		})
 		running.Go(func() { answers = p.load(100*time.Millisecond, length, "sound", "/chat/x", partsWith("s", sharedPart)) })
 		running.Wait()
-		Expect(len(p.world.CrashTimes(crashingPart))).To(BeNumerically(">=", 1))
-		Expect(p.lateRuns(crashingPart)).To(BeNumerically("<=", lateRunsAllowed), "of %d", len(p.world.RunsWith(crashingPart)))
+		p.expectHeldBack(crashingPart)
 		share, count := servedShare(answers, p.settledAt(crashingPart), sent.whole)
+		GinkgoWriter.Printf("sound streams served before and later: %.2f, %.2f of %d\n", usual, share, count)
 		Expect(count).To(BeNumerically(">=", 20))
 		Expect(share).To(BeNumerically(">=", usual/2))
 		Expect(p.world.Violations()).To(BeEmpty())
