--- a/test/cooperative/crashing_part_test.go
+++ b/test/cooperative/crashing_part_test.go
@@ -109,32 +109,42 @@
 	}
 }
 
+// newPondWithDesks returns three entries before 62 plain servers with these faults.
+func newPondWithDesks(faults replica.Faults) *pond {
+	GinkgoHelper()
+	p := newPond(3, 4)
+	p.awaitServing(1)
+	for i := range 60 {
+		desk := p.world.Start(p.api, replica.Config{ID: fmt.Sprint("spare-desk-", i), Service: "desk", Zone: "z", Slots: 6})
+		DeferCleanup(desk.Close)
+		p.desks = append(p.desks, desk)
+	}
+	for _, desk := range p.desks {
+		desk.SetFaults(faults)
+	}
+	return p
+}
+
+// bookings sends crashing and sound bookings, 70 each, and returns the answers to the sound ones.
+func (p *pond) bookings(crashing, sound func(i int) []string) (answers []answer) {
+	const interval, length = 150 * time.Millisecond, 70 * 150 * time.Millisecond
+	var running sync.WaitGroup
+	running.Go(func() { p.load(interval, length, "crashing", "/book/x", crashing) })
+	running.Go(func() { answers = p.load(interval, length, "sound", "/book/x", sound) })
+	running.Wait()
+	return answers
+}
+
 // partsWith returns the parts of requests that share the given ones and have a last one of their own.
 func partsWith(name string, shared ...string) func(i int) []string {
 	return func(i int) []string { return append(append([]string(nil), shared...), fmt.Sprint(name, i)) }
 }
 
 var _ = Describe("Requests with a part that crashes servers", func() {
-	const bookings = 70
-
 	// No two of the bookings have the same content. Each crashed a server, until none was left.
 	DescribeTable("are held back, and sound bookings are served", func(crashing, sound func(i int) []string) {
-		p := newPond(3, 4)
-		p.awaitServing(1)
-		for i := range 60 {
-			desk := p.world.Start(p.api, replica.Config{ID: fmt.Sprint("spare-desk-", i), Service: "desk", Zone: "z", Slots: 6})
-			DeferCleanup(desk.Close)
-			p.desks = append(p.desks, desk)
-		}
-		for _, desk := range p.desks {
-			desk.SetFaults(replica.Faults{CrashOnPart: crashingPart})
-		}
-		var answers []answer
-		var running sync.WaitGroup
-		const interval, length = 150 * time.Millisecond, bookings * 150 * time.Millisecond
-		running.Go(func() { p.load(interval, length, "crashing", "/book/x", crashing) })
-		running.Go(func() { answers = p.load(interval, length, "sound", "/book/x", sound) })
-		running.Wait()
+		p := newPondWithDesks(replica.Faults{CrashOnPart: crashingPart})
+		answers := p.bookings(crashing, sound)
 		p.expectHeldBack(crashingPart)
 		share, count := servedShare(answers, p.settledAt(crashingPart), func(got sent) bool { return got.status == http.StatusOK })
 		GinkgoWriter.Printf("sound requests served later: %.2f of %d\n", share, count)
@@ -145,6 +155,13 @@
 		Entry("as the first part", partsWith("c", crashingPart, sharedPart), partsWith("s", "900d", sharedPart)),
 	)
 
+	// A server that has crashed listens again at its address before anybody can see that it refuses connections.
+	It("are held back although the servers are back at once", func() {
+		p := newPondWithDesks(replica.Faults{CrashOnPart: crashingPart, ReturnAfter: time.Millisecond})
+		p.bookings(partsWith("c", sharedPart, crashingPart), partsWith("s", sharedPart, "900d"))
+		p.expectHeldBack(crashingPart)
+	})
+
 	// Sound streams run on the groups that crash, and are cut with them. All groups were gone after some seconds, again and again.
 	It("are held back as streams, and sound streams with the same first part are served", func() {
 		p := newPond(3, 0)
