entry/suspects, entry/gateway: a crash is noticed although the server is back at once or its VM is silent

Callers of sound requests lost servers to crashes that nobody counted. Cause: an entry asked once, 0.1 s after its connection had broken, whether the server refuses connections. One that listened again by then, with its old or a new id, was taken for one that only reset a connection, and one whose VM is silent for good.

A broken connection starts one check per process of a server, for all requests that ran on it. It asks after 20 ms, 0.1, 0.3, 1, 2, 4 and 6 s until it is known: the server is registered with a later start, refuses connections, another one answers in its place (421), it reports a later start, or it is silent and no longer registered. A process that answers after 0.1 s runs. An entry that is cut off from all servers reports no crash.

--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"net/netip"
 	"os"
 	"runtime"
@@ -138,29 +137,21 @@
 	return turn.NewRemote(local, cat.Listing)
 }
 
-func provideSuspects(s *shared, remote *turn.Remote, isolated *isolation.Watch) *suspects.Watch {
+func provideSuspects(s *shared, remote *turn.Remote, cat *catalog.Catalog, pool *upstream.Pool, isolated *isolation.Watch) *suspects.Watch {
 	return suspects.New(suspects.Deps{
-		Probe:        probeProcess,
+		Probe: func(ctx context.Context, server *backend.Server) suspects.Liveness {
+			return probeProcess(ctx, cat.Listing(), pool, server)
+		},
 		SendToLeader: remote.Send, Linked: s.leaderState.linked, Isolated: isolated.Isolated, Checked: s.serverChecked,
 	})
 }
 
-// probeProcess finds out whether the process of a server has ended.
-func probeProcess(ctx context.Context, server *backend.Server) suspects.Liveness {
-	if upstream.RefusesConnections(ctx, server.Address) {
-		return suspects.Gone
-	}
-	return suspects.Unknown
-}
-
 func provideIsolation(s *shared, cat *catalog.Catalog, pool *upstream.Pool) *isolation.Watch {
 	return isolation.New(isolation.Deps{
 		Listing: cat.Listing, Changed: s.isolationChanged,
 		Probe: func(ctx context.Context, server *backend.Server) bool {
-			header := platform.ForwardHeader(http.Header{}, platform.Forward{Server: server.ID, Remaining: time.Second})
-			return pool.Answers(ctx, upstream.EndpointOf(server), &upstream.Request{
-				Method: http.MethodGet, Target: platform.PathReport, Host: server.Address, Header: header,
-			})
+			status, _, _ := askForReport(ctx, pool, server) // an answer with a broken body shows as well that the server is reached
+			return status != 0
 		},
 	})
 }
--- a/entry/gateway/wire_gen.go
+++ b/entry/gateway/wire_gen.go
@@ -29,7 +29,7 @@
 	local := provideLocal(catalog)
 	remote := provideRemote(local, catalog)
 	retries := provideRetries(s)
-	suspectsWatch := provideSuspects(s, remote, watch)
+	suspectsWatch := provideSuspects(s, remote, catalog, pool, watch)
 	relay := provideRelay(s, catalog, remote, pool, retries, suspectsWatch, watch, roster)
 	leader := provideLeader(s, catalog, lease, controller)
 	leaderServer := provideLinks(identity, holder, leader)
--- a/entry/suspects/check.go
+++ b/entry/suspects/check.go
@@ -32,6 +32,12 @@
 	Crashed  bool
 }
 
+// probeTimes are the times after a broken connection at which the server is probed until it is known whether its process is gone. One whose VM
+// is silent is known to be gone when its registration has expired or it has started again.
+var probeTimes = []time.Duration{
+	20 * time.Millisecond, 100 * time.Millisecond, 300 * time.Millisecond, time.Second, 2 * time.Second, 4 * time.Second, 6 * time.Second,
+}
+
 const (
 	// exitDelay is how long a process may take to exit after it has closed its connections.
 	exitDelay = 100 * time.Millisecond
@@ -116,7 +122,21 @@
 }
 
 func (w *Watch) hasCrashed(ctx context.Context, server *backend.Server) bool {
-	return wait.Pause(ctx, exitDelay) && !w.deps.Isolated(server.Service) && w.deps.Probe(ctx, server) == Gone
+	lostAt := time.Now()
+	for _, at := range probeTimes {
+		if !wait.Pause(ctx, time.Until(lostAt.Add(at))) || w.deps.Isolated(server.Service) {
+			return false
+		}
+		switch w.deps.Probe(ctx, server) {
+		case Gone:
+			return true
+		case Running:
+			if time.Since(lostAt) >= exitDelay {
+				return false
+			}
+		}
+	}
+	return false
 }
 
 func requestsOf(requests []lost) []Request {
--- a/entry/suspects/suspects_test.go
+++ b/entry/suspects/suspects_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"sync"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -102,6 +103,20 @@
 		Expect(around.checks).To(HaveLen(1))
 	})
 
+	// A process that has closed its connections still accepts new ones for some milliseconds.
+	It("asks again while the process may be exiting", func() {
+		around.liveness = []suspects.Liveness{suspects.Running, suspects.Gone}
+		watch.ServerLost(ctx, request("bad"), server("i-1"), false)
+		Expect(around.sent).To(HaveLen(1))
+	})
+
+	// The VM of the server is silent, and nobody sees a refused connection. Another process has started there a second later.
+	It("asks a silent server again until it is known what became of it", func() {
+		around.liveness = []suspects.Liveness{suspects.Unknown, suspects.Unknown, suspects.Unknown, suspects.Gone}
+		watch.ServerLost(ctx, request("bad"), server("i-1"), false)
+		Expect(around.sent).To(HaveLen(1))
+	})
+
 	// An entry that has lost its connections to all servers would take each of them for crashed.
 	It("reports no crash while the entry is cut off from the servers", func() {
 		around.isolated = true
@@ -214,3 +229,16 @@
 		Expect(around.sent[0].Finished.Trait).To(Equal("own 39999"))
 	})
 })
+
+// A check takes seconds at most even if the server stays silent.
+var _ = Describe("A check of a server that stays silent", func() {
+	It("ends without a result", func() {
+		around := &surroundings{liveness: []suspects.Liveness{suspects.Unknown}, linked: true}
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		around.watch().ServerLost(ctx, request("a"), server("i-1"), false)
+		Expect(around.sent).To(BeEmpty())
+		Expect(around.checks).To(HaveLen(1))
+		Expect(around.checks[0].Crashed).To(BeFalse())
+	})
+})
--- a/link/upstream/pool.go
+++ b/link/upstream/pool.go
@@ -94,16 +94,27 @@
 	}, nil
 }
 
-// Answers reports whether the server at endpoint answers a request on a new connection. It ends with ctx.
-func (p *Pool) Answers(ctx context.Context, endpoint Endpoint, request *Request) bool {
+// maxAskedBytes bounds the body that Ask returns.
+const maxAskedBytes = 64 << 10
+
+// Ask sends a request on a new connection and returns the status and the beginning of the body of the response. It ends with ctx. Errors are those
+// of the network; with an error in the body, the status is returned as well.
+func (p *Pool) Ask(ctx context.Context, endpoint Endpoint, request *Request) (status int, body []byte, err error) {
 	c, err := p.dial(ctx, endpoint.Address)
 	if err != nil {
-		return false
+		return 0, nil, eris.Wrapf(err, "%s at %s", endpoint.ID, endpoint.Address)
 	}
 	defer c.Close()
 	defer context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })()
-	_, err = c.exchange(request)
-	return err == nil
+	response, err := c.exchange(request)
+	if err != nil {
+		return 0, nil, eris.Wrapf(err, "%s at %s", endpoint.ID, endpoint.Address)
+	}
+	body, err = io.ReadAll(io.LimitReader(response.Body, maxAskedBytes))
+	if err != nil {
+		return response.StatusCode, nil, eris.Wrapf(err, "%s at %s", endpoint.ID, endpoint.Address)
+	}
+	return response.StatusCode, body, nil
 }
 
 func (c *conn) exchange(request *Request) (*http.Response, error) {
