--- a/test/caller_test.go
+++ b/test/caller_test.go
@@ -85,8 +85,22 @@
 
 // streamAs is stream with the key of another team.
 func (c caller) streamAs(key, prompt string, tokens int) answer {
+	return c.streamBody(key, completion(prompt, tokens, true))
+}
+
+// converse asks for the next message of a conversation.
+func (c caller) converse(conversation []engine.Message, tokens int) answer {
+	return c.streamBody(examples.DevTeamKey, conversationBody(conversation, tokens))
+}
+
+func conversationBody(conversation []engine.Message, tokens int) string {
+	body, _ := json.Marshal(engine.Completion{Model: "chat-small", Stream: true, MaxTokens: tokens, Messages: conversation})
+	return string(body)
+}
+
+func (c caller) streamBody(key, body string) answer {
 	header := map[string]string{"Authorization": "Bearer " + key}
-	got := c.send(http.MethodPost, "/v1/chat/completions", header, completion(prompt, tokens, true))
+	got := c.send(http.MethodPost, "/v1/chat/completions", header, body)
 	scanner := bufio.NewScanner(strings.NewReader(got.body))
 	scanner.Buffer(nil, 1<<20)
 	for scanner.Scan() {
--- a/test/cooperative/crashing_part_test.go
+++ b/test/cooperative/crashing_part_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -187,4 +188,46 @@
 		Expect(share).To(BeNumerically(">=", usual/2))
 		Expect(p.world.Violations()).To(BeEmpty())
 	})
+
+	// The leader that held them back is killed, and the entry that takes over may be one that has just started.
+	It("stay held back while the leader is killed and entries are started again", func() {
+		p := newPondWithDesks(replica.Faults{CrashOnPart: crashingPart})
+		var running sync.WaitGroup
+		running.Go(func() {
+			p.load(100*time.Millisecond, 20*time.Second, "crashing", "/book/x", partsWith("c", sharedPart, crashingPart))
+		})
+		Eventually(func() int { return len(p.world.CrashTimes(crashingPart)) }, generous).Should(BeNumerically(">=", 3))
+		for range 3 {
+			time.Sleep(2 * time.Second)
+			leader, _ := p.leaderAndRest()
+			leader.signal(syscall.SIGKILL)
+			<-leader.ended()
+			time.Sleep(time.Second)
+			leader.start()
+		}
+		running.Wait()
+		p.expectHeldBack(crashingPart)
+	})
+
+	// An entry that has just started knows nothing, and is asked before it has found the leader.
+	It("stay held back while all entries are killed and started again", func() {
+		p := newPondWithDesks(replica.Faults{CrashOnPart: crashingPart})
+		var running sync.WaitGroup
+		running.Go(func() {
+			p.load(100*time.Millisecond, 20*time.Second, "crashing", "/book/x", partsWith("c", sharedPart, crashingPart))
+		})
+		Eventually(func() int { return len(p.world.CrashTimes(crashingPart)) }, generous).Should(BeNumerically(">=", 3))
+		time.Sleep(5 * time.Second)
+		before := len(p.world.RunsWith(crashingPart))
+		for _, entry := range p.entries {
+			entry.signal(syscall.SIGKILL)
+		}
+		for _, entry := range p.entries {
+			<-entry.ended()
+			entry.start()
+		}
+		running.Wait()
+		p.expectHeldBack(crashingPart)
+		Expect(len(p.world.RunsWith(crashingPart)) - before).To(BeNumerically("<=", lateRunsAllowed))
+	})
 })
--- a/test/quarantine_test.go
+++ b/test/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/skylarkpond/skylarkpond/contract/admin"
 	"github.com/skylarkpond/skylarkpond/examples"
 	standinengine "github.com/skylarkpond/skylarkpond/internal/standin/engine"
+	"github.com/skylarkpond/skylarkpond/link/engine"
 )
 
 var _ = Describe("Quarantine", func() {
@@ -58,6 +60,64 @@
 	})
 })
 
+// A message of a conversation crashes each engine that begins to answer it. The conversation grows by a turn each time, so that each request is
+// a new one; sound conversations begin with the same message.
+var _ = Describe("Quarantine of a conversation", func() {
+	It("lets a message that crashes backend servers take down three groups at most", func() {
+		c := startCluster(3)
+		marker := "poison"
+		for _, domain := range []string{"local-a1", "local-b1"} {
+			c.switchDomain(domain, standinengine.Switches{CrashMarker: &marker})
+		}
+		opening := engine.Message{Role: "system", Content: "You answer guests."}
+		sound := func(turn int) []engine.Message {
+			return []engine.Message{opening, {Role: "user", Content: fmt.Sprint("question ", turn)}}
+		}
+		c.waitServing(c.entries[0])
+		for i, e := range c.entries {
+			Eventually(func() bool { return caller{e}.converse(sound(i), 10).whole }, generous, "100ms").Should(BeTrue())
+		}
+		conversation := []engine.Message{opening, {Role: "user", Content: "a " + marker}}
+		turn := 0
+		hashes := make(map[string]bool)
+		begun := func() (count int) {
+			for _, run := range c.runs() {
+				if run.Phase == standinengine.Started && hashes[run.BodyHash] {
+					count++
+				}
+			}
+			return count
+		}
+		Eventually(func() contract.Code {
+			turn++
+			conversation = append(conversation, engine.Message{Role: "assistant", Content: fmt.Sprint("answer ", turn)})
+			conversation = append(conversation, engine.Message{Role: "user", Content: fmt.Sprint("turn ", turn)})
+			hashes[bodyHash(conversationBody(conversation, 10))] = true
+			return caller{c.entries[turn%len(c.entries)]}.converse(conversation, 10).code
+		}, generous, "100ms").Should(Equal(contract.CodeQuarantined))
+		crashes := begun()
+		GinkgoWriter.Printf("%d requests of the conversation were begun before it was quarantined\n", crashes)
+		Expect(crashes).To(BeNumerically("<=", 3))
+
+		for i, e := range c.entries {
+			conversation = append(conversation, engine.Message{Role: "user", Content: fmt.Sprint("again ", i)})
+			hashes[bodyHash(conversationBody(conversation, 10))] = true
+			Eventually(func() contract.Code { return caller{e}.converse(conversation, 10).code }, generous).Should(Equal(contract.CodeQuarantined))
+		}
+		for i, e := range c.entries {
+			Eventually(func() bool { return caller{e}.converse(sound(10+i), 10).whole }, generous, "200ms").Should(BeTrue())
+		}
+		Expect(begun()).To(Equal(crashes))
+
+		held := c.entries[1].quarantined()
+		Expect(held).NotTo(BeEmpty())
+		for _, request := range held {
+			c.entries[1].lift(request)
+		}
+		Eventually(c.entries[2].quarantined, generous).Should(BeEmpty())
+	})
+})
+
 // boots counts how often engines began the completion of a prompt.
 func (c *cluster) boots(prompt string) int {
 	GinkgoHelper()
