entry/lease, entry/suspects: what is held back outlasts all entries

Cause: rules lived in the processes alone, and an entry that has just started serves plain services before it is linked. The leader tells a new follower also where nothing is held any more, and adopts no rule that was released since its last crash.

--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -95,8 +96,10 @@
 func provideLease(s *shared, client *store.Client, self lease.Holder) *lease.Lease {
 	return lease.New(lease.Deps{
 		Store: client, Self: self, Linked: s.leaderState.linked, HolderChanged: s.leaseChanged, WriteConflict: s.leaseWriteConflict,
-		Renewed:  func() { s.components.leader.BroadcastRenewal() },
-		Capacity: s.config.capacity(),
+		Renewed:        func() { s.components.leader.BroadcastRenewal() },
+		Attachment:     func() json.RawMessage { return s.components.suspects.Encode() },
+		AttachmentRead: s.holdsRead,
+		Capacity:       s.config.capacity(),
 	})
 }
 
--- a/entry/gateway/lines.go
+++ b/entry/gateway/lines.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"encoding/json"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -95,6 +96,13 @@
 	s.log.WithFields(logrus.Fields{"service": holds.Service, "rules": rules, "suspects": holds.Suspects}).Warn(logline.RequestsHeldBack)
 }
 
+// holdsRead restores what was held back from the lease. Without it, requests that crash servers would run again after all entries have died.
+func (s *shared) holdsRead(attachment json.RawMessage) {
+	if err := s.components.suspects.Restore(attachment); err != nil {
+		s.log.WithError(err).Warn(logline.LeftOut)
+	}
+}
+
 // serverChecked counts the checks of servers that broke a connection, and logs those that found a crash.
 func (s *shared) serverChecked(check suspects.Check) {
 	metrics.GetOrRegisterCounter("suspects.checks", s.registry).Inc(1)
--- a/entry/leader/holds.go
+++ b/entry/leader/holds.go
@@ -125,11 +125,10 @@
 	l.followers[candidates[rand.IntN(len(candidates))]].Send(link.Down{Trial: &trial})
 }
 
-// sendHolds sends a new follower what is held back and suspected. It must be called with l.mu held.
+// sendHolds sends a new follower what is held back and suspected, also where that is nothing any more: the follower may know it from the platform.
+// It must be called with l.mu held.
 func (l *Leader) sendHolds(to recipient) {
 	for _, s := range l.holds.services {
-		if len(s.announced.Rules) > 0 || len(s.announced.Suspects) > 0 {
-			to.Send(link.Down{Holds: &s.announced})
-		}
+		to.Send(link.Down{Holds: &s.announced})
 	}
 }
--- a/entry/lease/lease.go
+++ b/entry/lease/lease.go
@@ -54,6 +54,8 @@
 	// Token authenticates other entries to the holder. Anyone who may read the platform's objects knows it.
 	Token string `json:"token"`
 	Nonce string `json:"nonce"`
+	// Attachment is what the holder knows that has to outlast all entries.
+	Attachment json.RawMessage `json:"attachment,omitempty"`
 }
 
 // Deps holds the dependencies of a Lease.
@@ -62,6 +64,10 @@
 	Self  Holder
 	// Linked reports whether this entry hears from the holder, so that it need not read the object.
 	Linked func() bool
+	// Attachment returns the attachment of this entry's next write. It must be valid JSON or empty.
+	Attachment func() json.RawMessage
+	// AttachmentRead is called with the attachment of each object that this entry reads, unless it is empty.
+	AttachmentRead func(attachment json.RawMessage)
 	// Capacity is the capacity of this entry's VM. Entries with little capacity wait longer before they acquire the
 	// lease.
 	Capacity takeover.Capacity
@@ -219,6 +225,9 @@
 	if err := json.Unmarshal(object.Value, &holder); err != nil {
 		holder = Holder{} // an invalid object is replaced once it has expired
 	}
+	if len(holder.Attachment) > 0 {
+		l.deps.AttachmentRead(holder.Attachment)
+	}
 	if expired := l.observe(holder, object.Version); expired && (!regained || l.isPreviousProcess(holder)) {
 		l.write(ctx, object.Version)
 	}
@@ -267,9 +276,10 @@
 func (l *Lease) write(ctx context.Context, version platform.Version) {
 	value := l.deps.Self
 	value.Nonce = uuid.NewString()
+	value.Attachment = l.deps.Attachment()
 	body, err := json.Marshal(value)
 	if err != nil {
-		return // can't happen: the value has only string fields
+		return // can't happen: the value has only strings and valid JSON
 	}
 	sent := time.Now()
 	bounded, cancel := context.WithTimeout(ctx, Validity)
--- a/entry/lease/lease_test.go
+++ b/entry/lease/lease_test.go
@@ -31,6 +31,9 @@
 	linked atomic.Bool
 	// conflicts receives a value when another entry has written the lease first.
 	conflicts chan struct{}
+	// attachment is written with the lease; read is the last one that was read, as a json.RawMessage.
+	attachment json.RawMessage
+	read       atomic.Value
 }
 
 // racingStore lets another entry write the lease immediately before each write through it.
@@ -59,10 +62,11 @@
 }
 
 func startWith(platform store.Store, self lease.Holder, capacity takeover.Capacity) *candidate {
-	m := &candidate{conflicts: make(chan struct{}, 1)}
+	m := &candidate{conflicts: make(chan struct{}, 1), attachment: json.RawMessage(`{"of":"` + self.Entry + `"}`)}
 	m.Lease = lease.New(lease.Deps{
 		Store: platform, Self: self, Linked: m.linked.Load, Capacity: capacity,
 		Renewed: func() {}, HolderChanged: func(lease.Holder, bool) {},
+		Attachment: func() json.RawMessage { return m.attachment }, AttachmentRead: func(attachment json.RawMessage) { m.read.Store(attachment) },
 		WriteConflict: func() {
 			select {
 			case m.conflicts <- struct{}{}:
@@ -247,4 +251,19 @@
 			return holder.Token
 		}, waitFor, "50ms").Should(Equal("of its next process"))
 	})
+
+	// All entries have died. What the leader knew would be lost with it.
+	It("hands the holder's attachment to an entry that has just started", func() {
+		api := objects.New()
+		DeferCleanup(api.Close)
+		first := start(api, "first")
+		Eventually(first.Held, "5s").Should(BeTrue())
+		first.stop()
+		late := start(api, "late")
+		Eventually(late.read.Load, "5s").Should(Equal(json.RawMessage(`{"of":"first"}`)))
+		Eventually(late.Held, "10s").Should(BeTrue())
+		spec, ok := api.Get(string(lease.Kind), lease.Name)
+		Expect(ok).To(BeTrue())
+		Expect(string(spec)).To(ContainSubstring(`{"of":"late"}`))
+	})
 })
--- a/entry/suspects/suspects.go
+++ b/entry/suspects/suspects.go
@@ -89,10 +89,12 @@
 
 // service is what is known about the requests of one service.
 type service struct {
-	// told is what the leader held back and suspected when it last told, at toldAt. rules are its rules.
-	told   link.Holds
-	toldAt time.Time
-	rules  []suspicion.Rule
+	// told is what the leader held back and suspected when it last told, at toldAt. rules are its rules. Until a leader has told anything,
+	// they are those that were read from the platform.
+	told         link.Holds
+	toldAt       time.Time
+	toldByLeader bool
+	rules        []suspicion.Rule
 	// suspects are the traits of which the leader wants to know whether requests finish, with the time of the last report of each.
 	suspects map[string]time.Time
 	// trials holds the rules of which one request may be sent, by key, with the time until which it may.
@@ -199,12 +201,8 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	s := w.service(holds.Service)
-	s.told, s.toldAt, s.rules = holds, time.Now(), nil
-	for _, rule := range holds.Rules {
-		if len(rule.Traits) > 0 {
-			s.rules = append(s.rules, suspicion.Rule{Traits: rule.Traits, Crashes: rule.Crashes})
-		}
-	}
+	s.toldByLeader = true
+	s.set(holds)
 	suspects := make(map[string]time.Time, len(holds.Suspects))
 	var messages []link.Up
 	for _, trait := range holds.Suspects {
@@ -219,6 +217,16 @@
 	return messages
 }
 
+// set replaces what is held back.
+func (s *service) set(holds link.Holds) {
+	s.told, s.toldAt, s.rules = holds, time.Now(), nil
+	for _, rule := range holds.Rules {
+		if len(rule.Traits) > 0 {
+			s.rules = append(s.rules, suspicion.Rule{Traits: rule.Traits, Crashes: rule.Crashes})
+		}
+	}
+}
+
 func finishedMessage(service, trait string, ago time.Duration) link.Up {
 	return link.Up{Finished: &link.Finished{Service: service, Trait: trait, AgoMs: ago.Milliseconds()}}
 }
--- a/entry/suspects/suspects_test.go
+++ b/entry/suspects/suspects_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"sync"
 	"testing"
@@ -205,6 +206,33 @@
 		Expect(holds[0].Rules[0].AgeMs).To(BeNumerically(">=", 1000))
 	})
 
+	// All entries have died, and callers send such requests to each of them as soon as it has started.
+	It("restores what was held back from the platform, until a leader tells otherwise", func() {
+		Expect(watch.Encode()).To(BeNil())
+		watch.ApplyHolds(link.Holds{Service: "desk", Rules: []link.Rule{{Traits: []string{"bad"}, Crashes: 3, AgeMs: 1000}}})
+		restarted := around.watch()
+		Expect(restarted.Restore(watch.Encode())).To(Succeed())
+		_, held := restarted.Held(request("bad"))
+		Expect(held).To(BeTrue())
+		Expect(restarted.Holds()).To(HaveLen(1), "the next leader learns of it")
+		restarted.ApplyHolds(link.Holds{Service: "desk"})
+		Expect(restarted.Restore(watch.Encode())).To(Succeed())
+		_, held = restarted.Held(request("bad"))
+		Expect(held).To(BeFalse())
+	})
+
+	DescribeTable("rejects stored rules that are invalid, and keeps working", func(stored string, fails bool) {
+		err := watch.Restore(json.RawMessage(stored))
+		Expect(err != nil).To(Equal(fails))
+		_, held := watch.Held(request("sound"))
+		Expect(held).To(BeFalse())
+	},
+		Entry("no JSON", "[{", true),
+		Entry("another type", `{"a":1}`, true),
+		Entry("a rule without traits, which would hold everything back", `[{"service":"desk","crashes":3}]`, false),
+		Entry("a rule from the future", `[{"service":"desk","traits":["bad"],"last_crash_ms":99999999999999}]`, false),
+	)
+
 	// The entry is cut off from the leader while such requests come.
 	It("goes by its own evidence, and by what it was told last, while it has no leader", func() {
 		watch.ApplyHolds(link.Holds{Service: "desk", Rules: []link.Rule{{Traits: []string{"told"}, Crashes: 3}}})
--- a/policy/suspicion/derive.go
+++ b/policy/suspicion/derive.go
@@ -7,7 +7,7 @@
 )
 
 // derive finds the rules that follow from the evidence, and drops those that no longer do.
-func (l *Ledger) derive() {
+func (l *Ledger) derive(now time.Duration) {
 	derived := make(map[string]bool)
 	explained := l.explainedBy(func(rule *standing) bool { return rule.adopted })
 	for _, tested := range []bool{false, true} {
@@ -30,7 +30,12 @@
 			l.rules[rule.Key()] = found
 		}
 	}
-	maps.DeleteFunc(l.rules, func(key string, rule *standing) bool { return !rule.adopted && !derived[key] })
+	for key, rule := range l.rules {
+		if !rule.adopted && !derived[key] {
+			delete(l.rules, key)
+			l.released[key] = now
+		}
+	}
 	l.dropRedundant()
 }
 
--- a/policy/suspicion/suspicion.go
+++ b/policy/suspicion/suspicion.go
@@ -115,6 +115,8 @@
 type Ledger struct {
 	records map[string]*record
 	rules   map[string]*standing
+	// released holds when rules were released, by key.
+	released map[string]time.Duration
 	// changed is set while rules don't reflect the latest evidence.
 	changed bool
 	// expiredAt is when outdated evidence was last looked for.
@@ -123,7 +125,7 @@
 
 // New returns an empty Ledger.
 func New() *Ledger {
-	return &Ledger{records: make(map[string]*record), rules: make(map[string]*standing)}
+	return &Ledger{records: make(map[string]*record), rules: make(map[string]*standing), released: make(map[string]time.Duration)}
 }
 
 // RecordCrash records what an observer saw of a crash. All observers give a crash the same id.
@@ -186,6 +188,7 @@
 	for key, rule := range l.rules {
 		if slices.Contains(rule.Traits, trait) && at >= rule.Latest {
 			delete(l.rules, key)
+			l.released[key] = now
 			changed = true
 		}
 	}
@@ -197,12 +200,15 @@
 	return changed
 }
 
-// Adopt adds the rules of an earlier leader, which may have a trial in progress.
+// Adopt adds the rules of an earlier leader, which may have a trial in progress. Rules that were released since their last crash are left out.
 func (l *Ledger) Adopt(now time.Duration, rules []Rule) {
 	for _, rule := range rules {
 		if known := l.rules[rule.Key()]; known != nil && known.Crashes >= rule.Crashes {
 			continue
 		}
+		if releasedAt, released := l.released[rule.Key()]; released && rule.Latest <= releasedAt {
+			continue
+		}
 		adopted := &standing{Rule: rule, adopted: true}
 		adopted.count(rule.Latest, rule.Crashes)
 		adopted.nextTrial = max(adopted.nextTrial, now+firstTrial)
@@ -264,13 +270,14 @@
 	}
 	if l.changed {
 		l.changed = false
-		l.derive()
+		l.derive(now)
 	}
 }
 
 // expire forgets what no longer counts. The evidence for a rule counts as long as the rule stands.
 func (l *Ledger) expire(now time.Duration) {
 	maps.DeleteFunc(l.rules, func(_ string, rule *standing) bool { return now-rule.Latest > holdFor })
+	maps.DeleteFunc(l.released, func(_ string, at time.Duration) bool { return now-at > holdFor })
 	held := l.heldTraits()
 	maps.DeleteFunc(l.records, func(trait string, r *record) bool {
 		if held[trait] {
--- a/policy/suspicion/suspicion_test.go
+++ b/policy/suspicion/suspicion_test.go
@@ -219,6 +219,19 @@
 	expectRules(t, l, 2*time.Second)
 }
 
+// An entry that has just started knows a rule from the platform that the leader has released meanwhile.
+func TestAdoptsNoRuleThatWasReleased(t *testing.T) {
+	l := suspicion.New()
+	rule := suspicion.Rule{Traits: []string{"sound"}, Crashes: 3, Latest: time.Second}
+	l.Adopt(time.Second, []suspicion.Rule{rule})
+	l.RecordFinish(2*time.Second, 2*time.Second, "sound")
+	l.Adopt(3*time.Second, []suspicion.Rule{rule})
+	expectRules(t, l, 3*time.Second)
+	rule.Latest = 4 * time.Second
+	l.Adopt(5*time.Second, []suspicion.Rule{rule})
+	expectRules(t, l, 5*time.Second, "sound")
+}
+
 // Each new leader would try a held part at once, beside the trial of the earlier one.
 func TestTriesNoAdoptedRuleAtOnce(t *testing.T) {
 	l := suspicion.New()
