entry/guard: a message that crashes engines is held back, whatever conversation it is part of

Callers of the product's own interface lost their groups to a conversation that is continued: it grows by a turn each time, so that each of its requests is a new one. The same cause as in entry/suspects: a request was named by its content, and each crash counted against that name alone. Evidence: with three entries and a message that crashes each engine the conversation was never quarantined in 90 s.

The rule for whole requests stays as it is: a suspect runs alone, and a request without messages still crashes servers.

--- a/contract/dispatch.go
+++ b/contract/dispatch.go
@@ -35,6 +35,8 @@
 	AttemptNumber int  `cbor:"14,keyasint"`
 	// Fingerprint identifies the content of the request. It is used for quarantine and to detect a reused key.
 	Fingerprint string `cbor:"15,keyasint"`
+	// Parts identifies the messages of a completion. Requests with different content share messages.
+	Parts []string `cbor:"23,keyasint,omitempty"`
 	// ResumeFrom is the number of the first event wanted. It is above 0 only for engines that can resume.
 	ResumeFrom uint64 `cbor:"16,keyasint"`
 	// Plain is set for a call to a plain service and nil for a completion.
--- a/entry/front/handlers.go
+++ b/entry/front/handlers.go
@@ -3,9 +3,11 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"strings"
 	"time"
 
@@ -74,6 +76,7 @@
 	q.stream = completion.Stream
 	q.estimatedTokens, q.promptTokens = estimateTokens(completion)
 	q.prefixHash = prefixHash(completion)
+	q.parts = partsOf(completion)
 	q.atMostOnce = !repeatable(service, http.MethodPost, "/v1"+completionsPath)
 	if int64(len(q.body)) > service.MaxBodyBytes {
 		return bodyTooLarge()
@@ -172,6 +175,22 @@
 	return xxhash.Sum64String(c.Model + "\x00" + c.Messages[0].Content)
 }
 
+// maxParts bounds the messages by which a completion is identified: the last ones.
+const maxParts = 64
+
+// partsOf identifies each message of a completion.
+func partsOf(c engine.Completion) []string {
+	messages := c.Messages[max(0, len(c.Messages)-maxParts):]
+	parts := make([]string, 0, len(messages))
+	for _, m := range messages {
+		part := fmt.Sprintf("message-%016x", contract.ShortFingerprint(contract.Fingerprint(m.Role, m.Content)))
+		if !slices.Contains(parts, part) {
+			parts = append(parts, part)
+		}
+	}
+	return parts
+}
+
 // strippedHeaders are not forwarded to backend servers: the team's key, hop-by-hop headers, and the headers of
 // this API. Idempotency keys are among them because HTTP clients automatically replay requests that carry one.
 var strippedHeaders = []string{
@@ -196,7 +215,7 @@
 	return contract.Dispatch{
 		RequestID: q.id, Team: q.team.Name, Service: q.service.Name, Front: f.deps.Self,
 		SettingsVersion: q.snapshot.Version, Timeout: left, Priority: q.team.Priority, EstimatedTokens: q.estimatedTokens, PromptTokens: q.promptTokens, PrefixHash: q.prefixHash,
-		AtMostOnce: q.atMostOnce, IdempotencyKey: q.key, KeyFromCaller: q.keyFromCaller, AttemptNumber: q.attempt, Fingerprint: q.fingerprint,
+		AtMostOnce: q.atMostOnce, IdempotencyKey: q.key, KeyFromCaller: q.keyFromCaller, AttemptNumber: q.attempt, Fingerprint: q.fingerprint, Parts: q.parts,
 		Plain: q.plain, Body: q.body, HLCTime: f.deps.Recorder.Now(),
 	}
 }
--- a/entry/front/request.go
+++ b/entry/front/request.go
@@ -37,6 +37,7 @@
 	estimatedTokens int
 	promptTokens    int
 	prefixHash      uint64
+	parts           []string
 }
 
 // maxAttemptNumber bounds the header Skylarkpond-Attempt.
--- a/entry/guard/guard.go
+++ b/entry/guard/guard.go
@@ -1,5 +1,6 @@
-// Package guard applies policy/quarantine at a home. It keeps a request that crashes backend servers from
-// taking down one group after another, whichever entry its caller sends it through.
+// Package guard applies policy/quarantine and policy/suspicion at a home. It keeps a request that crashes backend
+// servers from taking down one group after another, whichever entry its caller sends it through, and so it does
+// with requests that share a message, such as those of a conversation that grows by a turn each time.
 //
 // Admit looks up the request's fingerprint right before the request is sent. A request that is not under
 // suspicion passes at the cost of a map lookup. A suspect passes only after its trial is written to the
@@ -20,9 +21,11 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/skylarkpond/skylarkpond/contract"
+	"github.com/skylarkpond/skylarkpond/internal/recent"
 	"github.com/skylarkpond/skylarkpond/link/engine"
 	"github.com/skylarkpond/skylarkpond/link/platform"
 	"github.com/skylarkpond/skylarkpond/policy/quarantine"
+	"github.com/skylarkpond/skylarkpond/policy/suspicion"
 	"github.com/skylarkpond/skylarkpond/timeline"
 	"github.com/skylarkpond/skylarkpond/vm"
 )
@@ -33,6 +36,12 @@
 	suspectRetryAfter = 5 * time.Second
 	// quarantinedRetryAfter tells the caller of a quarantined request that an early retry is useless.
 	quarantinedRetryAfter = time.Hour
+	// finishedPeriod is the minimum time for which it is remembered that requests with a part finished, and maxFinished bounds the parts of one such
+	// period.
+	finishedPeriod = 30 * time.Second
+	maxFinished    = 8192
+	// progressedEvents is the number of events after which a server is past the beginning of an answer.
+	progressedEvents = 3
 	// writeTimeout bounds the write of a crash or a trial. The request waits for the write.
 	writeTimeout = time.Second
 )
@@ -60,28 +69,33 @@
 	config quarantine.Config
 
 	mu         sync.Mutex // guards the fields below; a leaf lock, not held during I/O
-	services   map[string]*quarantine.Register
-	inProgress map[vm.GroupID]map[string]string // fingerprint by request id
-	unsaved    map[string]bool                  // services with changes not yet stored on the platform
+	services   map[string]*state
+	inProgress map[vm.GroupID]map[string]*Permit // by request id
+	// finished holds when requests with a part last finished here.
+	finished *recent.Times[part]
+	unsaved  map[string]bool // services with changes not yet stored on the platform
 }
 
 // New returns a Guard that knows of no crashes.
 func New(deps Deps) *Guard {
 	return &Guard{
 		deps: deps, config: quarantine.DefaultConfig(),
-		services: make(map[string]*quarantine.Register), inProgress: make(map[vm.GroupID]map[string]string),
-		unsaved: make(map[string]bool),
+		services: make(map[string]*state), inProgress: make(map[vm.GroupID]map[string]*Permit),
+		finished: recent.New[part](finishedPeriod, maxFinished), unsaved: make(map[string]bool),
 	}
 }
 
-// register returns the register of a service and creates it if necessary. mu must be held.
-func (g *Guard) register(service string) *quarantine.Register {
-	r := g.services[service]
-	if r == nil {
-		r = quarantine.New(g.config)
-		g.services[service] = r
+// part identifies a part of the requests of a service.
+type part struct{ service, name string }
+
+// state returns the state of a service and creates it if necessary. mu must be held.
+func (g *Guard) state(service string) *state {
+	s := g.services[service]
+	if s == nil {
+		s = newState(g.config)
+		g.services[service] = s
 	}
-	return r
+	return s
 }
 
 // Request describes a request that is about to be sent to a group.
@@ -90,6 +104,8 @@
 	Service     string
 	Group       vm.Group
 	Fingerprint string
+	// Parts identifies the messages of a completion.
+	Parts []string
 	// Timeout is the time that the request may take from now.
 	Timeout time.Duration
 	// CrashID identifies the crash that ended an earlier try of the request, or is empty. It makes the request a
@@ -132,17 +148,21 @@
 	request := p.request
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	r := g.register(request.Service)
+	s := g.state(request.Service)
 	if request.CrashID != "" {
-		r.RecordCrash(now, request.CrashID, "", []string{request.Fingerprint})
+		s.requests.RecordCrash(now, request.CrashID, "", []string{request.Fingerprint})
+		s.recordCrash(now, request.CrashID, g.seen(request.Service, []*Permit{p}))
 	}
 	requests := g.inProgress[request.Group.ID]
 	if requests == nil {
-		requests = make(map[string]string)
+		requests = make(map[string]*Permit)
 		g.inProgress[request.Group.ID] = requests
 	}
-	requests[request.RequestID] = request.Fingerprint
-	return r.Verdict(now, request.Fingerprint, string(request.Group.ID))
+	requests[request.RequestID] = p
+	if s.holdsParts(now, request.Parts) {
+		return quarantine.Quarantined
+	}
+	return s.requests.Verdict(now, request.Fingerprint, string(request.Group.ID))
 }
 
 // claimTrial writes the suspect's trial to the platform. Without a confirmed write the suspect waits, because
@@ -151,8 +171,8 @@
 	request := p.request
 	trial := quarantine.Trial{Group: string(request.Group.ID), Home: g.deps.Self}
 	verdict := quarantine.Waits
-	err := g.update(ctx, request.Service, func(r *quarantine.Register) bool {
-		verdict = r.Claim(g.deps.Clock(), request.Fingerprint, trial, request.Timeout, g.othersInProgress(request))
+	err := g.update(ctx, request.Service, func(s *state) bool {
+		verdict = s.requests.Claim(g.deps.Clock(), request.Fingerprint, trial, request.Timeout, g.othersInProgress(request))
 		return verdict == quarantine.OnTrial
 	})
 	if err != nil {
@@ -167,28 +187,34 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var others []string
-	for id, fingerprint := range g.inProgress[request.Group.ID] {
+	for id, permit := range g.inProgress[request.Group.ID] {
 		if id != request.RequestID {
-			others = append(others, fingerprint)
+			others = append(others, permit.request.Fingerprint)
 		}
 	}
 	return others
 }
 
-func (g *Guard) fingerprintsInProgress(group vm.GroupID) []string {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	var all []string
-	for _, fingerprint := range g.inProgress[group] {
-		all = append(all, fingerprint)
+// seen describes the parts of some requests of a service. mu must be held.
+func (g *Guard) seen(service string, permits []*Permit) map[string]suspicion.Seen {
+	all := make(map[string]suspicion.Seen)
+	for _, permit := range permits {
+		for _, name := range permit.request.Parts {
+			seen := all[name]
+			seen.Progressed = seen.Progressed || permit.events.Load() >= progressedEvents
+			if at, finished := g.finished.Last(part{service, name}); finished {
+				seen.FinishedAt = at.UnixMilli()
+			}
+			all[name] = seen
+		}
 	}
 	return all
 }
 
 // update changes the service's object in a conditional write, and reads it again and retries after a conflict.
 // change returns false if there is nothing to write. The content that was read is merged into this entry's
-// register even if the write fails.
-func (g *Guard) update(ctx context.Context, service string, change func(*quarantine.Register) bool) error {
+// state even if the write fails.
+func (g *Guard) update(ctx context.Context, service string, change func(*state) bool) error {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	for {
@@ -199,7 +225,7 @@
 	}
 }
 
-func (g *Guard) updateOnce(ctx context.Context, service string, change func(*quarantine.Register) bool) error {
+func (g *Guard) updateOnce(ctx context.Context, service string, change func(*state) bool) error {
 	object, err := g.deps.Store.Get(ctx, platform.KindQuarantine, service)
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		return err
@@ -219,30 +245,30 @@
 	if err != nil {
 		return err
 	}
-	g.mergeRegister(service, next)
+	g.mergeState(service, next)
 	g.deps.Publisher.Publish(platform.Object{Kind: platform.KindQuarantine, Name: service, Version: version, Value: value})
 	return nil
 }
 
-// mergeStored merges the stored object into this entry's register and returns a copy of the result.
-func (g *Guard) mergeStored(service string, object platform.Object) (*quarantine.Register, error) {
+// mergeStored merges the stored object into this entry's state and returns a copy of the result.
+func (g *Guard) mergeStored(service string, object platform.Object) (*state, error) {
 	read, err := decode(g.config, object)
 	if err != nil {
 		return nil, err
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	own := g.register(service)
+	own := g.state(service)
 	now := g.deps.Clock()
-	own.Merge(now, read)
-	own.Expire(now)
-	return own.Clone(), nil
+	own.merge(now, read)
+	own.expire(now)
+	return own.clone(), nil
 }
 
-func (g *Guard) mergeRegister(service string, r *quarantine.Register) {
+func (g *Guard) mergeState(service string, s *state) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.register(service).Merge(g.deps.Clock(), r)
+	g.state(service).merge(g.deps.Clock(), s)
 }
 
 // ApplyObject merges an object of kind "quarantine" from the mirror. An object that can't be decoded is ignored.
@@ -251,7 +277,7 @@
 	if err != nil {
 		return
 	}
-	g.mergeRegister(object.Name, read)
+	g.mergeState(object.Name, read)
 }
 
 func (g *Guard) count(name string) {
--- a/entry/guard/pass.go
+++ b/entry/guard/pass.go
@@ -2,40 +2,56 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
+	"sync/atomic"
 
-	"github.com/skylarkpond/skylarkpond/policy/quarantine"
 	"github.com/skylarkpond/skylarkpond/timeline"
 )
 
-// Permit allows a request to run on a group. It must only be used by the request's own goroutine.
+// Permit allows a request to run on a group. It must only be used by the request's own goroutine, but for the count of its events.
 type Permit struct {
 	guard   *Guard
 	request Request
 	onTrial bool
+	// events counts the events of the answer.
+	events atomic.Int32
 	// concluded means that the request finished or crashed, so that Done need not release a trial.
 	concluded bool
 }
 
-// Finished records that the request ran to its end, which clears it if it was a suspect.
+// NoteEvent records that the server has sent an event of its answer.
+func (p *Permit) NoteEvent() { p.events.Add(1) }
+
+// Finished records that the request ran to its end, which clears it and its parts if they were suspects.
 func (p *Permit) Finished(ctx context.Context) {
 	p.concluded = true
 	request := p.request
-	if !p.guard.isSuspect(request) {
+	if !p.guard.noteFinished(request) {
 		return
 	}
-	_ = p.guard.update(context.WithoutCancel(ctx), request.Service, func(r *quarantine.Register) bool {
-		return r.RecordFinish(p.guard.deps.Clock(), request.Fingerprint, string(request.Group.ID))
+	_ = p.guard.update(context.WithoutCancel(ctx), request.Service, func(s *state) bool {
+		now := p.guard.deps.Clock()
+		cleared := s.requests.RecordFinish(now, request.Fingerprint, string(request.Group.ID))
+		return s.recordFinish(now, request.Parts) || cleared
 	})
 }
 
-// isSuspect returns whether this entry knows of a suspicion that finishing the request clears. Most requests are
+// noteFinished remembers that the request finished, and returns whether this entry knows of a suspicion that it clears. Most requests are
 // under none, and Finished makes no platform call for them.
-func (g *Guard) isSuspect(request Request) bool {
+func (g *Guard) noteFinished(request Request) bool {
 	now := g.deps.Clock()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	r := g.register(request.Service)
-	return r.Len() > 0 && r.Clone().RecordFinish(now, request.Fingerprint, string(request.Group.ID))
+	for _, name := range request.Parts {
+		g.finished.Note(part{request.Service, name}, now)
+	}
+	s := g.state(request.Service)
+	if s.requests.Len() > 0 && s.requests.Clone().RecordFinish(now, request.Fingerprint, string(request.Group.ID)) {
+		return true
+	}
+	suspects := s.suspects(now)
+	return slices.ContainsFunc(request.Parts, func(name string) bool { return slices.Contains(suspects, name) })
 }
 
 // ResponseBroke handles a response that broke off. If a member's process is gone, every request in progress on the
@@ -62,8 +78,8 @@
 		return
 	}
 	request := p.request
-	_ = p.guard.update(context.WithoutCancel(ctx), request.Service, func(r *quarantine.Register) bool {
-		r.Release(request.Fingerprint, p.guard.deps.Self)
+	_ = p.guard.update(context.WithoutCancel(ctx), request.Service, func(s *state) bool {
+		s.requests.Release(request.Fingerprint, p.guard.deps.Self)
 		return true
 	})
 }
@@ -82,26 +98,43 @@
 // recordCrash records the crash in this entry at once and then writes it to the platform, so that other entries
 // hold the suspects back too.
 func (g *Guard) recordCrash(ctx context.Context, request Request, crashID string) {
-	fingerprints := append(g.fingerprintsInProgress(request.Group.ID), request.Fingerprint)
-	now := g.deps.Clock()
-	g.mu.Lock()
-	quarantined := g.register(request.Service).RecordCrash(now, crashID, string(request.Group.ID), fingerprints)
-	g.mu.Unlock()
-	for _, fingerprint := range quarantined {
+	for _, name := range g.recordCrashLocally(request, crashID) {
 		g.count("caught")
 		g.deps.Recorder.Record(timeline.Event{
-			Kind: timeline.RequestQuarantine, Request: request.RequestID, Service: request.Service, Group: string(request.Group.ID), Detail: fingerprint,
+			Kind: timeline.RequestQuarantine, Request: request.RequestID, Service: request.Service, Group: string(request.Group.ID), Detail: name,
 		})
 	}
-	// update writes the crash without a further change, because it merges this entry's register into the object.
-	err := g.update(context.WithoutCancel(ctx), request.Service, func(*quarantine.Register) bool { return true })
+	// update writes the crash without a further change, because it merges this entry's state into the object.
+	err := g.update(context.WithoutCancel(ctx), request.Service, func(*state) bool { return true })
 	if err != nil {
 		g.record(timeline.QuarantineUnsaved, request, err.Error())
 		g.markUnsaved(request.Service)
 	}
 }
 
-// markUnsaved marks the service's register as not yet stored on the platform.
+// recordCrashLocally records a crash with all requests in progress on the group, and returns what is quarantined now and was not before.
+func (g *Guard) recordCrashLocally(request Request, crashID string) []string {
+	now := g.deps.Clock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	permits := slices.Collect(maps.Values(g.inProgress[request.Group.ID]))
+	fingerprints := []string{request.Fingerprint}
+	for _, permit := range permits {
+		fingerprints = append(fingerprints, permit.request.Fingerprint)
+	}
+	s := g.state(request.Service)
+	before := ruleNames(s.rules(now))
+	s.recordCrash(now, crashID, g.seen(request.Service, permits))
+	quarantined := s.requests.RecordCrash(now, crashID, string(request.Group.ID), fingerprints)
+	for _, name := range ruleNames(s.rules(now)) {
+		if !slices.Contains(before, name) {
+			quarantined = append(quarantined, name)
+		}
+	}
+	return quarantined
+}
+
+// markUnsaved marks the service's state as not yet stored on the platform.
 func (g *Guard) markUnsaved(service string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/entry/guard/save.go
+++ b/entry/guard/save.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"time"
-
-	"github.com/skylarkpond/skylarkpond/policy/quarantine"
 )
 
 const (
@@ -40,7 +38,7 @@
 	g.unsaved = make(map[string]bool)
 	g.mu.Unlock()
 	for service := range unsaved {
-		if g.update(ctx, service, func(*quarantine.Register) bool { return true }) != nil {
+		if g.update(ctx, service, func(*state) bool { return true }) != nil {
 			g.markUnsaved(service)
 		}
 	}
@@ -50,7 +48,7 @@
 	now := g.deps.Clock()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, r := range g.services {
-		r.Expire(now)
+	for _, s := range g.services {
+		s.expire(now)
 	}
 }
--- a/entry/home/run.go
+++ b/entry/home/run.go
@@ -132,7 +132,7 @@
 func (r *run) guardRequest(ctx context.Context) guard.Request {
 	return guard.Request{
 		RequestID: r.d.RequestID, Service: r.d.Service, Group: r.group, Fingerprint: r.d.Fingerprint,
-		Timeout: r.remaining(ctx), CrashID: r.d.CrashID,
+		Parts: r.d.Parts, Timeout: r.remaining(ctx), CrashID: r.d.CrashID,
 	}
 }
 
--- a/entry/home/send.go
+++ b/entry/home/send.go
@@ -56,6 +56,7 @@
 			first = false
 		}
 		r.permit.Token(event.Tokens)
+		r.guardPermit.NoteEvent()
 		r.answer.recordEvent(event)
 		if event.Final {
 			r.finish(ctx, eventFrame(event), contract.Frame{Kind: contract.FrameEnd})
--- a/entry/suspects/check.go
+++ b/entry/suspects/check.go
@@ -171,7 +171,7 @@
 			described := traits[name]
 			described.Name = name
 			described.Progressed = described.Progressed || l.progressed
-			if at, finished := w.finished.at(service, name); finished {
+			if at, finished := w.finished.Last(traitOf(service, name)); finished {
 				described.Finished, described.FinishedAgoMs = true, now.Sub(at).Milliseconds()
 			}
 			traits[name] = described
--- a/entry/suspects/suspects.go
+++ b/entry/suspects/suspects.go
@@ -20,6 +20,7 @@
 
 	"github.com/skylarkpond/skylarkpond/backend"
 	"github.com/skylarkpond/skylarkpond/contract"
+	"github.com/skylarkpond/skylarkpond/internal/recent"
 	link "github.com/skylarkpond/skylarkpond/link/leader"
 	"github.com/skylarkpond/skylarkpond/policy/suspicion"
 )
@@ -72,8 +73,16 @@
 	trialValidity = 5 * time.Second
 	// finishedReportInterval is the shortest interval between reports that requests with a trait finish.
 	finishedReportInterval = time.Second
+	// finishedPeriod is the minimum time for which a finished trait is remembered, and maxFinished bounds the traits of one such period.
+	finishedPeriod = 30 * time.Second
+	maxFinished    = 8192
 )
 
+// trait identifies a trait of the requests of a service.
+type trait struct{ service, name string }
+
+func traitOf(service, name string) trait { return trait{service, name} }
+
 // Watch tracks which requests crash servers, and those that are held back. It is safe for concurrent use.
 type Watch struct {
 	deps    Deps
@@ -81,7 +90,7 @@
 
 	mu       sync.Mutex // guards what follows; a leaf lock
 	services map[string]*service
-	finished *memory
+	finished *recent.Times[trait]
 	checks   map[incarnation]*check
 	// reports holds the crashes that this entry has reported, oldest first.
 	reports []report
@@ -106,7 +115,7 @@
 // New returns a Watch with nothing held back.
 func New(deps Deps) *Watch {
 	return &Watch{
-		deps: deps, started: time.Now(), services: make(map[string]*service), finished: newMemory(), checks: make(map[incarnation]*check),
+		deps: deps, started: time.Now(), services: make(map[string]*service), finished: recent.New[trait](finishedPeriod, maxFinished), checks: make(map[incarnation]*check),
 	}
 }
 
@@ -185,7 +194,7 @@
 		if _, suspected := s.suspects[trait]; !suspected {
 			return false
 		}
-		_, finished := w.finished.at(request.Service, trait)
+		_, finished := w.finished.Last(traitOf(request.Service, trait))
 		return !finished
 	})
 }
@@ -208,7 +217,7 @@
 	for _, trait := range holds.Suspects {
 		reported, known := s.suspects[trait]
 		suspects[trait] = reported
-		if at, finished := w.finished.at(holds.Service, trait); finished && !known {
+		if at, finished := w.finished.Last(traitOf(holds.Service, trait)); finished && !known {
 			suspects[trait] = time.Now()
 			messages = append(messages, finishedMessage(holds.Service, trait, time.Since(at)))
 		}
@@ -253,7 +262,7 @@
 	s := w.service(request.Service)
 	var messages []link.Up
 	for _, trait := range request.Traits {
-		w.finished.note(request.Service, trait, now)
+		w.finished.Note(traitOf(request.Service, trait), now)
 		s.own.RecordFinish(w.now(), w.now(), trait)
 		if reported, suspected := s.suspects[trait]; suspected && now.Sub(reported) >= finishedReportInterval {
 			s.suspects[trait] = now
