policy/suspicion: crashes that an earlier leader has counted are not counted again

Found by the soak's new lane: a rule had 3 crashes, and 6, 8 and 10 after changes of the leader, though fewer than five servers had crashed on the part. A new leader adopts the rule with its count, and the entries report their crashes again. Callers of a part that is sound after all would have waited up to 128 times as long for a trial. An adopted rule counts only crashes after its last one, and all observers' reports of one crash count once, in whatever order they come. TestCountsNoCrashOfAnEarlierLeaderTwice failed before (6 in place of 3).

--- a/policy/suspicion/derive.go
+++ b/policy/suspicion/derive.go
@@ -25,7 +25,7 @@
 				known.Crashes = max(known.Crashes, rule.Crashes)
 				continue
 			}
-			found := &standing{Rule: rule, lastCrash: l.lastOf(crashes, rule.Traits[0])}
+			found := &standing{Rule: rule}
 			found.count(rule.Latest, rule.Crashes)
 			l.rules[rule.Key()] = found
 		}
@@ -128,11 +128,7 @@
 			continue
 		}
 		for id := range first.crashes {
-			all := !slices.ContainsFunc(rule.Traits[1:], func(trait string) bool {
-				r := l.records[trait]
-				return r == nil || !r.has(id)
-			})
-			if all {
+			if l.allPresentAt(id, rule.Traits) {
 				explained[id] = true
 			}
 		}
--- a/policy/suspicion/suspicion.go
+++ b/policy/suspicion/suspicion.go
@@ -54,6 +54,8 @@
 	trialRetry = 10 * time.Second
 	// holdFor is how long traits are held after their last crash.
 	holdFor = 24 * time.Hour
+	// adoptedSlack is the most by which observers differ on the time of a crash.
+	adoptedSlack = 2 * time.Second
 	// expiryInterval is the interval between searches for outdated evidence.
 	expiryInterval = time.Second
 	// maxRecords and maxSuspects bound the traits that are remembered and reported as suspects. maxRecordCrashes bounds the crashes that are
@@ -104,8 +106,6 @@
 	Rule
 	// adopted is set if the rule comes from an earlier leader, whose evidence is not here.
 	adopted bool
-	// lastCrash is the id of the last crash that counted.
-	lastCrash string
 	// nextTrial is when the next trial is due.
 	nextTrial time.Duration
 }
@@ -130,6 +130,7 @@
 
 // RecordCrash records what an observer saw of a crash. All observers give a crash the same id.
 func (l *Ledger) RecordCrash(now time.Duration, id string, observations []Observation) {
+	known := l.rulesPresentAt(id)
 	for _, o := range observations {
 		r := l.records[o.Trait]
 		if r == nil {
@@ -144,26 +145,33 @@
 			r.add(id, now)
 		}
 	}
-	l.countAgainstRules(now, id)
+	for key, rule := range l.rulesPresentAt(id) {
+		// An adopted rule counts the crashes of the earlier leader already, and observers report them again.
+		if known[key] == nil && (!rule.adopted || now > rule.Latest+adoptedSlack) {
+			rule.count(max(now, rule.Latest), rule.Crashes+1)
+		}
+	}
 	l.evict()
 	l.changed = true
 }
 
-// countAgainstRules counts a crash against the rules whose traits were all in progress.
-func (l *Ledger) countAgainstRules(now time.Duration, id string) {
-	for _, rule := range l.rules {
-		if rule.lastCrash == id {
-			continue
-		}
-		present := !slices.ContainsFunc(rule.Traits, func(trait string) bool {
-			r := l.records[trait]
-			return r == nil || !r.has(id)
-		})
-		if present {
-			rule.lastCrash = id
-			rule.count(now, rule.Crashes+1)
+// rulesPresentAt returns, by key, the rules whose traits were all in progress at a crash.
+func (l *Ledger) rulesPresentAt(id string) map[string]*standing {
+	present := make(map[string]*standing)
+	for key, rule := range l.rules {
+		if l.allPresentAt(id, rule.Traits) {
+			present[key] = rule
 		}
 	}
+	return present
+}
+
+// allPresentAt reports whether all of some traits were in progress at a crash.
+func (l *Ledger) allPresentAt(id string, traits []string) bool {
+	return !slices.ContainsFunc(traits, func(trait string) bool {
+		r := l.records[trait]
+		return r == nil || !r.has(id)
+	})
 }
 
 // count sets the number of crashes and the time of the last one.
--- a/policy/suspicion/suspicion_test.go
+++ b/policy/suspicion/suspicion_test.go
@@ -219,6 +219,23 @@
 	expectRules(t, l, 2*time.Second)
 }
 
+// Each change of the leader would double the interval between trials.
+func TestCountsNoCrashOfAnEarlierLeaderTwice(t *testing.T) {
+	l := suspicion.New()
+	l.Adopt(time.Minute, []suspicion.Rule{{Traits: []string{"bad"}, Crashes: 3, Latest: 50 * time.Second}})
+	crashEvery(l, 49*time.Second, time.Second, "reported again ", 3, func(int) []suspicion.Observation { return crashOf("bad") })
+	if got := l.Rules(time.Minute)[0].Crashes; got != 3 {
+		t.Errorf("crashes: %d", got)
+	}
+	for range 2 {
+		l.RecordCrash(time.Minute, "x", crashOf("bad"))
+		l.RecordCrash(time.Minute+3*time.Second, "y", crashOf("bad"))
+	}
+	if got := l.Rules(time.Minute + 3*time.Second)[0].Crashes; got != 5 {
+		t.Errorf("crashes after two more: %d", got)
+	}
+}
+
 // An entry that has just started knows a rule from the platform that the leader has released meanwhile.
 func TestAdoptsNoRuleThatWasReleased(t *testing.T) {
 	l := suspicion.New()
