entry/suspects: requests that were sent to a server after its crash are not suspected; the soak learns the load

A request is evidence only if it was sent before the crash was found.

The soak sends streams with a part that crashes servers, no two alike, in bursts, beside sound ones with the same first part; servers are back after 1 ms to 2 s. Judged: no more than three requests with the part are sent by entries without a fault later than 3 s after the fifth crash. The part is set for all stand-in servers at once, so that the soak's other faults don't replace it.

--- a/entry/relay/exchange.go
+++ b/entry/relay/exchange.go
@@ -405,7 +405,7 @@
 // serverLost has a server checked that closed its connection in the middle of the request, or may have.
 func (e *exchange) serverLost(t *turn.Turn) {
 	e.brokeOff = true
-	go e.relay.deps.Suspects.ServerLost(context.WithoutCancel(e.ctx), e.suspect(), t.Server, e.events >= progressedEvents)
+	go e.relay.deps.Suspects.ServerLost(context.WithoutCancel(e.ctx), e.suspect(), t.Server, e.sentAt, e.events >= progressedEvents)
 }
 
 // suspect describes the request to Suspects.
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -56,9 +56,9 @@
 	Suspected(request suspects.Request) bool
 	// Finished records that a server answered a request in full.
 	Finished(request suspects.Request)
-	// ServerLost checks whether a server that closed its connection in the middle of a request has crashed. progressed is set if the server had
-	// sent more than the beginning of an answer. It may block for some time.
-	ServerLost(ctx context.Context, request suspects.Request, server *backend.Server, progressed bool)
+	// ServerLost checks whether a server that closed its connection in the middle of a request, which was sent at a time, has crashed. progressed
+	// is set if the server had sent more than the beginning of an answer. It may block for some time.
+	ServerLost(ctx context.Context, request suspects.Request, server *backend.Server, sentAt time.Time, progressed bool)
 }
 
 // Isolation tells from which services' servers this entry is cut off. It is safe for concurrent use.
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -156,7 +156,7 @@
 	s.finished++
 }
 
-func (s *fakeSuspects) ServerLost(_ context.Context, _ suspects.Request, server *backend.Server, progressed bool) {
+func (s *fakeSuspects) ServerLost(_ context.Context, _ suspects.Request, server *backend.Server, _ time.Time, progressed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if progressed {
--- a/entry/suspects/check.go
+++ b/entry/suspects/check.go
@@ -56,10 +56,10 @@
 	born   int64
 }
 
-// check is a check of one server, in progress or, if crashed is set, with that result.
+// check is a check of one server, in progress or, if crashedAt is set, with the result that it had crashed by then.
 type check struct {
-	crashed  bool
-	requests []lost
+	crashedAt time.Time
+	requests  []lost
 }
 
 // lost is a request that lost its connection.
@@ -75,23 +75,24 @@
 	at    time.Time
 }
 
-// ServerLost checks whether a server that closed its connection in the middle of a request has crashed, and if so reports the request's traits to
-// the leader. progressed is set if the server had sent more than the beginning of an answer. It blocks for some seconds at most.
-func (w *Watch) ServerLost(ctx context.Context, request Request, server *backend.Server, progressed bool) {
+// ServerLost checks whether a server that closed its connection in the middle of a request, which was sent at a time, has crashed, and if so reports
+// the request's traits to the leader. progressed is set if the server had sent more than the beginning of an answer. It blocks for some seconds at
+// most.
+func (w *Watch) ServerLost(ctx context.Context, request Request, server *backend.Server, sentAt time.Time, progressed bool) {
 	key := incarnation{server.ID, server.StartedAtMillis}
 	added := lost{request: request, progressed: progressed}
 	w.mu.Lock()
 	running := w.checks[key]
 	if running == nil {
 		w.checks[key] = &check{requests: []lost{added}}
-	} else if !running.crashed {
+	} else if running.crashedAt.IsZero() {
 		running.requests = append(running.requests, added)
 	}
 	w.mu.Unlock()
 	switch {
 	case running == nil:
 		w.runCheck(ctx, key, server)
-	case running.crashed:
+	case !running.crashedAt.IsZero() && sentAt.Before(running.crashedAt): // otherwise it met a server that was down already
 		w.reportCrash(server, []lost{added})
 	}
 }
@@ -102,7 +103,7 @@
 	w.mu.Lock()
 	requests := w.checks[key].requests
 	if crashed {
-		w.checks[key] = &check{crashed: true}
+		w.checks[key] = &check{crashedAt: time.Now()}
 		time.AfterFunc(crashedRetention, func() { w.forgetCheck(key) })
 	} else {
 		delete(w.checks, key)
--- a/entry/suspects/suspects_test.go
+++ b/entry/suspects/suspects_test.go
@@ -88,7 +88,7 @@
 	})
 
 	It("reports the traits of a request whose server is gone, and reports them again to the next leader", func() {
-		watch.ServerLost(ctx, request("a", "b"), server("i-1"), true)
+		watch.ServerLost(ctx, request("a", "b"), server("i-1"), time.Now(), true)
 		crash := link.Crash{Service: "desk", Server: "i-1", Born: 7, Traits: []link.Trait{{Name: "a", Progressed: true}, {Name: "b", Progressed: true}}}
 		Expect(around.sent).To(Equal([]link.Up{{Crash: &crash}}))
 		Expect(watch.Reports()).To(ConsistOf(HaveField("Traits", crash.Traits)))
@@ -99,7 +99,7 @@
 	// A server resets some of its requests and keeps running. Counted as crashes, three such resets would hold harmless requests back.
 	It("does not count a reset by a server that keeps running as a crash", func() {
 		around.liveness = []suspects.Liveness{suspects.Running}
-		watch.ServerLost(ctx, request("innocent"), server("i-1"), false)
+		watch.ServerLost(ctx, request("innocent"), server("i-1"), time.Now(), false)
 		Expect(around.sent).To(BeEmpty())
 		Expect(around.checks).To(HaveLen(1))
 	})
@@ -107,21 +107,21 @@
 	// A process that has closed its connections still accepts new ones for some milliseconds.
 	It("asks again while the process may be exiting", func() {
 		around.liveness = []suspects.Liveness{suspects.Running, suspects.Gone}
-		watch.ServerLost(ctx, request("bad"), server("i-1"), false)
+		watch.ServerLost(ctx, request("bad"), server("i-1"), time.Now(), false)
 		Expect(around.sent).To(HaveLen(1))
 	})
 
 	// The VM of the server is silent, and nobody sees a refused connection. Another process has started there a second later.
 	It("asks a silent server again until it is known what became of it", func() {
 		around.liveness = []suspects.Liveness{suspects.Unknown, suspects.Unknown, suspects.Unknown, suspects.Gone}
-		watch.ServerLost(ctx, request("bad"), server("i-1"), false)
+		watch.ServerLost(ctx, request("bad"), server("i-1"), time.Now(), false)
 		Expect(around.sent).To(HaveLen(1))
 	})
 
 	// An entry that has lost its connections to all servers would take each of them for crashed.
 	It("reports no crash while the entry is cut off from the servers", func() {
 		around.isolated = true
-		watch.ServerLost(ctx, request("innocent"), server("i-1"), false)
+		watch.ServerLost(ctx, request("innocent"), server("i-1"), time.Now(), false)
 		Expect(around.sent).To(BeEmpty())
 	})
 
@@ -129,20 +129,31 @@
 	It("checks a server once for all requests that ran on it", func() {
 		var running sync.WaitGroup
 		for i := range 20 {
-			running.Go(func() { watch.ServerLost(ctx, request("shared", fmt.Sprint("own ", i)), server("i-1"), false) })
+			running.Go(func() {
+				watch.ServerLost(ctx, request("shared", fmt.Sprint("own ", i)), server("i-1"), time.Now(), false)
+			})
 		}
 		running.Wait()
 		Expect(around.probes).To(Equal(1))
 		Expect(around.sent).To(HaveLen(1))
 		Expect(around.sent[0].Crash.Traits).To(HaveLen(21))
-		watch.ServerLost(ctx, request("late"), server("i-1"), false)
+		watch.ServerLost(ctx, request("late"), server("i-1"), time.Now().Add(-time.Second), false)
 		Expect(around.probes).To(Equal(1))
 		Expect(names(around.sent[1].Crash.Traits)).To(Equal([]string{"late"}))
 	})
 
+	// Callers go on sending to a server that is down. Each of their requests would be a message to the leader, and would be suspected.
+	It("does not suspect requests that were sent to a server after it had crashed", func() {
+		watch.ServerLost(ctx, request("first"), server("i-1"), time.Now(), false)
+		for range 100 {
+			watch.ServerLost(ctx, request("later"), server("i-1"), time.Now(), false)
+		}
+		Expect(around.sent).To(HaveLen(1))
+	})
+
 	It("says when requests with the same traits finished", func() {
 		watch.Finished(request("shared"))
-		watch.ServerLost(ctx, request("shared", "own"), server("i-1"), false)
+		watch.ServerLost(ctx, request("shared", "own"), server("i-1"), time.Now(), false)
 		Expect(around.sent).To(HaveLen(1))
 		traits := around.sent[0].Crash.Traits
 		Expect(names(traits)).To(Equal([]string{"own", "shared"}))
@@ -237,7 +248,7 @@
 	It("goes by its own evidence, and by what it was told last, while it has no leader", func() {
 		watch.ApplyHolds(link.Holds{Service: "desk", Rules: []link.Rule{{Traits: []string{"told"}, Crashes: 3}}})
 		for i := range 3 {
-			watch.ServerLost(ctx, request("bad", fmt.Sprint("own ", i)), server(fmt.Sprint("i-", i)), false)
+			watch.ServerLost(ctx, request("bad", fmt.Sprint("own ", i)), server(fmt.Sprint("i-", i)), time.Now(), false)
 		}
 		_, held := watch.Held(request("bad"))
 		Expect(held).To(BeFalse(), "the leader, which knows more, decides")
@@ -264,7 +275,7 @@
 		around := &surroundings{liveness: []suspects.Liveness{suspects.Unknown}, linked: true}
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
-		around.watch().ServerLost(ctx, request("a"), server("i-1"), false)
+		around.watch().ServerLost(ctx, request("a"), server("i-1"), time.Now(), false)
 		Expect(around.sent).To(BeEmpty())
 		Expect(around.checks).To(HaveLen(1))
 		Expect(around.checks[0].Crashed).To(BeFalse())
--- a/test/cooperative/crashing_part_test.go
+++ b/test/cooperative/crashing_part_test.go
@@ -110,8 +110,8 @@
 	}
 }
 
-// newPondWithDesks returns three entries before 62 plain servers with these faults.
-func newPondWithDesks(faults replica.Faults) *pond {
+// newPondWithDesks returns three entries before 62 plain servers, which are back some time after they have crashed; with 0 they stay away.
+func newPondWithDesks(returnAfter time.Duration) *pond {
 	GinkgoHelper()
 	p := newPond(3, 4)
 	p.awaitServing(1)
@@ -120,9 +120,7 @@
 		DeferCleanup(desk.Close)
 		p.desks = append(p.desks, desk)
 	}
-	for _, desk := range p.desks {
-		desk.SetFaults(faults)
-	}
+	p.world.SetCrashingPart(crashingPart, returnAfter)
 	return p
 }
 
@@ -144,7 +142,7 @@
 var _ = Describe("Requests with a part that crashes servers", func() {
 	// No two of the bookings have the same content. Each crashed a server, until none was left.
 	DescribeTable("are held back, and sound bookings are served", func(crashing, sound func(i int) []string) {
-		p := newPondWithDesks(replica.Faults{CrashOnPart: crashingPart})
+		p := newPondWithDesks(0)
 		answers := p.bookings(crashing, sound)
 		p.expectHeldBack(crashingPart)
 		share, count := servedShare(answers, p.settledAt(crashingPart), func(got sent) bool { return got.status == http.StatusOK })
@@ -158,7 +156,7 @@
 
 	// A server that has crashed listens again at its address before anybody can see that it refuses connections.
 	It("are held back although the servers are back at once", func() {
-		p := newPondWithDesks(replica.Faults{CrashOnPart: crashingPart, ReturnAfter: time.Millisecond})
+		p := newPondWithDesks(time.Millisecond)
 		p.bookings(partsWith("c", sharedPart, crashingPart), partsWith("s", sharedPart, "900d"))
 		p.expectHeldBack(crashingPart)
 	})
@@ -168,9 +166,7 @@
 		p := newPond(3, 0)
 		p.addDirectEngines(36)
 		p.awaitServing(12)
-		for _, engine := range p.engines {
-			engine.SetFaults(replica.Faults{CrashOnPart: crashingPart, ReturnAfter: 3 * time.Second})
-		}
+		p.world.SetCrashingPart(crashingPart, 3*time.Second)
 		before := p.load(100*time.Millisecond, 2*time.Second, "before", "/chat/x", partsWith("b", sharedPart))
 		usual, _ := servedShare(before, time.Time{}, sent.whole)
 		var answers []answer
@@ -191,7 +187,7 @@
 
 	// The leader that held them back is killed, and the entry that takes over may be one that has just started.
 	It("stay held back while the leader is killed and entries are started again", func() {
-		p := newPondWithDesks(replica.Faults{CrashOnPart: crashingPart})
+		p := newPondWithDesks(0)
 		var running sync.WaitGroup
 		running.Go(func() {
 			p.load(100*time.Millisecond, 20*time.Second, "crashing", "/book/x", partsWith("c", sharedPart, crashingPart))
@@ -211,7 +207,7 @@
 
 	// An entry that has just started knows nothing, and is asked before it has found the leader.
 	It("stay held back while all entries are killed and started again", func() {
-		p := newPondWithDesks(replica.Faults{CrashOnPart: crashingPart})
+		p := newPondWithDesks(0)
 		var running sync.WaitGroup
 		running.Go(func() {
 			p.load(100*time.Millisecond, 20*time.Second, "crashing", "/book/x", partsWith("c", sharedPart, crashingPart))
--- a/test/cooperative/soak_test.go
+++ b/test/cooperative/soak_test.go
@@ -63,8 +63,10 @@
 	random *rand.Rand
 	// cutRandom draws the cuts of isolationLane, which alone uses it.
 	cutRandom *rand.Rand
-	problems  []string
-	lines     []string
+	// crashRandom draws the requests of crashingLane, which alone uses it.
+	crashRandom *rand.Rand
+	problems    []string
+	lines       []string
 	// refused are the requests that were told not to have run; bookings are those that may run once.
 	refused, bookings []string
 	told              map[string]int
@@ -133,7 +135,7 @@
 		id := fmt.Sprintf("caller-%d-%d-%s", caller, n, entry.name)
 		switch {
 		case kind < 5:
-			s.judge("chat", entry.sendOver(client, "/chat/x", id, "body"), wholeStream(id))
+			s.judge("chat", entry.sendPrompt(client, "/chat/x", id, "body", sharedPart, id), wholeStream(id))
 		case kind < 8:
 			s.judge("book", entry.sendOver(client, "/book/x", id, "body"), "answer to "+id)
 		default:
@@ -194,6 +196,7 @@
 		running.Go(s.lane)
 	}
 	running.Go(s.isolationLane)
+	running.Go(s.crashingLane)
 	running.Wait()
 	s.judgeEnd()
 }
@@ -204,6 +207,7 @@
 	AddReportEntry("troubles", ReportEntryVisibilityFailureOrVerbose, s.lines)
 	GinkgoWriter.Printf("told: %v\n", s.told)
 	s.judgeLeaving()
+	s.judgeCrashes()
 	Expect(s.problems).To(BeEmpty())
 	Expect(s.world.Violations()).To(BeEmpty())
 	for _, id := range s.refused {
@@ -228,7 +232,7 @@
 			p := newPond(soakEntries, soakEngines)
 			p.awaitServing(soakEngines / groupSize)
 			s := &soak{
-				pond: p, random: rand.New(rand.NewPCG(seed, 0)), cutRandom: rand.New(rand.NewPCG(seed, 1)), told: make(map[string]int), busy: make(map[any]bool),
+				pond: p, random: rand.New(rand.NewPCG(seed, 0)), cutRandom: rand.New(rand.NewPCG(seed, 1)), crashRandom: rand.New(rand.NewPCG(seed, 2)), told: make(map[string]int), busy: make(map[any]bool),
 				faults: make(map[any][]faultTime),
 			}
 			s.play(time.Duration(fromEnvironment("POND_SOAK_SECONDS", soakSeconds)) * time.Second)
--- a/test/cooperative/troubles_test.go
+++ b/test/cooperative/troubles_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net/http"
+	"sync"
 	"syscall"
 	"time"
 
@@ -91,6 +93,54 @@
 	}
 }
 
+// crashingLane sends requests that share a part which crashes model servers, no two alike, to any entries, in bursts. The servers are back soon.
+// It draws from a source of its own, so that the other troubles stay those of the seed.
+func (s *soak) crashingLane() {
+	some := func(least, most int) time.Duration {
+		return time.Duration(least+s.crashRandom.IntN(most-least)) * time.Millisecond
+	}
+	s.world.SetCrashingPart(crashingPart, some(1, 2000))
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 5 * time.Second}
+	var sending sync.WaitGroup
+	defer sending.Wait()
+	for n := 0; time.Now().Before(s.ends); {
+		time.Sleep(some(500, 4000))
+		burst := time.Now().Add(some(500, 3000))
+		s.note("requests with a part that crashes servers until %s", burst.Format("05.000"))
+		for ; time.Now().Before(burst) && time.Now().Before(s.ends); n++ {
+			entry := s.entries[s.crashRandom.IntN(len(s.entries))]
+			id := fmt.Sprintf("caller-crashing-%d-%s", n, entry.name)
+			sending.Go(func() { entry.sendPrompt(client, "/chat/x", id, "body of "+id, sharedPart, crashingPart, id) })
+			time.Sleep(some(50, 250))
+		}
+	}
+}
+
+// judgeCrashes notes requests with the part that crashes servers that entries without a fault have sent long after the fifth crash, if there are more
+// than a few.
+func (s *soak) judgeCrashes() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	crashes := s.world.CrashTimes(crashingPart)
+	GinkgoWriter.Printf("crashed on a part: %d servers\n", len(crashes))
+	if len(crashes) < crashesAllowed {
+		return
+	}
+	var late []string
+	for _, run := range s.world.RunsWith(crashingPart) {
+		entry := s.senderOf(run.ID)
+		bound := crashes[crashesAllowed-1].Add(stableWindow)
+		if entry == nil || !run.At.After(bound) || !s.calmFrom(s.api, run.At, run.At) || !s.calmFrom(entry, run.At, run.At) || !s.calmFrom(entry.toPlatform, run.At, run.At) {
+			continue
+		}
+		late = append(late, run.At.Format("05.000 ")+run.ID)
+	}
+	if len(late) > lateRunsAllowed {
+		s.problems = append(s.problems, fmt.Sprintf("%d requests with a part that has crashed %d servers were sent late: %v", len(late), len(crashes), late))
+	}
+	GinkgoWriter.Printf("%d requests late\n", len(late))
+}
+
 // weather draws what a proxy does.
 func (s *soak) weather() loopback.Faults {
 	return []loopback.Faults{
