entry/suspects: only requests that ran when a server's first connection broke are suspected

A request that was sent after the server's first broken connection may have met a process that was gone already, and is no evidence.

--- a/entry/suspects/check.go
+++ b/entry/suspects/check.go
@@ -56,10 +56,11 @@
 	born   int64
 }
 
-// check is a check of one server, in progress or, if crashedAt is set, with the result that it had crashed by then.
+// check is a check of one server, in progress or, if crashed is set, with that result. It began when the first connection had broken.
 type check struct {
-	crashedAt time.Time
-	requests  []lost
+	begunAt  time.Time
+	crashed  bool
+	requests []lost
 }
 
 // lost is a request that lost its connection.
@@ -83,16 +84,20 @@
 	added := lost{request: request, progressed: progressed}
 	w.mu.Lock()
 	running := w.checks[key]
-	if running == nil {
-		w.checks[key] = &check{requests: []lost{added}}
-	} else if running.crashedAt.IsZero() {
+	switch {
+	case running == nil:
+		w.checks[key] = &check{begunAt: time.Now(), requests: []lost{added}}
+	case sentAt.After(running.begunAt): // the server may have been down already
+		w.mu.Unlock()
+		return
+	case !running.crashed:
 		running.requests = append(running.requests, added)
 	}
 	w.mu.Unlock()
 	switch {
 	case running == nil:
 		w.runCheck(ctx, key, server)
-	case !running.crashedAt.IsZero() && sentAt.Before(running.crashedAt): // otherwise it met a server that was down already
+	case running.crashed:
 		w.reportCrash(server, []lost{added})
 	}
 }
@@ -101,9 +106,10 @@
 func (w *Watch) runCheck(ctx context.Context, key incarnation, server *backend.Server) {
 	crashed := w.hasCrashed(ctx, server)
 	w.mu.Lock()
-	requests := w.checks[key].requests
+	ended := w.checks[key]
+	requests := ended.requests
 	if crashed {
-		w.checks[key] = &check{crashedAt: time.Now()}
+		w.checks[key] = &check{begunAt: ended.begunAt, crashed: true}
 		time.AfterFunc(crashedRetention, func() { w.forgetCheck(key) })
 	} else {
 		delete(w.checks, key)
--- a/entry/suspects/suspects_test.go
+++ b/entry/suspects/suspects_test.go
@@ -128,9 +128,10 @@
 	// All requests that ran on a server are lost with it at the same moment.
 	It("checks a server once for all requests that ran on it", func() {
 		var running sync.WaitGroup
+		sentAt := time.Now()
 		for i := range 20 {
 			running.Go(func() {
-				watch.ServerLost(ctx, request("shared", fmt.Sprint("own ", i)), server("i-1"), time.Now(), false)
+				watch.ServerLost(ctx, request("shared", fmt.Sprint("own ", i)), server("i-1"), sentAt, false)
 			})
 		}
 		running.Wait()
@@ -143,12 +144,17 @@
 	})
 
 	// Callers go on sending to a server that is down. Each of their requests would be a message to the leader, and would be suspected.
-	It("does not suspect requests that were sent to a server after it had crashed", func() {
-		watch.ServerLost(ctx, request("first"), server("i-1"), time.Now(), false)
+	It("does not suspect requests that were sent to a server after it had broken a connection", func() {
+		var running sync.WaitGroup
+		running.Go(func() { watch.ServerLost(ctx, request("first"), server("i-1"), time.Now(), false) })
+		time.Sleep(5 * time.Millisecond)
 		for range 100 {
 			watch.ServerLost(ctx, request("later"), server("i-1"), time.Now(), false)
 		}
+		running.Wait()
+		watch.ServerLost(ctx, request("later"), server("i-1"), time.Now(), false)
 		Expect(around.sent).To(HaveLen(1))
+		Expect(names(around.sent[0].Crash.Traits)).To(Equal([]string{"first"}))
 	})
 
 	It("says when requests with the same traits finished", func() {
