policy/suspicion: a part that crashes servers in the middle of their answers is held sooner; ways compared

Such a part counted like one with which requests had finished lately, so that crashes less than 0.5 s apart counted once; the spacing is for parts that were lost with a rack, whose crashes are no further apart than it takes to notice them. It is 0.15 s now where no request has finished.

--- a/policy/suspicion/derive.go
+++ b/policy/suspicion/derive.go
@@ -54,7 +54,7 @@
 		if len(r.crashes) < required(tested) || r.tested() != tested {
 			continue
 		}
-		count := r.weight(tested, explained)
+		count := r.weight(explained)
 		if count > best {
 			best, tied = count, nil
 		}
@@ -93,12 +93,16 @@
 	return untestedCrashes
 }
 
-// weight is the number of unexplained crashes. Of a tested trait, those that are not testedSpacing apart count once.
-func (r *record) weight(tested bool, explained map[string]bool) int {
+// weight is the number of unexplained crashes. Of a tested trait, those that are not some time apart count once.
+func (r *record) weight(explained map[string]bool) int {
 	ids := r.unexplained(explained)
-	if !tested {
+	if !r.tested() {
 		return len(ids)
 	}
+	spacing := progressedSpacing
+	if r.finishedLately() {
+		spacing = finishedSpacing
+	}
 	times := make([]time.Duration, 0, len(ids))
 	for _, id := range ids {
 		times = append(times, r.crashes[id])
@@ -107,7 +111,7 @@
 	count := 0
 	var last time.Duration
 	for _, at := range times {
-		if count == 0 || at-last >= testedSpacing {
+		if count == 0 || at-last >= spacing {
 			count, last = count+1, at
 		}
 	}
--- a/policy/suspicion/suspicion.go
+++ b/policy/suspicion/suspicion.go
@@ -37,11 +37,13 @@
 	// untestedCrashes is the number of crashes after which an untested trait is held. Servers that crash for other reasons often meet the same
 	// rare trait twice: its request is repeated at a second server.
 	untestedCrashes = 3
-	// testedCrashes is the number of crashes, at least testedSpacing apart, after which a tested trait is held.
-	testedCrashes = 5
-	testedSpacing = 500 * time.Millisecond
-	// testedFor is how long a trait counts as tested after a request with it has finished.
-	testedFor = 30 * time.Second
+	// testedCrashes is the number of crashes after which a tested trait is held. They count if they are progressedSpacing apart, which crashes of one
+	// rack are not, or finishedSpacing if requests with the trait finished lately.
+	testedCrashes     = 5
+	progressedSpacing = 150 * time.Millisecond
+	finishedSpacing   = 500 * time.Millisecond
+	// finishedFor is how long a trait counts as tested after a request with it has finished.
+	finishedFor = 30 * time.Second
 	// suspectCrashes is the number of crashes from which on a trait is a suspect: finished requests with it are of interest.
 	suspectCrashes = 2
 	// evidenceFor is how long a crash counts.
@@ -373,9 +375,9 @@
 }
 
 // tested reports whether requests with the trait are known to do well otherwise.
-func (r *record) tested() bool {
-	return r.progressed || r.finished && r.latest()-r.finishedAt < testedFor
-}
+func (r *record) tested() bool { return r.progressed || r.finishedLately() }
+
+func (r *record) finishedLately() bool { return r.finished && r.latest()-r.finishedAt < finishedFor }
 
 // unexplained returns the ids of the crashes that are not explained by others.
 func (r *record) unexplained(explained map[string]bool) []string {
