entry/leader: what a new follower is told of held requests is a copy

Found by reading: the message pointed into the leader's state and is encoded later, without the lock, so that a follower could be told something that changes while it is encoded. The spec failed before: a message that had been sent with a rule had none after the rule was released.

--- a/entry/leader/holds.go
+++ b/entry/leader/holds.go
@@ -129,6 +129,7 @@
 // It must be called with l.mu held.
 func (l *Leader) sendHolds(to recipient) {
 	for _, s := range l.holds.services {
-		to.Send(link.Down{Holds: &s.announced})
+		announced := s.announced // the message is encoded later, without the lock
+		to.Send(link.Down{Holds: &announced})
 	}
 }
--- a/entry/leader/holds_test.go
+++ b/entry/leader/holds_test.go
@@ -64,6 +64,23 @@
 		Expect(first.holds()).To(BeEmpty())
 	})
 
+	// Messages are encoded after the leader has gone on.
+	It("are told as they were when the message was sent", func() {
+		l := newLeader()
+		l.Join("e-1", &follower{}, link.Hello{})
+		for _, id := range []string{"i-1", "i-2", "i-3"} {
+			report := crashOn(id, "bad")
+			l.Receive("e-1", &follower{}, link.Up{Crash: &report})
+		}
+		l.BroadcastHolds()
+		late := &follower{}
+		l.Join("e-2", late, link.Hello{})
+		sent := slices.Clone(late.received)
+		l.Receive("e-1", late, link.Up{Finished: &link.Finished{Service: "desk", Trait: "bad"}})
+		l.BroadcastHolds()
+		Expect(sent[0].Holds.Rules).To(HaveLen(1))
+	})
+
 	// A trait meets two crashes by chance. If the entries were not asked, a third one would hold it back although it finishes elsewhere.
 	It("are asked for before they are held back", func() {
 		l := newLeader()
