entry/suspects: the next leader learns what has finished since a crash

Found by reading: entries repeat their reports of crashes to a new leader as they were when the crash was noticed. A trait that met three crashes and did well since would be held back anew, until requests with it finish somewhere or it is tried after 30 s. The reports say now what has finished since, and are repeated for as long as the entry remembers that (30 s; what was held back goes to the next leader as rules in any case). The spec of the report failed before: the trait was told as unfinished.

--- a/entry/leader/holds_test.go
+++ b/entry/leader/holds_test.go
@@ -108,6 +108,21 @@
 		Expect(first.holds()).To(Equal([]string{"bad"}))
 	})
 
+	// A part that did well under the earlier leader would be held back by its successor until it is tried again.
+	It("are not held back for crashes before one that finished", func() {
+		l := newLeader()
+		first := &follower{}
+		var crashes []link.Crash
+		for _, id := range []string{"i-1", "i-2", "i-3"} {
+			crash := crashOn(id, "session")
+			crash.AgeMs, crash.Traits[0].Finished, crash.Traits[0].FinishedAgoMs = 5000, true, -1000
+			crashes = append(crashes, crash)
+		}
+		l.Join("e-1", first, link.Hello{Crashes: crashes})
+		l.BroadcastHolds()
+		Expect(first.holds()).To(BeEmpty())
+	})
+
 	// The new leader has just started and knows of no crash.
 	It("stay held back under a new leader that learns of it from one entry", func() {
 		l := newLeader()
--- a/entry/suspects/check.go
+++ b/entry/suspects/check.go
@@ -43,9 +43,10 @@
 	exitDelay = 100 * time.Millisecond
 	// crashedRetention is how long after a crash further requests that ran on the server are reported without another check.
 	crashedRetention = 10 * time.Second
-	// maxReports and reportRetention bound the crash reports that are repeated to the next leader.
+	// maxReports and reportRetention bound the crash reports that are repeated to the next leader. For as long, this entry remembers which traits
+	// have finished.
 	maxReports      = 32
-	reportRetention = 5 * time.Minute
+	reportRetention = finishedPeriod
 	// maxReportedTraits bounds the traits in one report.
 	maxReportedTraits = 256
 )
@@ -191,14 +192,24 @@
 	return all[:min(len(all), maxReportedTraits)]
 }
 
-// Reports returns the latest crashes that this entry has reported, for the next leader.
+// Reports returns the latest crashes that this entry has reported, for the next leader, with what it knows now of requests that have finished since.
 func (w *Watch) Reports() []link.Crash {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var crashes []link.Crash
 	for _, r := range w.reports {
+		if time.Since(r.at) > reportRetention {
+			continue
+		}
 		crash := r.crash
 		crash.AgeMs = time.Since(r.at).Milliseconds()
+		crash.Traits = slices.Clone(crash.Traits)
+		for i := range crash.Traits {
+			described := &crash.Traits[i]
+			if at, finished := w.finished.Last(traitOf(crash.Service, described.Name)); finished {
+				described.Finished, described.FinishedAgoMs = true, r.at.Sub(at).Milliseconds()
+			}
+		}
 		crashes = append(crashes, crash)
 	}
 	return crashes
--- a/entry/suspects/suspects_test.go
+++ b/entry/suspects/suspects_test.go
@@ -96,6 +96,17 @@
 		Expect(around.checks[0].Crashed).To(BeTrue())
 	})
 
+	// The next leader knows nothing of the requests that have cleared a trait under the earlier one.
+	It("tells the next leader which traits have finished since a crash", func() {
+		watch.ServerLost(ctx, request("a", "b"), server("i-1"), time.Now(), false)
+		time.Sleep(5 * time.Millisecond)
+		watch.Finished(request("a"))
+		traits := watch.Reports()[0].Traits
+		Expect(traits[0].Finished).To(BeTrue())
+		Expect(traits[0].FinishedAgoMs).To(BeNumerically("<", 0))
+		Expect(traits[1].Finished).To(BeFalse())
+	})
+
 	// A server resets some of its requests and keeps running. Counted as crashes, three such resets would hold harmless requests back.
 	It("does not count a reset by a server that keeps running as a crash", func() {
 		around.liveness = []suspects.Liveness{suspects.Running}
--- a/link/leader/leader.go
+++ b/link/leader/leader.go
@@ -102,7 +102,8 @@
 // Trait describes a trait of requests that ran on a server when it crashed.
 type Trait struct {
 	Name string `cbor:"1,keyasint"`
-	// FinishedAgoMs is how long before the report a request with the trait finished, and Finished whether any did in the follower's memory.
+	// FinishedAgoMs is how long before the crash was noticed a request with the trait finished, negative if after it, and Finished whether any did in
+	// the follower's memory.
 	Finished      bool  `cbor:"2,keyasint,omitempty"`
 	FinishedAgoMs int64 `cbor:"3,keyasint,omitempty"`
 	// Progressed is set if the server had sent more than the beginning of an answer.
