entry/relay: the turn of a request that is held back in the middle of a stream is given back

Found by reading: a stream that had lost its server, and was held back when it had acquired a turn at a second one, was cut without giving that turn back, since the cut unwinds the handler. The leader would have counted it as running until the entry's next link. The spec failed before: one turn of two was given back.

--- a/entry/relay/exchange.go
+++ b/entry/relay/exchange.go
@@ -94,7 +94,7 @@
 	}
 	e.fingerprint = contract.Fingerprint(e.request.Method, e.request.RequestURI, e.call.Key, string(e.body))
 	e.traits = suspects.Traits(e.fingerprint, e.call.PromptParts)
-	if e.heldBack() {
+	if e.heldBack(nil) {
 		return
 	}
 	ctx, cancel := context.WithDeadline(e.request.Context(), e.deadline)
@@ -243,8 +243,7 @@
 	if t.Peer {
 		return e.attemptAtPeer(t)
 	}
-	if e.heldBack() {
-		t.Done(turn.Result{Rejected: true})
+	if e.heldBack(t) {
 		return true
 	}
 	e.tried = append(e.tried, t.Server.ID)
@@ -413,8 +412,8 @@
 	return suspects.Request{ID: e.call.ID, Service: e.service, Traits: e.traits}
 }
 
-// heldBack ends the request and returns true if requests like it crash servers.
-func (e *exchange) heldBack() bool {
+// heldBack ends the request and returns true if requests like it crash servers. t is the turn that it has acquired, if any, which is given back.
+func (e *exchange) heldBack(t *turn.Turn) bool {
 	hold, held := e.relay.deps.Suspects.Held(e.suspect())
 	if !held || e.onTrial {
 		return false
@@ -425,6 +424,9 @@
 	}
 	detail := fmt.Sprintf("requests with %s have crashed servers: %d crashes", strings.Join(hold.Traits, " and "), hold.Crashes)
 	e.summary.HeldBy = hold.Traits
+	if t != nil {
+		t.Done(turn.Result{Rejected: true})
+	}
 	if e.mayHaveRun {
 		e.fail(detail)
 	} else {
--- a/entry/relay/held_test.go
+++ b/entry/relay/held_test.go
@@ -58,6 +58,7 @@
 		Expect(r.send(r.request(http.MethodPost, path, "a1")).status).To(Equal(status))
 		Expect(r.world.RunCount("a1")).To(Equal(1))
 		Expect(r.last().HeldBy).To(Equal([]string{"part bad"}))
+		Expect(r.turns.ended()).To(HaveLen(2), "the turn at the second server is given back")
 	},
 		Entry("without an answer", "/look/x", replica.Faults{LoseAnswer: true}, http.StatusBadGateway),
 		Entry("in the middle of a stream", "/chat/x", replica.Faults{ResetAfter: 2}, http.StatusOK),
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -175,8 +175,7 @@
 			e.summary.Resumed = true
 			return t, answer
 		}
-		if e.heldBack() {
-			t.Done(turn.Result{Rejected: true})
+		if e.heldBack(t) {
 			return nil, nil
 		}
 		e.tried = append(e.tried, t.Server.ID)
