--- a/entry/leader/holds_test.go
+++ b/entry/leader/holds_test.go
@@ -123,6 +123,20 @@
 		Expect(first.holds()).To(BeEmpty())
 	})
 
+	// Servers die with their VMs while they run requests that look like many others. If those were held back, all of them would be refused.
+	It("are not held back for a few crashes if requests like them finished shortly before", func() {
+		l := newLeader()
+		first := &follower{}
+		l.Join("e-1", first, link.Hello{})
+		for i := range 4 {
+			report := crashOn(fmt.Sprint("i-", i), "usual")
+			report.Traits[0].Finished, report.Traits[0].FinishedAgoMs = true, 1000
+			l.Receive("e-1", first, link.Up{Crash: &report})
+		}
+		l.BroadcastHolds()
+		Expect(first.holds()).To(BeEmpty())
+	})
+
 	// The new leader has just started and knows of no crash.
 	It("stay held back under a new leader that learns of it from one entry", func() {
 		l := newLeader()
