platform, entry/limits: the limits that servers name are read, logged and counted

Each entry now logs when a server names another limit than the one known, counts the changes, the limits that can't be read and the requests that it sends to servers that it knows to be limited. No decision goes by it yet.

--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -21,6 +21,7 @@
 	"github.com/skylarkpond/skylarkpond/entry/isolation"
 	"github.com/skylarkpond/skylarkpond/entry/leader"
 	"github.com/skylarkpond/skylarkpond/entry/lease"
+	"github.com/skylarkpond/skylarkpond/entry/limits"
 	"github.com/skylarkpond/skylarkpond/entry/relay"
 	"github.com/skylarkpond/skylarkpond/entry/roster"
 	"github.com/skylarkpond/skylarkpond/entry/suspects"
@@ -159,18 +160,22 @@
 	})
 }
 
+func provideLimits(s *shared) *limits.Tracker {
+	return limits.New(limits.Deps{Changed: s.limitChanged, Sent: s.sentToLimited, Invalid: s.limitInvalid})
+}
+
 func provideRetries(s *shared) *relay.Retries {
 	return relay.NewRetries(relay.Allowance{Ratio: s.config.RetryRatio, Extra: s.config.RetryExtra}, assumedEntries)
 }
 
 func provideRelay(
 	s *shared, cat *catalog.Catalog, remote *turn.Remote, pool *upstream.Pool, retries *relay.Retries, watch *suspects.Watch,
-	isolated *isolation.Watch, entries *roster.Roster,
+	isolated *isolation.Watch, entries *roster.Roster, tracker *limits.Tracker,
 ) *relay.Relay {
 	return relay.New(relay.Deps{
 		Table: cat.Table, Turns: remote, Pool: pool, Retries: retries, Suspects: watch, Report: s.requestEnded,
 		Rejected: s.requestRejected, FirstRequest: func() { remote.Send(link.Up{RequestSeen: true}) }, Random: rand.Float64,
-		Isolation: isolated, PeerPool: upstream.NewPool(upstream.WithSource(sourceIP(s.config.CallerAddress))),
+		Limits: tracker, Isolation: isolated, PeerPool: upstream.NewPool(upstream.WithSource(sourceIP(s.config.CallerAddress))),
 		Peer: func(tried []string) (relay.Peer, bool) {
 			entry, ok := entries.Peer(tried)
 			return relay.Peer{Name: entry.Name, Address: entry.PublicAddress}, ok
@@ -270,6 +275,7 @@
 		"connections.to_servers.silent":  g.pool.SilentCount,
 		"config.version":                 func() int64 { version, _ := g.catalog.Config(); return int64(version) },
 		"suspects.rules":                 func() int64 { return int64(g.suspects.RuleCount()) },
+		"limits.servers":                 func() int64 { return int64(g.limits.Count()) },
 		"servers.isolated":               func() int64 { return boolToInt(g.isolation.Any()) },
 		"servers.listed":                 func() int64 { return int64(len(g.catalog.Listing().Servers)) },
 		"servers.revision":               func() int64 { return int64(g.catalog.Listing().Revision) },
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/skylarkpond/skylarkpond/entry/isolation"
 	"github.com/skylarkpond/skylarkpond/entry/leader"
 	"github.com/skylarkpond/skylarkpond/entry/lease"
+	"github.com/skylarkpond/skylarkpond/entry/limits"
 	"github.com/skylarkpond/skylarkpond/entry/relay"
 	"github.com/skylarkpond/skylarkpond/entry/roster"
 	"github.com/skylarkpond/skylarkpond/entry/suspects"
@@ -69,6 +70,7 @@
 	local      *turn.Local
 	remote     *turn.Remote
 	suspects   *suspects.Watch
+	limits     *limits.Tracker
 	isolation  *isolation.Watch
 	retries    *relay.Retries
 	leader     *leader.Leader
--- a/entry/gateway/lines.go
+++ b/entry/gateway/lines.go
@@ -11,6 +11,7 @@
 	"github.com/skylarkpond/skylarkpond/contract/route"
 	"github.com/skylarkpond/skylarkpond/entry/grouping"
 	"github.com/skylarkpond/skylarkpond/entry/lease"
+	"github.com/skylarkpond/skylarkpond/entry/limits"
 	"github.com/skylarkpond/skylarkpond/entry/relay"
 	"github.com/skylarkpond/skylarkpond/entry/suspects"
 	"github.com/skylarkpond/skylarkpond/link/framing"
@@ -58,6 +59,25 @@
 	}).Info(logline.RequestRejected)
 }
 
+// limitChanged logs that a server has named another limit than the one known, or none any more.
+func (s *shared) limitChanged(change limits.Change) {
+	metrics.GetOrRegisterCounter("limits.changes", s.registry).Inc(1)
+	s.log.WithFields(logrus.Fields{
+		"vm": change.Server.ID, "service": change.Server.Service, "per_second": change.Now, "was": change.Was,
+	}).Info(logline.ServerLimit)
+}
+
+// sentToLimited counts the requests that this entry sends to servers with a limit.
+func (s *shared) sentToLimited(server *backend.Server) {
+	metrics.GetOrRegisterCounter("limits.sent."+server.Service, s.registry).Inc(1)
+}
+
+// limitInvalid logs the first limit of a server that can't be read.
+func (s *shared) limitInvalid(server *backend.Server, text string) {
+	metrics.GetOrRegisterCounter("limits.invalid", s.registry).Inc(1)
+	s.log.WithFields(logrus.Fields{"vm": server.ID, "service": server.Service, "limit": text}).Warn(logline.LimitInvalid)
+}
+
 // isolationChanged logs that this entry has lost the servers of a service, or reaches them again, and tells the leader.
 func (s *shared) isolationChanged(service string, isolated, fromAny bool) {
 	metrics.GetOrRegisterCounter("isolation.changes", s.registry).Inc(1)
--- a/entry/gateway/wire_gen.go
+++ b/entry/gateway/wire_gen.go
@@ -30,7 +30,8 @@
 	remote := provideRemote(local, catalog)
 	retries := provideRetries(s)
 	suspectsWatch := provideSuspects(s, remote, catalog, pool, watch)
-	relay := provideRelay(s, catalog, remote, pool, retries, suspectsWatch, watch, roster)
+	tracker := provideLimits(s)
+	relay := provideRelay(s, catalog, remote, pool, retries, suspectsWatch, watch, roster, tracker)
 	leader := provideLeader(s, catalog, lease, controller)
 	leaderServer := provideLinks(identity, holder, leader)
 	gate := &drain.Gate{}
@@ -43,6 +44,7 @@
 		local:      local,
 		remote:     remote,
 		suspects:   suspectsWatch,
+		limits:     tracker,
 		isolation:  watch,
 		retries:    retries,
 		leader:     leader,
--- a/entry/relay/exchange.go
+++ b/entry/relay/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/skylarkpond/skylarkpond/backend"
 	"github.com/skylarkpond/skylarkpond/contract"
 	"github.com/skylarkpond/skylarkpond/contract/route"
+	"github.com/skylarkpond/skylarkpond/entry/limits"
 	"github.com/skylarkpond/skylarkpond/entry/suspects"
 	"github.com/skylarkpond/skylarkpond/entry/turn"
 	"github.com/skylarkpond/skylarkpond/link/framing"
@@ -64,6 +65,8 @@
 	timeToFirstEvent time.Duration
 	// events counts the events of its stream that were complete.
 	events int
+	// limitKnown is what was known of the server's limit when the current attempt was sent.
+	limitKnown limits.Knowledge
 	// headerSent is set once the answer's header has been sent. endsWithConnection is set if it states neither a length nor chunks.
 	headerSent         bool
 	endsWithConnection bool
@@ -262,11 +265,7 @@
 		e.checkForCrash(t, err)
 		return e.doneAfterFailure("no answer: " + err.Error())
 	}
-	decoded := platform.DecodeResponse(answer.Status, answer.Header)
-	if decoded.Load != nil {
-		t.ReportLoad(decoded.Load.Running, decoded.Load.Waiting, decoded.Load.Slots)
-	}
-	if decoded.NotRun {
+	if e.decode(t, answer).NotRun {
 		e.endRejected(t, answer)
 		return e.doneAfterRejection(t)
 	}
@@ -277,6 +276,18 @@
 	return e.relayWhole(t, answer)
 }
 
+// decode decodes the header of a server's answer, and passes on what the server states of itself.
+func (e *exchange) decode(t *turn.Turn, answer *upstream.Response) platform.ResponseInfo {
+	decoded := platform.DecodeResponse(answer.Status, answer.Header)
+	if decoded.Load != nil {
+		t.ReportLoad(decoded.Load.Running, decoded.Load.Waiting, decoded.Load.Slots)
+	}
+	e.relay.deps.Limits.Answered(limits.Answer{
+		Server: t.Server, Known: e.limitKnown, PerSecond: decoded.Limit, Invalid: decoded.InvalidLimit,
+	})
+	return decoded
+}
+
 // endRejected ends an attempt that the server did not run.
 func (e *exchange) endRejected(t *turn.Turn, answer *upstream.Response) {
 	_ = answer.Body.Close()
@@ -305,6 +316,7 @@
 		header = platform.PeerHeader(e.request.Header, forwarded, time.Until(e.deadline), lastEvent)
 	} else {
 		e.summary.Servers = append(e.summary.Servers, string(t.Server.ID))
+		e.limitKnown = e.relay.deps.Limits.Sending(t.Server)
 		header = platform.ForwardHeader(e.request.Header, platform.Forward{
 			Server: t.Server.ID, Team: e.team, Remaining: time.Until(e.deadline), LastEvent: lastEvent,
 		})
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -14,6 +14,7 @@
 
 	"github.com/skylarkpond/skylarkpond/backend"
 	"github.com/skylarkpond/skylarkpond/contract/route"
+	"github.com/skylarkpond/skylarkpond/entry/limits"
 	"github.com/skylarkpond/skylarkpond/entry/suspects"
 	"github.com/skylarkpond/skylarkpond/entry/turn"
 	"github.com/skylarkpond/skylarkpond/internal/wait"
@@ -37,6 +38,8 @@
 	Rejected func(Rejection)
 	// FirstRequest is called once, when the first request arrives.
 	FirstRequest func()
+	// Limits learns how many requests servers take.
+	Limits Limits
 	// Isolation tells from which services' servers this entry is cut off.
 	Isolation Isolation
 	// Peer returns another entry that reaches the servers and is not among those tried, if there is one. PeerPool holds the connections to
@@ -69,6 +72,14 @@
 	Suspect(service string)
 }
 
+// Limits learns how many requests a second servers take from all entries together. It is safe for concurrent use.
+type Limits interface {
+	// Sending records that a request is about to be sent to a server, and returns what is known of its limit at that moment.
+	Sending(server *backend.Server) limits.Knowledge
+	// Answered records what the answer to such a request states. It does not block.
+	Answered(answer limits.Answer)
+}
+
 // Peer is another entry.
 type Peer struct {
 	Name string
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/skylarkpond/skylarkpond/backend"
 	"github.com/skylarkpond/skylarkpond/contract/route"
+	"github.com/skylarkpond/skylarkpond/entry/limits"
 	"github.com/skylarkpond/skylarkpond/entry/relay"
 	"github.com/skylarkpond/skylarkpond/entry/suspects"
 	"github.com/skylarkpond/skylarkpond/entry/turn"
@@ -85,6 +86,7 @@
 	firstRequests atomic.Int32
 	suspects      *fakeSuspects
 	isolation     *fakeIsolation
+	limits        *fakeLimits
 	// peers are the other entries that requests can be passed on to, in this order.
 	peers []*harness
 }
@@ -110,6 +112,40 @@
 
 func (i *fakeIsolation) Suspect(string) { i.suspicions.Add(1) }
 
+// fakeLimits records the calls it receives.
+type fakeLimits struct {
+	mu      sync.Mutex
+	sent    []backend.ID
+	answers []limits.Answer
+}
+
+func (l *fakeLimits) Sending(server *backend.Server) limits.Knowledge {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sent = append(l.sent, server.ID)
+	return limits.Knowledge{}
+}
+
+func (l *fakeLimits) Answered(answer limits.Answer) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.answers = append(l.answers, answer)
+}
+
+// named returns the servers that answered, with the limit that each answer named; -1 for none.
+func (l *fakeLimits) named() map[backend.ID]float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	named := make(map[backend.ID]float64)
+	for _, answer := range l.answers {
+		named[answer.Server.ID] = -1
+		if answer.PerSecond != nil {
+			named[answer.Server.ID] = *answer.PerSecond
+		}
+	}
+	return named
+}
+
 // fakeSuspects holds requests back if a spec sets it to, and records the calls it receives.
 type fakeSuspects struct {
 	mu       sync.Mutex
@@ -172,7 +208,7 @@
 }
 
 func newHarness(config replica.Config, count int) *harness {
-	r := &harness{world: replica.NewCluster(), api: objects.New(), turns: &inOrder{}, suspects: &fakeSuspects{}, isolation: &fakeIsolation{}}
+	r := &harness{world: replica.NewCluster(), api: objects.New(), turns: &inOrder{}, suspects: &fakeSuspects{}, isolation: &fakeIsolation{}, limits: &fakeLimits{}}
 	DeferCleanup(r.api.Close)
 	for i := range count {
 		config.ID = fmt.Sprintf("i-%d", i)
@@ -194,7 +230,7 @@
 	handler := relay.New(relay.Deps{
 		Rejected: func(relay.Rejection) {},
 		Table:    r.table.Load, Turns: r.turns, Pool: upstream.NewPool(), Retries: r.retries, Suspects: r.suspects,
-		Isolation: r.isolation, Peer: r.peer, PeerPool: upstream.NewPool(),
+		Limits: r.limits, Isolation: r.isolation, Peer: r.peer, PeerPool: upstream.NewPool(),
 		Random: func() float64 { return 0.5 }, FirstRequest: func() { r.firstRequests.Add(1) },
 		Report: func(report relay.Report) {
 			r.mu.Lock()
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -191,7 +191,7 @@
 			e.checkForCrash(t, err)
 			continue
 		}
-		if platform.DecodeResponse(answer.Status, answer.Header).NotRun || answer.Status != http.StatusOK || !platform.HasSignature(answer.Header) {
+		if e.decode(t, answer).NotRun || answer.Status != http.StatusOK || !platform.HasSignature(answer.Header) {
 			e.endRejected(t, answer)
 			continue
 		}
--- a/logline/names.go
+++ b/logline/names.go
@@ -28,4 +28,6 @@
 	ServerLeaves     = "backend server is leaving"
 	ServerCrashed    = "backend server crashed while it ran a request"
 	RequestRejected  = "backend server rejected the request"
+	ServerLimit      = "backend server names another limit of requests"
+	LimitInvalid     = "backend server names a limit that can't be read"
 )
