--- a/test/cooperative/crashing_part_test.go
+++ b/test/cooperative/crashing_part_test.go
@@ -60,10 +60,11 @@
 	return crashes[min(len(crashes), crashesAllowed)-1].Add(2 * stableWindow)
 }
 
-// answer is what a caller got for a request, and when it was sent.
+// answer is what a caller got for a request, when it was sent, and how long that took.
 type answer struct {
 	sent
 	sentAt time.Time
+	took   time.Duration
 }
 
 // load sends requests at a fixed rate, to one entry after the other, and returns the answers.
@@ -78,7 +79,7 @@
 			got := p.entries[i%len(p.entries)].sendPrompt(client, path, id, "body of "+id, parts(i)...)
 			mu.Lock()
 			defer mu.Unlock()
-			answers = append(answers, answer{sent: got, sentAt: at})
+			answers = append(answers, answer{sent: got, sentAt: at, took: time.Since(at)})
 		})
 		time.Sleep(interval)
 	}
