--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -98,8 +97,8 @@
 	return lease.New(lease.Deps{
 		Store: client, Self: self, Linked: s.leaderState.linked, HolderChanged: s.leaseChanged, WriteConflict: s.leaseWriteConflict,
 		Renewed:        func() { s.components.leader.BroadcastRenewal() },
-		Attachment:     func() json.RawMessage { return s.components.suspects.Encode() },
-		AttachmentRead: s.holdsRead,
+		Attachment:     s.leaseAttachment,
+		AttachmentRead: s.attachmentRead,
 		Capacity:       s.config.capacity(),
 	})
 }
@@ -126,6 +125,7 @@
 		Suspect:      func(key backend.GroupKey) { controller.Suspect(context.Background(), key) },
 		ReportDemand: s.logDemand, Config: cat.Config, OfferConfig: cat.UpdateConfig, LeaseVersion: entryLease.Version,
 		Ages: cat.Ages, ReportHolds: s.holdsChanged,
+		Confirmed: entryLease.Held, KnownLimits: func() []link.ServerLimit { return s.components.limits.Limits() }, ReportLimit: s.limitChanged,
 	})
 }
 
@@ -133,8 +133,8 @@
 	return link.NewServer(identity, self.Token, handler)
 }
 
-func provideLocal(cat *catalog.Catalog) *turn.Local {
-	return turn.NewLocal(cat.Listing, cat.ServersAge, cat.Table)
+func provideLocal(cat *catalog.Catalog, tracker *limits.Tracker) *turn.Local {
+	return turn.NewLocal(cat.Listing, cat.ServersAge, cat.Table, tracker)
 }
 
 func provideRemote(local *turn.Local, cat *catalog.Catalog) *turn.Remote {
@@ -161,7 +161,10 @@
 }
 
 func provideLimits(s *shared) *limits.Tracker {
-	return limits.New(limits.Deps{Changed: s.limitChanged, Sent: s.sentToLimited, Invalid: s.limitInvalid})
+	return limits.New(limits.Deps{
+		SendToLeader: func(message link.Up) { s.components.remote.Send(message) },
+		Changed:      s.limitHeard, Sent: s.sentToLimited, Invalid: s.limitInvalid,
+	})
 }
 
 func provideRetries(s *shared) *relay.Retries {
--- a/entry/gateway/follow.go
+++ b/entry/gateway/follow.go
@@ -54,7 +54,7 @@
 	version, _ := g.catalog.Config()
 	g.leader.RefreshGroups()
 	g.leader.Join(g.config.Name, self, link.Hello{
-		Entry: g.config.Name, ConfigVersion: version, Crashes: g.suspects.Reports(), Holds: g.suspects.Holds(),
+		Entry: g.config.Name, ConfigVersion: version, Crashes: g.suspects.Reports(), Holds: g.suspects.Holds(), Limits: g.limits.Limits(),
 	})
 	g.attach(send)
 	g.leaderState.leaderChanged()
@@ -81,7 +81,7 @@
 	version, _ := g.catalog.Config()
 	hello := link.Hello{
 		Entry: g.config.Name, Token: holder.Token, ConfigVersion: version,
-		Revisions: g.catalog.Revisions(), RoutableOnly: g.holdsRoutableOnly(), Crashes: g.suspects.Reports(), Holds: g.suspects.Holds(),
+		Revisions: g.catalog.Revisions(), RoutableOnly: g.holdsRoutableOnly(), Crashes: g.suspects.Reports(), Holds: g.suspects.Holds(), Limits: g.limits.Limits(),
 	}
 	dialling, stopDialling := context.WithCancel(ctx)
 	defer stopDialling()
@@ -118,6 +118,9 @@
 	}
 	// Sent in any case: the leader may still know an earlier state from a link that it has not given up yet.
 	g.remote.Send(link.Up{Isolation: &link.Isolation{Isolated: g.isolation.Any()}})
+	for _, report := range g.limits.Unconfirmed() { // heard while the link was set up
+		g.remote.Send(report)
+	}
 }
 
 // holderPollInterval is how often an entry checks whether the lease has another holder.
@@ -152,6 +155,8 @@
 		g.suspects.AllowTrial(*message.Trial)
 	case message.IsolationChanges != nil:
 		g.leaderState.applyIsolation(*message.IsolationChanges)
+	case message.LimitChanges != nil:
+		g.limits.ApplyChanges(*message.LimitChanges)
 	case message.Probe != nil:
 		go g.answerProbe(ctx, send, *message.Probe)
 	}
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -160,6 +160,7 @@
 		})
 		g.relay.Sweep()
 		g.local.Sweep()
+		g.limits.Sweep(listing)
 		if n := g.roster.Len(); n > 1 {
 			g.retries.Resize(n)
 		}
--- a/entry/gateway/lines.go
+++ b/entry/gateway/lines.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"encoding/json"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -10,6 +9,7 @@
 	"github.com/skylarkpond/skylarkpond/backend"
 	"github.com/skylarkpond/skylarkpond/contract/route"
 	"github.com/skylarkpond/skylarkpond/entry/grouping"
+	"github.com/skylarkpond/skylarkpond/entry/leader"
 	"github.com/skylarkpond/skylarkpond/entry/lease"
 	"github.com/skylarkpond/skylarkpond/entry/limits"
 	"github.com/skylarkpond/skylarkpond/entry/relay"
@@ -59,14 +59,26 @@
 	}).Info(logline.RequestRejected)
 }
 
-// limitChanged logs that a server has named another limit than the one known, or none any more.
-func (s *shared) limitChanged(change limits.Change) {
-	metrics.GetOrRegisterCounter("limits.changes", s.registry).Inc(1)
+// limitHeard logs that a server has named another limit than the one known, or none any more.
+func (s *shared) limitHeard(change limits.Change) {
+	metrics.GetOrRegisterCounter("limits.heard", s.registry).Inc(1)
 	s.log.WithFields(logrus.Fields{
 		"vm": change.Server.ID, "service": change.Server.Service, "per_second": change.Now, "was": change.Was,
 	}).Info(logline.ServerLimit)
 }
 
+// limitChanged logs that another limit of a server binds all entries from now on. This entry is the leader.
+func (s *shared) limitChanged(change leader.LimitChange) {
+	metrics.GetOrRegisterCounter("limits.changes", s.registry).Inc(1)
+	service := ""
+	if server := s.components.catalog.Listing().Servers[change.Server]; server != nil {
+		service = server.Service
+	}
+	s.log.WithFields(logrus.Fields{
+		"vm": change.Server, "service": service, "per_second": change.Now, "was": change.Was, "heard_by": change.Source,
+	}).Info(logline.LimitInForce)
+}
+
 // sentToLimited counts the requests that this entry sends to servers with a limit.
 func (s *shared) sentToLimited(server *backend.Server) {
 	metrics.GetOrRegisterCounter("limits.sent."+server.Service, s.registry).Inc(1)
@@ -91,6 +103,7 @@
 }
 
 func (s *shared) leaseChanged(holder lease.Holder, held bool) {
+	s.components.limits.NoteInformed() // the attachment of the lease has been read, or there is none
 	s.log.WithFields(logrus.Fields{"holder": holder.Entry, "held": held}).Info(logline.Lease)
 }
 
@@ -116,13 +129,6 @@
 	s.log.WithFields(logrus.Fields{"service": holds.Service, "rules": rules, "suspects": holds.Suspects}).Warn(logline.RequestsHeldBack)
 }
 
-// holdsRead restores what was held back from the lease. Without it, requests that crash servers would run again after all entries have died.
-func (s *shared) holdsRead(attachment json.RawMessage) {
-	if err := s.components.suspects.Restore(attachment); err != nil {
-		s.log.WithError(err).Warn(logline.LeftOut)
-	}
-}
-
 // serverChecked counts the checks of servers that broke a connection, and logs those that found a crash.
 func (s *shared) serverChecked(check suspects.Check) {
 	metrics.GetOrRegisterCounter("suspects.checks", s.registry).Inc(1)
--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -65,6 +65,12 @@
 	LeaseVersion func() uint64
 	// LinkMbps is the bandwidth of this entry's link in Mbit/s; 0 if unknown.
 	LinkMbps float64
+	// Confirmed reports whether it is confirmed that no other entry is the leader.
+	Confirmed func() bool
+	// KnownLimits returns the limits of servers that this entry knows as a follower. It is called with the Leader's lock held.
+	KnownLimits func() []link.ServerLimit
+	// ReportLimit is called when the limit of a server changes. It is called with the Leader's lock held.
+	ReportLimit func(change LimitChange)
 	// ReportHolds is called when the requests of a service that are held back, because they crash servers, change.
 	ReportHolds func(holds link.Holds)
 }
@@ -94,6 +100,7 @@
 	announced    map[string]bool
 	newFollowers map[string]bool
 	holds        *holdTracker
+	limits       *limitTracker
 	// probes holds the channels for the results of indirect probes in progress, by server.
 	probes map[backend.ID]chan link.ProbeResult
 	// isolated holds the followers that have lost their connections to the servers, and isolationChanged those of which the followers have yet
@@ -131,7 +138,7 @@
 		deps: deps, started: time.Now(), turns: policy.New(policy.DefaultConfig()), followers: make(map[string]*follower),
 		probes: make(map[backend.ID]chan link.ProbeResult), demand: make(map[string]*modelDemand),
 		progress: make(map[store.Kind]*progress), announced: make(map[string]bool), newFollowers: make(map[string]bool),
-		holds: newHoldTracker(), isolated: make(map[string]bool), isolationChanged: make(map[string]bool),
+		holds: newHoldTracker(), limits: newLimitTracker(), isolated: make(map[string]bool), isolationChanged: make(map[string]bool),
 	}
 }
 
@@ -161,10 +168,13 @@
 			groupsAt = time.Now()
 			l.RefreshGroups()
 			l.BroadcastIsolation()
+			l.SweepLimits()
 		}
 		l.SendSnapshots()
 		l.BroadcastHolds()
+		l.BroadcastLimits()
 		l.mu.Lock()
+		l.turns.SetConfirmed(l.now(), l.deps.Confirmed())
 		l.sendDecisions(l.turns.Tick(l.now(), rand.Float64))
 		l.mu.Unlock()
 		if time.Since(demandAt) >= demandInterval {
@@ -185,6 +195,7 @@
 		l.holds = newHoldTracker()
 		l.demand = make(map[string]*modelDemand)
 		l.turns = policy.New(policy.DefaultConfig())
+		l.limits = newLimitTracker()
 		clear(l.isolated)
 		clear(l.isolationChanged)
 	}
@@ -208,6 +219,7 @@
 	engines := make(map[string]capacity.Engine)
 	for _, service := range table.Services {
 		if service.Engine == nil {
+			groups = append(groups, l.limitedServers(service, listing.ByService[service.Name])...)
 			continue
 		}
 		for _, model := range service.Engine.Models {
@@ -223,6 +235,7 @@
 	if !l.leading {
 		l.leading = true
 		l.leadingSince = time.Now()
+		l.adoptLimits(l.deps.KnownLimits())
 	}
 	l.engines = engines
 	l.sendDecisions(l.turns.SetGroups(l.now(), groups, rand.Float64))
@@ -271,6 +284,8 @@
 	l.newFollowers[entry] = true
 	l.sendHolds(to)
 	l.sendIsolation(to)
+	l.adoptLimits(hello.Limits)
+	l.sendLimits(to)
 	for _, holds := range hello.Holds {
 		l.adoptHolds(holds)
 	}
@@ -315,6 +330,8 @@
 		l.sendNewerConfig(from, message.ConfigVersion)
 	case message.Isolation != nil:
 		l.setIsolated(entry, message.Isolation.Isolated)
+	case message.LimitReport != nil:
+		l.hearLimit(entry, *message.LimitReport)
 	case message.RequestSeen:
 		l.mu.Lock()
 		l.requestSeen = true
@@ -360,10 +377,11 @@
 		tried = append(tried, string(id))
 	}
 	key := turnKey(entry, request.Key)
+	l.turns.SetConfirmed(l.now(), l.deps.Confirmed()) // this process may have been suspended since the last tick
 	decisions := l.turns.Submit(l.now(), policy.Request{
 		Key: key, Model: modelKey(request.Service, request.Model),
 		FirstTokenBudget: time.Duration(request.FirstTokenBudgetMs) * time.Millisecond, MaxWait: time.Duration(request.MaxWaitMs) * time.Millisecond, Priority: request.Priority, TriedHeads: tried,
-		Retry: request.Retry, Fingerprint: request.Fingerprint, Size: capacity.RequestSize{PromptTokens: float64(request.PromptTokens), OutputTokens: float64(request.OutputTokens)},
+		Retry: request.Retry, Fingerprint: request.Fingerprint, Optional: request.Optional, Size: capacity.RequestSize{PromptTokens: float64(request.PromptTokens), OutputTokens: float64(request.OutputTokens)},
 	}, rand.Float64)
 	l.sendDecisions(decisions)
 	if !slices.ContainsFunc(decisions, func(d policy.Decision) bool { return d.Key == key }) {
@@ -383,7 +401,7 @@
 }
 
 func (l *Leader) done(entry string, done link.Done) {
-	end := policy.End{Complete: done.Complete, FirstToken: time.Duration(done.FirstTokenMs) * time.Millisecond}
+	end := policy.End{Complete: done.Complete, FirstToken: time.Duration(done.FirstTokenMs) * time.Millisecond, Unsent: done.Unsent}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.sendDecisions(l.turns.Done(l.now(), turnKey(entry, done.Key), end, rand.Float64))
@@ -402,16 +420,28 @@
 			continue
 		}
 		if d.Reason == policy.Granted {
-			to.Send(link.Down{Grant: &link.Grant{Key: key, Head: backend.ID(d.Head), Revision: revision, AgeMs: age.Milliseconds()}})
+			to.Send(link.Down{Grant: &link.Grant{Key: key, Head: backend.ID(d.Head), Revision: revision, AgeMs: age.Milliseconds(), Metered: d.Metered}})
 			continue
 		}
 		to.Send(link.Down{Refusal: &link.Refusal{
-			Key: key, Reason: string(reasons[d.Reason]), RetryAfterMs: d.RetryAfter.Milliseconds(),
-			Detail: fmt.Sprintf("%d run on %d places, %d wait", d.Running, d.Slots, d.Waiting),
+			Key: key, Reason: string(reasons[d.Reason]), RetryAfterMs: d.RetryAfter.Milliseconds(), Detail: l.describe(d),
 		}})
 	}
 }
 
+// describe returns the state that a rejection was based on, for the log. It must be called with l.mu held.
+func (l *Leader) describe(d policy.Decision) string {
+	text := fmt.Sprintf("%d run on %d places, %d wait", d.Running, d.Slots, d.Waiting)
+	if d.Limits.Heads == 0 {
+		return text
+	}
+	text += fmt.Sprintf(", %d servers take %.3g requests a second together", d.Limits.Heads, d.Limits.PerSecond)
+	if known, ok := l.limits.ledger.Limit(d.Limits.Lowest); ok {
+		text += fmt.Sprintf(": %s stated a limit of %.3g to %s %v ago", d.Limits.Lowest, known.PerSecond, known.Source, (l.now() - known.At).Round(time.Millisecond))
+	}
+	return text
+}
+
 var reasons = map[policy.Reason]turn.Reason{policy.NoGroup: turn.NoServer, policy.TooLate: turn.Full, policy.TriedAll: turn.TriedAll}
 
 // suspect withholds turns from a group and starts a check of it. It ignores reports of entries that have lost their connections to the servers,
--- a/entry/leader/leader_test.go
+++ b/entry/leader/leader_test.go
@@ -76,6 +76,9 @@
 		LeaseVersion: func() uint64 { return 9 },
 		Ages:         func() []link.Age { return ages },
 		ReportHolds:  func(link.Holds) {},
+		Confirmed:    func() bool { return true },
+		KnownLimits:  func() []link.ServerLimit { return nil },
+		ReportLimit:  func(leader.LimitChange) {},
 	})
 }
 
@@ -91,6 +94,7 @@
 	// All entries started at once, and the next leader's list of servers was still on its way. It knew no group and rejected every request.
 	It("grants no turns before it has read a list of servers, and tells its followers to decide themselves", func() {
 		l := leader.New(leader.Deps{
+			Confirmed: func() bool { return true }, KnownLimits: func() []link.ServerLimit { return nil }, ReportLimit: func(leader.LimitChange) {},
 			IsLeader: func() bool { return true }, Listing: func() *backend.Listing { return backend.NewListing(0, nil) },
 			Table: func() *route.Table { return &route.Table{Version: 3} }, ListAge: func() time.Duration { return 0 },
 		})
@@ -200,6 +204,7 @@
 	It("sends a new follower what it missed before any broadcast", func() {
 		var l *leader.Leader
 		l = leader.New(leader.Deps{
+			Confirmed: func() bool { return true }, KnownLimits: func() []link.ServerLimit { return nil }, ReportLimit: func(leader.LimitChange) {},
 			IsLeader: func() bool { return true }, Config: func() (uint64, json.RawMessage) { return 0, nil },
 			ChangesSince: func(platform.Kind, platform.Version) (catalog.ChangeSet, bool) {
 				l.Broadcast(serverChange(9, 10, false))
--- a/entry/relay/exchange.go
+++ b/entry/relay/exchange.go
@@ -110,7 +110,7 @@
 // releaseNextTurn gives back a turn that was acquired and is no longer needed.
 func (e *exchange) releaseNextTurn() {
 	if t := e.takeNextTurn(); t != nil {
-		t.Done(turn.Result{Rejected: true})
+		t.Done(turn.Result{Rejected: true, Unsent: true})
 	}
 }
 
@@ -249,6 +249,9 @@
 	if e.heldBack(t) {
 		return true
 	}
+	if returnExpired(t) {
+		return false
+	}
 	e.tried = append(e.tried, t.Server.ID)
 	answer, err := e.send(t, "")
 	if errors.Is(err, upstream.ErrNotSent) {
@@ -276,6 +279,15 @@
 	return e.relayWhole(t, answer)
 }
 
+// returnExpired gives a turn back that must not be used any more, and reports whether it did.
+func returnExpired(t *turn.Turn) bool {
+	if !t.Expired() {
+		return false
+	}
+	t.Done(turn.Result{Rejected: true, Unsent: true})
+	return true
+}
+
 // decode decodes the header of a server's answer, and passes on what the server states of itself.
 func (e *exchange) decode(t *turn.Turn, answer *upstream.Response) platform.ResponseInfo {
 	decoded := platform.DecodeResponse(answer.Status, answer.Header)
@@ -437,7 +449,7 @@
 	detail := fmt.Sprintf("requests with %s have crashed servers: %d crashes", strings.Join(hold.Traits, " and "), hold.Crashes)
 	e.summary.HeldBy = hold.Traits
 	if t != nil {
-		t.Done(turn.Result{Rejected: true})
+		t.Done(turn.Result{Rejected: true, Unsent: true})
 	}
 	if e.mayHaveRun {
 		e.fail(detail)
--- a/entry/relay/limit_test.go
+++ b/entry/relay/limit_test.go
@@ -29,4 +29,14 @@
 		r.send(r.request(http.MethodGet, "/look/x", "none"))
 		Expect(r.limits.named()).To(HaveKeyWithValue(backend.ID("i-0"), -1.0))
 	})
+
+	// An entry that was suspended finds a turn that was granted long ago. Sent by it, the request would meet others at the server.
+	It("is kept to by giving back turns that have expired, without sending the request", func() {
+		r := newHarness(replica.Config{Slots: 8}, 1)
+		r.turns.expired = 2
+		Expect(r.send(r.request(http.MethodPost, "/book/x", "late")).status).To(Equal(http.StatusOK))
+		Expect(r.world.RunCount("late")).To(Equal(1))
+		Expect(r.turns.ended()).To(HaveLen(3))
+		Expect(r.turns.ended()[0].Unsent).To(BeTrue())
+	})
 })
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -41,6 +41,8 @@
 	servers []*backend.Server
 	results []turn.Result
 	stalls  int
+	// expired is the number of turns, from the first on, that have expired when they are granted.
+	expired int
 }
 
 func (t *inOrder) Acquire(_ context.Context, ask turn.Request) (*turn.Turn, *turn.Refusal) {
@@ -48,8 +50,13 @@
 		if slices.Contains(ask.Tried, server.ID) {
 			continue
 		}
+		var expires time.Time
+		if t.expired > 0 {
+			t.expired--
+			expires = time.Now().Add(-time.Millisecond)
+		}
 		return &turn.Turn{
-			Server:     server,
+			Server: server, Expires: expires,
 			ReportLoad: func(int, int, int) {},
 			ReportStall: func() {
 				t.mu.Lock()
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -178,6 +178,9 @@
 		if e.heldBack(t) {
 			return nil, nil
 		}
+		if returnExpired(t) {
+			continue
+		}
 		e.tried = append(e.tried, t.Server.ID)
 		answer, err := e.send(t, last)
 		if errors.Is(err, upstream.ErrNotSent) {
--- a/entry/relay/watch.go
+++ b/entry/relay/watch.go
@@ -105,7 +105,7 @@
 		return nil
 	}
 	if !e.relay.deps.Retries.Take(e.service, time.Until(e.deadline)) {
-		t.Done(turn.Result{Rejected: true})
+		t.Done(turn.Result{Rejected: true, Unsent: true})
 		return nil
 	}
 	return t
--- a/entry/turn/local.go
+++ b/entry/turn/local.go
@@ -20,6 +20,7 @@
 	// listAge returns how long ago the listing was last known to be current.
 	listAge func() time.Duration
 	table   func() *route.Table
+	limits  Limits
 	// started is when the process started.
 	started time.Time
 
@@ -57,21 +58,64 @@
 )
 
 // NewLocal returns a Local. The age function returns how long ago the listing was last known to be current.
-func NewLocal(listing func() *backend.Listing, age func() time.Duration, table func() *route.Table) *Local {
-	return &Local{listing: listing, listAge: age, table: table, started: time.Now(), loads: make(map[backend.ID]*load)}
+func NewLocal(listing func() *backend.Listing, age func() time.Duration, table func() *route.Table, limits Limits) *Local {
+	return &Local{listing: listing, listAge: age, table: table, limits: limits, started: time.Now(), loads: make(map[backend.ID]*load)}
 }
 
-// Acquire implements Source. It returns a turn at the least loaded server. It waits only while a process that has just started reads its
-// first list of servers.
+// Acquire implements Source. It returns a turn at the least loaded server. Servers with a limit get none: what other entries send to them is
+// unknown here. It waits only while a process that has just started reads its first list of servers.
 func (l *Local) Acquire(ctx context.Context, request Request) (*Turn, *Refusal) {
 	l.awaitListing(ctx)
-	candidates := l.candidates(request)
+	candidates, limited := l.split(request)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	best, usable := l.best(candidates, request)
+	if best == nil {
+		reason := NoServer
+		if usable+len(limited) > 0 {
+			reason = Full
+		}
+		detail := fmt.Sprintf("%d servers listed, %d usable, %d limited, listing %d", len(candidates)+len(limited), usable, len(limited), l.listing().Revision)
+		after := retryAfter(reason)
+		if usable == 0 && len(limited) > 0 {
+			after = retryAfter(NoServer) // the next leader, who can tell, takes longer than a place
+		}
+		return nil, &Refusal{Reason: reason, RetryAfter: after, Detail: detail}
+	}
+	t := l.grant(best)
+	t.Basis = Basis{Revision: l.listing().Revision, Age: l.listAge()}
+	return t, nil
+}
+
+// split returns the servers that a request may be sent to without and with a limit.
+func (l *Local) split(request Request) (free, limited []*backend.Server) {
+	for _, server := range l.candidates(request) {
+		if l.limits.Limited(server) {
+			limited = append(limited, server)
+		} else {
+			free = append(free, server)
+		}
+	}
+	return free, limited
+}
+
+// LimitedPreferred reports whether any of the servers that a request may be sent to has a limit, and whether one of these would be chosen if it had
+// none.
+func (l *Local) LimitedPreferred(request Request) (exist, preferred bool) {
+	free, limited := l.split(request)
+	if len(limited) == 0 {
+		return false, false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	best, _ := l.best(slices.Concat(free, limited), request)
+	return true, best != nil && slices.Contains(limited, best)
+}
+
+// best returns the least loaded server, or nil if all are full, and the number of those that are not excluded. It must be called with l.mu held.
+func (l *Local) best(candidates []*backend.Server, request Request) (best *backend.Server, usable int) {
 	now := time.Now()
-	var best *backend.Server
 	bestScore := 0.0
-	usable := 0
 	for _, server := range candidates {
 		load := l.loadOf(server.ID)
 		if now.Before(load.excludedUntil) || slices.Contains(request.Tried, server.ID) {
@@ -87,17 +131,7 @@
 			best, bestScore = server, score
 		}
 	}
-	if best == nil {
-		reason := NoServer
-		if usable > 0 {
-			reason = Full
-		}
-		detail := fmt.Sprintf("%d servers listed, %d usable, listing %d", len(candidates), usable, l.listing().Revision)
-		return nil, &Refusal{Reason: reason, RetryAfter: retryAfter(reason), Detail: detail}
-	}
-	t := l.grant(best)
-	t.Basis = Basis{Revision: l.listing().Revision, Age: l.listAge()}
-	return t, nil
+	return best, usable
 }
 
 const (
@@ -109,9 +143,9 @@
 	listingPollInterval = 20 * time.Millisecond
 )
 
-// awaitListing waits until the first list of servers is known, ctx ends, or firstListingTimeout has passed since the start.
+// awaitListing waits until the first list of servers and their limits are known, ctx ends, or firstListingTimeout has passed since the start.
 func (l *Local) awaitListing(ctx context.Context) {
-	for l.listing().Revision == 0 && time.Since(l.started) < firstListingTimeout {
+	for (l.listing().Revision == 0 || !l.limits.Informed()) && time.Since(l.started) < firstListingTimeout {
 		if !wait.Pause(ctx, listingPollInterval) {
 			return
 		}
--- a/entry/turn/remote.go
+++ b/entry/turn/remote.go
@@ -31,6 +31,8 @@
 	pending map[uint64]chan link.Down
 	held    map[uint64]backend.ID
 	lastKey uint64
+	// asks paces the requests for turns at limited servers that could be served otherwise, by service.
+	asks map[string]*pace
 	// unresponsive is set when a request to the leader has timed out, until anything is received from it.
 	unresponsive bool
 }
@@ -39,6 +41,7 @@
 func NewRemote(local *Local, listing func() *backend.Listing) *Remote {
 	return &Remote{
 		local: local, listing: listing, pending: make(map[uint64]chan link.Down), held: make(map[uint64]backend.ID),
+		asks: make(map[string]*pace),
 	}
 }
 
@@ -67,11 +70,21 @@
 // Acquire implements Source.
 func (r *Remote) Acquire(ctx context.Context, request Request) (*Turn, *Refusal) {
 	if request.Model == "" {
+		return r.acquirePlain(ctx, request)
+	}
+	t, refusal, decided := r.ask(ctx, request)
+	if !decided {
 		return r.local.Acquire(ctx, request)
 	}
+	return t, refusal
+}
+
+// ask asks the leader for a turn. decided is false if there is no link, the leader does not reply or does not lead, or its turn can't be used.
+func (r *Remote) ask(ctx context.Context, request Request) (t *Turn, refusal *Refusal, decided bool) {
+	askedAt := time.Now()
 	key, replies := r.submit(request)
 	if replies == nil {
-		return r.local.Acquire(ctx, request)
+		return nil, nil, false
 	}
 	timer := time.NewTimer(replyTimeout)
 	defer timer.Stop()
@@ -80,21 +93,25 @@
 		case reply, ok := <-replies:
 			switch {
 			case !ok:
-				return r.local.Acquire(ctx, request)
+				return nil, nil, false
 			case reply.Queued == 0:
-				return r.resolve(ctx, request, key, reply)
+				return r.resolve(key, reply, askedAt.Add(request.MaxWait+turnValidity))
 			}
 			timer.Reset(max(request.MaxWait, turns.MaxRetryWait) + replyTimeout)
 		case <-timer.C:
 			r.withdraw(key, true)
-			return r.local.Acquire(ctx, request)
+			return nil, nil, false
 		case <-ctx.Done():
 			r.withdraw(key, false)
-			return nil, &Refusal{Reason: Full, Detail: "deadline passed while waiting for a turn"}
+			return nil, &Refusal{Reason: Full, Detail: "deadline passed while waiting for a turn"}, true
 		}
 	}
 }
 
+// turnValidity is how long after the longest wait for it a turn at a limited server may be used. An entry that was suspended finds turns that were
+// granted long ago.
+const turnValidity = 500 * time.Millisecond
+
 func (r *Remote) submit(request Request) (uint64, chan link.Down) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -108,7 +125,7 @@
 	r.send(link.Up{TurnRequest: &link.TurnRequest{
 		Key: key, Service: request.Service, Model: request.Model, MaxWaitMs: request.MaxWait.Milliseconds(),
 		Priority: request.Priority, Tried: request.Tried, Retry: request.Retry,
-		PromptTokens: request.PromptTokens, OutputTokens: request.OutputTokens, FirstTokenBudgetMs: request.FirstTokenBudget.Milliseconds(), Fingerprint: request.Fingerprint,
+		PromptTokens: request.PromptTokens, OutputTokens: request.OutputTokens, FirstTokenBudgetMs: request.FirstTokenBudget.Milliseconds(), Fingerprint: request.Fingerprint, Optional: request.Optional,
 	}})
 	return key, replies
 }
@@ -123,31 +140,34 @@
 	delete(r.pending, key)
 	r.unresponsive = r.unresponsive || timedOut
 	if r.send != nil {
-		r.send(link.Up{Done: &link.Done{Key: key}})
+		r.send(link.Up{Done: &link.Done{Key: key, Unsent: true}})
 	}
 }
 
-// resolve converts the leader's decision to a turn or a refusal.
-func (r *Remote) resolve(ctx context.Context, request Request, key uint64, reply link.Down) (*Turn, *Refusal) {
+// resolve converts the leader's decision to a turn or a refusal; see ask. A turn at a limited server expires at a time.
+func (r *Remote) resolve(key uint64, reply link.Down, expires time.Time) (t *Turn, refusal *Refusal, decided bool) {
 	if refusal := reply.Refusal; refusal != nil {
 		if refusal.RetryAfterMs == 0 {
-			return r.local.Acquire(ctx, request) // that entry is not the leader
+			return nil, nil, false // that entry is not the leader
 		}
 		return nil, &Refusal{
 			Reason: Reason(refusal.Reason), RetryAfter: time.Duration(refusal.RetryAfterMs) * time.Millisecond,
 			Detail: "leader: " + refusal.Detail,
-		}
+		}, true
 	}
 	server := r.listing().Servers[reply.Grant.Head]
 	if server == nil || server.Leaving {
 		// A server that is leaving stays so until its process ends. If this entry's list says so, it is newer than the
 		// leader's.
-		r.finish(key, Result{Rejected: true})
-		return r.local.Acquire(ctx, request)
+		r.finish(key, Result{Rejected: true, Unsent: true})
+		return nil, nil, false
+	}
+	t = r.newTurn(key, server)
+	if reply.Grant.Metered {
+		t.Expires = expires
 	}
-	t := r.newTurn(key, server)
 	t.Basis = Basis{FromLeader: true, Revision: reply.Grant.Revision, Age: time.Duration(reply.Grant.AgeMs) * time.Millisecond}
-	return t, nil
+	return t, nil, true
 }
 
 // newTurn also counts the turn locally, so that this entry knows the load of the server when it has to decide by
@@ -164,12 +184,13 @@
 }
 
 func (r *Remote) finish(key uint64, result Result) {
-	complete := !result.Unreachable && !result.Rejected && !result.Failed && !result.Stalled
+	unsent := result.Unsent || result.Unreachable
+	complete := !unsent && !result.Rejected && !result.Failed && !result.Stalled
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.held, key)
 	if r.send != nil {
-		r.send(link.Up{Done: &link.Done{Key: key, Complete: complete, FirstTokenMs: result.TimeToFirstToken.Milliseconds()}})
+		r.send(link.Up{Done: &link.Done{Key: key, Complete: complete, FirstTokenMs: result.TimeToFirstToken.Milliseconds(), Unsent: unsent}})
 	}
 }
 
@@ -210,7 +231,7 @@
 	replies, ok := r.pending[key]
 	if !ok {
 		if reply.Grant != nil && r.send != nil {
-			r.send(link.Up{Done: &link.Done{Key: key}})
+			r.send(link.Up{Done: &link.Done{Key: key, Unsent: true}})
 		}
 		return
 	}
--- a/entry/turn/turn.go
+++ b/entry/turn/turn.go
@@ -27,6 +27,8 @@
 	FirstTokenBudget time.Duration
 	// MaxWait is the maximum time that the request may wait for its turn.
 	MaxWait time.Duration
+	// Optional is set if the request is served otherwise unless it gets a turn at once.
+	Optional bool
 	// Retry reports whether the request was sent to a server before. Requests that a caller repeats after a refusal are
 	// recognized by the leader from their Fingerprint, which is the same for all attempts of one request; 0 if there is
 	// none.
@@ -70,6 +72,8 @@
 	Unreachable bool
 	// Rejected: the server reported that it did not run the request.
 	Rejected bool
+	// Unsent: the request was not sent to the server.
+	Unsent bool
 	// Failed: the answer was truncated or invalid, or the server returned an error.
 	Failed bool
 	// Stalled: the server sent nothing for longer than a healthy server does.
@@ -94,6 +98,9 @@
 	// Peer is set if Server is another entry, which passes the request on to a server.
 	Peer  bool
 	Basis Basis
+	// Expires is the time after which the turn must not be used, but given back; zero if there is none. The server then takes a limited number
+	// of requests, and one that arrives late may meet others.
+	Expires time.Time
 	// ReportLoad records the load that the server reported in its answer.
 	ReportLoad func(running, waiting, slots int)
 	// ReportStall reports, during the turn, that the server has sent nothing for longer than usual.
@@ -102,6 +109,17 @@
 	Done func(Result)
 }
 
+// Expired reports whether the turn must be given back.
+func (t *Turn) Expired() bool { return !t.Expires.IsZero() && time.Now().After(t.Expires) }
+
+// Limits tells which servers take a limited number of requests a second from all entries together. It is safe for concurrent use.
+type Limits interface {
+	// Limited reports whether a server may be sent requests by turns of the leader alone.
+	Limited(server *backend.Server) bool
+	// Informed reports whether this entry has learned what other entries knew when it started.
+	Informed() bool
+}
+
 // Source grants turns. Implementations are safe for concurrent use.
 type Source interface {
 	Acquire(ctx context.Context, request Request) (*Turn, *Refusal)
--- a/entry/turn/turn_test.go
+++ b/entry/turn/turn_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -20,6 +22,20 @@
 	RunSpecs(t, "Turn")
 }
 
+// fakeLimits limits the servers that a spec sets.
+type fakeLimits struct {
+	mu      sync.Mutex
+	limited []backend.ID
+}
+
+func (l *fakeLimits) Limited(server *backend.Server) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Contains(l.limited, server.ID)
+}
+
+func (l *fakeLimits) Informed() bool { return true }
+
 var _ = Describe("Heads", func() {
 	engine := &route.Engine{Models: []route.Model{{Name: "large", Size: 2}}}
 	key := backend.GroupKey{Name: "g", Epoch: 1}
@@ -52,7 +68,7 @@
 		sent   []link.Up
 	)
 	BeforeEach(func() {
-		remote = turn.NewRemote(turn.NewLocal(listing, fresh, func() *route.Table { return nil }), listing)
+		remote = turn.NewRemote(turn.NewLocal(listing, fresh, func() *route.Table { return nil }, &fakeLimits{}), listing)
 		sent = nil
 	})
 	// leader grants every turn immediately.
@@ -104,12 +120,12 @@
 		leaving.Leaving = true
 		servers := map[backend.ID]*backend.Server{"head": &leaving}
 		newer := func() *backend.Listing { return backend.NewListing(2, servers) }
-		remote = turn.NewRemote(turn.NewLocal(newer, fresh, func() *route.Table { return nil }), newer)
+		remote = turn.NewRemote(turn.NewLocal(newer, fresh, func() *route.Table { return nil }, &fakeLimits{}), newer)
 		remote.Attach(leader)
 		granted, refusal := remote.Acquire(context.Background(), request)
 		Expect(granted).To(BeNil())
 		Expect(refusal.Reason).To(Equal(turn.NoServer))
-		Expect(sent).To(ContainElement(link.Up{Done: &link.Done{Key: 1}}))
+		Expect(sent).To(ContainElement(link.Up{Done: &link.Done{Key: 1, Unsent: true}}))
 	})
 
 	// All slots are taken, and the leader has replied that the request is queued. Deciding locally, the entry would
@@ -140,7 +156,7 @@
 		var current atomic.Pointer[backend.Listing]
 		current.Store(backend.NewListing(0, nil))
 		table := route.NewTable(1, nil, []route.Service{{Name: "desk"}}, nil, route.Limits{})
-		local := turn.NewLocal(current.Load, func() time.Duration { return 0 }, func() *route.Table { return table })
+		local := turn.NewLocal(current.Load, func() time.Duration { return 0 }, func() *route.Table { return table }, &fakeLimits{})
 		time.AfterFunc(300*time.Millisecond, func() {
 			current.Store(backend.NewListing(7, map[backend.ID]*backend.Server{"i-1": server}))
 		})
@@ -152,7 +168,7 @@
 	// Without a bound, requests would wait until their deadline while the platform is down.
 	It("refuses requests if the first list does not come soon, and then at once", func() {
 		empty := func() *backend.Listing { return backend.NewListing(0, nil) }
-		local := turn.NewLocal(empty, func() time.Duration { return 0 }, func() *route.Table { return nil })
+		local := turn.NewLocal(empty, func() time.Duration { return 0 }, func() *route.Table { return nil }, &fakeLimits{})
 		started := time.Now()
 		_, refusal := local.Acquire(context.Background(), turn.Request{Service: "desk"})
 		Expect(refusal.Reason).To(Equal(turn.NoServer))
--- a/link/leader/leader.go
+++ b/link/leader/leader.go
@@ -65,6 +65,8 @@
 	RequestSeen bool `cbor:"11,keyasint,omitempty"`
 	// Isolation reports whether the follower has lost its connections to the servers of a service.
 	Isolation *Isolation `cbor:"12,keyasint,omitempty"`
+	// LimitReport reports what a server stated in an answer about the requests that it takes.
+	LimitReport *LimitReport `cbor:"15,keyasint,omitempty"`
 }
 
 // Isolation reports whether an entry has lost its connections to all servers of any service.
@@ -83,6 +85,8 @@
 	// Crashes are the crashes that the follower has reported lately, to an earlier leader, and Holds what that leader held back.
 	Crashes []Crash `cbor:"9,keyasint,omitempty"`
 	Holds   []Holds `cbor:"10,keyasint,omitempty"`
+	// Limits are the limits of servers that the follower knows of.
+	Limits []ServerLimit `cbor:"11,keyasint,omitempty"`
 	// RoutableOnly reports that the follower is to be sent only the routable servers.
 	RoutableOnly bool `cbor:"8,keyasint,omitempty"`
 }
@@ -140,6 +144,37 @@
 	Traits  []string `cbor:"2,keyasint"`
 }
 
+// ServerLimit is the limit of the requests that a server takes from all entries together.
+type ServerLimit struct {
+	Server backend.ID `cbor:"1,keyasint"`
+	// Process is the start of the server's process that stated the limit, in Unix milliseconds; 0 if unknown.
+	Process int64 `cbor:"2,keyasint,omitempty"`
+	// PerSecond is in requests a second.
+	PerSecond float64 `cbor:"3,keyasint"`
+	// Version identifies the limit among all that the leader has known.
+	Version uint64 `cbor:"4,keyasint,omitempty"`
+	// Source is the entry that got the answer, and AgeMs how long ago it reported it.
+	Source string `cbor:"5,keyasint,omitempty"`
+	AgeMs  int64  `cbor:"6,keyasint,omitempty"`
+}
+
+// LimitReport reports what the answer of a server stated.
+type LimitReport struct {
+	Server  backend.ID `cbor:"1,keyasint"`
+	Process int64      `cbor:"2,keyasint,omitempty"`
+	// PerSecond is the limit in requests a second; nil if the answer stated none.
+	PerSecond *float64 `cbor:"3,keyasint"`
+	// Basis is the version of the limit that the follower knew when it sent the request; 0 for none.
+	Basis uint64 `cbor:"4,keyasint,omitempty"`
+}
+
+// LimitChanges lists the servers with a new limit, and those that have none any more. If it is complete, all other servers have none.
+type LimitChanges struct {
+	Complete bool          `cbor:"1,keyasint,omitempty"`
+	Limits   []ServerLimit `cbor:"2,keyasint,omitempty"`
+	Lifted   []backend.ID  `cbor:"3,keyasint,omitempty"`
+}
+
 // HeldTurns lists the turns that a follower holds, granted by this leader or an earlier one.
 type HeldTurns struct {
 	Running []RunningTurn `cbor:"1,keyasint,omitempty"`
@@ -170,6 +205,8 @@
 	FirstTokenBudgetMs int64 `cbor:"10,keyasint,omitempty"`
 	// Fingerprint is the same for all attempts of one request; 0 if there is none.
 	Fingerprint uint64 `cbor:"11,keyasint,omitempty"`
+	// Optional reports that the request is served otherwise unless it is granted a turn at once.
+	Optional bool `cbor:"12,keyasint,omitempty"`
 }
 
 // Done ends a turn, or cancels a request that waits for one.
@@ -179,6 +216,8 @@
 	Complete bool `cbor:"2,keyasint,omitempty"`
 	// FirstTokenMs is the time from the turn to the first part of the answer; 0 if there was none.
 	FirstTokenMs int64 `cbor:"3,keyasint,omitempty"`
+	// Unsent reports that the request was not sent to the head.
+	Unsent bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Config is the configuration as the operator wrote it.
@@ -216,6 +255,8 @@
 	Compressed []byte `cbor:"7,keyasint,omitempty"`
 	// IsolationChanges is sent when entries become isolated or reach the servers again.
 	IsolationChanges *IsolationChanges `cbor:"10,keyasint,omitempty"`
+	// LimitChanges is sent when limits of servers change.
+	LimitChanges *LimitChanges `cbor:"13,keyasint,omitempty"`
 }
 
 // IsolationChanges lists the entries that have become isolated and those that reach the servers again. A new follower is sent all isolated ones.
@@ -232,6 +273,8 @@
 	// current, in milliseconds.
 	Revision uint64 `cbor:"3,keyasint,omitempty"`
 	AgeMs    int64  `cbor:"4,keyasint,omitempty"`
+	// Metered reports that the head takes a limited number of requests a second, so that the turn must be used soon.
+	Metered bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Refusal refuses a turn.
--- a/logline/find.go
+++ b/logline/find.go
@@ -28,6 +28,7 @@
 	Request string    `json:"request"`
 	Model   string    `json:"model"`
 	Servers []string  `json:"servers"`
+	Service string    `json:"service"`
 	Group   string    `json:"group"`
 	VM      string    `json:"vm"`
 	TookMs  int64     `json:"took_ms"`
@@ -68,7 +69,7 @@
 )
 
 // Find returns the lines that explain how one request ended, ordered by time: its own lines, events of the servers that it was sent to
-// and of their groups, the demand for its model, who was the leader, and the state and lost connections of its entry. It returns nothing
+// and of their groups, limits of servers of its service, the demand for its model, who was the leader, and the state and lost connections of its entry. It returns nothing
 // if no line records the end of the request: it was then served, or never arrived.
 func Find(lines []Line, request string) []Line {
 	i := slices.IndexFunc(lines, func(l Line) bool { return l.Message == RequestEnded && l.fields.Request == request })
@@ -104,6 +105,8 @@
 		return other.Entry == l.Entry
 	case RequestsHeldBack:
 		return true
+	case LimitInForce:
+		return l.fields.Service != "" && other.fields.Service == l.fields.Service
 	}
 	if len(l.fields.Servers) == 0 {
 		// The request was sent to no server, so any event of a group that serves its model may be the cause.
--- a/logline/names.go
+++ b/logline/names.go
@@ -29,5 +29,6 @@
 	ServerCrashed    = "backend server crashed while it ran a request"
 	RequestRejected  = "backend server rejected the request"
 	ServerLimit      = "backend server names another limit of requests"
+	LimitInForce     = "limit of a backend server in force"
 	LimitInvalid     = "backend server names a limit that can't be read"
 )
--- a/policy/turns/choose.go
+++ b/policy/turns/choose.go
@@ -11,6 +11,7 @@
 func (s *Scheduler) bestGroup(now time.Duration, request Request) *group {
 	var best *group
 	var bestDelay time.Duration
+	yields := s.model(request.Model).yields(now, request)
 	for _, g := range s.groups {
 		if g.removed || g.Model != request.Model || now < g.suspectUntil || g.running >= g.Engine.Slots+s.config.Overcommit {
 			continue
@@ -18,6 +19,9 @@
 		if slices.Contains(request.TriedHeads, g.Head) {
 			continue
 		}
+		if meter := s.meters[g.Head]; meter != nil && !meter.Available(now, yields) {
+			continue
+		}
 		delay := g.firstTokenDelay(now)
 		if best == nil || delay < bestDelay || (delay == bestDelay && g.lessLoaded(best)) {
 			best, bestDelay = g, delay
--- /dev/null
+++ b/policy/turns/limits.go
@@ -0,0 +1,92 @@
+package turns
+
+import (
+	"time"
+
+	"github.com/skylarkpond/skylarkpond/policy/quota"
+)
+
+// maxPromise is the latest time, from a rejection, at which a place is promised to the caller. Callers wait a few seconds at most.
+const maxPromise = 5 * time.Second
+
+// urgentPeriod is how long the most urgent requests of a model are remembered.
+const urgentPeriod = 10 * time.Second
+
+// notePriority records the priority of a request.
+func (m *modelQueue) notePriority(now time.Duration, request Request) {
+	if request.Priority <= m.urgent || m.urgentAt == 0 || now-m.urgentAt > urgentPeriod {
+		m.urgent, m.urgentAt = request.Priority, now
+	}
+}
+
+// yields reports whether more urgent requests than this one have come of late.
+func (m *modelQueue) yields(now time.Duration, request Request) bool {
+	return request.Priority > m.urgent && now-m.urgentAt <= urgentPeriod
+}
+
+// SetLimit limits the requests a second that a head takes from all entries together, and returns the decisions that this makes possible.
+func (s *Scheduler) SetLimit(now time.Duration, head string, perSecond float64, random func() float64) []Decision {
+	meter := s.meters[head]
+	if meter == nil {
+		meter = quota.NewMeter(now, perSecond)
+		meter.SetConfirmed(now, !s.unconfirmed)
+		s.meters[head] = meter
+	}
+	meter.SetLimit(now, perSecond)
+	return s.serveQueueOf(now, head, random)
+}
+
+// ClearLimit ends the limit of a head, and returns the decisions that this makes possible.
+func (s *Scheduler) ClearLimit(now time.Duration, head string, random func() float64) []Decision {
+	delete(s.meters, head)
+	return s.serveQueueOf(now, head, random)
+}
+
+func (s *Scheduler) serveQueueOf(now time.Duration, head string, random func() float64) []Decision {
+	g := s.groups[head]
+	if g == nil || g.Model == "" {
+		return nil
+	}
+	return s.serveQueue(now, g.Model, random)
+}
+
+// SetConfirmed sets whether it is confirmed that no other scheduler grants turns. While it is not, heads with a limit are granted fewer.
+func (s *Scheduler) SetConfirmed(now time.Duration, confirmed bool) {
+	if s.unconfirmed == !confirmed {
+		return
+	}
+	s.unconfirmed = !confirmed
+	for _, meter := range s.meters {
+		meter.SetConfirmed(now, confirmed)
+	}
+}
+
+// limits describes the limits of the available heads of a model.
+func (s *Scheduler) limits(name string) (found Limits) {
+	lowest := 0.0
+	for _, g := range s.groups {
+		meter := s.meters[g.Head]
+		if meter == nil || g.removed || g.Model != name {
+			continue
+		}
+		rate := meter.Rate()
+		if found.Heads == 0 || rate < lowest || rate == lowest && g.Head < found.Lowest {
+			found.Lowest, lowest = g.Head, rate
+		}
+		found.Heads++
+		found.PerSecond += rate
+	}
+	return found
+}
+
+// promise returns when a place is promised to the caller of a rejected request of a model with limited heads; 0 if it has none. Each caller is
+// told the next place after those promised to others: told the same time, they would return together, and nearly all would be rejected again.
+func (s *Scheduler) promise(now time.Duration, request Request, d Decision) time.Duration {
+	if d.Limits.Heads == 0 || request.Optional {
+		return 0
+	}
+	m := s.model(request.Model)
+	next := max(m.promisedUntil, now+s.expectedWait(request.Model, d.Waiting))
+	m.promisedUntil = min(next+s.expectedWait(request.Model, 0), now+maxPromise)
+	return next - now
+}
--- a/policy/turns/turns.go
+++ b/policy/turns/turns.go
@@ -27,6 +27,7 @@
 	"time"
 
 	"github.com/skylarkpond/skylarkpond/policy/capacity"
+	"github.com/skylarkpond/skylarkpond/policy/quota"
 )
 
 // Group is one replica that serves requests.
@@ -47,6 +48,8 @@
 	FirstTokenBudget time.Duration
 	// MaxWait is the longest time that the request may wait for its turn.
 	MaxWait time.Duration
+	// Optional is set if the request is served otherwise unless it is granted a turn at once. It then never waits, and does not count as demand.
+	Optional bool
 	// Priority is 0 for the most urgent requests.
 	Priority int
 	// Fingerprint is the same for all attempts of one request; 0 if there is none.
@@ -86,6 +89,19 @@
 	// Running, Waiting and Slots are the state of the model that a rejection was based on: requests in progress,
 	// requests queued, and slots.
 	Running, Waiting, Slots int
+	// Metered is set for a turn at a head that takes a limited number of requests a second.
+	Metered bool
+	// Limits describes the limits of the heads that a rejected request could have been sent to.
+	Limits Limits
+}
+
+// Limits describes the available heads of a model that take a limited number of requests a second.
+type Limits struct {
+	// Heads is their number, and PerSecond what they take together.
+	Heads     int
+	PerSecond float64
+	// Lowest is the one that takes least.
+	Lowest string
 }
 
 // Config holds the thresholds of a Scheduler.
@@ -121,6 +137,10 @@
 	models map[string]*modelQueue
 	// turns holds the granted turns by key.
 	turns map[string]turn
+	// meters holds those of the heads that take a limited number of requests a second. unconfirmed is set while another scheduler may grant
+	// turns as well.
+	meters      map[string]*quota.Meter
+	unconfirmed bool
 	// rejectedAt holds the time of each rejection by fingerprint.
 	rejectedAt map[uint64]time.Duration
 }
@@ -139,6 +159,8 @@
 type turn struct {
 	head      string
 	grantedAt time.Duration
+	// meter is the one that permitted the turn; nil if the head had no limit.
+	meter *quota.Meter
 }
 
 // modelQueue is the queue of requests for one model.
@@ -152,6 +174,11 @@
 	// that are not retries, and totalSize sums their sizes.
 	requests, granted, rejected, newRequests int
 	totalSize                                capacity.RequestSize
+	// urgent is the most urgent priority of the requests of late, last seen at urgentAt.
+	urgent   int
+	urgentAt time.Duration
+	// promisedUntil is the time up to which places were promised to the callers of rejected requests, while heads are limited.
+	promisedUntil time.Duration
 }
 
 type queuedRequest struct {
@@ -163,7 +190,7 @@
 func New(config Config) *Scheduler {
 	return &Scheduler{
 		config: config, groups: make(map[string]*group), models: make(map[string]*modelQueue), turns: make(map[string]turn),
-		rejectedAt: make(map[uint64]time.Duration),
+		meters: make(map[string]*quota.Meter), rejectedAt: make(map[uint64]time.Duration),
 	}
 }
 
@@ -202,6 +229,10 @@
 func (s *Scheduler) Submit(now time.Duration, request Request, random func() float64) []Decision {
 	m := s.model(request.Model)
 	request = s.markRetry(now, request)
+	m.notePriority(now, request)
+	if request.Optional {
+		return []Decision{s.grantOrReject(now, m, request, random)}
+	}
 	m.countRequest(request)
 	if g := s.bestGroup(now, request); g != nil && len(m.queue) == 0 {
 		return []Decision{s.grant(now, g, request.Key, request.Size)}
@@ -216,6 +247,14 @@
 	return s.serveQueue(now, request.Model, random)
 }
 
+// grantOrReject decides at once on an optional request.
+func (s *Scheduler) grantOrReject(now time.Duration, m *modelQueue, request Request, random func() float64) Decision {
+	if g := s.bestGroup(now, request); g != nil && len(m.queue) == 0 {
+		return s.grant(now, g, request.Key, request.Size)
+	}
+	return s.rejection(now, request, TooLate, random)
+}
+
 // precedes reports whether r is served before other, which arrived earlier.
 func (r Request) precedes(other Request) bool {
 	if r.Priority != other.Priority {
@@ -263,11 +302,25 @@
 
 // expectedWait estimates how long a request waits behind others: slots become free at the rate at which turns end.
 func (s *Scheduler) expectedWait(name string, ahead int) time.Duration {
-	_, slots := s.slots(name)
-	if slots == 0 {
+	perSecond := 0.0
+	for _, g := range s.groups {
+		if !g.removed && g.Model == name {
+			perSecond += s.turnRate(g)
+		}
+	}
+	if perSecond == 0 {
 		return s.config.GroupFormationTime
 	}
-	return time.Duration(ahead+1) * s.model(name).meanTurnTime / time.Duration(slots)
+	return time.Duration(float64(ahead+1) / perSecond * float64(time.Second))
+}
+
+// turnRate returns how many turns a second end at a fully used group, as far as its limit permits them.
+func (s *Scheduler) turnRate(g *group) float64 {
+	rate := float64(g.Engine.Slots) / s.model(g.Model).meanTurnTime.Seconds()
+	if meter := s.meters[g.Head]; meter != nil {
+		return min(rate, meter.Rate())
+	}
+	return rate
 }
 
 // slots returns the number of running requests and of slots over the available groups of a model.
@@ -285,22 +338,32 @@
 	g.running++
 	g.prefillDoneAt = max(now, g.prefillDoneAt) + g.Engine.PrefillTime(size.PromptTokens)
 	s.model(g.Model).granted++
-	s.turns[key] = turn{head: g.Head, grantedAt: now}
-	return Decision{Key: key, Head: g.Head}
+	meter := s.meters[g.Head]
+	if meter != nil {
+		meter.Take(now)
+	}
+	s.turns[key] = turn{head: g.Head, grantedAt: now, meter: meter}
+	return Decision{Key: key, Head: g.Head, Metered: meter != nil}
 }
 
 func (s *Scheduler) reject(now time.Duration, request Request, reason Reason, random func() float64) Decision {
 	s.rejectedAt[request.Fingerprint] = now
 	s.model(request.Model).rejected++
+	return s.rejection(now, request, reason, random)
+}
+
+// rejection returns the decision to reject a request.
+func (s *Scheduler) rejection(now time.Duration, request Request, reason Reason, random func() float64) Decision {
 	d := Decision{Key: request.Key, Reason: reason}
 	d.Running, d.Slots = s.slots(request.Model)
+	d.Limits = s.limits(request.Model)
 	d.Waiting = len(s.model(request.Model).queue)
 	jitter := time.Duration(random() * float64(s.config.RetryAfterJitter))
 	switch reason {
 	case NoGroup, TriedAll:
 		d.RetryAfter = s.config.GroupFormationTime + jitter
 	default:
-		d.RetryAfter = max(s.config.MinRetryAfter, s.expectedWait(request.Model, d.Waiting)) + jitter
+		d.RetryAfter = max(s.config.MinRetryAfter, s.expectedWait(request.Model, d.Waiting), s.promise(now, request, d)) + jitter
 	}
 	return d
 }
@@ -312,6 +375,8 @@
 	Complete bool
 	// FirstToken is the time from the grant of the turn to the first token; 0 if none came.
 	FirstToken time.Duration
+	// Unsent is set if the request was not sent to the head.
+	Unsent bool
 }
 
 // Done ends a turn, or removes a waiting request, and returns the decisions that this makes possible.
@@ -321,6 +386,9 @@
 		s.dequeue(key)
 		return nil
 	}
+	if end.Unsent && t.meter != nil {
+		t.meter.GiveBack(now)
+	}
 	g := s.release(key)
 	if g == nil || g.Model == "" {
 		return nil // the turn was granted by a previous scheduler, and the group has not been listed since
--- a/test/cooperative/limits_test.go
+++ b/test/cooperative/limits_test.go
@@ -42,7 +42,7 @@
 func expectWithinLimit(servers ...*replica.Server) {
 	GinkgoHelper()
 	for _, server := range servers {
-		worst, found := server.WorstExcess(stableWindow)
+		worst, found := server.WorstExcess(stableWindow, nil)
 		GinkgoWriter.Printf("%s got %d of %.1f allowed in its worst 4 s\n", server.ID(), worst.Got, worst.Allowed)
 		if found {
 			Expect(worst.Over()).To(BeFalse(), "%+v", worst)
--- a/test/cooperative/soak_test.go
+++ b/test/cooperative/soak_test.go
@@ -65,6 +65,8 @@
 	cutRandom *rand.Rand
 	// crashRandom draws the requests of crashingLane, which alone uses it.
 	crashRandom *rand.Rand
+	// limitRandom draws the limits of limitLane, which alone uses it.
+	limitRandom *rand.Rand
 	problems    []string
 	lines       []string
 	// refused are the requests that were told not to have run; bookings are those that may run once.
@@ -197,6 +199,7 @@
 	}
 	running.Go(s.isolationLane)
 	running.Go(s.crashingLane)
+	running.Go(s.limitLane)
 	running.Wait()
 	s.judgeEnd()
 }
@@ -208,6 +211,7 @@
 	GinkgoWriter.Printf("told: %v\n", s.told)
 	s.judgeLeaving()
 	s.judgeCrashes()
+	s.judgeLimits()
 	Expect(s.problems).To(BeEmpty())
 	Expect(s.world.Violations()).To(BeEmpty())
 	for _, id := range s.refused {
@@ -232,7 +236,8 @@
 			p := newPond(soakEntries, soakEngines)
 			p.awaitServing(soakEngines / groupSize)
 			s := &soak{
-				pond: p, random: rand.New(rand.NewPCG(seed, 0)), cutRandom: rand.New(rand.NewPCG(seed, 1)), crashRandom: rand.New(rand.NewPCG(seed, 2)), told: make(map[string]int), busy: make(map[any]bool),
+				pond: p, random: rand.New(rand.NewPCG(seed, 0)), cutRandom: rand.New(rand.NewPCG(seed, 1)), crashRandom: rand.New(rand.NewPCG(seed, 2)),
+				limitRandom: rand.New(rand.NewPCG(seed, 3)), told: make(map[string]int), busy: make(map[any]bool),
 				faults: make(map[any][]faultTime),
 			}
 			s.play(time.Duration(fromEnvironment("POND_SOAK_SECONDS", soakSeconds)) * time.Second)
--- a/test/cooperative/troubles_test.go
+++ b/test/cooperative/troubles_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -116,6 +117,54 @@
 	}
 }
 
+// limitLane has one server after the other name limits that come, change and go, up to three servers at a time. It draws from a source of its own, so
+// that the other troubles stay those of the seed.
+func (s *soak) limitLane() {
+	some := func(least, most int) time.Duration {
+		return time.Duration(least+s.limitRandom.IntN(most-least)) * time.Millisecond
+	}
+	values := [][]string{{"0"}, {"0.4"}, {"1"}, {"2"}, {"5"}, {"20"}, {"2", "7"}, {"abc"}, {""}, {}, {}}
+	var limited []*replica.Server
+	for time.Now().Before(s.ends) {
+		time.Sleep(some(200, 1500))
+		if len(limited) < 3 {
+			server := s.desks[s.limitRandom.IntN(len(s.desks))]
+			if heads := s.openHeads(); len(heads) > 0 && s.limitRandom.IntN(2) == 0 {
+				server = heads[s.limitRandom.IntN(len(heads))]
+			}
+			limited = append(limited, server)
+		}
+		drawn := s.limitRandom.IntN(len(limited))
+		value := values[s.limitRandom.IntN(len(values))]
+		s.note("%s names the limit %q", limited[drawn].ID(), value)
+		limited[drawn].NameLimit(value...)
+		if len(value) == 0 {
+			limited = slices.Delete(limited, drawn, drawn+1)
+		}
+	}
+	for _, server := range limited {
+		server.NameLimit()
+	}
+}
+
+// judgeLimits notes the servers that got more than their limits allow from entries without a fault, at times at which the way to them had none.
+func (s *soak) judgeLimits() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, server := range s.world.Servers() {
+		worst, found := server.WorstExcess(stableWindow, func(request string, at time.Time) bool {
+			entry := s.senderOf(request)
+			return entry != nil && s.calmFrom(entry, at, at) && s.calmFrom(s.proxies[server.ID()], at, at)
+		})
+		if found {
+			GinkgoWriter.Printf("%s got %d of %.1f allowed in its worst 4 s\n", server.ID(), worst.Got, worst.Allowed)
+		}
+		if worst.Over() {
+			s.problems = append(s.problems, fmt.Sprintf("more than its limit allows reached %s: %d of %.1f from %s on", worst.Server, worst.Got, worst.Allowed, worst.From.Format("05.000")))
+		}
+	}
+}
+
 // judgeCrashes notes requests with the part that crashes servers that entries without a fault have sent long after the fifth crash, if there are more
 // than a few.
 func (s *soak) judgeCrashes() {
