entry/admission, link/engine: the product's own interface keeps to what a backend server states

All requests of a group pass through its home, so the limit is kept there: a response with Skylarkpond-Rate-Limit sets it for the group's queue, by the same Meter and Ledger as the leader's. A home that takes a group over learns it from the first answer.

The header is decoded in link/ratelimit, for both interfaces.

Not covered: a place of a request that was admitted and never sent is not given back, and two homes of one group, for as long as both take themselves for it, each keep to the limit.

--- a/entry/admission/admission.go
+++ b/entry/admission/admission.go
@@ -22,6 +22,7 @@
 	"github.com/skylarkpond/skylarkpond/entry/home"
 	"github.com/skylarkpond/skylarkpond/policy/fairqueue"
 	"github.com/skylarkpond/skylarkpond/policy/limit"
+	"github.com/skylarkpond/skylarkpond/policy/quota"
 	"github.com/skylarkpond/skylarkpond/vm"
 )
 
@@ -151,10 +152,13 @@
 
 // group holds the queue and the concurrency limit of one group.
 type group struct {
-	mu         sync.Mutex // guards the fields below
-	queue      *fairqueue.Queue
-	limit      *limit.Limit
-	config     limit.Config
+	mu     sync.Mutex // guards the fields below
+	queue  *fairqueue.Queue
+	limit  *limit.Limit
+	config limit.Config
+	// rate is what the group's head states of the requests a second that it takes, and meter permits no more; nil without a limit.
+	rate       *quota.Ledger
+	meter      *quota.Meter
 	waiting    map[string]*permit
 	firstToken average
 	tokenGap   average
@@ -162,7 +166,7 @@
 }
 
 func newGroup(service settings.Service) *group {
-	g := &group{waiting: make(map[string]*permit)}
+	g := &group{waiting: make(map[string]*permit), rate: quota.NewLedger(0)}
 	config := fairqueue.Config{MaxWait: service.QueueTimeout}
 	if service.Kind == settings.PlainService {
 		config = config.ForPlain(service.FirstTokenObjective)
@@ -191,11 +195,11 @@
 	defer g.mu.Unlock()
 	g.lastUsed = now
 	g.setConfig(request.Service)
-	g.applyLimit()
+	g.applyLimit(now)
 	verdict := g.queue.Offer(now, queueItem(now, request, p.id))
 	switch verdict.Decision {
 	case fairqueue.Admitted:
-		p.start(now, g.queue.Running())
+		g.start(now, p)
 	case fairqueue.Queued:
 		p.decided = make(chan struct{})
 		g.waiting[p.id] = p
@@ -220,9 +224,21 @@
 	return q
 }
 
+// start must be called with g.mu held.
+func (g *group) start(now time.Duration, p *permit) {
+	if g.meter != nil {
+		g.meter.Take(now)
+	}
+	p.start(now, g.queue.Running(), g.rateVersion())
+}
+
 // applyLimit must be called with g.mu held.
-func (g *group) applyLimit() {
-	g.queue.SetLimit(g.limit.Current())
+func (g *group) applyLimit(now time.Duration) {
+	current := g.limit.Current()
+	if g.meter != nil {
+		current = min(current, g.queue.Running()+g.meter.Permitted(now))
+	}
+	g.queue.SetLimit(current)
 	g.queue.SetStartLimit(g.limit.Starting())
 }
 
@@ -231,15 +247,15 @@
 func (g *group) admit(now time.Duration) (empty bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.applyLimit()
 	for {
+		g.applyLimit(now)
 		item, ok := g.queue.Next(now)
 		if !ok {
 			break
 		}
 		p := g.waiting[item.ID]
 		delete(g.waiting, item.ID)
-		p.start(now, g.queue.Running())
+		g.start(now, p)
 		close(p.decided)
 	}
 	g.refuseExpired(now)
--- a/entry/admission/turn.go
+++ b/entry/admission/turn.go
@@ -23,6 +23,8 @@
 	expired        bool
 	admittedAt     time.Duration
 	runningAtStart int
+	// rateVersion is that of the group's rate limit when the request was admitted; 0 for none.
+	rateVersion uint64
 	// lastToken is when the last token arrived, and tokens the number of tokens so far.
 	lastToken time.Duration
 	tokens    int
@@ -31,8 +33,9 @@
 }
 
 // start must be called with the group's mutex held.
-func (p *permit) start(now time.Duration, running int) {
+func (p *permit) start(now time.Duration, running int, rateVersion uint64) {
 	p.admittedAt = now
+	p.rateVersion = rateVersion
 	p.runningAtStart = running
 }
 
--- a/entry/front/fakes_test.go
+++ b/entry/front/fakes_test.go
@@ -471,8 +471,11 @@
 type fakePermit struct{}
 
 func (fakePermit) FirstToken() {}
-func (fakePermit) Token(int)   {}
-func (fakePermit) Done()       {}
+
+func (fakePermit) RateLimit(*float64) bool { return false }
+
+func (fakePermit) Token(int) {}
+func (fakePermit) Done()     {}
 
 // Probe reports that the backend server is alive, so that a broken answer does not count as a crash.
 func (b *backend) Probe(context.Context, string) (engine.State, error) { return engine.State{}, nil }
--- a/entry/home/home.go
+++ b/entry/home/home.go
@@ -63,6 +63,9 @@
 	FirstToken()
 	// Token reports the tokens of each event, including the first.
 	Token(count int)
+	// RateLimit reports how many requests a second the group's head takes, as the answer states; nil for no limit. It returns whether that
+	// changes the limit of the group.
+	RateLimit(perSecond *float64) (changed bool)
 	Done()
 }
 
--- a/entry/home/home_test.go
+++ b/entry/home/home_test.go
@@ -63,8 +63,11 @@
 type fakePermit struct{}
 
 func (fakePermit) FirstToken() {}
-func (fakePermit) Token(int)   {}
-func (fakePermit) Done()       {}
+
+func (fakePermit) RateLimit(*float64) bool { return false }
+
+func (fakePermit) Token(int) {}
+func (fakePermit) Done()     {}
 
 // The settings that a front works by reach the home a moment later. The caller of a service that was just declared was told
 // that there is no such service, and to correct its request.
--- a/entry/home/lines.go
+++ b/entry/home/lines.go
@@ -17,6 +17,7 @@
 	msgClaimAbandoned   = "claim abandoned: request refused before it was sent"
 	msgClaimReleased    = "claim released"
 	msgClaimNotReleased = "claim could not be released"
+	msgRateLimit        = "backend server states another limit of requests"
 )
 
 func (r *run) log() logrus.FieldLogger {
@@ -33,6 +34,12 @@
 	return fmt.Sprintf("%d in flight, limit %d, %d queued", load.InFlight, load.Limit, load.Queued)
 }
 
+// reportRateLimit logs that the group takes another number of requests a second; nil for no limit.
+func (r *run) reportRateLimit(perSecond *float64) {
+	r.home.count("home.rate_limit.changes")
+	r.log().WithField("per_second", perSecond).Info(msgRateLimit)
+}
+
 // reportClaim reports the result of a claim and counts it in the metric "home.claim.<verdict>".
 func (r *run) reportClaim(result attempt.Result) {
 	r.home.count("home.claim." + result.Verdict.String())
--- a/entry/home/send.go
+++ b/entry/home/send.go
@@ -19,7 +19,14 @@
 func (r *run) target() engine.Target {
 	return engine.Target{
 		Address: r.group.Head().Address, RequestID: r.d.RequestID, Group: r.group.ID, Epoch: r.group.Epoch,
-		Priority: r.d.Priority, ResumeFrom: r.d.ResumeFrom, Service: r.d.Service,
+		Priority: r.d.Priority, ResumeFrom: r.d.ResumeFrom, Service: r.d.Service, RateLimit: r.observeRateLimit,
+	}
+}
+
+// observeRateLimit applies the limit that an answer states to all requests of the group. They all pass through this home.
+func (r *run) observeRateLimit(perSecond *float64) {
+	if r.permit.RateLimit(perSecond) {
+		r.reportRateLimit(perSecond)
 	}
 }
 
--- a/link/engine/client.go
+++ b/link/engine/client.go
@@ -18,6 +18,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/skylarkpond/skylarkpond/link/ratelimit"
 )
 
 // HTTPClient implements Client over HTTP/1.1.
@@ -164,6 +166,7 @@
 		cancel()
 		return nil, err
 	}
+	target.observe(response.Header)
 	if response.StatusCode != http.StatusOK {
 		defer cancel()
 		defer response.Body.Close()
@@ -185,6 +188,7 @@
 	if err != nil {
 		return nil, err
 	}
+	target.observe(response.Header)
 	if response.Header.Get(HeaderRefused) != "" {
 		defer response.Body.Close()
 		return nil, responseError(response)
@@ -192,6 +196,14 @@
 	return response, nil
 }
 
+// observe passes on the limit that the header of a response states.
+func (t Target) observe(header http.Header) {
+	limit, invalid := ratelimit.Decode(header.Values(HeaderRateLimit))
+	if t.RateLimit != nil && (limit != nil || invalid == "") {
+		t.RateLimit(limit)
+	}
+}
+
 func (t Target) setHeader(header http.Header) {
 	header.Set(HeaderRequest, t.RequestID)
 	header.Set(HeaderGroup, string(t.Group))
--- a/link/engine/engine.go
+++ b/link/engine/engine.go
@@ -34,6 +34,8 @@
 	// HeaderRefused marks a response to a request that was not run and will not be run; its value is the reason.
 	// It distinguishes a refusal from a plain service's own 409 or 503, which is a regular response.
 	HeaderRefused = "Skylarkpond-Refused"
+	// HeaderRateLimit is in responses of a server in need: the number of requests a second that it takes, a decimal number.
+	HeaderRateLimit = "Skylarkpond-Rate-Limit"
 )
 
 // State is a backend server's response to a probe.
@@ -121,6 +123,7 @@
 	Content string `json:"content"`
 }
 
+// Target is where a request is sent, and what it carries.
 type Target struct {
 	Address    string
 	RequestID  string
@@ -129,6 +132,9 @@
 	Priority   int
 	ResumeFrom uint64
 	Service    string
+	// RateLimit is called with what the header of the response states, before Complete or Call returns: the requests a second that the server
+	// takes; nil for no limit. It is not called for a limit that can't be read. It may be nil.
+	RateLimit func(perSecond *float64)
 }
 
 // Errors returned by a Client.
--- a/link/engine/engine_test.go
+++ b/link/engine/engine_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -116,6 +117,36 @@
 		Expect(err).To(MatchError(engine.ErrInterrupted))
 	})
 
+	It("passes on the limit that a response states, also that of a refusal", func() {
+		values, refused := []string{"2.5"}, false
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header()[engine.HeaderRateLimit] = values
+			if refused {
+				w.Header().Set(engine.HeaderRefused, "full")
+			}
+		}))
+		defer server.Close()
+		var stated []*float64
+		target := engine.Target{
+			Address: strings.TrimPrefix(server.URL, "http://"), RateLimit: func(perSecond *float64) { stated = append(stated, perSecond) },
+		}
+		call := func() {
+			response, err := client.Call(ctx, target, http.MethodGet, "/x", nil, nil)
+			if err == nil {
+				_ = response.Body.Close()
+			}
+		}
+		call()
+		values = nil
+		call()
+		values = []string{"abc"}
+		call()
+		values, refused = []string{"1"}, true
+		call()
+		limit := func(value float64) *float64 { return &value }
+		Expect(stated).To(Equal([]*float64{limit(2.5), nil, limit(1)}))
+	})
+
 	It("unblocks a read on Close or Cancel, and the engine cancels the request", func() {
 		host, v := start("")
 		target := loadGroup(client, host, v)
--- a/policy/quota/quota.go
+++ b/policy/quota/quota.go
@@ -96,6 +96,12 @@
 	return m.level >= fullRequest
 }
 
+// Permitted returns how many requests are permitted now.
+func (m *Meter) Permitted(now time.Duration) int {
+	m.advance(now)
+	return int(m.level + 1 - fullRequest)
+}
+
 // Take uses the permission for one request.
 func (m *Meter) Take(now time.Duration) {
 	m.advance(now)
