policy/turns, entry/leader: heads that take few requests for long count as missing groups

A model whose heads name limits one after the other has lost capacity, but its groups stood and had free slots, so that the plan of groups took it for well supplied. A head that has had its limit for 10 s now counts as the part of a group that it can't serve; shorter limits are over before another group has loaded its weights.

--- a/entry/leader/demand.go
+++ b/entry/leader/demand.go
@@ -58,6 +58,11 @@
 	if !known {
 		return
 	}
+	if groups > 0 {
+		// Heads that take few requests for long are missing like groups.
+		groupRate := float64(demand.NewRequests) / demandInterval.Seconds() / groups
+		groups += l.turns.LimitedGroups(l.now(), demand.Model, groupRate)
+	}
 	if l.demand[demand.Model] == nil {
 		l.demand[demand.Model] = &modelDemand{}
 	}
--- a/policy/quota/quota.go
+++ b/policy/quota/quota.go
@@ -40,10 +40,17 @@
 	// level is the number of requests that were permitted at the time at, with fractions.
 	level float64
 	at    time.Duration
+	// since is when the meter was made.
+	since time.Duration
 }
 
 // NewMeter returns a meter for a limit in requests a second.
-func NewMeter(now time.Duration, perSecond float64) *Meter { return &Meter{limit: perSecond, at: now} }
+func NewMeter(now time.Duration, perSecond float64) *Meter {
+	return &Meter{limit: perSecond, at: now, since: now}
+}
+
+// Age returns how long requests have been metered.
+func (m *Meter) Age(now time.Duration) time.Duration { return now - m.since }
 
 // SetLimit changes the limit. What was saved up under a higher one is lost.
 func (m *Meter) SetLimit(now time.Duration, perSecond float64) {
--- a/policy/turns/limits.go
+++ b/policy/turns/limits.go
@@ -79,6 +79,23 @@
 	return found
 }
 
+// limitAge is how long a head must have had a limit until it counts as a loss of capacity. Shorter than that, a limit is over before another group
+// has loaded its weights.
+const limitAge = 10 * time.Second
+
+// LimitedGroups returns how many of a model's groups its limits take away: a group that may serve a third of the requests a second that it could is
+// two thirds of a group less. groupRate is what a group serves without a limit.
+func (s *Scheduler) LimitedGroups(now time.Duration, name string, groupRate float64) float64 {
+	missing := 0.0
+	for _, g := range s.groups {
+		meter := s.meters[g.Head]
+		if meter != nil && !g.removed && g.Model == name && meter.Age(now) >= limitAge {
+			missing += max(0, 1-meter.Rate()/groupRate)
+		}
+	}
+	return missing
+}
+
 // promise returns when a place is promised to the caller of a rejected request of a model with limited heads; 0 if it has none. Each caller is
 // told the next place after those promised to others: told the same time, they would return together, and nearly all would be rejected again.
 func (s *Scheduler) promise(now time.Duration, request Request, d Decision) time.Duration {
--- a/policy/turns/limits_test.go
+++ b/policy/turns/limits_test.go
@@ -129,4 +129,15 @@
 		s.Done(at, "first", turns.End{Unsent: true}, constantRandom)
 		Expect(s.Submit(at, newRequest("second"), constantRandom)[0].Reason).To(Equal(turns.Granted))
 	})
+
+	// A model whose heads take few requests for long lacks groups, although these stand and have free slots.
+	It("count as missing groups once they have had their limits for long", func() {
+		s.SetLimit(0, "head0", 2, constantRandom)
+		s.SetLimit(5*time.Second, "head1", 0, constantRandom)
+		Expect(s.LimitedGroups(9*time.Second, "m", 8)).To(BeZero())
+		Expect(s.LimitedGroups(11*time.Second, "m", 8)).To(BeNumerically("~", 0.75, 1e-9))
+		Expect(s.LimitedGroups(16*time.Second, "m", 8)).To(BeNumerically("~", 1.71875, 1e-9))
+		Expect(s.LimitedGroups(16*time.Second, "m", 1)).To(BeNumerically("~", 0.75, 1e-9))
+		Expect(s.LimitedGroups(16*time.Second, "other", 8)).To(BeZero())
+	})
 })
