entry/front: a request waits for a moment for a home if its entry has just ceased to know any

Cause: the entry that was cut off is told that the others held it dead. It then holds itself stale, knows no live entry and computes no home until one of the others has answered. The wait for agreement (AwaitAgreement) covers refusals by entries that are not the home; an entry without any to ask told home-lost at once, for one group after the other.

The spec of entry/front forces that view: none live for 0.3 s, since 20 ms. It failed before (not-run at once), and is answered now. A front whose view has been settled for a second refuses at once as before. Ruled out: the entries asked (the refusal came without asking any).

--- a/entry/front/drive.go
+++ b/entry/front/drive.go
@@ -175,6 +175,9 @@
 			return d.machine.HandleNoDispatch(p)
 		}
 	}
+	if d.home == "" {
+		d.home, _ = d.awaitAgreement(ctx)
+	}
 	if d.home == "" {
 		d.reportHomeLost(ErrNotSent)
 		return d.machine.HandleHomeLost(true)
@@ -224,7 +227,7 @@
 	return true
 }
 
-// awaitAgreement waits until an entry may be asked again for the group, and returns it.
+// awaitAgreement waits until an entry may be asked, or asked again, for the group, and returns it.
 func (d *driver) awaitAgreement(ctx context.Context) (next string, ok bool) {
 	for !ok {
 		_, age := d.front.deps.Homes.Eligible()
