--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -184,8 +184,7 @@
 		e.tried = append(e.tried, t.Server.ID)
 		answer, err := e.send(t, last)
 		if errors.Is(err, upstream.ErrNotSent) {
-			t.Done(turn.Result{Unreachable: true})
-			e.unreachable++
+			e.endUnreachable(t)
 			continue
 		}
 		e.attempts++
