--- a/entry/relay/exchange.go
+++ b/entry/relay/exchange.go
@@ -255,7 +255,7 @@
 	e.tried = append(e.tried, t.Server.ID)
 	answer, err := e.send(t, "")
 	if errors.Is(err, upstream.ErrNotSent) {
-		e.endUnreachable(t)
+		t.Done(turn.Result{Unreachable: true})
 		return e.doneAfterUnsent()
 	}
 	if e.attempts == 0 {
@@ -288,16 +288,6 @@
 	return true
 }
 
-// endUnreachable ends a turn whose server could not be reached. A head that has crashed stays registered for seconds; the leader would go on to grant
-// turns at it, and each of its requests would be lost on the way.
-func (e *exchange) endUnreachable(t *turn.Turn) {
-	e.unreachable++
-	if e.ctx.Err() == nil && e.route.Kind == route.Streaming {
-		t.ReportStall()
-	}
-	t.Done(turn.Result{Unreachable: true})
-}
-
 // decode decodes the header of a server's answer, and passes on what the server states of itself.
 func (e *exchange) decode(t *turn.Turn, answer *upstream.Response) platform.ResponseInfo {
 	decoded := platform.DecodeResponse(answer.Status, answer.Header)
@@ -387,6 +377,7 @@
 // doneAfterUnsent reports whether the request is done after a failed connection attempt. Nothing was sent, so another server is tried
 // without drawing on the retry budget.
 func (e *exchange) doneAfterUnsent() bool {
+	e.unreachable++
 	if e.ctx.Err() == nil && e.mayPassOn() {
 		return false
 	}
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -506,17 +506,6 @@
 		Expect(got.body).To(Equal(whole(1, 6)))
 	})
 
-	// Heads that have crashed are registered for seconds. The leader granted one turn after the other at them.
-	It("reports servers of streams that can't be reached, and goes on elsewhere", func() {
-		r := newHarness(replica.Config{Slots: 8, Events: 3, EventInterval: time.Millisecond}, 3)
-		r.servers[0].Crash()
-		r.servers[1].Crash()
-		Expect(r.send(r.request(http.MethodPost, "/chat/x", "a1")).status).To(Equal(http.StatusOK))
-		Expect(r.turns.stalls).To(Equal(2))
-		Expect(r.turns.ended()).To(HaveLen(3))
-		Expect(r.turns.ended()[0].Unreachable).To(BeTrue())
-	})
-
 	// A server crashes in the middle of an event, or stalls because its group has lost a member. The caller would get half of an
 	// event, wait in vain, or find an event missing or duplicated.
 	DescribeTable("resumes a stream at another server after its last complete event, as one answer of the first server",
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -184,7 +184,8 @@
 		e.tried = append(e.tried, t.Server.ID)
 		answer, err := e.send(t, last)
 		if errors.Is(err, upstream.ErrNotSent) {
-			e.endUnreachable(t)
+			t.Done(turn.Result{Unreachable: true})
+			e.unreachable++
 			continue
 		}
 		e.attempts++
