entry/front: a request waits for a moment for a home while its entry trusts nothing that it knows

The entry whose cut was mended may have had its view for longer: it ceases to trust it when it is told that the others held it dead, and the age stays that of the view before. While an entry that knows itself to be alone, and trusts that, still refuses at once.

--- a/entry/front/drive.go
+++ b/entry/front/drive.go
@@ -176,6 +176,8 @@
 		}
 	}
 	if d.home == "" {
+		names, _ := d.front.deps.Homes.Eligible()
+		d.noHomeKnown = len(names) == 0 // this entry trusts nothing that it knows, until another one has answered
 		d.home, _ = d.awaitAgreement(ctx)
 	}
 	if d.home == "" {
--- a/entry/front/front_test.go
+++ b/entry/front/front_test.go
@@ -496,16 +496,15 @@
 		Expect(time.Since(began)).To(BeNumerically("<", 2*shift.MaxAgreement))
 	})
 
-	// The entry itself was cut off. Told that the others hold it dead, it knows no live entry and no home until one of them has answered, while its
+	// The entry itself was cut off. Told that the others hold it dead, it trusts nothing that it knows until one of them has answered, while its
 	// callers come.
-	It("waits a moment for a home if it has just ceased to know any live entry", func() {
-		f.viewAge = 20 * time.Millisecond
-		f.noneLiveUntil = time.Now().Add(300 * time.Millisecond)
+	It("waits a moment for a home while it trusts nothing that it knows", func() {
+		f.staleUntil = time.Now().Add(300 * time.Millisecond)
 		Expect(complete(f.fronts[0], true).outcome).To(Equal(answered))
-		f.noneLiveUntil = time.Now().Add(300 * time.Millisecond)
+		f.staleUntil = time.Now().Add(300 * time.Millisecond)
 		Expect(book(f.fronts[0], "lot-7", 1).outcome).To(Equal(answered))
 		Expect(f.backend.count("lot-7")).To(Equal(1))
-		f.noneLive = true
+		f.staleUntil = time.Now().Add(time.Minute)
 		began := time.Now()
 		Expect(complete(f.fronts[0], true).code).To(Equal(contract.CodeHomeLost))
 		Expect(time.Since(began)).To(BeNumerically("<", 2*shift.MaxAgreement))
