--- a/logline/logline_test.go
+++ b/logline/logline_test.go
@@ -30,6 +30,9 @@
 {"entry":"e-2","msg":"group-dissolved","group":"vm-10~10.0.0.2:1~b@3","vm":"vm-10","model":"small","time":"2026-01-01T00:00:09.400Z"}
 {"entry":"e-2","msg":"group-opened","group":"vm-1~10.0.0.1:1~c@4","model":"large","time":"2026-01-01T00:00:11.000Z"}
 {"entry":"e-2","msg":"group-opened","group":"vm-1~10.0.0.1:1~d@9","model":"large","time":"2026-01-01T00:01:00.000Z"}
+{"entry":"e-2","msg":"limit of a backend server in force","service":"desk","vm":"desk-1","per_second":2,"time":"2026-01-01T00:00:07.000Z"}
+{"entry":"e-2","msg":"limit of a backend server in force","service":"other","vm":"other-1","per_second":2,"time":"2026-01-01T00:00:07.000Z"}
+{"entry":"e-1","msg":"request ended","request":"limited","outcome":"refused","servers":null,"service":"desk","took_ms":1,"time":"2026-01-01T00:00:07.500Z"}
 {"entry":"e-2","msg":"demand","model":"chat/large","time":"2026-01-01T00:00:09.800Z"}
 {"entry":"e-2","msg":"demand","model":"chat/small","time":"2026-01-01T00:00:09.800Z"}
 `
@@ -53,6 +56,11 @@
 		}))
 	})
 
+	It("finds the limits of servers for a refused request of their service", func() {
+		Expect(find("limited")).To(ContainElement("e-2 limit of a backend server in force"))
+		Expect(find("unsent")).NotTo(ContainElement("e-2 limit of a backend server in force"))
+	})
+
 	It("finds the events of the groups of the model for a request that was sent to no server", func() {
 		Expect(find("unsent")).To(Equal([]string{
 			"e-1 platform lost", "e-2 group-dissolved", "e-2 demand", "e-1 request ended", "e-2 group-opened",
