--- a/entry/front/fakes_test.go
+++ b/entry/front/fakes_test.go
@@ -193,6 +193,8 @@
 	computed map[vm.GroupID]string
 	// noneLive is set while the fronts know no live entry.
 	noneLive bool
+	// noneLiveUntil is the time until which they know none.
+	noneLiveUntil time.Time
 	// staleUntil is the time until which they trust nothing that they know, as after a pause: they know no live entry and no home.
 	staleUntil time.Time
 	// viewAge is how long the fronts' view has been unchanged; 0 for a second.
@@ -281,7 +283,7 @@
 
 // Next ranks the strangers by name, behind the home that the fronts compute, and before the true one.
 func (f *fleet) Next(id vm.GroupID, asked []string, named string) (string, bool) {
-	if f.noneLive || time.Now().Before(f.staleUntil) {
+	if f.noneLive || time.Now().Before(f.noneLiveUntil) || time.Now().Before(f.staleUntil) {
 		return "", false
 	}
 	computed, ok := f.computed[id]
--- a/entry/front/front_test.go
+++ b/entry/front/front_test.go
@@ -510,6 +510,20 @@
 		Expect(time.Since(began)).To(BeNumerically("<", 2*shift.MaxAgreement))
 	})
 
+	// The entries change one after the other, and the front has lost sight of all of them a moment ago.
+	It("waits a moment for a home if it has just ceased to know any live entry", func() {
+		f.viewAge = 20 * time.Millisecond
+		f.noneLiveUntil = time.Now().Add(300 * time.Millisecond)
+		Expect(complete(f.fronts[0], true).outcome).To(Equal(answered))
+		f.noneLiveUntil = time.Now().Add(300 * time.Millisecond)
+		Expect(book(f.fronts[0], "lot-7", 1).outcome).To(Equal(answered))
+		Expect(f.backend.count("lot-7")).To(Equal(1))
+		f.noneLive = true
+		began := time.Now()
+		Expect(complete(f.fronts[0], true).code).To(Equal(contract.CodeHomeLost))
+		Expect(time.Since(began)).To(BeNumerically("<", 2*shift.MaxAgreement))
+	})
+
 	It("refuses a request at once, as not run, while it knows no live entry", func() {
 		f.noneLive = true
 		got := complete(f.fronts[0], true)
