entry/backoff, platform, link/upstream: what a server asks for in a 503 is read, logged and counted

Callers of three shedding heads got refusals, and nothing in our logs told whether an entry had read how long these wanted to be left alone. Each answer of a server, also to orders and reports, now passes one observer, which reads Retry-After of a 503. One line when a pause begins and one when it is over, with the requests that came late; metrics pauses.began, pauses.sent, pauses.late_requests, pauses.invalid.

--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/skylarkpond/skylarkpond/backend"
+	"github.com/skylarkpond/skylarkpond/entry/backoff"
 	"github.com/skylarkpond/skylarkpond/entry/catalog"
 	"github.com/skylarkpond/skylarkpond/entry/grouping"
 	"github.com/skylarkpond/skylarkpond/entry/isolation"
@@ -59,7 +60,7 @@
 
 // providePool returns the connections to backend servers, which originate from the address that the entry has for callers.
 func providePool(s *shared) *upstream.Pool {
-	return upstream.NewPool(upstream.WithSource(sourceIP(s.config.CallerAddress)))
+	return upstream.NewPool(upstream.WithSource(sourceIP(s.config.CallerAddress)), upstream.WithObserver(s.serverAnswered))
 }
 
 func provideIdentity(s *shared) (*peer.Identity, error) { return peer.NewIdentity(s.config.Name) }
@@ -167,18 +168,25 @@
 	})
 }
 
+func provideBackoff(s *shared) *backoff.Tracker {
+	return backoff.New(backoff.Deps{
+		SendToLeader: func(message link.Up) { s.components.remote.Send(message) },
+		Began:        s.pauseBegan, Ended: s.pauseEnded, Sent: s.sentDuringPause, Invalid: s.pauseInvalid,
+	})
+}
+
 func provideRetries(s *shared) *relay.Retries {
 	return relay.NewRetries(relay.Allowance{Ratio: s.config.RetryRatio, Extra: s.config.RetryExtra}, assumedEntries)
 }
 
 func provideRelay(
 	s *shared, cat *catalog.Catalog, remote *turn.Remote, pool *upstream.Pool, retries *relay.Retries, watch *suspects.Watch,
-	isolated *isolation.Watch, entries *roster.Roster, tracker *limits.Tracker,
+	isolated *isolation.Watch, entries *roster.Roster, tracker *limits.Tracker, pauses *backoff.Tracker,
 ) *relay.Relay {
 	return relay.New(relay.Deps{
 		Table: cat.Table, Turns: remote, Pool: pool, Retries: retries, Suspects: watch, Report: s.requestEnded,
 		Rejected: s.requestRejected, FirstRequest: func() { remote.Send(link.Up{RequestSeen: true}) }, Random: rand.Float64,
-		Limits: tracker, Isolation: isolated, PeerPool: upstream.NewPool(upstream.WithSource(sourceIP(s.config.CallerAddress))),
+		Limits: tracker, Pauses: pauses, Isolation: isolated, PeerPool: upstream.NewPool(upstream.WithSource(sourceIP(s.config.CallerAddress))),
 		Peer: func(tried []string) (relay.Peer, bool) {
 			entry, ok := entries.Peer(tried)
 			return relay.Peer{Name: entry.Name, Address: entry.PublicAddress}, ok
@@ -279,6 +287,7 @@
 		"config.version":                 func() int64 { version, _ := g.catalog.Config(); return int64(version) },
 		"suspects.rules":                 func() int64 { return int64(g.suspects.RuleCount()) },
 		"limits.servers":                 func() int64 { return int64(g.limits.Count()) },
+		"pauses.servers":                 func() int64 { return int64(g.backoff.Count()) },
 		"servers.isolated":               func() int64 { return boolToInt(g.isolation.Any()) },
 		"servers.listed":                 func() int64 { return int64(len(g.catalog.Listing().Servers)) },
 		"servers.revision":               func() int64 { return int64(g.catalog.Listing().Revision) },
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"github.com/skylarkpond/skylarkpond/entry/backoff"
 	"github.com/skylarkpond/skylarkpond/entry/catalog"
 	"github.com/skylarkpond/skylarkpond/entry/drain"
 	"github.com/skylarkpond/skylarkpond/entry/grouping"
@@ -71,6 +72,7 @@
 	remote     *turn.Remote
 	suspects   *suspects.Watch
 	limits     *limits.Tracker
+	backoff    *backoff.Tracker
 	isolation  *isolation.Watch
 	retries    *relay.Retries
 	leader     *leader.Leader
@@ -161,6 +163,7 @@
 		g.relay.Sweep()
 		g.local.Sweep()
 		g.limits.Sweep(listing)
+		g.backoff.Sweep(listing)
 		if n := g.roster.Len(); n > 1 {
 			g.retries.Resize(n)
 		}
--- a/entry/gateway/lines.go
+++ b/entry/gateway/lines.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -8,6 +9,7 @@
 
 	"github.com/skylarkpond/skylarkpond/backend"
 	"github.com/skylarkpond/skylarkpond/contract/route"
+	"github.com/skylarkpond/skylarkpond/entry/backoff"
 	"github.com/skylarkpond/skylarkpond/entry/grouping"
 	"github.com/skylarkpond/skylarkpond/entry/leader"
 	"github.com/skylarkpond/skylarkpond/entry/lease"
@@ -17,7 +19,9 @@
 	"github.com/skylarkpond/skylarkpond/link/framing"
 	link "github.com/skylarkpond/skylarkpond/link/leader"
 	store "github.com/skylarkpond/skylarkpond/link/platform"
+	"github.com/skylarkpond/skylarkpond/link/upstream"
 	"github.com/skylarkpond/skylarkpond/logline"
+	"github.com/skylarkpond/skylarkpond/platform"
 	"github.com/skylarkpond/skylarkpond/policy/turns"
 )
 
@@ -90,6 +94,33 @@
 	s.log.WithFields(logrus.Fields{"vm": server.ID, "service": server.Service, "limit": text}).Warn(logline.LimitInvalid)
 }
 
+// serverAnswered records what a server states of itself in an answer.
+func (s *shared) serverAnswered(from upstream.Endpoint, status int, header http.Header) {
+	stated := platform.DecodeResponse(status, header)
+	s.components.backoff.Answered(from, stated.Pause, stated.InvalidPause)
+}
+
+func (s *shared) pauseBegan(pause backoff.Pause) {
+	metrics.GetOrRegisterCounter("pauses.began", s.registry).Inc(1)
+	s.log.WithFields(logrus.Fields{"vm": pause.Server, "for_ms": pause.For.Milliseconds()}).Info(logline.PauseBegins)
+}
+
+func (s *shared) pauseEnded(pause backoff.Pause) {
+	metrics.GetOrRegisterCounter("pauses.late_requests", s.registry).Inc(int64(pause.Late))
+	s.log.WithFields(logrus.Fields{
+		"vm": pause.Server, "for_ms": pause.For.Milliseconds(), "answers": pause.Answers, "late": pause.Late,
+	}).Info(logline.PauseEnds)
+}
+
+// sentDuringPause counts the requests that this entry sends to servers that have asked it for a pause.
+func (s *shared) sentDuringPause(backend.ID) { metrics.GetOrRegisterCounter("pauses.sent", s.registry).Inc(1) }
+
+// pauseInvalid logs the first pause of a server that can't be read.
+func (s *shared) pauseInvalid(server backend.ID, text string) {
+	metrics.GetOrRegisterCounter("pauses.invalid", s.registry).Inc(1)
+	s.log.WithFields(logrus.Fields{"vm": server, "pause": text}).Warn(logline.PauseInvalid)
+}
+
 // isolationChanged logs that this entry has lost the servers of a service, or reaches them again, and tells the leader.
 func (s *shared) isolationChanged(service string, isolated, fromAny bool) {
 	metrics.GetOrRegisterCounter("isolation.changes", s.registry).Inc(1)
--- a/entry/gateway/wire_gen.go
+++ b/entry/gateway/wire_gen.go
@@ -31,7 +31,8 @@
 	remote := provideRemote(local, catalog)
 	retries := provideRetries(s)
 	suspectsWatch := provideSuspects(s, remote, catalog, pool, watch)
-	relay := provideRelay(s, catalog, remote, pool, retries, suspectsWatch, watch, roster, tracker)
+	backoffTracker := provideBackoff(s)
+	relay := provideRelay(s, catalog, remote, pool, retries, suspectsWatch, watch, roster, tracker, backoffTracker)
 	leader := provideLeader(s, catalog, lease, controller)
 	leaderServer := provideLinks(identity, holder, leader)
 	gate := &drain.Gate{}
@@ -45,6 +46,7 @@
 		remote:     remote,
 		suspects:   suspectsWatch,
 		limits:     tracker,
+		backoff:    backoffTracker,
 		isolation:  watch,
 		retries:    retries,
 		leader:     leader,
--- a/entry/relay/exchange.go
+++ b/entry/relay/exchange.go
@@ -329,6 +329,7 @@
 	} else {
 		e.summary.Servers = append(e.summary.Servers, string(t.Server.ID))
 		e.limitKnown = e.relay.deps.Limits.Sending(t.Server)
+		e.relay.deps.Pauses.Sending(t.Server)
 		header = platform.ForwardHeader(e.request.Header, platform.Forward{
 			Server: t.Server.ID, Team: e.team, Remaining: time.Until(e.deadline), LastEvent: lastEvent,
 		})
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -40,6 +40,8 @@
 	FirstRequest func()
 	// Limits learns how many requests servers take.
 	Limits Limits
+	// Pauses knows which servers have asked this entry for a pause.
+	Pauses Pauses
 	// Isolation tells from which services' servers this entry is cut off.
 	Isolation Isolation
 	// Peer returns another entry that reaches the servers and is not among those tried, if there is one. PeerPool holds the connections to
@@ -80,6 +82,12 @@
 	Answered(answer limits.Answer)
 }
 
+// Pauses knows which servers have asked this entry for a pause. It is safe for concurrent use.
+type Pauses interface {
+	// Sending records that a request is about to be sent to a server.
+	Sending(server *backend.Server)
+}
+
 // Peer is another entry.
 type Peer struct {
 	Name string
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -237,7 +237,7 @@
 	handler := relay.New(relay.Deps{
 		Rejected: func(relay.Rejection) {},
 		Table:    r.table.Load, Turns: r.turns, Pool: upstream.NewPool(), Retries: r.retries, Suspects: r.suspects,
-		Limits: r.limits, Isolation: r.isolation, Peer: r.peer, PeerPool: upstream.NewPool(),
+		Limits: r.limits, Pauses: noPauses{}, Isolation: r.isolation, Peer: r.peer, PeerPool: upstream.NewPool(),
 		Random: func() float64 { return 0.5 }, FirstRequest: func() { r.firstRequests.Add(1) },
 		Report: func(report relay.Report) {
 			r.mu.Lock()
@@ -609,3 +609,8 @@
 		Expect(r.servers[0].Runs()).To(BeEmpty())
 	})
 })
+
+// noPauses is an entry that no server has asked for a pause.
+type noPauses struct{}
+
+func (noPauses) Sending(*backend.Server) {}
--- a/link/leader/leader.go
+++ b/link/leader/leader.go
@@ -67,6 +67,17 @@
 	Isolation *Isolation `cbor:"12,keyasint,omitempty"`
 	// LimitReport reports what a server stated in an answer about the requests that it takes.
 	LimitReport *LimitReport `cbor:"15,keyasint,omitempty"`
+	// Pause reports that a server has asked the follower for a pause.
+	Pause *Pause `cbor:"16,keyasint,omitempty"`
+}
+
+// Pause is a time in which a server wants no requests of one follower.
+type Pause struct {
+	Server backend.ID `cbor:"1,keyasint"`
+	// Process is the start of the server's process that asked for it, in Unix milliseconds; 0 if unknown.
+	Process int64 `cbor:"2,keyasint,omitempty"`
+	// Ms is what is left of it, in milliseconds.
+	Ms int64 `cbor:"3,keyasint"`
 }
 
 // Isolation reports whether an entry has lost its connections to all servers of any service.
--- a/link/upstream/pool.go
+++ b/link/upstream/pool.go
@@ -20,6 +20,8 @@
 	idle map[Endpoint][]*conn
 	// source is the local address of the connections; the system chooses it if it is nil.
 	source net.IP
+	// observe is called with each response; it may be nil.
+	observe Observer
 	// dialCount counts the connections dialed, refusedCount those that the other side refused or reset, and silentCount those that failed
 	// otherwise, mostly because there was no response.
 	dialCount, refusedCount, silentCount atomic.Int64
@@ -31,6 +33,12 @@
 // WithSource makes connections originate from a local address.
 func WithSource(source net.IP) Option { return func(p *Pool) { p.source = source } }
 
+// Observer is called with the header of each response, also to requests of Ask, before the response is returned. It must not block.
+type Observer func(endpoint Endpoint, status int, header http.Header)
+
+// WithObserver makes the pool call an Observer.
+func WithObserver(observe Observer) Option { return func(p *Pool) { p.observe = observe } }
+
 // NewPool returns an empty pool.
 func NewPool(options ...Option) *Pool {
 	p := &Pool{idle: make(map[Endpoint][]*conn)}
@@ -87,6 +95,7 @@
 		_ = c.Close()
 		return nil, eris.Wrapf(ErrOutcomeUnknown, "%s at %s: %v", endpoint.ID, endpoint.Address, err)
 	}
+	p.heard(endpoint, response)
 	c.idleTimeout = idleTimeoutOf(response.Header)
 	body := &Body{response: response, conn: c, pool: p, endpoint: endpoint, stopCancel: stop}
 	return &Response{
@@ -110,6 +119,7 @@
 	if err != nil {
 		return 0, nil, eris.Wrapf(err, "%s at %s", endpoint.ID, endpoint.Address)
 	}
+	p.heard(endpoint, response)
 	body, err = io.ReadAll(io.LimitReader(response.Body, maxAskedBytes))
 	if err != nil {
 		return response.StatusCode, nil, eris.Wrapf(err, "%s at %s", endpoint.ID, endpoint.Address)
@@ -117,6 +127,12 @@
 	return response.StatusCode, body, nil
 }
 
+func (p *Pool) heard(endpoint Endpoint, response *http.Response) {
+	if p.observe != nil {
+		p.observe(endpoint, response.StatusCode, response.Header)
+	}
+}
+
 func (c *conn) exchange(request *Request) (*http.Response, error) {
 	if err := c.write(request); err != nil {
 		return nil, err
--- a/logline/names.go
+++ b/logline/names.go
@@ -30,5 +30,8 @@
 	RequestRejected  = "backend server rejected the request"
 	ServerLimit      = "backend server names another limit of requests"
 	LimitInForce     = "limit of a backend server in force"
+	PauseBegins      = "backend server asks this entry for a pause"
+	PauseEnds        = "pause of a backend server is over"
+	PauseInvalid     = "backend server asks for a pause that can't be read"
 	LimitInvalid     = "backend server names a limit that can't be read"
 )
