--- a/internal/loopback/proxy.go
+++ b/internal/loopback/proxy.go
@@ -126,7 +126,9 @@
 		reset(conn)
 		return
 	}
-	dialled, err := net.Dial("tcp", p.target)
+	// The target sees the client's address, as it would without the proxy.
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(source)}}
+	dialled, err := dialer.Dial("tcp", p.target)
 	if err != nil {
 		reset(conn) // as the target itself would refuse it
 		return
