policy/backoff, entry/backoff, policy/turns, entry/turn, entry/relay: servers that ask for a pause get nothing until it is over

Cause: Retry-After of a server's 503 was read by nobody. A rejection gave the turn back and changed nothing, so a server that rejects within a millisecond looked like the least loaded one, to the leader and to each entry, and got the next request as well.

Ruled out: that requests under way explain it. That the entry knew and the leader did not: no entry knew; but with entries alone knowing it would have been next, so the leader is told.

What changed: an entry sends such a server nothing until the longest of its pauses has ended; asked again when a connection is ready, since that may take longer. The leader is told and grants that entry no turn there; others are granted turns until the server has rejected two entries in a row, and then one request at a time, at growing intervals, until one is accepted. After a pause, one request is sent first. When all servers pause, requests wait within their objective or are refused at once with when the first is back, spread.

--- a/entry/backoff/backoff.go
+++ b/entry/backoff/backoff.go
@@ -6,6 +6,7 @@
 package backoff
 
 import (
+	"strconv"
 	"sync"
 	"time"
 
@@ -62,6 +63,8 @@
 	servers map[backend.ID]*server
 	// invalid holds the servers that have asked for a pause that can't be read.
 	invalid map[backend.ID]bool
+	// probes counts the probes.
+	probes uint64
 }
 
 // New returns a Tracker that knows of no pause.
@@ -148,6 +151,47 @@
 	return known.Paused(now, client) - now
 }
 
+// Allows reports whether a server may be sent a request now, and whether that is a probe, a single request after a pause.
+func (t *Tracker) Allows(to *backend.Server) (allowed, probe bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := t.of(to.ID, to.StartedAtMillis)
+	if known == nil {
+		return true, false
+	}
+	return known.Allows(t.now(), client)
+}
+
+// BeginProbe records that a probe is sent, and returns a key for EndProbe.
+func (t *Tracker) BeginProbe(to *backend.Server) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.probes++
+	key := strconv.FormatUint(t.probes, 10)
+	if known := t.of(to.ID, to.StartedAtMillis); known != nil {
+		known.Probe(t.now(), key)
+	}
+	return key
+}
+
+// EndProbe records that a probe has ended.
+func (t *Tracker) EndProbe(to *backend.Server, key string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if known := t.of(to.ID, to.StartedAtMillis); known != nil {
+		known.EndProbe(key)
+	}
+}
+
+// Accepted records that a server has accepted a request. That ends no pause.
+func (t *Tracker) Accepted(by *backend.Server) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if known := t.of(by.ID, by.StartedAtMillis); known != nil {
+		known.Accept(t.now(), t.now())
+	}
+}
+
 // Pauses returns the pauses in force, for the next leader.
 func (t *Tracker) Pauses() []link.Pause {
 	t.mu.Lock()
--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -134,12 +134,12 @@
 	return link.NewServer(identity, self.Token, handler)
 }
 
-func provideLocal(cat *catalog.Catalog, tracker *limits.Tracker) *turn.Local {
-	return turn.NewLocal(cat.Listing, cat.ServersAge, cat.Table, tracker)
+func provideLocal(cat *catalog.Catalog, tracker *limits.Tracker, pauses *backoff.Tracker) *turn.Local {
+	return turn.NewLocal(cat.Listing, cat.ServersAge, cat.Table, tracker, pauses)
 }
 
-func provideRemote(local *turn.Local, cat *catalog.Catalog) *turn.Remote {
-	return turn.NewRemote(local, cat.Listing)
+func provideRemote(local *turn.Local, cat *catalog.Catalog, pauses *backoff.Tracker) *turn.Remote {
+	return turn.NewRemote(local, cat.Listing, pauses)
 }
 
 func provideSuspects(s *shared, remote *turn.Remote, cat *catalog.Catalog, pool *upstream.Pool, isolated *isolation.Watch) *suspects.Watch {
--- a/entry/gateway/follow.go
+++ b/entry/gateway/follow.go
@@ -54,7 +54,7 @@
 	version, _ := g.catalog.Config()
 	g.leader.RefreshGroups()
 	g.leader.Join(g.config.Name, self, link.Hello{
-		Entry: g.config.Name, ConfigVersion: version, Crashes: g.suspects.Reports(), Holds: g.suspects.Holds(), Limits: g.limits.Limits(),
+		Entry: g.config.Name, ConfigVersion: version, Crashes: g.suspects.Reports(), Holds: g.suspects.Holds(), Limits: g.limits.Limits(), Pauses: g.backoff.Pauses(),
 	})
 	g.attach(send)
 	g.leaderState.leaderChanged()
@@ -81,7 +81,7 @@
 	version, _ := g.catalog.Config()
 	hello := link.Hello{
 		Entry: g.config.Name, Token: holder.Token, ConfigVersion: version,
-		Revisions: g.catalog.Revisions(), RoutableOnly: g.holdsRoutableOnly(), Crashes: g.suspects.Reports(), Holds: g.suspects.Holds(), Limits: g.limits.Limits(),
+		Revisions: g.catalog.Revisions(), RoutableOnly: g.holdsRoutableOnly(), Crashes: g.suspects.Reports(), Holds: g.suspects.Holds(), Limits: g.limits.Limits(), Pauses: g.backoff.Pauses(),
 	}
 	dialling, stopDialling := context.WithCancel(ctx)
 	defer stopDialling()
@@ -121,6 +121,9 @@
 	for _, report := range g.limits.Unconfirmed() { // heard while the link was set up
 		g.remote.Send(report)
 	}
+	for _, pause := range g.backoff.Pauses() {
+		g.remote.Send(link.Up{Pause: &pause})
+	}
 }
 
 // holderPollInterval is how often an entry checks whether the lease has another holder.
--- a/entry/gateway/lines.go
+++ b/entry/gateway/lines.go
@@ -113,7 +113,9 @@
 }
 
 // sentDuringPause counts the requests that this entry sends to servers that have asked it for a pause.
-func (s *shared) sentDuringPause(backend.ID) { metrics.GetOrRegisterCounter("pauses.sent", s.registry).Inc(1) }
+func (s *shared) sentDuringPause(backend.ID) {
+	metrics.GetOrRegisterCounter("pauses.sent", s.registry).Inc(1)
+}
 
 // pauseInvalid logs the first pause of a server that can't be read.
 func (s *shared) pauseInvalid(server backend.ID, text string) {
--- a/entry/leader/demand.go
+++ b/entry/leader/demand.go
@@ -59,9 +59,9 @@
 		return
 	}
 	if groups > 0 {
-		// Heads that take few requests for long are missing like groups.
+		// Heads that take few requests for long, or none, are missing like groups.
 		groupRate := float64(demand.NewRequests) / demandInterval.Seconds() / groups
-		groups += l.turns.LimitedGroups(l.now(), demand.Model, groupRate)
+		groups += l.turns.LimitedGroups(l.now(), demand.Model, groupRate) + float64(l.turns.SheddingGroups(l.now(), demand.Model))
 	}
 	if l.demand[demand.Model] == nil {
 		l.demand[demand.Model] = &modelDemand{}
--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -101,6 +101,8 @@
 	newFollowers map[string]bool
 	holds        *holdTracker
 	limits       *limitTracker
+	// pausedProcesses holds the process of each server that has asked an entry for a pause; 0 if unknown.
+	pausedProcesses map[backend.ID]int64
 	// probes holds the channels for the results of indirect probes in progress, by server.
 	probes map[backend.ID]chan link.ProbeResult
 	// isolated holds the followers that have lost their connections to the servers, and isolationChanged those of which the followers have yet
@@ -138,7 +140,7 @@
 		deps: deps, started: time.Now(), turns: policy.New(policy.DefaultConfig()), followers: make(map[string]*follower),
 		probes: make(map[backend.ID]chan link.ProbeResult), demand: make(map[string]*modelDemand),
 		progress: make(map[store.Kind]*progress), announced: make(map[string]bool), newFollowers: make(map[string]bool),
-		holds: newHoldTracker(), limits: newLimitTracker(), isolated: make(map[string]bool), isolationChanged: make(map[string]bool),
+		holds: newHoldTracker(), limits: newLimitTracker(), pausedProcesses: make(map[backend.ID]int64), isolated: make(map[string]bool), isolationChanged: make(map[string]bool),
 	}
 }
 
@@ -169,6 +171,7 @@
 			l.RefreshGroups()
 			l.BroadcastIsolation()
 			l.SweepLimits()
+			l.SweepPauses()
 		}
 		l.SendSnapshots()
 		l.BroadcastHolds()
@@ -196,6 +199,7 @@
 		l.demand = make(map[string]*modelDemand)
 		l.turns = policy.New(policy.DefaultConfig())
 		l.limits = newLimitTracker()
+		clear(l.pausedProcesses)
 		clear(l.isolated)
 		clear(l.isolationChanged)
 	}
@@ -286,6 +290,9 @@
 	l.sendIsolation(to)
 	l.adoptLimits(hello.Limits)
 	l.sendLimits(to)
+	for _, pause := range hello.Pauses {
+		l.applyPause(entry, pause)
+	}
 	for _, holds := range hello.Holds {
 		l.adoptHolds(holds)
 	}
@@ -332,6 +339,14 @@
 		l.setIsolated(entry, message.Isolation.Isolated)
 	case message.LimitReport != nil:
 		l.hearLimit(entry, *message.LimitReport)
+	case message.Pause != nil:
+		l.mu.Lock()
+		l.applyPause(entry, *message.Pause)
+		l.mu.Unlock()
+	case message.Accepted != 0:
+		l.mu.Lock()
+		l.sendDecisions(l.turns.Accepted(l.now(), turnKey(entry, message.Accepted), rand.Float64))
+		l.mu.Unlock()
 	case message.RequestSeen:
 		l.mu.Lock()
 		l.requestSeen = true
@@ -379,7 +394,7 @@
 	key := turnKey(entry, request.Key)
 	l.turns.SetConfirmed(l.now(), l.deps.Confirmed()) // this process may have been suspended since the last tick
 	decisions := l.turns.Submit(l.now(), policy.Request{
-		Key: key, Model: modelKey(request.Service, request.Model),
+		Key: key, Client: entry, Model: modelKey(request.Service, request.Model),
 		FirstTokenBudget: time.Duration(request.FirstTokenBudgetMs) * time.Millisecond, MaxWait: time.Duration(request.MaxWaitMs) * time.Millisecond, Priority: request.Priority, TriedHeads: tried,
 		Retry: request.Retry, Fingerprint: request.Fingerprint, Optional: request.Optional, Size: capacity.RequestSize{PromptTokens: float64(request.PromptTokens), OutputTokens: float64(request.OutputTokens)},
 	}, rand.Float64)
@@ -420,7 +435,7 @@
 			continue
 		}
 		if d.Reason == policy.Granted {
-			to.Send(link.Down{Grant: &link.Grant{Key: key, Head: backend.ID(d.Head), Revision: revision, AgeMs: age.Milliseconds(), Metered: d.Metered}})
+			to.Send(link.Down{Grant: &link.Grant{Key: key, Head: backend.ID(d.Head), Revision: revision, AgeMs: age.Milliseconds(), Metered: d.Metered, Watched: d.Watched}})
 			continue
 		}
 		to.Send(link.Down{Refusal: &link.Refusal{
@@ -432,6 +447,9 @@
 // describe returns the state that a rejection was based on, for the log. It must be called with l.mu held.
 func (l *Leader) describe(d policy.Decision) string {
 	text := fmt.Sprintf("%d run on %d places, %d wait", d.Running, d.Slots, d.Waiting)
+	if d.Pauses.Heads > 0 {
+		text += fmt.Sprintf(", %d servers want no requests of this entry: %s for another %v", d.Pauses.Heads, d.Pauses.First, d.Pauses.Left.Round(time.Millisecond))
+	}
 	if d.Limits.Heads == 0 {
 		return text
 	}
@@ -442,7 +460,7 @@
 	return text
 }
 
-var reasons = map[policy.Reason]turn.Reason{policy.NoGroup: turn.NoServer, policy.TooLate: turn.Full, policy.TriedAll: turn.TriedAll}
+var reasons = map[policy.Reason]turn.Reason{policy.NoGroup: turn.NoServer, policy.TooLate: turn.Full, policy.TriedAll: turn.TriedAll, policy.Paused: turn.Paused}
 
 // suspect withholds turns from a group and starts a check of it. It ignores reports of entries that have lost their connections to the servers,
 // and does nothing while this entry can't judge.
--- a/entry/relay/exchange.go
+++ b/entry/relay/exchange.go
@@ -254,6 +254,10 @@
 	}
 	e.tried = append(e.tried, t.Server.ID)
 	answer, err := e.send(t, "")
+	if errors.Is(err, upstream.ErrNotPermitted) {
+		t.Done(turn.Result{Rejected: true, Unsent: true})
+		return false
+	}
 	if errors.Is(err, upstream.ErrNotSent) {
 		t.Done(turn.Result{Unreachable: true})
 		return e.doneAfterUnsent()
@@ -294,6 +298,9 @@
 	if decoded.Load != nil {
 		t.ReportLoad(decoded.Load.Running, decoded.Load.Waiting, decoded.Load.Slots)
 	}
+	if !decoded.NotRun && decoded.Pause == 0 {
+		t.Accepted()
+	}
 	e.relay.deps.Limits.Answered(limits.Answer{
 		Server: t.Server, Known: e.limitKnown, PerSecond: decoded.Limit, Invalid: decoded.InvalidLimit,
 	})
@@ -322,24 +329,23 @@
 	ctx, cancel := context.WithCancelCause(e.ctx)
 	e.watch = newStallWatch(e, cancel, t.Peer)
 	pool, header := e.relay.deps.Pool, http.Header(nil)
+	var permit func() bool
 	if t.Peer {
 		pool = e.relay.deps.PeerPool
 		forwarded := platform.Forwarded{Attempts: e.attempts, ConfigVersion: e.table.Version}
 		header = platform.PeerHeader(e.request.Header, forwarded, time.Until(e.deadline), lastEvent)
 	} else {
-		e.summary.Servers = append(e.summary.Servers, string(t.Server.ID))
-		e.limitKnown = e.relay.deps.Limits.Sending(t.Server)
-		e.relay.deps.Pauses.Sending(t.Server)
+		permit = func() bool { return e.permit(t.Server) }
 		header = platform.ForwardHeader(e.request.Header, platform.Forward{
 			Server: t.Server.ID, Team: e.team, Remaining: time.Until(e.deadline), LastEvent: lastEvent,
 		})
 	}
 	answer, err := pool.Send(ctx, upstream.EndpointOf(t.Server), &upstream.Request{
-		Method: e.request.Method, Target: e.request.RequestURI, Host: e.request.Host, Header: header, Body: e.body,
+		Method: e.request.Method, Target: e.request.RequestURI, Host: e.request.Host, Header: header, Body: e.body, Permit: permit,
 		Matches: func(header http.Header) bool { return platform.MatchesID(e.call.ID, header) },
 	})
 	if err != nil {
-		if !t.Peer && e.ctx.Err() == nil {
+		if !t.Peer && e.ctx.Err() == nil && !errors.Is(err, upstream.ErrNotPermitted) {
 			e.relay.deps.Isolation.Suspect(e.service)
 		}
 		e.endAttempt()
@@ -350,6 +356,17 @@
 	return answer, nil
 }
 
+// permit reports whether a request may still be sent to a server, which may have asked for a pause since the turn was granted.
+func (e *exchange) permit(server *backend.Server) bool {
+	if e.relay.deps.Pauses.Remaining(server) > 0 {
+		return false
+	}
+	e.summary.Servers = append(e.summary.Servers, string(server.ID))
+	e.limitKnown = e.relay.deps.Limits.Sending(server)
+	e.relay.deps.Pauses.Sending(server)
+	return true
+}
+
 // silenceBeforeReport is how long a server may send nothing, not even a header, before that is reported.
 func (e *exchange) silenceBeforeReport() time.Duration {
 	if e.route.Kind == route.Streaming {
--- a/entry/relay/forward.go
+++ b/entry/relay/forward.go
@@ -51,7 +51,7 @@
 	e.peersTried = append(e.peersTried, peer.Name)
 	return &turn.Turn{
 		Server: &backend.Server{ID: backend.ID(peer.Name), Address: peer.Address}, Peer: true,
-		ReportLoad: func(int, int, int) {}, ReportStall: func() {}, Done: func(turn.Result) {},
+		ReportLoad: func(int, int, int) {}, ReportStall: func() {}, Accepted: func() {}, Done: func(turn.Result) {},
 	}
 }
 
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -84,6 +84,8 @@
 
 // Pauses knows which servers have asked this entry for a pause. It is safe for concurrent use.
 type Pauses interface {
+	// Remaining returns what is left of the pause of a server; 0 if it has none.
+	Remaining(server *backend.Server) time.Duration
 	// Sending records that a request is about to be sent to a server.
 	Sending(server *backend.Server)
 }
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -56,7 +56,8 @@
 			expires = time.Now().Add(-time.Millisecond)
 		}
 		return &turn.Turn{
-			Server: server, Expires: expires,
+			Accepted: func() {},
+			Server:   server, Expires: expires,
 			ReportLoad: func(int, int, int) {},
 			ReportStall: func() {
 				t.mu.Lock()
@@ -614,3 +615,5 @@
 type noPauses struct{}
 
 func (noPauses) Sending(*backend.Server) {}
+
+func (noPauses) Remaining(*backend.Server) time.Duration { return 0 }
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -183,6 +183,10 @@
 		}
 		e.tried = append(e.tried, t.Server.ID)
 		answer, err := e.send(t, last)
+		if errors.Is(err, upstream.ErrNotPermitted) {
+			t.Done(turn.Result{Rejected: true, Unsent: true})
+			continue
+		}
 		if errors.Is(err, upstream.ErrNotSent) {
 			t.Done(turn.Result{Unreachable: true})
 			e.unreachable++
--- a/entry/turn/local.go
+++ b/entry/turn/local.go
@@ -21,10 +21,11 @@
 	listAge func() time.Duration
 	table   func() *route.Table
 	limits  Limits
+	pauses  Pauses
 	// started is when the process started.
 	started time.Time
 
-	mu    sync.Mutex // guards loads; no other lock of this package is taken while it is held
+	mu    sync.Mutex // guards loads; no other lock of this package is taken while it is held, but those of pauses
 	loads map[backend.ID]*load
 }
 
@@ -58,33 +59,80 @@
 )
 
 // NewLocal returns a Local. The age function returns how long ago the listing was last known to be current.
-func NewLocal(listing func() *backend.Listing, age func() time.Duration, table func() *route.Table, limits Limits) *Local {
-	return &Local{listing: listing, listAge: age, table: table, limits: limits, started: time.Now(), loads: make(map[backend.ID]*load)}
+func NewLocal(listing func() *backend.Listing, age func() time.Duration, table func() *route.Table, limits Limits, pauses Pauses) *Local {
+	return &Local{listing: listing, listAge: age, table: table, limits: limits, pauses: pauses, started: time.Now(), loads: make(map[backend.ID]*load)}
 }
 
 // Acquire implements Source. It returns a turn at the least loaded server. Servers with a limit get none: what other entries send to them is
-// unknown here. It waits only while a process that has just started reads its first list of servers.
+// unknown here. It waits while a process that has just started reads its first list of servers, and as long as all servers pause, if the first of
+// them is back within the request's maximum wait.
 func (l *Local) Acquire(ctx context.Context, request Request) (*Turn, *Refusal) {
 	l.awaitListing(ctx)
+	deadline := time.Now().Add(request.MaxWait)
+	for {
+		t, refusal, pause := l.acquire(request)
+		if refusal == nil || refusal.Reason != Paused || time.Now().Add(pause).After(deadline) || !wait.Pause(ctx, max(pause, probePollInterval)) {
+			return t, refusal
+		}
+	}
+}
+
+// probePollInterval is the interval between checks whether a server has accepted the first request after a pause.
+const probePollInterval = 10 * time.Millisecond
+
+// acquire also returns, if all servers pause, how long the first of them does.
+func (l *Local) acquire(request Request) (*Turn, *Refusal, time.Duration) {
 	candidates, limited := l.split(request)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	best, usable := l.best(candidates, request)
+	best, found := l.best(candidates, request)
 	if best == nil {
-		reason := NoServer
-		if usable+len(limited) > 0 {
-			reason = Full
-		}
-		detail := fmt.Sprintf("%d servers listed, %d usable, %d limited, listing %d", len(candidates)+len(limited), usable, len(limited), l.listing().Revision)
+		reason, pause := found.reason(len(limited))
+		detail := fmt.Sprintf("%d servers listed, %d usable, %d limited, %d pause, listing %d",
+			len(candidates)+len(limited), found.usable, len(limited), found.paused, l.listing().Revision)
 		after := retryAfter(reason)
-		if usable == 0 && len(limited) > 0 {
+		switch {
+		case reason == Paused:
+			detail += fmt.Sprintf(", %s for another %v", found.first.ID, pause.Round(time.Millisecond))
+			after += min(pause, maxPauseTold)
+		case found.usable == 0 && len(limited) > 0:
 			after = retryAfter(NoServer) // the next leader, who can tell, takes longer than a place
 		}
-		return nil, &Refusal{Reason: reason, RetryAfter: after, Detail: detail}
+		return nil, &Refusal{Reason: reason, RetryAfter: after, Detail: detail}, pause
 	}
 	t := l.grant(best)
 	t.Basis = Basis{Revision: l.listing().Revision, Age: l.listAge()}
-	return t, nil
+	return t, nil, 0
+}
+
+// maxPauseTold is the latest time, from a refusal, at which a caller is told to come back: other servers may have started by then.
+const maxPauseTold = 10 * time.Second
+
+// availability counts the servers that are not excluded: those that may be sent requests, though they may be full, and those that pause or whose
+// first request after a pause is in progress.
+type availability struct {
+	usable, paused int
+	// first is the one whose pause ends first, after remaining.
+	first     *backend.Server
+	remaining time.Duration
+}
+
+// reason returns why no server can take a request, and how long the first of them pauses if they all do.
+func (a availability) reason(limited int) (Reason, time.Duration) {
+	switch {
+	case a.usable+limited > 0:
+		return Full, 0
+	case a.paused > 0:
+		return Paused, a.remaining
+	}
+	return NoServer, 0
+}
+
+func (a *availability) addPaused(server *backend.Server, remaining time.Duration) {
+	a.paused++
+	if a.first == nil || remaining < a.remaining {
+		a.first, a.remaining = server, remaining
+	}
 }
 
 // split returns the servers that a request may be sent to without and with a limit.
@@ -112,8 +160,8 @@
 	return true, best != nil && slices.Contains(limited, best)
 }
 
-// best returns the least loaded server, or nil if all are full, and the number of those that are not excluded. It must be called with l.mu held.
-func (l *Local) best(candidates []*backend.Server, request Request) (best *backend.Server, usable int) {
+// best returns the least loaded server, or nil if none can take the request, and which are not excluded. It must be called with l.mu held.
+func (l *Local) best(candidates []*backend.Server, request Request) (best *backend.Server, found availability) {
 	now := time.Now()
 	bestScore := 0.0
 	for _, server := range candidates {
@@ -121,7 +169,11 @@
 		if now.Before(load.excludedUntil) || slices.Contains(request.Tried, server.ID) {
 			continue
 		}
-		usable++
+		if allowed, _ := l.pauses.Allows(server); !allowed {
+			found.addPaused(server, l.pauses.Remaining(server))
+			continue
+		}
+		found.usable++
 		score := load.score(now, max(1, server.Slots))
 		if score < 0 {
 			continue
@@ -131,7 +183,7 @@
 			best, bestScore = server, score
 		}
 	}
-	return best, usable
+	return best, found
 }
 
 const (
@@ -154,7 +206,7 @@
 
 // retryAfter is randomized, so that requests refused at the same time are not repeated at the same time.
 func retryAfter(reason Reason) time.Duration {
-	if reason == Full {
+	if reason == Full || reason == Paused {
 		return 200*time.Millisecond + rand.N(400*time.Millisecond)
 	}
 	return 600*time.Millisecond + rand.N(800*time.Millisecond)
@@ -250,11 +302,25 @@
 func (l *Local) Track(server *backend.Server) *Turn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.grant(server)
+	return l.track(server)
 }
 
 // grant must be called with l.mu held.
 func (l *Local) grant(server *backend.Server) *Turn {
+	t := l.track(server)
+	if _, probe := l.pauses.Allows(server); !probe {
+		return t
+	}
+	key, done := l.pauses.BeginProbe(server), t.Done
+	t.Done = func(result Result) {
+		l.pauses.EndProbe(server, key)
+		done(result)
+	}
+	return t
+}
+
+// track must be called with l.mu held.
+func (l *Local) track(server *backend.Server) *Turn {
 	load := l.loadOf(server.ID)
 	load.inFlight++
 	load.sentSince++
@@ -266,6 +332,7 @@
 			load.reported, load.reportedAt, load.sentSince = running+waiting, time.Now(), 0
 		},
 		ReportStall: func() {},
+		Accepted:    func() { l.pauses.Accepted(server) },
 		Done:        func(result Result) { l.done(load, result) },
 	}
 }
--- a/entry/turn/remote.go
+++ b/entry/turn/remote.go
@@ -22,6 +22,7 @@
 type Remote struct {
 	local   *Local
 	listing func() *backend.Listing
+	pauses  Pauses
 
 	mu sync.Mutex // guards the fields below; if this entry is the leader, send takes the Leader's lock while it is held
 	// send sends a message to the leader; nil without a link.
@@ -38,9 +39,9 @@
 }
 
 // NewRemote returns a Remote without a link to a leader.
-func NewRemote(local *Local, listing func() *backend.Listing) *Remote {
+func NewRemote(local *Local, listing func() *backend.Listing, pauses Pauses) *Remote {
 	return &Remote{
-		local: local, listing: listing, pending: make(map[uint64]chan link.Down), held: make(map[uint64]backend.ID),
+		local: local, listing: listing, pauses: pauses, pending: make(map[uint64]chan link.Down), held: make(map[uint64]backend.ID),
 		asks: make(map[string]*pace),
 	}
 }
@@ -79,8 +80,23 @@
 	return t, refusal
 }
 
-// ask asks the leader for a turn. decided is false if there is no link, the leader does not reply or does not lead, or its turn can't be used.
+// maxGrantsReturned bounds the turns that a request gives back because the servers ask for a pause.
+const maxGrantsReturned = 3
+
+// ask asks the leader for a turn. decided is false if there is no link, the leader does not reply or does not lead, or its turn can't be used. A turn
+// at a server that has asked for a pause while the leader granted it is given back, and the leader, which is told of the pause, is asked again.
 func (r *Remote) ask(ctx context.Context, request Request) (t *Turn, refusal *Refusal, decided bool) {
+	for range maxGrantsReturned {
+		t, refusal, decided = r.askOnce(ctx, request)
+		if t == nil || r.pauses.Remaining(t.Server) == 0 {
+			return t, refusal, decided
+		}
+		t.Done(Result{Rejected: true, Unsent: true})
+	}
+	return nil, nil, false
+}
+
+func (r *Remote) askOnce(ctx context.Context, request Request) (t *Turn, refusal *Refusal, decided bool) {
 	askedAt := time.Now()
 	key, replies := r.submit(request)
 	if replies == nil {
@@ -166,6 +182,13 @@
 	if reply.Grant.Metered {
 		t.Expires = expires
 	}
+	if reply.Grant.Watched {
+		accepted := t.Accepted
+		t.Accepted = func() {
+			accepted()
+			r.Send(link.Up{Accepted: key})
+		}
+	}
 	t.Basis = Basis{FromLeader: true, Revision: reply.Grant.Revision, Age: time.Duration(reply.Grant.AgeMs) * time.Millisecond}
 	return t, nil, true
 }
--- a/entry/turn/turn.go
+++ b/entry/turn/turn.go
@@ -56,6 +56,8 @@
 	Full Reason = "full"
 	// TriedAll: the request was tried on every server or group that could take it.
 	TriedAll Reason = "tried-all"
+	// Paused: the servers that could take the request want none for longer than it may wait.
+	Paused Reason = "paused"
 )
 
 // Refusal tells why there is no turn, and when the request may be tried again.
@@ -105,6 +107,8 @@
 	ReportLoad func(running, waiting, slots int)
 	// ReportStall reports, during the turn, that the server has sent nothing for longer than usual.
 	ReportStall func()
+	// Accepted records that the server has accepted the request.
+	Accepted func()
 	// Done ends the turn. It must be called exactly once.
 	Done func(Result)
 }
@@ -120,6 +124,19 @@
 	Informed() bool
 }
 
+// Pauses tells which servers have asked this entry for a pause. It is safe for concurrent use.
+type Pauses interface {
+	// Remaining returns what is left of the pause of a server; 0 if it has none.
+	Remaining(server *backend.Server) time.Duration
+	// Allows reports whether a server may be sent a request now, and whether that is a probe, a single request after a pause.
+	Allows(server *backend.Server) (allowed, probe bool)
+	// BeginProbe records that a probe is sent, and returns a key that EndProbe takes once it has ended.
+	BeginProbe(server *backend.Server) string
+	EndProbe(server *backend.Server, key string)
+	// Accepted records that a server has accepted a request.
+	Accepted(server *backend.Server)
+}
+
 // Source grants turns. Implementations are safe for concurrent use.
 type Source interface {
 	Acquire(ctx context.Context, request Request) (*Turn, *Refusal)
--- a/link/leader/leader.go
+++ b/link/leader/leader.go
@@ -69,6 +69,8 @@
 	LimitReport *LimitReport `cbor:"15,keyasint,omitempty"`
 	// Pause reports that a server has asked the follower for a pause.
 	Pause *Pause `cbor:"16,keyasint,omitempty"`
+	// Accepted is the key of a turn whose grant is marked as watched, and whose head has accepted the request; 0 for none.
+	Accepted uint64 `cbor:"17,keyasint,omitempty"`
 }
 
 // Pause is a time in which a server wants no requests of one follower.
@@ -98,6 +100,8 @@
 	Holds   []Holds `cbor:"10,keyasint,omitempty"`
 	// Limits are the limits of servers that the follower knows of.
 	Limits []ServerLimit `cbor:"11,keyasint,omitempty"`
+	// Pauses are those that servers have asked the follower for.
+	Pauses []Pause `cbor:"12,keyasint,omitempty"`
 	// RoutableOnly reports that the follower is to be sent only the routable servers.
 	RoutableOnly bool `cbor:"8,keyasint,omitempty"`
 }
@@ -286,6 +290,8 @@
 	AgeMs    int64  `cbor:"4,keyasint,omitempty"`
 	// Metered reports that the head takes a limited number of requests a second, so that the turn must be used soon.
 	Metered bool `cbor:"5,keyasint,omitempty"`
+	// Watched reports that the head has rejected requests, and that the leader is to be told if it accepts this one.
+	Watched bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Refusal refuses a turn.
--- a/link/upstream/pool.go
+++ b/link/upstream/pool.go
@@ -88,6 +88,10 @@
 	if err != nil {
 		return nil, eris.Wrapf(ErrNotSent, "%s at %s: %v", endpoint.ID, endpoint.Address, err)
 	}
+	if request.Permit != nil && !request.Permit() {
+		p.put(endpoint, c)
+		return nil, eris.Wrapf(ErrNotPermitted, "%s at %s", endpoint.ID, endpoint.Address)
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	response, err := c.exchange(request)
 	if err != nil {
--- a/link/upstream/upstream.go
+++ b/link/upstream/upstream.go
@@ -18,6 +18,8 @@
 var (
 	// ErrNotSent means that no byte of the request was written to a connection. The request has not run.
 	ErrNotSent = eris.New("request was not sent")
+	// ErrNotPermitted means that Request.Permit has prevented the request from being sent. It has not run.
+	ErrNotPermitted = eris.New("request was withheld")
 	// ErrOutcomeUnknown means that the request was sent in whole or in part and no response arrived. It may have
 	// run.
 	ErrOutcomeUnknown = eris.New("request was sent and has no answer")
@@ -48,6 +50,8 @@
 	// doesn't match is skipped, because a faulty server may send a response twice and the second copy would then
 	// arrive in place of the next response.
 	Matches func(header http.Header) bool
+	// Permit reports whether the request may still be sent; nil permits it. It is asked when a connection is ready, which may take a while.
+	Permit func() bool
 }
 
 // Connection limits.
--- a/policy/backoff/backoff.go
+++ b/policy/backoff/backoff.go
@@ -60,8 +60,12 @@
 	s.lastEnd = max(s.lastEnd, s.pauses[client])
 }
 
-// Accept records that the server has accepted a request that was sent when Allows permitted it. Pauses that have not ended remain.
-func (s *Server) Accept(now time.Duration) {
+// Accept records that the server has accepted a request that was permitted at sentAt. Pauses that have not ended remain. A request that was under way
+// when the server began to reject others says nothing.
+func (s *Server) Accept(now, sentAt time.Duration) {
+	if s.rejected > 0 && sentAt < s.since {
+		return
+	}
 	for client, end := range s.pauses {
 		if end <= now {
 			delete(s.pauses, client)
@@ -70,6 +74,9 @@
 	s.rejected, s.probe = 0, ""
 }
 
+// Watched reports whether it matters that the server accepts a request.
+func (s *Server) Watched() bool { return s.rejected > 0 || len(s.pauses) > 0 }
+
 // Blocked returns the earliest time at which a client may send the server a request; now if it may at once. A request whose result is awaited is
 // not considered: it mostly ends within milliseconds.
 func (s *Server) Blocked(now time.Duration, client string) time.Duration {
@@ -81,7 +88,9 @@
 }
 
 // Paused returns the end of the pause that the server has asked a client for; now if there is none.
-func (s *Server) Paused(now time.Duration, client string) time.Duration { return max(now, s.pauses[client]) }
+func (s *Server) Paused(now time.Duration, client string) time.Duration {
+	return max(now, s.pauses[client])
+}
 
 // Shedding reports whether the server counts as rejecting all clients.
 func (s *Server) Shedding() bool { return s.rejected >= sheddingClients }
--- a/policy/turns/choose.go
+++ b/policy/turns/choose.go
@@ -7,10 +7,10 @@
 
 // bestGroup returns the group that is expected to produce the first token soonest, or nil if no group has a free
 // slot. Where the expected delays are equal or unknown, it returns the group with the lowest load. Prompt lengths
-// vary tenfold, so the group with the fewest requests may have the longest prompts still to prefill.
+// vary tenfold, so the group with the fewest requests may have the longest prompts still to prefill. A request that was
+// sent before is not a probe of a head that has rejected others, unless no other group has a free slot.
 func (s *Scheduler) bestGroup(now time.Duration, request Request) *group {
-	var best *group
-	var bestDelay time.Duration
+	var best, probed choice
 	yields := s.model(request.Model).yields(now, request)
 	for _, g := range s.groups {
 		if g.removed || g.Model != request.Model || now < g.suspectUntil || g.running >= g.Engine.Slots+s.config.Overcommit {
@@ -19,15 +19,47 @@
 		if slices.Contains(request.TriedHeads, g.Head) {
 			continue
 		}
-		if meter := s.meters[g.Head]; meter != nil && !meter.Available(now, yields) {
+		allowed, probe := s.mayGrant(now, g.Head, request.Client)
+		if !allowed || !s.withinLimit(now, g.Head, yields) {
 			continue
 		}
-		delay := g.firstTokenDelay(now)
-		if best == nil || delay < bestDelay || (delay == bestDelay && g.lessLoaded(best)) {
-			best, bestDelay = g, delay
+		if probe {
+			probed.improve(g, now)
+		} else {
+			best.improve(g, now)
 		}
 	}
-	return best
+	if best.group == nil || probed.group != nil && len(request.TriedHeads) == 0 && best.worseThan(probed) {
+		return probed.group
+	}
+	return best.group
+}
+
+// withinLimit reports whether the limit of a head, if it has one, permits another request.
+func (s *Scheduler) withinLimit(now time.Duration, head string, yields bool) bool {
+	if len(s.meters) == 0 {
+		return true
+	}
+	meter := s.meters[head]
+	return meter == nil || meter.Available(now, yields)
+}
+
+// choice is the best of the groups considered so far, with its firstTokenDelay.
+type choice struct {
+	group *group
+	delay time.Duration
+}
+
+// improve chooses a group if it is better than the one chosen.
+func (c *choice) improve(g *group, now time.Duration) {
+	if other := (choice{g, g.firstTokenDelay(now)}); c.group == nil || c.worseThan(other) {
+		*c = other
+	}
+}
+
+// worseThan reports whether a request is better sent to the other group.
+func (c *choice) worseThan(other choice) bool {
+	return other.delay < c.delay || other.delay == c.delay && other.group.lessLoaded(c.group)
 }
 
 // firstTokenDelay estimates the time until the group starts to decode one more request: the prefill of the prompts
--- a/policy/turns/limits.go
+++ b/policy/turns/limits.go
@@ -103,7 +103,7 @@
 		return 0
 	}
 	m := s.model(request.Model)
-	next := max(m.promisedUntil, now+s.expectedWait(request.Model, d.Waiting))
-	m.promisedUntil = min(next+s.expectedWait(request.Model, 0), now+maxPromise)
+	next := max(m.promisedUntil, now+s.expectedWait(now, request, d.Waiting))
+	m.promisedUntil = min(next+s.expectedWait(now, request, 0), now+maxPromise)
 	return next - now
 }
--- a/policy/turns/turns.go
+++ b/policy/turns/turns.go
@@ -26,6 +26,7 @@
 	"strings"
 	"time"
 
+	"github.com/skylarkpond/skylarkpond/policy/backoff"
 	"github.com/skylarkpond/skylarkpond/policy/capacity"
 	"github.com/skylarkpond/skylarkpond/policy/quota"
 )
@@ -44,6 +45,8 @@
 	// Key is unique among the requests that wait or run.
 	Key   string
 	Model string
+	// Client is the entry that sends the request.
+	Client string
 	// FirstTokenBudget is the time left until the first token is due; 0 if waiting longer makes no difference.
 	FirstTokenBudget time.Duration
 	// MaxWait is the longest time that the request may wait for its turn.
@@ -77,6 +80,8 @@
 	TooLate
 	// TriedAll means that the request was already sent to every available group.
 	TriedAll
+	// Paused means that all groups that could serve the request have rejected others, and want none until the turn would come too late.
+	Paused
 )
 
 // Decision is the result for one request: a turn at Head, or a rejection.
@@ -91,8 +96,19 @@
 	Running, Waiting, Slots int
 	// Metered is set for a turn at a head that takes a limited number of requests a second.
 	Metered bool
-	// Limits describes the limits of the heads that a rejected request could have been sent to.
+	// Watched is set for a turn at a head that has rejected requests: the scheduler is to be told if it accepts this one.
+	Watched bool
+	// Limits describes the limits of the heads that a rejected request could have been sent to, and Pauses those that want no request.
 	Limits Limits
+	Pauses Pauses
+}
+
+// Pauses describes the heads that could serve a request and want none for a time.
+type Pauses struct {
+	// Heads is their number. First is the one that wants none for the shortest time, Left.
+	Heads int
+	First string
+	Left  time.Duration
 }
 
 // Limits describes the available heads of a model that take a limited number of requests a second.
@@ -141,6 +157,8 @@
 	// turns as well.
 	meters      map[string]*quota.Meter
 	unconfirmed bool
+	// pauses holds what is known of heads that have rejected requests.
+	pauses map[string]*backoff.Server
 	// rejectedAt holds the time of each rejection by fingerprint.
 	rejectedAt map[uint64]time.Duration
 }
@@ -190,7 +208,7 @@
 func New(config Config) *Scheduler {
 	return &Scheduler{
 		config: config, groups: make(map[string]*group), models: make(map[string]*modelQueue), turns: make(map[string]turn),
-		meters: make(map[string]*quota.Meter), rejectedAt: make(map[uint64]time.Duration),
+		meters: make(map[string]*quota.Meter), pauses: make(map[string]*backoff.Server), rejectedAt: make(map[uint64]time.Duration),
 	}
 }
 
@@ -235,12 +253,12 @@
 	}
 	m.countRequest(request)
 	if g := s.bestGroup(now, request); g != nil && len(m.queue) == 0 {
-		return []Decision{s.grant(now, g, request.Key, request.Size)}
+		return []Decision{s.grant(now, g, request)}
 	}
-	if reason := s.unservable(request); reason != Granted {
+	if reason := s.unservable(now, request); reason != Granted {
 		return []Decision{s.reject(now, request, reason, random)}
 	}
-	if s.expectedWait(request.Model, s.queuedAhead(m, request)) > m.maxWait(request) {
+	if s.expectedWait(now, request, s.queuedAhead(m, request)) > m.maxWait(request) {
 		return []Decision{s.reject(now, request, TooLate, random)}
 	}
 	m.enqueue(queuedRequest{Request: request, enqueuedAt: now})
@@ -250,7 +268,7 @@
 // grantOrReject decides at once on an optional request.
 func (s *Scheduler) grantOrReject(now time.Duration, m *modelQueue, request Request, random func() float64) Decision {
 	if g := s.bestGroup(now, request); g != nil && len(m.queue) == 0 {
-		return s.grant(now, g, request.Key, request.Size)
+		return s.grant(now, g, request)
 	}
 	return s.rejection(now, request, TooLate, random)
 }
@@ -284,31 +302,48 @@
 	return n
 }
 
-// unservable returns why the request can't be granted a turn at all (no group is available, or all were tried), or
-// Granted if it can.
-func (s *Scheduler) unservable(request Request) Reason {
-	reason := NoGroup
+// candidate reports whether a group serves the model of a request that was not sent to it before.
+func (s *Scheduler) candidate(g *group, request Request) bool {
+	return !g.removed && g.Model == request.Model && !slices.Contains(request.TriedHeads, g.Head)
+}
+
+// unservable returns why the request can't be granted a turn in time (no group is available, all were tried, or all want no requests), or Granted if
+// it can.
+func (s *Scheduler) unservable(now time.Duration, request Request) Reason {
+	first, ok := s.unblocked(now, request)
+	switch {
+	case ok && first-now <= s.model(request.Model).maxWait(request):
+		return Granted
+	case ok:
+		return Paused
+	}
 	for _, g := range s.groups {
-		if g.removed || g.Model != request.Model {
-			continue
-		}
-		if !slices.Contains(request.TriedHeads, g.Head) {
-			return Granted
+		if !g.removed && g.Model == request.Model {
+			return TriedAll
 		}
-		reason = TriedAll
 	}
-	return reason
+	return NoGroup
 }
 
-// expectedWait estimates how long a request waits behind others: slots become free at the rate at which turns end.
-func (s *Scheduler) expectedWait(name string, ahead int) time.Duration {
-	perSecond := 0.0
+// expectedWait estimates how long a request waits behind others: slots become free at the rate at which turns end, at the groups that take requests.
+func (s *Scheduler) expectedWait(now time.Duration, request Request, ahead int) time.Duration {
+	perSecond, blockedFor := 0.0, time.Duration(0)
 	for _, g := range s.groups {
-		if !g.removed && g.Model == name {
-			perSecond += s.turnRate(g)
+		if g.removed || g.Model != request.Model {
+			continue
+		}
+		if at := s.blocked(now, g.Head, request.Client); at > now {
+			if blockedFor == 0 || at-now < blockedFor {
+				blockedFor = at - now
+			}
+			continue
 		}
+		perSecond += s.turnRate(g)
 	}
 	if perSecond == 0 {
+		if blockedFor > 0 {
+			return blockedFor
+		}
 		return s.config.GroupFormationTime
 	}
 	return time.Duration(float64(ahead+1) / perSecond * float64(time.Second))
@@ -334,16 +369,20 @@
 	return running, slots
 }
 
-func (s *Scheduler) grant(now time.Duration, g *group, key string, size capacity.RequestSize) Decision {
+func (s *Scheduler) grant(now time.Duration, g *group, request Request) Decision {
 	g.running++
-	g.prefillDoneAt = max(now, g.prefillDoneAt) + g.Engine.PrefillTime(size.PromptTokens)
+	g.prefillDoneAt = max(now, g.prefillDoneAt) + g.Engine.PrefillTime(request.Size.PromptTokens)
 	s.model(g.Model).granted++
 	meter := s.meters[g.Head]
 	if meter != nil {
 		meter.Take(now)
 	}
-	s.turns[key] = turn{head: g.Head, grantedAt: now, meter: meter}
-	return Decision{Key: key, Head: g.Head, Metered: meter != nil}
+	if _, probe := s.mayGrant(now, g.Head, request.Client); probe {
+		s.pauses[g.Head].Probe(now, request.Key)
+	}
+	s.turns[request.Key] = turn{head: g.Head, grantedAt: now, meter: meter}
+	known := s.pauses[g.Head]
+	return Decision{Key: request.Key, Head: g.Head, Metered: meter != nil, Watched: known != nil && known.Watched()}
 }
 
 func (s *Scheduler) reject(now time.Duration, request Request, reason Reason, random func() float64) Decision {
@@ -357,13 +396,16 @@
 	d := Decision{Key: request.Key, Reason: reason}
 	d.Running, d.Slots = s.slots(request.Model)
 	d.Limits = s.limits(request.Model)
+	d.Pauses = s.describePauses(now, request)
 	d.Waiting = len(s.model(request.Model).queue)
 	jitter := time.Duration(random() * float64(s.config.RetryAfterJitter))
 	switch reason {
+	case Paused:
+		d.RetryAfter = max(s.config.MinRetryAfter, min(d.Pauses.Left, maxPauseTold)) + jitter
 	case NoGroup, TriedAll:
 		d.RetryAfter = s.config.GroupFormationTime + jitter
 	default:
-		d.RetryAfter = max(s.config.MinRetryAfter, s.expectedWait(request.Model, d.Waiting), s.promise(now, request, d)) + jitter
+		d.RetryAfter = max(s.config.MinRetryAfter, s.expectedWait(now, request, d.Waiting), s.promise(now, request, d)) + jitter
 	}
 	return d
 }
@@ -389,6 +431,9 @@
 	if end.Unsent && t.meter != nil {
 		t.meter.GiveBack(now)
 	}
+	if known := s.pauses[t.head]; known != nil {
+		known.EndProbe(key)
+	}
 	g := s.release(key)
 	if g == nil || g.Model == "" {
 		return nil // the turn was granted by a previous scheduler, and the group has not been listed since
@@ -509,10 +554,10 @@
 	kept := m.queue[:0]
 	for _, w := range m.queue {
 		if g := s.bestGroup(now, w.Request); g != nil {
-			decisions = append(decisions, s.grant(now, g, w.Key, w.Size))
+			decisions = append(decisions, s.grant(now, g, w.Request))
 			continue
 		}
-		reason := s.unservable(w.Request)
+		reason := s.unservable(now, w.Request)
 		if reason == Granted && now-w.enqueuedAt >= m.maxWait(w.Request) {
 			reason = TooLate
 		}
