entry/catalog, entry/gateway, entry/leader: a server that says that it is leaving is left alone, whatever the platform lists

What callers saw: requests went on to servers that had said in their answers that they are leaving, for as long as the platform listed them as ready.

Cause: nothing read the header; that a server leaves was known from the platform's list alone, which may be late or away.

Ruled out: that the answers alone are missed where the platform can't be read; it is the same where it lists the server as ready.

What changed: each answer, also to orders and reports, and one that another entry passes on, is read in one place. The catalog keeps who has said so and takes the server for leaving until a later process registers, so that everything that goes by the list follows: the choice of plain servers, the leader's turns, the plan of groups. The leader tells all entries, since each would lose requests until it has heard it itself; new followers and new leaders are told what is known. An answer of another server at the same address says nothing of the one that was asked.

--- a/entry/catalog/catalog_test.go
+++ b/entry/catalog/catalog_test.go
@@ -338,6 +338,44 @@
 		Expect(f.catalog.ServersAge()).To(And(BeNumerically(">", 0), BeNumerically("<", time.Second)))
 	})
 
+	// A server that says so in its answers is leaving although the platform lists it as ready, or can't be read.
+	It("takes a server that has said itself that it is leaving for leaving until it has started anew", func() {
+		f := newFixture()
+		f.followLeader()
+		revision := uint64(f.catalog.Revisions()[platform.KindServers])
+		register := func(startedAt int64) {
+			from := f.catalog.Revisions()[platform.KindServers]
+			revision++
+			f.catalog.ApplyChanges(catalog.ChangeSet{Kind: platform.KindServers, From: from, To: store.Version(revision), Changes: []catalog.Change{
+				{Server: &backend.Server{ID: "i-1", Service: "s", Address: "10.0.0.1:1", StartedAtMillis: startedAt, Revision: revision}},
+			}})
+		}
+		leaves := func() bool { return f.catalog.Listing().Servers["i-1"].Leaving }
+		announce := func(process int64) bool {
+			return f.catalog.AnnounceLeaving(link.Leaving{Server: "i-1", Process: process}, false)
+		}
+		register(5)
+		Expect(announce(5)).To(BeTrue())
+		Expect(announce(5)).To(BeFalse())
+		Expect(leaves()).To(BeTrue())
+		Expect(f.leaving).To(Receive(Equal(leavingServer{"i-1", false})))
+		register(5)
+		Expect(leaves()).To(BeTrue())
+		Expect(f.leaving).To(BeEmpty())
+		Expect(f.catalog.AnnouncedLeaving()).To(Equal([]link.Leaving{{Server: "i-1", Process: 5}}))
+		register(9)
+		Expect(leaves()).To(BeFalse())
+		Expect(announce(5)).To(BeFalse(), "said by an earlier process")
+		Expect(leaves()).To(BeFalse())
+	})
+
+	It("knows that a server is leaving that said so before it is listed", func() {
+		f := newFixture()
+		Expect(f.catalog.AnnounceLeaving(link.Leaving{Server: "i-1"}, true)).To(BeTrue())
+		f.api.Write("servers", "i-1", replica.ReadyRegistration("s"))
+		Eventually(func() *backend.Server { return f.catalog.Listing().Servers["i-1"] }, waitFor).Should(HaveField("Leaving", true))
+	})
+
 	// Changes were lost, for example while a connection was down. If later changes were applied to the old state, a server
 	// that is gone would remain listed.
 	It("reads from the platform if changes were missed", func() {
--- a/entry/catalog/servers.go
+++ b/entry/catalog/servers.go
@@ -36,6 +36,8 @@
 	revision uint64
 	// routableOnly reports that the servers that are not routable are not held.
 	routableOnly bool
+	// announced holds the servers that have said themselves that they are leaving.
+	announced map[backend.ID]announcement
 }
 
 func (s *serverList) apply(update Update) {
@@ -51,7 +53,7 @@
 		if change.Server == nil {
 			continue
 		}
-		server := change.Server
+		server := s.withAnnouncement(change.Server)
 		present[server.ID] = true
 		if known := s.byID[server.ID]; known == nil || known.Revision <= server.Revision {
 			if server.Leaving && (known == nil || !known.Leaving) {
@@ -136,6 +138,7 @@
 		wait.Pause(ctx, expireInterval)
 		s.mu.Lock()
 		changed := false
+		s.expireAnnouncements()
 		for id, until := range s.lapsed {
 			if time.Now().After(until) {
 				delete(s.lapsed, id)
--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -126,6 +126,7 @@
 		Suspect:      func(key backend.GroupKey) { controller.Suspect(context.Background(), key) },
 		ReportDemand: s.logDemand, Config: cat.Config, OfferConfig: cat.UpdateConfig, LeaseVersion: entryLease.Version,
 		Ages: cat.Ages, ReportHolds: s.holdsChanged,
+		AnnounceLeaving: func(leaving link.Leaving) bool { return cat.AnnounceLeaving(leaving, false) }, AnnouncedLeaving: cat.AnnouncedLeaving,
 		Confirmed: entryLease.Held, KnownLimits: func() []link.ServerLimit { return s.components.limits.Limits() }, ReportLimit: s.limitChanged,
 	})
 }
@@ -186,7 +187,7 @@
 	return relay.New(relay.Deps{
 		Table: cat.Table, Turns: remote, Pool: pool, Retries: retries, Suspects: watch, Report: s.requestEnded,
 		Rejected: s.requestRejected, FirstRequest: func() { remote.Send(link.Up{RequestSeen: true}) }, Random: rand.Float64,
-		Limits: tracker, Pauses: pauses, Isolation: isolated, PeerPool: upstream.NewPool(upstream.WithSource(sourceIP(s.config.CallerAddress))),
+		Limits: tracker, Pauses: pauses, Isolation: isolated, PeerPool: upstream.NewPool(upstream.WithSource(sourceIP(s.config.CallerAddress)), upstream.WithObserver(s.entryAnswered)),
 		Peer: func(tried []string) (relay.Peer, bool) {
 			entry, ok := entries.Peer(tried)
 			return relay.Peer{Name: entry.Name, Address: entry.PublicAddress}, ok
--- a/entry/gateway/follow.go
+++ b/entry/gateway/follow.go
@@ -121,6 +121,9 @@
 	for _, report := range g.limits.Unconfirmed() { // heard while the link was set up
 		g.remote.Send(report)
 	}
+	if leaving := g.catalog.AnnouncedLeaving(); len(leaving) > 0 {
+		g.remote.Send(link.Up{Leaving: leaving})
+	}
 	for _, pause := range g.backoff.Pauses() {
 		g.remote.Send(link.Up{Pause: &pause})
 	}
@@ -160,6 +163,10 @@
 		g.leaderState.applyIsolation(*message.IsolationChanges)
 	case message.LimitChanges != nil:
 		g.limits.ApplyChanges(*message.LimitChanges)
+	case len(message.Leaving) > 0:
+		for _, leaving := range message.Leaving {
+			g.catalog.AnnounceLeaving(leaving, true)
+		}
 	case message.Probe != nil:
 		go g.answerProbe(ctx, send, *message.Probe)
 	}
--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -116,7 +116,9 @@
 	// newEntry returns the parts of an entry that decide it. The entry has been running for a minute.
 	newEntry := func(firstStart bool) *shared {
 		entries := roster.New(roster.Deps{})
-		followers := leader.New(leader.Deps{Config: func() (uint64, json.RawMessage) { return 0, nil }})
+		followers := leader.New(leader.Deps{
+			Config: func() (uint64, json.RawMessage) { return 0, nil }, AnnouncedLeaving: func() []link.Leaving { return nil },
+		})
 		followers.Join("e-0", &loopbackLink{queue: make(chan link.Down, loopbackQueueSize)}, link.Hello{})
 		forwarding := relay.New(relay.Deps{Table: func() *route.Table { return nil }, FirstRequest: func() {}, Report: func(relay.Report) {}})
 		return &shared{
--- a/entry/gateway/lines.go
+++ b/entry/gateway/lines.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"net/http"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -19,9 +18,7 @@
 	"github.com/skylarkpond/skylarkpond/link/framing"
 	link "github.com/skylarkpond/skylarkpond/link/leader"
 	store "github.com/skylarkpond/skylarkpond/link/platform"
-	"github.com/skylarkpond/skylarkpond/link/upstream"
 	"github.com/skylarkpond/skylarkpond/logline"
-	"github.com/skylarkpond/skylarkpond/platform"
 	"github.com/skylarkpond/skylarkpond/policy/turns"
 )
 
@@ -94,12 +91,6 @@
 	s.log.WithFields(logrus.Fields{"vm": server.ID, "service": server.Service, "limit": text}).Warn(logline.LimitInvalid)
 }
 
-// serverAnswered records what a server states of itself in an answer.
-func (s *shared) serverAnswered(from upstream.Endpoint, status int, header http.Header) {
-	stated := platform.DecodeResponse(status, header)
-	s.components.backoff.Answered(from, stated.Pause, stated.InvalidPause)
-}
-
 func (s *shared) pauseBegan(pause backoff.Pause) {
 	metrics.GetOrRegisterCounter("pauses.began", s.registry).Inc(1)
 	s.log.WithFields(logrus.Fields{"vm": pause.Server, "for_ms": pause.For.Milliseconds()}).Info(logline.PauseBegins)
--- a/entry/leader/demand_test.go
+++ b/entry/leader/demand_test.go
@@ -25,6 +25,7 @@
 			Slots: 8, StepTime: 6 * time.Millisecond, StepTimePerSequence: 100 * time.Microsecond, PrefillTokensPerSecond: 50_000, Models: models,
 		}}}}
 		l := leader.New(leader.Deps{
+			AnnounceLeaving: func(link.Leaving) bool { return true }, AnnouncedLeaving: func() []link.Leaving { return nil },
 			Confirmed: func() bool { return true }, KnownLimits: func() []link.ServerLimit { return nil }, ReportLimit: func(leader.LimitChange) {},
 			IsLeader:     func() bool { return true },
 			Listing:      func() *backend.Listing { return backend.NewListing(1, nil) },
@@ -69,6 +70,7 @@
 			Slots: 8, StepTime: 6 * time.Millisecond, StepTimePerSequence: 100 * time.Microsecond, PrefillTokensPerSecond: 50_000, Models: models,
 		}}}}
 		l := leader.New(leader.Deps{
+			AnnounceLeaving: func(link.Leaving) bool { return true }, AnnouncedLeaving: func() []link.Leaving { return nil },
 			Confirmed: func() bool { return true }, KnownLimits: func() []link.ServerLimit { return nil }, ReportLimit: func(leader.LimitChange) {},
 			IsLeader: func() bool { return true }, Listing: func() *backend.Listing { return backend.NewListing(1, nil) },
 			ListAge: func() time.Duration { return 0 }, Table: func() *route.Table { return table },
--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -67,6 +67,10 @@
 	LinkMbps float64
 	// Confirmed reports whether it is confirmed that no other entry is the leader.
 	Confirmed func() bool
+	// AnnounceLeaving records that a server has said that it is leaving, and returns false if that is known. AnnouncedLeaving returns all such
+	// servers.
+	AnnounceLeaving  func(leaving link.Leaving) bool
+	AnnouncedLeaving func() []link.Leaving
 	// KnownLimits returns the limits of servers that this entry knows as a follower. It is called with the Leader's lock held.
 	KnownLimits func() []link.ServerLimit
 	// ReportLimit is called when the limit of a server changes. It is called with the Leader's lock held.
@@ -283,6 +287,7 @@
 func (l *Leader) Join(entry string, to recipient, hello link.Hello) {
 	joining := &follower{recipient: to, routableOnly: hello.RoutableOnly}
 	l.catchUp(joining, hello.Revisions)
+	announced := l.deps.AnnouncedLeaving()
 	l.mu.Lock()
 	l.followers[entry] = joining
 	l.newFollowers[entry] = true
@@ -290,6 +295,7 @@
 	l.sendIsolation(to)
 	l.adoptLimits(hello.Limits)
 	l.sendLimits(to)
+	l.sendLeaving(to, announced)
 	for _, pause := range hello.Pauses {
 		l.applyPause(entry, pause)
 	}
@@ -343,6 +349,8 @@
 		l.mu.Lock()
 		l.applyPause(entry, *message.Pause)
 		l.mu.Unlock()
+	case len(message.Leaving) > 0:
+		l.hearLeaving(message.Leaving)
 	case message.Accepted != 0:
 		l.mu.Lock()
 		l.sendDecisions(l.turns.Accepted(l.now(), turnKey(entry, message.Accepted), rand.Float64))
--- a/entry/leader/leader_test.go
+++ b/entry/leader/leader_test.go
@@ -64,6 +64,7 @@
 func newEntryWith(snapshot *catalog.ChangeSet) *leader.Leader {
 	servers := map[backend.ID]*backend.Server{"i-1": {ID: "i-1", Service: "desk"}}
 	return leader.New(leader.Deps{
+		AnnounceLeaving: func(link.Leaving) bool { return true }, AnnouncedLeaving: func() []link.Leaving { return nil },
 		IsLeader:     func() bool { return true },
 		Listing:      func() *backend.Listing { return backend.NewListing(1, servers) },
 		ListAge:      func() time.Duration { return 0 },
@@ -94,6 +95,7 @@
 	// All entries started at once, and the next leader's list of servers was still on its way. It knew no group and rejected every request.
 	It("grants no turns before it has read a list of servers, and tells its followers to decide themselves", func() {
 		l := leader.New(leader.Deps{
+			AnnounceLeaving: func(link.Leaving) bool { return true }, AnnouncedLeaving: func() []link.Leaving { return nil },
 			Confirmed: func() bool { return true }, KnownLimits: func() []link.ServerLimit { return nil }, ReportLimit: func(leader.LimitChange) {},
 			IsLeader: func() bool { return true }, Listing: func() *backend.Listing { return backend.NewListing(0, nil) },
 			Table: func() *route.Table { return &route.Table{Version: 3} }, ListAge: func() time.Duration { return 0 },
@@ -204,6 +206,7 @@
 	It("sends a new follower what it missed before any broadcast", func() {
 		var l *leader.Leader
 		l = leader.New(leader.Deps{
+			AnnounceLeaving: func(link.Leaving) bool { return true }, AnnouncedLeaving: func() []link.Leaving { return nil },
 			Confirmed: func() bool { return true }, KnownLimits: func() []link.ServerLimit { return nil }, ReportLimit: func(leader.LimitChange) {},
 			IsLeader: func() bool { return true }, Config: func() (uint64, json.RawMessage) { return 0, nil },
 			ChangesSince: func(platform.Kind, platform.Version) (catalog.ChangeSet, bool) {
--- a/entry/leader/limits_test.go
+++ b/entry/leader/limits_test.go
@@ -30,6 +30,7 @@
 		}
 		table := route.NewTable(3, nil, []route.Service{{Name: "desk"}}, nil, route.Limits{})
 		l = leader.New(leader.Deps{
+			AnnounceLeaving: func(link.Leaving) bool { return true }, AnnouncedLeaving: func() []link.Leaving { return nil },
 			IsLeader: func() bool { return true }, Listing: func() *backend.Listing { return backend.NewListing(1, servers) },
 			ListAge: func() time.Duration { return 0 }, Table: func() *route.Table { return table },
 			Config: func() (uint64, json.RawMessage) { return 3, nil }, Confirmed: func() bool { return true },
--- a/entry/leader/pauses_test.go
+++ b/entry/leader/pauses_test.go
@@ -31,6 +31,7 @@
 		engine := &route.Engine{Slots: 4, Models: []route.Model{{Name: "large", Size: 1, TimeFactor: 1}}}
 		table := route.NewTable(3, nil, []route.Service{{Name: "chat", Engine: engine}}, nil, route.Limits{})
 		l = leader.New(leader.Deps{
+			AnnounceLeaving: func(link.Leaving) bool { return true }, AnnouncedLeaving: func() []link.Leaving { return nil },
 			IsLeader: func() bool { return true }, Listing: func() *backend.Listing { return backend.NewListing(1, servers) },
 			ListAge: func() time.Duration { return 0 }, Table: func() *route.Table { return table },
 			Config: func() (uint64, json.RawMessage) { return 3, nil }, Confirmed: func() bool { return true },
--- a/link/leader/leader.go
+++ b/link/leader/leader.go
@@ -71,6 +71,15 @@
 	Pause *Pause `cbor:"16,keyasint,omitempty"`
 	// Accepted is the key of a turn whose grant is marked as watched, and whose head has accepted the request; 0 for none.
 	Accepted uint64 `cbor:"17,keyasint,omitempty"`
+	// Leaving lists servers that have said that they are leaving.
+	Leaving []Leaving `cbor:"18,keyasint,omitempty"`
+}
+
+// Leaving is a server that has said in an answer that it is leaving.
+type Leaving struct {
+	Server backend.ID `cbor:"1,keyasint"`
+	// Process is the start of the server's process, in Unix milliseconds; 0 if unknown.
+	Process int64 `cbor:"2,keyasint,omitempty"`
 }
 
 // Pause is a time in which a server wants no requests of one follower.
@@ -272,6 +281,8 @@
 	IsolationChanges *IsolationChanges `cbor:"10,keyasint,omitempty"`
 	// LimitChanges is sent when limits of servers change.
 	LimitChanges *LimitChanges `cbor:"13,keyasint,omitempty"`
+	// Leaving lists servers that have said that they are leaving.
+	Leaving []Leaving `cbor:"14,keyasint,omitempty"`
 }
 
 // IsolationChanges lists the entries that have become isolated and those that reach the servers again. A new follower is sent all isolated ones.
--- a/logline/names.go
+++ b/logline/names.go
@@ -26,6 +26,7 @@
 	RequestsHeldBack = "requests held back: they crash servers"
 	LinesDropped     = "log lines dropped"
 	ServerLeaves     = "backend server is leaving"
+	ServerAnnounces  = "backend server says that it is leaving"
 	ServerCrashed    = "backend server crashed while it ran a request"
 	RequestRejected  = "backend server rejected the request"
 	ServerLimit      = "backend server names another limit of requests"
