entry/relay, link/upstream, link/platform, link/engine: answers that never end take little memory

What callers saw: entries that were killed for their memory, by servers that send bytes without end.

Cause: a response's head was parsed from an unbounded reader, an event and an answer that is no stream were held whole, the body of another request's answer was read until the deadline, and the platform's answers were read whole.

Ruled out: interim answers, which were bounded.

What changed: all heads until one response are read from 64 KB, the body of another request's answer from 256 KB. A cap would cut sound large answers, so one that does not fit is passed on as it comes, at the pace of its caller; it can't be replaced by another attempt's any more, and if it breaks off its end does not look complete. An endless head is known at 64 KB, so the request goes on to another server while there is time. The platform's answers may take 16 MB, heads of its and of backend servers' responses at the product's own interface 64 KB.

--- a/entry/relay/answer.go
+++ b/entry/relay/answer.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/skylarkpond/skylarkpond/entry/turn"
 	"github.com/skylarkpond/skylarkpond/link/framing"
 	"github.com/skylarkpond/skylarkpond/platform"
@@ -103,6 +105,14 @@
 	}
 }
 
+// writeBody writes a part of an answer's body to the caller. Its errors wrap errCallerWrite.
+func (e *exchange) writeBody(part []byte) error {
+	if _, err := e.writer.Write(part); err != nil {
+		return eris.Wrap(errCallerWrite, err.Error())
+	}
+	return nil
+}
+
 // report passes the request's outcome to Deps.Report. It also runs when the connection is aborted.
 func (e *exchange) report() {
 	e.summary.ID = e.call.ID
--- a/entry/relay/event.go
+++ b/entry/relay/event.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"bytes"
 	"io"
+
+	"github.com/rotisserie/eris"
 )
 
 // event is one complete server-sent event, including the blank line that ends it.
@@ -19,15 +21,20 @@
 type eventReader struct {
 	reader *bufio.Reader
 	buffer []byte
+	held   *holding
 }
 
 // eventBuffer is the read buffer size in bytes; most events are smaller.
 const eventBuffer = 1 << 10
 
-func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{reader: bufio.NewReaderSize(r, eventBuffer)}
+// newEventReader returns a reader of events that fit into what is held.
+func newEventReader(r io.Reader, held *holding) *eventReader {
+	return &eventReader{reader: bufio.NewReaderSize(r, eventBuffer), held: held}
 }
 
+// errEventTooLarge means that an event is larger than an answer may hold.
+var errEventTooLarge = eris.New("an event is too large")
+
 // next returns the next event, which is valid until the following call. io.EOF marks the end of the stream between two
 // events; trailing bytes without a blank line are returned as a partial event.
 func (r *eventReader) next() (event, error) {
@@ -35,6 +42,9 @@
 	id := ""
 	for {
 		line, err := r.reader.ReadSlice('\n')
+		if !r.held.grow(len(r.buffer) + len(line)) {
+			return event{}, errEventTooLarge
+		}
 		r.buffer = append(r.buffer, line...)
 		if err == bufio.ErrBufferFull {
 			continue
--- a/entry/relay/exchange.go
+++ b/entry/relay/exchange.go
@@ -484,29 +484,6 @@
 	return !e.passedOn && e.attempts < e.route.MaxAttempts && e.relay.deps.Retries.Take(e.service, time.Until(e.deadline))
 }
 
-// relayWhole forwards an answer that is not a stream. It is buffered before any of it is sent, so that an answer that breaks off can
-// be replaced by another attempt's.
-func (e *exchange) relayWhole(t *turn.Turn, answer *upstream.Response) bool {
-	body, err := io.ReadAll(answer.Body)
-	_ = answer.Body.Close()
-	e.endAttempt()
-	if err != nil {
-		t.Done(e.failedResult())
-		e.checkForCrash(t, err)
-		return e.doneAfterFailure("answer broke off: " + err.Error())
-	}
-	e.noteEnd(t, answer)
-	failed := answer.Status >= http.StatusInternalServerError
-	t.Done(turn.Result{Failed: failed})
-	if failed && e.route.Kind == route.Idempotent && e.mayRetry() {
-		return false
-	}
-	e.summary.TimeToFirstByte = time.Since(e.arrived)
-	e.writeAnswer(answer.Status, platform.ResponseHeader(answer.Header), body, answer.Framing)
-	e.summary.Outcome = e.outcomeOf(t, answer)
-	return true
-}
-
 // noteEnd records that an answer has been read to its end. An answer that ended with its connection may have been cut off by a crash, so it
 // does not clear the request of having caused one. Neither does a failure: the server may not have begun with the answer.
 func (e *exchange) noteEnd(t *turn.Turn, answer *upstream.Response) {
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -103,6 +103,7 @@
 	started  time.Time
 	inFlight atomic.Int64
 	received atomic.Bool
+	held     heldMemory
 }
 
 // New returns a Relay.
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -100,7 +100,9 @@
 // middle is not sent: the stream resumes at another server after the last complete one. An error means that the stream broke off, or that
 // it may have.
 func (e *exchange) copyEvents(t *turn.Turn, answer *upstream.Response, head http.Header, last string) (string, error) {
-	events := newEventReader(answer.Body)
+	held := &holding{memory: &e.relay.held}
+	defer held.release()
+	events := newEventReader(answer.Body, held)
 	suspicion := time.AfterFunc(firstStallReportDelay, func() { e.reportSilence(t) })
 	defer suspicion.Stop()
 	controller := http.NewResponseController(e.writer)
@@ -120,8 +122,8 @@
 		e.watch.noteActivity()
 		suspicion.Reset(eventStallReportDelay)
 		e.sendHeader(head, answer.Framing)
-		if _, err := e.writer.Write(event.bytes); err != nil {
-			return last, eris.Wrap(errCallerWrite, err.Error())
+		if err := e.writeBody(event.bytes); err != nil {
+			return last, err
 		}
 		if err := controller.Flush(); err != nil {
 			return last, eris.Wrap(errCallerWrite, err.Error())
--- a/entry/relay/watch.go
+++ b/entry/relay/watch.go
@@ -71,6 +71,15 @@
 	}
 }
 
+// disarm ends the watch while the attempt goes on. It returns false if the attempt was abandoned before.
+func (w *stallWatch) disarm() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
+	w.timer.Stop()
+	return w.alternate == nil
+}
+
 // stop ends the watch and returns the turn at another server, if the attempt was abandoned for one.
 func (w *stallWatch) stop() *turn.Turn {
 	w.mu.Lock()
--- a/link/engine/client.go
+++ b/link/engine/client.go
@@ -46,6 +46,8 @@
 	controlTimeout = 2 * time.Second
 	maxStateBytes  = 1 << 20
 	maxReasonBytes = 512
+	// maxHeadBytes limits the head of a response.
+	maxHeadBytes = 64 << 10
 )
 
 // NewHTTPClient returns a client whose connections originate from source. If source is nil, the system
@@ -60,11 +62,15 @@
 			DialContext:         dialer.DialContext,
 			IdleConnTimeout:     idleConnTimeout,
 			MaxIdleConnsPerHost: 2,
+
+			MaxResponseHeaderBytes: maxHeadBytes,
 		}),
 		requests: newClient(&http.Transport{
 			DialContext:        dialer.DialContext,
 			DisableKeepAlives:  true,
 			DisableCompression: true, // responses are forwarded unmodified
+
+			MaxResponseHeaderBytes: maxHeadBytes,
 		}),
 	}
 }
--- a/link/engine/engine_test.go
+++ b/link/engine/engine_test.go
@@ -147,6 +147,27 @@
 		Expect(stated).To(Equal([]*float64{limit(2.5), nil, limit(1)}))
 	})
 
+	// The head was read into memory for as long as it came.
+	It("gives up a response whose head never ends", func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(listener.Close)
+		go func() {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			_, _ = http.ReadRequest(bufio.NewReader(conn))
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nNote: ")
+			for err == nil {
+				_, err = io.WriteString(conn, strings.Repeat("x", 32<<10))
+			}
+		}()
+		_, err = client.Complete(ctx, engine.Target{Address: listener.Addr().String(), RequestID: "r1"}, []byte(prompt))
+		Expect(err).To(MatchError(engine.ErrInterrupted))
+	})
+
 	It("unblocks a read on Close or Cancel, and the engine cancels the request", func() {
 		host, v := start("")
 		target := loadGroup(client, host, v)
--- a/link/platform/client.go
+++ b/link/platform/client.go
@@ -44,6 +44,9 @@
 	idleConnTimeout = 10 * time.Second
 	// maxIdleConns exceeds the number of calls that one entry has open at a time.
 	maxIdleConns = 32
+	// maxResponseBytes limits a response: a page of a list holds a few values. maxHeadBytes limits its head.
+	maxResponseBytes = 16 << 20
+	maxHeadBytes     = 64 << 10
 	// maxErrorBytes limits how much of an error response body is kept.
 	maxErrorBytes = 512
 )
@@ -113,6 +116,8 @@
 			MaxIdleConnsPerHost: maxIdleConns,
 			IdleConnTimeout:     idleConnTimeout,
 			DialContext:         newDialer().DialContext,
+
+			MaxResponseHeaderBytes: maxHeadBytes,
 		},
 	}
 	c.http = &http.Client{
@@ -231,10 +236,13 @@
 	if response.StatusCode != http.StatusOK && response.StatusCode != http.StatusCreated {
 		return nil, statusError(call, response)
 	}
-	body, err := io.ReadAll(response.Body)
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
 	if err != nil {
 		return nil, eris.Wrapf(noResponseError(call), "%s %s: %v", call.Verb, call.Kind, err)
 	}
+	if len(body) > maxResponseBytes {
+		return nil, eris.Wrapf(noResponseError(call), "%s %s: over %d bytes", call.Verb, call.Kind, maxResponseBytes)
+	}
 	return body, nil
 }
 
--- a/link/upstream/conn.go
+++ b/link/upstream/conn.go
@@ -19,6 +19,8 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// head bounds the heads of responses that reader reads.
+	head *headLimit
 	// idleTimeout is how long the connection may stay idle; idleSince is when it became idle.
 	idleTimeout time.Duration
 	idleSince   time.Time
@@ -41,7 +43,8 @@
 		var raw net.Conn
 		raw, err = dialer.DialContext(ctx, "tcp", address)
 		if err == nil {
-			return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferSize), idleTimeout: defaultIdleTimeout}, nil
+			head := &headLimit{conn: raw}
+			return &conn{Conn: raw, head: head, reader: bufio.NewReaderSize(head, readBufferSize), idleTimeout: defaultIdleTimeout}, nil
 		}
 		if ctx.Err() != nil || isRefusal(err) {
 			break
@@ -114,8 +117,36 @@
 	return nil
 }
 
-// read returns the response to the request. It skips interim responses and those to other requests.
+// headLimit reads from a connection, and no more than a number of bytes while the head of a response is expected.
+type headLimit struct {
+	conn net.Conn
+	// left is the number of bytes that may be read; it only counts if limited is set.
+	left    int
+	limited bool
+}
+
+func (h *headLimit) Read(p []byte) (int, error) {
+	if !h.limited {
+		return h.conn.Read(p)
+	}
+	if h.left == 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := h.conn.Read(p[:min(len(p), h.left)])
+	h.left -= n
+	return n, err
+}
+
+// Errors of responses that are too large to be read to their end.
+var (
+	errHeadTooLarge    = eris.New("the head of the response is too large")
+	errSkippedTooLarge = eris.New("the response to another request is too large")
+)
+
+// read returns the response to the request. It skips interim responses and those to other requests. All heads together are bounded.
 func (c *conn) read(request *Request) (*http.Response, error) {
+	c.head.left, c.head.limited = maxHeadBytes, true
+	defer func() { c.head.limited = false }()
 	for range maxSkippedResponses + 1 {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: request.Method})
 		if err != nil {
@@ -127,13 +158,27 @@
 		if request.Matches == nil || request.Matches(response.Header) {
 			return response, nil
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		if err := c.skip(response); err != nil {
 			return nil, err
 		}
 	}
 	return nil, eris.New("answers of other requests")
 }
 
+// skip reads the body of a response to another request.
+func (c *conn) skip(response *http.Response) error {
+	c.head.limited = false
+	defer func() { c.head.limited = true }()
+	n, err := io.CopyN(io.Discard, response.Body, maxSkippedBytes+1)
+	switch {
+	case n > maxSkippedBytes:
+		return errSkippedTooLarge
+	case err == io.EOF:
+		return nil
+	}
+	return err
+}
+
 // reusable reports whether the connection can carry another request after response. It can't if the response
 // ends with the connection, if data follows the response, or if the request body is still being written.
 func (c *conn) reusable(response *http.Response) bool {
--- a/link/upstream/upstream.go
+++ b/link/upstream/upstream.go
@@ -68,6 +68,11 @@
 	idleTimeoutMargin = 500 * time.Millisecond
 	// maxIdlePerServer limits the idle connections to one server.
 	maxIdlePerServer = 16
+	// maxHeadBytes limits the heads that are read until the response to one request, skipped ones included. A faulty server may send one without
+	// end.
+	maxHeadBytes = 64 << 10
+	// maxSkippedBytes limits the body of a skipped response. A larger one closes the connection.
+	maxSkippedBytes = 256 << 10
 	// maxSkippedResponses limits the interim and mismatched responses skipped before one response.
 	maxSkippedResponses = 2
 	// maxInlineBody is the largest body that is written before the response is read. A larger body is written
--- a/link/upstream/upstream_test.go
+++ b/link/upstream/upstream_test.go
@@ -258,3 +258,62 @@
 		Expect(s.conns.Load()).To(Equal(int32(2)))
 	})
 })
+
+// Memory grew with each byte of a head, and a body that is thrown away was read until the deadline.
+var _ = Describe("Responses without end", func() {
+	send := func(begin, repeated string) (written *atomic.Int64, err error) {
+		written = new(atomic.Int64)
+		server := serveRaw(func(_ int, _ *http.Request, conn net.Conn) bool {
+			_, _ = io.WriteString(conn, begin)
+			chunk := strings.Repeat(repeated, 32<<10/len(repeated))
+			for range 4096 {
+				n, err := io.WriteString(conn, chunk)
+				written.Add(int64(n))
+				if err != nil {
+					break
+				}
+			}
+			return false
+		})
+		pool := upstream.NewPool()
+		matches := func(header http.Header) bool { return header.Get("Other") == "" }
+		endpoint := upstream.Endpoint{ID: "i-1", Address: server.listener.Addr().String()}
+		response, err := pool.Send(context.Background(), endpoint, &upstream.Request{Method: http.MethodGet, Target: "/", Host: "h", Matches: matches})
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		return written, err
+	}
+	DescribeTable("are given up after a bounded number of bytes", func(begin, repeated string) {
+		written, err := send(begin, repeated)
+		Expect(errors.Is(err, upstream.ErrOutcomeUnknown)).To(BeTrue(), "%v", err)
+		Expect(written.Load()).To(BeNumerically("<", 16<<20))
+	},
+		Entry("a status line", "HTTP/1.1 200 ", "x"),
+		Entry("a field", "HTTP/1.1 200 OK\r\nNote: ", "x"),
+		Entry("a head", "HTTP/1.1 200 OK\r\n", "Note: x\r\n"),
+		Entry("interim responses", "", "HTTP/1.1 103 Early Hints\r\nNote: x\r\n\r\n"),
+		Entry("a response to another request", "HTTP/1.1 200 OK\r\nOther: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nxxxx\r\n"),
+	)
+})
+
+var _ = Describe("A request that may not be sent any more", func() {
+	// A connection may take a while to be ready, and the server may have asked for a pause meanwhile.
+	It("is withheld, and its connection is used by the next one", func() {
+		server := serveRaw(func(_ int, _ *http.Request, conn net.Conn) bool {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			return true
+		})
+		pool := upstream.NewPool()
+		endpoint := upstream.Endpoint{ID: "i-1", Address: server.listener.Addr().String()}
+		request := &upstream.Request{Method: http.MethodGet, Target: "/", Host: "h", Permit: func() bool { return false }}
+		_, err := pool.Send(context.Background(), endpoint, request)
+		Expect(errors.Is(err, upstream.ErrNotPermitted)).To(BeTrue())
+		request.Permit = func() bool { return true }
+		response, err := pool.Send(context.Background(), endpoint, request)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.Body.Close()).To(Succeed())
+		Expect(server.requests.Load()).To(BeEquivalentTo(1))
+		Expect(server.conns.Load()).To(BeEquivalentTo(1))
+	})
+})
