entry/admission, entry/home, link/engine: the product's own interface keeps to the pause that a backend server asks for

The home of a group, through which all its requests pass, now sends nothing until the pause has ended and one request then, by the same policy/backoff. Requests that can't wait so long are refused at once, with when the pause ends; the queue takes fewer of the others than it could serve, since it counts with nothing being sent meanwhile.

Not covered: each caller's refusal still says one second where a request itself was refused by its server, and two homes of one group each pause by themselves.

--- a/entry/admission/admission.go
+++ b/entry/admission/admission.go
@@ -20,6 +20,7 @@
 	"github.com/skylarkpond/skylarkpond/contract"
 	"github.com/skylarkpond/skylarkpond/contract/settings"
 	"github.com/skylarkpond/skylarkpond/entry/home"
+	"github.com/skylarkpond/skylarkpond/policy/backoff"
 	"github.com/skylarkpond/skylarkpond/policy/fairqueue"
 	"github.com/skylarkpond/skylarkpond/policy/limit"
 	"github.com/skylarkpond/skylarkpond/policy/quota"
@@ -140,6 +141,9 @@
 }
 
 func problemFor(verdict fairqueue.Verdict) *contract.Problem {
+	if verdict.Code == codePaused {
+		return pausedProblem(verdict)
+	}
 	if verdict.Code == fairqueue.CodeDeadline {
 		p := contract.NewRetryLater(contract.CodeDeadline, "the request can't be answered before its deadline", verdict.RetryAfter)
 		p.Hint = "give it a later Request-Timeout, or come back after Retry-After"
@@ -157,8 +161,10 @@
 	limit  *limit.Limit
 	config limit.Config
 	// rate is what the group's head states of the requests a second that it takes, and meter permits no more; nil without a limit.
-	rate       *quota.Ledger
-	meter      *quota.Meter
+	rate  *quota.Ledger
+	meter *quota.Meter
+	// backoff holds the pauses that the group's head has asked for.
+	backoff    backoff.Server
 	waiting    map[string]*permit
 	firstToken average
 	tokenGap   average
@@ -195,6 +201,9 @@
 	defer g.mu.Unlock()
 	g.lastUsed = now
 	g.setConfig(request.Service)
+	if refused, paused := g.pausedBeyond(now, min(request.Service.QueueTimeout, request.Timeout)); paused {
+		return refused
+	}
 	g.applyLimit(now)
 	verdict := g.queue.Offer(now, queueItem(now, request, p.id))
 	switch verdict.Decision {
@@ -229,6 +238,9 @@
 	if g.meter != nil {
 		g.meter.Take(now)
 	}
+	if _, probe := g.backoff.Allows(now, client); probe {
+		g.backoff.Probe(now, p.id)
+	}
 	p.start(now, g.queue.Running(), g.rateVersion())
 }
 
@@ -238,7 +250,8 @@
 	if g.meter != nil {
 		current = min(current, g.queue.Running()+g.meter.Permitted(now))
 	}
-	g.queue.SetLimit(current)
+	running := g.queue.Running()
+	g.queue.SetLimit(running + g.permitted(now, current-running))
 	g.queue.SetStartLimit(g.limit.Starting())
 }
 
--- a/entry/admission/turn.go
+++ b/entry/admission/turn.go
@@ -45,6 +45,7 @@
 	now := p.admission.now()
 	p.lastToken = now
 	p.answered = true
+	p.group.accepted(now, p)
 	if p.plain {
 		return
 	}
@@ -104,6 +105,7 @@
 	case p.answered:
 		work = p.promptTokens + max(1, p.tokens)
 	}
+	g.backoff.EndProbe(p.id)
 	g.queue.Done(now, p.id, work)
 	g.lastUsed = now
 }
--- a/entry/front/fakes_test.go
+++ b/entry/front/fakes_test.go
@@ -481,6 +481,8 @@
 
 func (fakePermit) RateLimit(*float64) bool { return false }
 
+func (fakePermit) Pause(time.Duration) {}
+
 func (fakePermit) Token(int) {}
 func (fakePermit) Done()     {}
 
--- a/entry/home/home.go
+++ b/entry/home/home.go
@@ -66,6 +66,8 @@
 	// RateLimit reports how many requests a second the group's head takes, as the answer states; nil for no limit. It returns whether that
 	// changes the limit of the group.
 	RateLimit(perSecond *float64) (changed bool)
+	// Pause reports that the group's head has refused the request and wants no others for a time.
+	Pause(length time.Duration)
 	Done()
 }
 
--- a/entry/home/lines.go
+++ b/entry/home/lines.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
@@ -17,6 +18,7 @@
 	msgClaimAbandoned   = "claim abandoned: request refused before it was sent"
 	msgClaimReleased    = "claim released"
 	msgClaimNotReleased = "claim could not be released"
+	msgPause            = "backend server asks for a pause"
 	msgRateLimit        = "backend server states another limit of requests"
 )
 
@@ -40,6 +42,12 @@
 	r.log().WithField("per_second", perSecond).Info(msgRateLimit)
 }
 
+// reportPause logs that the group wants no requests for a time.
+func (r *run) reportPause(length time.Duration) {
+	r.home.count("home.pauses")
+	r.log().WithField("for_ms", length.Milliseconds()).Info(msgPause)
+}
+
 // reportClaim reports the result of a claim and counts it in the metric "home.claim.<verdict>".
 func (r *run) reportClaim(result attempt.Result) {
 	r.home.count("home.claim." + result.Verdict.String())
--- a/entry/home/send.go
+++ b/entry/home/send.go
@@ -125,6 +125,10 @@
 // handleSendError reports to the front that the backend server refused the request or did not answer it.
 func (r *run) handleSendError(ctx context.Context, err error) {
 	var refusal *engine.Refusal
+	if errors.As(err, &refusal) && refusal.RetryAfter > 0 {
+		r.permit.Pause(refusal.RetryAfter)
+		r.reportPause(refusal.RetryAfter)
+	}
 	switch {
 	case errors.Is(err, engine.ErrNotSent):
 		r.refuse(contract.NewRetryLater(contract.CodeBackendRefused, "the backend server could not be reached", time.Second))
--- a/link/engine/client.go
+++ b/link/engine/client.go
@@ -20,6 +20,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/skylarkpond/skylarkpond/link/ratelimit"
+	"github.com/skylarkpond/skylarkpond/link/retryafter"
 )
 
 // HTTPClient implements Client over HTTP/1.1.
@@ -88,6 +89,8 @@
 type Refusal struct {
 	Status int
 	Reason string
+	// RetryAfter is how long the server wants no requests; 0 if it asks for no pause. Only a 503 does.
+	RetryAfter time.Duration
 }
 
 // Error implements error.
@@ -292,6 +295,9 @@
 func responseError(response *http.Response) error {
 	text, _ := io.ReadAll(io.LimitReader(response.Body, maxReasonBytes))
 	refusal := &Refusal{Status: response.StatusCode, Reason: strings.TrimSpace(string(text))}
+	if response.StatusCode == http.StatusServiceUnavailable {
+		refusal.RetryAfter, _ = retryafter.Decode(response.Header.Values("Retry-After"))
+	}
 	if reason := response.Header.Get(HeaderRefused); reason != "" {
 		refusal.Reason = reason
 		return refusal
--- a/link/engine/engine_test.go
+++ b/link/engine/engine_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -168,6 +169,20 @@
 		Expect(err).To(MatchError(engine.ErrInterrupted))
 	})
 
+	It("reports how long an engine wants no requests that refuses one with 503", func() {
+		for status, want := range map[int]time.Duration{http.StatusServiceUnavailable: 1500 * time.Millisecond, http.StatusTooManyRequests: 0} {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Retry-After", "1.5")
+				w.WriteHeader(status)
+			}))
+			_, err := client.Complete(ctx, engine.Target{Address: strings.TrimPrefix(server.URL, "http://"), RequestID: "r1"}, []byte(prompt))
+			server.Close()
+			var refusal *engine.Refusal
+			Expect(errors.As(err, &refusal)).To(BeTrue(), "%v", err)
+			Expect(refusal.RetryAfter).To(Equal(want))
+		}
+	})
+
 	It("unblocks a read on Close or Cancel, and the engine cancels the request", func() {
 		host, v := start("")
 		target := loadGroup(client, host, v)
