entry/backoff, entry/catalog, entry/leader: withheld requests are counted, and what is kept of servers ends with them

By reading. pauses.sent could not grow any more once requests are withheld at a ready connection; pauses.withheld counts these and the grants given back. A server that had said that it is leaving, and whose registration lapsed later than a minute after that, was ready again at its return: the minute counts from when it was last listed. The leader kept the processes of servers that are gone.

--- a/entry/backoff/backoff.go
+++ b/entry/backoff/backoff.go
@@ -23,8 +23,8 @@
 	// Began is called when a server asks for a pause while none is in force, Ended when it is over.
 	Began func(pause Pause)
 	Ended func(pause Pause)
-	// Sent is called when a request is sent to a server during its pause.
-	Sent func(server backend.ID)
+	// Withheld is called when a request is not sent to a server during its pause although it had been granted.
+	Withheld func(server backend.ID)
 	// Invalid is called with the first pause of each server that can't be read.
 	Invalid func(server backend.ID, text string)
 }
@@ -132,11 +132,13 @@
 	return &pause
 }
 
-// Sending records that a request is about to be sent to a server.
-func (t *Tracker) Sending(to *backend.Server) {
-	if t.Remaining(to) > 0 {
-		t.deps.Sent(to.ID)
+// Permit reports whether a granted request may still be sent to a server, and counts those that may not.
+func (t *Tracker) Permit(to *backend.Server) bool {
+	if t.Remaining(to) == 0 {
+		return true
 	}
+	t.deps.Withheld(to.ID)
+	return false
 }
 
 // Remaining returns what is left of the pause of a server; 0 if it has none.
--- a/entry/backoff/backoff_test.go
+++ b/entry/backoff/backoff_test.go
@@ -29,15 +29,15 @@
 		reports      []link.Pause
 		began, ended []backoff.Pause
 		invalid      []string
-		sent         int
+		withheld     int
 	)
 	BeforeEach(func() {
-		reports, began, ended, invalid, sent = nil, nil, nil, nil, 0
+		reports, began, ended, invalid, withheld = nil, nil, nil, nil, 0
 		tracker = backoff.New(backoff.Deps{
 			SendToLeader: func(message link.Up) { reports = append(reports, *message.Pause) },
 			Began:        func(pause backoff.Pause) { began = append(began, pause) },
 			Ended:        func(pause backoff.Pause) { ended = append(ended, pause) },
-			Sent:         func(backend.ID) { sent++ },
+			Withheld:     func(backend.ID) { withheld++ },
 			Invalid:      func(_ backend.ID, text string) { invalid = append(invalid, text) },
 		})
 	})
@@ -51,8 +51,9 @@
 		Expect(reports).To(HaveLen(2))
 		Expect(reports[0]).To(Equal(link.Pause{Server: "i-1", Process: 5, Ms: 51}))
 		Expect(began).To(HaveLen(1))
-		tracker.Sending(server)
-		Expect(sent).To(Equal(1))
+		Expect(tracker.Permit(server)).To(BeFalse())
+		Expect(tracker.Permit(anew)).To(BeTrue())
+		Expect(withheld).To(Equal(1))
 		tracker.Sweep(listing(server))
 		Expect(ended).To(BeEmpty())
 		time.Sleep(60 * time.Millisecond)
--- a/entry/catalog/leaving.go
+++ b/entry/catalog/leaving.go
@@ -9,14 +9,15 @@
 	link "github.com/skylarkpond/skylarkpond/link/leader"
 )
 
-// announcementTTL is how long it is kept that a server is leaving which is not listed: its registration may be on its way.
+// announcementTTL is how long it is kept that a server is leaving which is not listed: its registration may be on its way, or lapse for a while.
 const announcementTTL = time.Minute
 
 // announcement is that a process of a server has said that it is leaving. A process leaves for good.
 type announcement struct {
 	// process is the start of the server's process, in Unix milliseconds; 0 if unknown.
 	process int64
-	at      time.Time
+	// listedAt is when the server was last listed, or when it said so.
+	listedAt time.Time
 }
 
 // holdsFor reports whether it is about a registered process.
@@ -47,7 +48,7 @@
 	if known, ok := s.announced[leaving.Server]; ok && known.process >= leaving.Process {
 		return false
 	}
-	said := announcement{process: leaving.Process, at: time.Now()}
+	said := announcement{process: leaving.Process, listedAt: time.Now()}
 	listed := s.byID[leaving.Server]
 	if listed != nil && !said.holdsFor(listed) {
 		return false // it has started anew since
@@ -76,9 +77,16 @@
 	return &leaving
 }
 
-// expireAnnouncements forgets the servers that are no longer listed. It must be called with s.mu held.
+// expireAnnouncements forgets the servers that have not been listed for long. It must be called with s.mu held.
 func (s *serverList) expireAnnouncements() {
-	maps.DeleteFunc(s.announced, func(id backend.ID, said announcement) bool {
-		return s.byID[id] == nil && time.Since(said.at) > announcementTTL
-	})
+	now := time.Now()
+	for id, said := range s.announced {
+		switch {
+		case s.byID[id] != nil:
+			said.listedAt = now
+			s.announced[id] = said
+		case now.Sub(said.listedAt) > announcementTTL:
+			delete(s.announced, id)
+		}
+	}
 }
--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -172,7 +172,7 @@
 func provideBackoff(s *shared) *backoff.Tracker {
 	return backoff.New(backoff.Deps{
 		SendToLeader: func(message link.Up) { s.components.remote.Send(message) },
-		Began:        s.pauseBegan, Ended: s.pauseEnded, Sent: s.sentDuringPause, Invalid: s.pauseInvalid,
+		Began:        s.pauseBegan, Ended: s.pauseEnded, Withheld: s.withheldInPause, Invalid: s.pauseInvalid,
 	})
 }
 
--- a/entry/gateway/lines.go
+++ b/entry/gateway/lines.go
@@ -103,9 +103,9 @@
 	}).Info(logline.PauseEnds)
 }
 
-// sentDuringPause counts the requests that this entry sends to servers that have asked it for a pause.
-func (s *shared) sentDuringPause(backend.ID) {
-	metrics.GetOrRegisterCounter("pauses.sent", s.registry).Inc(1)
+// withheldInPause counts the requests that are not sent although they were granted, because their servers have asked for a pause.
+func (s *shared) withheldInPause(backend.ID) {
+	metrics.GetOrRegisterCounter("pauses.withheld", s.registry).Inc(1)
 }
 
 // pauseInvalid logs the first pause of a server that can't be read.
--- a/entry/leader/pauses.go
+++ b/entry/leader/pauses.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -29,6 +30,9 @@
 	listing := l.deps.Listing()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if listing.Revision != 0 && !listing.RoutableOnly {
+		maps.DeleteFunc(l.pausedProcesses, func(id backend.ID, _ int64) bool { return listing.Servers[id] == nil })
+	}
 	l.sendDecisions(l.turns.SweepPauses(l.now(), func(head string) bool {
 		listed := listing.Servers[backend.ID(head)]
 		if listed == nil || !replaced(l.pausedProcesses[backend.ID(head)], listed) {
--- a/entry/relay/exchange.go
+++ b/entry/relay/exchange.go
@@ -358,12 +358,11 @@
 
 // permit reports whether a request may still be sent to a server, which may have asked for a pause since the turn was granted.
 func (e *exchange) permit(server *backend.Server) bool {
-	if e.relay.deps.Pauses.Remaining(server) > 0 {
+	if !e.relay.deps.Pauses.Permit(server) {
 		return false
 	}
 	e.summary.Servers = append(e.summary.Servers, string(server.ID))
 	e.limitKnown = e.relay.deps.Limits.Sending(server)
-	e.relay.deps.Pauses.Sending(server)
 	return true
 }
 
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -84,10 +84,8 @@
 
 // Pauses knows which servers have asked this entry for a pause. It is safe for concurrent use.
 type Pauses interface {
-	// Remaining returns what is left of the pause of a server; 0 if it has none.
-	Remaining(server *backend.Server) time.Duration
-	// Sending records that a request is about to be sent to a server.
-	Sending(server *backend.Server)
+	// Permit reports whether a request that was granted may still be sent to a server.
+	Permit(server *backend.Server) bool
 }
 
 // Peer is another entry.
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -614,6 +614,4 @@
 // noPauses is an entry that no server has asked for a pause.
 type noPauses struct{}
 
-func (noPauses) Sending(*backend.Server) {}
-
-func (noPauses) Remaining(*backend.Server) time.Duration { return 0 }
+func (noPauses) Permit(*backend.Server) bool { return true }
--- a/entry/turn/paused_test.go
+++ b/entry/turn/paused_test.go
@@ -17,7 +17,7 @@
 
 func newTracker(reported func(link.Up)) *backoff.Tracker {
 	return backoff.New(backoff.Deps{
-		SendToLeader: reported, Began: func(backoff.Pause) {}, Ended: func(backoff.Pause) {}, Sent: func(backend.ID) {}, Invalid: func(backend.ID, string) {},
+		SendToLeader: reported, Began: func(backoff.Pause) {}, Ended: func(backoff.Pause) {}, Withheld: func(backend.ID) {}, Invalid: func(backend.ID, string) {},
 	})
 }
 
--- a/entry/turn/remote.go
+++ b/entry/turn/remote.go
@@ -88,7 +88,7 @@
 func (r *Remote) ask(ctx context.Context, request Request) (t *Turn, refusal *Refusal, decided bool) {
 	for range maxGrantsReturned {
 		t, refusal, decided = r.askOnce(ctx, request)
-		if t == nil || r.pauses.Remaining(t.Server) == 0 {
+		if t == nil || r.pauses.Permit(t.Server) {
 			return t, refusal, decided
 		}
 		t.Done(Result{Rejected: true, Unsent: true})
--- a/entry/turn/turn.go
+++ b/entry/turn/turn.go
@@ -128,6 +128,8 @@
 type Pauses interface {
 	// Remaining returns what is left of the pause of a server; 0 if it has none.
 	Remaining(server *backend.Server) time.Duration
+	// Permit reports whether a request that was granted may still be sent to a server.
+	Permit(server *backend.Server) bool
 	// Allows reports whether a server may be sent a request now, and whether that is a probe, a single request after a pause.
 	Allows(server *backend.Server) (allowed, probe bool)
 	// BeginProbe records that a probe is sent, and returns a key that EndProbe takes once it has ended.
