--- a/entry/turn/paused_test.go
+++ b/entry/turn/paused_test.go
@@ -125,3 +125,22 @@
 		Expect(pauses.Remaining(&anew)).To(BeZero())
 	})
 })
+
+var _ = Describe("Servers that report their load", func() {
+	// What other entries send to a server is known from its answers alone.
+	It("are chosen by it for a while", func() {
+		one := &backend.Server{ID: "i-1", Service: "s", Address: "10.0.0.1:1", Slots: 8}
+		two := &backend.Server{ID: "i-2", Service: "s", Address: "10.0.0.2:1", Slots: 8}
+		list := backend.NewListing(1, map[backend.ID]*backend.Server{one.ID: one, two.ID: two})
+		table := route.NewTable(1, nil, []route.Service{{Name: "s"}}, nil, route.Limits{})
+		local := turn.NewLocal(func() *backend.Listing { return list }, func() time.Duration { return 0 }, func() *route.Table { return table }, &fakeLimits{}, noPauses())
+		busy := local.Track(one)
+		busy.ReportLoad(6, 0, 8)
+		busy.Done(turn.Result{})
+		for range 4 {
+			t, refusal := local.Acquire(context.Background(), turn.Request{Service: "s"})
+			Expect(refusal).To(BeNil())
+			Expect(t.Server.ID).To(Equal(two.ID))
+		}
+	})
+})
--- a/link/upstream/upstream_test.go
+++ b/link/upstream/upstream_test.go
@@ -317,3 +317,25 @@
 		Expect(server.conns.Load()).To(BeEquivalentTo(1))
 	})
 })
+
+// A request on a connection that its server is about to close has an unknown outcome.
+var _ = DescribeTable("A connection is not used again", func(header string, idle time.Duration, reused bool) {
+	server := serveRaw(func(_ int, _ *http.Request, conn net.Conn) bool {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"+header+"\r\n")
+		return true
+	})
+	pool := upstream.NewPool()
+	endpoint := upstream.Endpoint{ID: "i-1", Address: server.listener.Addr().String()}
+	for range 2 {
+		response, err := pool.Send(context.Background(), endpoint, &upstream.Request{Method: http.MethodGet, Target: "/", Host: "h"})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.Copy(io.Discard, response.Body)
+		Expect(err).NotTo(HaveOccurred())
+		time.Sleep(idle)
+	}
+	Expect(server.conns.Load() == 1).To(Equal(reused))
+},
+	Entry("that its server says to close", "Connection: close\r\n", time.Duration(0), false),
+	Entry("that is idle for nearly as long as its server keeps it", "Keep-Alive: timeout=1\r\n", 700*time.Millisecond, false),
+	Entry("but for that", "Keep-Alive: timeout=1\r\n", time.Duration(0), true),
+)
