policy/turns: a place at a server that pauses for long is asked for again soon

By reading: a request that is served otherwise was told the whole of an hour's pause, and its entry, which spaces its questions by that, would not have asked for a place at a limited server that started anew meanwhile. The spec failed before.

--- a/policy/turns/pauses_test.go
+++ b/policy/turns/pauses_test.go
@@ -52,6 +52,14 @@
 		Expect(d[0].Pauses).To(Equal(turns.Pauses{Heads: 3, First: "head0", Left: 3 * time.Second}))
 	})
 
+	// An entry that asks for a place at a limited server would not ask again for as long as that pauses, although another process takes its place.
+	It("are asked for again soon, however long they pause", func() {
+		s.SetGroups(0, groups(1, 8), constantRandom)
+		s.Pause(0, "head0", "a", time.Hour)
+		d := submit(time.Second, "a", func(r *turns.Request) { r.Optional = true })[0]
+		Expect(d.RetryAfter).To(And(BeNumerically(">", 5*time.Second), BeNumerically("<", 12*time.Second)))
+	})
+
 	It("are waited for when they are back in time, by one request first and by the others once it is accepted", func() {
 		for i := range 3 {
 			s.Pause(0, fmt.Sprint("head", i), "a", time.Second)
--- a/policy/turns/turns.go
+++ b/policy/turns/turns.go
@@ -342,7 +342,7 @@
 	}
 	if perSecond == 0 {
 		if blockedFor > 0 {
-			return blockedFor
+			return min(blockedFor, maxPauseTold)
 		}
 		return s.config.GroupFormationTime
 	}
