entry/relay: an answer that is broken off is reset also if its caller seems to have left

Cause: large answers are passed on since, with a deadline for writing; when a write times out, the server counts the caller as gone, and the answer was ended in order rather than broken off. A caller that closes one direction alone would have been told the same by a stream.

--- a/entry/relay/answer.go
+++ b/entry/relay/answer.go
@@ -67,6 +67,9 @@
 func (e *exchange) fail(detail string) {
 	if e.request.Context().Err() != nil {
 		e.callerLeft(detail)
+		if e.headerSent {
+			e.abort() // a write that timed out looks like a caller that left, and one that closed its side alone still reads
+		}
 		return
 	}
 	outcome, status := Unknown, http.StatusBadGateway
--- a/entry/relay/endless_test.go
+++ b/entry/relay/endless_test.go
@@ -63,10 +63,11 @@
 		Expect(r.servers[0].EndlessBytes()).To(BeNumerically("<", fewBytes))
 	})
 
-	// A caller that reads nothing must not make the entry hold what the server sends.
-	It("are read no faster than their callers read them, and don't look complete", func() {
+	// A caller that reads nothing must not make the entry hold what the server sends. One that reads all of it took what came until the deadline for a
+	// complete answer where that ends with its connection.
+	DescribeTable("are read no faster than their callers read them, and don't look complete", func(part replica.Endless) {
 		r := newHarness(replica.Config{Slots: 8}, 1)
-		r.servers[0].SetFaults(replica.Faults{Endless: replica.EndlessBody})
+		r.servers[0].SetFaults(replica.Faults{Endless: part})
 		response, err := http.DefaultClient.Do(r.request(http.MethodPost, "/book/x", "a1"))
 		Expect(err).NotTo(HaveOccurred())
 		defer response.Body.Close()
@@ -75,7 +76,10 @@
 		Expect(r.servers[0].EndlessBytes()).To(BeNumerically("<", fewBytes))
 		_, err = io.Copy(io.Discard, response.Body)
 		Expect(err).To(HaveOccurred())
-	})
+	},
+		Entry("in chunks", replica.EndlessBody),
+		Entry("that end with their connection", replica.EndlessEvent),
+	)
 })
 
 var _ = Describe("Large answers", func() {
