--- a/entry/relay/endless_test.go
+++ b/entry/relay/endless_test.go
@@ -65,20 +65,22 @@
 
 	// A caller that reads nothing must not make the entry hold what the server sends. One that reads all of it took what came until the deadline for a
 	// complete answer where that ends with its connection.
-	DescribeTable("are read no faster than their callers read them, and don't look complete", func(part replica.Endless) {
+	DescribeTable("are read no faster than their callers read them, and don't look complete", func(part replica.Endless, idle time.Duration) {
 		r := newHarness(replica.Config{Slots: 8}, 1)
 		r.servers[0].SetFaults(replica.Faults{Endless: part})
 		response, err := http.DefaultClient.Do(r.request(http.MethodPost, "/book/x", "a1"))
 		Expect(err).NotTo(HaveOccurred())
 		defer response.Body.Close()
 		Expect(response.StatusCode).To(Equal(http.StatusOK))
-		time.Sleep(500 * time.Millisecond)
+		time.Sleep(idle)
 		Expect(r.servers[0].EndlessBytes()).To(BeNumerically("<", fewBytes))
 		_, err = io.Copy(io.Discard, response.Body)
 		Expect(err).To(HaveOccurred())
 	},
-		Entry("in chunks", replica.EndlessBody),
-		Entry("that end with their connection", replica.EndlessEvent),
+		Entry("in chunks", replica.EndlessBody, 500*time.Millisecond),
+		Entry("that end with their connection", replica.EndlessEvent, 500*time.Millisecond),
+		Entry("in chunks, to a caller that reads nothing until the deadline", replica.EndlessBody, 2500*time.Millisecond),
+		Entry("that end with their connection, to a caller that reads nothing until the deadline", replica.EndlessEvent, 2500*time.Millisecond),
 	)
 })
 
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -24,6 +24,7 @@
 	"github.com/skylarkpond/skylarkpond/entry/relay"
 	"github.com/skylarkpond/skylarkpond/entry/suspects"
 	"github.com/skylarkpond/skylarkpond/entry/turn"
+	"github.com/skylarkpond/skylarkpond/internal/lateread"
 	"github.com/skylarkpond/skylarkpond/link/upstream"
 	"github.com/skylarkpond/skylarkpond/platform"
 	"github.com/skylarkpond/skylarkpond/platform/standin/objects"
@@ -246,7 +247,9 @@
 			r.reports = append(r.reports, report)
 		},
 	})
-	r.gateway = httptest.NewServer(handler)
+	r.gateway = httptest.NewUnstartedServer(handler)
+	r.gateway.Listener = lateread.Listen(r.gateway.Listener)
+	r.gateway.Start()
 	DeferCleanup(r.gateway.Close)
 	return r
 }
