entry/relay, link/framing: an answer that ends with its connection is reset whoever closes that, until all of it is sent

Ruled out: chunks in place of the connection's end, since a server that crashes midway would then be told as complete.

While such an answer is sent, its connection lingers for 0 s, which makes any close a reset; the default is set again once all of it is written. The product's own interface still closes in order when a front is killed.

--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -32,6 +32,7 @@
 	"github.com/skylarkpond/skylarkpond/entry/turn"
 	"github.com/skylarkpond/skylarkpond/internal/lateread"
 	"github.com/skylarkpond/skylarkpond/internal/wait"
+	"github.com/skylarkpond/skylarkpond/link/framing"
 	link "github.com/skylarkpond/skylarkpond/link/leader"
 	"github.com/skylarkpond/skylarkpond/link/peer"
 	"github.com/skylarkpond/skylarkpond/link/upstream"
@@ -213,7 +214,8 @@
 			listener: lateread.Listen(listener),
 			http: &http.Server{
 				Handler: m.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-				ErrorLog: log.New(io.Discard, "", 0), // the relay reports failures of requests
+				ConnContext: framing.WithConn,
+				ErrorLog:    log.New(io.Discard, "", 0), // the relay reports failures of requests
 			},
 		})
 	}
--- a/entry/relay/exchange.go
+++ b/entry/relay/exchange.go
@@ -70,6 +70,8 @@
 	// headerSent is set once the answer's header has been sent. endsWithConnection is set if it states neither a length nor chunks.
 	headerSent         bool
 	endsWithConnection bool
+	// finished ends the reset of such an answer's connection, once all of it is sent; nil until its header has been sent.
+	finished func()
 	// watch detects a stall of the current attempt.
 	watch   *stallWatch
 	summary Report
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -25,6 +25,7 @@
 	"github.com/skylarkpond/skylarkpond/entry/suspects"
 	"github.com/skylarkpond/skylarkpond/entry/turn"
 	"github.com/skylarkpond/skylarkpond/internal/lateread"
+	"github.com/skylarkpond/skylarkpond/link/framing"
 	"github.com/skylarkpond/skylarkpond/link/upstream"
 	"github.com/skylarkpond/skylarkpond/platform"
 	"github.com/skylarkpond/skylarkpond/platform/standin/objects"
@@ -249,6 +250,7 @@
 	})
 	r.gateway = httptest.NewUnstartedServer(handler)
 	r.gateway.Listener = lateread.Listen(r.gateway.Listener)
+	r.gateway.Config.ConnContext = framing.WithConn
 	r.gateway.Start()
 	DeferCleanup(r.gateway.Close)
 	return r
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -73,6 +73,7 @@
 // finishStream ends a stream whose last event has been sent.
 func (e *exchange) finishStream(head http.Header, streamFraming framing.Framing) {
 	e.sendHeader(head, streamFraming)
+	e.finish()
 	e.summary.Outcome = Served
 }
 
@@ -89,6 +90,7 @@
 	maps.Copy(e.writer.Header(), head)
 	if e.endsWithConnection {
 		framing.EndWithConnection(e.writer.Header())
+		e.finished = framing.ResetUnlessFinished(e.request)
 	}
 	e.writer.WriteHeader(http.StatusOK)
 }
--- a/entry/relay/whole.go
+++ b/entry/relay/whole.go
@@ -106,6 +106,7 @@
 	switch {
 	case err == nil:
 		_ = controller.SetWriteDeadline(time.Time{})
+		e.finish()
 		t.Done(turn.Result{})
 		e.noteEnd(t, answer)
 		e.summary.Outcome = e.outcomeOf(t, answer)
@@ -120,6 +121,13 @@
 	return true
 }
 
+// finish records that all of the answer has been written.
+func (e *exchange) finish() {
+	if e.finished != nil {
+		e.finished()
+	}
+}
+
 // sendBeginning sends the header of an answer that is passed through.
 func (e *exchange) sendBeginning(answer *upstream.Response) {
 	e.headerSent = true
@@ -130,6 +138,7 @@
 	switch {
 	case answer.Framing == framing.Closed:
 		framing.EndWithConnection(header)
+		e.finished = framing.ResetUnlessFinished(e.request)
 	case answer.Length >= 0:
 		header.Set("Content-Length", strconv.FormatInt(answer.Length, 10))
 	}
--- a/internal/lateread/lateread.go
+++ b/internal/lateread/lateread.go
@@ -4,9 +4,6 @@
 // stopped and continued), and a client's request arrives during the pause. The runtime checks the deadline before the socket, so the
 // server would close the connection with the request unread, and the client would see a reset from a working entry. With this package,
 // a read whose deadline has passed tries the socket once more.
-//
-// It also resets a connection on which a write has failed. The HTTP server would close it in order, and a response that ends with its connection
-// would look complete to a client that reads slowly.
 package lateread
 
 import (
@@ -84,12 +81,3 @@
 	c.extendable = false
 	return c.TCPConn.SetReadDeadline(time.Now().Add(extension)) == nil
 }
-
-// Write implements net.Conn.
-func (c *conn) Write(p []byte) (int, error) {
-	n, err := c.TCPConn.Write(p)
-	if err != nil {
-		_ = c.SetLinger(0) // what was sent is incomplete, whatever follows
-	}
-	return n, err
-}
--- a/link/framing/framing.go
+++ b/link/framing/framing.go
@@ -4,7 +4,11 @@
 // sender dies, the kernel closes the connection in the same way as the sender does at the end of a complete body.
 package framing
 
-import "net/http"
+import (
+	"context"
+	"net"
+	"net/http"
+)
 
 // Framing is the way in which the end of a body is marked.
 type Framing string
@@ -41,6 +45,25 @@
 // have no Content-Length.
 func EndWithConnection(header http.Header) { header.Set(transferEncoding, identity) }
 
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// WithConn returns a context that holds a connection. It is the ConnContext of servers whose responses use ResetUnlessFinished.
+func WithConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// ResetUnlessFinished makes the connection of a request end with a reset, whoever closes it, until finished is called. A response that ends with its
+// connection would look complete if the HTTP server closed that in order after a failed write, or the kernel after the process was killed.
+func ResetUnlessFinished(request *http.Request) (finished func()) {
+	conn, ok := request.Context().Value(connKey{}).(interface{ SetLinger(seconds int) error })
+	if !ok {
+		return func() {}
+	}
+	_ = conn.SetLinger(0)
+	return func() { _ = conn.SetLinger(-1) }
+}
+
 // Abort ends a response early, so that the part already sent can't be taken for a complete body. It does not return: it panics with
 // http.ErrAbortHandler.
 //
--- a/test/cooperative/endless_test.go
+++ b/test/cooperative/endless_test.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -70,3 +71,24 @@
 		Entry("a body", "/book/x", replica.EndlessBody),
 	)
 })
+
+// The kernel closes the connections of a process that is killed, and a part of an answer that ends with its connection was taken for the whole.
+var _ = Describe("An answer that ends with its connection", func() {
+	It("does not look complete when its entry is killed midway", func() {
+		p := newPond(1, groupSize)
+		p.awaitServing(1)
+		for _, desk := range p.desks {
+			desk.SetFaults(replica.Faults{Endless: replica.EndlessEvent})
+		}
+		answers := make(chan sent, 8)
+		for i := range cap(answers) {
+			go func() { answers <- p.entries[0].send("/book/x", fmt.Sprint("killed-", i)) }()
+		}
+		Eventually(func() int64 { return p.desks[0].EndlessBytes() + p.desks[1].EndlessBytes() }, generous).Should(BeNumerically(">", 160<<20))
+		p.entries[0].signal(syscall.SIGKILL)
+		for range cap(answers) {
+			got := <-answers
+			Expect(got.err).To(HaveOccurred(), "%s: %d, %d bytes", got.id, got.status, len(got.body))
+		}
+	})
+})
--- a/test/cooperative/soak_test.go
+++ b/test/cooperative/soak_test.go
@@ -23,7 +23,7 @@
 //	1: no history
 //	2016, 2022: requests to a leaving server by grants of a leader that could not read the platform
 //	5007, 5027: a look at the groups and a change of the servers waited for each other for ever
-//	9503: a large answer without length was taken for a whole one: cut at the deadline, or by the death of its entry
+//	9503: a large answer without length was taken for a whole one: cut at the deadline, or when its entry was killed
 //	9505: requests reached a leaving server 2.06 s after the platform's acknowledgement; cause not known
 //	9542: a leader that was killed while the platform was away granted by the older, higher limit that the lease still held
 var soakSeeds = []uint64{1, 2016, 2022, 5007, 5027, 9503, 9505, 9542}
