--- a/entry/backoff/backoff.go
+++ b/entry/backoff/backoff.go
@@ -210,7 +210,7 @@
 // Count returns the number of pauses in force.
 func (t *Tracker) Count() int { return len(t.Pauses()) }
 
-// Sweep reports the pauses that are over, and forgets those of servers that are no longer listed or have been over for long.
+// Sweep reports the pauses that are over. It forgets those that have been over for long, and those of processes that a later one has replaced.
 func (t *Tracker) Sweep(listing *backend.Listing) {
 	for _, pause := range t.sweep(listing) {
 		t.deps.Ended(pause)
