policy/quota, entry/leader: a limit of an earlier leader permits one request at a time until the server has answered

What callers saw: nothing; a server did.

Cause: the lease holds the limits of its last write. A leader that was killed while the platform was away took the lease again as soon as this was back, with the limit of 20, and granted by it for 450 ms, until an entry that knew better was linked. The same holds for a successor: followers are told of other values of one limit once a second.

Ruled out: the meter's burst (a new meter begins empty), entries without a leader (none sent to that server in these 450 ms).

Waiting until all entries have linked (1.5 s) was the other way: it withholds room from callers at each change of leader, and does not help when no entry that knows is left. Now the first request tells: what its answer states is applied before the leader hears that it was accepted, and until then, or until its result is known to be none, no other is permitted; if the result never comes, one in 4 s, which any limit allows.

--- a/entry/leader/limits.go
+++ b/entry/leader/limits.go
@@ -55,25 +55,28 @@
 func (l *Leader) hearLimit(entry string, report link.LimitReport) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.applyLimit(report.Server, quota.Statement{Process: report.Process, PerSecond: report.PerSecond, Basis: report.Basis, Source: entry})
+	l.applyLimit(report.Server, quota.Statement{Process: report.Process, PerSecond: report.PerSecond, Basis: report.Basis, Source: entry}, l.turns.SetLimit)
 }
 
+// setLimit is the method of the scheduler for a limit: SetLimit if the server has just stated it, InheritLimit if an earlier leader has told it.
+type setLimit func(now time.Duration, server string, perSecond float64, random func() float64) []policy.Decision
+
 // applyLimit must be called with l.mu held.
-func (l *Leader) applyLimit(server backend.ID, statement quota.Statement) {
+func (l *Leader) applyLimit(server backend.ID, statement quota.Statement, set setLimit) {
 	was := l.limits.limitOf(server)
 	if l.limits.ledger.Hear(l.now(), string(server), statement) {
-		l.limitChanged(server, was, statement.Source)
+		l.limitChanged(server, was, statement.Source, set)
 	}
 }
 
 // limitChanged must be called with l.mu held.
-func (l *Leader) limitChanged(server backend.ID, was *float64, source string) {
+func (l *Leader) limitChanged(server backend.ID, was *float64, source string, set setLimit) {
 	l.limits.changed[server] = true
 	now := l.limits.limitOf(server)
 	if now == nil {
 		l.sendDecisions(l.turns.ClearLimit(l.now(), string(server), rand.Float64))
 	} else {
-		l.sendDecisions(l.turns.SetLimit(l.now(), string(server), *now, rand.Float64))
+		l.sendDecisions(set(l.now(), string(server), *now, rand.Float64))
 	}
 	l.deps.ReportLimit(LimitChange{Server: server, Was: was, Now: now, Source: source})
 }
@@ -81,7 +84,7 @@
 // adoptLimits takes over limits that a follower knows from an earlier leader. It must be called with l.mu held.
 func (l *Leader) adoptLimits(known []link.ServerLimit) {
 	for _, limit := range known {
-		l.applyLimit(limit.Server, quota.Statement{Process: limit.Process, PerSecond: &limit.PerSecond, Source: limit.Source})
+		l.applyLimit(limit.Server, quota.Statement{Process: limit.Process, PerSecond: &limit.PerSecond, Source: limit.Source}, l.turns.InheritLimit)
 	}
 }
 
@@ -104,7 +107,7 @@
 	})
 	for _, server := range removed {
 		was := before[server]
-		l.limitChanged(backend.ID(server), &was, "")
+		l.limitChanged(backend.ID(server), &was, "", l.turns.SetLimit)
 	}
 }
 
--- a/entry/leader/limits_test.go
+++ b/entry/leader/limits_test.go
@@ -98,6 +98,33 @@
 		Expect(ask(true).Refusal).NotTo(BeNil())
 	})
 
+	// The lease holds the limits of its last write. A server that has stated a lower one since got requests at the older rate until an entry that knew
+	// it was linked.
+	It("grants one turn at a time by a limit of an earlier leader until the server has answered", func() {
+		known = []link.ServerLimit{{Server: "i-1", Process: 5, PerSecond: 20}}
+		l.RefreshGroups()
+		l.RefreshGroups()
+		l.Join("e-1", first, link.Hello{})
+		Eventually(func() *link.Grant { return ask(true).Grant }).Should(HaveField("Watched", true))
+		Consistently(func() *link.Grant { return ask(true).Grant }, "300ms").Should(BeNil())
+		report(perSecond(0.4), 0)
+		l.Receive("e-1", first, link.Up{Accepted: 1})
+		Expect(ask(true).Grant).NotTo(BeNil(), "the burst of the lower limit")
+		Consistently(func() *link.Grant { return ask(true).Grant }, "300ms").Should(BeNil())
+	})
+
+	It("grants turns by a limit of an earlier leader once the server has accepted a request without a lower one", func() {
+		known = []link.ServerLimit{{Server: "i-1", Process: 5, PerSecond: 20}}
+		l.RefreshGroups()
+		l.RefreshGroups()
+		l.Join("e-1", first, link.Hello{})
+		Eventually(func() *link.Grant { return ask(true).Grant }).ShouldNot(BeNil())
+		l.Receive("e-1", first, link.Up{Accepted: 1})
+		for range 3 {
+			Eventually(func() *link.Grant { return ask(true).Grant }, "200ms").Should(HaveField("Watched", false))
+		}
+	})
+
 	It("grants turns at limited plain servers as the limit permits, and places of unsent requests again", func() {
 		l.Join("e-1", first, link.Hello{})
 		report(perSecond(20), 0)
--- a/entry/relay/exchange.go
+++ b/entry/relay/exchange.go
@@ -294,18 +294,19 @@
 	return true
 }
 
-// decode decodes the header of a server's answer, and passes on what the server states of itself.
+// decode decodes the header of a server's answer, and passes on what the server states of itself. The leader must hear of the limit before it hears
+// that the server has accepted the request.
 func (e *exchange) decode(t *turn.Turn, answer *upstream.Response) platform.ResponseInfo {
 	decoded := platform.DecodeResponse(answer.Status, answer.Header)
 	if decoded.Load != nil {
 		t.ReportLoad(decoded.Load.Running, decoded.Load.Waiting, decoded.Load.Slots)
 	}
-	if !decoded.NotRun && decoded.Pause == 0 {
-		t.Accepted()
-	}
 	e.relay.deps.Limits.Answered(limits.Answer{
 		Server: t.Server, Known: e.limitKnown, PerSecond: decoded.Limit, Invalid: decoded.InvalidLimit,
 	})
+	if !decoded.NotRun && decoded.Pause == 0 {
+		t.Accepted()
+	}
 	return decoded
 }
 
--- a/policy/quota/quota.go
+++ b/policy/quota/quota.go
@@ -31,6 +31,8 @@
 	// burstTime is the least burst as a time at the permitted rate. Waiting requests are looked at every few hundredths of a second; a high rate
 	// could not be used with less.
 	burstTime = 50 * time.Millisecond
+	// resultTimeout is how long a request of a meter that is not verified may be without a result until another one is permitted.
+	resultTimeout = time.Duration(float64(time.Second) / minPerSecond)
 )
 
 // Meter permits requests to one server at a limited rate. A new one permits none at first: what another leader has permitted before is unknown.
@@ -42,6 +44,10 @@
 	at    time.Duration
 	// since is when the meter was made.
 	since time.Duration
+	// unverified is set until the server has answered a request that an inherited meter has permitted. The result of the last one is awaited until
+	// awaitedUntil.
+	unverified   bool
+	awaitedUntil time.Duration
 }
 
 // NewMeter returns a meter for a limit in requests a second.
@@ -49,6 +55,12 @@
 	return &Meter{limit: perSecond, at: now, since: now}
 }
 
+// NewInheritedMeter returns a meter for a limit that the server has stated to an earlier leader. It may have stated a lower one since, which its next
+// answer tells. Therefore one request at a time is permitted until the server has answered one.
+func NewInheritedMeter(now time.Duration, perSecond float64) *Meter {
+	return &Meter{limit: perSecond, at: now, since: now, unverified: true}
+}
+
 // Age returns how long requests have been metered.
 func (m *Meter) Age(now time.Duration) time.Duration { return now - m.since }
 
@@ -97,6 +109,9 @@
 // may be a more urgent one.
 func (m *Meter) Available(now time.Duration, yields bool) bool {
 	m.advance(now)
+	if now < m.awaitedUntil {
+		return false
+	}
 	if yields {
 		return m.level >= fullRequest+min(1, m.burst()-1)
 	}
@@ -106,21 +121,41 @@
 // Permitted returns how many requests are permitted now.
 func (m *Meter) Permitted(now time.Duration) int {
 	m.advance(now)
-	return int(m.level + 1 - fullRequest)
+	if now < m.awaitedUntil {
+		return 0
+	}
+	permitted := int(m.level + 1 - fullRequest)
+	if m.unverified {
+		return min(permitted, 1)
+	}
+	return permitted
 }
 
 // Take uses the permission for one request.
 func (m *Meter) Take(now time.Duration) {
 	m.advance(now)
 	m.level--
+	if m.unverified {
+		m.awaitedUntil = now + resultTimeout
+	}
 }
 
 // GiveBack returns the permission for a request that was not sent.
 func (m *Meter) GiveBack(now time.Duration) {
 	m.advance(now)
 	m.level = min(m.burst(), m.level+1)
+	m.awaitedUntil = 0
 }
 
+// Unverified reports whether the server has yet to answer a request that this meter has permitted.
+func (m *Meter) Unverified() bool { return m.unverified }
+
+// Verify records that the server has answered a request that this meter has permitted. What the answer stated must have been applied before.
+func (m *Meter) Verify() { m.unverified, m.awaitedUntil = false, 0 }
+
+// EndWithoutAnswer records that a permitted request has ended without an answer of the server.
+func (m *Meter) EndWithoutAnswer() { m.awaitedUntil = 0 }
+
 // Wait returns how long it takes until a request is permitted.
 func (m *Meter) Wait(now time.Duration) time.Duration {
 	m.advance(now)
--- a/policy/quota/quota_test.go
+++ b/policy/quota/quota_test.go
@@ -49,6 +49,24 @@
 var rates = []float64{0, 0.1, 0.25, 0.4, 1, 2, 2.1, 5, 20, 100, 1000}
 
 var _ = Describe("Meter", func() {
+	It("permits one request at a time by an inherited limit until the server has answered", func() {
+		m := quota.NewInheritedMeter(0, 20)
+		Expect(drain(m, 0, 4*time.Second)).To(HaveLen(1))
+		m.EndWithoutAnswer()
+		Expect(drain(m, 4*time.Second, 5*time.Second)).To(HaveLen(1))
+		m.GiveBack(5 * time.Second)
+		Expect(m.Permitted(5 * time.Second)).To(Equal(1))
+		m.Take(5 * time.Second)
+		m.Verify()
+		Expect(len(drain(m, 5*time.Second, 6*time.Second))).To(BeNumerically(">=", 19))
+	})
+
+	// The process that sent the request may be gone.
+	It("permits another request by an inherited limit if the result of the last one never comes", func() {
+		m := quota.NewInheritedMeter(0, 20)
+		Expect(len(drain(m, 0, 21*time.Second))).To(And(BeNumerically(">=", 5), BeNumerically("<=", 6)))
+	})
+
 	It("permits what the limit allows, and no more in any window, also after a pause", func() {
 		for _, rate := range rates {
 			m := quota.NewMeter(0, rate)
--- a/policy/turns/limits.go
+++ b/policy/turns/limits.go
@@ -24,16 +24,30 @@
 	return request.Priority > m.urgent && now-m.urgentAt <= urgentPeriod
 }
 
-// SetLimit limits the requests a second that a head takes from all entries together, and returns the decisions that this makes possible.
+// SetLimit limits the requests a second that a head takes from all entries together, as it has just stated, and returns the decisions that this makes
+// possible.
 func (s *Scheduler) SetLimit(now time.Duration, head string, perSecond float64, random func() float64) []Decision {
+	meter := s.meter(now, head, perSecond, quota.NewMeter)
+	meter.SetLimit(now, perSecond)
+	meter.Verify()
+	return s.serveQueueOf(now, head, random)
+}
+
+// InheritLimit is SetLimit for a limit that the head has stated to an earlier scheduler.
+func (s *Scheduler) InheritLimit(now time.Duration, head string, perSecond float64, random func() float64) []Decision {
+	s.meter(now, head, perSecond, quota.NewInheritedMeter).SetLimit(now, perSecond)
+	return s.serveQueueOf(now, head, random)
+}
+
+// meter returns the meter of a head, and makes it if there is none.
+func (s *Scheduler) meter(now time.Duration, head string, perSecond float64, make func(now time.Duration, perSecond float64) *quota.Meter) *quota.Meter {
 	meter := s.meters[head]
 	if meter == nil {
-		meter = quota.NewMeter(now, perSecond)
+		meter = make(now, perSecond)
 		meter.SetConfirmed(now, !s.unconfirmed)
 		s.meters[head] = meter
 	}
-	meter.SetLimit(now, perSecond)
-	return s.serveQueueOf(now, head, random)
+	return meter
 }
 
 // ClearLimit ends the limit of a head, and returns the decisions that this makes possible.
--- a/policy/turns/pauses.go
+++ b/policy/turns/pauses.go
@@ -16,14 +16,19 @@
 	known.Reject(now, client, length)
 }
 
-// Accepted records that the head of a turn has accepted its request, and returns the decisions that this makes possible.
+// Accepted records that the head of a turn has accepted its request, and returns the decisions that this makes possible. What the answer stated must
+// have been applied before.
 func (s *Scheduler) Accepted(now time.Duration, key string, random func() float64) []Decision {
 	t, ok := s.turns[key]
-	known := s.pauses[t.head]
-	if !ok || known == nil {
+	if !ok {
 		return nil
 	}
-	known.Accept(now, t.grantedAt)
+	if t.meter != nil {
+		t.meter.Verify()
+	}
+	if known := s.pauses[t.head]; known != nil {
+		known.Accept(now, t.grantedAt)
+	}
 	return s.serveQueueOf(now, t.head, random)
 }
 
--- a/policy/turns/turns.go
+++ b/policy/turns/turns.go
@@ -96,7 +96,8 @@
 	Running, Waiting, Slots int
 	// Metered is set for a turn at a head that takes a limited number of requests a second.
 	Metered bool
-	// Watched is set for a turn at a head that has rejected requests: the scheduler is to be told if it accepts this one.
+	// Watched is set for a turn at a head that has rejected requests, or whose limit is not verified: the scheduler is to be told if it accepts
+	// this one.
 	Watched bool
 	// Limits describes the limits of the heads that a rejected request could have been sent to, and Pauses those that want no request.
 	Limits Limits
@@ -382,7 +383,8 @@
 	}
 	s.turns[request.Key] = turn{head: g.Head, grantedAt: now, meter: meter}
 	known := s.pauses[g.Head]
-	return Decision{Key: request.Key, Head: g.Head, Metered: meter != nil, Watched: known != nil && known.Watched()}
+	watched := known != nil && known.Watched() || meter != nil && meter.Unverified()
+	return Decision{Key: request.Key, Head: g.Head, Metered: meter != nil, Watched: watched}
 }
 
 func (s *Scheduler) reject(now time.Duration, request Request, reason Reason, random func() float64) Decision {
@@ -428,8 +430,12 @@
 		s.dequeue(key)
 		return nil
 	}
-	if end.Unsent && t.meter != nil {
+	switch {
+	case t.meter == nil:
+	case end.Unsent:
 		t.meter.GiveBack(now)
+	default:
+		t.meter.EndWithoutAnswer()
 	}
 	if known := s.pauses[t.head]; known != nil {
 		known.EndProbe(key)
