entry: an entry that nobody answers is not the only one while others are registered

What callers saw: an entry that had just started served by version 60 of the settings after others had 62 in force: an accepted change reverted there.

Cause: at its start an entry compares its settings with those of other live entries, for 10 s at most, unless it is the only one. It took itself for the only one when nobody had answered for 3 s (isolationTimeout of the membership, meant for ownership). The others answer it only once they have read its registration, which takes longer than 3 s when the platform has just been away or the machine is busy; what it had read itself came from a replica that lagged.

Ruled out: the version in force going back within one life (the mirror and settingsInForce compare versions), and a late rumour (there was none: nobody had learned of the entry).

Now an entry is the only one if no other is registered that is not leaving.

--- a/entry/settle.go
+++ b/entry/settle.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/skylarkpond/skylarkpond/entry/member"
@@ -20,9 +21,9 @@
 // other live entries.
 
 const (
-	// settingsSyncTimeout limits the wait for an answer from the entries considered live. All entries learn of a
-	// start within about two seconds; an entry that is cut off from the others at this moment serves by the
-	// settings that it read.
+	// settingsSyncTimeout limits the wait for an answer from another entry. All entries learn of a start within
+	// about two seconds; an entry that is cut off from the others at this moment, or the only one that is still
+	// running of those that are registered, serves by the settings that it read.
 	settingsSyncTimeout = 10 * time.Second
 	// settingsSyncInterval is the delay between two checks of the live entries.
 	settingsSyncInterval = 50 * time.Millisecond
@@ -43,7 +44,7 @@
 	})
 }
 
-// syncSettings waits until the settings have been compared with those of other entries, or there are no other live
+// syncSettings waits until the settings have been compared with those of other entries, or there are no other
 // entries, and then brings them into force.
 func (e *Entry) syncSettings(ctx context.Context) {
 	deadline := time.Now().Add(settingsSyncTimeout)
@@ -70,10 +71,11 @@
 	return found
 }
 
-// isOnlyMember reports whether this entry has looked for other entries and found none.
+// isOnlyMember reports whether this entry has looked for other entries and none is registered. Those that are
+// registered and don't answer may not have learned of this one yet: they answer nobody else.
 func (e *Entry) isOnlyMember() bool {
 	_, fresh := e.members.FreshSince()
-	return fresh && len(e.otherMembers()) == 0
+	return fresh && !slices.ContainsFunc(e.members.Peers(), func(p member.Peer) bool { return !p.Leaving })
 }
 
 // fetchTrees asks some live entries for their settings tree, and reports whether any answered.
--- a/test/settings_test.go
+++ b/test/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -269,6 +270,33 @@
 		Expect(caller{e[4]}.send(http.MethodGet, "/v1/entries", nil, "").status).To(Equal(http.StatusOK))
 	})
 
+	// The others can't learn of an entry that starts while they are cut off from the platform, and don't answer it. It must not take itself for
+	// the only one and serve by the old tree that it has read.
+	It("stay when an entry reads an old tree and starts while the others can't learn of it", func() {
+		trees := c.trees()
+		t := c.operator("ana", e[0]).change(chatNode)
+		c.expectInForce(t.applied.Version, e...)
+		e[4].kill()
+		for _, other := range e[:4] {
+			cutOff(other.toPlatform, true)
+		}
+		stale := standinplatform.StaleReads{Prefix: theTree, Revision: platform.Version(trees[len(trees)-1].version), Count: -1}
+		c.switchPlatform(standinplatform.Switches{StaleReads: &stale})
+		loads := c.calls(platform.KindQuarantine, standinplatform.VerbList)
+		c.restart(e[4])
+		Eventually(func() int { return c.calls(platform.KindQuarantine, standinplatform.VerbList) }, generous, "10ms").
+			Should(BeNumerically(">", loads), "it has read all")
+		cutOff(e[4].toPlatform, true)
+		time.Sleep(5 * time.Second)
+		for _, other := range e[:4] {
+			cutOff(other.toPlatform, false)
+		}
+		c.expectInForce(t.applied.Version, e[4])
+		cutOff(e[4].toPlatform, false)
+		c.switchPlatform(standinplatform.Switches{StaleReads: &standinplatform.StaleReads{}})
+		c.waitLive(e[0], e...)
+	})
+
 	// An entry starts while the platform is out, and when it is back, what answers is a replica that lags: it
 	// gives a tree from before a change that all others work by. The entry must not serve by it, nor may
 	// an operator's change be built upon it.
