entry/turn: a request whose deadline passes while it waits for a turn is told when to come back

What callers saw: 503 without Retry-After ("full: deadline passed while waiting for a turn"), of a request that waited in the leader's queue when its own deadline came first.

Cause: the refusal for this case was made without a time, and the header is left out for none.

The new spec failed before (0 s). Ruled out: the other places that refuse (all state a time but those for which returning is no use).

After: the spec passed.

--- a/entry/turn/remote.go
+++ b/entry/turn/remote.go
@@ -119,7 +119,7 @@
 			return nil, nil, false
 		case <-ctx.Done():
 			r.withdraw(key, false)
-			return nil, &Refusal{Reason: Full, Detail: "deadline passed while waiting for a turn"}, true
+			return nil, &Refusal{Reason: Full, RetryAfter: retryAfter(Full), Detail: "deadline passed while waiting for a turn"}, true
 		}
 	}
 }
--- a/entry/turn/turn_test.go
+++ b/entry/turn/turn_test.go
@@ -128,6 +128,21 @@
 		Expect(sent).To(ContainElement(link.Up{Done: &link.Done{Key: 1, Unsent: true}}))
 	})
 
+	// A caller that is told no time comes back at once, or never.
+	It("tells when to come back to a request whose deadline passes while it waits for its turn", func() {
+		remote.Attach(func(message link.Up) {
+			if message.TurnRequest != nil {
+				key := message.TurnRequest.Key
+				go remote.HandleReply(link.Down{Queued: key})
+			}
+		})
+		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+		defer cancel()
+		_, refusal := remote.Acquire(ctx, request)
+		Expect(refusal).NotTo(BeNil())
+		Expect(refusal.RetryAfter).To(BeNumerically(">", 0))
+	})
+
 	// All slots are taken, and the leader has replied that the request is queued. Deciding locally, the entry would
 	// send it to a full group.
 	It("waits for its turn once the leader has queued it", func() {
