entry/progress, entry/lease: an entry whose work stands still gives up the lease

Its work waited for a lock for ever, while it went on renewing its lease, so that nobody took over.

Cause: the lease is renewed by a goroutine of its own, whatever becomes of the work that it stands for.

Now the leader and the controller count their rounds. The process looks at the counts every 0.1 s; a task without one more in 15 looks stands still (policy/watchdog). Its entry gives the lease up without a write, and takes it again only when the work goes on; another entry has it once it has expired. Looks are counted, not time: a process that was suspended makes none, and goes on as before. The other way, to renew only after a round since the last renewal, would drop the lease of a leader that is slow for 0.6 s.

Ruled out for now: the same over processes, where no fault of ours makes work wait for ever.

What it does not notice: work that stands still elsewhere while both tasks go on.

--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -22,6 +22,7 @@
 	"github.com/skylarkpond/skylarkpond/entry/leader"
 	"github.com/skylarkpond/skylarkpond/entry/lease"
 	"github.com/skylarkpond/skylarkpond/entry/limits"
+	"github.com/skylarkpond/skylarkpond/entry/progress"
 	"github.com/skylarkpond/skylarkpond/entry/relay"
 	"github.com/skylarkpond/skylarkpond/entry/roster"
 	"github.com/skylarkpond/skylarkpond/entry/suspects"
@@ -94,9 +95,12 @@
 	})
 }
 
-func provideLease(s *shared, client *store.Client, self lease.Holder) *lease.Lease {
+func provideProgress(s *shared) *progress.Monitor { return progress.New(s.progressChanged) }
+
+func provideLease(s *shared, client *store.Client, self lease.Holder, monitor *progress.Monitor) *lease.Lease {
 	return lease.New(lease.Deps{
-		Store: client, Self: self, Linked: s.leaderState.linked, HolderChanged: s.leaseChanged, WriteConflict: s.leaseWriteConflict,
+		Stalled: monitor.Stalled,
+		Store:   client, Self: self, Linked: s.leaderState.linked, HolderChanged: s.leaseChanged, WriteConflict: s.leaseWriteConflict,
 		Renewed:        func() { s.components.leader.BroadcastRenewal() },
 		Attachment:     s.leaseAttachment,
 		AttachmentRead: s.attachmentRead,
@@ -105,10 +109,11 @@
 }
 
 func provideController(
-	s *shared, pool *upstream.Pool, cat *catalog.Catalog, entryLease *lease.Lease, isolated *isolation.Watch,
+	s *shared, pool *upstream.Pool, cat *catalog.Catalog, entryLease *lease.Lease, isolated *isolation.Watch, monitor *progress.Monitor,
 ) *grouping.Controller {
 	return grouping.New(grouping.Deps{
-		Pool: pool, Table: cat.Table, Listing: cat.Listing, RegistrationsReliable: cat.RegistrationsReliable,
+		RoundEnded: func() { monitor.RoundEnded(progress.Groups) },
+		Pool:       pool, Table: cat.Table, Listing: cat.Listing, RegistrationsReliable: cat.RegistrationsReliable,
 		IsLeader: s.mayIssueOrders, Epoch: entryLease.Version,
 		PeersSeeServing: s.peersSeeServing, PeersReach: s.peersReach, ReachesServers: isolated.Check, ClearSuspicion: func(head backend.ID) { s.components.leader.ClearSuspicion(head) },
 		DemandGroups:  func(service, model string) float64 { return s.components.leader.GroupsNeeded(service, model) },
@@ -116,9 +121,12 @@
 	})
 }
 
-func provideLeader(s *shared, cat *catalog.Catalog, entryLease *lease.Lease, controller *grouping.Controller) *leader.Leader {
+func provideLeader(
+	s *shared, cat *catalog.Catalog, entryLease *lease.Lease, controller *grouping.Controller, monitor *progress.Monitor,
+) *leader.Leader {
 	return leader.New(leader.Deps{
-		IsLeader: entryLease.IsLeader, ChangesSince: cat.ChangesSince, Snapshot: cat.Snapshot, Listing: cat.Listing,
+		RoundEnded: func() { monitor.RoundEnded(progress.Turns) },
+		IsLeader:   entryLease.IsLeader, ChangesSince: cat.ChangesSince, Snapshot: cat.Snapshot, Listing: cat.Listing,
 		ListAge: cat.ServersAge, LinkMbps: s.config.LinkMbps,
 		Table: cat.Table, Dissolving: controller.Closed,
 		UnregisteredMembers: controller.ResponsiveUnregistered, Slowdown: controller.Slowdown,
@@ -298,6 +306,7 @@
 		"leader.linked":                  func() int64 { return boolToInt(g.leaderState.linked()) },
 		"leader.followers":               func() int64 { return int64(g.leader.FollowerCount()) },
 		"process.uptime.seconds":         func() int64 { return int64(time.Since(g.started).Seconds()) },
+		"process.stalled":                func() int64 { return boolToInt(g.progress.Stalled()) },
 		"process.goroutines":             func() int64 { return int64(runtime.NumGoroutine()) },
 		"process.stopping":               func() int64 { return boolToInt(g.leaving.Load()) },
 	} {
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/skylarkpond/skylarkpond/entry/leader"
 	"github.com/skylarkpond/skylarkpond/entry/lease"
 	"github.com/skylarkpond/skylarkpond/entry/limits"
+	"github.com/skylarkpond/skylarkpond/entry/progress"
 	"github.com/skylarkpond/skylarkpond/entry/relay"
 	"github.com/skylarkpond/skylarkpond/entry/roster"
 	"github.com/skylarkpond/skylarkpond/entry/suspects"
@@ -81,6 +82,7 @@
 	identity   *peer.Identity
 	pool       *upstream.Pool
 	gate       *drain.Gate
+	progress   *progress.Monitor
 }
 
 // Serve runs a gateway until ctx ends and it has drained. A value on reload asks the process to read its settings again; it is only
@@ -139,7 +141,7 @@
 			failed <- err
 		}
 	})
-	for _, role := range []func(context.Context){g.catalog.Run, g.roster.Run, g.lease.Run, g.controller.Run, g.leader.Run, g.isolation.Run, g.follow, g.sweep} {
+	for _, role := range []func(context.Context){g.catalog.Run, g.roster.Run, g.lease.Run, g.controller.Run, g.leader.Run, g.isolation.Run, g.progress.Run, g.follow, g.sweep} {
 		running.Go(func() { role(work) })
 	}
 	select {
--- a/entry/gateway/lines.go
+++ b/entry/gateway/lines.go
@@ -13,6 +13,7 @@
 	"github.com/skylarkpond/skylarkpond/entry/leader"
 	"github.com/skylarkpond/skylarkpond/entry/lease"
 	"github.com/skylarkpond/skylarkpond/entry/limits"
+	"github.com/skylarkpond/skylarkpond/entry/progress"
 	"github.com/skylarkpond/skylarkpond/entry/relay"
 	"github.com/skylarkpond/skylarkpond/entry/suspects"
 	"github.com/skylarkpond/skylarkpond/link/framing"
@@ -31,6 +32,17 @@
 	s.log.WithFields(logrus.Fields{"kind": kind, "away_ms": away.Milliseconds()}).Info(logline.PlatformRegained)
 }
 
+// progressChanged logs that the work of the leader stands still in this process, or goes on.
+func (s *shared) progressChanged(task progress.Task, stalled bool) {
+	entry := s.log.WithField("task", task)
+	if !stalled {
+		entry.Info(logline.WorkGoesOn)
+		return
+	}
+	metrics.GetOrRegisterCounter("process.stalls."+string(task), s.registry).Inc(1)
+	entry.Error(logline.WorkStalled)
+}
+
 func (s *shared) objectUnreadable(object store.Object, err error) {
 	s.log.WithError(err).WithFields(logrus.Fields{"kind": object.Kind, "object": object.Name}).Warn(logline.LeftOut)
 }
--- a/entry/gateway/wire_gen.go
+++ b/entry/gateway/wire_gen.go
@@ -22,10 +22,11 @@
 		return nil, err
 	}
 	holder := provideHolder(s, identity)
-	lease := provideLease(s, client, holder)
+	monitor := provideProgress(s)
+	lease := provideLease(s, client, holder, monitor)
 	pool := providePool(s)
 	watch := provideIsolation(s, catalog, pool)
-	controller := provideController(s, pool, catalog, lease, watch)
+	controller := provideController(s, pool, catalog, lease, watch, monitor)
 	tracker := provideLimits(s)
 	backoffTracker := provideBackoff(s)
 	local := provideLocal(catalog, tracker, backoffTracker)
@@ -33,7 +34,7 @@
 	retries := provideRetries(s)
 	suspectsWatch := provideSuspects(s, remote, catalog, pool, watch)
 	relay := provideRelay(s, catalog, remote, pool, retries, suspectsWatch, watch, roster, tracker, backoffTracker)
-	leader := provideLeader(s, catalog, lease, controller)
+	leader := provideLeader(s, catalog, lease, controller, monitor)
 	leaderServer := provideLinks(identity, holder, leader)
 	gate := &drain.Gate{}
 	gatewayComponents := components{
@@ -54,6 +55,7 @@
 		identity:   identity,
 		pool:       pool,
 		gate:       gate,
+		progress:   monitor,
 	}
 	gateway := &Gateway{
 		shared:     s,
--- a/entry/grouping/cell_test.go
+++ b/entry/grouping/cell_test.go
@@ -102,7 +102,10 @@
 	formations atomic.Int32
 	// unformableReports counts the events about a model of service s that fits into no fabric domain.
 	unformableReports atomic.Int32
-	stop              context.CancelFunc
+	// rounds counts the reconciliations that have ended. One waits while looks is locked.
+	rounds atomic.Int32
+	looks  sync.Mutex
+	stop   context.CancelFunc
 }
 
 func (f *fixture) startController(epoch uint64) *testController { return f.startWith(f.catalog, epoch) }
@@ -112,7 +115,13 @@
 	controller := &testController{}
 	controller.leader.Store(true)
 	controller.Controller = grouping.New(grouping.Deps{
-		Pool: upstream.NewPool(), Table: func() *route.Table { return table }, Listing: listings.Listing, RegistrationsReliable: listings.RegistrationsReliable,
+		Pool: upstream.NewPool(), Listing: listings.Listing,
+		Table: func() *route.Table {
+			controller.looks.Lock()
+			defer controller.looks.Unlock()
+			return table
+		},
+		RoundEnded: func() { controller.rounds.Add(1) }, RegistrationsReliable: listings.RegistrationsReliable,
 		IsLeader: controller.leader.Load, Epoch: func() uint64 { return epoch },
 		PeersSeeServing: func(context.Context, *backend.Server, backend.GroupKey) bool { return controller.peersReach.Load() },
 		ReachesServers:  func(context.Context, string) bool { return !controller.isolated.Load() },
--- a/entry/grouping/grouping.go
+++ b/entry/grouping/grouping.go
@@ -47,6 +47,8 @@
 	DemandGroups func(service, model string) float64
 	// BeforeTraffic reports that no request has arrived yet.
 	BeforeTraffic func() bool
+	// RoundEnded is called after each reconciliation, whether or not this entry is the leader.
+	RoundEnded func()
 	// OnEvent is called for each action and observation.
 	OnEvent func(Event)
 }
@@ -221,6 +223,7 @@
 		case <-c.wake:
 		}
 		c.reconcile(ctx)
+		c.deps.RoundEnded()
 	}
 }
 
--- a/entry/grouping/grouping_test.go
+++ b/entry/grouping/grouping_test.go
@@ -20,6 +20,9 @@
 	RunSpecs(t, "forming groups")
 }
 
+// reconciled is longer than some reconciliations take.
+const reconciled = 500 * time.Millisecond
+
 var _ = Describe("Controller", func() {
 	It("forms and opens groups of VMs that have the weights", func() {
 		f := newFixture(7)
@@ -28,6 +31,18 @@
 		Expect(f.world.Violations()).To(BeEmpty())
 	})
 
+	// Guards against a leader that stands still and keeps the lease: who watches it must not count a round that waits.
+	It("tells of its rounds once they have ended", func() {
+		controller := newFixture(1).startController(1)
+		Eventually(controller.rounds.Load, waitFor).Should(BeNumerically(">", 2))
+		controller.looks.Lock()
+		time.Sleep(reconciled)
+		waiting := controller.rounds.Load()
+		Consistently(controller.rounds.Load, reconciled).Should(Equal(waiting))
+		controller.looks.Unlock()
+		Eventually(controller.rounds.Load, waitFor).Should(BeNumerically(">", waiting+2))
+	})
+
 	// Guards against a group that lost a member and continues to accept requests without making progress.
 	It("closes a group that lost a member and forms another one from the survivors and a spare", func() {
 		f := newFixture(4)
--- a/entry/leader/demand_test.go
+++ b/entry/leader/demand_test.go
@@ -33,6 +33,7 @@
 			Table:        func() *route.Table { return table },
 			Dissolving:   func(backend.GroupKey) bool { return false },
 			ReportDemand: func(turns.Demand) {},
+			RoundEnded:   func() {},
 		})
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -75,6 +75,8 @@
 	KnownLimits func() []link.ServerLimit
 	// ReportLimit is called when the limit of a server changes. It is called with the Leader's lock held.
 	ReportLimit func(change LimitChange)
+	// RoundEnded is called after each round of the periodic work, whether or not this entry is the leader.
+	RoundEnded func()
 	// ReportHolds is called when the requests of a service that are held back, because they crash servers, change.
 	ReportHolds func(holds link.Holds)
 }
@@ -159,35 +161,43 @@
 func (l *Leader) Run(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	var groupsAt, demandAt time.Time
+	var last schedule
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
-		if !l.deps.IsLeader() {
-			l.stepDown()
-			continue
-		}
-		if time.Since(groupsAt) >= refreshInterval {
-			groupsAt = time.Now()
-			l.RefreshGroups()
-			l.BroadcastIsolation()
-			l.SweepLimits()
-			l.SweepPauses()
-		}
-		l.SendSnapshots()
-		l.BroadcastHolds()
-		l.BroadcastLimits()
-		l.mu.Lock()
-		l.turns.SetConfirmed(l.now(), l.deps.Confirmed())
-		l.sendDecisions(l.turns.Tick(l.now(), rand.Float64))
-		l.mu.Unlock()
-		if time.Since(demandAt) >= demandInterval {
-			demandAt = time.Now()
-			l.MeasureDemand()
-		}
+		l.round(&last)
+		l.deps.RoundEnded()
+	}
+}
+
+// schedule holds when the work was last done that is not part of each round.
+type schedule struct{ groupsAt, demandAt time.Time }
+
+func (l *Leader) round(last *schedule) {
+	if !l.deps.IsLeader() {
+		l.stepDown()
+		return
+	}
+	if time.Since(last.groupsAt) >= refreshInterval {
+		last.groupsAt = time.Now()
+		l.RefreshGroups()
+		l.BroadcastIsolation()
+		l.SweepLimits()
+		l.SweepPauses()
+	}
+	l.SendSnapshots()
+	l.BroadcastHolds()
+	l.BroadcastLimits()
+	l.mu.Lock()
+	l.turns.SetConfirmed(l.now(), l.deps.Confirmed())
+	l.sendDecisions(l.turns.Tick(l.now(), rand.Float64))
+	l.mu.Unlock()
+	if time.Since(last.demandAt) >= demandInterval {
+		last.demandAt = time.Now()
+		l.MeasureDemand()
 	}
 }
 
--- a/entry/leader/leader_test.go
+++ b/entry/leader/leader_test.go
@@ -1,11 +1,14 @@
 package leader_test
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"reflect"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -252,3 +255,41 @@
 		Expect(weak.takeLast().ChangeSet.From).To(BeEquivalentTo(5))
 	})
 })
+
+var _ = Describe("Rounds of the leader's work", func() {
+	// Guards against a leader that stands still and keeps the lease: who watches it must not count a round that waits.
+	It("are told once they have ended, whether or not the entry is the leader", func() {
+		var leads atomic.Bool
+		var listing sync.Mutex
+		ended := make(chan struct{}, 1000)
+		l := leader.New(leader.Deps{
+			IsLeader: leads.Load, RoundEnded: func() { ended <- struct{}{} },
+			Table: func() *route.Table {
+				listing.Lock()
+				defer listing.Unlock()
+				return nil
+			},
+			Listing: func() *backend.Listing { return backend.NewListing(0, nil) }, Confirmed: func() bool { return true },
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		running.Go(func() { l.Run(ctx) })
+		DeferCleanup(func() {
+			cancel()
+			running.Wait()
+		})
+		Eventually(ended).Should(Receive())
+		listing.Lock()
+		leads.Store(true)
+		Eventually(func() bool {
+			select {
+			case <-ended:
+				return true
+			case <-time.After(300 * time.Millisecond):
+				return false
+			}
+		}).Should(BeFalse())
+		listing.Unlock()
+		Eventually(ended).Should(Receive())
+	})
+})
--- a/entry/lease/lease.go
+++ b/entry/lease/lease.go
@@ -68,6 +68,8 @@
 	Attachment func() json.RawMessage
 	// AttachmentRead is called with the attachment of each object that this entry reads, unless it is empty.
 	AttachmentRead func(attachment json.RawMessage)
+	// Stalled reports whether the work stands still that the holder has to do. An entry whose work does neither renews nor acquires the lease.
+	Stalled func() bool
 	// Capacity is the capacity of this entry's VM. Entries with little capacity wait longer before they acquire the
 	// lease.
 	Capacity takeover.Capacity
@@ -139,6 +141,10 @@
 func (l *Lease) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if l.owns() {
+			if l.deps.Stalled() {
+				l.giveUp()
+				continue
+			}
 			l.renew(ctx)
 			wait.Pause(ctx, renewInterval)
 			continue
@@ -210,12 +216,21 @@
 	return l.held
 }
 
+// giveUp ends this entry's leadership without a write: another entry acquires the lease once it has expired.
+func (l *Lease) giveUp() {
+	l.mu.Lock()
+	l.held = false
+	holder := l.holder
+	l.mu.Unlock()
+	l.deps.HolderChanged(holder, false)
+}
+
 // poll reads the object, and acquires the lease if it has expired or the object does not exist.
 func (l *Lease) poll(ctx context.Context) {
 	object, err := l.deps.Store.Get(ctx, Kind, Name)
 	regained := l.recordPoll(err == nil || eris.Is(err, platform.ErrNotFound))
 	if eris.Is(err, platform.ErrNotFound) {
-		l.write(ctx, 0)
+		l.acquire(ctx, 0)
 		return
 	}
 	if err != nil {
@@ -229,7 +244,13 @@
 		l.deps.AttachmentRead(holder.Attachment)
 	}
 	if expired := l.observe(holder, object.Version); expired && (!regained || l.isPreviousProcess(holder)) {
-		l.write(ctx, object.Version)
+		l.acquire(ctx, object.Version)
+	}
+}
+
+func (l *Lease) acquire(ctx context.Context, version platform.Version) {
+	if !l.deps.Stalled() {
+		l.write(ctx, version)
 	}
 }
 
--- a/entry/lease/lease_test.go
+++ b/entry/lease/lease_test.go
@@ -29,6 +29,8 @@
 	*lease.Lease
 	stop   context.CancelFunc
 	linked atomic.Bool
+	// stalled is set while the work of the entry stands still.
+	stalled atomic.Bool
 	// conflicts receives a value when another entry has written the lease first.
 	conflicts chan struct{}
 	// attachment is written with the lease; read is the last one that was read, as a json.RawMessage.
@@ -65,7 +67,7 @@
 	m := &candidate{conflicts: make(chan struct{}, 1), attachment: json.RawMessage(`{"of":"` + self.Entry + `"}`)}
 	m.Lease = lease.New(lease.Deps{
 		Store: platform, Self: self, Linked: m.linked.Load, Capacity: capacity,
-		Renewed: func() {}, HolderChanged: func(lease.Holder, bool) {},
+		Renewed: func() {}, HolderChanged: func(lease.Holder, bool) {}, Stalled: m.stalled.Load,
 		Attachment: func() json.RawMessage { return m.attachment }, AttachmentRead: func(attachment json.RawMessage) { m.read.Store(attachment) },
 		WriteConflict: func() {
 			select {
@@ -130,6 +132,21 @@
 	})
 
 	// The platform does not answer. A holder that went on acting could conflict with its successor.
+	// A leader whose work waits for a lock for ever went on renewing, so that nobody took over.
+	It("passes to another entry while its holder's work stands still, and is not taken by an entry whose work does", func() {
+		a := start(api, "a")
+		Eventually(a.Held, waitFor).Should(BeTrue())
+		b, c := start(api, "b"), start(api, "c")
+		c.stalled.Store(true)
+		a.stalled.Store(true)
+		Eventually(b.Held, "5s").Should(BeTrue())
+		Expect(a.IsLeader()).To(BeFalse())
+		a.stalled.Store(false)
+		b.stalled.Store(true)
+		Eventually(a.Held, "5s").Should(BeTrue())
+		Expect(c.IsLeader()).To(BeFalse())
+	})
+
 	It("is not held for longer than its validity after the last confirmed write", func() {
 		a := start(api, "a")
 		Eventually(a.Held, waitFor).Should(BeTrue())
--- a/logline/find.go
+++ b/logline/find.go
@@ -101,7 +101,7 @@
 	case Demand:
 		_, model, _ := strings.Cut(other.fields.Model, "/")
 		return l.fields.Model != "" && model == l.fields.Model && other.Time.Sub(l.Time).Abs() <= demandWindow
-	case Lease, LeaseRefused, Linked, LinkEnded, Isolation, PlatformLost, PlatformRegained, Started, Leaving, Stopped, ConfigInForce:
+	case Lease, LeaseRefused, Linked, LinkEnded, Isolation, PlatformLost, PlatformRegained, Started, Leaving, Stopped, ConfigInForce, WorkStalled, WorkGoesOn:
 		return other.Entry == l.Entry
 	case RequestsHeldBack:
 		return true
--- a/logline/names.go
+++ b/logline/names.go
@@ -19,6 +19,8 @@
 	LinkEnded        = "link to the leader ended"
 	Isolation        = "backend servers of a service lost or reached again"
 	Demand           = "demand"
+	WorkStalled      = "work stands still: this entry gives up the lease, and takes none"
+	WorkGoesOn       = "work goes on"
 	AskedOthers      = "asked other entries for a server"
 	PlatformLost     = "platform lost"
 	PlatformRegained = "platform regained"
