--- a/policy/turns/limits.go
+++ b/policy/turns/limits.go
@@ -40,10 +40,10 @@
 }
 
 // meter returns the meter of a head, and makes it if there is none.
-func (s *Scheduler) meter(now time.Duration, head string, perSecond float64, make func(now time.Duration, perSecond float64) *quota.Meter) *quota.Meter {
+func (s *Scheduler) meter(now time.Duration, head string, perSecond float64, newMeter func(now time.Duration, perSecond float64) *quota.Meter) *quota.Meter {
 	meter := s.meters[head]
 	if meter == nil {
-		meter = make(now, perSecond)
+		meter = newMeter(now, perSecond)
 		meter.SetConfirmed(now, !s.unconfirmed)
 		s.meters[head] = meter
 	}
--- a/policy/watchdog/watchdog.go
+++ b/policy/watchdog/watchdog.go
@@ -10,8 +10,7 @@
 // A Watchdog is not safe for concurrent use.
 package watchdog
 
-// maxIdleChecks is how many checks in a row may find that a task has made no progress. With a check every 100 ms it is many times the longest round
-// of a leader of some three hundred entries.
+// maxIdleChecks is how many checks in a row find that a task has made no progress until it counts as standing still.
 const maxIdleChecks = 15
 
 // Watchdog tracks the progress of tasks.
