entry/grouping: a server that rejects a report request or an order is no other server, and gets none while it has asked for a pause

Cause: any status but 200 in answer to a report request counted as "another server answers at the address". So a head that shed everything was taken for gone: its sound group was dissolved without an order, and its members were joined to another one while it served. A pause that it asked for in such an answer was not kept: reports go to an excluded VM once a second, and an order is sent again every 0.2 s.

Now statuses from 500 on and 429 say that the VM rejects: it answers, so its group stays until a report, the registration or a later process tells otherwise; one without a group is left out as if it did not answer. Only what the server asks for in answers to orders and report requests holds these back: while it answers them, a leader must go on, because a group that lost a member has to end. Tried first: to return the error from closeHead at once, which repeated it 57,000 times in 4 s.

--- a/entry/grouping/dissolve.go
+++ b/entry/grouping/dissolve.go
@@ -81,6 +81,12 @@
 		}
 		report, err := c.client.report(ctx, head)
 		switch {
+		case eris.Is(err, errRejected):
+			// It may serve the group. Its report, or its registration, will tell.
+			if !wait.Pause(ctx, headPollInterval) {
+				return eris.Wrapf(err, "head %s", head.ID)
+			}
+			continue
 		case err != nil && listed == nil && !c.deps.RegistrationsReliable():
 			return eris.Wrapf(errRegistrationsPending, "head %s", head.ID)
 		case err != nil && listed == nil:
--- a/entry/grouping/form.go
+++ b/entry/grouping/form.go
@@ -152,13 +152,13 @@
 }
 
 // checkedReport returns a VM's report. A VM that does not answer, or has been restarted since it was listed, is passed to
-// handleNoAnswer.
+// handleNoAnswer. So is one that rejects the request and has no group: it can't be a member of another one meanwhile.
 func (c *Controller) checkedReport(ctx context.Context, server *backend.Server) (backend.Report, error) {
 	report, err := c.client.report(ctx, server)
 	if err == nil && report.StartedAtMillis != 0 && server.StartedAtMillis != 0 && report.StartedAtMillis != server.StartedAtMillis {
 		err = eris.Wrap(errOtherServer, "the VM has started again")
 	}
-	if err != nil && ctx.Err() == nil {
+	if serves := eris.Is(err, errRejected) && server.Group.Name != ""; err != nil && !serves && ctx.Err() == nil {
 		c.handleNoAnswer(ctx, server, err)
 	}
 	return report, err
--- a/entry/grouping/grouping.go
+++ b/entry/grouping/grouping.go
@@ -236,7 +236,7 @@
 	if table == nil {
 		return
 	}
-	c.client.pruneOrders()
+	c.client.prune()
 	c.pollUnresponsive(ctx)
 	c.checkSlowGroups(ctx)
 	listing := c.deps.Listing()
--- a/entry/grouping/orders.go
+++ b/entry/grouping/orders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -21,6 +22,9 @@
 	errNoAnswer = eris.New("VM does not answer")
 	// errOtherServer means that another server, or a restarted process of the same server, answers at the address.
 	errOtherServer = eris.New("another server answers at the address")
+	// errRejected means that the VM answers without executing an order or telling its state. It may serve its group, and may have asked for a
+	// pause.
+	errRejected = eris.New("VM rejects the request")
 	// errRefused means that the order does not apply to the VM's state, or that another order came first.
 	errRefused = eris.New("order refused")
 )
@@ -41,9 +45,12 @@
 type serverClient struct {
 	pool *upstream.Pool
 
-	mu sync.Mutex // guards latestOrders; a leaf lock
+	mu sync.Mutex // guards the fields below; a leaf lock
 	// latestOrders contains what is known about the latest order that each process of a VM accepted.
 	latestOrders map[upstream.Endpoint]latestOrder
+	// pausedUntil contains the end of the pause that a process of a VM has asked for in its answer to an order or a report request. One that it
+	// asks for in answers to other requests does not apply: it answers these.
+	pausedUntil map[upstream.Endpoint]time.Time
 }
 
 // latestOrder describes the latest order that a VM accepted.
@@ -56,7 +63,7 @@
 }
 
 func newServerClient(pool *upstream.Pool) *serverClient {
-	return &serverClient{pool: pool, latestOrders: make(map[upstream.Endpoint]latestOrder)}
+	return &serverClient{pool: pool, latestOrders: make(map[upstream.Endpoint]latestOrder), pausedUntil: make(map[upstream.Endpoint]time.Time)}
 }
 
 const (
@@ -101,10 +108,11 @@
 	c.latestOrders[upstream.EndpointOf(server)] = latestOrder{at: time.Now(), visibleAfter: reportLag + order.EffectDelay, minCount: count}
 }
 
-// pruneOrders removes the VMs that accepted no order within maxReportWait.
-func (c *serverClient) pruneOrders() {
+// prune removes the VMs that accepted no order within maxReportWait, and the pauses that are over.
+func (c *serverClient) prune() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	maps.DeleteFunc(c.pausedUntil, func(_ upstream.Endpoint, until time.Time) bool { return time.Now().After(until) })
 	for endpoint, latest := range c.latestOrders {
 		if time.Since(latest.at) > maxReportWait {
 			delete(c.latestOrders, endpoint)
@@ -137,7 +145,7 @@
 	var last outcome
 	for range reportAttempts {
 		last = <-outcomes
-		if last.err == nil || eris.Is(last.err, errOtherServer) {
+		if last.err == nil || eris.Is(last.err, errOtherServer) || eris.Is(last.err, errRejected) {
 			break
 		}
 	}
@@ -147,14 +155,24 @@
 func (c *serverClient) fetchReport(ctx context.Context, server *backend.Server) (backend.Report, error) {
 	status, body, err := c.call(ctx, server, http.MethodGet, platform.PathReport, nil)
 	switch {
+	case eris.Is(err, errRejected):
+		return backend.Report{}, err
 	case err != nil:
 		return backend.Report{}, eris.Wrap(errNoAnswer, err.Error())
+	case rejects(status):
+		return backend.Report{}, eris.Wrapf(errRejected, "status %d", status)
 	case status != http.StatusOK:
 		return backend.Report{}, eris.Wrapf(errOtherServer, "status %d", status)
 	}
 	return platform.DecodeReport(body)
 }
 
+// rejects reports whether a status says nothing but that the request was not served. The server that it was sent to gives other servers' requests
+// a status of their own.
+func rejects(status int) bool {
+	return status >= http.StatusInternalServerError || status == http.StatusTooManyRequests
+}
+
 // order sends an order once. A nil error means that the order is being executed or that its effect is already in place.
 func (c *serverClient) order(ctx context.Context, server *backend.Server, order backend.Order) error {
 	body, err := platform.EncodeOrder(order)
@@ -163,6 +181,8 @@
 	}
 	status, _, err := c.call(ctx, server, http.MethodPost, platform.PathOrder, body)
 	switch {
+	case eris.Is(err, errRejected):
+		return err
 	case err != nil:
 		return eris.Wrap(errNoAnswer, err.Error())
 	case status == http.StatusAccepted:
@@ -180,10 +200,14 @@
 	case status == http.StatusBadRequest || status == http.StatusNotFound:
 		return eris.Wrapf(errRefused, "status %d", status)
 	}
-	return eris.Wrapf(errNoAnswer, "status %d", status)
+	return eris.Wrapf(errRejected, "status %d", status)
 }
 
+// call sends an order or a report request, unless the server has asked for a pause.
 func (c *serverClient) call(ctx context.Context, server *backend.Server, method, path string, body []byte) (int, []byte, error) {
+	if left := c.pause(server); left > 0 {
+		return 0, nil, eris.Wrapf(errRejected, "%s has asked for a pause of another %v", server.ID, left.Round(time.Millisecond))
+	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	header := platform.ForwardHeader(http.Header{}, platform.Forward{Server: server.ID, Remaining: callTimeout})
@@ -197,10 +221,31 @@
 		return 0, nil, err
 	}
 	defer response.Body.Close()
+	c.notePause(server, platform.DecodeResponse(response.Status, response.Header).Pause)
 	content, err := io.ReadAll(io.LimitReader(response.Body, maxReportBytes))
 	return response.Status, content, err
 }
 
+// pause returns what is left of the pause that a server has asked for; at most 0 if it has none.
+func (c *serverClient) pause(server *backend.Server) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Until(c.pausedUntil[upstream.EndpointOf(server)])
+}
+
+// notePause records a pause that an answer asks for. Pauses don't replace each other: the longest counts.
+func (c *serverClient) notePause(server *backend.Server, length time.Duration) {
+	if length <= 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	endpoint := upstream.EndpointOf(server)
+	if until := time.Now().Add(length); until.After(c.pausedUntil[endpoint]) {
+		c.pausedUntil[endpoint] = until
+	}
+}
+
 // sendUntilEffective sends an order until its effect is known. effective reports whether a report shows the effect. All copies
 // expect the same order count, so at most one of them is executed, no matter how late.
 func (c *serverClient) sendUntilEffective(ctx context.Context, server *backend.Server, order backend.Order, effective func(backend.Report) bool) error {
--- a/entry/grouping/vouch.go
+++ b/entry/grouping/vouch.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/skylarkpond/skylarkpond/backend"
 	"github.com/skylarkpond/skylarkpond/contract/route"
 )
@@ -88,7 +90,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	state.polling = false
-	if err == nil && report.Group.GroupKey == key {
+	if err == nil && report.Group.GroupKey == key || eris.Is(err, errRejected) {
 		state.presentUntil = time.Now().Add(unregisteredGrace)
 		return
 	}
