entry/turn: a turn that is granted as its request ends is not held

What callers saw: refusals for want of a place, or longer waits, after a change of leader: an entry reported to the new one turns of requests that had long ended, and each took a place at its group for as long as the entry lived.

Cause: an entry that gives up waiting forgets its request, but not the turn, if the grant had come in the same moment and the end of the request was noticed first. The present leader is told, the next one was told the opposite.

Ruled out: a grant that comes later (it is given back at once).

--- a/entry/turn/remote.go
+++ b/entry/turn/remote.go
@@ -154,6 +154,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.pending, key)
+	delete(r.held, key) // the grant may just have arrived
 	r.unresponsive = r.unresponsive || timedOut
 	if r.send != nil {
 		r.send(link.Up{Done: &link.Done{Key: key, Unsent: true}})
--- a/entry/turn/turn_test.go
+++ b/entry/turn/turn_test.go
@@ -128,6 +128,29 @@
 		Expect(sent).To(ContainElement(link.Up{Done: &link.Done{Key: 1, Unsent: true}}))
 	})
 
+	// Guards against places that a new leader takes for used, for as long as this process lives: the grant came as the request ended.
+	It("holds no turn of a request that ended as its grant came", func() {
+		var replying sync.WaitGroup
+		for range 200 {
+			ctx, cancel := context.WithCancel(context.Background())
+			remote.Attach(func(message link.Up) {
+				if message.TurnRequest != nil {
+					key := message.TurnRequest.Key
+					cancel()
+					replying.Go(func() { remote.HandleReply(link.Down{Grant: &link.Grant{Key: key, Head: "head"}}) })
+				}
+			})
+			if granted, _ := remote.Acquire(ctx, request); granted != nil {
+				granted.Done(turn.Result{})
+			}
+			cancel()
+		}
+		replying.Wait()
+		var held *link.HeldTurns
+		remote.Attach(func(message link.Up) { held = message.HeldTurns })
+		Expect(held.Running).To(BeEmpty())
+	})
+
 	// A caller that is told no time comes back at once, or never.
 	It("tells when to come back to a request whose deadline passes while it waits for its turn", func() {
 		remote.Attach(func(message link.Up) {
