entry/leader: indirect probes of one server at the same time are answered each

What callers saw: nothing known. A head that the leader can't reach counts as gone when no other entry reaches it either; if two probes of it overlapped (its group is closed while a formation or the isolation check asks as well), both could end without the answer that the others had given, and its members would have been joined to another group while it served behind a cut.

Cause: probes in progress were kept by server. The second took the first one's place, and the first to end removed the second.

Ruled out: results without a probe (they are dropped, as before).

Now each probe has a number that the followers send back. A follower of an earlier version sends none: its result is given to all probes of the server, as good as before while versions run side by side.

--- a/entry/gateway/follow.go
+++ b/entry/gateway/follow.go
@@ -187,7 +187,7 @@
 
 // answerProbe probes a server on the leader's behalf and reports whether it answers and whether it serves a group.
 func (g *Gateway) answerProbe(ctx context.Context, send func(link.Up), probe link.Probe) {
-	result := link.ProbeResult{Server: probe.Server}
+	result := link.ProbeResult{Server: probe.Server, Number: probe.Number}
 	report, err := g.controller.Report(ctx, &backend.Server{ID: probe.Server, Address: probe.Address})
 	if err == nil {
 		result.Answered = true
--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -106,8 +106,9 @@
 	limits       *limitTracker
 	// pausedProcesses holds the process of each server that has asked an entry for a pause; 0 if unknown.
 	pausedProcesses map[backend.ID]int64
-	// probes holds the channels for the results of indirect probes in progress, by server.
-	probes map[backend.ID]chan link.ProbeResult
+	// probes holds the indirect probes in progress by number; lastProbe is the number of the latest.
+	probes    map[uint64]indirectProbe
+	lastProbe uint64
 	// isolated holds the followers that have lost their connections to the servers, and isolationChanged those of which the followers have yet
 	// to be told.
 	isolated, isolationChanged map[string]bool
@@ -141,7 +142,7 @@
 func New(deps Deps) *Leader {
 	return &Leader{
 		deps: deps, started: time.Now(), turns: policy.New(policy.DefaultConfig()), followers: make(map[string]*follower),
-		probes: make(map[backend.ID]chan link.ProbeResult), demand: make(map[string]*modelDemand),
+		probes: make(map[uint64]indirectProbe), demand: make(map[string]*modelDemand),
 		progress: make(map[store.Kind]*progress), announced: make(map[string]bool), newFollowers: make(map[string]bool),
 		holds: newHoldTracker(), limits: newLimitTracker(), pausedProcesses: make(map[backend.ID]int64), isolated: make(map[string]bool), isolationChanged: make(map[string]bool),
 	}
--- a/entry/leader/looks.go
+++ b/entry/leader/looks.go
@@ -20,7 +20,9 @@
 func (l *Leader) ProbeIndirectly(ctx context.Context, server *backend.Server) (link.ProbeResult, bool) {
 	answers := make(chan link.ProbeResult, maxProbers)
 	l.mu.Lock()
-	l.probes[server.ID] = answers
+	l.lastProbe++
+	number := l.lastProbe
+	l.probes[number] = indirectProbe{server: server.ID, answers: answers}
 	asked := 0
 	for entry, to := range l.followers {
 		if asked == maxProbers {
@@ -29,13 +31,13 @@
 		if l.isolated[entry] {
 			continue
 		}
-		to.Send(link.Down{Probe: &link.Probe{Server: server.ID, Address: server.Address}})
+		to.Send(link.Down{Probe: &link.Probe{Server: server.ID, Address: server.Address, Number: number}})
 		asked++
 	}
 	l.mu.Unlock()
 	defer func() {
 		l.mu.Lock()
-		delete(l.probes, server.ID)
+		delete(l.probes, number)
 		l.mu.Unlock()
 	}()
 	timeout := time.After(probeTimeout)
@@ -54,15 +56,22 @@
 	return link.ProbeResult{}, false
 }
 
+// indirectProbe is a probe whose results are awaited. Several of one server may be in progress.
+type indirectProbe struct {
+	server  backend.ID
+	answers chan link.ProbeResult
+}
+
 func (l *Leader) handleProbeResult(result link.ProbeResult) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	answers, ok := l.probes[result.Server]
-	if !ok {
-		return // the probe has ended
-	}
-	select {
-	case answers <- result:
-	default:
+	for number, probe := range l.probes {
+		if probe.server != result.Server || result.Number != 0 && result.Number != number {
+			continue
+		}
+		select {
+		case probe.answers <- result:
+		default:
+		}
 	}
 }
--- a/link/leader/leader.go
+++ b/link/leader/leader.go
@@ -257,6 +257,8 @@
 	Group backend.GroupKey `cbor:"3,keyasint,omitempty"`
 	// Serving reports whether it accepts requests in this group.
 	Serving bool `cbor:"4,keyasint,omitempty"`
+	// Number is that of the probe; 0 if the follower does not tell.
+	Number uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Down is a message from the leader to a follower. Exactly one field is set.
@@ -340,4 +342,6 @@
 type Probe struct {
 	Server  backend.ID `cbor:"1,keyasint"`
 	Address string     `cbor:"2,keyasint"`
+	// Number identifies the probe among those of the leader.
+	Number uint64 `cbor:"3,keyasint,omitempty"`
 }
