--- a/entry/grouping/vouch.go
+++ b/entry/grouping/vouch.go
@@ -90,6 +90,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	state.polling = false
+	// One that rejects the request answers.
 	if err == nil && report.Group.GroupKey == key || eris.Is(err, errRejected) {
 		state.presentUntil = time.Now().Add(unregisteredGrace)
 		return
