--- a/entry/lease/lease_test.go
+++ b/entry/lease/lease_test.go
@@ -167,6 +167,16 @@
 		Eventually(a.Held, waitFor).Should(BeTrue())
 	})
 
+	// Guards against seconds without a leader: a holder that had given up on a write took it for another entry's, and waited until its own lease expired.
+	It("is resumed at once by its holder if the last write was its own", func() {
+		a := start(api, "a")
+		Eventually(a.Held, waitFor).Should(BeTrue())
+		api.SetFaults(objects.Faults{LoseAnswers: true})
+		time.Sleep(2 * time.Second)
+		api.SetFaults(objects.Faults{})
+		Eventually(a.Held, "1s").Should(BeTrue())
+	})
+
 	It("is given up by a holder that finds another holder", func() {
 		a := start(api, "a")
 		Eventually(a.Held, waitFor).Should(BeTrue())
