entry/lease, entry/leader: a lapse of the lease costs neither the leadership nor what followers have reported

Cause: (a) a holder whose write took effect although its answer was lost met a conflict with its own write, took itself for replaced and waited until its own lease had expired. (b) What followers report over their links, who is cut off and which turns are in use, ended with the leadership and not with the link, so that a leader that led again with the same links did not know it. (c) A leader without the lease kept what followers reported of limits in its ledger, and decided by what it had heard itself.

Now a holder that meets a conflict reads the object and goes on if the object names this process; the scheduler's successor knows the turns and pauses, isolation stays until the link ends; limits that followers report meanwhile bind the entry and are passed on.

Tests of entry/lease, entry/leader, entry/limits, entry/gateway with -race and policy/turns pass.

--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -136,6 +136,7 @@
 		Ages: cat.Ages, ReportHolds: s.holdsChanged,
 		AnnounceLeaving: func(leaving link.Leaving) bool { return cat.AnnounceLeaving(leaving, false) }, AnnouncedLeaving: cat.AnnouncedLeaving,
 		Confirmed: entryLease.Held, KnownLimits: func() []link.ServerLimit { return s.components.limits.Limits() }, ReportLimit: s.limitChanged,
+		LimitHeard: func(limit link.ServerLimit) { s.components.limits.Adopt(limit) },
 	})
 }
 
--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -70,6 +70,8 @@
 	AnnouncedLeaving func() []link.Leaving
 	// KnownLimits returns the limits of servers that this entry knows as a follower. It is called with the Leader's lock held.
 	KnownLimits func() []link.ServerLimit
+	// LimitHeard is called with a limit that a follower reports while this entry is not leading. It is called with the Leader's lock held, and may be nil.
+	LimitHeard func(limit link.ServerLimit)
 	// ReportLimit is called when the limit of a server changes. It is called with the Leader's lock held.
 	ReportLimit func(change LimitChange)
 	// RoundEnded is called after each round of the periodic work, whether or not this entry is the leader.
@@ -84,7 +86,7 @@
 	started time.Time
 
 	mu sync.Mutex // guards the fields below; several Deps are called while it is held, and must not call the Leader
-	// turns is replaced when this entry ceases to be the leader.
+	// turns is replaced when this entry ceases to be the leader; its successor knows the turns that followers hold.
 	turns     *policy.Scheduler
 	followers map[string]*follower
 	leading   bool
@@ -177,6 +179,7 @@
 func (l *Leader) round(last *schedule) {
 	if !l.deps.IsLeader() {
 		l.stepDown()
+		l.BroadcastLimits() // linked followers decide without a leader until there is one, and may have heard different limits
 		return
 	}
 	if time.Since(last.groupsAt) >= refreshInterval {
@@ -201,7 +204,8 @@
 
 func (l *Leader) now() time.Duration { return time.Since(l.started) }
 
-// stepDown discards the turns and crashes, which are now tracked by another leader.
+// stepDown stops granting turns and discards what another leader now tracks. What a follower has reported over its link is kept until the link
+// ends: if this entry leads again before that, as after an expired lease that nobody else has acquired, followers do not report it once more.
 func (l *Leader) stepDown() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -209,11 +213,8 @@
 		l.leading = false
 		l.holds = newHoldTracker()
 		l.demand = make(map[string]*modelDemand)
-		l.turns = policy.New(policy.DefaultConfig())
+		l.turns = l.turns.Successor()
 		l.limits = newLimitTracker()
-		clear(l.pausedProcesses)
-		clear(l.isolated)
-		clear(l.isolationChanged)
 	}
 }
 
--- a/entry/leader/leader_test.go
+++ b/entry/leader/leader_test.go
@@ -65,8 +65,13 @@
 
 // newEntryWith returns the Leader of an entry with this snapshot, and none while its revision is 0.
 func newEntryWith(snapshot *catalog.ChangeSet) *leader.Leader {
+	return leader.New(entryDeps(snapshot))
+}
+
+// entryDeps returns the dependencies of a Leader of an entry that holds the lease.
+func entryDeps(snapshot *catalog.ChangeSet) leader.Deps {
 	servers := map[backend.ID]*backend.Server{"i-1": {ID: "i-1", Service: "desk"}}
-	return leader.New(leader.Deps{
+	return leader.Deps{
 		AnnounceLeaving: func(link.Leaving) bool { return true }, AnnouncedLeaving: func() []link.Leaving { return nil },
 		IsLeader:     func() bool { return true },
 		Listing:      func() *backend.Listing { return backend.NewListing(1, servers) },
@@ -83,7 +88,8 @@
 		Confirmed:    func() bool { return true },
 		KnownLimits:  func() []link.ServerLimit { return nil },
 		ReportLimit:  func(leader.LimitChange) {},
-	})
+		RoundEnded:   func() {},
+	}
 }
 
 var _ = Describe("Leader", func() {
--- a/entry/leader/limits.go
+++ b/entry/leader/limits.go
@@ -51,10 +51,14 @@
 	return &known.PerSecond
 }
 
-// hearLimit applies what a server stated in an answer to an entry.
+// hearLimit applies what a server stated in an answer to an entry. A leader that has lost the lease, and decides by itself as its followers do, is
+// bound by what they have heard.
 func (l *Leader) hearLimit(entry string, report link.LimitReport) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if !l.leading && report.PerSecond != nil && l.deps.LimitHeard != nil {
+		l.deps.LimitHeard(link.ServerLimit{Server: report.Server, Process: report.Process, PerSecond: *report.PerSecond, Source: entry})
+	}
 	l.applyLimit(report.Server, quota.Statement{Process: report.Process, PerSecond: report.PerSecond, Basis: report.Basis, Source: entry}, l.turns.SetLimit)
 }
 
--- a/entry/lease/lease.go
+++ b/entry/lease/lease.go
@@ -293,46 +293,83 @@
 	l.write(ctx, version)
 }
 
-// write replaces the object at version with one that names this entry.
+// write replaces the object at version with one that names this entry. A holder that meets a conflict reads the object before it steps down: an
+// earlier write that it has given up on may have taken effect, and the lease is then still its own.
 func (l *Lease) write(ctx context.Context, version platform.Version) {
+	if !isConflict(l.writeOnce(ctx, version)) {
+		return
+	}
+	if l.owns() {
+		if current, own := l.readOwn(ctx); own && !isConflict(l.writeOnce(ctx, current)) {
+			return
+		}
+	}
+	l.stepDown()
+}
+
+// readOwn returns the version of the object if it names this process.
+func (l *Lease) readOwn(ctx context.Context) (platform.Version, bool) {
+	bounded, cancel := context.WithTimeout(ctx, Validity)
+	defer cancel()
+	object, err := l.deps.Store.Get(bounded, Kind, Name)
+	if err != nil {
+		return 0, false // it can't be told who has written the object
+	}
+	var holder Holder
+	if err := json.Unmarshal(object.Value, &holder); err != nil {
+		return 0, false // another entry has written an object that can't be read
+	}
+	own := holder.Entry == l.deps.Self.Entry && holder.Token == l.deps.Self.Token
+	return object.Version, own
+}
+
+// isConflict reports whether a write has failed because the object was not at the expected version.
+func isConflict(err error) bool {
+	return eris.Is(err, platform.ErrConflict) || eris.Is(err, platform.ErrSuperseded) || eris.Is(err, platform.ErrNotFound)
+}
+
+func (l *Lease) writeOnce(ctx context.Context, version platform.Version) error {
 	value := l.deps.Self
 	value.Nonce = uuid.NewString()
 	value.Attachment = l.deps.Attachment()
 	body, err := json.Marshal(value)
 	if err != nil {
-		return // can't happen: the value has only strings and valid JSON
+		return err // can't happen: the value has only strings and valid JSON
 	}
 	sent := time.Now()
 	bounded, cancel := context.WithTimeout(ctx, Validity)
 	defer cancel()
 	written, err := platform.PutConfirmed(bounded, l.deps.Store, Kind, Name, version, body, value.Nonce)
-	l.recordWrite(value, written, sent, err)
+	if err == nil {
+		l.recordWritten(value, written, sent)
+	}
+	return err
 }
 
-// recordWrite records the outcome of a write. A conflict means that another entry has acquired the lease. After any
-// other failure the outcome is unknown, and the next write determines it.
-func (l *Lease) recordWrite(value Holder, written platform.Version, sent time.Time, err error) {
-	conflict := eris.Is(err, platform.ErrConflict) || eris.Is(err, platform.ErrSuperseded) || eris.Is(err, platform.ErrNotFound)
+// recordWritten records a confirmed write.
+func (l *Lease) recordWritten(value Holder, written platform.Version, sent time.Time) {
 	l.mu.Lock()
 	wasHeld := l.held
-	switch {
-	case err == nil:
-		l.held, l.holder, l.version, l.confirmedAt = true, value, written, sent
-		l.unchangedSince = time.Now()
-	case conflict:
-		l.held = false
-		l.unchangedSince = time.Now()
-		l.stale, l.nextPoll = true, time.Time{} // the known holder was replaced; the next poll finds its successor
-	}
-	held := l.held
+	l.held, l.holder, l.version, l.confirmedAt = true, value, written, sent
+	l.unchangedSince = time.Now()
 	l.mu.Unlock()
-	if conflict {
-		l.deps.WriteConflict()
+	if !wasHeld {
+		l.deps.HolderChanged(value, true)
 	}
-	if held != wasHeld {
-		l.deps.HolderChanged(value, held)
-	}
-	if err == nil {
-		l.deps.Renewed()
+	l.deps.Renewed()
+}
+
+// stepDown records that another entry has acquired the lease. After any failure of a write but a conflict the outcome is unknown, and the next
+// write determines it.
+func (l *Lease) stepDown() {
+	l.mu.Lock()
+	wasHeld := l.held
+	l.held = false
+	l.unchangedSince = time.Now()
+	l.stale, l.nextPoll = true, time.Time{} // the known holder was replaced; the next poll finds its successor
+	l.mu.Unlock()
+	l.deps.WriteConflict()
+	if wasHeld {
+		l.deps.HolderChanged(l.deps.Self, false)
 	}
 }
--- a/entry/limits/limits.go
+++ b/entry/limits/limits.go
@@ -167,6 +167,18 @@
 	}
 }
 
+// Adopt applies a limit that another entry has heard, unless this entry knows a lower one or one of a later process.
+func (t *Tracker) Adopt(heard link.ServerLimit) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known, ok := t.known[heard.Server]
+	if ok && (known.Process > heard.Process || known.Process == heard.Process && known.PerSecond <= heard.PerSecond) {
+		return
+	}
+	heard.Version = 0
+	t.known[heard.Server] = limit{ServerLimit: heard, learnedAt: time.Now()}
+}
+
 // Limits returns all known limits, for the next leader.
 func (t *Tracker) Limits() []link.ServerLimit {
 	t.mu.Lock()
--- a/policy/turns/end.go
+++ b/policy/turns/end.go
@@ -118,3 +118,15 @@
 		m.queue = slices.DeleteFunc(m.queue, func(w queuedRequest) bool { return w.Key == key })
 	}
 }
+
+// Successor returns a scheduler for the same entry once it leads again. It knows the turns in use and the pauses that heads have asked for, which
+// clients have reported to this scheduler, but no groups, limits or waiting requests.
+func (s *Scheduler) Successor() *Scheduler {
+	next := New(s.config)
+	next.unconfirmed = s.unconfirmed
+	next.pauses = s.pauses
+	for key, t := range s.turns {
+		next.adopt(t.grantedAt, key, t.head)
+	}
+	return next
+}
