policy/isolation: a sample holds servers of every failure domain

What callers saw: entries took themselves for cut off from the servers for 2 to 3.5 s, and passed their requests on, while only one failure domain's servers were down.

Cause: three servers drawn from all alike. With a third of them down, one sample in 27 meets no other, and over a hundred entries draw two such samples in a row now and then.

Now each failure domain is drawn from in turn. The entry's own link being cut is found in two rounds as before.

--- a/entry/isolation/isolation.go
+++ b/entry/isolation/isolation.go
@@ -15,6 +15,8 @@
 // Deps holds the dependencies of a Watch.
 type Deps struct {
 	Listing func() *backend.Listing
+	// Blocked reports whether a server may be sent nothing, not even a probe. It may be nil.
+	Blocked func(server *backend.Server) bool
 	// Probe reports whether a server answers on a new connection. It ends with ctx.
 	Probe func(ctx context.Context, server *backend.Server) bool
 	// Changed is called when this entry has lost all servers of a service, or reaches them again. fromAny reports whether it is isolated from any
@@ -197,14 +199,25 @@
 	}
 }
 
-// sample draws servers of a service that are not leaving.
+// sample draws servers of a service that are not leaving, of each failure domain.
 func (w *Watch) sample(name string) []*backend.Server {
 	var servers []*backend.Server
 	for _, server := range w.deps.Listing().ByService[name] {
-		if !server.Leaving {
+		if !server.Leaving && (w.deps.Blocked == nil || !w.deps.Blocked(server)) {
 			servers = append(servers, server)
 		}
 	}
-	rand.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
-	return servers[:min(len(servers), policy.SampleSize)]
+	failureDomains := make([]string, 0, len(servers))
+	for _, server := range servers {
+		failureDomains = append(failureDomains, string(server.FailureDomain))
+	}
+	var sample []*backend.Server
+	for _, i := range policy.Sample(failureDomains, shuffle) {
+		sample = append(sample, servers[i])
+	}
+	return sample
+}
+
+func shuffle(indices []int) {
+	rand.Shuffle(len(indices), func(i, j int) { indices[i], indices[j] = indices[j], indices[i] })
 }
