--- a/backend/backend.go
+++ b/backend/backend.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"slices"
 	"strconv"
+	"time"
 
 	"github.com/skylarkpond/skylarkpond/domain"
 )
@@ -72,8 +73,13 @@
 	Group Membership `cbor:"11,keyasint,omitzero"`
 	// Revision is the platform's revision of this registration.
 	Revision uint64 `cbor:"12,keyasint"`
+	// ColdFor is how much longer the server takes few requests, as of the registration; ColdUnknown if that can't be read.
+	ColdFor time.Duration `cbor:"13,keyasint,omitempty"`
 }
 
+// ColdUnknown is a ColdFor that can't be read: the server may be cold for as long as its service's servers are after their start.
+const ColdUnknown time.Duration = -1
+
 // HasStaged reports whether the weights of a model are stored on the VM's host.
 func (s *Server) HasStaged(model string) bool { return slices.Contains(s.Staged, model) }
 
--- a/contract/route/route.go
+++ b/contract/route/route.go
@@ -82,6 +82,10 @@
 	HealthPath string
 	// MaxConns is how many connections one backend server accepts from all entries together.
 	MaxConns int
+	// ColdTime is how long a backend server is cold after it has started while there is traffic, and ColdPerSecond how many requests a second it
+	// then takes from all entries together; 0 if that is not limited.
+	ColdTime      time.Duration
+	ColdPerSecond float64
 	// Engine is nil for a plain service, which answers ordinary HTTP requests without a model engine.
 	Engine *Engine
 }
--- a/entry/catalog/follow.go
+++ b/entry/catalog/follow.go
@@ -71,6 +71,12 @@
 	BatchDelay: time.Second, Timeout: 3 * time.Second, LeaderTimeout: 3 * time.Second, FirstFromLeader: true,
 }
 
+// EvacuationsWatchPolicy is the policy for the failure domains that operators evacuate, which must be known within half of a bound. An event ends a
+// watch at once, so that long watches delay nothing; they bound how late an entry notices that the platform has dropped its history.
+func EvacuationsWatchPolicy(bound time.Duration) WatchPolicy {
+	return WatchPolicy{Timeout: bound / 4, LeaderTimeout: bound / 5, MaxAge: bound / 2, FirstFromLeader: true}
+}
+
 // promptWatchPolicy is the policy for configurations, which must be in force within 2 s, and for servers, whose leaving must
 // be known within 2 s. MaxAge leaves time for a call and for connecting to a server. It exceeds the greatest age that a
 // healthy leader may report: two watches, a batch delay and the interval between two renewals of the lease.
--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -13,8 +13,10 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	"github.com/skylarkpond/skylarkpond/backend"
+	"github.com/skylarkpond/skylarkpond/domain"
 	"github.com/skylarkpond/skylarkpond/entry/backoff"
 	"github.com/skylarkpond/skylarkpond/entry/catalog"
 	"github.com/skylarkpond/skylarkpond/entry/grouping"
@@ -25,6 +27,7 @@
 	"github.com/skylarkpond/skylarkpond/entry/progress"
 	"github.com/skylarkpond/skylarkpond/entry/relay"
 	"github.com/skylarkpond/skylarkpond/entry/roster"
+	"github.com/skylarkpond/skylarkpond/entry/standing"
 	"github.com/skylarkpond/skylarkpond/entry/suspects"
 	"github.com/skylarkpond/skylarkpond/entry/turn"
 	"github.com/skylarkpond/skylarkpond/internal/logqueue"
@@ -50,6 +53,7 @@
 	log.SetOutput(lines)
 	s := &shared{
 		config: config, log: log.WithField("entry", config.Name), registry: metrics.NewRegistry(), leaderState: newLeaderState(), started: time.Now(),
+		unreachableLines: rate.NewLimiter(maxUnreachableLines, maxUnreachableLines), evacuations: make(map[domain.FailureDomain]bool),
 	}
 	s.firstByteTimes = histogram(s.registry, "requests.first.ms")
 	s.totalTimes = histogram(s.registry, "requests.took.ms")
@@ -61,7 +65,7 @@
 
 // providePool returns the connections to backend servers, which originate from the address that the entry has for callers.
 func providePool(s *shared) *upstream.Pool {
-	return upstream.NewPool(upstream.WithSource(sourceIP(s.config.CallerAddress)), upstream.WithObserver(s.serverAnswered))
+	return upstream.NewPool(upstream.WithSource(sourceIP(s.config.CallerAddress)), upstream.WithObserver(s.serverAnswered), upstream.WithPermit(s.permits))
 }
 
 func provideIdentity(s *shared) (*peer.Identity, error) { return peer.NewIdentity(s.config.Name) }
@@ -109,7 +113,7 @@
 }
 
 func provideController(
-	s *shared, pool *upstream.Pool, cat *catalog.Catalog, entryLease *lease.Lease, isolated *isolation.Watch, monitor *progress.Monitor,
+	s *shared, pool *upstream.Pool, cat *catalog.Catalog, entryLease *lease.Lease, isolated *isolation.Watch, monitor *progress.Monitor, known *standing.Tracker,
 ) *grouping.Controller {
 	return grouping.New(grouping.Deps{
 		RoundEnded: func() { monitor.RoundEnded(progress.Groups) },
@@ -118,11 +122,12 @@
 		PeersSeeServing: s.peersSeeServing, PeersReach: s.peersReach, ReachesServers: isolated.Check, ClearSuspicion: func(head backend.ID) { s.components.leader.ClearSuspicion(head) },
 		DemandGroups:  func(service, model string) float64 { return s.components.leader.GroupsNeeded(service, model) },
 		BeforeTraffic: s.beforeTraffic, OnEvent: s.groupEvent,
+		Evacuated: known.Evacuated, Cold: known.Limited, Reached: func(vm backend.ID) { s.components.leader.Reached(vm) },
 	})
 }
 
 func provideLeader(
-	s *shared, cat *catalog.Catalog, entryLease *lease.Lease, controller *grouping.Controller, monitor *progress.Monitor,
+	s *shared, cat *catalog.Catalog, entryLease *lease.Lease, controller *grouping.Controller, monitor *progress.Monitor, known *standing.Tracker,
 ) *leader.Leader {
 	return leader.New(leader.Deps{
 		RoundEnded: func() { monitor.RoundEnded(progress.Turns) },
@@ -130,7 +135,7 @@
 		ListAge: cat.ServersAge, LinkMbps: s.config.LinkMbps,
 		Table: cat.Table, Dissolving: controller.Closed,
 		UnregisteredMembers: controller.ResponsiveUnregistered, Slowdown: controller.Slowdown,
-		StallReported: s.stallReported, Blind: s.isBlind,
+		Standing: known.Of, HearCold: known.Hear, SetUnreachable: known.SetUnreachable, StallReported: s.stallReported, Blind: s.isBlind,
 		Suspect:      func(key backend.GroupKey) { controller.Suspect(context.Background(), key) },
 		ReportDemand: s.logDemand, Config: cat.Config, OfferConfig: cat.UpdateConfig, LeaseVersion: entryLease.Version,
 		Ages: cat.Ages, ReportHolds: s.holdsChanged,
@@ -144,8 +149,20 @@
 	return link.NewServer(identity, self.Token, handler)
 }
 
-func provideLocal(cat *catalog.Catalog, tracker *limits.Tracker, pauses *backoff.Tracker) *turn.Local {
-	return turn.NewLocal(cat.Listing, cat.ServersAge, cat.Table, tracker, pauses)
+// serverLimits joins the limits that servers state with those of their standing. It implements turn.Limits.
+type serverLimits struct {
+	*limits.Tracker
+	standing *standing.Tracker
+}
+
+func (l serverLimits) Limited(server *backend.Server) bool {
+	return l.Tracker.Limited(server) || l.standing.Limited(server)
+}
+
+func (l serverLimits) Blocked(server *backend.Server) bool { return l.standing.Blocked(server) }
+
+func provideLocal(cat *catalog.Catalog, tracker *limits.Tracker, pauses *backoff.Tracker, known *standing.Tracker) *turn.Local {
+	return turn.NewLocal(cat.Listing, cat.ServersAge, cat.Table, serverLimits{tracker, known}, pauses)
 }
 
 func provideRemote(local *turn.Local, cat *catalog.Catalog, pauses *backoff.Tracker) *turn.Remote {
@@ -161,9 +178,9 @@
 	})
 }
 
-func provideIsolation(s *shared, cat *catalog.Catalog, pool *upstream.Pool) *isolation.Watch {
+func provideIsolation(s *shared, cat *catalog.Catalog, pool *upstream.Pool, known *standing.Tracker) *isolation.Watch {
 	return isolation.New(isolation.Deps{
-		Listing: cat.Listing, Changed: s.isolationChanged,
+		Listing: cat.Listing, Blocked: known.Evacuated, Changed: s.isolationChanged,
 		Probe: func(ctx context.Context, server *backend.Server) bool {
 			status, _, _ := askForReport(ctx, pool, server) // an answer with a broken body shows as well that the server is reached
 			return status != 0
@@ -178,6 +195,13 @@
 	})
 }
 
+func provideStanding(s *shared, cat *catalog.Catalog) *standing.Tracker {
+	return standing.New(standing.Deps{
+		Table: cat.Table, Listing: cat.Listing, ColdBegan: s.coldBegan, ColdEnded: s.coldEnded,
+		EvacuationBegan: s.evacuationBegan, EvacuationEnded: s.evacuationEnded, Invalid: s.coldInvalid,
+	})
+}
+
 func provideBackoff(s *shared) *backoff.Tracker {
 	return backoff.New(backoff.Deps{
 		SendToLeader: func(message link.Up) { s.components.remote.Send(message) },
@@ -195,7 +219,7 @@
 ) *relay.Relay {
 	return relay.New(relay.Deps{
 		Table: cat.Table, Turns: remote, Pool: pool, Retries: retries, Suspects: watch, Report: s.requestEnded,
-		Rejected: s.requestRejected, FirstRequest: func() { remote.Send(link.Up{RequestSeen: true}) }, Random: rand.Float64,
+		Rejected: s.requestRejected, Unreachable: s.serverUnreachable, FirstRequest: func() { remote.Send(link.Up{RequestSeen: true}) }, Random: rand.Float64,
 		Limits: tracker, Pauses: pauses, Isolation: isolated, PeerPool: upstream.NewPool(upstream.WithSource(sourceIP(s.config.CallerAddress)), upstream.WithObserver(s.entryAnswered)),
 		Peer: func(tried []string) (relay.Peer, bool) {
 			entry, ok := entries.Peer(tried)
@@ -208,6 +232,10 @@
 func (g *Gateway) connect() {
 	g.shared.components = &g.components
 	g.catalog.Follow(store.KindEntry, catalog.EntriesWatchPolicy, func(update catalog.Update) { g.roster.Apply(update.Objects()) })
+	if g.config.EvacuationMs > 0 {
+		g.catalog.Follow(platform.KindEvacuations, catalog.EvacuationsWatchPolicy(g.config.evacuationTime()), g.applyEvacuations)
+	}
+	g.catalog.OnServersChange(g.standing.Observe)
 	g.catalog.OnServersChange(g.controller.Wake)
 	g.catalog.OnServersChange(g.leader.RefreshGroups)
 	g.gauges()
@@ -298,6 +326,8 @@
 		"suspects.rules":                 func() int64 { return int64(g.suspects.RuleCount()) },
 		"limits.servers":                 func() int64 { return int64(g.limits.Count()) },
 		"pauses.servers":                 func() int64 { return int64(g.backoff.Count()) },
+		"servers.cold":                   func() int64 { cold, _ := g.standing.Counts(); return int64(cold) },
+		"evacuated.servers":              func() int64 { _, evacuated := g.standing.Counts(); return int64(evacuated) },
 		"servers.isolated":               func() int64 { return boolToInt(g.isolation.Any()) },
 		"servers.listed":                 func() int64 { return int64(len(g.catalog.Listing().Servers)) },
 		"servers.revision":               func() int64 { return int64(g.catalog.Listing().Revision) },
--- a/entry/gateway/follow.go
+++ b/entry/gateway/follow.go
@@ -54,7 +54,7 @@
 	version, _ := g.catalog.Config()
 	g.leader.RefreshGroups()
 	g.leader.Join(g.config.Name, self, link.Hello{
-		Entry: g.config.Name, ConfigVersion: version, Crashes: g.suspects.Reports(), Holds: g.suspects.Holds(), Limits: g.limits.Limits(), Pauses: g.backoff.Pauses(),
+		Entry: g.config.Name, ConfigVersion: version, Crashes: g.suspects.Reports(), Holds: g.suspects.Holds(), Limits: g.limits.Limits(), Pauses: g.backoff.Pauses(), Cold: g.standing.Heard(),
 	})
 	g.attach(send)
 	g.leaderState.leaderChanged()
@@ -81,7 +81,7 @@
 	version, _ := g.catalog.Config()
 	hello := link.Hello{
 		Entry: g.config.Name, Token: holder.Token, ConfigVersion: version,
-		Revisions: g.catalog.Revisions(), RoutableOnly: g.holdsRoutableOnly(), Crashes: g.suspects.Reports(), Holds: g.suspects.Holds(), Limits: g.limits.Limits(), Pauses: g.backoff.Pauses(),
+		Revisions: g.catalog.Revisions(), RoutableOnly: g.holdsRoutableOnly(), Crashes: g.suspects.Reports(), Holds: g.suspects.Holds(), Limits: g.limits.Limits(), Pauses: g.backoff.Pauses(), Cold: g.standing.Heard(),
 	}
 	dialling, stopDialling := context.WithCancel(ctx)
 	defer stopDialling()
@@ -124,6 +124,9 @@
 	if leaving := g.catalog.AnnouncedLeaving(); len(leaving) > 0 {
 		g.remote.Send(link.Up{Leaving: leaving})
 	}
+	if cold := g.standing.Heard(); len(cold) > 0 {
+		g.remote.Send(link.Up{Cold: cold})
+	}
 	for _, pause := range g.backoff.Pauses() {
 		g.remote.Send(link.Up{Pause: &pause})
 	}
@@ -167,6 +170,10 @@
 		for _, leaving := range message.Leaving {
 			g.catalog.AnnounceLeaving(leaving, true)
 		}
+	case len(message.Cold) > 0:
+		for _, cold := range message.Cold {
+			g.standing.Hear(cold)
+		}
 	case message.Probe != nil:
 		go g.answerProbe(ctx, send, *message.Probe)
 	}
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -17,7 +17,9 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
+	"github.com/skylarkpond/skylarkpond/domain"
 	"github.com/skylarkpond/skylarkpond/entry/backoff"
 	"github.com/skylarkpond/skylarkpond/entry/catalog"
 	"github.com/skylarkpond/skylarkpond/entry/drain"
@@ -29,6 +31,7 @@
 	"github.com/skylarkpond/skylarkpond/entry/progress"
 	"github.com/skylarkpond/skylarkpond/entry/relay"
 	"github.com/skylarkpond/skylarkpond/entry/roster"
+	"github.com/skylarkpond/skylarkpond/entry/standing"
 	"github.com/skylarkpond/skylarkpond/entry/suspects"
 	"github.com/skylarkpond/skylarkpond/entry/turn"
 	"github.com/skylarkpond/skylarkpond/internal/lateread"
@@ -58,7 +61,11 @@
 	// firstByteTimes and totalTimes record the times to the first byte of an answer and to its end.
 	firstByteTimes, totalTimes metrics.Histogram
 	leaving                    atomic.Bool
-	started                    time.Time
+	// unreachableLines limits the lines about failed connections to servers.
+	unreachableLines *rate.Limiter
+	// evacuations holds the failure domains that operators evacuate. Only applyEvacuations uses it, whose calls don't overlap.
+	evacuations map[domain.FailureDomain]bool
+	started     time.Time
 
 	components *components
 }
@@ -75,6 +82,7 @@
 	suspects   *suspects.Watch
 	limits     *limits.Tracker
 	backoff    *backoff.Tracker
+	standing   *standing.Tracker
 	isolation  *isolation.Watch
 	retries    *relay.Retries
 	leader     *leader.Leader
@@ -167,6 +175,8 @@
 		g.local.Sweep()
 		g.limits.Sweep(listing)
 		g.backoff.Sweep(listing)
+		g.standing.Sweep()
+		g.countColdGrants()
 		if n := g.roster.Len(); n > 1 {
 			g.retries.Resize(n)
 		}
--- a/entry/gateway/lines.go
+++ b/entry/gateway/lines.go
@@ -72,6 +72,22 @@
 	}).Info(logline.RequestRejected)
 }
 
+// maxUnreachableLines is the number of lines a second about failed connections to servers. When a failure domain's servers crash, hundreds of
+// connections fail in a second.
+const maxUnreachableLines = 20
+
+// serverUnreachable logs a failed connection to a server.
+func (s *shared) serverUnreachable(request string, server *backend.Server, err error) {
+	metrics.GetOrRegisterCounter("servers.unreachable", s.registry).Inc(1)
+	if !s.unreachableLines.Allow() {
+		metrics.GetOrRegisterCounter("servers.unreachable.unlogged", s.registry).Inc(1)
+		return
+	}
+	s.log.WithError(err).WithFields(logrus.Fields{
+		"request": request, "vm": server.ID, "failure_domain": server.FailureDomain,
+	}).Info(logline.ServerUnreachable)
+}
+
 // limitHeard logs that a server has named another limit than the one known, or none any more.
 func (s *shared) limitHeard(change limits.Change) {
 	metrics.GetOrRegisterCounter("limits.heard", s.registry).Inc(1)
--- a/entry/gateway/stated.go
+++ b/entry/gateway/stated.go
@@ -27,6 +27,23 @@
 	if stated.Leaving {
 		s.announcedLeaving(from, status)
 	}
+	s.statedCold(from, stated)
+}
+
+// statedCold records that a server has said that it is cold, and tells the others, which may send it requests as well.
+func (s *shared) statedCold(from upstream.Endpoint, stated platform.ResponseInfo) {
+	if stated.InvalidCold != "" {
+		s.components.standing.NoteInvalid(from.ID, stated.InvalidCold)
+	}
+	cold := link.Cold{Server: from.ID, Process: from.Born, Ms: stated.Cold.Milliseconds()}
+	if cold.Ms <= 0 || !s.components.standing.Hear(cold) {
+		return
+	}
+	if s.components.lease.IsLeader() {
+		go s.components.leader.BroadcastCold([]link.Cold{cold}) // the caller may hold the leader's locks
+		return
+	}
+	s.components.remote.Send(link.Up{Cold: []link.Cold{cold}})
 }
 
 // entryAnswered records what a server states in an answer that another entry passes on.
--- a/entry/gateway/wire_gen.go
+++ b/entry/gateway/wire_gen.go
@@ -25,16 +25,17 @@
 	monitor := provideProgress(s)
 	lease := provideLease(s, client, holder, monitor)
 	pool := providePool(s)
-	watch := provideIsolation(s, catalog, pool)
-	controller := provideController(s, pool, catalog, lease, watch, monitor)
-	tracker := provideLimits(s)
+	tracker := provideStanding(s, catalog)
+	watch := provideIsolation(s, catalog, pool, tracker)
+	controller := provideController(s, pool, catalog, lease, watch, monitor, tracker)
+	limitsTracker := provideLimits(s)
 	backoffTracker := provideBackoff(s)
-	local := provideLocal(catalog, tracker, backoffTracker)
+	local := provideLocal(catalog, limitsTracker, backoffTracker, tracker)
 	remote := provideRemote(local, catalog, backoffTracker)
 	retries := provideRetries(s)
 	suspectsWatch := provideSuspects(s, remote, catalog, pool, watch)
-	relay := provideRelay(s, catalog, remote, pool, retries, suspectsWatch, watch, roster, tracker, backoffTracker)
-	leader := provideLeader(s, catalog, lease, controller, monitor)
+	relay := provideRelay(s, catalog, remote, pool, retries, suspectsWatch, watch, roster, limitsTracker, backoffTracker)
+	leader := provideLeader(s, catalog, lease, controller, monitor, tracker)
 	leaderServer := provideLinks(identity, holder, leader)
 	gate := &drain.Gate{}
 	gatewayComponents := components{
@@ -46,8 +47,9 @@
 		local:      local,
 		remote:     remote,
 		suspects:   suspectsWatch,
-		limits:     tracker,
+		limits:     limitsTracker,
 		backoff:    backoffTracker,
+		standing:   tracker,
 		isolation:  watch,
 		retries:    retries,
 		leader:     leader,
--- a/entry/grouping/dissolve.go
+++ b/entry/grouping/dissolve.go
@@ -96,6 +96,8 @@
 			return nil // the registration has ended and no entry gets an answer: the server is gone
 		case eris.Is(err, errOtherServer):
 			return nil // the address now belongs to another server
+		case err != nil && c.headGone(ctx, head):
+			return nil
 		case err != nil:
 			// Asking the peers now makes their answer available by the time the registration ends. That shortens the time
 			// without the group by 0.9 s.
--- a/entry/grouping/grouping.go
+++ b/entry/grouping/grouping.go
@@ -43,6 +43,10 @@
 	PeersReach func(ctx context.Context, server *backend.Server) bool
 	// ClearSuspicion is called when all members of a suspected group have answered.
 	ClearSuspicion func(head backend.ID)
+	// Reached is called when a VM that did not answer does again. It may be nil.
+	Reached func(vm backend.ID)
+	// Evacuated reports whether operators want nothing sent to a VM. Cold reports whether it takes few requests. Both may be nil.
+	Evacuated, Cold func(server *backend.Server) bool
 	// DemandGroups returns the number of groups that the current requests of a model would fill; 0 if unknown.
 	DemandGroups func(service, model string) float64
 	// BeforeTraffic reports that no request has arrived yet.
@@ -137,6 +141,8 @@
 	silent map[backend.ID]time.Time
 	// unreachableAt contains the heads that no peer could reach, with the time when the peers were asked.
 	unreachableAt map[backend.ID]time.Time
+	// refusals contains the processes of heads to which connections are refused.
+	refusals map[upstream.Endpoint]refusals
 	// slow contains the groups that work slower than normal.
 	slow map[backend.GroupKey]slowGroup
 	// staging contains the loads that were ordered.
@@ -194,6 +200,7 @@
 		backoffUntil: make(map[backend.ID]time.Time), warmRetryAt: make(map[backend.ID]time.Time),
 		lastModels: make(map[backend.ID]groupModel), silent: make(map[backend.ID]time.Time),
 		slow:            make(map[backend.GroupKey]slowGroup),
+		refusals:        make(map[upstream.Endpoint]refusals),
 		domainSilentAt:  make(map[domain.FabricDomain]time.Time),
 		fleetReportedAt: make(map[string]time.Time), unformable: make(map[string]bool), registrations: make(map[string]*serviceRegistration),
 		complete: make(map[backend.GroupKey]completeGroup), responsiveUnregistered: make(map[backend.GroupKey]int),
--- a/entry/grouping/orders.go
+++ b/entry/grouping/orders.go
@@ -217,6 +217,9 @@
 	response, err := c.pool.Send(ctx, upstream.EndpointOf(server), &upstream.Request{
 		Method: method, Target: path, Host: server.Address, Header: header, Body: body,
 	})
+	if eris.Is(err, upstream.ErrNotPermitted) {
+		return 0, nil, eris.Wrap(errRejected, err.Error()) // it says nothing about the VM, which may serve its group
+	}
 	if err != nil {
 		return 0, nil, err
 	}
--- a/entry/grouping/suspect.go
+++ b/entry/grouping/suspect.go
@@ -108,6 +108,9 @@
 	c.mu.Lock()
 	delete(c.silent, server.ID)
 	c.mu.Unlock()
+	if c.deps.Reached != nil {
+		c.deps.Reached(server.ID)
+	}
 	c.deps.OnEvent(Event{Kind: MemberResponsive, VM: server.ID})
 }
 
--- a/entry/grouping/view.go
+++ b/entry/grouping/view.go
@@ -73,6 +73,9 @@
 		}
 	}
 	for key, list := range members {
+		if c.anyEvacuated(list) {
+			continue // nothing may be sent to find out how it is; it is dealt with once the evacuation has ended
+		}
 		if c.dissolving[key] {
 			// The task that dissolves the group is sending orders to its head.
 			for _, member := range list {
@@ -167,6 +170,9 @@
 ) []policy.Domain {
 	byName := make(map[string]*policy.Domain)
 	for _, server := range servers {
+		if c.evacuated(server) {
+			continue
+		}
 		name := string(server.Fabric)
 		domain := byName[name]
 		if domain == nil {
@@ -204,10 +210,19 @@
 	return sorted
 }
 
+func (c *Controller) evacuated(server *backend.Server) bool {
+	return c.deps.Evacuated != nil && c.deps.Evacuated(server)
+}
+
+func (c *Controller) anyEvacuated(members []*backend.Server) bool {
+	return slices.ContainsFunc(members, c.evacuated)
+}
+
 // policyVM must be called with c.mu held.
 func (c *Controller) policyVM(server *backend.Server) policy.VM {
 	vm := policy.VM{ID: string(server.ID), Loaded: c.loadedModel(server)}
 	_, vm.WarmFailed = c.warmRetryAt[server.ID]
+	vm.Cold = c.deps.Cold != nil && c.deps.Cold(server)
 	if len(server.Staged) > 0 {
 		vm.Staged = server.Staged[len(server.Staged)-1]
 	}
@@ -250,6 +265,7 @@
 		}
 	}
 	c.pruneComplete(now)
+	c.pruneRefusals(now)
 	for id, until := range c.backoffUntil {
 		if now.After(until) {
 			delete(c.backoffUntil, id)
--- a/entry/leader/lapse_test.go
+++ b/entry/leader/lapse_test.go
@@ -89,6 +89,20 @@
 		Expect(asking.grants()).To(Equal(4))
 	})
 
+	// Guards against requests that are held back because others crash servers: the evidence that entries had reported before was lost, so that what was
+	// reported next pointed to whatever ran beside them.
+	It("keeps what its followers have reported of requests that crash servers", func() {
+		first, second := &recorder{}, &recorder{}
+		l.Join("e-1", first, link.Hello{})
+		l.Join("e-2", second, link.Hello{})
+		report := func(entry string, crash link.Crash) { l.Receive(entry, first, link.Up{Crash: &crash}) }
+		report("e-1", crashOn("i-1", "bad", "a"))
+		report("e-2", crashOn("i-2", "bad", "b"))
+		lapse(func() {})
+		report("e-1", crashOn("i-3", "bad", "a"))
+		Eventually(first.heldBack).Should(Equal([]string{"bad"}))
+	})
+
 	// Guards against requests beyond a limit that the server has stated to another entry: the leader, which could not renew the lease, decided by itself.
 	It("is bound by the limits that followers report meanwhile", func() {
 		l.Join("e-1", &recorder{}, link.Hello{})
@@ -114,6 +128,12 @@
 
 func (r *recorder) SendShared(message *link.Shared) { r.Send(message.Down) }
 
+func (r *recorder) heldBack() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.holds()
+}
+
 // isolated returns the entries that it was told to be cut off.
 func (r *recorder) isolated() (names []string) {
 	r.mu.Lock()
--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -21,6 +21,8 @@
 	link "github.com/skylarkpond/skylarkpond/link/leader"
 	store "github.com/skylarkpond/skylarkpond/link/platform"
 	"github.com/skylarkpond/skylarkpond/policy/capacity"
+	"github.com/skylarkpond/skylarkpond/policy/reach"
+	"github.com/skylarkpond/skylarkpond/policy/standing"
 	policy "github.com/skylarkpond/skylarkpond/policy/turns"
 )
 
@@ -39,6 +41,12 @@
 	UnregisteredMembers func(key backend.GroupKey) int
 	// Slowdown returns the factor by which a group works slower than normal. It may be nil.
 	Slowdown func(key backend.GroupKey) float64
+	// Standing returns what is known of a server that decides whether it may be granted turns. It may be nil.
+	Standing func(server *backend.Server) standing.Standing
+	// SetUnreachable records whether connections to a server fail. It may be nil.
+	SetUnreachable func(server *backend.Server, unreachable bool)
+	// HearCold records that a server is cold, and reports whether that is new.
+	HearCold func(cold link.Cold) bool
 	// StallReported is called when an entry reports that a head has stopped answering. It may be nil.
 	StallReported func(entry string, head backend.ID)
 	// Blind reports whether this entry can't judge groups, because it has lost its connections to the servers while others have not. It may be
@@ -106,6 +114,8 @@
 	newFollowers map[string]bool
 	holds        *holdTracker
 	limits       *limitTracker
+	// failures holds the failed connections that followers have reported.
+	failures reach.Failures
 	// pausedProcesses holds the process of each server that has asked an entry for a pause; 0 if unknown.
 	pausedProcesses map[backend.ID]int64
 	// probes holds the indirect probes in progress by number; lastProbe is the number of the latest.
@@ -188,6 +198,7 @@
 		l.BroadcastIsolation()
 		l.SweepLimits()
 		l.SweepPauses()
+		l.sweepFailures()
 	}
 	l.SendSnapshots()
 	l.BroadcastHolds()
@@ -211,13 +222,21 @@
 	defer l.mu.Unlock()
 	if l.leading {
 		l.leading = false
-		l.holds = newHoldTracker()
+		l.forgetHolds()
 		l.demand = make(map[string]*modelDemand)
 		l.turns = l.turns.Successor()
 		l.limits = newLimitTracker()
 	}
 }
 
+// forgetHolds discards what followers have reported of requests that crash servers once this entry does not lead and no other entry is linked to it.
+// It must be called with l.mu held. With half of the evidence, requests that ran beside those that crash servers are held back in their place.
+func (l *Leader) forgetHolds() {
+	if !l.leading && len(l.followers) <= 1 { // this entry is a follower of its own
+		l.holds = newHoldTracker()
+	}
+}
+
 // RefreshGroups updates the available groups from the listing and the route table. Its first call makes this entry
 // grant turns, if it is the leader.
 func (l *Leader) RefreshGroups() {
@@ -243,7 +262,7 @@
 			key := modelKey(service.Name, model.Name)
 			engines[key] = engineFor(service.Engine, model)
 			for _, head := range l.heads(service, model, listing.ByService[service.Name]) {
-				groups = append(groups, policy.Group{Head: string(head.ID), Model: key, Engine: engines[key].SlowedBy(l.slowdown(head))})
+				groups = append(groups, policy.Group{Head: string(head.ID), Model: key, Standing: l.standing(head), Engine: engines[key].SlowedBy(l.slowdown(head))})
 			}
 		}
 	}
@@ -264,6 +283,13 @@
 	return slices.DeleteFunc(heads, func(head *backend.Server) bool { return l.deps.Dissolving(head.Group.GroupKey) })
 }
 
+func (l *Leader) standing(server *backend.Server) standing.Standing {
+	if l.deps.Standing == nil {
+		return standing.Standing{}
+	}
+	return l.deps.Standing(server)
+}
+
 // slowdown returns the factor by which the group of a head works slower than normal.
 func (l *Leader) slowdown(head *backend.Server) float64 {
 	if l.deps.Slowdown == nil {
@@ -300,6 +326,7 @@
 		l.addCrash(crash)
 	}
 	l.mu.Unlock()
+	l.hearCold(hello.Cold)
 	l.sendNewerConfig(to, hello.ConfigVersion)
 	l.confirmLeadership(to)
 }
@@ -345,6 +372,8 @@
 		l.mu.Unlock()
 	case len(message.Leaving) > 0:
 		l.hearLeaving(message.Leaving)
+	case len(message.Cold) > 0:
+		l.hearCold(message.Cold)
 	case message.Accepted != 0:
 		l.mu.Lock()
 		l.sendDecisions(l.turns.Accepted(l.now(), turnKey(entry, message.Accepted), rand.Float64))
@@ -376,6 +405,7 @@
 		delete(l.isolated, follower.Entry)
 		l.isolationChanged[follower.Entry] = true
 	}
+	l.forgetHolds()
 	l.sendDecisions(l.turns.Forget(l.now(), follower.Entry+"/", rand.Float64))
 }
 
--- a/entry/leader/limits.go
+++ b/entry/leader/limits.go
@@ -163,18 +163,19 @@
 	to.Send(link.Down{LimitChanges: &changes})
 }
 
-// limitedServers returns those servers of a plain service that have a limit. Entries ask for turns at these alone, and choose among the others
+// limitedServers returns those servers of a plain service that have a limit or are cold. Entries ask for turns at these alone, and choose among the others
 // themselves.
 func (l *Leader) limitedServers(service route.Service, servers []*backend.Server) []policy.Group {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var limited []policy.Group
 	for _, server := range servers {
-		if l.limits.limitOf(server.ID) == nil || server.Leaving {
+		known := l.standing(server)
+		if server.Leaving || known.Blocked || l.limits.limitOf(server.ID) == nil && !known.Limited() {
 			continue
 		}
 		limited = append(limited, policy.Group{
-			Head: string(server.ID), Model: modelKey(service.Name, ""), Engine: capacity.Engine{Slots: max(1, server.Slots)},
+			Head: string(server.ID), Model: modelKey(service.Name, ""), Standing: known, Engine: capacity.Engine{Slots: max(1, server.Slots)},
 		})
 	}
 	return limited
--- a/entry/leader/turns.go
+++ b/entry/leader/turns.go
@@ -73,6 +73,10 @@
 func (l *Leader) done(entry string, done link.Done) {
 	end := policy.End{Complete: done.Complete, FirstToken: time.Duration(done.FirstTokenMs) * time.Millisecond, Unsent: done.Unsent}
 	l.mu.Lock()
+	head, inUse := l.turns.Head(turnKey(entry, done.Key))
+	if inUse && done.Unreachable {
+		defer l.connectionFailed(entry, backend.ID(head)) // after the lock is released
+	}
 	defer l.mu.Unlock()
 	l.sendDecisions(l.turns.Done(l.now(), turnKey(entry, done.Key), end, rand.Float64))
 }
@@ -138,6 +142,7 @@
 
 // ClearSuspicion makes a suspected group available again, after all of its members have answered.
 func (l *Leader) ClearSuspicion(head backend.ID) {
+	l.setUnreachable(head, false)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.sendDecisions(l.turns.ClearSuspicion(l.now(), string(head), rand.Float64))
--- a/entry/relay/attempt.go
+++ b/entry/relay/attempt.go
@@ -39,7 +39,7 @@
 		return false
 	}
 	if errors.Is(err, upstream.ErrNotSent) {
-		t.Done(turn.Result{Unreachable: true})
+		t.Done(e.unreachableResult(t, err))
 		return e.doneAfterUnsent()
 	}
 	if e.attempts == 0 {
@@ -63,6 +63,15 @@
 	return e.relayWhole(t, answer)
 }
 
+// unreachableResult returns the result of a turn whose server could not be connected to. That the caller has left says nothing about the server.
+func (e *exchange) unreachableResult(t *turn.Turn, err error) turn.Result {
+	if e.ctx.Err() != nil {
+		return turn.Result{Unsent: true}
+	}
+	e.relay.deps.Unreachable(e.call.ID, t.Server, err)
+	return turn.Result{Unreachable: true}
+}
+
 // returnExpired gives a turn back that must not be used any more, and reports whether it did.
 func returnExpired(t *turn.Turn) bool {
 	if !t.Expired() {
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -36,6 +36,8 @@
 	Report func(Report)
 	// Rejected is called for each request that a server stated it did not run.
 	Rejected func(Rejection)
+	// Unreachable is called for each failed connection to a server; nothing was sent.
+	Unreachable func(request string, server *backend.Server, err error)
 	// FirstRequest is called once, when the first request arrives.
 	FirstRequest func()
 	// Limits learns how many requests servers take.
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -238,8 +238,8 @@
 	}, nil, []route.Team{{Name: "one", Keys: []string{"key"}}}, route.Limits{BodyBytes: 1 << 20}))
 	r.retries = relay.NewRetries(relay.Allowance{Ratio: 1, Extra: 20}, 1)
 	handler := relay.New(relay.Deps{
-		Rejected: func(relay.Rejection) {},
-		Table:    r.table.Load, Turns: r.turns, Pool: upstream.NewPool(), Retries: r.retries, Suspects: r.suspects,
+		Rejected: func(relay.Rejection) {}, Unreachable: func(string, *backend.Server, error) {},
+		Table: r.table.Load, Turns: r.turns, Pool: upstream.NewPool(), Retries: r.retries, Suspects: r.suspects,
 		Limits: r.limits, Pauses: noPauses{}, Isolation: r.isolation, Peer: r.peer, PeerPool: upstream.NewPool(),
 		Random: func() float64 { return 0.5 }, FirstRequest: func() { r.firstRequests.Add(1) },
 		Report: func(report relay.Report) {
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -189,7 +189,7 @@
 			continue
 		}
 		if errors.Is(err, upstream.ErrNotSent) {
-			t.Done(turn.Result{Unreachable: true})
+			t.Done(e.unreachableResult(t, err))
 			e.unreachable++
 			continue
 		}
--- a/entry/turn/local.go
+++ b/entry/turn/local.go
@@ -138,6 +138,9 @@
 // split returns the servers that a request may be sent to without and with a limit.
 func (l *Local) split(request Request) (free, limited []*backend.Server) {
 	for _, server := range l.candidates(request) {
+		if l.limits.Blocked(server) {
+			continue
+		}
 		if l.limits.Limited(server) {
 			limited = append(limited, server)
 		} else {
--- a/entry/turn/remote.go
+++ b/entry/turn/remote.go
@@ -80,15 +80,15 @@
 	return t, refusal
 }
 
-// maxGrantsReturned bounds the turns that a request gives back because the servers ask for a pause.
+// maxGrantsReturned bounds the turns that a request gives back because the servers ask for a pause or may be sent nothing.
 const maxGrantsReturned = 3
 
 // ask asks the leader for a turn. decided is false if there is no link, the leader does not reply or does not lead, or its turn can't be used. A turn
-// at a server that has asked for a pause while the leader granted it is given back, and the leader, which is told of the pause, is asked again.
+// at a server that has asked for a pause or was blocked while the leader granted it is given back, and the leader, which is told too, is asked again.
 func (r *Remote) ask(ctx context.Context, request Request) (t *Turn, refusal *Refusal, decided bool) {
 	for range maxGrantsReturned {
 		t, refusal, decided = r.askOnce(ctx, request)
-		if t == nil || r.pauses.Permit(t.Server) {
+		if t == nil || r.pauses.Permit(t.Server) && !r.local.limits.Blocked(t.Server) {
 			return t, refusal, decided
 		}
 		t.Done(Result{Rejected: true, Unsent: true})
@@ -214,7 +214,7 @@
 	defer r.mu.Unlock()
 	delete(r.held, key)
 	if r.send != nil {
-		r.send(link.Up{Done: &link.Done{Key: key, Complete: complete, FirstTokenMs: result.TimeToFirstToken.Milliseconds(), Unsent: unsent}})
+		r.send(link.Up{Done: &link.Done{Key: key, Complete: complete, FirstTokenMs: result.TimeToFirstToken.Milliseconds(), Unsent: unsent, Unreachable: result.Unreachable}})
 	}
 }
 
--- a/entry/turn/turn.go
+++ b/entry/turn/turn.go
@@ -116,8 +116,10 @@
 // Expired reports whether the turn must be given back.
 func (t *Turn) Expired() bool { return !t.Expires.IsZero() && time.Now().After(t.Expires) }
 
-// Limits tells which servers take a limited number of requests a second from all entries together. It is safe for concurrent use.
+// Limits tells which servers take a limited number of requests a second from all entries together, or none. It is safe for concurrent use.
 type Limits interface {
+	// Blocked reports whether a server may be sent nothing.
+	Blocked(server *backend.Server) bool
 	// Limited reports whether a server may be sent requests by turns of the leader alone.
 	Limited(server *backend.Server) bool
 	// Informed reports whether this entry has learned what other entries knew when it started.
--- a/entry/turn/turn_test.go
+++ b/entry/turn/turn_test.go
@@ -26,8 +26,11 @@
 type fakeLimits struct {
 	mu      sync.Mutex
 	limited []backend.ID
+	blocked map[backend.ID]bool
 }
 
+func (l *fakeLimits) Blocked(server *backend.Server) bool { return l.blocked[server.ID] }
+
 func (l *fakeLimits) Limited(server *backend.Server) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/link/leader/leader.go
+++ b/link/leader/leader.go
@@ -73,6 +73,17 @@
 	Accepted uint64 `cbor:"17,keyasint,omitempty"`
 	// Leaving lists servers that have said that they are leaving.
 	Leaving []Leaving `cbor:"18,keyasint,omitempty"`
+	// Cold lists servers that have said in an answer that they are cold.
+	Cold []Cold `cbor:"20,keyasint,omitempty"`
+}
+
+// Cold is a server that has said in an answer that it is cold.
+type Cold struct {
+	Server backend.ID `cbor:"1,keyasint"`
+	// Process is the start of the server's process, in Unix milliseconds; 0 if unknown.
+	Process int64 `cbor:"2,keyasint,omitempty"`
+	// Ms is how much longer it is cold, in milliseconds.
+	Ms int64 `cbor:"3,keyasint"`
 }
 
 // Leaving is a server that has said in an answer that it is leaving.
@@ -111,6 +122,8 @@
 	Limits []ServerLimit `cbor:"11,keyasint,omitempty"`
 	// Pauses are those that servers have asked the follower for.
 	Pauses []Pause `cbor:"12,keyasint,omitempty"`
+	// Cold are the servers that are cold as the follower has heard.
+	Cold []Cold `cbor:"20,keyasint,omitempty"`
 	// RoutableOnly reports that the follower is to be sent only the routable servers.
 	RoutableOnly bool `cbor:"8,keyasint,omitempty"`
 }
@@ -242,6 +255,8 @@
 	FirstTokenMs int64 `cbor:"3,keyasint,omitempty"`
 	// Unsent reports that the request was not sent to the head.
 	Unsent bool `cbor:"4,keyasint,omitempty"`
+	// Unreachable reports that it was not sent because no connection to the head could be established.
+	Unreachable bool `cbor:"22,keyasint,omitempty"`
 }
 
 // Config is the configuration as the operator wrote it.
@@ -285,6 +300,8 @@
 	LimitChanges *LimitChanges `cbor:"13,keyasint,omitempty"`
 	// Leaving lists servers that have said that they are leaving.
 	Leaving []Leaving `cbor:"14,keyasint,omitempty"`
+	// Cold lists servers that have said that they are cold.
+	Cold []Cold `cbor:"20,keyasint,omitempty"`
 }
 
 // IsolationChanges lists the entries that have become isolated and those that reach the servers again. A new follower is sent all isolated ones.
--- a/link/upstream/pool.go
+++ b/link/upstream/pool.go
@@ -22,6 +22,8 @@
 	source net.IP
 	// observe is called with each response; it may be nil.
 	observe Observer
+	// permit reports whether a server may be sent anything; nil permits all.
+	permit func(Endpoint) bool
 	// dialCount counts the connections dialed, refusedCount those that the other side refused or reset, and silentCount those that failed
 	// otherwise, mostly because there was no response.
 	dialCount, refusedCount, silentCount atomic.Int64
@@ -39,6 +41,9 @@
 // WithObserver makes the pool call an Observer.
 func WithObserver(observe Observer) Option { return func(p *Pool) { p.observe = observe } }
 
+// WithPermit makes the pool send nothing to the servers for which permit returns false. It must not block.
+func WithPermit(permit func(Endpoint) bool) Option { return func(p *Pool) { p.permit = permit } }
+
 // NewPool returns an empty pool.
 func NewPool(options ...Option) *Pool {
 	p := &Pool{idle: make(map[Endpoint][]*conn)}
@@ -84,11 +89,14 @@
 // Send sends the request once and returns the response after reading its header. If ctx ends, the connection
 // is closed.
 func (p *Pool) Send(ctx context.Context, endpoint Endpoint, request *Request) (*Response, error) {
+	if !p.permits(endpoint) {
+		return nil, eris.Wrapf(ErrNotPermitted, "%s at %s", endpoint.ID, endpoint.Address)
+	}
 	c, err := p.take(ctx, endpoint)
 	if err != nil {
 		return nil, eris.Wrapf(ErrNotSent, "%s at %s: %v", endpoint.ID, endpoint.Address, err)
 	}
-	if request.Permit != nil && !request.Permit() {
+	if !p.permits(endpoint) || request.Permit != nil && !request.Permit() { // dialing may have taken a while
 		p.put(endpoint, c)
 		return nil, eris.Wrapf(ErrNotPermitted, "%s at %s", endpoint.ID, endpoint.Address)
 	}
@@ -113,11 +121,17 @@
 // Ask sends a request on a new connection and returns the status and the beginning of the body of the response. It ends with ctx. Errors are those
 // of the network; with an error in the body, the status is returned as well.
 func (p *Pool) Ask(ctx context.Context, endpoint Endpoint, request *Request) (status int, body []byte, err error) {
+	if !p.permits(endpoint) {
+		return 0, nil, eris.Wrapf(ErrNotPermitted, "%s at %s", endpoint.ID, endpoint.Address)
+	}
 	c, err := p.dial(ctx, endpoint.Address)
 	if err != nil {
 		return 0, nil, eris.Wrapf(err, "%s at %s", endpoint.ID, endpoint.Address)
 	}
 	defer c.Close()
+	if !p.permits(endpoint) {
+		return 0, nil, eris.Wrapf(ErrNotPermitted, "%s at %s", endpoint.ID, endpoint.Address)
+	}
 	defer context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })()
 	response, err := c.exchange(request)
 	if err != nil {
@@ -131,6 +145,8 @@
 	return response.StatusCode, body, nil
 }
 
+func (p *Pool) permits(endpoint Endpoint) bool { return p.permit == nil || p.permit(endpoint) }
+
 func (p *Pool) heard(endpoint Endpoint, response *http.Response) {
 	if p.observe != nil {
 		p.observe(endpoint, response.StatusCode, response.Header)
--- a/link/upstream/upstream.go
+++ b/link/upstream/upstream.go
@@ -18,7 +18,7 @@
 var (
 	// ErrNotSent means that no byte of the request was written to a connection. The request has not run.
 	ErrNotSent = eris.New("request was not sent")
-	// ErrNotPermitted means that Request.Permit has prevented the request from being sent. It has not run.
+	// ErrNotPermitted means that Request.Permit or the pool's permit has prevented the request from being sent. It has not run.
 	ErrNotPermitted = eris.New("request was withheld")
 	// ErrOutcomeUnknown means that the request was sent in whole or in part and no response arrived. It may have
 	// run.
--- a/policy/grouping/grouping.go
+++ b/policy/grouping/grouping.go
@@ -44,6 +44,8 @@
 	Loaded string
 	// Staging is the model whose weights are being loaded onto the host; empty if there is none.
 	Staging string
+	// Cold reports that the VM takes few requests a second for some seconds. That matters for heads alone.
+	Cold bool
 	// WarmFailed reports that a recent attempt to load the host's weights into the VM failed.
 	WarmFailed bool
 }
@@ -400,9 +402,19 @@
 	return distanceReplace
 }
 
+// warmFirst moves the first VM that is not cold to the front: only the head takes requests, and a cold one takes few of them.
+func warmFirst(members []VM) []VM {
+	warm := slices.IndexFunc(members, func(vm VM) bool { return !vm.Cold })
+	if warm <= 0 {
+		return members
+	}
+	head := members[warm]
+	return slices.Insert(slices.Delete(members, warm, warm+1), 0, head)
+}
+
 func (d *decision) addFormation(c *candidate) {
 	formation := Formation{Domain: d.in.Domains[c.domain].Name, Model: c.model.Name, Loads: c.loads}
-	for _, vm := range sortByDistance(d.free[c.domain], c.model.Name)[:c.model.Size] {
+	for _, vm := range warmFirst(sortByDistance(d.free[c.domain], c.model.Name)[:c.model.Size]) {
 		formation.Members = append(formation.Members, vm.ID)
 		d.free[c.domain] = slices.DeleteFunc(d.free[c.domain], func(other VM) bool { return other.ID == vm.ID })
 	}
--- a/policy/grouping/grouping_test.go
+++ b/policy/grouping/grouping_test.go
@@ -57,6 +57,20 @@
 		}
 	})
 
+	// A cold head takes few requests for some seconds, while the other members take none at all.
+	It("makes a member that is not cold the head", func() {
+		free := vms("v", "large", "large", "large", "large")
+		free[0].Cold, free[1].Cold = true, true
+		plan := grouping.Decide(grouping.Input{Models: models, Domains: []grouping.Domain{domain("d", 8, free, map[string]int{"small": 1})}})
+		Expect(plan.Form).To(HaveLen(1))
+		Expect(plan.Form[0].Members).To(Equal([]string{"v2", "v0", "v1", "v3"}))
+		for i := range free {
+			free[i].Cold = true
+		}
+		plan = grouping.Decide(grouping.Input{Models: models, Domains: []grouping.Domain{domain("d", 8, free, map[string]int{"small": 1})}})
+		Expect(plan.Form[0].Members[0]).To(Equal("v0"))
+	})
+
 	// Members that wait for another member's load serve no requests for 16 s.
 	It("forms no group that needs a load after the first request, and stages the weights instead", func() {
 		plan := grouping.Decide(grouping.Input{Models: models, AvailableLoads: 3, Domains: []grouping.Domain{
--- a/policy/turns/choose.go
+++ b/policy/turns/choose.go
@@ -13,14 +13,14 @@
 	var best, probed choice
 	yields := s.model(request.Model).yields(now, request)
 	for _, g := range s.groups {
-		if g.removed || g.Model != request.Model || now < g.suspectUntil || g.running >= g.Engine.Slots+s.config.Overcommit {
+		if g.removed || g.Standing.Blocked || g.Model != request.Model || now < g.suspectUntil || g.running >= g.Engine.Slots+s.config.Overcommit {
 			continue
 		}
 		if slices.Contains(request.TriedHeads, g.Head) {
 			continue
 		}
 		allowed, probe := s.mayGrant(now, g.Head, request.Client)
-		if !allowed || !s.withinLimit(now, g.Head, yields) {
+		if !allowed || !s.withinLimit(now, g.Head, yields) || !g.withinCold(now, yields) {
 			continue
 		}
 		if probe {
--- a/policy/turns/demand.go
+++ b/policy/turns/demand.go
@@ -11,8 +11,8 @@
 // countRequest adds a request to the counters of the current interval.
 func (m *modelQueue) countRequest(request Request) {
 	m.requests++
-	if request.Retry {
-		return
+	if request.Retry || len(request.TriedHeads) > 0 {
+		return // it has been counted before; while heads die, each request asks for several turns
 	}
 	m.newRequests++
 	m.totalSize.PromptTokens += request.Size.PromptTokens
@@ -49,7 +49,7 @@
 			d.MeanSize = capacity.RequestSize{PromptTokens: m.totalSize.PromptTokens / float64(m.newRequests), OutputTokens: m.totalSize.OutputTokens / float64(m.newRequests)}
 		}
 		for _, g := range s.groups {
-			if !g.removed && g.Model == name {
+			if !g.removed && !g.Standing.Blocked && g.Model == name {
 				d.Groups++
 			}
 		}
--- a/policy/turns/end.go
+++ b/policy/turns/end.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/skylarkpond/skylarkpond/policy/quota"
 )
 
 // This file ends turns, and reconciles them with those that the entries report.
@@ -26,12 +28,14 @@
 		s.dequeue(key)
 		return nil
 	}
-	switch {
-	case t.meter == nil:
-	case end.Unsent:
-		t.meter.GiveBack(now)
-	default:
-		t.meter.EndWithoutAnswer()
+	for _, meter := range []*quota.Meter{t.meter, t.cold} {
+		switch {
+		case meter == nil:
+		case end.Unsent:
+			meter.GiveBack(now)
+		default:
+			meter.EndWithoutAnswer()
+		}
 	}
 	if known := s.pauses[t.head]; known != nil {
 		known.EndProbe(key)
@@ -50,6 +54,12 @@
 	return s.serveQueue(now, g.Model, random)
 }
 
+// Head returns the head of a turn in use.
+func (s *Scheduler) Head(key string) (string, bool) {
+	t, ok := s.turns[key]
+	return t.head, ok
+}
+
 // ewmaWeight is the weight of the latest value in a moving average.
 const ewmaWeight = 0.02
 
--- a/policy/turns/limits.go
+++ b/policy/turns/limits.go
@@ -1,6 +1,7 @@
 package turns
 
 import (
+	"math"
 	"time"
 
 	"github.com/skylarkpond/skylarkpond/policy/quota"
@@ -73,17 +74,21 @@
 	for _, meter := range s.meters {
 		meter.SetConfirmed(now, confirmed)
 	}
+	for _, g := range s.groups {
+		if g.cold != nil {
+			g.cold.SetConfirmed(now, confirmed)
+		}
+	}
 }
 
 // limits describes the limits of the available heads of a model.
 func (s *Scheduler) limits(name string) (found Limits) {
 	lowest := 0.0
 	for _, g := range s.groups {
-		meter := s.meters[g.Head]
-		if meter == nil || g.removed || g.Model != name {
+		if g.removed || g.Model != name || s.meters[g.Head] == nil && g.cold == nil {
 			continue
 		}
-		rate := meter.Rate()
+		rate := s.permittedRate(g)
 		if found.Heads == 0 || rate < lowest || rate == lowest && g.Head < found.Lowest {
 			found.Lowest, lowest = g.Head, rate
 		}
@@ -93,6 +98,18 @@
 	return found
 }
 
+// permittedRate returns how many requests a second a group's head may be sent, by its limit and while it is cold; +Inf if neither applies.
+func (s *Scheduler) permittedRate(g *group) float64 {
+	rate := math.Inf(1)
+	if g.cold != nil {
+		rate = g.cold.Rate()
+	}
+	if meter := s.meters[g.Head]; meter != nil {
+		rate = min(rate, meter.Rate())
+	}
+	return rate
+}
+
 // limitAge is how long a head must have had a limit until it counts as a loss of capacity. Shorter than that, a limit is over before another group
 // has loaded its weights.
 const limitAge = 10 * time.Second
--- a/policy/turns/request.go
+++ b/policy/turns/request.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/skylarkpond/skylarkpond/policy/capacity"
+	"github.com/skylarkpond/skylarkpond/policy/standing"
 )
 
 // Group is one replica that serves requests.
@@ -11,6 +12,8 @@
 	// Head identifies the group by its head.
 	Head  string
 	Model string
+	// Standing is that of the head. A group whose head is blocked is granted no turns, a cold one few.
+	Standing standing.Standing
 	// Engine describes the performance of the group. Its times are 0 where unknown; Slots is always set.
 	Engine capacity.Engine
 }
--- a/policy/turns/turns.go
+++ b/policy/turns/turns.go
@@ -69,6 +69,8 @@
 	unconfirmed bool
 	// pauses holds what is known of heads that have rejected requests.
 	pauses map[string]*backoff.Server
+	// coldGrants counts the turns granted at cold heads.
+	coldGrants int
 	// rejectedAt holds the time of each rejection by fingerprint.
 	rejectedAt map[uint64]time.Duration
 }
@@ -80,6 +82,8 @@
 	suspectUntil time.Duration
 	// prefillDoneAt is when the group is expected to have prefilled the prompts assigned to it.
 	prefillDoneAt time.Duration
+	// cold meters the requests to a cold head; nil if it is not cold.
+	cold *quota.Meter
 	// removed marks a group that is no longer available; it is kept while turns on it are outstanding.
 	removed bool
 }
@@ -87,8 +91,8 @@
 type turn struct {
 	head      string
 	grantedAt time.Duration
-	// meter is the one that permitted the turn; nil if the head had no limit.
-	meter *quota.Meter
+	// meter and cold are those that permitted the turn; nil if the head had no limit, and was not cold.
+	meter, cold *quota.Meter
 }
 
 // modelQueue is the queue of requests for one model.
@@ -135,6 +139,7 @@
 		}
 		known.Group = g
 		known.removed = false
+		s.meterCold(now, known)
 	}
 	for head, g := range s.groups {
 		if g.removed && g.running == 0 {
@@ -214,7 +219,7 @@
 
 // candidate reports whether a group serves the model of a request that was not sent to it before.
 func (s *Scheduler) candidate(g *group, request Request) bool {
-	return !g.removed && g.Model == request.Model && !slices.Contains(request.TriedHeads, g.Head)
+	return !g.removed && !g.Standing.Blocked && g.Model == request.Model && !slices.Contains(request.TriedHeads, g.Head)
 }
 
 // unservable returns why the request can't be granted a turn in time (no group is available, all were tried, or all want no requests), or Granted if
@@ -239,7 +244,7 @@
 func (s *Scheduler) expectedWait(now time.Duration, request Request, ahead int) time.Duration {
 	perSecond, blockedFor := 0.0, time.Duration(0)
 	for _, g := range s.groups {
-		if g.removed || g.Model != request.Model {
+		if g.removed || g.Model != request.Model || g.Standing.Blocked {
 			continue
 		}
 		if at := s.blocked(now, g.Head, request.Client); at > now {
@@ -261,17 +266,13 @@
 
 // turnRate returns how many turns a second end at a fully used group, as far as its limit permits them.
 func (s *Scheduler) turnRate(g *group) float64 {
-	rate := float64(g.Engine.Slots) / s.model(g.Model).meanTurnTime.Seconds()
-	if meter := s.meters[g.Head]; meter != nil {
-		return min(rate, meter.Rate())
-	}
-	return rate
+	return min(float64(g.Engine.Slots)/s.model(g.Model).meanTurnTime.Seconds(), s.permittedRate(g))
 }
 
 // slots returns the number of running requests and of slots over the available groups of a model.
 func (s *Scheduler) slots(name string) (running, slots int) {
 	for _, g := range s.groups {
-		if !g.removed && g.Model == name {
+		if !g.removed && !g.Standing.Blocked && g.Model == name {
 			running += g.running
 			slots += g.Engine.Slots
 		}
@@ -287,13 +288,17 @@
 	if meter != nil {
 		meter.Take(now)
 	}
+	if g.cold != nil {
+		g.cold.Take(now)
+		s.coldGrants++
+	}
 	if _, probe := s.mayGrant(now, g.Head, request.Client); probe {
 		s.pauses[g.Head].Probe(now, request.Key)
 	}
-	s.turns[request.Key] = turn{head: g.Head, grantedAt: now, meter: meter}
+	s.turns[request.Key] = turn{head: g.Head, grantedAt: now, meter: meter, cold: g.cold}
 	known := s.pauses[g.Head]
 	watched := known != nil && known.Watched() || meter != nil && meter.Unverified()
-	return Decision{Key: request.Key, Head: g.Head, Metered: meter != nil, Watched: watched}
+	return Decision{Key: request.Key, Head: g.Head, Metered: meter != nil || g.cold != nil, Watched: watched}
 }
 
 func (s *Scheduler) reject(now time.Duration, request Request, reason Reason, random func() float64) Decision {
--- a/test/cooperative/pond_test.go
+++ b/test/cooperative/pond_test.go
@@ -162,6 +162,11 @@
 	desks   []*replica.Server
 	entries []*gatewayProcess
 	version int
+	// coldTime and coldPerSecond are in the configuration of the model service, from the next configure on.
+	coldTime      time.Duration
+	coldPerSecond float64
+	// settings are added to the environment of entries that are started.
+	settings []string
 }
 
 // groupSize is how many VMs a group of the model takes.
@@ -281,7 +286,7 @@
 		Version: p.version, Routes: routes,
 		Services: []operator.Service{
 			{Name: "desk"},
-			{Name: "chat", Engine: &operator.Engine{
+			{Name: "chat", ColdTime: p.coldTime.Seconds(), ColdPerSecond: p.coldPerSecond, Engine: &operator.Engine{
 				Slots: 8, LoadsPerSecond: 20, LoadsAtOnce: 6, OpenTime: 100, ReportLag: 100,
 				Models: []operator.Model{{Name: "large", Size: groupSize, DemandShare: 1, TimeFactor: 1, LoadTime: 1, WarmLoadTime: 0.2}},
 			}},
@@ -320,6 +325,7 @@
 		"POND_NAME="+name, "POND_PLACE=r", "POND_FAILURE_DOMAIN=z", "POND_CALLER_ADDRESS="+e.callers, "POND_READY_ADDRESS="+e.ready,
 		"POND_DIRECTORY_ADDRESS="+e.directory, "POND_PEER_ADDRESS="+address(peerPort), "POND_METRICS_ADDRESS="+e.metrics,
 		"POND_PLATFORM_ADDRESS="+e.toPlatform.Address(), "POND_STOP_GRACE=20")
+	e.environment = append(e.environment, p.settings...)
 	if number%2 == 1 {
 		e.environment = append(e.environment, weakCores) // it holds only the servers that requests go to
 	}
