policy/turns: a head that fails what it is sent gets one request at a time until it accepts one

Cause: such a head always has the fewest requests in progress, so that it is granted more turns than all others, and a request that may be sent to two heads meets two of them. The check of its group finds nothing, since its reports are sound.

Now a head that fails a request, and then one that was sent after that failure, of another client, with none accepted in between, is sent one request at a time, at intervals that grow from 0.1 to 3.2 s, until it accepts one. Requests that fail together, as when all connections are reset, and those of a single client say nothing.

--- a/entry/leader/turns.go
+++ b/entry/leader/turns.go
@@ -73,6 +73,7 @@
 func (l *Leader) done(entry string, done link.Done) {
 	end := policy.End{Complete: done.Complete, FirstToken: time.Duration(done.FirstTokenMs) * time.Millisecond, Unsent: done.Unsent}
 	l.mu.Lock()
+	end.Failed = done.Failed && !l.isolated[entry]
 	head, inUse := l.turns.Head(turnKey(entry, done.Key))
 	if inUse && done.Unreachable {
 		defer l.connectionFailed(entry, backend.ID(head)) // after the lock is released
--- a/entry/relay/attempt.go
+++ b/entry/relay/attempt.go
@@ -91,7 +91,7 @@
 	e.relay.deps.Limits.Answered(limits.Answer{
 		Server: t.Server, Known: e.limitKnown, PerSecond: decoded.Limit, Invalid: decoded.InvalidLimit,
 	})
-	if !decoded.NotRun && decoded.Pause == 0 {
+	if failed := e.route.Kind == route.Streaming && answer.Status >= http.StatusInternalServerError; !failed && !decoded.NotRun && decoded.Pause == 0 {
 		t.Accepted()
 	}
 	return decoded
--- a/entry/turn/remote.go
+++ b/entry/turn/remote.go
@@ -214,7 +214,7 @@
 	defer r.mu.Unlock()
 	delete(r.held, key)
 	if r.send != nil {
-		r.send(link.Up{Done: &link.Done{Key: key, Complete: complete, FirstTokenMs: result.TimeToFirstToken.Milliseconds(), Unsent: unsent, Unreachable: result.Unreachable}})
+		r.send(link.Up{Done: &link.Done{Key: key, Complete: complete, FirstTokenMs: result.TimeToFirstToken.Milliseconds(), Unsent: unsent, Unreachable: result.Unreachable, Failed: result.Failed}})
 	}
 }
 
--- a/policy/backoff/backoff.go
+++ b/policy/backoff/backoff.go
@@ -60,6 +60,16 @@
 	s.lastEnd = max(s.lastEnd, s.pauses[client])
 }
 
+// Break records that the server fails all requests: from now on it gets one at a time, at growing intervals, until it has accepted one.
+func (s *Server) Break(now time.Duration) {
+	if s.rejected == 0 {
+		s.since = now
+	}
+	s.rejected = max(s.rejected+1, sheddingClients)
+	s.nextProbe = now + firstProbeDelay<<min(s.rejected-sheddingClients, maxProbeDoublings)
+	s.lastEnd = max(s.lastEnd, s.nextProbe)
+}
+
 // Accept records that the server has accepted a request that was permitted at sentAt. Pauses that have not ended remain. A request that was under way
 // when the server began to reject others says nothing.
 func (s *Server) Accept(now, sentAt time.Duration) {
--- a/policy/turns/end.go
+++ b/policy/turns/end.go
@@ -17,6 +17,8 @@
 	Complete bool
 	// FirstToken is the time from the grant of the turn to the first token; 0 if none came.
 	FirstToken time.Duration
+	// Failed is set if the head failed the request: it gave no answer, an incomplete one, or an error.
+	Failed bool
 	// Unsent is set if the request was not sent to the head.
 	Unsent bool
 }
@@ -37,6 +39,9 @@
 			meter.EndWithoutAnswer()
 		}
 	}
+	if end.Failed {
+		s.fail(now, t)
+	}
 	if known := s.pauses[t.head]; known != nil {
 		known.EndProbe(key)
 	}
--- a/policy/turns/pauses.go
+++ b/policy/turns/pauses.go
@@ -26,6 +26,7 @@
 	if t.meter != nil {
 		t.meter.Verify()
 	}
+	s.succeed(t.head, t.grantedAt)
 	if known := s.pauses[t.head]; known != nil {
 		known.Accept(now, t.grantedAt)
 	}
@@ -35,6 +36,7 @@
 // SweepPauses forgets the heads for which forget returns true, and those of which nothing matters any more. It returns the decisions that this makes
 // possible.
 func (s *Scheduler) SweepPauses(now time.Duration, forget func(head string) bool, random func() float64) []Decision {
+	s.sweepFailures(now)
 	var decisions []Decision
 	for head, known := range s.pauses {
 		if forget(head) || known.Expired(now) {
--- a/policy/turns/turns.go
+++ b/policy/turns/turns.go
@@ -71,6 +71,8 @@
 	pauses map[string]*backoff.Server
 	// coldGrants counts the turns granted at cold heads.
 	coldGrants int
+	// failing holds the heads that have failed a request and accepted none since.
+	failing map[string]failureRun
 	// rejectedAt holds the time of each rejection by fingerprint.
 	rejectedAt map[uint64]time.Duration
 }
@@ -93,6 +95,7 @@
 	grantedAt time.Duration
 	// meter and cold are those that permitted the turn; nil if the head had no limit, and was not cold.
 	meter, cold *quota.Meter
+	client      string
 }
 
 // modelQueue is the queue of requests for one model.
@@ -122,7 +125,7 @@
 func New(config Config) *Scheduler {
 	return &Scheduler{
 		config: config, groups: make(map[string]*group), models: make(map[string]*modelQueue), turns: make(map[string]turn),
-		meters: make(map[string]*quota.Meter), pauses: make(map[string]*backoff.Server), rejectedAt: make(map[uint64]time.Duration),
+		meters: make(map[string]*quota.Meter), pauses: make(map[string]*backoff.Server), failing: make(map[string]failureRun), rejectedAt: make(map[uint64]time.Duration),
 	}
 }
 
@@ -295,9 +298,10 @@
 	if _, probe := s.mayGrant(now, g.Head, request.Client); probe {
 		s.pauses[g.Head].Probe(now, request.Key)
 	}
-	s.turns[request.Key] = turn{head: g.Head, grantedAt: now, meter: meter, cold: g.cold}
+	s.turns[request.Key] = turn{head: g.Head, grantedAt: now, meter: meter, cold: g.cold, client: request.Client}
 	known := s.pauses[g.Head]
-	watched := known != nil && known.Watched() || meter != nil && meter.Unverified()
+	_, failing := s.failing[g.Head]
+	watched := failing || known != nil && known.Watched() || meter != nil && meter.Unverified()
 	return Decision{Key: request.Key, Head: g.Head, Metered: meter != nil || g.cold != nil, Watched: watched}
 }
 
