policy/turns: a model whose heads are all blocked has no group

Requests for a model whose heads were all evacuated or unreachable were refused as tried on every group, though none had been tried. They are refused for want of a group; the time to come back is as before. Scheduler.Running tells the turns in use at a head. Spec: Blocked heads (policy/turns), which fails without the change.

--- a/policy/turns/cold_test.go
+++ b/policy/turns/cold_test.go
@@ -202,3 +202,32 @@
 		Expect(demand.Requests).To(Equal(30))
 	})
 })
+
+var _ = Describe("Blocked heads", func() {
+	// Callers were told that the request had been tried everywhere, which sends the next person who reads the log to the servers.
+	It("are as good as no groups: requests are refused at once with a time to come back, also those that wait", func() {
+		only := func(decisions []turns.Decision) turns.Decision {
+			GinkgoHelper()
+			Expect(decisions).To(HaveLen(1))
+			return decisions[0]
+		}
+		s := turns.New(turns.DefaultConfig())
+		all := groups(2, 10)
+		s.SetGroups(0, all, constantRandom)
+		for i := range 22 { // one more than the slots of each
+			only(s.Submit(0, newRequest(fmt.Sprint("runs-", i)), constantRandom))
+		}
+		waits := newRequest("waits")
+		Expect(s.Submit(0, waits, constantRandom)).To(BeEmpty())
+		for i := range all {
+			all[i].Standing = standing.Standing{Blocked: true, Reason: standing.Evacuated}
+		}
+		for _, refused := range []turns.Decision{
+			only(s.SetGroups(tickTime, all, constantRandom)), only(s.Submit(tickTime, newRequest("late"), constantRandom)),
+		} {
+			Expect(refused.Reason).To(Equal(turns.NoGroup))
+			Expect(refused.RetryAfter).To(BeNumerically(">", 0))
+		}
+		Expect(s.Running("head0")).To(Equal(11), "requests in progress go on")
+	})
+})
--- a/policy/turns/end.go
+++ b/policy/turns/end.go
@@ -60,6 +60,14 @@
 	return t.head, ok
 }
 
+// Running returns the number of turns in use at a head.
+func (s *Scheduler) Running(head string) int {
+	if g := s.groups[head]; g != nil {
+		return g.running
+	}
+	return 0
+}
+
 // ewmaWeight is the weight of the latest value in a moving average.
 const ewmaWeight = 0.02
 
--- a/policy/turns/turns.go
+++ b/policy/turns/turns.go
@@ -233,7 +233,7 @@
 		return Paused
 	}
 	for _, g := range s.groups {
-		if !g.removed && g.Model == request.Model {
+		if !g.removed && !g.Standing.Blocked && g.Model == request.Model {
 			return TriedAll
 		}
 	}
