entry/catalog: evacuations are read at once after the start, and a healthy leader's statement suffices

The leader's watches of a fifth of the bound let followers take its statement for too old (2.6 s of 2.5 s) shortly before each watch ended, so that all of them would watch the platform; they last a sixth of the bound.

--- a/entry/catalog/follow.go
+++ b/entry/catalog/follow.go
@@ -72,9 +72,11 @@
 }
 
 // EvacuationsWatchPolicy is the policy for the failure domains that operators evacuate, which must be known within half of a bound. An event ends a
-// watch at once, so that long watches delay nothing; they bound how late an entry notices that the platform has dropped its history.
+// watch at once, so that long watches delay nothing; they bound how late an entry notices that the platform has dropped its history. MaxAge exceeds the
+// greatest age that a healthy leader may report, two watches and the interval between two renewals of the lease, if bound is 5 s or more. An entry that
+// has just started reads the few objects itself: until it knows them, it might send to an evacuated failure domain.
 func EvacuationsWatchPolicy(bound time.Duration) WatchPolicy {
-	return WatchPolicy{Timeout: bound / 4, LeaderTimeout: bound / 5, MaxAge: bound / 2, FirstFromLeader: true}
+	return WatchPolicy{Timeout: bound / 4, LeaderTimeout: bound / 6, MaxAge: bound / 2}
 }
 
 // promptWatchPolicy is the policy for configurations, which must be in force within 2 s, and for servers, whose leaving must
