entry/standing: what lapsed registrations and newer processes hid

A server of an evacuated failure domain whose registration lapsed was permitted again, so that a task that dissolves its group would send it orders. The servers that were listed during the evacuation are remembered. What another entry had heard from a process that was not listed here yet was kept under the listed process and forgotten with it. A cold time that could not be read was taken for none if it was asked for before the first configuration. The code on evacuations has a file of its own. Specs: entry/standing, permits nothing to a server whose registration lapses; keeps what a process has said.

--- a/entry/standing/standing.go
+++ b/entry/standing/standing.go
@@ -12,7 +12,6 @@
 	"github.com/skylarkpond/skylarkpond/contract/route"
 	"github.com/skylarkpond/skylarkpond/domain"
 	link "github.com/skylarkpond/skylarkpond/link/leader"
-	"github.com/skylarkpond/skylarkpond/link/upstream"
 	policy "github.com/skylarkpond/skylarkpond/policy/standing"
 )
 
@@ -60,6 +59,11 @@
 	// evacuated holds the evacuated failure domains with the time from which this entry has known it. returned holds those that were taken back
 	// recently, with that time.
 	evacuated, returned map[domain.FailureDomain]time.Duration
+	// evacuatedServers holds the failure domains of the servers that were listed there during the evacuation: a registration may lapse, and the server
+	// still be asked whether it serves its group.
+	evacuatedServers map[backend.ID]domain.FailureDomain
+	// knowsEvacuations is set once SetEvacuated has been called.
+	knowsEvacuations bool
 	// invalid holds the servers that have stated a time that can't be read.
 	invalid map[backend.ID]bool
 }
@@ -83,6 +87,7 @@
 	return &Tracker{
 		deps: deps, started: time.Now(), servers: make(map[backend.ID]*state), invalid: make(map[backend.ID]bool),
 		evacuated: make(map[domain.FailureDomain]time.Duration), returned: make(map[domain.FailureDomain]time.Duration),
+		evacuatedServers: make(map[backend.ID]domain.FailureDomain),
 	}
 }
 
@@ -102,31 +107,6 @@
 // Limited reports whether the requests a second to a server are limited, so that only the leader may grant them.
 func (t *Tracker) Limited(server *backend.Server) bool { return t.Of(server).Limited() }
 
-// Permits reports whether a server may be sent anything but probes of the leader: its failure domain is not evacuated. A server that is not listed
-// is permitted, since its failure domain is not known.
-func (t *Tracker) Permits(to upstream.Endpoint) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if len(t.evacuated) == 0 {
-		return true
-	}
-	listed := t.deps.Listing().Servers[to.ID]
-	return listed == nil || !t.isEvacuated(listed)
-}
-
-// Evacuated reports whether the failure domain of a server is evacuated.
-func (t *Tracker) Evacuated(server *backend.Server) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.isEvacuated(server)
-}
-
-// isEvacuated must be called with t.mu held.
-func (t *Tracker) isEvacuated(server *backend.Server) bool {
-	_, evacuated := t.evacuated[server.FailureDomain]
-	return evacuated
-}
-
 // service returns the service of a server, or one without limits if it is not known.
 func (t *Tracker) service(server *backend.Server) route.Service {
 	if table := t.deps.Table(); table != nil {
@@ -139,7 +119,7 @@
 func (t *Tracker) facts(server *backend.Server, service route.Service) policy.Facts {
 	facts := policy.Facts{Evacuated: t.isEvacuated(server)}
 	known := t.of(server.ID, server.StartedAtMillis)
-	if server.ColdFor != 0 && (known == nil || known.revision < server.Revision) {
+	if server.ColdFor != 0 && service.ColdPerSecond > 0 && (known == nil || known.revision < server.Revision) {
 		known = t.register(server, service)
 	}
 	if known != nil {
@@ -192,6 +172,7 @@
 // Observe applies the registrations of all listed servers. It is called after each change of them.
 func (t *Tracker) Observe() {
 	table, listing := t.deps.Table(), t.deps.Listing()
+	t.noteEvacuated(listing)
 	if table == nil {
 		return
 	}
@@ -255,7 +236,7 @@
 	}
 	var began []Cold
 	t.mu.Lock()
-	known := t.stateOf(cold.Server, listed.StartedAtMillis)
+	known := t.stateOf(cold.Server, max(listed.StartedAtMillis, cold.Process)) // the list may not have the latest process yet
 	until := t.now() + time.Duration(cold.Ms)*time.Millisecond
 	isNew := until > max(known.registeredCold, known.answeredCold)+minExtension
 	if isNew {
@@ -308,48 +289,6 @@
 	}
 }
 
-// SetEvacuated sets the failure domains that are evacuated.
-func (t *Tracker) SetEvacuated(failureDomains []domain.FailureDomain) {
-	wanted := make(map[domain.FailureDomain]bool, len(failureDomains))
-	for _, name := range failureDomains {
-		wanted[name] = true
-	}
-	var began []domain.FailureDomain
-	ended := make(map[domain.FailureDomain]time.Duration)
-	t.mu.Lock()
-	now := t.now()
-	for name := range wanted {
-		if _, known := t.evacuated[name]; !known {
-			t.evacuated[name] = now
-			began = append(began, name)
-		}
-	}
-	for name, since := range t.evacuated {
-		if !wanted[name] {
-			delete(t.evacuated, name)
-			t.returned[name] = now
-			ended[name] = now - since
-		}
-	}
-	t.mu.Unlock()
-	for _, name := range began {
-		t.deps.EvacuationBegan(name, t.serversIn(name))
-	}
-	for name, lasted := range ended {
-		t.deps.EvacuationEnded(name, t.serversIn(name), lasted)
-	}
-}
-
-func (t *Tracker) serversIn(failureDomain domain.FailureDomain) int {
-	n := 0
-	for _, server := range t.deps.Listing().Servers {
-		if server.FailureDomain == failureDomain {
-			n++
-		}
-	}
-	return n
-}
-
 // Sweep forgets what has ended, and reports the servers that are not cold any more.
 func (t *Tracker) Sweep() {
 	listing, table := t.deps.Listing(), t.deps.Table()
--- a/entry/standing/standing_test.go
+++ b/entry/standing/standing_test.go
@@ -123,6 +123,30 @@
 		Eventually(func() bool { return cold("i-1") }).Should(BeFalse())
 	})
 
+	// Guards against reports and orders to a server of an evacuated failure domain whose registration has lapsed, as after a cut from the platform.
+	It("permits nothing to a server whose registration lapses during the evacuation", func() {
+		Expect(tracker.KnowsEvacuations()).To(BeFalse())
+		tracker.SetEvacuated([]domain.FailureDomain{"a"})
+		Expect(tracker.KnowsEvacuations()).To(BeTrue())
+		known, late := upstream.EndpointOf(servers["i-1"]), &backend.Server{ID: "i-9", Service: "chat", FailureDomain: "a", StartedAtMillis: 5, Revision: 1}
+		servers["i-9"] = late
+		tracker.Observe()
+		delete(servers, "i-1")
+		delete(servers, "i-9")
+		tracker.Observe()
+		Expect(tracker.Permits(known)).To(BeFalse())
+		Expect(tracker.Permits(upstream.EndpointOf(late))).To(BeFalse())
+		tracker.SetEvacuated(nil)
+		Expect(tracker.Permits(known)).To(BeTrue())
+	})
+
+	// Another entry has heard from a process that is not listed here yet: its registration must not end what it has said.
+	It("keeps what a process has said when the list first shows it", func() {
+		Expect(tracker.Hear(link.Cold{Server: "i-1", Process: 6, Ms: 60_000})).To(BeTrue())
+		set("i-1", func(s *backend.Server) { s.StartedAtMillis = 6 })
+		Expect(cold("i-1")).To(BeTrue())
+	})
+
 	It("blocks a server that can't be reached until it has answered or started again", func() {
 		tracker.SetUnreachable(servers["i-1"], true)
 		Expect(tracker.Of(servers["i-1"]).Reason).To(Equal(policy.Unreachable))
