entry/grouping, entry/leader: a head with requests in progress has not ended; withheld requests say nothing of VMs

A head that refused connections for a second counted as ended unless one of the few entries that are asked reached it. A process at the limit of its connections refuses further ones as well, and its VMs would have been joined to another group while it served. A head at which any entry has a turn in use is taken for alive; the turns of a process that has ended end with its connections. A formation that was under way when its failure domain was evacuated took VMs without a group for silent. A plain server with a limit was suspended for 5 s though nothing probes it. Requests wait at the start of a process for the first list of evacuations as for that of the servers.

--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -123,6 +123,7 @@
 		DemandGroups:  func(service, model string) float64 { return s.components.leader.GroupsNeeded(service, model) },
 		BeforeTraffic: s.beforeTraffic, OnEvent: s.groupEvent,
 		Evacuated: known.Evacuated, Cold: known.Limited, Reached: func(vm backend.ID) { s.components.leader.Reached(vm) },
+		Running: func(head backend.ID) int { return s.components.leader.Running(head) },
 	})
 }
 
@@ -153,6 +154,13 @@
 type serverLimits struct {
 	*limits.Tracker
 	standing *standing.Tracker
+	// followsEvacuations reports whether operators may evacuate failure domains.
+	followsEvacuations bool
+}
+
+// Informed also waits for the failure domains that were evacuated before this process started.
+func (l serverLimits) Informed() bool {
+	return l.Tracker.Informed() && (!l.followsEvacuations || l.standing.KnowsEvacuations())
 }
 
 func (l serverLimits) Limited(server *backend.Server) bool {
@@ -161,8 +169,8 @@
 
 func (l serverLimits) Blocked(server *backend.Server) bool { return l.standing.Blocked(server) }
 
-func provideLocal(cat *catalog.Catalog, tracker *limits.Tracker, pauses *backoff.Tracker, known *standing.Tracker) *turn.Local {
-	return turn.NewLocal(cat.Listing, cat.ServersAge, cat.Table, serverLimits{tracker, known}, pauses)
+func provideLocal(s *shared, cat *catalog.Catalog, tracker *limits.Tracker, pauses *backoff.Tracker, known *standing.Tracker) *turn.Local {
+	return turn.NewLocal(cat.Listing, cat.ServersAge, cat.Table, serverLimits{tracker, known, s.config.EvacuationMs > 0}, pauses)
 }
 
 func provideRemote(local *turn.Local, cat *catalog.Catalog, pauses *backoff.Tracker) *turn.Remote {
--- a/entry/gateway/wire_gen.go
+++ b/entry/gateway/wire_gen.go
@@ -30,7 +30,7 @@
 	controller := provideController(s, pool, catalog, lease, watch, monitor, tracker)
 	limitsTracker := provideLimits(s)
 	backoffTracker := provideBackoff(s)
-	local := provideLocal(catalog, limitsTracker, backoffTracker, tracker)
+	local := provideLocal(s, catalog, limitsTracker, backoffTracker, tracker)
 	remote := provideRemote(local, catalog, backoffTracker)
 	retries := provideRetries(s)
 	suspectsWatch := provideSuspects(s, remote, catalog, pool, watch)
--- a/entry/grouping/cell_test.go
+++ b/entry/grouping/cell_test.go
@@ -98,6 +98,11 @@
 	peersReach atomic.Bool
 	// isolated makes the controller's entry reach no server.
 	isolated atomic.Bool
+	// requests is the number of requests that are in progress at each head. evacuated evacuates all VMs.
+	requests  atomic.Int32
+	evacuated atomic.Bool
+	// unresponsive counts the events about a VM that does not answer.
+	unresponsive atomic.Int32
 	// formations counts the groups that the controller began to form.
 	formations atomic.Int32
 	// unformableReports counts the events about a model of service s that fits into no fabric domain.
@@ -127,11 +132,15 @@
 		ReachesServers:  func(context.Context, string) bool { return !controller.isolated.Load() },
 		PeersReach:      func(context.Context, *backend.Server) bool { return controller.peersReach.Load() },
 		ClearSuspicion:  func(backend.ID) {}, DemandGroups: func(string, string) float64 { return 0 }, BeforeTraffic: func() bool { return false },
+		Running:   func(backend.ID) int { return int(controller.requests.Load()) },
+		Evacuated: func(*backend.Server) bool { return controller.evacuated.Load() },
 		OnEvent: func(event grouping.Event) {
 			GinkgoWriter.Printf("%d %+v\n", epoch, event)
 			switch event.Kind {
 			case grouping.GroupForming:
 				controller.formations.Add(1)
+			case grouping.MemberUnresponsive:
+				controller.unresponsive.Add(1)
 			case grouping.ModelCannotBeFormed:
 				if event.Service == "s" {
 					controller.unformableReports.Add(1)
--- a/entry/grouping/form.go
+++ b/entry/grouping/form.go
@@ -158,7 +158,7 @@
 	if err == nil && report.StartedAtMillis != 0 && server.StartedAtMillis != 0 && report.StartedAtMillis != server.StartedAtMillis {
 		err = eris.Wrap(errOtherServer, "the VM has started again")
 	}
-	if serves := eris.Is(err, errRejected) && server.Group.Name != ""; err != nil && !serves && ctx.Err() == nil {
+	if serves := eris.Is(err, errRejected) && server.Group.Name != ""; err != nil && !serves && !c.evacuated(server) && ctx.Err() == nil {
 		c.handleNoAnswer(ctx, server, err)
 	}
 	return report, err
--- a/entry/grouping/gone.go
+++ b/entry/grouping/gone.go
@@ -28,7 +28,9 @@
 	endpoint := upstream.EndpointOf(head)
 	bounded, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	refused := !head.Leaving && upstream.RefusesConnections(bounded, head.Address)
+	// The requests at a process that has ended end with it. One at the limit of its connections refuses further ones for as long as they last.
+	busy := c.deps.Running != nil && c.deps.Running(head.ID) > 0
+	refused := !head.Leaving && !busy && upstream.RefusesConnections(bounded, head.Address)
 	if !c.noteRefusal(endpoint, refused, time.Now()) {
 		return false
 	}
--- a/entry/grouping/grouping.go
+++ b/entry/grouping/grouping.go
@@ -45,6 +45,8 @@
 	ClearSuspicion func(head backend.ID)
 	// Reached is called when a VM that did not answer does again. It may be nil.
 	Reached func(vm backend.ID)
+	// Running returns the number of requests that entries have in progress at a head. It may be nil.
+	Running func(head backend.ID) int
 	// Evacuated reports whether operators want nothing sent to a VM. Cold reports whether it takes few requests. Both may be nil.
 	Evacuated, Cold func(server *backend.Server) bool
 	// DemandGroups returns the number of groups that the current requests of a model would fill; 0 if unknown.
@@ -119,7 +121,7 @@
 	// started is when the controller was created.
 	started time.Time
 
-	mu sync.Mutex // guards the fields below; a leaf lock
+	mu sync.Mutex // guards the fields below; of other locks, only those of Evacuated and Cold are taken while it is held
 	// forming contains the VMs that a task is joining to a group: the head with the group's model, all others with an empty
 	// string.
 	forming map[backend.ID]string
--- a/entry/leader/reach.go
+++ b/entry/leader/reach.go
@@ -7,6 +7,9 @@
 // connectionFailed takes a failed connection of an entry to a head as evidence that the head is gone. A head that is suspended is granted no turns until
 // all members of its group have answered; the check of the group starts at once.
 func (l *Leader) connectionFailed(entry string, head backend.ID) {
+	if server := l.deps.Listing().Servers[head]; server == nil || server.Group.Name == "" {
+		return // nothing would probe a plain server, and entries avoid it by themselves
+	}
 	l.mu.Lock()
 	evidence := l.leading && !l.isolated[entry] && l.failures.Note(l.now(), string(head), entry, len(l.followers))
 	l.mu.Unlock()
@@ -24,6 +27,13 @@
 	}
 }
 
+// Running returns the number of turns in use at a head, of all entries.
+func (l *Leader) Running(head backend.ID) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.turns.Running(string(head))
+}
+
 // Reached records that a server that could not be reached has answered.
 func (l *Leader) Reached(server backend.ID) { l.setUnreachable(server, false) }
 
