entry/lease: the read after a conflict is bounded by 400 ms

A holder whose successor had written the object counted as the leader for up to 1.3 s longer if the read after the conflict was not answered. The platform has just answered then, so that a lost answer is the only cause. Specs of entry/lease pass unchanged.

--- a/entry/lease/lease.go
+++ b/entry/lease/lease.go
@@ -38,6 +38,9 @@
 	// expiry is how long the object must be unchanged before another entry acquires the lease. It exceeds Validity by
 	// the time that a write may take.
 	expiry = 1700 * time.Millisecond
+	// readOwnTimeout bounds the read after a conflict. Until it has ended, a holder whose successor has written the object counts as the leader. The
+	// platform has just answered, so that the read takes milliseconds unless the answer is lost.
+	readOwnTimeout = 400 * time.Millisecond
 	// pollInterval is the mean interval between reads of the object by an entry that knows no holder.
 	pollInterval = 300 * time.Millisecond
 	// checkInterval is how often an entry checks whether a read is due.
@@ -309,7 +312,7 @@
 
 // readOwn returns the version of the object if it names this process.
 func (l *Lease) readOwn(ctx context.Context) (platform.Version, bool) {
-	bounded, cancel := context.WithTimeout(ctx, Validity)
+	bounded, cancel := context.WithTimeout(ctx, readOwnTimeout)
 	defer cancel()
 	object, err := l.deps.Store.Get(bounded, Kind, Name)
 	if err != nil {
