--- a/entry/catalog/evacuations_test.go
+++ b/entry/catalog/evacuations_test.go
@@ -81,7 +81,7 @@
 var _ = Describe("Evacuations", func() {
 	const half = "2500ms"
 	var api *objects.API
-	evacuate := func(name string) { api.Write("evacuations", name, map[string]string{}) }
+	evacuate := func(name string) { api.Write(string(platform.KindEvacuations), name, map[string]string{}) }
 	BeforeEach(func() {
 		api = objects.New()
 		DeferCleanup(api.Close)
@@ -120,7 +120,7 @@
 		Eventually(leader.known, half).Should(Equal([]string{"a", "b"}))
 		api.SetFaults(objects.Faults{Unresponsive: true})
 		time.Sleep(300 * time.Millisecond)
-		api.Delete("evacuations", "a")
+		api.Delete(string(platform.KindEvacuations), "a")
 		api.Compact()
 		api.SetFaults(objects.Faults{})
 		Eventually(leader.known, "5s").Should(Equal([]string{"b"}))
