--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -215,28 +215,6 @@
 
 func (l *Leader) now() time.Duration { return time.Since(l.started) }
 
-// stepDown stops granting turns and discards what another leader now tracks. What a follower has reported over its link is kept until the link
-// ends: if this entry leads again before that, as after an expired lease that nobody else has acquired, followers do not report it once more.
-func (l *Leader) stepDown() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.leading {
-		l.leading = false
-		l.forgetHolds()
-		l.demand = make(map[string]*modelDemand)
-		l.turns = l.turns.Successor()
-		l.limits = newLimitTracker()
-	}
-}
-
-// forgetHolds discards what followers have reported of requests that crash servers once this entry does not lead and no other entry is linked to it.
-// It must be called with l.mu held. With half of the evidence, requests that ran beside those that crash servers are held back in their place.
-func (l *Leader) forgetHolds() {
-	if !l.leading && len(l.followers) <= 1 { // this entry is a follower of its own
-		l.holds = newHoldTracker()
-	}
-}
-
 // RefreshGroups updates the available groups from the listing and the route table. Its first call makes this entry
 // grant turns, if it is the leader.
 func (l *Leader) RefreshGroups() {
@@ -283,13 +261,6 @@
 	return slices.DeleteFunc(heads, func(head *backend.Server) bool { return l.deps.Dissolving(head.Group.GroupKey) })
 }
 
-func (l *Leader) standing(server *backend.Server) standing.Standing {
-	if l.deps.Standing == nil {
-		return standing.Standing{}
-	}
-	return l.deps.Standing(server)
-}
-
 // slowdown returns the factor by which the group of a head works slower than normal.
 func (l *Leader) slowdown(head *backend.Server) float64 {
 	if l.deps.Slowdown == nil {
--- a/entry/leader/reach.go
+++ b/entry/leader/reach.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/skylarkpond/skylarkpond/backend"
+	"github.com/skylarkpond/skylarkpond/policy/standing"
 )
 
 // connectionFailed takes a failed connection of an entry to a head as evidence that the head is gone. A head that is suspended is granted no turns until
@@ -42,3 +43,10 @@
 	defer l.mu.Unlock()
 	l.failures.Sweep(l.now())
 }
+
+func (l *Leader) standing(server *backend.Server) standing.Standing {
+	if l.deps.Standing == nil {
+		return standing.Standing{}
+	}
+	return l.deps.Standing(server)
+}
