--- a/entry/leader/demand.go
+++ b/entry/leader/demand.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/skylarkpond/skylarkpond/contract/route"
-	"github.com/skylarkpond/skylarkpond/policy/capacity"
 	policy "github.com/skylarkpond/skylarkpond/policy/turns"
 )
 
@@ -85,14 +83,6 @@
 	return perSecond * demand.MeanTurnTime.Seconds() / slots, true
 }
 
-// engineFor returns the performance parameters of a group that serves model.
-func engineFor(engine *route.Engine, model route.Model) capacity.Engine {
-	return capacity.Engine{
-		Slots: engine.Slots, KVCacheTokens: engine.KVCacheTokens, StepTime: engine.StepTime, StepTimePerSequence: engine.StepTimePerSequence, StepTimePerContext: engine.StepTimePerContext,
-		StepsPerPass: engine.StepsPerPass, PrefillTokensPerSecond: engine.PrefillTokensPerSecond, TimeFactor: model.TimeFactor,
-	}
-}
-
 // GroupsNeeded returns the average demand for a model as a number of fully used groups, or 0 if it is not known yet.
 func (l *Leader) GroupsNeeded(service, model string) float64 {
 	l.mu.Lock()
--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -260,7 +260,7 @@
 		}
 		for _, model := range service.Engine.Models {
 			key := modelKey(service.Name, model.Name)
-			engines[key] = engineFor(service.Engine, model)
+			engines[key] = service.Engine.Capacity(model)
 			for _, head := range l.heads(service, model, listing.ByService[service.Name]) {
 				groups = append(groups, policy.Group{Head: string(head.ID), Model: key, Standing: l.standing(head), Engine: engines[key].SlowedBy(l.slowdown(head))})
 			}
