pondctl check-config: what is wrong with a configuration of the platform, before it is sent

Cause: operators learned from refused callers that a configuration names a service that does not exist, has a route that never matches or a key of two tenants. DecodeConfig reports one problem at most, without a line, and reads unknown route types, negative attempts and unknown fields without a word.

Not reported: attempts above one on routes that are not idempotent. Gateways make them after a server states that it did not run the request (doneAfterRejection in entry/relay).

--- a/pondctl/args.go
+++ b/pondctl/args.go
@@ -15,6 +15,8 @@
 	ExitConflict   = 3
 	ExitRefused    = 4
 	ExitNotInForce = 5
+	ExitWarnings   = 6
+	ExitUnusable   = 7
 )
 
 // Args defines the command line. Each flag can also be set by an environment variable.
@@ -32,6 +34,8 @@
 	Quarantine *QuarantineArgs `arg:"subcommand:quarantine" help:"list requests that crashed backend servers, or lift one"`
 	HashKey    *HashKeyArgs    `arg:"subcommand:hash-key" help:"print the hash of a key, as declarations hold it"`
 
+	CheckConfig *CheckConfigArgs `arg:"subcommand:check-config" help:"check a configuration of the platform before it is sent, without asking anything"`
+
 	Entries string        `arg:"--entries,env:POND_ENTRIES" placeholder:"ADDRESSES" help:"admin addresses of entries, IP:port, separated by commas; the first that answers is used"`
 	Token   string        `arg:"--token,env:POND_TOKEN" help:"operator's token; better given by the environment variable, which other users of the machine don't see"`
 	JSON    bool          `arg:"--json,env:POND_JSON" help:"print results as JSON"`
@@ -122,6 +126,13 @@
 	New bool `arg:"--new,env:POND_NEW" help:"make a new random key, and print it before its hash"`
 }
 
+// CheckConfigArgs holds the arguments of check-config.
+type CheckConfigArgs struct {
+	File    string `arg:"positional,required" help:"configuration of the platform, as JSON"`
+	Against string `arg:"--against,env:POND_AGAINST" placeholder:"FILE" help:"configuration in force: show what changes, and check that the version is higher"`
+	Strict  bool   `arg:"--strict,env:POND_STRICT" help:"exit code 6 if there are warnings but no errors"`
+}
+
 // Description returns the text at the head of --help.
 func (Args) Description() string {
 	return "pondctl changes the settings of skylarkpond and shows what it does.\n" +
@@ -140,6 +151,8 @@
   pondctl explain /places/pampa           each value, and the node that it comes from
   pondctl status --json | jq .services    how far the groups of each service are
   pondctl timeline --since 1h --kind settings-in-force
+  pondctl check-config --against old.json new.json
+                                          what is wrong with a configuration, and what it changes
   pondctl hash-key --new                  a new key, and its hash for the declarations
 
 Exit codes:
@@ -148,5 +161,7 @@
   2  usage
   3  conflict: somebody else changed the same node; nothing was changed
   4  refused by the checks; nothing was changed
-  5  accepted, but not in force on every live entry in time`
+  5  accepted, but not in force on every live entry in time
+  6  check-config --strict: warnings, no errors
+  7  check-config: a file can't be read, or is no configuration at all`
 }
--- a/pondctl/run.go
+++ b/pondctl/run.go
@@ -26,6 +26,8 @@
 	ErrRefused    = eris.New("refused by the checks")
 	ErrNotInForce = eris.New("not in force everywhere in time")
 	ErrUsage      = eris.New("usage")
+	ErrWarnings   = eris.New("warnings")
+	ErrUnusable   = eris.New("unusable input")
 )
 
 // command is one invocation of pondctl.
@@ -89,6 +91,8 @@
 		return c.quarantine(ctx)
 	case a.HashKey != nil:
 		return c.hashKey(a.HashKey.New)
+	case a.CheckConfig != nil:
+		return c.checkConfig(a.CheckConfig)
 	}
 	return eris.Wrap(ErrUsage, "no command given; see pondctl --help")
 }
@@ -109,6 +113,10 @@
 		return ExitRefused
 	case errors.Is(err, ErrNotInForce):
 		return ExitNotInForce
+	case errors.Is(err, ErrWarnings):
+		return ExitWarnings
+	case errors.Is(err, ErrUnusable):
+		return ExitUnusable
 	}
 	return ExitFailure
 }
