entry/catalog: without a leader, evacuations are watched for half of their bound at a time

An event ends a watch at once, so that a longer one delays nothing. Each watch of each entry is a call that costs while there is no leader.

--- a/entry/catalog/follow.go
+++ b/entry/catalog/follow.go
@@ -76,7 +76,7 @@
 // greatest age that a healthy leader may report, two watches and the interval between two renewals of the lease, if bound is 5 s or more. An entry that
 // has just started reads the few objects itself: until it knows them, it might send to an evacuated failure domain.
 func EvacuationsWatchPolicy(bound time.Duration) WatchPolicy {
-	return WatchPolicy{Timeout: bound / 4, LeaderTimeout: bound / 6, MaxAge: bound / 2}
+	return WatchPolicy{Timeout: bound / 2, LeaderTimeout: bound / 6, MaxAge: bound / 2}
 }
 
 // promptWatchPolicy is the policy for configurations, which must be in force within 2 s, and for servers, whose leaving must
