policy/grouping: VMs that the demand leaves over are shared among the models by their demand

What callers saw: in a burst of the most urgent kind (1.5 times for 4 s) 952 requests were refused, all of that kind, while the other model ran 40 to 56 requests on 272 to 306 slots from the first second on.

Cause: goals stop at 1.2 times the demand, which both models have before the burst, so that nothing moves; loads take 12 to 16 s, longer than the burst.

Off (kept) by default.

--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -122,7 +122,7 @@
 		PeersSeeServing: s.peersSeeServing, PeersReach: s.peersReach, ReachesServers: isolated.Check, ClearSuspicion: func(head backend.ID) { s.components.leader.ClearSuspicion(head) },
 		DemandGroups:  func(service, model string) float64 { return s.components.leader.GroupsNeeded(service, model) },
 		BeforeTraffic: s.beforeTraffic, OnEvent: s.groupEvent,
-		Evacuated: known.Evacuated, Cold: known.Limited, Reached: func(vm backend.ID) { s.components.leader.Reached(vm) },
+		ShareSurplus: s.config.SpareCapacity == spareShared, Evacuated: known.Evacuated, Cold: known.Limited, Reached: func(vm backend.ID) { s.components.leader.Reached(vm) },
 	})
 }
 
--- a/entry/gateway/config.go
+++ b/entry/gateway/config.go
@@ -30,16 +30,23 @@
 	LinkMbps         float64 `arg:"--link-mbps,env:POND_LINK_MBPS" help:"link of this VM in Mbit/s; VMs with more rather take charge of the groups (0: not known)"`
 	Cores            float64 `arg:"--cores,env:POND_CORES" help:"processors that this VM may use, a share counting as such (0: not known)"`
 	// Limits that operators promise to their callers.
-	AddressTTL   float64 `arg:"--address-ttl,env:POND_ADDRESS_TTL" default:"5" help:"seconds for which callers may keep an answer of the directory, at most"`
-	StopGrace    float64 `arg:"--stop-grace,env:POND_STOP_GRACE" default:"8" help:"seconds from a request to stop until the process is killed"`
-	RetryRatio   float64 `arg:"--retry-ratio,env:POND_RETRY_RATIO" default:"0.2" help:"repeats that all entries may send to a service, as a share of its requests"`
-	RetryExtra   float64 `arg:"--retry-extra,env:POND_RETRY_EXTRA" default:"280" help:"repeats that all entries may send to a service beside that, in some ten seconds"`
-	EvacuationMs float64 `arg:"--evacuation-ms,env:POND_EVACUATION_MS" default:"0" help:"milliseconds within which servers get nothing any more once operators evacuate their failure domain; 0: evacuations are not followed"`
-	CheckOnly    bool    `arg:"--check,env:POND_CHECK" help:"check these settings and whether the platform answers, and start nothing"`
-	LogLevel     string  `arg:"--log-level,env:POND_LOG_LEVEL" default:"info" help:"error, warn, info or debug"`
-	LogQueueSize int     `arg:"--log-queue,env:POND_LOG_QUEUE" default:"1024" help:"log lines that wait for a slow reader before further ones are dropped and counted"`
+	AddressTTL    float64 `arg:"--address-ttl,env:POND_ADDRESS_TTL" default:"5" help:"seconds for which callers may keep an answer of the directory, at most"`
+	StopGrace     float64 `arg:"--stop-grace,env:POND_STOP_GRACE" default:"8" help:"seconds from a request to stop until the process is killed"`
+	RetryRatio    float64 `arg:"--retry-ratio,env:POND_RETRY_RATIO" default:"0.2" help:"repeats that all entries may send to a service, as a share of its requests"`
+	RetryExtra    float64 `arg:"--retry-extra,env:POND_RETRY_EXTRA" default:"280" help:"repeats that all entries may send to a service beside that, in some ten seconds"`
+	SpareCapacity string  `arg:"--spare-capacity,env:POND_SPARE_CAPACITY" default:"kept" help:"VMs that the demand leaves over: kept by the models that have them, or shared among the models by their demand"`
+	EvacuationMs  float64 `arg:"--evacuation-ms,env:POND_EVACUATION_MS" default:"0" help:"milliseconds within which servers get nothing any more once operators evacuate their failure domain; 0: evacuations are not followed"`
+	CheckOnly     bool    `arg:"--check,env:POND_CHECK" help:"check these settings and whether the platform answers, and start nothing"`
+	LogLevel      string  `arg:"--log-level,env:POND_LOG_LEVEL" default:"info" help:"error, warn, info or debug"`
+	LogQueueSize  int     `arg:"--log-queue,env:POND_LOG_QUEUE" default:"1024" help:"log lines that wait for a slow reader before further ones are dropped and counted"`
 }
 
+// Values of Config.SpareCapacity.
+const (
+	spareKept   = "kept"
+	spareShared = "shared"
+)
+
 // ErrConfig is wrapped by every error that Config.Check returns.
 var ErrConfig = eris.New("invalid setting")
 
@@ -68,6 +75,7 @@
 	check(c.StopGrace >= 1 && c.StopGrace <= 3600, "--stop-grace", "must be between 1 and 3600 seconds")
 	check(c.RetryRatio >= 0 && c.RetryRatio <= 1, "--retry-ratio", "must be between 0 and 1")
 	check(c.RetryExtra >= 0 && c.RetryExtra <= 1e6, "--retry-extra", "must be between 0 and 1000000")
+	check(c.SpareCapacity == spareKept || c.SpareCapacity == spareShared, "--spare-capacity", "must be "+spareKept+" or "+spareShared)
 	check(c.EvacuationMs == 0 || c.EvacuationMs >= 1000 && c.EvacuationMs <= 600_000, "--evacuation-ms", "must be 0 or between 1000 and 600000")
 	check(c.MemoryMB >= 32, "--memory-mb", "must be 32 or more")
 	check(c.LinkMbps >= 0, "--link-mbps", "must be 0 or more")
--- a/entry/grouping/grouping.go
+++ b/entry/grouping/grouping.go
@@ -49,6 +49,8 @@
 	Evacuated, Cold func(server *backend.Server) bool
 	// DemandGroups returns the number of groups that the current requests of a model would fill; 0 if unknown.
 	DemandGroups func(service, model string) float64
+	// ShareSurplus divides the VMs that the demand leaves over among the models in proportion to their demand.
+	ShareSurplus bool
 	// BeforeTraffic reports that no request has arrived yet.
 	BeforeTraffic func() bool
 	// RoundEnded is called after each reconciliation, whether or not this entry is the leader.
@@ -277,6 +279,7 @@
 	}
 	beforeTraffic := c.deps.BeforeTraffic()
 	view.input.BeforeTraffic = beforeTraffic
+	view.input.ShareSurplus = c.deps.ShareSurplus
 	view.input.LossRate = c.lossRate(service.Engine, view)
 	c.markRegistering(service.Name, view.input.Domains)
 	view.input.AvailableLoads = c.availableLoads(service.Engine, beforeTraffic)
--- a/policy/grouping/convert.go
+++ b/policy/grouping/convert.go
@@ -198,7 +198,7 @@
 		return false
 	}
 	goal, have := d.goal(recipient), float64(d.counts[recipient.Name]+pending)
-	gain := shortfallCost(goal, have) - shortfallCost(goal, have+1)
+	gain := shortfallCost(goal, have) - shortfallCost(goal, have+float64(d.gained(donor, recipient, groups)))
 	goal = d.goal(donor)
 	return gain > conversionGainRatio*(shortfallCost(goal, float64(left))-shortfallCost(goal, float64(d.counts[donor.Name])))
 }
--- a/policy/grouping/grouping.go
+++ b/policy/grouping/grouping.go
@@ -90,6 +90,9 @@
 	Domains []Domain
 	// BeforeTraffic reports that no request has arrived yet. Loads are short then, and groups that need loads may be formed.
 	BeforeTraffic bool
+	// ShareSurplus divides the VMs that the demand leaves over among the models in proportion to their demand, so that each can grow by the same factor.
+	// Otherwise a model keeps what it has beyond its goal.
+	ShareSurplus bool
 	// LossRate is the fraction of the VMs in groups that is lost per second; 0 if unknown.
 	LossRate float64
 	// AvailableLoads is the number of loads that may start now. LoadsInProgress is the number of running loads, and LoadsAtOnce the number
@@ -169,7 +172,7 @@
 
 func newDecision(in Input) *decision {
 	d := &decision{
-		in: in, loads: in.AvailableLoads, counts: make(map[string]int), converting: make(map[int]bool),
+		in: in, headroom: demandHeadroom, loads: in.AvailableLoads, counts: make(map[string]int), converting: make(map[int]bool),
 		free: make([][]VM, len(in.Domains)), serving: make([][]ServingGroup, len(in.Domains)), groups: make([]map[string]int, len(in.Domains)),
 	}
 	for i, domain := range in.Domains {
@@ -185,12 +188,17 @@
 			d.counts[model] += n
 		}
 	}
+	if in.ShareSurplus {
+		d.headroom = d.surplusHeadroom()
+	}
 	return d
 }
 
 type decision struct {
-	in    Input
-	loads int
+	in Input
+	// headroom is the number of groups to provide for each group that the requests would fill.
+	headroom float64
+	loads    int
 	// counts is the number of groups by model, including those in the plan.
 	counts map[string]int
 	// free lists the remaining VMs by domain, and serving the serving groups. groups counts the groups by domain and model, including those
@@ -212,7 +220,7 @@
 // unknown, it is the model's number of groups if all VMs were divided in proportion to the shares.
 func (d *decision) goal(model Model) float64 {
 	if d.demandKnown() {
-		return max(1, demandHeadroom*model.DemandGroups)
+		return max(1, d.headroom*model.DemandGroups)
 	}
 	sum := 0.0
 	for _, other := range d.in.Models {
