--- a/entry/gateway/config.go
+++ b/entry/gateway/config.go
@@ -35,6 +35,7 @@
 	RetryRatio   float64 `arg:"--retry-ratio,env:POND_RETRY_RATIO" default:"0.2" help:"repeats that all entries may send to a service, as a share of its requests"`
 	RetryExtra   float64 `arg:"--retry-extra,env:POND_RETRY_EXTRA" default:"280" help:"repeats that all entries may send to a service beside that, in some ten seconds"`
 	EvacuationMs float64 `arg:"--evacuation-ms,env:POND_EVACUATION_MS" default:"0" help:"milliseconds within which servers get nothing any more once operators evacuate their failure domain; 0: evacuations are not followed"`
+	CostRouting  string  `arg:"--cost-routing,env:POND_COST_ROUTING" default:"off" help:"on: groups and plain servers are chosen by what requests have cost of late and which servers reject them; off: they are not"`
 	CheckOnly    bool    `arg:"--check,env:POND_CHECK" help:"check these settings and whether the platform answers, and start nothing"`
 	LogLevel     string  `arg:"--log-level,env:POND_LOG_LEVEL" default:"info" help:"error, warn, info or debug"`
 	LogQueueSize int     `arg:"--log-queue,env:POND_LOG_QUEUE" default:"1024" help:"log lines that wait for a slow reader before further ones are dropped and counted"`
@@ -69,6 +70,7 @@
 	check(c.RetryRatio >= 0 && c.RetryRatio <= 1, "--retry-ratio", "must be between 0 and 1")
 	check(c.RetryExtra >= 0 && c.RetryExtra <= 1e6, "--retry-extra", "must be between 0 and 1000000")
 	check(c.EvacuationMs == 0 || c.EvacuationMs >= 1000 && c.EvacuationMs <= 600_000, "--evacuation-ms", "must be 0 or between 1000 and 600000")
+	check(c.CostRouting == "on" || c.CostRouting == "off" || c.CostRouting == "", "--cost-routing", "must be on or off")
 	check(c.MemoryMB >= 32, "--memory-mb", "must be 32 or more")
 	check(c.LinkMbps >= 0, "--link-mbps", "must be 0 or more")
 	check(c.Cores >= 0, "--cores", "must be 0 or more")
@@ -87,6 +89,8 @@
 	return time.Duration(c.EvacuationMs * float64(time.Millisecond))
 }
 
+func (c *Config) costRouting() bool { return c.CostRouting == "on" }
+
 func (c *Config) addressTTL() time.Duration {
 	return time.Duration(c.AddressTTL * float64(time.Second))
 }
--- a/policy/cost/cost.go
+++ b/policy/cost/cost.go
@@ -18,10 +18,8 @@
 package cost
 
 import (
-	"cmp"
 	"maps"
 	"math"
-	"slices"
 	"time"
 )
 
@@ -149,23 +147,14 @@
 	mean.add(now, e.config.HalfLife, math.Abs(expected-s.Actual)/s.Actual)
 }
 
-// KindError is how far estimates were off.
-type KindError struct {
-	Kind Kind
-	// Relative is the mean of |expected - actual| / actual over the answers of late, each estimated before it was learned.
-	Relative float64
-}
-
-// Errors returns the error of the estimates of every kind, sorted by service, model and route.
-func (e *Estimator) Errors() []KindError {
-	result := make([]KindError, 0, len(e.errors))
-	for kind, mean := range e.errors {
-		result = append(result, KindError{Kind: kind, Relative: mean.value()})
+// ErrorOf returns how far the estimates for a kind were off of late: the mean of |expected - actual| / actual, each answer being estimated before it
+// was learned. It returns false if nothing is known.
+func (e *Estimator) ErrorOf(kind Kind) (float64, bool) {
+	mean := e.errors[kind]
+	if mean == nil {
+		return 0, false
 	}
-	slices.SortFunc(result, func(a, b KindError) int {
-		return cmp.Or(cmp.Compare(a.Kind.Service, b.Kind.Service), cmp.Compare(a.Kind.Model, b.Kind.Model), cmp.Compare(a.Kind.Route, b.Kind.Route))
-	})
-	return result
+	return mean.value(), true
 }
 
 // negligible is the weight below which a record is forgotten: kinds come and go with the configuration.
@@ -178,5 +167,7 @@
 	}
 	e.sweepAt = now + e.config.HalfLife
 	maps.DeleteFunc(e.records, func(_ recordKey, r *record) bool { return r.weightAt(now, e.config.HalfLife) < negligible })
-	maps.DeleteFunc(e.errors, func(_ Kind, m *decayedMean) bool { return m.weight*decayFactor(now-m.at, e.config.HalfLife) < negligible })
+	maps.DeleteFunc(e.errors, func(_ Kind, m *decayedMean) bool {
+		return m.weight*decayFactor(now-m.at, e.config.HalfLife) < negligible
+	})
 }
--- a/policy/cost/cost_test.go
+++ b/policy/cost/cost_test.go
@@ -59,12 +59,13 @@
 			}
 			e.Learn(now, cost.Sample{Kind: chat, Team: teams[c.random.IntN(4)], Stated: stated, Actual: actual, Complete: true})
 		}
+		off, known := e.ErrorOf(chat)
 		GinkgoWriter.Printf("mean absolute error in tokens: as stated %.1f, estimated %.1f; sum of estimates / actual %.3f; mean relative error %.2f\n",
-			stated0/n, expected0/n, sumExpected/sumActual, e.Errors()[0].Relative)
+			stated0/n, expected0/n, sumExpected/sumActual, off)
 		Expect(expected0).To(BeNumerically("<", 0.85*stated0))
 		Expect(sumExpected / sumActual).To(BeNumerically("~", 1, 0.05))
-		Expect(e.Errors()).To(HaveLen(1))
-		Expect(e.Errors()[0].Relative).To(BeNumerically("<", 0.6))
+		Expect(known).To(BeTrue())
+		Expect(off).To(BeNumerically("<", 0.6))
 	})
 
 	It("learns nothing from truncated answers, which are short when servers fail", func() {
@@ -109,15 +110,16 @@
 		}
 		Expect(e.Expect(4*time.Minute, chat, 200, 0)).To(BeNumerically(">", 120))
 		learn(time.Hour, digest, "a", 1, 50)
-		Expect(e.Errors()).To(HaveLen(1))
-		Expect(e.Errors()[0].Kind).To(Equal(digest))
+		_, known := e.ErrorOf(chat)
+		Expect(known).To(BeFalse())
 	})
 
 	It("ignores values that are no costs", func() {
 		for _, actual := range []float64{0, -1, math.NaN(), math.Inf(1)} {
 			e.Learn(0, cost.Sample{Kind: chat, Actual: actual, Complete: true})
 		}
-		Expect(e.Errors()).To(BeEmpty())
+		_, known := e.ErrorOf(chat)
+		Expect(known).To(BeFalse())
 		Expect(e.Expect(0, chat, 0, 0)).To(BeZero())
 	})
 })
--- a/policy/turns/turns.go
+++ b/policy/turns/turns.go
@@ -27,6 +27,7 @@
 
 	"github.com/skylarkpond/skylarkpond/policy/backoff"
 	"github.com/skylarkpond/skylarkpond/policy/capacity"
+	"github.com/skylarkpond/skylarkpond/policy/plain"
 	"github.com/skylarkpond/skylarkpond/policy/quota"
 )
 
@@ -45,6 +46,8 @@
 	GroupFormationTime time.Duration
 	// SuspectDuration is how long a silent group is granted no turns.
 	SuspectDuration time.Duration
+	// ByCost is set if the time that prompts take is learned.
+	ByCost bool
 }
 
 // DefaultConfig returns the default thresholds.
@@ -69,6 +72,8 @@
 	unconfirmed bool
 	// pauses holds what is known of heads that have rejected requests.
 	pauses map[string]*backoff.Server
+	// answers holds what is known of plain servers by their answers.
+	answers map[string]*plain.Record
 	// coldGrants counts the turns granted at cold heads.
 	coldGrants int
 	// rejectedAt holds the time of each rejection by fingerprint.
@@ -78,6 +83,8 @@
 type group struct {
 	Group
 	running int
+	// grantedAt is when a turn was last granted at the group.
+	grantedAt time.Duration
 	// suspectUntil is the time until which the group is granted no turns.
 	suspectUntil time.Duration
 	// prefillDoneAt is when the group is expected to have prefilled the prompts assigned to it.
@@ -93,6 +100,8 @@
 	grantedAt time.Duration
 	// meter and cold are those that permitted the turn; nil if the head had no limit, and was not cold.
 	meter, cold *quota.Meter
+	// ahead is what preceded its first token when it was granted.
+	ahead workAhead
 }
 
 // modelQueue is the queue of requests for one model.
@@ -102,6 +111,8 @@
 	// turn to the first token.
 	meanTurnTime time.Duration
 	firstToken   estimate
+	// prefill is learned if Config.ByCost is set.
+	prefill prefillFactor
 	// requests, granted and rejected are counted since the last call of Demands. newRequests counts those
 	// that are not retries, and totalSize sums their sizes.
 	requests, granted, rejected, newRequests int
@@ -122,7 +133,8 @@
 func New(config Config) *Scheduler {
 	return &Scheduler{
 		config: config, groups: make(map[string]*group), models: make(map[string]*modelQueue), turns: make(map[string]turn),
-		meters: make(map[string]*quota.Meter), pauses: make(map[string]*backoff.Server), rejectedAt: make(map[uint64]time.Duration),
+		meters: make(map[string]*quota.Meter), pauses: make(map[string]*backoff.Server), answers: make(map[string]*plain.Record),
+		rejectedAt: make(map[uint64]time.Duration),
 	}
 }
 
@@ -282,7 +294,8 @@
 
 func (s *Scheduler) grant(now time.Duration, g *group, request Request) Decision {
 	g.running++
-	g.prefillDoneAt = max(now, g.prefillDoneAt) + g.Engine.PrefillTime(request.Size.PromptTokens)
+	g.grantedAt = now
+	ahead := s.assignPrompt(now, g, request.Size.PromptTokens)
 	s.model(g.Model).granted++
 	meter := s.meters[g.Head]
 	if meter != nil {
@@ -295,7 +308,7 @@
 	if _, probe := s.mayGrant(now, g.Head, request.Client); probe {
 		s.pauses[g.Head].Probe(now, request.Key)
 	}
-	s.turns[request.Key] = turn{head: g.Head, grantedAt: now, meter: meter, cold: g.cold}
+	s.turns[request.Key] = turn{head: g.Head, grantedAt: now, meter: meter, cold: g.cold, ahead: ahead}
 	known := s.pauses[g.Head]
 	watched := known != nil && known.Watched() || meter != nil && meter.Unverified()
 	return Decision{Key: request.Key, Head: g.Head, Metered: meter != nil || g.cold != nil, Watched: watched}
