--- a/test/cooperative/pond_test.go
+++ b/test/cooperative/pond_test.go
@@ -162,9 +162,9 @@
 	desks   []*replica.Server
 	entries []*gatewayProcess
 	version int
-	// coldTime and coldPerSecond are in the configuration of the model service, from the next configure on.
+	// coldTime and coldRate are in the configuration of the model service, from the next configure on.
 	coldTime      time.Duration
-	coldPerSecond float64
+	coldRate float64
 	// settings are added to the environment of entries that are started.
 	settings []string
 }
@@ -286,7 +286,7 @@
 		Version: p.version, Routes: routes,
 		Services: []operator.Service{
 			{Name: "desk"},
-			{Name: "chat", ColdTime: p.coldTime.Seconds(), ColdPerSecond: p.coldPerSecond, Engine: &operator.Engine{
+			{Name: "chat", ColdTime: p.coldTime.Seconds(), ColdPerSecond: p.coldRate, Engine: &operator.Engine{
 				Slots: 8, LoadsPerSecond: 20, LoadsAtOnce: 6, OpenTime: 100, ReportLag: 100,
 				Models: []operator.Model{{Name: "large", Size: groupSize, DemandShare: 1, TimeFactor: 1, LoadTime: 1, WarmLoadTime: 0.2}},
 			}},
--- a/test/cooperative/standing_test.go
+++ b/test/cooperative/standing_test.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// coldPerSecond is the rate of cold servers. The rule allows 1.5 times as many and 5 more in any second, whatever arrives.
-	coldPerSecond = 6
+	// coldRate is the rate of cold servers. The rule allows 1.5 times as many and 5 more in any second, whatever arrives.
+	coldRate = 6
 	coldAllowed   = 14
 	// heardWithin is more than it takes until all entries know of a cold server by its registration.
 	heardWithin = time.Second
@@ -27,7 +27,7 @@
 func newPondWithColdRule(entries, groups int) (*pond, []*replica.Server) {
 	GinkgoHelper()
 	p, heads := newPondWithGroups(entries, groups)
-	p.coldTime, p.coldPerSecond = 2*time.Second, coldPerSecond
+	p.coldTime, p.coldRate = 2*time.Second, coldRate
 	p.configure()
 	time.Sleep(heardWithin)
 	return p, heads
@@ -57,7 +57,7 @@
 		expectAllServed(answers, time.Time{})
 		from = time.Now()
 		p.loadStreams(12*time.Millisecond, 3*time.Second, "warm")
-		Expect(heads[0].ArrivalsSince(from)).To(BeNumerically(">", 3*coldPerSecond))
+		Expect(heads[0].ArrivalsSince(from)).To(BeNumerically(">", 3*coldRate))
 	})
 
 	// Each leader counts anew, and the registration may say nothing.
@@ -108,7 +108,7 @@
 		DeferCleanup(engine.Close)
 		p.engines = append(p.engines, engine)
 	}
-	p.coldTime, p.coldPerSecond = 2*time.Second, coldPerSecond
+	p.coldTime, p.coldRate = 2*time.Second, coldRate
 	p.configure()
 	for i := range entries {
 		p.entries = append(p.entries, p.startEntry(i))
