--- a/test/cooperative/pond_test.go
+++ b/test/cooperative/pond_test.go
@@ -163,7 +163,7 @@
 	entries []*gatewayProcess
 	version int
 	// coldTime and coldRate are in the configuration of the model service, from the next configure on.
-	coldTime      time.Duration
+	coldTime time.Duration
 	coldRate float64
 	// settings are added to the environment of entries that are started.
 	settings []string
--- a/test/cooperative/standing_test.go
+++ b/test/cooperative/standing_test.go
@@ -15,8 +15,8 @@
 
 const (
 	// coldRate is the rate of cold servers. The rule allows 1.5 times as many and 5 more in any second, whatever arrives.
-	coldRate = 6
-	coldAllowed   = 14
+	coldRate    = 6
+	coldAllowed = 14
 	// heardWithin is more than it takes until all entries know of a cold server by its registration.
 	heardWithin = time.Second
 	// evacuatedWithin is half of the bound within which nothing may be sent to an evacuated failure domain.
