--- a/entry/standing/evacuation.go
+++ b/entry/standing/evacuation.go
@@ -53,8 +53,8 @@
 	return t.knowsEvacuations
 }
 
-// Permits reports whether a server may be sent anything but probes of the leader: its failure domain is not evacuated. A server that has not
-// been listed since its failure domain was evacuated is permitted, since its failure domain is not known.
+// Permits reports whether a server may be sent anything: its failure domain is not evacuated. An unreachable server is permitted, since it has to be
+// probed. So is a server that has not been listed since its failure domain was evacuated; its failure domain is not known.
 func (t *Tracker) Permits(to upstream.Endpoint) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/entry/standing/standing.go
+++ b/entry/standing/standing.go
@@ -37,7 +37,6 @@
 const (
 	Registered Source = "registration"
 	Answered   Source = "answer"
-	Returned   Source = "evacuation"
 )
 
 // Cold is a server that is cold, and for how much longer.
