link/upstream: a reset of a connection is no evidence that the process has ended

Cause: RefusesConnections counted resets like refusals. Three such dials on end let the controller take a group for dissolved whose head serves, a crash be blamed on requests that ran there, and a stream be resumed. Since the controller relies on it for groups (entry/grouping, gone.go), the head's VMs may get into two groups.

Change: only ECONNREFUSED, the answer where nothing listens, counts.

--- a/link/upstream/conn.go
+++ b/link/upstream/conn.go
@@ -58,15 +58,15 @@
 	return eris.Is(err, syscall.ECONNREFUSED) || eris.Is(err, syscall.ECONNRESET)
 }
 
-// RefusesConnections reports whether connections to address are refused or reset, which means that the process
-// has ended while its VM is still running.
+// RefusesConnections reports whether nothing listens at address, which means that the process has ended while its VM is still running. A reset
+// is no evidence: a process at the limit of its connections accepts further ones and resets them, and dialing may meet the reset.
 func RefusesConnections(ctx context.Context, address string) bool {
 	c, err := dial(ctx, nil, address)
 	if err == nil {
 		_ = c.Close()
 		return false
 	}
-	return isRefusal(err)
+	return eris.Is(err, syscall.ECONNREFUSED)
 }
 
 // isIdle reports whether the connection is open and has no data to read. Data that the server sends while no
--- a/link/upstream/upstream_test.go
+++ b/link/upstream/upstream_test.go
@@ -16,6 +16,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/skylarkpond/skylarkpond/internal/loopback"
 	"github.com/skylarkpond/skylarkpond/link/upstream"
 )
 
@@ -260,6 +261,20 @@
 })
 
 // Memory grew with each byte of a head, and a body that is thrown away was read until the deadline.
+var _ = Describe("RefusesConnections", func() {
+	// Guards against groups dissolved, and requests blamed for crashes, because a server at the limit of its connections resets further ones.
+	It("takes resets of accepted connections for a process that runs", func() {
+		proxy, err := loopback.NewProxy("127.0.0.1:0", "127.0.0.1:1")
+		Expect(err).NotTo(HaveOccurred())
+		proxy.SetFaults(loopback.Faults{Refuse: true})
+		for range 500 {
+			Expect(upstream.RefusesConnections(context.Background(), proxy.Address())).To(BeFalse())
+		}
+		Expect(proxy.Close()).To(Succeed())
+		Expect(upstream.RefusesConnections(context.Background(), proxy.Address())).To(BeTrue())
+	})
+})
+
 var _ = Describe("Responses without end", func() {
 	send := func(begin, repeated string) (written *atomic.Int64, err error) {
 		written = new(atomic.Int64)
