policy/grouping: a model keeps what losses take before its VMs are shared

Cause: with shared spare capacity the goals of all models grew, so that groups were also formed and converted by other rules after a loss. A group of 16 was also drained when four hosts had the weights of one group of 4, and loads overwrote weights of groups that were then lost.

Change: the goals stay those of kept. Only while no model is below its goal, a group is converted ahead of a rise. The donor keeps the groups that its demand fills and a reserve computed from the rate of losses and the time until a lost group is back; a group is drained only when all its hosts have the weights; no load starts for a group that is likely to be lost meanwhile; free VMs remain spares.

--- a/policy/grouping/convert.go
+++ b/policy/grouping/convert.go
@@ -76,13 +76,22 @@
 			continue
 		}
 		if best := d.bestConversion(model, pending); best != nil && best.missing == 0 {
-			d.converting[best.domain] = true
-			for _, group := range best.donors {
-				d.plan.Drain = append(d.plan.Drain, Drain{Domain: d.in.Domains[best.domain].Name, Head: group.Head, Model: group.Model, Recipient: model.Name})
-			}
+			d.drainDonors(best, model, false)
 			return
 		}
 	}
+	if best, recipient := d.surplusConversion(); best != nil && best.missing == 0 {
+		d.drainDonors(best, recipient, true)
+	}
+}
+
+func (d *decision) drainDonors(c *conversion, recipient Model, ahead bool) {
+	d.converting[c.domain] = true
+	for _, group := range c.donors {
+		d.plan.Drain = append(d.plan.Drain, Drain{
+			Domain: d.in.Domains[c.domain].Name, Head: group.Head, Model: group.Model, Recipient: recipient.Name, Ahead: ahead,
+		})
+	}
 }
 
 // planConversions loads the weights for conversions that are worth it.
@@ -198,7 +207,7 @@
 		return false
 	}
 	goal, have := d.goal(recipient), float64(d.counts[recipient.Name]+pending)
-	gain := shortfallCost(goal, have) - shortfallCost(goal, have+float64(d.gained(donor, recipient, groups)))
+	gain := shortfallCost(goal, have) - shortfallCost(goal, have+1)
 	goal = d.goal(donor)
 	return gain > conversionGainRatio*(shortfallCost(goal, float64(left))-shortfallCost(goal, float64(d.counts[donor.Name])))
 }
--- a/policy/grouping/grouping.go
+++ b/policy/grouping/grouping.go
@@ -91,7 +91,7 @@
 	// BeforeTraffic reports that no request has arrived yet. Loads are short then, and groups that need loads may be formed.
 	BeforeTraffic bool
 	// ShareSurplus divides the VMs that the demand leaves over among the models in proportion to their demand, so that each can grow by the same factor.
-	// Otherwise a model keeps what it has beyond its goal.
+	// A model keeps in reserve what losses are likely to take. Otherwise a model keeps what it has beyond its goal.
 	ShareSurplus bool
 	// LossRate is the fraction of the VMs in groups that is lost per second; 0 if unknown.
 	LossRate float64
@@ -128,6 +128,8 @@
 	Head      string
 	Model     string
 	Recipient string
+	// Ahead reports that the recipient has its goal and gets the VMs before its demand rises.
+	Ahead bool
 }
 
 // Plan lists the actions to take now.
@@ -172,7 +174,7 @@
 
 func newDecision(in Input) *decision {
 	d := &decision{
-		in: in, headroom: demandHeadroom, loads: in.AvailableLoads, counts: make(map[string]int), converting: make(map[int]bool),
+		in: in, loads: in.AvailableLoads, counts: make(map[string]int), converting: make(map[int]bool),
 		free: make([][]VM, len(in.Domains)), serving: make([][]ServingGroup, len(in.Domains)), groups: make([]map[string]int, len(in.Domains)),
 	}
 	for i, domain := range in.Domains {
@@ -188,17 +190,12 @@
 			d.counts[model] += n
 		}
 	}
-	if in.ShareSurplus {
-		d.headroom = d.surplusHeadroom()
-	}
 	return d
 }
 
 type decision struct {
-	in Input
-	// headroom is the number of groups to provide for each group that the requests would fill.
-	headroom float64
-	loads    int
+	in    Input
+	loads int
 	// counts is the number of groups by model, including those in the plan.
 	counts map[string]int
 	// free lists the remaining VMs by domain, and serving the serving groups. groups counts the groups by domain and model, including those
@@ -220,7 +217,7 @@
 // unknown, it is the model's number of groups if all VMs were divided in proportion to the shares.
 func (d *decision) goal(model Model) float64 {
 	if d.demandKnown() {
-		return max(1, d.headroom*model.DemandGroups)
+		return max(1, demandHeadroom*model.DemandGroups)
 	}
 	sum := 0.0
 	for _, other := range d.in.Models {
--- a/policy/grouping/model_test.go
+++ b/policy/grouping/model_test.go
@@ -1,7 +1,9 @@
 package grouping_test
 
 import (
+	"cmp"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -29,6 +31,32 @@
 	lost int
 	// reachable reports that no domain becomes unreachable.
 	reachable bool
+	// pairedLosses makes losses independent of which VMs are in groups, so that two policies are compared with the same VMs lost.
+	pairedLosses bool
+	// jumps reports that the demand for the small model jumps again and again.
+	jumps bool
+}
+
+// A jump in demand.
+const (
+	firstJump    = 13.0 // seconds
+	jumpInterval = 7.0
+	jumpDuration = 4.0
+	jumpFactor   = 1.5
+	jumpMeasured = 1.0 // after the jump begins or ends
+)
+
+// jumping reports whether the small model's demand is raised.
+func (s site) jumping(at float64) bool {
+	return s.jumps && at >= firstJump && math.Mod(at-firstJump, jumpInterval) < jumpDuration
+}
+
+// demand returns the number of groups that a model's demand fills at a moment.
+func (s site) demand(model string, at float64) float64 {
+	if model == "small" && s.jumping(at) {
+		return jumpFactor * s.need[model]
+	}
+	return s.need[model]
 }
 
 var (
@@ -121,6 +149,7 @@
 	group            *simGroup
 	dead             bool
 	unreachableUntil float64
+	lossOrder        float64 // with paired losses, the VMs of a zone are lost in this order
 }
 
 type simGroup struct {
@@ -159,7 +188,11 @@
 
 func (s *sim) add(domain int) {
 	s.next++
-	s.vms = append(s.vms, &simVM{id: fmt.Sprintf("vm%03d", s.next), domain: domain})
+	vm := &simVM{id: fmt.Sprintf("vm%03d", s.next), domain: domain}
+	if s.pairedLosses {
+		vm.lossOrder = s.r.Float64()
+	}
+	s.vms = append(s.vms, vm)
 }
 
 // start forms the groups before the first request, as if all loads completed immediately.
@@ -219,7 +252,7 @@
 		name := in.Models[i].Name
 		in.Models[i].LoadTime = time.Duration(s.loadTime[name] * float64(time.Second))
 		if s.now > demandKnown {
-			in.Models[i].DemandGroups = s.need[name]
+			in.Models[i].DemandGroups = s.demand(name, s.now-jumpMeasured)
 		}
 	}
 	state := func(vm *simVM) grouping.VM {
@@ -299,6 +332,10 @@
 		if len(grouped) == 0 {
 			grouped = all
 		}
+		if s.pairedLosses && len(all) > 0 {
+			s.loseVM(slices.MinFunc(all, func(a, b *simVM) int { return cmp.Compare(a.lossOrder, b.lossOrder) }), 0)
+			continue
+		}
 		if len(grouped) > 0 {
 			s.loseVM(grouped[s.r.IntN(len(grouped))], 0)
 		}
@@ -359,6 +396,7 @@
 type results struct {
 	served  float64            // fraction of the demand that is served, mean over time and models
 	byModel map[string]float64 // the same by model
+	inJumps float64            // the same for the small model while its demand is raised
 	idle    float64            // fraction of the VM-seconds outside serving groups
 }
 
@@ -368,7 +406,7 @@
 	steps := 0
 	losses, arrivals := played.losses, played.arrivals
 	slices.SortFunc(losses, func(a, b loss) int { return int(1000 * (a.at - b.at)) })
-	alive, serving := 0.0, 0.0
+	alive, serving, jumpSteps := 0.0, 0.0, 0.0
 	for s.now < runEnds {
 		s.advance()
 		for len(losses) > 0 && losses[0].at <= s.now {
@@ -396,12 +434,17 @@
 			}
 		}
 		for _, m := range s.models {
-			share := min(1, count[m.Name]/s.need[m.Name])
+			share := min(1, count[m.Name]/s.demand(m.Name, s.now))
+			if m.Name == "small" && s.jumping(s.now) {
+				f.inJumps += share
+				jumpSteps++
+			}
 			f.byModel[m.Name] += share
 			f.served += share / float64(len(s.models))
 		}
 	}
 	f.served /= float64(steps)
+	f.inJumps /= max(1, jumpSteps)
 	for name := range f.byModel {
 		f.byModel[name] /= float64(steps)
 	}
--- a/policy/grouping/stage.go
+++ b/policy/grouping/stage.go
@@ -48,6 +48,7 @@
 		}
 		d.stageVM(best.domain, best.vm, best.model)
 	}
+	d.planSurplusLoads()
 }
 
 // spareLoadBudget limits the loads spent on spares. Without the limit, a group that loses a member a second later would have to wait until
