entry/grouping: the log tells conversions ahead of a rise in demand from those for a model that lacks groups

The detail of group-dissolved was the same for both, so that an operator could not see shared spare capacity at work. go test ./grouping/ passes (88 s).

--- a/entry/grouping/dissolve.go
+++ b/entry/grouping/dissolve.go
@@ -49,7 +49,11 @@
 // startConversion drains a group whose VMs another model needs. Requests in progress are completed.
 func (c *Controller) startConversion(ctx context.Context, v *view, drain policy.Drain) {
 	head := v.servers[backend.ID(drain.Head)]
-	c.startDissolve(ctx, incompleteGroup{key: head.Group.GroupKey, head: head, reason: "its VMs are needed for " + drain.Recipient})
+	reason := "its VMs are needed for " + drain.Recipient
+	if drain.Ahead {
+		reason += " ahead of a rise in demand"
+	}
+	c.startDissolve(ctx, incompleteGroup{key: head.Group.GroupKey, head: head, reason: reason})
 }
 
 const (
