policy/turns: returning callers get the slots that new requests leave over

Cause: after the loss of all entries 700 returning callers take all slots at once, and new requests wait behind them for two seconds, though capacity exceeds their rate. With Config.ReserveForNew the scheduler keeps free of returning callers what new requests will occupy (their rate times the mean duration of a turn, and two standard deviations); at least 5% stay for returning callers. Unset, no decision changes.

--- a/policy/turns/end.go
+++ b/policy/turns/end.go
@@ -110,6 +110,7 @@
 func (s *Scheduler) release(key string) *group {
 	head := s.turns[key].head
 	delete(s.turns, key)
+	s.reserve.ended(key)
 	g := s.groups[head]
 	if g == nil {
 		return nil
@@ -148,6 +149,7 @@
 	next := New(s.config)
 	next.unconfirmed = s.unconfirmed
 	next.pauses = s.pauses
+	next.reserve = s.reserve
 	for key, t := range s.turns {
 		next.adopt(t.grantedAt, key, t.head)
 	}
--- a/policy/turns/request.go
+++ b/policy/turns/request.go
@@ -39,6 +39,11 @@
 	// fingerprint. The answer of a retry is late in any case, so it yields to requests of the same priority that can
 	// still be answered in time. Otherwise every request would be rejected once and then answered late.
 	Retry bool
+	// Team is that of the caller; empty if unknown. Deadline is what is left of the caller's deadline; 0 if unknown.
+	Team     string
+	Deadline time.Duration
+	// Returning is set by the scheduler if the caller returns after a failed attempt; see Config.ReserveForNew.
+	Returning bool
 	// TriedHeads are the heads of the groups that the request was already sent to.
 	TriedHeads []string
 	// Size is the number of tokens that the request needs.
@@ -80,6 +85,8 @@
 	// Limits describes the limits of the heads that a rejected request could have been sent to, and Pauses those that want no request.
 	Limits Limits
 	Pauses Pauses
+	// Returning describes the slots for returning callers, if the rejected request is of one.
+	Returning *ReturningSlots
 }
 
 // Pauses describes the heads that could serve a request and want none for a time.
--- /dev/null
+++ b/policy/turns/reserve.go
@@ -0,0 +1,284 @@
+package turns
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/skylarkpond/skylarkpond/policy/deadlines"
+)
+
+// This file keeps slots free for new requests while callers return after failed attempts.
+//
+// Load pattern: all entries lose power for a second. When they run again, the callers of that second return at once, beside the new ones, and nothing
+// remembers them. They take all slots, and the new requests wait behind them until their answers are late as well, though capacity exceeds their rate.
+// The answer of a returning caller is late in any case.
+//
+// A returning caller is recognized by the fingerprint of a request that was rejected, or by what is left of its deadline (package deadlines). It gets a
+// slot only while the slots that new requests will occupy stay free, or while returning callers occupy fewer than a small share. One that can't
+// have a slot soon is rejected at once, and told the next free place at the rate that new requests leave over. It is not new demand.
+
+const (
+	// minReturningShare is the share of a model's slots that returning callers may use however many new requests come, so that none starves.
+	minReturningShare = 0.05
+	// rateWindow is the time over which the rate of new requests is averaged. It is short, since a burst of new requests takes slots within a
+	// turn's duration of about a second.
+	rateWindow = time.Second
+	// storedRatePeriod is how long after the first request a stored rate is used if it is higher than the measured one: until then, not all
+	// entries have connected, and the average of rateWindow is not reached.
+	storedRatePeriod = 3 * time.Second
+	// reserveDeviations is the number of standard deviations of the number of new requests in progress, as of a Poisson process, for which slots
+	// are kept beyond its mean.
+	reserveDeviations = 2
+	// obeyedShare is the largest Retry-After that callers obey, as a share of their remaining deadline.
+	obeyedShare = 1.0 / 3
+	// returnSpread is the part of a Retry-After by which callers are spread that are all told the latest that they obey.
+	returnSpread = 0.3
+)
+
+// ReturningSlots describes the slots of a model's returning callers.
+type ReturningSlots struct {
+	// Running is the number of their requests in progress, and Allowed the largest number at the moment.
+	Running, Allowed int
+	// PerSecond is the rate at which new requests leave places over.
+	PerSecond float64
+}
+
+// ReturningCount counts the requests of returning callers to one model since the previous call of TakeReturning.
+type ReturningCount struct {
+	Model string
+	// Recognized counts those recognized by their remaining deadline, and Remembered those by their fingerprint.
+	Recognized, Remembered int
+	Granted, Rejected      int
+	// Bound is the lowest remaining deadline of new requests, by priority the lowest; 0 if unknown. NewPerSecond is the rate of new requests.
+	Bound        time.Duration
+	NewPerSecond float64
+	ReturningSlots
+}
+
+// reserve is what is known of returning callers. A nil reserve is that of a scheduler that does not tell them apart.
+type reserve struct {
+	usual  *deadlines.Learner
+	models map[string]*returningModel
+	// turns maps the keys of the turns that returning callers use to the models.
+	turns map[string]string
+}
+
+type returningModel struct {
+	newRate rateEstimate
+	running int
+	// promisedUntil is the time up to which places were promised to rejected returning callers.
+	promisedUntil time.Duration
+	count         ReturningCount
+}
+
+func newReserve() *reserve {
+	return &reserve{usual: deadlines.New(), models: make(map[string]*returningModel), turns: make(map[string]string)}
+}
+
+func (r *reserve) model(name string) *returningModel {
+	m := r.models[name]
+	if m == nil {
+		m = &returningModel{}
+		r.models[name] = m
+	}
+	return m
+}
+
+// markReturning marks retries, and the requests of returning callers, which count as retries. A request that an entry sends again because its server
+// failed is not one of a returning caller, who still waits for it, and neither is one whose remaining deadline is unknown.
+func (s *Scheduler) markReturning(now time.Duration, request Request) Request {
+	sentBefore := request.Retry
+	request = s.markRetry(now, request)
+	if s.reserve == nil || request.Optional || sentBefore || request.Deadline <= 0 || !s.hasGroup(request.Model) {
+		return request
+	}
+	m := s.reserve.model(request.Model)
+	kind := deadlines.Kind{Model: request.Model, Priority: request.Priority}
+	switch {
+	case request.Retry:
+		request.Returning = true
+		m.count.Remembered++
+	case len(request.TriedHeads) > 0:
+		request.Returning = s.reserve.usual.Recognize(kind, request.Team, request.Deadline)
+	default:
+		if request.Returning = s.reserve.usual.Observe(now, kind, request.Team, request.Deadline); request.Returning {
+			m.count.Recognized++
+		} else {
+			m.newRate.add(now)
+		}
+	}
+	if request.Returning {
+		request.Retry, request.FirstTokenBudget, request.MaxWait = true, 0, MaxRetryWait
+	}
+	return request
+}
+
+func (s *Scheduler) hasGroup(model string) bool {
+	for _, g := range s.groups {
+		if !g.removed && g.Model == model {
+			return true
+		}
+	}
+	return false
+}
+
+// groupFor is bestGroup, but returns nil for the request of a returning caller while all free slots are kept for new ones.
+func (s *Scheduler) groupFor(now time.Duration, request Request) *group {
+	if request.Returning {
+		if slots := s.returningSlots(now, request.Model); slots.Running >= slots.Allowed {
+			return nil
+		}
+	}
+	return s.bestGroup(now, request)
+}
+
+// returningSlots returns which slots returning callers use and may use. The number of new requests in progress is their rate times the duration of a
+// turn (Little's law).
+func (s *Scheduler) returningSlots(now time.Duration, model string) ReturningSlots {
+	m := s.reserve.model(model)
+	running, slots := s.slots(model)
+	rate := m.newRate.at(now)
+	expected := rate * s.model(model).meanTurnTime.Seconds()
+	kept := max(expected+reserveDeviations*math.Sqrt(expected), float64(running-m.running))
+	perSecond := 0.0
+	for _, g := range s.groups {
+		if !g.removed && !g.Standing.Blocked && g.Model == model && now >= g.suspectUntil {
+			perSecond += s.turnRate(g)
+		}
+	}
+	return ReturningSlots{
+		Running: m.running, Allowed: max(int(float64(slots)-kept), int(math.Ceil(minReturningShare*float64(slots)))),
+		PerSecond: max(perSecond-rate, minReturningShare*perSecond),
+	}
+}
+
+// returnWait estimates how long the request of a returning caller waits for a slot; 0 for others. It is beyond the longest wait if the caller's
+// deadline passes sooner.
+func (s *Scheduler) returnWait(now time.Duration, m *modelQueue, request Request) time.Duration {
+	if !request.Returning {
+		return 0
+	}
+	slots := s.returningSlots(now, request.Model)
+	missing := slots.Running - slots.Allowed + 1
+	for _, w := range m.queue {
+		if w.Returning && !request.precedes(w.Request) {
+			missing++
+		}
+	}
+	if missing <= 0 {
+		return 0
+	}
+	wait := perPlace(slots.PerSecond, missing)
+	if wait >= request.Deadline {
+		return max(wait, MaxRetryWait+1)
+	}
+	return wait
+}
+
+// perPlace returns the time in which a number of places become free; maxPromise at most.
+func perPlace(perSecond float64, places int) time.Duration {
+	if perSecond <= 0 {
+		return maxPromise
+	}
+	return min(maxPromise, time.Duration(float64(places)/perSecond*float64(time.Second)))
+}
+
+// describeReturn adds the slots of returning callers to a rejection, and replaces its Retry-After: each caller is told the next place after those
+// promised to others, but no later than it obeys.
+func (s *Scheduler) describeReturn(now time.Duration, request Request, d *Decision, random func() float64) {
+	if !request.Returning {
+		return
+	}
+	slots := s.returningSlots(now, request.Model)
+	d.Returning = &slots
+	if d.Reason != TooLate || d.Limits.Heads > 0 { // limited heads have promises of their own
+		return
+	}
+	latest := max(s.config.MinRetryAfter, time.Duration(obeyedShare*float64(request.Deadline)))
+	m := s.reserve.model(request.Model)
+	next := max(m.promisedUntil, now+s.config.MinRetryAfter, now+s.returnWait(now, s.model(request.Model), request))
+	if next-now > latest {
+		d.RetryAfter = time.Duration((1 - returnSpread*random()) * float64(latest))
+		return
+	}
+	m.promisedUntil = next + perPlace(slots.PerSecond, 1)
+	d.RetryAfter = next - now
+}
+
+func (r *reserve) granted(request Request) {
+	if r == nil || !request.Returning {
+		return
+	}
+	m := r.model(request.Model)
+	m.running++
+	m.count.Granted++
+	r.turns[request.Key] = request.Model
+}
+
+func (r *reserve) rejected(request Request) {
+	if r != nil && request.Returning {
+		r.model(request.Model).count.Rejected++
+	}
+}
+
+// ended records the end of a turn.
+func (r *reserve) ended(key string) {
+	if r == nil {
+		return
+	}
+	if model, ok := r.turns[key]; ok {
+		delete(r.turns, key)
+		r.model(model).running--
+	}
+}
+
+// TakeReturning returns the counts of the models to which callers have returned since the last call, sorted by name.
+func (s *Scheduler) TakeReturning(now time.Duration) []ReturningCount {
+	if s.reserve == nil {
+		return nil
+	}
+	var counts []ReturningCount
+	for name, m := range s.reserve.models {
+		count := m.count
+		m.count = ReturningCount{}
+		if count == (ReturningCount{}) {
+			continue
+		}
+		count.Model, count.Bound, count.NewPerSecond = name, s.reserve.usual.Lowest(name), m.newRate.at(now)
+		count.ReturningSlots = s.returningSlots(now, name)
+		counts = append(counts, count)
+	}
+	slices.SortFunc(counts, func(a, b ReturningCount) int { return strings.Compare(a.Model, b.Model) })
+	return counts
+}
+
+// rateEstimate is an exponentially weighted average of the rate of events.
+type rateEstimate struct {
+	perSecond float64
+	at0       time.Duration
+	// stored is the rate that an earlier scheduler measured, and storedUntil when its use ends; 0 until the first event.
+	stored      float64
+	storedUntil time.Duration
+}
+
+func (r *rateEstimate) add(now time.Duration) {
+	if r.stored > 0 && r.storedUntil == 0 {
+		r.storedUntil = now + storedRatePeriod
+	}
+	r.perSecond = r.measured(now) + 1/rateWindow.Seconds()
+	r.at0 = now
+}
+
+func (r *rateEstimate) measured(now time.Duration) float64 {
+	return r.perSecond * math.Exp(-(now-r.at0).Seconds()/rateWindow.Seconds())
+}
+
+// at returns the rate at a time.
+func (r *rateEstimate) at(now time.Duration) float64 {
+	if r.stored > 0 && (r.storedUntil == 0 || now < r.storedUntil) {
+		return max(r.stored, r.measured(now))
+	}
+	return r.measured(now)
+}
--- a/policy/turns/turns.go
+++ b/policy/turns/turns.go
@@ -45,6 +45,8 @@
 	GroupFormationTime time.Duration
 	// SuspectDuration is how long a silent group is granted no turns.
 	SuspectDuration time.Duration
+	// ReserveForNew keeps slots free for new requests while callers return whose requests were rejected or failed.
+	ReserveForNew bool
 }
 
 // DefaultConfig returns the default thresholds.
@@ -75,6 +77,8 @@
 	failing map[string]failureRun
 	// rejectedAt holds the time of each rejection by fingerprint.
 	rejectedAt map[uint64]time.Duration
+	// reserve is nil unless Config.ReserveForNew is set.
+	reserve *reserve
 }
 
 type group struct {
@@ -123,10 +127,14 @@
 
 // New returns a Scheduler without groups.
 func New(config Config) *Scheduler {
-	return &Scheduler{
+	s := &Scheduler{
 		config: config, groups: make(map[string]*group), models: make(map[string]*modelQueue), turns: make(map[string]turn),
 		meters: make(map[string]*quota.Meter), pauses: make(map[string]*backoff.Server), failing: make(map[string]failureRun), rejectedAt: make(map[uint64]time.Duration),
 	}
+	if config.ReserveForNew {
+		s.reserve = newReserve()
+	}
+	return s
 }
 
 // SetGroups sets the available groups and returns the decisions that this makes possible.
@@ -164,18 +172,21 @@
 // Submit decides on a request. If the result holds no decision for it, the request waits.
 func (s *Scheduler) Submit(now time.Duration, request Request, random func() float64) []Decision {
 	m := s.model(request.Model)
-	request = s.markRetry(now, request)
+	request = s.markReturning(now, request)
 	m.notePriority(now, request)
 	if request.Optional {
 		return []Decision{s.grantOrReject(now, m, request, random)}
 	}
 	m.countRequest(request)
-	if g := s.bestGroup(now, request); g != nil && len(m.queue) == 0 {
+	if g := s.groupFor(now, request); g != nil && len(m.queue) == 0 {
 		return []Decision{s.grant(now, g, request)}
 	}
 	if reason := s.unservable(now, request); reason != Granted {
 		return []Decision{s.reject(now, request, reason, random)}
 	}
+	if s.returnWait(now, m, request) > m.maxWait(request) {
+		return []Decision{s.reject(now, request, TooLate, random)}
+	}
 	if s.expectedWait(now, request, s.queuedAhead(m, request)) > m.maxWait(request) {
 		return []Decision{s.reject(now, request, TooLate, random)}
 	}
@@ -298,6 +309,7 @@
 	if _, probe := s.mayGrant(now, g.Head, request.Client); probe {
 		s.pauses[g.Head].Probe(now, request.Key)
 	}
+	s.reserve.granted(request)
 	s.turns[request.Key] = turn{head: g.Head, grantedAt: now, meter: meter, cold: g.cold, client: request.Client}
 	known := s.pauses[g.Head]
 	_, failing := s.failing[g.Head]
@@ -308,6 +320,7 @@
 func (s *Scheduler) reject(now time.Duration, request Request, reason Reason, random func() float64) Decision {
 	s.rejectedAt[request.Fingerprint] = now
 	s.model(request.Model).rejected++
+	s.reserve.rejected(request)
 	return s.rejection(now, request, reason, random)
 }
 
@@ -327,6 +340,7 @@
 	default:
 		d.RetryAfter = max(s.config.MinRetryAfter, s.expectedWait(now, request, d.Waiting), s.promise(now, request, d)) + jitter
 	}
+	s.describeReturn(now, request, &d, random)
 	return d
 }
 
@@ -366,7 +380,7 @@
 	var decisions []Decision
 	kept := m.queue[:0]
 	for _, w := range m.queue {
-		if g := s.bestGroup(now, w.Request); g != nil {
+		if g := s.groupFor(now, w.Request); g != nil {
 			decisions = append(decisions, s.grant(now, g, w.Request))
 			continue
 		}
