--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -142,7 +142,8 @@
 		Ages: cat.Ages, ReportHolds: s.holdsChanged,
 		AnnounceLeaving: func(leaving link.Leaving) bool { return cat.AnnounceLeaving(leaving, false) }, AnnouncedLeaving: cat.AnnouncedLeaving,
 		Confirmed: entryLease.Held, KnownLimits: func() []link.ServerLimit { return s.components.limits.Limits() }, ReportLimit: s.limitChanged,
-		LimitHeard: func(limit link.ServerLimit) { s.components.limits.Adopt(limit) },
+		LimitHeard:    func(limit link.ServerLimit) { s.components.limits.Adopt(limit) },
+		ReserveForNew: s.config.reservesForNew(), ReportReturning: s.returningReported,
 	})
 }
 
@@ -336,6 +337,7 @@
 		"pauses.servers":                 func() int64 { return int64(g.backoff.Count()) },
 		"servers.cold":                   func() int64 { cold, _ := g.standing.Counts(); return int64(cold) },
 		"evacuated.servers":              func() int64 { _, evacuated := g.standing.Counts(); return int64(evacuated) },
+		"returning.deadlines_known":      func() int64 { return int64(g.leader.KnownDeadlines()) },
 		"servers.isolated":               func() int64 { return boolToInt(g.isolation.Any()) },
 		"servers.listed":                 func() int64 { return int64(len(g.catalog.Listing().Servers)) },
 		"servers.revision":               func() int64 { return int64(g.catalog.Listing().Revision) },
--- a/entry/gateway/attachment.go
+++ b/entry/gateway/attachment.go
@@ -13,12 +13,14 @@
 type attachment struct {
 	Holds  json.RawMessage `json:"holds,omitempty"`
 	Limits json.RawMessage `json:"limits,omitempty"`
+	// Callers is what the leader has learned of callers that return.
+	Callers json.RawMessage `json:"callers,omitempty"`
 }
 
 // leaseAttachment returns the attachment of this entry's next write of the lease; nil if there is nothing to hold.
 func (s *shared) leaseAttachment() json.RawMessage {
-	held := attachment{Holds: s.components.suspects.Encode(), Limits: s.components.limits.Encode()}
-	if held.Holds == nil && held.Limits == nil {
+	held := attachment{Holds: s.components.suspects.Encode(), Limits: s.components.limits.Encode(), Callers: s.storedCallers()}
+	if held.Holds == nil && held.Limits == nil && held.Callers == nil {
 		return nil
 	}
 	body, err := json.Marshal(held)
@@ -42,6 +44,7 @@
 	} else if err := json.Unmarshal(body, &held); err != nil {
 		return eris.Wrap(err, "attachment of the lease")
 	}
+	s.restoreCallers(held.Callers)
 	if held.Limits != nil {
 		if err := s.components.limits.Restore(held.Limits); err != nil {
 			return err
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -65,7 +65,9 @@
 	unreachableLines *rate.Limiter
 	// evacuations holds the failure domains that operators evacuate. Only applyEvacuations uses it, whose calls don't overlap.
 	evacuations map[domain.FailureDomain]bool
-	started     time.Time
+	// callersFault is the fault of what the lease's attachment last held of callers. Only the lease's own goroutine uses it.
+	callersFault string
+	started      time.Time
 
 	components *components
 }
--- a/entry/leader/demand.go
+++ b/entry/leader/demand.go
@@ -20,6 +20,7 @@
 	for _, demand := range demands {
 		l.deps.ReportDemand(demand)
 	}
+	l.reportReturning()
 }
 
 const (
--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -86,6 +86,10 @@
 	RoundEnded func()
 	// ReportHolds is called when the requests of a service that are held back, because they crash servers, change.
 	ReportHolds func(holds link.Holds)
+	// ReserveForNew keeps slots free for new requests while callers return after failed attempts.
+	ReserveForNew bool
+	// ReportReturning is called once in demandInterval for each model to which callers return; nil unless ReserveForNew is set.
+	ReportReturning func(count policy.ReturningCount)
 }
 
 // Leader implements link/leader.Handler. It is safe for concurrent use.
@@ -153,7 +157,7 @@
 // New returns a Leader that is not leading.
 func New(deps Deps) *Leader {
 	return &Leader{
-		deps: deps, started: time.Now(), turns: policy.New(policy.DefaultConfig()), followers: make(map[string]*follower),
+		deps: deps, started: time.Now(), turns: policy.New(turnsConfig(deps)), followers: make(map[string]*follower),
 		probes: make(map[uint64]indirectProbe), demand: make(map[string]*modelDemand),
 		progress: make(map[store.Kind]*progress), announced: make(map[string]bool), newFollowers: make(map[string]bool),
 		holds: newHoldTracker(), limits: newLimitTracker(), pausedProcesses: make(map[backend.ID]int64), isolated: make(map[string]bool), isolationChanged: make(map[string]bool),
--- a/entry/leader/turns.go
+++ b/entry/leader/turns.go
@@ -49,6 +49,7 @@
 	key := turnKey(entry, request.Key)
 	l.turns.SetConfirmed(l.now(), l.deps.Confirmed()) // this process may have been suspended since the last tick
 	decisions := l.turns.Submit(l.now(), policy.Request{
+		Team: request.Team, Deadline: deadlineOf(request),
 		Key: key, Client: entry, Model: modelKey(request.Service, request.Model),
 		FirstTokenBudget: time.Duration(request.FirstTokenBudgetMs) * time.Millisecond, MaxWait: time.Duration(request.MaxWaitMs) * time.Millisecond, Priority: request.Priority, TriedHeads: tried,
 		Retry: request.Retry, Fingerprint: request.Fingerprint, Optional: request.Optional, Size: capacity.RequestSize{PromptTokens: float64(request.PromptTokens), OutputTokens: float64(request.OutputTokens)},
@@ -110,6 +111,7 @@
 	if d.Pauses.Heads > 0 {
 		text += fmt.Sprintf(", %d servers want no requests of this entry: %s for another %v", d.Pauses.Heads, d.Pauses.First, d.Pauses.Left.Round(time.Millisecond))
 	}
+	text += describeReturning(d.Returning)
 	if d.Limits.Heads == 0 {
 		return text
 	}
--- a/entry/turn/remote.go
+++ b/entry/turn/remote.go
@@ -142,6 +142,7 @@
 		Key: key, Service: request.Service, Model: request.Model, MaxWaitMs: request.MaxWait.Milliseconds(),
 		Priority: request.Priority, Tried: request.Tried, Retry: request.Retry,
 		PromptTokens: request.PromptTokens, OutputTokens: request.OutputTokens, FirstTokenBudgetMs: request.FirstTokenBudget.Milliseconds(), Fingerprint: request.Fingerprint, Optional: request.Optional,
+		Team: request.Team, DeadlineMs: request.Deadline.Milliseconds(),
 	}})
 	return key, replies
 }
--- a/entry/turn/turn.go
+++ b/entry/turn/turn.go
@@ -34,6 +34,9 @@
 	// none.
 	Retry       bool
 	Fingerprint uint64
+	// Team is that of the caller; empty if unknown. Deadline is what is left of the caller's deadline; 0 if unknown.
+	Team     string
+	Deadline time.Duration
 	// Tried lists the servers that the request was sent to before.
 	Tried []backend.ID
 	// PromptTokens is the length of the prompt and OutputTokens the expected length of the answer, in tokens; 0 if
--- a/link/leader/leader.go
+++ b/link/leader/leader.go
@@ -244,6 +244,10 @@
 	Fingerprint uint64 `cbor:"11,keyasint,omitempty"`
 	// Optional reports that the request is served otherwise unless it is granted a turn at once.
 	Optional bool `cbor:"12,keyasint,omitempty"`
+	// Team is that of the caller; empty if unknown.
+	Team string `cbor:"13,keyasint,omitempty"`
+	// DeadlineMs is what is left of the caller's deadline; 0 if unknown.
+	DeadlineMs int64 `cbor:"14,keyasint,omitempty"`
 }
 
 // Done ends a turn, or cancels a request that waits for one.
--- a/logline/names.go
+++ b/logline/names.go
@@ -43,5 +43,7 @@
 	ServerWarm        = "backend server is no longer cold"
 	ColdInvalid       = "backend server names a time to be cold that can't be read"
 	EvacuationBegins  = "failure domain is evacuated"
+	CallersReturn     = "callers return"
+	CallersInvalid    = "stored deadlines of callers can't be read"
 	EvacuationEnds    = "evacuation of a failure domain is over"
 )
