policy/turns: unrecognized returning callers keep slots from the recognized ones at once

Cause: the rate of new requests was averaged over 1 s from 0. In the first half second after a loss of all entries it was too low, 126 of 646 slots were given to recognized returning callers, and the 240 that are not recognized filled the rest: of the new requests sent from 0.5 to 1 s, 0.626 were on time.

The average is taken since the first request while that is less than its window, which is 0.4 s; one standard deviation is kept instead of two; a returning caller whose answer would come after its deadline is rejected instead of waiting.

--- a/policy/turns/reserve.go
+++ b/policy/turns/reserve.go
@@ -22,15 +22,17 @@
 const (
 	// minReturningShare is the share of a model's slots that returning callers may use however many new requests come, so that none starves.
 	minReturningShare = 0.05
-	// rateWindow is the time over which the rate of new requests is averaged. It is short, since a burst of new requests takes slots within a
-	// turn's duration of about a second.
-	rateWindow = time.Second
+	// rateWindow is the time over which the rate of new requests is averaged. With 1 s, the surge of unrecognized returning callers kept slots from
+	// the others for too long: 0.71 of them were served instead of 0.86.
+	rateWindow = 400 * time.Millisecond
+	// minRateAge is the shortest time over which it is averaged.
+	minRateAge = 100 * time.Millisecond
 	// storedRatePeriod is how long after the first request a stored rate is used if it is higher than the measured one: until then, not all
-	// entries have connected, and the average of rateWindow is not reached.
+	// entries have connected.
 	storedRatePeriod = 3 * time.Second
 	// reserveDeviations is the number of standard deviations of the number of new requests in progress, as of a Poisson process, for which slots
-	// are kept beyond its mean.
-	reserveDeviations = 2
+	// are kept beyond its mean. With 2, 0.83 of the returning callers were served instead of 0.86, and as many new requests on time.
+	reserveDeviations = 1
 	// obeyedShare is the largest Retry-After that callers obey, as a share of their remaining deadline.
 	obeyedShare = 1.0 / 3
 	// returnSpread is the part of a Retry-After by which callers are spread that are all told the latest that they obey.
@@ -154,8 +156,8 @@
 	}
 }
 
-// returnWait estimates how long the request of a returning caller waits for a slot; 0 for others. It is beyond the longest wait if the caller's
-// deadline passes sooner.
+// returnWait estimates how long the request of a returning caller waits for a slot; 0 for others. It is beyond the longest wait if the answer would
+// then come after the caller's deadline.
 func (s *Scheduler) returnWait(now time.Duration, m *modelQueue, request Request) time.Duration {
 	if !request.Returning {
 		return 0
@@ -171,7 +173,7 @@
 		return 0
 	}
 	wait := perPlace(slots.PerSecond, missing)
-	if wait >= request.Deadline {
+	if wait+m.meanTurnTime >= request.Deadline {
 		return max(wait, MaxRetryWait+1)
 	}
 	return wait
@@ -254,31 +256,38 @@
 	return counts
 }
 
-// rateEstimate is an exponentially weighted average of the rate of events.
+// rateEstimate is an exponentially weighted average of the rate of events, over the time since the first one while that is short: right after the loss
+// of all entries, returning callers that are not recognized take slots like new ones, and an average that starts at 0 would show that too late.
 type rateEstimate struct {
-	perSecond float64
-	at0       time.Duration
-	// stored is the rate that an earlier scheduler measured, and storedUntil when its use ends; 0 until the first event.
-	stored      float64
-	storedUntil time.Duration
+	// perSecond is the sum of the events' weights at updatedAt, divided by rateWindow. began is the time of the first event.
+	perSecond        float64
+	updatedAt, began time.Duration
+	started          bool
+	// stored is the rate that an earlier scheduler measured.
+	stored float64
 }
 
 func (r *rateEstimate) add(now time.Duration) {
-	if r.stored > 0 && r.storedUntil == 0 {
-		r.storedUntil = now + storedRatePeriod
+	if !r.started {
+		r.started, r.began = true, now
 	}
-	r.perSecond = r.measured(now) + 1/rateWindow.Seconds()
-	r.at0 = now
+	r.perSecond = r.decayed(now) + 1/rateWindow.Seconds()
+	r.updatedAt = now
 }
 
-func (r *rateEstimate) measured(now time.Duration) float64 {
-	return r.perSecond * math.Exp(-(now-r.at0).Seconds()/rateWindow.Seconds())
+func (r *rateEstimate) decayed(now time.Duration) float64 {
+	return r.perSecond * math.Exp(-(now-r.updatedAt).Seconds()/rateWindow.Seconds())
 }
 
 // at returns the rate at a time.
 func (r *rateEstimate) at(now time.Duration) float64 {
-	if r.stored > 0 && (r.storedUntil == 0 || now < r.storedUntil) {
-		return max(r.stored, r.measured(now))
+	if !r.started {
+		return r.stored
 	}
-	return r.measured(now)
+	age := max(minRateAge, now-r.began)
+	measured := r.decayed(now) / (1 - math.Exp(-age.Seconds()/rateWindow.Seconds()))
+	if now-r.began < storedRatePeriod {
+		return max(r.stored, measured)
+	}
+	return measured
 }
--- a/policy/turns/returning_load_test.go
+++ b/policy/turns/returning_load_test.go
@@ -224,9 +224,9 @@
 			Expect(reserve.demand).To(BeNumerically("<", 0.7*float64(queue.demand)))
 		}
 	},
-		Entry("at 0.6 of the capacity", 285.0, 0.02, 0.01, uint64(1)),
-		Entry("at 0.74 of the capacity, as traced", 350.0, 0.08, 0.07, uint64(1), uint64(2), uint64(3)),
-		Entry("at 1.1 of the capacity, where new requests leave nothing over", 522.0, 0.15, 0.4, uint64(1)),
+		Entry("at 0.6 of the capacity", 285.0, 0.08, 0.01, uint64(1)),
+		Entry("at 0.74 of the capacity, as traced", 350.0, 0.15, 0.12, uint64(1), uint64(2), uint64(3)),
+		Entry("at 1.1 of the capacity, where new requests leave nothing over", 522.0, 0.2, 0.4, uint64(1)),
 	)
 
 	// Guards against a leader that needs what the lease held: the platform may be unavailable, or the former leader of an older version.
@@ -235,7 +235,7 @@
 		reserve := afterLoss(1, 350, true, func(t *returnTrial) { t.learned = false })
 		Expect(reserve.demand).To(BeNumerically("~", queue.demand, 0.02*float64(queue.demand)))
 		Expect(reserve.newOnTime()).To(BeNumerically(">=", queue.newOnTime()))
-		Expect(reserve.returningServed()).To(BeNumerically(">=", queue.returningServed()-0.07))
+		Expect(reserve.returningServed()).To(BeNumerically(">=", queue.returningServed()-0.05))
 	})
 
 	// Guards against slots that are kept for the callers of entries that did not come back.
@@ -257,7 +257,7 @@
 			}
 		}
 		queue, reserve := afterLoss(1, 350, false, short), afterLoss(1, 350, true, short)
-		Expect(reserve.newOnTime()).To(BeNumerically(">=", queue.newOnTime()+0.08))
-		Expect(float64(reserve.teamOnTime) / float64(reserve.teamFresh)).To(BeNumerically(">", 0.85))
+		Expect(reserve.newOnTime()).To(BeNumerically(">=", queue.newOnTime()+0.15))
+		Expect(float64(reserve.teamOnTime) / float64(reserve.teamFresh)).To(BeNumerically(">", 0.95))
 	})
 })
