--- a/entry/leader/returning.go
+++ b/entry/leader/returning.go
@@ -20,8 +20,8 @@
 	return config
 }
 
-// deadlineOf returns what is left of the caller's deadline, or 0 if that does not matter. Plain services have no slots to reserve.
-func deadlineOf(request link.TurnRequest) time.Duration {
+// timeLeft returns the time until the caller's deadline, or 0 if it does not matter. Plain services have no slots to reserve.
+func timeLeft(request link.TurnRequest) time.Duration {
 	if request.Model == "" {
 		return 0
 	}
--- a/entry/leader/turns.go
+++ b/entry/leader/turns.go
@@ -49,7 +49,7 @@
 	key := turnKey(entry, request.Key)
 	l.turns.SetConfirmed(l.now(), l.deps.Confirmed()) // this process may have been suspended since the last tick
 	decisions := l.turns.Submit(l.now(), policy.Request{
-		Team: request.Team, Deadline: deadlineOf(request),
+		Team: request.Team, TimeLeft: timeLeft(request),
 		Key: key, Client: entry, Model: modelKey(request.Service, request.Model),
 		FirstTokenBudget: time.Duration(request.FirstTokenBudgetMs) * time.Millisecond, MaxWait: time.Duration(request.MaxWaitMs) * time.Millisecond, Priority: request.Priority, TriedHeads: tried,
 		Retry: request.Retry, Fingerprint: request.Fingerprint, Optional: request.Optional, Size: capacity.RequestSize{PromptTokens: float64(request.PromptTokens), OutputTokens: float64(request.OutputTokens)},
--- a/policy/turns/request.go
+++ b/policy/turns/request.go
@@ -25,6 +25,10 @@
 	Model string
 	// Client is the entry that sends the request.
 	Client string
+	// Team is the team whose key the request carries; empty if the route needs no key or the entry does not send it.
+	Team string
+	// TimeLeft is the time until the deadline of the caller; 0 if unknown.
+	TimeLeft time.Duration
 	// FirstTokenBudget is the time left until the first token is due; 0 if waiting longer makes no difference.
 	FirstTokenBudget time.Duration
 	// MaxWait is the longest time that the request may wait for its turn.
@@ -39,9 +43,6 @@
 	// fingerprint. The answer of a retry is late in any case, so it yields to requests of the same priority that can
 	// still be answered in time. Otherwise every request would be rejected once and then answered late.
 	Retry bool
-	// Team is that of the caller; empty if unknown. Deadline is what is left of the caller's deadline; 0 if unknown.
-	Team     string
-	Deadline time.Duration
 	// Returning is set by the scheduler if the caller returns after a failed attempt; see Config.ReserveForNew.
 	Returning bool
 	// TriedHeads are the heads of the groups that the request was already sent to.
--- a/policy/turns/reserve.go
+++ b/policy/turns/reserve.go
@@ -93,7 +93,7 @@
 func (s *Scheduler) markReturning(now time.Duration, request Request) Request {
 	sentBefore := request.Retry
 	request = s.markRetry(now, request)
-	if s.reserve == nil || request.Optional || sentBefore || request.Deadline <= 0 || !s.hasGroup(request.Model) {
+	if s.reserve == nil || request.Optional || sentBefore || request.TimeLeft <= 0 || !s.hasGroup(request.Model) {
 		return request
 	}
 	m := s.reserve.model(request.Model)
@@ -103,9 +103,9 @@
 		request.Returning = true
 		m.count.Remembered++
 	case len(request.TriedHeads) > 0:
-		request.Returning = s.reserve.usual.Recognize(kind, request.Team, request.Deadline)
+		request.Returning = s.reserve.usual.Recognize(kind, request.Team, request.TimeLeft)
 	default:
-		if request.Returning = s.reserve.usual.Observe(now, kind, request.Team, request.Deadline); request.Returning {
+		if request.Returning = s.reserve.usual.Observe(now, kind, request.Team, request.TimeLeft); request.Returning {
 			m.count.Recognized++
 		} else {
 			m.newRate.add(now)
@@ -173,7 +173,7 @@
 		return 0
 	}
 	wait := perPlace(slots.PerSecond, missing)
-	if wait+m.meanTurnTime >= request.Deadline {
+	if wait+m.meanTurnTime >= request.TimeLeft {
 		return max(wait, MaxRetryWait+1)
 	}
 	return wait
@@ -198,7 +198,7 @@
 	if d.Reason != TooLate || d.Limits.Heads > 0 { // limited heads have promises of their own
 		return
 	}
-	latest := max(s.config.MinRetryAfter, time.Duration(obeyedShare*float64(request.Deadline)))
+	latest := max(s.config.MinRetryAfter, time.Duration(obeyedShare*float64(request.TimeLeft)))
 	m := s.reserve.model(request.Model)
 	next := max(m.promisedUntil, now+s.config.MinRetryAfter, now+s.returnWait(now, s.model(request.Model), request))
 	if next-now > latest {
--- a/policy/turns/returning_load_test.go
+++ b/policy/turns/returning_load_test.go
@@ -133,7 +133,7 @@
 		budget, maxWait := turns.WaitBounds(returnObjective, 0, false)
 		t.apply(now, t.s.Submit(now, turns.Request{
 			Key: c.key, Model: "m", FirstTokenBudget: budget, MaxWait: maxWait, Fingerprint: uint64(c.prompt * 1e9),
-			Team: fmt.Sprint(c.team), Deadline: c.deadline - now, Size: capacity.RequestSize{PromptTokens: c.prompt},
+			Team: fmt.Sprint(c.team), TimeLeft: c.deadline - now, Size: capacity.RequestSize{PromptTokens: c.prompt},
 		}, t.r.Float64))
 	}
 }
