--- a/logline/find.go
+++ b/logline/find.go
@@ -69,7 +69,7 @@
 )
 
 // Find returns the lines that explain how one request ended, ordered by time: its own lines, events of the servers that it was sent to
-// and of their groups, limits of servers of its service, the demand for its model, who was the leader, and the state and lost connections of its entry. It returns nothing
+// and of their groups, limits of servers of its service, the demand for its model and callers that return to it, who was the leader, and the state and lost connections of its entry. It returns nothing
 // if no line records the end of the request: it was then served, or never arrived.
 func Find(lines []Line, request string) []Line {
 	i := slices.IndexFunc(lines, func(l Line) bool { return l.Message == RequestEnded && l.fields.Request == request })
@@ -98,7 +98,7 @@
 		return false
 	case RequestRejected, ServerCrashed:
 		return other.fields.Request == l.fields.Request
-	case Demand:
+	case Demand, CallersReturn:
 		_, model, _ := strings.Cut(other.fields.Model, "/")
 		return l.fields.Model != "" && model == l.fields.Model && other.Time.Sub(l.Time).Abs() <= demandWindow
 	case Lease, LeaseRefused, Linked, LinkEnded, Isolation, PlatformLost, PlatformRegained, Started, Leaving, Stopped, ConfigInForce, WorkStalled, WorkGoesOn:
--- a/logline/logline_test.go
+++ b/logline/logline_test.go
@@ -35,6 +35,8 @@
 {"entry":"e-1","msg":"request ended","request":"limited","outcome":"refused","servers":null,"service":"desk","took_ms":1,"time":"2026-01-01T00:00:07.500Z"}
 {"entry":"e-2","msg":"demand","model":"chat/large","time":"2026-01-01T00:00:09.800Z"}
 {"entry":"e-2","msg":"demand","model":"chat/small","time":"2026-01-01T00:00:09.800Z"}
+{"entry":"e-2","msg":"callers return","model":"chat/small","time":"2026-01-01T00:00:09.900Z"}
+{"entry":"e-1","msg":"request ended","request":"returned","outcome":"refused","servers":null,"model":"small","took_ms":1,"time":"2026-01-01T00:00:10.000Z"}
 `
 
 func find(request string) []string {
@@ -67,5 +69,10 @@
 		}))
 	})
 
+	It("finds the callers that return to the model of a refused request", func() {
+		Expect(find("returned")).To(ContainElements("e-2 demand", "e-2 callers return"))
+		Expect(find("unsent")).NotTo(ContainElement("e-2 callers return"))
+	})
+
 	It("finds nothing for a request that no line mentions", func() { Expect(find("served")).To(BeEmpty()) })
 })
