policy/turns: a stored rate of new requests ends though no new request comes

Its 3 s began with the first new request. A model to which only recognized returning callers come would have kept their slots free for ever, save 5%.

No spec shows the fault: in each, some returning callers are not recognized and count as new.

--- a/policy/turns/reserve.go
+++ b/policy/turns/reserve.go
@@ -97,6 +97,7 @@
 		return request
 	}
 	m := s.reserve.model(request.Model)
+	m.newRate.begin(now)
 	kind := deadlines.Kind{Model: request.Model, Priority: request.Priority}
 	switch {
 	case request.Retry:
@@ -256,10 +257,10 @@
 	return counts
 }
 
-// rateEstimate is an exponentially weighted average of the rate of events, over the time since the first one while that is short: right after the loss
+// rateEstimate is an exponentially weighted average of the rate of events, over the time since begin while that is short: right after the loss
 // of all entries, returning callers that are not recognized take slots like new ones, and an average that starts at 0 would show that too late.
 type rateEstimate struct {
-	// perSecond is the sum of the events' weights at updatedAt, divided by rateWindow. began is the time of the first event.
+	// perSecond is the sum of the events' weights at updatedAt, divided by rateWindow. began is when begin was first called.
 	perSecond        float64
 	updatedAt, began time.Duration
 	started          bool
@@ -267,10 +268,14 @@
 	stored float64
 }
 
-func (r *rateEstimate) add(now time.Duration) {
+// begin records that requests arrive, of whatever kind.
+func (r *rateEstimate) begin(now time.Duration) {
 	if !r.started {
 		r.started, r.began = true, now
 	}
+}
+
+func (r *rateEstimate) add(now time.Duration) {
 	r.perSecond = r.decayed(now) + 1/rateWindow.Seconds()
 	r.updatedAt = now
 }
