policy/turns: returning callers get turns at the rate that new requests leave over of what groups sustain

Cause: after the loss of all entries nearly all slots are free, so that the share of the slots held hundreds of returning callers back only once these had taken theirs. Their prompts reached the groups within 0.5 s: first tokens took 0.5 s for two seconds, also those of new requests. By the time that turns take, the groups seem to serve more than they sustain as long as most slots are free.

Change: the rate left over is bounded by what the engines sustain with all slots used, and returning callers get turns at that rate.

--- a/policy/turns/reserve.go
+++ b/policy/turns/reserve.go
@@ -70,6 +70,7 @@
 type returningModel struct {
 	newRate rateEstimate
 	running int
+	pace    pace
 	// promisedUntil is the time up to which places were promised to rejected returning callers.
 	promisedUntil time.Duration
 	count         ReturningCount
@@ -98,6 +99,7 @@
 	}
 	m := s.reserve.model(request.Model)
 	m.newRate.begin(now)
+	m.pace.note(request.Size)
 	kind := deadlines.Kind{Model: request.Model, Priority: request.Priority}
 	switch {
 	case request.Retry:
@@ -130,7 +132,8 @@
 // groupFor is bestGroup, but returns nil for the request of a returning caller while all free slots are kept for new ones.
 func (s *Scheduler) groupFor(now time.Duration, request Request) *group {
 	if request.Returning {
-		if slots := s.returningSlots(now, request.Model); slots.Running >= slots.Allowed {
+		slots := s.returningSlots(now, request.Model)
+		if slots.Running >= slots.Allowed || now < s.reserve.model(request.Model).pace.next {
 			return nil
 		}
 	}
@@ -148,7 +151,7 @@
 	perSecond := 0.0
 	for _, g := range s.groups {
 		if !g.removed && !g.Standing.Blocked && g.Model == model && now >= g.suspectUntil {
-			perSecond += s.turnRate(g)
+			perSecond += s.sustainedRate(g, m.pace.size)
 		}
 	}
 	return ReturningSlots{
@@ -164,16 +167,17 @@
 		return 0
 	}
 	slots := s.returningSlots(now, request.Model)
-	missing := slots.Running - slots.Allowed + 1
+	ahead := 0
 	for _, w := range m.queue {
 		if w.Returning && !request.precedes(w.Request) {
-			missing++
+			ahead++
 		}
 	}
-	if missing <= 0 {
+	missing := max(0, slots.Running-slots.Allowed+1+ahead)
+	wait := max(perPlace(slots.PerSecond, missing), s.reserve.model(request.Model).pace.next-now+perPlace(slots.PerSecond, ahead))
+	if wait <= 0 {
 		return 0
 	}
-	wait := perPlace(slots.PerSecond, missing)
 	if wait+m.meanTurnTime >= request.TimeLeft {
 		return max(wait, MaxRetryWait+1)
 	}
@@ -210,11 +214,14 @@
 	d.RetryAfter = next - now
 }
 
-func (r *reserve) granted(request Request) {
+// returningGranted records a turn of a returning caller.
+func (s *Scheduler) returningGranted(now time.Duration, request Request) {
+	r := s.reserve
 	if r == nil || !request.Returning {
 		return
 	}
 	m := r.model(request.Model)
+	m.pace.granted(now, s.returningSlots(now, request.Model).PerSecond)
 	m.running++
 	m.count.Granted++
 	r.turns[request.Key] = request.Model
--- a/policy/turns/turns.go
+++ b/policy/turns/turns.go
@@ -309,7 +309,7 @@
 	if _, probe := s.mayGrant(now, g.Head, request.Client); probe {
 		s.pauses[g.Head].Probe(now, request.Key)
 	}
-	s.reserve.granted(request)
+	s.returningGranted(now, request)
 	s.turns[request.Key] = turn{head: g.Head, grantedAt: now, meter: meter, cold: g.cold, client: request.Client}
 	known := s.pauses[g.Head]
 	_, failing := s.failing[g.Head]
