entry/turn: a process suspended right after its start waits for what other entries know

An entry was killed, started at 46.671 s, was suspended from 46.925 to 48.850 s, and was linked to the leader at 49.334 s. A process waits for 1.5 s after its start for the servers' limits; by the clock that time had passed while it was suspended, so that it decided by itself and sent what it had to a server whose limit (0) only the others knew.

Change: the time counts in steps of 0.25 s at most between moments in which the process is seen to run.

Measured: the new spec fails before (a turn was granted) and passes after; entry/turn passes.

--- a/entry/turn/local.go
+++ b/entry/turn/local.go
@@ -22,11 +22,12 @@
 	table   func() *route.Table
 	limits  Limits
 	pauses  Pauses
-	// started is when the process started.
-	started time.Time
 
-	mu    sync.Mutex // guards loads; no other lock of this package is taken while it is held, but those of pauses
+	mu    sync.Mutex // guards the fields below; no other lock of this package is taken while it is held, but those of pauses
 	loads map[backend.ID]*load
+	// runningFor is for how long this process has been seen to run since its start, up to seenAt.
+	runningFor time.Duration
+	seenAt     time.Time
 }
 
 // load is the known load of one server.
@@ -60,7 +61,7 @@
 
 // NewLocal returns a Local. The age function returns how long ago the listing was last known to be current.
 func NewLocal(listing func() *backend.Listing, age func() time.Duration, table func() *route.Table, limits Limits, pauses Pauses) *Local {
-	return &Local{listing: listing, listAge: age, table: table, limits: limits, pauses: pauses, started: time.Now(), loads: make(map[backend.ID]*load)}
+	return &Local{listing: listing, listAge: age, table: table, limits: limits, pauses: pauses, seenAt: time.Now(), loads: make(map[backend.ID]*load)}
 }
 
 // Acquire implements Source. It returns a turn at the least loaded server. Servers with a limit get none: what other entries send to them is
@@ -198,9 +199,23 @@
 	listingPollInterval = 20 * time.Millisecond
 )
 
-// awaitListing waits until the first list of servers and their limits are known, ctx ends, or firstListingTimeout has passed since the start.
+// maxSeenStep is the longest time between two moments in which the process counts as running in between. One that was suspended right after its
+// start would otherwise send requests to servers whose limits it had no time to learn.
+const maxSeenStep = 250 * time.Millisecond
+
+// hasRunFor returns for how long this process has been seen to run since its start.
+func (l *Local) hasRunFor() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	l.runningFor += min(now.Sub(l.seenAt), maxSeenStep)
+	l.seenAt = now
+	return l.runningFor
+}
+
+// awaitListing waits until the first list of servers and their limits are known, ctx ends, or the process has run for firstListingTimeout.
 func (l *Local) awaitListing(ctx context.Context) {
-	for (l.listing().Revision == 0 || !l.limits.Informed()) && time.Since(l.started) < firstListingTimeout {
+	for (l.listing().Revision == 0 || !l.limits.Informed()) && l.hasRunFor() < firstListingTimeout {
 		if !wait.Pause(ctx, listingPollInterval) {
 			return
 		}
@@ -358,6 +373,7 @@
 
 // Sweep removes the load of servers that are no longer registered and have no request in progress.
 func (l *Local) Sweep() {
+	l.hasRunFor()
 	known := l.listing().Servers
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/entry/turn/turn_test.go
+++ b/entry/turn/turn_test.go
@@ -27,6 +27,8 @@
 	mu      sync.Mutex
 	limited []backend.ID
 	blocked map[backend.ID]bool
+	// uninformed is set while what other entries knew has not been learned.
+	uninformed atomic.Bool
 }
 
 func (l *fakeLimits) Blocked(server *backend.Server) bool { return l.blocked[server.ID] }
@@ -37,7 +39,7 @@
 	return slices.Contains(l.limited, server.ID)
 }
 
-func (l *fakeLimits) Informed() bool { return true }
+func (l *fakeLimits) Informed() bool { return !l.uninformed.Load() }
 
 var _ = Describe("Heads", func() {
 	engine := &route.Engine{Models: []route.Model{{Name: "large", Size: 2}}}
@@ -206,6 +208,26 @@
 		Expect(granted.Server.ID).To(Equal(server.ID))
 	})
 
+	// Guards against requests beyond the limit of a server, from a process that was suspended between its start and the link to the leader.
+	It("waits for the limits of servers if the process was suspended right after its start", func() {
+		server := &backend.Server{ID: "i-1", Service: "desk", Slots: 4}
+		listing := backend.NewListing(7, map[backend.ID]*backend.Server{"i-1": server})
+		table := route.NewTable(1, nil, []route.Service{{Name: "desk"}}, nil, route.Limits{})
+		limits := &fakeLimits{}
+		limits.uninformed.Store(true)
+		local := turn.NewLocal(func() *backend.Listing { return listing }, func() time.Duration { return 0 }, func() *route.Table { return table }, limits, noPauses())
+		time.Sleep(1600 * time.Millisecond) // nothing runs, as in a suspended process
+		time.AfterFunc(300*time.Millisecond, func() {
+			limits.mu.Lock()
+			limits.limited = []backend.ID{"i-1"}
+			limits.mu.Unlock()
+			limits.uninformed.Store(false)
+		})
+		granted, refusal := local.Acquire(context.Background(), turn.Request{Service: "desk"})
+		Expect(granted).To(BeNil())
+		Expect(refusal.RetryAfter).To(BeNumerically(">", 0))
+	})
+
 	// Without a bound, requests would wait until their deadline while the platform is down.
 	It("refuses requests if the first list does not come soon, and then at once", func() {
 		empty := func() *backend.Listing { return backend.NewListing(0, nil) }
