policy/turns: order of one model's requests by team, and Retry-After by the capacity left (Config.FairTeams, off)

Cause: the queue of a model is ordered by priority, new before retries, and arrival. In a burst the requests that are rejected are a matter of chance, so that 21 small teams lose the same share as the 3 that send 60% of the requests. Callers rejected together are told about the same time.

Change: among requests of equal priority that are both new or both retries, the team with fewer requests in progress at the model goes first (max-min fairness, fair.go). The wait estimate uses the same order, and a request that others overtake is rejected once it can't be served in time. A retry of a team with nothing in progress precedes new requests of teams that have some. Rejected callers are told the next place at the rate that new requests leave, or the latest useful time, a third of the time left (retryafter.go). Adopted turns carry the team.

--- a/policy/turns/demand.go
+++ b/policy/turns/demand.go
@@ -34,6 +34,8 @@
 	// MeanSize is the mean size of these requests.
 	NewRequests int
 	MeanSize    capacity.RequestSize
+	// Order describes the ordering by team; nil without Config.FairTeams.
+	Order *OrderStats
 }
 
 // Demands returns the demand of every model that was requested, sorted by name, and resets the counters.
@@ -54,6 +56,10 @@
 			}
 		}
 		d.Running, d.Slots = s.slots(name)
+		if s.config.FairTeams {
+			stats := m.orderStats()
+			d.Order = &stats
+		}
 		m.requests, m.granted, m.rejected, m.newRequests, m.totalSize = 0, 0, 0, 0, capacity.RequestSize{}
 		demands = append(demands, d)
 	}
--- a/policy/turns/end.go
+++ b/policy/turns/end.go
@@ -92,6 +92,11 @@
 // connection to the scheduler would be counted forever: the scheduler would take idle groups for full and reject
 // callers.
 func (s *Scheduler) Reconcile(now time.Duration, prefix string, held map[string]string, random func() float64) []Decision {
+	return s.ReconcileTeams(now, prefix, held, nil, random)
+}
+
+// ReconcileTeams is Reconcile with the teams of the requests in progress by key. Requests without one count toward an unnamed team.
+func (s *Scheduler) ReconcileTeams(now time.Duration, prefix string, held, teams map[string]string, random func() float64) []Decision {
 	for key := range s.turns {
 		if _, runs := held[key]; strings.HasPrefix(key, prefix) && !runs {
 			s.release(key)
@@ -101,20 +106,21 @@
 		m.queue = slices.DeleteFunc(m.queue, func(w queuedRequest) bool { return strings.HasPrefix(w.Key, prefix) })
 	}
 	for key, head := range held {
-		s.adopt(now, key, head)
+		s.adopt(now, key, head, teams[key])
 	}
 	return s.serveQueues(now, random)
 }
 
 // release removes a turn and returns its group, or nil if the group is unknown.
 func (s *Scheduler) release(key string) *group {
-	head := s.turns[key].head
+	head, team := s.turns[key].head, s.turns[key].team
 	delete(s.turns, key)
 	g := s.groups[head]
 	if g == nil {
 		return nil
 	}
 	g.running--
+	s.countTeam(g, team, -1)
 	if g.removed && g.running == 0 {
 		delete(s.groups, head)
 	}
@@ -122,7 +128,7 @@
 }
 
 // adopt records a turn that was granted by another scheduler.
-func (s *Scheduler) adopt(now time.Duration, key, head string) {
+func (s *Scheduler) adopt(now time.Duration, key, head, team string) {
 	if _, ok := s.turns[key]; ok {
 		return
 	}
@@ -132,7 +138,8 @@
 		s.groups[head] = g
 	}
 	g.running++
-	s.turns[key] = turn{head: head, grantedAt: now}
+	s.turns[key] = turn{head: head, grantedAt: now, team: team}
+	s.countTeam(g, team, 1)
 }
 
 // dequeue removes a waiting request.
@@ -149,7 +156,7 @@
 	next.unconfirmed = s.unconfirmed
 	next.pauses = s.pauses
 	for key, t := range s.turns {
-		next.adopt(t.grantedAt, key, t.head)
+		next.adopt(t.grantedAt, key, t.head, t.team)
 	}
 	return next
 }
--- a/policy/turns/load_test.go
+++ b/policy/turns/load_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -28,6 +29,32 @@
 	lost       int
 	total      int
 	retries    int
+	// load, if set, replaces perTick, and sender names the team of each caller.
+	load   func(now time.Duration) float64
+	sender func() string
+	// attempts is the number of times that a caller sends its request, 2 if 0.
+	attempts int
+	teams    map[string]*tally
+}
+
+// tally counts the callers of one team. rejections counts those that were rejected twice or more.
+type tally struct {
+	total, inTime, late, lost, rejectedAgain int
+	waited                                   time.Duration
+}
+
+func (t *tally) add(o tally) {
+	*t = tally{t.total + o.total, t.inTime + o.inTime, t.late + o.late, t.lost + o.lost, t.rejectedAgain + o.rejectedAgain, t.waited + o.waited}
+}
+
+func (t *trial) tally(team string) *tally {
+	if t.teams == nil {
+		t.teams = map[string]*tally{}
+	}
+	if t.teams[team] == nil {
+		t.teams[team] = &tally{}
+	}
+	return t.teams[team]
 }
 
 // strategy is the scheduler or a baseline.
@@ -92,6 +119,7 @@
 	key string
 	// fingerprint identifies the request in all its attempts.
 	fingerprint uint64
+	team        string
 	arrivedAt   time.Duration
 	attempts    int
 	nextAttempt time.Duration // time of the next attempt
@@ -120,22 +148,33 @@
 				c.endsAt = now + time.Duration(900+t.r.IntN(700))*time.Millisecond
 				first := now + t.firstToken - c.arrivedAt
 				c.resolved = true
+				t.tally(c.team).waited += first
 				switch {
 				case first <= t.objective:
 					t.inTime++
+					t.tally(c.team).inTime++
 				case first <= deadline:
 					t.late++
+					t.tally(c.team).late++
 				default:
 					t.lost++
+					t.tally(c.team).lost++
 				}
 				continue
 			}
-			if c.attempts >= 2 {
+			if c.attempts == 2 {
+				t.tally(c.team).rejectedAgain++
+			}
+			if c.attempts >= max(2, t.attempts) {
 				c.resolved = true
 				t.lost++
+				t.tally(c.team).lost++
 				continue
 			}
 			c.nextAttempt = now + d.RetryAfter
+			if t.load != nil { // callers obey no Retry-After of more than a third of the time that they have left
+				c.nextAttempt = now + min(d.RetryAfter, (c.arrivedAt+deadline-now)/3)
+			}
 		}
 	}
 	current := -1
@@ -144,9 +183,16 @@
 			current = n
 			apply(now, t.strategy.setGroups(now, n))
 		}
+		if t.load != nil {
+			t.perTick = t.load(now)
+		}
 		for range int(t.perTick) + boolToInt(t.r.Float64() < t.perTick-float64(int(t.perTick))) {
 			t.total++
 			c := &callerState{key: fmt.Sprint(t.total), fingerprint: uint64(t.total), arrivedAt: now, nextAttempt: now}
+			if t.sender != nil {
+				c.team = t.sender()
+			}
+			t.tally(c.team).total++
 			callers[c.key] = c
 			list = append(list, c)
 		}
@@ -161,9 +207,10 @@
 				if c.attempts > 1 {
 					t.retries++
 				}
-				budget, maxWait := turns.WaitBounds(t.objective, 0, false)
+				retry := strings.HasPrefix(c.team, "retries")
+				budget, maxWait := turns.WaitBounds(t.objective, 0, retry)
 				apply(now, t.strategy.submit(now, turns.Request{
-					Key: c.key, Model: "m", FirstTokenBudget: budget, MaxWait: maxWait, Fingerprint: c.fingerprint,
+					Retry: retry, Key: c.key, Model: "m", FirstTokenBudget: budget, MaxWait: maxWait, Fingerprint: c.fingerprint, Team: c.team, TimeLeft: c.arrivedAt + deadline - now,
 				}))
 			}
 		}
--- a/policy/turns/request.go
+++ b/policy/turns/request.go
@@ -25,6 +25,10 @@
 	Model string
 	// Client is the entry that sends the request.
 	Client string
+	// Team is the team whose key the request carries; empty if the route needs no key or the entry does not send it.
+	Team string
+	// TimeLeft is the time until the deadline of the caller; 0 if unknown.
+	TimeLeft time.Duration
 	// FirstTokenBudget is the time left until the first token is due; 0 if waiting longer makes no difference.
 	FirstTokenBudget time.Duration
 	// MaxWait is the longest time that the request may wait for its turn.
--- a/policy/turns/turns.go
+++ b/policy/turns/turns.go
@@ -45,6 +45,9 @@
 	GroupFormationTime time.Duration
 	// SuspectDuration is how long a silent group is granted no turns.
 	SuspectDuration time.Duration
+	// FairTeams orders requests of equal priority by the requests that their teams have in progress, and spreads
+	// Retry-After by the capacity that new requests leave; see fair.go and retryafter.go.
+	FairTeams bool
 }
 
 // DefaultConfig returns the default thresholds.
@@ -94,8 +97,8 @@
 	head      string
 	grantedAt time.Duration
 	// meter and cold are those that permitted the turn; nil if the head had no limit, and was not cold.
-	meter, cold *quota.Meter
-	client      string
+	meter, cold  *quota.Meter
+	client, team string
 }
 
 // modelQueue is the queue of requests for one model.
@@ -114,11 +117,16 @@
 	urgentAt time.Duration
 	// promisedUntil is the time up to which places were promised to the callers of rejected requests, while heads are limited.
 	promisedUntil time.Duration
+	// fair is the state that is kept only with Config.FairTeams.
+	fair fairState
 }
 
 type queuedRequest struct {
 	Request
 	enqueuedAt time.Duration
+	// arrival numbers the requests of a model in order of arrival, and rank is set by rankQueue; both only with Config.FairTeams.
+	arrival uint64
+	rank    int
 }
 
 // New returns a Scheduler without groups.
@@ -134,16 +142,21 @@
 	for _, g := range s.groups {
 		g.removed = true
 	}
+	modelChanged := false
 	for _, g := range groups {
 		known := s.groups[g.Head]
 		if known == nil {
 			known = &group{}
 			s.groups[g.Head] = known
 		}
+		modelChanged = modelChanged || known.running > 0 && known.Model != g.Model
 		known.Group = g
 		known.removed = false
 		s.meterCold(now, known)
 	}
+	if modelChanged {
+		s.recountTeams()
+	}
 	for head, g := range s.groups {
 		if g.removed && g.running == 0 {
 			delete(s.groups, head)
@@ -170,6 +183,7 @@
 		return []Decision{s.grantOrReject(now, m, request, random)}
 	}
 	m.countRequest(request)
+	s.noteArrival(now, m, request)
 	if g := s.bestGroup(now, request); g != nil && len(m.queue) == 0 {
 		return []Decision{s.grant(now, g, request)}
 	}
@@ -179,7 +193,7 @@
 	if s.expectedWait(now, request, s.queuedAhead(m, request)) > m.maxWait(request) {
 		return []Decision{s.reject(now, request, TooLate, random)}
 	}
-	m.enqueue(queuedRequest{Request: request, enqueuedAt: now})
+	m.enqueue(queuedRequest{Request: request, enqueuedAt: now, arrival: m.fair.nextArrival()})
 	return s.serveQueue(now, request.Model, random)
 }
 
@@ -211,6 +225,9 @@
 
 // queuedAhead counts the queued requests that are served before request.
 func (s *Scheduler) queuedAhead(m *modelQueue, request Request) int {
+	if s.config.FairTeams {
+		return m.fairAhead(request)
+	}
 	n := 0
 	for _, w := range m.queue {
 		if !request.precedes(w.Request) {
@@ -243,9 +260,9 @@
 	return NoGroup
 }
 
-// expectedWait estimates how long a request waits behind others: slots become free at the rate at which turns end, at the groups that take requests.
-func (s *Scheduler) expectedWait(now time.Duration, request Request, ahead int) time.Duration {
-	perSecond, blockedFor := 0.0, time.Duration(0)
+// serviceRate returns how many turns a second end at the groups that take the request, and how long none takes it at least, if the rate is 0 for
+// pauses.
+func (s *Scheduler) serviceRate(now time.Duration, request Request) (perSecond float64, blockedFor time.Duration) {
 	for _, g := range s.groups {
 		if g.removed || g.Model != request.Model || g.Standing.Blocked {
 			continue
@@ -258,6 +275,12 @@
 		}
 		perSecond += s.turnRate(g)
 	}
+	return perSecond, blockedFor
+}
+
+// expectedWait estimates how long a request waits behind others: slots become free at the rate at which turns end, at the groups that take requests.
+func (s *Scheduler) expectedWait(now time.Duration, request Request, ahead int) time.Duration {
+	perSecond, blockedFor := s.serviceRate(now, request)
 	if perSecond == 0 {
 		if blockedFor > 0 {
 			return min(blockedFor, maxPauseTold)
@@ -298,7 +321,8 @@
 	if _, probe := s.mayGrant(now, g.Head, request.Client); probe {
 		s.pauses[g.Head].Probe(now, request.Key)
 	}
-	s.turns[request.Key] = turn{head: g.Head, grantedAt: now, meter: meter, cold: g.cold, client: request.Client}
+	s.turns[request.Key] = turn{head: g.Head, grantedAt: now, meter: meter, cold: g.cold, client: request.Client, team: request.Team}
+	s.countTeam(g, request.Team, 1)
 	known := s.pauses[g.Head]
 	_, failing := s.failing[g.Head]
 	watched := failing || known != nil && known.Watched() || meter != nil && meter.Unverified()
@@ -318,14 +342,15 @@
 	d.Limits = s.limits(request.Model)
 	d.Pauses = s.describePauses(now, request)
 	d.Waiting = len(s.model(request.Model).queue)
-	jitter := time.Duration(random() * float64(s.config.RetryAfterJitter))
+	share := random()
+	jitter := time.Duration(share * float64(s.config.RetryAfterJitter))
 	switch reason {
+	case TooLate:
+		d.RetryAfter = s.retryAfterFull(now, request, d, share)
 	case Paused:
 		d.RetryAfter = max(s.config.MinRetryAfter, min(d.Pauses.Left, maxPauseTold)) + jitter
 	case NoGroup, TriedAll:
 		d.RetryAfter = s.config.GroupFormationTime + jitter
-	default:
-		d.RetryAfter = max(s.config.MinRetryAfter, s.expectedWait(now, request, d.Waiting), s.promise(now, request, d)) + jitter
 	}
 	return d
 }
@@ -363,19 +388,14 @@
 // serveQueue grants turns to waiting requests in queue order and rejects those that have waited too long.
 func (s *Scheduler) serveQueue(now time.Duration, name string, random func() float64) []Decision {
 	m := s.model(name)
+	if s.config.FairTeams {
+		return s.serveFairly(now, m, random)
+	}
 	var decisions []Decision
 	kept := m.queue[:0]
 	for _, w := range m.queue {
-		if g := s.bestGroup(now, w.Request); g != nil {
-			decisions = append(decisions, s.grant(now, g, w.Request))
-			continue
-		}
-		reason := s.unservable(now, w.Request)
-		if reason == Granted && now-w.enqueuedAt >= m.maxWait(w.Request) {
-			reason = TooLate
-		}
-		if reason != Granted {
-			decisions = append(decisions, s.reject(now, w.Request, reason, random))
+		if d, decided := s.decide(now, m, w, random); decided {
+			decisions = append(decisions, d)
 			continue
 		}
 		kept = append(kept, w)
@@ -384,3 +404,18 @@
 	m.queue = kept
 	return decisions
 }
+
+// decide grants a waiting request a turn if there is one, or rejects it if it has waited too long.
+func (s *Scheduler) decide(now time.Duration, m *modelQueue, w queuedRequest, random func() float64) (d Decision, decided bool) {
+	if g := s.bestGroup(now, w.Request); g != nil {
+		return s.grant(now, g, w.Request), true
+	}
+	reason := s.unservable(now, w.Request)
+	if reason == Granted && now-w.enqueuedAt >= m.maxWait(w.Request) {
+		reason = TooLate
+	}
+	if reason == Granted {
+		return Decision{}, false
+	}
+	return s.reject(now, w.Request, reason, random), true
+}
