--queue-order fair: the team of a request reaches the leader, with log line and metrics

Rejections say in their detail what the team has in progress and when a slot is left for a retry. New line "queue order" once a second and model while callers are rejected, which pondctl trace shows like "demand"; counters queue.overtaken, queue.retries.placed, queue.retries.latest.

Measured: go test -p 2 with GOMAXPROCS=2 of policy/turns, entry/turn, entry/leader, entry/gateway, entry/relay, link/leader and logline passes.

--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -132,6 +132,7 @@
 ) *leader.Leader {
 	return leader.New(leader.Deps{
 		RoundEnded: func() { monitor.RoundEnded(progress.Turns) },
+		FairTeams:  s.config.QueueOrder == orderFair,
 		IsLeader:   entryLease.IsLeader, ChangesSince: cat.ChangesSince, Snapshot: cat.Snapshot, Listing: cat.Listing,
 		ListAge: cat.ServersAge, LinkMbps: s.config.LinkMbps,
 		Table: cat.Table, Dissolving: controller.Closed,
--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -32,7 +32,7 @@
 	good := Config{
 		Name: "e", Place: "r", FailureDomain: "z", CallerAddress: "10.0.0.1:1", ReadyAddress: "10.0.0.1:2", DirectoryAddress: "10.0.0.1:3",
 		PeerAddress: "10.0.0.1:4", MetricsAddress: "10.0.0.1:5", PlatformAddress: "10.0.0.2:1", PlatformRate: 40,
-		MemoryMB: 200, AddressTTL: 5, StopGrace: 8, RetryRatio: 0.2, LogQueueSize: 10, SpareCapacity: spareKept,
+		MemoryMB: 200, AddressTTL: 5, StopGrace: 8, RetryRatio: 0.2, LogQueueSize: 10, SpareCapacity: spareKept, QueueOrder: orderArrival,
 	}
 
 	It("accepts valid settings", func() { Expect(good.Check()).To(Succeed()) })
@@ -57,6 +57,7 @@
 		Entry(nil, func(c *Config) { c.LogQueueSize = 0 }, "--log-queue"),
 		Entry(nil, func(c *Config) { c.EvacuationMs = 10 }, "--evacuation-ms"),
 		Entry(nil, func(c *Config) { c.SpareCapacity = "much" }, "--spare-capacity"),
+		Entry(nil, func(c *Config) { c.QueueOrder = "random" }, "--queue-order"),
 	)
 })
 
--- a/entry/gateway/lines.go
+++ b/entry/gateway/lines.go
@@ -201,6 +201,9 @@
 		"asked": demand.Requests, "granted": demand.Granted, "refused": demand.Rejected, "took_ms": demand.MeanTurnTime.Milliseconds(),
 		"first_ms": demand.FirstTokenBound.Milliseconds(), "fresh": demand.NewRequests, "prompt_tokens": int(demand.MeanSize.PromptTokens), "answer_tokens": int(demand.MeanSize.OutputTokens),
 	}).Info(logline.Demand)
+	if demand.Order != nil {
+		s.logOrder(demand.Model, *demand.Order)
+	}
 }
 
 func (s *shared) requestEnded(report relay.Report) {
--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -58,6 +58,8 @@
 	// takes effect if it is newer.
 	Config      func() (uint64, json.RawMessage)
 	OfferConfig func(spec json.RawMessage)
+	// FairTeams orders the requests for one model by the requests that their teams have in progress.
+	FairTeams bool
 	// ReportDemand is called for each model once in demandInterval while this entry is the leader.
 	ReportDemand func(demand policy.Demand)
 	// ChangesSince returns the changes of a kind of objects since a revision, or false if they are no longer known.
@@ -153,7 +155,7 @@
 // New returns a Leader that is not leading.
 func New(deps Deps) *Leader {
 	return &Leader{
-		deps: deps, started: time.Now(), turns: policy.New(policy.DefaultConfig()), followers: make(map[string]*follower),
+		deps: deps, started: time.Now(), turns: policy.New(schedulerConfig(deps)), followers: make(map[string]*follower),
 		probes: make(map[uint64]indirectProbe), demand: make(map[string]*modelDemand),
 		progress: make(map[store.Kind]*progress), announced: make(map[string]bool), newFollowers: make(map[string]bool),
 		holds: newHoldTracker(), limits: newLimitTracker(), pausedProcesses: make(map[backend.ID]int64), isolated: make(map[string]bool), isolationChanged: make(map[string]bool),
--- a/entry/leader/turns.go
+++ b/entry/leader/turns.go
@@ -49,7 +49,7 @@
 	key := turnKey(entry, request.Key)
 	l.turns.SetConfirmed(l.now(), l.deps.Confirmed()) // this process may have been suspended since the last tick
 	decisions := l.turns.Submit(l.now(), policy.Request{
-		Key: key, Client: entry, Model: modelKey(request.Service, request.Model),
+		Key: key, Client: entry, Team: request.Team, TimeLeft: time.Duration(request.TimeLeftMs) * time.Millisecond, Model: modelKey(request.Service, request.Model),
 		FirstTokenBudget: time.Duration(request.FirstTokenBudgetMs) * time.Millisecond, MaxWait: time.Duration(request.MaxWaitMs) * time.Millisecond, Priority: request.Priority, TriedHeads: tried,
 		Retry: request.Retry, Fingerprint: request.Fingerprint, Optional: request.Optional, Size: capacity.RequestSize{PromptTokens: float64(request.PromptTokens), OutputTokens: float64(request.OutputTokens)},
 	}, rand.Float64)
@@ -61,13 +61,14 @@
 
 // reconcile replaces the turns held by an entry with those that it reports.
 func (l *Leader) reconcile(entry string, held []link.RunningTurn) {
-	heads := make(map[string]string, len(held))
+	heads, teams := make(map[string]string, len(held)), make(map[string]string, len(held))
 	for _, running := range held {
-		heads[turnKey(entry, running.Key)] = string(running.Head)
+		key := turnKey(entry, running.Key)
+		heads[key], teams[key] = string(running.Head), running.Team
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.sendDecisions(l.turns.Reconcile(l.now(), entry+"/", heads, rand.Float64))
+	l.sendDecisions(l.turns.ReconcileTeams(l.now(), entry+"/", heads, teams, rand.Float64))
 }
 
 func (l *Leader) done(entry string, done link.Done) {
@@ -110,6 +111,7 @@
 	if d.Pauses.Heads > 0 {
 		text += fmt.Sprintf(", %d servers want no requests of this entry: %s for another %v", d.Pauses.Heads, d.Pauses.First, d.Pauses.Left.Round(time.Millisecond))
 	}
+	text += describeOrder(d.Order)
 	if d.Limits.Heads == 0 {
 		return text
 	}
--- a/entry/relay/exchange.go
+++ b/entry/relay/exchange.go
@@ -231,6 +231,7 @@
 		Service: e.service, Model: e.call.Model, Priority: e.priority, Retry: retrying, Tried: e.tried,
 		PromptTokens: e.call.PromptTokens, OutputTokens: e.call.ExpectedAnswerTokens(),
 		FirstTokenBudget: firstTokenBudget, MaxWait: maxWait, Fingerprint: contract.ShortFingerprint(e.fingerprint),
+		Team: e.team, TimeLeft: time.Until(e.deadline),
 	}
 	if e.attempts > 0 {
 		request.Priority = turn.PriorityRetry // it lost time at a server that failed, and its caller leaves soon
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -43,11 +43,15 @@
 	servers []*backend.Server
 	results []turn.Result
 	stalls  int
+	asked   []turn.Request
 	// expired is the number of turns, from the first on, that have expired when they are granted.
 	expired int
 }
 
 func (t *inOrder) Acquire(_ context.Context, ask turn.Request) (*turn.Turn, *turn.Refusal) {
+	t.mu.Lock()
+	t.asked = append(t.asked, ask)
+	t.mu.Unlock()
 	for _, server := range t.servers {
 		if slices.Contains(ask.Tried, server.ID) {
 			continue
@@ -361,6 +365,13 @@
 		)))
 	})
 
+	// Guards against an order of requests by team that takes all for those of an unnamed one.
+	It("asks for a turn with the team and the time until the caller's deadline", func() {
+		r := newHarness(replica.Config{}, 1)
+		r.send(r.request(http.MethodPost, "/book/x?q=1", "a1"))
+		Expect(r.turns.asked).To(ConsistOf(And(HaveField("Team", "one"), HaveField("TimeLeft", And(BeNumerically(">", 0), BeNumerically("<=", 2*time.Second))))))
+	})
+
 	DescribeTable("answers requests that must not reach a server itself",
 		func(change func(*harness, *http.Request), status int) {
 			r := newHarness(replica.Config{}, 1)
--- a/entry/relay/watch.go
+++ b/entry/relay/watch.go
@@ -108,7 +108,7 @@
 func (w *stallWatch) acquireAlternate() *turn.Turn {
 	e := w.exchange
 	t, refusal := e.acquireTurn(turn.Request{
-		Service: e.service, Model: e.call.Model, Priority: turn.PriorityRetry, Retry: true, Tried: w.tried, MaxWait: alternateTurnWait,
+		Service: e.service, Model: e.call.Model, Priority: turn.PriorityRetry, Retry: true, Tried: w.tried, MaxWait: alternateTurnWait, Team: e.team, TimeLeft: time.Until(e.deadline),
 	})
 	if refusal != nil {
 		return nil
--- a/entry/turn/remote.go
+++ b/entry/turn/remote.go
@@ -29,8 +29,8 @@
 	send func(link.Up)
 	// pending holds the requests that wait for a reply, and held the turns in use with the head that each was granted
 	// at.
-	pending map[uint64]chan link.Down
-	held    map[uint64]backend.ID
+	pending map[uint64]pendingRequest
+	held    map[uint64]heldTurn
 	lastKey uint64
 	// asks paces the requests for turns at limited servers that could be served otherwise, by service.
 	asks map[string]*pace
@@ -38,10 +38,22 @@
 	unresponsive bool
 }
 
+// pendingRequest is a request that waits for a reply of the leader.
+type pendingRequest struct {
+	replies chan link.Down
+	team    string
+}
+
+// heldTurn is a turn in use.
+type heldTurn struct {
+	head backend.ID
+	team string
+}
+
 // NewRemote returns a Remote without a link to a leader.
 func NewRemote(local *Local, listing func() *backend.Listing, pauses Pauses) *Remote {
 	return &Remote{
-		local: local, listing: listing, pauses: pauses, pending: make(map[uint64]chan link.Down), held: make(map[uint64]backend.ID),
+		local: local, listing: listing, pauses: pauses, pending: make(map[uint64]pendingRequest), held: make(map[uint64]heldTurn),
 		asks: make(map[string]*pace),
 	}
 }
@@ -54,16 +66,16 @@
 	defer r.mu.Unlock()
 	r.send = send
 	r.unresponsive = false
-	for key, replies := range r.pending {
-		close(replies)
+	for key, request := range r.pending {
+		close(request.replies)
 		delete(r.pending, key)
 	}
 	if send == nil {
 		return
 	}
 	held := link.HeldTurns{Running: make([]link.RunningTurn, 0, len(r.held))}
-	for key, head := range r.held {
-		held.Running = append(held.Running, link.RunningTurn{Key: key, Head: head})
+	for key, turn := range r.held {
+		held.Running = append(held.Running, link.RunningTurn{Key: key, Head: turn.head, Team: turn.team})
 	}
 	send(link.Up{HeldTurns: &held})
 }
@@ -137,11 +149,12 @@
 	r.lastKey++
 	key := r.lastKey
 	replies := make(chan link.Down, maxReplies)
-	r.pending[key] = replies
+	r.pending[key] = pendingRequest{replies: replies, team: request.Team}
 	r.send(link.Up{TurnRequest: &link.TurnRequest{
 		Key: key, Service: request.Service, Model: request.Model, MaxWaitMs: request.MaxWait.Milliseconds(),
 		Priority: request.Priority, Tried: request.Tried, Retry: request.Retry,
 		PromptTokens: request.PromptTokens, OutputTokens: request.OutputTokens, FirstTokenBudgetMs: request.FirstTokenBudget.Milliseconds(), Fingerprint: request.Fingerprint, Optional: request.Optional,
+		Team: request.Team, TimeLeftMs: request.TimeLeft.Milliseconds(),
 	}})
 	return key, replies
 }
@@ -241,8 +254,8 @@
 	var key uint64
 	switch {
 	case reply.Queued != 0:
-		if replies, ok := r.pending[reply.Queued]; ok {
-			replies <- reply
+		if request, ok := r.pending[reply.Queued]; ok {
+			request.replies <- reply
 		}
 		return
 	case reply.Grant != nil:
@@ -252,7 +265,7 @@
 	default:
 		return
 	}
-	replies, ok := r.pending[key]
+	request, ok := r.pending[key]
 	if !ok {
 		if reply.Grant != nil && r.send != nil {
 			r.send(link.Up{Done: &link.Done{Key: key, Unsent: true}})
@@ -261,7 +274,7 @@
 	}
 	delete(r.pending, key)
 	if reply.Grant != nil {
-		r.held[key] = reply.Grant.Head
+		r.held[key] = heldTurn{head: reply.Grant.Head, team: request.team}
 	}
-	replies <- reply
+	request.replies <- reply
 }
--- a/entry/turn/turn.go
+++ b/entry/turn/turn.go
@@ -21,6 +21,10 @@
 	Service string
 	// Model is empty for plain services, which have no models.
 	Model string
+	// Team is the team whose key the request carries; empty on routes without keys.
+	Team string
+	// TimeLeft is the time until the caller's deadline; 0 if unknown.
+	TimeLeft time.Duration
 	// Priority is 0 for the most urgent requests; larger values are less urgent. PriorityRetry precedes all of them.
 	Priority int
 	// FirstTokenBudget is how long from now the first token may take; 0 if there is no such objective.
--- a/entry/turn/turn_test.go
+++ b/entry/turn/turn_test.go
@@ -101,6 +101,18 @@
 		Expect(sent[1].Done).To(Equal(&link.Done{Key: 2, Complete: true}))
 	})
 
+	// Guards against a leader that orders requests by team and takes all of an entry's for those of an unnamed one.
+	It("tells the leader the team of a request, and a new leader that of a turn", func() {
+		remote.Attach(leader)
+		ofTeam := request
+		ofTeam.Team, ofTeam.TimeLeft = "dairy", 6*time.Second
+		_, refusal := remote.Acquire(context.Background(), ofTeam)
+		Expect(refusal).To(BeNil())
+		Expect(sent[1].TurnRequest).To(And(HaveField("Team", "dairy"), HaveField("TimeLeftMs", int64(6000))))
+		remote.Attach(leader)
+		Expect(sent[2].HeldTurns.Running).To(Equal([]link.RunningTurn{{Key: 1, Head: "head", Team: "dairy"}}))
+	})
+
 	// The leader dies. The link notices this only after a second, and every request that waits for a reply until then
 	// is answered late.
 	It("decides locally when the leader does not reply, and does not ask again until it hears from it", func() {
--- a/link/leader/leader.go
+++ b/link/leader/leader.go
@@ -221,6 +221,8 @@
 type RunningTurn struct {
 	Key  uint64     `cbor:"1,keyasint"`
 	Head backend.ID `cbor:"2,keyasint"`
+	// Team is the team whose request it is; empty if it has none or an older version sent it.
+	Team string `cbor:"3,keyasint,omitempty"`
 }
 
 // TurnRequest asks for a turn, the right to send a request to a group.
@@ -244,6 +246,10 @@
 	Fingerprint uint64 `cbor:"11,keyasint,omitempty"`
 	// Optional reports that the request is served otherwise unless it is granted a turn at once.
 	Optional bool `cbor:"12,keyasint,omitempty"`
+	// Team is the team whose request it is; empty if it has none or an older version sent it.
+	Team string `cbor:"13,keyasint,omitempty"`
+	// TimeLeftMs is the time until the caller's deadline; 0 if unknown.
+	TimeLeftMs int64 `cbor:"14,keyasint,omitempty"`
 }
 
 // Done ends a turn, or cancels a request that waits for one.
--- a/logline/find.go
+++ b/logline/find.go
@@ -98,7 +98,7 @@
 		return false
 	case RequestRejected, ServerCrashed:
 		return other.fields.Request == l.fields.Request
-	case Demand:
+	case Demand, QueueOrder:
 		_, model, _ := strings.Cut(other.fields.Model, "/")
 		return l.fields.Model != "" && model == l.fields.Model && other.Time.Sub(l.Time).Abs() <= demandWindow
 	case Lease, LeaseRefused, Linked, LinkEnded, Isolation, PlatformLost, PlatformRegained, Started, Leaving, Stopped, ConfigInForce, WorkStalled, WorkGoesOn:
--- a/logline/names.go
+++ b/logline/names.go
@@ -19,6 +19,7 @@
 	LinkEnded        = "link to the leader ended"
 	Isolation        = "backend servers of a service lost or reached again"
 	Demand           = "demand"
+	QueueOrder       = "queue order"
 	WorkStalled      = "work stands still: this entry gives up the lease, and takes none"
 	WorkGoesOn       = "work goes on"
 	AskedOthers      = "asked other entries for a server"
--- a/policy/turns/fair.go
+++ b/policy/turns/fair.go
@@ -43,6 +43,18 @@
 	Placed, Latest int
 }
 
+// RejectionOrder describes a rejection with the order by team.
+type RejectionOrder struct {
+	// Team is the team of the request, and Running the number of requests that it has in progress at the model.
+	Team    string
+	Running int
+	// Overtaken is set if the request was queued, and others went ahead of it.
+	Overtaken bool
+	// Place is when a slot is expected to be left for a retry. Latest is set if that is too late or never.
+	Place  time.Duration
+	Latest bool
+}
+
 func (f *fairState) nextArrival() uint64 {
 	f.lastArrival++
 	return f.lastArrival
@@ -202,7 +214,9 @@
 		return Decision{}, false
 	}
 	pass.model.fair.stats.Overtaken++
-	return s.reject(pass.now, w.Request, TooLate, random), true
+	d = s.reject(pass.now, w.Request, TooLate, random)
+	d.Order.Overtaken = true
+	return d, true
 }
 
 // waitInPass returns the expected wait of a request behind those that stay queued. Without pauses the rate is the same for all requests.
--- a/policy/turns/request.go
+++ b/policy/turns/request.go
@@ -84,6 +84,8 @@
 	// Limits describes the limits of the heads that a rejected request could have been sent to, and Pauses those that want no request.
 	Limits Limits
 	Pauses Pauses
+	// Order is set for a request that is rejected for want of slots with Config.FairTeams.
+	Order *RejectionOrder
 }
 
 // Pauses describes the heads that could serve a request and want none for a time.
--- a/policy/turns/retryafter.go
+++ b/policy/turns/retryafter.go
@@ -51,23 +51,25 @@
 }
 
 // retryAfterFull returns when the caller of a request is to retry that was rejected because no slot is free in time. random is in [0, 1).
-func (s *Scheduler) retryAfterFull(now time.Duration, request Request, d Decision, random float64) time.Duration {
+func (s *Scheduler) retryAfterFull(now time.Duration, request Request, d *Decision, random float64) time.Duration {
 	if s.config.FairTeams && !request.Optional {
 		return s.nextPlace(now, request, d, random)
 	}
 	jitter := time.Duration(random * float64(s.config.RetryAfterJitter))
-	return max(s.config.MinRetryAfter, s.expectedWait(now, request, d.Waiting), s.promise(now, request, d)) + jitter
+	return max(s.config.MinRetryAfter, s.expectedWait(now, request, d.Waiting), s.promise(now, request, *d)) + jitter
 }
 
 // nextPlace returns when a slot is expected to be left for the caller of a rejected request, after those promised to others. If new requests leave
-// none that is of use to the caller, it returns the latest useful time.
-func (s *Scheduler) nextPlace(now time.Duration, request Request, d Decision, random float64) time.Duration {
+// none that is of use to the caller, it returns the latest useful time. It sets d.Order.
+func (s *Scheduler) nextPlace(now time.Duration, request Request, d *Decision, random float64) time.Duration {
 	m := s.model(request.Model)
 	latest := latestUseful(request)
 	rate, _ := s.serviceRate(now, request)
 	left := rate - m.fair.arrivals.at(now)
 	place := max(m.promisedUntil, now+max(s.config.MinRetryAfter, s.expectedWait(now, request, d.Waiting)))
+	d.Order = &RejectionOrder{Team: request.Team, Running: m.fair.inProgress[request.Team], Place: place - now}
 	if left <= 0 || place-now > latest {
+		d.Order.Latest = true
 		m.fair.stats.Latest++
 		return latest - time.Duration(latestSpread*random*float64(latest))
 	}
--- a/policy/turns/turns.go
+++ b/policy/turns/turns.go
@@ -346,7 +346,7 @@
 	jitter := time.Duration(share * float64(s.config.RetryAfterJitter))
 	switch reason {
 	case TooLate:
-		d.RetryAfter = s.retryAfterFull(now, request, d, share)
+		d.RetryAfter = s.retryAfterFull(now, request, &d, share)
 	case Paused:
 		d.RetryAfter = max(s.config.MinRetryAfter, min(d.Pauses.Left, maxPauseTold)) + jitter
 	case NoGroup, TriedAll:
