--- a/policy/turns/fair_test.go
+++ b/policy/turns/fair_test.go
@@ -15,18 +15,28 @@
 // perTickAtCapacity is the number of requests per tick that 8 groups of 34 slots and one more serve in 1.25 s.
 const perTickAtCapacity = 8 * 35 / 1.25 / 100
 
-// teamTrial runs callers for 20 s at a load that is a multiple of the capacity.
-func teamTrial(seed uint64, fair bool, load func(now time.Duration) float64, sender func(r *rand.Rand) string) *trial {
-	r := rand.New(rand.NewPCG(seed, 5))
+// runTeams runs callers for 20 s on three seeds, at a load that is a multiple of the capacity, and returns the tallies of the teams with a prefix.
+func runTeams(fair bool, load func(now time.Duration) float64, sender func(r *rand.Rand) string) func(prefix string) tally {
 	config := turns.DefaultConfig()
 	config.FairTeams = fair
-	t := &trial{
-		r: r, groups: 8, slots: 34, lostGroups: func(time.Duration) int { return 0 }, firstToken: 80 * time.Millisecond, objective: 250 * time.Millisecond,
-		load: func(now time.Duration) float64 { return load(now) * perTickAtCapacity }, attempts: 3,
-		strategy: scheduler{Scheduler: turns.New(config), slots: 34, random: r.Float64}, sender: func() string { return sender(r) },
+	teams := map[string]*tally{}
+	for seed := range uint64(3) {
+		r := rand.New(rand.NewPCG(seed, 5))
+		t := &trial{
+			r: r, groups: 8, slots: 34, lostGroups: func(time.Duration) int { return 0 }, firstToken: 80 * time.Millisecond, objective: 250 * time.Millisecond,
+			load: func(now time.Duration) float64 { return load(now) * perTickAtCapacity }, attempts: 3, teams: teams,
+			strategy: scheduler{Scheduler: turns.New(config), slots: 34, random: r.Float64}, sender: func() string { return sender(r) },
+		}
+		t.run(20 * time.Second)
+	}
+	return func(prefix string) (sum tally) {
+		for team, one := range teams {
+			if strings.HasPrefix(team, prefix) {
+				sum.add(*one)
+			}
+		}
+		return sum
 	}
-	t.run(20 * time.Second)
-	return t
 }
 
 // uneven chooses among 24 teams, of which 3 send 60% of the requests.
@@ -40,24 +50,11 @@
 // stepped returns a load that is high for some seconds and low before and after, and ends after 14 s so that all requests are resolved.
 func stepped(low, high float64, length time.Duration) func(now time.Duration) float64 {
 	return func(now time.Duration) float64 {
-		switch {
-		case now >= 3*time.Second && now < 3*time.Second+length:
+		if now >= 3*time.Second && now < 3*time.Second+length {
 			return high
-		case now < 14*time.Second:
-			return low
-		}
-		return 0
-	}
-}
-
-// of sums the tallies of the teams whose names begin with prefix.
-func (t *trial) of(prefix string) (sum tally) {
-	for team, one := range t.teams {
-		if strings.HasPrefix(team, prefix) {
-			sum.add(*one)
 		}
+		return low * float64(boolToInt(now < 14*time.Second))
 	}
-	return sum
 }
 
 func (t tally) share(n int) float64 { return float64(n) / float64(t.total) }
@@ -69,25 +66,6 @@
 		t.served(), t.share(t.lost), t.share(t.rejectedAgain), (t.waited / time.Duration(max(1, t.inTime+t.late))).Round(time.Millisecond))
 }
 
-// compareOrders runs the same load with both orders on three seeds and returns the tallies of each. The prefix chooses the teams.
-func compareOrders(load func(now time.Duration) float64, sender func(r *rand.Rand) string) (arrival, fair func(prefix string) tally) {
-	trials := map[bool][]*trial{}
-	for _, ordered := range []bool{false, true} {
-		for seed := range uint64(3) {
-			trials[ordered] = append(trials[ordered], teamTrial(seed, ordered, load, sender))
-		}
-	}
-	sum := func(ordered bool) func(prefix string) tally {
-		return func(prefix string) (sum tally) {
-			for _, t := range trials[ordered] {
-				sum.add(t.of(prefix))
-			}
-			return sum
-		}
-	}
-	return sum(false), sum(true)
-}
-
 var _ = Describe("Order of requests by team", func() {
 	config := turns.DefaultConfig()
 	config.Overcommit, config.FairTeams = 0, true
@@ -119,7 +97,7 @@
 	// need less than their share lose as many requests as those that exceed it.
 	DescribeTable("serves a team within its share on time whatever the others send",
 		func(load func(now time.Duration) float64) {
-			arrival, fair := compareOrders(load, uneven)
+			arrival, fair := runTeams(false, load, uneven), runTeams(true, load, uneven)
 			for _, prefix := range []string{"", "large", "small"} {
 				GinkgoWriter.Printf("%q: arrival %v\n%q: fair    %v\n", prefix, arrival(prefix), prefix, fair(prefix))
 			}
@@ -133,7 +111,8 @@
 	)
 
 	It("serves a single team like the order of arrival", func() {
-		arrival, fair := compareOrders(stepped(0.85, 1.5, 4*time.Second), func(*rand.Rand) string { return "one" })
+		load, sender := stepped(0.85, 1.5, 4*time.Second), func(*rand.Rand) string { return "one" }
+		arrival, fair := runTeams(false, load, sender), runTeams(true, load, sender)
 		GinkgoWriter.Printf("arrival %v\nfair    %v\n", arrival(""), fair(""))
 		Expect(fair("").onTime()).To(BeNumerically("~", arrival("").onTime(), 0.015))
 		Expect(fair("").served()).To(BeNumerically(">", arrival("").served()-0.01))
@@ -141,12 +120,13 @@
 
 	// New requests alone exceed the capacity all the time: without an exception, a team whose requests are all retries starves.
 	It("serves some of the requests of a team that sends only retries", func() {
-		arrival, fair := compareOrders(stepped(1.5, 1.5, 0), func(r *rand.Rand) string {
+		load, sender := stepped(1.5, 1.5, 0), func(r *rand.Rand) string {
 			if r.IntN(20) == 0 {
 				return "retries"
 			}
 			return uneven(r)
-		})
+		}
+		arrival, fair := runTeams(false, load, sender), runTeams(true, load, sender)
 		GinkgoWriter.Printf("arrival %v\nfair    %v\n", arrival("retries"), fair("retries"))
 		Expect(fair("retries").served()).To(BeNumerically(">", arrival("retries").served()))
 		Expect(fair("small").onTime()).To(BeNumerically(">", 0.97), "a small team needs two thirds of its share on average, and more for moments")
--- a/policy/turns/load_test.go
+++ b/policy/turns/load_test.go
@@ -34,7 +34,8 @@
 	sender func() string
 	// attempts is the number of times that a caller sends its request, 2 if 0.
 	attempts int
-	teams    map[string]*tally
+	// teams holds the tallies of the teams; empty at the start if nil.
+	teams map[string]*tally
 }
 
 // tally counts the callers of one team. rejections counts those that were rejected twice or more.
@@ -47,16 +48,6 @@
 	*t = tally{t.total + o.total, t.inTime + o.inTime, t.late + o.late, t.lost + o.lost, t.rejectedAgain + o.rejectedAgain, t.waited + o.waited}
 }
 
-func (t *trial) tally(team string) *tally {
-	if t.teams == nil {
-		t.teams = map[string]*tally{}
-	}
-	if t.teams[team] == nil {
-		t.teams[team] = &tally{}
-	}
-	return t.teams[team]
-}
-
 // strategy is the scheduler or a baseline.
 type strategy interface {
 	setGroups(now time.Duration, n int) []turns.Decision
@@ -120,6 +111,7 @@
 	// fingerprint identifies the request in all its attempts.
 	fingerprint uint64
 	team        string
+	tally       *tally // of its team
 	arrivedAt   time.Duration
 	attempts    int
 	nextAttempt time.Duration // time of the next attempt
@@ -136,6 +128,9 @@
 // run simulates the given length of time in steps of tickTime.
 func (t *trial) run(length time.Duration) {
 	callers := map[string]*callerState{}
+	if t.teams == nil {
+		t.teams = map[string]*tally{}
+	}
 	var list []*callerState
 	apply := func(now time.Duration, decisions []turns.Decision) {
 		for _, d := range decisions {
@@ -148,27 +143,27 @@
 				c.endsAt = now + time.Duration(900+t.r.IntN(700))*time.Millisecond
 				first := now + t.firstToken - c.arrivedAt
 				c.resolved = true
-				t.tally(c.team).waited += first
+				c.tally.waited += first
 				switch {
 				case first <= t.objective:
 					t.inTime++
-					t.tally(c.team).inTime++
+					c.tally.inTime++
 				case first <= deadline:
 					t.late++
-					t.tally(c.team).late++
+					c.tally.late++
 				default:
 					t.lost++
-					t.tally(c.team).lost++
+					c.tally.lost++
 				}
 				continue
 			}
 			if c.attempts == 2 {
-				t.tally(c.team).rejectedAgain++
+				c.tally.rejectedAgain++
 			}
 			if c.attempts >= max(2, t.attempts) {
 				c.resolved = true
 				t.lost++
-				t.tally(c.team).lost++
+				c.tally.lost++
 				continue
 			}
 			c.nextAttempt = now + d.RetryAfter
@@ -192,7 +187,11 @@
 			if t.sender != nil {
 				c.team = t.sender()
 			}
-			t.tally(c.team).total++
+			if t.teams[c.team] == nil {
+				t.teams[c.team] = &tally{}
+			}
+			c.tally = t.teams[c.team]
+			c.tally.total++
 			callers[c.key] = c
 			list = append(list, c)
 		}
