--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -55,6 +55,9 @@
 		config: config, log: log.WithField("entry", config.Name), registry: metrics.NewRegistry(), leaderState: newLeaderState(), started: time.Now(),
 		unreachableLines: rate.NewLimiter(maxUnreachableLines, maxUnreachableLines), evacuations: make(map[domain.FailureDomain]bool),
 	}
+	if config.costRouting() {
+		s.costs = newCosts(s.registry, s.started)
+	}
 	s.firstByteTimes = histogram(s.registry, "requests.first.ms")
 	s.totalTimes = histogram(s.registry, "requests.took.ms")
 	s.gauge("log.lines.dropped", lines.Dropped)
@@ -142,7 +145,8 @@
 		Ages: cat.Ages, ReportHolds: s.holdsChanged,
 		AnnounceLeaving: func(leaving link.Leaving) bool { return cat.AnnounceLeaving(leaving, false) }, AnnouncedLeaving: cat.AnnouncedLeaving,
 		Confirmed: entryLease.Held, KnownLimits: func() []link.ServerLimit { return s.components.limits.Limits() }, ReportLimit: s.limitChanged,
-		LimitHeard: func(limit link.ServerLimit) { s.components.limits.Adopt(limit) },
+		LimitHeard:  func(limit link.ServerLimit) { s.components.limits.Adopt(limit) },
+		CostRouting: s.config.costRouting(),
 	})
 }
 
@@ -173,8 +177,12 @@
 	return turn.NewLocal(cat.Listing, cat.ServersAge, cat.Table, serverLimits{tracker, known, s.config.EvacuationMs > 0}, pauses)
 }
 
-func provideRemote(local *turn.Local, cat *catalog.Catalog, pauses *backoff.Tracker) *turn.Remote {
-	return turn.NewRemote(local, cat.Listing, pauses)
+func provideRemote(s *shared, local *turn.Local, cat *catalog.Catalog, pauses *backoff.Tracker) *turn.Remote {
+	remote := turn.NewRemote(local, cat.Listing, pauses)
+	if s.config.costRouting() {
+		remote.JoinPlain()
+	}
+	return remote
 }
 
 func provideSuspects(s *shared, remote *turn.Remote, cat *catalog.Catalog, pool *upstream.Pool, isolated *isolation.Watch) *suspects.Watch {
--- a/entry/gateway/config.go
+++ b/entry/gateway/config.go
@@ -35,6 +35,7 @@
 	RetryRatio    float64 `arg:"--retry-ratio,env:POND_RETRY_RATIO" default:"0.2" help:"repeats that all entries may send to a service, as a share of its requests"`
 	RetryExtra    float64 `arg:"--retry-extra,env:POND_RETRY_EXTRA" default:"280" help:"repeats that all entries may send to a service beside that, in some ten seconds"`
 	SpareCapacity string  `arg:"--spare-capacity,env:POND_SPARE_CAPACITY" default:"kept" help:"VMs that the demand leaves over: kept by the models that have them, or shared among the models by their demand"`
+	CostRouting   string  `arg:"--cost-routing,env:POND_COST_ROUTING" default:"off" help:"on: groups and plain servers are chosen by what requests have cost of late and which servers reject them; off: they are not"`
 	EvacuationMs  float64 `arg:"--evacuation-ms,env:POND_EVACUATION_MS" default:"0" help:"milliseconds within which servers get nothing any more once operators evacuate their failure domain; 0: evacuations are not followed"`
 	CheckOnly     bool    `arg:"--check,env:POND_CHECK" help:"check these settings and whether the platform answers, and start nothing"`
 	LogLevel      string  `arg:"--log-level,env:POND_LOG_LEVEL" default:"info" help:"error, warn, info or debug"`
@@ -77,6 +78,7 @@
 	check(c.RetryExtra >= 0 && c.RetryExtra <= 1e6, "--retry-extra", "must be between 0 and 1000000")
 	check(c.SpareCapacity == spareKept || c.SpareCapacity == spareShared, "--spare-capacity", "must be "+spareKept+" or "+spareShared)
 	check(c.EvacuationMs == 0 || c.EvacuationMs >= 1000 && c.EvacuationMs <= 600_000, "--evacuation-ms", "must be 0 or between 1000 and 600000")
+	check(c.CostRouting == "on" || c.CostRouting == "off" || c.CostRouting == "", "--cost-routing", "must be on or off")
 	check(c.MemoryMB >= 32, "--memory-mb", "must be 32 or more")
 	check(c.LinkMbps >= 0, "--link-mbps", "must be 0 or more")
 	check(c.Cores >= 0, "--cores", "must be 0 or more")
@@ -95,6 +97,8 @@
 	return time.Duration(c.EvacuationMs * float64(time.Millisecond))
 }
 
+func (c *Config) costRouting() bool { return c.CostRouting == "on" }
+
 func (c *Config) addressTTL() time.Duration {
 	return time.Duration(c.AddressTTL * float64(time.Second))
 }
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -65,7 +65,9 @@
 	unreachableLines *rate.Limiter
 	// evacuations holds the failure domains that operators evacuate. Only applyEvacuations uses it, whose calls don't overlap.
 	evacuations map[domain.FailureDomain]bool
-	started     time.Time
+	// costs is nil unless costs are learned.
+	costs   *costs
+	started time.Time
 
 	components *components
 }
--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -54,6 +54,7 @@
 		Entry(nil, func(c *Config) { c.MemoryMB = 1 }, "--memory-mb"),
 		Entry(nil, func(c *Config) { c.LinkMbps = -1 }, "--link-mbps"),
 		Entry(nil, func(c *Config) { c.Cores = -1 }, "--cores"),
+		Entry(nil, func(c *Config) { c.CostRouting = "yes" }, "--cost-routing"),
 		Entry(nil, func(c *Config) { c.LogQueueSize = 0 }, "--log-queue"),
 		Entry(nil, func(c *Config) { c.EvacuationMs = 10 }, "--evacuation-ms"),
 		Entry(nil, func(c *Config) { c.SpareCapacity = "much" }, "--spare-capacity"),
--- a/entry/gateway/lines.go
+++ b/entry/gateway/lines.go
@@ -212,6 +212,9 @@
 	metrics.GetOrRegisterCounter("requests.route."+route+"."+string(report.Outcome), s.registry).Inc(1)
 	s.firstByteTimes.Update(report.TimeToFirstByte.Milliseconds())
 	s.totalTimes.Update(report.Took.Milliseconds())
+	if s.costs != nil {
+		s.costs.learn(report, s.components.catalog.Table())
+	}
 	if report.Resumed {
 		metrics.GetOrRegisterCounter("requests.resumed", s.registry).Inc(1)
 	}
--- a/entry/gateway/wire_gen.go
+++ b/entry/gateway/wire_gen.go
@@ -31,7 +31,7 @@
 	limitsTracker := provideLimits(s)
 	backoffTracker := provideBackoff(s)
 	local := provideLocal(s, catalog, limitsTracker, backoffTracker, tracker)
-	remote := provideRemote(local, catalog, backoffTracker)
+	remote := provideRemote(s, local, catalog, backoffTracker)
 	retries := provideRetries(s)
 	suspectsWatch := provideSuspects(s, remote, catalog, pool, watch)
 	relay := provideRelay(s, catalog, remote, pool, retries, suspectsWatch, watch, roster, limitsTracker, backoffTracker)
--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -82,6 +82,8 @@
 	LimitHeard func(limit link.ServerLimit)
 	// ReportLimit is called when the limit of a server changes. It is called with the Leader's lock held.
 	ReportLimit func(change LimitChange)
+	// CostRouting is set if decisions follow from learned costs, and turns are granted at all plain servers.
+	CostRouting bool
 	// RoundEnded is called after each round of the periodic work, whether or not this entry is the leader.
 	RoundEnded func()
 	// ReportHolds is called when the requests of a service that are held back, because they crash servers, change.
@@ -152,8 +154,10 @@
 
 // New returns a Leader that is not leading.
 func New(deps Deps) *Leader {
+	config := policy.DefaultConfig()
+	config.ByCost = deps.CostRouting
 	return &Leader{
-		deps: deps, started: time.Now(), turns: policy.New(policy.DefaultConfig()), followers: make(map[string]*follower),
+		deps: deps, started: time.Now(), turns: policy.New(config), followers: make(map[string]*follower),
 		probes: make(map[uint64]indirectProbe), demand: make(map[string]*modelDemand),
 		progress: make(map[store.Kind]*progress), announced: make(map[string]bool), newFollowers: make(map[string]bool),
 		holds: newHoldTracker(), limits: newLimitTracker(), pausedProcesses: make(map[backend.ID]int64), isolated: make(map[string]bool), isolationChanged: make(map[string]bool),
--- a/entry/leader/turns.go
+++ b/entry/leader/turns.go
@@ -71,7 +71,7 @@
 }
 
 func (l *Leader) done(entry string, done link.Done) {
-	end := policy.End{Complete: done.Complete, FirstToken: time.Duration(done.FirstTokenMs) * time.Millisecond, Unsent: done.Unsent}
+	end := policy.End{Complete: done.Complete, FirstToken: time.Duration(done.FirstTokenMs) * time.Millisecond, Unsent: done.Unsent, Rejected: done.Rejected}
 	l.mu.Lock()
 	end.Failed = done.Failed && !l.isolated[entry]
 	head, inUse := l.turns.Head(turnKey(entry, done.Key))
--- a/entry/relay/answer.go
+++ b/entry/relay/answer.go
@@ -125,6 +125,10 @@
 	e.summary.PromptParts = e.call.PromptParts
 	e.summary.Attempts = e.attempts
 	e.summary.Took = time.Since(e.arrived)
+	e.summary.StatedTokens, e.summary.Events = e.call.ExpectedAnswerTokens(), e.events
+	if !e.sentAt.IsZero() {
+		e.summary.ServerTime = time.Since(e.sentAt)
+	}
 	if e.route != nil {
 		e.summary.Route = e.route.Name
 	}
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -179,7 +179,11 @@
 	OnTrial bool
 	// PartialEvent is set if a server's stream ended inside an event.
 	PartialEvent bool
-	Took         time.Duration
+	// StatedTokens is the length of the answer that the caller expects, in tokens; 0 if unknown. Events counts the complete events of the last server's
+	// stream, and ServerTime is the time since the request was sent to that server; 0 if it was sent to none.
+	StatedTokens, Events int
+	ServerTime           time.Duration
+	Took                 time.Duration
 	// TimeToFirstByte is the time until the first part of the answer was sent.
 	TimeToFirstByte time.Duration
 }
--- a/entry/turn/limited.go
+++ b/entry/turn/limited.go
@@ -13,6 +13,11 @@
 // permits it at once; otherwise the others take it. So the limited server gets its share, and the answers show when its limit is gone. If the
 // others are full, the request waits for the leader's permission within its objective.
 func (r *Remote) acquirePlain(ctx context.Context, request Request) (*Turn, *Refusal) {
+	if r.joinsPlain {
+		if t, _, _ := r.ask(ctx, optional(request)); t != nil {
+			return t, nil
+		}
+	}
 	limited, preferred := r.local.LimitedPreferred(request)
 	if preferred && r.mayAsk(request.Service) {
 		if t := r.askAtOnce(ctx, request); t != nil {
@@ -31,14 +36,23 @@
 
 // askAtOnce asks the leader for a turn without waiting, and returns nil if it grants none.
 func (r *Remote) askAtOnce(ctx context.Context, request Request) *Turn {
-	request.Optional, request.MaxWait, request.Fingerprint = true, 0, 0
-	t, refusal, decided := r.ask(ctx, request)
+	t, refusal, decided := r.ask(ctx, optional(request))
 	if decided {
 		r.noteAsked(request.Service, refusal)
 	}
 	return t
 }
 
+// optional returns a request for a turn that is granted at once or not at all.
+func optional(request Request) Request {
+	request.Optional, request.MaxWait, request.Fingerprint = true, 0, 0
+	return request
+}
+
+// JoinPlain makes the leader choose among all plain servers, as long as it grants turns: it hears of the requests and the rejections of all entries
+// (see policy/plain). Otherwise this entry chooses. It must be called before the first request.
+func (r *Remote) JoinPlain() { r.joinsPlain = true }
+
 // pace spaces the requests for turns that are asked for at once. Of hundreds of entries few may be granted one; the more often an entry is refused,
 // the more seldom it asks.
 type pace struct {
--- a/entry/turn/limited_test.go
+++ b/entry/turn/limited_test.go
@@ -101,4 +101,41 @@
 		Expect(asked[len(asked)-1].Optional).To(BeFalse())
 		Expect(asked[len(asked)-1].MaxWaitMs).To(BeEquivalentTo(100))
 	})
+
+	Describe("when the leader chooses among all plain servers", func() {
+		BeforeEach(func() {
+			limits.limited = nil
+			remote.JoinPlain()
+		})
+
+		It("get what the leader chooses, which hears of rejections", func() {
+			attach(func(key uint64) link.Down { return link.Down{Grant: &link.Grant{Key: key, Head: "free"}} })
+			for range 10 { // more than this entry would send there by itself
+				granted, refusal := acquire()
+				Expect(refusal).To(BeNil())
+				Expect(granted.Server.ID).To(Equal(backend.ID("free")))
+				granted.Done(turn.Result{Rejected: true})
+			}
+			Expect(asked[0].Optional).To(BeTrue())
+			Expect(ended[0]).To(Equal(link.Done{Key: 1, Rejected: true}))
+		})
+
+		// Guards against requests that are refused because the leader is gone or does not know the servers.
+		It("are chosen by this entry if the leader refuses, or there is none", func() {
+			attach(refuse)
+			_, refusal := acquire()
+			Expect(refusal).To(BeNil())
+			remote.Attach(nil)
+			_, refusal = acquire()
+			Expect(refusal).To(BeNil())
+		})
+	})
+
+	It("are chosen by this entry unless the leader is to choose", func() {
+		limits.limited = nil
+		attach(grant)
+		granted, _ := acquire()
+		granted.Done(turn.Result{Rejected: true})
+		Expect(asked).To(BeEmpty())
+	})
 })
--- a/entry/turn/remote.go
+++ b/entry/turn/remote.go
@@ -34,6 +34,8 @@
 	lastKey uint64
 	// asks paces the requests for turns at limited servers that could be served otherwise, by service.
 	asks map[string]*pace
+	// joinsPlain is set if the leader is asked for turns at all plain servers. It does not change after the start.
+	joinsPlain bool
 	// unresponsive is set when a request to the leader has timed out, until anything is received from it.
 	unresponsive bool
 }
@@ -214,7 +216,7 @@
 	defer r.mu.Unlock()
 	delete(r.held, key)
 	if r.send != nil {
-		r.send(link.Up{Done: &link.Done{Key: key, Complete: complete, FirstTokenMs: result.TimeToFirstToken.Milliseconds(), Unsent: unsent, Unreachable: result.Unreachable, Failed: result.Failed}})
+		r.send(link.Up{Done: &link.Done{Key: key, Complete: complete, FirstTokenMs: result.TimeToFirstToken.Milliseconds(), Unsent: unsent, Unreachable: result.Unreachable, Failed: result.Failed, Rejected: r.joinsPlain && result.Rejected && !unsent}})
 	}
 }
 
--- a/link/leader/leader.go
+++ b/link/leader/leader.go
@@ -257,6 +257,8 @@
 	Unsent bool `cbor:"4,keyasint,omitempty"`
 	// Unreachable reports that it was not sent because no connection to the head could be established.
 	Unreachable bool `cbor:"22,keyasint,omitempty"`
+	// Rejected reports that the head stated that it did not run the request.
+	Rejected bool `cbor:"23,keyasint,omitempty"`
 	// Failed reports that the head gave no answer, an incomplete one, or an error.
 	Failed bool `cbor:"24,keyasint,omitempty"`
 }
--- /dev/null
+++ b/policy/plain/ways_test.go
@@ -0,0 +1,268 @@
+package plain_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/skylarkpond/skylarkpond/policy/plain"
+)
+
+func TestPlain(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "plain")
+}
+
+// deployment is a plain service: its servers run slots requests at once and queue 24 more.
+type deployment struct {
+	entries, servers int
+	perSecond        float64
+	service          time.Duration
+}
+
+const (
+	slots     = 6
+	queueSize = 24
+	length    = 60 * time.Second
+	// messageTime is the time of a message between an entry and the leader or a server.
+	messageTime = 2 * time.Millisecond
+)
+
+// trouble returns which share of its requests a server rejects at a time, and by which factor it is slower than usual.
+type trouble func(now time.Duration, server int) (rejects, slower float64)
+
+// way is how servers are chosen.
+type way int
+
+const (
+	// today: each entry takes the server with the least own requests in progress or stated load, rejections are not remembered.
+	today way = iota
+	// ownRejections: as today, and each entry remembers its own rejections.
+	ownRejections
+	// twoChoices: the better of two random servers by own requests in progress, stated load and own rejections.
+	twoChoices
+	// joined: one place chooses by all requests in progress.
+	joined
+	// joinedRejections: and by rejections.
+	joinedRejections
+	// perfect knows the true load, and which servers reject.
+	perfect
+	ways
+)
+
+var wayNames = [ways]string{"today", "own rejections", "two choices", "joined", "joined, rejections", "perfect"}
+
+type view struct {
+	running, reported, sentSince [8]int
+	reportedAt                   [8]time.Duration
+	records                      [8]plain.Record
+	grantedAt                    [8]time.Duration
+}
+
+type server struct{ running, queued int }
+
+type event struct {
+	at  time.Duration
+	n   int
+	run func()
+}
+type events []event
+
+func (h events) Len() int { return len(h) }
+func (h events) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].n < h[j].n
+}
+func (h events) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *events) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *events) Pop() any     { o := *h; x := o[len(o)-1]; *h = o[:len(o)-1]; return x }
+
+// trial runs callers against the servers in virtual time. A rejected request is sent to one other server.
+type trial struct {
+	deployment
+	way                                      way
+	trouble                                  trouble
+	r                                        *rand.Rand
+	now                                      time.Duration
+	events                                   events
+	n                                        int
+	servers                                  []server
+	waiting                                  [8][]func()
+	entries                                  []view
+	leader                                   view
+	arrivals, rejected, lost, requests, late int
+}
+
+func (t *trial) after(d time.Duration, run func()) {
+	t.n++
+	heap.Push(&t.events, event{t.now + d, t.n, run})
+}
+
+func (t *trial) choose(v *view, tried int) int {
+	best, bestScore := -1, math.Inf(1)
+	consider := func(i int, score float64) {
+		if i != tried && score < bestScore {
+			best, bestScore = i, score
+		}
+	}
+	own := func(i int) float64 {
+		taken := v.running[i]
+		if t.now-v.reportedAt[i] < 2*time.Second {
+			taken = max(taken, v.reported[i]+v.sentSince[i])
+		}
+		return float64(taken) / slots
+	}
+	order := t.r.Perm(len(t.servers))
+	for k, i := range order {
+		switch t.way {
+		case today:
+			consider(i, own(i)+0.05*t.r.Float64())
+		case ownRejections:
+			consider(i, own(i)+4*v.records[i].RejectedShare(t.now)+0.05*t.r.Float64())
+		case twoChoices:
+			if k < 2 || best < 0 {
+				consider(i, own(i)+4*v.records[i].RejectedShare(t.now))
+			}
+		case joined:
+			consider(i, plain.Score(t.now, nil, v.running[i], slots))
+		case joinedRejections:
+			consider(i, plain.Score(t.now, &v.records[i], v.running[i], slots))
+		case perfect:
+			rejects, slower := t.trouble(t.now, i)
+			consider(i, 10*rejects+slower*float64(1+t.servers[i].running+t.servers[i].queued)/slots)
+		}
+	}
+	return best
+}
+
+func (t *trial) send(entry, tried, attempt int, since time.Duration) {
+	v, delay := &t.entries[entry], messageTime
+	if t.way == joined || t.way == joinedRejections {
+		v, delay = &t.leader, 3*messageTime // there, back, and to the server
+	}
+	i := t.choose(v, tried)
+	v.running[i]++
+	v.sentSince[i]++
+	v.grantedAt[i] = t.now
+	ended := func(rejected bool, load int) {
+		t.after(messageTime, func() {
+			v.running[i]--
+			v.records[i].Note(t.now, rejected)
+			v.reported[i], v.reportedAt[i], v.sentSince[i] = load, t.now, 0
+			switch {
+			case rejected && attempt == 1:
+				t.send(entry, i, 2, since)
+			case rejected:
+				t.lost++
+			case t.now-since > 200*time.Millisecond:
+				t.late++
+			}
+		})
+	}
+	t.after(delay, func() {
+		t.arrivals++
+		rejects, _ := t.trouble(t.now, i)
+		s := &t.servers[i]
+		if t.r.Float64() < rejects || s.queued >= queueSize {
+			t.rejected++
+			ended(true, s.running+s.queued)
+			return
+		}
+		run := func() {
+			s.running++
+			_, slower := t.trouble(t.now, i)
+			t.after(time.Duration(float64(t.service)*slower*(0.5+t.r.Float64())), func() {
+				s.running--
+				ended(false, s.running+s.queued)
+				if s.queued > 0 {
+					next := t.waiting[i][0]
+					t.waiting[i] = t.waiting[i][1:]
+					s.queued--
+					next()
+				}
+			})
+		}
+		if s.running < slots {
+			run()
+			return
+		}
+		s.queued++
+		t.waiting[i] = append(t.waiting[i], run)
+	})
+}
+
+// play returns the trial after its end.
+func play(d deployment, w way, trouble trouble, seed uint64) *trial {
+	t := &trial{deployment: d, way: w, trouble: trouble, r: rand.New(rand.NewPCG(seed, 5)), servers: make([]server, d.servers), entries: make([]view, d.entries)}
+	var arrive func()
+	arrive = func() {
+		t.requests++
+		t.send(t.r.IntN(d.entries), -1, 1, t.now)
+		if next := time.Duration(t.r.ExpFloat64() / d.perSecond * float64(time.Second)); t.now+next < length {
+			t.after(next, arrive)
+		}
+	}
+	t.after(0, arrive)
+	for len(t.events) > 0 {
+		e := heap.Pop(&t.events).(event)
+		t.now = e.at
+		e.run()
+	}
+	return t
+}
+
+var (
+	northline = deployment{entries: 143, servers: 4, perSecond: 46.4, service: 30 * time.Millisecond}
+	afca      = deployment{entries: 89, servers: 7, perSecond: 46.3, service: 60 * time.Millisecond}
+)
+
+var troubles = map[string]trouble{
+	"none": func(time.Duration, int) (float64, float64) { return 0, 1 },
+	"one rejects 60%": func(_ time.Duration, i int) (float64, float64) {
+		if i == 0 {
+			return 0.6, 1
+		}
+		return 0, 1
+	},
+	"each rejects all for 10 s in turn": func(now time.Duration, i int) (float64, float64) {
+		if int(now/(10*time.Second)) == i {
+			return 1, 1
+		}
+		return 0, 1
+	},
+	"one is 40 times slower for 20 s": func(now time.Duration, i int) (float64, float64) {
+		if i == 0 && now > 20*time.Second && now < 40*time.Second {
+			return 0, 40
+		}
+		return 0, 1
+	},
+	"all reject 15%": func(time.Duration, int) (float64, float64) { return 0.15, 1 },
+}
+
+var _ = Describe("Requests to plain servers", func() {
+	// Guards against a choice that keeps sending requests to a server that rejects them.
+	It("are rejected less than once in 25 if one place hears of all rejections", func() {
+		for name, deployment := range map[string]deployment{"northline": northline, "afca": afca} {
+			for _, trouble := range []string{"none", "one rejects 60%", "each rejects all for 10 s in turn", "one is 40 times slower for 20 s", "all reject 15%"} {
+				for w := range ways {
+					var arrivals, rejected, lost, late, requests int
+					for seed := range uint64(3) {
+						t := play(deployment, w, troubles[trouble], seed+1)
+						arrivals, rejected, lost, late, requests = arrivals+t.arrivals, rejected+t.rejected, lost+t.lost, late+t.late, requests+t.requests
+					}
+					share := float64(rejected) / float64(arrivals)
+					GinkgoWriter.Println(fmt.Sprintf("%-9s %-34s %-19s rejected %5.2f%% of arrivals, lost %5.2f%%, late %5.2f%% of requests",
+						name, trouble, wayNames[w], 100*share, 100*float64(lost)/float64(requests), 100*float64(late)/float64(requests)))
+					if w == joinedRejections && trouble != "all reject 15%" {
+						Expect(share).To(BeNumerically("<", 0.04), name+", "+trouble)
+					}
+				}
+			}
+		}
+	})
+})
--- a/policy/turns/choose.go
+++ b/policy/turns/choose.go
@@ -24,9 +24,9 @@
 			continue
 		}
 		if probe {
-			probed.improve(g, now)
+			probed.improve(g, s.rank(now, g))
 		} else {
-			best.improve(g, now)
+			best.improve(g, s.rank(now, g))
 		}
 	}
 	if best.group == nil || probed.group != nil && len(request.TriedHeads) == 0 && best.worseThan(probed) {
@@ -44,22 +44,30 @@
 	return meter == nil || meter.Available(now, yields)
 }
 
-// choice is the best of the groups considered so far, with its firstTokenDelay.
+// choice is the best of the groups considered so far, with its rank.
 type choice struct {
 	group *group
-	delay time.Duration
+	rank  float64
+}
+
+// rank returns the expected delay of the first token, in seconds, or the rank of a plain server; lower is better.
+func (s *Scheduler) rank(now time.Duration, g *group) float64 {
+	if g.Plain {
+		return s.plainRank(now, g)
+	}
+	return g.firstTokenDelay(now).Seconds()
 }
 
 // improve chooses a group if it is better than the one chosen.
-func (c *choice) improve(g *group, now time.Duration) {
-	if other := (choice{g, g.firstTokenDelay(now)}); c.group == nil || c.worseThan(other) {
+func (c *choice) improve(g *group, rank float64) {
+	if other := (choice{g, rank}); c.group == nil || c.worseThan(other) {
 		*c = other
 	}
 }
 
 // worseThan reports whether a request is better sent to the other group.
 func (c *choice) worseThan(other choice) bool {
-	return other.delay < c.delay || other.delay == c.delay && other.group.lessLoaded(c.group)
+	return other.rank < c.rank || other.rank == c.rank && other.group.lessLoaded(c.group)
 }
 
 // firstTokenDelay estimates the time until the group starts to decode one more request: the prefill of the prompts
@@ -68,11 +76,15 @@
 	return max(0, g.prefillDoneAt-now) + g.Engine.PassTime(g.running)
 }
 
-// lessLoaded reports whether g has a larger share of free slots than other. Ties are broken by name.
+// lessLoaded reports whether g has a larger share of free slots than other. Plain servers, which mostly have no requests in progress, then take turns.
+// Other ties are broken by name.
 func (g *group) lessLoaded(other *group) bool {
 	if g.load() != other.load() {
 		return g.load() < other.load()
 	}
+	if g.Plain && g.grantedAt != other.grantedAt {
+		return g.grantedAt < other.grantedAt
+	}
 	return g.Head < other.Head
 }
 
--- a/policy/turns/end.go
+++ b/policy/turns/end.go
@@ -21,6 +21,8 @@
 	Failed bool
 	// Unsent is set if the request was not sent to the head.
 	Unsent bool
+	// Rejected is set if the head stated that it did not run the request.
+	Rejected bool
 }
 
 // Done ends a turn, or removes a waiting request, and returns the decisions that this makes possible.
@@ -45,6 +47,7 @@
 	if known := s.pauses[t.head]; known != nil {
 		known.EndProbe(key)
 	}
+	s.notePlain(now, t.head, end)
 	g := s.release(key)
 	if g == nil || g.Model == "" {
 		return nil // the turn was granted by a previous scheduler, and the group has not been listed since
@@ -55,6 +58,7 @@
 	}
 	if end.FirstToken > 0 {
 		m.firstToken.update(end.FirstToken)
+		m.learnPrefill(t.ahead, end.FirstToken)
 	}
 	return s.serveQueue(now, g.Model, random)
 }
--- a/policy/turns/turns.go
+++ b/policy/turns/turns.go
@@ -27,6 +27,7 @@
 
 	"github.com/skylarkpond/skylarkpond/policy/backoff"
 	"github.com/skylarkpond/skylarkpond/policy/capacity"
+	"github.com/skylarkpond/skylarkpond/policy/plain"
 	"github.com/skylarkpond/skylarkpond/policy/quota"
 )
 
@@ -45,6 +46,8 @@
 	GroupFormationTime time.Duration
 	// SuspectDuration is how long a silent group is granted no turns.
 	SuspectDuration time.Duration
+	// ByCost is set if the time that prompts take is learned.
+	ByCost bool
 }
 
 // DefaultConfig returns the default thresholds.
@@ -69,6 +72,8 @@
 	unconfirmed bool
 	// pauses holds what is known of heads that have rejected requests.
 	pauses map[string]*backoff.Server
+	// answers holds what is known of plain servers by their answers.
+	answers map[string]*plain.Record
 	// coldGrants counts the turns granted at cold heads.
 	coldGrants int
 	// failing holds the heads that have failed a request and accepted none since.
@@ -80,6 +85,8 @@
 type group struct {
 	Group
 	running int
+	// grantedAt is when a turn was last granted at the group.
+	grantedAt time.Duration
 	// suspectUntil is the time until which the group is granted no turns.
 	suspectUntil time.Duration
 	// prefillDoneAt is when the group is expected to have prefilled the prompts assigned to it.
@@ -95,7 +102,9 @@
 	grantedAt time.Duration
 	// meter and cold are those that permitted the turn; nil if the head had no limit, and was not cold.
 	meter, cold *quota.Meter
-	client      string
+	// ahead is what preceded its first token when it was granted.
+	ahead  workAhead
+	client string
 }
 
 // modelQueue is the queue of requests for one model.
@@ -105,6 +114,8 @@
 	// turn to the first token.
 	meanTurnTime time.Duration
 	firstToken   estimate
+	// prefill is learned if Config.ByCost is set.
+	prefill prefillFactor
 	// requests, granted and rejected are counted since the last call of Demands. newRequests counts those
 	// that are not retries, and totalSize sums their sizes.
 	requests, granted, rejected, newRequests int
@@ -125,7 +136,8 @@
 func New(config Config) *Scheduler {
 	return &Scheduler{
 		config: config, groups: make(map[string]*group), models: make(map[string]*modelQueue), turns: make(map[string]turn),
-		meters: make(map[string]*quota.Meter), pauses: make(map[string]*backoff.Server), failing: make(map[string]failureRun), rejectedAt: make(map[uint64]time.Duration),
+		meters: make(map[string]*quota.Meter), pauses: make(map[string]*backoff.Server), answers: make(map[string]*plain.Record),
+		failing: make(map[string]failureRun), rejectedAt: make(map[uint64]time.Duration),
 	}
 }
 
@@ -285,7 +297,8 @@
 
 func (s *Scheduler) grant(now time.Duration, g *group, request Request) Decision {
 	g.running++
-	g.prefillDoneAt = max(now, g.prefillDoneAt) + g.Engine.PrefillTime(request.Size.PromptTokens)
+	g.grantedAt = now
+	ahead := s.assignPrompt(now, g, request.Size.PromptTokens)
 	s.model(g.Model).granted++
 	meter := s.meters[g.Head]
 	if meter != nil {
@@ -298,7 +311,7 @@
 	if _, probe := s.mayGrant(now, g.Head, request.Client); probe {
 		s.pauses[g.Head].Probe(now, request.Key)
 	}
-	s.turns[request.Key] = turn{head: g.Head, grantedAt: now, meter: meter, cold: g.cold, client: request.Client}
+	s.turns[request.Key] = turn{head: g.Head, grantedAt: now, meter: meter, cold: g.cold, client: request.Client, ahead: ahead}
 	known := s.pauses[g.Head]
 	_, failing := s.failing[g.Head]
 	watched := failing || known != nil && known.Watched() || meter != nil && meter.Unverified()
