policy/turns: the measured prefill ratio holds no wait for a pass and no network time

Cause: the ratio compared the whole time from a turn to its first token, less one pass, with the stated prefill time of all prompts ahead. The wait for the pass in progress and the network counted as prefill. Demand holds it.

--- a/policy/turns/demand.go
+++ b/policy/turns/demand.go
@@ -34,6 +34,8 @@
 	// MeanSize is the mean size of these requests.
 	NewRequests int
 	MeanSize    capacity.RequestSize
+	// PrefillRatio is the ratio between the time that prompts take and the one that the engine states; 1 unless it is learned.
+	PrefillRatio float64
 }
 
 // Demands returns the demand of every model that was requested, sorted by name, and resets the counters.
@@ -45,6 +47,7 @@
 		d := Demand{
 			Model: name, Waiting: len(m.queue), MeanTurnTime: m.meanTurnTime, FirstTokenBound: m.firstToken.upperBound(),
 			Requests: m.requests, Granted: m.granted, Rejected: m.rejected, NewRequests: m.newRequests,
+			PrefillRatio: m.prefill.value(),
 		}
 		if m.newRequests > 0 {
 			d.MeanSize = capacity.RequestSize{PromptTokens: m.totalSize.PromptTokens / float64(m.newRequests), OutputTokens: m.totalSize.OutputTokens / float64(m.newRequests)}
--- a/policy/turns/prefill_test.go
+++ b/policy/turns/prefill_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -14,22 +15,40 @@
 	"github.com/skylarkpond/skylarkpond/policy/turns"
 )
 
-// engineTrial runs requests against groups whose engines work in passes: each prefills chunk prompt tokens at most, and sends one event of every request
-// whose prompt is prefilled. A rejected request is sent once more when it is told to.
+// engineTrial runs requests against groups whose engines work in passes: each prefills a bounded number of prompt tokens, and sends one event of every
+// request whose prompt is prefilled. A rejected request is sent once more when it is told to.
 type engineTrial struct {
 	r         *rand.Rand
 	now       time.Duration
 	events    timeline
-	engine    capacity.Engine
-	chunk     float64
 	groups    map[string]*engineGroup
 	scheduler *turns.Scheduler
 	requests  map[string]*engineRequest
+}
+
+// trialModel is a model with its requests.
+type trialModel struct {
+	name   string
+	groups int
+	engine capacity.Engine
+	// chunk is the number of prompt tokens prefilled in a pass at most.
+	chunk float64
+	// prompt and events are the mean lengths of prompts and answers; prompts spread by a lognormal factor of 0.9.
+	prompt, events float64
+	// load is relative to the capacity that the stated times give, half as much again from 8 s to 12 s in a burst.
+	load  float64
+	burst bool
+	// longer is the factor on the prompts of a burst; 0 counts as 1.
+	longer float64
+	// network is added to each first token, for the messages between entry and head.
+	network time.Duration
 
 	total, onTime, refused int
+	ratio                  float64
 }
 
 type engineRequest struct {
+	model                         *trialModel
 	key                           string
 	prompt, promptLeft            float64
 	eventsLeft, attempts          int
@@ -38,6 +57,7 @@
 }
 
 type engineGroup struct {
+	model           *trialModel
 	waiting, active []*engineRequest
 	busy            bool
 }
@@ -78,26 +98,29 @@
 		case d.Reason == turns.Granted:
 			q.granted, q.promptLeft = t.now, q.prompt
 			g := t.groups[d.Head]
-			g.waiting = append(g.waiting, q)
-			if !g.busy {
-				t.pass(g)
-			}
+			t.after(q.model.network/2, func() {
+				g.waiting = append(g.waiting, q)
+				if !g.busy {
+					t.pass(g)
+				}
+			})
 		case q.attempts == 1:
-			t.refused++
+			q.model.refused++
 			t.after(d.RetryAfter, func() { t.submit(q) })
 		}
 	}
 }
 
 func (t *engineTrial) pass(g *engineGroup) {
-	for len(g.waiting) > 0 && len(g.active) < t.engine.Slots {
+	engine := g.model.engine
+	for len(g.waiting) > 0 && len(g.active) < engine.Slots {
 		g.active = append(g.active, g.waiting[0])
 		g.waiting = g.waiting[1:]
 	}
 	if g.busy = len(g.active) > 0; !g.busy {
 		return
 	}
-	left, decoding := t.chunk, 0
+	left, decoding := g.model.chunk, 0
 	for _, q := range g.active {
 		part := min(q.promptLeft, left)
 		q.promptLeft -= part
@@ -106,7 +129,7 @@
 			decoding++
 		}
 	}
-	t.after(t.engine.PrefillTime(t.chunk-left)+t.engine.PassTime(decoding), func() {
+	t.after(engine.PrefillTime(g.model.chunk-left)+engine.PassTime(decoding), func() {
 		kept := g.active[:0]
 		for _, q := range g.active {
 			if q.promptLeft <= 0 && t.sendEvent(q) {
@@ -121,19 +144,20 @@
 
 // sendEvent reports whether the event is the last one.
 func (t *engineTrial) sendEvent(q *engineRequest) bool {
+	arrives := t.now + q.model.network/2
 	if q.first == 0 {
-		q.first = t.now
+		q.first = arrives
 	} else {
-		q.longestPause = max(q.longestPause, t.now-q.last)
+		q.longestPause = max(q.longestPause, arrives-q.last)
 	}
-	q.last = t.now
+	q.last = arrives
 	if q.eventsLeft--; q.eventsLeft > 0 {
 		return false
 	}
 	if q.first-q.arrived <= firstTokenObjective && q.longestPause <= longestPauseAllowed {
-		t.onTime++
+		q.model.onTime++
 	}
-	t.after(3*time.Millisecond, func() {
+	t.after(q.model.network/2, func() {
 		t.apply(t.scheduler.Done(t.now, q.key, turns.End{Complete: true, FirstToken: q.first - q.granted}, t.r.Float64))
 	})
 	return true
@@ -143,94 +167,167 @@
 	q.attempts++
 	budget, wait := turns.WaitBounds(firstTokenObjective, 0, false)
 	t.apply(t.scheduler.Submit(t.now, turns.Request{
-		Key: q.key, Model: "m", FirstTokenBudget: budget, MaxWait: wait, Fingerprint: uint64(q.arrived) + 1,
-		Size: capacity.RequestSize{PromptTokens: q.prompt, OutputTokens: 115},
+		Key: q.key, Model: q.model.name, FirstTokenBudget: budget, MaxWait: wait, Fingerprint: uint64(q.arrived) + 1,
+		Size: capacity.RequestSize{PromptTokens: q.prompt, OutputTokens: 5 * q.model.events},
 	}, t.r.Float64))
 }
 
-// playEngines plays 20 s of requests (674 prompt tokens and 23 events in the mean) at a share of the capacity that the stated times give, with half as
-// many again from 8 s to 12 s in a burst.
-func playEngines(byCost bool, groups int, load float64, burst bool, chunk float64, seed uint64) *engineTrial {
-	const length = 20 * time.Second
+const trialLength = 20 * time.Second
+
+// playEngines plays the requests of some models, and records the results in them.
+func playEngines(byCost bool, models []*trialModel, seed uint64) {
 	config := turns.DefaultConfig()
 	config.ByCost = byCost
 	t := &engineTrial{
-		r: rand.New(rand.NewPCG(seed, 7)), chunk: chunk, groups: make(map[string]*engineGroup), requests: make(map[string]*engineRequest),
-		engine: capacity.Engine{
-			Slots: 34, StepTime: 6070 * time.Microsecond, StepTimePerSequence: 241 * time.Microsecond, StepsPerPass: 5, PrefillTokensPerSecond: 46000, TimeFactor: 0.6,
-		},
-		scheduler: turns.New(config),
+		r: rand.New(rand.NewPCG(seed, 7)), groups: make(map[string]*engineGroup), requests: make(map[string]*engineRequest), scheduler: turns.New(config),
 	}
 	var listed []turns.Group
-	for i := range groups {
-		head := fmt.Sprint("g", i)
-		t.groups[head] = &engineGroup{}
-		listed = append(listed, turns.Group{Head: head, Model: "m", Engine: t.engine})
+	for _, m := range models {
+		for i := range m.groups {
+			head := fmt.Sprint(m.name, i)
+			t.groups[head] = &engineGroup{model: m}
+			listed = append(listed, turns.Group{Head: head, Model: m.name, Engine: m.engine})
+		}
 	}
 	t.apply(t.scheduler.SetGroups(0, listed, t.r.Float64))
-	arrivals := rand.New(rand.NewPCG(seed, 99))
+	for i, m := range models {
+		t.arrive(m, rand.New(rand.NewPCG(seed, uint64(99+i))))
+	}
+	var tick func()
+	tick = func() {
+		t.apply(t.scheduler.Tick(t.now, t.r.Float64))
+		if t.now < trialLength+8*time.Second {
+			t.after(10*time.Millisecond, tick)
+		}
+	}
+	t.after(0, tick)
+	for t.events.Len() > 0 {
+		next := heap.Pop(&t.events).(timedEvent)
+		t.now = next.at
+		next.run()
+	}
+	for _, demand := range t.scheduler.Demands(t.now) {
+		for _, m := range models {
+			if m.name == demand.Model {
+				m.ratio = demand.PrefillRatio
+			}
+		}
+	}
+}
+
+func (t *engineTrial) arrive(m *trialModel, r *rand.Rand) {
 	lognormal := func(mean, spread float64) float64 {
-		return mean * math.Exp(spread*arrivals.NormFloat64()-spread*spread/2)
+		return mean * math.Exp(spread*r.NormFloat64()-spread*spread/2)
 	}
-	perSecond := load * float64(groups) * t.engine.Rate(capacity.RequestSize{PromptTokens: 674, OutputTokens: 115})
-	var arrive, tick func()
+	perSecond := m.load * float64(m.groups) * m.engine.Rate(capacity.RequestSize{PromptTokens: m.prompt, OutputTokens: 5 * m.events})
+	var arrive func()
 	arrive = func() {
-		t.total++
+		m.total++
 		q := &engineRequest{
-			key: fmt.Sprint(t.total), prompt: lognormal(674, 0.9), eventsLeft: int(min(58, max(1, math.Round(lognormal(23, 0.7))))), arrived: t.now,
+			model: m, key: fmt.Sprint(m.name, "/", m.total), prompt: lognormal(m.prompt, 0.9),
+			eventsLeft: int(min(58, max(1, math.Round(lognormal(m.events, 0.7))))), arrived: t.now,
 		}
 		t.requests[q.key] = q
-		t.submit(q)
 		rate := perSecond
-		if burst && t.now > 8*time.Second && t.now < 12*time.Second {
+		if m.burst && t.now > 8*time.Second && t.now < 12*time.Second {
 			rate *= 1.5
+			q.prompt *= max(1, m.longer)
 		}
-		if t.now < length {
-			t.after(time.Duration(arrivals.ExpFloat64()/rate*float64(time.Second)), arrive)
+		t.submit(q)
+		if t.now < trialLength {
+			t.after(time.Duration(r.ExpFloat64()/rate*float64(time.Second)), arrive)
 		}
 	}
-	tick = func() {
-		t.apply(t.scheduler.Tick(t.now, t.r.Float64))
-		if t.now < length+8*time.Second {
-			t.after(10*time.Millisecond, tick)
+	t.after(0, arrive)
+}
+
+const (
+	anyNumber = 1e9
+	few       = 1024
+	// near is the time of the messages between an entry and a head, far that between distant places.
+	near, far = 6 * time.Millisecond, 60 * time.Millisecond
+)
+
+// small is the model of 4 VMs, whose times are 0.6 of those of the large one with 8.
+func small(groups int, load float64, burst bool, chunk float64, network time.Duration) trialModel {
+	return trialModel{
+		name: "small", groups: groups, chunk: chunk, prompt: 674, events: 23, load: load, burst: burst, network: network,
+		engine: capacity.Engine{
+			Slots: 34, StepTime: 6070 * time.Microsecond, StepTimePerSequence: 241 * time.Microsecond, StepsPerPass: 5, PrefillTokensPerSecond: 46000, TimeFactor: 0.6,
+		},
+	}
+}
+
+func large(groups int, load float64, burst bool, chunk float64) trialModel {
+	m := small(groups, load, burst, chunk, near)
+	m.name, m.prompt, m.engine.TimeFactor = "large", 1700, 1
+	return m
+}
+
+// shares returns the share of each model's answers whose first token and pauses are in time, over some seeds.
+func shares(byCost bool, seeds uint64, models ...trialModel) (onTime []float64) {
+	sums := slices.Clone(models)
+	for seed := range seeds {
+		var played []*trialModel
+		for _, m := range models {
+			played = append(played, &m)
+		}
+		playEngines(byCost, played, seed+1)
+		for i, m := range played {
+			sums[i].onTime, sums[i].total, sums[i].refused, sums[i].ratio = sums[i].onTime+m.onTime, sums[i].total+m.total, sums[i].refused+m.refused, max(sums[i].ratio, m.ratio)
 		}
 	}
-	t.after(0, arrive)
-	t.after(0, tick)
-	for t.events.Len() > 0 {
-		next := heap.Pop(&t.events).(timedEvent)
-		t.now = next.at
-		next.run()
+	for _, m := range sums {
+		onTime = append(onTime, float64(m.onTime)/float64(m.total))
+		GinkgoWriter.Printf("%s: groups %2d, load %.2f, burst %-5v, %5g tokens a pass, network %v, measured %-5v: in time %.4f, refused at first %.4f, ratio %.2f\n",
+			m.name, m.groups, m.load, m.burst, m.chunk, m.network, byCost, float64(m.onTime)/float64(m.total), float64(m.refused)/float64(m.total), m.ratio)
 	}
-	return t
+	return onTime
 }
 
-var _ = Describe("Groups that prefill slower than stated", func() {
-	// share returns the share of answers whose first token and pauses are in time.
-	share := func(byCost bool, groups int, load float64, burst bool, chunk float64) float64 {
-		var onTime, total, refused int
-		for seed := range uint64(2) {
-			t := playEngines(byCost, groups, load, burst, chunk, seed+1)
-			onTime, total, refused = onTime+t.onTime, total+t.total, refused+t.refused
+var _ = Describe("Groups whose prefill times are measured", func() {
+	// expectChange compares with unmeasured times: each model's share must not fall by more than 0.5 percentage points.
+	expectChange := func(seeds uint64, least float64, models ...trialModel) {
+		GinkgoHelper()
+		today, measured := shares(false, seeds, models...), shares(true, seeds, models...)
+		for i := range models {
+			Expect(measured[i]).To(BeNumerically(">=", today[i]+least), models[i].name)
 		}
-		result := float64(onTime) / float64(total)
-		GinkgoWriter.Printf("groups %2d, load %.2f, burst %-5v, %5g tokens a pass, measured %-5v: in time %.4f, refused at first %.4f\n",
-			groups, load, burst, chunk, byCost, result, float64(refused)/float64(total))
-		return result
 	}
-	const anyNumber, few = 1e9, 1024
 
 	// Guards against a choice that takes prompts for prefilled long before they are.
-	It("answer more requests in time if the time is measured", func() {
-		Expect(share(true, 8, 0.85, false, few)).To(BeNumerically(">", 0.02+share(false, 8, 0.85, false, few)))
-		Expect(share(true, 8, 0.85, true, few)).To(BeNumerically(">", 0.02+share(false, 8, 0.85, true, few)))
+	It("answer more requests in time if they prefill slower than stated", func() {
+		expectChange(3, 0.02, small(8, 0.85, false, few, near))
+		expectChange(3, 0.02, small(8, 0.85, true, few, near))
 	})
 
-	It("lose nothing if they prefill as stated", func() {
-		for _, load := range []float64{0.6, 0.85, 1} {
-			Expect(share(true, 8, load, false, anyNumber)).To(BeNumerically(">", share(false, 8, load, false, anyNumber)-0.01))
+	// Guards against a ratio that holds the wait for the pass in progress or the network.
+	It("lose nothing if they prefill as stated, near or far", func() {
+		for _, network := range []time.Duration{near, far} {
+			for _, groups := range []int{4, 8, 16} {
+				expectChange(3, -0.005, small(groups, 0.6, false, anyNumber, network))
+				expectChange(3, -0.005, small(groups, 0.85, false, anyNumber, network))
+				expectChange(3, -0.005, small(groups, 1, false, anyNumber, network))
+				expectChange(3, -0.005, small(groups, 0.85, true, anyNumber, network))
+			}
+		}
+	})
+
+	// Guards against a ratio that takes the load of a burst for the time that its prompts take.
+	It("lose nothing if a burst brings longer prompts", func() {
+		burst := small(8, 0.6, true, anyNumber, near)
+		burst.longer = 3
+		expectChange(3, -0.005, burst)
+	})
+
+	It("lose nothing with two models of which one has long prompts", func() {
+		for _, chunk := range []float64{anyNumber, few} {
+			for _, load := range []float64{0.6, 0.85} {
+				expectChange(3, -0.005, small(16, load, false, chunk, near), large(8, load, false, chunk))
+			}
+			expectChange(3, -0.005, small(16, 0.85, true, chunk, near), large(8, 0.6, false, chunk))
+			expectChange(3, -0.005, small(16, 0.6, false, chunk, near), large(8, 0.85, true, chunk))
 		}
-		Expect(share(true, 8, 0.85, true, anyNumber)).To(BeNumerically(">", share(false, 8, 0.85, true, anyNumber)-0.01))
 	})
 })
 
--- a/policy/turns/turns.go
+++ b/policy/turns/turns.go
@@ -115,7 +115,7 @@
 	meanTurnTime time.Duration
 	firstToken   estimate
 	// prefill is learned if Config.ByCost is set.
-	prefill prefillFactor
+	prefill prefillRatio
 	// requests, granted and rejected are counted since the last call of Demands. newRequests counts those
 	// that are not retries, and totalSize sums their sizes.
 	requests, granted, rejected, newRequests int
