Plain servers are chosen at the leader only while one of them rejects more than the others

Change: entries report how their plain requests end (link.Up, field 21). A server whose rejected share exceeds that of the others by 0.1 and by four standard errors is set apart; only then entries are told to ask (link.Down, field 21), the server gets single requests at growing intervals, and five accepted in a row end it. The leader logs both, gauge and counter state the prefill ratio and the servers set apart.

--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -146,7 +146,7 @@
 		AnnounceLeaving: func(leaving link.Leaving) bool { return cat.AnnounceLeaving(leaving, false) }, AnnouncedLeaving: cat.AnnouncedLeaving,
 		Confirmed: entryLease.Held, KnownLimits: func() []link.ServerLimit { return s.components.limits.Limits() }, ReportLimit: s.limitChanged,
 		LimitHeard:  func(limit link.ServerLimit) { s.components.limits.Adopt(limit) },
-		CostRouting: s.config.costRouting(),
+		CostRouting: s.config.costRouting(), ReportPlain: s.plainChanged,
 	})
 }
 
--- a/entry/gateway/costs.go
+++ b/entry/gateway/costs.go
@@ -1,20 +1,26 @@
 package gateway
 
 import (
+	"math"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
 
 	"github.com/skylarkpond/skylarkpond/contract/route"
+	"github.com/skylarkpond/skylarkpond/entry/leader"
 	"github.com/skylarkpond/skylarkpond/entry/relay"
 	"github.com/skylarkpond/skylarkpond/link/framing"
+	"github.com/skylarkpond/skylarkpond/logline"
 	"github.com/skylarkpond/skylarkpond/policy/cost"
+	"github.com/skylarkpond/skylarkpond/policy/turns"
 )
 
 // This file learns what the answers of this entry's requests cost, and measures how well that can be expected. No decision depends on it: knowing the
-// lengths of answers gained callers nothing in trials (docs/design/request-cost.md).
+// lengths of answers gained callers nothing in trials (docs/design/request-cost.md). It also states what the leader has learned.
 
 // costs learns the costs of requests by kind. It is safe for concurrent use.
 type costs struct {
@@ -66,3 +72,21 @@
 	}
 	return kind.Service + "." + kind.Model + "." + kind.Route
 }
+
+// measurePrefill states the ratio between the time that a model's prompts take and the one that its engine states. This entry is the leader.
+func (s *shared) measurePrefill(demand turns.Demand) {
+	if s.costs != nil && demand.PrefillRatio > 0 {
+		name := strings.ReplaceAll(strings.Trim(demand.Model, "/"), "/", ".")
+		metrics.GetOrRegisterGauge("cost.prefill_percent."+name, s.registry).Update(int64(math.Round(100 * demand.PrefillRatio)))
+	}
+}
+
+// plainChanged logs that a plain server begins or ceases to reject more than the others. This entry is the leader.
+func (s *shared) plainChanged(change leader.PlainChange) {
+	line, by := logline.PlainAlike, int64(-1)
+	if change.Apart {
+		line, by = logline.PlainApart, 1
+	}
+	metrics.GetOrRegisterCounter("plain.apart", s.registry).Inc(by)
+	s.log.WithFields(logrus.Fields{"vm": change.Server, "service": change.Service}).Info(line)
+}
--- a/entry/gateway/follow.go
+++ b/entry/gateway/follow.go
@@ -174,6 +174,8 @@
 		for _, cold := range message.Cold {
 			g.standing.Hear(cold)
 		}
+	case message.PlainServices != nil:
+		g.remote.SetPlainServices(message.PlainServices.Services)
 	case message.Probe != nil:
 		go g.answerProbe(ctx, send, *message.Probe)
 	}
--- a/entry/gateway/lines.go
+++ b/entry/gateway/lines.go
@@ -196,6 +196,7 @@
 }
 
 func (s *shared) logDemand(demand turns.Demand) {
+	s.measurePrefill(demand)
 	s.log.WithFields(logrus.Fields{
 		"model": demand.Model, "groups": demand.Groups, "places": demand.Slots, "running": demand.Running, "waiting": demand.Waiting,
 		"asked": demand.Requests, "granted": demand.Granted, "refused": demand.Rejected, "took_ms": demand.MeanTurnTime.Milliseconds(),
--- a/entry/leader/lapse.go
+++ b/entry/leader/lapse.go
@@ -12,6 +12,7 @@
 		l.forgetHolds()
 		l.demand = make(map[string]*modelDemand)
 		l.turns = l.turns.Successor()
+		l.updatePlain()
 		l.limits = newLimitTracker()
 	}
 }
--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -82,8 +82,10 @@
 	LimitHeard func(limit link.ServerLimit)
 	// ReportLimit is called when the limit of a server changes. It is called with the Leader's lock held.
 	ReportLimit func(change LimitChange)
-	// CostRouting is set if decisions follow from learned costs, and turns are granted at all plain servers.
+	// CostRouting is set if decisions follow from learned costs.
 	CostRouting bool
+	// ReportPlain is called when a plain server begins or ceases to reject more than the others. It is called with the Leader's lock held, and may be nil.
+	ReportPlain func(change PlainChange)
 	// RoundEnded is called after each round of the periodic work, whether or not this entry is the leader.
 	RoundEnded func()
 	// ReportHolds is called when the requests of a service that are held back, because they crash servers, change.
@@ -116,6 +118,8 @@
 	newFollowers map[string]bool
 	holds        *holdTracker
 	limits       *limitTracker
+	// plainApart holds the plain servers that reject more than the others, as the followers were last told.
+	plainApart []policy.PlainServer
 	// failures holds the failed connections that followers have reported.
 	failures reach.Failures
 	// pausedProcesses holds the process of each server that has asked an entry for a pause; 0 if unknown.
@@ -257,6 +261,7 @@
 	}
 	l.engines = engines
 	l.sendDecisions(l.turns.SetGroups(l.now(), groups, rand.Float64))
+	l.updatePlain()
 }
 
 // heads returns the heads of a model's groups that accept requests.
@@ -290,6 +295,7 @@
 	l.sendIsolation(to)
 	l.adoptLimits(hello.Limits)
 	l.sendLimits(to)
+	l.sendPlain(to)
 	l.sendLeaving(to, announced)
 	for _, pause := range hello.Pauses {
 		l.applyPause(entry, pause)
@@ -349,6 +355,8 @@
 		l.hearLeaving(message.Leaving)
 	case len(message.Cold) > 0:
 		l.hearCold(message.Cold)
+	case len(message.PlainEnds) > 0:
+		l.hearPlainEnds(message.PlainEnds)
 	case message.Accepted != 0:
 		l.mu.Lock()
 		l.sendDecisions(l.turns.Accepted(l.now(), turnKey(entry, message.Accepted), rand.Float64))
--- a/entry/leader/limits.go
+++ b/entry/leader/limits.go
@@ -164,19 +164,20 @@
 }
 
 // limitedServers returns those servers of a plain service that have a limit or are cold. Entries ask for turns at these alone, and choose among the others
-// themselves, unless the leader chooses among all.
+// themselves. With cost routing it returns the others as well, marked as plain: turns are granted at them while one rejects more than the others.
 func (l *Leader) limitedServers(service route.Service, servers []*backend.Server) []policy.Group {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var limited []policy.Group
 	for _, server := range servers {
 		known := l.standing(server)
-		if server.Leaving || known.Blocked || !l.deps.CostRouting && l.limits.limitOf(server.ID) == nil && !known.Limited() {
+		free := l.limits.limitOf(server.ID) == nil && !known.Limited()
+		if server.Leaving || known.Blocked || free && !l.deps.CostRouting {
 			continue
 		}
 		limited = append(limited, policy.Group{
 			Head: string(server.ID), Model: modelKey(service.Name, ""), Standing: known, Engine: capacity.Engine{Slots: max(1, server.Slots)},
-			Plain: l.deps.CostRouting,
+			Plain: free,
 		})
 	}
 	return limited
--- a/entry/leader/turns.go
+++ b/entry/leader/turns.go
@@ -80,6 +80,7 @@
 	}
 	defer l.mu.Unlock()
 	l.sendDecisions(l.turns.Done(l.now(), turnKey(entry, done.Key), end, rand.Float64))
+	l.updatePlain()
 }
 
 // sendDecisions sends decisions to the followers concerned. It must be called with l.mu held; sending never blocks.
--- a/entry/turn/limited.go
+++ b/entry/turn/limited.go
@@ -13,7 +13,7 @@
 // permits it at once; otherwise the others take it. So the limited server gets its share, and the answers show when its limit is gone. If the
 // others are full, the request waits for the leader's permission within its objective.
 func (r *Remote) acquirePlain(ctx context.Context, request Request) (*Turn, *Refusal) {
-	if r.joinsPlain {
+	if r.leaderChooses(request.Service) {
 		if t, _, _ := r.ask(ctx, optional(request)); t != nil {
 			return t, nil
 		}
@@ -26,6 +26,7 @@
 	}
 	t, refusal := r.local.Acquire(ctx, request)
 	if refusal == nil || !limited {
+		r.reportEnd(t)
 		return t, refusal
 	}
 	if t, decision, decided := r.ask(ctx, request); decided {
@@ -49,10 +50,6 @@
 	return request
 }
 
-// JoinPlain makes the leader choose among all plain servers, as long as it grants turns: it hears of the requests and the rejections of all entries
-// (see policy/plain). Otherwise this entry chooses. It must be called before the first request.
-func (r *Remote) JoinPlain() { r.joinsPlain = true }
-
 // pace spaces the requests for turns that are asked for at once. Of hundreds of entries few may be granted one; the more often an entry is refused,
 // the more seldom it asks.
 type pace struct {
--- a/link/leader/leader.go
+++ b/link/leader/leader.go
@@ -75,6 +75,8 @@
 	Leaving []Leaving `cbor:"18,keyasint,omitempty"`
 	// Cold lists servers that have said in an answer that they are cold.
 	Cold []Cold `cbor:"20,keyasint,omitempty"`
+	// PlainEnds reports requests at plain servers that the follower chose by itself.
+	PlainEnds []PlainEnds `cbor:"21,keyasint,omitempty"`
 }
 
 // Cold is a server that has said in an answer that it is cold.
@@ -306,6 +308,8 @@
 	Leaving []Leaving `cbor:"14,keyasint,omitempty"`
 	// Cold lists servers that have said that they are cold.
 	Cold []Cold `cbor:"20,keyasint,omitempty"`
+	// PlainServices is sent when the services change for whose plain servers the leader is to be asked.
+	PlainServices *PlainServices `cbor:"21,keyasint,omitempty"`
 }
 
 // IsolationChanges lists the entries that have become isolated and those that reach the servers again. A new follower is sent all isolated ones.
--- a/logline/names.go
+++ b/logline/names.go
@@ -42,6 +42,8 @@
 	ServerCold        = "backend server is cold"
 	ServerWarm        = "backend server is no longer cold"
 	ColdInvalid       = "backend server names a time to be cold that can't be read"
+	PlainApart        = "plain server rejects more than the others"
+	PlainAlike        = "plain server rejects no more than the others"
 	EvacuationBegins  = "failure domain is evacuated"
 	EvacuationEnds    = "evacuation of a failure domain is over"
 )
--- a/policy/turns/choose.go
+++ b/policy/turns/choose.go
@@ -24,9 +24,9 @@
 			continue
 		}
 		if probe {
-			probed.improve(g, s.rank(now, g))
+			probed.improve(g, s.rank(now, g, request))
 		} else {
-			best.improve(g, s.rank(now, g))
+			best.improve(g, s.rank(now, g, request))
 		}
 	}
 	if best.group == nil || probed.group != nil && len(request.TriedHeads) == 0 && best.worseThan(probed) {
@@ -50,10 +50,10 @@
 	rank  float64
 }
 
-// rank returns the expected delay of the first token, in seconds, or the rank of a plain server; lower is better.
-func (s *Scheduler) rank(now time.Duration, g *group) float64 {
-	if g.Plain {
-		return s.plainRank(now, g)
+// rank returns the expected delay of the first token, in seconds, or the score of a plain server; lower is better.
+func (s *Scheduler) rank(now time.Duration, g *group, request Request) float64 {
+	if s.plain.joined(g.Model) {
+		return s.plain.pools[g.Model].Score(now, g.Head, g.running, g.Engine.Slots, len(request.TriedHeads) > 0)
 	}
 	return g.firstTokenDelay(now).Seconds()
 }
@@ -82,7 +82,7 @@
 	if g.load() != other.load() {
 		return g.load() < other.load()
 	}
-	if g.Plain && g.grantedAt != other.grantedAt {
+	if g.Plain && other.Plain && g.grantedAt != other.grantedAt {
 		return g.grantedAt < other.grantedAt
 	}
 	return g.Head < other.Head
--- a/policy/turns/demand.go
+++ b/policy/turns/demand.go
@@ -41,7 +41,6 @@
 // Demands returns the demand of every model that was requested, sorted by name, and resets the counters.
 func (s *Scheduler) Demands(now time.Duration) []Demand {
 	s.expireRejected(now)
-	s.sweepAnswers(now)
 	demands := make([]Demand, 0, len(s.models))
 	for name, m := range s.models {
 		d := Demand{
--- a/policy/turns/end.go
+++ b/policy/turns/end.go
@@ -47,7 +47,6 @@
 	if known := s.pauses[t.head]; known != nil {
 		known.EndProbe(key)
 	}
-	s.notePlain(now, t.head, end)
 	g := s.release(key)
 	if g == nil || g.Model == "" {
 		return nil // the turn was granted by a previous scheduler, and the group has not been listed since
@@ -60,7 +59,7 @@
 		m.firstToken.update(end.FirstToken)
 		m.learnPrefill(t.ahead, end.FirstToken)
 	}
-	return s.serveQueue(now, g.Model, random)
+	return append(s.endPlain(now, t.head, end, random), s.serveQueue(now, g.Model, random)...)
 }
 
 // Head returns the head of a turn in use.
--- a/policy/turns/plain.go
+++ b/policy/turns/plain.go
@@ -1,37 +1,96 @@
 package turns
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/skylarkpond/skylarkpond/policy/plain"
 )
 
-// This file chooses among the servers of plain services, for which entries ask one by one while costs are learned: see package plain.
+// This file grants turns at the servers of plain services while one of them rejects more than the others: see package plain. Otherwise these servers are
+// no groups.
 
-// plainRank rates a plain server, the lower the better.
-func (s *Scheduler) plainRank(now time.Duration, g *group) float64 {
-	return plain.Score(now, s.answers[g.Head], g.running, g.Engine.Slots)
+// plainServers holds what is known of the servers of plain services.
+type plainServers struct {
+	// listed holds all groups as they were last set.
+	listed []Group
+	// pools holds the plain services by model, models the service of each server.
+	pools  map[string]*plain.Pool
+	models map[string]string
 }
 
-// notePlain records that a plain server has answered a request or rejected it. Turns that ended otherwise say nothing of whether it rejects requests.
-func (s *Scheduler) notePlain(now time.Duration, head string, end End) {
-	g := s.groups[head]
-	if g == nil || !g.Plain || !end.Complete && !end.Rejected {
-		return
+// list records the plain servers among the groups, and returns the groups at which turns are granted.
+func (p *plainServers) list(groups []Group) []Group {
+	p.listed = groups
+	if len(p.pools) == 0 && !slices.ContainsFunc(groups, func(g Group) bool { return g.Plain }) {
+		return groups
 	}
-	record := s.answers[head]
-	if record == nil {
-		record = &plain.Record{}
-		s.answers[head] = record
+	servers := make(map[string]map[string]bool)
+	p.models = make(map[string]string)
+	for _, g := range groups {
+		if !g.Plain {
+			continue
+		}
+		if servers[g.Model] == nil {
+			servers[g.Model] = make(map[string]bool)
+		}
+		servers[g.Model][g.Head] = true
+		p.models[g.Head] = g.Model
+	}
+	maps.DeleteFunc(p.pools, func(model string, _ *plain.Pool) bool { return servers[model] == nil })
+	for model, heads := range servers {
+		if p.pools == nil {
+			p.pools = make(map[string]*plain.Pool)
+		}
+		if p.pools[model] == nil {
+			p.pools[model] = plain.NewPool()
+		}
+		p.pools[model].SetServers(heads)
 	}
-	record.Note(now, end.Rejected)
+	return slices.DeleteFunc(slices.Clone(groups), func(g Group) bool { return g.Plain && !p.joined(g.Model) })
+}
+
+// joined reports whether turns are granted at all servers of a service.
+func (p *plainServers) joined(model string) bool {
+	pool := p.pools[model]
+	return pool != nil && pool.Joined()
 }
 
-// sweepAnswers forgets the records that say nothing any more.
-func (s *Scheduler) sweepAnswers(now time.Duration) {
-	for head, record := range s.answers {
-		if record.Negligible(now) {
-			delete(s.answers, head)
+// NotePlain records how requests at a plain server ended, whoever had chosen it, and returns the decisions that this makes possible.
+func (s *Scheduler) NotePlain(now time.Duration, head string, answered, rejected int, random func() float64) []Decision {
+	model, known := s.plain.models[head]
+	if !known {
+		return nil
+	}
+	before := s.plain.joined(model)
+	s.plain.pools[model].Note(now, head, answered, rejected)
+	if s.plain.joined(model) == before {
+		return nil
+	}
+	return s.SetGroups(now, s.plain.listed, random)
+}
+
+// PlainServer is a server of a plain service.
+type PlainServer struct{ Head, Model string }
+
+// PlainApart returns the plain servers that reject more than the others of their service, sorted by head.
+func (s *Scheduler) PlainApart() (apart []PlainServer) {
+	for _, head := range slices.Sorted(maps.Keys(s.plain.models)) {
+		if model := s.plain.models[head]; s.plain.pools[model].Apart(head) {
+			apart = append(apart, PlainServer{head, model})
 		}
 	}
+	return apart
+}
+
+// endPlain records the end of a turn at a plain server. Turns that ended otherwise say nothing of whether it rejects requests.
+func (s *Scheduler) endPlain(now time.Duration, head string, end End, random func() float64) []Decision {
+	switch {
+	case end.Rejected:
+		return s.NotePlain(now, head, 0, 1, random)
+	case end.Complete:
+		return s.NotePlain(now, head, 1, 0, random)
+	}
+	return nil
 }
--- a/policy/turns/request.go
+++ b/policy/turns/request.go
@@ -12,7 +12,8 @@
 	// Head identifies the group by its head.
 	Head  string
 	Model string
-	// Plain is set for a server of a plain service at which turns are granted although it takes any number of requests a second.
+	// Plain is set for a server of a plain service that takes any number of requests a second. Turns are granted at it only while a server of the service
+	// rejects more than the others.
 	Plain bool
 	// Standing is that of the head. A group whose head is blocked is granted no turns, a cold one few.
 	Standing standing.Standing
--- a/policy/turns/turns.go
+++ b/policy/turns/turns.go
@@ -27,7 +27,6 @@
 
 	"github.com/skylarkpond/skylarkpond/policy/backoff"
 	"github.com/skylarkpond/skylarkpond/policy/capacity"
-	"github.com/skylarkpond/skylarkpond/policy/plain"
 	"github.com/skylarkpond/skylarkpond/policy/quota"
 )
 
@@ -72,8 +71,7 @@
 	unconfirmed bool
 	// pauses holds what is known of heads that have rejected requests.
 	pauses map[string]*backoff.Server
-	// answers holds what is known of plain servers by their answers.
-	answers map[string]*plain.Record
+	plain  plainServers
 	// coldGrants counts the turns granted at cold heads.
 	coldGrants int
 	// failing holds the heads that have failed a request and accepted none since.
@@ -136,8 +134,7 @@
 func New(config Config) *Scheduler {
 	return &Scheduler{
 		config: config, groups: make(map[string]*group), models: make(map[string]*modelQueue), turns: make(map[string]turn),
-		meters: make(map[string]*quota.Meter), pauses: make(map[string]*backoff.Server), answers: make(map[string]*plain.Record),
-		failing: make(map[string]failureRun), rejectedAt: make(map[uint64]time.Duration),
+		meters: make(map[string]*quota.Meter), pauses: make(map[string]*backoff.Server), failing: make(map[string]failureRun), rejectedAt: make(map[uint64]time.Duration),
 	}
 }
 
@@ -146,7 +143,7 @@
 	for _, g := range s.groups {
 		g.removed = true
 	}
-	for _, g := range groups {
+	for _, g := range s.plain.list(groups) {
 		known := s.groups[g.Head]
 		if known == nil {
 			known = &group{}
@@ -298,6 +295,9 @@
 func (s *Scheduler) grant(now time.Duration, g *group, request Request) Decision {
 	g.running++
 	g.grantedAt = now
+	if pool := s.plain.pools[g.Model]; pool != nil {
+		pool.Granted(now, g.Head)
+	}
 	ahead := s.assignPrompt(now, g, request.Size.PromptTokens)
 	s.model(g.Model).granted++
 	meter := s.meters[g.Head]
