Prefill times are learned from complete answers alone, and stated for models alone

Cause: the rule is that nothing is learned from truncated answers; plain services have no prompts. Change: End.Complete is required; the gauge leaves out plain services.

--- a/entry/gateway/costs.go
+++ b/entry/gateway/costs.go
@@ -75,8 +75,8 @@
 
 // measurePrefill states the ratio between the time that a model's prompts take and the one that its engine states. This entry is the leader.
 func (s *shared) measurePrefill(demand turns.Demand) {
-	if s.costs != nil && demand.PrefillRatio > 0 {
-		name := strings.ReplaceAll(strings.Trim(demand.Model, "/"), "/", ".")
+	if s.costs != nil && !strings.HasSuffix(demand.Model, "/") { // plain services have no model
+		name := strings.ReplaceAll(demand.Model, "/", ".")
 		metrics.GetOrRegisterGauge("cost.prefill_percent."+name, s.registry).Update(int64(math.Round(100 * demand.PrefillRatio)))
 	}
 }
--- a/entry/gateway/costs_test.go
+++ b/entry/gateway/costs_test.go
@@ -11,6 +11,7 @@
 	"github.com/skylarkpond/skylarkpond/entry/relay"
 	"github.com/skylarkpond/skylarkpond/link/framing"
 	"github.com/skylarkpond/skylarkpond/policy/cost"
+	"github.com/skylarkpond/skylarkpond/policy/turns"
 )
 
 var _ = Describe("Costs", func() {
@@ -55,4 +56,16 @@
 		Expect(registry.Get("cost.error_percent.model.m1.chat")).NotTo(BeNil())
 		Expect(metrics.GetOrRegisterGauge("cost.error_percent.model.m1.chat", registry).Value()).To(BeNumerically("<", 20))
 	})
+
+	It("are stated for the prompts of models alone, and only if they are learned", func() {
+		on, off := &shared{registry: metrics.NewRegistry()}, &shared{registry: metrics.NewRegistry()}
+		on.costs = newCosts(on.registry, time.Now())
+		for _, s := range []*shared{on, off} {
+			s.measurePrefill(turns.Demand{Model: "llm/m1", PrefillRatio: 2.5})
+			s.measurePrefill(turns.Demand{Model: "desk/", PrefillRatio: 1})
+		}
+		Expect(metrics.GetOrRegisterGauge("cost.prefill_percent.llm.m1", on.registry).Value()).To(BeEquivalentTo(250))
+		Expect(on.registry.GetAll()).To(HaveLen(1))
+		Expect(off.registry.GetAll()).To(BeEmpty())
+	})
 })
--- a/policy/turns/end.go
+++ b/policy/turns/end.go
@@ -57,6 +57,8 @@
 	}
 	if end.FirstToken > 0 {
 		m.firstToken.update(end.FirstToken)
+	}
+	if end.FirstToken > 0 && end.Complete {
 		m.learnPrefill(t.ahead, end.FirstToken)
 	}
 	return append(s.endPlain(now, t.head, end, random), s.serveQueue(now, g.Model, random)...)
