Memory held for callers that read slowly is bounded together

Cause: whole answers held 64 KB each outside of any common bound, bodies of requests were not bounded together, and nothing ended a write to a caller that did not read: its request stayed in progress beyond its deadline, with two connections and a slot at the server. The kernel took megabytes for each connection. Meanwhile the server was reported as stalled, and its stream was begun again at another one.

Change: each request has an account (entry/callers) for its body, its answer and what a request takes anyway. policy/slowread decides which callers are cut: those without progress for longer than their route allows (1.5 to 3 s, before servers cut off the answer), and those without progress for longest once requests hold more than three quarters of a quarter of the machine's memory. Progress is what the caller's machine has acknowledged, so that one that reads slowly but steadily is served whole. Requests that do not fit are refused with 503 and Retry-After before they run. A cut resets the connection, also that of a whole answer that ends with it, which could be taken for complete. Socket buffers are bounded by TCP_NOTSENT_LOWAT (32 KB) and a receive buffer of 64 KB for answers of servers. A pending write to the caller is no longer taken for a silent server.

Ruled out: cutting for memory from 0.3 s without progress on, which cuts callers that read every half second (policy/slowread, virtual time).

--- /dev/null
+++ b/entry/callers/conn.go
@@ -0,0 +1,76 @@
+package callers
+
+import (
+	"net"
+	"sync/atomic"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/skylarkpond/skylarkpond/policy/slowread"
+)
+
+// tcpConn is what the HTTP server and package framing use of a TCP connection.
+type tcpConn interface {
+	net.Conn
+	CloseWrite() error
+	SetLinger(seconds int) error
+	SyscallConn() (syscall.RawConn, error)
+}
+
+// conn is the connection of a caller.
+type conn struct {
+	tcpConn
+	raw   syscall.RawConn
+	watch *Watch
+	// writes counts the beginnings and ends of writes: it is odd while one is pending.
+	writes atomic.Uint64
+	// account is that of the request in progress, or of the last one.
+	account atomic.Pointer[Account]
+	// reason is why the connection was cut; nil if it was not.
+	reason atomic.Pointer[slowread.Reason]
+
+	// progress is used by the sweep only.
+	progress slowread.Progress
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	c.writes.Add(1)
+	defer c.writes.Add(1)
+	return c.tcpConn.Write(p)
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.watch.remove(c)
+	return c.tcpConn.Close()
+}
+
+// cut closes the connection with a reset: an orderly close could pass for the end of an answer, and the kernel would keep what the caller does not
+// read.
+func (c *conn) cut(reason slowread.Reason) {
+	c.reason.Store(&reason)
+	_ = c.SetLinger(0) // fails only if the connection is closed
+	_ = c.Close()
+}
+
+// sendState is what the kernel tells of the bytes that were written to a connection.
+type sendState struct {
+	// acknowledged counts those that the caller's machine has acknowledged, queued those that the kernel still holds.
+	acknowledged uint64
+	queued       int64
+}
+
+// sendState returns false if the connection is closed.
+func (c *conn) sendState() (state sendState, ok bool) {
+	err := c.raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err != nil {
+			return
+		}
+		queued, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+		state, ok = sendState{acknowledged: info.Bytes_acked, queued: int64(queued)}, err == nil
+	})
+	return state, ok && err == nil
+}
--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -18,6 +18,7 @@
 	"github.com/skylarkpond/skylarkpond/backend"
 	"github.com/skylarkpond/skylarkpond/domain"
 	"github.com/skylarkpond/skylarkpond/entry/backoff"
+	"github.com/skylarkpond/skylarkpond/entry/callers"
 	"github.com/skylarkpond/skylarkpond/entry/catalog"
 	"github.com/skylarkpond/skylarkpond/entry/grouping"
 	"github.com/skylarkpond/skylarkpond/entry/isolation"
@@ -223,12 +224,13 @@
 
 func provideRelay(
 	s *shared, cat *catalog.Catalog, remote *turn.Remote, pool *upstream.Pool, retries *relay.Retries, watch *suspects.Watch,
-	isolated *isolation.Watch, entries *roster.Roster, tracker *limits.Tracker, pauses *backoff.Tracker,
+	isolated *isolation.Watch, entries *roster.Roster, tracker *limits.Tracker, pauses *backoff.Tracker, connections *callers.Watch,
 ) *relay.Relay {
 	return relay.New(relay.Deps{
 		Table: cat.Table, Turns: remote, Pool: pool, Retries: retries, Suspects: watch, Report: s.requestEnded,
 		Rejected: s.requestRejected, Unreachable: s.serverUnreachable, FirstRequest: func() { remote.Send(link.Up{RequestSeen: true}) }, Random: rand.Float64,
-		Limits: tracker, Pauses: pauses, Isolation: isolated, PeerPool: upstream.NewPool(upstream.WithSource(sourceIP(s.config.CallerAddress)), upstream.WithObserver(s.entryAnswered)),
+		Callers: connections,
+		Limits:  tracker, Pauses: pauses, Isolation: isolated, PeerPool: upstream.NewPool(upstream.WithSource(sourceIP(s.config.CallerAddress)), upstream.WithObserver(s.entryAnswered)),
 		Peer: func(tried []string) (relay.Peer, bool) {
 			entry, ok := entries.Peer(tried)
 			return relay.Peer{Name: entry.Name, Address: entry.PublicAddress}, ok
@@ -247,6 +249,7 @@
 	g.catalog.OnServersChange(g.controller.Wake)
 	g.catalog.OnServersChange(g.leader.RefreshGroups)
 	g.gauges()
+	g.callerGauges()
 }
 
 // newClient returns a client for the platform's object API.
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -21,6 +21,7 @@
 
 	"github.com/skylarkpond/skylarkpond/domain"
 	"github.com/skylarkpond/skylarkpond/entry/backoff"
+	"github.com/skylarkpond/skylarkpond/entry/callers"
 	"github.com/skylarkpond/skylarkpond/entry/catalog"
 	"github.com/skylarkpond/skylarkpond/entry/drain"
 	"github.com/skylarkpond/skylarkpond/entry/grouping"
@@ -36,7 +37,6 @@
 	"github.com/skylarkpond/skylarkpond/entry/turn"
 	"github.com/skylarkpond/skylarkpond/internal/lateread"
 	"github.com/skylarkpond/skylarkpond/internal/wait"
-	"github.com/skylarkpond/skylarkpond/link/framing"
 	link "github.com/skylarkpond/skylarkpond/link/leader"
 	"github.com/skylarkpond/skylarkpond/link/peer"
 	"github.com/skylarkpond/skylarkpond/link/upstream"
@@ -85,6 +85,7 @@
 	standing   *standing.Tracker
 	isolation  *isolation.Watch
 	retries    *relay.Retries
+	callers    *callers.Watch
 	leader     *leader.Leader
 	links      *link.Server
 	identity   *peer.Identity
@@ -149,7 +150,7 @@
 			failed <- err
 		}
 	})
-	for _, role := range []func(context.Context){g.catalog.Run, g.roster.Run, g.lease.Run, g.controller.Run, g.leader.Run, g.isolation.Run, g.progress.Run, g.follow, g.sweep} {
+	for _, role := range []func(context.Context){g.catalog.Run, g.roster.Run, g.lease.Run, g.controller.Run, g.leader.Run, g.isolation.Run, g.progress.Run, g.callers.Run, g.follow, g.sweep} {
 		running.Go(func() { role(work) })
 	}
 	select {
@@ -223,10 +224,10 @@
 			return nil, eris.Wrap(err, "listening at "+m.address)
 		}
 		servers = append(servers, &server{
-			listener: lateread.Listen(listener),
+			listener: g.callers.Listen(lateread.Listen(listener)),
 			http: &http.Server{
 				Handler: m.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-				ConnContext: framing.WithConn,
+				ConnContext: callers.WithConn,
 				ErrorLog:    log.New(io.Discard, "", 0), // the relay reports failures of requests
 			},
 		})
--- a/entry/gateway/wire_gen.go
+++ b/entry/gateway/wire_gen.go
@@ -34,7 +34,8 @@
 	remote := provideRemote(local, catalog, backoffTracker)
 	retries := provideRetries(s)
 	suspectsWatch := provideSuspects(s, remote, catalog, pool, watch)
-	relay := provideRelay(s, catalog, remote, pool, retries, suspectsWatch, watch, roster, limitsTracker, backoffTracker)
+	callersWatch := provideCallers(s)
+	relay := provideRelay(s, catalog, remote, pool, retries, suspectsWatch, watch, roster, limitsTracker, backoffTracker, callersWatch)
 	leader := provideLeader(s, catalog, lease, controller, monitor, tracker)
 	leaderServer := provideLinks(identity, holder, leader)
 	gate := &drain.Gate{}
@@ -52,6 +53,7 @@
 		standing:   tracker,
 		isolation:  watch,
 		retries:    retries,
+		callers:    callersWatch,
 		leader:     leader,
 		links:      leaderServer,
 		identity:   identity,
--- a/entry/relay/answer.go
+++ b/entry/relay/answer.go
@@ -65,6 +65,11 @@
 
 // fail ends a request that may have run.
 func (e *exchange) fail(detail string) {
+	if reason, cut := e.account.CutReason(); cut {
+		e.summary.Outcome = Cut
+		e.summary.Detail = string(reason) + "; " + detail
+		e.abort()
+	}
 	if e.request.Context().Err() != nil {
 		e.callerLeft(detail)
 		if e.headerSent {
@@ -99,13 +104,30 @@
 	maps.Copy(out, header)
 	if bodyFraming == framing.Closed {
 		framing.EndWithConnection(out)
+		e.finished = framing.ResetUnlessFinished(e.request)
 	} else {
 		out.Set("Content-Length", strconv.Itoa(len(body)))
 	}
+	e.headerSent = true
 	e.writer.WriteHeader(status)
-	if _, err := e.writer.Write(body); err != nil && e.summary.Detail == "" {
-		e.summary.Detail = "writing to the caller: " + err.Error()
+	err := e.writeBody(body)
+	if err == nil && bodyFraming == framing.Closed {
+		if err = http.NewResponseController(e.writer).Flush(); err == nil {
+			e.finish()
+		}
+	}
+	if err != nil {
+		e.answerBrokeOff(err)
+	}
+}
+
+// answerBrokeOff ends the request after a part of its answer could not be written.
+func (e *exchange) answerBrokeOff(err error) {
+	detail := err.Error()
+	if e.summary.Detail != "" {
+		detail = e.summary.Detail + "; " + detail
 	}
+	e.fail(detail)
 }
 
 // writeBody writes a part of an answer's body to the caller. Its errors wrap errCallerWrite.
--- a/entry/relay/attempt.go
+++ b/entry/relay/attempt.go
@@ -166,7 +166,7 @@
 
 // reportSilence reports that a server has sent nothing for longer than usual. Only groups are checked by the leader.
 func (e *exchange) reportSilence(t *turn.Turn) {
-	if t.Peer {
+	if t.Peer || e.account.Writing() { // the entry reads nothing from a server while the caller reads nothing
 		return
 	}
 	e.relay.deps.Isolation.Suspect(e.service)
--- a/entry/relay/exchange.go
+++ b/entry/relay/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -11,6 +12,7 @@
 	"github.com/skylarkpond/skylarkpond/backend"
 	"github.com/skylarkpond/skylarkpond/contract"
 	"github.com/skylarkpond/skylarkpond/contract/route"
+	"github.com/skylarkpond/skylarkpond/entry/callers"
 	"github.com/skylarkpond/skylarkpond/entry/limits"
 	"github.com/skylarkpond/skylarkpond/entry/suspects"
 	"github.com/skylarkpond/skylarkpond/entry/turn"
@@ -34,7 +36,9 @@
 	team     string
 	priority int
 	service  string
-	body     []byte
+	// account is what the request holds; nil until it was admitted.
+	account *callers.Account
+	body    []byte
 	// fingerprint is equal for requests of one caller with the same method, path and body. traits is what the request may have in common with
 	// others that crash servers.
 	fingerprint string
@@ -85,7 +89,11 @@
 }
 
 func (e *exchange) run() {
-	if !e.canServePassedOn() || !e.admit() || !e.readBody() {
+	if !e.canServePassedOn() || !e.admit() || !e.openAccount() {
+		return
+	}
+	defer e.account.Close()
+	if !e.readBody() {
 		return
 	}
 	if e.call.Forwarded != nil && e.relay.deps.Isolation.Isolated(e.service) {
@@ -181,7 +189,10 @@
 	}
 	controller := http.NewResponseController(e.writer)
 	_ = controller.SetReadDeadline(e.deadline)
-	body, err := io.ReadAll(io.LimitReader(e.request.Body, limit+1))
+	body, err := io.ReadAll(&chargedReader{reader: io.LimitReader(e.request.Body, limit+1), account: e.account})
+	if errors.Is(err, errMemoryShort) {
+		return e.refuseForMemory()
+	}
 	if err != nil {
 		e.summary.Outcome = CallerLeft
 		e.summary.Detail = "reading the body: " + err.Error()
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -14,6 +14,7 @@
 
 	"github.com/skylarkpond/skylarkpond/backend"
 	"github.com/skylarkpond/skylarkpond/contract/route"
+	"github.com/skylarkpond/skylarkpond/entry/callers"
 	"github.com/skylarkpond/skylarkpond/entry/limits"
 	"github.com/skylarkpond/skylarkpond/entry/suspects"
 	"github.com/skylarkpond/skylarkpond/entry/turn"
@@ -50,6 +51,8 @@
 	// other entries.
 	Peer     func(tried []string) (Peer, bool)
 	PeerPool *upstream.Pool
+	// Callers bounds what is held for requests in progress.
+	Callers *callers.Watch
 	// Random returns a number in [0, 1); it selects among the targets of a route.
 	Random func() float64
 }
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -20,16 +20,17 @@
 
 	"github.com/skylarkpond/skylarkpond/backend"
 	"github.com/skylarkpond/skylarkpond/contract/route"
+	"github.com/skylarkpond/skylarkpond/entry/callers"
 	"github.com/skylarkpond/skylarkpond/entry/limits"
 	"github.com/skylarkpond/skylarkpond/entry/relay"
 	"github.com/skylarkpond/skylarkpond/entry/suspects"
 	"github.com/skylarkpond/skylarkpond/entry/turn"
 	"github.com/skylarkpond/skylarkpond/internal/lateread"
-	"github.com/skylarkpond/skylarkpond/link/framing"
 	"github.com/skylarkpond/skylarkpond/link/upstream"
 	"github.com/skylarkpond/skylarkpond/platform"
 	"github.com/skylarkpond/skylarkpond/platform/standin/objects"
 	"github.com/skylarkpond/skylarkpond/platform/standin/replica"
+	"github.com/skylarkpond/skylarkpond/policy/slowread"
 )
 
 func TestRelay(t *testing.T) {
@@ -97,6 +98,8 @@
 	suspects      *fakeSuspects
 	isolation     *fakeIsolation
 	limits        *fakeLimits
+	callers       *callers.Watch
+	cuts          atomic.Int32
 	// peers are the other entries that requests can be passed on to, in this order.
 	peers []*harness
 }
@@ -233,15 +236,18 @@
 		{Name: "free", Host: "h.example", PathPrefix: "/free/", Kind: route.Idempotent, Timeout: 2 * time.Second, MaxAttempts: 2, Public: true, Targets: targets},
 		{Name: "look", Host: "h.example", PathPrefix: "/look/", Kind: route.Idempotent, Timeout: 2 * time.Second, MaxAttempts: 2, Targets: targets},
 		{Name: "book", Host: "h.example", PathPrefix: "/book/", Kind: route.NonIdempotent, Timeout: 2 * time.Second, MaxAttempts: 2, Targets: targets},
+		{Name: "slow", Host: "h.example", PathPrefix: "/slow/", Kind: route.NonIdempotent, Timeout: 20 * time.Second, MaxAttempts: 2, Targets: targets},
 		{Name: "chat", Host: "h.example", PathPrefix: "/chat/", Kind: route.Streaming, Timeout: 8 * time.Second, MaxAttempts: 2, Resumable: true, Targets: targets},
 		{Name: "once", Host: "h.example", PathPrefix: "/once/", Kind: route.Streaming, Timeout: 2 * time.Second, MaxAttempts: 2, Targets: targets},
 	}, nil, []route.Team{{Name: "one", Keys: []string{"key"}}}, route.Limits{BodyBytes: 1 << 20}))
+	r.callers = callers.New(callers.Deps{Bounds: slowread.ForMachine(1 << 30), Cut: func(callers.Cut) { r.cuts.Add(1) }})
 	r.retries = relay.NewRetries(relay.Allowance{Ratio: 1, Extra: 20}, 1)
 	handler := relay.New(relay.Deps{
 		Rejected: func(relay.Rejection) {}, Unreachable: func(string, *backend.Server, error) {},
 		Table: r.table.Load, Turns: r.turns, Pool: upstream.NewPool(), Retries: r.retries, Suspects: r.suspects,
 		Limits: r.limits, Pauses: noPauses{}, Isolation: r.isolation, Peer: r.peer, PeerPool: upstream.NewPool(),
-		Random: func() float64 { return 0.5 }, FirstRequest: func() { r.firstRequests.Add(1) },
+		Callers: r.callers,
+		Random:  func() float64 { return 0.5 }, FirstRequest: func() { r.firstRequests.Add(1) },
 		Report: func(report relay.Report) {
 			r.mu.Lock()
 			defer r.mu.Unlock()
@@ -249,8 +255,11 @@
 		},
 	})
 	r.gateway = httptest.NewUnstartedServer(handler)
-	r.gateway.Listener = lateread.Listen(r.gateway.Listener)
-	r.gateway.Config.ConnContext = framing.WithConn
+	r.gateway.Listener = r.callers.Listen(lateread.Listen(r.gateway.Listener))
+	r.gateway.Config.ConnContext = callers.WithConn
+	ctx, cancel := context.WithCancel(context.Background())
+	DeferCleanup(cancel)
+	go r.callers.Run(ctx)
 	r.gateway.Start()
 	DeferCleanup(r.gateway.Close)
 	return r
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -59,10 +59,13 @@
 			e.finishStream(head, answer.Framing)
 			return true
 		}
-		t.Done(e.failedResult())
-		if !errors.Is(err, errCallerWrite) {
-			e.checkForCrash(t, err)
+		if errors.Is(err, errCallerWrite) {
+			t.Done(turn.Result{TimeToFirstToken: e.timeToFirstEvent})
+			e.fail("stream broke off: " + err.Error())
+			return true
 		}
+		t.Done(e.failedResult())
+		e.checkForCrash(t, err)
 		t, answer = e.resume(last, "stream broke off: "+err.Error())
 		if t == nil {
 			return true
@@ -99,7 +102,7 @@
 // middle is not sent: the stream resumes at another server after the last complete one. An error means that the stream broke off, or that
 // it may have.
 func (e *exchange) copyEvents(t *turn.Turn, answer *upstream.Response, head http.Header, last string) (string, error) {
-	held := &holding{memory: &e.relay.held}
+	held := &holding{memory: &e.relay.held, account: e.account}
 	defer held.release()
 	events := newEventReader(answer.Body, held)
 	suspicion := time.AfterFunc(firstStallReportDelay, func() { e.reportSilence(t) })
--- a/entry/relay/watch.go
+++ b/entry/relay/watch.go
@@ -96,6 +96,10 @@
 	if w.stopped {
 		return
 	}
+	if w.exchange.account.Writing() {
+		w.timer.Reset(eventTimeout) // it is the caller that does not read
+		return
+	}
 	if w.alternate = w.acquireAlternate(); w.alternate == nil {
 		w.timer.Reset(alternateRetryInterval)
 		return
--- a/entry/relay/whole.go
+++ b/entry/relay/whole.go
@@ -23,11 +23,11 @@
 	if isSuccess(answer.Status) && !platform.HasSignature(answer.Header) {
 		return e.endUnsigned(t, answer)
 	}
-	held := &holding{memory: &e.relay.held}
-	defer held.release()
-	body, err := readHeld(answer.Body, held)
 	failed := answer.Status >= http.StatusInternalServerError
 	replaceable := failed && e.route.Kind == route.Idempotent
+	held := &holding{memory: &e.relay.held, account: e.account, passable: !replaceable}
+	defer held.release()
+	body, err := readHeld(answer.Body, held)
 	if errors.Is(err, errHeldFull) && !replaceable && e.watch.disarm() {
 		return e.passThrough(t, answer, body)
 	}
@@ -44,8 +44,8 @@
 		return false
 	}
 	e.summary.TimeToFirstByte = time.Since(e.arrived)
-	e.writeAnswer(answer.Status, platform.ResponseHeader(answer.Header), body, answer.Framing)
 	e.summary.Outcome = e.outcomeOf(t, answer)
+	e.writeAnswer(answer.Status, platform.ResponseHeader(answer.Header), body, answer.Framing)
 	return true
 }
 
@@ -79,7 +79,11 @@
 			return read, errHeldFull
 		}
 		if cap(read)-len(read) < readBytes {
-			grown := make([]byte, len(read), max(2*cap(read), len(read)+readBytes))
+			size := max(2*cap(read), len(read)+readBytes)
+			if !held.charge(int64(size)) {
+				return read, errHeldFull
+			}
+			grown := make([]byte, len(read), size)
 			copy(grown, read)
 			read = grown
 		}
--- a/link/upstream/conn.go
+++ b/link/upstream/conn.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/skylarkpond/skylarkpond/internal/unsent"
 )
 
 // conn is a connection to a backend server. It carries one request at a time.
@@ -43,6 +45,12 @@
 		var raw net.Conn
 		raw, err = dialer.DialContext(ctx, "tcp", address)
 		if err == nil {
+			if tcp, ok := raw.(*net.TCPConn); ok {
+				_ = tcp.SetReadBuffer(socketReadBuffer) // if it fails, the kernel's own size applies
+				if control, err := tcp.SyscallConn(); err == nil {
+					unsent.Limit(control)
+				}
+			}
 			head := &headLimit{conn: raw}
 			return &conn{Conn: raw, head: head, reader: bufio.NewReaderSize(head, readBufferSize), idleTimeout: defaultIdleTimeout}, nil
 		}
--- a/logline/names.go
+++ b/logline/names.go
@@ -44,4 +44,6 @@
 	ColdInvalid       = "backend server names a time to be cold that can't be read"
 	EvacuationBegins  = "failure domain is evacuated"
 	EvacuationEnds    = "evacuation of a failure domain is over"
+	// CallerCut is written for callers that read nothing, 20 a second at most.
+	CallerCut = "caller that read nothing was cut"
 )
