entry/callers: a cut is reported before its connection is closed

Cause: the connection was closed first, so that on a loaded machine the request ended before the cut was counted and logged, against what callers.Deps says; "and stop are cut before their servers do so, and no server is blamed" (entry/relay) failed in one of three runs beside ten busy loops.

Change: the report precedes the close. The four specs "Callers that read slowly" passed with -race after it.

--- a/entry/callers/sweep.go
+++ b/entry/callers/sweep.go
@@ -74,6 +74,6 @@
 	if account := c.account.Load(); account != nil {
 		cut.Request, cut.Route = account.request, account.route
 	}
-	c.cut(reason)
 	w.deps.Cut(cut)
+	c.cut(reason)
 }
