entry/relay: failing specs print the reports of their requests

Cause: a failed spec says which assertion failed, not how the entry ended the request, so that a cut could not be told from a passed deadline.

Change: the harness writes all reports to GinkgoWriter, which is printed when a spec fails. No check changes.

--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -262,6 +262,13 @@
 	go r.callers.Run(ctx)
 	r.gateway.Start()
 	DeferCleanup(r.gateway.Close)
+	DeferCleanup(func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		for _, report := range r.reports {
+			fmt.Fprintf(GinkgoWriter, "report %+v\n", report)
+		}
+	})
 	return r
 }
 
