entry/relay: silence of a server counts from the end of a write to the caller

Cause: the timers for a silent server ran during a write that waited for the caller, because activity was noted before the write alone. Found by reading the code; the stall watch had no part in a failure that was traced.

Change: activity is noted after the write as well.

--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -130,6 +130,9 @@
 		if err := controller.Flush(); err != nil {
 			return last, eris.Wrap(errCallerWrite, err.Error())
 		}
+		// While the write was pending, the server could not send: its silence counts from here.
+		e.watch.noteActivity()
+		suspicion.Reset(eventStallReportDelay)
 		if event.id != "" {
 			last = event.id
 		}
