Answers to callers that read slowly are not cut for lost time of the kernel or for the deadline

Logs of TCP_INFO show two causes. A caller that reads opens its receive window, while the acknowledged bytes stand still until the kernel repeats a segment (0.8 s, then 1.6 s); the entry took that for a caller that reads nothing. And the read from the server ended at the caller's deadline of 5 s, while the caller still read.

Change: progress is the end of the receive window (acknowledged bytes and window). The deadline of a request is extended by the time for which writes waited for its caller, 30 s at most. Answers that are passed through no longer have a deadline for their writes, which cut them although the caller read; callers that read nothing are cut by package callers.

--- a/entry/callers/account.go
+++ b/entry/callers/account.go
@@ -8,7 +8,7 @@
 	"github.com/skylarkpond/skylarkpond/policy/slowread"
 )
 
-// Account is what one request holds. Its methods may be called by one goroutine at a time, except Writing and CutReason, which also work on nil.
+// Account is what one request holds. Its methods may be called by one goroutine at a time, except Writing, Blocked and CutReason, which also work on nil.
 type Account struct {
 	watch *Watch
 	// conn is nil if the request's connection is not watched.
@@ -17,6 +17,8 @@
 	route   string
 	limit   time.Duration
 	taken   atomic.Int64
+	// blocked is how long writes that have ended waited for the caller, in nanoseconds.
+	blocked atomic.Int64
 }
 
 // Open opens the account of a request, and returns false if memory is too short for it; such a request must be refused. longestPause is the
@@ -72,6 +74,14 @@
 // Writing reports whether a write to the caller is pending. It is safe for concurrent use.
 func (a *Account) Writing() bool { return a != nil && a.conn != nil && a.conn.writes.Load()%2 == 1 }
 
+// Blocked returns how long writes that have ended waited for the caller. A write that is pending is not included.
+func (a *Account) Blocked() time.Duration {
+	if a == nil {
+		return 0
+	}
+	return time.Duration(a.blocked.Load())
+}
+
 // CutReason returns why the caller was cut, if it was.
 func (a *Account) CutReason() (slowread.Reason, bool) {
 	if a == nil || a.conn == nil {
--- a/entry/callers/conn.go
+++ b/entry/callers/conn.go
@@ -4,6 +4,7 @@
 	"net"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -34,11 +35,21 @@
 	progress slowread.Progress
 }
 
+// minBlocked is the shortest write that counts as having waited for the caller; shorter ones wait for the processor.
+const minBlocked = 10 * time.Millisecond
+
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
+	began := time.Now()
+	c.writes.Add(1)
+	n, err := c.tcpConn.Write(p)
 	c.writes.Add(1)
-	defer c.writes.Add(1)
-	return c.tcpConn.Write(p)
+	if took := time.Since(began); took >= minBlocked {
+		if account := c.account.Load(); account != nil {
+			account.blocked.Add(int64(took))
+		}
+	}
+	return n, err
 }
 
 // Close implements net.Conn.
@@ -57,9 +68,10 @@
 
 // sendState is what the kernel tells of the bytes that were written to a connection.
 type sendState struct {
-	// acknowledged counts those that the caller's machine has acknowledged, queued those that the kernel still holds.
-	acknowledged uint64
-	queued       int64
+	// windowEnd is up to where the caller's machine accepts them: what it has acknowledged and its receive window. queued are those that the kernel
+	// still holds.
+	windowEnd uint64
+	queued    int64
 }
 
 // sendState returns false if the connection is closed.
@@ -70,7 +82,7 @@
 			return
 		}
 		queued, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
-		state, ok = sendState{acknowledged: info.Bytes_acked, queued: int64(queued)}, err == nil
+		state, ok = sendState{windowEnd: info.Bytes_acked + uint64(info.Snd_wnd), queued: int64(queued)}, err == nil
 	})
 	return state, ok && err == nil
 }
--- a/entry/callers/sweep.go
+++ b/entry/callers/sweep.go
@@ -51,7 +51,7 @@
 			continue
 		}
 		state := slowread.Caller{
-			Silence: c.progress.Observe(c.writes.Load(), sent.acknowledged, elapsed), Limit: slowread.PauseLimit(0), Bytes: sent.queued + slowread.SocketBytes,
+			Silence: c.progress.Observe(c.writes.Load(), sent.windowEnd, elapsed), Limit: slowread.PauseLimit(0), Bytes: sent.queued + slowread.SocketBytes,
 		}
 		queued += state.Bytes
 		if account := c.account.Load(); account != nil {
--- a/entry/relay/answer.go
+++ b/entry/relay/answer.go
@@ -78,7 +78,7 @@
 		return
 	}
 	outcome, status := Unknown, http.StatusBadGateway
-	if errors.Is(e.ctx.Err(), context.DeadlineExceeded) {
+	if errors.Is(context.Cause(e.ctx), context.DeadlineExceeded) {
 		outcome, status = TimedOut, http.StatusGatewayTimeout
 	}
 	if e.headerSent {
--- a/entry/relay/exchange.go
+++ b/entry/relay/exchange.go
@@ -105,7 +105,7 @@
 	if e.heldBack(nil) {
 		return
 	}
-	ctx, cancel := context.WithDeadline(e.request.Context(), e.deadline)
+	ctx, cancel := e.withDeadline(e.request.Context())
 	defer cancel()
 	e.ctx = ctx
 	defer e.releaseNextTurn()
--- a/entry/relay/whole.go
+++ b/entry/relay/whole.go
@@ -101,15 +101,12 @@
 // passThrough forwards an answer as it arrives, whose beginning was read. A caller that reads slowly slows the server down. It reports that the
 // request is done: what was sent can't be replaced.
 func (e *exchange) passThrough(t *turn.Turn, answer *upstream.Response, beginning []byte) bool {
-	controller := http.NewResponseController(e.writer)
-	_ = controller.SetWriteDeadline(e.deadline)
 	e.sendBeginning(answer)
 	err := e.copyBody(answer, beginning)
 	_ = answer.Body.Close()
 	e.endAttempt()
 	switch {
 	case err == nil:
-		_ = controller.SetWriteDeadline(time.Time{})
 		e.finish()
 		t.Done(turn.Result{})
 		e.noteEnd(t, answer)
--- a/policy/slowread/slowread.go
+++ b/policy/slowread/slowread.go
@@ -113,16 +113,17 @@
 
 // Progress measures how long a caller has read nothing. The zero value has seen nothing. It is not safe for concurrent use.
 type Progress struct {
-	writes, acknowledged uint64
-	silence              time.Duration
+	writes, windowEnd uint64
+	silence           time.Duration
 }
 
-// Observe records that a write is pending. writes counts the writes that have begun or ended, acknowledged the bytes that the caller's machine has
-// acknowledged, and elapsed is the time since the last observation in which this process was running. It returns how long the caller has read
-// nothing. What an entry that stood still could not see does not count.
-func (p *Progress) Observe(writes, acknowledged uint64, elapsed time.Duration) time.Duration {
-	if writes != p.writes || acknowledged != p.acknowledged {
-		*p = Progress{writes: writes, acknowledged: acknowledged}
+// Observe records that a write is pending. writes counts the writes that have begun or ended, windowEnd up to which byte the caller's
+// machine accepts them, and elapsed is the time since the last observation in which this process was running. It returns how long the caller has read
+// nothing. A caller that reads opens its receive window at once, while the next acknowledgement may wait seconds for a segment to be repeated. What an
+// entry that stood still could not see does not count.
+func (p *Progress) Observe(writes, windowEnd uint64, elapsed time.Duration) time.Duration {
+	if writes != p.writes || windowEnd != p.windowEnd {
+		*p = Progress{writes: writes, windowEnd: windowEnd}
 		return 0
 	}
 	p.silence += elapsed
