link/upstream: the receive buffer is the kernel's own again; docs: state of the memory under slow readers

Cause: the receive buffer of 64 KB was the first suspect for two older specs of entry/relay that failed beside busy processes. It was not shown to be responsible: neither spec ('Large answers reach their callers whole', 'Answers that never end, the head of a stream') failed with or without this part.

Change: the receive buffer is left out.

--- a/link/upstream/conn.go
+++ b/link/upstream/conn.go
@@ -46,7 +46,6 @@
 		raw, err = dialer.DialContext(ctx, "tcp", address)
 		if err == nil {
 			if tcp, ok := raw.(*net.TCPConn); ok {
-				_ = tcp.SetReadBuffer(socketReadBuffer) // if it fails, the kernel's own size applies
 				if control, err := tcp.SyscallConn(); err == nil {
 					unsent.Limit(control)
 				}
--- a/link/upstream/upstream.go
+++ b/link/upstream/upstream.go
@@ -78,9 +78,6 @@
 	// maxInlineBody is the largest body that is written before the response is read. A larger body is written
 	// concurrently, because the server may respond before it has read all of it.
 	maxInlineBody = 32 << 10
-	// socketReadBuffer is the kernel's receive buffer in bytes. It bounds what is held for a caller that does not read; the kernel's own size grows to
-	// megabytes. It allows 100 Mbit/s to a server that is 5 ms away.
-	socketReadBuffer = 64 << 10
 	// readBufferSize is the read buffer size in bytes. It fits the response headers and a few events of a stream.
 	readBufferSize = 2 << 10
 )
--- a/policy/slowread/slowread.go
+++ b/policy/slowread/slowread.go
@@ -22,7 +22,8 @@
 	// RequestBytes is what a request in progress takes beside its body and its answer: stacks, buffers and headers of two connections. 2,000
 	// streams brought a process from 17 MB to 113 MB, which is 48 KB each.
 	RequestBytes = 48 << 10
-	// SocketBytes is what the kernel may hold of a server's answer whose caller does not read: the receive buffer of the connection.
+	// SocketBytes is an estimate of what the kernel holds of a server's answer whose caller does not read: the window of a connection that has received
+	// little.
 	SocketBytes = 64 << 10
 	// cutAbove is the part of the share above which the slowest callers are cut. What lies above it is room for requests until that has taken effect.
 	cutAboveNumerator, cutAboveDenominator = 3, 4
