--- a/entry/callers/callers.go
+++ b/entry/callers/callers.go
@@ -43,7 +43,7 @@
 	conns map[*conn]struct{}
 
 	// requests counts the accounts, taken is what they have taken in bytes, and waiting and queued are the callers with a pending write and what the
-	// kernel holds for them, as of the last sweep.
+	// kernel holds for them, as of the last sweep; queued no longer includes those whose write has ended.
 	requests, taken, waiting, queued atomic.Int64
 	cuts, refusals                   atomic.Int64
 }
--- a/entry/callers/conn.go
+++ b/entry/callers/conn.go
@@ -26,6 +26,8 @@
 	watch *Watch
 	// writes counts the beginnings and ends of writes: it is odd while one is pending.
 	writes atomic.Uint64
+	// queued is what the kernel holds for the pending write, as of the last sweep; it is part of the watch's sum.
+	queued atomic.Int64
 	// account is that of the request in progress, or of the last one.
 	account atomic.Pointer[Account]
 	// reason is why the connection was cut; nil if it was not.
@@ -44,6 +46,7 @@
 	c.writes.Add(1)
 	n, err := c.tcpConn.Write(p)
 	c.writes.Add(1)
+	c.discount()
 	if took := time.Since(began); took >= minBlocked {
 		if account := c.account.Load(); account != nil {
 			account.blocked.Add(int64(took))
@@ -52,6 +55,21 @@
 	return n, err
 }
 
+// count includes a number of bytes in the watch's sum until the pending write ends.
+func (c *conn) count(bytes int64) {
+	c.watch.queued.Add(bytes - c.queued.Swap(bytes))
+	if c.writes.Load()%2 == 0 {
+		c.discount() // the write has ended meanwhile
+	}
+}
+
+// discount takes out of the watch's sum what is included for this connection.
+func (c *conn) discount() {
+	if c.queued.Load() != 0 {
+		c.watch.queued.Add(-c.queued.Swap(0))
+	}
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.watch.remove(c)
--- a/entry/callers/sweep.go
+++ b/entry/callers/sweep.go
@@ -44,7 +44,6 @@
 	pending := w.pending()
 	var open []*conn
 	var states []slowread.Caller
-	queued := int64(0)
 	for _, c := range pending {
 		sent, ok := c.sendState()
 		if !ok {
@@ -53,7 +52,7 @@
 		state := slowread.Caller{
 			Silence: c.progress.Observe(c.writes.Load(), sent.windowEnd, elapsed), Limit: slowread.PauseLimit(0), Bytes: sent.queued + slowread.SocketBytes,
 		}
-		queued += state.Bytes
+		c.count(state.Bytes)
 		if account := c.account.Load(); account != nil {
 			state.Limit = account.limit
 			state.Bytes += account.taken.Load()
@@ -61,7 +60,6 @@
 		open, states = append(open, c), append(states, state)
 	}
 	w.waiting.Store(int64(len(open)))
-	w.queued.Store(queued)
 	held := w.held()
 	for _, decided := range w.deps.Bounds.Cuts(held, states) {
 		w.cut(open[decided.Index], states[decided.Index], decided.Reason, held)
