--- a/policy/deadlines/stored.go
+++ b/policy/deadlines/stored.go
@@ -2,11 +2,10 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
-
-	"github.com/rotisserie/eris"
 )
 
 // maxStoredKinds and maxStoredTeams bound what is stored, to some 10 kB, and maxName the names in it.
@@ -55,15 +54,15 @@
 // Check returns an error unless all bounds are plausible.
 func Check(stored []Stored) error {
 	if len(stored) > maxStoredKinds {
-		return eris.Errorf("usual deadlines of %d kinds of requests, at most %d are stored", len(stored), maxStoredKinds)
+		return fmt.Errorf("usual deadlines of %d kinds of requests, at most %d are stored", len(stored), maxStoredKinds)
 	}
 	for _, s := range stored {
 		if s.Model == "" || len(s.Model) > maxName || !plausible(s.Ms) || len(s.Teams) > maxStoredTeams {
-			return eris.Errorf("usual deadline %d ms of model %.50q", s.Ms, s.Model)
+			return fmt.Errorf("usual deadline %d ms of model %.50q", s.Ms, s.Model)
 		}
 		for _, t := range s.Teams {
 			if len(t.Team) > maxName || !plausible(t.Ms) {
-				return eris.Errorf("usual deadline %d ms of team %.50q", t.Ms, t.Team)
+				return fmt.Errorf("usual deadline %d ms of team %.50q", t.Ms, t.Team)
 			}
 		}
 	}
--- a/policy/turns/stored.go
+++ b/policy/turns/stored.go
@@ -1,13 +1,12 @@
 package turns
 
 import (
+	"fmt"
 	"math"
 	"slices"
 	"strings"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/skylarkpond/skylarkpond/policy/deadlines"
 )
 
@@ -61,12 +60,12 @@
 		return err
 	}
 	if len(stored.Models) > maxStoredModels {
-		return eris.Errorf("request rates of %d models, at most %d are stored", len(stored.Models), maxStoredModels)
+		return fmt.Errorf("request rates of %d models, at most %d are stored", len(stored.Models), maxStoredModels)
 	}
 	for _, m := range stored.Models {
 		turn := time.Duration(m.TurnMs) * time.Millisecond
 		if m.Model == "" || len(m.Model) > maxStoredName || m.NewPerSecond < 0 || m.NewPerSecond > maxStoredRate || m.TurnMs <= 0 || m.TurnMs > maxStoredTurn.Milliseconds() {
-			return eris.Errorf("%g new requests per second and turns of %v of model %.50q", m.NewPerSecond, turn, m.Model)
+			return fmt.Errorf("%g new requests per second and turns of %v of model %.50q", m.NewPerSecond, turn, m.Model)
 		}
 	}
 	if s.reserve == nil {
