--- a/policy/turns/reserve.go
+++ b/policy/turns/reserve.go
@@ -124,8 +124,8 @@
 }
 
 // callersReturn reports whether callers may still return to a model whose attempts failed before this scheduler took over: until their deadlines have
-// passed. In a shortage later on, slots that are kept free serve nobody better: on a day without such a loss 376 callers in place of one were
-// rejected for good, and no more new requests were answered on time.
+// passed. In a shortage later on, slots that are kept free rejected hundreds of callers for good, and no more new requests
+// were answered on time.
 func (r *reserve) callersReturn(now time.Duration, model string) bool {
 	return now-r.model(model).newRate.began < r.usual.Lowest(model)
 }
