--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -62,6 +62,7 @@
 
 var scenarios = map[string]scenario{
 	"truncated-answer": truncatedAnswer, "cut-event": cutEvent, "half-closed": halfClosed, "long-requests": longRequests,
+	"many-versions": manyVersions,
 }
 
 func main() {
--- a/review/stand/rig.go
+++ b/review/stand/rig.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/skylarkpond/skylarkpond/internal/loopback"
@@ -33,6 +34,10 @@
 	api     *objects.API
 	entries []*entry
 	servers []*server
+	// settings replace those of the deploy file for entries that are added.
+	settings []string
+	// running holds the server that has begun to work on each request, by the request's id.
+	running sync.Map
 }
 
 func newRig(r *record) (*rig, error) {
@@ -64,14 +69,16 @@
 	toStore *loopback.Proxy
 	env     []string
 	log     *os.File
+	// served and lost count what clients with kept connections got.
+	served, lost atomic.Int64
 
 	mu      sync.Mutex // guards what follows
 	command *exec.Cmd
 	done    chan struct{}
 }
 
-// addEntry prepares an entry and starts its first process. settings are added to those of the deploy file.
-func (g *rig) addEntry(logDir string, settings ...string) (*entry, error) {
+// addEntry prepares an entry and starts its first process.
+func (g *rig) addEntry(logDir string) (*entry, error) {
 	number := len(g.entries) + 1
 	address := func(port int) string { return fmt.Sprintf("%s:%d", g.subnet.IP(number), port) }
 	e := &entry{
@@ -91,7 +98,7 @@
 		"POND_PLATFORM_ADDRESS=" + e.toStore.Address(), "POND_FIRST_START=false", "POND_MEMORY_MB=206", "POND_LINK_MBPS=700", "POND_CORES=0.272",
 		"POND_ADDRESS_TTL=5", "POND_STOP_GRACE=8", "POND_RETRY_RATIO=0.2", "POND_RETRY_EXTRA=317", "POND_EVACUATION_MS=0",
 		"POND_SPARE_CAPACITY=kept", "POND_RETURNING=queue",
-	}, settings...)
+	}, g.settings...)
 	g.entries = append(g.entries, e)
 	return e, e.start()
 }
@@ -150,6 +157,11 @@
 		Version: 1, Routes: routes, Services: []operator.Service{{Name: serviceName}}, Limits: operator.Limits{BodyBytes: maxBodyBytes},
 		Teams: []operator.Team{{Name: "one", Keys: []string{"key-one"}}},
 	})
+	return g.startEntries(logDir, entries)
+}
+
+// startEntries starts entries and waits until they are ready.
+func (g *rig) startEntries(logDir string, entries int) error {
 	for range entries {
 		if _, err := g.addEntry(logDir); err != nil {
 			return err
