Metrics: memory of the kept changes, live heap, messages queued for followers

The metrics so far couldn't tell apart what holds it: the kept changes, messages that wait for followers, versions that requests in progress use, or garbage.

--- a/entry/catalog/catalog.go
+++ b/entry/catalog/catalog.go
@@ -201,6 +201,15 @@
 	return follower.changesSince(revision)
 }
 
+// HistoryBytes returns how much memory the changes occupy that are kept for entries that connect late, in bytes.
+func (c *Catalog) HistoryBytes() int {
+	bytes := 0
+	for _, follower := range c.followers {
+		bytes += follower.historyBytes()
+	}
+	return bytes
+}
+
 // Snapshot returns all objects of a kind, and only the routable ones of the servers, for an entry that knows none of them. ok is false
 // unless this entry holds all objects of the kind.
 func (c *Catalog) Snapshot(kind store.Kind) (snapshot ChangeSet, ok bool) {
--- a/entry/catalog/follow.go
+++ b/entry/catalog/follow.go
@@ -462,3 +462,14 @@
 	}
 	return changes, true
 }
+
+// historyBytes returns how much memory the history occupies, in bytes.
+func (f *follower) historyBytes() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	bytes := 0
+	for _, change := range f.history {
+		bytes += change.Size()
+	}
+	return bytes
+}
--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"os"
 	"runtime"
+	rtmetrics "runtime/metrics"
 	"time"
 
 	"github.com/google/uuid"
@@ -331,6 +332,7 @@
 		"connections.to_servers":         g.pool.DialCount,
 		"connections.to_servers.refused": g.pool.RefusedCount,
 		"connections.to_servers.silent":  g.pool.SilentCount,
+		"catalog.history.bytes":          func() int64 { return int64(g.catalog.HistoryBytes()) },
 		"config.version":                 func() int64 { version, _ := g.catalog.Config(); return int64(version) },
 		"suspects.rules":                 func() int64 { return int64(g.suspects.RuleCount()) },
 		"limits.servers":                 func() int64 { return int64(g.limits.Count()) },
@@ -346,6 +348,8 @@
 		"leader.held":                    func() int64 { return boolToInt(g.lease.Held()) },
 		"leader.linked":                  func() int64 { return boolToInt(g.leaderState.linked()) },
 		"leader.followers":               func() int64 { return int64(g.leader.FollowerCount()) },
+		"leader.messages.queued":         func() int64 { return int64(g.leader.QueuedMessages()) },
+		"process.heap.live.bytes":        liveHeapBytes,
 		"process.uptime.seconds":         func() int64 { return int64(time.Since(g.started).Seconds()) },
 		"process.stalled":                func() int64 { return boolToInt(g.progress.Stalled()) },
 		"process.goroutines":             func() int64 { return int64(runtime.NumGoroutine()) },
@@ -359,6 +363,13 @@
 	_ = s.registry.Register(name, metrics.NewFunctionalGauge(value)) // fails only for a duplicate name
 }
 
+// liveHeapBytes returns how much memory was in use after the latest garbage collection, in bytes.
+func liveHeapBytes() int64 {
+	sample := []rtmetrics.Sample{{Name: "/gc/heap/live:bytes"}}
+	rtmetrics.Read(sample)
+	return int64(sample[0].Value.Uint64())
+}
+
 func boolToInt(b bool) int64 {
 	if b {
 		return 1
--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -390,3 +390,16 @@
 	defer l.mu.Unlock()
 	return len(l.followers)
 }
+
+// QueuedMessages returns how many messages wait to be sent, over all followers.
+func (l *Leader) QueuedMessages() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	queued := 0
+	for _, to := range l.followers {
+		if linked, ok := to.recipient.(*link.Follower); ok {
+			queued += linked.Queued()
+		}
+	}
+	return queued
+}
--- a/link/leader/news.go
+++ b/link/leader/news.go
@@ -77,5 +77,23 @@
 	return ""
 }
 
+// changeOverhead is what a change occupies in memory beside its text, in bytes.
+const changeOverhead = 512
+
+// Size returns how much memory the change occupies, in bytes.
+func (c Change) Size() int {
+	size := changeOverhead + len(c.Name())
+	switch {
+	case c.Object != nil:
+		size += len(c.Object.Value)
+	case c.Server != nil:
+		size += len(c.Server.Address) + len(c.Server.Service) + len(c.Server.Model) + len(c.Server.Group.Name)
+		for _, model := range c.Server.Staged {
+			size += len(model)
+		}
+	}
+	return size
+}
+
 // IsRemoval reports whether the object was removed.
 func (c Change) IsRemoval() bool { return c.Removal != nil || (c.Object != nil && c.Object.Deleted) }
--- a/link/leader/server.go
+++ b/link/leader/server.go
@@ -43,6 +43,9 @@
 // SendShared queues a message that is sent to several followers.
 func (f *Follower) SendShared(message *Shared) { f.stream.send(message) }
 
+// Queued returns how many messages wait to be sent.
+func (f *Follower) Queued() int { return len(f.stream.queue) }
+
 // Close closes the link.
 func (f *Follower) Close(reason string) { f.stream.close(reason) }
 
