entry/catalog: keep the newest change of each object, and bound the history in bytes

Callers saw connections end without an answer to requests that had been passed on (LOST): while a large configuration changed often, entries were killed for their memory, all at about the same time.

Cause: each entry keeps the recent changes of a kind for entries that connect late, bounded by 2,048 changes. A change of the configuration holds its whole text, so up to 2,048 versions of up to a megabyte were kept, although an entry that connects late needs the newest alone.

Ruled out: messages queued for followers, versions held by requests (8 in progress), garbage.

Change: of an object that is kept as a whole, a new change replaces the earlier one. Each kind's history is also bounded by the size of two of the largest objects, and says from which revision it is complete, so an entry that lacks more is told to read the platform, as before. An entry that is any number of versions behind is still sent the newest one.

--- a/entry/catalog/follow.go
+++ b/entry/catalog/follow.go
@@ -59,8 +59,6 @@
 	leaderCheckInterval = 200 * time.Millisecond
 	// minLeaderWait is the shortest wait for the leader's changes.
 	minLeaderWait = 10 * time.Millisecond
-	// maxHistory bounds the number of recent changes of a kind that are kept for entries that connect late.
-	maxHistory = 2048
 	// An entry waits for the leader's objects for minSnapshotTimeout to minSnapshotTimeout + snapshotTimeoutSpread before it reads all
 	// of them itself. After all entries were killed, the leader has them within a second; if hundreds of entries read all servers
 	// meanwhile, their lists would fill the platform's link for seconds.
@@ -91,9 +89,7 @@
 	// caughtUp reports that the current leader has forwarded everything that this entry had missed, so that this entry knows
 	// all that the leader does.
 	caughtUp bool
-	// history contains the latest changes, oldest first. It is complete since the revision oldest.
-	history []Change
-	oldest  store.Version
+	history  history
 	// completeAsOf is when the objects were known to be current that this entry last read itself, or was sent as a snapshot.
 	completeAsOf time.Time
 	// latest contains the objects that exist at revision, as their latest changes.
@@ -310,7 +306,8 @@
 // within a second. It must be called with f.mu held.
 func (f *follower) changesFromList(list Update) ChangeSet {
 	if f.revision == 0 || f.incomplete() {
-		f.latest, f.history, f.oldest = nil, nil, list.Revision // no entry can be fed from a revision before the first complete list
+		f.latest = nil
+		f.history.reset(list.Revision) // no entry can be fed from a revision before the first complete list
 		return ChangeSet{Kind: f.kind, To: list.Revision, Changes: list.Changes}
 	}
 	changes := ChangeSet{Kind: f.kind, From: f.revision, To: list.Revision}
@@ -387,7 +384,8 @@
 	f.gap = false
 	f.completeAsOf = time.Now().Add(-time.Duration(snapshot.AgeMs) * time.Millisecond)
 	f.noteCurrent(f.completeAsOf)
-	f.latest, f.history, f.oldest = nil, nil, snapshot.To
+	f.latest = nil
+	f.history.reset(snapshot.To)
 	f.markUnroutable(snapshot.Changes)
 	f.recordLatest(snapshot.Changes)
 	f.revision = snapshot.To
@@ -426,11 +424,7 @@
 func (f *follower) record(changes ChangeSet) {
 	f.revision = max(f.revision, changes.To)
 	f.recordLatest(changes.Changes)
-	f.history = append(f.history, changes.Changes...)
-	if excess := len(f.history) - maxHistory; excess > 0 {
-		f.oldest = f.history[excess-1].Version()
-		f.history = slices.Delete(f.history, 0, excess)
-	}
+	f.history.record(changes.Changes)
 }
 
 // recordLatest updates the set of existing objects. It must be called with f.mu held.
@@ -451,25 +445,16 @@
 func (f *follower) changesSince(revision store.Version) (ChangeSet, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if revision < f.oldest || f.revision == 0 || f.incomplete() {
+	if f.revision == 0 || f.incomplete() {
 		return ChangeSet{}, false
 	}
-	changes := ChangeSet{Kind: f.kind, From: revision, To: f.revision}
-	for _, change := range f.history {
-		if change.Version() > revision {
-			changes.Changes = append(changes.Changes, change)
-		}
-	}
-	return changes, true
+	changes, ok := f.history.since(revision)
+	return ChangeSet{Kind: f.kind, From: revision, To: f.revision, Changes: changes}, ok
 }
 
 // historyBytes returns how much memory the history occupies, in bytes.
 func (f *follower) historyBytes() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	bytes := 0
-	for _, change := range f.history {
-		bytes += change.Size()
-	}
-	return bytes
+	return f.history.bytes
 }
