link/leader: bound what is queued for a link in bytes

A follower behind a slow path that still acknowledges, or one that doesn't read, makes the leader hold versions of the configuration in both forms. No caller was seen to suffer from it: found by reading.

Change: items are encoded when they are queued, so that the queue keeps no objects alive and its size is known; a shared message is held once for all links. A link whose queue exceeds 8 MiB is closed, as one with too many messages already was: its follower links again and is sent only what it lacks. At most 16 KiB are joined before they are written.

--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -348,7 +348,7 @@
 		"leader.held":                    func() int64 { return boolToInt(g.lease.Held()) },
 		"leader.linked":                  func() int64 { return boolToInt(g.leaderState.linked()) },
 		"leader.followers":               func() int64 { return int64(g.leader.FollowerCount()) },
-		"leader.messages.queued":         func() int64 { return int64(g.leader.QueuedMessages()) },
+		"leader.queued.bytes":            func() int64 { return int64(g.leader.QueuedBytes()) },
 		"process.heap.live.bytes":        liveHeapBytes,
 		"process.uptime.seconds":         func() int64 { return int64(time.Since(g.started).Seconds()) },
 		"process.stalled":                func() int64 { return boolToInt(g.progress.Stalled()) },
--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -391,14 +391,15 @@
 	return len(l.followers)
 }
 
-// QueuedMessages returns how many messages wait to be sent, over all followers.
-func (l *Leader) QueuedMessages() int {
+// QueuedBytes returns the size of the messages that wait to be sent, over all followers. Messages that several followers are sent count for
+// each of them.
+func (l *Leader) QueuedBytes() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	queued := 0
 	for _, to := range l.followers {
 		if linked, ok := to.recipient.(*link.Follower); ok {
-			queued += linked.Queued()
+			queued += linked.QueuedBytes()
 		}
 	}
 	return queued
--- a/link/leader/leader.go
+++ b/link/leader/leader.go
@@ -33,6 +33,11 @@
 	// queueSize is how many messages may be queued for a slow link. A link whose queue is full is closed: its follower
 	// then decides for itself, and no turn is granted that the follower does not learn of.
 	queueSize = 4096
+	// maxQueuedBytes bounds the size of the messages that are queued for a link. A configuration may have a megabyte, and a new follower is
+	// sent it twice, beside all servers.
+	maxQueuedBytes = 8 << 20
+	// maxBatchBytes bounds the messages that are joined before they are written. A longer message is written by itself.
+	maxBatchBytes = 16 << 10
 )
 
 func config() *quic.Config {
--- a/link/leader/server.go
+++ b/link/leader/server.go
@@ -43,8 +43,8 @@
 // SendShared queues a message that is sent to several followers.
 func (f *Follower) SendShared(message *Shared) { f.stream.send(message) }
 
-// Queued returns how many messages wait to be sent.
-func (f *Follower) Queued() int { return len(f.stream.queue) }
+// QueuedBytes returns the size of the messages that wait to be sent.
+func (f *Follower) QueuedBytes() int { return int(f.stream.queuedBytes.Load()) }
 
 // Close closes the link.
 func (f *Follower) Close(reason string) { f.stream.close(reason) }
--- a/link/leader/stream.go
+++ b/link/leader/stream.go
@@ -1,8 +1,10 @@
 package leader
 
 import (
+	"bytes"
 	"io"
 	"sync"
+	"sync/atomic"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/quic-go/quic-go"
@@ -16,20 +18,31 @@
 type stream struct {
 	conn       *quic.Conn
 	quicStream *quic.Stream
-	queue      chan any
-	once       sync.Once
+	// queue holds encoded items, and queuedBytes is their size together.
+	queue       chan []byte
+	queuedBytes atomic.Int64
+	once        sync.Once
 }
 
 func newStream(conn *quic.Conn, quicStream *quic.Stream) *stream {
-	s := &stream{conn: conn, quicStream: quicStream, queue: make(chan any, queueSize)}
+	s := &stream{conn: conn, quicStream: quicStream, queue: make(chan []byte, queueSize)}
 	go s.writeLoop()
 	return s
 }
 
-// send queues an item. It never blocks.
+// send encodes an item and queues it. It never blocks. What is queued keeps nothing of the item in memory but its encoded form.
 func (s *stream) send(item any) {
+	encoded, err := encode(item)
+	if err != nil {
+		s.close(err.Error())
+		return
+	}
+	if s.queuedBytes.Add(int64(len(encoded))) > maxQueuedBytes {
+		s.close(errQueueFull.Error())
+		return
+	}
 	select {
-	case s.queue <- item:
+	case s.queue <- encoded:
 	case <-s.conn.Context().Done():
 	default:
 		s.close(errQueueFull.Error())
@@ -42,33 +55,37 @@
 		case <-s.conn.Context().Done():
 			return
 		case item := <-s.queue:
-			if !s.writeBatch(item) {
+			if !s.write(s.batch(item)) {
 				return
 			}
 		}
 	}
 }
 
-// writeBatch writes an item together with those queued behind it, so that they share packets.
-func (s *stream) writeBatch(item any) bool {
-	var batch []byte
-	for more := true; more; {
-		encoded, err := encode(item)
-		if err != nil {
-			s.close(err.Error())
-			return false
-		}
-		batch = append(batch, encoded...)
+// batch joins an item with those queued behind it while they are small, so that they share packets.
+func (s *stream) batch(item []byte) []byte {
+	joined := false
+	for len(item) < maxBatchBytes {
 		select {
-		case item = <-s.queue:
+		case next := <-s.queue:
+			if !joined {
+				item = bytes.Clone(item) // it may be shared with other links
+				joined = true
+			}
+			item = append(item, next...)
 		default:
-			more = false
+			return item
 		}
 	}
+	return item
+}
+
+func (s *stream) write(batch []byte) bool {
 	if _, err := s.quicStream.Write(batch); err != nil {
 		s.close(err.Error())
 		return false
 	}
+	s.queuedBytes.Add(-int64(len(batch)))
 	return true
 }
 
