entry/leader: encode what several followers missed once for all of them

Each was sent the changes that it missed and the newest configuration in a message of its own, and encoding one takes some times its size: a configuration of a megabyte for 330 followers at once. Found by reading; not played at that size.

Change: the leader keeps the latest such message of each kind and sends it to every follower that lacks the same.

Test: entry/leader, 'encodes what several followers missed once for all of them'; failed before (no message was shared).

--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -96,6 +96,7 @@
 type Leader struct {
 	deps    Deps
 	started time.Time
+	objects objectMessages
 
 	mu sync.Mutex // guards the fields below; several Deps are called while it is held, and must not call the Leader
 	// turns is replaced when this entry ceases to be the leader; its successor knows the turns that followers hold.
--- a/entry/leader/leader_test.go
+++ b/entry/leader/leader_test.go
@@ -35,6 +35,19 @@
 func (f *follower) Send(message link.Down)          { f.received = append(f.received, message) }
 func (f *follower) SendShared(message *link.Shared) { f.received = append(f.received, message.Down) }
 
+// sharedFollower also records which messages with objects are shared with other followers.
+type sharedFollower struct {
+	follower
+	shared []*link.Shared
+}
+
+func (f *sharedFollower) SendShared(message *link.Shared) {
+	if message.ChangeSet == nil && message.Config == nil {
+		return
+	}
+	f.shared = append(f.shared, message)
+}
+
 // takeLast returns the last message and discards all.
 func (f *follower) takeLast() link.Down {
 	GinkgoHelper()
@@ -234,6 +247,33 @@
 		Expect(from).To(Equal([]platform.Version{5, 10}), "the second one leaves a gap after revision 9")
 	})
 
+	// Guards against a leader that runs out of memory because it encodes a large configuration for each of hundreds of followers that lack it
+	// at the same time, after a change of leader.
+	It("encodes what several followers missed once for all of them", func() {
+		value := json.RawMessage(`{"version":9}`)
+		l := leader.New(leader.Deps{
+			AnnounceLeaving: func(link.Leaving) bool { return true }, AnnouncedLeaving: func() []link.Leaving { return nil },
+			Confirmed: func() bool { return true }, KnownLimits: func() []link.ServerLimit { return nil }, ReportLimit: func(leader.LimitChange) {},
+			IsLeader: func() bool { return true }, Config: func() (uint64, json.RawMessage) { return 9, value },
+			ChangesSince: func(_ platform.Kind, since platform.Version) (catalog.ChangeSet, bool) {
+				return configChange(since, 9, value), true
+			},
+		})
+		followers := make([]*sharedFollower, 3)
+		for i := range followers {
+			followers[i] = &sharedFollower{}
+			since := platform.Version(5 + i/2)
+			l.Join(fmt.Sprint("e-", i), followers[i], link.Hello{ConfigVersion: 5, Revisions: map[platform.Kind]platform.Version{"config": since}})
+			Expect(followers[i].shared).To(HaveLen(2))
+			Expect(followers[i].shared[0].ChangeSet).To(HaveValue(Equal(configChange(since, 9, value))))
+			Expect(followers[i].shared[1].Config.Spec).To(BeEquivalentTo(value))
+			Expect(followers[i].received).To(BeEmpty())
+		}
+		Expect(followers[1].shared[0]).To(BeIdenticalTo(followers[0].shared[0]))
+		Expect(followers[1].shared[1]).To(BeIdenticalTo(followers[0].shared[1]))
+		Expect(followers[2].shared[1]).To(BeIdenticalTo(followers[0].shared[1]))
+	})
+
 	// Nothing changes for the routable servers for long while others change all the time. A follower that has to watch the platform from
 	// its revision after the leader's death would find that history dropped.
 	It("tells its followers of later revisions without changes for them", func() {
--- a/entry/leader/news.go
+++ b/entry/leader/news.go
@@ -29,7 +29,7 @@
 		case filtered:
 			changes = changes.RoutableChanges()
 		}
-		to.Send(link.Down{ChangeSet: &changes})
+		to.SendShared(l.objects.ofChanges(changes, filtered))
 	}
 }
 
@@ -203,6 +203,6 @@
 func (l *Leader) sendNewerConfig(to recipient, has uint64) {
 	version, spec := l.deps.Config()
 	if version > has && spec != nil {
-		to.Send(link.Down{Config: &link.Config{Spec: spec}})
+		to.SendShared(l.objects.ofConfig(version, spec))
 	}
 }
