entry/catalog: a change never replaces a newer one in the history

Found by reading again: a change replaced whatever the history held of its object, also a newer one. An answer of the platform that arrives after later changes, which the leader had forwarded meanwhile, would leave the older change alone in the history, and an entry that links late would be sent it as the newest one. No caller was seen to suffer from it.

Change: a change that is older than the one held of its object isn't recorded. The specs of the history have a file of their own, unchanged.

Test: entry/catalog, 'never replace a change by an older one'; failed before (version 3 was sent where 4 was the newest), passes now with the race detector, beside the other three of its group.

--- a/entry/catalog/history.go
+++ b/entry/catalog/history.go
@@ -29,7 +29,7 @@
 
 // record adds changes, and drops the oldest ones that exceed the bounds.
 func (h *history) record(changes []Change) {
-	h.dropSuperseded(changes)
+	changes = h.replaceObjects(changes)
 	for _, change := range changes {
 		h.bytes += change.Size()
 	}
@@ -43,23 +43,32 @@
 	h.changes = slices.Delete(h.changes, 0, excess)
 }
 
-// dropSuperseded drops the earlier changes of the objects that are about to be recorded.
-func (h *history) dropSuperseded(changes []Change) {
-	objects := make(map[string]bool, len(changes))
+// replaceObjects drops the changes of objects of which newer ones are about to be recorded, and returns what is to be recorded: changes can arrive
+// after newer ones of the same object.
+func (h *history) replaceObjects(changes []Change) []Change {
+	newest := make(map[string]store.Version)
 	for _, change := range changes {
 		if change.Object != nil {
-			objects[change.Name()] = true
+			newest[change.Name()] = max(newest[change.Name()], change.Version())
 		}
 	}
-	if len(objects) == 0 {
-		return
+	if len(newest) == 0 {
+		return changes
 	}
 	h.changes = slices.DeleteFunc(h.changes, func(known Change) bool {
-		superseded := known.Object != nil && objects[known.Name()]
-		if superseded {
-			h.bytes -= known.Size()
+		version, ok := newest[known.Name()]
+		if known.Object == nil || !ok {
+			return false
 		}
-		return superseded
+		if known.Version() > version {
+			newest[known.Name()] = known.Version()
+			return false
+		}
+		h.bytes -= known.Size()
+		return true
+	})
+	return slices.DeleteFunc(slices.Clone(changes), func(change Change) bool {
+		return change.Object != nil && change.Version() < newest[change.Name()]
 	})
 }
 
