link/ingress: follow each request of a caller's connection to its answer; log those without one

When a stopping process closed a connection whose request it had read, no line or metric told so, and of the requests in progress as it ended only the number was logged.

A connection now records how far its request has come (header, whole header, handler), whether a byte of the answer was written and whether the caller closed first. One that ends unanswered is counted by state, and logged unless its caller left. A stopping process logs the id and the stage of each request that it leaves unfinished. No logic changes: the server is shut down as before.

--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -54,7 +54,7 @@
 	log.SetOutput(lines)
 	s := &shared{
 		config: config, log: log.WithField("entry", config.Name), registry: metrics.NewRegistry(), leaderState: newLeaderState(), started: time.Now(),
-		unreachableLines: rate.NewLimiter(maxUnreachableLines, maxUnreachableLines), evacuations: make(map[domain.FailureDomain]bool),
+		unreachableLines: rate.NewLimiter(maxUnreachableLines, maxUnreachableLines), unansweredLines: rate.NewLimiter(maxUnansweredLines, maxUnansweredLines), evacuations: make(map[domain.FailureDomain]bool),
 	}
 	s.firstByteTimes = histogram(s.registry, "requests.first.ms")
 	s.totalTimes = histogram(s.registry, "requests.took.ms")
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
 	"log"
 	"net"
@@ -34,9 +33,9 @@
 	"github.com/skylarkpond/skylarkpond/entry/standing"
 	"github.com/skylarkpond/skylarkpond/entry/suspects"
 	"github.com/skylarkpond/skylarkpond/entry/turn"
-	"github.com/skylarkpond/skylarkpond/internal/lateread"
 	"github.com/skylarkpond/skylarkpond/internal/wait"
 	"github.com/skylarkpond/skylarkpond/link/framing"
+	"github.com/skylarkpond/skylarkpond/link/ingress"
 	link "github.com/skylarkpond/skylarkpond/link/leader"
 	"github.com/skylarkpond/skylarkpond/link/peer"
 	"github.com/skylarkpond/skylarkpond/link/upstream"
@@ -63,6 +62,8 @@
 	leaving                    atomic.Bool
 	// unreachableLines limits the lines about failed connections to servers.
 	unreachableLines *rate.Limiter
+	// unansweredLines limits the lines about connections that ended with a request unanswered.
+	unansweredLines *rate.Limiter
 	// evacuations holds the failure domains that operators evacuate. Only applyEvacuations uses it, whose calls don't overlap.
 	evacuations map[domain.FailureDomain]bool
 	// callersFault is the fault of what the lease's attachment last held of callers. Only the lease's own goroutine uses it.
@@ -187,13 +188,13 @@
 
 // server is one listener with its handler.
 type server struct {
-	http     *http.Server
+	http     *ingress.Server
 	listener net.Listener
 }
 
 func (s *server) serve() error {
 	err := s.http.Serve(s.listener)
-	if errors.Is(err, http.ErrServerClosed) {
+	if err == nil {
 		select {} // closed by drain; Run returns by itself
 	}
 	return err
@@ -210,13 +211,14 @@
 
 func (g *Gateway) listen() ([]*server, error) {
 	listeners := []struct {
-		address string
-		handler http.Handler
+		address    string
+		handler    http.Handler
+		unanswered func(ingress.Unanswered)
 	}{
-		{g.config.CallerAddress, g.gate.Wrap(g.relay)},
-		{g.config.ReadyAddress, http.HandlerFunc(g.ready)},
-		{g.config.DirectoryAddress, http.HandlerFunc(g.lookup)},
-		{g.config.MetricsAddress, http.HandlerFunc(g.metrics)},
+		{g.config.CallerAddress, g.gate.Wrap(g.relay), g.requestUnanswered},
+		{g.config.ReadyAddress, http.HandlerFunc(g.ready), func(ingress.Unanswered) {}},
+		{g.config.DirectoryAddress, http.HandlerFunc(g.lookup), func(ingress.Unanswered) {}},
+		{g.config.MetricsAddress, http.HandlerFunc(g.metrics), func(ingress.Unanswered) {}},
 	}
 	var servers []*server
 	for _, m := range listeners {
@@ -225,12 +227,12 @@
 			return nil, eris.Wrap(err, "listening at "+m.address)
 		}
 		servers = append(servers, &server{
-			listener: lateread.Listen(listener),
-			http: &http.Server{
+			listener: listener,
+			http: ingress.New(&http.Server{
 				Handler: m.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 				ConnContext: framing.WithConn,
 				ErrorLog:    log.New(io.Discard, "", 0), // the relay reports failures of requests
-			},
+			}, m.unanswered),
 		})
 	}
 	return servers, nil
@@ -311,7 +313,7 @@
 	for g.relay.InProgress() > 0 && ctx.Err() == nil {
 		time.Sleep(drainPollInterval)
 	}
-	g.log.WithField("unfinished", g.relay.InProgress()).Info(logline.Stopped)
+	g.logUnfinished(servers[0].http)
 }
 
 const (
--- a/entry/gateway/lines.go
+++ b/entry/gateway/lines.go
@@ -17,6 +17,7 @@
 	"github.com/skylarkpond/skylarkpond/entry/relay"
 	"github.com/skylarkpond/skylarkpond/entry/suspects"
 	"github.com/skylarkpond/skylarkpond/link/framing"
+	"github.com/skylarkpond/skylarkpond/link/ingress"
 	link "github.com/skylarkpond/skylarkpond/link/leader"
 	store "github.com/skylarkpond/skylarkpond/link/platform"
 	"github.com/skylarkpond/skylarkpond/logline"
@@ -76,6 +77,43 @@
 // connections fail in a second.
 const maxUnreachableLines = 20
 
+// maxUnansweredLines is the number of lines a second about connections that ended with a request unanswered.
+const maxUnansweredLines = 20
+
+// requestUnanswered counts a connection that ended with a request unanswered, and logs it unless its caller closed it first or had not sent the
+// whole header.
+func (s *shared) requestUnanswered(request ingress.Unanswered) {
+	cause := string(request.State)
+	if request.CallerClosed {
+		cause += ".caller_closed"
+	}
+	metrics.GetOrRegisterCounter("requests.unanswered."+cause, s.registry).Inc(1)
+	if request.CallerClosed || request.State == ingress.Header {
+		return
+	}
+	if !s.unansweredLines.Allow() {
+		metrics.GetOrRegisterCounter("requests.unanswered.unlogged", s.registry).Inc(1)
+		return
+	}
+	s.log.WithFields(logrus.Fields{
+		"caller": request.Remote, "state": request.State, "since_last_byte_ms": request.SinceLastByte.Milliseconds(), "stopping": s.leaving.Load(),
+	}).Warn(logline.RequestUnanswered)
+}
+
+// logUnfinished logs what a process leaves unfinished as it ends.
+func (g *Gateway) logUnfinished(callers *ingress.Server) {
+	unfinished := g.relay.Unfinished()
+	for _, request := range unfinished {
+		g.log.WithFields(logrus.Fields{
+			"request": request.ID, "state": request.Stage.String(), "age_ms": request.Age.Milliseconds(),
+		}).Warn(logline.RequestUnfinished)
+	}
+	for _, request := range callers.Open() {
+		g.requestUnanswered(request)
+	}
+	g.log.WithField("unfinished", len(unfinished)).Info(logline.Stopped)
+}
+
 // serverUnreachable logs a failed connection to a server.
 func (s *shared) serverUnreachable(request string, server *backend.Server, err error) {
 	metrics.GetOrRegisterCounter("servers.unreachable", s.registry).Inc(1)
--- a/entry/relay/answer.go
+++ b/entry/relay/answer.go
@@ -95,6 +95,7 @@
 // writeAnswer writes an answer whose body has been read to its end. With framing.Closed, the body may have been cut off.
 func (e *exchange) writeAnswer(status int, header http.Header, body []byte, bodyFraming framing.Framing) {
 	e.summary.Status = status
+	e.stage.enter(Answering)
 	out := e.writer.Header()
 	maps.Copy(out, header)
 	if bodyFraming == framing.Closed {
--- a/entry/relay/attempt.go
+++ b/entry/relay/attempt.go
@@ -114,6 +114,7 @@
 // send sends the request to one server and starts a stall watch on the attempt, which the caller stops with endAttempt.
 func (e *exchange) send(t *turn.Turn, lastEvent string) (*upstream.Response, error) {
 	e.sentAt, e.timeToFirstEvent, e.events = time.Now(), 0, 0
+	e.stage.enter(e.stageAt(AtServer))
 	suspicion := time.AfterFunc(e.silenceBeforeReport(), func() { e.reportSilence(t) })
 	defer suspicion.Stop()
 	ctx, cancel := context.WithCancelCause(e.ctx)
@@ -176,7 +177,18 @@
 }
 
 // endAttempt stops the stall watch and keeps the turn for which the attempt was abandoned, if any.
-func (e *exchange) endAttempt() { e.nextTurn = e.watch.stop() }
+func (e *exchange) endAttempt() {
+	e.nextTurn = e.watch.stop()
+	e.stage.enter(e.stageAt(Waiting))
+}
+
+// stageAt returns Answering once the answer's header has been sent, and otherwise the stage given.
+func (e *exchange) stageAt(otherwise Stage) Stage {
+	if e.headerSent {
+		return Answering
+	}
+	return otherwise
+}
 
 // maxUnreachable bounds the servers whose connection attempt may fail for one request. Each takes up to 0.4 s.
 const maxUnreachable = 3
--- a/entry/relay/exchange.go
+++ b/entry/relay/exchange.go
@@ -70,6 +70,8 @@
 	// watch detects a stall of the current attempt.
 	watch   *stallWatch
 	summary Report
+	// stage may be read by any goroutine.
+	stage stage
 }
 
 func newExchange(r *Relay, w http.ResponseWriter, request *http.Request) *exchange {
@@ -101,6 +103,7 @@
 	defer cancel()
 	e.ctx = ctx
 	defer e.releaseNextTurn()
+	e.stage.enter(Waiting)
 	e.sendUntilDone()
 }
 
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -104,6 +104,7 @@
 	inFlight atomic.Int64
 	received atomic.Bool
 	held     heldMemory
+	running  inProgress
 }
 
 // New returns a Relay.
@@ -145,6 +146,8 @@
 	r.inFlight.Add(1)
 	defer r.inFlight.Add(-1)
 	e := newExchange(r, w, request)
+	r.running.add(e)
+	defer r.running.remove(e)
 	defer e.report()
 	e.run()
 }
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -83,6 +83,7 @@
 		return
 	}
 	e.headerSent = true
+	e.stage.enter(Answering)
 	e.endsWithConnection = streamFraming == framing.Closed
 	e.timeToFirstEvent = time.Since(e.sentAt)
 	e.summary.Status = http.StatusOK
--- a/entry/relay/whole.go
+++ b/entry/relay/whole.go
@@ -131,6 +131,7 @@
 // sendBeginning sends the header of an answer that is passed through.
 func (e *exchange) sendBeginning(answer *upstream.Response) {
 	e.headerSent = true
+	e.stage.enter(Answering)
 	e.summary.Status = answer.Status
 	e.summary.TimeToFirstByte = time.Since(e.arrived)
 	header := e.writer.Header()
--- a/internal/lateread/lateread.go
+++ b/internal/lateread/lateread.go
@@ -34,11 +34,14 @@
 	if !ok {
 		return accepted, nil
 	}
-	return &conn{TCPConn: tcp}, nil
+	return NewConn(tcp), nil
 }
 
-// conn embeds the TCP connection because the HTTP server uses methods of it that net.Conn does not have.
-type conn struct {
+// NewConn returns a connection that extends a read deadline that has passed.
+func NewConn(inner *net.TCPConn) *Conn { return &Conn{TCPConn: inner} }
+
+// Conn embeds the TCP connection because the HTTP server uses methods of it that net.Conn does not have.
+type Conn struct {
 	*net.TCPConn
 
 	mu sync.Mutex // guards extendable and serializes changes of the read deadline; a leaf lock
@@ -47,7 +50,7 @@
 }
 
 // SetReadDeadline implements net.Conn.
-func (c *conn) SetReadDeadline(t time.Time) error {
+func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.extendable = time.Now().Before(t)
@@ -55,7 +58,7 @@
 }
 
 // SetDeadline implements net.Conn.
-func (c *conn) SetDeadline(t time.Time) error {
+func (c *Conn) SetDeadline(t time.Time) error {
 	if err := c.SetWriteDeadline(t); err != nil {
 		return err
 	}
@@ -63,7 +66,7 @@
 }
 
 // Read implements net.Conn.
-func (c *conn) Read(p []byte) (int, error) {
+func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
 	if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !c.extend() {
 		return n, err
@@ -72,7 +75,7 @@
 }
 
 // extend extends a deadline that has passed, at most once for each deadline. It reports whether it did.
-func (c *conn) extend() bool {
+func (c *Conn) extend() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.extendable {
--- /dev/null
+++ b/link/ingress/conn.go
@@ -0,0 +1,148 @@
+package ingress
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/skylarkpond/skylarkpond/internal/lateread"
+)
+
+// State is how far a connection has come with its current request.
+type State string
+
+// The states, in the order in which a request passes through them.
+const (
+	// Idle: nothing of a request has been read since the last answer.
+	Idle State = "idle"
+	// Header: a part of a request's header has been read.
+	Header State = "header"
+	// Request: the whole header has been read, and the handler has not been called.
+	Request State = "request"
+	// Handler: the handler was called.
+	Handler State = "handler"
+)
+
+// Unanswered describes a connection that ended before any byte of the answer to its request was written.
+type Unanswered struct {
+	Remote string
+	State  State
+	// CallerClosed is set if the caller closed the connection first.
+	CallerClosed bool
+	// SinceLastByte is the time since the last byte of the request was read.
+	SinceLastByte time.Duration
+}
+
+// conn is a caller's connection.
+type conn struct {
+	*lateread.Conn
+	server *Server
+
+	mu    sync.Mutex // guards what follows; a leaf lock
+	state State
+	// tail holds the last bytes of an incomplete header.
+	tail         []byte
+	lastByte     time.Time
+	answering    bool
+	callerClosed bool
+	closed       bool
+}
+
+// headerEnd separates a request's header from its body.
+var headerEnd = []byte("\r\n\r\n")
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n > 0 {
+		c.noteRead(p[:n])
+	}
+	if errors.Is(err, io.EOF) || err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) {
+		c.callerClosed = true
+	}
+	return n, err
+}
+
+func (c *conn) noteRead(read []byte) {
+	c.lastByte = time.Now()
+	if c.state == Idle {
+		c.state, c.answering = Header, false
+	}
+	if c.state != Header {
+		return
+	}
+	seen := append(c.tail, read...)
+	if bytes.Contains(seen, headerEnd) {
+		c.state, c.tail = Request, nil
+		return
+	}
+	c.tail = append(c.tail[:0], seen[max(0, len(seen)-len(headerEnd)+1):]...)
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	c.noteAnswer()
+	return c.Conn.Write(p)
+}
+
+// ReadFrom implements io.ReaderFrom.
+func (c *conn) ReadFrom(from io.Reader) (int64, error) {
+	c.noteAnswer()
+	return c.Conn.ReadFrom(from)
+}
+
+func (c *conn) noteAnswer() {
+	c.mu.Lock()
+	c.answering = true
+	c.mu.Unlock()
+}
+
+// begin records that the handler was called.
+func (c *conn) begin() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state == Idle {
+		c.answering = false // the request was read together with the one before
+	}
+	c.state, c.tail = Handler, nil
+}
+
+// end records that the answer has been written.
+func (c *conn) end() {
+	c.mu.Lock()
+	c.state, c.tail = Idle, nil
+	c.mu.Unlock()
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.mu.Lock()
+	first := !c.closed
+	c.closed = true
+	unanswered, found := c.current()
+	c.mu.Unlock()
+	err := c.Conn.Close()
+	if first {
+		c.server.forget(c)
+		if found {
+			c.server.unanswered(unanswered)
+		}
+	}
+	return err
+}
+
+// current returns the request of which nothing has been answered, if there is one. The caller holds mu.
+func (c *conn) current() (Unanswered, bool) {
+	if c.state == Idle || c.answering {
+		return Unanswered{}, false
+	}
+	return Unanswered{
+		Remote: c.RemoteAddr().String(), State: c.state, CallerClosed: c.callerClosed, SinceLastByte: time.Since(c.lastByte),
+	}, true
+}
--- /dev/null
+++ b/link/ingress/ingress_test.go
@@ -0,0 +1,143 @@
+package ingress_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/skylarkpond/skylarkpond/link/ingress"
+)
+
+func TestIngress(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "connections of callers")
+}
+
+// served is a server on a loopback address, with the requests that it left unanswered.
+type served struct {
+	*ingress.Server
+	address string
+	done    chan error
+
+	mu         sync.Mutex
+	unanswered []ingress.Unanswered
+}
+
+func serve(handler http.HandlerFunc, options ...func(*http.Server)) *served {
+	GinkgoHelper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	s := &served{address: listener.Addr().String(), done: make(chan error, 1)}
+	inner := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute}
+	for _, option := range options {
+		option(inner)
+	}
+	s.Server = ingress.New(inner, func(request ingress.Unanswered) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.unanswered = append(s.unanswered, request)
+	})
+	go func() { s.done <- s.Serve(listener) }()
+	DeferCleanup(s.Close)
+	return s
+}
+
+// reported returns the requests that were left unanswered, of callers that had not closed their connections.
+func (s *served) reported() []ingress.Unanswered {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []ingress.Unanswered
+	for _, request := range s.unanswered {
+		if !request.CallerClosed {
+			list = append(list, request)
+		}
+	}
+	return list
+}
+
+// caller is a client's connection.
+type caller struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+func (s *served) connect() *caller {
+	GinkgoHelper()
+	conn, err := net.Dial("tcp", s.address)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { _ = conn.Close() }) // a spec may have closed it
+	return &caller{conn, bufio.NewReader(conn)}
+}
+
+const request = "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
+
+// send sends a request and returns the status of the answer, whose body it reads.
+func (c *caller) send() (status int, lastOnConnection bool, err error) {
+	if _, err := io.WriteString(c, request); err != nil {
+		return 0, false, err
+	}
+	return c.receive()
+}
+
+func (c *caller) receive() (status int, lastOnConnection bool, err error) {
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return 0, false, err
+	}
+	_, err = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, response.Close, err
+}
+
+func echo(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	_, _ = fmt.Fprint(w, "answer")
+}
+
+var _ = Describe("Server", func() {
+	It("reports how far an unanswered request had come when its handler aborts", func() {
+		s := serve(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+		_, _, err := s.connect().send()
+		Expect(err).To(HaveOccurred())
+		Eventually(s.reported).Should(HaveLen(1))
+		Expect(s.reported()[0].State).To(Equal(ingress.Handler))
+	})
+
+	It("tells callers that left from those that got no answer", func() {
+		begun := make(chan struct{})
+		s := serve(func(_ http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			close(begun)
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		})
+		c := s.connect()
+		_, err := io.WriteString(c, request)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(begun).Should(BeClosed())
+		Expect(s.Open()).To(ConsistOf(HaveField("State", ingress.Handler)))
+		Expect(c.Close()).To(Succeed())
+		Eventually(s.Open).Should(BeEmpty())
+		Consistently(s.reported, 50*time.Millisecond).Should(BeEmpty())
+	})
+
+	It("reports nothing of answered requests and of idle connections", func() {
+		s := serve(echo)
+		c := s.connect()
+		for range 3 {
+			status, _, err := c.send()
+			Expect(err).NotTo(HaveOccurred())
+			Expect(status).To(Equal(http.StatusOK))
+		}
+		Eventually(s.Open).Should(BeEmpty())
+		Expect(s.Close()).To(Succeed())
+		Consistently(s.reported, 50*time.Millisecond).Should(BeEmpty())
+	})
+})
