--- a/link/ingress/ingress_test.go
+++ b/link/ingress/ingress_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -101,6 +102,8 @@
 	_, _ = fmt.Fprint(w, "answer")
 }
 
+const grace = 10 * time.Second
+
 var _ = Describe("Server", func() {
 	It("reports how far an unanswered request had come when its handler aborts", func() {
 		s := serve(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
@@ -140,4 +143,36 @@
 		Expect(s.Close()).To(Succeed())
 		Consistently(s.reported, 50*time.Millisecond).Should(BeEmpty())
 	})
+
+	// Guards against requests that were read whole and dropped because the server was stopping.
+	It("answers every request that it reads while it is shut down", func() {
+		for range 5 {
+			s := serve(echo)
+			stop := make(chan struct{})
+			var callers sync.WaitGroup
+			for range 100 {
+				c := s.connect()
+				callers.Go(func() {
+					for {
+						select {
+						case <-stop:
+							return
+						default:
+						}
+						if _, last, err := c.send(); err != nil || last {
+							return
+						}
+					}
+				})
+			}
+			time.Sleep(50 * time.Millisecond)
+			ctx, cancel := context.WithTimeout(context.Background(), grace)
+			Expect(s.Shutdown(ctx)).To(Succeed())
+			cancel()
+			close(stop)
+			callers.Wait()
+			Expect(s.reported()).To(BeEmpty())
+			Eventually(s.done).Should(Receive(BeNil()))
+		}
+	})
 })
