link/ingress: a stopping server closes a connection only while nothing of a request has been read from it

Callers saw: a request sent whole on a kept connection to a stopping entry, and the connection closed in order, with neither an answer nor a refusal. 503 'not run' would have been true.

Cause: http.Server.Shutdown. From then on net/http reads a request, checks shuttingDown() before it calls the handler, and closes the connection; it also closes connections that it holds for idle although the first bytes of a request have been read. The entry stops accepting at most 2.8 s after the signal, while callers go on using kept connections. On a VM with a share of a core the close may come more than 200 ms after the request's last byte.

The class: the end of a connection is decided without the knowledge of what was read from it. The server no longer uses Shutdown: it closes its listener, lets the wait for a next request time out on connections from which nothing has been read, and hands every request that it reads to the handler, with Connection: close on the answer. An idle connection is read for another 20 ms, so that a request which crosses the close is mostly answered; one that comes later is not read, and its caller sees a reset.

--- a/link/ingress/conn.go
+++ b/link/ingress/conn.go
@@ -50,6 +50,8 @@
 	answering    bool
 	callerClosed bool
 	closed       bool
+	// closing is set if the connection is to be closed when it is idle.
+	closing bool
 }
 
 // headerEnd separates a request's header from its body.
@@ -108,7 +110,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.state == Idle {
-		c.answering = false // the request was read together with the one before
+		// The request was read together with the one before.
+		c.answering = false
+		if c.closing {
+			_ = c.Conn.SetReadDeadline(time.Time{})
+		}
 	}
 	c.state, c.tail = Handler, nil
 }
@@ -120,6 +126,29 @@
 	c.mu.Unlock()
 }
 
+// closingLinger is how long an idle connection is still read when the server stops. A request that its caller has sent by then is answered.
+const closingLinger = 20 * time.Millisecond
+
+// closeWhenIdle makes the HTTP server close the connection once nothing of a request has been read from it: its wait for the next request times out.
+func (c *conn) closeWhenIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closing = true
+	if c.state == Idle {
+		_ = c.Conn.SetReadDeadline(time.Now().Add(closingLinger))
+	}
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if latest := time.Now().Add(closingLinger); c.closing && c.state == Idle && (t.IsZero() || t.After(latest)) {
+		t = latest
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.mu.Lock()
--- a/link/ingress/ingress.go
+++ b/link/ingress/ingress.go
@@ -1,5 +1,8 @@
 // Package ingress accepts callers' connections for an HTTP server and follows each of their requests from its first byte to its answer, so that a
 // request that gets no answer can be explained.
+//
+// Its Shutdown takes the place of that of net/http, which closes connections after it has read requests from them: their callers can't tell whether
+// these were processed. Here a connection is closed only while nothing of a request has been read from it.
 package ingress
 
 import (
@@ -8,8 +11,11 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/skylarkpond/skylarkpond/internal/lateread"
+	"github.com/skylarkpond/skylarkpond/internal/wait"
 )
 
 // Server serves callers over HTTP/1.1. It is safe for concurrent use.
@@ -17,8 +23,11 @@
 	http       *http.Server
 	unanswered func(Unanswered)
 
-	mu    sync.Mutex // guards conns; a leaf lock
-	conns map[*conn]struct{}
+	stopping atomic.Bool
+
+	mu       sync.Mutex // guards what follows; may be held while the lock of a conn is taken
+	conns    map[*conn]struct{}
+	listener net.Listener
 }
 
 // New returns a Server that serves as inner is configured. unanswered is called for each connection that ends without an answer to its request.
@@ -29,6 +38,9 @@
 		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
 			c.begin()
 		}
+		if s.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
 		handler.ServeHTTP(w, r)
 	})
 	inner.ConnContext = func(ctx context.Context, accepted net.Conn) context.Context {
@@ -49,19 +61,56 @@
 // connKey is the key of a request's connection in its context.
 type connKey struct{}
 
-// Serve accepts connections on a TCP listener until Shutdown is called.
+// Serve accepts connections on a TCP listener until Shutdown or Close is called.
 func (s *Server) Serve(inner net.Listener) error {
+	s.mu.Lock()
+	s.listener = inner
+	s.mu.Unlock()
+	if s.stopping.Load() {
+		_ = inner.Close()
+		return nil
+	}
 	err := s.http.Serve(listener{inner, s})
-	if errors.Is(err, http.ErrServerClosed) {
+	if s.stopping.Load() || errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return err
 }
 
-// Shutdown stops accepting connections and requests, and waits until the requests in progress have been answered or ctx ends.
-func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
+// Shutdown stops accepting connections, closes those that are idle, and waits until the others have been answered and closed, or ctx ends. Requests
+// that arrive on them meanwhile are handled, each as the last one on its connection.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.stopAccepting()
+	for s.connCount() > 0 {
+		if !wait.Pause(ctx, shutdownPollInterval) {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// shutdownPollInterval is the interval between checks whether any connection is left.
+const shutdownPollInterval = 5 * time.Millisecond
+
+func (s *Server) stopAccepting() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopping.Store(true)
+	if s.listener != nil {
+		_ = s.listener.Close() // fails only if it is closed already
+	}
+	for c := range s.conns {
+		c.closeWhenIdle()
+	}
+}
+
+func (s *Server) connCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
 
-// Close closes all connections.
+// Close closes all connections at once.
 func (s *Server) Close() error { return s.http.Close() }
 
 // Open returns the requests of which nothing has been answered.
@@ -79,10 +128,19 @@
 	return open
 }
 
+func (s *Server) add(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[c] = struct{}{}
+	if s.stopping.Load() {
+		c.closeWhenIdle() // it was accepted just before the listener was closed
+	}
+}
+
 func (s *Server) forget(c *conn) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	delete(s.conns, c)
-	s.mu.Unlock()
 }
 
 type listener struct {
@@ -101,8 +159,6 @@
 		return accepted, nil
 	}
 	c := &conn{Conn: lateread.NewConn(tcp), server: l.server, state: Idle}
-	l.server.mu.Lock()
-	l.server.conns[c] = struct{}{}
-	l.server.mu.Unlock()
+	l.server.add(c)
 	return c, nil
 }
