entry/relay: every request ends with an answer or an aborted connection

Cause: the end of the request's context was taken for the caller's leaving, and then nothing was written; net/http makes an empty success of a handler that writes nothing. The read deadline that bounded the body could end the context in the same way.

Now the first cause of the end counts: a deadline is told from a caller that left. A request whose body is late is rejected with 408 (it has not run), and one whose caller closed its side is answered like any other. A handler that would return without an answer aborts the connection. The connection's read deadline is set only while a body is read, and only once the request's time is over.

--- a/entry/relay/answer.go
+++ b/entry/relay/answer.go
@@ -56,8 +56,8 @@
 	switch {
 	case e.mayHaveRun:
 		e.fail(detail)
-	case e.request.Context().Err() != nil:
-		e.callerLeft(detail)
+	case e.callerGone():
+		e.refuse(CallerLeft, http.StatusServiceUnavailable, refusal.RetryAfter, detail)
 	default:
 		e.refuse(Refused, http.StatusServiceUnavailable, refusal.RetryAfter, detail)
 	}
@@ -65,29 +65,27 @@
 
 // fail ends a request that may have run.
 func (e *exchange) fail(detail string) {
-	if e.request.Context().Err() != nil {
-		e.callerLeft(detail)
-		if e.headerSent {
-			e.abort() // a write that timed out looks like a caller that left, and one that closed its side alone still reads
-		}
-		return
-	}
 	outcome, status := Unknown, http.StatusBadGateway
-	if errors.Is(e.ctx.Err(), context.DeadlineExceeded) {
+	switch cause := context.Cause(e.ctx); {
+	case e.callerGone():
+		outcome = CallerLeft
+	case errors.Is(cause, context.DeadlineExceeded):
 		outcome, status = TimedOut, http.StatusGatewayTimeout
 	}
 	if e.headerSent {
-		e.summary.Outcome = Cut
+		if outcome != CallerLeft {
+			outcome = Cut
+		}
+		e.summary.Outcome = outcome
 		e.summary.Detail = detail
 		e.abort()
 	}
 	e.refuse(outcome, status, 0, detail)
 }
 
-func (e *exchange) callerLeft(detail string) {
-	e.summary.Outcome = CallerLeft
-	e.summary.Detail = detail
-}
+// callerGone reports whether the caller closed its connection, or its side of it, before the request's time was over. A request is answered all the
+// same: a caller that has closed only its side still reads.
+func (e *exchange) callerGone() bool { return errors.Is(context.Cause(e.ctx), context.Canceled) }
 
 // abort ends the answer, so that the part already sent can't be taken for a complete one.
 func (e *exchange) abort() { framing.Abort(e.writer, e.request) }
--- a/entry/relay/exchange.go
+++ b/entry/relay/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -87,7 +88,13 @@
 }
 
 func (e *exchange) run() {
-	if !e.canServePassedOn() || !e.admit() || !e.readBody() {
+	if !e.canServePassedOn() || !e.admit() {
+		return
+	}
+	ctx, cancel := context.WithDeadline(e.request.Context(), e.deadline)
+	defer cancel()
+	e.ctx = ctx
+	if !e.readBody() {
 		return
 	}
 	if e.call.Forwarded != nil && e.relay.deps.Isolation.Isolated(e.service) {
@@ -99,9 +106,6 @@
 	if e.heldBack(nil) {
 		return
 	}
-	ctx, cancel := context.WithDeadline(e.request.Context(), e.deadline)
-	defer cancel()
-	e.ctx = ctx
 	defer e.releaseNextTurn()
 	e.stage.enter(Waiting)
 	e.sendUntilDone()
@@ -182,22 +186,49 @@
 	if e.request.ContentLength > limit {
 		return e.refuse(TooLarge, http.StatusRequestEntityTooLarge, 0, "body over the limit")
 	}
-	controller := http.NewResponseController(e.writer)
-	_ = controller.SetReadDeadline(e.deadline)
-	body, err := io.ReadAll(io.LimitReader(e.request.Body, limit+1))
+	body, err := e.receive(io.LimitReader(e.request.Body, limit+1))
 	if err != nil {
-		e.summary.Outcome = CallerLeft
-		e.summary.Detail = "reading the body: " + err.Error()
-		e.abort()
+		return e.endUnread(err)
 	}
 	if int64(len(body)) > limit {
 		return e.refuse(TooLarge, http.StatusRequestEntityTooLarge, 0, "body over the limit")
 	}
-	_ = controller.SetReadDeadline(time.Time{})
 	e.body = body
 	return true
 }
 
+// receive reads the body until the request's context ends.
+func (e *exchange) receive(body io.Reader) ([]byte, error) {
+	if e.request.ContentLength == 0 {
+		return nil, nil
+	}
+	controller := http.NewResponseController(e.writer)
+	interrupted := make(chan struct{})
+	unregister := context.AfterFunc(e.ctx, func() {
+		defer close(interrupted)
+		_ = controller.SetReadDeadline(time.Now())
+	})
+	read, err := io.ReadAll(body)
+	if !unregister() {
+		<-interrupted
+		if err == nil {
+			_ = controller.SetReadDeadline(time.Time{})
+		} // else the HTTP server would wait for the rest of the body before it sends the answer
+	}
+	return read, err
+}
+
+// endUnread ends a request whose body could not be read whole and returns false. It has not run.
+func (e *exchange) endUnread(err error) bool {
+	detail := "reading the body: " + err.Error()
+	switch cause := context.Cause(e.ctx); {
+	case errors.Is(cause, context.DeadlineExceeded):
+		return e.refuse(TimedOut, http.StatusRequestTimeout, 0, detail)
+	default:
+		return e.refuse(CallerLeft, http.StatusBadRequest, 0, detail)
+	}
+}
+
 // defaultBodyBytes is the body limit if the configuration sets none.
 const defaultBodyBytes = 4 << 20
 
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -108,7 +108,9 @@
 }
 
 // New returns a Relay.
-func New(deps Deps) *Relay { return &Relay{deps: deps, started: time.Now()} }
+func New(deps Deps) *Relay {
+	return &Relay{deps: deps, started: time.Now()}
+}
 
 const (
 	// firstConfigTimeout is how long after its start a process may take to learn the first configuration. If all entries were killed, callers
@@ -150,6 +152,9 @@
 	defer r.running.remove(e)
 	defer e.report()
 	e.run()
+	if e.summary.Status == 0 {
+		e.abort() // net/http would answer with an empty success
+	}
 }
 
 // Report describes how one request ended, for logs and metrics.
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -45,9 +45,15 @@
 	stalls  int
 	// expired is the number of turns, from the first on, that have expired when they are granted.
 	expired int
+	// waiting makes requests wait for a turn for as long as they can.
+	waiting bool
 }
 
-func (t *inOrder) Acquire(_ context.Context, ask turn.Request) (*turn.Turn, *turn.Refusal) {
+func (t *inOrder) Acquire(ctx context.Context, ask turn.Request) (*turn.Turn, *turn.Refusal) {
+	if t.waiting {
+		<-ctx.Done()
+		return nil, &turn.Refusal{Reason: turn.Full, RetryAfter: 700 * time.Millisecond, Detail: "test"}
+	}
 	for _, server := range t.servers {
 		if slices.Contains(ask.Tried, server.ID) {
 			continue
@@ -88,6 +94,7 @@
 	servers []*replica.Server
 	turns   *inOrder
 	gateway *httptest.Server
+	relay   *relay.Relay
 	mu      sync.Mutex
 	reports []relay.Report
 	table   atomic.Pointer[route.Table]
@@ -248,6 +255,7 @@
 			r.reports = append(r.reports, report)
 		},
 	})
+	r.relay = handler
 	r.gateway = httptest.NewUnstartedServer(handler)
 	r.gateway.Listener = lateread.Listen(r.gateway.Listener)
 	r.gateway.Config.ConnContext = framing.WithConn
