policy/stopping, entry/relay: a stopping entry answers what it can't finish

Callers see a connection that ends with the process, at the end of the grace period, although their request waits for a slot or for another attempt and could have been rejected as not run.

Cause: the stop waits for requests until it returns, and nothing ends them before. The plan of a stop is now a decision of its own (policy/stopping): all requests are served for 2.8 s, later ones only if their deadline is over before the end, others are rejected at once (503, Retry-After); 0.2 s before the process exits, each request in progress is ended with an answer: 503 if it has not run, else 502, and a stream that has begun is cut off as such. What is left then is logged by id.

Specs: rejected while it waits for a turn or its body is read, failed at a server, rejected at once when it may outlast the process. They need the new calls, so there is no run of them on the old code.

--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -42,6 +42,7 @@
 	"github.com/skylarkpond/skylarkpond/logline"
 	"github.com/skylarkpond/skylarkpond/platform"
 	directory "github.com/skylarkpond/skylarkpond/policy/directory"
+	"github.com/skylarkpond/skylarkpond/policy/stopping"
 )
 
 // Gateway is an assembled gateway process. Run starts it.
@@ -296,41 +297,29 @@
 	g.log.Info(logline.Leaving)
 	g.leaving.Store(true)
 	g.gate.Leave()
-	deadline := time.Now().Add(g.config.stopGrace() - graceMargin)
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	plan, began := stopping.NewPlan(g.config.stopGrace()), time.Now()
+	g.relay.Stop(plan)
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(plan.Exit))
 	defer cancel()
 	go g.roster.Leave(ctx)
-	g.serveUntilQuiet(ctx)
-	closed := make(chan struct{})
-	go func() {
-		_ = servers[0].http.Shutdown(ctx)
-		close(closed)
-	}()
-	select {
-	case <-closed:
-	case <-ctx.Done():
+	g.serveUntilQuiet(ctx, began.Add(plan.Accept))
+	ending := time.AfterFunc(time.Until(began.Add(plan.Answer)), g.relay.EndRequests)
+	defer ending.Stop()
+	callers := servers[0].http
+	_ = callers.Shutdown(ctx) // what it leaves open is logged below
+	for g.relay.InProgress() > 0 && wait.Pause(ctx, drainPollInterval) {
 	}
-	for g.relay.InProgress() > 0 && ctx.Err() == nil {
-		time.Sleep(drainPollInterval)
+	g.logUnfinished(callers)
+	for _, server := range servers[1:] {
+		_ = server.http.Shutdown(ctx)
 	}
-	g.logUnfinished(servers[0].http)
 }
 
-const (
-	// graceMargin is the part of the grace period that is left unused, so that the process exits before it is killed.
-	graceMargin = 300 * time.Millisecond
-	// maxAcceptTime is the longest time for which a stopping process accepts new requests; half of the grace period is the limit in
-	// any case. A stream may last nearly as long as the grace period; one accepted later is cut when the period ends, while another
-	// entry could have served it whole. Operators tolerate that for requests sent up to 3 s after the signal.
-	maxAcceptTime = 2800 * time.Millisecond
-	// quietPeriod is how long no request may be in progress before the listener is closed.
-	quietPeriod = 1500 * time.Millisecond
-)
+// quietPeriod is how long no request may be in progress before the listener is closed.
+const quietPeriod = 1500 * time.Millisecond
 
-// serveUntilQuiet returns when callers have stopped sending requests, or when requests accepted later might not finish within the
-// grace period.
-func (g *Gateway) serveUntilQuiet(ctx context.Context) {
-	latest := time.Now().Add(min(maxAcceptTime, g.config.stopGrace()/2))
+// serveUntilQuiet returns when callers have stopped sending requests, or at a time.
+func (g *Gateway) serveUntilQuiet(ctx context.Context, latest time.Time) {
 	quiet := time.Now()
 	for time.Now().Before(latest) && time.Since(quiet) < quietPeriod && ctx.Err() == nil {
 		if g.relay.InProgress() > 0 {
--- a/entry/relay/answer.go
+++ b/entry/relay/answer.go
@@ -58,6 +58,8 @@
 		e.fail(detail)
 	case e.callerGone():
 		e.refuse(CallerLeft, http.StatusServiceUnavailable, refusal.RetryAfter, detail)
+	case errors.Is(context.Cause(e.ctx), errStopping):
+		e.refuse(Refused, http.StatusServiceUnavailable, retryAfterStopping, errStopping.Error())
 	default:
 		e.refuse(Refused, http.StatusServiceUnavailable, refusal.RetryAfter, detail)
 	}
@@ -71,6 +73,8 @@
 		outcome = CallerLeft
 	case errors.Is(cause, context.DeadlineExceeded):
 		outcome, status = TimedOut, http.StatusGatewayTimeout
+	case errors.Is(cause, errStopping):
+		detail = errStopping.Error() + "; " + detail
 	}
 	if e.headerSent {
 		if outcome != CallerLeft {
--- a/entry/relay/exchange.go
+++ b/entry/relay/exchange.go
@@ -88,12 +88,10 @@
 }
 
 func (e *exchange) run() {
-	if !e.canServePassedOn() || !e.admit() {
+	if !e.canServePassedOn() || !e.admit() || !e.acceptStopping() {
 		return
 	}
-	ctx, cancel := context.WithDeadline(e.request.Context(), e.deadline)
-	defer cancel()
-	e.ctx = ctx
+	defer e.bound()()
 	if !e.readBody() {
 		return
 	}
@@ -224,6 +222,8 @@
 	switch cause := context.Cause(e.ctx); {
 	case errors.Is(cause, context.DeadlineExceeded):
 		return e.refuse(TimedOut, http.StatusRequestTimeout, 0, detail)
+	case errors.Is(cause, errStopping):
+		return e.refuse(Refused, http.StatusServiceUnavailable, retryAfterStopping, detail)
 	default:
 		return e.refuse(CallerLeft, http.StatusBadRequest, 0, detail)
 	}
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -105,11 +105,14 @@
 	received atomic.Bool
 	held     heldMemory
 	running  inProgress
+	stop     stop
 }
 
 // New returns a Relay.
 func New(deps Deps) *Relay {
-	return &Relay{deps: deps, started: time.Now()}
+	r := &Relay{deps: deps, started: time.Now()}
+	r.stop.ended, r.stop.end = context.WithCancel(context.Background())
+	return r
 }
 
 const (
--- a/entry/relay/unanswered_test.go
+++ b/entry/relay/unanswered_test.go
@@ -12,8 +12,10 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/skylarkpond/skylarkpond/entry/relay"
 	"github.com/skylarkpond/skylarkpond/platform"
 	"github.com/skylarkpond/skylarkpond/platform/standin/replica"
+	"github.com/skylarkpond/skylarkpond/policy/stopping"
 )
 
 var _ = Describe("A request that can't be served", func() {
@@ -43,6 +45,17 @@
 		Expect(err).NotTo(HaveOccurred())
 		return response
 	}
+	send := func(path string) chan answer {
+		answers := make(chan answer, 1)
+		request := r.request(http.MethodPost, path, "id")
+		go func() { answers <- r.send(request) }()
+		return answers
+	}
+	inStage := func(stage relay.Stage) {
+		GinkgoHelper()
+		Eventually(r.relay.Unfinished).Should(ConsistOf(HaveField("Stage", stage)))
+	}
+
 	// Guards against connections that are closed without an answer when the request's own deadline passes before its body is read.
 	It("is answered when its body is late", func() {
 		conn := connect(header("/book/x", 200*time.Millisecond) + "bo")
@@ -64,4 +77,48 @@
 		Entry("at a server", "/book/x", replica.Faults{Unresponsive: true}, false, http.StatusBadGateway),
 		Entry("before the first event of a stream", "/chat/x", replica.Faults{Unresponsive: true}, false, http.StatusBadGateway),
 	)
+
+	// Guards against requests that could be rejected and end with the process instead.
+	It("is rejected when the process ends while it waits for a turn", func() {
+		r.turns.waiting = true
+		answers := send("/book/x")
+		inStage(relay.Waiting)
+		r.relay.EndRequests()
+		var got answer
+		Eventually(answers).Should(Receive(&got))
+		Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(got.header.Get(platform.HeaderRetryAfter)).NotTo(BeEmpty())
+		Expect(r.relay.Unfinished()).To(BeEmpty())
+	})
+
+	It("is rejected when the process ends before its body is read", func() {
+		conn := connect(header("/book/x", 5*time.Second) + "bo")
+		inStage(relay.ReadingBody)
+		r.relay.EndRequests()
+		response := receive(conn)
+		Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(response.Header.Get(platform.HeaderRetryAfter)).NotTo(BeEmpty())
+	})
+
+	// Guards against an answer that promises that a request has not run although it may have.
+	It("fails when the process ends while it is at a server", func() {
+		r.set(0, replica.Faults{Unresponsive: true})
+		answers := send("/book/x")
+		inStage(relay.AtServer)
+		r.relay.EndRequests()
+		var got answer
+		Eventually(answers).Should(Receive(&got))
+		Expect(got.status).To(Equal(http.StatusBadGateway))
+	})
+
+	// Guards against requests that a stopping process accepts although they may outlast it.
+	It("is rejected at once if it may last longer than a stopping process", func() {
+		r.relay.Stop(stopping.Plan{Answer: 3 * time.Second, Exit: 3 * time.Second})
+		var got answer
+		Eventually(send("/chat/x")).Should(Receive(&got))
+		Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(got.header.Get(platform.HeaderRetryAfter)).NotTo(BeEmpty())
+		Eventually(send("/book/x")).Should(Receive(&got))
+		Expect(got.status).To(Equal(http.StatusOK))
+	})
 })
