entry: a stopping process of the product's own interface answers each request that it reads

It serves callers and operators through link/ingress now, and logs connections that end with a request unanswered.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -10,8 +10,6 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -33,10 +31,11 @@
 	"github.com/skylarkpond/skylarkpond/entry/prober"
 	"github.com/skylarkpond/skylarkpond/entry/reach"
 	"github.com/skylarkpond/skylarkpond/entry/routing"
-	"github.com/skylarkpond/skylarkpond/internal/lateread"
 	"github.com/skylarkpond/skylarkpond/internal/wait"
+	"github.com/skylarkpond/skylarkpond/link/ingress"
 	"github.com/skylarkpond/skylarkpond/link/peer"
 	"github.com/skylarkpond/skylarkpond/link/platform"
+	"github.com/skylarkpond/skylarkpond/logline"
 	"github.com/skylarkpond/skylarkpond/timeline"
 )
 
@@ -93,7 +92,7 @@
 	}
 }
 
-func (e *Entry) roles(sockets *sockets, public, admin *http.Server) []role {
+func (e *Entry) roles(sockets *sockets, public, admin *ingress.Server) []role {
 	return []role{
 		func(ctx context.Context) error { return e.peerServer.Serve(ctx, sockets.peer) },
 		func(ctx context.Context) error { return e.members.Run(ctx, e.pinger) },
@@ -123,8 +122,8 @@
 	var running sync.WaitGroup
 	defer running.Wait()
 	defer stopWork()
-	public := &http.Server{Handler: e.publicHandler(), ReadHeaderTimeout: readHeaderTimeout}
-	admin := &http.Server{Handler: e.adminHandler(), ReadHeaderTimeout: readHeaderTimeout}
+	public := ingress.New(&http.Server{Handler: e.publicHandler(), ReadHeaderTimeout: readHeaderTimeout}, e.requestUnanswered)
+	admin := ingress.New(&http.Server{Handler: e.adminHandler(), ReadHeaderTimeout: readHeaderTimeout}, func(ingress.Unanswered) {})
 	defer func() { _ = admin.Close() }()
 	defer func() { _ = public.Close() }()
 	failed := make(chan error, 1)
@@ -148,17 +147,20 @@
 	}
 }
 
-func serveHTTP(server *http.Server, listener net.Listener) error {
-	err := server.Serve(lateread.Listen(listener))
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
+// requestUnanswered logs a connection that ended without an answer to its request, unless its caller closed it first or had not sent the whole
+// header.
+func (e *Entry) requestUnanswered(request ingress.Unanswered) {
+	if request.CallerClosed || request.State == ingress.Header {
+		return
 	}
-	return err
+	e.log.WithFields(logrus.Fields{
+		"caller": request.Remote, "state": request.State, "since_last_byte_ms": request.SinceLastByte.Milliseconds(),
+	}).Warn(logline.RequestUnanswered)
 }
 
 // drain performs a planned stop. The requests of this entry's callers are finished when their connections are
 // closed, which happens after the last byte of each response. Requests from other entries' fronts are counted too.
-func (e *Entry) drain(public *http.Server) error {
+func (e *Entry) drain(public *ingress.Server) error {
 	e.log.Info("leaving")
 	closed := make(chan struct{})
 	steps := drain.Steps{
--- a/entry/settle.go
+++ b/entry/settle.go
@@ -4,12 +4,12 @@
 	"context"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"slices"
 	"time"
 
 	"github.com/skylarkpond/skylarkpond/entry/member"
 	"github.com/skylarkpond/skylarkpond/internal/wait"
+	"github.com/skylarkpond/skylarkpond/link/ingress"
 	"github.com/skylarkpond/skylarkpond/link/peer"
 	"github.com/skylarkpond/skylarkpond/link/platform"
 )
@@ -108,10 +108,10 @@
 }
 
 // serveWhenReady serves once the settings are in force.
-func (e *Entry) serveWhenReady(ctx context.Context, server *http.Server, listener net.Listener) error {
+func (e *Entry) serveWhenReady(ctx context.Context, server *ingress.Server, listener net.Listener) error {
 	select {
 	case <-e.settingsReady:
-		return serveHTTP(server, listener)
+		return server.Serve(listener)
 	case <-ctx.Done():
 		return nil
 	}
