link/ingress: a stopping server reads the rest of a request that has begun

Callers saw: a proper request in two segments, whose first bytes came as a stopping entry closed its idle connections, answered with "400 Bad Request".

Cause: an idle connection gets a read deadline of 20 ms when the server stops. It stayed in force when the first bytes of a request came within it. net/http takes the part of a line that was read before the timeout for the whole line (bufio.Reader.ReadLine drops the error) and rejects it as malformed.

Now the deadline that the HTTP server has set is in force again as soon as something of a request has been read.

--- a/link/ingress/conn.go
+++ b/link/ingress/conn.go
@@ -52,6 +52,8 @@
 	closed       bool
 	// closing is set if the connection is to be closed when it is idle.
 	closing bool
+	// readDeadline is the read deadline that was last set. While the connection is idle and closing, an earlier one is in force.
+	readDeadline time.Time
 }
 
 // headerEnd separates a request's header from its body.
@@ -75,6 +77,7 @@
 	c.lastByte = time.Now()
 	if c.state == Idle {
 		c.state, c.answering = Header, false
+		c.restoreReadDeadline()
 	}
 	if c.state != Header {
 		return
@@ -112,13 +115,18 @@
 	if c.state == Idle {
 		// The request was read together with the one before.
 		c.answering = false
-		if c.closing {
-			_ = c.Conn.SetReadDeadline(time.Time{})
-		}
+		c.restoreReadDeadline()
 	}
 	c.state, c.tail = Handler, nil
 }
 
+// restoreReadDeadline gives a request that has begun the time that the HTTP server allows. The caller holds mu.
+func (c *conn) restoreReadDeadline() {
+	if c.closing {
+		_ = c.Conn.SetReadDeadline(c.readDeadline) // a connection that is closed fails the next read
+	}
+}
+
 // end records that the answer has been written.
 func (c *conn) end() {
 	c.mu.Lock()
@@ -143,6 +151,7 @@
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.readDeadline = t
 	if latest := time.Now().Add(closingLinger); c.closing && c.state == Idle && (t.IsZero() || t.After(latest)) {
 		t = latest
 	}
--- a/link/ingress/ingress_test.go
+++ b/link/ingress/ingress_test.go
@@ -175,4 +175,37 @@
 			Eventually(s.done).Should(Receive(BeNil()))
 		}
 	})
+
+	// Guards against requests in several segments that are rejected as malformed because the server stops meanwhile.
+	It("reads the rest of a request whose first bytes arrive as it is shut down", func() {
+		s := serve(echo)
+		var callers []*caller
+		for range 40 {
+			callers = append(callers, s.connect())
+		}
+		begin := func(callers []*caller) {
+			GinkgoHelper()
+			for _, c := range callers {
+				_, err := io.WriteString(c, request[:len(request)/2])
+				Expect(err).NotTo(HaveOccurred())
+			}
+		}
+		begin(callers[:20])
+		stopped := make(chan error, 1)
+		go func() { stopped <- s.Shutdown(context.Background()) }()
+		begin(callers[20:])
+		time.Sleep(150 * time.Millisecond)
+		answers := 0
+		for _, c := range callers {
+			if _, err := io.WriteString(c, request[len(request)/2:]); err != nil {
+				continue // it was closed before anything was read
+			}
+			if status, _, err := c.receive(); err == nil {
+				Expect(status).To(Equal(http.StatusOK))
+				answers++
+			}
+		}
+		Expect(answers).To(BeNumerically(">=", 20))
+		Eventually(stopped, grace).Should(Receive(BeNil()))
+	})
 })
