link/platform, entry/catalog: read a list where the response to a watch can't be taken

Callers of an entry that was suspended or cut off while a large configuration changed often were served by the old version for as long as the platform kept that history.

Cause: a watch returns every change since its revision, 20 MiB after 20 versions of 1 MiB. The client gives up a response over 16 MiB, or one that does not come within the call's time, and the follower asks for the same again.

Evidence: a trace of every call in the spec 'reads the newest version alone'. Without the race detector each watch ended after 173 to 210 ms with 'over bytes' and was repeated. With it, each ended after 1.1 s with no response: the stand-in had not written it by then. Ruled out: the fixture's calls of 300 ms (a list of the 1 MiB took 14 ms, and 138 ms with the race detector), the pause after an outage (the servers were followed meanwhile).

Change: a response to a watch that is over 4 MiB, ends early or is not read whole in time is replaced by a list at once, for every kind and whoever asks. After a watch without any response in time, kinds whose lists are small (configuration, evacuations) are listed; servers and registrations are not, since hundreds of entries would list them after an outage. A refused call or a reset is repeated as before. The bound also limits the memory that replaced versions take, and a body of known length is read without copies. 'platform lost' is written once more if the size is the reason after an outage; platform.incomplete.<kind> counts.

--- a/entry/catalog/catalog.go
+++ b/entry/catalog/catalog.go
@@ -30,7 +30,8 @@
 	RoutableOnly func() bool
 	// OnChanges is called with the result of each call that this entry makes to the platform.
 	OnChanges func(changes ChangeSet)
-	// OnPlatformLost and OnPlatformRegained are called when calls for a kind begin to fail and when they succeed again.
+	// OnPlatformLost and OnPlatformRegained are called when calls for a kind begin to fail and when they succeed again. OnPlatformLost is
+	// called once more if responses are too large or end early after calls have failed otherwise.
 	OnPlatformLost     func(kind store.Kind, err error)
 	OnPlatformRegained func(kind store.Kind, duration time.Duration)
 	// OnUnreadable is called for an object that can't be decoded and is left out.
@@ -64,7 +65,7 @@
 	c := &Catalog{deps: deps, followers: make(map[store.Kind]*follower)}
 	c.listing.Store(backend.NewListing(0, nil))
 	c.servers = &serverList{catalog: c, byID: make(map[backend.ID]*backend.Server), lapsed: make(map[backend.ID]time.Time), announced: make(map[backend.ID]announcement)}
-	c.Follow(platform.KindConfig, promptWatchPolicy, c.applyConfig)
+	c.Follow(platform.KindConfig, configWatchPolicy(), c.applyConfig)
 	c.addFollower(&follower{
 		kind: platform.KindServers, policy: promptWatchPolicy, decode: c.servers.decode, apply: c.servers.apply,
 		snapshots: deps.RoutableOnly, holdsRoutableOnly: c.servers.holdsRoutableOnly,
--- a/entry/catalog/follow.go
+++ b/entry/catalog/follow.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/skylarkpond/skylarkpond/internal/wait"
 	link "github.com/skylarkpond/skylarkpond/link/leader"
 	store "github.com/skylarkpond/skylarkpond/link/platform"
@@ -150,9 +152,11 @@
 
 func (f *follower) run(ctx context.Context) {
 	var failedSince time.Time
+	var incomplete, listNext bool
 	for ctx.Err() == nil {
 		if f.followsLeader() {
 			f.noteCall(false)
+			listNext = false
 			f.waitForLeader(ctx)
 			continue
 		}
@@ -164,24 +168,32 @@
 			return
 		}
 		from := f.startRevision()
+		if listNext {
+			from = 0
+		}
 		sent := time.Now()
 		changes, err := f.fetch(ctx, from)
 		if ctx.Err() != nil {
 			return
 		}
 		f.noteCall(err == nil)
+		listNext = f.policy.SmallList && eris.Is(err, store.ErrTimeout)
 		if err != nil {
+			nowIncomplete := eris.Is(err, store.ErrIncomplete)
+			if failedSince.IsZero() || nowIncomplete && !incomplete {
+				f.catalog.deps.OnPlatformLost(f.kind, err)
+			}
 			if failedSince.IsZero() {
 				failedSince = time.Now()
-				f.catalog.deps.OnPlatformLost(f.kind, err)
 			}
+			incomplete = incomplete || nowIncomplete
 			f.catalog.outage.callFailed()
 			continue
 		}
 		f.catalog.outage.callSucceeded()
 		if !failedSince.IsZero() {
 			f.catalog.deps.OnPlatformRegained(f.kind, time.Since(failedSince))
-			failedSince = time.Time{}
+			failedSince, incomplete = time.Time{}, false
 		}
 		f.applyFetched(from, changes, sent)
 		if len(changes.Objects) > 0 {
--- a/entry/catalog/history_test.go
+++ b/entry/catalog/history_test.go
@@ -126,4 +126,20 @@
 		Expect(f.configVersions).To(HaveLen(2))
 		Expect(f.api.Calls()["GET config"] - calls).To(BeNumerically("<", 10))
 	})
+
+	// Guards against an entry that asks for the same response again, which the platform can't give in time or this entry can't take.
+	It("reads it also if no call had failed before", func() {
+		f := newFixture()
+		operator.Write(f.api, operator.Config{Version: 1})
+		Eventually(f.configVersion, waitFor).Should(Equal(uint64(1)))
+		f.fedByLeader.Store(true)
+		time.Sleep(time.Second) // the pending watch has ended
+		text := strings.Repeat("x", store.MaxValueBytes-100)
+		for version := range 20 {
+			f.api.Write("config", "main", map[string]any{"version": version + 2, "comment": text})
+		}
+		f.fedByLeader.Store(false)
+		Eventually(f.configVersion, waitFor).Should(Equal(uint64(21)))
+		Expect(f.configVersions).To(HaveLen(2))
+	})
 })
--- a/entry/catalog/watch.go
+++ b/entry/catalog/watch.go
@@ -16,6 +16,9 @@
 	// MaxAge is how long ago the leader's list may have been current. An entry that receives no confirmation within this time
 	// reads the list itself. 0 means no limit.
 	MaxAge time.Duration
+	// SmallList states that a list of all objects is no larger than a few changes. After a watch without a response in time, an entry
+	// lists them: the watch may return so many changes that the platform can't answer it in time, and would not the next time either.
+	SmallList bool
 	// FirstFromLeader makes an entry that has just started wait for the leader's objects before it reads all of them itself.
 	FirstFromLeader bool
 }
@@ -30,7 +33,7 @@
 // greatest age that a healthy leader may report, two watches and the interval between two renewals of the lease, if bound is 5 s or more. An entry that
 // has just started reads the few objects itself: until it knows them, it might send to an evacuated failure domain.
 func EvacuationsWatchPolicy(bound time.Duration) WatchPolicy {
-	return WatchPolicy{Timeout: bound / 2, LeaderTimeout: bound / 6, MaxAge: bound / 2}
+	return WatchPolicy{Timeout: bound / 2, LeaderTimeout: bound / 6, MaxAge: bound / 2, SmallList: true}
 }
 
 // promptWatchPolicy is the policy for configurations, which must be in force within 2 s, and for servers, whose leaving must
@@ -39,3 +42,10 @@
 var promptWatchPolicy = WatchPolicy{
 	BatchDelay: 150 * time.Millisecond, Timeout: 800 * time.Millisecond, LeaderTimeout: 350 * time.Millisecond, MaxAge: 1600 * time.Millisecond,
 }
+
+// configWatchPolicy is the policy for the configuration, a single object of which only the newest version is used.
+func configWatchPolicy() WatchPolicy {
+	policy := promptWatchPolicy
+	policy.SmallList = true
+	return policy
+}
--- a/link/platform/client.go
+++ b/link/platform/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -46,7 +47,10 @@
 	maxIdleConns = 32
 	// maxResponseBytes limits a response: a page of a list holds a few values. maxHeadBytes limits its head.
 	maxResponseBytes = 16 << 20
-	maxHeadBytes     = 64 << 10
+	// maxWatchBytes limits the response to a watch. It holds every change of an object, so that beyond the size of a few values a list,
+	// which holds each object once, is smaller.
+	maxWatchBytes = 4 << 20
+	maxHeadBytes  = 64 << 10
 	// maxErrorBytes limits how much of an error response body is kept.
 	maxErrorBytes = 512
 )
@@ -150,7 +154,8 @@
 	return err
 }
 
-// Watch implements Store. If the platform has discarded the requested history, it falls back to a list.
+// Watch implements Store. If the platform has discarded the requested history, or its response is larger than maxWatchBytes or ends before
+// it is complete, it falls back to a list: the same watch would have the same response.
 func (c *Client) Watch(ctx context.Context, kind Kind, after Version) (Changes, error) {
 	return c.WatchFor(ctx, kind, after, 0)
 }
@@ -158,7 +163,10 @@
 // WatchFor is like Watch but waits no longer than wait. If wait is 0, the platform's wait limit applies.
 func (c *Client) WatchFor(ctx context.Context, kind Kind, after Version, wait time.Duration) (Changes, error) {
 	page, err := c.doPage(ctx, Call{Verb: VerbWatch, Kind: kind, Version: after, Wait: wait})
-	if eris.Is(err, errCompacted) {
+	if eris.Is(err, ErrIncomplete) {
+		metrics.GetOrRegisterCounter("platform.incomplete."+string(kind), c.registry).Inc(1)
+	}
+	if eris.Is(err, errCompacted) || eris.Is(err, ErrIncomplete) {
 		return c.List(ctx, kind)
 	}
 	return page.Changes, err
@@ -230,20 +238,35 @@
 		return nil, eris.Wrapf(ErrUnavailable, "%s %s: %v", call.Verb, call.Kind, err)
 	}
 	if err != nil {
-		return nil, eris.Wrapf(noResponseError(call), "%s %s: %v", call.Verb, call.Kind, err)
+		return nil, unansweredError(call, err)
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK && response.StatusCode != http.StatusCreated {
 		return nil, statusError(call, response)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
-	if err != nil {
-		return nil, eris.Wrapf(noResponseError(call), "%s %s: %v", call.Verb, call.Kind, err)
+	limit := maxResponseBytes
+	if call.Verb == VerbWatch {
+		limit = maxWatchBytes
 	}
-	if len(body) > maxResponseBytes {
-		return nil, eris.Wrapf(noResponseError(call), "%s %s: over %d bytes", call.Verb, call.Kind, maxResponseBytes)
+	return readBody(call, response, limit)
+}
+
+// readBody returns the body of a response, unless it is larger than limit.
+func readBody(call Call, response *http.Response, limit int) ([]byte, error) {
+	if response.ContentLength > int64(limit) {
+		return nil, incompleteError(call, eris.Errorf("%d bytes, over %d", response.ContentLength, limit))
 	}
-	return body, nil
+	var body bytes.Buffer
+	if response.ContentLength > 0 {
+		body.Grow(int(response.ContentLength) + bytes.MinRead) // a body of a known length is read without copies
+	}
+	if _, err := body.ReadFrom(io.LimitReader(response.Body, int64(limit)+1)); err != nil {
+		return nil, incompleteError(call, err)
+	}
+	if body.Len() > limit {
+		return nil, incompleteError(call, eris.Errorf("over %d bytes", limit))
+	}
+	return body.Bytes(), nil
 }
 
 // nonRewindable hides the concrete type of its reader so that net/http can't rewind it.
@@ -274,6 +297,28 @@
 	return ErrUnavailable
 }
 
+// readError is the failure of a read. It matches ErrUnavailable and what it wraps, ErrIncomplete or ErrTimeout.
+type readError struct{ error }
+
+func (e readError) Unwrap() error        { return e.error }
+func (e readError) Is(target error) bool { return target == ErrUnavailable }
+
+// incompleteError returns the error for a response that began but could not be read whole.
+func incompleteError(call Call, cause error) error {
+	if call.Verb.writes() {
+		return eris.Wrapf(ErrUnconfirmed, "%s %s: %v", call.Verb, call.Kind, cause)
+	}
+	return readError{eris.Wrapf(ErrIncomplete, "%s %s: %v", call.Verb, call.Kind, cause)}
+}
+
+// unansweredError returns the error for a call without the beginning of a response.
+func unansweredError(call Call, cause error) error {
+	if !call.Verb.writes() && errors.Is(cause, context.DeadlineExceeded) {
+		return readError{eris.Wrapf(ErrTimeout, "%s %s: %v", call.Verb, call.Kind, cause)}
+	}
+	return eris.Wrapf(noResponseError(call), "%s %s: %v", call.Verb, call.Kind, cause)
+}
+
 // statusError converts an unsuccessful response to an error. A status that the platform itself doesn't use
 // (for example, 502 from a proxy) leaves a write unconfirmed.
 func statusError(call Call, response *http.Response) error {
--- a/link/platform/list.go
+++ b/link/platform/list.go
@@ -61,7 +61,7 @@
 // catchUp applies the changes since the oldest page to a list.
 func (c *Client) catchUp(ctx context.Context, kind Kind, listed Changes, oldest Version) (Changes, error) {
 	missed, err := c.doPage(ctx, Call{Verb: VerbWatch, Kind: kind, Version: oldest, Wait: catchUpWait})
-	if eris.Is(err, errCompacted) {
+	if eris.Is(err, errCompacted) || eris.Is(err, ErrIncomplete) {
 		return c.listCurrent(ctx, kind)
 	}
 	if err != nil {
--- a/link/platform/store.go
+++ b/link/platform/store.go
@@ -73,6 +73,11 @@
 	ErrThrottled = eris.New("platform call over the rate limit")
 	// ErrUnconfirmed means that the write may have taken effect, or may still do so later.
 	ErrUnconfirmed = eris.New("platform write unconfirmed")
+	// ErrIncomplete means that the response to a read began, but ended early, took too long or was too large. Reading less may succeed. It is
+	// always returned together with ErrUnavailable (errors.Is holds for both).
+	ErrIncomplete = eris.New("platform response incomplete")
+	// ErrTimeout means that the response to a read did not begin in time. It is always returned together with ErrUnavailable.
+	ErrTimeout = eris.New("no platform response in time")
 	// ErrTooLarge means that the value exceeds MaxValueBytes.
 	ErrTooLarge = eris.New("value too large for the platform")
 )
