entry/mirror: list after a watch without a response in time, and log that reads fail

Found by reading, on a path related to the entry that was away: a follower of 'skylarkpond serve' repeats a failed watch from the same revision, also if the platform can't answer it in time, and says nothing of it in the log. No caller was seen to suffer from it.

Change: after a watch without a response in time the follower lists; only three entries watch a kind, so an outage doesn't make hundreds of lists. 'platform lost' and 'platform regained' are written when reads of a kind begin to fail and succeed again, as in 'skylarkpond gateway'. (Responses that are too large or end early are replaced by a list in link/platform.)

--- a/entry/mirror/follow.go
+++ b/entry/mirror/follow.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
 
 	"github.com/skylarkpond/skylarkpond/domain"
 	"github.com/skylarkpond/skylarkpond/entry/member"
@@ -52,11 +53,15 @@
 	store       platform.Store
 	membership  Membership
 	broadcaster Broadcaster
+	changed     func(kind platform.Kind, err error)
 }
 
-// NewFollower returns a Follower, which follows changes while Run is running.
-func NewFollower(mirror *Mirror, store platform.Store, membership Membership, broadcaster Broadcaster) *Follower {
-	f := &Follower{mirror: mirror, store: store, membership: membership, broadcaster: broadcaster}
+// NewFollower returns a Follower, which follows changes while Run is running. changed is called when reads of a kind begin to fail, and with
+// a nil error when they succeed again.
+func NewFollower(
+	mirror *Mirror, store platform.Store, membership Membership, broadcaster Broadcaster, changed func(kind platform.Kind, err error),
+) *Follower {
+	f := &Follower{mirror: mirror, store: store, membership: membership, broadcaster: broadcaster, changed: changed}
 	broadcaster.Handle(topic, f.handleRumour)
 	return f
 }
@@ -112,6 +117,7 @@
 // watchWhileAssigned watches a kind while this entry is one of its watchers.
 func (f *Follower) watchWhileAssigned(ctx context.Context, kind platform.Kind) {
 	revision := platform.Version(0)
+	failing := false
 	for ctx.Err() == nil {
 		if !f.isWatcher(kind) {
 			revision = 0
@@ -119,6 +125,16 @@
 			continue
 		}
 		next, err := f.watchOnce(ctx, kind, revision)
+		if ctx.Err() != nil {
+			return
+		}
+		if (err != nil) != failing {
+			failing = err != nil
+			f.changed(kind, err)
+		}
+		if eris.Is(err, platform.ErrTimeout) {
+			revision = 0 // the changes since may be too many for a response in time
+		}
 		if err != nil {
 			wait.Pause(ctx, jitter(meanRetryDelay))
 			continue
--- a/entry/mirror/mirror_test.go
+++ b/entry/mirror/mirror_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/rotisserie/eris"
 	"pgregory.net/rapid"
 
 	"github.com/skylarkpond/skylarkpond/entry/member"
@@ -101,8 +102,8 @@
 			{Objects: []platform.Object{tree(7)}, Revision: 7},
 			{Objects: []platform.Object{tree(9)}, Revision: 9},
 		}}
-		watcher := NewFollower(New(), store, nil, rumours)
-		other := NewFollower(New(), nil, nil, rumours)
+		watcher := NewFollower(New(), store, nil, rumours, nil)
+		other := NewFollower(New(), nil, nil, rumours, nil)
 		for range 4 {
 			_, err := watcher.watchOnce(context.Background(), platform.KindSettings, 1)
 			Expect(err).NotTo(HaveOccurred())
@@ -111,3 +112,39 @@
 		Expect(other.mirror.Version(platform.KindSettings, platform.SettingsName)).To(Equal(platform.Version(9)))
 	})
 })
+
+// timingOutStore is a Store whose watches have no response in time.
+type timingOutStore struct{ platform.Store }
+
+func (timingOutStore) List(context.Context, platform.Kind) (platform.Changes, error) {
+	return platform.Changes{Revision: 7, Complete: true}, nil
+}
+
+func (timingOutStore) Watch(context.Context, platform.Kind, platform.Version) (platform.Changes, error) {
+	return platform.Changes{}, eris.Wrap(platform.ErrTimeout, "watch")
+}
+
+type onlyEntry struct{}
+
+func (onlyEntry) Self() string   { return "e" }
+func (onlyEntry) Live() []string { return []string{"e"} }
+
+// Guards against a follower that repeats a watch whose response can't come in time, and says nothing of it.
+var _ = Describe("A follower whose watch has no response in time", func() {
+	It("lists the objects instead, and reports when reads begin to fail and succeed again", func(ctx SpecContext) {
+		reports := make(chan error, 100)
+		changed := func(kind platform.Kind, err error) {
+			if kind == platform.KindSettings {
+				reports <- err
+			}
+		}
+		follower := NewFollower(New(), timingOutStore{}, onlyEntry{}, &fakeBroadcaster{}, changed)
+		running, stop := context.WithCancel(ctx)
+		DeferCleanup(stop)
+		go follower.Run(running)
+		for range 2 {
+			Eventually(ctx, reports, "3s").Should(Receive(MatchError(platform.ErrTimeout)))
+			Eventually(ctx, reports, "3s").Should(Receive(BeNil()))
+		}
+	})
+})
--- a/entry/providers.go
+++ b/entry/providers.go
@@ -28,6 +28,7 @@
 	"github.com/skylarkpond/skylarkpond/link/engine"
 	"github.com/skylarkpond/skylarkpond/link/peer"
 	"github.com/skylarkpond/skylarkpond/link/platform"
+	"github.com/skylarkpond/skylarkpond/logline"
 	directorypolicy "github.com/skylarkpond/skylarkpond/policy/directory"
 	"github.com/skylarkpond/skylarkpond/timeline"
 	"github.com/skylarkpond/skylarkpond/vm"
@@ -77,8 +78,16 @@
 
 func providePinger(client *peer.Client) member.Pinger { return member.NewPinger(client) }
 
-func provideFollower(m *mirror.Mirror, store platform.Store, membership liveMembership, members *member.Members) *mirror.Follower {
-	return mirror.NewFollower(m, store, membership, members)
+func provideFollower(
+	m *mirror.Mirror, store platform.Store, membership liveMembership, members *member.Members, log *logrus.Entry,
+) *mirror.Follower {
+	return mirror.NewFollower(m, store, membership, members, func(kind platform.Kind, err error) {
+		if err != nil {
+			log.WithError(err).WithField("kind", kind).Warn(logline.PlatformLost)
+			return
+		}
+		log.WithField("kind", kind).Info(logline.PlatformRegained)
+	})
 }
 
 func provideTable(homes *homeCandidates) *fleet.Table { return fleet.New(homes.Eligible, time.Now) }
--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -23,7 +23,7 @@
 	mirrorMirror := mirror.New()
 	members := provideMembers(self, recorder)
 	entryLiveMembership := provideMembership(members)
-	follower := provideFollower(mirrorMirror, store, entryLiveMembership, members)
+	follower := provideFollower(mirrorMirror, store, entryLiveMembership, members, log)
 	entryRegistration := provideRegistration(self, store, follower)
 	entryHomeCandidates := newHomeCandidates(config, members)
 	client := providePeerClient(config, self, members)
