entry/front: every request ends with an answer or an aborted connection

Callers saw: an empty 200 when they closed their sending side and read on, whether the request had run or not; no answer at all to a request whose body was late, also if its header alone had been rejected; `unknown` in place of `not-run` when the sending side was closed inside the body.

The end of the request's context was taken for a caller that had left, and the handler returned with nothing written, of which net/http makes an empty success. After the read deadline of a late body, the deadline was taken back, and the HTTP server then waited for the rest of the body, for which nothing is bounded, before it sent the answer that had been written. Seals and look-ups were made with the context that had ended. A deadline that expires right behind the body would also have ended the context of the connection, and so of each later request on it.

Now all requests pass through Front.handle, which aborts the connection if no answer's header was written. The end of the context is an event of the outcome machine (HandleCallerLeft): the caller is told `unknown`, or `not-run` if nothing was dispatched; nothing is sealed, so that a copy with the same key still gets its answer. A body that is late is rejected with 408, as not run. The read deadline is set only when the time for the body is over, and an answer to a request whose body is unread says Connection: close, so that the HTTP server sends it at once. A write that fails aborts the connection. Front.EndRequests, for a process that ends, ends requests in the same way.

Ruled out: panics (go-restful's containers don't recover by default, so net/http closes the connection).

--- a/contract/outcome.go
+++ b/contract/outcome.go
@@ -73,6 +73,7 @@
 	CodeSuspectWaits        Code = "suspect-waits"
 	CodeAnswerNotStored     Code = "answer-not-stored"
 	CodeAnswerTruncated     Code = "answer-truncated"
+	CodeCallerLeft          Code = "caller-left"
 	CodeAttemptGivenUp      Code = "attempt-given-up"
 	CodeConflict            Code = "conflict"
 	CodeInternal            Code = "internal"
--- a/contract/outcome/machine.go
+++ b/contract/outcome/machine.go
@@ -1,6 +1,7 @@
 package outcome
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/skylarkpond/skylarkpond/contract"
@@ -151,6 +152,21 @@
 // HandleDeadline handles the end of the caller's deadline.
 func (m *Machine) HandleDeadline() Action { return m.CancelDispatch(problemDeadline()) }
 
+// HandleCallerLeft gives the request up because its caller closed its side of the connection. The attempt is not sealed, so that a later copy with
+// the same key still gets the answer. dispatched is set if a dispatch is in progress.
+func (m *Machine) HandleCallerLeft(dispatched bool) Action {
+	if m.checker.Complete() {
+		return m.finish(Action{Outcome: contract.OutcomeAnswered})
+	}
+	if dispatched {
+		m.markMayRun()
+	}
+	if m.request.AtMostOnce || m.mayHaveRun || m.mayStillRun {
+		return m.finishUnknown(problemCallerLeft(http.StatusBadGateway))
+	}
+	return m.finishNotRun(problemCallerLeft(http.StatusServiceUnavailable), 0)
+}
+
 // CancelDispatch gives up the current dispatch without trying another.
 func (m *Machine) CancelDispatch(p *contract.Problem) Action {
 	if m.phase != phaseDispatched {
--- a/contract/outcome/problem.go
+++ b/contract/outcome/problem.go
@@ -62,6 +62,13 @@
 	}
 }
 
+func problemCallerLeft(status int) *contract.Problem {
+	return &contract.Problem{
+		Code: contract.CodeCallerLeft, Status: status, RetryAfter: RetryAfterShort,
+		Message: "the caller closed its side of the connection before the answer",
+	}
+}
+
 func problemPlatformUnavailable() *contract.Problem {
 	return &contract.Problem{
 		Code: contract.CodePlatformUnavailable, Status: http.StatusServiceUnavailable, RetryAfter: RetryAfterOutage,
--- /dev/null
+++ b/entry/front/caller.go
@@ -0,0 +1,89 @@
+package front
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/skylarkpond/skylarkpond/link/framing"
+)
+
+// callerConn is the connection to one caller, while it is used for one request.
+type callerConn struct {
+	// ctx ends when the caller closes its side, or with the cause errStopping.
+	ctx         context.Context
+	request     *request
+	received    *http.Request
+	w           http.ResponseWriter
+	control     *http.ResponseController
+	bodyTimeout time.Duration
+	// bodyRead is set once the whole body has been read.
+	bodyRead bool
+	// answered is set once the header of the answer has been written.
+	answered bool
+}
+
+func newCallerConn(ctx context.Context, received *http.Request, w http.ResponseWriter, bodyTimeout time.Duration) *callerConn {
+	return &callerConn{
+		ctx: ctx, received: received, w: w, control: http.NewResponseController(w), bodyTimeout: bodyTimeout, bodyRead: received.ContentLength == 0,
+	}
+}
+
+// defaultBodyTimeout bounds the time to read the body, so that a caller that stalls in the middle of it does not
+// occupy memory for long.
+const defaultBodyTimeout = 30 * time.Second
+
+// errBodyLate is returned if the body was not received within the body timeout.
+var errBodyLate = eris.New("the body was not received in time")
+
+// receive reads the body until the body timeout has passed or the request ends, and returns the cause then.
+//
+// The connection's read deadline is set only at that point: an expired deadline ends the request's context, as if the caller had left.
+func (c *callerConn) receive(limit int64) ([]byte, error) {
+	if c.bodyRead {
+		return nil, nil
+	}
+	ctx, cancel := context.WithTimeoutCause(c.ctx, c.bodyTimeout, errBodyLate)
+	defer cancel()
+	interrupted := make(chan struct{})
+	unregister := context.AfterFunc(ctx, func() {
+		defer close(interrupted)
+		// SetReadDeadline fails only if the connection has no deadlines, as with a recorder in tests.
+		_ = c.control.SetReadDeadline(time.Now())
+	})
+	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.received.Body, limit))
+	if !unregister() {
+		<-interrupted
+		return body, context.Cause(ctx)
+	}
+	c.bodyRead = err == nil
+	return body, err
+}
+
+// unreadBodyTimeout bounds the wait for the rest of a body that is not needed any more. A connection that is closed before it has arrived may be
+// reset, and the answer lost.
+const unreadBodyTimeout = time.Second
+
+// writeHeader writes the header of the answer. If the body has not been read, the answer is sent without waiting for the rest of it, and is the last
+// one on its connection.
+func (c *callerConn) writeHeader(status int) {
+	if !c.bodyRead {
+		c.w.Header().Set("Connection", "close")
+		_ = c.control.SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+	}
+	c.answered = true
+	c.w.WriteHeader(status)
+}
+
+// end aborts the connection if the request has not been answered: net/http would answer with an empty success.
+func (c *callerConn) end() {
+	if !c.answered {
+		c.abort()
+	}
+}
+
+// abort closes the connection so that what has been written can't be taken for a complete answer. It does not return.
+func (c *callerConn) abort() { framing.Abort(c.w, c.received) }
--- a/entry/front/completion.go
+++ b/entry/front/completion.go
@@ -95,7 +95,7 @@
 	if s.request.atMostOnce {
 		header.Set(contract.HeaderIdempotencyKey, s.request.key)
 	}
-	s.w.WriteHeader(http.StatusOK)
+	s.writeHeader(http.StatusOK)
 }
 
 func (s *streamWriter) reset() {}
@@ -164,6 +164,7 @@
 	text         strings.Builder
 	tokens       int
 	finishReason string
+	delivered    bool
 }
 
 func (s *bufferedWriter) deliver(f contract.Frame) (bool, error) {
@@ -173,6 +174,7 @@
 	s.text.WriteString(f.Text)
 	s.tokens += f.Tokens
 	s.finishReason = f.FinishReason
+	s.delivered = true
 	return false, nil
 }
 
@@ -180,6 +182,7 @@
 	s.text.Reset()
 	s.tokens = 0
 	s.finishReason = ""
+	s.delivered = false
 }
 
 func (s *bufferedWriter) finish(a outcome.Action) {
@@ -196,6 +199,9 @@
 		s.reset()
 		_, _ = s.deliver(contract.Frame{Text: event.Text, Tokens: event.Tokens, FinishReason: event.FinishReason})
 	}
+	if !s.delivered {
+		return
+	}
 	body, err := json.Marshal(completion{
 		ID: s.request.id, Object: "chat.completion", Created: time.Now().Unix(), Model: s.request.model,
 		Choices: []completionChoice{{
@@ -210,6 +216,7 @@
 	}
 	s.setOutcomeHeaders(a)
 	s.w.Header().Set("Content-Type", "application/json")
+	s.writeHeader(http.StatusOK)
 	_ = s.write(body)
 }
 
--- a/entry/front/drive.go
+++ b/entry/front/drive.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"time"
 
 	"github.com/skylarkpond/skylarkpond/contract"
@@ -24,6 +23,7 @@
 	front     *Front
 	request   *request
 	machine   *outcome.Machine
+	caller    *callerConn
 	writer    writer
 	startedAt time.Time
 	deadline  time.Time
@@ -59,13 +59,13 @@
 }
 
 // serve answers one request. If p is set, the request is rejected without a dispatch.
-func (f *Front) serve(q *request, p *contract.Problem, r *http.Request, w http.ResponseWriter) {
+func (f *Front) serve(ctx context.Context, q *request, p *contract.Problem, caller *callerConn) {
 	if q.atMostOnce && q.key == "" {
 		q.key = f.newID()
 	}
 	now := time.Now()
 	d := &driver{
-		front: f, request: q, writer: newWriter(q, w, r), startedAt: now, deadline: now.Add(q.timeout),
+		front: f, request: q, caller: caller, writer: newWriter(q, caller), startedAt: now, deadline: now.Add(q.timeout),
 		machine: outcome.New(outcome.Request{
 			ID: q.id, AtMostOnce: q.atMostOnce, KeyFromCaller: q.keyFromCaller, AttemptNumber: q.attempt,
 			Fingerprint: q.fingerprint, Resumable: q.service.CanResume, Plain: q.plain != nil,
@@ -73,7 +73,7 @@
 	}
 	defer d.closeDispatch()
 	d.record(timeline.RequestAccepted, "")
-	d.run(r.Context(), p)
+	d.run(ctx, p)
 }
 
 func (d *driver) run(ctx context.Context, p *contract.Problem) {
@@ -98,40 +98,41 @@
 			d.respond(action)
 			return
 		default:
-			var callerGone bool
-			if action, callerGone = d.awaitFrame(ctx); callerGone {
-				return
-			}
+			action = d.awaitFrame(ctx)
 		}
 	}
 }
 
-// awaitFrame waits for the next frame of the current dispatch, its end, or the deadline, and returns the machine's
-// next action. callerGone is set if the caller has disconnected.
-func (d *driver) awaitFrame(ctx context.Context) (action outcome.Action, callerGone bool) {
+// awaitFrame waits for the next frame of the current dispatch, its end, the deadline, or the end of ctx, and returns
+// the machine's next action.
+func (d *driver) awaitFrame(ctx context.Context) outcome.Action {
 	timer := time.NewTimer(time.Until(d.deadline))
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
-		return action, true
+		if errors.Is(context.Cause(ctx), errStopping) {
+			return d.machine.CancelDispatch(stoppingProblem())
+		}
+		return d.machine.HandleCallerLeft(true)
 	case <-timer.C:
-		return d.machine.HandleDeadline(), false
+		return d.machine.HandleDeadline()
 	case result := <-d.frames:
 		if result.err != nil {
 			d.reportHomeLost(result.err)
-			return d.machine.HandleHomeLost(errors.Is(result.err, ErrNotSent)), false
+			return d.machine.HandleHomeLost(errors.Is(result.err, ErrNotSent))
 		}
 		return d.handleFrame(result.frame)
 	}
 }
 
-// handleFrame passes a frame to the machine and delivers it to the caller if the machine asks for that.
-func (d *driver) handleFrame(f contract.Frame) (action outcome.Action, callerGone bool) {
+// handleFrame passes a frame to the machine and delivers it to the caller if the machine asks for that. If the caller
+// can't take it, it aborts the connection and does not return.
+func (d *driver) handleFrame(f contract.Frame) outcome.Action {
 	d.front.deps.Recorder.Observe(f.HLCTime)
 	if f.CrashID != "" {
 		d.crashID = f.CrashID
 	}
-	action = d.machine.HandleFrame(f)
+	action := d.machine.HandleFrame(f)
 	if action.Kind == outcome.Dispatch && f.Problem != nil && f.Problem.Code == contract.CodeNotHome {
 		d.wrongHome, d.named = true, f.Home
 		d.refusedBy = append(d.refusedBy, d.home)
@@ -139,7 +140,7 @@
 	}
 	if action.Kind != outcome.Deliver {
 		d.endedByHome = f.Kind == contract.FrameEnd || f.Kind == contract.FrameRefused || f.Kind == contract.FrameRecordExists
-		return action, false
+		return action
 	}
 	started, err := d.writer.deliver(f)
 	if started {
@@ -147,9 +148,12 @@
 		d.front.metrics.recordDelivery(d)
 	}
 	if errors.Is(err, errAnswerTooLarge) {
-		return d.machine.CancelDispatch(answerTooLargeProblem()), false
+		return d.machine.CancelDispatch(answerTooLargeProblem())
 	}
-	return outcome.Action{Kind: outcome.Wait}, err != nil
+	if err != nil {
+		d.caller.abort()
+	}
+	return outcome.Action{Kind: outcome.Wait}
 }
 
 // dispatch ends the current dispatch and starts the next one, unless there is no time, no retry, or no group left.
@@ -166,6 +170,12 @@
 	if !redirected && !d.awaitRetry(ctx, time.Until(d.deadline)) {
 		return d.machine.HandleNoDispatch(contract.NewRetryLater(contract.CodeOverloaded, "too many retries are under way", outcome.RetryAfterShort))
 	}
+	if errors.Is(context.Cause(ctx), errStopping) {
+		return d.machine.HandleNoDispatch(stoppingProblem())
+	}
+	if ctx.Err() != nil {
+		return d.machine.HandleCallerLeft(false)
+	}
 	left := time.Until(d.deadline)
 	if left <= 0 {
 		return d.machine.HandleNoDispatch(outcome.DeadlineProblem())
@@ -333,8 +343,14 @@
 	d.endedByHome = false
 }
 
+// recordContext bounds a seal, a lookup or a query. They determine what the caller is told and are made although the
+// request has been ended.
+func recordContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
+}
+
 func (d *driver) sealAttempt(ctx context.Context, action outcome.Action) attempt.Result {
-	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	ctx, cancel := recordContext(ctx)
 	defer cancel()
 	result := d.front.deps.Attempts.Seal(ctx, attempt.WriteRequest{
 		ID: d.id(), Number: d.request.attempt, Fingerprint: d.request.fingerprint, RequestID: d.request.id,
@@ -345,7 +361,7 @@
 }
 
 func (d *driver) findRecord(ctx context.Context) attempt.Result {
-	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	ctx, cancel := recordContext(ctx)
 	defer cancel()
 	return d.front.deps.Attempts.Find(ctx, d.id(), d.request.fingerprint)
 }
@@ -354,7 +370,7 @@
 func (d *driver) id() attempt.ID { return attempt.ID{Team: d.request.team.Name, Key: d.request.key} }
 
 func (d *driver) askHolder(ctx context.Context, claim contract.AttemptRecord) outcome.HolderAnswer {
-	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	ctx, cancel := recordContext(ctx)
 	defer cancel()
 	answer := d.front.deps.Holders.ClaimStatus(ctx, claim)
 	d.reportHolderAnswer(claim, answer)
--- a/entry/front/fakes_test.go
+++ b/entry/front/fakes_test.go
@@ -207,6 +207,9 @@
 	logged *logtest.Hook
 	log    logrus.FieldLogger
 
+	// front is the one created last.
+	front *front.Front
+
 	// framesTaken counts the frames that the fronts have taken.
 	framesTaken atomic.Int64
 
@@ -327,11 +330,12 @@
 func (f *fleet) newFront() *httptest.Server {
 	container := restful.NewContainer()
 	service := new(restful.WebService).Path("/v1").Consumes("*/*").Produces("*/*")
-	front.New(front.Deps{
+	f.front = front.New(front.Deps{
 		Self: "front", Settings: func() *settings.Snapshot { return f.settings }, Dispatcher: f, Homes: f, Holders: f, Chooser: f,
 		Retries: &tenRetries{}, Attempts: f.attempts(), Recorder: timeline.NewRecorder("front", nil, time.Now), Metrics: metrics.NewRegistry(),
-		Log: f.log,
-	}).Register(service)
+		Log: f.log, BodyTimeout: testBodyTimeout,
+	})
+	f.front.Register(service)
 	container.Add(service)
 	server := httptest.NewServer(container)
 	DeferCleanup(server.Close)
@@ -362,6 +366,9 @@
 	return front.Choice{}, contract.NewRetryLater(contract.CodeNoGroup, "none", time.Second)
 }
 
+// testBodyTimeout is the body timeout of the fronts.
+const testBodyTimeout = time.Second
+
 // answer is the response that a caller received.
 type answer struct {
 	status     int
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -103,6 +103,8 @@
 	Recorder   *timeline.Recorder
 	Metrics    metrics.Registry
 	Log        logrus.FieldLogger
+	// BodyTimeout limits the time to read a request's body; 0 for the default.
+	BodyTimeout time.Duration
 }
 
 // Front serves callers. It is safe for concurrent use.
@@ -110,11 +112,35 @@
 	deps    Deps
 	newID   func() string
 	metrics *frontMetrics
+	// ended ends when all requests must be answered.
+	ended context.Context
+	end   context.CancelFunc
 }
 
 // New returns a Front.
 func New(deps Deps) *Front {
-	return &Front{deps: deps, newID: uuid.NewString, metrics: newFrontMetrics(deps.Metrics)}
+	if deps.BodyTimeout == 0 {
+		deps.BodyTimeout = defaultBodyTimeout
+	}
+	f := &Front{deps: deps, newID: uuid.NewString, metrics: newFrontMetrics(deps.Metrics)}
+	f.ended, f.end = context.WithCancel(context.Background())
+	return f
+}
+
+// errStopping is the cause of the end of requests that the stopping entry can't finish.
+var errStopping = eris.New("the entry is stopping")
+
+// EndRequests ends all requests in progress and those that arrive later, each with an answer.
+func (f *Front) EndRequests() { f.end() }
+
+// bound returns a context that ends with the caller's connection, or with the cause errStopping.
+func (f *Front) bound(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	unregister := context.AfterFunc(f.ended, func() { cancel(errStopping) })
+	return ctx, func() {
+		unregister()
+		cancel(nil)
+	}
 }
 
 // plainMethods lists the HTTP methods that plain services can be called with.
--- a/entry/front/handlers.go
+++ b/entry/front/handlers.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"slices"
@@ -15,26 +14,35 @@
 	"github.com/emicklei/go-restful/v3"
 
 	"github.com/skylarkpond/skylarkpond/contract"
+	"github.com/skylarkpond/skylarkpond/contract/outcome"
 	"github.com/skylarkpond/skylarkpond/contract/settings"
 	"github.com/skylarkpond/skylarkpond/link/engine"
 )
 
 // completions serves POST /v1/chat/completions.
 func (f *Front) completions(req *restful.Request, resp *restful.Response) {
-	q, p := f.accept(req.Request)
-	if p == nil {
-		p = q.parseCompletion(req.Request, resp.ResponseWriter)
-	}
-	f.serve(q, p, req.Request, resp.ResponseWriter)
+	f.handle(req.Request, resp.ResponseWriter, (*request).parseCompletion)
 }
 
 // services serves any method on /v1/services/{service}/{path}.
 func (f *Front) services(req *restful.Request, resp *restful.Response) {
-	q, p := f.accept(req.Request)
+	f.handle(req.Request, resp.ResponseWriter, func(q *request, caller *callerConn) *contract.Problem {
+		return q.parseCall(caller, req.PathParameter("service"))
+	})
+}
+
+// handle serves one request. Every request ends here, either with an answer or with an aborted connection.
+func (f *Front) handle(r *http.Request, w http.ResponseWriter, parse func(*request, *callerConn) *contract.Problem) {
+	ctx, cancel := f.bound(r.Context())
+	defer cancel()
+	caller := newCallerConn(ctx, r, w, f.deps.BodyTimeout)
+	q, p := f.accept(r)
+	caller.request = q
 	if p == nil {
-		p = q.parseCall(req.Request, resp.ResponseWriter, req.PathParameter("service"))
+		p = parse(q, caller)
 	}
-	f.serve(q, p, req.Request, resp.ResponseWriter)
+	f.serve(ctx, q, p, caller)
+	caller.end()
 }
 
 // accept parses what all requests have in common: the team's key and the idempotency key.
@@ -59,8 +67,9 @@
 // message between entries, which is limited to 8 MB.
 const maxBodyBytes = 7 << 20
 
-func (q *request) parseCompletion(r *http.Request, w http.ResponseWriter) *contract.Problem {
-	if p := q.readBody(r, w, maxBodyBytes); p != nil {
+func (q *request) parseCompletion(caller *callerConn) *contract.Problem {
+	r := caller.received
+	if p := q.readBody(caller, maxBodyBytes); p != nil {
 		return p
 	}
 	var completion engine.Completion
@@ -84,14 +93,15 @@
 	return q.checkService(r)
 }
 
-func (q *request) parseCall(r *http.Request, w http.ResponseWriter, name string) *contract.Problem {
+func (q *request) parseCall(caller *callerConn, name string) *contract.Problem {
+	r := caller.received
 	service, ok := q.snapshot.Services[name]
 	ok = ok && service.Kind == settings.PlainService
 	limit := int64(maxBodyBytes)
 	if ok {
 		limit = min(limit, service.MaxBodyBytes)
 	}
-	if p := q.readBody(r, w, limit); p != nil {
+	if p := q.readBody(caller, limit); p != nil {
 		return p
 	}
 	if !ok {
@@ -120,27 +130,29 @@
 	return q.parseTimeout(r.Header)
 }
 
-// bodyReadTimeout bounds the time to read the body, so that a caller that stalls in the middle of it does not
-// occupy memory for long.
-const bodyReadTimeout = 30 * time.Second
-
 // readBody reads the body and computes the request's fingerprint.
-func (q *request) readBody(r *http.Request, w http.ResponseWriter, limit int64) *contract.Problem {
-	control := http.NewResponseController(w)
-	// SetReadDeadline fails only if the connection has no deadlines, as with a recorder in tests.
-	_ = control.SetReadDeadline(time.Now().Add(bodyReadTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	_ = control.SetReadDeadline(time.Time{})
+func (q *request) readBody(caller *callerConn, limit int64) *contract.Problem {
+	r := caller.received
+	body, err := caller.receive(limit)
 	q.body = body
 	q.fingerprint = contract.Fingerprint(r.Method, r.URL.EscapedPath(), r.URL.RawQuery, r.Header.Get("Content-Type"), string(body))
 	var over *http.MaxBytesError
-	if errors.As(err, &over) {
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &over):
 		return bodyTooLarge()
-	}
-	if err != nil {
+	case errors.Is(err, errStopping):
+		return stoppingProblem()
+	case errors.Is(err, errBodyLate):
+		return contract.NewRejection(http.StatusRequestTimeout, contract.CodeBadRequest, errBodyLate.Error(), "send it again")
+	default:
 		return contract.NewRejection(http.StatusBadRequest, contract.CodeBadRequest, "the body could not be read", "send it again")
 	}
-	return nil
+}
+
+func stoppingProblem() *contract.Problem {
+	return contract.NewRetryLater(contract.CodeLeaving, errStopping.Error(), outcome.RetryAfterShort)
 }
 
 func bodyTooLarge() *contract.Problem {
--- a/entry/front/lines.go
+++ b/entry/front/lines.go
@@ -21,6 +21,9 @@
 	if action.Problem == nil || action.Outcome == contract.OutcomeAnswered {
 		return
 	}
+	if action.Problem.Code == contract.CodeCallerLeft && !d.request.atMostOnce {
+		return
+	}
 	fields := logrus.Fields{
 		"request": d.request.id, "team": d.request.team.Name, "service": d.request.service.Name,
 		"outcome": action.Outcome, "code": action.Problem.Code, "detail": action.Problem.Message,
--- a/entry/front/plain.go
+++ b/entry/front/plain.go
@@ -51,7 +51,7 @@
 		s.w.Header().Set("Trailer", contract.HeaderOutcome)
 	}
 	s.w.Header().Set(contract.HeaderRequestID, s.request.id)
-	s.w.WriteHeader(s.status)
+	s.writeHeader(s.status)
 	held := s.buffered
 	s.buffered = nil
 	return s.write(held)
@@ -107,8 +107,11 @@
 		s.buffered = a.StoredAnswer.Body
 		s.endsWithConnection = a.StoredAnswer.EndsWithConnection
 	}
+	if s.status == 0 {
+		return // no answer was delivered
+	}
 	s.setAnswerHeaders()
 	s.setOutcomeHeaders(a)
-	s.w.WriteHeader(s.status)
+	s.writeHeader(s.status)
 	_ = s.write(s.buffered)
 }
--- a/entry/front/writer.go
+++ b/entry/front/writer.go
@@ -38,12 +38,11 @@
 	deliver(f contract.Frame) (started bool, err error)
 	// reset discards the frames taken so far. It is called only before the answer has started.
 	reset()
-	// finish ends the response.
+	// finish ends the response. It writes nothing if the action says that the answer was delivered and it was not.
 	finish(a outcome.Action)
 }
 
-func newWriter(q *request, w http.ResponseWriter, received *http.Request) writer {
-	caller := &callerConn{request: q, received: received, w: w, control: http.NewResponseController(w)}
+func newWriter(q *request, caller *callerConn) writer {
 	if q.plain != nil {
 		return &plainWriter{callerConn: caller}
 	}
@@ -53,14 +52,6 @@
 	return &bufferedWriter{callerConn: caller}
 }
 
-// callerConn is the connection to one caller.
-type callerConn struct {
-	request  *request
-	received *http.Request
-	w        http.ResponseWriter
-	control  *http.ResponseController
-}
-
 func (c *callerConn) write(data []byte) error {
 	// SetWriteDeadline fails only if the connection has no deadlines, as with a recorder in tests.
 	_ = c.control.SetWriteDeadline(time.Now().Add(writeTimeout))
@@ -91,7 +82,7 @@
 func (c *callerConn) writeProblem(a outcome.Action) {
 	c.setOutcomeHeaders(a)
 	c.w.Header().Set("Content-Type", "application/problem+json")
-	c.w.WriteHeader(a.Problem.Status)
+	c.writeHeader(a.Problem.Status)
 	_ = c.write(c.problemBody(a))
 }
 
