entry, entry/drain: a process that ends answers the requests that it can't finish

Callers would see a connection that ends with the process: after FinishTimeout (a request whose header and body come slowly outlasts it: 10 s and 30 s before its own time begins, where the margin is 30 s), and whenever a role of the entry fails, as when another process takes its name. Operators' requests were cut at the end of each stop, since nothing waited for them: a change may be in force whose answer is lost.

Cause: what is in progress at the end was left to http.Server.Close. Drain has a step End now, which ends the requests in progress with an answer, and waits up to 5 s for these; only what is left then is reported as cut. Run shuts both servers down before it closes them, on each way out of it, and operators' connections that end unanswered are logged like callers'.

The spec of entry/drain needs the new step, so there is no run of it on the old code. One spec of entry/drain expects the end of a stop with a stuck request 5 s later: that is the new wait, and it now checks when the requests are ended too.

--- a/entry/drain/drain.go
+++ b/entry/drain/drain.go
@@ -27,7 +27,7 @@
 	Closing
 	// Finishing: the entry waits for the requests in progress.
 	Finishing
-	// Stopped: nothing is in progress, or FinishTimeout has passed.
+	// Stopped: nothing is in progress, or what was has been ended.
 	Stopped
 )
 
@@ -50,6 +50,8 @@
 	AddressHeldUntil func() time.Time
 	// Close stops accepting connections and requests from callers; those in progress continue.
 	Close func()
+	// End ends the requests in progress. Those of callers are answered soon after.
+	End func()
 	// InProgress returns the number of requests in progress, from callers and from other entries' fronts.
 	InProgress func() int
 	// OnPhase is called on entering each phase; it may be nil.
@@ -63,6 +65,8 @@
 	Margin time.Duration
 	// FinishTimeout bounds the wait for requests in progress; it must exceed the longest time that a request may take.
 	FinishTimeout time.Duration
+	// EndTimeout bounds the wait for the answers to requests that were ended.
+	EndTimeout time.Duration
 }
 
 // pollPeriod is how often the requests in progress are counted.
@@ -97,8 +101,8 @@
 	return d.phase
 }
 
-// Run goes through the phases. It returns nil if no request was cut and ErrCut otherwise: requests are cut after FinishTimeout, or
-// when ctx ends, with which an operator calls off the waiting.
+// Run goes through the phases. Requests that are still in progress after FinishTimeout, or when ctx ends, with which an operator calls off the
+// waiting, are ended. It returns ErrCut if some are left after that, and nil otherwise.
 func (d *Drain) Run(ctx context.Context) error {
 	publishing, stopPublishing := context.WithCancel(ctx)
 	published := make(chan struct{})
@@ -107,7 +111,11 @@
 	d.enter(Closing)
 	d.steps.Close()
 	d.enter(Finishing)
-	cut := d.finish(ctx)
+	cut := d.finish(ctx, d.cfg.FinishTimeout)
+	if cut > 0 {
+		d.steps.End()
+		cut = d.finish(context.WithoutCancel(ctx), d.cfg.EndTimeout)
+	}
 	stopPublishing()
 	<-published
 	d.enter(Stopped)
@@ -138,9 +146,9 @@
 	}
 }
 
-// finish waits for the requests in progress and returns how many are left.
-func (d *Drain) finish(ctx context.Context) int {
-	end := d.clock.Now().Add(d.cfg.FinishTimeout)
+// finish waits for the requests in progress, for at most timeout, and returns how many are left.
+func (d *Drain) finish(ctx context.Context, timeout time.Duration) int {
+	end := d.clock.Now().Add(timeout)
 	for {
 		left := d.steps.InProgress()
 		if left == 0 || ctx.Err() != nil || !d.clock.Now().Before(end) {
--- a/entry/drain/drain_test.go
+++ b/entry/drain/drain_test.go
@@ -39,6 +39,8 @@
 	log        []string
 	inProgress int
 	publish    func(ctx context.Context) error
+	// end is called with the step End; it may be nil.
+	end func()
 }
 
 const ttl = time.Minute
@@ -49,13 +51,19 @@
 	note := func(event string) {
 		s.log = append(s.log, event+" "+s.clock.now.Sub(start).Truncate(time.Second).String())
 	}
-	s.Drain = New(Config{Margin: 5 * time.Second, FinishTimeout: 10 * time.Minute}, Steps{
+	s.Drain = New(Config{Margin: 5 * time.Second, FinishTimeout: 10 * time.Minute, EndTimeout: 5 * time.Second}, Steps{
 		Leave:            func() { note("leave") },
 		Publish:          func(ctx context.Context) error { return s.publish(ctx) },
 		AddressHeldUntil: func() time.Time { return s.clock.now.Add(ttl) },
 		Close:            func() { note("close") },
-		InProgress:       func() int { return s.inProgress },
-		OnPhase:          func(p Phase) { note(p.String()) },
+		End: func() {
+			note("end")
+			if s.end != nil {
+				s.end()
+			}
+		},
+		InProgress: func() int { return s.inProgress },
+		OnPhase:    func(p Phase) { note(p.String()) },
 	}, s.clock)
 	return s
 }
@@ -105,7 +113,16 @@
 		s = newTestDrain()
 		s.inProgress = 1
 		Expect(s.Run(context.Background())).To(MatchError(ErrCut))
-		Expect(s.log).To(ContainElement("stopped 11m5s"))
+		Expect(s.log).To(ContainElements("end 11m5s", "stopped 11m10s"))
+	})
+
+	// Guards against requests that end with the process and get no answer.
+	It("ends the requests that it can't wait for, and waits for their answers", func() {
+		s := newTestDrain()
+		s.inProgress = 1
+		s.end = func() { s.clock.onSleep = func() { s.inProgress = 0 } }
+		Expect(s.Run(context.Background())).To(Succeed())
+		Expect(s.log).To(ContainElements("end 11m5s", "stopped 11m5s"))
 	})
 
 	// The platform is unavailable while the entry is stopped, so nothing can be written to it. The other entries learn of the stop by
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -123,9 +123,10 @@
 	defer running.Wait()
 	defer stopWork()
 	public := ingress.New(&http.Server{Handler: e.publicHandler(), ReadHeaderTimeout: readHeaderTimeout}, e.requestUnanswered)
-	admin := ingress.New(&http.Server{Handler: e.adminHandler(), ReadHeaderTimeout: readHeaderTimeout}, func(ingress.Unanswered) {})
-	defer func() { _ = admin.Close() }()
-	defer func() { _ = public.Close() }()
+	admin := ingress.New(&http.Server{Handler: e.adminHandler(), ReadHeaderTimeout: readHeaderTimeout}, e.requestUnanswered)
+	defer shutDown(e.log, admin, adminShutdownTimeout)
+	defer shutDown(e.log, public, endTimeout)
+	defer e.front.EndRequests() // there are none unless a role has failed
 	failed := make(chan error, 1)
 	for _, run := range e.roles(sockets, public, admin) {
 		running.Go(func() {
@@ -147,6 +148,23 @@
 	}
 }
 
+const (
+	// endTimeout limits the wait for the answers to requests that are ended. It covers a seal, a look-up and a query to the holder of a claim.
+	endTimeout = 5 * time.Second
+	// adminShutdownTimeout is longer than an operator's request takes.
+	adminShutdownTimeout = 20 * time.Second
+)
+
+// shutDown answers the requests that a server has read and closes it.
+func shutDown(log logrus.FieldLogger, server *ingress.Server, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		log.WithField("open", len(server.Open())).Warn("the process ends with requests in progress")
+	}
+	_ = server.Close()
+}
+
 // requestUnanswered logs a connection that ended without an answer to its request, unless its caller closed it first or had not sent the whole
 // header.
 func (e *Entry) requestUnanswered(request ingress.Unanswered) {
@@ -176,12 +194,13 @@
 				_ = public.Shutdown(context.Background())
 			}()
 		},
+		End: e.front.EndRequests,
 		InProgress: func() int {
 			return int(e.dispatcher.serving.Load()) + e.dispatcher.home.PendingReleases() + max(e.gate.InProgress(), unfinished(closed))
 		},
 		OnPhase: e.recordPhase,
 	}
-	config := drain.Config{Margin: e.config.DrainMargin, FinishTimeout: e.longestRequest() + finishTimeoutMargin}
+	config := drain.Config{Margin: e.config.DrainMargin, FinishTimeout: e.longestRequest() + finishTimeoutMargin, EndTimeout: endTimeout}
 	return drain.New(config, steps, drain.SystemClock{}).Run(context.Background())
 }
 
