link/peer: specs on the stop of a server

A stopping HTTP/3 server resets streams that it hasn't given to a handler (H3_REQUEST_REJECTED, the only case that the client reports as not sent besides an unread body), and waits for the others; what outlasts the grace period is reported as interrupted.

--- a/link/peer/peer_test.go
+++ b/link/peer/peer_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -355,3 +358,71 @@
 		Expect(f.client.pool.conns).To(HaveLen(1))
 	})
 })
+
+var _ = Describe("the stop of a server", func() {
+	// Guards against a request that is reported as not sent although a handler has seen it, which would run it twice, and against one that was read
+	// and gets neither an answer nor an error.
+	It("leaves no call without an answer, and reports none as not sent that a handler has seen", func() {
+		const callers, rounds = 40, 3
+		var answered, notSent, interrupted atomic.Int64
+		for range rounds {
+			var seen sync.Map
+			f := newFixture(func(s *Server) {
+				Handle(s, "/take", func(_ context.Context, _ string, req echo) (echo, error) {
+					seen.Store(req.Count, true)
+					time.Sleep(time.Duration(req.Count%5) * time.Millisecond)
+					return req, nil
+				})
+			})
+			var number atomic.Int64
+			var wait sync.WaitGroup
+			ctx := testContext()
+			for range callers {
+				wait.Go(func() {
+					defer GinkgoRecover()
+					for {
+						req := echo{Count: int(number.Add(1)), Text: strings.Repeat("x", 10_000)}
+						var reply echo
+						err := f.client.Call(ctx, f.address(), "/take", req, &reply)
+						_, handled := seen.Load(req.Count)
+						switch {
+						case err == nil:
+							Expect(reply.Count).To(Equal(req.Count))
+							answered.Add(1)
+						case errors.Is(err, ErrNotSent):
+							Expect(handled).To(BeFalse())
+							notSent.Add(1)
+							return
+						default:
+							Expect(err).To(MatchError(ErrInterrupted))
+							interrupted.Add(1)
+						}
+					}
+				})
+			}
+			time.Sleep(300 * time.Millisecond)
+			f.stop()
+			wait.Wait()
+		}
+		GinkgoWriter.Printf("answered %d, not sent %d, interrupted %d\n", answered.Load(), notSent.Load(), interrupted.Load())
+		Expect(interrupted.Load()).To(BeZero(), "handlers end well within the grace period")
+	})
+
+	// Guards against a call that waits for its idle timeout, or is reported as not sent, when its connection is closed after the grace period.
+	It("interrupts a call that outlasts the grace period", func() {
+		started := make(chan struct{})
+		f := newFixture(func(s *Server) {
+			Handle(s, "/take", func(ctx context.Context, _ string, _ echo) (echo, error) {
+				close(started)
+				<-ctx.Done()
+				return echo{}, ctx.Err()
+			})
+		})
+		result := make(chan error, 1)
+		ctx := testContext()
+		go func() { result <- f.client.Call(ctx, f.address(), "/take", echo{}, nil) }()
+		Eventually(started, testTimeout).Should(BeClosed())
+		f.stop()
+		Eventually(result, testTimeout).Should(Receive(MatchError(ErrInterrupted)))
+	})
+})
