entry/front: an answer that ends with its connection is reset unless all of it was written

Callers would take a part of an answer that has neither a length nor chunks for the whole: when a handler panics, a write fails near its end, or the process is killed, the connection is closed in order, which is the regular end of such an answer. The gateway resets such connections until the answer is whole; the front did so only where it noticed the end itself.

Now the front uses the same means (framing.ResetUnlessFinished), and the first error of writing or flushing an answer aborts the connection at the one place where responses end.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -32,6 +32,7 @@
 	"github.com/skylarkpond/skylarkpond/entry/reach"
 	"github.com/skylarkpond/skylarkpond/entry/routing"
 	"github.com/skylarkpond/skylarkpond/internal/wait"
+	"github.com/skylarkpond/skylarkpond/link/framing"
 	"github.com/skylarkpond/skylarkpond/link/ingress"
 	"github.com/skylarkpond/skylarkpond/link/peer"
 	"github.com/skylarkpond/skylarkpond/link/platform"
@@ -122,7 +123,9 @@
 	var running sync.WaitGroup
 	defer running.Wait()
 	defer stopWork()
-	public := ingress.New(&http.Server{Handler: e.publicHandler(), ReadHeaderTimeout: readHeaderTimeout}, e.requestUnanswered)
+	public := ingress.New(&http.Server{
+		Handler: e.publicHandler(), ReadHeaderTimeout: readHeaderTimeout, ConnContext: framing.WithConn,
+	}, e.requestUnanswered)
 	admin := ingress.New(&http.Server{Handler: e.adminHandler(), ReadHeaderTimeout: readHeaderTimeout}, e.requestUnanswered)
 	defer shutDown(e.log, admin, adminShutdownTimeout)
 	defer shutDown(e.log, public, endTimeout)
--- a/entry/front/caller.go
+++ b/entry/front/caller.go
@@ -24,6 +24,10 @@
 	bodyRead bool
 	// answered is set once the header of the answer has been written.
 	answered bool
+	// writeErr is the first error of writing the answer.
+	writeErr error
+	// finished ends the reset of the connection of an answer that ends with it; nil for other answers.
+	finished func()
 }
 
 func newCallerConn(ctx context.Context, received *http.Request, w http.ResponseWriter, bodyTimeout time.Duration) *callerConn {
@@ -75,14 +79,40 @@
 		_ = c.control.SetReadDeadline(time.Now().Add(unreadBodyTimeout))
 	}
 	c.answered = true
+	if framing.EndsWithConnection(c.w.Header()) {
+		c.finished = framing.ResetUnlessFinished(c.received)
+	}
 	c.w.WriteHeader(status)
 }
 
-// end aborts the connection if the request has not been answered: net/http would answer with an empty success.
+func (c *callerConn) write(data []byte) error {
+	// SetWriteDeadline fails only if the connection has no deadlines, as with a recorder in tests.
+	_ = c.control.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_, err := c.w.Write(data)
+	return c.noteError(err)
+}
+
+func (c *callerConn) flush() error { return c.noteError(c.control.Flush()) }
+
+func (c *callerConn) noteError(err error) error {
+	if c.writeErr == nil {
+		c.writeErr = err
+	}
+	return err
+}
+
+// end ends the response. It aborts the connection if the request has not been answered, of which net/http would make an empty success, or the answer
+// could not be written.
 func (c *callerConn) end() {
-	if !c.answered {
+	if c.finished != nil {
+		_ = c.flush()
+	}
+	if !c.answered || c.writeErr != nil {
 		c.abort()
 	}
+	if c.finished != nil {
+		c.finished()
+	}
 }
 
 // abort closes the connection so that what has been written can't be taken for a complete answer. It does not return.
--- a/entry/front/completion.go
+++ b/entry/front/completion.go
@@ -154,8 +154,7 @@
 	if err := s.write(text); err != nil {
 		return err
 	}
-	s.flush()
-	return nil
+	return s.flush()
 }
 
 // bufferedWriter buffers a completion and writes it as one JSON object.
--- a/entry/front/endings_test.go
+++ b/entry/front/endings_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/skylarkpond/skylarkpond/contract"
 	"github.com/skylarkpond/skylarkpond/contract/outcome"
+	"github.com/skylarkpond/skylarkpond/link/framing"
 )
 
 // respond lets a writer deliver frames and end the response, and returns what the caller receives.
@@ -38,6 +39,38 @@
 	return response.StatusCode, string(text), err
 }
 
+// Guards against a part of an answer that looks complete: an answer that ends with its connection breaks off by a panic, as it does when the process
+// is killed.
+var _ = It("An answer that ends with its connection is reset unless it is whole", func() {
+	for _, whole := range []bool{true, false} {
+		server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			caller := newCallerConn(context.Background(), r, w, time.Second)
+			caller.request = &request{plain: &contract.PlainCall{}}
+			written := newWriter(caller.request, caller)
+			_, _ = written.deliver(contract.Frame{Kind: contract.FrameHead, Status: http.StatusOK, EndsWithConnection: true})
+			_, _ = written.deliver(contract.Frame{Kind: contract.FrameChunk, Data: make([]byte, plainBufferSize+1)})
+			if !whole {
+				panic(http.ErrAbortHandler)
+			}
+			written.finish(outcome.Action{Outcome: contract.OutcomeAnswered})
+			caller.end()
+		}))
+		server.Config.ConnContext = framing.WithConn
+		server.Start()
+		response, err := http.Get(server.URL)
+		Expect(err).NotTo(HaveOccurred())
+		text, err := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		server.Close()
+		if whole {
+			Expect(err).NotTo(HaveOccurred())
+			Expect(text).To(HaveLen(plainBufferSize + 1))
+			continue
+		}
+		Expect(err).To(HaveOccurred())
+	}
+})
+
 // Guards against a success that no backend server gave: an empty 200 for a response in which nothing was written, or a part of an answer that looks
 // complete.
 var _ = Describe("The end of a response", func() {
--- a/entry/front/writer.go
+++ b/entry/front/writer.go
@@ -52,15 +52,6 @@
 	return &bufferedWriter{callerConn: caller}
 }
 
-func (c *callerConn) write(data []byte) error {
-	// SetWriteDeadline fails only if the connection has no deadlines, as with a recorder in tests.
-	_ = c.control.SetWriteDeadline(time.Now().Add(writeTimeout))
-	_, err := c.w.Write(data)
-	return err
-}
-
-func (c *callerConn) flush() { _ = c.control.Flush() }
-
 // setOutcomeHeaders sets the headers of every answer that has not started yet.
 func (c *callerConn) setOutcomeHeaders(a outcome.Action) {
 	header := c.w.Header()
--- a/link/framing/framing.go
+++ b/link/framing/framing.go
@@ -45,6 +45,9 @@
 // have no Content-Length.
 func EndWithConnection(header http.Header) { header.Set(transferEncoding, identity) }
 
+// EndsWithConnection reports whether a response with this header ends with its connection.
+func EndsWithConnection(header http.Header) bool { return header.Get(transferEncoding) == identity }
+
 // connKey is the key of a request's connection in its context.
 type connKey struct{}
 
@@ -70,7 +73,7 @@
 // A response that ends with its connection is reset, because an orderly close is its regular end. Others are closed: a reset could discard
 // data that the client has not received yet.
 func Abort(w http.ResponseWriter, request *http.Request) {
-	if !request.ProtoAtLeast(1, 1) || w.Header().Get(transferEncoding) == identity {
+	if !request.ProtoAtLeast(1, 1) || EndsWithConnection(w.Header()) {
 		reset(w)
 	}
 	panic(http.ErrAbortHandler)
