platform: an object that can't be decoded costs itself alone

Callers saw requests that reached a leaving server seconds after its leaving was acknowledged: another writer's entry stood among the registrations, and the list of servers was not followed while it did. New servers and removals went the same way, and a process that started meanwhile had no list.

Cause: DecodePage decoded a page as one document. encoding/json refuses a document that is nested over 10,000 deep, or of which one value has another type, as a whole, so that the watch failed and was repeated from the same revision for ever. DecodeObject had it too: a nested lease could be neither read nor replaced. So had the codec of the product's own interface.

Now a page is split into its elements by quotes and brackets (internal/jsonsplit: iterative, linear, constant memory), and each element is decoded by itself. Of one that can't be decoded, the name and the revision are read as far as they can be; it is passed on without a value, so that the object which it replaces does not hold any more. A revision that can't be read, or exceeds the page's, becomes the page's, so that the change is neither taken for an old one nor for the newest for ever. An element without a readable name is left out: a list leaves it out as well, and continues after the last name before it; a watch makes the client list the kind, at most every 2 s, since the change may have been that of any object. Each object is reported once until it can be decoded again. A page that is itself broken or truncated stays an error; so does a page of which no name can be read though the list continues.

Ruled out: json.RawMessage for the elements of the page, since the limit of depth holds for the document around them; json.Decoder likewise.

--- a/entry/catalog/catalog.go
+++ b/entry/catalog/catalog.go
@@ -63,7 +63,7 @@
 	}
 	c := &Catalog{deps: deps, followers: make(map[store.Kind]*follower)}
 	c.listing.Store(backend.NewListing(0, nil))
-	c.servers = &serverList{catalog: c, byID: make(map[backend.ID]*backend.Server), lapsed: make(map[backend.ID]time.Time), announced: make(map[backend.ID]announcement)}
+	c.servers = &serverList{catalog: c, byID: make(map[backend.ID]*backend.Server), lapsed: make(map[backend.ID]time.Time), announced: make(map[backend.ID]announcement), unreadable: make(map[string]bool)}
 	c.Follow(platform.KindConfig, promptWatchPolicy, c.applyConfig)
 	c.addFollower(&follower{
 		kind: platform.KindServers, policy: promptWatchPolicy, decode: c.servers.decode, apply: c.servers.apply,
@@ -222,7 +222,7 @@
 
 func (c *Catalog) applyConfig(update Update) {
 	for _, object := range update.Objects() {
-		if object.Name == platform.ConfigName && !object.Deleted {
+		if object.Name == platform.ConfigName && !object.Deleted && object.Invalid == nil {
 			c.UpdateConfig(object.Value)
 		}
 	}
--- a/entry/catalog/catalog_test.go
+++ b/entry/catalog/catalog_test.go
@@ -36,6 +36,8 @@
 	changes        chan catalog.ChangeSet
 	configVersions chan uint64
 	leaving        chan leavingServer
+	// unreadable and lost count the objects that were reported as unreadable, and the kinds that couldn't be followed.
+	unreadable, lost atomic.Int64
 }
 
 // leavingServer is a server that is leaving, and whether the leader reported it.
@@ -50,11 +52,13 @@
 func startFixture(routableOnly bool) *fixture {
 	f := &fixture{api: objects.New(), changes: make(chan catalog.ChangeSet, 1000), configVersions: make(chan uint64, 1000), leaving: make(chan leavingServer, 1000)}
 	f.routableOnly.Store(routableOnly)
-	client := store.NewClient("http://"+f.api.Address(), store.WithCodec(platform.ObjectCodec{}), store.WithCallTimeout(300*time.Millisecond))
+	client := store.NewClient("http://"+f.api.Address(), store.WithCodec(platform.ObjectCodec{}), store.WithCallTimeout(300*time.Millisecond),
+		store.WithUnreadable(func(store.Object, error) { f.unreadable.Add(1) }))
 	f.catalog = catalog.New(catalog.Deps{
 		Store: client, FedByLeader: f.fedByLeader.Load, IsLeader: func() bool { return false }, RoutableOnly: f.routableOnly.Load,
 		OnChanges:      func(changes catalog.ChangeSet) { f.changes <- changes },
-		OnPlatformLost: func(store.Kind, error) {}, OnPlatformRegained: func(store.Kind, time.Duration) {}, OnUnreadable: func(store.Object, error) {},
+		OnPlatformLost: func(store.Kind, error) { f.lost.Add(1) }, OnPlatformRegained: func(store.Kind, time.Duration) {},
+		OnUnreadable:    func(store.Object, error) { f.unreadable.Add(1) },
 		OnConfig:        func(table *route.Table) { f.configVersions <- table.Version },
 		OnServerLeaving: func(server *backend.Server, fromLeader bool) { f.leaving <- leavingServer{server.ID, fromLeader} },
 	})
--- a/entry/catalog/servers.go
+++ b/entry/catalog/servers.go
@@ -38,6 +38,8 @@
 	routableOnly bool
 	// announced holds the servers that have said themselves that they are leaving.
 	announced map[backend.ID]announcement
+	// unreadable holds the names of the registrations that were reported as unreadable and still are.
+	unreadable map[string]bool
 }
 
 func (s *serverList) apply(update Update) {
@@ -93,16 +95,35 @@
 func (s *serverList) decode(object store.Object) Change {
 	ended := Change{Removal: &link.Removal{Server: backend.ID(object.Name), Version: object.Version}}
 	if object.Deleted {
+		s.noteUnreadable(object, nil)
 		return ended
 	}
+	if object.Invalid != nil {
+		return ended // the client has reported it
+	}
 	server, err := platform.DecodeServer(object)
+	s.noteUnreadable(object, err)
 	if err != nil {
-		s.catalog.deps.OnUnreadable(object, err)
 		return ended
 	}
 	return Change{Server: server}
 }
 
+// noteUnreadable reports a registration that can't be decoded, once until it can be or is removed: whoever writes it may do so again and again.
+func (s *serverList) noteUnreadable(object store.Object, err error) {
+	s.mu.Lock()
+	known := s.unreadable[object.Name]
+	if err == nil {
+		delete(s.unreadable, object.Name)
+	} else {
+		s.unreadable[object.Name] = true
+	}
+	s.mu.Unlock()
+	if err != nil && !known {
+		s.catalog.deps.OnUnreadable(object, err)
+	}
+}
+
 // remove removes servers. It removes them after a grace period if so many registrations ended at once that the platform must
 // have been unavailable. Without the grace period, each return of the platform would leave a service without servers for two
 // seconds.
--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -62,7 +62,9 @@
 	return s, nil
 }
 
-func provideStore(s *shared) *store.Client { return newClient(s.config, store.WithMetrics(s.registry)) }
+func provideStore(s *shared) *store.Client {
+	return newClient(s.config, store.WithMetrics(s.registry), store.WithUnreadable(s.objectUnreadable))
+}
 
 // providePool returns the connections to backend servers, which originate from the address that the entry has for callers.
 func providePool(s *shared) *upstream.Pool {
--- a/entry/lease/lease_test.go
+++ b/entry/lease/lease_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -294,3 +295,17 @@
 		Expect(string(spec)).To(ContainSubstring(`{"of":"late"}`))
 	})
 })
+
+var _ = Describe("A lease that another writer has replaced by an object that can't be read", func() {
+	DescribeTable("is acquired once it has expired", func(element string) {
+		api := objects.New()
+		DeferCleanup(api.Close)
+		api.WriteOdd(string(lease.Kind), lease.Name, element)
+		m := start(api, "a")
+		Eventually(m.Held, "5s").Should(BeTrue())
+	},
+		Entry("nested", `{"metadata":{"name":"grouping","revision":$revision},"spec":`+strings.Repeat("[", 20_000)+strings.Repeat("]", 20_000)+`}`),
+		Entry("of another type", `{"metadata":{"name":"grouping","revision":$revision},"spec":[]}`),
+		Entry("whose name is a number", `{"metadata":{"name":7,"revision":$revision},"spec":{}}`),
+	)
+})
--- a/entry/providers.go
+++ b/entry/providers.go
@@ -28,6 +28,7 @@
 	"github.com/skylarkpond/skylarkpond/link/engine"
 	"github.com/skylarkpond/skylarkpond/link/peer"
 	"github.com/skylarkpond/skylarkpond/link/platform"
+	"github.com/skylarkpond/skylarkpond/logline"
 	directorypolicy "github.com/skylarkpond/skylarkpond/policy/directory"
 	"github.com/skylarkpond/skylarkpond/timeline"
 	"github.com/skylarkpond/skylarkpond/vm"
@@ -44,10 +45,12 @@
 // reservedWriteShare is the fraction of the platform call rate that only writes may use.
 const reservedWriteShare = 0.2
 
-func provideStore(config Config, measures *processMetrics) platform.Store {
+func provideStore(config Config, measures *processMetrics, log *logrus.Entry) platform.Store {
 	return platform.NewClient(config.PlatformURL, platform.WithSource(config.sourceIP()), platform.WithMetrics(measures.registry), platform.WithRates(platform.Rates{
 		Shared:   config.PlatformRate * (1 - reservedWriteShare),
 		Reserved: config.PlatformRate * reservedWriteShare,
+	}), platform.WithUnreadable(func(object platform.Object, reason error) {
+		log.WithError(reason).WithFields(logrus.Fields{"kind": object.Kind, "object": object.Name}).Warn(logline.LeftOut)
 	}))
 }
 
--- a/entry/roster/roster.go
+++ b/entry/roster/roster.go
@@ -179,6 +179,7 @@
 		var entry platform.Entry
 		if err := json.Unmarshal(object.Value, &entry); err != nil {
 			r.deps.OnError("reading entry "+object.Name, err)
+			delete(r.entries, object.Name) // what it said before does not hold any more
 			continue
 		}
 		r.entries[object.Name] = entry
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -72,7 +72,7 @@
 	}
 	measures := newProcessMetrics()
 	registerGauge(measures.registry, "log.lines.dropped", lines.Dropped)
-	self, err := register(ctx, config, provideStore(config, measures), log)
+	self, err := register(ctx, config, provideStore(config, measures, log), log)
 	if err != nil {
 		return err
 	}
@@ -231,7 +231,7 @@
 // CheckPlatform reports to out whether the platform responds and holds settings. It starts nothing and writes
 // nothing to the platform.
 func CheckPlatform(ctx context.Context, config Config, out io.Writer) error {
-	store := provideStore(config, newProcessMetrics())
+	store := provideStore(config, newProcessMetrics(), logrus.NewEntry(logrus.StandardLogger()))
 	changes, err := store.List(ctx, platform.KindSettings)
 	if err != nil {
 		return eris.Wrap(err, "platform "+config.PlatformURL)
--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -19,7 +19,7 @@
 
 // assemble builds an entry from its configuration and its published identity.
 func assemble(config Config, self publishedEntry, recorder *timeline.Recorder, measures *processMetrics, log *logrus.Entry) *Entry {
-	store := provideStore(config, measures)
+	store := provideStore(config, measures, log)
 	mirrorMirror := mirror.New()
 	members := provideMembers(self, recorder)
 	entryLiveMembership := provideMembership(members)
--- a/link/platform/client.go
+++ b/link/platform/client.go
@@ -31,6 +31,7 @@
 	limiter      *limiter
 	registry     metrics.Registry
 	codec        Codec
+	unreadables  unreadables
 }
 
 // Client defaults.
@@ -150,7 +151,8 @@
 	return err
 }
 
-// Watch implements Store. If the platform has discarded the requested history, it falls back to a list.
+// Watch implements Store. If the platform has discarded the requested history, or returns a change of an object without a name that can be read, it
+// falls back to a list.
 func (c *Client) Watch(ctx context.Context, kind Kind, after Version) (Changes, error) {
 	return c.WatchFor(ctx, kind, after, 0)
 }
@@ -158,7 +160,7 @@
 // WatchFor is like Watch but waits no longer than wait. If wait is 0, the platform's wait limit applies.
 func (c *Client) WatchFor(ctx context.Context, kind Kind, after Version, wait time.Duration) (Changes, error) {
 	page, err := c.doPage(ctx, Call{Verb: VerbWatch, Kind: kind, Version: after, Wait: wait})
-	if eris.Is(err, errCompacted) {
+	if eris.Is(err, errCompacted) || err == nil && c.unreadables.mustList(kind, page.Nameless != nil) {
 		return c.List(ctx, kind)
 	}
 	return page.Changes, err
@@ -185,6 +187,7 @@
 	if err != nil {
 		return Page{}, eris.Wrapf(noResponseError(call), "%s %s: %v", call.Verb, call.Kind, err)
 	}
+	c.unreadables.note(call.Kind, page)
 	return page, nil
 }
 
--- a/link/platform/list.go
+++ b/link/platform/list.go
@@ -23,6 +23,14 @@
 // thousands of pages. Changes that such a page lacks are then read by a watch, so that the result is complete up to its revision;
 // a watch from there reports again the changes made while later pages were read.
 func (c *Client) List(ctx context.Context, kind Kind) (Changes, error) {
+	listed, err := c.list(ctx, kind)
+	if err == nil {
+		c.unreadables.listed(kind)
+	}
+	return listed, err
+}
+
+func (c *Client) list(ctx context.Context, kind Kind) (Changes, error) {
 	call := Call{Verb: VerbList, Kind: kind}
 	page, err := c.doPage(ctx, call)
 	if err != nil {
@@ -61,7 +69,7 @@
 // catchUp applies the changes since the oldest page to a list.
 func (c *Client) catchUp(ctx context.Context, kind Kind, listed Changes, oldest Version) (Changes, error) {
 	missed, err := c.doPage(ctx, Call{Verb: VerbWatch, Kind: kind, Version: oldest, Wait: catchUpWait})
-	if eris.Is(err, errCompacted) {
+	if eris.Is(err, errCompacted) || err == nil && missed.Nameless != nil {
 		return c.listCurrent(ctx, kind)
 	}
 	if err != nil {
--- a/link/platform/store.go
+++ b/link/platform/store.go
@@ -50,6 +50,8 @@
 	Value   json.RawMessage `json:"value,omitempty" cbor:"4,keyasint,omitempty"`
 	// Deleted marks a deletion in the result of a watch or a list; Version is then the version of the deletion.
 	Deleted bool `json:"deleted,omitempty" cbor:"5,keyasint,omitempty"`
+	// Invalid is why the object can't be decoded; nil if it can. Such an object has no value. It is not passed on to other entries.
+	Invalid error `json:"-" cbor:"-"`
 }
 
 // Changes is the result of a List or a Watch: objects, and the revision up to which they are complete.
--- a/link/platform/wire.go
+++ b/link/platform/wire.go
@@ -6,6 +6,10 @@
 	"net/url"
 	"strconv"
 	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/skylarkpond/skylarkpond/internal/jsonsplit"
 )
 
 // Verb is the operation of a call. It is part of the metric names.
@@ -52,6 +56,18 @@
 	Changes
 	// Next is the value of Call.After for the next page. It is empty on the last page.
 	Next string
+	// Nameless is why the first element can't be decoded that has not even a name that can be read; nil if there is none. It is not in Objects.
+	Nameless error
+}
+
+// Add adds an object. Of an object without a name, only Invalid is kept.
+func (p *Page) Add(object Object) {
+	switch {
+	case object.Name != "":
+		p.Objects = append(p.Objects, object)
+	case p.Nameless == nil:
+		p.Nameless = object.Invalid
+	}
 }
 
 // Codec encodes calls and decodes responses for one platform implementation. Rate limits, timeouts, retries
@@ -103,11 +119,57 @@
 	return object, err
 }
 
-// DecodePage implements Codec.
-func (standinCodec) DecodePage(_ Call, body []byte) (Page, error) {
+// DecodePage implements Codec. An object that can't be decoded costs itself alone.
+func (standinCodec) DecodePage(call Call, body []byte) (Page, error) {
+	var objects, revision, complete []byte
+	err := jsonsplit.Fields(body, func(name string, value []byte) {
+		switch name {
+		case "objects":
+			objects = value
+		case "revision":
+			revision = value
+		case "complete":
+			complete = value
+		}
+	})
+	if err != nil {
+		return Page{}, err
+	}
 	var page Page
-	err := json.Unmarshal(body, &page.Changes)
+	if revision != nil {
+		err = json.Unmarshal(revision, &page.Revision)
+	}
+	if complete != nil && err == nil {
+		err = json.Unmarshal(complete, &page.Complete)
+	}
+	if objects != nil && string(objects) != "null" && err == nil {
+		err = jsonsplit.Elements(objects, func(element []byte) { page.Add(decodeElement(call.Kind, element, page.Revision)) })
+	}
 	return page, err
 }
 
+var errNoName = eris.New("it has no name that can be read")
+
+// decodeElement decodes an element of a page, which may be any JSON value. asOf is the revision of the page.
+func decodeElement(kind Kind, element []byte, asOf Version) Object {
+	var object Object
+	err := json.Unmarshal(element, &object)
+	if err == nil && object.Name == "" {
+		err = errNoName
+	}
+	if err == nil {
+		if asOf != 0 && object.Version > asOf {
+			object.Version = asOf
+		}
+		return object
+	}
+	object = Object{Kind: kind, Version: asOf, Invalid: err}
+	_ = jsonsplit.Fields(element, func(name string, value []byte) {
+		if name == "name" && value[0] == '"' {
+			_ = json.Unmarshal(value, &object.Name)
+		}
+	})
+	return object
+}
+
 func formatVersion(v Version) string { return strconv.FormatUint(uint64(v), 10) }
