--- a/entry/limits/limits_test.go
+++ b/entry/limits/limits_test.go
@@ -115,5 +115,7 @@
 		Expect(other.Limited(server)).To(BeTrue())
 		Expect(other.Count()).To(Equal(2))
 		Expect(other.Restore([]byte("{}"))).NotTo(Succeed())
+		Expect(other.Restore([]byte(`[{"server":"i-9","per_second":1e300},{"server":"i-8","per_second":-1}]`))).To(Succeed())
+		Expect(other.Limits()).NotTo(ContainElement(HaveField("Server", BeElementOf(backend.ID("i-8"), backend.ID("i-9")))), "out of range")
 	})
 })
--- a/entry/limits/stored.go
+++ b/entry/limits/stored.go
@@ -13,6 +13,9 @@
 // maxStored bounds the limits that are stored.
 const maxStored = 1024
 
+// maxPerSecond is the largest limit that is restored, in requests a second.
+const maxPerSecond = 1e6
+
 // storedLimit is the stored form of a limit.
 type storedLimit struct {
 	Server    backend.ID `json:"server"`
@@ -46,7 +49,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, s := range stored[:min(len(stored), maxStored)] {
-		if _, known := t.known[s.Server]; !known && s.PerSecond >= 0 {
+		if _, known := t.known[s.Server]; !known && s.PerSecond >= 0 && s.PerSecond <= maxPerSecond {
 			t.known[s.Server] = limit{
 				ServerLimit: link.ServerLimit{Server: s.Server, Process: s.Process, PerSecond: s.PerSecond, Source: s.Source}, learnedAt: time.Now(),
 			}
--- a/entry/roster/roster.go
+++ b/entry/roster/roster.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"maps"
 	"math/rand/v2"
+	"net/netip"
 	"reflect"
 	"slices"
 	"sync"
@@ -164,6 +165,18 @@
 	return err == nil, err
 }
 
+// decode decodes an entry's object. It returns an error also if callers can't be told the entry's address.
+func decode(object platform.Object) (entry platform.Entry, err error) {
+	if err := json.Unmarshal(object.Value, &entry); err != nil {
+		return entry, err
+	}
+	address, err := netip.ParseAddrPort(entry.PublicAddress)
+	if err == nil && address.Port() == 0 {
+		err = eris.New("its port is 0")
+	}
+	return entry, err
+}
+
 // Apply applies changed entry objects from the platform. This entry's own object is ignored.
 func (r *Roster) Apply(objects []platform.Object) {
 	r.mu.Lock()
@@ -176,8 +189,8 @@
 			delete(r.entries, object.Name)
 			continue
 		}
-		var entry platform.Entry
-		if err := json.Unmarshal(object.Value, &entry); err != nil {
+		entry, err := decode(object)
+		if err != nil {
 			r.deps.OnError("reading entry "+object.Name, err)
 			delete(r.entries, object.Name) // what it said before does not hold any more
 			continue
--- a/entry/suspects/stored.go
+++ b/entry/suspects/stored.go
@@ -40,6 +40,15 @@
 	return body
 }
 
+// maxAge is the longest time since a crash that is computed with.
+const maxAge = 24 * time.Hour
+
+// ageMillis returns how long ago a time was, both in Unix milliseconds; 0 if it is yet to come.
+func ageMillis(now, then int64) int64 {
+	then = min(max(then, now-maxAge.Milliseconds()), now)
+	return now - then
+}
+
 // Restore sets what is held back from what Encode returned, in services of which no leader has told anything yet. It returns an error if the JSON is
 // invalid.
 func (w *Watch) Restore(body json.RawMessage) error {
@@ -52,7 +61,7 @@
 	for _, rule := range stored[:min(len(stored), maxStoredRules)] {
 		holds := byService[rule.Service]
 		holds.Service = rule.Service
-		holds.Rules = append(holds.Rules, link.Rule{Traits: rule.Traits, Crashes: rule.Crashes, AgeMs: max(0, now-rule.LastCrash)})
+		holds.Rules = append(holds.Rules, link.Rule{Traits: rule.Traits, Crashes: rule.Crashes, AgeMs: ageMillis(now, rule.LastCrash)})
 		byService[rule.Service] = holds
 	}
 	w.mu.Lock()
--- a/entry/suspects/suspects_test.go
+++ b/entry/suspects/suspects_test.go
@@ -249,6 +249,13 @@
 		Expect(held).To(BeFalse())
 	})
 
+	// An age that overflows as a duration would be one in the future.
+	It("bounds the age of stored rules", func() {
+		restarted := around.watch()
+		Expect(restarted.Restore(json.RawMessage(`[{"service":"desk","traits":["bad"],"crashes":3,"last_crash_ms":-900000000000000000}]`))).To(Succeed())
+		Expect(restarted.Holds()[0].Rules[0].AgeMs).To(BeNumerically("~", 24*3600*1000, 60_000))
+	})
+
 	DescribeTable("rejects stored rules that are invalid, and keeps working", func(stored string, fails bool) {
 		err := watch.Restore(json.RawMessage(stored))
 		Expect(err != nil).To(Equal(fails))
