--- a/link/platform/client.go
+++ b/link/platform/client.go
@@ -32,6 +32,7 @@
 	limiter      *limiter
 	registry     metrics.Registry
 	codec        Codec
+	unreadables  unreadables
 }
 
 // Client defaults.
@@ -154,8 +155,9 @@
 	return err
 }
 
-// Watch implements Store. If the platform has discarded the requested history, or its response is larger than maxWatchBytes or ends before
-// it is complete, it falls back to a list: the same watch would have the same response.
+// Watch implements Store. It falls back to a list if the platform has discarded the requested history, if its response is larger than
+// maxWatchBytes or ends before it is complete (the same watch would have the same response), or if it returns a change of an object without a
+// name that can be read.
 func (c *Client) Watch(ctx context.Context, kind Kind, after Version) (Changes, error) {
 	return c.WatchFor(ctx, kind, after, 0)
 }
@@ -166,7 +168,8 @@
 	if eris.Is(err, ErrIncomplete) {
 		metrics.GetOrRegisterCounter("platform.incomplete."+string(kind), c.registry).Inc(1)
 	}
-	if eris.Is(err, errCompacted) || eris.Is(err, ErrIncomplete) {
+	nameless := err == nil && c.unreadables.mustList(kind, page.Nameless != nil)
+	if nameless || eris.Is(err, errCompacted) || eris.Is(err, ErrIncomplete) {
 		return c.List(ctx, kind)
 	}
 	return page.Changes, err
@@ -193,6 +196,7 @@
 	if err != nil {
 		return Page{}, eris.Wrapf(noResponseError(call), "%s %s: %v", call.Verb, call.Kind, err)
 	}
+	c.unreadables.note(call.Kind, page)
 	return page, nil
 }
 
