contract/outcome: entries for callers that have left

Specs of HandleCallerLeft, which entry/front uses: a request that may be repeated is reported as not run only if no dispatch may have run, and a key that its caller chose is not sealed.

--- a/contract/outcome/machine_test.go
+++ b/contract/outcome/machine_test.go
@@ -45,8 +45,11 @@
 	notSent = func(want ActionKind) input {
 		return input{want, func(m *Machine) Action { return m.HandleHomeLost(true) }}
 	}
-	deadline = func(want ActionKind) input { return input{want, (*Machine).HandleDeadline} }
-	seal     = func(want ActionKind, r attempt.Result) input {
+	deadline   = func(want ActionKind) input { return input{want, (*Machine).HandleDeadline} }
+	callerLeft = func(dispatched bool) input {
+		return input{Finish, func(m *Machine) Action { return m.HandleCallerLeft(dispatched) }}
+	}
+	seal = func(want ActionKind, r attempt.Result) input {
 		return input{want, func(m *Machine) Action { return m.HandleSeal(r) }}
 	}
 	find = func(want ActionKind, r attempt.Result) input {
@@ -147,6 +150,11 @@
 	Entry("end without the final event", repeatable, concat(repeatableSent, event(false), delivered, end(Finish)), contract.OutcomeUnknown, contract.CodeAnswerTruncated, 0),
 	Entry("deadline in the queue", repeatable, []input{start(Dispatch), queued, deadline(Finish)}, contract.OutcomeUnknown, contract.CodeDeadline, 0),
 
+	Entry("caller left while queued", repeatable, []input{start(Dispatch), queued, callerLeft(true)}, contract.OutcomeUnknown, contract.CodeCallerLeft, 0),
+	Entry("caller left before a dispatch", repeatable, []input{start(Dispatch), callerLeft(false)}, contract.OutcomeNotRun, contract.CodeCallerLeft, 0),
+	Entry("caller left after a dispatch that was interrupted", repeatable, []input{start(Dispatch), homeLost(Dispatch), callerLeft(false)}, contract.OutcomeUnknown, contract.CodeCallerLeft, 0),
+	Entry("caller left after the final event", repeatable, concat(repeatableSent, event(true), callerLeft(true)), contract.OutcomeAnswered, contract.Code(""), 0),
+	Entry("caller's key, caller left before a dispatch: no seal", callerKey, []input{start(Find), lookup, callerLeft(false)}, contract.OutcomeUnknown, contract.CodeCallerLeft, 0),
 	Entry("generated key, refused before it was sent: no platform call", generatedKey, []input{start(Dispatch), refused(Finish, contract.CodePlatformUnavailable, nil)}, contract.OutcomeNotRun, contract.CodePlatformUnavailable, 0),
 	Entry("generated key, home lost, sealed", generatedKey, []input{start(Dispatch), homeLost(Dispatch), noGroup(Seal), seal(Finish, confirmed)}, contract.OutcomeNotRun, contract.CodeHomeLost, 1),
 	Entry("generated key, home lost, platform unavailable", generatedKey, []input{start(Dispatch), homeLost(Dispatch), noGroup(Seal), seal(Finish, verdict(attempt.NotWritten))}, contract.OutcomeUnknown, contract.CodePlatformUnavailable, 0),
