--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -19,11 +19,11 @@
 
 // assemble builds an entry from its configuration and its published identity.
 func assemble(config Config, self publishedEntry, recorder *timeline.Recorder, measures *processMetrics, log *logrus.Entry) *Entry {
-	store := provideStore(config, measures)
+	store := provideStore(config, measures, log)
 	mirrorMirror := mirror.New()
 	members := provideMembers(self, recorder)
 	entryLiveMembership := provideMembership(members)
-	follower := provideFollower(mirrorMirror, store, entryLiveMembership, members)
+	follower := provideFollower(mirrorMirror, store, entryLiveMembership, members, log)
 	entryRegistration := provideRegistration(self, store, follower)
 	entryHomeCandidates := newHomeCandidates(config, members)
 	client := providePeerClient(config, self, members)
--- a/link/platform/store.go
+++ b/link/platform/store.go
@@ -50,6 +50,8 @@
 	Value   json.RawMessage `json:"value,omitempty" cbor:"4,keyasint,omitempty"`
 	// Deleted marks a deletion in the result of a watch or a list; Version is then the version of the deletion.
 	Deleted bool `json:"deleted,omitempty" cbor:"5,keyasint,omitempty"`
+	// Invalid is why the object can't be decoded; nil if it can. Such an object has no value. It is not passed on to other entries.
+	Invalid error `json:"-" cbor:"-"`
 }
 
 // Changes is the result of a List or a Watch: objects, and the revision up to which they are complete.
@@ -73,6 +75,11 @@
 	ErrThrottled = eris.New("platform call over the rate limit")
 	// ErrUnconfirmed means that the write may have taken effect, or may still do so later.
 	ErrUnconfirmed = eris.New("platform write unconfirmed")
+	// ErrIncomplete means that the response to a read began, but ended early, took too long or was too large. Reading less may succeed. It is
+	// always returned together with ErrUnavailable (errors.Is holds for both).
+	ErrIncomplete = eris.New("platform response incomplete")
+	// ErrTimeout means that the response to a read did not begin in time. It is always returned together with ErrUnavailable.
+	ErrTimeout = eris.New("no platform response in time")
 	// ErrTooLarge means that the value exceeds MaxValueBytes.
 	ErrTooLarge = eris.New("value too large for the platform")
 )
