entry/front: a request whose caller leaves inside its body is not sealed

Such a request ends like any other whose caller has left: `unknown` under the caller's own key, without a seal, else `not-run`. Evidence: the spec (which expected 400 and `not-run` before, and now also sends the same attempt again, which must be answered) failed with 400 in place of 502, and passes. HandleCallerLeft reports a request under a generated key that was not dispatched as not run, since no copy of it can exist.

--- a/contract/outcome/machine.go
+++ b/contract/outcome/machine.go
@@ -161,7 +161,8 @@
 	if dispatched {
 		m.markMayRun()
 	}
-	if m.request.AtMostOnce || m.mayHaveRun || m.mayStillRun {
+	copyMayRun := m.request.AtMostOnce && m.request.KeyFromCaller
+	if copyMayRun || m.mayHaveRun || m.mayStillRun {
 		return m.finishUnknown(problemCallerLeft(http.StatusBadGateway))
 	}
 	return m.finishNotRun(problemCallerLeft(http.StatusServiceUnavailable), 0)
--- a/entry/front/drive.go
+++ b/entry/front/drive.go
@@ -78,9 +78,12 @@
 
 func (d *driver) run(ctx context.Context, p *contract.Problem) {
 	action := outcome.Action{}
-	if p != nil {
+	switch {
+	case p != nil && p.Code == contract.CodeCallerLeft:
+		action = d.machine.HandleCallerLeft(false)
+	case p != nil:
 		action = d.machine.Reject(p)
-	} else {
+	default:
 		d.front.deps.Retries.RecordFirstTry(d.request.service.Name)
 		action = d.machine.Start()
 	}
--- a/entry/front/handlers.go
+++ b/entry/front/handlers.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -146,6 +147,8 @@
 		return stoppingProblem()
 	case errors.Is(err, errBodyLate):
 		return contract.NewRejection(http.StatusRequestTimeout, contract.CodeBadRequest, errBodyLate.Error(), "send it again")
+	case errors.Is(err, context.Canceled):
+		return &contract.Problem{Code: contract.CodeCallerLeft, Message: "the caller closed its side of the connection inside the body"}
 	default:
 		return contract.NewRejection(http.StatusBadRequest, contract.CodeBadRequest, "the body could not be read", "send it again")
 	}
