entry/relay: a deadline that passes behind a body costs later requests of the connection nothing

Callers saw: 503 "servers can't be reached" for a whole request on a kept connection, and for each further one on it, though the servers were free, after a request whose time ended just as its body had been read.

Cause: receive sets the connection's read deadline as the request's time ends. If the body has been read by then, the HTTP server reads on in the background; the read deadline ends that read, which ends the context of the connection, and each later request begins with it. Taking the deadline back comes too late.

Now the answer to such a request is the last one on its connection.

--- a/entry/relay/exchange.go
+++ b/entry/relay/exchange.go
@@ -209,6 +209,8 @@
 	read, err := io.ReadAll(body)
 	if !unregister() {
 		<-interrupted
+		// The deadline may have ended the connection's context too, with which each later request on it would begin.
+		e.writer.Header().Set("Connection", "close")
 		if err == nil {
 			_ = controller.SetReadDeadline(time.Time{})
 		} // else the HTTP server would wait for the rest of the body before it sends the answer
--- a/entry/relay/unanswered_test.go
+++ b/entry/relay/unanswered_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"time"
 
@@ -63,6 +64,35 @@
 		Expect(r.world.RunCount("id")).To(BeZero())
 	})
 
+	// Guards against a read deadline that is set right behind a body, and ends the context of each later request on the connection.
+	It("costs no later request its answer when its time ends while its body is read", func() {
+		server := httptest.NewUnstartedServer(r.relay)
+		server.Listener = slowDeadlines{server.Listener}
+		server.Start()
+		DeferCleanup(server.Close)
+		conn, err := net.Dial("tcp", strings.TrimPrefix(server.URL, "http://"))
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(conn.Close)
+		reader := bufio.NewReader(conn)
+		_, err = io.WriteString(conn, header("/book/x", deadlineDelay))
+		Expect(err).NotTo(HaveOccurred())
+		time.Sleep(3 * deadlineDelay / 2) // the time is over, and the read deadline is not set yet
+		_, err = io.WriteString(conn, "body")
+		Expect(err).NotTo(HaveOccurred())
+		first, err := http.ReadResponse(reader, nil)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.Copy(io.Discard, first.Body)
+		Expect(err).NotTo(HaveOccurred())
+		if first.Close {
+			return
+		}
+		_, err = io.WriteString(conn, header("/book/x", 5*time.Second)+"body")
+		Expect(err).NotTo(HaveOccurred())
+		second, err := http.ReadResponse(reader, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(second.StatusCode).To(Equal(http.StatusOK))
+	})
+
 	// Guards against the empty success that net/http sends for a handler that returns without an answer.
 	DescribeTable("gets no success when its caller closes its sending side",
 		func(path string, faults replica.Faults, waiting bool, status int) {
@@ -122,3 +152,24 @@
 		Expect(got.status).To(Equal(http.StatusOK))
 	})
 })
+
+// deadlineDelay is how long slowDeadlines delays a read deadline.
+const deadlineDelay = 100 * time.Millisecond
+
+// slowDeadlines is a listener on whose connections a read deadline of the present is set late, and in force for a while, as when the process gets no processor time.
+type slowDeadlines struct{ net.Listener }
+
+func (l slowDeadlines) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	return slowDeadlineConn{accepted}, err
+}
+
+type slowDeadlineConn struct{ net.Conn }
+
+func (c slowDeadlineConn) SetReadDeadline(t time.Time) error {
+	if age := time.Since(t); age >= 0 && age < time.Second {
+		time.Sleep(deadlineDelay)
+		defer time.Sleep(deadlineDelay)
+	}
+	return c.Conn.SetReadDeadline(t)
+}
