--- a/link/platform/wire.go
+++ b/link/platform/wire.go
@@ -143,6 +143,7 @@
 		err = json.Unmarshal(complete, &page.Complete)
 	}
 	if objects != nil && string(objects) != "null" && err == nil {
+		page.Objects = []Object{}
 		err = jsonsplit.Elements(objects, func(element []byte) { page.Add(decodeElement(call.Kind, element, page.Revision)) })
 	}
 	return page, err
