entry/relay: a request that is rejected before its body has arrived is answered soon

Callers saw no answer: before net/http sends the answer of a handler that has not read the body, it reads the rest of a short one, for which nothing bounds the time. A route that isn't there, an unknown key or a stopping entry was answered only when the body had arrived.

The answer to such a request is the last one on its connection now, and the wait for the body ends after 0.5 s.

Evidence: the new spec (half a body, a path without a route) failed with a timeout of 10 s before, and passes; the package passes with the race detector.

--- a/entry/relay/answer.go
+++ b/entry/relay/answer.go
@@ -94,12 +94,20 @@
 // abort ends the answer, so that the part already sent can't be taken for a complete one.
 func (e *exchange) abort() { framing.Abort(e.writer, e.request) }
 
+// unreadBodyTimeout bounds the wait for a body that is not needed. The HTTP server reads the rest of a short one before it sends the answer, since a
+// connection that is closed with data unread is reset, and the answer may be lost.
+const unreadBodyTimeout = 500 * time.Millisecond
+
 // writeAnswer writes an answer whose body has been read to its end. With framing.Closed, the body may have been cut off.
 func (e *exchange) writeAnswer(status int, header http.Header, body []byte, bodyFraming framing.Framing) {
 	e.summary.Status = status
 	e.stage.enter(Answering)
 	out := e.writer.Header()
 	maps.Copy(out, header)
+	if e.bodyPending {
+		out.Set("Connection", "close")
+		_ = http.NewResponseController(e.writer).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+	}
 	if bodyFraming == framing.Closed {
 		framing.EndWithConnection(out)
 	} else {
--- a/entry/relay/exchange.go
+++ b/entry/relay/exchange.go
@@ -36,6 +36,8 @@
 	priority int
 	service  string
 	body     []byte
+	// bodyPending is set until the body has been read, or reading it has failed.
+	bodyPending bool
 	// fingerprint is equal for requests of one caller with the same method, path and body. traits is what the request may have in common with
 	// others that crash servers.
 	fingerprint string
@@ -77,7 +79,7 @@
 
 func newExchange(r *Relay, w http.ResponseWriter, request *http.Request) *exchange {
 	e := &exchange{
-		relay: r, writer: w, request: request, ctx: request.Context(), arrived: time.Now(),
+		relay: r, writer: w, request: request, ctx: request.Context(), arrived: time.Now(), bodyPending: request.ContentLength != 0,
 		call: platform.DecodeRequest(request.Header), table: r.awaitTable(request.Context()),
 	}
 	if e.call.Forwarded != nil {
@@ -197,7 +199,7 @@
 
 // receive reads the body until the request's context ends.
 func (e *exchange) receive(body io.Reader) ([]byte, error) {
-	if e.request.ContentLength == 0 {
+	if !e.bodyPending {
 		return nil, nil
 	}
 	controller := http.NewResponseController(e.writer)
@@ -207,6 +209,7 @@
 		_ = controller.SetReadDeadline(time.Now())
 	})
 	read, err := io.ReadAll(body)
+	e.bodyPending = false
 	if !unregister() {
 		<-interrupted
 		// The deadline may have ended the connection's context too, with which each later request on it would begin.
--- a/entry/relay/unanswered_test.go
+++ b/entry/relay/unanswered_test.go
@@ -64,6 +64,14 @@
 		Expect(r.world.RunCount("id")).To(BeZero())
 	})
 
+	// Guards against rejections that are held back until the rest of the body arrives.
+	It("is answered when it is rejected before its body has arrived", func() {
+		conn := connect(header("/none/x", 5*time.Second) + "bo")
+		response := receive(conn)
+		Expect(response.StatusCode).To(Equal(http.StatusNotFound))
+		Expect(response.Close).To(BeTrue())
+	})
+
 	// Guards against a read deadline that is set right behind a body, and ends the context of each later request on the connection.
 	It("costs no later request its answer when its time ends while its body is read", func() {
 		server := httptest.NewUnstartedServer(r.relay)
