entry/relay: a whole answer that ends with its connection is reset unless all of it was written

Callers would take a part of an answer for the whole: a server's answer with neither a length nor chunks is read whole and passed on in the same form; if the entry ends while the caller still reads, its kernel closes the connection in order, which is the regular end of such an answer. Streams and answers that are passed through were reset until they were whole, answers that are held were not.

Cause: writeAnswer did not use framing.ResetUnlessFinished. Besides, finish took an answer for written while the HTTP server could still hold the end of it; it is flushed first now.

--- a/entry/relay/answer.go
+++ b/entry/relay/answer.go
@@ -102,11 +102,21 @@
 	maps.Copy(out, header)
 	if bodyFraming == framing.Closed {
 		framing.EndWithConnection(out)
+		e.finished = framing.ResetUnlessFinished(e.request)
 	} else {
 		out.Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	e.writer.WriteHeader(status)
-	if _, err := e.writer.Write(body); err != nil && e.summary.Detail == "" {
+	if _, err := e.writer.Write(body); err != nil {
+		e.noteUnwritten(err)
+		return
+	}
+	e.finish()
+}
+
+// noteUnwritten records that the end of an answer could not be written.
+func (e *exchange) noteUnwritten(err error) {
+	if e.summary.Detail == "" {
 		e.summary.Detail = "writing to the caller: " + err.Error()
 	}
 }
--- a/entry/relay/framing_test.go
+++ b/entry/relay/framing_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"time"
 
@@ -14,6 +16,7 @@
 
 	"github.com/skylarkpond/skylarkpond/backend"
 	"github.com/skylarkpond/skylarkpond/entry/relay"
+	"github.com/skylarkpond/skylarkpond/link/framing"
 	"github.com/skylarkpond/skylarkpond/platform"
 	"github.com/skylarkpond/skylarkpond/platform/standin/replica"
 )
@@ -120,6 +123,39 @@
 		_, err = io.ReadAll(response.Body)
 		Expect(err).To(HaveOccurred())
 	})
+
+	// Guards against a part of an answer that looks complete because the entry ends while its caller still reads.
+	It("resets the connection of an answer that was written in part as the entry ends", func() {
+		r := newHarness(replica.Config{}, 0)
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+			w.Header().Set(platform.HeaderSignature, "signed")
+			w.Header().Set(platform.HeaderRequestID, request.Header.Get(platform.HeaderRequestID))
+			framing.EndWithConnection(w.Header())
+			_, _ = w.Write(make([]byte, 900<<10)) // the relay may have given up
+		}))
+		DeferCleanup(server.Close)
+		r.turns.servers = []*backend.Server{{ID: "i-0", Address: strings.TrimPrefix(server.URL, "http://"), Slots: 1}}
+		gateway := httptest.NewUnstartedServer(r.relay)
+		gateway.Config.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+			Expect(conn.(*net.TCPConn).SetWriteBuffer(4 << 10)).To(Succeed())
+			return framing.WithConn(ctx, conn)
+		}
+		gateway.Start()
+		DeferCleanup(gateway.Close)
+		caller, err := net.Dial("tcp", strings.TrimPrefix(gateway.URL, "http://"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(caller.(*net.TCPConn).SetReadBuffer(4 << 10)).To(Succeed())
+		DeferCleanup(caller.Close)
+		fmt.Fprintf(caller, "POST /book/x HTTP/1.1\r\nHost: h.example\r\n%s: key\r\n%s: a1\r\nContent-Length: 0\r\n\r\n",
+			platform.HeaderKey, platform.HeaderRequestID)
+		response, err := http.ReadResponse(bufio.NewReader(caller), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusOK))
+		Eventually(r.relay.Unfinished).Should(ConsistOf(HaveField("Stage", relay.Answering)))
+		Expect(gateway.Config.Close()).To(Succeed())
+		part, err := io.ReadAll(response.Body)
+		Expect(err).To(HaveOccurred(), "%d bytes", len(part))
+	})
 })
 
 var _ = Describe("Relay, given a complete answer that ends with its connection,", func() {
--- a/entry/relay/whole.go
+++ b/entry/relay/whole.go
@@ -121,11 +121,17 @@
 	return true
 }
 
-// finish records that all of the answer has been written.
+// finish records that all of the answer has been written. An answer that ends with its connection is complete only once the HTTP server has sent what
+// it holds of it.
 func (e *exchange) finish() {
-	if e.finished != nil {
-		e.finished()
+	if e.finished == nil {
+		return
 	}
+	if err := http.NewResponseController(e.writer).Flush(); err != nil {
+		e.noteUnwritten(err)
+		return
+	}
+	e.finished()
 }
 
 // sendBeginning sends the header of an answer that is passed through.
