entry/gateway: a suspended process answers what it can't finish before it exits

Callers saw: no answer to a request in progress at an entry that was suspended past the end of its planned stop and went on before it was killed.

Cause: requests were ended by a timer and the process exited at a time, both counted from the signal. After a suspension both are over at once: the process stopped waiting as the requests were ended, logged them as unfinished, and answered only those that got their turn while its other parts stopped.

Now the requests are ended by the stop itself, which then waits for the answers for the time that the plan has for it, counted from there. That is past the time of exit only if the process was late.

--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -303,11 +303,11 @@
 	defer cancel()
 	go g.roster.Leave(ctx)
 	g.serveUntilQuiet(ctx, began.Add(plan.Accept))
-	ending := time.AfterFunc(time.Until(began.Add(plan.Answer)), g.relay.EndRequests)
-	defer ending.Stop()
 	callers := servers[0].http
-	_ = callers.Shutdown(ctx) // what it leaves open is logged below
-	for g.relay.InProgress() > 0 && wait.Pause(ctx, drainPollInterval) {
+	if !g.finishRequests(callers, time.Until(began.Add(plan.Answer))) {
+		g.relay.EndRequests()
+		// A process that was suspended may be late. Its requests are answered all the same, unless it is killed first.
+		g.finishRequests(callers, plan.Exit-plan.Answer)
 	}
 	g.logUnfinished(callers)
 	for _, server := range servers[1:] {
@@ -315,6 +315,21 @@
 	}
 }
 
+// finishRequests waits until no request is in progress and callers' connections are closed, for at most a timeout, and reports whether that is so.
+func (g *Gateway) finishRequests(callers *ingress.Server, timeout time.Duration) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	if callers.Shutdown(ctx) != nil {
+		return false
+	}
+	for g.relay.InProgress() > 0 {
+		if !wait.Pause(ctx, drainPollInterval) {
+			return false
+		}
+	}
+	return true
+}
+
 // quietPeriod is how long no request may be in progress before the listener is closed.
 const quietPeriod = 1500 * time.Millisecond
 
--- a/test/cooperative/unanswered_test.go
+++ b/test/cooperative/unanswered_test.go
@@ -15,7 +15,9 @@
 	. "github.com/onsi/gomega"
 	"golang.org/x/sys/unix"
 
+	"github.com/skylarkpond/skylarkpond/logline"
 	"github.com/skylarkpond/skylarkpond/platform"
+	"github.com/skylarkpond/skylarkpond/platform/standin/replica"
 )
 
 var _ = Describe("Entries that are stopped under load", func() {
@@ -28,7 +30,7 @@
 		load.start(150)
 		time.Sleep(time.Second)
 		stopped.signal(syscall.SIGTERM)
-		throttle(stopped)
+		throttle(stopped, runTime)
 		Eventually(stopped.ended(), generous).Should(BeClosed())
 		load.callers.Wait()
 		GinkgoWriter.Printf("ends of connections: %v\n", load.ends)
@@ -36,6 +38,36 @@
 		Expect(load.ends[closedUnanswered]).To(BeZero())
 		Expect(load.ends[truncated]).To(BeZero())
 	})
+
+	// Guards against requests that end with the process although they could be answered, since it was suspended when it should have done so.
+	It("answer what they can't finish, also when they were suspended until they should have exited", func() {
+		p := newPond(1, 0)
+		p.settings = []string{"POND_STOP_GRACE=1"}
+		stopped := p.startEntry(1)
+		Eventually(func() int { return stopped.send("/book/x", "first").status }, generous).Should(Equal(http.StatusOK))
+		for _, desk := range p.desks {
+			desk.SetFaults(replica.Faults{Unresponsive: true})
+		}
+		const requests = 200
+		status := make(chan int, requests)
+		for i := range requests {
+			go func() { status <- stopped.send("/book/x", fmt.Sprint("suspended-", i)).status }()
+		}
+		time.Sleep(200 * time.Millisecond) // it is at a server
+		stopped.signal(syscall.SIGTERM)
+		time.Sleep(200 * time.Millisecond)
+		stopped.signal(syscall.SIGSTOP)
+		time.Sleep(800 * time.Millisecond)
+		stopped.signal(syscall.SIGCONT)
+		throttle(stopped, runTime/4)
+		counts := map[int]int{}
+		for range requests {
+			counts[<-status]++
+		}
+		Expect(counts).NotTo(HaveKey(0))
+		Expect(stopped.log.String()).NotTo(ContainSubstring(logline.RequestUnfinished))
+		Eventually(stopped.ended(), generous).Should(BeClosed())
+	})
 })
 
 const (
@@ -43,8 +75,8 @@
 	pauseTime = 80 * time.Millisecond
 )
 
-// throttle gives a process a fifth of a core until it ends.
-func throttle(e *gatewayProcess) {
+// throttle lets a process run for a time between pauses, until it ends.
+func throttle(e *gatewayProcess, run time.Duration) {
 	process, ended := e.process(), e.ended()
 	go func() {
 		for {
@@ -54,7 +86,7 @@
 			select {
 			case <-ended:
 				return
-			case <-time.After(runTime):
+			case <-time.After(run):
 			}
 		}
 	}()
