link/ingress: a response that asks for the body is not counted as the answer

A request with Expect: 100-continue whose connection ended without an answer was neither logged nor counted: the write of "100 Continue" was taken for a byte of the answer.

Evidence: the new spec failed before (nothing reported within 1 s) and passes; the package passes with the race detector.

--- a/link/ingress/conn.go
+++ b/link/ingress/conn.go
@@ -95,10 +95,15 @@
 
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
-	c.noteAnswer()
+	if !bytes.HasPrefix(p, interim) {
+		c.noteAnswer()
+	}
 	return c.Conn.Write(p)
 }
 
+// interim begins a response that asks for the body and is no answer.
+var interim = []byte("HTTP/1.1 100 ")
+
 // ReadFrom implements io.ReaderFrom.
 func (c *conn) ReadFrom(from io.Reader) (int64, error) {
 	c.noteAnswer()
--- a/link/ingress/ingress_test.go
+++ b/link/ingress/ingress_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -114,6 +115,21 @@
 		Expect(s.reported()[0].State).To(Equal(ingress.Handler))
 	})
 
+	// Guards against an unanswered request that is taken for answered because its caller was asked for the body.
+	It("reports an unanswered request whose caller was asked to continue", func() {
+		s := serve(func(_ http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			panic(http.ErrAbortHandler)
+		})
+		c := s.connect()
+		_, err := io.WriteString(c, strings.Replace(request, "Host: h\r\n", "Host: h\r\nExpect: 100-continue\r\n", 1))
+		Expect(err).NotTo(HaveOccurred())
+		received, err := io.ReadAll(c)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(received)).To(Equal("HTTP/1.1 100 Continue\r\n\r\n"))
+		Eventually(s.reported).Should(ConsistOf(HaveField("State", ingress.Handler)))
+	})
+
 	It("tells callers that left from those that got no answer", func() {
 		begun := make(chan struct{})
 		s := serve(func(_ http.ResponseWriter, r *http.Request) {
