--- a/test/cooperative/unanswered_test.go
+++ b/test/cooperative/unanswered_test.go
@@ -3,12 +3,14 @@
 import (
 	"fmt"
 	"net"
+	"net/http"
 	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/skylarkpond/skylarkpond/logline"
 	"github.com/skylarkpond/skylarkpond/platform/standin/replica"
 )
 
@@ -22,7 +24,7 @@
 		load.start(150)
 		time.Sleep(time.Second)
 		stopped.signal(syscall.SIGTERM)
-		throttle(stopped)
+		throttle(stopped, runTime)
 		Eventually(stopped.ended(), generous).Should(BeClosed())
 		load.finish()
 		load.expectAnswered(p)
@@ -49,8 +51,8 @@
 		Entry("signals come in series, and another entry is stopped", func(p *pond, leader *gatewayProcess) []*gatewayProcess {
 			_, rest := p.leaderAndRest()
 			rest[0].signal(syscall.SIGTERM)
-			throttle(rest[0])
-			throttle(leader)
+			throttle(rest[0], runTime)
+			throttle(leader, runTime)
 			for range 60 {
 				for _, signal := range []syscall.Signal{syscall.SIGHUP, syscall.SIGHUP, syscall.SIGTERM} {
 					_ = leader.process().Signal(signal) // it may have ended
@@ -60,7 +62,7 @@
 			return rest[:1]
 		}),
 		Entry("large configurations come before and after", func(p *pond, leader *gatewayProcess) []*gatewayProcess {
-			throttle(leader)
+			throttle(leader, runTime)
 			for i := range 10 {
 				p.configure(manyRoutes(i)...)
 				if i == 3 {
@@ -84,7 +86,7 @@
 		Entry("requests wait for backend servers", func(p *pond, leader *gatewayProcess) []*gatewayProcess {
 			p.desks[0].NameLimit("5")
 			p.desks[1].SetFaults(replica.Faults{Unresponsive: true})
-			throttle(leader)
+			throttle(leader, runTime)
 			time.Sleep(time.Second)
 			leader.signal(syscall.SIGTERM)
 			return nil
@@ -100,6 +102,36 @@
 			return nil
 		}),
 	)
+
+	// Guards against requests that end with the process although they could be answered, since it was suspended when it should have done so.
+	It("answer what they can't finish, also when they were suspended until they should have exited", func() {
+		p := newPond(1, 0)
+		p.settings = []string{"POND_STOP_GRACE=1"}
+		stopped := p.startEntry(1)
+		Eventually(func() int { return stopped.send("/book/x", "first").status }, generous).Should(Equal(http.StatusOK))
+		for _, desk := range p.desks {
+			desk.SetFaults(replica.Faults{Unresponsive: true})
+		}
+		const requests = 200
+		status := make(chan int, requests)
+		for i := range requests {
+			go func() { status <- stopped.send("/book/x", fmt.Sprint("suspended-", i)).status }()
+		}
+		time.Sleep(200 * time.Millisecond) // it is at a server
+		stopped.signal(syscall.SIGTERM)
+		time.Sleep(200 * time.Millisecond)
+		stopped.signal(syscall.SIGSTOP)
+		time.Sleep(800 * time.Millisecond)
+		stopped.signal(syscall.SIGCONT)
+		throttle(stopped, runTime/4)
+		counts := map[int]int{}
+		for range requests {
+			counts[<-status]++
+		}
+		Expect(counts).NotTo(HaveKey(0))
+		Expect(stopped.log.String()).NotTo(ContainSubstring(logline.RequestUnfinished))
+		Eventually(stopped.ended(), generous).Should(BeClosed())
+	})
 })
 
 // manyRoutes returns the path prefixes of routes that make a configuration of about 1 MiB, different for each number.
@@ -126,8 +158,8 @@
 	pauseTime = 80 * time.Millisecond
 )
 
-// throttle gives a process a fifth of a core until it ends.
-func throttle(e *gatewayProcess) {
+// throttle lets a process run for a time between pauses, until it ends.
+func throttle(e *gatewayProcess, run time.Duration) {
 	process, ended := e.process(), e.ended()
 	go func() {
 		for {
@@ -137,7 +169,7 @@
 			select {
 			case <-ended:
 				return
-			case <-time.After(runTime):
+			case <-time.After(run):
 			}
 		}
 	}()
@@ -190,7 +222,7 @@
 	for _, signal := range signals {
 		_ = e.process().Signal(signal) // it may have ended
 		if starved {
-			throttle(e)
+			throttle(e, runTime)
 			starved = false
 		}
 		time.Sleep(time.Duration(s.drawKept(1500)) * time.Millisecond)
