link/platform: the version of a change that can't be read lies before the next change

A change without a readable revision got that of its page, so that a later change of the same object on that page counted as older: a list that a watch completes, and the product's own mirror, kept the object that can't be decoded. Its version is the one before the next change now, which is still the greatest that it can be.

entry/catalog: the registrations remembered as unreadable are bounded.

--- a/entry/catalog/servers.go
+++ b/entry/catalog/servers.go
@@ -21,6 +21,8 @@
 	// registrations of a service at once, since a fabric domain holds a sixth of them.
 	massLapseShare = 0.34
 	minMassLapse   = 3
+	// maxUnreadable bounds the registrations that are remembered as unreadable.
+	maxUnreadable = 4096
 	// expireInterval is how often expired grace periods are checked.
 	expireInterval = 250 * time.Millisecond
 )
@@ -116,6 +118,9 @@
 	if err == nil {
 		delete(s.unreadable, object.Name)
 	} else {
+		if len(s.unreadable) >= maxUnreadable {
+			clear(s.unreadable)
+		}
 		s.unreadable[object.Name] = true
 	}
 	s.mu.Unlock()
--- a/link/platform/wire.go
+++ b/link/platform/wire.go
@@ -70,6 +70,22 @@
 	}
 }
 
+// SetVersions sets the versions of objects whose own can't be read, which are 0 or above the page's revision, to the greatest that they can be: that of
+// the page, or the one before the next change. Such an object then counts neither as older than the one that it replaces, nor as newer than the
+// one that replaces it.
+func (p *Page) SetVersions() {
+	bound := p.Revision
+	for i := len(p.Objects) - 1; i >= 0; i-- {
+		object := &p.Objects[i]
+		switch {
+		case object.Version == 0 || p.Revision != 0 && object.Version > p.Revision:
+			object.Version = bound
+		case !p.Complete:
+			bound = min(bound, object.Version-1)
+		}
+	}
+}
+
 // Codec encodes calls and decodes responses for one platform implementation. Rate limits, timeouts, retries
 // and the resolution of lost responses are handled by the Client, not by the Codec.
 type Codec interface {
@@ -144,27 +160,25 @@
 	}
 	if objects != nil && string(objects) != "null" && err == nil {
 		page.Objects = []Object{}
-		err = jsonsplit.Elements(objects, func(element []byte) { page.Add(decodeElement(call.Kind, element, page.Revision)) })
+		err = jsonsplit.Elements(objects, func(element []byte) { page.Add(decodeElement(call.Kind, element)) })
 	}
+	page.SetVersions()
 	return page, err
 }
 
 var errNoName = eris.New("it has no name that can be read")
 
-// decodeElement decodes an element of a page, which may be any JSON value. asOf is the revision of the page.
-func decodeElement(kind Kind, element []byte, asOf Version) Object {
+// decodeElement decodes an element of a page, which may be any JSON value.
+func decodeElement(kind Kind, element []byte) Object {
 	var object Object
 	err := json.Unmarshal(element, &object)
 	if err == nil && object.Name == "" {
 		err = errNoName
 	}
 	if err == nil {
-		if asOf != 0 && object.Version > asOf {
-			object.Version = asOf
-		}
 		return object
 	}
-	object = Object{Kind: kind, Version: asOf, Invalid: err}
+	object = Object{Kind: kind, Invalid: err}
 	_ = jsonsplit.Fields(element, func(name string, value []byte) {
 		if name == "name" && value[0] == '"' {
 			_ = json.Unmarshal(value, &object.Name)
