entry/relay: answers given while the entry stops are the last ones on their connections

Cause: Connection: close was decided when a request's handler was called. A request that was in progress at the signal and answered at the end of the grace period left its connection open, and its caller sent the next request to a process that was about to exit. Now it is decided when the answer's header is written.

Evidence: the new spec failed with that line taken out (Expected to be true) and passes. entry/relay passes with the race detector.

--- a/entry/relay/answer.go
+++ b/entry/relay/answer.go
@@ -105,7 +105,7 @@
 	} else {
 		out.Set("Content-Length", strconv.Itoa(len(body)))
 	}
-	e.writer.WriteHeader(status)
+	e.writeHeader(status)
 	if _, err := e.writer.Write(body); err != nil && e.summary.Detail == "" {
 		e.summary.Detail = "writing to the caller: " + err.Error()
 	}
--- a/entry/relay/stopping.go
+++ b/entry/relay/stopping.go
@@ -49,6 +49,14 @@
 	return e.refuse(Refused, http.StatusServiceUnavailable, retryAfterStopping, errStopping.Error())
 }
 
+// writeHeader sends the answer's header. On a stopping entry the answer is the last one on its connection, also if its request was read before the stop.
+func (e *exchange) writeHeader(status int) {
+	if e.relay.stop.begun.Load() != nil {
+		e.writer.Header().Set("Connection", "close")
+	}
+	e.writer.WriteHeader(status)
+}
+
 // bound limits the request's context to its deadline and to the planned stop of the entry. The cause of its end is context.Canceled if the caller
 // has left first.
 func (e *exchange) bound() context.CancelFunc {
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -93,7 +93,7 @@
 		framing.EndWithConnection(e.writer.Header())
 		e.finished = framing.ResetUnlessFinished(e.request)
 	}
-	e.writer.WriteHeader(http.StatusOK)
+	e.writeHeader(http.StatusOK)
 }
 
 // copyEvents forwards complete events until the stream ends, and returns the id of the last one sent. An event that breaks off in the
--- a/entry/relay/unanswered_test.go
+++ b/entry/relay/unanswered_test.go
@@ -141,6 +141,18 @@
 		Expect(got.status).To(Equal(http.StatusBadGateway))
 	})
 
+	// Guards against callers that send their next request to a process that is about to exit.
+	It("closes its connection if the entry began to stop while it was in progress", func() {
+		r.set(0, replica.Faults{Unresponsive: true})
+		conn := connect(header("/book/x", 5*time.Second) + "body")
+		inStage(relay.AtServer)
+		r.relay.Stop(stopping.NewPlan(8 * time.Second))
+		r.relay.EndRequests()
+		response := receive(conn)
+		Expect(response.StatusCode).To(Equal(http.StatusBadGateway))
+		Expect(response.Close).To(BeTrue())
+	})
+
 	// Guards against requests that a stopping process accepts although they may outlast it.
 	It("is rejected at once if it may last longer than a stopping process", func() {
 		r.relay.Stop(stopping.Plan{Answer: 3 * time.Second, Exit: 3 * time.Second})
--- a/entry/relay/whole.go
+++ b/entry/relay/whole.go
@@ -143,7 +143,7 @@
 	case answer.Length >= 0:
 		header.Set("Content-Length", strconv.FormatInt(answer.Length, 10))
 	}
-	e.writer.WriteHeader(answer.Status)
+	e.writeHeader(answer.Status)
 }
 
 // copyBody writes the beginning of a body and what follows. Errors of writing wrap errCallerWrite.
