--- a/test/cooperative/odd_test.go
+++ b/test/cooperative/odd_test.go
@@ -29,9 +29,17 @@
 		}
 		p.api.WriteOdd("config", "odd", nested("odd", 50_000))
 		time.Sleep(time.Second)
-		p.openHeads()[0].StartLeaving()
-		sendFor(p.entries, 5*time.Second)
-		Expect(p.world.LateArrivals(0)).NotTo(BeEmpty(), "requests reach it before its leaving is known")
+		leaving, began := p.openHeads()[0], time.Now()
+		sent := make(chan struct{})
+		go func() {
+			defer close(sent)
+			sendFor(p.entries, 7*time.Second)
+		}()
+		arrivals := func() int { return leaving.ArrivalsSince(began) }
+		Eventually(arrivals, generous, 10*time.Millisecond).Should(BeNumerically(">=", 3))
+		Expect(sent).NotTo(BeClosed())
+		leaving.StartLeaving()
+		Eventually(sent, generous).Should(BeClosed())
 		Expect(p.world.LateArrivals(leavingKnown)).To(BeEmpty())
 
 		p.configure()
