link/ingress, policy/stopping: names and comments

Request (a state) -> HeaderRead; its text in the log is unchanged. The comment of the package says which request may still be read and not handled. No change of behaviour.

--- a/link/ingress/conn.go
+++ b/link/ingress/conn.go
@@ -21,8 +21,8 @@
 	Idle State = "idle"
 	// Header: a part of a request's header has been read.
 	Header State = "header"
-	// Request: the whole header has been read, and the handler has not been called.
-	Request State = "request"
+	// HeaderRead: the whole header has been read, and the handler has not been called.
+	HeaderRead State = "request"
 	// Handler: the handler was called.
 	Handler State = "handler"
 )
@@ -42,10 +42,11 @@
 	*lateread.Conn
 	server *Server
 
-	mu    sync.Mutex // guards what follows; a leaf lock
+	mu    sync.Mutex // guards what follows; held while read deadlines of the inner connection are set
 	state State
 	// tail holds the last bytes of an incomplete header.
-	tail         []byte
+	tail []byte
+	// lastByte is when a byte of the request was last read, answering whether a byte of its answer has been written.
 	lastByte     time.Time
 	answering    bool
 	callerClosed bool
@@ -87,7 +88,7 @@
 		seen = append(c.tail, read...)
 	}
 	if bytes.Contains(seen, headerEnd) {
-		c.state, c.tail = Request, nil
+		c.state, c.tail = HeaderRead, nil
 		return
 	}
 	c.tail = append(c.tail[:0], seen[max(0, len(seen)-len(headerEnd)+1):]...)
--- a/link/ingress/ingress.go
+++ b/link/ingress/ingress.go
@@ -2,7 +2,8 @@
 // request that gets no answer can be explained.
 //
 // Its Shutdown takes the place of that of net/http, which closes connections after it has read requests from them: their callers can't tell whether
-// these were processed. Here a connection is closed only while nothing of a request has been read from it.
+// these were processed. Here the handler gets each request that is read, except one that was sent behind another (pipelined) whose answer says
+// Connection: close.
 package ingress
 
 import (
--- a/policy/stopping/stopping.go
+++ b/policy/stopping/stopping.go
@@ -13,8 +13,7 @@
 	maxAcceptTime = 2800 * time.Millisecond
 	// exitMargin is the part of the grace period that is left unused, so that the process exits before it is killed.
 	exitMargin = 300 * time.Millisecond
-	// answerMargin is the time before the exit in which the requests that are left are answered. A process with a fifth of a core answers some hundred
-	// in it; it has some tens of milliseconds of processor time in 200 ms, in which it does not.
+	// answerMargin is the time before the exit in which the requests that are left are answered. There may be hundreds, on a VM with a share of a core.
 	answerMargin = 700 * time.Millisecond
 	// marginDivisor limits both margins to that part of a short grace period.
 	marginDivisor = 8
