--- a/entry/relay/unanswered_test.go
+++ b/entry/relay/unanswered_test.go
@@ -140,12 +140,28 @@
 
 	// Guards against an answer that promises that a request has not run although it may have.
 	It("fails when the process ends while it is at a server", func() {
-		r.set(0, replica.Faults{Unresponsive: true})
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(listener.Close)
+		received := make(chan net.Conn, 1)
+		go func() {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			request, err := http.ReadRequest(bufio.NewReader(conn))
+			if err == nil && request.Header.Get(platform.HeaderRequestID) == "id" {
+				received <- conn
+			}
+		}()
+		r.turns.servers[0].Address = listener.Addr().String()
 		answers := send("/book/x")
-		inStage(relay.AtServer)
+		var conn net.Conn
+		Eventually(received, 10*time.Second).Should(Receive(&conn))
+		DeferCleanup(conn.Close)
 		r.relay.EndRequests()
 		var got answer
-		Eventually(answers).Should(Receive(&got))
+		Eventually(answers, 10*time.Second).Should(Receive(&got))
 		Expect(got.status).To(Equal(http.StatusBadGateway))
 	})
 
--- a/internal/jsonsplit/jsonsplit.go
+++ b/internal/jsonsplit/jsonsplit.go
@@ -141,14 +141,24 @@
 }
 
 func (s *scanner) skipString() error {
-	for s.pos++; s.pos < len(s.text); s.pos++ {
-		switch s.text[s.pos] {
-		case '\\':
-			s.pos++
-		case '"':
-			s.pos++
+	s.pos++
+	end := -1 // the next quote at or after pos
+	for {
+		if end < s.pos {
+			next := bytes.IndexByte(s.text[s.pos:], '"')
+			if next < 0 {
+				break
+			}
+			end = s.pos + next
+		}
+		escape := bytes.IndexByte(s.text[s.pos:end], '\\')
+		if escape < 0 {
+			s.pos = end + 1
 			return nil
 		}
+		if s.pos += escape + 2; s.pos > len(s.text) {
+			break
+		}
 	}
 	s.pos = len(s.text)
 	return s.malformed("the end of a string")
