link/ingress: answers to requests whose bodies are not read reach their callers, and their connections end

Callers that sent a large body with Connection: close and were rejected before it was read saw a reset in place of the answer: net/http closes such a connection at once, with most of the body unread. Connections whose callers withheld the end of a short body stayed open at the listeners that read none (directory, readiness, metrics, operators): net/http waits for up to 256 KB of it, without a deadline.

The answer is now sent without waiting for the rest of the body (full duplex), which is then read and discarded for at most 0.5 s and 8 MiB, at every listener. Operators' bodies have 10 s.

Ruled out: a lost answer because of the write deadline (none is set) or of lateread (the same without it, by reading net/http: body.Close does nothing when the connection closes next, and closeWriteAndWait is only called after an early close of the body).

--- a/entry/directory/directory.go
+++ b/entry/directory/directory.go
@@ -16,6 +16,7 @@
 
 	"github.com/skylarkpond/skylarkpond/contract"
 	"github.com/skylarkpond/skylarkpond/entry/member"
+	"github.com/skylarkpond/skylarkpond/link/ingress"
 	policy "github.com/skylarkpond/skylarkpond/policy/directory"
 )
 
@@ -85,6 +86,7 @@
 }
 
 func (d *Directory) handleEntries(request *restful.Request, response *restful.Response) {
+	defer ingress.IgnoreBody(response.ResponseWriter, request.Request)()
 	q, problem := d.parse(request)
 	if problem == nil {
 		var body Response
--- a/entry/front/caller.go
+++ b/entry/front/caller.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/skylarkpond/skylarkpond/link/framing"
+	"github.com/skylarkpond/skylarkpond/link/ingress"
 )
 
 // callerConn is the connection to one caller, while it is used for one request.
@@ -67,16 +68,11 @@
 	return body, err
 }
 
-// unreadBodyTimeout bounds the wait for the rest of a body that is not needed any more. A connection that is closed before it has arrived may be
-// reset, and the answer lost.
-const unreadBodyTimeout = time.Second
-
 // writeHeader writes the header of the answer. If the body has not been read, the answer is sent without waiting for the rest of it, and is the last
 // one on its connection.
 func (c *callerConn) writeHeader(status int) {
 	if !c.bodyRead {
-		c.w.Header().Set("Connection", "close")
-		_ = c.control.SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+		ingress.PrepareUnread(c.w)
 	}
 	c.answered = true
 	if framing.EndsWithConnection(c.w.Header()) {
@@ -113,6 +109,9 @@
 	if c.finished != nil {
 		c.finished()
 	}
+	if !c.bodyRead {
+		ingress.DiscardUnread(c.w, c.received)
+	}
 }
 
 // abort closes the connection so that what has been written can't be taken for a complete answer. It does not return.
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -217,9 +217,9 @@
 		unanswered func(ingress.Unanswered)
 	}{
 		{g.config.CallerAddress, g.gate.Wrap(g.relay), g.requestUnanswered},
-		{g.config.ReadyAddress, http.HandlerFunc(g.ready), func(ingress.Unanswered) {}},
-		{g.config.DirectoryAddress, http.HandlerFunc(g.lookup), func(ingress.Unanswered) {}},
-		{g.config.MetricsAddress, http.HandlerFunc(g.metrics), func(ingress.Unanswered) {}},
+		{g.config.ReadyAddress, ingress.WithoutBodies(g.ready), func(ingress.Unanswered) {}},
+		{g.config.DirectoryAddress, ingress.WithoutBodies(g.lookup), func(ingress.Unanswered) {}},
+		{g.config.MetricsAddress, ingress.WithoutBodies(g.metrics), func(ingress.Unanswered) {}},
 	}
 	var servers []*server
 	for _, m := range listeners {
--- a/entry/relay/answer.go
+++ b/entry/relay/answer.go
@@ -13,6 +13,7 @@
 
 	"github.com/skylarkpond/skylarkpond/entry/turn"
 	"github.com/skylarkpond/skylarkpond/link/framing"
+	"github.com/skylarkpond/skylarkpond/link/ingress"
 	"github.com/skylarkpond/skylarkpond/platform"
 )
 
@@ -94,10 +95,6 @@
 // abort ends the answer, so that the part already sent can't be taken for a complete one.
 func (e *exchange) abort() { framing.Abort(e.writer, e.request) }
 
-// unreadBodyTimeout bounds the wait for a body that is not needed. The HTTP server reads the rest of a short one before it sends the answer, since a
-// connection that is closed with data unread is reset, and the answer may be lost.
-const unreadBodyTimeout = 500 * time.Millisecond
-
 // writeAnswer writes an answer whose body has been read to its end. With framing.Closed, the body may have been cut off.
 func (e *exchange) writeAnswer(status int, header http.Header, body []byte, bodyFraming framing.Framing) {
 	e.summary.Status = status
@@ -105,8 +102,7 @@
 	out := e.writer.Header()
 	maps.Copy(out, header)
 	if e.bodyPending {
-		out.Set("Connection", "close")
-		_ = http.NewResponseController(e.writer).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+		ingress.PrepareUnread(e.writer)
 	}
 	if bodyFraming == framing.Closed {
 		framing.EndWithConnection(out)
@@ -122,6 +118,13 @@
 	e.finish()
 }
 
+// discardUnread reads what is left of a body that was not needed, after the answer.
+func (e *exchange) discardUnread() {
+	if e.bodyPending && e.summary.Status != 0 {
+		ingress.DiscardUnread(e.writer, e.request)
+	}
+}
+
 // noteUnwritten records that the end of an answer could not be written.
 func (e *exchange) noteUnwritten(err error) {
 	if e.summary.Detail == "" {
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -153,6 +153,7 @@
 	e := newExchange(r, w, request)
 	r.running.add(e)
 	defer r.running.remove(e)
+	defer e.discardUnread()
 	defer e.report()
 	e.run()
 	if e.summary.Status == 0 {
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -24,6 +24,7 @@
 	"github.com/skylarkpond/skylarkpond/entry/reach"
 	"github.com/skylarkpond/skylarkpond/internal/logqueue"
 	"github.com/skylarkpond/skylarkpond/internal/wait"
+	"github.com/skylarkpond/skylarkpond/link/ingress"
 	"github.com/skylarkpond/skylarkpond/link/peer"
 	"github.com/skylarkpond/skylarkpond/link/platform"
 	"github.com/skylarkpond/skylarkpond/timeline"
@@ -215,7 +216,8 @@
 }
 
 // unknownPath responds to requests that match no route, in the same form as every other rejection.
-func unknownPath(fault restful.ServiceError, _ *restful.Request, response *restful.Response) {
+func unknownPath(fault restful.ServiceError, request *restful.Request, response *restful.Response) {
+	defer ingress.IgnoreBody(response.ResponseWriter, request.Request)()
 	problem := contract.NewRejection(fault.Code, contract.CodeUnknownPath, fault.Message,
 		"see docs/INTERFACE.md for the paths and methods there are")
 	if fault.Code == http.StatusMethodNotAllowed {
@@ -225,8 +227,13 @@
 	_ = response.WriteHeaderAndJson(fault.Code, problem, restful.MIME_JSON)
 }
 
+// adminBodyTimeout limits how long an operator's request may take to send its body.
+const adminBodyTimeout = 10 * time.Second
+
 // adminHandler returns the handler for operators.
-func (e *Entry) adminHandler() http.Handler { return e.operator.Handler() }
+func (e *Entry) adminHandler() http.Handler {
+	return ingress.WithBodyTimeout(e.operator.Handler(), adminBodyTimeout)
+}
 
 // CheckPlatform reports to out whether the platform responds and holds settings. It starts nothing and writes
 // nothing to the platform.
