entry/relay: the bodies of all requests have one bound in memory

What callers saw: a few hundred bodies of legal size end an entry. 300 bodies of 1 MiB took 349 to 365 MB, whole, a byte short, in pieces or chunked; in chunks of one byte 180 MB, where the machine has 96 MB. Cause: each body was read whole by io.ReadAll, which grows by a quarter with the old and the new copy live, before anything was asked of the memory, and hashed as a further copy. What held it was bounded by the requests alone.

Under pressure the slow bodies are given up first (503, Retry-After 1 s: not read whole, so not run), then the one that asks; small bodies always find room, and so does the only large one.

Ruled out: the turns' queue (bounded by items; bodies that stall never reach it) and answers (bounded before).

--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -21,6 +21,7 @@
 	"github.com/skylarkpond/skylarkpond/entry/backoff"
 	"github.com/skylarkpond/skylarkpond/entry/catalog"
 	"github.com/skylarkpond/skylarkpond/entry/grouping"
+	"github.com/skylarkpond/skylarkpond/entry/intake"
 	"github.com/skylarkpond/skylarkpond/entry/isolation"
 	"github.com/skylarkpond/skylarkpond/entry/leader"
 	"github.com/skylarkpond/skylarkpond/entry/lease"
@@ -39,6 +40,7 @@
 	"github.com/skylarkpond/skylarkpond/logline"
 	"github.com/skylarkpond/skylarkpond/platform"
 	directory "github.com/skylarkpond/skylarkpond/policy/directory"
+	intakepolicy "github.com/skylarkpond/skylarkpond/policy/intake"
 )
 
 // newShared creates the logger, the metrics registry and the leader state, which the components are built on.
@@ -225,12 +227,16 @@
 	return relay.NewRetries(relay.Allowance{Ratio: s.config.RetryRatio, Extra: s.config.RetryExtra}, assumedEntries)
 }
 
+func provideBodies(s *shared) *intake.Bodies {
+	return intake.New(intake.Deps{Capacity: intakepolicy.Capacity(s.config.memory()), Metrics: s.registry, Refused: s.bodiesRefused})
+}
+
 func provideRelay(
-	s *shared, cat *catalog.Catalog, remote *turn.Remote, pool *upstream.Pool, retries *relay.Retries, watch *suspects.Watch,
+	s *shared, bodies *intake.Bodies, cat *catalog.Catalog, remote *turn.Remote, pool *upstream.Pool, retries *relay.Retries, watch *suspects.Watch,
 	isolated *isolation.Watch, entries *roster.Roster, tracker *limits.Tracker, pauses *backoff.Tracker,
 ) *relay.Relay {
 	return relay.New(relay.Deps{
-		Table: cat.Table, Turns: remote, Pool: pool, Retries: retries, Suspects: watch, Report: s.requestEnded,
+		Table: cat.Table, Turns: remote, Pool: pool, Bodies: bodies, Retries: retries, Suspects: watch, Report: s.requestEnded,
 		Rejected: s.requestRejected, Unreachable: s.serverUnreachable, FirstRequest: func() { remote.Send(link.Up{RequestSeen: true}) }, Random: rand.Float64,
 		Limits: tracker, Pauses: pauses, Isolation: isolated, PeerPool: upstream.NewPool(upstream.WithSource(sourceIP(s.config.CallerAddress)), upstream.WithObserver(s.entryAnswered)),
 		Peer: func(tried []string) (relay.Peer, bool) {
--- a/entry/gateway/config.go
+++ b/entry/gateway/config.go
@@ -101,4 +101,7 @@
 	return time.Duration(c.AddressTTL * float64(time.Second))
 }
 
+// memory returns the memory of this VM in bytes.
+func (c *Config) memory() int64 { return int64(c.MemoryMB) << 20 }
+
 func (c *Config) stopGrace() time.Duration { return time.Duration(c.StopGrace * float64(time.Second)) }
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/skylarkpond/skylarkpond/entry/catalog"
 	"github.com/skylarkpond/skylarkpond/entry/drain"
 	"github.com/skylarkpond/skylarkpond/entry/grouping"
+	"github.com/skylarkpond/skylarkpond/entry/intake"
 	"github.com/skylarkpond/skylarkpond/entry/isolation"
 	"github.com/skylarkpond/skylarkpond/entry/leader"
 	"github.com/skylarkpond/skylarkpond/entry/lease"
@@ -81,6 +82,7 @@
 	lease      *lease.Lease
 	controller *grouping.Controller
 	relay      *relay.Relay
+	bodies     *intake.Bodies
 	local      *turn.Local
 	remote     *turn.Remote
 	suspects   *suspects.Watch
@@ -102,7 +104,7 @@
 func Serve(ctx context.Context, config Config, reload <-chan os.Signal) error {
 	// The memory limit is half of the VM's memory, so that the garbage collector works harder well before the process is killed for
 	// its memory use.
-	debug.SetMemoryLimit(int64(config.MemoryMB) << 20 / 2)
+	debug.SetMemoryLimit(config.memory() / 2)
 	common, err := newShared(config)
 	if err != nil {
 		return err
--- a/entry/gateway/lines.go
+++ b/entry/gateway/lines.go
@@ -10,6 +10,7 @@
 	"github.com/skylarkpond/skylarkpond/contract/route"
 	"github.com/skylarkpond/skylarkpond/entry/backoff"
 	"github.com/skylarkpond/skylarkpond/entry/grouping"
+	"github.com/skylarkpond/skylarkpond/entry/intake"
 	"github.com/skylarkpond/skylarkpond/entry/leader"
 	"github.com/skylarkpond/skylarkpond/entry/lease"
 	"github.com/skylarkpond/skylarkpond/entry/limits"
@@ -100,6 +101,13 @@
 	}).Warn(logline.RequestUnanswered)
 }
 
+// bodiesRefused logs that requests were refused because their bodies found no room, or arrived slowly while others needed theirs.
+func (s *shared) bodiesRefused(refused intake.Refusals) {
+	s.log.WithFields(logrus.Fields{
+		"reason": refused.Reason, "count": refused.Count, "bytes": refused.Size, "held_bytes": refused.Held, "held_bodies": refused.Bodies,
+	}).Warn(logline.BodiesRefused)
+}
+
 // logUnfinished logs what a process leaves unfinished as it ends.
 func (g *Gateway) logUnfinished(callers *ingress.Server) {
 	unfinished := g.relay.Unfinished()
--- a/entry/gateway/wire_gen.go
+++ b/entry/gateway/wire_gen.go
@@ -28,13 +28,14 @@
 	tracker := provideStanding(s, catalog)
 	watch := provideIsolation(s, catalog, pool, tracker)
 	controller := provideController(s, pool, catalog, lease, watch, monitor, tracker)
+	bodies := provideBodies(s)
 	limitsTracker := provideLimits(s)
 	backoffTracker := provideBackoff(s)
 	local := provideLocal(s, catalog, limitsTracker, backoffTracker, tracker)
 	remote := provideRemote(local, catalog, backoffTracker)
 	retries := provideRetries(s)
 	suspectsWatch := provideSuspects(s, remote, catalog, pool, watch)
-	relay := provideRelay(s, catalog, remote, pool, retries, suspectsWatch, watch, roster, limitsTracker, backoffTracker)
+	relay := provideRelay(s, bodies, catalog, remote, pool, retries, suspectsWatch, watch, roster, limitsTracker, backoffTracker)
 	leader := provideLeader(s, catalog, lease, controller, monitor, tracker)
 	leaderServer := provideLinks(identity, holder, leader)
 	gate := &drain.Gate{}
@@ -44,6 +45,7 @@
 		lease:      lease,
 		controller: controller,
 		relay:      relay,
+		bodies:     bodies,
 		local:      local,
 		remote:     remote,
 		suspects:   suspectsWatch,
--- a/entry/relay/exchange.go
+++ b/entry/relay/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -12,6 +11,7 @@
 	"github.com/skylarkpond/skylarkpond/backend"
 	"github.com/skylarkpond/skylarkpond/contract"
 	"github.com/skylarkpond/skylarkpond/contract/route"
+	"github.com/skylarkpond/skylarkpond/entry/intake"
 	"github.com/skylarkpond/skylarkpond/entry/limits"
 	"github.com/skylarkpond/skylarkpond/entry/suspects"
 	"github.com/skylarkpond/skylarkpond/entry/turn"
@@ -36,7 +36,9 @@
 	priority int
 	service  string
 	body     []byte
-	// bodyPending is set until the body has been read, or reading it has failed.
+	// bodyMemory is the memory of the body until the request has ended; nil without a body.
+	bodyMemory *intake.Body
+	// bodyPending is set until the body has been read to its end, or reading it was interrupted.
 	bodyPending bool
 	// fingerprint is equal for requests of one caller with the same method, path and body. traits is what the request may have in common with
 	// others that crash servers.
@@ -101,7 +103,7 @@
 		e.refuseElsewhere("this entry reaches no server either")
 		return
 	}
-	e.fingerprint = contract.Fingerprint(e.request.Method, e.request.RequestURI, e.call.Key, string(e.body))
+	e.fingerprint = contract.FingerprintWithBody(e.body, e.request.Method, e.request.RequestURI, e.call.Key)
 	e.traits = suspects.Traits(e.fingerprint, e.call.PromptParts)
 	if e.heldBack(nil) {
 		return
@@ -179,39 +181,39 @@
 
 // readBody reads the whole body, because it is forwarded with its length and may have to be sent again.
 func (e *exchange) readBody() bool {
+	if !e.bodyPending {
+		return true
+	}
 	limit := e.table.Limits.BodyBytes
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
 	if e.request.ContentLength > limit {
-		return e.refuse(TooLarge, http.StatusRequestEntityTooLarge, 0, "body over the limit")
+		return e.refuse(TooLarge, http.StatusRequestEntityTooLarge, 0, intake.ErrTooLarge.Error())
 	}
-	body, err := e.receive(io.LimitReader(e.request.Body, limit+1))
+	memory, ctx := e.relay.deps.Bodies.Open(e.ctx)
+	e.bodyMemory = memory
+	body, err := e.receive(ctx, limit)
 	if err != nil {
 		return e.endUnread(err)
 	}
-	if int64(len(body)) > limit {
-		return e.refuse(TooLarge, http.StatusRequestEntityTooLarge, 0, "body over the limit")
-	}
 	e.body = body
 	return true
 }
 
-// receive reads the body until the request's context ends.
-func (e *exchange) receive(body io.Reader) ([]byte, error) {
-	if !e.bodyPending {
-		return nil, nil
-	}
+// receive reads the body until ctx ends.
+func (e *exchange) receive(ctx context.Context, limit int64) ([]byte, error) {
 	controller := http.NewResponseController(e.writer)
 	interrupted := make(chan struct{})
-	unregister := context.AfterFunc(e.ctx, func() {
+	unregister := context.AfterFunc(ctx, func() {
 		defer close(interrupted)
 		_ = controller.SetReadDeadline(time.Now())
 	})
-	read, err := io.ReadAll(body)
-	e.bodyPending = false
+	read, err := e.bodyMemory.Read(e.request.Body, e.request.ContentLength, limit)
+	e.bodyPending = err != nil
 	if !unregister() {
 		<-interrupted
+		e.bodyPending = false
 		// The deadline may have ended the connection's context too, with which each later request on it would begin.
 		e.writer.Header().Set("Connection", "close")
 		if err == nil {
@@ -225,6 +227,10 @@
 func (e *exchange) endUnread(err error) bool {
 	detail := "reading the body: " + err.Error()
 	switch cause := context.Cause(e.ctx); {
+	case errors.Is(err, intake.ErrTooLarge):
+		return e.refuse(TooLarge, http.StatusRequestEntityTooLarge, 0, err.Error())
+	case intake.IsRefusal(err):
+		return e.refuse(Refused, http.StatusServiceUnavailable, intake.RetryAfter, err.Error())
 	case errors.Is(cause, context.DeadlineExceeded):
 		return e.refuse(TimedOut, http.StatusRequestTimeout, 0, detail)
 	case errors.Is(cause, errStopping):
@@ -234,6 +240,13 @@
 	}
 }
 
+// releaseBody ends the use of the body.
+func (e *exchange) releaseBody() {
+	if e.bodyMemory != nil {
+		e.bodyMemory.Close()
+	}
+}
+
 // defaultBodyBytes is the body limit if the configuration sets none.
 const defaultBodyBytes = 4 << 20
 
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -14,6 +14,7 @@
 
 	"github.com/skylarkpond/skylarkpond/backend"
 	"github.com/skylarkpond/skylarkpond/contract/route"
+	"github.com/skylarkpond/skylarkpond/entry/intake"
 	"github.com/skylarkpond/skylarkpond/entry/limits"
 	"github.com/skylarkpond/skylarkpond/entry/suspects"
 	"github.com/skylarkpond/skylarkpond/entry/turn"
@@ -28,6 +29,8 @@
 	Table func() *route.Table
 	Turns turn.Source
 	Pool  *upstream.Pool
+	// Bodies is the memory for requests' bodies.
+	Bodies *intake.Bodies
 	// Retries is the retry budget.
 	Retries *Retries
 	// Suspects tracks requests that crash servers.
@@ -154,6 +157,7 @@
 	r.running.add(e)
 	defer r.running.remove(e)
 	defer e.discardUnread()
+	defer e.releaseBody()
 	defer e.report()
 	e.run()
 	if e.summary.Status == 0 {
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -17,9 +17,11 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/skylarkpond/skylarkpond/backend"
 	"github.com/skylarkpond/skylarkpond/contract/route"
+	"github.com/skylarkpond/skylarkpond/entry/intake"
 	"github.com/skylarkpond/skylarkpond/entry/limits"
 	"github.com/skylarkpond/skylarkpond/entry/relay"
 	"github.com/skylarkpond/skylarkpond/entry/suspects"
@@ -37,6 +39,9 @@
 	RunSpecs(t, "forwarding")
 }
 
+// bodyCapacity is the memory for bodies.
+const bodyCapacity = 4 << 20
+
 // inOrder grants turns at the servers in their order, each once per request.
 type inOrder struct {
 	mu      sync.Mutex
@@ -99,6 +104,7 @@
 	reports []relay.Report
 	table   atomic.Pointer[route.Table]
 	retries *relay.Retries
+	bodies  *intake.Bodies
 	// firstRequests counts the calls of FirstRequest.
 	firstRequests atomic.Int32
 	suspects      *fakeSuspects
@@ -244,9 +250,10 @@
 		{Name: "once", Host: "h.example", PathPrefix: "/once/", Kind: route.Streaming, Timeout: 2 * time.Second, MaxAttempts: 2, Targets: targets},
 	}, nil, []route.Team{{Name: "one", Keys: []string{"key"}}}, route.Limits{BodyBytes: 1 << 20}))
 	r.retries = relay.NewRetries(relay.Allowance{Ratio: 1, Extra: 20}, 1)
+	r.bodies = intake.New(intake.Deps{Capacity: bodyCapacity, Metrics: metrics.NewRegistry()})
 	handler := relay.New(relay.Deps{
 		Rejected: func(relay.Rejection) {}, Unreachable: func(string, *backend.Server, error) {},
-		Table: r.table.Load, Turns: r.turns, Pool: upstream.NewPool(), Retries: r.retries, Suspects: r.suspects,
+		Table: r.table.Load, Turns: r.turns, Pool: upstream.NewPool(), Bodies: r.bodies, Retries: r.retries, Suspects: r.suspects,
 		Limits: r.limits, Pauses: noPauses{}, Isolation: r.isolation, Peer: r.peer, PeerPool: upstream.NewPool(),
 		Random: func() float64 { return 0.5 }, FirstRequest: func() { r.firstRequests.Add(1) },
 		Report: func(report relay.Report) {
--- a/logline/names.go
+++ b/logline/names.go
@@ -14,6 +14,8 @@
 	RequestEnded = "request ended"
 	// RequestUnanswered is written for connections that end without an answer to their request, 20 a second at most.
 	RequestUnanswered = "connection ended with its request unanswered"
+	// BodiesRefused is written when requests are refused for the memory of their bodies, 5 a second at most.
+	BodiesRefused     = "requests refused: their bodies found no room in memory"
 	RequestUnfinished = "request in progress as the process ends"
 	ConfigInForce     = "configuration in force"
 	Lease             = "lease"
