entry/front: the bodies of all requests at serve have one bound in memory

What callers saw: as at the gateway. 60 bodies of 7 MiB that stop a byte short took 521 MB, 300 whole bookings of 1 MiB 519 MB, 60 announced as 1 GiB 782 MB. Cause: each body was read whole, completions up to 7 MiB before the service and its own limit are known and announced lengths unasked, for up to 30 s, and hashed as a copy.

The front reads bodies within the account of policy/intake, with half of the room that a gateway has, since a body is held again as it is encoded for its home. serve has a memory setting (--memory-mb, 512 MB by default), which also limits the collector. An announced length over the limit is refused at once, and completions are bounded by the most that any language service allows. Who pays gets 503 "overloaded", not-run, with Retry-After 1 s. A booking under a caller's key that was not read is not sealed: its fingerprint is that of a part, and a seal would give the key to another request. It gets the outcome unknown, and runs later under its key (spec "leaves a booking that finds no room free to run later").

Left as it was, by reading: a booking whose body comes late, or is met by a stop, is sealed under the fingerprint of a part of its body.

--- a/contract/outcome/machine.go
+++ b/contract/outcome/machine.go
@@ -185,6 +185,15 @@
 	return m.giveUp()
 }
 
+// RejectUnread gives up a request whose body was not read to its end, so that its fingerprint is unknown. It is not sealed: a seal with another
+// fingerprint would make the key useless for its own request.
+func (m *Machine) RejectUnread(p *contract.Problem) Action {
+	if m.request.AtMostOnce && m.request.KeyFromCaller {
+		return m.finishUnknown(p) // a copy may run
+	}
+	return m.finishNotRun(p, 0)
+}
+
 // HandleSeal processes the result of a Seal.
 func (m *Machine) HandleSeal(r attempt.Result) Action {
 	if m.phase != phaseSealing {
--- a/dev/dev.go
+++ b/dev/dev.go
@@ -151,9 +151,12 @@
 	return entry.Config{
 		Name: fmt.Sprintf("entry-%d", i+1), Place: place, FailureDomain: domains[i%len(domains)],
 		PublicAddress: c.address(i, 0), AdminAddress: c.address(i, adminOffset), PeerAddress: c.address(i, peerOffset),
-		PlatformURL: platformURL, PlatformRate: 100, LogLevel: "warn", DrainMargin: time.Second,
+		PlatformURL: platformURL, PlatformRate: 100, MemoryMB: memoryMB, LogLevel: "warn", DrainMargin: time.Second,
 		HomeHold: shift.DefaultHold, HomeHoldMax: shift.DefaultMaxHold,
 	}
 }
 
+// memoryMB is the memory setting of each entry.
+const memoryMB = 512
+
 var errNoGroups = errors.New("no group serves yet")
--- a/entry/front/caller.go
+++ b/entry/front/caller.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"github.com/skylarkpond/skylarkpond/entry/intake"
 	"github.com/skylarkpond/skylarkpond/link/framing"
 	"github.com/skylarkpond/skylarkpond/link/ingress"
 )
@@ -20,7 +20,10 @@
 	received    *http.Request
 	w           http.ResponseWriter
 	control     *http.ResponseController
+	bodies      *intake.Bodies
 	bodyTimeout time.Duration
+	// bodyMemory is the memory of the body until the request has ended; nil before it is read.
+	bodyMemory *intake.Body
 	// bodyRead is set once the whole body has been read.
 	bodyRead bool
 	// answered is set once the header of the answer has been written.
@@ -31,9 +34,12 @@
 	finished func()
 }
 
-func newCallerConn(ctx context.Context, received *http.Request, w http.ResponseWriter, bodyTimeout time.Duration) *callerConn {
+func newCallerConn(
+	ctx context.Context, received *http.Request, w http.ResponseWriter, bodies *intake.Bodies, bodyTimeout time.Duration,
+) *callerConn {
 	return &callerConn{
-		ctx: ctx, received: received, w: w, control: http.NewResponseController(w), bodyTimeout: bodyTimeout, bodyRead: received.ContentLength == 0,
+		ctx: ctx, received: received, w: w, control: http.NewResponseController(w), bodies: bodies, bodyTimeout: bodyTimeout,
+		bodyRead: received.ContentLength == 0,
 	}
 }
 
@@ -51,23 +57,38 @@
 	if c.bodyRead {
 		return nil, nil
 	}
+	if c.received.ContentLength > limit {
+		return nil, intake.ErrTooLarge
+	}
 	ctx, cancel := context.WithTimeoutCause(c.ctx, c.bodyTimeout, errBodyLate)
 	defer cancel()
+	memory, ctx := c.bodies.Open(ctx)
+	c.bodyMemory = memory
 	interrupted := make(chan struct{})
 	unregister := context.AfterFunc(ctx, func() {
 		defer close(interrupted)
 		// SetReadDeadline fails only if the connection has no deadlines, as with a recorder in tests.
 		_ = c.control.SetReadDeadline(time.Now())
 	})
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.received.Body, limit))
+	body, err := memory.Read(c.received.Body, c.received.ContentLength, limit)
 	if !unregister() {
 		<-interrupted
-		return body, context.Cause(ctx)
+		err = context.Cause(ctx)
 	}
 	c.bodyRead = err == nil
+	if err != nil {
+		memory.Close()
+	}
 	return body, err
 }
 
+// releaseBody ends the use of the body.
+func (c *callerConn) releaseBody() {
+	if c.bodyMemory != nil {
+		c.bodyMemory.Close()
+	}
+}
+
 // writeHeader writes the header of the answer. If the body has not been read, the answer is sent without waiting for the rest of it, and is the last
 // one on its connection.
 func (c *callerConn) writeHeader(status int) {
--- a/entry/front/drive.go
+++ b/entry/front/drive.go
@@ -81,6 +81,8 @@
 	switch {
 	case p != nil && p.Code == contract.CodeCallerLeft:
 		action = d.machine.HandleCallerLeft(false)
+	case p != nil && d.request.givenUp:
+		action = d.machine.RejectUnread(p)
 	case p != nil:
 		action = d.machine.Reject(p)
 	default:
--- a/entry/front/endings_test.go
+++ b/entry/front/endings_test.go
@@ -20,7 +20,7 @@
 func respond(q *request, frames []contract.Frame, a outcome.Action) (status int, body string, err error) {
 	GinkgoHelper()
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		caller := newCallerConn(context.Background(), r, w, time.Second)
+		caller := newCallerConn(context.Background(), r, w, nil, time.Second)
 		caller.request = q
 		written := newWriter(q, caller)
 		for _, f := range frames {
@@ -44,7 +44,7 @@
 var _ = It("An answer that ends with its connection is reset unless it is whole", func() {
 	for _, whole := range []bool{true, false} {
 		server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			caller := newCallerConn(context.Background(), r, w, time.Second)
+			caller := newCallerConn(context.Background(), r, w, nil, time.Second)
 			caller.request = &request{plain: &contract.PlainCall{}}
 			written := newWriter(caller.request, caller)
 			_, _ = written.deliver(contract.Frame{Kind: contract.FrameHead, Status: http.StatusOK, EndsWithConnection: true})
--- a/entry/front/fakes_test.go
+++ b/entry/front/fakes_test.go
@@ -31,6 +31,7 @@
 	"github.com/skylarkpond/skylarkpond/entry/front"
 	"github.com/skylarkpond/skylarkpond/entry/guard"
 	"github.com/skylarkpond/skylarkpond/entry/home"
+	"github.com/skylarkpond/skylarkpond/entry/intake"
 	standin "github.com/skylarkpond/skylarkpond/internal/standin/platform"
 	"github.com/skylarkpond/skylarkpond/link/engine"
 	"github.com/skylarkpond/skylarkpond/link/platform"
@@ -188,6 +189,8 @@
 	groups   []vm.GroupID
 	fronts   []*httptest.Server
 	settings *settings.Snapshot
+	// bodies is the memory of the last front for bodies.
+	bodies   *intake.Bodies
 	notWhole map[vm.GroupID]bool
 	// computed is the home that the fronts compute for a group, in place of homeName.
 	computed map[vm.GroupID]string
@@ -327,12 +330,16 @@
 	return attempt.New(platform.NewClient(f.server.URL, platform.WithCallTimeout(200*time.Millisecond)), time.Now)
 }
 
+// bodyCapacity is the memory for the bodies of one front.
+const bodyCapacity = 4 << 20
+
 func (f *fleet) newFront() *httptest.Server {
 	container := restful.NewContainer()
 	service := new(restful.WebService).Path("/v1").Consumes("*/*").Produces("*/*")
+	f.bodies = intake.New(intake.Deps{Capacity: bodyCapacity, Metrics: metrics.NewRegistry()})
 	f.front = front.New(front.Deps{
 		Self: "front", Settings: func() *settings.Snapshot { return f.settings }, Dispatcher: f, Homes: f, Holders: f, Chooser: f,
-		Retries: &tenRetries{}, Attempts: f.attempts(), Recorder: timeline.NewRecorder("front", nil, time.Now), Metrics: metrics.NewRegistry(),
+		Retries: &tenRetries{}, Attempts: f.attempts(), Bodies: f.bodies, Recorder: timeline.NewRecorder("front", nil, time.Now), Metrics: metrics.NewRegistry(),
 		Log: f.log, BodyTimeout: testBodyTimeout,
 	})
 	f.front.Register(service)
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -21,6 +21,7 @@
 	"github.com/skylarkpond/skylarkpond/contract/attempt"
 	"github.com/skylarkpond/skylarkpond/contract/outcome"
 	"github.com/skylarkpond/skylarkpond/contract/settings"
+	"github.com/skylarkpond/skylarkpond/entry/intake"
 	"github.com/skylarkpond/skylarkpond/timeline"
 	"github.com/skylarkpond/skylarkpond/vm"
 )
@@ -100,9 +101,11 @@
 	Chooser    Chooser
 	Retries    RetryBudget
 	Attempts   *attempt.Records
-	Recorder   *timeline.Recorder
-	Metrics    metrics.Registry
-	Log        logrus.FieldLogger
+	// Bodies is the memory for requests' bodies.
+	Bodies   *intake.Bodies
+	Recorder *timeline.Recorder
+	Metrics  metrics.Registry
+	Log      logrus.FieldLogger
 	// BodyTimeout limits the time to read a request's body; 0 for the default.
 	BodyTimeout time.Duration
 }
--- a/entry/front/handlers.go
+++ b/entry/front/handlers.go
@@ -17,6 +17,7 @@
 	"github.com/skylarkpond/skylarkpond/contract"
 	"github.com/skylarkpond/skylarkpond/contract/outcome"
 	"github.com/skylarkpond/skylarkpond/contract/settings"
+	"github.com/skylarkpond/skylarkpond/entry/intake"
 	"github.com/skylarkpond/skylarkpond/link/engine"
 )
 
@@ -36,7 +37,8 @@
 func (f *Front) handle(r *http.Request, w http.ResponseWriter, parse func(*request, *callerConn) *contract.Problem) {
 	ctx, cancel := f.bound(r.Context())
 	defer cancel()
-	caller := newCallerConn(ctx, r, w, f.deps.BodyTimeout)
+	caller := newCallerConn(ctx, r, w, f.deps.Bodies, f.deps.BodyTimeout)
+	defer caller.releaseBody()
 	q, p := f.accept(r)
 	caller.request = q
 	if p == nil {
@@ -70,7 +72,7 @@
 
 func (q *request) parseCompletion(caller *callerConn) *contract.Problem {
 	r := caller.received
-	if p := q.readBody(caller, maxBodyBytes); p != nil {
+	if p := q.readBody(caller, q.maxCompletionBytes()); p != nil {
 		return p
 	}
 	var completion engine.Completion
@@ -94,6 +96,17 @@
 	return q.checkService(r)
 }
 
+// maxCompletionBytes returns the most that any language service allows: the service is known only once the body has been read.
+func (q *request) maxCompletionBytes() int64 {
+	most := int64(0)
+	for _, service := range q.snapshot.Services {
+		if service.Kind == settings.LanguageService {
+			most = max(most, service.MaxBodyBytes)
+		}
+	}
+	return min(most, maxBodyBytes)
+}
+
 func (q *request) parseCall(caller *callerConn, name string) *contract.Problem {
 	r := caller.received
 	service, ok := q.snapshot.Services[name]
@@ -136,13 +149,15 @@
 	r := caller.received
 	body, err := caller.receive(limit)
 	q.body = body
-	q.fingerprint = contract.Fingerprint(r.Method, r.URL.EscapedPath(), r.URL.RawQuery, r.Header.Get("Content-Type"), string(body))
-	var over *http.MaxBytesError
+	q.fingerprint = contract.FingerprintWithBody(body, r.Method, r.URL.EscapedPath(), r.URL.RawQuery, r.Header.Get("Content-Type"))
 	switch {
 	case err == nil:
 		return nil
-	case errors.As(err, &over):
+	case errors.Is(err, intake.ErrTooLarge):
 		return bodyTooLarge()
+	case intake.IsRefusal(err):
+		q.givenUp = true
+		return contract.NewRetryLater(contract.CodeOverloaded, err.Error(), intake.RetryAfter)
 	case errors.Is(err, errStopping):
 		return stoppingProblem()
 	case errors.Is(err, errBodyLate):
--- a/entry/front/request.go
+++ b/entry/front/request.go
@@ -31,6 +31,8 @@
 	timeout       time.Duration
 	plain         *contract.PlainCall
 	body          []byte
+	// givenUp is set if the body was given up before it was read to its end, so that the fingerprint is not the request's.
+	givenUp bool
 	// stream is set if the caller of a completion wants server-sent events.
 	stream          bool
 	model           string
--- a/entry/gateway/lines.go
+++ b/entry/gateway/lines.go
@@ -103,9 +103,7 @@
 
 // bodiesRefused logs that requests were refused because their bodies found no room, or arrived slowly while others needed theirs.
 func (s *shared) bodiesRefused(refused intake.Refusals) {
-	s.log.WithFields(logrus.Fields{
-		"reason": refused.Reason, "count": refused.Count, "bytes": refused.Size, "held_bytes": refused.Held, "held_bodies": refused.Bodies,
-	}).Warn(logline.BodiesRefused)
+	s.log.WithFields(refused.Fields()).Warn(logline.BodiesRefused)
 }
 
 // logUnfinished logs what a process leaves unfinished as it ends.
--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -9,6 +9,7 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
 	"golang.org/x/time/rate"
 
 	policy "github.com/skylarkpond/skylarkpond/policy/intake"
@@ -39,6 +40,11 @@
 	Count int64
 }
 
+// Fields returns the fields of a log line.
+func (r Refusals) Fields() logrus.Fields {
+	return logrus.Fields{"reason": r.Reason, "count": r.Count, "bytes": r.Size, "held_bytes": r.Held, "held_bodies": r.Bodies}
+}
+
 // Deps holds the dependencies of Bodies.
 type Deps struct {
 	// Capacity is the memory for all bodies, in bytes.
--- a/entry/providers.go
+++ b/entry/providers.go
@@ -19,6 +19,7 @@
 	"github.com/skylarkpond/skylarkpond/entry/front"
 	"github.com/skylarkpond/skylarkpond/entry/guard"
 	"github.com/skylarkpond/skylarkpond/entry/home"
+	"github.com/skylarkpond/skylarkpond/entry/intake"
 	"github.com/skylarkpond/skylarkpond/entry/member"
 	"github.com/skylarkpond/skylarkpond/entry/mirror"
 	"github.com/skylarkpond/skylarkpond/entry/operator"
@@ -30,6 +31,7 @@
 	"github.com/skylarkpond/skylarkpond/link/platform"
 	"github.com/skylarkpond/skylarkpond/logline"
 	directorypolicy "github.com/skylarkpond/skylarkpond/policy/directory"
+	intakepolicy "github.com/skylarkpond/skylarkpond/policy/intake"
 	"github.com/skylarkpond/skylarkpond/timeline"
 	"github.com/skylarkpond/skylarkpond/vm"
 )
@@ -139,13 +141,23 @@
 	}
 }
 
+// bodyCopies is how often a body is held: by its front, and encoded for the home.
+const bodyCopies = 2
+
+func provideBodies(config Config, measures *processMetrics, log *logrus.Entry) *intake.Bodies {
+	return intake.New(intake.Deps{
+		Capacity: intakepolicy.Capacity(config.memory()) / bodyCopies, Metrics: measures.registry,
+		Refused: func(refused intake.Refusals) { log.WithFields(refused.Fields()).Warn(logline.BodiesRefused) },
+	})
+}
+
 func provideFront(
-	config Config, inForce *settingsInForce, dispatcher *dispatcher, router *routing.Router, attempts *attempt.Records,
+	config Config, bodies *intake.Bodies, inForce *settingsInForce, dispatcher *dispatcher, router *routing.Router, attempts *attempt.Records,
 	recorder *timeline.Recorder, measures *processMetrics, log *logrus.Entry,
 ) *front.Front {
 	return front.New(front.Deps{
 		Self: config.Name, Settings: inForce.Snapshot, Dispatcher: dispatcher, Homes: dispatcher, Holders: dispatcher,
-		Chooser: router, Retries: router,
+		Chooser: router, Retries: router, Bodies: bodies,
 		Attempts: attempts, Recorder: recorder, Metrics: measures.registry, Log: log,
 	})
 }
--- a/entry/relay/exchange.go
+++ b/entry/relay/exchange.go
@@ -195,6 +195,7 @@
 	e.bodyMemory = memory
 	body, err := e.receive(ctx, limit)
 	if err != nil {
+		memory.Close()
 		return e.endUnread(err)
 	}
 	e.body = body
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"slices"
 	"time"
 
@@ -57,6 +58,8 @@
 // Serve runs one entry until ctx ends and the entry has drained. It waits for the platform before it starts the
 // roles.
 func Serve(ctx context.Context, config Config) error {
+	// The garbage collector works harder well before the process exceeds its memory.
+	debug.SetMemoryLimit(config.memory() / 4 * 3)
 	lines := logqueue.New(os.Stderr, logQueueSize)
 	defer lines.Flush(logFlushTimeout)
 	log, err := newLog(config, lines)
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -22,7 +22,7 @@
 		providePinger, provideFollower, provideTable, provideHomedGroups, provideAttempts, providePurger, provideHome, provideGuard, provideDispatcher,
 		provideFront, provideRouter, provideProber, provideController, provideStatusCollector, provideDirectory, provideOperator, provideRegistration,
 		newSettingsInForce, newHomeCandidates, wire.Struct(new(drain.Gate)), mirror.New, admission.New, vm.NewPresence,
-		provideEngines, provideSettingsReady,
+		provideEngines, provideSettingsReady, provideBodies,
 		wire.Struct(new(Entry), "*"),
 	)
 	return nil
