link/peer: a home holds what other entries dispatch to it within the same bound

Found by reading, for the same cause as at the front: the request of a stream between entries, which carries a body of up to 8 MiB, was read whole, however many came. Each front is bounded now, but hundreds of them dispatch to one home.

The requests of streams have their memory from the account of the process; control messages are not counted. One that is not read whole is answered with a status of its own, which the caller reports as ErrNotSent: no handler has run, so another home or a refusal as not run may follow. The new spec fails without the mapping (ErrRejected, after which the outcome counts as unknown).

Not played over processes: a crowd at many fronts before one home.

--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -147,6 +147,19 @@
 	}
 }
 
+// ReadBody opens a body and reads it to its end as Read does. interrupt is called if it is given up meanwhile. release closes it; after an error it is
+// closed already.
+func (b *Bodies) ReadBody(ctx context.Context, from io.Reader, length, limit int64, interrupt func()) (read []byte, release func(), err error) {
+	body, ctx := b.Open(ctx)
+	unregister := context.AfterFunc(ctx, interrupt)
+	read, err = body.Read(from, length, limit)
+	unregister()
+	if err != nil {
+		body.Close()
+	}
+	return read, body.Close, err
+}
+
 // expectEnd reads the end of a body that has as many bytes as it may.
 func (b *Body) expectEnd(from io.Reader) error {
 	n, err := io.ReadFull(from, make([]byte, 1))
--- a/entry/member/run_test.go
+++ b/entry/member/run_test.go
@@ -42,7 +42,7 @@
 	p.Members = New(Config{Self: p.entry, Generation: generation})
 	client := peer.NewClient(id, p, nil)
 	pinger := NewPinger(client)
-	server := peer.NewServer(id, p)
+	server := peer.NewServer(id, p, nil)
 	p.Register(server, pinger)
 	ctx, cancel := context.WithCancel(context.Background())
 	var wait sync.WaitGroup
--- a/entry/providers.go
+++ b/entry/providers.go
@@ -76,8 +76,8 @@
 
 func provideEngines(config Config) engine.Client { return engine.NewHTTPClient(config.sourceIP()) }
 
-func providePeerServer(self publishedEntry, members *member.Members) *peer.Server {
-	return peer.NewServer(self.identity, members)
+func providePeerServer(self publishedEntry, members *member.Members, bodies *intake.Bodies) *peer.Server {
+	return peer.NewServer(self.identity, members, bodies)
 }
 
 func providePinger(client *peer.Client) member.Pinger { return member.NewPinger(client) }
--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -50,7 +50,7 @@
 	directory := provideDirectory(members, entrySettingsInForce, gate, entryDispatcher)
 	entryStatusCollector := provideStatusCollector(config, members, table, entrySettingsInForce, client, recorder, controller)
 	server := provideOperator(config, store, entrySettingsInForce, mirrorMirror, follower, entryStatusCollector, recorder, measures, log, guard)
-	peerServer := providePeerServer(self, members)
+	peerServer := providePeerServer(self, members, bodies)
 	entry := &Entry{
 		config:          config,
 		log:             log,
--- a/link/peer/client.go
+++ b/link/peer/client.go
@@ -197,6 +197,9 @@
 
 func (r *Receiver) rejectionError(response *http.Response) error {
 	text, err := io.ReadAll(io.LimitReader(response.Body, maxErrorTextSize))
+	if response.StatusCode == statusUnread {
+		return notSent(r.conn.address, fmt.Errorf("%w: %s", errUnread, text))
+	}
 	if err != nil {
 		return r.classifyError(err)
 	}
--- a/link/peer/peer_test.go
+++ b/link/peer/peer_test.go
@@ -106,7 +106,7 @@
 	f.trust.add(f.clientID)
 	f.trust.add(f.serverID)
 	f.client = NewClient(f.clientID, f.trust, nil)
-	f.server = NewServer(f.serverID, f.trust)
+	f.server = NewServer(f.serverID, f.trust, unlimited{})
 	register(f.server)
 	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
@@ -196,6 +196,14 @@
 		Expect(f.client.Call(testContext(), f.address(), "/echo", "text", nil)).To(MatchError(ErrRejected))
 	})
 
+	// Guards against a request that counts as perhaps run although the peer had no memory to read it.
+	It("reports a stream whose request finds no memory as not sent, and still answers calls", func() {
+		f := newFixture(registerEcho)
+		f.server.memory = full{}
+		Expect(f.readStream(echo{Count: 1})).To(MatchError(ErrNotSent))
+		Expect(f.client.Call(testContext(), f.address(), "/echo", echo{Text: "a"}, nil)).To(Succeed())
+	})
+
 	It("does not send an oversized request or one to an invalid address", func() {
 		f := newFixture(registerEcho)
 		err := f.client.Call(testContext(), f.address(), "/echo", make([]byte, MaxMessageBytes+1), nil)
@@ -426,3 +434,18 @@
 		Eventually(result, testTimeout).Should(Receive(MatchError(ErrInterrupted)))
 	})
 })
+
+// unlimited is memory without a bound.
+type unlimited struct{}
+
+func (unlimited) ReadBody(_ context.Context, from io.Reader, _, _ int64, _ func()) ([]byte, func(), error) {
+	body, err := io.ReadAll(from)
+	return body, func() {}, err
+}
+
+// full is memory without room.
+type full struct{}
+
+func (full) ReadBody(context.Context, io.Reader, int64, int64, func()) ([]byte, func(), error) {
+	return nil, func() {}, errors.New("no room")
+}
--- a/link/peer/server.go
+++ b/link/peer/server.go
@@ -15,17 +15,28 @@
 
 // Server serves calls from other entries.
 type Server struct {
-	trust Trust
-	mux   *http.ServeMux
-	http  *http3.Server
+	trust  Trust
+	memory Memory
+	mux    *http.ServeMux
+	http   *http3.Server
 }
 
-// NewServer returns a server that authenticates with id and accepts only peers that trust knows.
-func NewServer(id *Identity, trust Trust) *Server {
+// Memory is what the requests of streams are held in. Implementations must be safe for concurrent use.
+type Memory interface {
+	// ReadBody reads a body of at most limit bytes to its end. length is its announced length, or -1. interrupt is called if the body is given up
+	// while it is read, and release must be called once the body is not used any more. An error means that there is no room, the body exceeds the
+	// limit, or it broke off.
+	ReadBody(ctx context.Context, from io.Reader, length, limit int64, interrupt func()) (body []byte, release func(), err error)
+}
+
+// NewServer returns a server that authenticates with id and accepts only peers that trust knows. The requests of streams are held in
+// memory; those of calls, which are control messages, are not counted.
+func NewServer(id *Identity, trust Trust, memory Memory) *Server {
 	mux := http.NewServeMux()
 	return &Server{
-		trust: trust,
-		mux:   mux,
+		trust:  trust,
+		memory: memory,
+		mux:    mux,
 		http: &http3.Server{
 			Handler:        mux,
 			TLSConfig:      http3.ConfigureTLSConfig(tlsConfig(id, trust)),
@@ -66,7 +77,7 @@
 // calling entry; its context ends when the caller disconnects. The caller receives a handler's error as
 // ErrRejected with the error's text.
 func Handle[Req, Resp any](s *Server, path string, handler func(ctx context.Context, from string, req Req) (Resp, error)) {
-	s.handle(path, func(ctx context.Context, from string, body []byte, writer *itemWriter) error {
+	s.handle(path, readControl, func(ctx context.Context, from string, body []byte, writer *itemWriter) error {
 		var req Req
 		if err := decMode.Unmarshal(body, &req); err != nil {
 			return &malformedRequest{err}
@@ -82,9 +93,10 @@
 // HandleStream registers the handler for path and must be called before Serve. Each send writes one item of the
 // response stream and may block if the caller reads slowly. The caller receives an error before the first item
 // as ErrRejected and a later one as ErrInterrupted, which can overtake items sent shortly before it. A handler
-// that must report a reason after its first item sends it as the last item and returns nil.
+// that must report a reason after its first item sends it as the last item and returns nil. Callers of requests for which there is no memory get
+// ErrNotSent.
 func HandleStream[Req any](s *Server, path string, handler func(ctx context.Context, from string, req Req, send func(v any) error) error) {
-	s.handle(path, func(ctx context.Context, from string, body []byte, writer *itemWriter) error {
+	s.handle(path, s.readStreamed, func(ctx context.Context, from string, body []byte, writer *itemWriter) error {
 		var req Req
 		if err := decMode.Unmarshal(body, &req); err != nil {
 			return &malformedRequest{err}
@@ -98,7 +110,26 @@
 // malformedRequest marks an error in the request itself, as opposed to a failure of the handler.
 type malformedRequest struct{ error }
 
-func (s *Server) handle(path string, handler rawHandler) {
+// readRequest reads the body of a request. release is called when its handler has returned.
+type readRequest func(r *http.Request) (body []byte, release func(), err error)
+
+func readControl(r *http.Request) (body []byte, release func(), err error) {
+	body, err = readBody(r.Body)
+	return body, func() {}, err
+}
+
+// errUnread is the response to a request that was not read whole, so that no handler has run.
+var errUnread = eris.New("the request was not read")
+
+func (s *Server) readStreamed(r *http.Request) (body []byte, release func(), err error) {
+	body, release, err = s.memory.ReadBody(r.Context(), r.Body, r.ContentLength, MaxMessageBytes, func() { _ = r.Body.Close() })
+	if err != nil {
+		return nil, release, eris.Wrap(errUnread, err.Error())
+	}
+	return body, release, nil
+}
+
+func (s *Server) handle(path string, read readRequest, handler rawHandler) {
 	s.mux.HandleFunc(path, func(w http.ResponseWriter, r *http.Request) {
 		// Checked on every request, because a connection can outlast the trust in its peer.
 		from, err := peerName(r.TLS, s.trust)
@@ -106,9 +137,10 @@
 			http.Error(w, err.Error(), http.StatusForbidden)
 			return
 		}
-		body, err := readBody(r.Body)
+		body, release, err := read(r)
+		defer release()
 		if err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
+			http.Error(w, err.Error(), statusForUnread(err))
 			return
 		}
 		writer := &itemWriter{response: w}
@@ -116,6 +148,16 @@
 	})
 }
 
+// statusUnread is the status of the response with errUnread.
+const statusUnread = http.StatusServiceUnavailable
+
+func statusForUnread(err error) int {
+	if errors.Is(err, errUnread) {
+		return statusUnread
+	}
+	return http.StatusBadRequest
+}
+
 func readBody(in io.Reader) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(in, MaxMessageBytes+1))
 	if err != nil {
