link/ingress: what lies unread at an entry's sockets is bounded

What callers saw: bytes that the process does not read count toward the memory of its machine, and the kernel keeps up to 118 KB of them on a connection that is never read (900 connections: 106.5 MB at the directory, readiness, metrics, for announced bodies over the limit) and 0.8 MB on one that was read and then refused (300: 206 to 241 MB), since it sizes the receive buffers by itself.

Every listener has a receive buffer of a size now: 16 KB for callers and operators, 4 KB for the rest (half as much again is held; measured on loopback 1.5 times the setting, at 1.1 GB/s and 0.36 GB/s). A round trip carries 24 KB of a body, so 4 MB/s at 6 ms.

Ruled out: reading and discarding alone. Unread bytes of 900 announced bodies were 103.4 MB with it: all arrive before the process gets there.

--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -42,6 +42,7 @@
 	"github.com/skylarkpond/skylarkpond/link/upstream"
 	"github.com/skylarkpond/skylarkpond/logline"
 	"github.com/skylarkpond/skylarkpond/platform"
+	"github.com/skylarkpond/skylarkpond/policy/connections"
 	directory "github.com/skylarkpond/skylarkpond/policy/directory"
 	"github.com/skylarkpond/skylarkpond/policy/stopping"
 )
@@ -214,20 +215,21 @@
 
 func (g *Gateway) listen() ([]*server, error) {
 	listeners := []struct {
-		address    string
-		handler    http.Handler
-		unanswered func(ingress.Unanswered)
+		address       string
+		receiveBuffer int
+		handler       http.Handler
+		unanswered    func(ingress.Unanswered)
 	}{
-		{g.config.CallerAddress, g.gate.Wrap(g.relay), g.requestUnanswered},
-		{g.config.ReadyAddress, ingress.WithoutBodies(g.ready), func(ingress.Unanswered) {}},
-		{g.config.DirectoryAddress, ingress.WithoutBodies(g.lookup), func(ingress.Unanswered) {}},
-		{g.config.MetricsAddress, ingress.WithoutBodies(g.metrics), func(ingress.Unanswered) {}},
+		{g.config.CallerAddress, connections.CallersBuffer, g.gate.Wrap(g.relay), g.requestUnanswered},
+		{g.config.ReadyAddress, connections.OtherBuffer, ingress.WithoutBodies(g.ready), func(ingress.Unanswered) {}},
+		{g.config.DirectoryAddress, connections.OtherBuffer, ingress.WithoutBodies(g.lookup), func(ingress.Unanswered) {}},
+		{g.config.MetricsAddress, connections.OtherBuffer, ingress.WithoutBodies(g.metrics), func(ingress.Unanswered) {}},
 	}
 	var servers []*server
 	for _, m := range listeners {
-		listener, err := net.Listen("tcp", m.address)
+		listener, err := ingress.Listen(m.address, m.receiveBuffer)
 		if err != nil {
-			return nil, eris.Wrap(err, "listening at "+m.address)
+			return nil, err
 		}
 		servers = append(servers, &server{
 			listener: listener,
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -28,6 +28,7 @@
 	"github.com/skylarkpond/skylarkpond/link/ingress"
 	"github.com/skylarkpond/skylarkpond/link/peer"
 	"github.com/skylarkpond/skylarkpond/link/platform"
+	"github.com/skylarkpond/skylarkpond/policy/connections"
 	"github.com/skylarkpond/skylarkpond/timeline"
 )
 
@@ -40,11 +41,11 @@
 }
 
 func listen(config Config) (*sockets, error) {
-	public, err := net.Listen("tcp", config.PublicAddress)
+	public, err := ingress.Listen(config.PublicAddress, connections.CallersBuffer)
 	if err != nil {
 		return nil, eris.Wrap(err, "--public-address")
 	}
-	admin, err := net.Listen("tcp", config.AdminAddress)
+	admin, err := ingress.Listen(config.AdminAddress, connections.CallersBuffer)
 	if err != nil {
 		return nil, eris.Wrap(err, "--admin-address")
 	}
