link/ingress: connections of callers are bounded, and leave descriptors for the process's own

What callers saw: no listener bounds its connections, and entries reach servers, platform and peers by descriptors of the same pool. 600 clients that send nothing or a part of a header held 625 descriptors; where the process had 300, an ordinary caller got 3 answers in 15 s (sixty are usual).

A full process closes connections that have not brought a header within a second, then idle ones, which are still read for 20 ms, then gives up the slowest body; otherwise new connections wait. Requests in progress are never closed. serve bounds headers at 32 KB (the gateway at 16 KB before). What was open to servers is counted by internal/descriptors.

Found on the way: a connection that had waited for its admission counted as silent for that time, and was closed before its request could be read; the spec "never closes a connection with a request in progress" showed it.

--- a/entry/config.go
+++ b/entry/config.go
@@ -11,6 +11,8 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/skylarkpond/skylarkpond/internal/descriptors"
+	"github.com/skylarkpond/skylarkpond/policy/connections"
 	"github.com/skylarkpond/skylarkpond/policy/shift"
 )
 
@@ -29,10 +31,11 @@
 	PlatformURL           string `arg:"--platform,env:POND_PLATFORM,required" help:"URL of the platform's object API, by IP number"`
 	// PlatformRate limits the platform calls per second of one entry. The platform handles several hundred writes and about
 	// two thousand reads a second from all entries together.
-	PlatformRate float64 `arg:"--platform-rate,env:POND_PLATFORM_RATE" default:"100" help:"calls a second this entry may make to the platform"`
-	Timeline     string  `arg:"--timeline,env:POND_TIMELINE" help:"file to append time line events to; - for standard output; empty: only the recent ones are kept, in memory"`
-	LogLevel     string  `arg:"--log-level,env:POND_LOG_LEVEL" default:"info" help:"panic, fatal, error, warn, info, debug or trace"`
-	MemoryMB     int     `arg:"--memory-mb,env:POND_MEMORY_MB" default:"512" help:"memory of this VM, in MB; bounds what callers can make the process hold"`
+	PlatformRate   float64 `arg:"--platform-rate,env:POND_PLATFORM_RATE" default:"100" help:"calls a second this entry may make to the platform"`
+	Timeline       string  `arg:"--timeline,env:POND_TIMELINE" help:"file to append time line events to; - for standard output; empty: only the recent ones are kept, in memory"`
+	LogLevel       string  `arg:"--log-level,env:POND_LOG_LEVEL" default:"info" help:"panic, fatal, error, warn, info, debug or trace"`
+	MemoryMB       int     `arg:"--memory-mb,env:POND_MEMORY_MB" default:"512" help:"memory of this VM, in MB; bounds what callers can make the process hold"`
+	MaxDescriptors int     `arg:"--max-descriptors,env:POND_MAX_DESCRIPTORS" help:"descriptors that this process may open, files included (0: the limit of the system)"`
 	// BootstrapKeyHash authorizes an operator as long as no settings tree exists.
 	BootstrapKeyHash string `arg:"--bootstrap-key-hash,env:POND_BOOTSTRAP_KEY_HASH" help:"SHA-256, in hex, of the operator key accepted while the tree of settings does not exist"`
 	// HomeHold and HomeHoldMax set how long an entry that has just joined, or that joins and leaves repeatedly, is
@@ -78,6 +81,7 @@
 	}
 	check(validPlatform(c.PlatformURL), "--platform", "must be http://IP:port or https://IP:port by number, not "+quoted(c.PlatformURL))
 	check(c.PlatformRate >= 1 && c.PlatformRate <= 10_000, "--platform-rate", "must be between 1 and 10000 calls a second")
+	check(c.MaxDescriptors == 0 || c.MaxDescriptors >= 128, "--max-descriptors", "must be 0, or 128 or more")
 	check(c.MemoryMB >= 32, "--memory-mb", "must be 32 or more")
 	check(c.BootstrapKeyHash == "" || validHash(c.BootstrapKeyHash), "--bootstrap-key-hash", "must be 64 hex digits (pondctl hash-key makes one)")
 	check(c.homeHold().Check() == nil, "--home-hold, --home-hold-max", "must be 0s to 1m, and from there to 1h")
@@ -97,6 +101,11 @@
 // memory returns the memory of this VM in bytes.
 func (c *Config) memory() int64 { return int64(c.MemoryMB) << 20 }
 
+// limits returns what bounds the connections of callers.
+func (c *Config) limits() connections.Limits {
+	return connections.Limits{Memory: c.memory(), Descriptors: descriptors.Limit(c.MaxDescriptors)}
+}
+
 // sourceIP returns the local address of outgoing connections, or nil if the system chooses it.
 func (c *Config) sourceIP() net.IP { return net.ParseIP(c.SourceAddress) }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -67,6 +67,7 @@
 	front           *front.Front
 	directory       *directory.Directory
 	gate            *drain.Gate
+	callers         *ingress.Connections
 	operator        *operator.Server
 	statusCollector *statusCollector
 	dispatcher      *dispatcher
@@ -108,13 +109,26 @@
 		untilDone(func(ctx context.Context) { e.purger.Run(ctx, purgeInterval, e.isPurger, e.logPurge) }),
 		e.watchMembers,
 		untilDone(e.syncSettings),
+		untilDone(e.boundConnections),
 		func(ctx context.Context) error { return e.serveWhenReady(ctx, public, sockets.public) },
 		func(ctx context.Context) error { return e.serveWhenReady(ctx, admin, sockets.admin) },
 	}
 }
 
-// readHeaderTimeout limits how long a client may take to send a request's header.
-const readHeaderTimeout = 10 * time.Second
+// connectionsInterval is the interval between checks whether the process's own connections leave room for those of callers.
+const connectionsInterval = time.Second
+
+func (e *Entry) boundConnections(ctx context.Context) {
+	for wait.Pause(ctx, connectionsInterval) {
+		e.callers.Enforce()
+	}
+}
+
+// readHeaderTimeout limits how long a client may take to send a request's header, maxHeaderBytes its size.
+const (
+	readHeaderTimeout = 10 * time.Second
+	maxHeaderBytes    = 32 << 10
+)
 
 // Run serves until ctx ends and then drains: the entry leaves the directory, keeps serving for longer than callers
 // may cache its address, finishes the requests in progress and returns. The roles keep running until then.
@@ -124,9 +138,11 @@
 	defer running.Wait()
 	defer stopWork()
 	public := ingress.New(&http.Server{
-		Handler: e.publicHandler(), ReadHeaderTimeout: readHeaderTimeout, ConnContext: framing.WithConn,
-	}, e.requestUnanswered)
-	admin := ingress.New(&http.Server{Handler: e.adminHandler(), ReadHeaderTimeout: readHeaderTimeout}, e.requestUnanswered)
+		Handler: e.publicHandler(), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, ConnContext: framing.WithConn,
+	}, e.requestUnanswered, ingress.WithConnections(e.callers))
+	admin := ingress.New(&http.Server{
+		Handler: e.adminHandler(), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}, e.requestUnanswered, ingress.WithConnections(e.callers))
 	defer shutDown(e.log, admin, adminShutdownTimeout)
 	defer shutDown(e.log, public, endTimeout)
 	defer e.front.EndRequests() // there are none unless a role has failed
--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -33,6 +33,7 @@
 	"github.com/skylarkpond/skylarkpond/entry/suspects"
 	"github.com/skylarkpond/skylarkpond/entry/turn"
 	"github.com/skylarkpond/skylarkpond/internal/logqueue"
+	"github.com/skylarkpond/skylarkpond/link/ingress"
 	link "github.com/skylarkpond/skylarkpond/link/leader"
 	"github.com/skylarkpond/skylarkpond/link/peer"
 	store "github.com/skylarkpond/skylarkpond/link/platform"
@@ -231,6 +232,13 @@
 	return intake.New(intake.Deps{Capacity: intakepolicy.Capacity(s.config.memory()), Metrics: s.registry, Refused: s.bodiesRefused})
 }
 
+func provideConnections(s *shared, pool *upstream.Pool, forwarding *relay.Relay, bodies *intake.Bodies) *ingress.Connections {
+	return ingress.NewConnections(ingress.ConnectionsDeps{
+		Limits: s.config.limits(), Own: func() int { return pool.OpenCount() + forwarding.OpenToPeers() }, GiveUpSlowest: bodies.GiveUpSlowest,
+		Report: s.connectionsClosed, Metrics: s.registry,
+	})
+}
+
 func provideRelay(
 	s *shared, bodies *intake.Bodies, cat *catalog.Catalog, remote *turn.Remote, pool *upstream.Pool, retries *relay.Retries, watch *suspects.Watch,
 	isolated *isolation.Watch, entries *roster.Roster, tracker *limits.Tracker, pauses *backoff.Tracker,
--- a/entry/gateway/config.go
+++ b/entry/gateway/config.go
@@ -10,6 +10,8 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/skylarkpond/skylarkpond/internal/descriptors"
+	"github.com/skylarkpond/skylarkpond/policy/connections"
 	"github.com/skylarkpond/skylarkpond/policy/takeover"
 )
 
@@ -27,6 +29,7 @@
 	PlatformRate     float64 `arg:"--platform-rate,env:POND_PLATFORM_RATE" default:"40" help:"calls a second this entry may make to the platform"`
 	FirstStart       bool    `arg:"--first-start,env:POND_FIRST_START" help:"the whole system starts for the first time, and no caller has come yet"`
 	MemoryMB         int     `arg:"--memory-mb,env:POND_MEMORY_MB" default:"206" help:"memory of this VM, in MB"`
+	MaxDescriptors   int     `arg:"--max-descriptors,env:POND_MAX_DESCRIPTORS" help:"descriptors that this process may open, files included (0: the limit of the system)"`
 	LinkMbps         float64 `arg:"--link-mbps,env:POND_LINK_MBPS" help:"link of this VM in Mbit/s; VMs with more rather take charge of the groups (0: not known)"`
 	Cores            float64 `arg:"--cores,env:POND_CORES" help:"processors that this VM may use, a share counting as such (0: not known)"`
 	// Limits that operators promise to their callers.
@@ -80,6 +83,7 @@
 	check(c.Returning == returningQueue || c.Returning == returningReserve, "--returning", "must be "+returningQueue+" or "+returningReserve)
 	check(c.EvacuationMs == 0 || c.EvacuationMs >= 1000 && c.EvacuationMs <= 600_000, "--evacuation-ms", "must be 0 or between 1000 and 600000")
 	check(c.MemoryMB >= 32, "--memory-mb", "must be 32 or more")
+	check(c.MaxDescriptors == 0 || c.MaxDescriptors >= 128, "--max-descriptors", "must be 0, or 128 or more")
 	check(c.LinkMbps >= 0, "--link-mbps", "must be 0 or more")
 	check(c.Cores >= 0, "--cores", "must be 0 or more")
 	check(c.LogQueueSize >= 1, "--log-queue", "must be 1 or more")
@@ -104,4 +108,9 @@
 // memory returns the memory of this VM in bytes.
 func (c *Config) memory() int64 { return int64(c.MemoryMB) << 20 }
 
+// limits returns what bounds the connections of callers.
+func (c *Config) limits() connections.Limits {
+	return connections.Limits{Memory: c.memory(), Descriptors: descriptors.Limit(c.MaxDescriptors)}
+}
+
 func (c *Config) stopGrace() time.Duration { return time.Duration(c.StopGrace * float64(time.Second)) }
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -84,6 +84,7 @@
 	controller *grouping.Controller
 	relay      *relay.Relay
 	bodies     *intake.Bodies
+	callers    *ingress.Connections
 	local      *turn.Local
 	remote     *turn.Remote
 	suspects   *suspects.Watch
@@ -179,6 +180,7 @@
 			return server != nil && upstream.EndpointOf(server) == to
 		})
 		g.relay.Sweep()
+		g.callers.Enforce()
 		g.local.Sweep()
 		g.limits.Sweep(listing)
 		g.backoff.Sweep(listing)
@@ -237,7 +239,7 @@
 				Handler: m.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 				ConnContext: framing.WithConn,
 				ErrorLog:    log.New(io.Discard, "", 0), // the relay reports failures of requests
-			}, m.unanswered),
+			}, m.unanswered, ingress.WithConnections(g.callers)),
 		})
 	}
 	return servers, nil
--- a/entry/gateway/lines.go
+++ b/entry/gateway/lines.go
@@ -106,6 +106,11 @@
 	s.log.WithFields(refused.Fields()).Warn(logline.BodiesRefused)
 }
 
+// connectionsClosed logs that connections of callers were closed to make room for others.
+func (s *shared) connectionsClosed(shortage ingress.Shortage) {
+	s.log.WithFields(shortage.Fields()).Warn(logline.ConnectionsClosed)
+}
+
 // logUnfinished logs what a process leaves unfinished as it ends.
 func (g *Gateway) logUnfinished(callers *ingress.Server) {
 	unfinished := g.relay.Unfinished()
--- a/entry/gateway/wire.go
+++ b/entry/gateway/wire.go
@@ -14,7 +14,7 @@
 func assemble(s *shared) (*Gateway, error) {
 	wire.Build(
 		provideStore, provideIdentity, provideHolder, provideCatalog, provideRoster, provideLease, provideController, provideLeader,
-		provideLinks, provideLocal, provideRemote, provideSuspects, provideLimits, provideBackoff, provideStanding, provideIsolation, provideRetries, provideBodies, provideRelay, providePool, provideProgress, wire.Struct(new(drain.Gate)),
+		provideLinks, provideLocal, provideRemote, provideSuspects, provideLimits, provideBackoff, provideStanding, provideIsolation, provideRetries, provideBodies, provideConnections, provideRelay, providePool, provideProgress, wire.Struct(new(drain.Gate)),
 		wire.Struct(new(components), "*"), wire.Struct(new(Gateway), "*"),
 	)
 	return nil, nil
--- a/entry/gateway/wire_gen.go
+++ b/entry/gateway/wire_gen.go
@@ -36,6 +36,7 @@
 	retries := provideRetries(s)
 	suspectsWatch := provideSuspects(s, remote, catalog, pool, watch)
 	relay := provideRelay(s, bodies, catalog, remote, pool, retries, suspectsWatch, watch, roster, limitsTracker, backoffTracker)
+	connections := provideConnections(s, pool, relay, bodies)
 	leader := provideLeader(s, catalog, lease, controller, monitor, tracker)
 	leaderServer := provideLinks(identity, holder, leader)
 	gate := &drain.Gate{}
@@ -46,6 +47,7 @@
 		controller: controller,
 		relay:      relay,
 		bodies:     bodies,
+		callers:    connections,
 		local:      local,
 		remote:     remote,
 		suspects:   suspectsWatch,
--- a/entry/providers.go
+++ b/entry/providers.go
@@ -27,6 +27,7 @@
 	"github.com/skylarkpond/skylarkpond/entry/reach"
 	"github.com/skylarkpond/skylarkpond/entry/routing"
 	"github.com/skylarkpond/skylarkpond/link/engine"
+	"github.com/skylarkpond/skylarkpond/link/ingress"
 	"github.com/skylarkpond/skylarkpond/link/peer"
 	"github.com/skylarkpond/skylarkpond/link/platform"
 	"github.com/skylarkpond/skylarkpond/logline"
@@ -74,7 +75,7 @@
 	return peer.NewClient(self.identity, members, config.sourceIP())
 }
 
-func provideEngines(config Config) engine.Client { return engine.NewHTTPClient(config.sourceIP()) }
+func provideEngines(config Config) *engine.HTTPClient { return engine.NewHTTPClient(config.sourceIP()) }
 
 func providePeerServer(self publishedEntry, members *member.Members, bodies *intake.Bodies) *peer.Server {
 	return peer.NewServer(self.identity, members, bodies)
@@ -151,6 +152,15 @@
 	})
 }
 
+func provideConnections(
+	config Config, engines *engine.HTTPClient, bodies *intake.Bodies, measures *processMetrics, log *logrus.Entry,
+) *ingress.Connections {
+	return ingress.NewConnections(ingress.ConnectionsDeps{
+		Limits: config.limits(), Own: engines.OpenCount, GiveUpSlowest: bodies.GiveUpSlowest, Metrics: measures.registry,
+		Report: func(shortage ingress.Shortage) { log.WithFields(shortage.Fields()).Warn(logline.ConnectionsClosed) },
+	})
+}
+
 func provideFront(
 	config Config, bodies *intake.Bodies, inForce *settingsInForce, dispatcher *dispatcher, router *routing.Router, attempts *attempt.Records,
 	recorder *timeline.Recorder, measures *processMetrics, log *logrus.Entry,
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -143,6 +143,9 @@
 // Sweep closes connections to other entries that have been idle for too long.
 func (r *Relay) Sweep() { r.deps.PeerPool.CloseStale(func(upstream.Endpoint) bool { return true }) }
 
+// OpenToPeers returns the number of open connections to other entries.
+func (r *Relay) OpenToPeers() int { return r.deps.PeerPool.OpenCount() }
+
 // HasReceived reports whether any request has arrived.
 func (r *Relay) HasReceived() bool { return r.received.Load() }
 
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -9,6 +9,7 @@
 	"github.com/skylarkpond/skylarkpond/entry/admission"
 	"github.com/skylarkpond/skylarkpond/entry/drain"
 	"github.com/skylarkpond/skylarkpond/entry/mirror"
+	"github.com/skylarkpond/skylarkpond/link/engine"
 	"github.com/skylarkpond/skylarkpond/timeline"
 	"github.com/skylarkpond/skylarkpond/vm"
 )
@@ -22,7 +23,7 @@
 		providePinger, provideFollower, provideTable, provideHomedGroups, provideAttempts, providePurger, provideHome, provideGuard, provideDispatcher,
 		provideFront, provideRouter, provideProber, provideController, provideStatusCollector, provideDirectory, provideOperator, provideRegistration,
 		newSettingsInForce, newHomeCandidates, wire.Struct(new(drain.Gate)), mirror.New, admission.New, vm.NewPresence,
-		provideEngines, provideSettingsReady, provideBodies,
+		provideEngines, provideSettingsReady, provideBodies, provideConnections, wire.Bind(new(engine.Client), new(*engine.HTTPClient)),
 		wire.Struct(new(Entry), "*"),
 	)
 	return nil
--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -29,25 +29,26 @@
 	client := providePeerClient(config, self, members)
 	pinger := providePinger(client)
 	table := provideTable(entryHomeCandidates)
-	engineClient := provideEngines(config)
+	httpClient := provideEngines(config)
 	presence := vm.NewPresence()
 	admissionAdmission := admission.New()
-	prober := provideProber(config, table, engineClient, presence, recorder, members, admissionAdmission)
+	prober := provideProber(config, table, httpClient, presence, recorder, members, admissionAdmission)
 	purger := providePurger(store)
 	tracker := provideReach(config, store, members, recorder)
-	guard := provideGuard(config, store, follower, engineClient, recorder, measures)
+	guard := provideGuard(config, store, follower, httpClient, recorder, measures)
 	entrySettingsInForce := newSettingsInForce(recorder, log)
-	controller := provideController(self, tracker, store, engineClient, entryLiveMembership, mirrorMirror, table, entrySettingsInForce, recorder, measures, log, follower)
+	controller := provideController(self, tracker, store, httpClient, entryLiveMembership, mirrorMirror, table, entrySettingsInForce, recorder, measures, log, follower)
 	bodies := provideBodies(config, measures, log)
 	entryHomedGroups := provideHomedGroups(config, table, presence, prober)
 	records := provideAttempts(store)
-	home := provideHome(self, entryHomedGroups, admissionAdmission, records, engineClient, entrySettingsInForce, recorder, guard, measures, log)
+	home := provideHome(self, entryHomedGroups, admissionAdmission, records, httpClient, entrySettingsInForce, recorder, guard, measures, log)
 	v := provideSettingsReady()
 	entryDispatcher := provideDispatcher(self, table, entryHomeCandidates, home, members, client, recorder, v)
 	router := provideRouter(config, measures)
 	front := provideFront(config, bodies, entrySettingsInForce, entryDispatcher, router, records, recorder, measures, log)
 	gate := &drain.Gate{}
 	directory := provideDirectory(members, entrySettingsInForce, gate, entryDispatcher)
+	connections := provideConnections(config, httpClient, bodies, measures, log)
 	entryStatusCollector := provideStatusCollector(config, members, table, entrySettingsInForce, client, recorder, controller)
 	server := provideOperator(config, store, entrySettingsInForce, mirrorMirror, follower, entryStatusCollector, recorder, measures, log, guard)
 	peerServer := providePeerServer(self, members, bodies)
@@ -71,6 +72,7 @@
 		front:           front,
 		directory:       directory,
 		gate:            gate,
+		callers:         connections,
 		operator:        server,
 		statusCollector: entryStatusCollector,
 		dispatcher:      entryDispatcher,
--- a/link/engine/client.go
+++ b/link/engine/client.go
@@ -19,6 +19,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/skylarkpond/skylarkpond/internal/descriptors"
 	"github.com/skylarkpond/skylarkpond/link/ratelimit"
 	"github.com/skylarkpond/skylarkpond/link/retryafter"
 )
@@ -34,6 +35,7 @@
 type HTTPClient struct {
 	control  *http.Client
 	requests *http.Client
+	opened   descriptors.Counter
 }
 
 // Limits of an HTTPClient.
@@ -58,24 +60,28 @@
 	if source != nil {
 		dialer.LocalAddr = &net.TCPAddr{IP: source}
 	}
-	return &HTTPClient{
-		control: newClient(&http.Transport{
-			DialContext:         dialer.DialContext,
-			IdleConnTimeout:     idleConnTimeout,
-			MaxIdleConnsPerHost: 2,
+	c := &HTTPClient{}
+	dial := c.opened.Wrap(dialer.DialContext)
+	c.control = newClient(&http.Transport{
+		DialContext:         dial,
+		IdleConnTimeout:     idleConnTimeout,
+		MaxIdleConnsPerHost: 2,
 
-			MaxResponseHeaderBytes: maxHeadBytes,
-		}),
-		requests: newClient(&http.Transport{
-			DialContext:        dialer.DialContext,
-			DisableKeepAlives:  true,
-			DisableCompression: true, // responses are forwarded unmodified
+		MaxResponseHeaderBytes: maxHeadBytes,
+	})
+	c.requests = newClient(&http.Transport{
+		DialContext:        dial,
+		DisableKeepAlives:  true,
+		DisableCompression: true, // responses are forwarded unmodified
 
-			MaxResponseHeaderBytes: maxHeadBytes,
-		}),
-	}
+		MaxResponseHeaderBytes: maxHeadBytes,
+	})
+	return c
 }
 
+// OpenCount returns the number of open connections to backend servers.
+func (c *HTTPClient) OpenCount() int { return c.opened.Open() }
+
 func newClient(transport *http.Transport) *http.Client {
 	return &http.Client{
 		Transport: transport,
--- a/link/ingress/conn.go
+++ b/link/ingress/conn.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/skylarkpond/skylarkpond/internal/lateread"
+	"github.com/skylarkpond/skylarkpond/policy/connections"
 )
 
 // State is how far a connection has come with its current request.
@@ -44,6 +45,11 @@
 
 	mu    sync.Mutex // guards what follows; held while read deadlines of the inner connection are set
 	state State
+	// served is set once a request has been answered. since is when the connection was admitted, the last answer ended, or a later request began.
+	served bool
+	since  time.Time
+	// doomed is set once the connection is closed to make room: nothing more is read from it.
+	doomed bool
 	// tail holds the last bytes of an incomplete header.
 	tail []byte
 	// lastByte is when a byte of the request was last read, answering whether a byte of its answer has been written.
@@ -65,6 +71,9 @@
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.doomed {
+		return 0, net.ErrClosed
+	}
 	if n > 0 {
 		c.noteRead(p[:n])
 	}
@@ -78,6 +87,9 @@
 	c.lastByte = time.Now()
 	if c.state == Idle {
 		c.state, c.answering = Header, false
+		if c.served {
+			c.since = c.lastByte
+		}
 		c.restoreReadDeadline()
 	}
 	if c.state != Header {
@@ -140,7 +152,48 @@
 func (c *conn) end() {
 	c.mu.Lock()
 	c.state, c.tail = Idle, nil
+	c.served, c.since = true, time.Now()
+	c.mu.Unlock()
+}
+
+// describe returns what decides whether the connection is closed to make room. One that is being closed is no candidate.
+func (c *conn) describe() connections.Connection {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return connections.Connection{Served: c.served && c.state == Idle, Waiting: c.waiting(), Since: c.since}
+}
+
+// waiting reports whether no whole header has been read and the connection is not being closed. The caller holds mu.
+func (c *conn) waiting() bool {
+	return (c.state == Idle || c.state == Header) && !c.closing && !c.closed
+}
+
+// closure is how a connection was closed to make room.
+type closure int
+
+const (
+	notClosed closure = iota
+	closedWithoutRequest
+	closedIdle
+)
+
+// closeUnused closes the connection unless a request has begun or ended since it was described. A caller that was served before may send a request
+// just now, and is given a moment.
+func (c *conn) closeUnused(described connections.Connection) closure {
+	c.mu.Lock()
+	switch {
+	case !c.waiting() || c.since != described.Since:
+		c.mu.Unlock()
+		return notClosed
+	case described.Served:
+		c.mu.Unlock()
+		c.closeWhenIdle()
+		return closedIdle
+	}
+	c.doomed = true
 	c.mu.Unlock()
+	_ = c.Close()
+	return closedWithoutRequest
 }
 
 // closingLinger is how long an idle connection is still read when the server stops. A request that its caller has sent by then is answered.
--- a/link/ingress/ingress.go
+++ b/link/ingress/ingress.go
@@ -23,6 +23,8 @@
 type Server struct {
 	http       *http.Server
 	unanswered func(Unanswered)
+	// limit bounds the connections of all servers of the process; nil for no bound.
+	limit *Connections
 
 	stopping atomic.Bool
 
@@ -31,9 +33,18 @@
 	listener net.Listener
 }
 
+// Option configures a Server.
+type Option func(*Server)
+
+// WithConnections makes the server's connections count toward a bound.
+func WithConnections(limit *Connections) Option { return func(s *Server) { s.limit = limit } }
+
 // New returns a Server that serves as inner is configured. unanswered is called for each connection that ends without an answer to its request.
-func New(inner *http.Server, unanswered func(Unanswered)) *Server {
+func New(inner *http.Server, unanswered func(Unanswered), options ...Option) *Server {
 	s := &Server{http: inner, unanswered: unanswered, conns: make(map[*conn]struct{})}
+	for _, option := range options {
+		option(s)
+	}
 	handler, connContext := inner.Handler, inner.ConnContext
 	inner.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
@@ -139,6 +150,9 @@
 }
 
 func (s *Server) forget(c *conn) {
+	if s.limit != nil {
+		s.limit.remove(c)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
@@ -159,7 +173,10 @@
 	if !ok {
 		return accepted, nil
 	}
-	c := &conn{Conn: lateread.NewConn(tcp), server: l.server, state: Idle}
+	c := &conn{Conn: lateread.NewConn(tcp), server: l.server, state: Idle, since: time.Now()}
+	if l.server.limit != nil {
+		l.server.limit.admit(c)
+	}
 	l.server.add(c)
 	return c, nil
 }
--- a/link/ingress/ingress_test.go
+++ b/link/ingress/ingress_test.go
@@ -36,18 +36,29 @@
 
 func serve(handler http.HandlerFunc, options ...func(*http.Server)) *served {
 	GinkgoHelper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	s := &served{address: listener.Addr().String(), done: make(chan error, 1)}
 	inner := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute}
 	for _, option := range options {
 		option(inner)
 	}
+	return serveServer(inner)
+}
+
+// serveWith is serve with options of the server.
+func serveWith(handler http.HandlerFunc, options ...ingress.Option) *served {
+	GinkgoHelper()
+	return serveServer(&http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute}, options...)
+}
+
+func serveServer(inner *http.Server, options ...ingress.Option) *served {
+	GinkgoHelper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	s := &served{address: listener.Addr().String(), done: make(chan error, 1)}
 	s.Server = ingress.New(inner, func(request ingress.Unanswered) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.unanswered = append(s.unanswered, request)
-	})
+	}, options...)
 	go func() { s.done <- s.Serve(listener) }()
 	DeferCleanup(s.Close)
 	return s
--- a/link/upstream/conn.go
+++ b/link/upstream/conn.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/skylarkpond/skylarkpond/internal/descriptors"
 )
 
 // conn is a connection to a backend server. It carries one request at a time.
@@ -30,8 +32,8 @@
 	broken      bool
 }
 
-// dial connects to address from a local address, which the system chooses if it is nil.
-func dial(ctx context.Context, source net.IP, address string) (*conn, error) {
+// dial connects to address from a local address, which the system chooses if it is nil. opened counts the connection until it is closed.
+func dial(ctx context.Context, opened *descriptors.Counter, source net.IP, address string) (*conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: time.Second, Interval: time.Second, Count: 3,
 	}}
@@ -41,7 +43,7 @@
 	var err error
 	for range dialAttempts {
 		var raw net.Conn
-		raw, err = dialer.DialContext(ctx, "tcp", address)
+		raw, err = opened.Wrap(dialer.DialContext)(ctx, "tcp", address)
 		if err == nil {
 			head := &headLimit{conn: raw}
 			return &conn{Conn: raw, head: head, reader: bufio.NewReaderSize(head, readBufferSize), idleTimeout: defaultIdleTimeout}, nil
@@ -61,7 +63,7 @@
 // RefusesConnections reports whether nothing listens at address, which means that the process has ended while its VM is still running. A reset
 // is no evidence: a process at the limit of its connections accepts further ones and resets them, and dialing may meet the reset.
 func RefusesConnections(ctx context.Context, address string) bool {
-	c, err := dial(ctx, nil, address)
+	c, err := dial(ctx, new(descriptors.Counter), nil, address)
 	if err == nil {
 		_ = c.Close()
 		return false
--- a/link/upstream/pool.go
+++ b/link/upstream/pool.go
@@ -11,6 +11,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/skylarkpond/skylarkpond/internal/descriptors"
 	"github.com/skylarkpond/skylarkpond/link/framing"
 )
 
@@ -27,6 +28,7 @@
 	// dialCount counts the connections dialed, refusedCount those that the other side refused or reset, and silentCount those that failed
 	// otherwise, mostly because there was no response.
 	dialCount, refusedCount, silentCount atomic.Int64
+	opened                               descriptors.Counter
 }
 
 // Option configures a Pool.
@@ -56,6 +58,9 @@
 // DialCount returns how many connections the pool has dialed, successfully or not.
 func (p *Pool) DialCount() int64 { return p.dialCount.Load() }
 
+// OpenCount returns how many connections are open, idle ones included.
+func (p *Pool) OpenCount() int { return p.opened.Open() }
+
 // RefusedCount returns how many connections were refused or reset while they were dialed.
 func (p *Pool) RefusedCount() int64 { return p.refusedCount.Load() }
 
@@ -205,7 +210,7 @@
 
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
 	p.dialCount.Add(1)
-	c, err := dial(ctx, p.source, address)
+	c, err := dial(ctx, &p.opened, p.source, address)
 	switch {
 	case err == nil:
 	case isRefusal(err):
--- a/logline/names.go
+++ b/logline/names.go
@@ -16,6 +16,8 @@
 	RequestUnanswered = "connection ended with its request unanswered"
 	// BodiesRefused is written when requests are refused for the memory of their bodies, 5 a second at most.
 	BodiesRefused     = "requests refused: their bodies found no room in memory"
+	// ConnectionsClosed is written when connections of callers are closed to make room, once a second at most.
+	ConnectionsClosed = "connections of callers closed to make room for others"
 	RequestUnfinished = "request in progress as the process ends"
 	ConfigInForce     = "configuration in force"
 	Lease             = "lease"
