link/ingress: checks and operators get through, and the kernel keeps fewer connections; the soak has crowds

While a process does not accept, the kernel kept 4,096 connections a listener, each with a receive buffer of its own; 1,024 now.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -142,7 +142,7 @@
 	}, e.requestUnanswered, ingress.WithConnections(e.callers))
 	admin := ingress.New(&http.Server{
 		Handler: e.adminHandler(), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}, e.requestUnanswered, ingress.WithConnections(e.callers))
+	}, e.requestUnanswered, ingress.WithConnections(e.callers), ingress.WithReserve())
 	defer shutDown(e.log, admin, adminShutdownTimeout)
 	defer shutDown(e.log, public, endTimeout)
 	defer e.front.EndRequests() // there are none unless a role has failed
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -221,11 +221,12 @@
 		receiveBuffer int
 		handler       http.Handler
 		unanswered    func(ingress.Unanswered)
+		options       []ingress.Option
 	}{
-		{g.config.CallerAddress, connections.CallersBuffer, g.gate.Wrap(g.relay), g.requestUnanswered},
-		{g.config.ReadyAddress, connections.OtherBuffer, ingress.WithoutBodies(g.ready), func(ingress.Unanswered) {}},
-		{g.config.DirectoryAddress, connections.OtherBuffer, ingress.WithoutBodies(g.lookup), func(ingress.Unanswered) {}},
-		{g.config.MetricsAddress, connections.OtherBuffer, ingress.WithoutBodies(g.metrics), func(ingress.Unanswered) {}},
+		{g.config.CallerAddress, connections.CallersBuffer, g.gate.Wrap(g.relay), g.requestUnanswered, nil},
+		{g.config.ReadyAddress, connections.OtherBuffer, ingress.WithoutBodies(g.ready), func(ingress.Unanswered) {}, []ingress.Option{ingress.WithReserve()}},
+		{g.config.DirectoryAddress, connections.OtherBuffer, ingress.WithoutBodies(g.lookup), func(ingress.Unanswered) {}, nil},
+		{g.config.MetricsAddress, connections.OtherBuffer, ingress.WithoutBodies(g.metrics), func(ingress.Unanswered) {}, []ingress.Option{ingress.WithReserve()}},
 	}
 	var servers []*server
 	for _, m := range listeners {
@@ -239,7 +240,7 @@
 				Handler: m.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 				ConnContext: framing.WithConn,
 				ErrorLog:    log.New(io.Discard, "", 0), // the relay reports failures of requests
-			}, m.unanswered, ingress.WithConnections(g.callers)),
+			}, m.unanswered, append(m.options, ingress.WithConnections(g.callers))...),
 		})
 	}
 	return servers, nil
--- a/link/ingress/connections.go
+++ b/link/ingress/connections.go
@@ -87,7 +87,7 @@
 func (l *Connections) add(c *conn, most int) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.open) >= most && !c.server.stopping.Load() {
+	if len(l.open) >= most+c.server.reserve && !c.server.stopping.Load() {
 		return false
 	}
 	c.since = time.Now() // nothing could be read from it before
--- a/link/ingress/connections_test.go
+++ b/link/ingress/connections_test.go
@@ -73,6 +73,22 @@
 		Expect(kept).To(BeNumerically(">=", fewest/2))
 	})
 
+	// Guards against readiness checks that wait behind callers, after which the platform would replace the process.
+	It("leaves some connections to a server with a reserve while callers use up the rest", func() {
+		release := make(chan struct{})
+		callers := bounded(func(w http.ResponseWriter, _ *http.Request) { <-release })
+		for range 2 * fewest {
+			_, err := io.WriteString(callers.connect(), request)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Eventually(given.Load).Should(BeNumerically(">", 0))
+		checks := serveWith(echo, ingress.WithConnections(bound), ingress.WithReserve())
+		status, _, err := checks.connect().send()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(status).To(Equal(http.StatusOK))
+		close(release)
+	})
+
 	// Guards against requests in progress that are cut for new connections.
 	It("never closes a connection with a request in progress, and new ones wait", func() {
 		release := make(chan struct{})
--- a/link/ingress/ingress.go
+++ b/link/ingress/ingress.go
@@ -25,6 +25,8 @@
 	unanswered func(Unanswered)
 	// limit bounds the connections of all servers of the process; nil for no bound.
 	limit *Connections
+	// reserve is how many connections the server may have beyond that bound.
+	reserve int
 
 	stopping atomic.Bool
 
@@ -39,6 +41,12 @@
 // WithConnections makes the server's connections count toward a bound.
 func WithConnections(limit *Connections) Option { return func(s *Server) { s.limit = limit } }
 
+// WithReserve lets the server accept a few connections more than the bound, for checks and operators that must get through while callers use it up.
+func WithReserve() Option { return func(s *Server) { s.reserve = reservedConnections } }
+
+// reservedConnections is the number of connections that WithReserve adds.
+const reservedConnections = 8
+
 // New returns a Server that serves as inner is configured. unanswered is called for each connection that ends without an answer to its request.
 func New(inner *http.Server, unanswered func(Unanswered), options ...Option) *Server {
 	s := &Server{http: inner, unanswered: unanswered, conns: make(map[*conn]struct{})}
--- a/link/ingress/listen.go
+++ b/link/ingress/listen.go
@@ -8,6 +8,9 @@
 	"github.com/rotisserie/eris"
 )
 
+// backlog is the number of connections that the kernel keeps for a process that does not accept them. Each may have a full receive buffer.
+const backlog = 1024
+
 // Listen listens at an address (IP:port) with a receive buffer of a size, in bytes, for each connection. It bounds what lies unread there; the kernel's
 // own sizes grow to megabytes.
 func Listen(address string, receiveBuffer int) (net.Listener, error) {
@@ -18,5 +21,11 @@
 		})
 	}}
 	listener, err := config.Listen(context.Background(), "tcp", address)
-	return listener, eris.Wrap(err, "listening at "+address)
+	if err != nil {
+		return nil, eris.Wrap(err, "listening at "+address)
+	}
+	if raw, err := listener.(*net.TCPListener).SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), backlog) }) // or else the system's own bound holds
+	}
+	return listener, nil
 }
--- a/logline/names.go
+++ b/logline/names.go
@@ -15,7 +15,7 @@
 	// RequestUnanswered is written for connections that end without an answer to their request, 20 a second at most.
 	RequestUnanswered = "connection ended with its request unanswered"
 	// BodiesRefused is written when requests are refused for the memory of their bodies, 5 a second at most.
-	BodiesRefused     = "requests refused: their bodies found no room in memory"
+	BodiesRefused = "requests refused: their bodies found no room in memory"
 	// ConnectionsClosed is written when connections of callers are closed to make room, once a second at most.
 	ConnectionsClosed = "connections of callers closed to make room for others"
 	RequestUnfinished = "request in progress as the process ends"
--- a/test/cooperative/soak_test.go
+++ b/test/cooperative/soak_test.go
@@ -77,9 +77,11 @@
 	pauseRandom, announceRandom, endlessRandom *rand.Rand
 	// keptRandom draws for drawKept. kept are the callers on kept connections.
 	keptRandom *rand.Rand
-	kept       []*keptLoad
-	problems   []string
-	lines      []string
+	// crowdRandom draws for crowdLane.
+	crowdRandom *rand.Rand
+	kept        []*keptLoad
+	problems    []string
+	lines       []string
 	// refused are the requests that were told not to have run; bookings are those that may run once.
 	refused, bookings []string
 	told              map[string]int
@@ -205,6 +207,9 @@
 	for _, entry := range s.entries {
 		running.Go(func() { s.watchVersions(entry) })
 	}
+	for i, entry := range s.entries {
+		running.Go(func() { s.watchMemory(entry, i) })
+	}
 	for range soakLanes {
 		running.Go(s.lane)
 	}
@@ -215,6 +220,7 @@
 	running.Go(s.announcingLane)
 	running.Go(s.endlessLane)
 	running.Go(s.keptLane)
+	running.Go(s.crowdLane)
 	running.Wait()
 	s.judgeEnd()
 }
@@ -256,7 +262,8 @@
 				pond: p, random: rand.New(rand.NewPCG(seed, 0)), cutRandom: rand.New(rand.NewPCG(seed, 1)), crashRandom: rand.New(rand.NewPCG(seed, 2)),
 				limitRandom: rand.New(rand.NewPCG(seed, 3)), pauseRandom: rand.New(rand.NewPCG(seed, 4)),
 				announceRandom: rand.New(rand.NewPCG(seed, 5)), endlessRandom: rand.New(rand.NewPCG(seed, 6)), keptRandom: rand.New(rand.NewPCG(seed, 7)),
-				told: make(map[string]int), busy: make(map[any]bool),
+				crowdRandom: rand.New(rand.NewPCG(seed, 8)),
+				told:        make(map[string]int), busy: make(map[any]bool),
 				faults: make(map[any][]faultTime),
 			}
 			s.play(time.Duration(fromEnvironment("POND_SOAK_SECONDS", soakSeconds)) * time.Second)
