entry/intake, entry/relay: who is refused for memory still gets the answer

A request that another entry has passed on and that finds no room says so, so that it goes to a third one (new spec).

--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -200,7 +200,7 @@
 	if cause := context.Cause(b.ctx); cause != nil && IsRefusal(cause) {
 		return cause
 	}
-	b.bodies.giveUp(policy.Loss{Body: b.entry, Reason: policy.NoRoom, Size: size})
+	b.bodies.note(policy.Loss{Body: b.entry, Reason: policy.NoRoom, Size: size})
 	return ErrNoRoom
 }
 
@@ -224,6 +224,11 @@
 	if body := b.open[loss.Body]; body != nil {
 		body.giveUp(cause)
 	}
+	b.note(loss)
+}
+
+// note counts and reports a body that was given up. The caller holds mu.
+func (b *Bodies) note(loss policy.Loss) {
 	metrics.GetOrRegisterCounter("bodies.given_up."+string(loss.Reason), b.deps.Metrics).Inc(1)
 	b.unlogged++
 	if b.deps.Refused == nil || !b.calls.Allow() {
--- a/entry/relay/exchange.go
+++ b/entry/relay/exchange.go
@@ -38,7 +38,7 @@
 	body     []byte
 	// bodyMemory is the memory of the body until the request has ended; nil without a body.
 	bodyMemory *intake.Body
-	// bodyPending is set until the body has been read to its end, or reading it was interrupted.
+	// bodyPending is set until the body has been read to its end, or the request's time was over.
 	bodyPending bool
 	// fingerprint is equal for requests of one caller with the same method, path and body. traits is what the request may have in common with
 	// others that crash servers.
@@ -214,7 +214,7 @@
 	e.bodyPending = err != nil
 	if !unregister() {
 		<-interrupted
-		e.bodyPending = false
+		e.bodyPending = intake.IsRefusal(err) // such a caller may still send
 		// The deadline may have ended the connection's context too, with which each later request on it would begin.
 		e.writer.Header().Set("Connection", "close")
 		if err == nil {
@@ -230,6 +230,8 @@
 	switch cause := context.Cause(e.ctx); {
 	case errors.Is(err, intake.ErrTooLarge):
 		return e.refuse(TooLarge, http.StatusRequestEntityTooLarge, 0, err.Error())
+	case intake.IsRefusal(err) && e.call.Forwarded != nil:
+		return e.refuseElsewhere(err.Error())
 	case intake.IsRefusal(err):
 		return e.refuse(Refused, http.StatusServiceUnavailable, intake.RetryAfter, err.Error())
 	case errors.Is(cause, context.DeadlineExceeded):
--- a/entry/relay/intake_test.go
+++ b/entry/relay/intake_test.go
@@ -1,11 +1,14 @@
 package relay_test
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -53,6 +56,23 @@
 		Expect(r.world.RunCount("id")).To(BeZero())
 	})
 
+	// Guards against a reset in place of the answer to a caller that sends slowly.
+	It("is taken from a caller that sends on, which gets its answer", func() {
+		conn, err := net.Dial("tcp", strings.TrimPrefix(r.gateway.URL, "http://"))
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(conn.Close)
+		streamed := strings.Replace(head, "/book/", "/chat/", 1) // its timeout is longer
+		go func() {
+			_ = crowd.Post(streamed, crowd.Body{Announced: largest, Sent: largest - 1, Piece: 70 << 10, Pause: 1500 * time.Millisecond})(conn)
+		}()
+		Eventually(func() int64 { held, _ := r.bodies.Held(); return held }).Should(BeEquivalentTo(largest))
+		stall(2, crowd.Body{Announced: largest, Sent: largest - 1})
+		Eventually(func() int { return send("/look/x", largest).status }, "5s").Should(Equal(http.StatusOK))
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
+	})
+
 	// Guards against a crowd of large bodies that keeps small requests out.
 	It("has room for small requests while large bodies take all that they may", func() {
 		stall(3, crowd.Body{Announced: largest, Sent: largest - 1})
@@ -80,3 +100,21 @@
 	}
 	return outcomes
 }
+
+// Guards against a request that another entry has passed on and that is told to come back although a third entry has room for its body.
+var _ = It("A request that finds no room at the entry it was passed on to is passed on to another one", func() {
+	const largest = 1 << 20
+	r := newIsolated(2)
+	full := r.peers[0]
+	head := fmt.Sprintf("POST /book/x HTTP/1.1\r\nHost: h.example\r\n%s: id\r\n%s: key\r\n", platform.HeaderRequestID, platform.HeaderKey)
+	stalled := crowd.Open(3, strings.TrimPrefix(full.gateway.URL, "http://"), crowd.Post(head, crowd.Body{Announced: largest, Sent: largest - 1}))
+	DeferCleanup(stalled.Close)
+	Eventually(func() int64 { held, _ := full.bodies.Held(); return held }).Should(BeEquivalentTo(3 * largest))
+	request := r.request(http.MethodPost, "/look/x", "a1")
+	request.Body, request.ContentLength = io.NopCloser(bytes.NewReader(make([]byte, largest))), largest
+	got := r.send(request)
+	Expect(got.err).NotTo(HaveOccurred())
+	Expect(got.status).To(Equal(http.StatusOK))
+	Expect(r.last().Via).To(Equal("peer-1"))
+	Expect(full.outcomes()).To(ContainElement(relay.Refused))
+})
--- a/link/ingress/unread_test.go
+++ b/link/ingress/unread_test.go
@@ -29,4 +29,21 @@
 		Entry("with chunks", "Transfer-Encoding: chunked", "1\r\nx\r\n"),
 		Entry("with a length that is not sent", "Content-Length: 1000", ""),
 	)
+
+	// Guards against an interim response behind the answer, which would be taken for the answer to the next request.
+	DescribeTable("is not asked for after the answer", func(answer string) {
+		s := serve(ingress.WithoutBodies(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusOK)
+			_, _ = io.WriteString(w, answer)
+		}).ServeHTTP)
+		c := s.connect()
+		_, err := io.WriteString(c, "POST /x HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 5\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		received, _ := io.ReadAll(c) // the connection may be reset
+		Expect(string(received)).To(HavePrefix("HTTP/1.1 200 OK"))
+		Expect(string(received)).NotTo(ContainSubstring("100 Continue"))
+	},
+		Entry("with a body", "answer"),
+		Entry("without one", ""),
+	)
 })
