entry/intake: each kind of refusal has its own bound on lines

An operator would have seen one kind alone, whose remedy is another one. Each reason has a line a second now.

--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -36,7 +36,7 @@
 	// Size is the room that the last of them asked for or had, Held that of all bodies, in bytes; Bodies is their number.
 	Size, Held int64
 	Bodies     int
-	// Count is the number of bodies that were given up since the last call.
+	// Count is the number of bodies that were given up for the reason since its last call.
 	Count int64
 }
 
@@ -50,31 +50,32 @@
 	// Capacity is the memory for all bodies, in bytes.
 	Capacity int64
 	Metrics  metrics.Registry
-	// Refused is called when bodies were given up, at most maxRefusedCalls times a second, with a lock held. It must not block or call back. It may be
+	// Refused is called when bodies were given up, at most once a second for each reason, with a lock held. It must not block or call back. It may be
 	// nil.
 	Refused func(Refusals)
 }
 
-// maxRefusedCalls is the number of calls of Deps.Refused a second.
-const maxRefusedCalls = 5
-
 // Bodies is the memory of a process for bodies. It is safe for concurrent use.
 type Bodies struct {
-	deps  Deps
-	calls *rate.Limiter
+	deps Deps
 
 	mu      sync.Mutex // guards what follows and the policy's bodies; a leaf lock
 	account *policy.Account
 	open    map[*policy.Body]*Body
-	// unlogged counts the bodies that were given up since the last call of Deps.Refused.
-	unlogged int64
+	refusals map[policy.Reason]*refusalCount
+}
+
+// refusalCount counts the bodies that were given up for a reason since the last call of Deps.Refused.
+type refusalCount struct {
+	calls *rate.Limiter
+	count int64
 }
 
 // New returns the memory for bodies, and registers its gauges.
 func New(deps Deps) *Bodies {
 	b := &Bodies{
-		deps: deps, calls: rate.NewLimiter(maxRefusedCalls, maxRefusedCalls),
-		account: policy.NewAccount(deps.Capacity), open: make(map[*policy.Body]*Body),
+		deps: deps, account: policy.NewAccount(deps.Capacity), open: make(map[*policy.Body]*Body),
+		refusals: make(map[policy.Reason]*refusalCount),
 	}
 	for name, value := range map[string]func() int64{
 		"bodies.held.bytes": func() int64 { held, _ := b.Held(); return held },
@@ -230,11 +231,16 @@
 // note counts and reports a body that was given up. The caller holds mu.
 func (b *Bodies) note(loss policy.Loss) {
 	metrics.GetOrRegisterCounter("bodies.given_up."+string(loss.Reason), b.deps.Metrics).Inc(1)
-	b.unlogged++
-	if b.deps.Refused == nil || !b.calls.Allow() {
+	refusal := b.refusals[loss.Reason]
+	if refusal == nil {
+		refusal = &refusalCount{calls: rate.NewLimiter(1, 1)}
+		b.refusals[loss.Reason] = refusal
+	}
+	refusal.count++
+	if b.deps.Refused == nil || !refusal.calls.Allow() {
 		return
 	}
 	held, bodies := b.account.Held()
-	b.deps.Refused(Refusals{Reason: loss.Reason, Size: loss.Size, Held: held, Bodies: bodies, Count: b.unlogged})
-	b.unlogged = 0
+	b.deps.Refused(Refusals{Reason: loss.Reason, Size: loss.Size, Held: held, Bodies: bodies, Count: refusal.count})
+	refusal.count = 0
 }
--- a/logline/names.go
+++ b/logline/names.go
@@ -14,7 +14,7 @@
 	RequestEnded = "request ended"
 	// RequestUnanswered is written for connections that end without an answer to their request, 20 a second at most.
 	RequestUnanswered = "connection ended with its request unanswered"
-	// BodiesRefused is written when requests are refused for the memory of their bodies, 5 a second at most.
+	// BodiesRefused is written when requests are refused for the memory of their bodies, once a second at most for each reason.
 	BodiesRefused = "requests refused: their bodies found no room in memory"
 	// ConnectionsClosed is written when connections of callers are closed to make room, once a second at most.
 	ConnectionsClosed = "connections of callers closed to make room for others"
