--- a/entry/intake/intake.go
+++ b/entry/intake/intake.go
@@ -59,9 +59,9 @@
 type Bodies struct {
 	deps Deps
 
-	mu      sync.Mutex // guards what follows and the policy's bodies; a leaf lock
-	account *policy.Account
-	open    map[*policy.Body]*Body
+	mu       sync.Mutex // guards what follows and the policy's bodies; a leaf lock
+	account  *policy.Account
+	open     map[*policy.Body]*Body
 	refusals map[policy.Reason]*refusalCount
 }
 
