--- a/internal/crowd/crowd.go
+++ b/internal/crowd/crowd.go
@@ -2,7 +2,6 @@
 package crowd
 
 import (
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -241,20 +240,3 @@
 	_, err := io.WriteString(conn, "0\r\n\r\n")
 	return err
 }
-
-// Alternate plays one of several plays on each connection in turn.
-func Alternate(plays ...Play) Play {
-	var mu sync.Mutex
-	next := 0
-	return func(conn net.Conn) error {
-		mu.Lock()
-		if len(plays) == 0 {
-			mu.Unlock()
-			return errors.New("no play")
-		}
-		play := plays[next%len(plays)]
-		next++
-		mu.Unlock()
-		return play(conn)
-	}
-}
--- a/link/ingress/ingress.go
+++ b/link/ingress/ingress.go
@@ -1,5 +1,6 @@
 // Package ingress accepts callers' connections for an HTTP server and follows each of their requests from its first byte to its answer, so that a
-// request that gets no answer can be explained.
+// request that gets no answer can be explained. It also bounds what callers can make a process hold at its sockets: the number of their connections, and
+// what lies unread there.
 //
 // Its Shutdown takes the place of that of net/http, which closes connections after it has read requests from them: their callers can't tell whether
 // these were processed. Here the handler gets each request that is read, except one that was sent behind another (pipelined) whose answer says
