entry/front: a completion is not too large because there is no language service

Found by reading the change again. Completions are bounded by the most that any language service allows; without one that was 0, and each got 413 although its body was inside every limit. It gets 404 unknown-model again, as before; the new spec failed (413) and passes now.

--- a/entry/front/handlers.go
+++ b/entry/front/handlers.go
@@ -104,6 +104,9 @@
 			most = max(most, service.MaxBodyBytes)
 		}
 	}
+	if most == 0 {
+		return maxBodyBytes // there is no such service, which the answer is to say
+	}
 	return min(most, maxBodyBytes)
 }
 
--- a/entry/front/intake_test.go
+++ b/entry/front/intake_test.go
@@ -56,6 +56,14 @@
 		Entry("of all language services", completePath, largest+1),
 	)
 
+	// Guards against a 413 for a body inside every limit.
+	It("is not denied to a completion while no language service is declared", func() {
+		delete(f.settings.Services, "chat")
+		caller := f.connect()
+		caller.send("POST", completePath, teamKey, `{"model":"small"}`, 17)
+		Expect(caller.receive().status).To(Equal(http.StatusNotFound))
+	})
+
 	// Guards against a seal under the fingerprint of a part of the body, with which the key would belong to another request.
 	It("leaves a booking that finds no room free to run later under its key", func() {
 		stall(3)
