--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -20,6 +20,7 @@
 var cases = map[string]func(r *rig, trouble bool) (broken bool){
 	"last-tenant":   lastTenant,
 	"lost-machines": lostMachines,
+	"torn-entry":    tornEntry,
 }
 
 // plainServers is the number of backend servers of the plain service.
