--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -18,9 +18,10 @@
 )
 
 var cases = map[string]func(r *rig, trouble bool) (broken bool){
-	"last-tenant":   lastTenant,
-	"lost-machines": lostMachines,
-	"torn-entry":    tornEntry,
+	"last-tenant":    lastTenant,
+	"lost-machines":  lostMachines,
+	"rejecting-head": rejectingHead,
+	"torn-entry":     tornEntry,
 }
 
 // plainServers is the number of backend servers of the plain service.
--- a/review/stand2/rig.go
+++ b/review/stand2/rig.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -43,9 +44,13 @@
 	began   time.Time
 	logs    string
 
-	mu      sync.Mutex // guards what follows
-	record  *os.File
+	// sent and answered count requests of callers and those that were answered with 200.
+	sent, answered atomic.Int64
+
 	entries []*entry
+
+	mu     sync.Mutex // guards record
+	record *os.File
 }
 
 // entry is one process of the system on a machine of its own, which has one address.
--- a/review/stand2/tornentry.go
+++ b/review/stand2/tornentry.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
+	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -43,10 +46,25 @@
 	for _, run := range late {
 		r.note("late: %s was run by %s %.3f s after the acknowledgement", run.ID, draining.ID(), run.At.Sub(acknowledged).Seconds())
 	}
+	r.noteRuns(acknowledged)
 	r.note("%d requests reached %s later than %v after the acknowledgement", len(late), draining.ID(), drainTime)
 	return len(late) > 0
 }
 
+// noteRuns notes how many requests were sent and answered, and how many each server ran in each second around a time.
+func (r *rig) noteRuns(around time.Time) {
+	r.note("%d requests were sent to all entries, %d were answered 200", r.sent.Load(), r.answered.Load())
+	for _, server := range r.servers {
+		perSecond := make(map[int]int)
+		for _, run := range server.Runs() {
+			perSecond[int(math.Floor(run.At.Sub(around).Seconds()))]++
+		}
+		for _, second := range slices.Sorted(maps.Keys(perSecond)) {
+			r.note("run by %s from second %d to %d after the acknowledgement: %d", server.ID(), second, second+1, perSecond[second])
+		}
+	}
+}
+
 func lateRuns(server *replica.Server, after time.Time) (late []replica.Run) {
 	for _, run := range server.Runs() {
 		if run.At.After(after) {
@@ -70,9 +88,12 @@
 				case <-time.After(20 * time.Millisecond):
 				}
 				id := fmt.Sprintf("look-%d-%d", i, n)
+				r.sent.Add(1)
 				if err := r.send(entries[i%len(entries)].callers, id); err != nil {
 					r.note("request %s to %s: %v", id, entries[i%len(entries)].name, err)
+					continue
 				}
+				r.answered.Add(1)
 			}
 		})
 	}
