--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -18,8 +18,8 @@
 )
 
 var cases = map[string]func(r *rig, trouble bool) (broken bool){
-	"last-tenant":    lastTenant,
 	"lost-machines":  lostMachines,
+	"reclaimed-zone": reclaimedZone,
 	"rejecting-head": rejectingHead,
 	"torn-entry":     tornEntry,
 }
--- a/review/stand2/rig.go
+++ b/review/stand2/rig.go
@@ -41,8 +41,10 @@
 	api     *objects.API
 	world   *replica.Cluster
 	servers []*replica.Server
-	began   time.Time
-	logs    string
+	// zones holds the zone of each plain server, by id.
+	zones map[string]string
+	began time.Time
+	logs  string
 
 	// sent and answered count requests of callers and those that were answered with 200.
 	sent, answered atomic.Int64
@@ -79,14 +81,23 @@
 	must(err)
 	logs, err := os.MkdirTemp("", "review")
 	must(err)
-	r := &rig{subnet: subnet, api: objects.New(), world: replica.NewCluster(), began: time.Now(), record: record, logs: logs}
-	for i := range plainServers {
-		r.servers = append(r.servers, r.world.Start(r.api, replica.Config{ID: fmt.Sprint("desk-", i), Service: "desk", Zone: fmt.Sprint("z", i%3), Slots: 6}))
+	r := &rig{
+		subnet: subnet, api: objects.New(), world: replica.NewCluster(), zones: make(map[string]string), began: time.Now(), record: record, logs: logs,
 	}
+	r.addServers(plainServers)
 	operator.Write(r.api, r.config(1))
 	return r
 }
 
+// addServers adds plain servers, in three zones, until there are as many.
+func (r *rig) addServers(count int) {
+	for i := len(r.servers); i < count; i++ {
+		id, zone := fmt.Sprint("desk-", i), fmt.Sprint("z", i%3)
+		r.zones[id] = zone
+		r.servers = append(r.servers, r.world.Start(r.api, replica.Config{ID: id, Service: "desk", Zone: zone, Slots: 6}))
+	}
+}
+
 // tenantKey is the key of the only tenant.
 const tenantKey = "key"
 
