entry/grouping: members leave a group by their own orders unless its head has left

What callers saw: nothing.

Cause: a missing registration and silence towards all entries were taken for the end of the head's process. closeHead returned nil both if the head itself had left and if it gave no answer, and the members were joined in both cases.

The new spec "loses members only by orders of their own to leave" failed before with two joins while the head served. Ruled out: answers of other entries that are out of date (no entry reached the head), and a store that was away (it answered).

Now closeHead tells whether the head has left or is presumed gone; in the second case each member takes an order to leave before one to join. A head that has lost a member makes no progress and breaks, so nothing is served by a group whose members are elsewhere. The same holds for heads that refuse connections and for answers that look like another server's.

`skylarkpond serve`, by reading: the home of a group sends to its head only while it sees every member ready. Nothing changed there.

--- a/entry/grouping/dissolve.go
+++ b/entry/grouping/dissolve.go
@@ -28,7 +28,7 @@
 		ctx, cancel := context.WithTimeout(ctx, dissolveTimeout)
 		defer cancel()
 		startedAt := time.Now()
-		err := c.closeHead(ctx, group.key, group.cancel)
+		_, err := c.closeHead(ctx, group.key, group.cancel)
 		c.mu.Lock()
 		delete(c.dissolving, group.key)
 		delete(c.opened, group.key)
@@ -68,12 +68,24 @@
 // two groups.
 var errRegistrationsPending = eris.New("registrations may not be back yet")
 
-// closeHead ends a head's membership in a group: the head stops serving, and no delayed order can make it serve again. A nil
-// error may also mean that the head is gone or has already moved to another group.
-func (c *Controller) closeHead(ctx context.Context, key backend.GroupKey, cancel bool) error {
+// ending is what is known about the end of a head's membership in a group.
+type ending int
+
+const (
+	// headServing means that the head may be serving.
+	headServing ending = iota
+	// headLeft means that the head itself has said that it is not in the group.
+	headLeft
+	// headPresumedGone means that the head gives no answer from which that follows. It may be serving where no entry reaches it.
+	headPresumedGone
+)
+
+// closeHead ends a head's membership in a group: the head stops serving, and no delayed order can make it serve again. Without an error, it
+// returns headLeft or headPresumedGone.
+func (c *Controller) closeHead(ctx context.Context, key backend.GroupKey, cancel bool) (ending, error) {
 	head, ok := headFromName(key.Name)
 	if !ok {
-		return eris.Wrapf(errServing, "head of %s is not known", key)
+		return headServing, eris.Wrapf(errServing, "head of %s is not known", key)
 	}
 	listed := c.deps.Listing().Servers[head.ID]
 	if listed != nil {
@@ -81,45 +93,53 @@
 	}
 	for {
 		if !c.deps.IsLeader() {
-			return errNotLeader
+			return headServing, errNotLeader
 		}
 		report, err := c.client.report(ctx, head)
 		switch {
 		case eris.Is(err, errRejected):
 			// It may serve the group. Its report, or its registration, will tell.
 			if !wait.Pause(ctx, headPollInterval) {
-				return eris.Wrapf(err, "head %s", head.ID)
+				return headServing, eris.Wrapf(err, "head %s", head.ID)
 			}
 			continue
 		case err != nil && listed == nil && !c.deps.RegistrationsReliable():
-			return eris.Wrapf(errRegistrationsPending, "head %s", head.ID)
+			return headServing, eris.Wrapf(errRegistrationsPending, "head %s", head.ID)
 		case err != nil && listed == nil:
 			if c.peersSeeServing(ctx, head, key) {
-				return eris.Wrapf(errServing, "head %s serves behind a cut", head.ID)
+				return headServing, eris.Wrapf(errServing, "head %s serves behind a cut", head.ID)
 			}
-			return nil // the registration has ended and no entry gets an answer: the server is gone
+			return c.presumeGone(key, head, "not registered and not reached: "+err.Error()), nil
 		case eris.Is(err, errOtherServer):
-			return nil // the address now belongs to another server
+			return c.presumeGone(key, head, err.Error()), nil
 		case err != nil && c.headGone(ctx, head):
-			return nil
+			return c.presumeGone(key, head, "refuses connections"), nil
 		case err != nil:
 			// Asking the peers now makes their answer available by the time the registration ends. That shortens the time
 			// without the group by 0.9 s.
 			c.peersSeeServing(ctx, head, key)
-			return eris.Wrapf(err, "head %s", head.ID)
+			return headServing, eris.Wrapf(err, "head %s", head.ID)
 		case report.Group.GroupKey != key:
-			return nil
+			return headLeft, nil
 		}
 		done, err := c.closeHeadStep(ctx, head, key, report, cancel)
-		if done || err != nil {
-			return err
+		switch {
+		case err != nil:
+			return headServing, err
+		case done:
+			return headLeft, nil
 		}
 		if !wait.Pause(ctx, headPollInterval) {
-			return eris.Wrapf(ctx.Err(), "closing %s", key)
+			return headServing, eris.Wrapf(ctx.Err(), "closing %s", key)
 		}
 	}
 }
 
+func (c *Controller) presumeGone(key backend.GroupKey, head *backend.Server, reason string) ending {
+	c.deps.OnEvent(Event{Kind: HeadPresumedGone, Group: key, VM: head.ID, Detail: reason})
+	return headPresumedGone
+}
+
 // unreachableTTL is how long the peers' answer that they can't reach a server remains valid. If a disconnection begins later
 // than the answer, the server's registration can't lapse within this time, because that takes three missed heartbeats.
 const unreachableTTL = 2 * time.Second
--- a/entry/grouping/form.go
+++ b/entry/grouping/form.go
@@ -174,10 +174,11 @@
 }
 
 // leaveOldGroups ends the membership of every old head, also of those that will be members of the new group. A head may have
-// received an order to open so recently that its report does not show it yet, and must not join before it has left. The
-// expected order counts in reports are incremented for members that left.
+// received an order to open so recently that its report does not show it yet, and must not join before it has left. If an old head
+// has not said itself that it has left, its members leave by orders of their own: the head may be serving where no entry reaches it,
+// and stops if a member leaves. The expected order counts in reports are incremented for members that left.
 func (f *formation) leaveOldGroups(ctx context.Context, reports []backend.Report) error {
-	released := make(map[backend.GroupKey]bool)
+	ended := make(map[backend.GroupKey]ending)
 	for i, report := range reports {
 		key := report.Group.GroupKey
 		if key.Name == "" {
@@ -190,23 +191,31 @@
 			if err := f.leaveOldGroup(ctx, i, reports); err != nil {
 				return err
 			}
-			released[key] = true
+			ended[key] = headLeft
 		}
 	}
-	for _, report := range reports {
+	for i, report := range reports {
 		key := report.Group.GroupKey
-		if key.Name == "" || released[key] {
+		if key.Name == "" || report.Group.Rank == 0 {
 			continue
 		}
-		if err := f.controller.closeHead(ctx, key, true); err != nil {
-			return err
+		if ended[key] == headServing {
+			how, err := f.controller.closeHead(ctx, key, true)
+			if err != nil {
+				return err
+			}
+			ended[key] = how
+		}
+		if ended[key] == headPresumedGone {
+			if err := f.leaveOldGroup(ctx, i, reports); err != nil {
+				return err
+			}
 		}
-		released[key] = true
 	}
 	return nil
 }
 
-// leaveOldGroup makes a member that is the head of its old group leave that group.
+// leaveOldGroup makes a member leave its old group.
 func (f *formation) leaveOldGroup(ctx context.Context, i int, reports []backend.Report) error {
 	if !f.controller.deps.IsLeader() {
 		return errNotLeader
--- a/entry/grouping/gone_test.go
+++ b/entry/grouping/gone_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -61,6 +62,26 @@
 	)
 })
 
+var _ = Describe("A head that is cut off from the platform and from all entries", func() {
+	// Guards against VMs in two groups: the end of its registration and the silence were taken for its end, while it was open.
+	It("loses members only by orders of their own to leave", func() {
+		f := newFixture(4)
+		f.startController(1)
+		Eventually(f.groupCount, waitFor).Should(Equal(1))
+		Eventually(func() bool { return f.heads()[0].Group.State == backend.GroupOpen }, waitFor).Should(BeTrue())
+		cutOff := f.vm(f.heads()[0].ID)
+		members := slices.DeleteFunc(slices.Clone(f.vms), func(vm *replica.Server) bool { return vm == cutOff || vm.Group() == nil })
+		cutOff.SetFaults(replica.Faults{Unresponsive: true, Unregistered: true})
+		f.api.Delete("servers", cutOff.ID())
+		Eventually(func() bool { return f.groupCount() == 1 && f.heads()[0].ID != backend.ID(cutOff.ID()) }, waitFor).Should(BeTrue())
+		Expect(f.world.Violations()).To(BeEmpty())
+		Expect(members).NotTo(BeEmpty())
+		for _, vm := range members {
+			Expect(vm.OrderCount("leave")).To(BeNumerically(">=", 1), vm.ID())
+		}
+	})
+})
+
 var _ = Describe("An evacuated failure domain", func() {
 	// Guards against orders and reports to its VMs, and against groups that are dissolved because nothing may be asked of them.
 	It("is left alone until the evacuation ends, and repaired then", func() {
--- a/entry/grouping/grouping.go
+++ b/entry/grouping/grouping.go
@@ -8,7 +8,8 @@
 //   - A group name is never reused. A group is opened only by the task that ordered its joins, and only after each
 //     member itself has reported to be ready under that name and epoch.
 //   - A VM receives a join only after the head of its earlier group has executed an order that ends its membership in
-//     that group, or is gone. A delayed order to open that head is therefore refused.
+//     that group, or the VM itself has. A delayed order to open that head is therefore refused, or opens a head that has
+//     lost a member and makes no progress.
 package grouping
 
 import (
@@ -78,11 +79,13 @@
 
 // Event kinds.
 const (
-	GroupForming       EventKind = "group-forming"
-	GroupOpened        EventKind = "group-opened"
-	GroupNotFormed     EventKind = "group-not-formed"
-	GroupDissolved     EventKind = "group-dissolved"
-	GroupNotDissolved  EventKind = "group-not-dissolved"
+	GroupForming      EventKind = "group-forming"
+	GroupOpened       EventKind = "group-opened"
+	GroupNotFormed    EventKind = "group-not-formed"
+	GroupDissolved    EventKind = "group-dissolved"
+	GroupNotDissolved EventKind = "group-not-dissolved"
+	// HeadPresumedGone means that the members of a group may leave it although its head has not said that it has left.
+	HeadPresumedGone   EventKind = "head-presumed-gone"
 	SpareWarmed        EventKind = "spare-warmed"
 	SpareNotWarmed     EventKind = "spare-not-warmed"
 	StageOrdered       EventKind = "stage-ordered"
