entry/gateway, entry/roster: a short list of linked entries is believed in time, and lost entries are forgotten

From the fourth loss on the entry that had started last named all lost ones, in every answer and for as long as it ran.

Cause: the leader's list of linked entries counted as incomplete if it held fewer than half of all registrations, and the registrations of lost entries were never removed. A process that starts after more were lost than run never learns who is down.

The spec "believes a leader that has heard from few entries for long" failed before (timed out).

Now a short list is believed once it has stood for 1.5 s (policy/presence): links that were cut for a moment are up again by then. The leader removes registrations of entries that were not linked to it for a minute, at the version that it knows; an entry that runs registers again. Related: a complete list of registrations now replaces what was known (an entry whose removal fell into a forgotten history stayed). The number of registrations also divides the retry budget and lets a refused leader go on; both are right again with the removal.

--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -257,7 +257,7 @@
 // connect subscribes components to each other's changes where constructor arguments can't express it, and registers the gauges.
 func (g *Gateway) connect() {
 	g.shared.components = &g.components
-	g.catalog.Follow(store.KindEntry, catalog.EntriesWatchPolicy, func(update catalog.Update) { g.roster.Apply(update.Objects()) })
+	g.catalog.Follow(store.KindEntry, catalog.EntriesWatchPolicy, func(update catalog.Update) { g.roster.Apply(update.Objects(), update.Complete) })
 	if g.config.EvacuationMs > 0 {
 		g.catalog.Follow(platform.KindEvacuations, catalog.EvacuationsWatchPolicy(g.config.evacuationTime()), g.applyEvacuations)
 	}
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -157,7 +157,7 @@
 			failed <- err
 		}
 	})
-	for _, role := range []func(context.Context){g.catalog.Run, g.roster.Run, g.lease.Run, g.controller.Run, g.leader.Run, g.isolation.Run, g.progress.Run, g.follow, g.sweep} {
+	for _, role := range []func(context.Context){g.catalog.Run, g.roster.Run, g.lease.Run, g.controller.Run, g.leader.Run, g.isolation.Run, g.progress.Run, g.follow, g.sweep, g.removeLostEntries} {
 		running.Go(func() { role(work) })
 	}
 	select {
--- a/entry/gateway/live.go
+++ b/entry/gateway/live.go
@@ -1,11 +1,15 @@
 package gateway
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/skylarkpond/skylarkpond/internal/wait"
 	link "github.com/skylarkpond/skylarkpond/link/leader"
+	"github.com/skylarkpond/skylarkpond/logline"
+	"github.com/skylarkpond/skylarkpond/policy/presence"
 )
 
 // leaderState is what an entry has learned from the leader.
@@ -19,14 +23,18 @@
 	down map[string]bool
 	// isolated holds the other entries that have lost their connections to the servers, as the leader reported.
 	isolated map[string]bool
+	// list judges whether the leader hears from all entries that run.
+	list presence.List
 	// settledSeen is set once a settled leader has reported which entries it hears from.
 	settledSeen bool
 	// behind records that the leader had a newer configuration at the last renewal.
 	behind bool
+	// created is the time from which this state counts time.
+	created time.Time
 }
 
 func newLeaderState() *leaderState {
-	return &leaderState{down: make(map[string]bool), isolated: make(map[string]bool)}
+	return &leaderState{down: make(map[string]bool), isolated: make(map[string]bool), created: time.Now()}
 }
 
 // renewalValidity is how long a renewal report of the leader stays valid: longer than two renewal intervals.
@@ -78,6 +86,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.live = nil
+	s.list = presence.List{}
 	clear(s.isolated)
 }
 
@@ -107,7 +116,7 @@
 	for _, name := range renewal.Left {
 		delete(s.live, name)
 	}
-	if renewal.Settled && 2*len(s.live) >= len(names) { // a leader that hears from few is more likely partitioned itself
+	if renewal.Settled && s.list.Believable(len(s.live), len(names), time.Since(s.created)) {
 		s.updateDown(names)
 	}
 }
@@ -130,3 +139,27 @@
 	s.behind = behind
 	return still
 }
+
+// removeInterval is how often the leader looks for a registration to remove. It bounds the calls to the platform after the loss of many entries.
+const removeInterval = time.Second
+
+// removeLostEntries removes the registrations of entries that were lost, while this entry is the leader.
+func (g *Gateway) removeLostEntries(ctx context.Context) {
+	var absences presence.Absences
+	for wait.Pause(ctx, removeInterval) {
+		if !g.lease.Held() || !g.leader.Settled() {
+			absences.Reset()
+			continue
+		}
+		lost := absences.Removable(g.roster.Registered(), g.leader.Links, time.Since(g.started))
+		if len(lost) == 0 {
+			continue
+		}
+		log := g.log.WithField("lost", lost[0])
+		if err := g.roster.Remove(ctx, lost[0]); err != nil {
+			log.WithError(err).Warn(logline.NotRemoved)
+			continue
+		}
+		log.Info(logline.Removed)
+	}
+}
--- a/entry/leader/leader.go
+++ b/entry/leader/leader.go
@@ -392,6 +392,13 @@
 	return len(l.followers)
 }
 
+// Links reports whether an entry is linked to this one.
+func (l *Leader) Links(entry string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.followers[entry] != nil
+}
+
 // QueuedBytes returns the size of the messages that wait to be sent, over all followers. Messages that several followers are sent count for
 // each of them.
 func (l *Leader) QueuedBytes() int {
--- a/entry/leader/live.go
+++ b/entry/leader/live.go
@@ -12,6 +12,16 @@
 // settleTime is how long after a change of leader an entry may take to connect before it counts as down.
 const settleTime = 1500 * time.Millisecond
 
+// Settled reports whether this entry has been the leader for so long that one which is not linked to it is down.
+func (l *Leader) Settled() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.settled()
+}
+
+// settled must be called with l.mu held.
+func (l *Leader) settled() bool { return l.leading && time.Since(l.leadingSince) >= settleTime }
+
 // BroadcastRenewal tells all followers that the lease was renewed, how old this entry's copies of the platform's
 // objects are, and which followers have joined or left since the last call.
 func (l *Leader) BroadcastRenewal() {
@@ -19,7 +29,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	message := link.Renewal{
-		Version: l.deps.LeaseVersion(), ConfigVersion: version, Settled: l.leading && time.Since(l.leadingSince) >= settleTime, Ages: l.deps.Ages(),
+		Version: l.deps.LeaseVersion(), ConfigVersion: version, Settled: l.settled(), Ages: l.deps.Ages(),
 	}
 	full := message
 	if len(l.newFollowers) > 0 {
--- a/entry/roster/roster.go
+++ b/entry/roster/roster.go
@@ -43,18 +43,36 @@
 type Roster struct {
 	deps Deps
 
-	mu      sync.Mutex // guards entries; a leaf lock
+	// unregistered has a value once this entry's own object is gone.
+	unregistered chan struct{}
+
+	mu      sync.Mutex // guards the fields below; a leaf lock
 	entries map[string]platform.Entry
-	leaving bool
+	// versions holds the versions of the objects of other entries, also of those that can't be decoded.
+	versions map[string]platform.Version
+	// registered reports that this entry's own object was seen.
+	registered bool
+	leaving    bool
 }
 
 // New returns a Roster that knows only this entry.
 func New(deps Deps) *Roster {
-	return &Roster{deps: deps, entries: map[string]platform.Entry{deps.Self.Name: deps.Self}}
+	return &Roster{
+		deps: deps, unregistered: make(chan struct{}, 1), entries: map[string]platform.Entry{deps.Self.Name: deps.Self}, versions: make(map[string]platform.Version),
+	}
 }
 
-// Run registers this entry with the platform, retrying until it succeeds or ctx ends.
-func (r *Roster) Run(ctx context.Context) { r.publish(ctx, r.deps.Self) }
+// Run registers this entry with the platform, and again if another one has removed its object, until ctx ends.
+func (r *Roster) Run(ctx context.Context) {
+	for {
+		r.publish(ctx, r.deps.Self)
+		select {
+		case <-r.unregistered:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
 
 // Leave marks this entry as leaving and publishes that, so that no entry names it to callers any more.
 func (r *Roster) Leave(ctx context.Context) {
@@ -80,6 +98,28 @@
 	return names
 }
 
+// Registered returns the names of all other entries that have an object on the platform.
+func (r *Roster) Registered() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Sorted(maps.Keys(r.versions))
+}
+
+// Remove removes the object of another entry, unless it has changed. The entry registers again if it runs after all.
+func (r *Roster) Remove(ctx context.Context, name string) error {
+	r.mu.Lock()
+	version := r.versions[name]
+	r.mu.Unlock()
+	if version == 0 {
+		return nil
+	}
+	err := r.deps.Store.Delete(ctx, platform.KindEntry, name, version)
+	if eris.Is(err, platform.ErrNotFound) || eris.Is(err, platform.ErrConflict) {
+		return nil // it is gone, or has just registered
+	}
+	return err
+}
+
 // Len returns the number of known entries that are not leaving.
 func (r *Roster) Len() int { return len(r.Names()) }
 
@@ -177,24 +217,59 @@
 	return entry, err
 }
 
-// Apply applies changed entry objects from the platform. This entry's own object is ignored.
-func (r *Roster) Apply(objects []platform.Object) {
+// Apply applies changed entry objects from the platform; complete reports that these are all that exist.
+func (r *Roster) Apply(objects []platform.Object, complete bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	present := make(map[string]bool, len(objects))
 	for _, object := range objects {
-		if object.Name == r.deps.Self.Name {
-			continue
+		present[object.Name] = !object.Deleted
+		if object.Name != r.deps.Self.Name {
+			r.apply(object)
 		}
-		if object.Deleted {
-			delete(r.entries, object.Name)
-			continue
+	}
+	if _, changed := present[r.deps.Self.Name]; changed || complete {
+		r.applySelf(present[r.deps.Self.Name])
+	}
+	if !complete {
+		return
+	}
+	for name := range r.versions {
+		if !present[name] {
+			r.forget(name)
 		}
-		entry, err := decode(object)
-		if err != nil {
-			r.deps.OnError("reading entry "+object.Name, err)
-			delete(r.entries, object.Name) // what it said before does not hold any more
-			continue
+	}
+}
+
+// applySelf must be called with r.mu held.
+func (r *Roster) applySelf(registered bool) {
+	if r.registered && !registered && !r.leaving {
+		select {
+		case r.unregistered <- struct{}{}:
+		default:
 		}
-		r.entries[object.Name] = entry
 	}
+	r.registered = registered
+}
+
+// apply must be called with r.mu held.
+func (r *Roster) apply(object platform.Object) {
+	if object.Deleted {
+		r.forget(object.Name)
+		return
+	}
+	r.versions[object.Name] = object.Version
+	entry, err := decode(object)
+	if err != nil {
+		r.deps.OnError("reading entry "+object.Name, err)
+		delete(r.entries, object.Name) // what it said before does not hold any more
+		return
+	}
+	r.entries[object.Name] = entry
+}
+
+// forget must be called with r.mu held.
+func (r *Roster) forget(name string) {
+	delete(r.entries, name)
+	delete(r.versions, name)
 }
--- a/logline/names.go
+++ b/logline/names.go
@@ -31,6 +31,8 @@
 	AskedOthers       = "asked other entries for a server"
 	PlatformLost      = "platform lost"
 	PlatformRegained  = "platform regained"
+	Removed           = "registration of a lost entry removed"
+	NotRemoved        = "registration of a lost entry not removed"
 	LeftOut           = "object left out"
 	RequestsHeldBack  = "requests held back: they crash servers"
 	LinesDropped      = "log lines dropped"
