entry/catalog: registrations that end together count as lapsed only after the platform was away

What callers saw: nothing, as the servers served on.

Cause: more than a third of a service's registrations that ended in one update counted as an outage of the platform, and their servers stayed listed for 2.5 s. Nothing asked whether the platform had answered.

Now each entry records since when its list was never out of date for 2.4 s, the shortest absence after which registrations lapse, by its own calls or by the ages that the leader states. In a steady state whoever ends is removed at once. A line in the log says when servers stay listed.

--- a/entry/catalog/catalog.go
+++ b/entry/catalog/catalog.go
@@ -36,6 +36,8 @@
 	OnPlatformRegained func(kind store.Kind, duration time.Duration)
 	// OnUnreadable is called for an object that can't be decoded and is left out.
 	OnUnreadable func(object store.Object, err error)
+	// OnLapse is called when servers of a service stay listed for a while although their registrations ended. It may be nil.
+	OnLapse func(service string, servers int)
 	// OnConfig is called when a configuration comes into force.
 	OnConfig func(table *route.Table)
 	// OnServerLeaving is called when a server is first known to be leaving. fromLeader reports whether the leader forwarded
@@ -62,6 +64,9 @@
 	if deps.RoutableOnly == nil {
 		deps.RoutableOnly = func() bool { return false }
 	}
+	if deps.OnLapse == nil {
+		deps.OnLapse = func(string, int) {}
+	}
 	c := &Catalog{deps: deps, followers: make(map[store.Kind]*follower)}
 	c.listing.Store(backend.NewListing(0, nil))
 	c.servers = &serverList{
@@ -172,7 +177,7 @@
 func (c *Catalog) Ages() []link.Age {
 	var ages []link.Age
 	for kind, follower := range c.followers {
-		if follower.policy.MaxAge > 0 && follower.currentAsOf.Load() != nil {
+		if follower.policy.MaxAge > 0 && follower.current.Load() != nil {
 			ages = append(ages, link.Age{Kind: kind, Ms: follower.age().Milliseconds()})
 		}
 	}
--- a/entry/catalog/follow.go
+++ b/entry/catalog/follow.go
@@ -37,6 +37,8 @@
 	FromLeader bool
 	// RoutableOnly reports that the changes concern only routable servers.
 	RoutableOnly bool
+	// Steady reports that the platform was not away for so long lately that registrations may have lapsed for that reason.
+	Steady bool
 }
 
 // Objects returns the changed objects of a kind that has no decoder.
@@ -101,24 +103,45 @@
 
 	// The fields below are not guarded by mu, because their readers may hold locks that are acquired after mu.
 
-	// currentAsOf is when the kind was last known to be current: the time at which the latest answered call was sent, by this
-	// entry or by the leader. It is nil before the first list.
-	currentAsOf atomic.Pointer[time.Time]
+	// current is nil before the first list.
+	current atomic.Pointer[currency]
 	// answeringSince is the time since which every call of this entry was answered; nil while it makes no calls, or after a
 	// call failed. Only the goroutine that makes the calls writes it.
 	answeringSince atomic.Pointer[time.Time]
 }
 
+// currency is what is known of how current a kind is.
+type currency struct {
+	// asOf is when the kind was last known to be current: the time at which the latest answered call was sent, by this entry or by the leader.
+	asOf time.Time
+	// steadySince is the time since which two such times were never lapseTime apart.
+	steadySince time.Time
+}
+
 // noteCurrent records that the kind was known to be current at a time. An older time than the recorded one has no effect.
 func (f *follower) noteCurrent(at time.Time) {
 	for {
-		current := f.currentAsOf.Load()
-		if current != nil && !current.Before(at) || f.currentAsOf.CompareAndSwap(current, &at) {
+		current := f.current.Load()
+		if current != nil && !current.asOf.Before(at) {
+			return
+		}
+		next := currency{asOf: at, steadySince: at}
+		if current != nil && at.Sub(current.asOf) < lapseTime {
+			next.steadySince = current.steadySince
+		}
+		if f.current.CompareAndSwap(current, &next) {
 			return
 		}
 	}
 }
 
+// steady reports whether the platform has answered for so long, up to a call that was sent at a time, that a registration which ended has not lapsed
+// because the platform was away. It must be called before the time is noted.
+func (f *follower) steady(sent time.Time) bool {
+	current := f.current.Load()
+	return current != nil && sent.Sub(current.asOf) < lapseTime && time.Since(sent) < lapseTime && time.Since(current.steadySince) > reregistrationGrace
+}
+
 // confirm processes the leader's statement that everything it has forwarded was current at the given age.
 func (f *follower) confirm(age time.Duration) {
 	f.mu.Lock()
@@ -137,11 +160,11 @@
 
 // age returns how long ago the kind was last known to be current; 0 before the first list.
 func (f *follower) age() time.Duration {
-	asOf := f.currentAsOf.Load()
-	if asOf == nil {
+	current := f.current.Load()
+	if current == nil {
 		return 0
 	}
-	return time.Since(*asOf)
+	return time.Since(current.asOf)
 }
 
 func (f *follower) knownRevision() store.Version {
@@ -292,7 +315,7 @@
 
 // applyFetched applies and forwards the result of this entry's own call, which was sent at the time sent.
 func (f *follower) applyFetched(from store.Version, fetched store.Changes, sent time.Time) {
-	update := Update{Changes: f.decodeChanges(fetched.Objects), Revision: fetched.Revision, Complete: fetched.Complete}
+	update := Update{Changes: f.decodeChanges(fetched.Objects), Revision: fetched.Revision, Complete: fetched.Complete, Steady: f.steady(sent)}
 	f.mu.Lock()
 	f.gap = false
 	f.completeAsOf = sent
@@ -379,7 +402,7 @@
 		f.markUnroutable(changes.Changes)
 		f.record(changes)
 		if len(changes.Changes) > 0 {
-			f.apply(Update{Changes: changes.Changes, Revision: changes.To, FromLeader: true})
+			f.apply(Update{Changes: changes.Changes, Revision: changes.To, FromLeader: true, Steady: f.steady(time.Now())})
 		}
 	}
 	select {
--- a/entry/catalog/servers.go
+++ b/entry/catalog/servers.go
@@ -17,8 +17,10 @@
 	// reregistrationGrace is how long servers whose registration lapsed while the platform was unavailable remain listed after
 	// its return: they register again within about two seconds.
 	reregistrationGrace = 2500 * time.Millisecond
-	// massLapseShare and minMassLapse distinguish lapses due to an outage from crashes. No other event ends so many
-	// registrations of a service at once, since a fabric domain holds a sixth of them.
+	// lapseTime is how long the platform must be away for registrations to lapse: they lapse after three missed heartbeats, which are 1.2 s apart.
+	lapseTime = 2400 * time.Millisecond
+	// massLapseShare and minMassLapse distinguish lapses due to an outage from servers that ended meanwhile. A fabric domain holds a sixth of a
+	// service's servers.
 	massLapseShare = 0.34
 	minMassLapse   = 3
 	// maxUnreadable bounds the registrations that are remembered as unreadable.
@@ -74,7 +76,7 @@
 			}
 		}
 	}
-	s.remove(ended)
+	s.remove(ended, update.Steady)
 	switch {
 	case update.RoutableOnly || s.catalog.deps.RoutableOnly():
 		s.routableOnly = true
@@ -129,10 +131,10 @@
 	}
 }
 
-// remove removes servers. It removes them after a grace period if so many registrations ended at once that the platform must
-// have been unavailable. Without the grace period, each return of the platform would leave a service without servers for two
-// seconds.
-func (s *serverList) remove(ended []backend.ID) {
+// remove removes servers. It removes them after a grace period if so many registrations ended at once that the platform may have been away, unless it
+// was known to answer all the time (steady): operators may take a whole failure domain away at once. Without the grace period, each return of the
+// platform would leave a service without servers for two seconds.
+func (s *serverList) remove(ended []backend.ID, steady bool) {
 	lost := make(map[string]int)
 	total := make(map[string]int)
 	for _, server := range s.byID {
@@ -143,19 +145,24 @@
 			lost[server.Service]++
 		}
 	}
+	kept := make(map[string]int)
 	for _, id := range ended {
 		server := s.byID[id]
 		if server == nil {
 			continue
 		}
-		if n := lost[server.Service]; n >= minMassLapse && float64(n) > massLapseShare*float64(total[server.Service]) {
+		if n := lost[server.Service]; !steady && n >= minMassLapse && float64(n) > massLapseShare*float64(total[server.Service]) {
 			s.lapsed[id] = time.Now().Add(reregistrationGrace)
+			kept[server.Service]++
 			continue
 		}
 		if _, lapsed := s.lapsed[id]; !lapsed {
 			delete(s.byID, id)
 		}
 	}
+	for service, servers := range kept {
+		s.catalog.deps.OnLapse(service, servers)
+	}
 }
 
 // expire removes the servers whose grace period has ended.
--- a/entry/gateway/assemble.go
+++ b/entry/gateway/assemble.go
@@ -87,7 +87,7 @@
 		RoutableOnly:   s.holdsRoutableOnly,
 		OnChanges:      func(changes catalog.ChangeSet) { s.components.leader.Broadcast(changes) },
 		OnPlatformLost: s.platformLost, OnPlatformRegained: s.platformRegained, OnUnreadable: s.objectUnreadable, OnConfig: s.configInForce,
-		OnServerLeaving: s.serverLeaving,
+		OnServerLeaving: s.serverLeaving, OnLapse: s.registrationsLapsed,
 	})
 }
 
--- a/entry/gateway/lines.go
+++ b/entry/gateway/lines.go
@@ -34,6 +34,11 @@
 	s.log.WithFields(logrus.Fields{"kind": kind, "away_ms": away.Milliseconds()}).Info(logline.PlatformRegained)
 }
 
+// registrationsLapsed logs that servers stay listed because their registrations may have ended for the platform's absence.
+func (s *shared) registrationsLapsed(service string, servers int) {
+	s.log.WithFields(logrus.Fields{"service": service, "servers": servers}).Info(logline.Lapsed)
+}
+
 // progressChanged logs that the work of the leader stands still in this process, or goes on.
 func (s *shared) progressChanged(task progress.Task, stalled bool) {
 	entry := s.log.WithField("task", task)
--- a/logline/names.go
+++ b/logline/names.go
@@ -33,6 +33,7 @@
 	PlatformRegained  = "platform regained"
 	Removed           = "registration of a lost entry removed"
 	NotRemoved        = "registration of a lost entry not removed"
+	Lapsed            = "registrations lapsed; servers stay listed"
 	LeftOut           = "object left out"
 	RequestsHeldBack  = "requests held back: they crash servers"
 	LinesDropped      = "log lines dropped"
