link/framing: a status that doesn't exist is no answer, and its body isn't read as one

At `skylarkpond serve` the 000 was handed on as an answer.

Cause: link/upstream took every status below 200 for an interim answer and went on reading behind its head; net/http's client takes any three digits for a status.

Evidence: specs over seven statuses (000, 001, 099, 101, 103 with a length, 600, 999) whose body is a success. Ruled out: the relay, which answers 502 to each error it is given.

Now a final status is 200 to 599, and an interim one 100 to 199 without 101 and without a length; others are errors, as if the connection had broken.

--- /dev/null
+++ b/internal/standin/malformed/malformed.go
@@ -0,0 +1,79 @@
+// Package malformed is a stand-in, for tests, for a server whose answers have a head that no HTTP/1.1 response has.
+package malformed
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+)
+
+// Case is a kind of malformed answer.
+type Case struct {
+	name string
+	// answer returns the answer with some header fields, each with its line end, around a body.
+	answer func(fields, body string) string
+}
+
+// String describes the case.
+func (c Case) String() string { return c.name }
+
+// status returns a case of a status whose body is itself the text of a success.
+func status(code string) Case {
+	return Case{"status " + code + " with a success in its body", func(fields, body string) string {
+		inner := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", fields, len(body), body)
+		return fmt.Sprintf("HTTP/1.1 %s Odd\r\n%sContent-Length: %d\r\n\r\n%s", code, fields, len(inner), inner)
+	}}
+}
+
+// Cases returns all cases.
+func Cases() []Case {
+	var cases []Case
+	for _, code := range []string{"000", "001", "099", "101", "103", "600", "999"} {
+		cases = append(cases, status(code))
+	}
+	return cases
+}
+
+// Server answers each request with a malformed answer, and closes the connection.
+type Server struct {
+	listener net.Listener
+}
+
+// Start starts a server whose answers have the header fields that fields returns for a request, each with its line end, around body.
+func Start(c Case, fields func(*http.Request) string, body string) (*Server, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn, c, fields, body)
+		}
+	}()
+	return &Server{listener: listener}, nil
+}
+
+func serve(conn net.Conn, c Case, fields func(*http.Request) string, body string) {
+	defer conn.Close()
+	request, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	// A connection that is closed while something of the request is unread is reset.
+	if _, err := io.Copy(io.Discard, request.Body); err != nil {
+		return
+	}
+	_, _ = io.WriteString(conn, c.answer(fields(request), body)) // the other side may have closed it
+}
+
+// Address returns where the server listens, IP:port.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Close stops listening.
+func (s *Server) Close() { _ = s.listener.Close() }
--- a/link/engine/client.go
+++ b/link/engine/client.go
@@ -20,6 +20,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/skylarkpond/skylarkpond/internal/descriptors"
+	"github.com/skylarkpond/skylarkpond/link/framing"
 	"github.com/skylarkpond/skylarkpond/link/ratelimit"
 	"github.com/skylarkpond/skylarkpond/link/retryafter"
 )
@@ -84,7 +85,7 @@
 
 func newClient(transport *http.Transport) *http.Client {
 	return &http.Client{
-		Transport: transport,
+		Transport: framing.Checked(transport),
 		// A redirect is the backend server's response and is returned as is rather than followed.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/link/platform/client.go
+++ b/link/platform/client.go
@@ -15,6 +15,8 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
+
+	"github.com/skylarkpond/skylarkpond/link/framing"
 )
 
 // Client implements Store over HTTP/1.1 with JSON. It is safe for concurrent use.
@@ -126,7 +128,7 @@
 		},
 	}
 	c.http = &http.Client{
-		Transport:     c.transport,
+		Transport:     framing.Checked(c.transport),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 	for _, opt := range opts {
--- a/link/upstream/conn.go
+++ b/link/upstream/conn.go
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/skylarkpond/skylarkpond/internal/descriptors"
+	"github.com/skylarkpond/skylarkpond/link/framing"
 )
 
 // conn is a connection to a backend server. It carries one request at a time.
@@ -155,8 +156,14 @@
 			return nil, err
 		}
 		if response.StatusCode < http.StatusOK {
+			if err := framing.CheckInterim(response.StatusCode, response.Header); err != nil {
+				return nil, err
+			}
 			continue
 		}
+		if err := framing.Check(response.StatusCode); err != nil {
+			return nil, err
+		}
 		if request.Matches == nil || request.Matches(response.Header) {
 			return response, nil
 		}
