link/framing: a field whose name holds a blank makes an answer malformed

Cause: net/http keeps a name with a blank as it is, under a key that no look-up finds, so that the line frames nothing for us and all for its sender.

Evidence: specs over nine heads. Five failed before at link/upstream, link/engine and link/platform (names with a blank or a blank before the colon); those with control bytes or without a name were refused already.

Now a name that is no token is an error (golang.org/x/net/http/httpguts, so far an indirect dependency). Removing the blank, as a proxy may (RFC 9112, section 5.1), would leave the framing to a guess. The same at all readers of answers.

--- a/internal/standin/malformed/malformed.go
+++ b/internal/standin/malformed/malformed.go
@@ -22,14 +22,32 @@
 // status returns a case of a status whose body is itself the text of a success.
 func status(code string) Case {
 	return Case{"status " + code + " with a success in its body", func(fields, body string) string {
-		inner := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", fields, len(body), body)
+		inner := success("", fields, body)
 		return fmt.Sprintf("HTTP/1.1 %s Odd\r\n%sContent-Length: %d\r\n\r\n%s", code, fields, len(inner), inner)
 	}}
 }
 
+func success(line, fields, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s%sContent-Length: %d\r\n\r\n%s", fields, line, len(body), body)
+}
+
+// line returns a case of a success with an odd line in its head.
+func line(odd string) Case {
+	return Case{fmt.Sprintf("a line %q", odd), func(fields, body string) string { return success(odd, fields, body) }}
+}
+
 // Cases returns all cases.
 func Cases() []Case {
-	var cases []Case
+	cases := []Case{
+		line("X Odd: 1\r\n"), line("X-Odd : 1\r\n"), line("X\x01Odd: 1\r\n"), line("X\x7fOdd: 1\r\n"), line("X\tOdd: 1\r\n"), line(": 1\r\n"),
+		line("Content-Length : 7\r\n"),
+		{"a blank before the colon of the transfer encoding", func(fields, body string) string {
+			return fmt.Sprintf("HTTP/1.1 200 OK\r\n%sTransfer-Encoding : chunked\r\nConnection: close\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", fields, len(body), body)
+		}},
+		{"a blank before the colon of the only length", func(fields, body string) string {
+			return fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length : %d\r\nConnection: close\r\n\r\n%smore", fields, len(body), body)
+		}},
+	}
 	for _, code := range []string{"000", "001", "099", "101", "103", "600", "999"} {
 		cases = append(cases, status(code))
 	}
--- a/link/framing/check.go
+++ b/link/framing/check.go
@@ -6,6 +6,7 @@
 	"net/textproto"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/net/http/httpguts"
 )
 
 // ErrMalformed means that a server has sent a head that no HTTP/1.1 response has. What follows it can't be told apart: it may be a body, another
@@ -27,14 +28,24 @@
 	case header.Values(headerLength) != nil:
 		return eris.Wrapf(ErrMalformed, "status %d with a length", status)
 	}
-	return nil
+	return checkNames(header)
 }
 
-// Check returns ErrMalformed unless the status is that of a final response. net/http takes any three digits for a status.
-func Check(status int) error {
+// Check returns ErrMalformed unless the head is that of a final response. net/http takes any three digits for a status, and keeps a field whose name
+// holds a blank under that name, where nothing finds it: "Transfer-Encoding : chunked" doesn't frame the body.
+func Check(status int, header http.Header) error {
 	if status < http.StatusOK || status > maxStatus {
 		return eris.Wrapf(ErrMalformed, "status %03d", status)
 	}
+	return checkNames(header)
+}
+
+func checkNames(header http.Header) error {
+	for name := range header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return eris.Wrapf(ErrMalformed, "field name %q", name)
+		}
+	}
 	return nil
 }
 
@@ -52,7 +63,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := Check(response.StatusCode); err != nil {
+	if err := Check(response.StatusCode, response.Header); err != nil {
 		_ = response.Body.Close()
 		return nil, err
 	}
--- a/link/upstream/conn.go
+++ b/link/upstream/conn.go
@@ -161,7 +161,7 @@
 			}
 			continue
 		}
-		if err := framing.Check(response.StatusCode); err != nil {
+		if err := framing.Check(response.StatusCode, response.Header); err != nil {
 			return nil, err
 		}
 		if request.Matches == nil || request.Matches(response.Header) {
