link/upstream, link/engine: an answer that ends with its connection is whole only if no write there has failed

Cause: a long body is written beside the reading of the answer, and the kernel tells one call only of a reset. If that is the write, the reader sees the orderly end that marks the end of such a body. Nothing asked for the failed write but the decision whether to use the connection again.

Ruled out: the relay, which takes the end that it is given.

Now the end of such a body counts at link/upstream only if the request was sent whole, for which the reader waits within the request's time. At link/engine and link/platform the connection tells its reader of a failed write. A server that closes in order with a part of the request unread is refused as well, as its kernel resets the connection: a wrong answer costs a caller more than a refused one. One that reads the rest is believed.

--- a/link/engine/client.go
+++ b/link/engine/client.go
@@ -62,7 +62,7 @@
 		dialer.LocalAddr = &net.TCPAddr{IP: source}
 	}
 	c := &HTTPClient{}
-	dial := c.opened.Wrap(dialer.DialContext)
+	dial := framing.ReportResets(c.opened.Wrap(dialer.DialContext))
 	c.control = newClient(&http.Transport{
 		DialContext:         dial,
 		IdleConnTimeout:     idleConnTimeout,
--- a/link/platform/client.go
+++ b/link/platform/client.go
@@ -84,7 +84,7 @@
 		}
 		dialer := newDialer()
 		dialer.LocalAddr = &net.TCPAddr{IP: source}
-		c.transport.DialContext = dialer.DialContext
+		c.transport.DialContext = framing.ReportResets(dialer.DialContext)
 	}
 }
 
@@ -122,7 +122,7 @@
 			MaxIdleConns:        maxIdleConns,
 			MaxIdleConnsPerHost: maxIdleConns,
 			IdleConnTimeout:     idleConnTimeout,
-			DialContext:         newDialer().DialContext,
+			DialContext:         framing.ReportResets(newDialer().DialContext),
 
 			MaxResponseHeaderBytes: maxHeadBytes,
 		},
--- a/link/upstream/conn.go
+++ b/link/upstream/conn.go
@@ -188,6 +188,35 @@
 	return err
 }
 
+// errRequestCut means that a response ended with a connection on which the request's body could not be sent whole.
+var errRequestCut = eris.Wrap(io.ErrUnexpectedEOF, "the connection broke while the request was being sent")
+
+// sentWhole reports whether the whole request was sent. It waits until the body has been written, or can't be.
+func (c *conn) sentWhole() bool {
+	if c.bodyWritten == nil {
+		return true
+	}
+	<-c.bodyWritten
+	return !c.broken
+}
+
+// unframedBody is a body that ends with its connection. The kernel tells only one call that a connection was reset. If that is the one that writes the
+// request's body, the reader of the response sees an orderly end. One that the server closes in order before it has read the request is reset as well,
+// sooner or later than the reader sees the end.
+type unframedBody struct {
+	io.ReadCloser
+	conn *conn
+}
+
+// Read implements io.Reader. At the end it waits until the request has been sent.
+func (b unframedBody) Read(buffer []byte) (int, error) {
+	n, err := b.ReadCloser.Read(buffer)
+	if err == io.EOF && !b.conn.sentWhole() {
+		return n, errRequestCut
+	}
+	return n, err
+}
+
 // reusable reports whether the connection can carry another request after response. It can't if the response
 // ends with the connection, if data follows the response, or if the request body is still being written.
 func (c *conn) reusable(response *http.Response) bool {
--- a/link/upstream/pool.go
+++ b/link/upstream/pool.go
@@ -162,7 +162,11 @@
 	if err := c.write(request); err != nil {
 		return nil, err
 	}
-	return c.read(request)
+	response, err := c.read(request)
+	if err == nil && framing.Of(response) == framing.Closed {
+		response.Body = unframedBody{ReadCloser: response.Body, conn: c}
+	}
+	return response, err
 }
 
 // Read implements io.Reader. A body shorter than its announced length ends with io.ErrUnexpectedEOF.
