link/framing: at most five interim responses precede a response

An engine that sends interim responses without end was read until the deadline.

Evidence: the spec "An answer that never ends is given up" at link/engine, of the report of bytes without end. No caller saw it.

Now the sixth interim response is an error, as at link/upstream, which reads two.

--- a/link/framing/check.go
+++ b/link/framing/check.go
@@ -18,6 +18,9 @@
 	maxStatus = 599
 	// headerLength is absent from interim responses, which have no body (RFC 9110, section 8.6). A body would be read as the next response.
 	headerLength = "Content-Length"
+	// maxInterim is how many interim responses may precede a response. A faulty server may send them without end, and net/http leaves the bound to
+	// those who look at them.
+	maxInterim = 5
 )
 
 // CheckInterim returns ErrMalformed unless the head is that of an interim response after which another one follows.
@@ -56,7 +59,11 @@
 
 // RoundTrip implements http.RoundTripper.
 func (c checked) RoundTrip(request *http.Request) (*http.Response, error) {
+	interim := 0 // only the transport's reader uses it until RoundTrip returns
 	trace := &httptrace.ClientTrace{Got1xxResponse: func(status int, header textproto.MIMEHeader) error {
+		if interim++; interim > maxInterim {
+			return eris.Wrapf(ErrMalformed, "over %d interim responses", maxInterim)
+		}
 		return CheckInterim(status, http.Header(header))
 	}}
 	response, err := c.next.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
