link/platform: a list has a bound over all its pages

What callers saw: nothing here. Other operators report a machine that kept bytes without end and ran out of memory; seen whether it can happen.

Cause: each page of a list is bounded, their sum was not. A store that never ends a list fills the memory of each entry that lists.

Now a list of over 32 MiB is incomplete, and tried again as after any failed call.

--- a/entry/grouping/gone_test.go
+++ b/entry/grouping/gone_test.go
@@ -82,6 +82,29 @@
 	})
 })
 
+var _ = Describe("A head whose answers to orders and requests for reports never end", func() {
+	// fewBytes is above what the buffers of the sockets of two attempts and of an answer that is given up take.
+	const fewBytes = 32 << 20
+
+	// Guards against an entry that is killed for its memory because a server sends bytes without end.
+	DescribeTable("is given up", func(part replica.Endless) {
+		f := newFixture(3)
+		controller := f.startController(1)
+		Eventually(f.groupCount, waitFor).Should(Equal(1))
+		controller.stop()
+		head := f.heads()[0]
+		f.vm(head.ID).SetFaults(replica.Faults{EndlessControl: part})
+		began := time.Now()
+		_, err := controller.Report(context.Background(), head)
+		Expect(err).To(HaveOccurred())
+		Expect(time.Since(began)).To(BeNumerically("<", 5*time.Second))
+		Consistently(f.vm(head.ID).EndlessBytes, "200ms").Should(BeNumerically("<", fewBytes))
+	},
+		Entry("a status line", replica.EndlessStatus), Entry("a field", replica.EndlessField), Entry("a head", replica.EndlessHead),
+		Entry("interim answers", replica.EndlessInterim), Entry("a body", replica.EndlessBody), Entry("an event", replica.EndlessEvent),
+	)
+})
+
 var _ = Describe("An evacuated failure domain", func() {
 	// Guards against orders and reports to its VMs, and against groups that are dissolved because nothing may be asked of them.
 	It("is left alone until the evacuation ends, and repaired then", func() {
--- a/link/platform/list.go
+++ b/link/platform/list.go
@@ -16,6 +16,10 @@
 	pageRetryPause = 100 * time.Millisecond
 	// catchUpWait limits the watch that completes a list. It returns at once if there were changes.
 	catchUpWait = time.Millisecond
+	// maxListBytes bounds a list, whose pages may have no end. A deployment of hundreds of VMs has lists of a megabyte.
+	maxListBytes = 32 << 20
+	// objectBytes is what an object takes beside its name and value.
+	objectBytes = 256
 )
 
 // List implements Store. The first page is read at the platform's current revision. The other pages may be older, since reads that
@@ -39,9 +43,9 @@
 	listed := page.Changes
 	oldest := listed.Revision
 	call.Stale = true
+	bytes := sizeOf(page.Objects)
 	for page.Next != "" {
-		call.After = page.Next
-		if page, err = c.retryPage(ctx, call); err != nil {
+		if page, err = c.nextPage(ctx, &call, page, &bytes); err != nil {
 			return Changes{}, err
 		}
 		listed.Objects = append(listed.Objects, page.Objects...)
@@ -53,6 +57,28 @@
 	return c.catchUp(ctx, kind, listed, oldest)
 }
 
+// nextPage requests the page that follows one of a list. bytes is the size of the pages so far, to which it adds that of the page.
+func (c *Client) nextPage(ctx context.Context, call *Call, after Page, bytes *int) (Page, error) {
+	call.After = after.Next
+	page, err := c.retryPage(ctx, *call)
+	if err != nil {
+		return page, err
+	}
+	if *bytes += sizeOf(page.Objects); *bytes > maxListBytes {
+		return page, incompleteError(*call, eris.Errorf("a list of over %d bytes", maxListBytes))
+	}
+	return page, nil
+}
+
+// sizeOf returns about how much memory objects take, in bytes.
+func sizeOf(objects []Object) int {
+	bytes := 0
+	for _, object := range objects {
+		bytes += objectBytes + len(object.Name) + len(object.Value)
+	}
+	return bytes
+}
+
 // retryPage requests a page until the platform returns it. Otherwise a list of many pages would start again after each lost answer.
 func (c *Client) retryPage(ctx context.Context, call Call) (page Page, err error) {
 	for attempt := range pageAttempts {
@@ -83,10 +109,9 @@
 func (c *Client) listCurrent(ctx context.Context, kind Kind) (Changes, error) {
 	call := Call{Verb: VerbList, Kind: kind}
 	page, err := c.retryPage(ctx, call)
-	listed := page.Changes
+	listed, bytes := page.Changes, sizeOf(page.Objects)
 	for err == nil && page.Next != "" {
-		call.After = page.Next
-		page, err = c.retryPage(ctx, call)
+		page, err = c.nextPage(ctx, &call, page, &bytes)
 		listed.Objects = append(listed.Objects, page.Objects...)
 	}
 	return listed, err
