--- a/internal/standin/malformed/malformed.go
+++ b/internal/standin/malformed/malformed.go
@@ -11,11 +11,13 @@
 
 // Case is a kind of malformed answer.
 type Case struct {
-	name string
-	// answer returns the answer with some header fields, each with its line end, around a body.
+	name   string
 	answer func(fields, body string) string
 }
 
+// Answer returns an answer with some header fields, each with its line end, and a body.
+func (c Case) Answer(fields, body string) string { return c.answer(fields, body) }
+
 // String describes the case.
 func (c Case) String() string { return c.name }
 
@@ -87,7 +89,7 @@
 	if _, err := io.Copy(io.Discard, request.Body); err != nil {
 		return
 	}
-	_, _ = io.WriteString(conn, c.answer(fields(request), body)) // the other side may have closed it
+	_, _ = io.WriteString(conn, c.Answer(fields(request), body)) // the other side may have closed it
 }
 
 // Address returns where the server listens, IP:port.
--- a/test/cooperative/kept_test.go
+++ b/test/cooperative/kept_test.go
@@ -44,6 +44,8 @@
 	pause time.Duration
 	// inside is the longest time between the two segments in which a request is sent; 0 sends it in one.
 	inside time.Duration
+	// patience is the longest time that a request says to have; 0 for none.
+	patience time.Duration
 }
 
 // allManners are those of callers that differ.
@@ -169,8 +171,12 @@
 	if c.manner.path == chatPath {
 		model = fmt.Sprintf("%s: large\r\n%s: 100,100\r\n", platform.HeaderModel, platform.HeaderTokens)
 	}
-	request := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h.example\r\n%s: %s\r\n%s: key\r\n%sContent-Length: 4\r\n\r\nbody",
-		c.manner.path, platform.HeaderRequestID, id, platform.HeaderKey, model)
+	deadline := ""
+	if c.manner.patience > 0 {
+		deadline = fmt.Sprintf("%s: %d\r\n", platform.HeaderDeadline, 500+c.random.Int64N(c.manner.patience.Milliseconds()))
+	}
+	request := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h.example\r\n%s: %s\r\n%s: key\r\n%s%sContent-Length: 4\r\n\r\nbody",
+		c.manner.path, platform.HeaderRequestID, id, platform.HeaderKey, model, deadline)
 	if c.manner.inside > 0 {
 		first := 1 + c.random.IntN(len(request)-1)
 		if _, err := io.WriteString(conn, request[:first]); err != nil {
--- a/test/cooperative/pond_test.go
+++ b/test/cooperative/pond_test.go
@@ -165,6 +165,8 @@
 	// coldTime and coldRate are in the configuration of the model service, from the next configure on.
 	coldTime time.Duration
 	coldRate float64
+	// bookTimeout is the time that requests to the plain service may take, in ms, from the next configure on.
+	bookTimeout int
 	// settings are added to the environment of entries that are started.
 	settings []string
 }
@@ -180,18 +182,13 @@
 	subnet, err := loopback.Acquire(pondNetwork)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(subnet.Close)
-	p := &pond{subnet: subnet, api: objects.New(), world: replica.NewCluster(), proxies: make(map[string]*loopback.Proxy)}
+	p := &pond{bookTimeout: 2000, subnet: subnet, api: objects.New(), world: replica.NewCluster(), proxies: make(map[string]*loopback.Proxy)}
 	DeferCleanup(p.api.Close)
 	for range engines {
 		p.addEngine("large")
 	}
-	for i := range 2 {
-		id := fmt.Sprint("desk-", i)
-		desk := p.world.Start(p.api, replica.Config{
-			ID: id, Service: "desk", Zone: "z", Slots: 6, ProxyAddress: func(address string) string { return p.proxyTo(id, address) },
-		})
-		DeferCleanup(desk.Close)
-		p.desks = append(p.desks, desk)
+	for range 2 {
+		p.addDesk()
 	}
 	p.configure()
 	for i := range entries {
@@ -200,6 +197,17 @@
 	return p
 }
 
+// addDesk adds a plain server, which is reached through a proxy.
+func (p *pond) addDesk() {
+	GinkgoHelper()
+	id := fmt.Sprint("desk-", len(p.desks))
+	desk := p.world.Start(p.api, replica.Config{
+		ID: id, Service: "desk", Zone: "z", Slots: 6, ProxyAddress: func(address string) string { return p.proxyTo(id, address) },
+	})
+	DeferCleanup(desk.Close)
+	p.desks = append(p.desks, desk)
+}
+
 func (p *pond) addEngine(staged ...string) {
 	GinkgoHelper()
 	id := fmt.Sprintf("vm-%02d", len(p.engines))
@@ -269,7 +277,7 @@
 			EventGapTarget: 300, MaxAttempts: 2, Resumable: true,
 		},
 		{
-			Name: "book", Host: "h.example", PathPrefix: "/book/", Kind: operator.NonIdempotent, Service: "desk", Timeout: 2000, LatencyTarget: 150,
+			Name: "book", Host: "h.example", PathPrefix: "/book/", Kind: operator.NonIdempotent, Service: "desk", Timeout: p.bookTimeout, LatencyTarget: 150,
 			MaxAttempts: 1,
 		},
 		{
--- a/test/cooperative/soak_test.go
+++ b/test/cooperative/soak_test.go
@@ -79,9 +79,11 @@
 	keptRandom *rand.Rand
 	// crowdRandom draws for crowdLane.
 	crowdRandom *rand.Rand
-	kept        []*keptLoad
-	problems    []string
-	lines       []string
+	// answersRandom draws for drawAnswers.
+	answersRandom *rand.Rand
+	kept          []*keptLoad
+	problems      []string
+	lines         []string
 	// refused are the requests that were told not to have run; bookings are those that may run once.
 	refused, bookings []string
 	told              map[string]int
@@ -221,6 +223,8 @@
 	running.Go(s.endlessLane)
 	running.Go(s.keptLane)
 	running.Go(s.crowdLane)
+	running.Go(s.answersLane)
+	running.Go(s.longCaller)
 	running.Wait()
 	s.judgeEnd()
 }
@@ -257,13 +261,14 @@
 	for _, seed := range seedsToPlay() {
 		It(fmt.Sprint("keeps the promises under the troubles of seed ", seed), func() {
 			p := newPond(soakEntries, soakEngines)
+			p.registerLost()
 			p.awaitServing(soakEngines / groupSize)
 			s := &soak{
 				pond: p, random: rand.New(rand.NewPCG(seed, 0)), cutRandom: rand.New(rand.NewPCG(seed, 1)), crashRandom: rand.New(rand.NewPCG(seed, 2)),
 				limitRandom: rand.New(rand.NewPCG(seed, 3)), pauseRandom: rand.New(rand.NewPCG(seed, 4)),
 				announceRandom: rand.New(rand.NewPCG(seed, 5)), endlessRandom: rand.New(rand.NewPCG(seed, 6)), keptRandom: rand.New(rand.NewPCG(seed, 7)),
-				crowdRandom: rand.New(rand.NewPCG(seed, 8)),
-				told:        make(map[string]int), busy: make(map[any]bool),
+				crowdRandom: rand.New(rand.NewPCG(seed, 8)), answersRandom: rand.New(rand.NewPCG(seed, 9)),
+				told: make(map[string]int), busy: make(map[any]bool),
 				faults: make(map[any][]faultTime),
 			}
 			s.play(time.Duration(fromEnvironment("POND_SOAK_SECONDS", soakSeconds)) * time.Second)
--- a/test/cooperative/unanswered_test.go
+++ b/test/cooperative/unanswered_test.go
@@ -103,6 +103,57 @@
 		}),
 	)
 
+	// Guards against requests, those that may run once among them, that are passed on in the grace period and cut at its end.
+	DescribeTable("answer each request that comes in the grace period and lasts beyond it, also", func(patience time.Duration, around func(p *pond, stopped *gatewayProcess)) {
+		p := newPond(0, 0)
+		p.bookTimeout = 12_000
+		p.configure()
+		for range 10 {
+			p.addDesk()
+		}
+		for i, desk := range p.desks {
+			desk.SetFaults(replica.Faults{Delay: []time.Duration{time.Second, 4 * time.Second, 12 * time.Second}[i%3]})
+		}
+		p.settings = []string{"POND_STOP_GRACE=8"}
+		for i := range 3 {
+			p.entries = append(p.entries, p.startEntry(2*i)) // each could be the leader
+		}
+		for _, entry := range p.entries {
+			Eventually(entry.isReady, generous).Should(BeTrue())
+		}
+		manners := []manner{
+			{path: bookPath, patience: patience, pause: 200 * time.Millisecond},
+			{path: bookPath, patience: patience, pause: 500 * time.Millisecond, inside: 4 * time.Second}, // less than a header may take
+		}
+		var loads []*keptLoad
+		stopped := p.entries[0]
+		around(p, stopped)
+		for _, entry := range p.entries[:2] {
+			load := &keptLoad{entry: entry, manners: manners}
+			loads = append(loads, load)
+			load.start(60)
+		}
+		time.Sleep(time.Second)
+		stopped.signal(syscall.SIGTERM)
+		signalled := time.Now()
+		<-stopped.ended()
+		lasted := time.Since(signalled)
+		for _, load := range loads {
+			load.finish()
+		}
+		Expect(lasted).To(BeNumerically(">", 5*time.Second), "no request lasted")
+		for _, load := range loads {
+			load.expectAnswered(p)
+		}
+	},
+		Entry("in calm", 10*time.Second, func(*pond, *gatewayProcess) {}),
+		Entry("with time until about the end of the period", 6*time.Second, func(*pond, *gatewayProcess) {}),
+		Entry("when it is starved of processor time", 6*time.Second, func(_ *pond, stopped *gatewayProcess) { throttle(stopped, runTime) }),
+		Entry("when another entry passes requests on to it", 10*time.Second, func(p *pond, _ *gatewayProcess) {
+			p.cutFromServers(refusedCut, p.entries[1])
+		}),
+	)
+
 	// Guards against requests that end with the process although they could be answered, since it was suspended when it should have done so.
 	It("answer what they can't finish, also when they were suspended until they should have exited", func() {
 		p := newPond(1, 0)
