--- a/link/framing/reset.go
+++ b/link/framing/reset.go
@@ -5,7 +5,7 @@
 	"io"
 	"net"
 	"sync"
-	"syscall"
+	"sync/atomic"
 
 	"github.com/rotisserie/eris"
 )
@@ -29,9 +29,8 @@
 	net.Conn
 	// writing is held by writers while they write; the reader of an end acquires it to wait for their outcomes. It is a leaf lock.
 	writing sync.RWMutex
-	failing sync.Once
-	// failed is set once a Write has failed. It is written with writing held by its writer, and read with writing held by the reader.
-	failed bool
+	// failed is set once a Write has failed.
+	failed atomic.Bool
 }
 
 // Write implements net.Conn.
@@ -40,7 +39,7 @@
 	defer c.writing.RUnlock()
 	n, err := c.Conn.Write(p)
 	if err != nil {
-		c.failing.Do(func() { c.failed = true })
+		c.failed.Store(true)
 	}
 	return n, err
 }
@@ -53,17 +52,8 @@
 	}
 	c.writing.Lock()
 	defer c.writing.Unlock()
-	if c.failed {
+	if c.failed.Load() {
 		return n, errWriteFailed
 	}
 	return n, err
 }
-
-// SyscallConn implements syscall.Conn.
-func (c *resetConn) SyscallConn() (syscall.RawConn, error) {
-	conn, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return nil, eris.New("not a connection of the system")
-	}
-	return conn.SyscallConn()
-}
