--- a/link/platform/list.go
+++ b/link/platform/list.go
@@ -16,7 +16,7 @@
 	pageRetryPause = 100 * time.Millisecond
 	// catchUpWait limits the watch that completes a list. It returns at once if there were changes.
 	catchUpWait = time.Millisecond
-	// maxListBytes bounds a list, whose pages may have no end. A deployment of hundreds of VMs has lists of a megabyte.
+	// maxListBytes bounds a list, whose pages may have no end. It exceeds the largest list of a deployment by far.
 	maxListBytes = 32 << 20
 	// objectBytes is what an object takes beside its name and value.
 	objectBytes = 256
